Lay out the package, the lock and the checks

Cause: nothing exists yet. The package, the pinned lock, the make targets and the reader for checked tables come first, so that every later part is built and checked the same way.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+VENV ?= .venv
+PYTHON ?= python3
+RUN = $(VENV)/bin/python
+
+.PHONY: venv test lint format demo demo-up bench capacity clean
+
+venv: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+test: venv
+	$(RUN) -m pytest tests
+
+lint: venv
+	$(RUN) -m ruff format --check .
+	$(RUN) -m ruff check .
+
+format: venv
+	$(RUN) -m ruff format .
+	$(RUN) -m ruff check --fix .
+
+demo: venv
+	$(RUN) -m demo
+
+demo-up: venv
+	$(RUN) -m demo --keep
+
+bench: venv
+	$(RUN) -m bench
+
+capacity: venv
+	$(RUN) -m bench.capacity
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/godwitladder/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m godwitladder``."""
+
+from godwitladder.cli import main
+
+main()
--- /dev/null
+++ b/godwitladder/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys, settled by the order of the platform's log."""
--- /dev/null
+++ b/godwitladder/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration by numbered tickets, replayed from the platform's log."""
--- /dev/null
+++ b/godwitladder/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure code without network, actors or clock."""
--- /dev/null
+++ b/godwitladder/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the targets: language engines and plain services."""
--- /dev/null
+++ b/godwitladder/ids.py
@@ -0,0 +1,18 @@
+"""Distinct types for the identifiers that travel through the system."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+Incarnation = NewType("Incarnation", int)
+Zone = NewType("Zone", str)
+TierName = NewType("TierName", str)
+WorkspaceName = NewType("WorkspaceName", str)
+ServiceName = NewType("ServiceName", str)
+TargetName = NewType("TargetName", str)
+RequestId = NewType("RequestId", str)
+StreamId = NewType("StreamId", str)
+KeyDigest = NewType("KeyDigest", str)
+BodyDigest = NewType("BodyDigest", str)
+Nonce = NewType("Nonce", str)
+Offset = NewType("Offset", int)
+TicketNumber = NewType("TicketNumber", int)
--- /dev/null
+++ b/godwitladder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are live, and the links between them."""
--- /dev/null
+++ b/godwitladder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services, one module for each."""
--- /dev/null
+++ b/godwitladder/serving/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators reach over HTTP."""
--- /dev/null
+++ b/godwitladder/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the targets, for tests and demonstrations."""
--- /dev/null
+++ b/godwitladder/tables.py
@@ -0,0 +1,134 @@
+"""Reading TOML tables into dataclasses, collecting every finding on the way.
+
+A dataclass describes the table: the type of a field says what is accepted,
+and its metadata may hold ``check``, a function from the value to a message
+about it or None.
+"""
+
+import dataclasses
+import enum
+import typing
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+from godwitladder.findings import Findings
+
+T = TypeVar("T")
+Check = Callable[[Any], str | None]
+
+
+def checked(check: Check, **kwargs: Any) -> Any:
+    """Return a dataclass field whose value must pass ``check``."""
+    return dataclasses.field(metadata={"check": check}, **kwargs)
+
+
+def positive(value: float) -> str | None:
+    """Accept numbers above zero."""
+    return None if value > 0 else f"{value!r} must be above zero"
+
+
+def not_negative(value: float) -> str | None:
+    """Accept zero and numbers above it."""
+    return None if value >= 0 else f"{value!r} must not be negative"
+
+
+def host_port(value: str) -> str | None:
+    """Accept ``address:port`` with a port from 0 to 65535."""
+    address, _, port = value.rpartition(":")
+    if address and port.isdigit() and int(port) <= 65_535:
+        return None
+    return f"{value!r} must be address:port"
+
+
+def read_table(
+    raw: Any, kind: type[T], place: str, findings: Findings
+) -> T | None:
+    """Return ``raw`` as a ``kind``, or None with findings that say why not.
+
+    Parameters
+    ----------
+    raw : Any
+        What the TOML reader gave for this table.
+    kind : type
+        A dataclass that describes the table.
+    place : str
+        Place of the table, for the findings.
+    findings : Findings
+        Where to note what is wrong.
+    """
+    if not isinstance(raw, Mapping):
+        findings.add(place, f"expected a table, found {raw!r}")
+        return None
+    hints = typing.get_type_hints(kind)
+    fields = {field.name: field for field in dataclasses.fields(kind)}
+    before = len(findings.rows)
+    for name in raw:
+        if name not in fields:
+            findings.add_unknown(f"{place}.{name}", name, fields)
+    values = {}
+    for name, field in fields.items():
+        where = f"{place}.{name}"
+        if name in raw:
+            values[name] = _read_value(raw[name], hints[name], where, findings)
+            _run_check(field, values[name], where, findings)
+        elif _required(field):
+            findings.add(where, "is missing")
+    if len(findings.rows) > before:
+        return None
+    return kind(**values)
+
+
+def _required(field: dataclasses.Field) -> bool:
+    missing = dataclasses.MISSING
+    return field.default is missing and field.default_factory is missing
+
+
+def _run_check(field: Any, value: Any, place: str, findings: Findings) -> None:
+    check = field.metadata.get("check")
+    text = check(value) if check and value is not None else None
+    if text:
+        findings.add(place, text)
+
+
+def _read_value(raw: Any, hint: Any, place: str, findings: Findings) -> Any:
+    hint = _plain(hint)
+    if typing.get_origin(hint) is tuple:
+        return _read_list(raw, typing.get_args(hint)[0], place, findings)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return _read_enum(raw, hint, place, findings)
+    if dataclasses.is_dataclass(hint):
+        return read_table(raw, hint, place, findings)
+    if hint is float and isinstance(raw, int) and not isinstance(raw, bool):
+        return float(raw)
+    if isinstance(raw, hint) and not (hint is int and isinstance(raw, bool)):
+        return raw
+    findings.add(place, f"expected {hint.__name__}, found {raw!r}")
+    return None
+
+
+def _plain(hint: Any) -> Any:
+    """Return the type below a NewType or an optional."""
+    while hasattr(hint, "__supertype__"):
+        hint = hint.__supertype__
+    options = [arg for arg in typing.get_args(hint) if arg is not type(None)]
+    if type(None) in typing.get_args(hint) and len(options) == 1:
+        return _plain(options[0])
+    return hint
+
+
+def _read_list(raw: Any, item: Any, place: str, findings: Findings) -> tuple:
+    if not isinstance(raw, list | tuple):
+        findings.add(place, f"expected a list, found {raw!r}")
+        return ()
+    return tuple(
+        _read_value(value, item, f"{place}[{index}]", findings)
+        for index, value in enumerate(raw)
+    )
+
+
+def _read_enum(raw: Any, kind: type[enum.Enum], place: str, findings: Findings) -> Any:
+    values = [member.value for member in kind]
+    if raw in values:
+        return kind(raw)
+    findings.add(place, f"{raw!r} is none of {', '.join(map(repr, values))}")
+    return None
