Serve a request end to end as separate processes

Cause: nothing was served yet. Entry hosts, the platform's stand-in, an engine and a plain service now run as processes; a ticket goes through the log into force on three hosts in two zones, a streamed and a plain answer come back, and a third host resumes the stream by its signed id.

--- /dev/null
+++ b/godwitladder/daemon.py
@@ -0,0 +1,194 @@
+"""One entry host: wires the parts together and runs until told to stop."""
+
+import contextlib
+import signal
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import waitress
+
+from godwitladder.clock import Clock
+from godwitladder.configuration.follower import ConfigFollower
+from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.state import make_state
+from godwitladder.ids import Incarnation
+from godwitladder.logs import part_logger
+from godwitladder.membership.actor import ConfigMoved, Leave, Listed, Membership
+from godwitladder.membership.links import Link, Mesh
+from godwitladder.membership.members import Member, Members
+from godwitladder.membership.messages import Heartbeat
+from godwitladder.metrics import Metrics
+from godwitladder.platform.hosts import HostListClient, HostListUnavailable
+from godwitladder.platform.log import LogClient
+from godwitladder.scheduler.actor import Scheduler, Ticker
+from godwitladder.scheduler.messages import LiveHosts, NewConfig, Stop
+from godwitladder.serving.callers import CallerApp
+from godwitladder.serving.operators import OperatorApp
+from godwitladder.settings import LimitSettings, Settings
+
+log = part_logger("daemon")
+
+HOST_LIST_PERIOD_S = 2.0
+DRAIN_POLL_S = 0.1
+OPERATOR_THREADS = 8
+
+
+class EntryHost:
+    """All parts of one host, owned by one exit stack.
+
+    Parameters
+    ----------
+    settings : Settings
+        What the host was told.
+    clock : Clock
+        Handed to every part that needs the time.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.stack = contextlib.ExitStack()
+        self.metrics = Metrics()
+        self.stopping = threading.Event()
+        self.incarnation = Incarnation(int(clock.wall() * 1000))
+        self.scheduler = Scheduler.start(clock, self.metrics)
+        self.stack.callback(self.scheduler.stop)
+        self.log = LogClient(settings.platform.log, settings.zone)
+        self.stack.callback(self.log.close)
+        self.follower = ConfigFollower(self.log, clock, self.publish_config)
+        self.callers = CallerApp(settings, self.scheduler, clock, self.metrics)
+        self.operators = OperatorApp(
+            settings, self.log, self.follower, self.metrics, self.ready
+        )
+        self.mesh = Mesh(
+            settings.host,
+            settings.listen.peers,
+            settings.peers.secret,
+            clock,
+            self.deliver,
+        )
+        self.membership = Membership.start(
+            self.make_heartbeat(),
+            Members(settings.peers.timeout_s),
+            self.mesh,
+            clock,
+            self.publish_members,
+        )
+        self.stack.callback(self.membership.stop)
+
+    def run(self) -> None:
+        """Serve until a stop was asked for and all work in flight is done."""
+        with self.stack:
+            self.start()
+            self.stopping.wait()
+            self.drain()
+        log.info("The host has stopped", extra={"host": self.settings.host})
+
+    def start(self) -> None:
+        """Start every part."""
+        self.mesh.start()
+        self.stack.callback(self.mesh.close)
+        for seed in self.settings.peers.seeds:
+            self.mesh.dial(seed)
+        self.start_ticker(self.scheduler, self.settings.scheduler.idle_tick_s)
+        self.start_ticker(self.membership, self.settings.peers.heartbeat_s)
+        self.follower.start()
+        self.stack.callback(self.follower.stop)
+        threading.Thread(target=self.follow_hosts, name="hosts", daemon=True).start()
+        listen, limits = self.settings.listen, self.settings.limits
+        self.serve(self.callers, listen.callers, limits, limits.threads)
+        self.serve(self.operators, listen.operators, limits, OPERATOR_THREADS)
+        log.info("The host serves", extra={"host": self.settings.host})
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self.stopping.set()
+
+    def drain(self) -> None:
+        """Take nothing new and wait for everything in flight."""
+        self.membership.tell(Leave())
+        self.scheduler.ask(Stop())
+        while self.busy():
+            self.clock.sleep(DRAIN_POLL_S)
+
+    def busy(self) -> bool:
+        """Return whether any request is waiting or running."""
+        return self.callers.open_calls > 0
+
+    def ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return self.follower.caught_up.is_set() and not self.stopping.is_set()
+
+    def make_heartbeat(self) -> Heartbeat:
+        """Return this host's first heartbeat."""
+        settings = self.settings
+        return Heartbeat(
+            settings.host,
+            settings.zone,
+            settings.listen.peers,
+            self.incarnation,
+            False,
+            0,
+        )
+
+    def publish_config(self, ledger: Ledger) -> None:
+        """Put a new configuration in force on this host."""
+        state = make_state(ledger)
+        self.callers.config = state
+        self.scheduler.tell(NewConfig(state))
+        self.membership.tell(ConfigMoved(state.offset))
+        self.metrics.config_offset.set({}, state.offset)
+
+    def publish_members(self, live: list[Member]) -> None:
+        """Tell the scheduler how many hosts share the zone's targets."""
+        count = sum(row.zone == self.settings.zone for row in live)
+        self.scheduler.tell(LiveHosts(count + 1))
+
+    def deliver(self, link: Link, message: Any) -> None:
+        """Hand a peer's message to the part it is for."""
+        if isinstance(message, Heartbeat):
+            self.membership.tell(message)
+
+    def follow_hosts(self) -> None:
+        """Read the platform's host list from time to time, as a hint."""
+        client = HostListClient(self.settings.platform.hosts, self.settings.zone)
+        while not self.stopping.is_set():
+            try:
+                self.membership.tell(Listed(client.read()))
+            except HostListUnavailable as error:
+                log.info("No host list", extra={"error": str(error)})
+            self.clock.wait(self.stopping, HOST_LIST_PERIOD_S)
+        client.close()
+
+    def start_ticker(self, actor: Any, period_s: float) -> None:
+        """Send ticks to ``actor``."""
+        ticker = Ticker(actor, self.clock, period_s)
+        ticker.start()
+        self.stack.callback(ticker.stop)
+
+    def serve(
+        self, app: Callable, address: str, limits: LimitSettings, threads: int
+    ) -> None:
+        """Serve ``app`` by waitress at ``address``."""
+        server = waitress.create_server(
+            app,
+            listen=address,
+            threads=threads,
+            connection_limit=limits.connections,
+            max_request_body_size=limits.body_bytes,
+            max_request_header_size=limits.header_bytes,
+            channel_timeout=int(limits.idle_s),
+            channel_request_lookahead=1,
+            ident="godwitladder",
+        )
+        threading.Thread(target=server.run, name="http", daemon=True).start()
+        self.stack.callback(server.close)
+
+
+def run_entry_host(settings: Settings) -> None:
+    """Run one entry host until SIGTERM or SIGINT, then stop as planned."""
+    host = EntryHost(settings, Clock())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: host.stop())
+    host.run()
--- /dev/null
+++ b/godwitladder/decisions/types.py
@@ -0,0 +1,197 @@
+"""What hosts and allocators tell each other, and what decisions are made of.
+
+An allocator is the live host that hands out one pool's capacity. Hosts send
+it their demand and their use; it answers with grants and sheds. Times that
+cross between hosts are durations in seconds, since clocks are not shared.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from godwitladder.ids import (
+    HostId,
+    RequestId,
+    ServiceName,
+    TargetName,
+    WorkspaceName,
+    Zone,
+)
+
+
+@dataclass(frozen=True, order=True)
+class PoolName:
+    """Targets of one zone that share services; named by the first of these."""
+
+    zone: Zone
+    service: ServiceName
+
+
+@dataclass(frozen=True)
+class DemandLine:
+    """One waiting request.
+
+    Attributes
+    ----------
+    tier_rank : int
+        0 matters most.
+    prompt_tokens, predicted_tokens : int
+        Prompt and expected output.
+    slack_s : float
+        Seconds to its deadline when the line was sent.
+    waited_s : float
+        Seconds since its arrival when the line was sent.
+    prefix : str
+        Digest of the start of its prompt; empty for none.
+    """
+
+    request: RequestId
+    workspace: WorkspaceName
+    service: ServiceName
+    tier_rank: int
+    prompt_tokens: int
+    predicted_tokens: int
+    slack_s: float
+    waited_s: float
+    prefix: str = ""
+
+
+@dataclass(frozen=True)
+class TargetUse:
+    """What one host has running on one target; tokens are reserved ones."""
+
+    target: TargetName
+    running: int
+    reserved_tokens: int
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Leave to dispatch one request to one target before it lapses.
+
+    Attributes
+    ----------
+    request : str
+        The request it is meant for; empty for a standing grant, which any
+        request that the target serves may use.
+    tier_rank : int
+        Rank of the request it was given for.
+    lapse_s : float
+        Seconds it may be used after it arrives.
+    """
+
+    grant: str
+    host: HostId
+    target: TargetName
+    request: RequestId
+    tier_rank: int
+    reserved_tokens: int
+    lapse_s: float
+
+
+class ShedReason(enum.Enum):
+    """Why an allocator gives a waiting request up."""
+
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    QUOTA = "quota"
+
+
+@dataclass(frozen=True)
+class Shed:
+    """An allocator gives a waiting request up; it is refused at once."""
+
+    host: HostId
+    request: RequestId
+    reason: ShedReason
+    retry_after_s: float
+
+
+@dataclass
+class TargetView:
+    """What an allocator knows of one target.
+
+    Attributes
+    ----------
+    used : int
+        Requests running there as hosts say, plus grants not yet used.
+    reserved_tokens : int
+        Tokens of memory held by these.
+    limit : int
+        Requests it may run at once, as eased off while it is slow.
+    prefill_tps, decode_tps : float
+        Learned speeds: prompt tokens a second of the whole target, output
+        tokens a second of one request.
+    """
+
+    name: TargetName
+    services: frozenset[ServiceName]
+    slots: int
+    memory_tokens: int
+    prefill_tps: float
+    decode_tps: float
+    used: int = 0
+    reserved_tokens: int = 0
+    limit: int = 0
+    prefixes: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Waiting:
+    """A demand line at the allocator; times are of the allocator's clock."""
+
+    host: HostId
+    line: DemandLine
+    deadline: float
+    arrived: float
+
+
+@dataclass
+class WorkspaceView:
+    """A workspace's weight, bound on running requests (0: none), and use."""
+
+    share: float = 1.0
+    quota: int = 0
+    running: int = 0
+
+
+@dataclass
+class PoolView:
+    """Everything an allocator decides from.
+
+    Attributes
+    ----------
+    floors : dict
+        Highest rank number (the least important tier) that still waits at
+        each other allocator within reach.
+    """
+
+    waiting: dict[RequestId, Waiting] = field(default_factory=dict)
+    targets: dict[TargetName, TargetView] = field(default_factory=dict)
+    workspaces: dict[WorkspaceName, WorkspaceView] = field(default_factory=dict)
+    floors: dict[PoolName, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A waiting request and the target it goes to."""
+
+    request: RequestId
+    target: TargetName
+    reserved_tokens: int
+
+
+@dataclass(frozen=True)
+class GivenUp:
+    """A waiting request that is shed."""
+
+    request: RequestId
+    reason: ShedReason
+    retry_after_s: float
+
+
+@dataclass
+class Allocation:
+    """What one run of `allocate` decided, in order."""
+
+    placements: list[Placement] = field(default_factory=list)
+    given_up: list[GivenUp] = field(default_factory=list)
--- /dev/null
+++ b/godwitladder/membership/members.py
@@ -0,0 +1,60 @@
+"""Which peers are live, judged from their heartbeats alone.
+
+Pure: times are handed in. An incarnation is a number that a host draws once
+at its start, later starts drawing higher ones, so that a host that restarts
+at the same address is told from the process before it.
+"""
+
+from dataclasses import dataclass, field
+
+from godwitladder.ids import HostId, Incarnation, Zone
+
+
+@dataclass
+class Member:
+    """One peer as last heard of; ``heard`` is monotonic seconds."""
+
+    host: HostId
+    zone: Zone
+    address: str
+    incarnation: Incarnation
+    heard: float
+    leaving: bool = False
+    config_offset: int = 0
+
+
+@dataclass
+class Members:
+    """The peers of one host.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Silence after which a peer no longer counts as live.
+    """
+
+    timeout_s: float
+    rows: dict[HostId, Member] = field(default_factory=dict)
+
+    def hear(self, member: Member) -> bool:
+        """Take in a heartbeat; return False if it is of an older incarnation.
+
+        A delayed heartbeat of a process that is gone must not make it look
+        live again, nor hide the one that took its place.
+        """
+        held = self.rows.get(member.host)
+        if held and held.incarnation > member.incarnation:
+            return False
+        self.rows[member.host] = member
+        return True
+
+    def live(self, now: float) -> list[Member]:
+        """Return the members heard of within the timeout, by host id."""
+        rows = [row for row in self.rows.values() if now - row.heard < self.timeout_s]
+        return sorted(rows, key=lambda row: row.host)
+
+    def forget(self, now: float, after_s: float) -> None:
+        """Drop rows not heard of for ``after_s``, which bounds the table."""
+        for host, row in list(self.rows.items()):
+            if now - row.heard > after_s:
+                del self.rows[host]
--- /dev/null
+++ b/godwitladder/membership/messages.py
@@ -0,0 +1,36 @@
+"""What hosts tell each other about themselves."""
+
+from dataclasses import dataclass
+
+from godwitladder.ids import HostId, Incarnation, Zone
+from godwitladder.membership.codec import peer_message
+
+
+@peer_message
+@dataclass(frozen=True)
+class Hello:
+    """First message on a link: who speaks, and a challenge to the other."""
+
+    host: HostId
+    challenge: bytes
+
+
+@peer_message
+@dataclass(frozen=True)
+class Proof:
+    """Answer to a challenge: its digest under the shared secret."""
+
+    digest: bytes
+
+
+@peer_message
+@dataclass(frozen=True)
+class Heartbeat:
+    """A host is live; sent every heartbeat period over every link."""
+
+    host: HostId
+    zone: Zone
+    address: str
+    incarnation: Incarnation
+    leaving: bool
+    config_offset: int
--- /dev/null
+++ b/godwitladder/outcomes.py
@@ -0,0 +1,112 @@
+"""How a request can end, and the refusals that tell a caller so."""
+
+import enum
+import http
+from dataclasses import dataclass
+
+
+class RequestState(enum.Enum):
+    """The states of a request on the host where its caller is connected."""
+
+    WAITING = "waiting"
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+TRANSITIONS: dict[RequestState, frozenset[RequestState]] = {
+    RequestState.WAITING: frozenset(
+        {RequestState.CLAIMING, RequestState.DISPATCHED, RequestState.NOT_RUN}
+    ),
+    RequestState.CLAIMING: frozenset({RequestState.WAITING, RequestState.NOT_RUN}),
+    # Back to WAITING only when no byte was written to the target, which is
+    # the one case in which a dispatch is known not to have happened.
+    RequestState.DISPATCHED: frozenset(
+        {
+            RequestState.WAITING,
+            RequestState.COMPLETED,
+            RequestState.FAILED,
+            RequestState.NOT_RUN,
+            RequestState.MAY_HAVE_RUN,
+        }
+    ),
+    RequestState.COMPLETED: frozenset(),
+    RequestState.FAILED: frozenset(),
+    RequestState.NOT_RUN: frozenset(),
+    RequestState.MAY_HAVE_RUN: frozenset(),
+}
+
+
+class Reason(enum.Enum):
+    """Why a request was refused or failed; part of the public interface."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    KEY_REQUIRED = "key_required"
+    KEY_IN_USE = "key_in_use"
+    KEY_EXPIRED = "key_expired"
+    KEY_REUSED = "key_reused"
+    SHED = "shed"
+    QUOTA = "quota"
+    DEADLINE = "deadline"
+    NO_TARGET = "no_target"
+    QUARANTINED = "quarantined"
+    LOG_UNAVAILABLE = "log_unavailable"
+    STOPPING = "stopping"
+    TARGET_REFUSED = "target_refused"
+    TARGET_LOST = "target_lost"
+    CALLER_GONE = "caller_gone"
+
+
+STATUS: dict[Reason, http.HTTPStatus] = {
+    Reason.MALFORMED: http.HTTPStatus.BAD_REQUEST,
+    Reason.TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.UNAUTHENTICATED: http.HTTPStatus.UNAUTHORIZED,
+    Reason.UNKNOWN_SERVICE: http.HTTPStatus.NOT_FOUND,
+    Reason.UNKNOWN_PATH: http.HTTPStatus.NOT_FOUND,
+    Reason.KEY_REQUIRED: http.HTTPStatus.BAD_REQUEST,
+    Reason.KEY_IN_USE: http.HTTPStatus.CONFLICT,
+    Reason.KEY_EXPIRED: http.HTTPStatus.GONE,
+    Reason.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.SHED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.QUOTA: http.HTTPStatus.TOO_MANY_REQUESTS,
+    Reason.DEADLINE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.NO_TARGET: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Reason.LOG_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.STOPPING: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.TARGET_REFUSED: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.TARGET_LOST: http.HTTPStatus.BAD_GATEWAY,
+    Reason.CALLER_GONE: http.HTTPStatus.REQUEST_TIMEOUT,
+}
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """A final answer that is not the target's own.
+
+    Attributes
+    ----------
+    outcome : RequestState
+        NOT_RUN, MAY_HAVE_RUN or FAILED.
+    detail : str
+        One sentence for a person.
+    retry_after_s : float or None
+        When to come back, in seconds; None where coming back can't help.
+    """
+
+    outcome: RequestState
+    reason: Reason
+    detail: str
+    retry_after_s: float | None = None
+
+
+def refuse(reason: Reason, detail: str, retry_after_s: float | None = None) -> Refusal:
+    """Return a refusal of a request that did not run."""
+    return Refusal(RequestState.NOT_RUN, reason, detail, retry_after_s)
--- /dev/null
+++ b/godwitladder/platform/hosts.py
@@ -0,0 +1,50 @@
+"""Client of the platform's lagging list of live and leaving hosts."""
+
+import json
+from dataclasses import dataclass
+
+import urllib3
+
+from godwitladder.findings import GodwitladderError
+from godwitladder.ids import Zone
+
+
+class HostListUnavailable(GodwitladderError):
+    """The host list did not answer."""
+
+
+@dataclass(frozen=True)
+class ListedHost:
+    """One row: a peer or target address, its zone, and whether it leaves."""
+
+    address: str
+    zone: Zone
+    leaving: bool
+
+
+class HostListClient:
+    """Reads the list; what it says is late and only a hint."""
+
+    def __init__(self, url: str, zone: Zone, timeout_s: float = 2.0) -> None:
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.pool = urllib3.PoolManager(retries=False, headers={"X-Zone": zone})
+
+    def close(self) -> None:
+        """Close the pooled connections."""
+        self.pool.clear()
+
+    def read(self) -> tuple[ListedHost, ...]:
+        """Return the rows of the list."""
+        try:
+            answer = self.pool.request(
+                "GET", f"{self.url}/hosts", timeout=self.timeout_s
+            )
+            rows = json.loads(answer.data)
+            if answer.status != 200:
+                raise HostListUnavailable(f"host list answered {answer.status}")
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise HostListUnavailable(f"host list did not answer: {error}") from error
+        return tuple(
+            ListedHost(row["address"], row["zone"], row["leaving"]) for row in rows
+        )
--- /dev/null
+++ b/godwitladder/platform/log.py
@@ -0,0 +1,99 @@
+"""Client of the platform's append-only log service.
+
+The only module to change when the platform's own form of the log differs:
+``POST /log/{stream}`` appends one batch, ``GET /log/{stream}?from=&wait=``
+reads from an offset on and waits for news.
+"""
+
+import base64
+import json
+from dataclasses import dataclass
+
+import urllib3
+
+from godwitladder.findings import GodwitladderError
+from godwitladder.ids import Offset, Zone
+
+CONFIG_STREAM = "config"
+CLAIM_STREAM = "claims"
+
+
+class LogUnavailable(GodwitladderError):
+    """The log did not answer; an append may still have been applied."""
+
+
+@dataclass(frozen=True)
+class Record:
+    """One record; ``time`` is the log's own, in seconds since the epoch."""
+
+    offset: Offset
+    time: float
+    data: bytes
+
+
+@dataclass(frozen=True)
+class Page:
+    """Records from a read; ``first`` is the oldest offset still kept."""
+
+    first: Offset
+    next: Offset
+    records: tuple[Record, ...]
+
+
+class LogClient:
+    """Appends to and reads from the streams of the log.
+
+    Parameters
+    ----------
+    url : str
+        Root of the service.
+    zone : str
+        Availability zone of this host, told to the service for its records.
+    timeout_s : float
+        Longest wait for an answer, in seconds.
+    """
+
+    def __init__(self, url: str, zone: Zone, timeout_s: float = 2.0) -> None:
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+        self.pool = urllib3.PoolManager(
+            maxsize=8, retries=False, headers={"X-Zone": zone}
+        )
+
+    def close(self) -> None:
+        """Close the pooled connections."""
+        self.pool.clear()
+
+    def append(self, stream: str, records: list[bytes]) -> Offset:
+        """Append ``records`` as one batch; return the offset of the first.
+
+        Raises
+        ------
+        LogUnavailable
+            No answer: the batch may or may not have been applied. Only
+            reading the stream can tell.
+        """
+        body = json.dumps([base64.b64encode(data).decode() for data in records])
+        answer = self._request("POST", f"/log/{stream}", body, self.timeout_s)
+        return Offset(answer["offset"])
+
+    def read(self, stream: str, start: Offset, wait_s: float = 0.0) -> Page:
+        """Return the records from ``start`` on, waiting up to ``wait_s`` for one."""
+        path = f"/log/{stream}?from={start}&wait={wait_s}"
+        answer = self._request("GET", path, None, self.timeout_s + wait_s)
+        records = tuple(
+            Record(row["offset"], row["time"], base64.b64decode(row["data"]))
+            for row in answer["records"]
+        )
+        return Page(Offset(answer["first"]), Offset(answer["next"]), records)
+
+    def _request(self, method: str, path: str, body: str | None, timeout: float):
+        try:
+            answer = self.pool.request(
+                method, self.url + path, body=body, timeout=timeout
+            )
+            if answer.status != 200:
+                raise LogUnavailable(f"log answered {answer.status} to {path}")
+            return json.loads(answer.data)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise LogUnavailable(f"log did not answer {path}: {error}") from error
--- /dev/null
+++ b/godwitladder/serving/calls.py
@@ -0,0 +1,187 @@
+"""Reading a caller's HTTP request into a row of the scheduler's table."""
+
+import hashlib
+import json
+import secrets
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from godwitladder.clock import Clock
+from godwitladder.configuration.model import Service, ServiceKind, Workspace
+from godwitladder.configuration.state import ConfigState
+from godwitladder.findings import GodwitladderError
+from godwitladder.ids import (
+    BodyDigest,
+    KeyDigest,
+    RequestId,
+    ServiceName,
+    StreamId,
+    WorkspaceName,
+)
+from godwitladder.outcomes import Reason, Refusal, refuse
+from godwitladder.scheduler.rows import RequestRow
+
+BYTES_PER_TOKEN = 4
+PREFIX_BYTES = 1024
+DEFAULT_OUTPUT = 512
+
+
+class CallRefused(GodwitladderError):
+    """The request was turned away before it reached the scheduler."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+@dataclass(frozen=True)
+class Caller:
+    """Who calls: the workspace that the bearer key belongs to."""
+
+    name: WorkspaceName
+    workspace: Workspace
+    rank: int
+
+
+@dataclass(frozen=True)
+class Call:
+    """One caller's request: its row and what is passed to the target.
+
+    Attributes
+    ----------
+    streamed : bool
+        Whether the caller wants the answer as server-sent events.
+    """
+
+    row: RequestRow
+    service: Service
+    body: bytes
+    content_type: str
+    streamed: bool
+
+
+def deny(reason: Reason, detail: str) -> CallRefused:
+    """Return the error that refuses a call for ``reason``."""
+    return CallRefused(refuse(reason, detail))
+
+
+def read_chat(
+    environ: Mapping, body: bytes, caller: Caller, config: ConfigState, clock: Clock
+) -> Call:
+    """Return the call in a chat completion request.
+
+    Raises
+    ------
+    CallRefused
+        With what is wrong in the request.
+    """
+    raw = _read_chat_body(body)
+    name = ServiceName(str(raw.get("model", "")))
+    service = find_service(config, name, ServiceKind.MODEL)
+    prompt = json.dumps(raw["messages"]).encode()
+    declared = raw.get("max_tokens", DEFAULT_OUTPUT)
+    if not isinstance(declared, int) or isinstance(declared, bool) or declared < 1:
+        raise deny(Reason.MALFORMED, f"max_tokens {declared!r} is no whole number.")
+    row = make_row(environ, caller, name, service, body, clock)
+    row.prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
+    row.declared_tokens = min(declared, service.max_output)
+    row.prefix = hashlib.sha256(prompt[:PREFIX_BYTES]).hexdigest()[:16]
+    passed = json.dumps(raw | {"stream": True, "max_tokens": row.declared_tokens})
+    streamed = bool(raw.get("stream", False))
+    return Call(row, service, passed.encode(), "application/json", streamed)
+
+
+def read_plain(
+    environ: Mapping,
+    body: bytes,
+    name: ServiceName,
+    caller: Caller,
+    config: ConfigState,
+    clock: Clock,
+) -> Call:
+    """Return the call of a plain service."""
+    service = find_service(config, name, ServiceKind.PLAIN)
+    row = make_row(environ, caller, name, service, body, clock)
+    kind = environ.get("CONTENT_TYPE") or "application/octet-stream"
+    return Call(row, service, body, kind, False)
+
+
+def find_service(config: ConfigState, name: ServiceName, kind: ServiceKind) -> Service:
+    """Return the service called ``name``."""
+    service = config.services.get(name)
+    if service is None or service.kind is not kind:
+        raise deny(
+            Reason.UNKNOWN_SERVICE, f"There is no {kind.value} service {name!r}."
+        )
+    return service
+
+
+def make_row(
+    environ: Mapping,
+    caller: Caller,
+    name: ServiceName,
+    service: Service,
+    body: bytes,
+    clock: Clock,
+) -> RequestRow:
+    """Return a waiting row with what every kind of request has."""
+    now = clock.monotonic()
+    identity = secrets.token_hex(12)
+    return RequestRow(
+        request=RequestId(identity),
+        stream=StreamId(identity),
+        workspace=caller.name,
+        service=name,
+        tier_rank=_read_rank(environ, caller),
+        prompt_tokens=0,
+        declared_tokens=0,
+        arrived=now,
+        deadline=now + _read_timeout(environ, service),
+        idempotent=service.idempotent,
+        key=_read_key(environ, caller, name),
+        body=BodyDigest(hashlib.sha256(body).hexdigest()),
+    )
+
+
+def _read_chat_body(body: bytes) -> dict[str, Any]:
+    try:
+        raw = json.loads(body)
+    except ValueError as error:
+        raise deny(Reason.MALFORMED, f"The body is not JSON: {error}.") from error
+    if not isinstance(raw, dict) or not isinstance(raw.get("messages"), list):
+        raise deny(Reason.MALFORMED, "The body has no list of messages.")
+    return raw
+
+
+def _read_timeout(environ: Mapping, service: Service) -> float:
+    text = environ.get("HTTP_REQUEST_TIMEOUT")
+    if text is None:
+        return service.timeout_s
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds < 86_400:
+        raise deny(Reason.MALFORMED, f"Request-Timeout {text!r} is no time in seconds.")
+    return seconds
+
+
+def _read_rank(environ: Mapping, caller: Caller) -> int:
+    """Return the rank: a caller can lower its tier, never raise it."""
+    text = environ.get("HTTP_REQUEST_TIER_RANK")
+    if text is None:
+        return caller.rank
+    if not text.isdigit():
+        raise deny(Reason.MALFORMED, f"Request-Tier-Rank {text!r} is no rank.")
+    return max(caller.rank, int(text))
+
+
+def _read_key(
+    environ: Mapping, caller: Caller, service: ServiceName
+) -> KeyDigest | None:
+    text = environ.get("HTTP_IDEMPOTENCY_KEY")
+    if not text:
+        return None
+    scope = f"{caller.name}\n{service}\n{text}".encode()
+    return KeyDigest(hashlib.sha256(scope).hexdigest())
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -40,9 +40,7 @@
     return f"{value!r} must be address:port"
 
 
-def read_table(
-    raw: Any, kind: type[T], place: str, findings: Findings
-) -> T | None:
+def read_table(raw: Any, kind: type[T], place: str, findings: Findings) -> T | None:
     """Return ``raw`` as a ``kind``, or None with findings that say why not.
 
     Parameters
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,42 @@
+"""The whole path, with entry hosts as processes of their own."""
+
+import json
+
+from tests.fleet import Fleet
+
+
+def start_small(fleet: Fleet) -> None:
+    fleet.add_engine("engine-a1", decode_tps=400)
+    fleet.add_service("app-a1")
+    fleet.add_host("host-a1", "a")
+    fleet.add_host("host-a2", "a")
+    fleet.add_host("host-b1", "b")
+    fleet.wait_ready()
+    fleet.configure()
+
+
+def test_requests_are_served_end_to_end(fleet):
+    start_small(fleet)
+
+    whole = fleet.chat(fleet.hosts[0], "Which size fits?")
+    assert whole.status == 200, whole.data
+    answer = json.loads(whole.data)
+    assert answer["choices"][0]["finish_reason"] == "stop"
+    assert len(answer["choices"][0]["message"]["content"].split()) == 10
+
+    streamed = fleet.chat(fleet.hosts[1], "A long letter", stream=True)
+    assert streamed.status == 200
+    assert streamed.data.rstrip().endswith(b"data: [DONE]")
+    identity = streamed.headers["Request-Id"]
+
+    again = fleet.http.request(
+        "GET",
+        f"http://{fleet.hosts[2].callers}/v1/requests/{identity}",
+        headers={"Authorization": "Bearer adviser-key"},
+    )
+    assert again.data == streamed.data
+
+    plain = fleet.call(fleet.hosts[2], "lookup", b"order 7")
+    assert plain.status == 200
+    assert json.loads(plain.data)["ran"] == 1
+    assert [row["runs"] for row in fleet.ran(fleet.engines["engine-a1"])] == [1, 1]
