Let a new host become ready without waiting for a first ticket

Cause: the first read of the configuration stream waited five seconds for a record, and a host is ready only after that read.

--- a/godwitladder/configuration/follower.py
+++ b/godwitladder/configuration/follower.py
@@ -58,7 +58,8 @@
 
     def follow_once(self) -> None:
         """Read one page and replay it."""
-        page = self.client.read(CONFIG_STREAM, self.ledger.next, READ_WAIT_S)
+        wait_s = READ_WAIT_S if self.caught_up.is_set() else 0.0
+        page = self.client.read(CONFIG_STREAM, self.ledger.next, wait_s)
         with self.lock:
             for record in page.records:
                 entry = self.ledger.replay(record.offset, record.time, record.data)
