--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python
 
-.PHONY: venv test lint format demo demo-up bench capacity clean
+.PHONY: venv test lint format demo demo-up bench capacity mutants clean
 
 venv: $(VENV)/.ready
 
@@ -35,5 +35,8 @@
 capacity: venv
 	$(RUN) -m bench.capacity
 
+mutants: venv
+	$(RUN) -m bench.mutants
+
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
