Measure idle hosts and large configurations

Cause: the target size allows 3% of a core for control, and nothing had been measured. Readings at 4, 16 and 32 idle hosts of one zone in full mesh with a heartbeat each half second: 0.70, 2.50 and 4.35% of a core, which gives 6.5% at the 48 hosts of a zone. Ruled out: decoding and encoding as the main cost; some 0.3 ms for each message go into the threads of the links. Fewer messages, not cheaper ones, is the way. Conclusion: the full mesh of heartbeats misses the bound at the target size; its number of messages must stop growing with the zone.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,166 @@
+"""Measures the slopes behind ``docs/CAPACITY.md`` on this machine.
+
+``python -m bench.capacity [PART ...]`` runs all parts, or those named: hosts,
+workspaces. Each prints readings at several sizes, the line through them, and
+what the line gives at the size to design for.
+"""
+
+import contextlib
+import json
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.processes import cpu_seconds, fit_line, print_table, resident_bytes
+from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.state import make_state
+from tests.fleet import Fleet, digest, make_fleet
+
+HOST_SIZES = (4, 16, 32)
+WORKSPACE_SIZES = (100, 400, 1600, 3200)
+SETTLE_S = 4.0
+MEASURE_S = 10.0
+ZONE_HOSTS = 48
+WORKSPACES = 3200
+CONTROL_METRIC = "godwitladder_control_bytes_total"
+
+
+@dataclass(frozen=True)
+class Use:
+    """What one host uses on average: cores, bytes, bytes a second."""
+
+    cores: float
+    resident: float
+    control: float
+
+
+def measure_hosts() -> None:
+    """Measure idle hosts of one zone, in full mesh."""
+    points = []
+    for size in HOST_SIZES:
+        points.append((size, measure_fleet(size)))
+    rows = [
+        (
+            size,
+            f"{use.cores * 100:.2f}",
+            f"{use.resident / 1e6:.1f}",
+            f"{use.control / 1e3:.2f}",
+        )
+        for size, use in points
+    ]
+    print("\nIdle hosts of one zone, each:\n")
+    print_table(("hosts", "% of a core", "MB resident", "KB/s sent"), rows)
+    for name, unit, scale in (
+        ("cores", "% of a core", 100.0),
+        ("resident", "MB", 1e-6),
+        ("control", "KB/s", 1e-3),
+    ):
+        line = fit_line([(size, getattr(use, name) * scale) for size, use in points])
+        print(
+            f"{name}: {line.base:.3f} + {line.slope:.4f} for each host {unit}; "
+            f"at {ZONE_HOSTS} hosts {line.at(ZONE_HOSTS):.2f} {unit}"
+        )
+
+
+def measure_fleet(size: int) -> Use:
+    """Return the average use of ``size`` idle hosts."""
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        fleet = make_fleet(Path(folder), stack)
+        for index in range(4):
+            fleet.add_engine(f"engine-a{index}")
+        for index in range(size):
+            fleet.add_host(f"host-a{index}", "a")
+        fleet.wait_ready()
+        fleet.configure()
+        time.sleep(SETTLE_S)
+        before = [reading(fleet, host) for host in fleet.hosts]
+        start = time.monotonic()
+        time.sleep(MEASURE_S)
+        seconds = time.monotonic() - start
+        after = [reading(fleet, host) for host in fleet.hosts]
+        return Use(
+            mean([b.cores - a.cores for a, b in zip(before, after, strict=True)])
+            / seconds,
+            mean([row.resident for row in after]),
+            mean([b.control - a.control for a, b in zip(before, after, strict=True)])
+            / seconds,
+        )
+
+
+def reading(fleet: Fleet, host) -> Use:
+    """Return the totals that one host has used so far."""
+    text = fleet.http.request("GET", f"http://{host.operators}/metrics").data.decode()
+    control = sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in text.splitlines()
+        if line.startswith(CONTROL_METRIC)
+    )
+    pid = host.process.pid
+    return Use(cpu_seconds(pid), resident_bytes(pid), control)
+
+
+def mean(values: list[float]) -> float:
+    """Return the average."""
+    return sum(values) / len(values)
+
+
+def measure_workspaces() -> None:
+    """Measure memory and replay time of a configuration with many workspaces."""
+    rows, memory, seconds = [], [], []
+    for size in WORKSPACE_SIZES:
+        ticket = workspace_ticket(size)
+        tracemalloc.start()
+        ledger = Ledger()
+        ledger.replay(0, 0.0, ticket)
+        state = make_state(ledger)
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        start = time.perf_counter()
+        again = Ledger()
+        again.replay(0, 0.0, ticket)
+        make_state(again)
+        spent = time.perf_counter() - start
+        rows.append((size, len(ticket), f"{held / 1e6:.2f}", f"{spent * 1e3:.0f}"))
+        memory.append((size, held))
+        seconds.append((size, spent))
+        assert len(state.workspaces) == size
+    print("\nConfiguration, one ticket that creates all workspaces:\n")
+    print_table(("workspaces", "ticket bytes", "MB held", "ms to replay"), rows)
+    line = fit_line(memory)
+    print(f"memory: {line.slope:.0f} B for each workspace")
+    line = fit_line(seconds)
+    print(f"replay: {line.slope * 1e6:.1f} us for each workspace")
+
+
+def workspace_ticket(size: int) -> bytes:
+    """Return a ticket that creates ``size`` workspaces, two keys each."""
+    lines = [
+        'number = 1\noperator = "hanna"\nreason = "capacity"\n[tiers.normal]\nrank = 1'
+    ]
+    for index in range(size):
+        keys = json.dumps([digest(f"{index}-a"), digest(f"{index}-b")])
+        lines.append(
+            f'[workspaces.workspace-{index}]\ntier = "normal"\nkey_digests = {keys}'
+        )
+    return "\n".join(lines).encode()
+
+
+PARTS: dict[str, Callable[[], None]] = {
+    "hosts": measure_hosts,
+    "workspaces": measure_workspaces,
+}
+
+
+def main(names: list[str]) -> None:
+    """Run the parts named, or all."""
+    for name in names or PARTS:
+        PARTS[name]()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -46,8 +46,12 @@
 
     def send(self, message: Any) -> bool:
         """Queue ``message``; return False if the queue is full."""
+        return self.send_bytes(encode(message))
+
+    def send_bytes(self, data: bytes) -> bool:
+        """Queue an encoded message; return False if the queue is full."""
         try:
-            self.outgoing.put_nowait(encode(message))
+            self.outgoing.put_nowait(data)
         except queue.Full:
             return False
         return True
@@ -190,8 +194,9 @@
 
     def broadcast(self, message: Any) -> None:
         """Send ``message`` over every link."""
+        data = encode(message)
         for link in self.current():
-            link.send(message)
+            link.send_bytes(data)
 
     def dial(self, address: str) -> None:
         """Keep a link to ``address``, if this end is the one to dial."""
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import functools
 import typing
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
@@ -57,8 +58,8 @@
     if not isinstance(raw, Mapping):
         findings.add(place, f"expected a table, found {raw!r}")
         return None
-    hints = typing.get_type_hints(kind)
-    fields = {field.name: field for field in dataclasses.fields(kind)}
+    hints = _hints(kind)
+    fields = _fields(kind)
     before = len(findings.rows)
     for name in raw:
         if name not in fields:
@@ -76,6 +77,18 @@
     return kind(**values)
 
 
+# Peer messages are read through here too, many a second: the type hints are
+# resolved once for each dataclass.
+@functools.cache
+def _hints(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
+@functools.cache
+def _fields(kind: type) -> dict[str, dataclasses.Field]:
+    return {field.name: field for field in dataclasses.fields(kind)}
+
+
 def _required(field: dataclasses.Field) -> bool:
     missing = dataclasses.MISSING
     return field.default is missing and field.default_factory is missing
@@ -104,6 +117,7 @@
     return None
 
 
+@functools.cache
 def _plain(hint: Any) -> Any:
     """Return the type below a NewType or an optional."""
     while hasattr(hint, "__supertype__"):
