Tell each dispatch's end once, and each caller the truth about its answer

Found by reading the paths out of a dispatch: a generator that was closed before its first byte never told the scheduler (the target's slot stayed taken for good); an event with no choices or an unknown error left the same way; a stream was given up after five breaks, however much came between them; an end mark without a reason to finish passed as whole; an engine's 500 was reported as not run; a plain answer with no stated length looked whole when cut; the deadline was not looked at within an answer; deep JSON, NaN and a superscript digit were answered with 500.

Now Ending tells once on every way out; StreamFollower counts only tries in vain, keeps early chunks, asks again for lost ones and ends in AnswerCut with the true outcome. The listener is bounded: waitress kept bodies and answers above half a megabyte in temporary files, which hosts have no disk for, used select() (1,024 files at most), and buffered 16 MB for a caller that does not read; it can speak TLS, and its own refusals are problem documents.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import waitress
-
 from godwitladder.clock import Clock
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
@@ -24,8 +22,9 @@
 from godwitladder.scheduler.actor import Scheduler, Ticker
 from godwitladder.scheduler.messages import LiveHosts, NewConfig, Stop
 from godwitladder.serving.callers import CallerApp
+from godwitladder.serving.listener import make_listener
 from godwitladder.serving.operators import OperatorApp
-from godwitladder.settings import LimitSettings, Settings
+from godwitladder.settings import Settings, TlsSettings
 
 log = part_logger("daemon")
 
@@ -96,9 +95,11 @@
         self.follower.start()
         self.stack.callback(self.follower.stop)
         threading.Thread(target=self.follow_hosts, name="hosts", daemon=True).start()
-        listen, limits = self.settings.listen, self.settings.limits
-        self.serve(self.callers, listen.callers, limits, limits.threads)
-        self.serve(self.operators, listen.operators, limits, OPERATOR_THREADS)
+        listen, threads = self.settings.listen, self.settings.limits.threads
+        self.serve(self.callers, listen.callers, threads, listen.callers_tls)
+        self.serve(
+            self.operators, listen.operators, OPERATOR_THREADS, listen.operators_tls
+        )
         log.info("The host serves", extra={"host": self.settings.host})
 
     def stop(self) -> None:
@@ -168,20 +169,10 @@
         self.stack.callback(ticker.stop)
 
     def serve(
-        self, app: Callable, address: str, limits: LimitSettings, threads: int
+        self, app: Callable, address: str, threads: int, tls: TlsSettings | None
     ) -> None:
         """Serve ``app`` by waitress at ``address``."""
-        server = waitress.create_server(
-            app,
-            listen=address,
-            threads=threads,
-            connection_limit=limits.connections,
-            max_request_body_size=limits.body_bytes,
-            max_request_header_size=limits.header_bytes,
-            channel_timeout=int(limits.idle_s),
-            channel_request_lookahead=1,
-            ident="godwitladder",
-        )
+        server = make_listener(app, address, self.settings.limits, threads, tls)
         threading.Thread(target=server.run, name="http", daemon=True).start()
         self.stack.callback(server.close)
 
--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -15,8 +15,12 @@
 from godwitladder.engines.wire import MayHaveRun, TargetRefused, connect, send
 from godwitladder.ids import StreamId
 
+# Statuses with which an engine says that it did not take a request. Any other
+# error (500, 502, 504) may come after the work has begun.
+NOT_TAKEN = frozenset({400, 401, 403, 404, 405, 409, 410, 411, 413, 415, 422, 429, 503})
 DONE = b"[DONE]"
 READ_BYTES = 65_536
+EVENT_BYTES = 1_048_576
 STREAM_HEADER = "X-Stream-Id"
 
 
@@ -49,42 +53,50 @@
 
     def close(self) -> None:
         """Close the connection; the stream itself goes on at the engine."""
+        self.response.close()
         self.connection.close()
 
-    def __iter__(self) -> Iterator[Chunk]:
-        """Yield chunks in the order of arrival, whatever their sequence.
+    def __iter__(self) -> Iterator[list[Chunk]]:
+        """Yield the chunks of each read, in the order of arrival.
+
+        A heartbeat is an empty list, so that whoever iterates can look at the
+        time while nothing is produced.
 
         Raises
         ------
         MayHaveRun
-            The connection broke or went silent.
+            The connection broke or went silent, or sent what is no event.
         """
         rest = b""
         try:
-            for block in self.response.stream(READ_BYTES):
+            while block := self._read():
                 *events, rest = (rest + block).split(b"\n\n")
-                for event in events:
-                    chunk = parse_event(event)
-                    if chunk:
-                        yield chunk
+                if len(rest) > EVENT_BYTES:
+                    raise MayHaveRun(f"an event of more than {EVENT_BYTES} bytes")
+                parsed = map(parse_event, events)
+                yield [chunk for chunk in parsed if chunk]
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise MayHaveRun(f"stream broke: {error}") from error
 
+    def _read(self) -> bytes:
+        """Return what has arrived; wait for it only if nothing has."""
+        return self.response.read1(READ_BYTES)
+
 
 def parse_event(event: bytes) -> Chunk | None:
     """Return the chunk in one server-sent event; None for a comment."""
     identity = data = None
     for line in event.split(b"\n"):
         if line.startswith(b"id: "):
-            identity = line[4:].decode()
+            identity = line[4:]
         elif line.startswith(b"data: "):
             data = line[6:]
     if identity is None or data is None:
         return None
-    stream, _, sequence = identity.rpartition(":")
+    stream, _, sequence = identity.rpartition(b":")
     if not sequence.isdigit():
         return None
-    return Chunk(StreamId(stream), int(sequence), data)
+    return Chunk(StreamId(stream.decode(errors="replace")), int(sequence), data)
 
 
 def open_stream(
@@ -136,6 +148,9 @@
 ) -> EngineStream:
     if response.status == 200:
         return EngineStream(connection, response)
+    if response.status not in NOT_TAKEN:
+        connection.close()
+        raise MayHaveRun(f"target answered {response.status}")
     try:
         text = response.data[:200].decode(errors="replace")
     except (urllib3.exceptions.HTTPError, OSError) as error:
--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -4,9 +4,15 @@
 
 import urllib3
 
+from godwitladder.clock import Clock
 from godwitladder.engines.wire import MayHaveRun, connect, send
 from godwitladder.ids import ServiceName, StreamId
 
+READ_BYTES = 65_536
+ANSWER_BYTES = 16_777_216
+CALL_HEADER = "X-Call-Id"
+NO_BODY = (204, 304)
+
 
 @dataclass(frozen=True)
 class ServiceAnswer:
@@ -23,24 +29,62 @@
     call: StreamId,
     body: bytes,
     content_type: str,
-    timeout_s: float,
+    clock: Clock,
+    deadline: float,
 ) -> ServiceAnswer:
     """Dispatch one call and return its whole answer.
 
+    Parameters
+    ----------
+    deadline : float
+        Monotonic seconds after which the answer is of no use.
+
     Raises
     ------
     NotSent, MayHaveRun
         See `godwitladder.engines.wire`. An answer that ends before its
         stated length is a `MayHaveRun`, never a short answer.
     """
-    connection = connect(address, timeout_s)
-    headers = {"Content-Type": content_type, "X-Call-Id": call}
+    connection = connect(address, max(0.1, deadline - clock.monotonic()))
+    headers = {"Content-Type": content_type, CALL_HEADER: call}
     response = send(connection, "POST", f"/call/{service}", body, headers)
     try:
-        data = response.read()
+        _check_head(response, call)
+        data = _read_body(response, clock, deadline)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise MayHaveRun(f"{address} cut its answer short: {error}") from error
     finally:
+        response.close()
         connection.close()
     kind = response.headers.get("Content-Type", "application/octet-stream")
     return ServiceAnswer(response.status, kind, data)
+
+
+def _check_head(response: urllib3.BaseHTTPResponse, call: StreamId) -> None:
+    """Refuse an answer that is another call's, or whose end can't be told.
+
+    An answer with neither a length nor chunks ends where the connection does,
+    so that one cut short would look whole.
+    """
+    headers = response.headers
+    if headers.get(CALL_HEADER, call) != call:
+        raise MayHaveRun("the target sent the answer of another call")
+    chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    if not (chunked or "Content-Length" in headers or response.status in NO_BODY):
+        raise MayHaveRun("the target did not tell how long its answer is")
+
+
+def _read_body(
+    response: urllib3.BaseHTTPResponse, clock: Clock, deadline: float
+) -> bytes:
+    """Return the body; a target that trickles it can't outlive the deadline."""
+    blocks = []
+    size = 0
+    while block := response.read1(READ_BYTES):
+        size += len(block)
+        if size > ANSWER_BYTES:
+            raise MayHaveRun(f"the answer has more than {ANSWER_BYTES} bytes")
+        if clock.monotonic() >= deadline:
+            raise MayHaveRun("the deadline passed within the answer")
+        blocks.append(block)
+    return b"".join(blocks)
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -1,14 +1,53 @@
 """Counters and histograms of one host, rendered for ``/metrics``."""
 
+import threading
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from godwitladder.outcomes import Reason, RequestState
+
+# The collectors read a value, add to it and write it back, and are iterated
+# over while they are rendered. Without a lock two threads lose counts, and a
+# label set that is new during a scrape makes the scrape fail.
+LOCK = threading.RLock()
+
+
+class LockedCounter(Counter):
+    """A counter that threads may share."""
+
+    def add(self, labels: dict, value: float) -> None:
+        """Add ``value``."""
+        with LOCK:
+            super().add(labels, value)
+
+
+class LockedGauge(Gauge):
+    """A gauge that threads may share."""
+
+    def set(self, labels: dict, value: float) -> None:
+        """Set the gauge to ``value``."""
+        with LOCK:
+            super().set(labels, value)
+
+
+class LockedHistogram(Histogram):
+    """A histogram that threads may share."""
+
+    def add(self, labels: dict, value: float) -> None:
+        """Add one observation."""
+        with LOCK:
+            super().add(labels, value)
+
+    observe = add
+
 
 class Metrics:
     """All metrics of one host, each a public attribute."""
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.requests = self._counter("requests_total", "Requests by outcome")
+        self.requests = self._counter("requests_total", "Requests by rank and outcome")
+        self.refusals = self._counter("refusals_total", "Calls turned away by reason")
         self.sheds = self._counter("sheds_total", "Requests shed under overload")
         self.claims = self._counter("claims_total", "Claims by verdict")
         self.grants = self._counter("grants_total", "Grants by fate")
@@ -24,14 +63,23 @@
         )
 
     def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"godwitladder_{name}", text, registry=self.registry)
+        return LockedCounter(f"godwitladder_{name}", text, registry=self.registry)
 
     def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"godwitladder_{name}", text, registry=self.registry)
+        return LockedGauge(f"godwitladder_{name}", text, registry=self.registry)
 
     def _histogram(self, name: str, text: str) -> Histogram:
-        return Histogram(f"godwitladder_{name}", text, registry=self.registry)
+        return LockedHistogram(f"godwitladder_{name}", text, registry=self.registry)
+
+    def count_request(self, rank: int, state: RequestState) -> None:
+        """Count a request that has ended."""
+        self.requests.inc({"rank": str(rank), "outcome": state.value})
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a call that was turned away before it became a request."""
+        self.refusals.inc({"reason": reason.value})
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of the text exposition format."""
-        return render(self.registry, ["text/plain"])
+        with LOCK:
+            return render(self.registry, ["text/plain"])
--- a/godwitladder/outcomes.py
+++ b/godwitladder/outcomes.py
@@ -62,6 +62,7 @@
     TARGET_REFUSED = "target_refused"
     TARGET_LOST = "target_lost"
     CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
 
 
 STATUS: dict[Reason, http.HTTPStatus] = {
@@ -84,6 +85,7 @@
     Reason.TARGET_REFUSED: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.TARGET_LOST: http.HTTPStatus.BAD_GATEWAY,
     Reason.CALLER_GONE: http.HTTPStatus.REQUEST_TIMEOUT,
+    Reason.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
 }
 
 
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -8,17 +8,26 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.state import ConfigState
 from godwitladder.ids import ServiceName, WorkspaceName
+from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason
-from godwitladder.serving.answers import CountedAnswer, event_bytes, start_events
+from godwitladder.serving.answers import CountedAnswer, internal_fault
 from godwitladder.serving.auth import bearer_digest, matching_digest
-from godwitladder.serving.calls import Caller, CallRefused, deny, read_chat, read_plain
+from godwitladder.serving.calls import (
+    Call,
+    Caller,
+    CallRefused,
+    deny,
+    read_chat,
+    read_plain,
+)
 from godwitladder.serving.dispatching import Dispatcher
 from godwitladder.serving.problems import answer_problem
-from godwitladder.serving.relay import StreamTally, follow_stream
-from godwitladder.serving.request_ids import ForgedId, read_request
+from godwitladder.serving.resuming import resume_request
 from godwitladder.settings import Settings
 
+log = part_logger("callers")
+
 CHAT_PATH = "/v1/chat/completions"
 SERVICE_PATH = "/v1/services/"
 REQUEST_PATH = "/v1/requests/"
@@ -68,35 +77,38 @@
         try:
             return self._route(environ, start_response)
         except CallRefused as error:
-            self.metrics.requests.inc({"outcome": error.refusal.outcome.value})
+            self.metrics.count_refusal(error.refusal.reason)
             return answer_problem(start_response, error.refusal)
+        except Exception:
+            log.exception("A request failed")
+            return answer_problem(start_response, internal_fault())
 
     def _route(self, environ: Mapping, start_response) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        caller = self._authenticate(environ)
+        # One snapshot for the whole request: a ticket that comes into force
+        # meanwhile may remove what was looked up a line before.
+        config = self.config
+        limits = self.settings.limits
+        caller = authenticate(environ, config)
         if method == "POST" and path == CHAT_PATH:
             body = self._read_body(environ)
-            call = read_chat(environ, body, caller, self.config, self.clock)
-            return self.dispatcher.serve(call, environ, start_response)
+            call = read_chat(environ, body, caller, config, self.clock, limits)
+            return self._serve(call, environ, start_response)
         if method == "POST" and path.startswith(SERVICE_PATH):
             name = ServiceName(path[len(SERVICE_PATH) :])
             body = self._read_body(environ)
-            call = read_plain(environ, body, name, caller, self.config, self.clock)
-            return self.dispatcher.serve(call, environ, start_response)
+            call = read_plain(environ, body, name, caller, config, self.clock, limits)
+            return self._serve(call, environ, start_response)
         if method == "GET" and path.startswith(REQUEST_PATH):
-            return self._resume(path[len(REQUEST_PATH) :], caller, start_response)
+            identity = path[len(REQUEST_PATH) :]
+            secret = self.settings.peers.secret
+            return resume_request(
+                environ, identity, caller, config, secret, self.clock, start_response
+            )
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
 
-    def _authenticate(self, environ: Mapping) -> Caller:
-        digest = bearer_digest(environ)
-        known = matching_digest(
-            digest, [key for key in (digest,) if key in self.config.keys]
-        )
-        if not known:
-            raise deny(Reason.UNAUTHENTICATED, "The bearer key is not known.")
-        name = WorkspaceName(self.config.keys[known])
-        workspace = self.config.workspaces[name]
-        return Caller(name, workspace, self.config.rank(workspace))
+    def _serve(self, call: Call, environ: Mapping, start_response) -> Iterable[bytes]:
+        return self.dispatcher.serve(call, environ, start_response)
 
     def _read_body(self, environ: Mapping) -> bytes:
         length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -104,16 +116,23 @@
             raise deny(Reason.TOO_LARGE, f"A body of {length} bytes is too large.")
         return environ["wsgi.input"].read(length)
 
-    def _resume(self, identity: str, caller: Caller, start_response) -> Iterable[bytes]:
-        try:
-            name = read_request(self.settings.peers.secret, identity)
-        except ForgedId as error:
-            raise deny(Reason.UNKNOWN_PATH, f"{error}.") from error
-        target = self.config.targets.get(name.target)
-        if name.workspace != caller.name or target is None:
-            raise deny(Reason.UNKNOWN_PATH, "There is no such request.")
-        chunks = follow_stream(
-            target.address, name.stream, StreamTally(), None, self.clock.sleep
-        )
-        start_events(start_response, identity)
-        return event_bytes(chunks, identity)
+
+def authenticate(environ: Mapping, config: ConfigState) -> Caller:
+    """Return who calls.
+
+    The key is looked up by its digest, and a digest tells nothing about how
+    near a guess is; the comparison itself takes constant time.
+
+    Raises
+    ------
+    CallRefused
+        No workspace has the bearer key.
+    """
+    digest = bearer_digest(environ)
+    known = matching_digest(digest, [key for key in (digest,) if key in config.keys])
+    if not known:
+        raise deny(Reason.UNAUTHENTICATED, "The bearer key is not known.")
+    name = WorkspaceName(config.keys[known])
+    workspace = config.workspaces[name]
+    lowest = max(tier.rank for tier in config.tiers.values())
+    return Caller(name, workspace, config.rank(workspace), lowest)
--- a/godwitladder/serving/calls.py
+++ b/godwitladder/serving/calls.py
@@ -21,6 +21,7 @@
 )
 from godwitladder.outcomes import Reason, Refusal, refuse
 from godwitladder.scheduler.rows import RequestRow
+from godwitladder.settings import LimitSettings
 
 BYTES_PER_TOKEN = 4
 PREFIX_BYTES = 1024
@@ -37,11 +38,18 @@
 
 @dataclass(frozen=True)
 class Caller:
-    """Who calls: the workspace that the bearer key belongs to."""
+    """Who calls: the workspace that the bearer key belongs to.
+
+    Attributes
+    ----------
+    rank, lowest_rank : int
+        Rank of the workspace's own tier, and of the least important one.
+    """
 
     name: WorkspaceName
     workspace: Workspace
     rank: int
+    lowest_rank: int
 
 
 @dataclass(frozen=True)
@@ -67,7 +75,12 @@
 
 
 def read_chat(
-    environ: Mapping, body: bytes, caller: Caller, config: ConfigState, clock: Clock
+    environ: Mapping,
+    body: bytes,
+    caller: Caller,
+    config: ConfigState,
+    clock: Clock,
+    limits: LimitSettings,
 ) -> Call:
     """Return the call in a chat completion request.
 
@@ -83,7 +96,7 @@
     declared = raw.get("max_tokens", DEFAULT_OUTPUT)
     if not isinstance(declared, int) or isinstance(declared, bool) or declared < 1:
         raise deny(Reason.MALFORMED, f"max_tokens {declared!r} is no whole number.")
-    row = make_row(environ, caller, name, service, body, clock)
+    row = make_row(environ, caller, name, service, body, clock, limits)
     row.prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
     row.declared_tokens = min(declared, service.max_output)
     row.prefix = hashlib.sha256(prompt[:PREFIX_BYTES]).hexdigest()[:16]
@@ -99,10 +112,11 @@
     caller: Caller,
     config: ConfigState,
     clock: Clock,
+    limits: LimitSettings,
 ) -> Call:
     """Return the call of a plain service."""
     service = find_service(config, name, ServiceKind.PLAIN)
-    row = make_row(environ, caller, name, service, body, clock)
+    row = make_row(environ, caller, name, service, body, clock, limits)
     kind = environ.get("CONTENT_TYPE") or "application/octet-stream"
     return Call(row, service, body, kind, False)
 
@@ -124,6 +138,7 @@
     service: Service,
     body: bytes,
     clock: Clock,
+    limits: LimitSettings,
 ) -> RequestRow:
     """Return a waiting row with what every kind of request has."""
     now = clock.monotonic()
@@ -137,27 +152,33 @@
         prompt_tokens=0,
         declared_tokens=0,
         arrived=now,
-        deadline=now + _read_timeout(environ, service),
+        deadline=now + read_timeout(environ, service.timeout_s),
         idempotent=service.idempotent,
-        key=_read_key(environ, caller, name),
+        key=_read_key(environ, caller, name, limits.key_bytes),
         body=BodyDigest(hashlib.sha256(body).hexdigest()),
     )
 
 
 def _read_chat_body(body: bytes) -> dict[str, Any]:
     try:
-        raw = json.loads(body)
-    except ValueError as error:
+        raw = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
         raise deny(Reason.MALFORMED, f"The body is not JSON: {error}.") from error
     if not isinstance(raw, dict) or not isinstance(raw.get("messages"), list):
         raise deny(Reason.MALFORMED, "The body has no list of messages.")
     return raw
 
 
-def _read_timeout(environ: Mapping, service: Service) -> float:
+def _refuse_constant(name: str) -> None:
+    """Refuse NaN and the infinities: JSON has none, and an engine may choke."""
+    raise ValueError(f"{name} is no JSON number")
+
+
+def read_timeout(environ: Mapping, default_s: float) -> float:
+    """Return the seconds that the caller gives the request."""
     text = environ.get("HTTP_REQUEST_TIMEOUT")
     if text is None:
-        return service.timeout_s
+        return default_s
     try:
         seconds = float(text)
     except ValueError:
@@ -172,16 +193,18 @@
     text = environ.get("HTTP_REQUEST_TIER_RANK")
     if text is None:
         return caller.rank
-    if not text.isdigit():
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
         raise deny(Reason.MALFORMED, f"Request-Tier-Rank {text!r} is no rank.")
-    return max(caller.rank, int(text))
+    return max(caller.rank, min(int(text), caller.lowest_rank))
 
 
 def _read_key(
-    environ: Mapping, caller: Caller, service: ServiceName
+    environ: Mapping, caller: Caller, service: ServiceName, limit: int
 ) -> KeyDigest | None:
     text = environ.get("HTTP_IDEMPOTENCY_KEY")
-    if not text:
+    if text is None:
         return None
+    if not 0 < len(text) <= limit:
+        raise deny(Reason.MALFORMED, f"An Idempotency-Key has 1 to {limit} bytes.")
     scope = f"{caller.name}\n{service}\n{text}".encode()
     return KeyDigest(hashlib.sha256(scope).hexdigest())
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -1,35 +1,39 @@
 """Serving one request: wait for the decision, dispatch once, answer."""
 
 import queue
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import pykka
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
-from godwitladder.engines.engine import EngineStream
+from godwitladder.engines.engine import cancel_stream
 from godwitladder.engines.service import call_service
 from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.scheduler.messages import Finished, NothingSent, Submit, Withdrawn
+from godwitladder.scheduler.messages import NothingSent, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.serving.answers import event_bytes, lost, start_events
+from godwitladder.serving.answers import (
+    StreamedAnswer,
+    answer_whole,
+    internal_fault,
+    start_events,
+)
 from godwitladder.serving.calls import Call
+from godwitladder.serving.ending import Ending
+from godwitladder.serving.joining import join_chunks
 from godwitladder.serving.problems import answer_problem
-from godwitladder.serving.relay import (
-    StreamTally,
-    follow_stream,
-    join_chunks,
-    open_for,
-)
+from godwitladder.serving.relay import AnswerCut, StreamFollower, lost, open_for
 from godwitladder.serving.request_ids import RequestName, sign_request
 from godwitladder.settings import Settings
 
 log = part_logger("callers")
 
 GONE_CHECK_S = 0.5
+REFUSED_RETRY_S = 1.0
+GONE = "The caller is gone."
 
 
 class Dispatcher:
@@ -61,19 +65,26 @@
 
     def serve(self, call: Call, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one call, once the scheduler has decided about it."""
+        gone = environ.get("waitress.client_disconnected", lambda: False)
         self.scheduler.tell(Submit(call.row))
         while True:
-            decision = self._await_decision(call, environ)
+            decision = self._await_decision(call, gone)
             if isinstance(decision, Refusal):
-                return self._refuse(call, decision, start_response)
+                self.metrics.count_request(call.row.tier_rank, decision.outcome)
+                return answer_problem(start_response, decision, call.row.request)
+            attempt = Attempt(self, call, decision)
             try:
-                return self._dispatch(call, decision, start_response)
+                return attempt.run(gone, start_response)
             except NotSent as error:
-                log.info("Nothing was sent", extra={"error": str(error)})
+                log.info(
+                    "Nothing was sent",
+                    extra={"request": call.row.request, "error": str(error)},
+                )
                 self.scheduler.tell(NothingSent(call.row.request))
 
-    def _await_decision(self, call: Call, environ: Mapping) -> Dispatch | Refusal:
-        gone = environ.get("waitress.client_disconnected", lambda: False)
+    def _await_decision(
+        self, call: Call, gone: Callable[[], bool]
+    ) -> Dispatch | Refusal:
         while True:
             try:
                 return call.row.decisions.get(timeout=GONE_CHECK_S)
@@ -81,13 +92,33 @@
                 if gone():
                     self.scheduler.tell(Withdrawn(call.row.request))
 
-    def _refuse(self, call: Call, refusal: Refusal, start_response) -> list[bytes]:
-        self._count(refusal.outcome)
-        return answer_problem(start_response, refusal, call.row.request)
 
-    def _dispatch(
-        self, call: Call, dispatch: Dispatch, start_response
-    ) -> Iterable[bytes]:
+class Attempt:
+    """One dispatch and what comes of it; the scheduler hears of its end once.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Whose parts to use.
+    call : Call
+        What to send.
+    dispatch : Dispatch
+        Where to.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, call: Call, dispatch: Dispatch) -> None:
+        self.call = call
+        self.dispatch = dispatch
+        self.clock = dispatcher.clock
+        self.ending = Ending(
+            call, dispatcher.scheduler, dispatcher.clock, dispatcher.metrics
+        )
+        name = RequestName(call.row.workspace, dispatch.target, dispatch.stream)
+        self.identity = sign_request(dispatcher.settings.peers.secret, name)
+        waited = self.clock.monotonic() - call.row.arrived
+        dispatcher.metrics.queue_wait.observe({}, waited)
+
+    def run(self, gone: Callable[[], bool], start_response) -> Iterable[bytes]:
         """Write the request to its target and answer with what comes back.
 
         Raises
@@ -95,87 +126,76 @@
         NotSent
             No byte was written; the scheduler may choose another target.
         """
-        name = RequestName(call.row.workspace, dispatch.target, dispatch.stream)
-        identity = sign_request(self.settings.peers.secret, name)
+        if gone():
+            # The caller left between the decision and now. Nothing was
+            # written, so its prefill can still be saved.
+            return self._refuse(start_response, refuse(Reason.CALLER_GONE, GONE))
         try:
-            if call.service.kind is ServiceKind.PLAIN:
-                return self._call_plain(call, dispatch, identity, start_response)
-            opened = open_for(dispatch.address, dispatch.stream, call.body)
-            return self._answer_stream(call, dispatch, identity, opened, start_response)
+            if self.call.service.kind is ServiceKind.PLAIN:
+                return self._call_plain(start_response)
+            return self._answer_stream(start_response)
+        except NotSent:
+            raise
         except TargetRefused as error:
-            self._finish(call, RequestState.NOT_RUN)
             text = f"The target turned the request away: {error}."
-            refusal = refuse(Reason.TARGET_REFUSED, text, 1.0)
-            return answer_problem(start_response, refusal, identity)
+            refusal = refuse(Reason.TARGET_REFUSED, text, REFUSED_RETRY_S)
+            return self._refuse(start_response, refusal)
+        except AnswerCut as error:
+            self._note_cut(error)
+            return self._refuse(start_response, error.refusal)
         except MayHaveRun as error:
-            self._finish(call, RequestState.MAY_HAVE_RUN)
-            return answer_problem(start_response, lost(error), identity)
+            return self._refuse(start_response, lost(str(error)))
+        except Exception:
+            log.exception("A dispatch failed", extra={"request": self.identity})
+            return self._refuse(start_response, internal_fault())
 
-    def _call_plain(
-        self, call: Call, dispatch: Dispatch, identity: str, start_response
-    ) -> list[bytes]:
-        remaining = max(0.1, call.row.deadline - self.clock.monotonic())
+    def _refuse(self, start_response, refusal: Refusal) -> list[bytes]:
+        self.ending.tell(refusal.outcome)
+        return answer_problem(start_response, refusal, self.identity)
+
+    def _call_plain(self, start_response) -> list[bytes]:
+        row = self.call.row
         answer = call_service(
-            dispatch.address,
-            call.row.service,
-            dispatch.stream,
-            call.body,
-            call.content_type,
-            remaining,
+            self.dispatch.address,
+            row.service,
+            self.dispatch.stream,
+            self.call.body,
+            self.call.content_type,
+            self.clock,
+            row.deadline,
         )
-        self._finish(call, RequestState.COMPLETED)
-        headers = [
-            ("Content-Type", answer.content_type),
-            ("Content-Length", str(len(answer.body))),
-            ("Request-Id", identity),
-        ]
-        start_response(f"{answer.status} Answered", headers)
-        return [answer.body]
-
-    def _answer_stream(
-        self,
-        call: Call,
-        dispatch: Dispatch,
-        identity: str,
-        opened: EngineStream,
-        start_response,
-    ) -> Iterable[bytes]:
-        tally = StreamTally()
-        chunks = follow_stream(
-            dispatch.address, dispatch.stream, tally, opened, self.clock.sleep
+        self.ending.tell(RequestState.COMPLETED)
+        return answer_whole(
+            start_response,
+            answer.status,
+            answer.content_type,
+            answer.body,
+            self.identity,
         )
-        if call.streamed:
-            start_events(start_response, identity)
-            return self._stream(call, chunks, tally, identity)
-        body = join_chunks(chunks, identity, call.row.service)
-        self._finish(call, RequestState.COMPLETED, tally)
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Request-Id", identity),
-        ]
-        start_response("200 OK", headers)
-        return [body]
-
-    def _stream(
-        self, call: Call, chunks: Iterator, tally: StreamTally, identity: str
-    ) -> Iterator[bytes]:
-        state = RequestState.MAY_HAVE_RUN
-        try:
-            yield from event_bytes(chunks, identity)
-            if tally.whole:
-                state = RequestState.COMPLETED
-        finally:
-            self._finish(call, state, tally)
-
-    def _finish(
-        self, call: Call, state: RequestState, tally: StreamTally | None = None
-    ) -> None:
-        tokens = tally.tokens if tally else 0
-        self._count(state)
-        self.scheduler.tell(
-            Finished(call.row.request, state, call.row.prompt_tokens, tokens)
+
+    def _answer_stream(self, start_response) -> Iterable[bytes]:
+        address, stream = self.dispatch.address, self.dispatch.stream
+        opened = open_for(address, stream, self.call.body)
+        row = self.call.row
+        follower = StreamFollower(address, stream, self.clock, row.deadline, opened)
+        if self.call.streamed:
+            start_events(start_response, self.identity)
+            return StreamedAnswer(follower, self.ending, self.identity, self._note_cut)
+        body = join_chunks(follower, self.identity, row.service, self.ending.report)
+        self.ending.tell(RequestState.COMPLETED, follower.tally.tokens)
+        return answer_whole(
+            start_response, 200, "application/json", body, self.identity
         )
 
-    def _count(self, state: RequestState) -> None:
-        self.metrics.requests.inc({"outcome": state.value})
+    def _note_cut(self, error: AnswerCut) -> None:
+        """Log a cut answer, and spare the engine the rest of a late one."""
+        log.warning(
+            "An answer was cut",
+            extra={"request": self.identity, "error": str(error)},
+        )
+        if error.refusal.reason is not Reason.DEADLINE:
+            return
+        try:
+            cancel_stream(self.dispatch.address, self.dispatch.stream)
+        except (NotSent, MayHaveRun) as fault:
+            log.info("No cancel", extra={"request": self.identity, "error": str(fault)})
--- a/godwitladder/serving/problems.py
+++ b/godwitladder/serving/problems.py
@@ -1,16 +1,26 @@
 """Refusals as ``application/problem+json`` (RFC 9457)."""
 
+import http
 import json
 import math
 
-from godwitladder.outcomes import STATUS, Refusal
+from godwitladder.outcomes import STATUS, Reason, Refusal, RequestState
 
 PROBLEM_TYPE = "application/problem+json"
 
 
+def refusal_status(refusal: Refusal) -> http.HTTPStatus:
+    """Return the HTTP status; 503 invites a retry, so only what never ran has it."""
+    status = STATUS[refusal.reason]
+    ran = refusal.outcome is not RequestState.NOT_RUN
+    if ran and refusal.reason is Reason.DEADLINE:
+        return http.HTTPStatus.GATEWAY_TIMEOUT
+    return status
+
+
 def problem_body(refusal: Refusal, request: str = "") -> dict:
     """Return the members of the problem document for ``refusal``."""
-    status = STATUS[refusal.reason]
+    status = refusal_status(refusal)
     body = {
         "type": f"urn:godwitladder:{refusal.reason.value}",
         "title": status.phrase,
@@ -28,7 +38,7 @@
 
 def answer_problem(start_response, refusal: Refusal, request: str = "") -> list[bytes]:
     """Start a WSGI answer that tells ``refusal``; return its body."""
-    status = STATUS[refusal.reason]
+    status = refusal_status(refusal)
     body = json.dumps(problem_body(refusal, request)).encode()
     headers = [
         ("Content-Type", PROBLEM_TYPE),
@@ -38,5 +48,7 @@
         headers.append(("Request-Id", request))
     if refusal.retry_after_s is not None:
         headers.append(("Retry-After", str(math.ceil(refusal.retry_after_s))))
+    if status is http.HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
     start_response(f"{status.value} {status.phrase}", headers)
     return [body]
--- a/godwitladder/standins/base.py
+++ b/godwitladder/standins/base.py
@@ -100,6 +100,7 @@
 
     def answer(self) -> None:
         """Run the route of the request."""
+        self.extra_headers: dict[str, str] = {}
         url = urlsplit(self.path)
         self.parts = url.path.strip("/").split("/")
         self.query = {name: rows[0] for name, rows in parse_qs(url.query).items()}
@@ -121,6 +122,8 @@
         self.send_response(status)
         self.send_header("Content-Type", "application/json")
         self.send_header("Content-Length", str(len(body)))
+        for name, text in self.extra_headers.items():
+            self.send_header(name, text)
         self.end_headers()
         self.wfile.write(body)
 
--- a/godwitladder/standins/engine.py
+++ b/godwitladder/standins/engine.py
@@ -23,6 +23,10 @@
     This many next requests are run, and their connections closed.
 break_after, silent_after : int
     Close a connection, or send nothing more on it, after this many chunks.
+refuse_status : int
+    Answer every new request with this HTTP status and run nothing.
+drop_finish : bool
+    End the answers early, with no reason to finish.
 scramble : bool
     Send chunks twice, late, and with chunks of another stream between.
 """
@@ -54,6 +58,8 @@
     "hang_up_before_answer": 0,
     "break_after": 0,
     "silent_after": 0,
+    "refuse_status": 0,
+    "drop_finish": False,
     "scramble": False,
 }
 
@@ -182,7 +188,7 @@
 
     def make_event(self, row: Sequence, index: int) -> bytes:
         """Return the event of one output token."""
-        last = index == row.output_tokens - 1
+        last = index == row.output_tokens - 1 and not self.knobs["drop_finish"]
         text = f"{row.digest[:6]}-{index} "
         event = {
             "id": row.stream,
@@ -205,6 +211,9 @@
 
     def generate(self, handler: Handler) -> None:
         """Run a chat completion; a stream id that ran before runs again."""
+        if self.knobs["refuse_status"]:
+            handler.send_json({"error": "refused"}, self.knobs["refuse_status"])
+            return
         body = json.loads(handler.body)
         prompt = json.dumps(body["messages"])
         if self.knobs["crash_text"] and self.knobs["crash_text"] in prompt:
--- a/godwitladder/standins/service.py
+++ b/godwitladder/standins/service.py
@@ -8,6 +8,10 @@
     This many next calls are run, and their answers lost.
 cut_answers : int
     This many next answers end before their stated length.
+unframed_answers : int
+    This many next answers state no length and are cut.
+foreign_answers : int
+    This many next answers say that they are another call's.
 """
 
 import hashlib
@@ -16,7 +20,13 @@
 
 from godwitladder.standins.base import Handler, Hangup, Server, Standin
 
-KNOBS = {"delay_s": 0.01, "lose_answers": 0, "cut_answers": 0}
+KNOBS = {
+    "delay_s": 0.01,
+    "lose_answers": 0,
+    "cut_answers": 0,
+    "unframed_answers": 0,
+    "foreign_answers": 0,
+}
 
 
 @dataclass(frozen=True)
@@ -52,6 +62,13 @@
             handler.end_headers()
             handler.wfile.write(b"{")
             raise Hangup
+        if self.take("unframed_answers"):
+            handler.send_response(200)
+            handler.end_headers()
+            handler.wfile.write(b"{")
+            raise Hangup
+        if self.take("foreign_answers"):
+            handler.extra_headers["X-Call-Id"] = "another"
         handler.send_json({"ran": count, "call": ran.call, "digest": digest})
 
     def take(self, knob: str) -> bool:
--- /dev/null
+++ b/tests/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what callers reach."""
