Add the decision modules that the hosts are to be wired to

Cause: the allocator sorted all waiting by tier and deadline and knew neither fair shares, memory, long requests nor what to shed. Not measured yet; the tick is still too slow.

--- /dev/null
+++ b/godwitladder/decisions/capacity.py
@@ -0,0 +1,193 @@
+"""Free slots and memory of a pool during one run of the allocator.
+
+Load patterns: unlike targets, and long requests among short ones. Without an
+account that is kept within the run, every request of a burst goes to the
+target that looked least loaded at its start. Without a bound on long
+requests, a few full reviews hold every slot for a minute and each one-line
+question behind them misses its deadline.
+
+Thresholds
+----------
+MEMORY_SHARE : what may be reserved of a target's memory; the rest takes in
+    streams that outlive a 90-in-100 prediction. `docs/MEASUREMENTS.md`
+    (prediction) has the overflows with and without.
+LONG_FACTOR : a request is long when it holds a slot four times as long as a
+    usual one.
+LONG_SHARE : long requests together take at most half of the slots, so that
+    short ones wait for short ones only. Measured (long among short).
+AFFINITY_SLACK : the holder of a prefix is preferred while its load is at most
+    a quarter of its slots above the pool's: a hit saves a prefill, a queue
+    costs more than that.
+"""
+
+from dataclasses import dataclass, field
+
+from godwitladder.decisions.types import DemandLine, PoolView, TargetView
+from godwitladder.ids import ServiceName
+
+MEMORY_SHARE = 0.95
+LONG_FACTOR = 4.0
+LONG_SHARE = 0.5
+AFFINITY_SLACK = 0.25
+
+
+def is_long(slot_s: float, typical_s: float) -> bool:
+    """Return whether a request that holds a slot for ``slot_s`` is long."""
+    return typical_s > 0 and slot_s > LONG_FACTOR * typical_s
+
+
+@dataclass
+class Room:
+    """What is left of one target.
+
+    Attributes
+    ----------
+    prefill_s, decode_s : float
+        Seconds for a prompt and an output token.
+    held : bool
+        Kept for a request of a higher tier that waits for its memory.
+    """
+
+    view: TargetView
+    used: int
+    tokens: float
+    long_used: int
+    prefill_s: float
+    decode_s: float
+    held: bool = False
+
+    @property
+    def load(self) -> float:
+        """Share of the limit in use."""
+        return self.used / self.view.limit
+
+    def fits(self, tokens: int) -> bool:
+        """Return whether a request of ``tokens`` finds a slot and memory.
+
+        One that is larger than the whole memory goes to an empty target: it
+        would otherwise wait for ever.
+        """
+        if self.held or self.used >= self.view.limit:
+            return False
+        return not self.view.memory_tokens or tokens <= self.tokens or self.used == 0
+
+    def take(self, tokens: int, long: bool) -> None:
+        """Account for a request that is placed here."""
+        self.used += 1
+        self.tokens -= tokens
+        self.long_used += long
+
+
+@dataclass
+class ServiceCapacity:
+    """The targets of one service.
+
+    Attributes
+    ----------
+    prefill_s, decode_s : float
+        Seconds for a prompt and an output token on the fastest target.
+    slots : int
+        Limits of all targets together.
+    """
+
+    rooms: list[Room] = field(default_factory=list)
+    prefill_s: float = float("inf")
+    decode_s: float = float("inf")
+    slots: int = 0
+
+    def add(self, room: Room) -> None:
+        """Add one target."""
+        self.rooms.append(room)
+        self.prefill_s = min(self.prefill_s, room.prefill_s)
+        self.decode_s = min(self.decode_s, room.decode_s)
+        self.slots += room.view.limit
+
+    def slot_s(self, line: DemandLine) -> float:
+        """Return the seconds that a request holds a slot of the fastest target."""
+        return line.prompt_tokens * self.prefill_s + max(1, line.predicted_tokens) * (
+            self.decode_s
+        )
+
+    def has_free(self) -> bool:
+        """Return whether any target has a free slot that is not held."""
+        return any(not room.held and room.used < room.view.limit for room in self.rooms)
+
+    def takes_long(self) -> bool:
+        """Return whether one more long request stays within the bound."""
+        long_used = sum(room.long_used for room in self.rooms)
+        return long_used + 1 <= max(1.0, self.slots * LONG_SHARE)
+
+    def choose(self, line: DemandLine, budget_s: float) -> Room | None:
+        """Return the target where ``line`` ends first, of those in time.
+
+        Parameters
+        ----------
+        budget_s : float
+            Seconds to the deadline.
+        """
+        tokens = line.prompt_tokens + line.predicted_tokens
+        output = max(1, line.predicted_tokens)
+        best = None
+        best_score = float("inf")
+        bound = self._affinity_bound() if line.prefix else 0.0
+        for room in self.rooms:
+            if not room.fits(tokens):
+                continue
+            seconds = line.prompt_tokens * room.prefill_s + output * room.decode_s
+            if seconds > budget_s:
+                continue
+            score = seconds * (1.0 + room.load)
+            if line.prefix and line.prefix in room.view.prefixes and room.load <= bound:
+                score -= seconds
+            if score < best_score:
+                best, best_score = room, score
+        return best
+
+    def hold_roomiest(self) -> None:
+        """Keep the target with the most free memory for a higher tier.
+
+        Small requests of lower tiers would otherwise take each piece of
+        memory as it is freed, and the large one of the higher tier would
+        wait until its deadline.
+        """
+        free = [room for room in self.rooms if not room.held]
+        if free:
+            max(free, key=lambda room: room.tokens).held = True
+
+    def _affinity_bound(self) -> float:
+        used = sum(room.used for room in self.rooms)
+        return used / max(1, self.slots) + AFFINITY_SLACK
+
+
+class Capacity:
+    """What is left of a pool, by service."""
+
+    def __init__(self, pool: PoolView) -> None:
+        self.services: dict[ServiceName, ServiceCapacity] = {}
+        for view in pool.targets.values():
+            if view.limit > 0:
+                self._add(make_room(view))
+
+    def of(self, service: ServiceName) -> ServiceCapacity:
+        """Return the capacity for ``service``; an empty one if nothing serves it."""
+        return self.services.get(service) or ServiceCapacity()
+
+    def free_services(self) -> set[ServiceName]:
+        """Return the services that have a free slot."""
+        return {name for name, part in self.services.items() if part.has_free()}
+
+    def _add(self, room: Room) -> None:
+        for service in room.view.services:
+            self.services.setdefault(service, ServiceCapacity()).add(room)
+
+
+def make_room(view: TargetView) -> Room:
+    """Return the room that ``view`` has left."""
+    return Room(
+        view=view,
+        used=view.used,
+        tokens=view.memory_tokens * MEMORY_SHARE - view.reserved_tokens,
+        long_used=view.long_used,
+        prefill_s=1.0 / max(view.prefill_tps, 1e-9),
+        decode_s=1.0 / max(view.decode_tps, 1e-9),
+    )
--- /dev/null
+++ b/godwitladder/decisions/speeds.py
@@ -0,0 +1,97 @@
+"""Learns how fast each target is, from the requests that it completed.
+
+Load pattern: engines of several generations stand in one pool, and the
+configured speeds are guesses. Without learned speeds, a request is promised
+to a target that can't finish it in time, its prefill is paid and thrown away.
+
+Thresholds
+----------
+GAIN : the estimate is an average over the last ten or so requests; a lasting
+    change is half taken in after seven. Sudden slow-downs are
+    `godwitladder.decisions.easing`'s matter, in seconds.
+FLOOR : a target that stood still is not taken to be slower than a hundredth
+    of what it was expected to be, so that it is tried again.
+"""
+
+from dataclasses import dataclass
+
+from godwitladder.ids import TargetName
+
+GAIN = 0.1
+FLOOR = 0.01
+
+
+@dataclass
+class Speed:
+    """Tokens a second: prefill of the whole target, decode of one request."""
+
+    prefill_tps: float
+    decode_tps: float
+
+
+class TargetSpeeds:
+    """Speeds of each target, and how long a usual request holds a slot.
+
+    Attributes
+    ----------
+    typical_s : float
+        Decayed mean of the slot seconds of completed requests; 0 before one.
+    """
+
+    def __init__(self) -> None:
+        self.expected: dict[TargetName, Speed] = {}
+        self.learned: dict[TargetName, Speed] = {}
+        self.typical_s = 0.0
+
+    def expect(self, target: TargetName, prefill_tps: float, decode_tps: float) -> None:
+        """Set the configured speeds; what was learned is kept if they stand."""
+        speed = Speed(prefill_tps, decode_tps)
+        if self.expected.get(target) != speed:
+            self.expected[target] = speed
+            self.learned[target] = Speed(prefill_tps, decode_tps)
+
+    def forget(self, target: TargetName) -> None:
+        """Drop a target that is gone."""
+        self.expected.pop(target, None)
+        self.learned.pop(target, None)
+
+    def observe(
+        self,
+        target: TargetName,
+        prompt: int,
+        output: int,
+        first_token_s: float,
+        total_s: float,
+    ) -> None:
+        """Take in one completed request.
+
+        Parameters
+        ----------
+        first_token_s, total_s : float
+            Seconds from its dispatch to its first and to its last token; for
+            a plain service, which has no tokens, both are the whole call.
+        """
+        speed = self.learned.get(target)
+        if speed is None:
+            return
+        gain = GAIN if self.typical_s else 1.0
+        self.typical_s += gain * (total_s - self.typical_s)
+        floor = self.expected[target]
+        if prompt > 0 and first_token_s > 0:
+            seen = max(prompt / first_token_s, floor.prefill_tps * FLOOR)
+            speed.prefill_tps += GAIN * (seen - speed.prefill_tps)
+        if output > 1 and total_s > first_token_s:
+            seen = (output - 1) / (total_s - first_token_s)
+            seen = max(seen, floor.decode_tps * FLOOR)
+            speed.decode_tps += GAIN * (seen - speed.decode_tps)
+
+    def expected_s(self, target: TargetName, prompt: int, output: int) -> float:
+        """Return the seconds that a request will hold a slot of ``target``.
+
+        Raises
+        ------
+        KeyError
+            ``expect`` was never called for ``target``.
+        """
+        speed = self.learned[target]
+        return prompt / speed.prefill_tps + output / speed.decode_tps
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -42,6 +42,8 @@
         Seconds since its arrival when the line was sent.
     prefix : str
         Digest of the start of its prompt; empty for none.
+    repeats : int
+        How often the caller was refused with this request before.
     """
 
     request: RequestId
@@ -53,15 +55,23 @@
     slack_s: float
     waited_s: float
     prefix: str = ""
+    repeats: int = 0
 
 
 @dataclass(frozen=True)
 class TargetUse:
-    """What one host has running on one target; tokens are reserved ones."""
+    """What one host has running on one target; tokens are reserved ones.
+
+    Attributes
+    ----------
+    long_running : int
+        Those of them that `godwitladder.decisions.capacity.is_long` finds long.
+    """
 
     target: TargetName
     running: int
     reserved_tokens: int
+    long_running: int = 0
 
 
 @dataclass(frozen=True)
@@ -121,6 +131,8 @@
     prefill_tps, decode_tps : float
         Learned speeds: prompt tokens a second of the whole target, output
         tokens a second of one request.
+    long_used : int
+        Long requests among ``used``.
     """
 
     name: TargetName
@@ -133,6 +145,7 @@
     reserved_tokens: int = 0
     limit: int = 0
     prefixes: set[str] = field(default_factory=set)
+    long_used: int = 0
 
 
 @dataclass
@@ -147,11 +160,18 @@
 
 @dataclass
 class WorkspaceView:
-    """A workspace's weight, bound on running requests (0: none), and use."""
+    """A workspace's weight, bound on running requests (0: none), and use.
+
+    Attributes
+    ----------
+    spent_s : float
+        Slot seconds it was lately given; see `godwitladder.decisions.fairness`.
+    """
 
     share: float = 1.0
     quota: int = 0
     running: int = 0
+    spent_s: float = 0.0
 
 
 @dataclass
@@ -163,21 +183,40 @@
     floors : dict
         Highest rank number (the least important tier) that still waits at
         each other allocator within reach.
+    shed_ranks : dict
+        Lowest rank number (the most important tier) that each other
+        allocator within reach has lately shed under overload.
+    typical_s : float
+        Slot seconds of a usual request; 0 while unknown. Requests far above
+        it count as long.
     """
 
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
     targets: dict[TargetName, TargetView] = field(default_factory=dict)
     workspaces: dict[WorkspaceName, WorkspaceView] = field(default_factory=dict)
     floors: dict[PoolName, int] = field(default_factory=dict)
+    shed_ranks: dict[PoolName, int] = field(default_factory=dict)
+    typical_s: float = 0.0
 
 
 @dataclass(frozen=True)
 class Placement:
-    """A waiting request and the target it goes to."""
+    """A waiting request and the target it goes to.
+
+    Attributes
+    ----------
+    slot_s : float
+        Seconds it is expected to hold a slot there; what its workspace is
+        charged.
+    long : bool
+        Whether it counts as a long request.
+    """
 
     request: RequestId
     target: TargetName
     reserved_tokens: int
+    slot_s: float = 0.0
+    long: bool = False
 
 
 @dataclass(frozen=True)
@@ -191,7 +230,25 @@
 
 @dataclass
 class Allocation:
-    """What one run of `allocate` decided, in order."""
+    """What one run of `allocate` decided, in order.
+
+    Attributes
+    ----------
+    spill : list of RequestId
+        Requests that will not start here in time, the most important first:
+        their hosts should ask another zone's allocator too.
+    floor : int or None
+        Highest rank number still waiting; told to other allocators.
+    shed_rank : int or None
+        Lowest rank number shed under overload in this run; told to other
+        allocators, which then keep nothing below it.
+    backlog_s : float
+        Seconds until what waits now would have started.
+    """
 
     placements: list[Placement] = field(default_factory=list)
     given_up: list[GivenUp] = field(default_factory=list)
+    spill: list[RequestId] = field(default_factory=list)
+    floor: int | None = None
+    shed_rank: int | None = None
+    backlog_s: float = 0.0
