--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -6,22 +6,22 @@
 for 48 hosts, of which the whole control may use 3%.
 """
 
-import dataclasses
 import functools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pykka
 
 from godwitladder.clock import Clock
-from godwitladder.ids import HostId, Incarnation, Zone
+from godwitladder.ids import HostId, Incarnation
 from godwitladder.membership.codec import encode
+from godwitladder.membership.contacts import choose_contacts, leaving_addresses
 from godwitladder.membership.links import Link, Mesh
 from godwitladder.membership.members import Member, Members
 from godwitladder.membership.messages import Heartbeat, LiveNews
 from godwitladder.platform.hosts import ListedHost
-from godwitladder.scheduler.messages import Tick
+from godwitladder.scheduler.messages import HostsChanged, TargetsLeaving, Tick
 
 FORGET_S = 600.0
 # With four peers a period, the longest gap between two advances of a live
@@ -39,9 +39,10 @@
 
 @dataclass(frozen=True)
 class ConfigMoved:
-    """The configuration offset in force on this host."""
+    """The configuration offset in force on this host, and its targets."""
 
     offset: int
+    targets: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -70,7 +71,7 @@
     clock : Clock
         The host's clock.
     publish : callable
-        Called with the live members whenever that list changes.
+        Called with `HostsChanged` and `TargetsLeaving` when they change.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         members: Members,
         mesh: Mesh,
         clock: Clock,
-        publish: Callable[[list[Member]], None],
+        publish: Callable[[HostsChanged | TargetsLeaving], None],
     ) -> None:
         super().__init__()
         self.me = me
@@ -87,22 +88,52 @@
         self.mesh = mesh
         self.clock = clock
         self.publish = publish
-        self.published: list[tuple[HostId, Incarnation, bool]] = []
+        self.published: HostsChanged | None = None
+        self.shown: list[tuple[HostId, Incarnation]] = []
+        self.leaving: frozenset[str] = frozenset()
+        self.targets: frozenset[str] = frozenset()
+        self.ran = clock.monotonic()
         self.turn: list[Link] = []
 
+    def on_start(self) -> None:
+        """Publish that this host is there, alone as yet."""
+        self.show()
+
     def on_receive(self, message) -> None:
         """Take ``message`` in; publish a changed list."""
+        self.excuse_pause()
         self.take(message)
         if not isinstance(message, LiveNews):
-            self.publish_changes()
+            self.show()
 
-    def publish_changes(self) -> None:
-        """Publish the live members if the list has changed."""
+    def excuse_pause(self) -> None:
+        """Notice that this process itself stood still."""
+        now = self.clock.monotonic()
+        pause_s = now - self.ran
+        if pause_s > self.members.timeout_s / 2:
+            self.members.excuse(pause_s)
+            self.mesh.excuse(pause_s)
+        self.ran = now
+
+    def show(self) -> None:
+        """Publish the live hosts if they have changed."""
         live = self.members.live(self.clock.monotonic())
-        shown = [(row.host, row.incarnation, row.leaving) for row in live]
-        if shown != self.published:
-            self.published = shown
-            self.publish(live)
+        shown = [(row.host, row.incarnation) for row in live]
+        changed = self.hosts_changed(live)
+        if (changed, shown) != (self.published, self.shown):
+            self.published, self.shown = changed, shown
+            self.publish(changed)
+
+    def hosts_changed(self, live: list[Member]) -> HostsChanged:
+        """Return the live hosts that are not leaving, by zone."""
+        zones: dict[str, tuple[HostId, ...]] = {}
+        for row in live:
+            if not row.leaving:
+                zones[row.zone] = (*zones.get(row.zone, ()), row.host)
+        mine = zones.pop(self.me.zone, ())
+        if not self.me.leaving:
+            mine = (*mine, self.me.host)
+        return HostsChanged(tuple(sorted(mine)), zones)
 
     @functools.singledispatchmethod
     def take(self, message) -> None:
@@ -112,7 +143,8 @@
     @take.register
     def _(self, message: Tick) -> None:
         self.members.forget(self.clock.monotonic(), FORGET_S)
-        self.me = dataclasses.replace(self.me, count=self.me.count + 1)
+        self.mesh.drop_silent(self.silence_s())
+        self.me = replace(self.me, count=self.me.count + 1)
         self.spread_news()
 
     @take.register
@@ -131,7 +163,7 @@
         self.members.hear(
             Member(
                 message.host,
-                Zone(message.zone),
+                message.zone,
                 message.address,
                 message.incarnation,
                 self.clock.monotonic(),
@@ -143,11 +175,18 @@
 
     @take.register
     def _(self, message: Listed) -> None:
-        for listed in message.hosts:
-            self.mesh.dial(listed.address)
+        contacts = choose_contacts(
+            self.me.address, self.me.zone, message.hosts, self.targets
+        )
+        self.mesh.keep(contacts)
+        leaving = leaving_addresses(self.leaving, message.hosts)
+        if leaving != self.leaving:
+            self.leaving = leaving
+            self.publish(TargetsLeaving(leaving))
 
     @take.register
     def _(self, message: ConfigMoved) -> None:
+        self.targets = message.targets
         self._announce(config_offset=message.offset)
 
     @take.register
@@ -155,9 +194,18 @@
         self._announce(leaving=True)
 
     def _announce(self, **changes) -> None:
-        self.me = dataclasses.replace(self.me, **changes)
+        self.me = replace(self.me, **changes)
         self.mesh.broadcast(self.me)
 
+    def silence_s(self) -> float:
+        """Return after which silence a link is taken for dead, in seconds.
+
+        News takes the links in turns, so a link is silent for a whole round
+        of them; the timeout, which is six periods, and two rounds are allowed.
+        """
+        rounds = len(self.mesh.links) / FANOUT
+        return self.members.timeout_s * (1 + rounds / 3)
+
     def spread_news(self) -> None:
         """Send who is live to the next few peers, each link in its turn.
 
