Settle claims of idempotency keys by the order of the log

A caller sends a non-idempotent request again, through a balancer, to any host. Hosts append claims to a stream; the lowest offset that was not released holds the key, and a claim is settled when its own record is read, so a lost answer to an append decides nothing and no clock or lease is needed.

Weighed: freeing a key for good at its holder's release, without releases of the rivals that lost. A host that starts after the oldest records were dropped can then take a rival that had lost for the holder, free the key at that rival's release, and run it beside the true holder. With releases of rivals too, claims and releases are two sets that only grow, and any suffix that holds every claim in force gives the same holder.

--- /dev/null
+++ b/godwitladder/claims/actor.py
@@ -0,0 +1,277 @@
+"""The actor that owns a host's claims, and its two threads that use the log.
+
+The writer appends what has gathered in one batch window and reads at once
+what that append settled; the reader follows the stream for what other hosts
+append. A read by the writer goes over a connection that has just worked, so a
+reader whose connection went silent holds no claim up.
+"""
+
+import functools
+import queue
+import threading
+from dataclasses import dataclass
+
+import pykka
+
+from godwitladder.claims.collector import (
+    RETRY_S,
+    Collector,
+    Settled,
+    Wanted,
+    is_idle,
+)
+from godwitladder.claims.records import ClaimRecord, encode_record
+from godwitladder.claims.table import ClaimTable
+from godwitladder.clock import Clock
+from godwitladder.ids import HostId, Incarnation, Offset
+from godwitladder.logs import part_logger
+from godwitladder.metrics import Metrics
+from godwitladder.platform.log import CLAIM_STREAM, LogClient, LogUnavailable, Page
+from godwitladder.scheduler.messages import Tick
+from godwitladder.settings import ClaimSettings
+
+log = part_logger("claims")
+
+READ_WAIT_S = 2.0
+IDLE_CHECK_S = 0.5
+
+
+@dataclass(frozen=True)
+class Want:
+    """Claim a key and put the verdict into ``reply``."""
+
+    wanted: Wanted
+    reply: "queue.SimpleQueue[Settled]"
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """Free the key of a claim that never will be dispatched."""
+
+    key: bytes
+    nonce: bytes
+
+
+@dataclass(frozen=True)
+class TakeBatch:
+    """Ask for the records to append now."""
+
+
+@dataclass(frozen=True)
+class BatchDone:
+    """The append under way was answered, or it failed."""
+
+    failed: bool
+
+
+@dataclass(frozen=True)
+class PageRead:
+    """A page of the stream."""
+
+    page: Page
+
+
+@dataclass(frozen=True)
+class ReadFailed:
+    """The log did not answer a read."""
+
+
+@dataclass(frozen=True)
+class NextOffset:
+    """Ask for the offset to read from."""
+
+
+@dataclass(frozen=True)
+class HasSettled:
+    """Ask whether nothing is left to append."""
+
+
+class Claims(pykka.ThreadingActor):
+    """Owns the claims of one host.
+
+    Parameters
+    ----------
+    host, incarnation : HostId, Incarnation
+        Who claims.
+    settings : ClaimSettings
+        Window and batch.
+    clock : Clock
+        The host's clock.
+    metrics : Metrics
+        Where to count.
+    work : threading.Event
+        Set when there is something to append.
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        incarnation: Incarnation,
+        settings: ClaimSettings,
+        clock: Clock,
+        metrics: Metrics,
+        work: threading.Event,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.work = work
+        self.collector = Collector(host, incarnation, ClaimTable(settings.window_s))
+        self.replies: dict[bytes, queue.SimpleQueue[Settled]] = {}
+
+    def on_receive(self, message):
+        """Take ``message`` in and wake the writer if there is work."""
+        answer = self.take(message)
+        if self.collector.outgoing:
+            self.work.set()
+        return answer
+
+    @functools.singledispatchmethod
+    def take(self, message):
+        """Take one message in."""
+        raise TypeError(f"unknown message {message!r}")
+
+    @take.register
+    def _(self, message: Want) -> None:
+        self.replies[message.wanted.nonce] = message.reply
+        settled = self.collector.want(message.wanted, self.clock.monotonic())
+        if settled:
+            self._reply([settled])
+
+    @take.register
+    def _(self, message: GiveUp) -> None:
+        self.replies.pop(message.nonce, None)
+        self.collector.give_up(message.key, message.nonce)
+
+    @take.register
+    def _(self, message: TakeBatch) -> list[ClaimRecord]:
+        return self.collector.take_batch()
+
+    @take.register
+    def _(self, message: BatchDone) -> None:
+        if message.failed:
+            self.collector.append_failed(self.clock.monotonic())
+        else:
+            self.collector.append_done()
+
+    @take.register
+    def _(self, message: PageRead) -> None:
+        self._reply(self.collector.read(message.page))
+
+    @take.register
+    def _(self, message: ReadFailed) -> None:
+        self.collector.read_failed()
+
+    @take.register
+    def _(self, message: NextOffset) -> Offset:
+        return self.collector.table.next
+
+    @take.register
+    def _(self, message: HasSettled) -> bool:
+        return is_idle(self.collector)
+
+    @take.register
+    def _(self, message: Tick) -> None:
+        self._reply(self.collector.expire(self.clock.monotonic()))
+        self.collector.snapshot(self.settings.retention_s / 2)
+
+    def _reply(self, settled: list[Settled]) -> None:
+        for row in settled:
+            self.metrics.claims.inc({"verdict": row.verdict.value})
+            reply = self.replies.pop(row.nonce, None)
+            if reply:
+                reply.put(row)
+
+
+class ClaimLog:
+    """The threads between the actor and the log.
+
+    Parameters
+    ----------
+    claims : pykka.ActorRef
+        The actor of `Claims`.
+    client : LogClient
+        The log.
+    clock : Clock
+        The host's clock.
+    work : threading.Event
+        Set by the actor when there is something to append.
+    batch_s : float
+        How long to gather records for one append.
+    """
+
+    def __init__(
+        self,
+        claims: pykka.ActorRef,
+        client: LogClient,
+        clock: Clock,
+        work: threading.Event,
+        batch_s: float,
+    ) -> None:
+        self.claims = claims
+        self.client = client
+        self.clock = clock
+        self.work = work
+        self.batch_s = batch_s
+        self.stopping = threading.Event()
+
+    def start(self) -> None:
+        """Start both threads."""
+        for name, run in (("claim-read", self._follow), ("claim-write", self._write)):
+            threading.Thread(target=run, name=name, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop after the calls in progress."""
+        self.stopping.set()
+        self.work.set()
+
+    def read(self, wait_s: float) -> None:
+        """Read one page and hand it over."""
+        start = self.claims.ask(NextOffset())
+        self.claims.tell(PageRead(self.client.read(CLAIM_STREAM, start, wait_s)))
+
+    def append(self) -> None:
+        """Append what has gathered and read what it settled."""
+        batch = self.claims.ask(TakeBatch())
+        if not batch:
+            return
+        try:
+            self.client.append(CLAIM_STREAM, [encode_record(row) for row in batch])
+        except LogUnavailable as error:
+            log.warning("An append was not answered", extra={"error": str(error)})
+            self.claims.tell(BatchDone(True))
+            self.clock.wait(self.stopping, RETRY_S)
+            return
+        self.claims.tell(BatchDone(False))
+        self._try_read(0.0)
+
+    def _write(self) -> None:
+        try:
+            while not self.stopping.is_set():
+                self.work.wait()
+                self.work.clear()
+                self.clock.wait(self.stopping, self.batch_s)
+                self.append()
+        except pykka.ActorDeadError:
+            log.info("The writer ended with its actor")
+
+    def _follow(self) -> None:
+        wait_s = 0.0
+        try:
+            while not self.stopping.is_set():
+                answered = self._try_read(wait_s)
+                wait_s = READ_WAIT_S if answered else 0.0
+                if not answered:
+                    self.clock.wait(self.stopping, RETRY_S)
+        except pykka.ActorDeadError:
+            log.info("The reader ended with its actor")
+
+    def _try_read(self, wait_s: float) -> bool:
+        try:
+            self.read(wait_s)
+        except LogUnavailable as error:
+            self.claims.tell(ReadFailed())
+            log.warning("A read was not answered", extra={"error": str(error)})
+            return False
+        return True
--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -75,9 +75,23 @@
 
 @dataclass(frozen=True)
 class ClaimSettings:
-    """How claims of idempotency keys are batched and kept, in seconds."""
+    """How claims of idempotency keys are batched and kept, in seconds.
+
+    Attributes
+    ----------
+    window_s : float
+        How long a key is known after its claim.
+    retention_s : float
+        How long the platform keeps a record; claims are recorded again at
+        half of it.
+    batch_s : float
+        How long claims gather for one append.
+    patience_s : float
+        Longest wait of a request for its claim.
+    """
 
     window_s: float = checked(positive, default=86_400.0)
+    retention_s: float = checked(positive, default=86_400.0)
     batch_s: float = checked(positive, default=0.005)
     patience_s: float = checked(positive, default=3.0)
 
--- /dev/null
+++ b/tests/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of claims and keys."""
