Read and write peer messages by position, with checks put together once

Cause: reading a report with 20 targets took 438 us and writing it 197 us; every field's name went over the wire with every row.

--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -1,21 +1,31 @@
 """Typed peer messages and their form in CBOR.
 
 A message is a frozen dataclass, registered with `peer_message`; on the wire
-it is an array of its name and its fields. Unknown names are skipped, so that
-hosts of two versions can stand side by side.
+it is an array of its name and of its fields in their order. A field that is
+added later goes last and has a default, and unknown names are skipped, so
+that hosts of two versions understand each other.
+
+Every field is checked for its type, since a peer may be of another version
+or in error. The checks are put together once for each dataclass: what a host
+spends on control is mostly the reading of messages.
 """
 
 import dataclasses
 import enum
+import functools
+import typing
+from collections.abc import Callable
 from typing import Any
 
 import cbor2
 
-from godwitladder.findings import Findings, GodwitladderError
-from godwitladder.tables import read_table
+from godwitladder.findings import GodwitladderError
+from godwitladder.tables import plain_type
 
 KINDS: dict[str, type] = {}
 
+Reader = Callable[[Any], Any]
+
 
 class BadMessage(GodwitladderError):
     """Bytes from a peer that are no message."""
@@ -29,22 +39,7 @@
 
 def encode(message: Any) -> bytes:
     """Return ``message`` in CBOR."""
-    return cbor2.dumps([type(message).__name__, to_plain(message)])
-
-
-def to_plain(value: Any) -> Any:
-    """Return ``value`` in the types that CBOR has.
-
-    ``dataclasses.asdict`` would copy every leaf, and leave enums as they are.
-    """
-    if dataclasses.is_dataclass(value):
-        names = type(value).__dataclass_fields__
-        return {name: to_plain(getattr(value, name)) for name in names}
-    if isinstance(value, tuple | list):
-        return [to_plain(item) for item in value]
-    if isinstance(value, enum.Enum):
-        return value.value
-    return value
+    return cbor2.dumps([type(message).__name__, message], default=_encode_value)
 
 
 def decode(data: bytes) -> Any | None:
@@ -57,13 +52,79 @@
     """
     try:
         name, fields = cbor2.loads(data)
+        kind = KINDS.get(name)
+        return make_reader(kind)(fields) if kind else None
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         raise BadMessage(f"not a message: {error}") from error
-    kind = KINDS.get(name)
-    if kind is None:
-        return None
-    findings = Findings()
-    message = read_table(fields, kind, name, findings)
-    if message is None:
-        raise BadMessage("; ".join(str(row) for row in findings.rows))
-    return message
+
+
+def _encode_value(encoder: Any, value: Any) -> None:
+    if isinstance(value, enum.Enum):
+        encoder.encode(value.value)
+    else:
+        encoder.encode([getattr(value, name) for name in _field_names(type(value))])
+
+
+@functools.cache
+def _field_names(kind: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(kind))
+
+
+@functools.cache
+def make_reader(hint: Any) -> Reader:
+    """Return a function that checks a decoded value against ``hint``.
+
+    Raises
+    ------
+    TypeError, ValueError
+        From the function that is returned: the value is not of that type.
+    """
+    if type(None) in typing.get_args(hint):
+        inner = make_reader(plain_type(hint))
+        return lambda value: None if value is None else inner(value)
+    hint = plain_type(hint)
+    if typing.get_origin(hint) is tuple:
+        return _tuple_reader(typing.get_args(hint))
+    if dataclasses.is_dataclass(hint):
+        return _dataclass_reader(hint)
+    if issubclass(hint, enum.Enum):
+        return hint
+    return _scalar_reader(hint)
+
+
+def _dataclass_reader(kind: type) -> Reader:
+    hints = typing.get_type_hints(kind)
+    fields = dataclasses.fields(kind)
+    readers = [make_reader(hints[field.name]) for field in fields]
+
+    def read(value: Any) -> Any:
+        if type(value) is not list:
+            raise TypeError(f"{kind.__name__} is no array: {value!r}")
+        # Fields of a later version are passed over; missing ones have
+        # defaults, or the call below raises TypeError.
+        pairs = zip(readers, value, strict=False)
+        return kind(*[reader(item) for reader, item in pairs])
+
+    return read
+
+
+def _tuple_reader(args: tuple) -> Reader:
+    item = make_reader(args[0])
+
+    def read(value: Any) -> tuple:
+        if type(value) is not list:
+            raise TypeError(f"expected an array, found {value!r}")
+        return tuple([item(row) for row in value])
+
+    return read
+
+
+def _scalar_reader(kind: type) -> Reader:
+    def read(value: Any) -> Any:
+        if type(value) is kind:
+            return value
+        if kind is float and type(value) is int:
+            return float(value)
+        raise TypeError(f"expected {kind.__name__}, found {value!r}")
+
+    return read
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -102,7 +102,7 @@
 
 
 def _read_value(raw: Any, hint: Any, place: str, findings: Findings) -> Any:
-    hint = _plain(hint)
+    hint = plain_type(hint)
     if typing.get_origin(hint) is tuple:
         return _read_list(raw, typing.get_args(hint)[0], place, findings)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
@@ -118,13 +118,13 @@
 
 
 @functools.cache
-def _plain(hint: Any) -> Any:
+def plain_type(hint: Any) -> Any:
     """Return the type below a NewType or an optional."""
     while hasattr(hint, "__supertype__"):
         hint = hint.__supertype__
     options = [arg for arg in typing.get_args(hint) if arg is not type(None)]
     if type(None) in typing.get_args(hint) and len(options) == 1:
-        return _plain(options[0])
+        return plain_type(options[0])
     return hint
 
 
