--- /dev/null
+++ b/bench/queues.py
@@ -0,0 +1,370 @@
+"""Plays a trace through a policy and a few queues that stand for targets.
+
+Each target batches continuously: it starts what it was sent in order, while
+slots and memory last; prefill shares one speed, each stream decodes at its
+own. When running streams outgrow the memory, the newest is put back and its
+prefill, with what it had produced, is paid again. No network, no hosts, and
+a paused clock: this measures decisions only.
+"""
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+from bench.traces import Arrival, Engine
+from godwitladder.clock import PausedClock
+from godwitladder.ids import RequestId, TargetName
+
+STEP_S = 0.05
+DRAIN_S = 200.0
+PREFIX_TOKENS = 256
+CACHED_PREFIXES = 12
+
+
+@dataclass
+class Stream:
+    """One request at a target.
+
+    Attributes
+    ----------
+    to_prefill : float
+        Tokens still to be processed before its next output token.
+    paid : float
+        Prefill tokens spent on it so far.
+    """
+
+    arrival: Arrival
+    dispatched: float
+    to_prefill: float
+    paid: float = 0.0
+    produced: float = 0.0
+    first_token: float = 0.0
+
+
+@dataclass
+class Queue:
+    """One target: its queue, its running streams, its prefix cache."""
+
+    engine: Engine
+    queued: deque[Stream] = field(default_factory=deque)
+    running: list[Stream] = field(default_factory=list)
+    cache: dict[str, None] = field(default_factory=dict)
+    slowness: float = 1.0
+    wasted: float = 0.0
+    evictions: int = 0
+
+    def step(self, now: float) -> list[Stream]:
+        """Advance by one step and return the streams that ended."""
+        self.admit()
+        prefilling = [row for row in self.running if row.to_prefill > 0]
+        done = []
+        for row in self.running:
+            if row.to_prefill > 0:
+                self.prefill(row, len(prefilling))
+                continue
+            if not row.produced:
+                row.first_token = now
+            row.produced += self.engine.decode_tps * STEP_S / self.slowness
+            if row.produced >= row.arrival.output:
+                done.append(row)
+        if done:
+            self.running = [row for row in self.running if row not in done]
+        self.evict()
+        return done
+
+    def prefill(self, row: Stream, sharers: int) -> None:
+        """Process prompt tokens of one stream for one step."""
+        speed = self.engine.prefill_tps / self.slowness / sharers
+        tokens = min(row.to_prefill, speed * STEP_S)
+        row.to_prefill -= tokens
+        row.paid += tokens
+
+    def admit(self) -> None:
+        """Start queued streams while slots and memory last."""
+        held = self.memory()
+        while self.queued and len(self.running) < self.engine.slots:
+            row = self.queued[0]
+            tokens = row.arrival.prompt + row.produced
+            if self.running and held + tokens > self.engine.memory:
+                return
+            held += tokens
+            self.running.append(self.queued.popleft())
+            self.use_cache(row)
+
+    def use_cache(self, row: Stream) -> None:
+        """Skip the prefill of a cached prefix, and cache this one."""
+        prefix = row.arrival.prefix
+        if not prefix:
+            return
+        if prefix in self.cache:
+            row.to_prefill = max(1.0, row.to_prefill - PREFIX_TOKENS)
+            del self.cache[prefix]
+        self.cache[prefix] = None
+        while len(self.cache) > CACHED_PREFIXES:
+            del self.cache[next(iter(self.cache))]
+
+    def evict(self) -> None:
+        """Put the newest stream back while the running ones don't fit."""
+        while len(self.running) > 1 and self.memory() > self.engine.memory:
+            row = self.running.pop()
+            self.evictions += 1
+            self.wasted += row.paid
+            row.paid = 0.0
+            row.to_prefill = row.arrival.prompt + row.produced
+            self.queued.appendleft(row)
+
+    def memory(self) -> float:
+        """Return the tokens that running streams hold."""
+        return sum(row.arrival.prompt + row.produced for row in self.running)
+
+    def cancel(self, row: Stream) -> None:
+        """Drop a stream; what was paid for its prefill is wasted."""
+        self.wasted += row.paid
+        if row in self.running:
+            self.running.remove(row)
+        elif row in self.queued:
+            self.queued.remove(row)
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A policy's refusal; ``shed`` is False when no order could help it."""
+
+    request: RequestId
+    retry_after_s: float
+    shed: bool = True
+
+
+class Policy(Protocol):
+    """What decides: the scheduler's own code, or a baseline."""
+
+    def arrive(self, arrival: Arrival, now: float) -> Refused | None:
+        """Take in a new request, or refuse it at once."""
+
+    def decide(
+        self, now: float
+    ) -> tuple[list[tuple[RequestId, TargetName]], list[Refused]]:
+        """Return what to dispatch and what to refuse."""
+
+    def finished(self, stream: Stream, target: TargetName, now: float) -> None:
+        """Tell that a stream ended; its arrival has the output tokens."""
+
+    def withdrawn(self, request: RequestId, produced: int, now: float) -> None:
+        """Tell that a request's caller is gone, or its deadline has passed.
+
+        It had ``produced`` output tokens by then.
+        """
+
+    def watch(self, queues: Mapping[TargetName, Queue], now: float) -> None:
+        """See the streams' progress, once a second."""
+
+    def waiting_ranks(self) -> list[int]:
+        """Return the rank of each waiting request."""
+
+
+@dataclass
+class Outcome:
+    """What callers of one tier got.
+
+    Attributes
+    ----------
+    inversions : int
+        Requests shed while one of a lower tier was still kept.
+    """
+
+    offered: int = 0
+    in_time: int = 0
+    tokens: int = 0
+    shed: int = 0
+    cut: int = 0
+    gone: int = 0
+    inversions: int = 0
+    wasted: float = 0.0
+    latencies: list[float] = field(default_factory=list)
+
+    def latency(self, share: float) -> float:
+        """Return a quantile of the latency of what ended in time, in seconds."""
+        if not self.latencies:
+            return float("nan")
+        ordered = sorted(self.latencies)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@dataclass
+class Run:
+    """One trace played through one policy."""
+
+    outcomes: dict[int, Outcome] = field(default_factory=dict)
+    wasted: float = 0.0
+    evictions: int = 0
+    by_workspace: dict[str, list[int]] = field(default_factory=dict)
+    shares: list[dict[TargetName, int]] = field(default_factory=list)
+    first_tries: list[int] = field(default_factory=lambda: [0, 0])
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """What happens besides the arrivals.
+
+    Attributes
+    ----------
+    slow : tuple
+        Target, from, to, and how many times slower it is then.
+    repeats : int
+        How often a refused caller comes back.
+    heeds : float
+        Share of callers that heed Retry-After; others are back in 0.3 s.
+    """
+
+    trace: Sequence[Arrival]
+    engines: Sequence[Engine]
+    slow: tuple[str, float, float, float] | None = None
+    repeats: int = 0
+    heeds: float = 1.0
+
+
+class Player:
+    """Plays one scenario through one policy."""
+
+    def __init__(self, scenario: Scenario, policy: Policy) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.clock = PausedClock()
+        self.queues = {TargetName(e.name): Queue(e) for e in scenario.engines}
+        self.arrivals = [(row.time, row.request, row) for row in scenario.trace]
+        heapq.heapify(self.arrivals)
+        self.open: dict[RequestId, Arrival] = {}
+        self.placed: dict[RequestId, tuple[Stream, Queue]] = {}
+        self.ends: list[tuple[float, RequestId]] = []
+        self.draw = random.Random(5)
+        self.run_ = Run()
+
+    def play(self) -> Run:
+        """Play to the end and return what callers got."""
+        start = now = self.clock.monotonic()
+        while self.arrivals or self.open:
+            self.clock.advance(STEP_S)
+            now = self.clock.monotonic() - start
+            self.step(now)
+            if now > self.scenario.trace[-1].time + DRAIN_S:
+                break
+        for queue in self.queues.values():
+            self.run_.wasted += queue.wasted
+            self.run_.evictions += queue.evictions
+        return self.run_
+
+    def step(self, now: float) -> None:
+        """Advance everything by one step."""
+        self.set_slowness(now)
+        for name, queue in self.queues.items():
+            for stream in queue.step(now):
+                self.finish(stream, name, now)
+        self.withdraw(now)
+        while self.arrivals and self.arrivals[0][0] <= now:
+            self.arrive(heapq.heappop(self.arrivals)[-1], now)
+        if int(now) > int(now - STEP_S):
+            self.policy.watch(self.queues, now)
+            self.run_.shares.append(
+                {
+                    name: len(q.running) + len(q.queued)
+                    for name, q in self.queues.items()
+                }
+            )
+        dispatches, refusals = self.policy.decide(now)
+        for request, target in dispatches:
+            self.dispatch(request, target, now)
+        kept = self.policy.waiting_ranks() if refusals else []
+        for refused in refusals:
+            self.refuse(refused, kept, now)
+
+    def set_slowness(self, now: float) -> None:
+        """Slow a target down, if the scenario says so."""
+        if self.scenario.slow:
+            name, start, end, factor = self.scenario.slow
+            slow = start <= now < end
+            self.queues[TargetName(name)].slowness = factor if slow else 1.0
+
+    def outcome(self, arrival: Arrival) -> Outcome:
+        """Return the outcome row of the request's tier."""
+        return self.run_.outcomes.setdefault(arrival.rank, Outcome())
+
+    def arrive(self, arrival: Arrival, now: float) -> None:
+        """Hand a request to the policy."""
+        if arrival.tries == 0:
+            self.outcome(arrival).offered += 1
+            self.run_.by_workspace.setdefault(arrival.workspace, [0, 0])[0] += 1
+        self.open[arrival.request] = arrival
+        end = min(arrival.deadline, max(arrival.gone, now))
+        heapq.heappush(self.ends, (end, arrival.request))
+        refused = self.policy.arrive(arrival, now)
+        if refused:
+            self.refuse(refused, [], now)
+
+    def dispatch(self, request: RequestId, target: TargetName, now: float) -> None:
+        """Send a request to a target, once."""
+        arrival = self.open[request]
+        if request in self.placed:
+            raise AssertionError(f"{request} was dispatched twice")
+        stream = Stream(arrival, now, arrival.prompt)
+        self.queues[target].queued.append(stream)
+        self.placed[request] = stream, self.queues[target]
+
+    def finish(self, stream: Stream, target: TargetName, now: float) -> None:
+        """Count an answer that came in time; late ones were cut before."""
+        arrival = stream.arrival
+        self.open.pop(arrival.request)
+        outcome = self.outcome(arrival)
+        outcome.in_time += 1
+        outcome.tokens += arrival.output
+        outcome.latencies.append(now - arrival.time)
+        self.run_.by_workspace[arrival.workspace][1] += 1
+        if arrival.tries == 0:
+            self.run_.first_tries[0] += 1
+        self.policy.finished(stream, target, now)
+
+    def withdraw(self, now: float) -> None:
+        """End what its caller no longer waits for."""
+        while self.ends and self.ends[0][0] <= now:
+            _, request = heapq.heappop(self.ends)
+            arrival = self.open.get(request)
+            if arrival is None:
+                continue
+            produced = 0
+            if request in self.placed:
+                stream, queue = self.placed[request]
+                produced = int(stream.produced)
+                self.outcome(arrival).wasted += stream.paid
+                queue.cancel(stream)
+            elif arrival.gone > now:
+                # The policy refuses it in this step, and that is counted.
+                continue
+            del self.open[request]
+            self.policy.withdrawn(request, produced, now)
+            if arrival.gone <= now:
+                self.outcome(arrival).gone += 1
+            else:
+                self.outcome(arrival).cut += 1
+
+    def refuse(self, refused: Refused, kept: list[int], now: float) -> None:
+        """Count a refusal; its caller may come back."""
+        arrival = self.open.pop(refused.request)
+        outcome = self.outcome(arrival)
+        if refused.shed and any(rank > arrival.rank for rank in kept):
+            outcome.inversions += 1
+        if arrival.tries >= self.scenario.repeats:
+            outcome.shed += 1
+            return
+        heeds = self.draw.random() < self.scenario.heeds
+        back = now + (refused.retry_after_s if heeds else 0.3)
+        timeout = arrival.deadline - arrival.time
+        again = replace(
+            arrival,
+            time=back,
+            request=RequestId(f"{arrival.request}+"),
+            deadline=back + timeout,
+            tries=arrival.tries + 1,
+        )
+        heapq.heappush(self.arrivals, (back, again.request, again))
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -18,25 +18,25 @@
 
 from collections.abc import Iterable
 
-from godwitladder.decisions.capacity import Capacity, is_long
-from godwitladder.decisions.fairness import Entry, TierQueue
+from godwitladder.decisions.backlog import Backlog, Group
+from godwitladder.decisions.capacity import Capacity, Room, is_long
+from godwitladder.decisions.fairness import TierQueue
 from godwitladder.decisions.shedding import (
-    Tiers,
     give_up,
     give_up_below,
-    make_entry,
     offer_elsewhere,
     refuse_early,
     was_possible,
 )
 from godwitladder.decisions.types import (
     Allocation,
+    Entry,
     Placement,
     PoolView,
     ShedReason,
     WorkspaceView,
 )
-from godwitladder.ids import ServiceName, WorkspaceName
+from godwitladder.ids import RequestId, ServiceName, WorkspaceName
 
 MISSES = 32
 
@@ -44,11 +44,16 @@
 def allocate(pool: PoolView, now: float) -> Allocation:
     """Return placements and sheds for the requests in ``pool``.
 
-    The views in ``pool`` are not changed; the caller accounts for what was
-    decided: `TargetView.used`, ``reserved_tokens`` and ``long_used``,
-    `WorkspaceView.running`, and `fairness.charge`.
+    The views in ``pool`` are not changed, but for `PoolView.memory` and
+    `Waiting.entry`; the caller accounts for what was decided.
     """
-    return _Run(pool, now).finish()
+    run = _Run(pool, now)
+    run.place_tiers()
+    run.drop_expired()
+    run.follow_others()
+    run.drop(refuse_early(run.backlog, pool, now), ShedReason.OVERLOAD)
+    run.summarize()
+    return run.allocation
 
 
 class _Run:
@@ -59,48 +64,33 @@
         self.now = now
         self.capacity = Capacity(pool)
         self.allocation = Allocation()
-        self.tiers: Tiers = {}
-        self.expired: list[Entry] = []
+        self.backlog = Backlog(self.capacity)
+        self.backlog.sort(list(pool.waiting.values()), now)
+        pool.memory.fade(now)
         self.running = {
             name: view.running for name, view in pool.workspaces.items() if view.quota
         }
 
-    def finish(self) -> Allocation:
-        """Carry out the steps in order."""
-        self.sort_rows()
-        for rank in sorted(self.tiers):
-            if not self.place_tier(rank):
-                break
-        self.drop_expired()
-        self.follow_others()
-        refused = refuse_early(self.tiers, self.pool, self.capacity, self.now)
-        self.drop(refused, ShedReason.OVERLOAD)
-        self.summarize()
-        return self.allocation
-
-    def sort_rows(self) -> None:
-        """Sort the rows into tiers, and those that are too late apart."""
-        now = self.now
-        for row in self.pool.waiting.values():
-            entry = make_entry(row, self.capacity)
-            if entry.latest < now:
-                self.expired.append(entry)
-                continue
-            tier = self.tiers.get(row.line.tier_rank)
-            if tier is None:
-                self.tiers[row.line.tier_rank] = [entry]
-            else:
-                tier.append(entry)
-
-    def place_tier(self, rank: int) -> bool:
-        """Place what fits of one tier; return whether any slot is left."""
-        free = self.capacity.free_services()
-        if not free:
-            return False
-        tier = self.tiers[rank]
-        candidates = [entry for entry in tier if entry.row.line.service in free]
-        queue = TierQueue(candidates, self.pool.workspaces)
-        placed = set()
+    def place_tiers(self) -> None:
+        """Place the tiers in strict order, while any slot is free."""
+        for rank in self.backlog.ranks():
+            free = self.capacity.free_services()
+            if not free:
+                return
+            groups = [g for g in self.backlog.tier(rank) if g.service in free]
+            placed = self.place_tier(groups, free)
+            for group in groups:
+                kept = [e for e in group.entries if e.row.line.request not in placed]
+                if len(kept) < len(group.entries):
+                    group.keep(kept)
+
+    def place_tier(self, groups: list[Group], free: set[ServiceName]) -> set[RequestId]:
+        """Place what fits of one tier and return it."""
+        entries = [entry for group in groups for entry in group.entries]
+        queue = TierQueue(
+            entries, self.pool.workspaces, self.pool.memory.spent, self.now
+        )
+        placed: set[RequestId] = set()
         blocked: set[ServiceName] = set()
         misses = 0
         while free and misses < MISSES and (entry := queue.pop()):
@@ -112,23 +102,19 @@
             elif self.place(entry):
                 placed.add(line.request)
                 misses = 0
-                if not self.capacity.of(line.service).has_free():
-                    free = self.capacity.free_services()
+                free = self.capacity.free_services()
             else:
                 misses += 1
                 blocked.add(line.service)
-        self.tiers[rank] = [
-            entry for entry in tier if entry.row.line.request not in placed
-        ]
         for service in blocked & free:
             self.capacity.of(service).hold_roomiest()
-        return True
+        return placed
 
     def place(self, entry: Entry) -> bool:
         """Place one request if a target takes it."""
         line = entry.row.line
         part = self.capacity.of(line.service)
-        long = is_long(entry.slot_s, self.pool.typical_s)
+        long = is_long(entry.slot_s, self.pool.memory.typical_s)
         if long and not part.takes_long():
             return False
         room = part.choose(line, entry.row.deadline - self.now)
@@ -136,13 +122,22 @@
             return False
         tokens = line.prompt_tokens + line.predicted_tokens
         room.take(tokens, long)
+        self.note(entry, room, long)
         if line.workspace in self.running:
             self.running[line.workspace] += 1
         self.allocation.placements.append(
-            Placement(line.request, room.view.name, tokens, entry.slot_s, long)
+            Placement(line.request, room.view.name, tokens)
         )
         return True
 
+    def note(self, entry: Entry, room: Room, long: bool) -> None:
+        """Remember a placement for the next runs."""
+        line = entry.row.line
+        self.pool.memory.note(line.tier_rank, line.workspace, entry.slot_s)
+        if long:
+            end = self.now + room.seconds(line)
+            self.pool.memory.note_long(room.view.name, end)
+
     def at_quota(self, workspace: WorkspaceName) -> bool:
         """Return whether ``workspace`` runs as much as it may."""
         view = self.pool.workspaces.get(workspace, WorkspaceView())
@@ -151,7 +146,7 @@
     def drop_expired(self) -> None:
         """Give up what ran out of time, and what is kept below it."""
         lost: dict[int, set[ServiceName]] = {}
-        for entry in self.expired:
+        for entry in self.backlog.expired:
             line = entry.row.line
             if self.at_quota(line.workspace):
                 self.drop([entry], ShedReason.QUOTA)
@@ -159,62 +154,44 @@
             self.drop([entry], ShedReason.DEADLINE)
             if was_possible(entry) and self.capacity.of(line.service).slots:
                 lost.setdefault(line.tier_rank, set()).add(line.service)
-        for rank in sorted(lost):
+        for rank, services in sorted(lost.items()):
             self.note_shed(rank)
-            self.drop(
-                give_up_below(self.tiers, rank, lost[rank], self.capacity),
-                ShedReason.OVERLOAD,
-            )
+            below = give_up_below(self.backlog, rank, services)
+            self.drop(below, ShedReason.OVERLOAD)
 
     def follow_others(self) -> None:
         """Keep nothing below a tier that another allocator had to shed."""
         if not self.pool.shed_ranks:
             return
         rank = min(self.pool.shed_ranks.values())
-        services = list(self.capacity.services)
-        below = give_up_below(self.tiers, rank, services, self.capacity)
+        below = give_up_below(self.backlog, rank, self.capacity.services)
         self.drop(below, ShedReason.OVERLOAD)
 
     def drop(self, entries: Iterable[Entry], reason: ShedReason) -> None:
         """Give ``entries`` up for ``reason``."""
+        waits: dict[tuple[ServiceName, int], float] = {}
         for entry in entries:
+            line = entry.row.line
+            key = line.service, line.tier_rank
+            if key not in waits:
+                waits[key] = self.backlog.wait_s(*key)
             if reason is ShedReason.OVERLOAD:
-                self.note_shed(entry.row.line.tier_rank)
-            backlog_s = self.backlog_s(entry)
-            self.allocation.given_up.append(give_up(entry, reason, backlog_s))
+                self.note_shed(line.tier_rank)
+            self.allocation.given_up.append(give_up(entry, reason, waits[key]))
 
     def note_shed(self, rank: int) -> None:
         """Remember the most important tier that was shed."""
         least = self.allocation.shed_rank
         self.allocation.shed_rank = rank if least is None else min(rank, least)
 
-    def backlog_s(self, entry: Entry) -> float:
-        """Return seconds until what waits at or above its tier has started."""
-        rank = entry.row.line.tier_rank
-        service = entry.row.line.service
-        work = sum(
-            other.slot_s
-            for tier, entries in self.tiers.items()
-            if tier <= rank
-            for other in entries
-            if other.row.line.service == service
-        )
-        return work / max(1, self.capacity.of(service).slots)
-
     def summarize(self) -> None:
         """Fill in what other allocators are told."""
-        waiting = [rank for rank, entries in self.tiers.items() if entries]
-        self.allocation.floor = max(waiting, default=None)
-        self.allocation.spill = offer_elsewhere(self.tiers, self.capacity)
-        work: dict[ServiceName, float] = {}
-        for entries in self.tiers.values():
-            for entry in entries:
-                service = entry.row.line.service
-                work[service] = work.get(service, 0.0) + entry.slot_s
-        self.allocation.backlog_s = max(
-            (
-                seconds / max(1, self.capacity.of(service).slots)
-                for service, seconds in work.items()
-            ),
-            default=0.0,
-        )
+        ranks = self.backlog.ranks()
+        self.allocation.floor = ranks[-1] if ranks else None
+        if self.pool.floors:
+            self.allocation.spill = offer_elsewhere(self.backlog)
+        if ranks:
+            self.allocation.backlog_s = max(
+                self.backlog.wait_s(group.service, ranks[-1])
+                for group in self.backlog.groups.values()
+            )
--- /dev/null
+++ b/godwitladder/decisions/backlog.py
@@ -0,0 +1,120 @@
+"""Sorts the waiting requests by tier and service, with the work in each.
+
+Load pattern: a thousand requests wait and a slot is free every few
+milliseconds. A run that sorted all of them for that slot would hold the
+scheduler longer than the slot lasts. So a run looks at each row once, with
+what it worked out for it the last time, and keeps sums; only the few that a
+free slot is for are put in order. There is no threshold.
+"""
+
+from dataclasses import dataclass, field
+
+from godwitladder.decisions.capacity import Capacity, ServiceCapacity
+from godwitladder.decisions.types import Entry, Waiting
+from godwitladder.ids import ServiceName
+
+# A request is started while its predicted length, times this factor, fits
+# before its deadline; `shedding` tells why.
+MARGIN = 1.25
+SAFE_MARGIN = 1.25
+SAFE_LEAST_S = 1.0
+
+
+@dataclass
+class Group:
+    """The waiting requests of one tier and service.
+
+    Attributes
+    ----------
+    work_s : float
+        Slot seconds of all of them.
+    soonest : float
+        None of them has to start before this time.
+    """
+
+    rank: int
+    service: ServiceName
+    part: ServiceCapacity
+    entries: list[Entry] = field(default_factory=list)
+    work_s: float = 0.0
+    soonest: float = float("inf")
+
+    def keep(self, entries: list[Entry]) -> None:
+        """Replace the requests by ``entries``, which are some of them."""
+        self.entries = entries
+        self.work_s = sum(entry.slot_s for entry in entries)
+        self.soonest = min((entry.safe for entry in entries), default=float("inf"))
+
+
+class Backlog:
+    """All waiting requests of a pool.
+
+    Attributes
+    ----------
+    expired : list of Entry
+        Those that can no longer start in time.
+    """
+
+    def __init__(self, capacity: Capacity) -> None:
+        self.capacity = capacity
+        self.groups: dict[tuple[int, ServiceName], Group] = {}
+        self.expired: list[Entry] = []
+
+    def sort(self, rows: list[Waiting], now: float) -> None:
+        """Take ``rows`` in."""
+        groups = self.groups
+        for row in rows:
+            line = row.line
+            group = groups.get((line.tier_rank, line.service))
+            if group is None:
+                group = self._add_group(line.tier_rank, line.service)
+            entry = row.entry
+            if entry is None or entry.pace != group.part.pace:
+                entry = row.entry = weigh(row, group.part)
+            if entry.latest < now:
+                self.expired.append(entry)
+                continue
+            group.entries.append(entry)
+            group.work_s += entry.slot_s
+            if entry.safe < group.soonest:
+                group.soonest = entry.safe
+
+    def ranks(self) -> list[int]:
+        """Return the ranks that wait, the most important first."""
+        return sorted({group.rank for group in self.groups.values() if group.entries})
+
+    def tier(self, rank: int) -> list[Group]:
+        """Return the groups of one tier."""
+        return [group for group in self.groups.values() if group.rank == rank]
+
+    def work_s(self, service: ServiceName, rank: int) -> float:
+        """Return the slot seconds waiting for ``service`` at ``rank`` or before."""
+        return sum(
+            group.work_s
+            for group in self.groups.values()
+            if group.service == service and group.rank <= rank
+        )
+
+    def wait_s(self, service: ServiceName, rank: int) -> float:
+        """Return the seconds until all of that work has started."""
+        slots = max(1, self.capacity.of(service).slots)
+        return self.work_s(service, rank) / slots
+
+    def _add_group(self, rank: int, service: ServiceName) -> Group:
+        group = Group(rank, service, self.capacity.of(service))
+        self.groups[rank, service] = group
+        return group
+
+
+def weigh(row: Waiting, part: ServiceCapacity) -> Entry:
+    """Return ``row`` with what it needs on the fastest target."""
+    line = row.line
+    slot_s = line.prompt_tokens * part.pace.prefill_s
+    likely = max(1, line.likely_tokens or line.predicted_tokens)
+    more_s = max(0, line.predicted_tokens - likely) * part.pace.decode_s
+    slot_s += likely * part.pace.decode_s
+    latest = row.deadline - slot_s * MARGIN
+    safe = row.deadline - (slot_s + more_s) * SAFE_MARGIN
+    # One that was never safe is as safe as it can be when it arrives.
+    safe = min(latest, max(safe, row.arrived + SAFE_LEAST_S))
+    return Entry(row, slot_s, latest, safe, part.pace)
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -20,15 +20,18 @@
     costs more than that.
 """
 
+import math
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.types import DemandLine, PoolView, TargetView
+from godwitladder.decisions.types import DemandLine, Pace, PoolView, TargetView
 from godwitladder.ids import ServiceName
 
 MEMORY_SHARE = 0.95
 LONG_FACTOR = 4.0
 LONG_SHARE = 0.5
 AFFINITY_SLACK = 0.25
+PACE_STEP = 0.05
+NO_PACE = Pace(0.0, 0.0)
 
 
 def is_long(slot_s: float, typical_s: float) -> bool:
@@ -36,6 +39,15 @@
     return typical_s > 0 and slot_s > LONG_FACTOR * typical_s
 
 
+def in_steps(seconds: float) -> float:
+    """Return ``seconds`` rounded to steps of a twentieth.
+
+    Learned speeds change a little with each completion; in steps, what was
+    worked out from them stays valid from run to run.
+    """
+    return math.exp(round(math.log(seconds) / PACE_STEP) * PACE_STEP)
+
+
 @dataclass
 class Room:
     """What is left of one target.
@@ -71,6 +83,11 @@
             return False
         return not self.view.memory_tokens or tokens <= self.tokens or self.used == 0
 
+    def seconds(self, line: DemandLine) -> float:
+        """Return how long a request is likely to hold a slot here."""
+        output = max(1, line.likely_tokens or line.predicted_tokens)
+        return line.prompt_tokens * self.prefill_s + output * self.decode_s
+
     def take(self, tokens: int, long: bool) -> None:
         """Account for a request that is placed here."""
         self.used += 1
@@ -84,30 +101,26 @@
 
     Attributes
     ----------
-    prefill_s, decode_s : float
-        Seconds for a prompt and an output token on the fastest target.
+    pace : Pace
+        The fastest target's, in steps of a twentieth; nothing takes any
+        time without targets, so that a request waits for one to come back.
     slots : int
         Limits of all targets together.
     """
 
     rooms: list[Room] = field(default_factory=list)
-    prefill_s: float = float("inf")
-    decode_s: float = float("inf")
+    pace: Pace = NO_PACE
     slots: int = 0
 
     def add(self, room: Room) -> None:
         """Add one target."""
+        pace = Pace(in_steps(room.prefill_s), in_steps(room.decode_s))
+        if self.rooms:
+            pace = Pace(*map(min, pace, self.pace))
+        self.pace = pace
         self.rooms.append(room)
-        self.prefill_s = min(self.prefill_s, room.prefill_s)
-        self.decode_s = min(self.decode_s, room.decode_s)
         self.slots += room.view.limit
 
-    def slot_s(self, line: DemandLine) -> float:
-        """Return the seconds that a request holds a slot of the fastest target."""
-        return line.prompt_tokens * self.prefill_s + max(1, line.predicted_tokens) * (
-            self.decode_s
-        )
-
     def has_free(self) -> bool:
         """Return whether any target has a free slot that is not held."""
         return any(not room.held and room.used < room.view.limit for room in self.rooms)
@@ -126,14 +139,13 @@
             Seconds to the deadline.
         """
         tokens = line.prompt_tokens + line.predicted_tokens
-        output = max(1, line.predicted_tokens)
         best = None
         best_score = float("inf")
         bound = self._affinity_bound() if line.prefix else 0.0
         for room in self.rooms:
             if not room.fits(tokens):
                 continue
-            seconds = line.prompt_tokens * room.prefill_s + output * room.decode_s
+            seconds = room.seconds(line)
             if seconds > budget_s:
                 continue
             score = seconds * (1.0 + room.load)
@@ -166,7 +178,7 @@
         self.services: dict[ServiceName, ServiceCapacity] = {}
         for view in pool.targets.values():
             if view.limit > 0:
-                self._add(make_room(view))
+                self._add(make_room(view, pool.memory.long_on(view.name)))
 
     def of(self, service: ServiceName) -> ServiceCapacity:
         """Return the capacity for ``service``; an empty one if nothing serves it."""
@@ -181,13 +193,13 @@
             self.services.setdefault(service, ServiceCapacity()).add(room)
 
 
-def make_room(view: TargetView) -> Room:
+def make_room(view: TargetView, long_used: int) -> Room:
     """Return the room that ``view`` has left."""
     return Room(
         view=view,
         used=view.used,
         tokens=view.memory_tokens * MEMORY_SHARE - view.reserved_tokens,
-        long_used=view.long_used,
+        long_used=long_used,
         prefill_s=1.0 / max(view.prefill_tps, 1e-9),
         decode_s=1.0 / max(view.decode_tps, 1e-9),
     )
--- a/godwitladder/decisions/fairness.py
+++ b/godwitladder/decisions/fairness.py
@@ -8,42 +8,18 @@
 
 What a workspace got is counted in slot seconds, not in requests: one full
 review costs as much as a hundred questions.
-
-Thresholds
-----------
-HALF_LIFE_S : what was spent is half forgotten after this, several times the
-    length of a usual request, so that a burst is paid back over the next
-    minute and a workspace that was quiet for an hour has no claim on the pool.
+What was spent fades; `memory` has the half-life and its reason.
 """
 
 import heapq
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
-from godwitladder.decisions.types import Placement, Waiting, WorkspaceView
+from godwitladder.decisions.types import Entry, WorkspaceView
 from godwitladder.ids import WorkspaceName
 
-HALF_LIFE_S = 20.0
 NO_WORKSPACE = WorkspaceView()
 
 
-@dataclass(slots=True)
-class Entry:
-    """A waiting request as it is weighed in one run.
-
-    Attributes
-    ----------
-    slot_s : float
-        Seconds that it will hold a slot.
-    latest : float
-        Time after which it can't start and still end by its deadline.
-    """
-
-    row: Waiting
-    slot_s: float
-    latest: float
-
-
 class TierQueue:
     """The requests of one tier in the order in which they should start.
 
@@ -52,19 +28,25 @@
     entries : iterable of Entry
         All of one tier.
     workspaces : mapping
-        Shares and what each workspace spent; one not in it counts as new.
+        Their shares; one not in it has a share of 1.
+    spent : mapping
+        Slot seconds that each workspace lately got.
+    now : float
+        Requests that are not safe any more at this time go last.
     """
 
     def __init__(
         self,
         entries: Iterable[Entry],
         workspaces: Mapping[WorkspaceName, WorkspaceView],
+        spent: Mapping[WorkspaceName, float],
+        now: float,
     ) -> None:
         self.workspaces = workspaces
         self.queues: dict[WorkspaceName, list[tuple]] = {}
         for entry in entries:
             line = entry.row.line
-            item = (line.repeats, entry.latest, line.request, entry)
+            item = (entry.safe < now, line.repeats, entry.latest, line.request, entry)
             queue = self.queues.get(line.workspace)
             if queue is None:
                 self.queues[line.workspace] = [item]
@@ -73,8 +55,7 @@
         for queue in self.queues.values():
             heapq.heapify(queue)
         self.turns = [
-            (self._view(name).spent_s / self._view(name).share, name)
-            for name in self.queues
+            (spent.get(name, 0.0) / self._share(name), name) for name in self.queues
         ]
         heapq.heapify(self.turns)
 
@@ -86,35 +67,31 @@
         queue = self.queues[name]
         entry = heapq.heappop(queue)[-1]
         if queue:
-            spent += entry.slot_s / self._view(name).share
+            spent += entry.slot_s / self._share(name)
             heapq.heapreplace(self.turns, (spent, name))
         else:
             heapq.heappop(self.turns)
         return entry
 
-    def drop(self, name: WorkspaceName) -> list[Entry]:
+    def drop(self, name: WorkspaceName) -> None:
         """Take all requests of one workspace out: it is at its quota."""
         self.turns = [turn for turn in self.turns if turn[1] != name]
         heapq.heapify(self.turns)
-        return [item[-1] for item in self.queues.pop(name, [])]
-
-    def _view(self, name: WorkspaceName) -> WorkspaceView:
-        return self.workspaces.get(name, NO_WORKSPACE)
-
-
-def charge(
-    workspaces: Mapping[WorkspaceName, WorkspaceView],
-    workspace: WorkspaceName,
-    placement: Placement,
-) -> None:
-    """Charge ``workspace`` for a placement that is carried out."""
-    view = workspaces.get(workspace)
-    if view:
-        view.spent_s += placement.slot_s
-
 
-def decay(workspaces: Mapping[WorkspaceName, WorkspaceView], elapsed_s: float) -> None:
-    """Let what was spent fade over ``elapsed_s``."""
-    factor = 0.5 ** (elapsed_s / HALF_LIFE_S)
-    for view in workspaces.values():
-        view.spent_s *= factor
+    def ordered(self) -> list[Entry]:
+        """Return all that is queued in the order in which it would start.
+
+        The same as repeated `pop`, by sorting, which is faster when all are
+        wanted.
+        """
+        tagged = []
+        for spent, name in self.turns:
+            share = self._share(name)
+            for place, item in enumerate(sorted(self.queues[name])):
+                tagged.append((spent, name, place, item[-1]))
+                spent += item[-1].slot_s / share
+        tagged.sort()
+        return [tag[-1] for tag in tagged]
+
+    def _share(self, name: WorkspaceName) -> float:
+        return self.workspaces.get(name, NO_WORKSPACE).share
--- /dev/null
+++ b/godwitladder/decisions/memory.py
@@ -0,0 +1,92 @@
+"""What an allocator remembers from one run to the next.
+
+Load pattern: each run sees only what waits now. Without memory, a low tier
+looks as if it had the whole pool whenever the last of a higher tier has just
+started, a workspace that took everything a second ago counts as new, and
+nobody knows which of the running requests are long.
+
+All of it is soft: a new allocator starts with none and is right again within
+a minute. Keep one for each pool and hand it in as `PoolView.memory`.
+
+Thresholds
+----------
+FLOW_HALF_LIFE_S : bursts shorter than this don't count as what a tier takes.
+SPENT_HALF_LIFE_S : several times the length of a usual request, so that a
+    burst is paid back over the next minute, and a workspace that was quiet
+    for an hour has no claim on the pool.
+TYPICAL_GAIN : the usual length is an average over about fifty requests.
+"""
+
+import heapq
+import math
+from dataclasses import dataclass, field
+
+from godwitladder.ids import TargetName, WorkspaceName
+
+FLOW_HALF_LIFE_S = 10.0
+SPENT_HALF_LIFE_S = 20.0
+TYPICAL_GAIN = 0.02
+FORGOTTEN_S = 0.01
+
+
+@dataclass
+class AllocatorMemory:
+    """Soft state of one pool's allocator; all amounts fade with time.
+
+    Attributes
+    ----------
+    given : dict
+        Slot seconds lately given to each tier, by rank.
+    spent : dict
+        Slot seconds lately given to each workspace.
+    typical_s : float
+        Decayed mean of the slot seconds of a placed request; 0 before one.
+    long_ends : dict
+        For each target, when its long requests are expected to end: a heap.
+    refused_at : float
+        When the queue was last looked through for early refusals.
+    """
+
+    given: dict[int, float] = field(default_factory=dict)
+    spent: dict[WorkspaceName, float] = field(default_factory=dict)
+    typical_s: float = 0.0
+    long_ends: dict[TargetName, list[float]] = field(default_factory=dict)
+    refused_at: float = float("-inf")
+    faded: float = 0.0
+
+    def fade(self, now: float) -> None:
+        """Let everything fade up to ``now``."""
+        elapsed_s = max(0.0, now - self.faded)
+        self.faded = now
+        factor = 0.5 ** (elapsed_s / FLOW_HALF_LIFE_S)
+        for rank in self.given:
+            self.given[rank] *= factor
+        factor = 0.5 ** (elapsed_s / SPENT_HALF_LIFE_S)
+        for name, seconds in list(self.spent.items()):
+            if seconds < FORGOTTEN_S:
+                del self.spent[name]
+            else:
+                self.spent[name] = seconds * factor
+        for ends in self.long_ends.values():
+            while ends and ends[0] <= now:
+                heapq.heappop(ends)
+
+    def note(self, rank: int, workspace: WorkspaceName, slot_s: float) -> None:
+        """A request was placed."""
+        self.given[rank] = self.given.get(rank, 0.0) + slot_s
+        self.spent[workspace] = self.spent.get(workspace, 0.0) + slot_s
+        gain = TYPICAL_GAIN if self.typical_s else 1.0
+        self.typical_s += gain * (slot_s - self.typical_s)
+
+    def note_long(self, target: TargetName, end: float) -> None:
+        """A long request was placed that is expected to end at ``end``."""
+        heapq.heappush(self.long_ends.setdefault(target, []), end)
+
+    def long_on(self, target: TargetName) -> int:
+        """Return the long requests that ``target`` is taken to run."""
+        return len(self.long_ends.get(target, ()))
+
+    def slots_before(self, rank: int) -> float:
+        """Return the slots that the tiers before ``rank`` keep busy."""
+        given = sum(value for other, value in self.given.items() if other < rank)
+        return given * math.log(2) / FLOW_HALF_LIFE_S
--- a/godwitladder/decisions/prediction.py
+++ b/godwitladder/decisions/prediction.py
@@ -12,12 +12,15 @@
 
 Thresholds
 ----------
-QUANTILE : measured, `docs/MEASUREMENTS.md` (prediction).
+RESERVE_QUANTILE : measured, `docs/MEASUREMENTS.md` (prediction).
+LIKELY_QUANTILE : the median; of what is refused as too late, at most half
+    would have been in time.
 LEAST_STEP : an estimate follows a tenfold change of lengths within about 25
     answers, and wobbles by a sixth around a steady one.
 PRIOR_WEIGHT : after as many answers of its own, a workspace's estimate counts
     as much as its service's.
-PRIOR_RATIO : a service never seen is taken to use half of what is declared.
+PRIOR_RATIO, PRIOR_LIKELY_RATIO : a service never seen is taken to use an
+    eighth of what is declared, and half is reserved for it.
 GROWTH : a stream that outlives its reservation adds half of what it has, so
     that it is grown a few times, not once per token.
 """
@@ -28,54 +31,68 @@
 
 from godwitladder.ids import ServiceName, WorkspaceName
 
-QUANTILE = 0.9
+RESERVE_QUANTILE = 0.9
+LIKELY_QUANTILE = 0.5
 LEAST_STEP = 0.2
 PRIOR_WEIGHT = 8.0
 PRIOR_RATIO = 0.5
+PRIOR_LIKELY_RATIO = 0.125
 GROWTH = 1.5
 KEPT_ESTIMATES = 20_000
 
 
 @dataclass
 class Estimate:
-    """A quantile in log space, and how many observations moved it."""
+    """Two quantiles in log space, and how many observations moved them."""
 
-    level: float
+    likely: float
+    reserve: float
     count: int = 1
 
-    def move(self, level: float, quantile: float) -> None:
-        """Move towards the quantile by one observation."""
+    def move(self, level: float) -> None:
+        """Move both towards their quantiles by one observation."""
         self.count += 1
         step = max(LEAST_STEP, 2.0 / self.count)
-        self.level += step * (quantile if level > self.level else quantile - 1.0)
+        self.likely += step * moved(level > self.likely, LIKELY_QUANTILE)
+        self.reserve += step * moved(level > self.reserve, RESERVE_QUANTILE)
+        self.reserve = max(self.reserve, self.likely)
 
 
-class OutputPredictor:
-    """Output tokens per workspace and service.
+def moved(above: bool, quantile: float) -> float:
+    """Return the part of a step by which one observation moves a quantile."""
+    return quantile if above else quantile - 1.0
+
 
-    Parameters
-    ----------
-    quantile : float
-        Share of answers that should be no longer than predicted.
-    """
+class OutputPredictor:
+    """Output tokens per workspace, service and size of the declared limit."""
 
-    def __init__(self, quantile: float = QUANTILE) -> None:
-        self.quantile = quantile
-        self.own: OrderedDict[tuple[WorkspaceName, ServiceName], Estimate]
-        self.own = OrderedDict()
-        self.services: dict[ServiceName, Estimate] = {}
+    def __init__(self) -> None:
+        self.own: OrderedDict[tuple, Estimate] = OrderedDict()
+        self.services: dict[tuple, Estimate] = {}
 
     def observe(
-        self, workspace: WorkspaceName, service: ServiceName, output: int
+        self,
+        workspace: WorkspaceName,
+        service: ServiceName,
+        declared: int,
+        output: int,
+        cut: bool = False,
     ) -> None:
-        """Take in the output tokens of an answer that came to its end.
-
-        An answer that was cut off says nothing of its length: leave it out.
+        """Take in the output tokens of an answer that has ended.
+
+        Parameters
+        ----------
+        cut : bool
+            The answer was cut off and would have been longer. Such answers
+            count only where they exceed what was predicted. Left out, only
+            short answers would be seen under overload, so that long ones
+            are predicted short, started late, and cut off again.
         """
+        kind = service, declared.bit_length()
         level = math.log(max(1, output))
-        self._move(self.services, service, level)
-        self._move(self.own, (workspace, service), level)
-        self.own.move_to_end((workspace, service))
+        self._move(self.services, kind, level, cut)
+        self._move(self.own, (workspace, *kind), level, cut)
+        self.own.move_to_end((workspace, *kind))
         if len(self.own) > KEPT_ESTIMATES:
             self.own.popitem(last=False)
 
@@ -83,22 +100,44 @@
         self, workspace: WorkspaceName, service: ServiceName, declared: int
     ) -> int:
         """Return the tokens to reserve, at least 1 and at most ``declared``."""
-        prior = self.services.get(service)
-        if prior is None:
+        blend = self._blend(workspace, service, declared)
+        if blend is None:
             return max(1, int(declared * PRIOR_RATIO))
-        level = prior.level
-        own = self.own.get((workspace, service))
-        if own:
-            weight = own.count / (own.count + PRIOR_WEIGHT)
-            level = weight * own.level + (1.0 - weight) * prior.level
-        return max(1, min(declared, math.ceil(math.exp(level))))
-
-    def _move(self, table: dict, key: object, level: float) -> None:
+        return max(1, min(declared, math.ceil(math.exp(blend.reserve))))
+
+    def likely(
+        self, workspace: WorkspaceName, service: ServiceName, declared: int
+    ) -> int:
+        """Return the tokens that half of the answers don't exceed.
+
+        This decides whether a request can be in time. The tokens to reserve
+        would refuse work that nine times in ten is in time.
+        """
+        blend = self._blend(workspace, service, declared)
+        if blend is None:
+            return max(1, int(declared * PRIOR_LIKELY_RATIO))
+        return max(1, min(declared, math.ceil(math.exp(blend.likely))))
+
+    def _blend(
+        self, workspace: WorkspaceName, service: ServiceName, declared: int
+    ) -> Estimate | None:
+        kind = service, declared.bit_length()
+        prior = self.services.get(kind)
+        own = self.own.get((workspace, *kind))
+        if prior is None or own is None:
+            return prior
+        weight = own.count / (own.count + PRIOR_WEIGHT)
+        return Estimate(
+            weight * own.likely + (1.0 - weight) * prior.likely,
+            weight * own.reserve + (1.0 - weight) * prior.reserve,
+        )
+
+    def _move(self, table: dict, key: tuple, level: float, cut: bool) -> None:
         estimate = table.get(key)
         if estimate is None:
-            table[key] = Estimate(level)
-        else:
-            estimate.move(level, self.quantile)
+            table[key] = Estimate(level, level)
+        elif not cut or level > estimate.likely:
+            estimate.move(level)
 
 
 def grow(predicted: int, produced: int, declared: int) -> int:
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -21,9 +21,11 @@
 
 Thresholds
 ----------
-MARGIN : a request is started while its predicted length, and this factor of
+`backlog.MARGIN` : a request is started while its predicted length, and this factor of
     it, fits before its deadline. Measured (saturation).
-REFUSE_FACTOR : early refusal lets the work ahead exceed what fits by this
+REFUSE_EVERY_S : looking through the whole queue costs as much as the rest of
+    a run; four times a second is soon enough to tell a caller.
+LEAST_LEFT : early refusal lets the work ahead exceed what fits by this
     factor, as some of it ends sooner or goes away. Measured (saturation).
 SPILL_AFTER_S : wait that makes it worth asking another zone; two round trips
     of demand and grant take less.
@@ -32,166 +34,139 @@
 """
 
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
+from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.backoff import retry_after_s
-from godwitladder.decisions.capacity import Capacity
-from godwitladder.decisions.fairness import Entry, TierQueue
+from godwitladder.decisions.fairness import TierQueue
 from godwitladder.decisions.types import (
+    Entry,
     GivenUp,
     PoolView,
     ShedReason,
-    Waiting,
-    WorkspaceView,
 )
-from godwitladder.ids import RequestId, ServiceName, WorkspaceName
+from godwitladder.ids import RequestId, ServiceName
 
-MARGIN = 1.25
-REFUSE_FACTOR = 1.0
+REFUSE_EVERY_S = 0.25
+LEAST_LEFT = 0.05
 SPILL_AFTER_S = 0.5
 SPILL_MOST = 64
 
-Tiers = dict[int, list[Entry]]
-
-
-def make_entry(row: Waiting, capacity: Capacity) -> Entry:
-    """Return ``row`` with what it needs on the fastest target."""
-    slot_s = capacity.of(row.line.service).slot_s(row.line)
-    return Entry(row, slot_s, row.deadline - slot_s * MARGIN)
-
 
 def was_possible(entry: Entry) -> bool:
     """Return whether an idle pool could have served it in time."""
     return entry.row.arrived <= entry.latest
 
 
-def refuse_early(
-    tiers: Tiers, pool: PoolView, capacity: Capacity, now: float
-) -> list[Entry]:
+def refuse_early(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
     """Take out and return what can't start in time, of the lowest tier.
 
     When all of that tier is gone the next one is looked at, and so on up.
     """
+    if now - pool.memory.refused_at < REFUSE_EVERY_S:
+        return []
+    pool.memory.refused_at = now
     refused: list[Entry] = []
     lowest_elsewhere = max(pool.floors.values(), default=-1)
-    for rank in sorted(tiers, reverse=True):
-        if rank < lowest_elsewhere or not tiers[rank]:
-            continue
-        ahead = work_ahead(tiers, rank)
-        kept, given_up = project(
-            tiers[rank], ahead, pool.workspaces, capacity, now, bool(pool.floors)
-        )
-        tiers[rank] = kept
-        refused += given_up
-        if kept:
+    for rank in reversed(backlog.ranks()):
+        if rank < lowest_elsewhere:
+            break
+        groups = backlog.tier(rank)
+        for group in groups:
+            refused += refuse_late(group, backlog, pool, now)
+        if any(group.entries for group in groups):
             break
     return refused
 
 
+def refuse_late(
+    group: Group, backlog: Backlog, pool: PoolView, now: float
+) -> list[Entry]:
+    """Take out and return the requests of ``group`` that can't start in time."""
+    slots = left_for(group, pool)
+    if not slots:
+        return []
+    ahead_s = backlog.work_s(group.service, group.rank) - group.work_s
+    if now + (ahead_s + group.work_s) / slots <= group.soonest:
+        return []
+    queue = TierQueue(group.entries, pool.workspaces, pool.memory.spent, now)
+    kept, late = project(queue, ahead_s, slots, now)
+    if pool.floors:
+        fresh = [e for e in late if now - e.row.arrived < SPILL_AFTER_S]
+        kept += fresh
+        late = [e for e in late if now - e.row.arrived >= SPILL_AFTER_S]
+    group.keep(kept)
+    return late
+
+
+def left_for(group: Group, pool: PoolView) -> float:
+    """Return the slots that higher tiers leave to ``group``, as of late.
+
+    They will go on coming: counted only as what waits, a low tier looks as
+    if it had the whole pool as soon as the last of them has started.
+    """
+    slots = group.part.slots
+    return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.rank))
+
+
 def project(
-    entries: list[Entry],
-    ahead: dict[ServiceName, float],
-    workspaces: Mapping[WorkspaceName, WorkspaceView],
-    capacity: Capacity,
-    now: float,
-    spill_first: bool = False,
+    queue: TierQueue, ahead_s: float, slots: float, now: float
 ) -> tuple[list[Entry], list[Entry]]:
-    """Split one tier into what can start in time and what can't.
+    """Split requests into those that can start in time and those that can't.
 
     Parameters
     ----------
-    ahead : dict
-        Slot seconds of the tiers before it, by service; grows by the work
-        that is kept.
-    spill_first : bool
-        Keep what has not yet waited for an answer from another zone.
+    ahead_s : float
+        Slot seconds of the tiers before them.
+    slots : float
+        Slots that the work is spread over.
     """
-    if fits_wholly(entries, ahead, capacity, now):
-        return entries, []
     kept: list[Entry] = []
-    given_up: list[Entry] = []
-    queue = TierQueue(entries, workspaces)
-    while entry := queue.pop():
-        service = entry.row.line.service
-        slots = capacity.of(service).slots * REFUSE_FACTOR
-        before = ahead.get(service, 0.0)
-        in_time = slots and now + before / slots <= entry.latest
-        fresh = spill_first and now - entry.row.arrived < SPILL_AFTER_S
-        if in_time or fresh:
+    late: list[Entry] = []
+    for entry in queue.ordered():
+        if now + ahead_s / slots <= entry.safe:
             kept.append(entry)
-            ahead[service] = before + entry.slot_s
+            ahead_s += entry.slot_s
         else:
-            given_up.append(entry)
-    return kept, given_up
-
-
-def fits_wholly(
-    entries: list[Entry],
-    ahead: Mapping[ServiceName, float],
-    capacity: Capacity,
-    now: float,
-) -> bool:
-    """Return whether even the last of the tier starts before any is too late."""
-    work = dict(ahead)
-    soonest: dict[ServiceName, float] = {}
-    for entry in entries:
-        service = entry.row.line.service
-        work[service] = work.get(service, 0.0) + entry.slot_s
-        if entry.latest < soonest.get(service, float("inf")):
-            soonest[service] = entry.latest
-    return all(
-        now + work[service] <= now + (latest - now) * capacity.of(service).slots
-        for service, latest in soonest.items()
-    )
-
-
-def work_ahead(tiers: Tiers, rank: int) -> dict[ServiceName, float]:
-    """Return the slot seconds that wait at tiers before ``rank``, by service."""
-    ahead: dict[ServiceName, float] = {}
-    for other, entries in tiers.items():
-        if other < rank:
-            for entry in entries:
-                service = entry.row.line.service
-                ahead[service] = ahead.get(service, 0.0) + entry.slot_s
-    return ahead
+            late.append(entry)
+    return kept, late
 
 
 def give_up_below(
-    tiers: Tiers, rank: int, services: Iterable[ServiceName], capacity: Capacity
+    backlog: Backlog, rank: int, services: Iterable[ServiceName]
 ) -> list[Entry]:
     """Take out and return what waits below ``rank`` for targets of ``services``."""
+    given_up: list[Entry] = []
+    rivals = find_rivals(backlog, services)
+    for group in backlog.groups.values():
+        if group.rank > rank and group.service in rivals:
+            given_up += group.entries
+            group.keep([])
+    return given_up
+
+
+def find_rivals(backlog: Backlog, services: Iterable[ServiceName]) -> set[ServiceName]:
+    """Return all services that share a target with any of ``services``."""
+    capacity = backlog.capacity
     targets = {room.view.name for name in services for room in capacity.of(name).rooms}
-    rivals = {
+    return {
         name
         for name, part in capacity.services.items()
         if any(room.view.name in targets for room in part.rooms)
     }
-    given_up = []
-    for other in [other for other in tiers if other > rank]:
-        given_up += [e for e in tiers[other] if e.row.line.service in rivals]
-        tiers[other] = [e for e in tiers[other] if e.row.line.service not in rivals]
-    return given_up
 
 
-def offer_elsewhere(tiers: Tiers, capacity: Capacity) -> list[RequestId]:
+def offer_elsewhere(backlog: Backlog) -> list[RequestId]:
     """Return the requests that another zone should be asked for."""
     offered: list[RequestId] = []
-    ahead: dict[ServiceName, float] = {}
-    for rank in sorted(tiers):
-        late = []
-        for entry in tiers[rank]:
-            service = entry.row.line.service
-            ahead[service] = ahead.get(service, 0.0) + entry.slot_s
-        for entry in tiers[rank]:
-            slots = capacity.of(entry.row.line.service).slots
-            if ahead[entry.row.line.service] > SPILL_AFTER_S * slots:
-                late.append(entry)
-        late = heapq.nsmallest(
-            SPILL_MOST - len(offered), late, key=lambda entry: entry.latest
-        )
-        offered += [entry.row.line.request for entry in late]
-        if len(offered) >= SPILL_MOST:
-            break
+    for rank in backlog.ranks():
+        late: list[Entry] = []
+        for group in backlog.tier(rank):
+            if backlog.wait_s(group.service, rank) > SPILL_AFTER_S:
+                late += group.entries
+        room = SPILL_MOST - len(offered)
+        soonest = heapq.nsmallest(room, late, key=lambda entry: entry.latest)
+        offered += [entry.row.line.request for entry in soonest]
     return offered
 
 
--- a/godwitladder/decisions/speeds.py
+++ b/godwitladder/decisions/speeds.py
@@ -30,18 +30,11 @@
 
 
 class TargetSpeeds:
-    """Speeds of each target, and how long a usual request holds a slot.
-
-    Attributes
-    ----------
-    typical_s : float
-        Decayed mean of the slot seconds of completed requests; 0 before one.
-    """
+    """Speeds of each target."""
 
     def __init__(self) -> None:
         self.expected: dict[TargetName, Speed] = {}
         self.learned: dict[TargetName, Speed] = {}
-        self.typical_s = 0.0
 
     def expect(self, target: TargetName, prefill_tps: float, decode_tps: float) -> None:
         """Set the configured speeds; what was learned is kept if they stand."""
@@ -74,8 +67,6 @@
         speed = self.learned.get(target)
         if speed is None:
             return
-        gain = GAIN if self.typical_s else 1.0
-        self.typical_s += gain * (total_s - self.typical_s)
         floor = self.expected[target]
         if prompt > 0 and first_token_s > 0:
             seen = max(prompt / first_token_s, floor.prefill_tps * FLOOR)
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -7,7 +7,9 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
+from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.ids import (
     HostId,
     RequestId,
@@ -44,6 +46,9 @@
         Digest of the start of its prompt; empty for none.
     repeats : int
         How often the caller was refused with this request before.
+    likely_tokens : int
+        Output that is as often exceeded as not; 0 for ``predicted_tokens``,
+        which is what is reserved.
     """
 
     request: RequestId
@@ -56,22 +61,16 @@
     waited_s: float
     prefix: str = ""
     repeats: int = 0
+    likely_tokens: int = 0
 
 
 @dataclass(frozen=True)
 class TargetUse:
-    """What one host has running on one target; tokens are reserved ones.
-
-    Attributes
-    ----------
-    long_running : int
-        Those of them that `godwitladder.decisions.capacity.is_long` finds long.
-    """
+    """What one host has running on one target; tokens are reserved ones."""
 
     target: TargetName
     running: int
     reserved_tokens: int
-    long_running: int = 0
 
 
 @dataclass(frozen=True)
@@ -131,8 +130,6 @@
     prefill_tps, decode_tps : float
         Learned speeds: prompt tokens a second of the whole target, output
         tokens a second of one request.
-    long_used : int
-        Long requests among ``used``.
     """
 
     name: TargetName
@@ -145,33 +142,63 @@
     reserved_tokens: int = 0
     limit: int = 0
     prefixes: set[str] = field(default_factory=set)
-    long_used: int = 0
+
+
+@dataclass(slots=True)
+class Entry:
+    """A waiting request as `allocate` weighs it.
+
+    Attributes
+    ----------
+    slot_s : float
+        Seconds that it will hold a slot of its service's fastest target.
+    latest : float
+        Time after which it can't start and still end by its deadline.
+    safe : float
+        Time until which it ends by its deadline even if it is long.
+    pace : Pace
+        Speeds that these were worked out from.
+    """
+
+    row: "Waiting"
+    slot_s: float
+    latest: float
+    safe: float
+    pace: "Pace"
+
+
+class Pace(NamedTuple):
+    """Seconds for one prompt token and one output token."""
+
+    prefill_s: float
+    decode_s: float
 
 
 @dataclass
 class Waiting:
-    """A demand line at the allocator; times are of the allocator's clock."""
+    """A demand line at the allocator; times are of the allocator's clock.
+
+    Attributes
+    ----------
+    entry : Entry or None
+        Kept by `allocate` from run to run, which spares weighing each row
+        in each; leave it alone.
+    """
 
     host: HostId
     line: DemandLine
     deadline: float
     arrived: float
+    entry: Entry | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass
 class WorkspaceView:
-    """A workspace's weight, bound on running requests (0: none), and use.
-
-    Attributes
-    ----------
-    spent_s : float
-        Slot seconds it was lately given; see `godwitladder.decisions.fairness`.
-    """
+    """A workspace's weight, bound on running requests (0: none), and use."""
 
     share: float = 1.0
     quota: int = 0
     running: int = 0
-    spent_s: float = 0.0
 
 
 @dataclass
@@ -182,13 +209,12 @@
     ----------
     floors : dict
         Highest rank number (the least important tier) that still waits at
-        each other allocator within reach.
+        each other allocator within reach; -1 where nothing waits.
     shed_ranks : dict
         Lowest rank number (the most important tier) that each other
         allocator within reach has lately shed under overload.
-    typical_s : float
-        Slot seconds of a usual request; 0 while unknown. Requests far above
-        it count as long.
+    memory : AllocatorMemory
+        What `allocate` remembers from run to run: hand the same one in.
     """
 
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
@@ -196,27 +222,16 @@
     workspaces: dict[WorkspaceName, WorkspaceView] = field(default_factory=dict)
     floors: dict[PoolName, int] = field(default_factory=dict)
     shed_ranks: dict[PoolName, int] = field(default_factory=dict)
-    typical_s: float = 0.0
+    memory: AllocatorMemory = field(default_factory=AllocatorMemory)
 
 
 @dataclass(frozen=True)
 class Placement:
-    """A waiting request and the target it goes to.
-
-    Attributes
-    ----------
-    slot_s : float
-        Seconds it is expected to hold a slot there; what its workspace is
-        charged.
-    long : bool
-        Whether it counts as a long request.
-    """
+    """A waiting request and the target it goes to."""
 
     request: RequestId
     target: TargetName
     reserved_tokens: int
-    slot_s: float = 0.0
-    long: bool = False
 
 
 @dataclass(frozen=True)
