Hand each pool's allocator its memory, and learn from cut answers

Cause: the view was built anew on each run, so tiers, workspaces and early refusals had no past; the predictor saw completed answers only; allocators with nothing waiting were left out of the floors, so nothing spilled to an idle zone. Conclusion: one AllocatorMemory for each role, floors of -1 passed on, the median length in each demand line, and cut answers observed.

--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -119,6 +119,9 @@
         row.predicted_tokens = self.tables.predictor.predict(
             row.workspace, row.service, row.declared_tokens
         )
+        row.likely_tokens = self.tables.predictor.likely(
+            row.workspace, row.service, row.declared_tokens
+        )
         add_request(self.tables, row)
         if self.tables.stopping:
             text = "This host is stopping; another one will take the request."
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -245,6 +245,7 @@
         slack_s=row.deadline - now,
         waited_s=now - row.arrived,
         prefix=row.prefix,
+        likely_tokens=row.likely_tokens,
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -10,6 +10,7 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
+from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
 from godwitladder.decisions.standing import standing_grants
@@ -105,6 +106,7 @@
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
+        self.memory = AllocatorMemory()
         self.loads = LoadReports()
         self.shed_rank = NO_RANK
         self.shed_at = now
@@ -237,7 +239,7 @@
             offerings.setdefault(waiting.host, Offering()).sheds.append(shed)
             if row.reason is ShedReason.OVERLOAD:
                 self.note_shed(waiting.line.tier_rank, now)
-        for request in getattr(allocation, "spill", ()):
+        for request in allocation.spill:
             host = view.waiting[request].host
             offerings.setdefault(host, Offering()).spill.append(request)
         return offerings
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -49,6 +49,8 @@
         0 matters most.
     prompt_tokens, declared_tokens, predicted_tokens, produced_tokens : int
         Length of the prompt; output declared, predicted and seen so far.
+    likely_tokens : int
+        Output that is as often exceeded as not; the predicted one is reserved.
     held_tokens : int
         Tokens counted against its target since it was dispatched.
     arrived, deadline, dispatched, first_token : float
@@ -79,6 +81,7 @@
     body: BodyDigest = BodyDigest("")
     prefix: str = ""
     predicted_tokens: int = 0
+    likely_tokens: int = 0
     produced_tokens: int = 0
     state: RequestState = RequestState.WAITING
     target: TargetName | None = None
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -231,11 +231,18 @@
     """End a dispatched request, and learn from one that was completed."""
     _leave_target(tables, row)
     row.change(state)
+    completed = state is RequestState.COMPLETED
+    if row.declared_tokens and row.produced_tokens:
+        tables.predictor.observe(
+            row.workspace,
+            row.service,
+            row.declared_tokens,
+            row.produced_tokens,
+            cut=not completed,
+        )
     access = tables.pool_of.get(row.target)
-    if state is not RequestState.COMPLETED or access is None:
+    if not completed or access is None:
         return
-    if row.declared_tokens:
-        tables.predictor.observe(row.workspace, row.service, row.produced_tokens)
     if len(access.completions) < KEPT_COMPLETIONS:
         access.completions.append(
             Completion(
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -24,7 +24,7 @@
     view = PoolView(
         targets=target_views(role, now),
         workspaces=workspace_views(role, now),
-        typical_s=role.speeds.typical_s,
+        memory=role.memory,
     )
     for account in role.current(now):
         for line in account.lines.values():
@@ -32,8 +32,7 @@
                 account.host, line, now + line.slack_s, now - line.waited_s
             )
     for name, floor in role.floors.items():
-        if floor.floor != NO_RANK:
-            view.floors[name] = floor.floor
+        view.floors[name] = floor.floor
         if floor.shed_rank != NO_RANK:
             view.shed_ranks[name] = floor.shed_rank
     return view
