Play patterns of load through the scheduler's decisions and naive dispatch

make bench prints goodput, sheds, cuts, inversions, latency and wasted prefill by pattern and tier for both users' mixes, the cost of a run of the allocator, and draws goodput against load. Work of others on a target is now compared with the mean of our own count, which the window's highest hid.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,94 @@
+"""Measures the decisions under load: ``python -m bench``.
+
+Plays the same seeded traces through the scheduler's decisions and through
+naive dispatch, prints Markdown tables, and draws docs/goodput.png.
+"""
+
+import sys
+import time
+from pathlib import Path
+
+from bench.patterns import (
+    LOADS,
+    SECONDS,
+    USERS,
+    Compared,
+    User,
+    compare,
+    make_patterns,
+)
+from bench.plot import draw_goodput
+from bench.policies import Naive, Scheduled
+from bench.queues import Player, Run
+from bench.report import (
+    TIER_HEAD,
+    WASTE_HEAD,
+    others_of,
+    shares_over_time,
+    swing,
+    table,
+    tier_rows,
+    waste_row,
+)
+from bench.ticks import SIZES, tick_rows
+
+PLOT = Path(__file__).parent.parent / "docs" / "goodput.png"
+
+
+def print_user(user: User) -> None:
+    """Print all patterns of one user."""
+    compared = [compare(pattern) for pattern in make_patterns(user)]
+    print(f"\n## {user.name}: by tier\n")
+    print(table(TIER_HEAD, [row for one in compared for row in tier_rows(one)]))
+    print(f"\n## {user.name}: prefill, in tokens\n")
+    print(table(WASTE_HEAD, [waste_row(one) for one in compared]))
+    print(f"\n## {user.name}: shares\n")
+    for one in compared:
+        print_shares(one)
+
+
+def print_shares(one: Compared) -> None:
+    """Print what the tables don't show of some patterns."""
+    name = one.pattern.name
+    if name == "few callers":
+        for who, run in (("naive", one.naive), ("ours", one.ours)):
+            flood, rest = others_of(run)
+            print(f"- {name}, {who}: in time {flood:.1%} of the flood, {rest:.1%} else")
+    if name == "retry storm":
+        for who, run in (("naive", one.naive), ("ours", one.ours)):
+            print(f"- {name}, {who}: {run.first_tries} first tries in time")
+    if name == "slow target" or name.startswith("reports"):
+        for who, run in (("naive", one.naive), ("ours", one.ours)):
+            print(
+                f"- {name}, {who}: on the watched target every 4 s"
+                f" {shares_over_time(run)}; swing {swing(run):.1f}"
+            )
+
+
+def run_loads(user: User) -> dict[float, tuple[Run, Run]]:
+    """Return the runs of naive and ours at each load."""
+    runs = {}
+    for load in LOADS:
+        scenario = user.at_load(load, SECONDS)
+        runs[load] = (
+            Player(scenario, Naive(user.engines)).play(),
+            Player(scenario, Scheduled(user.engines)).play(),
+        )
+    return runs
+
+
+def main() -> int:
+    """Run everything and return the exit code."""
+    start = time.perf_counter()
+    print("# One run of the allocator: ms at the median / at the worst\n")
+    head = ("case", *(f"{size} waiting" for size in SIZES), "10,000 / 1,000")
+    print(table(head, tick_rows()))
+    for user in USERS:
+        print_user(user)
+    draw_goodput(USERS, {user.name: run_loads(user) for user in USERS}, PLOT)
+    print(f"\nDrew {PLOT.name}; took {time.perf_counter() - start:.0f} s.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/patterns.py
@@ -0,0 +1,126 @@
+"""The patterns of load that the bench plays, for both users' mixes."""
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from bench.policies import LeastReported, Naive, Scheduled
+from bench.queues import Outsiders, Player, Policy, Run, Scenario, Slowdown
+from bench.traces import (
+    KORGUSOPE,
+    KORGUSOPE_ENGINES,
+    MATULA,
+    MATULA_ENGINES,
+    Engine,
+    Kind,
+    add_burst,
+    add_flood,
+    add_hangups,
+    add_long,
+    add_prefixes,
+    make_trace,
+)
+from godwitladder.ids import TargetName
+
+SECONDS = 100.0
+LOADS = (0.5, 0.7, 1.0, 1.5, 2.0, 3.0, 4.0)
+LAGS_S = (0.0, 1.0, 2.0, 5.0)
+WATCHED = TargetName("engine-02")
+FROM_S, TO_S = 30.0, 70.0
+
+MakePolicy = Callable[[Sequence[Engine]], Policy]
+
+
+@dataclass(frozen=True)
+class User:
+    """One user's mix and targets."""
+
+    name: str
+    mix: Sequence[Kind]
+    engines: Sequence[Engine]
+
+    def at_load(self, load: float, seconds: float = SECONDS) -> Scenario:
+        """Return the plain mix at ``load`` times the capacity."""
+        trace = make_trace(self.mix, self.engines, load, seconds)
+        return Scenario(trace, self.engines)
+
+
+@dataclass(frozen=True)
+class Pattern:
+    """One scenario, with the baseline that it is compared with."""
+
+    name: str
+    user: User
+    scenario: Scenario
+    baseline: MakePolicy = Naive
+    ours: MakePolicy = Scheduled
+
+
+@dataclass(frozen=True)
+class Compared:
+    """A pattern played through the baseline and through the scheduler."""
+
+    pattern: Pattern
+    naive: Run
+    ours: Run
+
+
+USERS = (
+    User("Matula", MATULA, MATULA_ENGINES),
+    User("Kõrgusõpe", KORGUSOPE, KORGUSOPE_ENGINES),
+)
+
+
+def make_patterns(user: User) -> Iterator[Pattern]:
+    """Yield every pattern for one user."""
+    mix, engines = user.mix, user.engines
+    for load in (1.0, 2.0, 4.0):
+        yield Pattern(f"saturation {load:g}x", user, user.at_load(load))
+    trace = add_burst(mix, engines, SECONDS)
+    yield Pattern("burst", user, Scenario(trace, engines))
+    trace = add_flood(mix, engines, SECONDS)
+    yield Pattern("few callers", user, Scenario(trace, engines))
+    yield Pattern("slow target", user, slow_scenario(user))
+    trace = add_long(mix, engines, SECONDS)
+    yield Pattern("long among short", user, Scenario(trace, engines))
+    trace = make_trace(mix, engines, 2.0, SECONDS)
+    storm = Scenario(trace, engines, repeats=4, heeds=0.3)
+    yield Pattern("retry storm", user, storm)
+    trace = add_hangups(make_trace(mix, engines, 1.5, SECONDS), 0.3)
+    yield Pattern("callers hang up", user, Scenario(trace, engines))
+    trace = add_prefixes(make_trace(mix, engines, 0.9, SECONDS), 40)
+    yield Pattern("shared prefixes", user, Scenario(trace, engines))
+    for lag_s in LAGS_S:
+        yield stale_pattern(user, lag_s)
+
+
+def slow_scenario(user: User) -> Scenario:
+    """Return a load of 0.9 with a target six times slower for a while."""
+    trace = make_trace(user.mix, user.engines, 0.9, SECONDS)
+    return Scenario(trace, user.engines, slow=Slowdown(WATCHED, FROM_S, TO_S, 6.0))
+
+
+def stale_pattern(user: User, lag_s: float) -> Pattern:
+    """Return a load of 0.9, with somebody else on a target for a while.
+
+    The baseline is the common way to use load reports: to the least loaded.
+    """
+    trace = make_trace(user.mix, user.engines, 0.9, SECONDS)
+    count = user.engines[0].slots // 2
+    scenario = Scenario(
+        trace, user.engines, outsiders=Outsiders(WATCHED, FROM_S, TO_S, count)
+    )
+    return Pattern(
+        f"reports {lag_s:g} s old",
+        user,
+        scenario,
+        baseline=lambda engines: LeastReported(engines, lag_s),
+        ours=lambda engines: Scheduled(engines, lag_s),
+    )
+
+
+def compare(pattern: Pattern) -> Compared:
+    """Play one pattern through both policies."""
+    engines = pattern.scenario.engines
+    naive = Player(pattern.scenario, pattern.baseline(engines)).play()
+    ours = Player(pattern.scenario, pattern.ours(engines)).play()
+    return Compared(pattern, naive, ours)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -1,6 +1,6 @@
 """The policies that the bench compares: the scheduler's own and baselines."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Mapping, Sequence
 
 from bench.queues import Queue, Refused, Stream
@@ -10,6 +10,7 @@
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.prediction import OutputPredictor, grow
 from godwitladder.decisions.repeats import RefusedRequests
+from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
 from godwitladder.decisions.types import (
     Allocation,
@@ -145,7 +146,11 @@
 class Scheduled:
     """The scheduler's own decisions, wired as an allocator wires them."""
 
-    def __init__(self, engines: Sequence[Engine]) -> None:
+    def __init__(self, engines: Sequence[Engine], lag_s: float = 0.5) -> None:
+        self.lag_s = lag_s
+        self.reports: deque[tuple[float, dict[TargetName, int]]] = deque()
+        self.ours: dict[TargetName, int] = {}
+        self.loads = LoadReports()
         self.predictor = OutputPredictor()
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
@@ -153,6 +158,7 @@
         self.refused = RefusedRequests()
         self.pool = PoolView()
         self.running: dict[RequestId, tuple[Arrival, Placement]] = {}
+        self.progress: dict[RequestId, float] = {}
         self.declared: dict[RequestId, int] = {}
         for engine in engines:
             self.add_target(engine)
@@ -214,13 +220,14 @@
             speed = self.speeds.learned[name]
             view.prefill_tps, view.decode_tps = speed.prefill_tps, speed.decode_tps
             view.limit = self.easing.limit(name, view.slots, now)
+            view.used = self.ours.get(name, 0) + self.loads.others(name)
             view.prefixes = self.hints.prefixes(name, now)
 
     def place(self, placement: Placement, now: float) -> tuple[RequestId, TargetName]:
         """Account for a request that is dispatched."""
         row = self.pool.waiting.pop(placement.request)
         view = self.pool.targets[placement.target]
-        view.used += 1
+        self.ours[placement.target] = self.ours.get(placement.target, 0) + 1
         view.reserved_tokens += placement.reserved_tokens
         self.pool.workspaces[row.line.workspace].running += 1
         self.hints.note_dispatch(placement.target, row.line.prefix, now)
@@ -267,30 +274,43 @@
 
     def leave(self, request: RequestId) -> None:
         """Free what the request holds at a target."""
+        self.progress.pop(request, None)
         held = self.running.pop(request, None)
         if held is None:
             return
         row, placement = held
         view = self.pool.targets[placement.target]
-        view.used -= 1
+        self.ours[placement.target] -= 1
         view.reserved_tokens -= placement.reserved_tokens
         self.pool.workspaces[row.line.workspace].running -= 1
 
     def watch(self, queues: Mapping[TargetName, Queue], now: float) -> None:
-        """Let reservations grow, and compare each stream's last second."""
+        """Let reservations grow, take reports, and compare each second."""
+        self.take_reports(queues, now)
         for name, queue in queues.items():
             for stream in queue.running:
-                if stream.produced and now - stream.first_token >= 1.0:
+                known = stream.arrival.request in self.running
+                if known and now - stream.dispatched >= 1.0:
                     self.watch_stream(stream, name, now)
 
+    def take_reports(self, queues: Mapping[TargetName, Queue], now: float) -> None:
+        """Take in the load report of each target that is ``lag_s`` old."""
+        counts = {name: len(q.running) + len(q.queued) for name, q in queues.items()}
+        self.reports.append((now, counts))
+        while len(self.reports) > 1 and self.reports[1][0] <= now - self.lag_s:
+            self.reports.popleft()
+        for name, count in self.reports[0][1].items():
+            self.loads.note_ours(name, self.ours.get(name, 0), now)
+            self.loads.observe(name, count)
+
     def watch_stream(self, stream: Stream, target: TargetName, now: float) -> None:
         """Look at one stream that decodes."""
         request = stream.arrival.request
-        before = getattr(stream, "seen", 0.0)
-        tokens = stream.produced - before
-        stream.seen = stream.produced
+        before = self.progress.get(request, 0.0)
+        self.progress[request] = stream.produced
         if before:
-            expected_s = max(tokens, 1.0) / self.speeds.learned[target].decode_tps
+            tokens = max(stream.produced - before, 1.0)
+            expected_s = tokens / self.speeds.learned[target].decode_tps
             self.easing.observe(target, expected_s, 1.0, now)
         row, placement = self.running[request]
         reserved = placement.reserved_tokens - row.line.prompt_tokens
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -16,12 +16,22 @@
 
 from bench.traces import Arrival, Engine
 from godwitladder.clock import PausedClock
-from godwitladder.ids import RequestId, TargetName
+from godwitladder.ids import RequestId, TargetName, WorkspaceName
 
 STEP_S = 0.05
 DRAIN_S = 200.0
 PREFIX_TOKENS = 256
 CACHED_PREFIXES = 12
+OUTSIDER = Arrival(
+    time=0.0,
+    request=RequestId("outsider"),
+    workspace=WorkspaceName("outside"),
+    rank=0,
+    prompt=0,
+    output=10**9,
+    declared=10**9,
+    deadline=float("inf"),
+)
 
 
 @dataclass
@@ -55,6 +65,7 @@
     slowness: float = 1.0
     wasted: float = 0.0
     evictions: int = 0
+    prefilled: float = 0.0
 
     def step(self, now: float) -> list[Stream]:
         """Advance by one step and return the streams that ended."""
@@ -81,6 +92,7 @@
         tokens = min(row.to_prefill, speed * STEP_S)
         row.to_prefill -= tokens
         row.paid += tokens
+        self.prefilled += tokens
 
     def admit(self) -> None:
         """Start queued streams while slots and memory last."""
@@ -109,16 +121,21 @@
     def evict(self) -> None:
         """Put the newest stream back while the running ones don't fit."""
         while len(self.running) > 1 and self.memory() > self.engine.memory:
-            row = self.running.pop()
+            newest = max(self.running, key=lambda row: row.dispatched)
+            self.running.remove(newest)
             self.evictions += 1
-            self.wasted += row.paid
-            row.paid = 0.0
-            row.to_prefill = row.arrival.prompt + row.produced
-            self.queued.appendleft(row)
+            self.wasted += newest.paid
+            newest.paid = 0.0
+            newest.to_prefill = newest.arrival.prompt + newest.produced
+            self.queued.appendleft(newest)
 
     def memory(self) -> float:
         """Return the tokens that running streams hold."""
-        return sum(row.arrival.prompt + row.produced for row in self.running)
+        return sum(
+            row.arrival.prompt + row.produced
+            for row in self.running
+            if row.arrival is not OUTSIDER
+        )
 
     def cancel(self, row: Stream) -> None:
         """Drop a stream; what was paid for its prefill is wasted."""
@@ -200,19 +217,38 @@
     outcomes: dict[int, Outcome] = field(default_factory=dict)
     wasted: float = 0.0
     evictions: int = 0
+    prefilled: float = 0.0
     by_workspace: dict[str, list[int]] = field(default_factory=dict)
     shares: list[dict[TargetName, int]] = field(default_factory=list)
-    first_tries: list[int] = field(default_factory=lambda: [0, 0])
+    first_tries: int = 0
+
+
+@dataclass(frozen=True)
+class Slowdown:
+    """A target that is ``factor`` times slower from ``start`` to ``end``."""
+
+    target: TargetName
+    start: float
+    end: float
+    factor: float
+
+
+@dataclass(frozen=True)
+class Outsiders:
+    """Streams of somebody else, which only load reports show."""
+
+    target: TargetName
+    start: float
+    end: float
+    count: int
 
 
 @dataclass(frozen=True)
 class Scenario:
-    """What happens besides the arrivals.
+    """A trace, the targets, and what happens besides.
 
     Attributes
     ----------
-    slow : tuple
-        Target, from, to, and how many times slower it is then.
     repeats : int
         How often a refused caller comes back.
     heeds : float
@@ -221,7 +257,8 @@
 
     trace: Sequence[Arrival]
     engines: Sequence[Engine]
-    slow: tuple[str, float, float, float] | None = None
+    slow: Slowdown | None = None
+    outsiders: Outsiders | None = None
     repeats: int = 0
     heeds: float = 1.0
 
@@ -240,6 +277,7 @@
         self.placed: dict[RequestId, tuple[Stream, Queue]] = {}
         self.ends: list[tuple[float, RequestId]] = []
         self.draw = random.Random(5)
+        self.outsiders: list[Stream] = []
         self.run_ = Run()
 
     def play(self) -> Run:
@@ -254,6 +292,7 @@
         for queue in self.queues.values():
             self.run_.wasted += queue.wasted
             self.run_.evictions += queue.evictions
+            self.run_.prefilled += queue.prefilled
         return self.run_
 
     def step(self, now: float) -> None:
@@ -282,10 +321,28 @@
 
     def set_slowness(self, now: float) -> None:
         """Slow a target down, if the scenario says so."""
-        if self.scenario.slow:
-            name, start, end, factor = self.scenario.slow
-            slow = start <= now < end
-            self.queues[TargetName(name)].slowness = factor if slow else 1.0
+        slow = self.scenario.slow
+        if slow:
+            active = slow.start <= now < slow.end
+            self.queues[slow.target].slowness = slow.factor if active else 1.0
+        outside = self.scenario.outsiders
+        if outside:
+            self.keep_outsiders(outside, outside.start <= now < outside.end, now)
+
+    def keep_outsiders(self, outside: Outsiders, active: bool, now: float) -> None:
+        """Keep the streams of somebody else running, or take them off."""
+        running = self.queues[outside.target].running
+        if active == bool(self.outsiders):
+            return
+        if active:
+            self.outsiders = [
+                Stream(OUTSIDER, now, 0.0, produced=1.0) for _ in range(outside.count)
+            ]
+            running.extend(self.outsiders)
+        else:
+            for row in self.outsiders:
+                running.remove(row)
+            self.outsiders = []
 
     def outcome(self, arrival: Arrival) -> Outcome:
         """Return the outcome row of the request's tier."""
@@ -322,7 +379,7 @@
         outcome.latencies.append(now - arrival.time)
         self.run_.by_workspace[arrival.workspace][1] += 1
         if arrival.tries == 0:
-            self.run_.first_tries[0] += 1
+            self.run_.first_tries += 1
         self.policy.finished(stream, target, now)
 
     def withdraw(self, now: float) -> None:
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -4,7 +4,14 @@
 milliseconds. A run that sorted all of them for that slot would hold the
 scheduler longer than the slot lasts. So a run looks at each row once, with
 what it worked out for it the last time, and keeps sums; only the few that a
-free slot is for are put in order. There is no threshold.
+free slot is for are put in order.
+
+Thresholds
+----------
+MARGIN : a request is started while its likely length, and this factor of it,
+    fits before its deadline. Measured, `docs/MEASUREMENTS.md` (margin).
+SAFE_LEAST_S : one that could end in time only if it is short is as safe as
+    it will ever be when it arrives; it counts as safe for so long.
 """
 
 from dataclasses import dataclass, field
@@ -13,10 +20,7 @@
 from godwitladder.decisions.types import Entry, Waiting
 from godwitladder.ids import ServiceName
 
-# A request is started while its predicted length, times this factor, fits
-# before its deadline; `shedding` tells why.
 MARGIN = 1.25
-SAFE_MARGIN = 1.25
 SAFE_LEAST_S = 1.0
 
 
@@ -109,12 +113,12 @@
 def weigh(row: Waiting, part: ServiceCapacity) -> Entry:
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
-    slot_s = line.prompt_tokens * part.pace.prefill_s
-    likely = max(1, line.likely_tokens or line.predicted_tokens)
-    more_s = max(0, line.predicted_tokens - likely) * part.pace.decode_s
-    slot_s += likely * part.pace.decode_s
-    latest = row.deadline - slot_s * MARGIN
-    safe = row.deadline - (slot_s + more_s) * SAFE_MARGIN
-    # One that was never safe is as safe as it can be when it arrives.
-    safe = min(latest, max(safe, row.arrived + SAFE_LEAST_S))
+    prefill_s, decode_s = part.pace
+    likely = line.likely_tokens or line.predicted_tokens or 1
+    slot_s = line.prompt_tokens * prefill_s + likely * decode_s
+    latest = safe = row.deadline - slot_s * MARGIN
+    if line.predicted_tokens > likely:
+        more_s = (line.predicted_tokens - likely) * decode_s
+        least = row.arrived + SAFE_LEAST_S
+        safe = min(latest, max(least, latest - more_s * MARGIN))
     return Entry(row, slot_s, latest, safe, part.pace)
--- a/godwitladder/decisions/fairness.py
+++ b/godwitladder/decisions/fairness.py
@@ -17,6 +17,10 @@
 from godwitladder.decisions.types import Entry, WorkspaceView
 from godwitladder.ids import WorkspaceName
 
+# Added to the latest start, these order requests in one number: sorting by
+# it takes half the time of sorting by several fields.
+LAST_S = 1e6
+UNSAFE_LAST_S = 1e9
 NO_WORKSPACE = WorkspaceView()
 
 
@@ -46,7 +50,10 @@
         self.queues: dict[WorkspaceName, list[tuple]] = {}
         for entry in entries:
             line = entry.row.line
-            item = (entry.safe < now, line.repeats, entry.latest, line.request, entry)
+            key = entry.latest + line.repeats * LAST_S
+            if entry.safe < now:
+                key += UNSAFE_LAST_S
+            item = (key, line.request, entry)
             queue = self.queues.get(line.workspace)
             if queue is None:
                 self.queues[line.workspace] = [item]
--- a/godwitladder/decisions/reports.py
+++ b/godwitladder/decisions/reports.py
@@ -46,17 +46,18 @@
     def observe(self, target: TargetName, reported: int) -> None:
         """Take in a report of running and queued requests, of unknown age.
 
-        Only what exceeds the most that we had in the window is the work of
-        others for certain.
+        It is compared with what we had on average in the window: our own
+        ups and downs then cancel out over a few reports.
         """
         row = self.rows.setdefault(target, OutsideLoad())
-        most = max((count for _, count in row.ours), default=0)
-        row.others += GAIN * (max(0, reported - most) - row.others)
+        counts = [count for _, count in row.ours]
+        ours = sum(counts) / len(counts) if counts else 0.0
+        row.others += GAIN * (reported - ours - row.others)
 
     def others(self, target: TargetName) -> int:
         """Return the requests of others to count into ``TargetView.used``."""
         row = self.rows.get(target)
-        return round(row.others) if row else 0
+        return max(0, round(row.others)) if row else 0
 
     def forget(self, target: TargetName) -> None:
         """Drop a target that is gone."""
