--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -42,6 +42,7 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
+from godwitladder.serving.keys import KeyParts
 from godwitladder.serving.listener import make_listener
 from godwitladder.serving.operators import OperatorApp
 from godwitladder.settings import Settings, TlsSettings
@@ -116,6 +117,7 @@
             self.publish_members,
         )
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
+        self.keys = self.make_keys()
         self.servers: list[MultiSocketServer | BaseWSGIServer] = []
 
     def start_actor(self, kind: type[pykka.ThreadingActor], *parts: Any) -> Any:
@@ -129,6 +131,21 @@
         host, zone = self.settings.host, self.settings.zone
         return Tables(host, zone, self.incarnation, hosts=(host,))
 
+    def make_keys(self) -> KeyParts:
+        """Return what serves calls with idempotency keys."""
+        keys = KeyParts(
+            self.settings,
+            self.incarnation,
+            self.callers,
+            self.mesh,
+            self.log,
+            self.clock,
+            self.metrics,
+        )
+        self.stack.callback(keys.stop)
+        self.router.takers |= keys.takers()
+        return keys
+
     def run(self) -> None:
         """Serve until a stop was asked for and all work in flight is done."""
         with self.stack:
@@ -149,6 +166,7 @@
         heartbeat_s = self.settings.peers.heartbeat_s
         self.start_part(Ticker(self.clock, heartbeat_s), self.membership)
         self.start_part(LoadReader(self.allocator, self.clock))
+        self.keys.start(idle_tick_s)
         self.follower.start()
         self.stack.callback(self.follower.stop)
         threading.Thread(target=self.follow_hosts, name="hosts", daemon=True).start()
@@ -172,8 +190,10 @@
         """Take nothing new and wait for everything in flight."""
         self.membership.tell(Leave())
         self.scheduler.ask(Stop())
+        self.keys.keyed.stopping = True
         while self.busy():
             self.clock.sleep(DRAIN_POLL_S)
+        self.keys.flush()
 
     def busy(self) -> bool:
         """Return whether any request is waiting or running."""
--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -1,5 +1,6 @@
 """Hands messages between hosts to the parts they are for, and passes some on."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pykka
@@ -17,12 +18,18 @@
     ----------
     host : HostId
         This host.
+
+    Attributes
+    ----------
+    takers : dict
+        Called with the link and a message, for what no actor takes.
     """
 
     def __init__(self, host: HostId) -> None:
         self.host = host
         self.mesh: Mesh | None = None
         self.actors: dict[type, pykka.ActorRef] = {}
+        self.takers: dict[type, Callable[[Link, Any], None]] = {}
 
     def connect(
         self,
@@ -58,5 +65,8 @@
             self.send(message.host, message)
             return
         actor = self.actors.get(type(message))
+        taker = self.takers.get(type(message))
         if actor:
             actor.tell(message)
+        elif taker:
+            taker(link, message)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -1,5 +1,6 @@
 """The rows of one host's tables."""
 
+import enum
 import queue
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -29,6 +30,14 @@
     """A request was to change into a state that its own does not allow."""
 
 
+class ClaimState(enum.Enum):
+    """Whether a request's key must be claimed before its dispatch."""
+
+    NOT_NEEDED = "not_needed"
+    NEEDED = "needed"
+    WON = "won"
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """Leave to write one request to one target, once."""
@@ -55,6 +64,8 @@
         Monotonic seconds of this host's clock; 0 for not yet.
     spilled : bool
         Whether other zones are asked for it too.
+    claim : ClaimState
+        Whether its key is claimed.
     key : KeyDigest or None
         Digest of workspace, service and the caller's idempotency key.
     body : BodyDigest
@@ -76,6 +87,7 @@
     deadline: float
     idempotent: bool
     key: KeyDigest | None = None
+    claim: ClaimState = ClaimState.NOT_NEEDED
     body: BodyDigest = BodyDigest("")
     prefix: str = ""
     predicted_tokens: int = 0
@@ -100,6 +112,11 @@
         """Go to ``state``, if the current one allows it."""
         if state not in TRANSITIONS[self.state]:
             raise IllegalTransition(f"{self.request}: {self.state} to {state}")
+        # Whatever path leads to a dispatch, one without the claim that it
+        # needs would let two hosts run the same order.
+        unclaimed = self.claim is ClaimState.NEEDED
+        if state is RequestState.DISPATCHED and unclaimed:
+            raise IllegalTransition(f"{self.request} has not claimed its key")
         self.state = state
 
 
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -22,6 +22,8 @@
     read_plain,
 )
 from godwitladder.serving.dispatching import Dispatcher
+from godwitladder.serving.keyed import BODY, KeyedCalls
+from godwitladder.serving.keys import KEYS_PATH, issue_key
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.resuming import resume_request
 from godwitladder.settings import Settings
@@ -46,6 +48,11 @@
         The host's clock.
     metrics : Metrics
         Where to count.
+
+    Attributes
+    ----------
+    keyed : KeyedCalls
+        Serves calls with keys; set once the links to other hosts are there.
     """
 
     def __init__(
@@ -60,6 +67,7 @@
         self.metrics = metrics
         self.config = ConfigState()
         self.dispatcher = Dispatcher(settings, scheduler, clock, metrics)
+        self.keyed: KeyedCalls | None = None
         self.open_calls = 0
         self.lock = threading.Lock()
 
@@ -78,7 +86,7 @@
             return self._route(environ, start_response)
         except CallRefused as error:
             self.metrics.count_refusal(error.refusal.reason)
-            return answer_problem(start_response, error.refusal)
+            return answer_problem(start_response, error.refusal, error.request)
         except Exception:
             log.exception("A request failed")
             return answer_problem(start_response, internal_fault())
@@ -93,12 +101,14 @@
         if method == "POST" and path == CHAT_PATH:
             body = self._read_body(environ)
             call = read_chat(environ, body, caller, config, self.clock, limits)
-            return self._serve(call, environ, start_response)
+            return self._serve(call, body, caller, environ, start_response)
+        if method == "POST" and path == KEYS_PATH:
+            return issue_key(self.keyed, caller, start_response)
         if method == "POST" and path.startswith(SERVICE_PATH):
             name = ServiceName(path[len(SERVICE_PATH) :])
             body = self._read_body(environ)
             call = read_plain(environ, body, name, caller, config, self.clock, limits)
-            return self._serve(call, environ, start_response)
+            return self._serve(call, body, caller, environ, start_response)
         if method == "GET" and path.startswith(REQUEST_PATH):
             identity = path[len(REQUEST_PATH) :]
             secret = self.settings.peers.secret
@@ -107,8 +117,17 @@
             )
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
 
-    def _serve(self, call: Call, environ: Mapping, start_response) -> Iterable[bytes]:
-        return self.dispatcher.serve(call, environ, start_response)
+    def _serve(
+        self, call: Call, body: bytes, caller: Caller, environ: Mapping, start_response
+    ) -> Iterable[bytes]:
+        def resume(identity: str) -> Iterable[bytes]:
+            secret = self.settings.peers.secret
+            return resume_request(
+                {}, identity, caller, self.config, secret, self.clock, start_response
+            )
+
+        environ = {**environ, BODY: body}
+        return self.keyed.serve(call, environ, start_response, resume)
 
     def _read_body(self, environ: Mapping) -> bytes:
         length = int(environ.get("CONTENT_LENGTH") or 0)
--- a/godwitladder/serving/calls.py
+++ b/godwitladder/serving/calls.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,7 +19,7 @@
     StreamId,
     WorkspaceName,
 )
-from godwitladder.outcomes import Reason, Refusal, refuse
+from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.rows import RequestRow
 from godwitladder.settings import LimitSettings
 
@@ -29,11 +29,20 @@
 
 
 class CallRefused(GodwitladderError):
-    """The request was turned away before it reached the scheduler."""
+    """The request was turned away before it reached the scheduler.
 
-    def __init__(self, refusal: Refusal) -> None:
+    Parameters
+    ----------
+    refusal : Refusal
+        Why.
+    request : str
+        Signed id of an earlier request with its key; empty for none.
+    """
+
+    def __init__(self, refusal: Refusal, request: str = "") -> None:
         super().__init__(refusal.detail)
         self.refusal = refusal
+        self.request = request
 
 
 @dataclass(frozen=True)
@@ -60,6 +69,8 @@
     ----------
     streamed : bool
         Whether the caller wants the answer as server-sent events.
+    on_end : callable
+        Called once with the final state, after that state can't change.
     """
 
     row: RequestRow
@@ -67,6 +78,7 @@
     body: bytes
     content_type: str
     streamed: bool
+    on_end: Callable[[RequestState], None] = lambda state: None
 
 
 def deny(reason: Reason, detail: str) -> CallRefused:
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -71,6 +71,7 @@
             decision = self._await_decision(call, gone)
             if isinstance(decision, Refusal):
                 self.metrics.count_request(call.row.tier_rank, decision.outcome)
+                call.on_end(decision.outcome)
                 return answer_problem(start_response, decision, call.row.request)
             attempt = Attempt(self, call, decision)
             try:
--- a/godwitladder/serving/ending.py
+++ b/godwitladder/serving/ending.py
@@ -67,3 +67,4 @@
         if state in (RequestState.FAILED, RequestState.MAY_HAVE_RUN):
             self.metrics.wasted_prefill.add({}, row.prompt_tokens)
         self.scheduler.tell(Finished(row.request, state, row.prompt_tokens, tokens))
+        self.call.on_end(state)
