--- /dev/null
+++ b/tests/claims/test_hosts.py
@@ -0,0 +1,280 @@
+"""Keys on several hosts; what ran is counted by the service itself."""
+
+import contextlib
+import itertools
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.fleet import CALLER_KEY, Fleet, Host, digest, make_fleet, wait_until
+
+NUMBERS = itertools.count()
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with contextlib.ExitStack() as stack:
+        fleet = make_fleet(tmp_path_factory.mktemp("claims"), stack)
+        fleet.add_service("app-a1")
+        fleet.add_engine("engine-a1", decode_tps=200)
+        for name, zone in (("host-a1", "a"), ("host-a2", "a"), ("host-b1", "b")):
+            add_host(fleet, name, zone)
+        fleet.wait_ready()
+        fleet.configure(ticket(fleet))
+        wait_until(lambda: linked(fleet), "all hosts to know each other")
+        yield fleet
+
+
+def add_host(fleet: Fleet, name: str, zone: str = "a") -> Host:
+    return fleet.add_host(name, zone, "[claims]\npatience_s = 1.0\n")
+
+
+def ticket(fleet: Fleet) -> str:
+    """Return a ticket whose plain service runs one call at once."""
+    text = fleet.ticket().replace(
+        'services = ["letters"]', 'services = ["letters", "certificate"]'
+    )
+    text = text.replace('"lookup"]\nslots = 8', '"lookup"]\nslots = 1')
+    return text + '\n[services.certificate]\nkind = "model"\nidempotent = false\n'
+
+
+@pytest.fixture(autouse=True)
+def sound(fleet):
+    """Give every test a platform and a service without faults."""
+    for host in fleet.hosts:
+        wait_until(
+            lambda host=host: charge(fleet, host, new_key()).status == 200,
+            f"{host.name} to claim",
+        )
+    yield
+    fleet.knobs(fleet.platform, outage=False, cut_zones=[], delay_s=0.0, lose_answers=0)
+    fleet.knobs(fleet.services["app-a1"], delay_s=0.01)
+
+
+def linked(fleet: Fleet) -> bool:
+    return all(metric(fleet, host, "peer_links") == 2 for host in fleet.hosts)
+
+
+def metric(fleet: Fleet, host: Host, name: str) -> float:
+    url = f"http://{host.operators}/metrics"
+    lines = fleet.http.request("GET", url).data.decode().splitlines()
+    found = [line for line in lines if line.startswith(f"godwitladder_{name}")]
+    return float(found[0].split()[-1]) if found else 0.0
+
+
+def new_key() -> str:
+    return f"order-{next(NUMBERS)}"
+
+
+def charge(fleet: Fleet, host: Host, key: str, body: bytes = b"", timeout: str = "20"):
+    body = body or f"charge for {key}".encode()
+    headers = {"Idempotency-Key": key, "Request-Timeout": timeout}
+    return fleet.call(host, "charge", body, headers)
+
+
+def runs(fleet: Fleet, key: str) -> int:
+    body = digest(f"charge for {key}")
+    return sum(row["digest"] == body for row in fleet.ran(fleet.services["app-a1"]))
+
+
+def problem(answer) -> tuple[str, str]:
+    body = json.loads(answer.data)
+    return body["reason"], body["outcome"]
+
+
+def issue(fleet: Fleet, host: Host) -> str:
+    answer = fleet.http.request(
+        "POST",
+        f"http://{host.callers}/v1/keys",
+        headers={"Authorization": f"Bearer {CALLER_KEY}"},
+    )
+    assert answer.status == 201, answer.data
+    return json.loads(answer.data)["key"]
+
+
+@pytest.mark.parametrize("make", ["opaque", "issued"])
+def test_key_sent_at_once_to_all_hosts_runs_once(fleet, make):
+    """Every copy of the call gets the same whole answer.
+
+    A caller's retry and its first try reach several hosts at the same moment.
+    One of them wins the key, or issued it; the others pass the call on to it.
+    """
+    key = new_key() if make == "opaque" else issue(fleet, fleet.hosts[0])
+    fleet.knobs(fleet.services["app-a1"], delay_s=0.3)
+    with ThreadPoolExecutor(9) as pool:
+        answers = list(pool.map(lambda host: charge(fleet, host, key), fleet.hosts * 3))
+    assert {answer.status for answer in answers} == {200}
+    assert len({answer.data for answer in answers}) == 1
+    assert runs(fleet, key) == 1
+
+
+def test_lost_answer_to_an_append_changes_nothing(fleet):
+    """The caller gets its answer although the log's answer was lost.
+
+    The claim is applied and its answer lost. The host finds its own claim by
+    reading, dispatches once, and holds the key against a repeat.
+    """
+    key = new_key()
+    fleet.knobs(fleet.platform, lose_answers=1)
+    assert charge(fleet, fleet.hosts[0], key).status == 200
+    assert charge(fleet, fleet.hosts[1], key).status == 200
+    assert runs(fleet, key) == 1
+
+
+@pytest.mark.parametrize("fault", [{"outage": True}, {"cut_zones": ["a"]}])
+def test_outage_refuses_at_once_and_burns_no_key(fleet, fault):
+    """In an outage the caller is told "not run", and when to come back.
+
+    The log answers nobody, or nobody in zone a. The key is given up, and once
+    the log answers, the caller's next try runs on any host. An issued key
+    needs no log and runs meanwhile.
+    """
+    key = new_key()
+    fleet.knobs(fleet.platform, **fault)
+    refused = charge(fleet, fleet.hosts[0], key)
+    assert problem(refused) == ("log_unavailable", "not_run")
+    assert refused.headers["Retry-After"] == "1"
+    assert runs(fleet, key) == 0
+    issued = issue(fleet, fleet.hosts[0])
+    assert charge(fleet, fleet.hosts[1], issued).status == 200
+    assert runs(fleet, issued) == 1
+    fleet.knobs(fleet.platform, outage=False, cut_zones=[])
+    wait_until(
+        lambda: charge(fleet, fleet.hosts[1], key).status == 200, "the key to run"
+    )
+    assert runs(fleet, key) == 1
+
+
+def test_slow_log_that_applies_late_burns_no_key(fleet):
+    """The caller is refused, and its next try runs although the claim came late.
+
+    The log answers after the host's patience has ended, and applies the
+    claim all the same. The host releases it behind.
+    """
+    key = new_key()
+    fleet.knobs(fleet.platform, delay_s=2.5)
+    refused = charge(fleet, fleet.hosts[0], key)
+    assert problem(refused) == ("log_unavailable", "not_run")
+    fleet.knobs(fleet.platform, delay_s=0.0)
+    wait_until(
+        lambda: charge(fleet, fleet.hosts[2], key).status == 200, "the key to run"
+    )
+    assert runs(fleet, key) == 1
+
+
+def test_key_that_was_given_up_is_free_on_another_host(fleet):
+    """A request that missed its deadline can be sent again with its key.
+
+    It held its key and waited for a target; its deadline passed, and it was
+    refused as not run. Its claim is released, so the next host runs it.
+    """
+    key = new_key()
+    fleet.knobs(fleet.services["app-a1"], delay_s=1.0)
+    with ThreadPoolExecutor(1) as pool:
+        other = new_key()
+        busy = pool.submit(charge, fleet, fleet.hosts[0], other)
+        wait_until(lambda: runs(fleet, other) == 1, "the slot to be taken")
+        refused = charge(fleet, fleet.hosts[0], key, timeout="0.2")
+        assert problem(refused) == ("deadline", "not_run")
+        assert busy.result().status == 200
+    wait_until(
+        lambda: charge(fleet, fleet.hosts[1], key).status == 200, "the key to run"
+    )
+    assert runs(fleet, key) == 1
+
+
+def test_key_with_another_body_is_refused_on_any_host(fleet):
+    """One key can't stand for two orders."""
+    key = new_key()
+    assert charge(fleet, fleet.hosts[0], key).status == 200
+    for host in fleet.hosts:
+        refused = charge(fleet, host, key, b"another order")
+        assert problem(refused) == ("key_reused", "not_run")
+
+
+def test_forged_issued_key_is_refused(fleet):
+    """A key that no host signed isn't taken for an issued one."""
+    key = issue(fleet, fleet.hosts[0])
+    refused = charge(fleet, fleet.hosts[0], key[:10] + "AAAA" + key[14:])
+    assert problem(refused) == ("malformed", "not_run")
+
+
+@pytest.mark.parametrize("make", ["opaque", "issued"])
+def test_killed_host_leaves_its_key_as_may_have_run(fleet, make):
+    """The caller learns that its order may have run, and it runs no second time.
+
+    The host is killed after the first byte went to the service. The caller
+    sends its key to another host, which can't know how far the first came.
+    """
+    host = add_host(fleet, f"host-{next(NUMBERS)}")
+    fleet.wait_ready()
+    key = new_key() if make == "opaque" else issue(fleet, host)
+    fleet.knobs(fleet.services["app-a1"], delay_s=1.0)
+    with ThreadPoolExecutor(1) as pool:
+        lost = pool.submit(charge, fleet, host, key)
+        wait_until(lambda: runs(fleet, key) == 1, "the charge to run")
+        host.send(signal.SIGKILL)
+        assert lost.exception() is not None
+    fleet.hosts.remove(host)
+    for other in fleet.hosts:
+        again = charge(fleet, other, key)
+        assert problem(again) == ("key_in_use", "may_have_run")
+    assert runs(fleet, key) == 1
+
+
+def test_stream_of_a_killed_host_is_found_by_its_claim(fleet):
+    """The caller of a killed host is told where its answer is.
+
+    The claim's nonce is the id of the engine's stream, so another host finds
+    the engine that runs it and names the request, which can be fetched.
+    """
+    host = add_host(fleet, f"host-{next(NUMBERS)}")
+    fleet.wait_ready()
+    headers = {"Idempotency-Key": new_key()}
+    ask = {"model": "certificate", "simulate_output": 400, "max_tokens": 400}
+    engine = fleet.engines["engine-a1"]
+    with ThreadPoolExecutor(1) as pool:
+        lost = pool.submit(fleet.chat, host, "for Mari", headers=headers, **ask)
+        wait_until(lambda: len(fleet.ran(engine)) == 1, "the certificate to run")
+        host.send(signal.SIGKILL)
+        assert lost.exception() is not None
+    fleet.hosts.remove(host)
+    again = fleet.chat(fleet.hosts[2], "for Mari", headers=headers, **ask)
+    assert problem(again) == ("key_in_use", "may_have_run")
+    answer = fleet.http.request(
+        "GET",
+        f"http://{fleet.hosts[1].callers}/v1/requests/{again.headers['Request-Id']}",
+        headers={"Authorization": f"Bearer {CALLER_KEY}"},
+    )
+    assert answer.data.rstrip().endswith(b"[DONE]")
+    assert [row["runs"] for row in fleet.ran(engine)] == [1]
+
+
+def test_frozen_host_runs_its_claim_alone_when_it_wakes(fleet):
+    """The caller is told "may have run", and the order runs once.
+
+    The host has won its key and waits for a target as it is frozen for longer
+    than any timeout. No other host takes the key over, so that it may still
+    dispatch when it wakes.
+    """
+    host = add_host(fleet, f"host-{next(NUMBERS)}")
+    fleet.wait_ready()
+    key = new_key()
+    fleet.knobs(fleet.services["app-a1"], delay_s=3.0)
+    with ThreadPoolExecutor(2) as pool:
+        other = new_key()
+        busy = pool.submit(charge, fleet, host, other)
+        wait_until(lambda: runs(fleet, other) == 1, "the slot to be taken")
+        frozen = pool.submit(charge, fleet, host, key)
+        time.sleep(0.3)
+        host.send(signal.SIGSTOP)
+        again = charge(fleet, fleet.hosts[1], key, timeout="4")
+        assert problem(again) == ("key_in_use", "may_have_run")
+        host.send(signal.SIGCONT)
+        assert frozen.result().status == 200
+        assert busy.result().status == 200
+    assert runs(fleet, key) == 1
+    fleet.hosts.remove(host)
