--- a/godwitladder/serving/answers.py
+++ b/godwitladder/serving/answers.py
@@ -153,7 +153,10 @@
                 for chunk in chunks
                 if chunk.sequence >= start
             ]
-            yield b"".join(events) or HEARTBEAT
+            if events:
+                yield b"".join(events)
+            elif not chunks:
+                yield HEARTBEAT
     except AnswerCut as error:
         yield error_event(error.refusal, identity)
 
--- a/godwitladder/standins/base.py
+++ b/godwitladder/standins/base.py
@@ -5,6 +5,7 @@
 request, fall silent, cut an answer short.
 """
 
+import functools
 import json
 import threading
 from collections.abc import Callable
@@ -12,6 +13,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+POLL_S = 0.05
+
 
 class Hangup(Exception):
     """Raised by a route to close the connection without an answer."""
@@ -37,7 +40,13 @@
 
     def start(self) -> None:
         """Serve in a thread."""
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+        serve = functools.partial(self.serve_forever, POLL_S)
+        threading.Thread(target=serve, daemon=True).start()
+
+    def server_close(self) -> None:
+        """Stop listening, and end the stand-in's own thread if it has one."""
+        super().server_close()
+        self.standin.closed = True
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Stay quiet about connections that the other end has closed."""
@@ -56,6 +65,7 @@
 
     def __init__(self, knobs: dict[str, Any]) -> None:
         self.knobs = knobs
+        self.closed = False
         self.changed = threading.Condition()
         self.routes: dict[tuple[str, str], Callable[[Handler], None]] = {
             ("GET", "knobs"): lambda handler: handler.send_json(self.knobs),
--- /dev/null
+++ b/tests/serving/test_dispatching.py
@@ -0,0 +1,221 @@
+"""Every way out of a dispatch frees its target and tells the truth."""
+
+import contextlib
+import json
+
+import pytest
+
+from godwitladder.engines.wire import MayHaveRun
+from godwitladder.serving import dispatching, relay
+from godwitladder.standins.engine import start_engine
+from godwitladder.standins.service import start_service
+from tests.serving.app import App
+
+
+@pytest.fixture
+def stack():
+    with contextlib.ExitStack() as owned:
+        yield owned
+
+
+def with_engine(stack, **knobs):
+    server = start_engine(crash=lambda: None, decode_tps=400, **knobs)
+    stack.callback(server.server_close)
+    stack.callback(server.shutdown)
+    return App(stack, engine=server.address), server.standin
+
+
+def with_service(stack, **knobs):
+    server = start_service(**knobs)
+    stack.callback(server.server_close)
+    stack.callback(server.shutdown)
+    return App(stack, service=server.address), server.standin
+
+
+@pytest.mark.parametrize("taken", [0, 1, 3])
+def test_a_caller_that_leaves_its_stream_frees_the_target(stack, taken):
+    """A caller that hangs up must not make the target look full for good.
+
+    The server closes the answer after some bytes, or before it asked for the
+    first. The engine still runs the stream, so the slot is given back when
+    that ends, and the end is told once.
+    """
+    app, _ = with_engine(stack)
+    answer = app.chat(stream=True)
+    events = iter(answer.body)
+    for _ in range(taken):
+        next(events)
+    answer.body.close()
+    app.wait_idle()
+    assert app.outcomes() == {"completed": 1}
+
+
+def test_a_caller_gone_before_the_dispatch_costs_no_prefill(stack):
+    """The caller hangs up while it waits, just as its turn comes."""
+    app, engine = with_engine(stack)
+    answer = app.chat({"waitress.client_disconnected": lambda: True})
+    assert answer.problem()["reason"] == "caller_gone"
+    app.wait_idle()
+    assert not engine.sequences
+    assert app.outcomes() == {"not_run": 1}
+
+
+@pytest.mark.parametrize(
+    "status, outcome", [(429, "not_run"), (503, "not_run"), (500, "may_have_run")]
+)
+def test_an_engine_that_turns_away_is_reported_as_it_answered(stack, status, outcome):
+    """The caller may send again only what surely did not run.
+
+    A 429 or 503 says that the engine did not take the request. A 500 may
+    come from the middle of its work, and must not be told as not run.
+    """
+    app, _ = with_engine(stack, refuse_status=status)
+    problem = app.chat().problem()
+    app.wait_idle()
+    assert problem["outcome"] == outcome
+    assert app.outcomes() == {outcome: 1}
+
+
+def test_an_engine_whose_first_answer_is_lost_is_resumed(stack):
+    """The answer's head is lost; the request runs once and comes whole."""
+    app, engine = with_engine(stack, hang_up_before_answer=1)
+    answer = app.chat()
+    assert answer.status == "200 OK"
+    assert json.loads(answer.read())["choices"][0]["finish_reason"] == "stop"
+    assert [row.runs for row in engine.sequences.values()] == [1]
+    app.wait_idle()
+
+
+@pytest.mark.parametrize("knobs", [{"break_after": 3}, {"silent_after": 3}])
+@pytest.mark.parametrize("stream", [True, False])
+def test_connections_that_break_or_go_silent_are_replaced(
+    stack, monkeypatch, knobs, stream
+):
+    """The caller of a connection that died gets its whole answer all the same.
+
+    Each connection to the engine carries three chunks, and then breaks or
+    says nothing more while new connections work. The stream is resumed on a
+    new one each time, and the request runs once.
+    """
+    monkeypatch.setattr(relay, "IDLE_S", 0.1)
+    app, engine = with_engine(stack, **knobs)
+    body = app.chat(stream=stream).read()
+    row = next(iter(engine.sequences.values()))
+    assert body.count(row.digest[:6].encode()) == 10
+    assert row.runs == 1
+    app.wait_idle()
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_an_answer_without_a_finish_is_an_error_for_the_caller(stack, stream):
+    """An engine that drops a request half-way must not yield a short letter.
+
+    It ends the stream with the usual mark but no reason to finish. The
+    streamed answer ends in an error event, the joined one is an error status.
+    """
+    app, _ = with_engine(stack, drop_finish=True)
+    answer = app.chat(stream=stream)
+    body = answer.read()
+    assert b"[DONE]" not in body
+    assert b'"outcome": "failed"' in body
+    assert (answer.status == "200 OK") is stream
+    app.wait_idle()
+    assert app.outcomes() == {"failed": 1}
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_late_stream_ends_in_an_error_and_is_cancelled(stack, stream):
+    """Past the deadline the caller is told so, and the engine is spared."""
+    app, engine = with_engine(stack)
+    answer = app.chat({"HTTP_REQUEST_TIMEOUT": "0.3"}, stream=stream, max_tokens=4000)
+    body = answer.read()
+    assert b"[DONE]" not in body
+    assert b'"reason": "deadline"' in body
+    assert b'"outcome": "failed"' in body
+    app.wait_idle()
+    assert [row.state for row in engine.sequences.values()] == ["cancelled"]
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_fault_of_the_host_itself_frees_the_target(stack, monkeypatch, stream):
+    """An error nobody foresaw must not hold the slot, nor pass as not run."""
+
+    def fail(*args):
+        raise RuntimeError("unforeseen")
+
+    app, _ = with_engine(stack)
+    monkeypatch.setattr(relay.StreamFollower, "_order", fail)
+    body = app.chat(stream=stream).read()
+    assert b'"outcome": "may_have_run"' in body
+    app.wait_idle()
+
+
+@pytest.mark.parametrize(
+    "knob", ["lose_answers", "cut_answers", "unframed_answers", "foreign_answers"]
+)
+def test_a_plain_answer_that_is_not_whole_or_not_its_own_is_an_error(stack, knob):
+    """The desk must not take a cut or foreign answer for its own.
+
+    The service runs the call and the answer is lost, ends before its stated
+    length, states no length at all, or names another call.
+    """
+    app, service = with_service(stack, **{knob: 1})
+    answer = app.ask("POST", "/v1/services/charge", b"order 7")
+    assert answer.status.startswith("502")
+    assert answer.problem()["outcome"] == "may_have_run"
+    assert len(service.runs) == 1
+    app.wait_idle()
+    assert app.outcomes() == {"may_have_run": 1}
+
+
+def test_a_connection_refused_frees_the_target_and_waits_on(stack):
+    """Nothing was written, so the request waits until its deadline."""
+    app = App(stack, service="127.0.0.1:9")
+    answer = app.ask("POST", "/v1/services/charge", b"x", HTTP_REQUEST_TIMEOUT="0.3")
+    assert answer.problem()["outcome"] == "not_run"
+    app.wait_idle()
+
+
+def test_the_rest_of_an_answer_can_be_had_again(stack):
+    """A caller that lost its connection goes on after the last event it saw."""
+    app, _ = with_engine(stack)
+    answer = app.chat(stream=True)
+    whole = answer.read()
+    path = f"/v1/requests/{answer.headers['Request-Id']}"
+    rest = app.ask("GET", path, HTTP_LAST_EVENT_ID="6").read()
+    rest = rest.replace(b": waiting\n\n", b"")
+    assert whole.endswith(rest.split(b"\n\n", 1)[1])
+    assert rest.count(b"id: ") == 4
+    last = app.ask("GET", path, QUERY_STRING="from=10").read()
+    assert last.count(b"id: ") == 1 and b"[DONE]" in last
+    joined = app.ask("GET", path, HTTP_ACCEPT="application/json")
+    content = json.loads(joined.read())["choices"][0]["message"]["content"]
+    assert len(content.split()) == 10
+
+
+def test_what_can_not_be_had_again_is_told(stack):
+    """The engine restarted and forgot the stream; the id is another's."""
+    app, engine = with_engine(stack)
+    answer = app.chat()
+    answer.read()
+    engine.sequences.clear()
+    path = f"/v1/requests/{answer.headers['Request-Id']}"
+    again = app.ask("GET", path)
+    assert again.status.startswith("502")
+    assert again.problem()["outcome"] == "may_have_run"
+    other = app.ask("GET", path, HTTP_AUTHORIZATION="Bearer returns-key")
+    assert other.status.startswith("404")
+    assert app.ask("GET", f"{path}x").status.startswith("404")
+
+
+def test_a_cancel_that_fails_changes_nothing(stack, monkeypatch):
+    """The deadline's error reaches the caller though the engine is gone."""
+
+    def fail(*args):
+        raise MayHaveRun("gone")
+
+    monkeypatch.setattr(dispatching, "cancel_stream", fail)
+    app, _ = with_engine(stack)
+    answer = app.chat({"HTTP_REQUEST_TIMEOUT": "0.2"}, max_tokens=4000)
+    assert answer.problem()["reason"] == "deadline"
+    app.wait_idle()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -16,3 +16,4 @@
     answer = fleet.chat(host, "A letter", stream=True)
     numbers = [line for line in answer.data.split(b"\n") if line.startswith(b"id: ")]
     assert numbers == [b"id: %d" % index for index in range(11)]
+    assert b"data: {}\n" not in answer.data
