--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -16,9 +16,13 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
+from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
-from godwitladder.scheduler.actor import Scheduler, Ticker
+from godwitladder.scheduler.actor import Scheduler
+from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.messages import NewConfig
+from godwitladder.scheduler.rows import Tables
+from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
 from godwitladder.settings import (
     ListenSettings,
@@ -80,14 +84,24 @@
     def __init__(self, stack: contextlib.ExitStack, engine="", service="") -> None:
         self.metrics = Metrics()
         clock = Clock()
-        self.scheduler: pykka.ActorRef = Scheduler.start(clock, self.metrics)
+        router, ticker = Router("host"), Ticker(clock, 0.05)
+        tables = Tables("host", "a", hosts=("host",))
+        self.scheduler: pykka.ActorRef = Scheduler.start(
+            tables, clock, self.metrics, ticker, router.send
+        )
         stack.callback(self.scheduler.stop)
-        ticker = Ticker(self.scheduler, clock, 0.05)
-        ticker.start()
-        stack.callback(ticker.stop)
+        allocator = Allocator.start(
+            AllocatorTables("host", "a", hosts=("host",)), clock, router.send
+        )
+        stack.callback(allocator.stop)
+        router.connect(None, None, self.scheduler, allocator)
+        for part, actor in ((ticker, self.scheduler), (Ticker(clock, 0.05), allocator)):
+            part.start(actor)
+            stack.callback(part.stop)
         self.app = CallerApp(make_settings(), self.scheduler, clock, self.metrics)
         self.app.config = make_config(engine, service)
-        self.scheduler.ask(NewConfig(self.app.config))
+        for actor in (allocator, self.scheduler):
+            actor.ask(NewConfig(self.app.config))
 
     def ask(self, method: str, path: str, body: bytes = b"", **environ) -> Answer:
         """Call the application as a server would, up to its first byte."""
