Add the demonstration: a fleet of processes and calls judged by their promises

Ports are taken below the range of outgoing connections: a first run reached a host of another fleet that had taken a port in between.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet on one machine, and calls that show what callers get."""
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,240 @@
+"""Starts stand-ins and entry hosts as processes of their own, and stops them."""
+
+import contextlib
+import hashlib
+import json
+import random
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+SECRET = "demo-peers"
+OPERATOR_TOKEN = "demo-operator"
+ADVISER_KEY = "demo-adviser"
+RETURNS_KEY = "demo-returns"
+START_S = 30.0
+STOP_S = 10.0
+LOWEST_PORT, HIGHEST_PORT = 10_000, 32_000
+ENGINES = ("engine-a1", "engine-a2")
+ENGINE_KNOBS = {"decode_tps": 200.0, "slots": 4}
+HOSTS = (("host-a1", "a"), ("host-a2", "a"), ("host-b1", "b"))
+
+
+class DemoFailed(Exception):
+    """The fleet did not come up."""
+
+
+@dataclass
+class Host:
+    """One entry host's process."""
+
+    name: str
+    zone: str
+    callers: str
+    operators: str
+    peers: str
+    process: subprocess.Popen | None = None
+
+
+@dataclass
+class Fleet:
+    """The processes of the demonstration, ended by ``stack``."""
+
+    folder: Path
+    stack: contextlib.ExitStack
+    platform: str = ""
+    engines: dict[str, str] = field(default_factory=dict)
+    service: str = ""
+    hosts: list[Host] = field(default_factory=list)
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(retries=False, maxsize=200)
+    )
+
+    def start(self) -> None:
+        """Start every process and put the first ticket in force."""
+        self.platform = self.start_standin("platform")
+        self.service = self.start_standin("service")
+        for name in ENGINES:
+            self.engines[name] = self.start_standin("engine")
+            self.set_knobs(self.engines[name], **ENGINE_KNOBS)
+        ports = iter(free_ports(3 * len(HOSTS)))
+        for name, zone in HOSTS:
+            listen = [f"127.0.0.1:{next(ports)}" for _ in range(3)]
+            self.hosts.append(Host(name, zone, *listen))
+        for host in self.hosts:
+            self.start_host(host)
+        rows = [
+            {"address": host.peers, "zone": host.zone, "leaving": False}
+            for host in self.hosts
+        ]
+        self.ask("POST", f"http://{self.platform}/hosts", json.dumps(rows))
+        for host in self.hosts:
+            wait_for(lambda host=host: self.is_ready(host), f"{host.name} to be ready")
+        self.configure()
+
+    def start_standin(self, kind: str) -> str:
+        """Start a stand-in and return the address it prints."""
+        command = [sys.executable, "-m", "godwitladder", "standin", kind]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        self.stack.callback(end, process)
+        return process.stdout.readline().strip()
+
+    def start_host(self, host: Host) -> None:
+        """Start the process of ``host``; its logs go into the folder."""
+        path = self.folder / f"{host.name}.toml"
+        path.write_text(settings_text(host, self))
+        command = [sys.executable, "-m", "godwitladder", "serve", "--settings", path]
+        with open(self.folder / f"{host.name}.log", "ab") as output:
+            host.process = subprocess.Popen(command, stderr=output)
+        self.stack.callback(end, host.process)
+
+    def configure(self) -> None:
+        """Submit the ticket and wait until every host serves by it."""
+        answer = self.ask(
+            "POST",
+            f"http://{self.hosts[0].operators}/v1/tickets",
+            ticket_text(self),
+            OPERATOR_TOKEN,
+        )
+        if answer.status != 202:
+            raise DemoFailed(f"the ticket was refused: {answer.data.decode()}")
+        offset = json.loads(answer.data)["offset"]
+        for host in self.hosts:
+            wait_for(
+                lambda host=host: self.config_offset(host) > offset,
+                f"the ticket to be in force on {host.name}",
+            )
+
+    def ask(
+        self, method: str, url: str, body: str | None = None, token: str = ""
+    ) -> urllib3.BaseHTTPResponse:
+        """Return an answer had whole."""
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        return self.http.request(method, url, body=body, headers=headers, timeout=30)
+
+    def is_ready(self, host: Host) -> bool:
+        """Return whether ``host`` says that it is ready."""
+        if host.process.poll() is not None:
+            raise DemoFailed(f"{host.name} ended at its start")
+        try:
+            return self.ask("GET", f"http://{host.operators}/readyz").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def config_offset(self, host: Host) -> int:
+        """Return the configuration offset in force on ``host``."""
+        url = f"http://{host.operators}/v1/status"
+        return json.loads(self.ask("GET", url, token=OPERATOR_TOKEN).data)[
+            "config_offset"
+        ]
+
+    def set_knobs(self, address: str, **knobs) -> None:
+        """Set knobs of a stand-in."""
+        self.ask("POST", f"http://{address}/knobs", json.dumps(knobs))
+
+    def engine_runs(self) -> dict[str, int]:
+        """Return how often each prompt ran, by its digest."""
+        counts: dict[str, int] = {}
+        for address in self.engines.values():
+            for row in json.loads(self.ask("GET", f"http://{address}/ran").data):
+                counts[row["digest"]] = counts.get(row["digest"], 0) + row["runs"]
+        return counts
+
+    def service_runs(self, body: bytes) -> int:
+        """Return how often the plain service ran ``body``."""
+        rows = json.loads(self.ask("GET", f"http://{self.service}/ran").data)
+        digest = hashlib.sha256(body).hexdigest()
+        return sum(row["digest"] == digest for row in rows)
+
+
+def prompt_digest(messages: list) -> str:
+    """Return the digest under which an engine's stand-in records a prompt."""
+    return hashlib.sha256(json.dumps(messages).encode()).hexdigest()
+
+
+def settings_text(host: Host, fleet: Fleet) -> str:
+    """Return the settings of ``host`` in TOML."""
+    seeds = [other.peers for other in fleet.hosts if other is not host]
+    digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return f"""
+host = "{host.name}"
+zone = "{host.zone}"
+operator_token_digests = ["{digest}"]
+[listen]
+callers = "{host.callers}"
+operators = "{host.operators}"
+peers = "{host.peers}"
+[platform]
+log = "http://{fleet.platform}"
+hosts = "http://{fleet.platform}"
+[peers]
+secret = "{SECRET}"
+seeds = {json.dumps(seeds)}
+"""
+
+
+def ticket_text(fleet: Fleet) -> str:
+    """Return the first ticket: two tiers, two workspaces, three services."""
+    keys = [
+        hashlib.sha256(key.encode()).hexdigest() for key in (ADVISER_KEY, RETURNS_KEY)
+    ]
+    lines = [
+        'number = 1\noperator = "hanna"\nreason = "opening of the season"',
+        "[tiers.urgent]\nrank = 0\n[tiers.normal]\nrank = 1",
+        f'[workspaces.advisers]\ntier = "urgent"\nkey_digests = ["{keys[0]}"]',
+        f'[workspaces.returns]\ntier = "normal"\nkey_digests = ["{keys[1]}"]',
+        '[services.adviser-letters]\nkind = "model"\nidempotent = true',
+        '[services.charge]\nkind = "plain"\nidempotent = false',
+        '[services.order]\nkind = "plain"\nidempotent = false',
+        f'[targets.subscription-core]\naddress = "{fleet.service}"\nzone = "a"\n'
+        'services = ["charge", "order"]\nslots = 8',
+    ]
+    for name, address in fleet.engines.items():
+        lines.append(
+            f'[targets.{name}]\naddress = "{address}"\nzone = "a"\n'
+            'services = ["adviser-letters"]\nslots = 4\nmemory_tokens = 100000\n'
+            "prefill_tps = 8000\ndecode_tps = 200"
+        )
+    return "\n".join(lines)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections; one of those could take a port before its process listens.
+    """
+    with contextlib.ExitStack() as stack:
+        ports = []
+        while len(ports) < count:
+            sock = stack.enter_context(socket.socket())
+            port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                ports.append(port)
+        return ports
+
+
+def wait_for(condition, what: str) -> None:
+    """Wait, within bounds, until ``condition`` holds."""
+    due = time.monotonic() + START_S
+    while not condition():
+        if time.monotonic() > due:
+            raise DemoFailed(f"waited in vain for {what}")
+        time.sleep(0.05)
+
+
+def end(process: subprocess.Popen) -> None:
+    """Stop a process that the demonstration started."""
+    if process.poll() is None:
+        process.terminate()
+    try:
+        process.wait(STOP_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
