--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -85,7 +85,7 @@
     tier_rank : int
         Rank of the request it was given for.
     lapse_s : float
-        Seconds it may be used after it arrives.
+        Seconds it may be used after the sending of the report that it answers.
     """
 
     grant: str
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -15,9 +15,6 @@
 than a grant lives, so that the allocator has stopped counting the host's
 grants, and has given the capacity to others, before the host helps itself."""
 
-KEPT_SENT = 256
-"""Reports whose time of sending is remembered; more than can be on the way."""
-
 
 @dataclass(frozen=True)
 class HeldGrant:
@@ -58,7 +55,6 @@
     echoed: int = 0
     dirty: bool = True
     reported: float = float("-inf")
-    sent: dict[int, float] = field(default_factory=dict)
     allowances: dict[TargetName, Allowance] = field(default_factory=dict)
     allowed_until: float = 0.0
     grants: dict[RequestId, HeldGrant] = field(default_factory=dict)
@@ -96,17 +92,10 @@
         self.seen = offer.number
         self.answered = now
         self.echoed = max(self.echoed, offer.echo)
-        # An offer counts from the report that it answers. One that was held
-        # up, or taken in after a pause of this process, is void: by now the
-        # allocator may have given the same slots to others.
-        until = self.sent.get(offer.echo, float("-inf")) + offer.lapse_s
-        self.sent = {
-            number: at for number, at in self.sent.items() if number >= offer.echo
-        }
         self.allowances = {row.target: row for row in offer.allowances}
-        self.allowed_until = until
+        self.allowed_until = offer.until_s
         for grant in offer.grants:
-            self.grants[grant.request] = HeldGrant(grant, until)
+            self.grants[grant.request] = HeldGrant(grant, offer.until_s)
         self.dirty |= offer.urgent or bool(offer.grants)
         return True
 
@@ -115,15 +104,17 @@
         if now - self.reported > REACH_S:
             self.answered = now
         self.number += 1
-        self.sent[self.number] = now
-        if len(self.sent) > KEPT_SENT:
-            del self.sent[min(self.sent)]
         self.reported = now
         self.dirty = False
         return self.number
 
     def lapse(self, now: float) -> None:
-        """Drop what may no longer be used."""
+        """Drop what may no longer be used.
+
+        A grant that was held up on its way, or taken in after a pause of this
+        process, is void: the allocator takes it that a report sent from now
+        on leaves it out, and gives the slot to another host.
+        """
         if self.allowed_until <= now:
             self.allowances = {}
         for request, held in list(self.grants.items()):
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -30,10 +30,16 @@
 
 @dataclass(frozen=True)
 class SentAllowances:
-    """The allowances of one offer; they replace those of offers before it."""
+    """The allowances of one offer; they replace those of offers before it.
+
+    Attributes
+    ----------
+    until_s : float
+        When they lapse, by the host's own clock.
+    """
 
     number: int
-    until: float
+    until_s: float
     allowances: dict[TargetName, Allowance]
 
 
@@ -42,7 +48,7 @@
     """One grant of one offer, for a request of ``workspace``."""
 
     number: int
-    until: float
+    until_s: float
     grant: Grant
     workspace: WorkspaceName
 
@@ -51,16 +57,17 @@
 class HostAccount:
     """One process of one host, as an allocator knows it.
 
-    What was sent counts until a report says that it was taken in; from then
-    on that report's use holds whatever became of it. What is never answered
-    stops to count when it lapses, which is not before it lapses at the host.
+    What was sent counts until a report says that it was taken in, from then on
+    that report's use holds whatever became of it, or until a report comes that
+    was sent after it lapsed. A host that is silent keeps all that it was given:
+    it may have used it in the moment before its connection was lost.
 
     Attributes
     ----------
     via : str
         The host that passes messages on; empty if there is a link.
-    received : int
-        Number of the last report.
+    received, sent_s : int, float
+        Number of the last report, and when the host sent it by its own clock.
     heard, offered : float
         When it was taken in, and when the last offer was sent.
     next_number : int
@@ -71,6 +78,7 @@
     incarnation: Incarnation
     via: HostId = HostId("")
     received: int = 0
+    sent_s: float = 0.0
     heard: float = 0.0
     offered: float = float("-inf")
     next_number: int = 1
@@ -87,6 +95,7 @@
         if report.number <= self.received:
             return False
         self.received = report.number
+        self.sent_s = report.sent_s
         self.heard = now
         self.via = report.via
         self.uses = {use.target: use for use in report.uses}
@@ -94,6 +103,7 @@
         self.more_waiting = sum(row.count for row in report.rest)
         self.avoided = frozenset(report.avoided)
         self._acknowledge(seen)
+        self._lapse()
         # A line whose grant is still on its way must not be granted again: the
         # host would have two targets held for one request until both lapse.
         self.lines = {
@@ -110,12 +120,11 @@
             if sent.number <= seen:
                 del self.grants[request]
 
-    def lapse(self, now: float) -> None:
-        """Drop what the host can no longer use."""
-        while self.allowances and self.allowances[0].until <= now:
+    def _lapse(self) -> None:
+        while self.allowances and self.allowances[0].until_s <= self.sent_s:
             self.allowances.popleft()
         for request, sent in list(self.grants.items()):
-            if sent.until <= now:
+            if sent.until_s <= self.sent_s:
                 del self.grants[request]
 
     def counted(self, target: TargetName) -> Counted:
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -6,11 +6,12 @@
 twice or not at all. The allocator answers with an offer, which likewise holds
 allowances, grants and sheds.
 
-Nothing here is stamped with a clock. A host numbers its reports and an offer
-echoes the last one taken in; whatever the offer gives lapses ``lapse_s`` after
-the host *sent* that report. The allocator, which took it in later than that,
-counts the same seconds from its offer, so it never frees what may still be
-used, however long either end was paused or a message was on its way.
+Hosts share no clock. A report is stamped by its host's own clock, and an
+offer says on that same clock when it lapses: so many seconds after the sending
+of the report that it answers. The allocator frees what it gave only when a
+report *sent* after that moment has come, which no longer holds it. So it never
+gives out what a host may still use, however long either end was paused or a
+message was on its way.
 """
 
 from dataclasses import dataclass
@@ -93,6 +94,8 @@
     ----------
     number : int
         Counts the host's reports on this pool.
+    sent_s : float
+        When it was sent, by the host's own clock; only differences count.
     term, seen : int
         The allocator's term, and the last of its offers taken in.
     uses : tuple of TargetUse
@@ -111,6 +114,7 @@
     incarnation: Incarnation
     pool: PoolName
     number: int
+    sent_s: float
     term: int
     seen: int
     uses: tuple[TargetUse, ...] = ()
@@ -135,8 +139,8 @@
         Counts the allocator's offers to this host.
     echo : int
         Number of the last report it took in from this host.
-    lapse_s : float
-        How long after the sending of that report all of this may be used.
+    until_s : float
+        When all of this lapses, by the clock of the host it is for.
     urgent : bool
         Whether the host is to report at once, since something was taken back.
     spill : tuple of RequestId
@@ -150,7 +154,7 @@
     term: int
     number: int
     echo: int
-    lapse_s: float
+    until_s: float
     urgent: bool = False
     allowances: tuple[Allowance, ...] = ()
     grants: tuple[Grant, ...] = ()
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -186,6 +186,7 @@
         incarnation=tables.incarnation,
         pool=access.pool.name,
         number=number,
+        sent_s=now,
         term=access.term,
         seen=access.seen,
         uses=report_uses(access, targets),
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -181,14 +181,13 @@
         allocation = allocate(view, now)
         offerings = self.collect(allocation, view, now)
         for host, offering in offerings.items():
-            self.count_grants(self.account(host, now), offering, now)
+            self.count_grants(self.account(host, now), offering)
         contended = any(row.lines or row.more_waiting for row in self.current(now))
         return self.make_offers(offerings, contended, expected, now)
 
     def forget(self, now: float) -> None:
-        """Drop what has lapsed, and hosts that are gone."""
+        """Drop hosts that are gone, and floors that nobody repeats."""
         for key, account in list(self.accounts.items()):
-            account.lapse(now)
             if now - account.heard > FORGET_S:
                 del self.accounts[key]
         for name, floor in list(self.floors.items()):
@@ -250,15 +249,13 @@
         if self.shed_rank == NO_RANK or rank <= self.shed_rank or old:
             self.shed_rank, self.shed_at = rank, now
 
-    def count_grants(
-        self, account: HostAccount, offering: Offering, now: float
-    ) -> None:
+    def count_grants(self, account: HostAccount, offering: Offering) -> None:
         """Count grants against a host before any allowance is worked out."""
-        until = now + LAPSE_S
+        until_s = account.sent_s + LAPSE_S
         for grant in offering.grants:
             line = account.lines.pop(grant.request)
             account.grants[grant.request] = SentGrant(
-                account.next_number, until, grant, line.workspace
+                account.next_number, until_s, grant, line.workspace
             )
         for shed in offering.sheds:
             account.lines.pop(shed.request, None)
@@ -334,7 +331,8 @@
         before = set(account.allowed())
         number, account.next_number = account.next_number, account.next_number + 1
         account.offered = now
-        account.allowances.append(SentAllowances(number, now + LAPSE_S, allowances))
+        until_s = account.sent_s + LAPSE_S
+        account.allowances.append(SentAllowances(number, until_s, allowances))
         return GrantOffer(
             host=account.host,
             incarnation=account.incarnation,
@@ -343,7 +341,7 @@
             term=self.term,
             number=number,
             echo=account.received,
-            lapse_s=LAPSE_S,
+            until_s=until_s,
             urgent=not before <= set(allowances),
             allowances=tuple(allowances.values()),
             grants=tuple(offering.grants),
--- /dev/null
+++ b/tests/scheduler/test_grant_machine.py
@@ -0,0 +1,208 @@
+"""Grants under any order of events, against a ledger of what really runs."""
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from godwitladder.outcomes import RequestState
+from godwitladder.scheduler.role import FORGET_S, LAPSE_S
+from godwitladder.scheduler.rows import Dispatch
+from godwitladder.scheduler.systems import finish_request, return_request
+from tests.scheduler.desk import decision, make_desk, make_request, submit
+
+SLOTS = {"e0": 4, "e1": 1}
+HOSTS = ("h0", "h1", "h2")
+HOST = st.sampled_from(HOSTS)
+HOLDER = st.integers(0, 1)
+LOST = st.sampled_from([False, False, False, False, True])
+SECONDS = st.sampled_from([0.0, 0.01, 0.1, 0.6, 1.2])
+
+
+class GrantMachine(RuleBasedStateMachine):
+    """Two hosts may act as allocator at once, and each host asks either.
+
+    The caller must never have its request run twice, a target never gets more
+    than its slots from each allocator, nothing goes to a target that a host
+    knows to be leaving, and nothing by leave that has lapsed. Messages come
+    late or not at all, hosts die, requests end at any time.
+    """
+
+    holders = ("h0", "h1")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.desk = make_desk(SLOTS, HOSTS, self.holders)
+        self.dead, self.rows, self.running = set(), {}, {}
+        self.unasked, self.leaving, self.heard = set(), set(), {}
+        self.given, self.dispatched = [], Counter()
+        for _ in range(12):
+            self.round(0.1)
+
+    def alive(self, host):
+        return host not in self.dead
+
+    @rule(host=HOST, ranks=st.lists(st.sampled_from([0, 1]), min_size=1, max_size=4))
+    def submit(self, host, ranks):
+        for rank in ranks if self.alive(host) else ():
+            name = f"r{len(self.rows)}"
+            row = submit(self.desk.hosts[host], make_request(name, self.now, rank))
+            self.rows[name] = host, row
+        self.tick(host)
+
+    @rule(seconds=SECONDS)
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(host=HOST)
+    def tick(self, host):
+        if self.alive(host):
+            tables = self.desk.hosts[host]
+            alone = tables.pools[self.desk.pool].is_alone(self.now)
+            self.desk.tick(host, self.now)
+            self.note_dispatches(host, alone)
+
+    def note_dispatches(self, host, alone):
+        for name, (owner, row) in self.rows.items():
+            told = decision(row) if owner == host else None
+            if not isinstance(told, Dispatch):
+                continue
+            self.dispatched[name] += 1
+            self.running[name] = host, told.target
+            if alone:
+                self.unasked.add(name)
+            else:
+                assert self.has_leave(host, name, told.target)
+            assert (host, told.target) not in self.leaving
+
+    def has_leave(self, host, name, target):
+        return any(
+            until > self.now
+            and (
+                any((row.request, row.target) == (name, target) for row in offer.grants)
+                or any(row.target == target for row in offer.allowances)
+            )
+            for to, offer, until in self.given
+            if to == host
+        )
+
+    @rule(host=HOST, holder=HOLDER, lost=LOST)
+    def report(self, host, holder, lost):
+        holder = self.holders[holder % len(self.holders)]
+        waiting = self.desk.reports.get((host, holder))
+        if not waiting or not self.alive(holder):
+            return
+        if lost:
+            waiting.popleft()
+            return
+        self.heard[host, holder] = self.now, waiting[0].sent_s
+        self.desk.deliver_report(host, holder, self.now)
+
+    @rule(holder=HOLDER)
+    def decide(self, holder):
+        holder = self.holders[holder % len(self.holders)]
+        if not self.alive(holder):
+            return
+        before = {key: len(rows) for key, rows in self.desk.offers.items()}
+        self.desk.decide(holder, self.now)
+        for (host, by), rows in self.desk.offers.items():
+            for offer in list(rows)[before.get((host, by), 0) :]:
+                self.given.append((host, offer, self.heard[host, by][1] + LAPSE_S))
+
+    @rule(host=HOST, holder=HOLDER, lost=LOST)
+    def offer(self, host, holder, lost):
+        holder = self.holders[holder % len(self.holders)]
+        waiting = self.desk.offers.get((host, holder))
+        if not waiting or not self.alive(host):
+            return
+        if lost:
+            waiting.popleft()
+            return
+        self.desk.deliver_offer(host, holder, self.now)
+        self.tick(host)
+
+    @rule(seconds=SECONDS, late=HOST)
+    def round(self, seconds, late=None):
+        """Let messages through, but for the offers to one host that is late."""
+        self.now += seconds
+        for host in HOSTS:
+            self.tick(host)
+        for index, holder in enumerate(self.holders):
+            for host in HOSTS:
+                while self.alive(holder) and self.desk.reports.get((host, holder)):
+                    self.report(host, index, False)
+            self.decide(index)
+            for host in HOSTS:
+                while (
+                    host != late
+                    and self.alive(host)
+                    and self.desk.offers.get((host, holder))
+                ):
+                    self.offer(host, index, False)
+
+    @rule(index=st.integers(0, 9), sent=st.booleans())
+    def finish(self, index, sent):
+        if not self.running:
+            return
+        name = sorted(self.running)[index % len(self.running)]
+        host, _ = self.running.pop(name)
+        self.unasked.discard(name)
+        if not self.alive(host):
+            return
+        tables, row = self.desk.hosts[host], self.rows[name][1]
+        if sent:
+            finish_request(tables, row, RequestState.COMPLETED, self.now)
+        else:
+            self.dispatched[name] -= 1
+            return_request(tables, row, self.now)
+
+    @rule(host=HOST, holder=HOLDER)
+    def ask(self, host, holder):
+        self.desk.point(host, self.holders[holder % len(self.holders)], self.now)
+
+    @rule(host=st.sampled_from(HOSTS[1:]))
+    def die(self, host):
+        if len(self.dead) < 1:
+            self.dead.add(host)
+
+    @rule(host=HOST, place=st.sampled_from(sorted(SLOTS)))
+    def leave(self, host, place):
+        tables = self.desk.hosts[host]
+        tables.leaving |= {tables.config.targets[place].address}
+        self.leaving.add((host, place))
+
+    @invariant()
+    def no_request_runs_twice(self):
+        assert all(count <= 1 for count in self.dispatched.values())
+
+    @invariant()
+    def no_target_is_overrun(self):
+        for target, slots in SLOTS.items():
+            counted = [
+                name
+                for name, (host, place) in self.running.items()
+                if place == target
+                and name not in self.unasked
+                and not self.forgotten(host)
+            ]
+            assert len(counted) <= slots * len(self.holders), counted
+
+    def forgotten(self, host):
+        return all(
+            self.now - self.heard.get((host, holder), (0.0, 0.0))[0] > FORGET_S
+            for holder in self.holders
+        )
+
+
+class OneAllocatorMachine(GrantMachine):
+    """With one allocator, a target never gets more than its slots."""
+
+    holders = ("h0",)
+
+
+TestGrantMachine = GrantMachine.TestCase
+TestOneAllocatorMachine = OneAllocatorMachine.TestCase
+TestGrantMachine.settings = settings(max_examples=60, stateful_step_count=50)
+TestOneAllocatorMachine.settings = settings(max_examples=100, stateful_step_count=50)
