Let a planned stop wait for the last byte of every answer

Cause: the stop waited for the application's open calls only. An answer that the application has handed over may still stand in the server's buffer, and requests that were half read, or reached the closed listener while the balancer still took the host for ready, were dropped without an answer. Ruled out: waitress' own close(), which takes away the trigger that wakes its loop for answers, and a Connection: close header, which WSGI forbids. Now the host announces, keeps answering for a second, waits until no connection holds part of a request or of an answer, and only then closes the listener and waits once more.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -8,12 +8,13 @@
 from typing import Any
 
 import pykka
-from waitress.server import BaseWSGIServer, MultiSocketServer
+from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.state import make_state
+from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.ids import Incarnation
 from godwitladder.logs import part_logger
 from godwitladder.membership.actor import (
@@ -52,6 +53,9 @@
 
 HOST_LIST_PERIOD_S = 1.0
 DRAIN_POLL_S = 0.1
+IDLE_LOOKS = 3
+LEAVE_S = 1.0
+"""Time for balancers and peers to see that this host is leaving."""
 OPERATOR_THREADS = 8
 VITAL_THREADS = frozenset({"config", "hosts", "ticker", "http"})
 FAILED_EXIT = 70
@@ -118,7 +122,7 @@
         )
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.keys = self.make_keys()
-        self.servers: list[MultiSocketServer | BaseWSGIServer] = []
+        self.caller_server: TcpWSGIServer | None = None
 
     def start_actor(self, kind: type[pykka.ThreadingActor], *parts: Any) -> Any:
         """Start an actor that stops with the host."""
@@ -171,7 +175,9 @@
         self.stack.callback(self.follower.stop)
         threading.Thread(target=self.follow_hosts, name="hosts", daemon=True).start()
         listen, threads = self.settings.listen, self.settings.limits.threads
-        self.serve(self.callers, listen.callers, threads, listen.callers_tls)
+        self.caller_server = self.serve(
+            self.callers, listen.callers, threads, listen.callers_tls
+        )
         self.serve(
             self.operators, listen.operators, OPERATOR_THREADS, listen.operators_tls
         )
@@ -187,17 +193,37 @@
         self.stopping.set()
 
     def drain(self) -> None:
-        """Take nothing new and wait for everything in flight."""
-        self.membership.tell(Leave())
+        """Take nothing new and wait for everything in flight.
+
+        Requests that still arrive are answered that this host is stopping.
+        The listener closes only when the balancer has had time to look at
+        ``/readyz``: a connection that it would send into a closed listener,
+        or into its queue, would be dropped without an answer.
+        """
+        self.membership.ask(Leave())
         self.scheduler.ask(Stop())
         self.keys.keyed.stopping = True
-        while self.busy():
-            self.clock.sleep(DRAIN_POLL_S)
+        log.info("The host is leaving", extra={"host": self.settings.host})
+        self.clock.sleep(LEAVE_S)
+        self.await_idle()
+        stop_accepting(self.caller_server)
+        self.await_idle()
         self.keys.flush()
 
+    def await_idle(self) -> None:
+        """Wait until no request is under way, and was none a moment ago.
+
+        A single look could fall between two of a caller's requests, or
+        between a request's last byte and the call that serves it.
+        """
+        idle = 0
+        while idle < IDLE_LOOKS and not self.failed:
+            self.clock.sleep(DRAIN_POLL_S)
+            idle = 0 if self.busy() else idle + 1
+
     def busy(self) -> bool:
-        """Return whether any request is waiting or running."""
-        return self.callers.open_calls > 0
+        """Return whether any request is waiting, running or being answered."""
+        return self.callers.open_calls > 0 or unfinished(self.caller_server) > 0
 
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
@@ -256,11 +282,12 @@
 
     def serve(
         self, app: Callable, address: str, threads: int, tls: TlsSettings | None
-    ) -> None:
+    ) -> TcpWSGIServer:
         """Serve ``app`` by waitress at ``address``."""
         server = make_listener(app, address, self.settings.limits, threads, tls)
         threading.Thread(target=server.run, name="http", daemon=True).start()
         self.stack.callback(server.close)
+        return server
 
 
 def run_entry_host(settings: Settings) -> None:
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,97 @@
+"""A planned stop cuts off nothing that is in flight."""
+
+import signal
+import socket
+import threading
+
+from godwitladder.drain import unfinished
+from godwitladder.serving.listener import make_listener
+from godwitladder.settings import LimitSettings
+from tests.fleet import CALLER_KEY, wait_until
+
+ANSWER = b"x" * 30_000_000
+LONG = {"simulate_output": 120, "max_tokens": 200}
+
+
+def in_thread(call, *args, **kwargs):
+    """Run ``call`` in a thread; return it and the list its answer goes into."""
+    answers = []
+    thread = threading.Thread(target=lambda: answers.append(call(*args, **kwargs)))
+    thread.start()
+    return thread, answers
+
+
+def test_a_planned_stop_finishes_what_runs_waits_and_is_being_called(fleet):
+    """The callers see whole answers, and a late caller a truthful refusal.
+
+    SIGTERM comes while one stream runs, a second request waits for the only
+    slot, and a charge is being made. The stop takes nothing new: a request
+    that arrives now is told that it did not run, and when to come back.
+    """
+    engine = fleet.add_engine("engine-a1", decode_tps=40, slots=1)
+    service = fleet.add_service("app-a1", delay_s=2.0)
+    host = fleet.add_host("host-a1", "a")
+    fleet.add_host("host-a2", "a")
+    fleet.wait_ready()
+    fleet.configure(fleet.ticket().replace("slots = 8", "slots = 1"))
+    calls = [in_thread(fleet.chat, host, "one", stream=True, **LONG)]
+    wait_until(lambda: len(fleet.ran(engine)) == 1, "the first stream")
+    calls.append(in_thread(fleet.chat, host, "two", stream=True, **LONG))
+    key = {"Idempotency-Key": "order-1"}
+    calls.append(in_thread(fleet.call, host, "charge", b"order 1", key))
+    wait_until(lambda: len(fleet.ran(service)) == 1, "the charge")
+
+    host.send(signal.SIGTERM)
+    wait_until(lambda: not fleet.ready(host), "the host to be not ready")
+    late = fleet.call(host, "lookup", b"late")
+    assert late.status == 503
+    assert b'"outcome": "not_run"' in late.data
+    assert int(late.headers["Retry-After"]) >= 1
+
+    for thread, _ in calls:
+        thread.join()
+    (first,), (second,), (charge,) = [answers for _, answers in calls]
+    for answer in (first, second):
+        assert answer.data.rstrip().endswith(b"data: [DONE]"), answer.data[-300:]
+    assert charge.status == 200, charge.data
+    assert host.process.wait(timeout=20) == 0
+    assert [row["runs"] for row in fleet.ran(engine)] == [1, 1]
+
+
+def test_a_slow_reader_gets_its_whole_answer():
+    """An answer is unfinished until its last byte has left the process.
+
+    The application has handed all of it over and is done; most of it still
+    stands in the server's buffer, since the caller doesn't read yet.
+    """
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(len(ANSWER)))])
+        return [ANSWER]
+
+    server = make_listener(app, "127.0.0.1:0", LimitSettings(), 4)
+    threading.Thread(target=server.run, daemon=True).start()
+    address = server.socket.getsockname()
+    with socket.create_connection(address) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        head = caller.recv(10)
+        channel = next(iter(server.active_channels.values()))
+        wait_until(lambda: not channel.requests, "the application to be done")
+        assert unfinished(server) == 1
+        got = len(head)
+        while data := caller.recv(1 << 20):
+            got += len(data)
+    assert got > len(ANSWER)
+    wait_until(lambda: unfinished(server) == 0, "the connection to be done")
+    server.close()
+
+
+def test_a_request_that_is_still_arriving_is_waited_for():
+    """Half of a request has come when the stop does; it will be answered."""
+    server = make_listener(lambda *_: [], "127.0.0.1:0", LimitSettings(), 4)
+    threading.Thread(target=server.run, daemon=True).start()
+    with socket.create_connection(server.socket.getsockname()) as caller:
+        assert unfinished(server) == 0
+        caller.sendall(f"GET / HTTP/1.1\r\nAuthorization: {CALLER_KEY}\r\n".encode())
+        wait_until(lambda: unfinished(server) == 1, "the half request")
+    server.close()
