Bound and test what callers may send, and serve TLS

Thirty-odd malformed requests get a problem document with a clear 4xx (or 501), and a sound call right after each is served. Slow and cut bodies take no thread; a connection too many is answered with 429 where it was left in the system's queue before; an answer nobody reads stops at 64 kB in the host; a caller that never reads is dropped by TCP_USER_TIMEOUT, where it held a thread and a target's slot for good before.

--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -81,7 +81,9 @@
 class App:
     """A `CallerApp` with a scheduler behind it."""
 
-    def __init__(self, stack: contextlib.ExitStack, engine="", service="") -> None:
+    def __init__(
+        self, stack: contextlib.ExitStack, engine="", service="", **settings
+    ) -> None:
         self.metrics = Metrics()
         clock = Clock()
         router, ticker = Router("host"), Ticker(clock, 0.05)
@@ -98,7 +100,9 @@
         for part, actor in ((ticker, self.scheduler), (Ticker(clock, 0.05), allocator)):
             part.start(actor)
             stack.callback(part.stop)
-        self.app = CallerApp(make_settings(), self.scheduler, clock, self.metrics)
+        self.app = CallerApp(
+            make_settings(**settings), self.scheduler, clock, self.metrics
+        )
         self.app.config = make_config(engine, service)
         for actor in (allocator, self.scheduler):
             actor.ask(NewConfig(self.app.config))
--- /dev/null
+++ b/tests/serving/test_surface.py
@@ -0,0 +1,306 @@
+"""What callers may send, and that a bad request harms nobody else."""
+
+import contextlib
+import http.client
+import json
+import socket
+import ssl
+import threading
+
+import pytest
+import trustme
+import urllib3
+
+from godwitladder.serving import listener
+from godwitladder.serving.listener import make_listener
+from godwitladder.settings import LimitSettings, TlsSettings
+from godwitladder.standins.service import start_service
+from tests.fleet import CALLER_KEY, free_ports, wait_until
+from tests.serving.app import App
+
+LIMITS = LimitSettings(
+    threads=4, connections=20, body_bytes=5000, header_bytes=4000, key_bytes=40
+)
+KEY = f"Authorization: Bearer {CALLER_KEY}\r\n".encode()
+CALL = b"POST /v1/services/lookup HTTP/1.1\r\nHost: h\r\n"
+CHAT = b"POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n"
+
+
+@pytest.fixture
+def stack():
+    with contextlib.ExitStack() as owned:
+        yield owned
+
+
+def serve(stack, app, tls=None) -> int:
+    """Serve ``app`` on a port of this process and return the port."""
+    port = free_ports(1)[0]
+    server = make_listener(app, f"127.0.0.1:{port}", LIMITS, LIMITS.threads, tls)
+    stack.callback(server.close)
+    stack.callback(server.task_dispatcher.shutdown)
+    threading.Thread(target=server.run, daemon=True).start()
+    return port
+
+
+def serve_calls(stack, tls=None):
+    service = start_service()
+    stack.callback(service.server_close)
+    stack.callback(service.shutdown)
+    app = App(stack, service=service.address, limits=LIMITS)
+    return serve(stack, app.app, tls), service.standin
+
+
+def connect(stack, port) -> socket.socket:
+    sock = socket.create_connection(("127.0.0.1", port), timeout=10)
+    return stack.enter_context(sock)
+
+
+def answer_to(stack, port, request: bytes) -> http.client.HTTPResponse:
+    """Send raw bytes and return the answer."""
+    sock = connect(stack, port)
+    sock.sendall(request)
+    return read_answer(sock)
+
+
+def read_answer(sock: socket.socket) -> http.client.HTTPResponse:
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    return answer
+
+
+def sized(head: bytes, body: bytes) -> bytes:
+    return head + KEY + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def chat(**members) -> bytes:
+    return json.dumps({"model": "letters", "messages": [], **members}).encode()
+
+
+REFUSED = {
+    "no key": (CALL + b"Content-Length: 1\r\n\r\nx", 401),
+    "wrong key": (
+        CALL + b"Authorization: Bearer no\r\nContent-Length: 1\r\n\r\nx",
+        401,
+    ),
+    "not basic": (CALL + b"Authorization: Basic x\r\nContent-Length: 1\r\n\r\nx", 401),
+    "latin key": (
+        CALL + b"Authorization: Bearer \xe9\xff\r\nContent-Length: 0\r\n\r\n",
+        401,
+    ),
+    "unknown path": (b"GET /v2 HTTP/1.1\r\nHost: h\r\n" + KEY + b"\r\n", 404),
+    "unknown service": (sized(CALL.replace(b"lookup", b"nothing"), b"x"), 404),
+    "model as plain": (sized(CALL.replace(b"lookup", b"letters"), b"x"), 404),
+    "forged id": (
+        b"GET /v1/requests/AAAA HTTP/1.1\r\nHost: h\r\n" + KEY + b"\r\n",
+        404,
+    ),
+    "odd id": (b"GET /v1/requests/%E9%00 HTTP/1.1\r\nHost: h\r\n" + KEY + b"\r\n", 404),
+    "length garbage": (CALL + KEY + b"Content-Length: x\r\n\r\n", 400),
+    "length negative": (CALL + KEY + b"Content-Length: -5\r\n\r\n", 400),
+    "two lengths": (
+        CALL + KEY + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+        400,
+    ),
+    "chunk garbage": (CALL + KEY + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nx", 400),
+    "odd encoding": (CALL + KEY + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+    "too large": (CALL + KEY + b"Content-Length: 5001\r\n\r\n", 413),
+    "chunks too large": (
+        CALL + KEY + b"Transfer-Encoding: chunked\r\n\r\n1770\r\n" + b"x" * 6000,
+        413,
+    ),
+    "head too large": (CALL + b"X: " + b"x" * 5000 + b"\r\n\r\n", 431),
+    "long key": (sized(CALL + b"Idempotency-Key: " + b"k" * 41 + b"\r\n", b"x"), 400),
+    "empty key": (sized(CALL + b"Idempotency-Key:\r\n", b"x"), 400),
+    "odd timeout": (sized(CALL + b"Request-Timeout: soon\r\n", b"x"), 400),
+    "no timeout": (sized(CALL + b"Request-Timeout: nan\r\n", b"x"), 400),
+    "odd rank": (sized(CALL + b"Request-Tier-Rank: \xb2\r\n", b"x"), 400),
+    "no body": (sized(CHAT, b""), 400),
+    "no JSON": (sized(CHAT, b"{"), 400),
+    "no UTF-8": (sized(CHAT, b'{"messages": "\xff\xfe"}'), 400),
+    "deep JSON": (sized(CHAT, b"[" * 4900), 400),
+    "NaN": (sized(CHAT, chat(temperature=float("nan"))), 400),
+    "long number": (sized(CHAT, b'{"messages": [], "n": %b}' % (b"9" * 4800)), 400),
+    "no messages": (sized(CHAT, b"{}"), 400),
+    "odd max_tokens": (sized(CHAT, chat(max_tokens="many")), 400),
+    "boolean max_tokens": (sized(CHAT, chat(max_tokens=True)), 400),
+    "odd model": (sized(CHAT, chat(model=["letters"])), 404),
+}
+
+
+@pytest.fixture(scope="module")
+def surface():
+    with contextlib.ExitStack() as owned:
+        yield serve_calls(owned)
+
+
+@pytest.mark.parametrize("name", REFUSED)
+def test_a_bad_request_gets_a_clear_answer_and_harms_nobody(stack, surface, name):
+    """A request that breaks a bound is refused as not run, and others go on.
+
+    Each refusal is a problem document that says so, whether the application
+    or the server below it found the fault. A sound call on a connection of
+    its own is answered right after, and only that one reached the service.
+    """
+    port, service = surface
+    request, status = REFUSED[name]
+    before = len(service.runs)
+    answer = answer_to(stack, port, request)
+    assert answer.status == status
+    assert answer.headers["Content-Type"] == "application/problem+json"
+    assert json.loads(answer.read())["outcome"] == "not_run"
+    assert answer_to(stack, port, sized(CALL, b"sound")).status == 200
+    assert len(service.runs) == before + 1
+
+
+def test_slow_and_cut_bodies_hold_up_nobody(stack):
+    """Callers that send half a body, or none, use up no thread.
+
+    There are more of them than threads. Each waits in the server's loop
+    until its body is whole, so a sound call is served at once.
+    """
+    port, service = serve_calls(stack)
+    for _ in range(LIMITS.threads + 6):
+        connect(stack, port).sendall(CALL + KEY + b"Content-Length: 50\r\n\r\nhalf")
+        connect(stack, port).close()
+    connect(stack, port).sendall(b"POST /v1/serv")
+    assert answer_to(stack, port, sized(CALL, b"x")).status == 200
+    assert len(service.runs) == 1
+
+
+def test_a_connection_too_many_is_told_so(stack):
+    """Beyond the bound a caller gets an answer, not silence.
+
+    Without it the server would leave the connection in the system's queue,
+    where it looks open and says nothing.
+    """
+    port, _ = serve_calls(stack)
+    held = [connect(stack, port) for _ in range(LIMITS.connections)]
+    assert read_answer(connect(stack, port)).status == 429
+    for sock in held:
+        sock.close()
+    wait_until(
+        lambda: answer_to(stack, port, sized(CALL, b"x")).status == 200,
+        "room for a connection",
+    )
+
+
+def test_a_caller_that_reads_nothing_holds_little_memory(stack):
+    """An answer nobody reads waits at its source, not in the host.
+
+    The application makes blocks without end. The server takes in a few
+    beyond what the system's socket holds, and then lets it wait.
+    """
+    made = []
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        while len(made) < 1000:
+            made.append(1)
+            yield b"x" * 65_536
+
+    port = serve(stack, app)
+    sock = connect(stack, port)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    wait_until(lambda: made, "a first block")
+    assert settled_length(made) < 200
+    sock.close()
+
+
+def test_a_caller_that_never_reads_is_given_up(stack, monkeypatch):
+    """A caller that stopped reading can't hold a thread and a slot for good.
+
+    Its connection stays open and its system answers for it, so nothing ever
+    breaks by itself. The kernel drops what acknowledges no bytes for the
+    bound, and the server closes the answer.
+    """
+    monkeypatch.setattr(listener, "STALL_S", 1)
+    closed = threading.Event()
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        try:
+            while True:
+                yield b"x" * 65_536
+        finally:
+            closed.set()
+
+    sock = connect(stack, serve(stack, app))
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert closed.wait(30)
+
+
+def settled_length(made: list) -> int:
+    """Return the length of ``made`` once it has stopped to grow."""
+    settled = 0
+    while len(made) != settled:
+        settled = len(made)
+        threading.Event().wait(0.2)
+    return settled
+
+
+def test_tls_serves_many_callers_and_refuses_plain_ones(stack, tmp_path):
+    """Callers reach the host by TLS; a plain one gets nothing and harms nobody."""
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    certificate, key = tmp_path / "host.pem", tmp_path / "host.key"
+    for blob in issued.cert_chain_pems:
+        blob.write_to_path(certificate, append=True)
+    issued.private_key_pem.write_to_path(key)
+    port, service = serve_calls(stack, TlsSettings(str(certificate), str(key)))
+    plain = connect(stack, port)
+    plain.sendall(sized(CALL, b"x"))
+    connect(stack, port)
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    pool = stack.enter_context(
+        urllib3.PoolManager(ssl_context=context, retries=False, maxsize=4)
+    )
+    bodies = [b"%d" % number * 900 for number in range(5)]
+    for body in bodies:
+        answer = pool.request(
+            "POST",
+            f"https://127.0.0.1:{port}/v1/services/lookup",
+            body=body,
+            headers={"Authorization": f"Bearer {CALLER_KEY}"},
+            timeout=10,
+        )
+        assert answer.status == 200
+    assert len(service.runs) == len(bodies)
+    with contextlib.suppress(ConnectionResetError):
+        assert b"HTTP/1.1 200" not in plain.recv(1000)
+
+
+def test_tls_passes_an_answer_larger_than_any_buffer(stack, tmp_path):
+    """A long answer over TLS arrives whole though the caller reads slowly."""
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    path = tmp_path / "both.pem"
+    issued.private_key_and_cert_chain_pem.write_to_path(path)
+    block, made = bytes(range(250)) * 200, []
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Type", "text/plain")])
+        while len(made) < 400:
+            made.append(1)
+            yield block
+
+    port = serve(stack, app, TlsSettings(str(path), str(path)))
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    pool = stack.enter_context(urllib3.PoolManager(ssl_context=context, retries=False))
+    answer = pool.request(
+        "GET", f"https://127.0.0.1:{port}/", timeout=10, preload_content=False
+    )
+    assert 0 < settled_length(made) < 400
+    assert answer.read() == block * 400
+
+
+def test_buffers_stay_off_the_disk():
+    """Hosts have no disk: what the server buffers stays in memory."""
+    limits = LimitSettings(threads=4)
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    server = make_listener(lambda *_: [], address, limits, limits.threads)
+    with contextlib.closing(server):
+        assert server.adj.inbuf_overflow > limits.body_bytes
+        assert server.adj.outbuf_overflow > listener.WATERMARK_BYTES
+    server.task_dispatcher.shutdown()
