--- a/tests/claims/test_collector.py
+++ b/tests/claims/test_collector.py
@@ -172,3 +172,22 @@
 
 def _claim() -> Claim:
     return Claim(KEY, b"1", "b", 1, BODY, 0.0)
+
+
+def test_release_that_comes_before_its_claim_holds():
+    """An append that the log applies after its host gave up burns no key."""
+    table = ClaimTable(WINDOW_S)
+    table.replay(0, 1.0, Release(KEY, b"1"))
+    table.replay(1, 1.0, _claim())
+    assert table.holder(KEY) is None
+
+
+def test_claim_above_another_is_lost_and_released():
+    """Of two hosts that claim at once, one wins; the other frees its claim."""
+    log, host, other = FakeLog(), make_host("a"), make_host("b")
+    for index, claimer in enumerate((host, other)):
+        claimer.want(Wanted(KEY, b"%d" % index, BODY, 0.0, FAR), log.now)
+        log.append(claimer.take_batch())
+        claimer.append_done()
+    assert catch_up(log, host, other) == [Verdict.WON, Verdict.HELD]
+    assert other.take_batch() == [Release(KEY, b"1")]
--- /dev/null
+++ b/tests/claims/test_keys.py
@@ -0,0 +1,94 @@
+"""Issued keys, dated keys, repeats on one host, and the guard on dispatch."""
+
+import dataclasses
+import uuid
+
+import pytest
+
+from godwitladder.claims.issued import (
+    PREFIX,
+    ForgedKey,
+    IssuedKeys,
+    Spending,
+    read_key,
+    sign_key,
+)
+from godwitladder.outcomes import RequestState
+from godwitladder.scheduler.rows import ClaimState, IllegalTransition, RequestRow
+from godwitladder.serving.keyed import key_date
+from godwitladder.serving.repeats import KEEP_BYTES, KEEP_S, Repeats
+
+SECRET = "a secret"
+WINDOW_S = 100.0
+
+
+def test_issued_key_is_used_once_and_again_if_its_request_did_not_run():
+    """One key runs one request; a request that did not run gives it back."""
+    keys = IssuedKeys("a", 1, WINDOW_S)
+    key = keys.issue("advisers", 10.0)
+    assert read_key(SECRET, sign_key(SECRET, key)) == key
+    assert keys.spend(key, "d", "body", 11.0) is Spending.GRANTED
+    assert keys.spend(key, "d", "body", 12.0) is Spending.SPENT
+    assert keys.spend(key, "d", "else", 12.0) is Spending.REUSED
+    keys.give_back("d")
+    assert keys.spend(key, "d", "body", 13.0) is Spending.GRANTED
+
+
+def test_issued_key_is_refused_by_another_process_and_after_its_window():
+    """A key whose use may be forgotten, or was never known here, runs nothing."""
+    keys = IssuedKeys("a", 1, WINDOW_S)
+    key = keys.issue("advisers", 10.0)
+    keys.spend(key, "d", "body", 11.0)
+    for index in range(30):
+        late = keys.issue("advisers", 10.0 + 10 * index)
+        keys.spend(late, f"other-{index}", "body", 10.0 + 10 * index)
+    assert len(keys.spent) < 15
+    assert keys.spend(key, "d", "body", 320.0) is Spending.EXPIRED
+    with pytest.raises(ForgedKey):
+        IssuedKeys("a", 2, WINDOW_S).spend(key, "d", "body", 12.0)
+
+
+def test_key_signed_by_nobody_is_no_issued_key():
+    """A caller can't make a key that names a host of its choice."""
+    key = IssuedKeys("a", 1, WINDOW_S).issue("advisers", 10.0)
+    with pytest.raises(ForgedKey):
+        read_key("another secret", sign_key(SECRET, key))
+    with pytest.raises(ForgedKey):
+        read_key(SECRET, PREFIX + "not base64")
+    assert read_key(SECRET, "order-7") is None
+
+
+def test_date_is_read_from_a_uuid_of_version_7_alone():
+    """A key tells its time, or none."""
+    dated = uuid.UUID(int=(1_700_000_000_123 << 80) | (7 << 76) | (2 << 62))
+    assert key_date(str(dated)) == 1_700_000_000.123
+    assert key_date(str(uuid.UUID(int=dated.int ^ (3 << 76)))) == 0.0
+    assert key_date("order-7") == 0.0
+
+
+def test_unclaimed_request_is_never_dispatched():
+    """Whatever path leads to a dispatch, a key that was not won stops it."""
+    row = RequestRow("r", "s", "w", "charge", 0, 0, 0, 0.0, 9.0, False)
+    row.claim = ClaimState.NEEDED
+    with pytest.raises(IllegalTransition):
+        row.change(RequestState.DISPATCHED)
+    won = dataclasses.replace(row, claim=ClaimState.WON)
+    won.change(RequestState.DISPATCHED)
+
+
+def test_answers_kept_for_repeats_are_bounded():
+    """Answers are kept for some tries, in bounded memory and time."""
+    now = [1.0]
+    repeats = Repeats(lambda: now[0])
+    part = b"x" * (KEEP_BYTES // 4)
+    for index in range(8):
+        first, is_first = repeats.begin(f"key-{index}", "body")
+        assert is_first
+        first.finish([part])
+        repeats.keep(f"key-{index}", first)
+    assert repeats.bytes <= KEEP_BYTES
+    assert not repeats.begin("key-7", "body")[1]
+    now[0] += KEEP_S + 1
+    last, _ = repeats.begin("last", "body")
+    repeats.keep("last", last)
+    assert list(repeats.firsts) == ["last"]
