--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,167 @@
+"""Measure claims: appends a second and added latency against the batch window.
+
+``python -m bench.claims`` runs the stand-in of the platform and the claims of
+some hosts, each as a process, offers claims at a fixed rate, and prints a row
+for each batch window; then the memory of a claim.
+"""
+
+import contextlib
+import gc
+import json
+import queue
+import random
+import secrets
+import statistics
+import subprocess
+import sys
+import threading
+import time
+import tracemalloc
+
+import urllib3
+
+from bench.processes import print_table
+from godwitladder.claims.actor import ClaimLog, Claims, HasCaughtUp, Want
+from godwitladder.claims.collector import Settled, Wanted
+from godwitladder.claims.records import Claim, Release
+from godwitladder.claims.table import ClaimTable
+from godwitladder.clock import Clock
+from godwitladder.ids import HostId, Incarnation, Zone
+from godwitladder.metrics import Metrics
+from godwitladder.platform.log import LogClient
+from godwitladder.settings import ClaimSettings
+
+HOSTS = 4
+CLAIMS_PER_S = 200
+RUN_S = 5.0
+WINDOWS_MS = (0.1, 2, 5, 10, 20, 50)
+APPEND_MS = 5.0
+KEPT = 100_000
+
+
+def offer(actor, rate: float, reply: "queue.SimpleQueue[Settled]") -> dict:
+    """Offer claims at random times; return when each was offered, by nonce."""
+    offered = {}
+    due = time.monotonic() + RUN_S
+    while (now := time.monotonic()) < due:
+        nonce = secrets.token_bytes(12)
+        offered[nonce] = now
+        wanted = Wanted(secrets.token_bytes(16), nonce, b"12345678", 0.0, now + 10)
+        actor.tell(Want(wanted, reply))
+        time.sleep(random.expovariate(rate))
+    return offered
+
+
+def run_host(address: str, batch_s: float, name: str) -> list[float]:
+    """Claim as one host does; return the waits in seconds."""
+    clock, work = Clock(), threading.Event()
+    settings = ClaimSettings(batch_s=batch_s)
+    actor = Claims.start(HostId(name), Incarnation(1), settings, clock, Metrics(), work)
+    client = LogClient(f"http://{address}", Zone("a"))
+    part = ClaimLog(actor, client, clock, work, batch_s)
+    part.start()
+    while not actor.ask(HasCaughtUp()):
+        time.sleep(0.01)
+    reply: queue.SimpleQueue[Settled] = queue.SimpleQueue()
+    settled: dict[bytes, float] = {}
+
+    def receive() -> None:
+        while (row := reply.get()) is not None:
+            settled[row.nonce] = time.monotonic()
+
+    receiver = threading.Thread(target=receive)
+    receiver.start()
+    offered = offer(actor, CLAIMS_PER_S / HOSTS, reply)
+    while len(settled) < len(offered):
+        time.sleep(0.01)
+    reply.put(None)
+    receiver.join()
+    part.stop()
+    actor.stop()
+    return [settled[nonce] - start for nonce, start in offered.items()]
+
+
+def measure(address: str, batch_s: float) -> tuple[float, list[float]]:
+    """Return appends a second of all hosts, and the waits in seconds."""
+    before = count_appends(address)
+    command = [sys.executable, "-m", "bench.claims", address, str(batch_s)]
+    hosts = [
+        subprocess.Popen([*command, f"host-{index}"], stdout=subprocess.PIPE)
+        for index in range(HOSTS)
+    ]
+    waits = [wait for host in hosts for wait in json.loads(host.communicate()[0])]
+    return (count_appends(address) - before) / RUN_S, sorted(waits)
+
+
+def count_appends(address: str) -> int:
+    """Return how many appends the log's claims stream took."""
+    answer = urllib3.request("GET", f"http://{address}/appends")
+    return json.loads(answer.data).get("claims", 0)
+
+
+def measure_memory() -> tuple[float, float]:
+    """Return the bytes that a held claim and a released nonce take."""
+    gc.collect()
+    tracemalloc.start()
+    table = ClaimTable(86_400.0)
+    start = tracemalloc.get_traced_memory()[0]
+    keys = [secrets.token_bytes(16) for _ in range(KEPT)]
+    nonces = [secrets.token_bytes(12) for _ in range(KEPT)]
+    bodies = [secrets.token_bytes(8) for _ in range(KEPT)]
+    for offset in range(KEPT):
+        row = Claim(keys[offset], nonces[offset], "host-a1", 1, bodies[offset], 0.0)
+        table.replay(offset, 1.0 + offset * 1e-3, row)
+    held = tracemalloc.get_traced_memory()[0]
+    for offset in range(KEPT):
+        table.replay(KEPT + offset, 200.0, Release(keys[offset], nonces[offset]))
+    del keys, bodies
+    gc.collect()
+    released = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (held - start) / KEPT, (released - start) / KEPT
+
+
+def start_platform(stack: contextlib.ExitStack) -> str:
+    """Start the stand-in of the platform; return its address."""
+    command = [sys.executable, "-m", "godwitladder", "standin", "platform"]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    stack.callback(process.wait)
+    stack.callback(process.kill)
+    return process.stdout.readline().strip()
+
+
+def main() -> None:
+    """Print the table."""
+    rows = []
+    with contextlib.ExitStack() as stack:
+        address = start_platform(stack)
+        knobs = json.dumps({"delay_s": APPEND_MS / 1000})
+        urllib3.request("POST", f"http://{address}/knobs", body=knobs)
+        for window in WINDOWS_MS:
+            appends, waits = measure(address, window / 1000)
+            median = statistics.median(waits) * 1000
+            late = waits[int(len(waits) * 0.99)] * 1000
+            rows.append(
+                (
+                    f"{window:g}",
+                    len(waits),
+                    f"{appends:.0f}",
+                    f"{median:.1f}",
+                    f"{late:.1f}",
+                )
+            )
+    print(
+        f"{HOSTS} hosts, {CLAIMS_PER_S} claims a second offered in all, "
+        f"the log answers after {APPEND_MS:g} ms, {RUN_S:g} s a row."
+    )
+    print_table(("window ms", "claims", "appends/s", "p50 ms", "p99 ms"), rows)
+    held, released = measure_memory()
+    print(f"Bytes a held claim: {held:.0f}; a released nonce: {released:.0f}.")
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        address, batch_s, name = sys.argv[1:]
+        print(json.dumps(run_host(address, float(batch_s), name)))
+    else:
+        main()
--- a/godwitladder/claims/actor.py
+++ b/godwitladder/claims/actor.py
@@ -86,6 +86,11 @@
     """Ask whether nothing is left to append."""
 
 
+@dataclass(frozen=True)
+class HasCaughtUp:
+    """Ask whether the stream was read to its end."""
+
+
 class Claims(pykka.ThreadingActor):
     """Owns the claims of one host.
 
@@ -171,6 +176,10 @@
     def _(self, message: HasSettled) -> bool:
         return is_idle(self.collector)
 
+    @take.register
+    def _(self, message: HasCaughtUp) -> bool:
+        return self.collector.caught_up
+
     @take.register
     def _(self, message: Tick) -> None:
         self._reply(self.collector.expire(self.clock.monotonic()))
