--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -120,6 +120,9 @@
     def _serve(
         self, call: Call, body: bytes, caller: Caller, environ: Mapping, start_response
     ) -> Iterable[bytes]:
+        if call.row.key is None:
+            return self.dispatcher.serve(call, environ, start_response)
+
         def resume(identity: str) -> Iterable[bytes]:
             secret = self.settings.peers.secret
             return resume_request(
