--- a/godwitladder/claims/actor.py
+++ b/godwitladder/claims/actor.py
@@ -9,6 +9,7 @@
 import functools
 import queue
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import pykka
@@ -20,13 +21,14 @@
     Wanted,
     is_idle,
 )
-from godwitladder.claims.records import ClaimRecord, encode_record
+from godwitladder.claims.records import StreamRecord, encode_record
 from godwitladder.claims.table import ClaimTable
 from godwitladder.clock import Clock
 from godwitladder.ids import HostId, Incarnation, Offset
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.platform.log import CLAIM_STREAM, LogClient, LogUnavailable, Page
+from godwitladder.quarantine.records import CrashNote
 from godwitladder.scheduler.messages import Tick
 from godwitladder.settings import ClaimSettings
 
@@ -52,6 +54,20 @@
     nonce: bytes
 
 
+@dataclass(frozen=True)
+class Note:
+    """Append a note on a crash."""
+
+    note: CrashNote
+
+
+@dataclass(frozen=True)
+class Follow:
+    """Call ``take`` with each note that is read and the log's time of it."""
+
+    take: Callable[[CrashNote, float], None]
+
+
 @dataclass(frozen=True)
 class TakeBatch:
     """Ask for the records to append now."""
@@ -123,6 +139,7 @@
         self.metrics = metrics
         self.work = work
         self.collector = Collector(host, incarnation, ClaimTable(settings.window_s))
+        self.take_note: Callable[[CrashNote, float], None] = lambda note, time: None
         self.replies: dict[bytes, queue.SimpleQueue[Settled]] = {}
 
     def on_receive(self, message):
@@ -150,7 +167,15 @@
         self.collector.give_up(message.key, message.nonce)
 
     @take.register
-    def _(self, message: TakeBatch) -> list[ClaimRecord]:
+    def _(self, message: Note) -> None:
+        self.collector.outgoing.append(message.note)
+
+    @take.register
+    def _(self, message: Follow) -> None:
+        self.take_note = message.take
+
+    @take.register
+    def _(self, message: TakeBatch) -> list[StreamRecord]:
         return self.collector.take_batch()
 
     @take.register
@@ -163,6 +188,9 @@
     @take.register
     def _(self, message: PageRead) -> None:
         self._reply(self.collector.read(message.page))
+        for note, time in self.collector.notes:
+            self.take_note(note, time)
+        self.collector.notes.clear()
 
     @take.register
     def _(self, message: ReadFailed) -> None:
--- a/godwitladder/claims/collector.py
+++ b/godwitladder/claims/collector.py
@@ -15,14 +15,16 @@
 from godwitladder.claims.records import (
     BadRecord,
     Claim,
-    ClaimRecord,
     Release,
+    Snapshot,
+    StreamRecord,
     decode_record,
 )
 from godwitladder.claims.table import ClaimTable, Held
 from godwitladder.ids import HostId, Incarnation, Offset
 from godwitladder.logs import part_logger
 from godwitladder.platform.log import Page, Record
+from godwitladder.quarantine.records import CrashNote
 
 log = part_logger("claims")
 
@@ -82,6 +84,8 @@
         Records of the append under way; at most one is.
     sent : set
         Nonces of unsettled claims that may be in the log.
+    notes : list
+        Notes on crashes that were read, with the log's time of each.
     given_up : set
         Own nonces whose release was not read yet. The host itself knows that
         they never run, so they don't hold a key against it.
@@ -91,10 +95,11 @@
     incarnation: Incarnation
     table: ClaimTable
     pending: dict[bytes, Wanted] = field(default_factory=dict)
-    outgoing: list[ClaimRecord] = field(default_factory=list)
-    in_flight: list[ClaimRecord] = field(default_factory=list)
+    outgoing: list[StreamRecord] = field(default_factory=list)
+    in_flight: list[StreamRecord] = field(default_factory=list)
     sent: set[bytes] = field(default_factory=set)
     given_up: set[bytes] = field(default_factory=set)
+    notes: list[tuple[CrashNote, float]] = field(default_factory=list)
     caught_up: bool = False
     read_failing: bool = False
     append_failed_until: float = 0.0
@@ -138,7 +143,7 @@
         self.given_up.add(nonce)
         self.outgoing.append(Release(key, nonce))
 
-    def take_batch(self) -> list[ClaimRecord]:
+    def take_batch(self) -> list[StreamRecord]:
         """Return the records to append now; none while an append is under way."""
         if self.in_flight:
             return []
@@ -213,6 +218,10 @@
             log.warning("A bad record", extra={"error": str(error)})
             self.table.next = Offset(record.offset + 1)
             return []
+        if not isinstance(row, Claim | Release | Snapshot):
+            self.table.next = Offset(record.offset + 1)
+            self.notes.append((row, record.time))
+            return []
         self.table.replay(record.offset, record.time, row)
         if isinstance(row, Release):
             self.given_up.discard(row.nonce)
@@ -242,7 +251,7 @@
     return Settled(wanted.nonce, Verdict.HELD, holder)
 
 
-def _claims(record: ClaimRecord, nonce: bytes) -> bool:
+def _claims(record: StreamRecord, nonce: bytes) -> bool:
     return isinstance(record, Claim) and record.nonce == nonce
 
 
--- a/godwitladder/claims/records.py
+++ b/godwitladder/claims/records.py
@@ -1,7 +1,9 @@
 """The records of the claims stream and their form in CBOR.
 
-Each record is an array of a kind number and its fields. Digests and nonces
-travel and are kept as bytes, since a host holds every claim of the window.
+Each record is an array of a kind number and its fields. The notes on crashes go
+into the same stream, so that every host that can claim knows them too. Digests
+and nonces of claims travel and are kept as bytes, since a host holds every claim
+of the window.
 """
 
 from dataclasses import astuple, dataclass
@@ -10,6 +12,7 @@
 
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import BodyDigest, HostId, Incarnation, KeyDigest, StreamId
+from godwitladder.quarantine.records import Cleared, Crash, CrashNote, Lifted
 
 # 16 bytes of a digest make an accidental clash of two keys less likely than a
 # failure of memory; 8 are enough to tell another body under the same key.
@@ -66,15 +69,24 @@
 
 
 ClaimRecord = Claim | Release | Snapshot
-KINDS: dict[type, int] = {Claim: 1, Release: 2, Snapshot: 3}
-
-
-def encode_record(record: ClaimRecord) -> bytes:
+StreamRecord = ClaimRecord | CrashNote
+KINDS: dict[type, int] = {
+    Claim: 1,
+    Release: 2,
+    Snapshot: 3,
+    Crash: 4,
+    Cleared: 5,
+    Lifted: 6,
+}
+PLAIN_KINDS = {number: kind for kind, number in KINDS.items() if kind is not Snapshot}
+
+
+def encode_record(record: StreamRecord) -> bytes:
     """Return ``record`` in CBOR."""
     return cbor2.dumps([KINDS[type(record)], *astuple(record)])
 
 
-def decode_record(data: bytes) -> ClaimRecord:
+def decode_record(data: bytes) -> StreamRecord:
     """Return the record in ``data``.
 
     Raises
@@ -84,10 +96,8 @@
     """
     try:
         kind, *fields = cbor2.loads(data)
-        if kind == KINDS[Claim]:
-            return Claim(*fields)
-        if kind == KINDS[Release]:
-            return Release(*fields)
+        if kind in PLAIN_KINDS:
+            return PLAIN_KINDS[kind](*fields)
         if kind == KINDS[Snapshot]:
             claim, offset, time = fields
             return Snapshot(Claim(*claim), offset, time)
--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -95,6 +95,34 @@
         print(json.dumps(row))
 
 
+def show_quarantine(*, host: str) -> None:
+    """Print the quarantined requests, a JSON object a line.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of any entry host, as address:port.
+    """
+    for row in ask_host(host, "GET", "/v1/quarantine")["quarantined"]:
+        print(json.dumps(row))
+
+
+def lift_quarantine(digest: str, *, operator: str, host: str) -> None:
+    """Let a quarantined request run again, on every host.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request, as its refusal and the list tell it.
+    operator : str
+        Who lifts it, for the logs.
+    host : str
+        Operators' address of any entry host, as address:port.
+    """
+    body = json.dumps({"digest": digest, "operator": operator}).encode()
+    print(json.dumps(ask_host(host, "POST", "/v1/quarantine/lift", body)))
+
+
 def show_status(*, host: str) -> None:
     """Print what an entry host says of itself, in JSON.
 
@@ -174,6 +202,7 @@
     "settings": {"check": check_settings},
     "ticket": {"check": check_ticket, "submit": submit_ticket},
     "audit": show_audit,
+    "quarantine": {"show": show_quarantine, "lift": lift_quarantine},
     "status": show_status,
     "standin": {
         "platform": standin_platform,
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -148,6 +148,7 @@
         )
         self.stack.callback(keys.stop)
         self.router.takers |= keys.takers()
+        self.operators.watch = keys.watch
         return keys
 
     def run(self) -> None:
--- /dev/null
+++ b/godwitladder/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the targets that run them."""
--- a/godwitladder/serving/calls.py
+++ b/godwitladder/serving/calls.py
@@ -71,6 +71,8 @@
         Whether the caller wants the answer as server-sent events.
     on_end : callable
         Called once with the final state, after that state can't change.
+    before_dispatch : callable
+        Called before the first byte is written; returns why it may not be.
     """
 
     row: RequestRow
@@ -79,6 +81,7 @@
     content_type: str
     streamed: bool
     on_end: Callable[[RequestState], None] = lambda state: None
+    before_dispatch: Callable[[], Refusal | None] = lambda: None
 
 
 def deny(reason: Reason, detail: str) -> CallRefused:
--- a/godwitladder/serving/keys.py
+++ b/godwitladder/serving/keys.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from godwitladder.claims.actor import ClaimLog, Claims, HasSettled
+from godwitladder.claims.actor import ClaimLog, Claims, Follow, HasSettled
 from godwitladder.claims.issued import IssuedKeys, sign_key
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
@@ -18,6 +18,8 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
 from godwitladder.platform.log import LogClient
+from godwitladder.quarantine.records import Cleared, Crash, Lifted
+from godwitladder.quarantine.watch import CrashWatch
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.calls import Call, Caller, CallRefused
 from godwitladder.serving.forwarding import ForwardedAnswer, ForwardedCall, Forwarder
@@ -106,12 +108,16 @@
             self.claims, client, clock, work, settings.claims.batch_s
         )
         self.forwarder = Forwarder(host, incarnation, mesh, callers, clock)
+        self.watch = CrashWatch(
+            callers.dispatcher.serve, lambda: callers.config, self.claims, mesh, clock
+        )
+        self.claims.tell(Follow(self.watch.replay))
         self.keyed = callers.keyed = KeyedCalls(
             settings,
             self.claims,
             IssuedKeys(host, incarnation, window_s),
             self.forwarder,
-            callers.dispatcher.serve,
+            self.watch.serve,
             self.find,
             clock,
             metrics,
@@ -123,6 +129,9 @@
         return {
             ForwardedCall: self.forwarder.take,
             ForwardedAnswer: self.forwarder.take,
+            Crash: self.watch.take,
+            Cleared: self.watch.take,
+            Lifted: self.watch.take,
         }
 
     def start(self, tick_s: float) -> None:
--- a/godwitladder/serving/operators.py
+++ b/godwitladder/serving/operators.py
@@ -10,9 +10,11 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason
 from godwitladder.platform.log import CONFIG_STREAM, LogClient, LogUnavailable
+from godwitladder.quarantine.watch import CrashWatch
 from godwitladder.serving.auth import bearer_digest, matching_digest
 from godwitladder.serving.calls import CallRefused, deny
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.quarantine import QUARANTINE_PATH, answer_quarantine
 from godwitladder.settings import Settings
 
 
@@ -32,6 +34,7 @@
         self.follower = follower
         self.metrics = metrics
         self.ready = ready
+        self.watch: CrashWatch | None = None
 
     def __call__(self, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
@@ -57,6 +60,8 @@
             return self._submit(environ, start_response)
         if method == "GET" and path == "/v1/audit":
             return self._audit(start_response)
+        if path.startswith(QUARANTINE_PATH):
+            return answer_quarantine(self.watch, environ, start_response)
         if method == "GET" and path == "/v1/status":
             return self._status(start_response)
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of crashing requests."""
--- /dev/null
+++ b/tests/quarantine/test_hosts.py
@@ -0,0 +1,101 @@
+"""A crashing request on several hosts, counted by the engines that it ends."""
+
+import itertools
+import json
+from concurrent.futures import ThreadPoolExecutor
+
+from godwitladder.standins.engine import start_engine
+from tests.fleet import OPERATOR_TOKEN, Fleet, wait_until
+
+ENGINES = 4
+LETTERS = 12
+POISON = "a poisoned prompt"
+
+
+def add_engines(fleet: Fleet) -> list[str]:
+    """Start engines that end like a process; return the names of those ended."""
+    ended: list[str] = []
+    for index in range(ENGINES):
+        name = f"engine-a{index}"
+        fleet.engines[name] = start_ending(fleet, name, ended)
+    return ended
+
+
+def start_ending(fleet: Fleet, name: str, ended: list[str]):
+    def crash() -> None:
+        ended.append(name)
+        server.standin.knobs["break_after"] = 1
+        server.shutdown()
+        server.server_close()
+
+    server = start_engine(crash=crash, crash_text=POISON, decode_tps=50)
+    fleet.stack.callback(server.server_close)
+    fleet.stack.callback(server.shutdown)
+    return server
+
+
+def ask(fleet: Fleet, host, text: str, key: str, **body):
+    return fleet.chat(host, text, headers={"Idempotency-Key": key}, **body)
+
+
+def told(answer) -> tuple[str, str]:
+    body = json.loads(answer.data)
+    return body["reason"], body["outcome"]
+
+
+def test_crashing_request_takes_two_targets_and_is_refused_everywhere(fleet):
+    """Its caller is refused as not run, on every host; like prompts run.
+
+    It is sent again and again under new keys, each time to the next host. The
+    first crash makes it and what ran beside it suspects, and its trial crashes
+    a second target. It is refused until an operator lifts it. What ran beside
+    it is tried, and answered.
+    """
+    ended = add_engines(fleet)
+    for name, zone in (("host-a1", "a"), ("host-a2", "a"), ("host-b1", "b")):
+        fleet.add_host(name, zone)
+    fleet.wait_ready()
+    fleet.configure()
+    hosts = itertools.cycle(fleet.hosts)
+    with ThreadPoolExecutor(LETTERS) as pool:
+        beside = [
+            pool.submit(
+                ask, fleet, host, f"letter {index}", f"b{index}", simulate_output=60
+            )
+            for index, host in zip(range(LETTERS), hosts, strict=False)
+        ]
+        wait_until(
+            lambda: sum(map(len, map(fleet.ran, fleet.engines.values()))) == LETTERS,
+            "the letters to run",
+        )
+        answers = [
+            ask(fleet, host, POISON, f"k{index}")
+            for index, host in zip(range(9), hosts, strict=False)
+        ]
+        struck = [row.result() for row in beside]
+    assert len(ended) == 2
+    assert [told(row) for row in answers[:2]] == [("target_lost", "may_have_run")] * 2
+    assert {told(row) for row in answers[2:]} == {("quarantined", "not_run")}
+    assert {row.status for row in struck} <= {200, 502}
+    for index, host in zip(range(LETTERS), hosts, strict=False):
+        again = ask(fleet, host, f"letter {index}", f"c{index}")
+        assert again.status == 200, again.data
+    assert ask(fleet, fleet.hosts[0], POISON.upper(), "like").status == 200
+    lift(fleet)
+    wait_until(
+        lambda: told(ask(fleet, fleet.hosts[2], POISON, "lifted"))[0] != "quarantined",
+        "the lifted request to run",
+    )
+    assert len(ended) == 3
+
+
+def lift(fleet: Fleet) -> None:
+    rows = fleet.operator_get(fleet.hosts[0], "/v1/quarantine")["quarantined"]
+    assert len(rows) == 1
+    answer = fleet.http.request(
+        "POST",
+        f"http://{fleet.hosts[1].operators}/v1/quarantine/lift",
+        body=json.dumps({"digest": rows[0]["digest"], "operator": "hanna"}),
+        headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+    )
+    assert answer.status == 200, answer.data
--- /dev/null
+++ b/tests/quarantine/test_table.py
@@ -0,0 +1,77 @@
+"""The quarantine's decisions, without a network."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitladder.decisions.quarantine import HOLD_S, MERGE_S, Quarantine, Standing
+
+
+def test_second_crash_on_trial_quarantines_and_clears_bystanders():
+    """A bystander of both crashes runs on; the request that did it does not.
+
+    Three requests are on the target as it crashes. One of them crashes a
+    second target on its trial, beside a fresh request.
+    """
+    table = Quarantine()
+    for digest in ("poison", "letter", "question"):
+        table.crash("t1", digest, False, 1.0)
+    assert table.standing("letter", 1.0) is Standing.SUSPECT
+    table.crash("t2", "poison", True, 20.0)
+    table.crash("t2", "fresh", False, 21.0)
+    standings = {
+        digest: table.standing(digest, 22.0)
+        for digest in ("poison", "letter", "question", "fresh")
+    }
+    assert standings.pop("poison") is Standing.QUARANTINED
+    assert set(standings.values()) == {Standing.CLEAR}
+
+
+def test_bystander_that_is_reported_first_is_cleared_as_well():
+    """Hosts tell of one crash in any order; the verdict is the same."""
+    table = Quarantine()
+    table.crash("t1", "poison", False, 1.0)
+    table.crash("t2", "fresh", False, 20.0)
+    table.crash("t2", "poison", True, 20.0 + MERGE_S / 2)
+    assert table.standing("fresh", 26.0) is Standing.CLEAR
+    assert table.standing("poison", 26.0) is Standing.QUARANTINED
+
+
+def test_quarantine_ends_and_can_be_lifted():
+    """A quarantined request is refused until its time is over, or lifted."""
+    table = Quarantine()
+    table.crash("t1", "poison", True, 1.0)
+    assert table.standing("poison", HOLD_S) is Standing.QUARANTINED
+    assert table.standing("poison", HOLD_S + 2) is Standing.CLEAR
+    table.lift("poison")
+    assert table.standing("poison", 2.0) is Standing.CLEAR
+
+
+@given(
+    st.lists(st.sampled_from(["poison", "b", "c", "d"]), min_size=1, max_size=30),
+    st.sets(st.sampled_from(["b", "c", "d"])),
+)
+def test_crashing_request_takes_two_targets_and_nobody_else_is_quarantined(
+    order, beside
+):
+    """Whatever is sent in what order, one request alone is refused for good.
+
+    A naive engine crashes under one request. What ran beside it is suspected
+    with it, tried alone and cleared.
+    """
+    table, crashes, now = Quarantine(), 0, 0.0
+    for digest in order:
+        now += MERGE_S + 1
+        standing = table.standing(digest, now)
+        if standing is Standing.QUARANTINED:
+            assert digest == "poison"
+            continue
+        trial = standing is Standing.SUSPECT
+        if digest != "poison":
+            table.clear(digest)
+            continue
+        crashes += 1
+        target = f"t{crashes}"
+        table.crash(target, digest, trial, now)
+        for other in beside:
+            table.crash(target, other, False, now + 1)
+    assert crashes == min(2, order.count("poison"))
