--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -1,18 +1,33 @@
 """The configuration as a pure function of the log's records.
 
 Every host replays the same records in the same order and so reaches the same
-verdicts, without any agreement between hosts.
+verdicts, without any agreement between hosts. All that a verdict depends on
+is part of the ledger and of its snapshots, so that a host that starts from a
+snapshot judges the next ticket as one that replayed everything.
 """
 
 import enum
+import hashlib
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
+from godwitladder.configuration.judgement import Rejection, judge
 from godwitladder.configuration.model import ObjectKind, ObjectName, Versioned
 from godwitladder.configuration.tickets import Ticket, read_ticket
-from godwitladder.findings import Finding, Findings, InvalidInput
-from godwitladder.ids import Offset
+from godwitladder.findings import Finding, InvalidInput
+from godwitladder.ids import Offset, TicketNumber
+
+# A day of tickets at the target size, so that the trail in memory reaches as
+# far back as the records of a log that keeps them for a day.
+AUDIT_KEPT = 2400
+# The answer to an append is lost and the ticket sent again within minutes;
+# ten hours of tickets at the target size are ample to know it again.
+ACCEPTED_KEPT = 1000
+FINDINGS_KEPT = 20
+# Stands before a snapshot. TOML allows no NUL, so no ticket starts like this.
+SNAPSHOT_MARK = b"\x00godwitladder snapshot\n"
 
 
 class Verdict(enum.Enum):
@@ -25,7 +40,19 @@
 
 @dataclass(frozen=True)
 class AuditEntry:
-    """One line of the audit trail; ``time`` is seconds since the epoch."""
+    """One line of the audit trail.
+
+    Attributes
+    ----------
+    time : float
+        The log's own time of the record, in seconds since the epoch.
+    findings : tuple of Finding
+        Why it was rejected, the first ``FINDINGS_KEPT``.
+    cause : Rejection or None
+        The kind of the rejection.
+    digest : str
+        Digest of the ticket's content; empty where it could not be read.
+    """
 
     offset: Offset
     time: float
@@ -33,7 +60,19 @@
     operator: str
     reason: str
     verdict: Verdict
-    findings: tuple[Finding, ...]
+    findings: tuple[Finding, ...] = ()
+    cause: Rejection | None = None
+    digest: str = ""
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """An accepted ticket, remembered to know it again."""
+
+    number: TicketNumber
+    operator: str
+    offset: Offset
+    digest: str
 
 
 @dataclass
@@ -46,13 +85,22 @@
         Each object ever written, with the ticket that wrote it last. A
         removed object stays as a row with value None, so that an older
         ticket can't bring it back.
+    accepted : dict
+        The last ``ACCEPTED_KEPT`` accepted tickets by number.
+    audit : deque
+        The last ``AUDIT_KEPT`` verdicts.
     next : int
         Offset of the first record not yet replayed.
+    tail : str
+        SHA-256 of the record before ``next``, by which a log that was
+        restored from another copy is told from the one replayed.
     """
 
     objects: dict[ObjectName, Versioned] = field(default_factory=dict)
-    audit: list[AuditEntry] = field(default_factory=list)
+    accepted: dict[TicketNumber, Accepted] = field(default_factory=dict)
+    audit: deque[AuditEntry] = field(default_factory=lambda: deque(maxlen=AUDIT_KEPT))
     next: Offset = Offset(0)
+    tail: str = ""
 
     def table(self, kind: ObjectKind) -> Mapping[str, Any]:
         """Return the objects of ``kind`` in force, by name."""
@@ -63,24 +111,49 @@
         }
 
     def replay(self, offset: Offset, time: float, data: bytes) -> AuditEntry | None:
-        """Judge the record at ``offset``; return its audit entry.
+        """Judge the record at ``offset``; return its audit entry, if it has one.
 
         A record below ``next`` was judged before and changes nothing, so
-        that a duplicate delivery can't bring an older state back.
+        that a duplicate delivery can't bring an older state back. A snapshot
+        repeats what the records before it say, and changes nothing either.
         """
         if offset < self.next:
             return None
         self.next = Offset(offset + 1)
+        self.tail = record_digest(data)
+        if data.startswith(SNAPSHOT_MARK):
+            return None
         entry = self._judge(offset, time, data)
         self.audit.append(entry)
         return entry
 
+    def keep_newer(self, older: "Ledger") -> None:
+        """Take from ``older`` the objects that a higher number wrote there.
+
+        Between two states of one log there is none, whichever is the later.
+        Only where records were lost from the log for good can there be one,
+        and then the state in force must not go back.
+        """
+        for name, row in older.objects.items():
+            held = self.objects.get(name)
+            if held is None or held.number < row.number:
+                self.objects[name] = row
+
     def _judge(self, offset: Offset, time: float, data: bytes) -> AuditEntry:
         try:
             ticket = read_ticket(data)
         except InvalidInput as error:
-            return AuditEntry(offset, time, 0, "", "", Verdict.REJECTED, error.findings)
-        verdict, findings = judge(self.objects, ticket)
+            return AuditEntry(
+                offset,
+                time,
+                0,
+                "",
+                "",
+                Verdict.REJECTED,
+                error.findings[:FINDINGS_KEPT],
+                Rejection.INVALID,
+            )
+        verdict, cause, findings = self.judge(ticket)
         if verdict is Verdict.ACCEPTED:
             self._apply(offset, ticket)
         return AuditEntry(
@@ -90,63 +163,43 @@
             ticket.operator,
             ticket.reason,
             verdict,
-            findings,
+            findings[:FINDINGS_KEPT],
+            cause,
+            ticket.digest,
         )
 
+    def judge(
+        self, ticket: Ticket
+    ) -> tuple[Verdict, Rejection | None, tuple[Finding, ...]]:
+        """Return the verdict that ``ticket`` would get as the next record."""
+        same = self.accepted.get(ticket.number)
+        # Asked before the objects' numbers: a ticket sent again after a lost
+        # answer was accepted, even where a later one has since replaced some
+        # of its objects. "Rejected" would be untrue to its operator.
+        if same and same.digest == ticket.digest:
+            return Verdict.REPEATED, None, ()
+        if same:
+            text = (
+                f"{ticket.number} is taken: {same.operator} used it at offset "
+                f"{same.offset} for other content"
+            )
+            return Verdict.REJECTED, Rejection.CONFLICT, (Finding("number", text),)
+        cause, findings = judge(self.objects, ticket)
+        verdict = Verdict.ACCEPTED if cause is None else Verdict.REJECTED
+        return verdict, cause, findings
+
     def _apply(self, offset: Offset, ticket: Ticket) -> None:
         for name, value in ticket.writes.items():
             self.objects[name] = Versioned(
                 ticket.number, ticket.operator, offset, ticket.digest, value
             )
+        self.accepted[ticket.number] = Accepted(
+            ticket.number, ticket.operator, offset, ticket.digest
+        )
+        while len(self.accepted) > ACCEPTED_KEPT:
+            del self.accepted[next(iter(self.accepted))]
 
 
-def judge(
-    objects: Mapping[ObjectName, Versioned], ticket: Ticket
-) -> tuple[Verdict, tuple[Finding, ...]]:
-    """Return the verdict on ``ticket`` given the objects in force."""
-    held = [objects[name] for name in ticket.writes if name in objects]
-    if len(held) == len(ticket.writes) and all(
-        row.number == ticket.number and row.digest == ticket.digest for row in held
-    ):
-        return Verdict.REPEATED, ()
-    findings = Findings()
-    for name in ticket.writes:
-        _judge_number(name, objects.get(name), ticket, findings)
-    _judge_references(objects, ticket, findings)
-    if findings.rows:
-        return Verdict.REJECTED, tuple(findings.rows)
-    return Verdict.ACCEPTED, ()
-
-
-def _judge_number(
-    name: ObjectName, held: Versioned | None, ticket: Ticket, findings: Findings
-) -> None:
-    if held is None or held.number < ticket.number:
-        return
-    findings.add(
-        str(name),
-        f"ticket {ticket.number} lost to ticket {held.number} of "
-        f"{held.operator} at offset {held.offset}",
-    )
-
-
-def _judge_references(
-    objects: Mapping[ObjectName, Versioned], ticket: Ticket, findings: Findings
-) -> None:
-    """Note references to objects that would not exist with the ticket."""
-    after = {name: row.value for name, row in objects.items()} | ticket.writes
-    for name, value in after.items():
-        if value is None:
-            continue
-        for target in _references(name, value):
-            if after.get(target) is None:
-                findings.add(str(name), f"refers to {target}, which does not exist")
-
-
-def _references(name: ObjectName, value: Any) -> list[ObjectName]:
-    if name.table == ObjectKind.WORKSPACE.value:
-        return [ObjectName(ObjectKind.TIER.value, value.tier)]
-    if name.table == ObjectKind.TARGET.value:
-        table = ObjectKind.SERVICE.value
-        return [ObjectName(table, service) for service in value.services]
-    return []
+def record_digest(data: bytes) -> str:
+    """Return the digest by which two copies of a record are compared."""
+    return hashlib.sha256(data).hexdigest()
--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -5,7 +5,13 @@
 from typing import Any
 
 from godwitladder.ids import ServiceName, TierName, Zone
-from godwitladder.tables import checked, host_port, not_negative, positive
+from godwitladder.tables import (
+    checked,
+    host_port,
+    not_negative,
+    positive,
+    sha256_digests,
+)
 
 
 class ServiceKind(enum.Enum):
@@ -55,7 +61,7 @@
     """
 
     tier: TierName
-    key_digests: tuple[str, ...] = ()
+    key_digests: tuple[str, ...] = checked(sha256_digests, default=())
     share: float = checked(positive, default=1.0)
     quota: int = checked(not_negative, default=0)
 
--- /dev/null
+++ b/godwitladder/configuration/snapshots.py
@@ -0,0 +1,135 @@
+"""Snapshots: the whole state of a ledger as one record or message.
+
+Records of the log expire. A snapshot that was appended before they do lets a
+host that starts later reach the state that a full replay would have given it.
+The form is CBOR, deflated, behind a mark with which no ticket can start.
+"""
+
+import dataclasses
+import enum
+import zlib
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from godwitladder.configuration.ledger import (
+    AUDIT_KEPT,
+    SNAPSHOT_MARK,
+    Accepted,
+    AuditEntry,
+    Ledger,
+)
+from godwitladder.configuration.model import TYPES, ObjectKind, ObjectName, Versioned
+from godwitladder.findings import Findings, GodwitladderError
+from godwitladder.ids import Offset
+from godwitladder.tables import read_table
+
+# Bounds what a damaged record can make a host unpack; the state at the
+# target size takes a few megabytes.
+UNPACKED_BYTES = 67_108_864
+
+
+class BadSnapshot(GodwitladderError):
+    """Bytes that are no snapshot."""
+
+
+@dataclass(frozen=True)
+class ObjectRow:
+    """Name and writer of one object in a snapshot."""
+
+    table: str
+    name: str
+    number: int
+    operator: str
+    offset: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class SnapshotHead:
+    """The parts of a ledger that are no rows."""
+
+    next: int
+    tail: str
+
+
+def encode_snapshot(ledger: Ledger) -> bytes:
+    """Return ``ledger`` as a snapshot."""
+    body = {
+        "head": dataclasses.asdict(SnapshotHead(ledger.next, ledger.tail)),
+        "objects": [_object_row(name, row) for name, row in ledger.objects.items()],
+        "accepted": [dataclasses.asdict(row) for row in ledger.accepted.values()],
+        "audit": [dataclasses.asdict(row) for row in ledger.audit],
+    }
+    return SNAPSHOT_MARK + zlib.compress(cbor2.dumps(body, default=_encode_enum))
+
+
+def decode_snapshot(data: bytes) -> Ledger:
+    """Return the ledger in ``data``.
+
+    Raises
+    ------
+    BadSnapshot
+        The bytes are damaged, or of a form that this version doesn't know.
+    """
+    body = _unpack(data)
+    findings = Findings()
+    try:
+        head = _read(body["head"], SnapshotHead, findings)
+        objects = [_read_object(row, findings) for row in body["objects"]]
+        accepted = [_read(row, Accepted, findings) for row in body["accepted"]]
+        audit = [_read(row, AuditEntry, findings) for row in body["audit"]]
+        findings.raise_if_any()
+    except (KeyError, TypeError, ValueError, GodwitladderError) as error:
+        raise BadSnapshot(f"not a snapshot: {error!r}") from error
+    return Ledger(
+        objects=dict(objects),
+        accepted={row.number: row for row in accepted},
+        audit=deque(audit, maxlen=AUDIT_KEPT),
+        next=Offset(head.next),
+        tail=head.tail,
+    )
+
+
+def _unpack(data: bytes) -> Any:
+    if not data.startswith(SNAPSHOT_MARK):
+        raise BadSnapshot("the mark is missing")
+    reader = zlib.decompressobj()
+    try:
+        plain = reader.decompress(data[len(SNAPSHOT_MARK) :], UNPACKED_BYTES)
+        return cbor2.loads(plain)
+    except (zlib.error, cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise BadSnapshot(f"not a snapshot: {error!r}") from error
+
+
+def _object_row(name: ObjectName, row: Versioned) -> list:
+    head = ObjectRow(
+        name.table, name.name, row.number, row.operator, row.offset, row.digest
+    )
+    value = None if row.value is None else dataclasses.asdict(row.value)
+    return [dataclasses.asdict(head), value]
+
+
+def _read_object(raw: list, findings: Findings) -> tuple[ObjectName, Versioned]:
+    head, value = raw
+    row = _read(head, ObjectRow, findings)
+    if value is not None:
+        kind = TYPES[ObjectKind(row.table)]
+        value = read_table(value, kind, f"{row.table}.{row.name}", findings)
+    versioned = Versioned(row.number, row.operator, row.offset, row.digest, value)
+    return ObjectName(row.table, row.name), versioned
+
+
+def _read(raw: Any, kind: type, findings: Findings) -> Any:
+    value = read_table(raw, kind, kind.__name__, findings)
+    if value is None:
+        findings.raise_if_any()
+    return value
+
+
+def _encode_enum(encoder: Any, value: Any) -> None:
+    if not isinstance(value, enum.Enum):
+        raise TypeError(f"{value!r} has no form in a snapshot")
+    encoder.encode(value.value)
--- a/godwitladder/configuration/tickets.py
+++ b/godwitladder/configuration/tickets.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import json
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -13,8 +14,11 @@
 from godwitladder.findings import Findings
 from godwitladder.ids import TicketNumber
 from godwitladder.settings import load_toml
-from godwitladder.tables import read_table
+from godwitladder.tables import WHOLE_MAX, read_table
 
+# Bounds are constants and no settings: a verdict must be the same everywhere.
+TICKET_BYTES = 1_048_576
+NAME_CHARS = 200
 HEAD = ("number", "operator", "reason", "remove")
 TABLES = tuple(kind.value for kind in ObjectKind)
 
@@ -28,7 +32,7 @@
     writes : dict
         New value for each object; None removes it.
     digest : str
-        SHA-256 of the ticket's text, which tells the same content from other.
+        SHA-256 of the ticket's content, whatever its layout and comments.
     """
 
     number: TicketNumber
@@ -47,21 +51,29 @@
         With every finding in the text.
     """
     findings = Findings()
-    raw = load_toml(data, name, findings)
+    if len(data) > TICKET_BYTES:
+        findings.add(name, f"has {len(data)} bytes, more than {TICKET_BYTES}")
+        findings.raise_if_any()
     ticket = None
-    if raw is not None:
-        ticket = _read(raw, data, name, findings)
+    raw = load_toml(data, name, findings)
+    try:
+        ticket = _read(raw, name, findings) if raw is not None else None
+    except RecursionError:
+        # A dotted key of thousands of parts is sound TOML; see load_toml.
+        findings.add(name, "is nested too deeply")
     findings.raise_if_any()
     return ticket
 
 
-def _read(raw: dict, data: bytes, name: str, findings: Findings) -> Ticket:
+def _read(raw: dict, name: str, findings: Findings) -> Ticket:
     for key in raw:
         if key not in HEAD + TABLES:
             findings.add_unknown(f"{name}: {key}", key, HEAD + TABLES)
     number = raw.get("number")
-    if not isinstance(number, int) or isinstance(number, bool) or number < 1:
-        findings.add(f"{name}: number", f"{number!r} must be a whole number from 1")
+    whole = isinstance(number, int) and not isinstance(number, bool)
+    if not whole or not 1 <= number <= WHOLE_MAX:
+        text = f"must be a whole number from 1 to {WHOLE_MAX}"
+        findings.add(f"{name}: number", text)
     for key in ("operator", "reason"):
         if not isinstance(raw.get(key), str) or not raw.get(key):
             findings.add(f"{name}: {key}", "must be a text that is not empty")
@@ -69,12 +81,16 @@
     _read_removals(raw.get("remove", []), name, writes, findings)
     if not writes:
         findings.add(name, "touches no object")
-    digest = hashlib.sha256(data).hexdigest()
     return Ticket(
-        number, raw.get("operator", ""), raw.get("reason", ""), writes, digest
+        number, raw.get("operator", ""), raw.get("reason", ""), writes, _digest(raw)
     )
 
 
+def _digest(raw: dict) -> str:
+    content = json.dumps(raw, sort_keys=True, default=str)
+    return hashlib.sha256(content.encode()).hexdigest()
+
+
 def _read_writes(raw: dict, name: str, findings: Findings) -> dict[ObjectName, Any]:
     writes = {}
     for kind in ObjectKind:
@@ -84,6 +100,8 @@
             continue
         for item, value in table.items():
             place = f"{name}: {kind.value}.{item}"
+            if not item.isprintable() or not 0 < len(item) <= NAME_CHARS:
+                findings.add(place, f"a name has 1 to {NAME_CHARS} printable letters")
             read = read_table(value, TYPES[kind], place, findings)
             writes[ObjectName(kind.value, item)] = read
     return writes
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -11,6 +11,7 @@
 from waitress.server import BaseWSGIServer, MultiSocketServer
 
 from godwitladder.clock import Clock
+from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.state import make_state
@@ -93,7 +94,14 @@
         )
         self.log = LogClient(settings.platform.log, settings.zone)
         self.stack.callback(self.log.close)
-        self.follower = ConfigFollower(self.log, clock, self.publish_config)
+        self.follower = ConfigFollower(
+            self.log,
+            clock,
+            self.publish_config,
+            settings.host,
+            settings.platform.config_stream,
+            settings.platform.log_retention_s,
+        )
         self.callers = CallerApp(settings, self.scheduler, clock, self.metrics)
         self.operators = OperatorApp(
             settings, self.log, self.follower, self.metrics, self.ready
@@ -107,6 +115,8 @@
             settings.peers.seeds,
             lambda link: self.membership.tell(LinkUp(link)),
         )
+        self.follower.send = self.mesh.send
+        self.exchange = self.start_actor(ConfigExchange, self.follower)
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -115,7 +125,9 @@
             clock,
             self.publish_members,
         )
-        self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
+        self.router.connect(
+            self.mesh, self.membership, self.scheduler, self.allocator, self.exchange
+        )
         self.servers: list[MultiSocketServer | BaseWSGIServer] = []
 
     def start_actor(self, kind: type[pykka.ThreadingActor], *parts: Any) -> Any:
--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -4,6 +4,7 @@
 
 import pykka
 
+from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.ids import HostId
 from godwitladder.membership.links import Link, Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews
@@ -22,7 +23,7 @@
     def __init__(self, host: HostId) -> None:
         self.host = host
         self.mesh: Mesh | None = None
-        self.actors: dict[type, pykka.ActorRef] = {}
+        self.actors: dict[type, tuple[pykka.ActorRef, ...]] = {}
 
     def connect(
         self,
@@ -30,15 +31,18 @@
         membership: pykka.ActorRef,
         scheduler: pykka.ActorRef,
         allocator: pykka.ActorRef,
+        configuration: pykka.ActorRef,
     ) -> None:
         """Set the parts, once all of them are there."""
         self.mesh = mesh
         self.actors = {
-            Heartbeat: membership,
-            LiveNews: membership,
-            GrantOffer: scheduler,
-            PoolReport: allocator,
-            FloorReport: allocator,
+            Heartbeat: (membership, configuration),
+            LiveNews: (membership,),
+            GrantOffer: (scheduler,),
+            PoolReport: (allocator,),
+            FloorReport: (allocator,),
+            ConfigRequest: (configuration,),
+            ConfigSnapshot: (configuration,),
         }
 
     def send(self, host: HostId, message: Any) -> None:
@@ -48,7 +52,7 @@
         them are repeated with newer contents.
         """
         if host == self.host:
-            self.actors[type(message)].tell(message)
+            self._tell(message)
         elif self.mesh:
             self.mesh.send(host, message)
 
@@ -57,6 +61,8 @@
         if isinstance(message, GrantOffer) and message.host != self.host:
             self.send(message.host, message)
             return
-        actor = self.actors.get(type(message))
-        if actor:
+        self._tell(message)
+
+    def _tell(self, message: Any) -> None:
+        for actor in self.actors.get(type(message), ()):
             actor.tell(message)
--- a/godwitladder/platform/log.py
+++ b/godwitladder/platform/log.py
@@ -16,12 +16,20 @@
 
 CONFIG_STREAM = "config"
 CLAIM_STREAM = "claims"
+CONNECT_ERRORS = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 
 
 class LogUnavailable(GodwitladderError):
     """The log did not answer; an append may still have been applied."""
 
 
+class LogNotReached(LogUnavailable):
+    """No connection was made: nothing was sent, an append was not applied."""
+
+
 @dataclass(frozen=True)
 class Record:
     """One record; ``time`` is the log's own, in seconds since the epoch."""
@@ -69,6 +77,8 @@
 
         Raises
         ------
+        LogNotReached
+            Nothing was sent.
         LogUnavailable
             No answer: the batch may or may not have been applied. Only
             reading the stream can tell.
@@ -95,5 +105,7 @@
             if answer.status != 200:
                 raise LogUnavailable(f"log answered {answer.status} to {path}")
             return json.loads(answer.data)
+        except CONNECT_ERRORS as error:
+            raise LogNotReached(f"no connection for {path}: {error}") from error
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise LogUnavailable(f"log did not answer {path}: {error}") from error
--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -6,7 +6,14 @@
 
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
-from godwitladder.tables import checked, host_port, positive, read_table
+from godwitladder.tables import (
+    checked,
+    host_port,
+    http_url,
+    not_empty,
+    positive,
+    read_table,
+)
 
 
 @dataclass(frozen=True)
@@ -32,11 +39,23 @@
 
 @dataclass(frozen=True)
 class PlatformSettings:
-    """Where the platform's services are, as URLs."""
+    """Where the platform's services are.
 
-    log: str
-    hosts: str
+    Attributes
+    ----------
+    log, hosts, weights : str
+        URLs of the log, the host list and the weight store.
+    log_retention_s : float
+        How long the log keeps records at least, in seconds.
+    config_stream : str
+        Stream of the log that holds the tickets.
+    """
+
+    log: str = checked(http_url)
+    hosts: str = checked(http_url)
     weights: str = ""
+    log_retention_s: float = checked(positive, default=86_400.0)
+    config_stream: str = checked(not_empty, default="config")
 
 
 @dataclass(frozen=True)
@@ -137,6 +156,9 @@
     """Return ``data`` as TOML, or None with a finding."""
     try:
         return tomllib.loads(data.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    # Deep nesting ends in RecursionError, and a number of thousands of digits
+    # in a plain ValueError. Unless both are caught here, one such record in
+    # the log would end the replay on every host at once, and for good.
+    except (ValueError, RecursionError) as error:
         findings.add(name, f"is not TOML: {error}")
         return None
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 import functools
+import math
+import re
 import typing
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
@@ -16,6 +18,9 @@
 
 T = TypeVar("T")
 Check = Callable[[Any], str | None]
+DIGEST = re.compile("[0-9a-f]{64}")
+# The largest that every reader of JSON keeps exactly.
+WHOLE_MAX = 2**53 - 1
 
 
 def checked(check: Check, **kwargs: Any) -> Any:
@@ -24,19 +29,46 @@
 
 
 def positive(value: float) -> str | None:
-    """Accept numbers above zero."""
-    return None if value > 0 else f"{value!r} must be above zero"
+    """Accept finite numbers above zero."""
+    return None if 0 < value < math.inf else f"{value!r} must be above zero and finite"
 
 
 def not_negative(value: float) -> str | None:
-    """Accept zero and numbers above it."""
-    return None if value >= 0 else f"{value!r} must not be negative"
+    """Accept zero and finite numbers above it."""
+    return (
+        None if 0 <= value < math.inf else f"{value!r} must be finite and not negative"
+    )
+
+
+def sha256_digest(value: str) -> str | None:
+    """Accept a SHA-256 in lower-case hex."""
+    if DIGEST.fullmatch(value):
+        return None
+    return f"{value!r} must be a SHA-256: 64 digits of lower-case hex"
+
+
+def sha256_digests(values: tuple[str, ...]) -> str | None:
+    """Accept a list of SHA-256 digests in lower-case hex."""
+    texts = [sha256_digest(value) for value in values if value is not None]
+    return next((text for text in texts if text), None)
+
+
+def http_url(value: str) -> str | None:
+    """Accept ``http://`` or ``https://`` and an address."""
+    if value.startswith(("http://", "https://")) and value.split("://")[1]:
+        return None
+    return f"{value!r} must start with http:// or https:// and name an address"
+
+
+def not_empty(value: str) -> str | None:
+    """Accept any text but the empty one."""
+    return None if value else "must not be empty"
 
 
 def host_port(value: str) -> str | None:
     """Accept ``address:port`` with a port from 0 to 65535."""
     address, _, port = value.rpartition(":")
-    if address and port.isdigit() and int(port) <= 65_535:
+    if address and port.isascii() and port.isdigit() and int(port) <= 65_535:
         return None
     return f"{value!r} must be address:port"
 
@@ -102,6 +134,9 @@
 
 
 def _read_value(raw: Any, hint: Any, place: str, findings: Findings) -> Any:
+    # TOML has no null, but messages and snapshots in CBOR do.
+    if raw is None and type(None) in typing.get_args(hint):
+        return None
     hint = _plain(hint)
     if typing.get_origin(hint) is tuple:
         return _read_list(raw, typing.get_args(hint)[0], place, findings)
@@ -110,13 +145,24 @@
     if dataclasses.is_dataclass(hint):
         return read_table(raw, hint, place, findings)
     if hint is float and isinstance(raw, int) and not isinstance(raw, bool):
-        return float(raw)
+        return _read_float(raw, place, findings)
+    if hint is int and isinstance(raw, int) and abs(raw) > WHOLE_MAX:
+        findings.add(place, f"is a larger number than {WHOLE_MAX}")
+        return None
     if isinstance(raw, hint) and not (hint is int and isinstance(raw, bool)):
         return raw
     findings.add(place, f"expected {hint.__name__}, found {raw!r}")
     return None
 
 
+def _read_float(raw: int, place: str, findings: Findings) -> float | None:
+    try:
+        return float(raw)
+    except OverflowError:
+        findings.add(place, "is too large a number")
+        return None
+
+
 @functools.cache
 def _plain(hint: Any) -> Any:
     """Return the type below a NewType or an optional."""
--- /dev/null
+++ b/tests/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration."""
