--- a/godwitladder/configuration/follower.py
+++ b/godwitladder/configuration/follower.py
@@ -94,6 +94,7 @@
         self.peers: dict[HostId, int] = {}
         self.behind_since: float | None = None
         self.requested = float("-inf")
+        self.asked = 0
         self.snapshot_tried = float("-inf")
         self.encoded: tuple[Offset, bytes] | None = None
         self.thread = threading.Thread(target=self.run, name="config", daemon=True)
@@ -148,15 +149,19 @@
         self.ask_peers()
 
     def ask_peers(self) -> None:
-        """Ask the peer that is furthest ahead for its state, if it would help."""
+        """Ask a peer that is ahead for its state, each in its turn."""
         now = self.clock.monotonic()
         with self.lock:
-            host = max(self.peers, key=self.peers.get, default=None)
-            if host is None or not self._wants_state(self.peers[host], now):
+            if not self._wants_state(max(self.peers.values(), default=-1), now):
                 return
             if now - self.requested < REQUEST_PERIOD_S:
                 return
+            ahead = [row for row in self.peers if self.peers[row] >= self.ledger.next]
+            if not ahead:
+                return
             self.requested = now
+            self.asked += 1
+            host = ahead[self.asked % len(ahead)]
         if not self.send(host, ConfigRequest(self.host)):
             with self.lock:
                 self.peers.pop(host, None)
