Answer a ticket with its verdict, and settle lost answers by reading

Operators have names with tokens of their own, so that nobody can write into the trail as another; tokens without a name still work and are marked as unproved. A ticket whose append got no answer is looked for in the stream: found, it has its verdict; not found, the answer says that it may have been taken. Where no connection was made it says not run. A page or a host list of another form counts as no answer; before, it ended the thread that read it and with it the host.

Settings are checked as a whole: an unreadable or empty file, port clashes, digests, IP numbers, seeds, TLS files, equal tokens.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pykka
+from aioprometheus import Gauge
 from waitress.server import BaseWSGIServer, MultiSocketServer
 
 from godwitladder.clock import Clock
@@ -44,7 +45,7 @@
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
 from godwitladder.serving.listener import make_listener
-from godwitladder.serving.operators import OperatorApp
+from godwitladder.serving.operators import HostStatus, OperatorApp
 from godwitladder.settings import Settings, TlsSettings
 from godwitladder.supervision import supervised, watch_threads
 
@@ -104,7 +105,7 @@
         )
         self.callers = CallerApp(settings, self.scheduler, clock, self.metrics)
         self.operators = OperatorApp(
-            settings, self.log, self.follower, self.metrics, self.ready
+            settings, self.log, self.follower, self.metrics, self.status
         )
         self.mesh = Mesh(
             settings.host,
@@ -195,6 +196,30 @@
         """Return whether callers should be sent here."""
         return self.follower.caught_up.is_set() and not self.stopping.is_set()
 
+    def status(self) -> HostStatus:
+        """Return what operators are told of this host."""
+        targets = self.callers.config.targets
+        return HostStatus(
+            host=self.settings.host,
+            zone=self.settings.zone,
+            ready=self.ready(),
+            stopping=self.stopping.is_set(),
+            config_offset=self.follower.ledger.next,
+            config_phase=self.follower.replica.phase.value,
+            log_reachable=self.follower.reachable,
+            peers=tuple(sorted(link.peer for link in self.mesh.current())),
+            targets={name: row.state.value for name, row in targets.items()},
+            waiting=self.scheduler_count(self.metrics.waiting),
+            running=self.scheduler_count(self.metrics.running),
+        )
+
+    def scheduler_count(self, gauge: Gauge) -> int:
+        """Return a gauge that the scheduler sets at each tick."""
+        try:
+            return int(gauge.get({}))
+        except KeyError:
+            return 0
+
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         settings = self.settings
--- a/godwitladder/platform/hosts.py
+++ b/godwitladder/platform/hosts.py
@@ -40,11 +40,13 @@
             answer = self.pool.request(
                 "GET", f"{self.url}/hosts", timeout=self.timeout_s
             )
-            rows = json.loads(answer.data)
             if answer.status != 200:
                 raise HostListUnavailable(f"host list answered {answer.status}")
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return tuple(
+                ListedHost(row["address"], row["zone"], row["leaving"])
+                for row in json.loads(answer.data)
+            )
+        except urllib3.exceptions.HTTPError as error:
             raise HostListUnavailable(f"host list did not answer: {error}") from error
-        return tuple(
-            ListedHost(row["address"], row["zone"], row["leaving"]) for row in rows
-        )
+        except (ValueError, KeyError, TypeError) as error:
+            raise HostListUnavailable(f"host list is no list: {error!r}") from error
--- a/godwitladder/platform/log.py
+++ b/godwitladder/platform/log.py
@@ -8,6 +8,7 @@
 import base64
 import json
 from dataclasses import dataclass
+from typing import Any
 
 import urllib3
 
@@ -85,17 +86,19 @@
         """
         body = json.dumps([base64.b64encode(data).decode() for data in records])
         answer = self._request("POST", f"/log/{stream}", body, self.timeout_s)
-        return Offset(answer["offset"])
+        try:
+            return Offset(answer["offset"])
+        except (KeyError, TypeError) as error:
+            raise LogUnavailable(f"log answered no offset: {error!r}") from error
 
     def read(self, stream: str, start: Offset, wait_s: float = 0.0) -> Page:
         """Return the records from ``start`` on, waiting up to ``wait_s`` for one."""
         path = f"/log/{stream}?from={start}&wait={wait_s}"
         answer = self._request("GET", path, None, self.timeout_s + wait_s)
-        records = tuple(
-            Record(row["offset"], row["time"], base64.b64decode(row["data"]))
-            for row in answer["records"]
-        )
-        return Page(Offset(answer["first"]), Offset(answer["next"]), records)
+        try:
+            return _read_page(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            raise LogUnavailable(f"log answered no page: {error!r}") from error
 
     def _request(self, method: str, path: str, body: str | None, timeout: float):
         try:
@@ -109,3 +112,11 @@
             raise LogNotReached(f"no connection for {path}: {error}") from error
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise LogUnavailable(f"log did not answer {path}: {error}") from error
+
+
+def _read_page(answer: Any) -> Page:
+    records = tuple(
+        Record(row["offset"], row["time"], base64.b64decode(row["data"]))
+        for row in answer["records"]
+    )
+    return Page(Offset(answer["first"]), Offset(answer["next"]), records)
--- a/godwitladder/serving/operators.py
+++ b/godwitladder/serving/operators.py
@@ -1,20 +1,64 @@
 """The WSGI application that operators and their monitoring reach."""
 
 import json
+import math
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import asdict, dataclass
+from urllib.parse import parse_qs
 
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import AuditEntry
-from godwitladder.configuration.tickets import read_ticket
-from godwitladder.findings import InvalidInput
+from godwitladder.configuration.tickets import TICKET_BYTES
+from godwitladder.findings import Finding
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason
-from godwitladder.platform.log import CONFIG_STREAM, LogClient, LogUnavailable
+from godwitladder.platform.log import LogClient
 from godwitladder.serving.auth import bearer_digest, matching_digest
 from godwitladder.serving.calls import CallRefused, deny
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.submission import (
+    DEFAULT_WAIT_S,
+    SubmissionFailed,
+    Submitted,
+    TicketDesk,
+    TicketRefused,
+    is_rejected,
+)
 from godwitladder.settings import Settings
 
+TICKETS = "/v1/tickets"
+
+
+@dataclass(frozen=True)
+class HostStatus:
+    """What a host tells operators of itself.
+
+    Attributes
+    ----------
+    config_offset : int
+        Offset of the next record to replay; all before it are in force.
+    config_phase : str
+        See `godwitladder.configuration.replica.Phase`.
+    log_reachable : bool
+        Whether the log answered when it was last asked.
+    peers : tuple of str
+        Hosts to which a link is up.
+    targets : dict
+        State of each target in force, by name.
+    """
+
+    host: str
+    zone: str
+    ready: bool
+    stopping: bool
+    config_offset: int
+    config_phase: str
+    log_reachable: bool
+    peers: tuple[str, ...]
+    targets: dict[str, str]
+    waiting: int
+    running: int
+
 
 class OperatorApp:
     """Serves operators: tickets, audit, status; and probes without a token."""
@@ -25,75 +69,99 @@
         log: LogClient,
         follower: ConfigFollower,
         metrics: Metrics,
-        ready: Callable[[], bool],
+        status: Callable[[], HostStatus],
     ) -> None:
         self.settings = settings
-        self.log = log
         self.follower = follower
         self.metrics = metrics
-        self.ready = ready
+        self.status = status
+        self.desk = TicketDesk(log, follower)
 
     def __call__(self, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
         try:
             return self._route(environ, start_response)
-        except CallRefused as error:
+        except (CallRefused, SubmissionFailed) as error:
             return answer_problem(start_response, error.refusal)
+        except TicketRefused as error:
+            return _refuse_ticket(start_response, error)
 
     def _route(self, environ: Mapping, start_response) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         if path == "/healthz":
             return _json(start_response, {"healthy": True})
         if path == "/readyz":
-            ready = self.ready()
+            ready = self.status().ready
             status = "200 OK" if ready else "503 Service Unavailable"
             return _json(start_response, {"ready": ready}, status)
         if path == "/metrics":
             body, headers = self.metrics.render()
             start_response("200 OK", list(headers.items()))
             return [body]
-        self._authenticate(environ)
-        if method == "POST" and path == "/v1/tickets":
-            return self._submit(environ, start_response)
+        operator = self._authenticate(environ)
+        if method == "POST" and path == TICKETS:
+            return self._submit(environ, operator, start_response)
+        if method == "GET" and path == TICKETS:
+            return self._list_tickets(start_response)
+        if method == "GET" and path.startswith(f"{TICKETS}/"):
+            number = path.removeprefix(f"{TICKETS}/")
+            return self._show_ticket(number, start_response)
         if method == "GET" and path == "/v1/audit":
-            return self._audit(start_response)
+            return self._audit(environ, start_response)
         if method == "GET" and path == "/v1/status":
-            return self._status(start_response)
+            return _json(start_response, asdict(self.status()))
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
 
-    def _authenticate(self, environ: Mapping) -> None:
-        known = self.settings.operator_token_digests
-        if not matching_digest(bearer_digest(environ), known):
+    def _authenticate(self, environ: Mapping) -> str:
+        """Return the operator's name; empty for a token without one."""
+        names = {row.digest: row.name for row in self.settings.operators}
+        known = [*names, *self.settings.operator_token_digests]
+        digest = matching_digest(bearer_digest(environ), known)
+        if not digest:
             raise deny(Reason.UNAUTHENTICATED, "The operator's token is not known.")
+        return names.get(digest, "")
 
-    def _submit(self, environ: Mapping, start_response) -> Iterable[bytes]:
+    def _submit(
+        self, environ: Mapping, operator: str, start_response
+    ) -> Iterable[bytes]:
         length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > TICKET_BYTES:
+            raise deny(Reason.TOO_LARGE, f"A ticket has at most {TICKET_BYTES} bytes.")
         body = environ["wsgi.input"].read(length)
-        try:
-            read_ticket(body)
-        except InvalidInput as error:
-            rows = [{"place": row.place, "text": row.text} for row in error.findings]
-            return _json(start_response, {"findings": rows}, "422 Unprocessable")
-        try:
-            offset = self.log.append(CONFIG_STREAM, [body])
-        except LogUnavailable as error:
-            answer = {"detail": f"The log may or may not have the ticket: {error}"}
-            return _json(start_response, answer, "503 Service Unavailable")
-        return _json(start_response, {"offset": offset}, "202 Accepted")
+        wait_s = _read_number(environ, "wait", DEFAULT_WAIT_S)
+        submitted = self.desk.submit(body, operator, wait_s)
+        status = "409 Conflict" if is_rejected(submitted) else "202 Accepted"
+        return _json(start_response, submitted_row(submitted), status)
+
+    def _list_tickets(self, start_response) -> Iterable[bytes]:
+        with self.follower.lock:
+            rows = [asdict(row) for row in self.follower.ledger.accepted.values()]
+        return _json(start_response, {"tickets": rows})
 
-    def _audit(self, start_response) -> Iterable[bytes]:
+    def _show_ticket(self, text: str, start_response) -> Iterable[bytes]:
+        if not (text.isascii() and text.isdigit()):
+            raise deny(Reason.MALFORMED, f"{text!r} is no ticket's number.")
+        number = int(text[:20])
         with self.follower.lock:
-            rows = [audit_row(entry) for entry in self.follower.ledger.audit]
-        return _json(start_response, {"audit": rows})
+            ledger = self.follower.ledger
+            rows = [audit_row(row) for row in ledger.audit if row.number == number]
+            names = [
+                str(name)
+                for name, row in ledger.objects.items()
+                if row.number == number
+            ]
+        if not rows and not names:
+            raise deny(Reason.UNKNOWN_PATH, f"No ticket {number} is on record.")
+        answer = {"number": number, "verdicts": rows, "in_force": names}
+        return _json(start_response, answer)
 
-    def _status(self, start_response) -> Iterable[bytes]:
-        status = {
-            "host": self.settings.host,
-            "zone": self.settings.zone,
-            "config_offset": self.follower.ledger.next,
-            "ready": self.ready(),
-        }
-        return _json(start_response, status)
+    def _audit(self, environ: Mapping, start_response) -> Iterable[bytes]:
+        start = _read_number(environ, "from", 0)
+        with self.follower.lock:
+            entries = list(self.follower.ledger.audit)
+            following = self.follower.ledger.next
+        rows = [audit_row(entry) for entry in entries if entry.offset >= start]
+        return _json(start_response, {"audit": rows, "next": following})
 
 
 def audit_row(entry: AuditEntry) -> dict:
@@ -105,10 +173,45 @@
         "operator": entry.operator,
         "reason": entry.reason,
         "verdict": entry.verdict.value,
+        "cause": entry.cause.value if entry.cause else None,
         "findings": [str(finding) for finding in entry.findings],
     }
 
 
+def submitted_row(submitted: Submitted) -> dict:
+    """Return a submitted ticket as members of a JSON object."""
+    entry = submitted.entry
+    if entry is None:
+        return {"offset": submitted.offset, "verdict": "pending"}
+    row = audit_row(entry) | {"findings": _finding_rows(entry.findings)}
+    if is_rejected(submitted):
+        row["detail"] = f"Ticket {entry.number} was rejected."
+    return row
+
+
+def _finding_rows(findings: Iterable[Finding]) -> list[dict]:
+    return [{"place": row.place, "text": row.text} for row in findings]
+
+
+def _refuse_ticket(start_response, error: TicketRefused) -> list[bytes]:
+    status = "403 Forbidden" if error.forbidden else "422 Unprocessable Content"
+    answer = {"outcome": "not_run", "detail": str(error)}
+    answer["findings"] = _finding_rows(error.findings)
+    return _json(start_response, answer, status)
+
+
+def _read_number(environ: Mapping, name: str, default: float) -> float:
+    """Return a number from the query."""
+    text = parse_qs(environ.get("QUERY_STRING", "")).get(name, [str(default)])[0]
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < math.inf:
+        raise deny(Reason.MALFORMED, f"{name}={text} is no number from 0 on.")
+    return value
+
+
 def _json(start_response, value: dict, status: str = "200 OK") -> list[bytes]:
     body = json.dumps(value).encode()
     headers = [
--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -8,13 +8,25 @@
 from godwitladder.ids import HostId, Zone
 from godwitladder.tables import (
     checked,
-    host_port,
     http_url,
+    ip_port,
+    ip_ports,
     not_empty,
     positive,
     read_table,
+    sha256_digest,
+    sha256_digests,
 )
 
+SECRET_CHARS = 16
+
+
+def long_enough(value: str) -> str | None:
+    """Accept a secret that can't be guessed from one greeting."""
+    if len(value) >= SECRET_CHARS:
+        return None
+    return f"must have at least {SECRET_CHARS} letters"
+
 
 @dataclass(frozen=True)
 class TlsSettings:
@@ -29,9 +41,9 @@
 class ListenSettings:
     """The three listeners of an entry host, each ``address:port``."""
 
-    callers: str = checked(host_port)
-    operators: str = checked(host_port)
-    peers: str = checked(host_port)
+    callers: str = checked(ip_port)
+    operators: str = checked(ip_port)
+    peers: str = checked(ip_port)
     callers_tls: TlsSettings | None = None
     operators_tls: TlsSettings | None = None
     peers_tls: TlsSettings | None = None
@@ -74,8 +86,8 @@
         among 48 hosts; six periods leave a margin.
     """
 
-    secret: str
-    seeds: tuple[str, ...] = ()
+    secret: str = checked(long_enough)
+    seeds: tuple[str, ...] = checked(ip_ports, default=())
     heartbeat_s: float = checked(positive, default=0.5)
     timeout_s: float = checked(positive, default=3.0)
 
@@ -122,19 +134,41 @@
     idle_tick_s: float = checked(positive, default=0.25)
 
 
+@dataclass(frozen=True)
+class OperatorSettings:
+    """An operator's name, as in tickets, and the SHA-256 of the token."""
+
+    name: str = checked(not_empty)
+    digest: str = checked(sha256_digest)
+
+
 @dataclass(frozen=True)
 class Settings:
-    """Everything one entry host is told at its start."""
+    """Everything one entry host is told at its start.
 
-    host: HostId
-    zone: Zone
-    operator_token_digests: tuple[str, ...]
+    Attributes
+    ----------
+    operators : tuple of OperatorSettings
+        Who may submit tickets, each under the own name only.
+    zones : tuple of str
+        The availability zones there are, to find a misspelt one; optional.
+    operator_token_digests : tuple of str
+        SHA-256 of tokens without a name, which may sign for any operator.
+        What they submit stands in the audit trail under the name that the
+        ticket gives, unproved; meant for trials.
+    """
+
+    host: HostId = checked(not_empty)
+    zone: Zone = checked(not_empty)
     listen: ListenSettings
     platform: PlatformSettings
     peers: PeerSettings
     limits: LimitSettings = field(default_factory=LimitSettings)
     claims: ClaimSettings = field(default_factory=ClaimSettings)
     scheduler: SchedulerSettings = field(default_factory=SchedulerSettings)
+    operators: tuple[OperatorSettings, ...] = ()
+    zones: tuple[Zone, ...] = ()
+    operator_token_digests: tuple[str, ...] = checked(sha256_digests, default=())
 
 
 def read_settings(path: Path) -> Settings:
@@ -146,12 +180,72 @@
         With every finding in the file.
     """
     findings = Findings()
-    raw = load_toml(path.read_bytes(), str(path), findings)
-    settings = read_table(raw, Settings, f"{path}: ", findings) if raw else None
+    settings = None
+    raw = _load_file(path, findings)
+    if raw is not None:
+        settings = read_table(raw, Settings, f"{path}: ", findings)
+    if settings is not None:
+        _check_whole(settings, f"{path}: ", findings)
     findings.raise_if_any()
     return settings
 
 
+def _load_file(path: Path, findings: Findings) -> dict | None:
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        findings.add(str(path), f"can't be read: {error.strerror}")
+        return None
+    return load_toml(data, str(path), findings)
+
+
+def _check_whole(settings: Settings, place: str, findings: Findings) -> None:
+    """Note what is sound by itself but not together with the rest."""
+    if settings.zones and settings.zone not in settings.zones:
+        findings.add_unknown(f"{place}zone", settings.zone, settings.zones)
+    if not settings.operators and not settings.operator_token_digests:
+        findings.add(f"{place}operators", "at least one is needed to submit tickets")
+    peers = settings.peers
+    if peers.timeout_s < 2 * peers.heartbeat_s:
+        text = "must be at least twice heartbeat_s, or one lost heartbeat ends a peer"
+        findings.add(f"{place}peers.timeout_s", text)
+    _check_operators(settings.operators, place, findings)
+    _check_ports(settings.listen, place, findings)
+    for name in ("callers_tls", "operators_tls", "peers_tls"):
+        _check_tls(getattr(settings.listen, name), f"{place}listen.{name}", findings)
+
+
+def _check_operators(
+    operators: tuple[OperatorSettings, ...], place: str, findings: Findings
+) -> None:
+    held: dict[str, str] = {}
+    for index, row in enumerate(operators):
+        other = held.setdefault(row.digest, row.name)
+        if other != row.name:
+            text = f"{row.name!r} and {other!r} have the same token"
+            findings.add(f"{place}operators[{index}].digest", text)
+
+
+def _check_ports(listen: ListenSettings, place: str, findings: Findings) -> None:
+    held: dict[str, str] = {}
+    for name in ("callers", "operators", "peers"):
+        address = getattr(listen, name)
+        port = address.rpartition(":")[2]
+        other = held.setdefault(port, name)
+        if other != name and int(port):
+            text = f"port {port} is also that of listen.{other}"
+            findings.add(f"{place}listen.{name}", text)
+
+
+def _check_tls(tls: TlsSettings | None, place: str, findings: Findings) -> None:
+    if tls is None:
+        return
+    for name in ("certificate", "key", "authority"):
+        path = getattr(tls, name)
+        if path and not Path(path).is_file():
+            findings.add(f"{place}.{name}", f"there is no file {path!r}")
+
+
 def load_toml(data: bytes, name: str, findings: Findings) -> dict | None:
     """Return ``data`` as TOML, or None with a finding."""
     try:
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -8,6 +8,7 @@
 import dataclasses
 import enum
 import functools
+import ipaddress
 import math
 import re
 import typing
@@ -49,7 +50,11 @@
 
 def sha256_digests(values: tuple[str, ...]) -> str | None:
     """Accept a list of SHA-256 digests in lower-case hex."""
-    texts = [sha256_digest(value) for value in values if value is not None]
+    return _first_text(sha256_digest, values)
+
+
+def _first_text(check: Check, values: tuple[str, ...]) -> str | None:
+    texts = [check(value) for value in values if value is not None]
     return next((text for text in texts if text), None)
 
 
@@ -73,6 +78,23 @@
     return f"{value!r} must be address:port"
 
 
+def ip_port(value: str) -> str | None:
+    """Accept an IP number and a port; IPv6 numbers stand in brackets."""
+    text = host_port(value)
+    if text:
+        return text
+    try:
+        ipaddress.ip_address(value.rpartition(":")[0].strip("[]"))
+    except ValueError:
+        return f"{value!r} must name an IP number"
+    return None
+
+
+def ip_ports(values: tuple[str, ...]) -> str | None:
+    """Accept a list of IP numbers with ports."""
+    return _first_text(ip_port, values)
+
+
 def read_table(raw: Any, kind: type[T], place: str, findings: Findings) -> T | None:
     """Return ``raw`` as a ``kind``, or None with findings that say why not.
 
@@ -95,10 +117,10 @@
     before = len(findings.rows)
     for name in raw:
         if name not in fields:
-            findings.add_unknown(f"{place}.{name}", name, fields)
+            findings.add_unknown(_join(place, name), name, fields)
     values = {}
     for name, field in fields.items():
-        where = f"{place}.{name}"
+        where = _join(place, name)
         if name in raw:
             values[name] = _read_value(raw[name], hints[name], where, findings)
             _run_check(field, values[name], where, findings)
@@ -121,6 +143,10 @@
     return {field.name: field for field in dataclasses.fields(kind)}
 
 
+def _join(place: str, name: str) -> str:
+    return f"{place}{name}" if place.endswith(" ") else f"{place}.{name}"
+
+
 def _required(field: dataclasses.Field) -> bool:
     missing = dataclasses.MISSING
     return field.default is missing and field.default_factory is missing
