--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 import pykka
+from aioprometheus import Gauge
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
+from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.state import make_state
@@ -45,7 +47,7 @@
 from godwitladder.serving.callers import CallerApp
 from godwitladder.serving.keys import KeyParts
 from godwitladder.serving.listener import make_listener
-from godwitladder.serving.operators import OperatorApp
+from godwitladder.serving.operators import HostStatus, OperatorApp
 from godwitladder.settings import Settings, TlsSettings
 from godwitladder.supervision import supervised, watch_threads
 
@@ -98,10 +100,17 @@
         )
         self.log = LogClient(settings.platform.log, settings.zone)
         self.stack.callback(self.log.close)
-        self.follower = ConfigFollower(self.log, clock, self.publish_config)
+        self.follower = ConfigFollower(
+            self.log,
+            clock,
+            self.publish_config,
+            settings.host,
+            settings.platform.config_stream,
+            settings.platform.log_retention_s,
+        )
         self.callers = CallerApp(settings, self.scheduler, clock, self.metrics)
         self.operators = OperatorApp(
-            settings, self.log, self.follower, self.metrics, self.ready
+            settings, self.log, self.follower, self.metrics, self.status
         )
         self.mesh = Mesh(
             settings.host,
@@ -112,6 +121,8 @@
             settings.peers.seeds,
             lambda link: self.membership.tell(LinkUp(link)),
         )
+        self.follower.send = self.mesh.send
+        self.exchange = self.start_actor(ConfigExchange, self.follower)
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -120,7 +131,9 @@
             clock,
             self.publish_members,
         )
-        self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
+        self.router.connect(
+            self.mesh, self.membership, self.scheduler, self.allocator, self.exchange
+        )
         self.keys = self.make_keys()
         self.caller_server: TcpWSGIServer | None = None
 
@@ -230,6 +243,30 @@
         """Return whether callers should be sent here."""
         return self.follower.caught_up.is_set() and not self.stopping.is_set()
 
+    def status(self) -> HostStatus:
+        """Return what operators are told of this host."""
+        targets = self.callers.config.targets
+        return HostStatus(
+            host=self.settings.host,
+            zone=self.settings.zone,
+            ready=self.ready(),
+            stopping=self.stopping.is_set(),
+            config_offset=self.follower.ledger.next,
+            config_phase=self.follower.replica.phase.value,
+            log_reachable=self.follower.reachable,
+            peers=tuple(sorted(link.peer for link in self.mesh.current())),
+            targets={name: row.state.value for name, row in targets.items()},
+            waiting=self.scheduler_count(self.metrics.waiting),
+            running=self.scheduler_count(self.metrics.running),
+        )
+
+    def scheduler_count(self, gauge: Gauge) -> int:
+        """Return a gauge that the scheduler sets at each tick."""
+        try:
+            return int(gauge.get({}))
+        except KeyError:
+            return 0
+
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         settings = self.settings
--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -5,6 +5,7 @@
 
 import pykka
 
+from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.ids import HostId
 from godwitladder.membership.links import Link, Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews
@@ -28,7 +29,7 @@
     def __init__(self, host: HostId) -> None:
         self.host = host
         self.mesh: Mesh | None = None
-        self.actors: dict[type, pykka.ActorRef] = {}
+        self.actors: dict[type, tuple[pykka.ActorRef, ...]] = {}
         self.takers: dict[type, Callable[[Link, Any], None]] = {}
 
     def connect(
@@ -37,15 +38,18 @@
         membership: pykka.ActorRef,
         scheduler: pykka.ActorRef,
         allocator: pykka.ActorRef,
+        configuration: pykka.ActorRef,
     ) -> None:
         """Set the parts, once all of them are there."""
         self.mesh = mesh
         self.actors = {
-            Heartbeat: membership,
-            LiveNews: membership,
-            GrantOffer: scheduler,
-            PoolReport: allocator,
-            FloorReport: allocator,
+            Heartbeat: (membership, configuration),
+            LiveNews: (membership,),
+            GrantOffer: (scheduler,),
+            PoolReport: (allocator,),
+            FloorReport: (allocator,),
+            ConfigRequest: (configuration,),
+            ConfigSnapshot: (configuration,),
         }
 
     def send(self, host: HostId, message: Any) -> None:
@@ -55,7 +59,7 @@
         them are repeated with newer contents.
         """
         if host == self.host:
-            self.actors[type(message)].tell(message)
+            self._tell(message)
         elif self.mesh:
             self.mesh.send(host, message)
 
@@ -64,9 +68,11 @@
         if isinstance(message, GrantOffer) and message.host != self.host:
             self.send(message.host, message)
             return
-        actor = self.actors.get(type(message))
         taker = self.takers.get(type(message))
-        if actor:
-            actor.tell(message)
-        elif taker:
+        if taker:
             taker(link, message)
+        self._tell(message)
+
+    def _tell(self, message: Any) -> None:
+        for actor in self.actors.get(type(message), ()):
+            actor.tell(message)
--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -37,7 +37,8 @@
 def make_settings(**fields) -> Settings:
     listen = ListenSettings(*["127.0.0.1:1"] * 3)
     platform = PlatformSettings("http://127.0.0.1:1", "http://127.0.0.1:1")
-    return Settings("host", "a", (), listen, platform, PeerSettings("secret"), **fields)
+    peers = PeerSettings("secret")
+    return Settings("host", "a", listen, platform, peers, **fields)
 
 
 def make_config(engine: str, service: str) -> ConfigState:
@@ -107,7 +108,7 @@
             AllocatorTables("host", "a", hosts=("host",)), clock, router.send
         )
         stack.callback(allocator.stop)
-        router.connect(None, None, self.scheduler, allocator)
+        router.connect(None, None, self.scheduler, allocator, None)
         for part, actor in ((ticker, self.scheduler), (Ticker(clock, 0.05), allocator)):
             part.start(actor)
             stack.callback(part.stop)
