Keep an allocator's rows from run to run

Cause: the view was made of new rows on each run, so each was weighed anew and its deadline moved on between two reports.

--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -17,14 +17,14 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.capacity import Capacity, ServiceCapacity
-from godwitladder.decisions.types import Entry, Waiting
+from godwitladder.decisions.types import Entry, GroupKey, Pace, Waiting
 from godwitladder.ids import ServiceName
 
 MARGIN = 1.25
 SAFE_LEAST_S = 1.0
 
 
-@dataclass
+@dataclass(slots=True)
 class Group:
     """The waiting requests of one tier and service.
 
@@ -39,6 +39,7 @@
     rank: int
     service: ServiceName
     part: ServiceCapacity
+    pace: Pace
     entries: list[Entry] = field(default_factory=list)
     work_s: float = 0.0
     soonest: float = float("inf")
@@ -61,27 +62,28 @@
 
     def __init__(self, capacity: Capacity) -> None:
         self.capacity = capacity
-        self.groups: dict[tuple[int, ServiceName], Group] = {}
+        self.groups: dict[GroupKey, Group] = {}
         self.expired: list[Entry] = []
 
     def sort(self, rows: list[Waiting], now: float) -> None:
         """Take ``rows`` in."""
         groups = self.groups
         for row in rows:
-            line = row.line
-            group = groups.get((line.tier_rank, line.service))
-            if group is None:
-                group = self._add_group(line.tier_rank, line.service)
             entry = row.entry
-            if entry is None or entry.pace != group.part.pace:
-                entry = row.entry = weigh(row, group.part)
+            key = entry.key if entry else (row.line.tier_rank, row.line.service)
+            group = groups.get(key)
+            if group is None:
+                group = self._add_group(*key)
+            if entry is None or entry.pace != group.pace:
+                entry = row.entry = weigh(row, key, group.pace)
             if entry.latest < now:
                 self.expired.append(entry)
                 continue
             group.entries.append(entry)
             group.work_s += entry.slot_s
-            if entry.safe < group.soonest:
-                group.soonest = entry.safe
+            safe = entry.safe
+            if safe < group.soonest:
+                group.soonest = safe
 
     def ranks(self) -> list[int]:
         """Return the ranks that wait, the most important first."""
@@ -105,15 +107,16 @@
         return self.work_s(service, rank) / slots
 
     def _add_group(self, rank: int, service: ServiceName) -> Group:
-        group = Group(rank, service, self.capacity.of(service))
+        part = self.capacity.of(service)
+        group = Group(rank, service, part, part.pace)
         self.groups[rank, service] = group
         return group
 
 
-def weigh(row: Waiting, part: ServiceCapacity) -> Entry:
+def weigh(row: Waiting, key: GroupKey, pace: Pace) -> Entry:
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
-    prefill_s, decode_s = part.pace
+    prefill_s, decode_s = pace
     likely = line.likely_tokens or line.predicted_tokens or 1
     slot_s = line.prompt_tokens * prefill_s + likely * decode_s
     latest = safe = row.deadline - slot_s * MARGIN
@@ -121,4 +124,4 @@
         most_s = slot_s + (line.predicted_tokens - likely) * decode_s
         safe = max(row.deadline - most_s * MARGIN, row.arrived + SAFE_LEAST_S)
         safe = min(safe, latest)
-    return Entry(row, slot_s, latest, safe, part.pace)
+    return Entry(row, slot_s, latest, safe, key, pace)
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -156,6 +156,8 @@
         Time after which it can't start and still end by its deadline.
     safe : float
         Time until which it ends by its deadline even if it is long.
+    key : tuple
+        Rank and service.
     pace : Pace
         Speeds that these were worked out from.
     """
@@ -164,9 +166,13 @@
     slot_s: float
     latest: float
     safe: float
+    key: "GroupKey"
     pace: "Pace"
 
 
+GroupKey = tuple[int, ServiceName]
+
+
 class Pace(NamedTuple):
     """Seconds for one prompt token and one output token."""
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -21,6 +21,7 @@
     PoolView,
     Shed,
     TargetView,
+    Waiting,
 )
 from godwitladder.ids import HostId, Incarnation, RequestId, TargetName
 from godwitladder.scheduler.accounts import (
@@ -106,6 +107,7 @@
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
         self.memory = AllocatorMemory()
+        self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
         self.shed_rank = NO_RANK
         self.shed_at = now
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -28,9 +28,15 @@
     )
     for account in role.current(now):
         for line in account.lines.values():
-            view.waiting[line.request] = Waiting(
-                account.host, line, now + line.slack_s, now - line.waited_s
-            )
+            # Kept from run to run: a row that is new is weighed anew, and its
+            # deadline would move on with each run between two reports.
+            row = role.rows.get(line.request)
+            if row is None or row.line is not line:
+                row = Waiting(
+                    account.host, line, now + line.slack_s, now - line.waited_s
+                )
+            view.waiting[line.request] = row
+    role.rows = view.waiting
     for name, floor in role.floors.items():
         view.floors[name] = floor.floor
         if floor.shed_rank != NO_RANK:
