Tell other zones' allocators that nothing waits here, too

Cause: an allocator with nothing waiting sent no floor, which reads as a zone out of reach, and nothing spilled to it.

--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -21,7 +21,7 @@
     Tick,
 )
 from godwitladder.scheduler.pools import Pool, make_pools, pool_key
-from godwitladder.scheduler.role import PoolRole
+from godwitladder.scheduler.role import RENEW_S, PoolRole
 
 log = part_logger("allocator")
 
@@ -64,6 +64,7 @@
         self.clock = clock
         self.send = send
         self.due: set[PoolName] = set()
+        self.floors_sent = float("-inf")
 
     def on_receive(self, message) -> None:
         """Take ``message`` in, and run the roles if no other is at hand."""
@@ -89,8 +90,10 @@
     def _(self, message: Tick) -> None:
         self.due |= set(self.tables.roles)
         now = self.clock.monotonic()
-        for role in self.tables.roles.values():
-            self.send_floors(role, now)
+        if now - self.floors_sent >= RENEW_S:
+            self.floors_sent = now
+            for role in self.tables.roles.values():
+                self.send_floors(role, now)
 
     @take.register
     def _(self, message: PoolReport) -> None:
@@ -160,15 +163,16 @@
             self.send(holder, replace(message, via=self.tables.host))
 
     def send_floors(self, role: PoolRole, now: float) -> None:
-        """Tell allocators of other zones which tiers wait here."""
+        """Tell allocators of other zones which tiers wait here, or that none do.
+
+        Silence would read as a zone out of reach, to which nothing spills.
+        """
         for name, pool in self.tables.pools.items():
             hosts = self.tables.linked.get(name.zone, ())
             gate = choose_host(hosts, self.tables.host)
             if gate is None or not pool.services & role.pool.services:
                 continue
-            report = role.floor_report(name, now)
-            if report.says_something():
-                self.send(gate, report)
+            self.send(gate, role.floor_report(name, now))
 
     def targets_to_watch(self) -> dict[TargetName, str]:
         """Return the address of each target whose load is to be read."""
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -182,7 +182,3 @@
     floor: int
     shed_rank: int
     via: HostId = HostId("")
-
-    def says_something(self) -> bool:
-        """Return whether anything waits or was shed; silence says the rest."""
-        return (self.floor, self.shed_rank) != (NO_RANK, NO_RANK)
