--- /dev/null
+++ b/tests/membership/test_contacts.py
@@ -0,0 +1,47 @@
+"""Which hosts a host holds links to, and what the lagging list says."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitladder.membership.contacts import (
+    LINKS_PER_ZONE,
+    choose_contacts,
+    leaving_addresses,
+)
+from godwitladder.platform.hosts import ListedHost
+
+ADDRESSES = [f"10.0.0.{index}:1" for index in range(20)]
+ZONES = st.dictionaries(st.sampled_from(ADDRESSES), st.sampled_from("abc"))
+
+
+@given(ZONES)
+def test_both_ends_choose_the_same_links(zones):
+    """Only one end dials, so a link that one end alone wants is never made."""
+    listed = [ListedHost(address, zone, False) for address, zone in zones.items()]
+    chosen = {
+        address: choose_contacts(address, zone, listed, ())
+        for address, zone in zones.items()
+    }
+    for address, zone in zones.items():
+        assert all(address in chosen[other] for other in chosen[address])
+        for other_zone in "abc":
+            others = {a for a, z in zones.items() if z == other_zone} - {address}
+            least = len(others) if zone == other_zone else LINKS_PER_ZONE
+            assert len(chosen[address] & others) >= min(least, len(others))
+
+
+def test_targets_in_the_list_are_not_dialled():
+    listed = [ListedHost("10.0.0.1:1", "a", False), ListedHost("10.0.0.2:1", "a", True)]
+    assert choose_contacts("10.0.0.9:1", "a", listed, ["10.0.0.1:1"]) == {"10.0.0.2:1"}
+
+
+def test_a_target_that_vanishes_from_the_list_stays_leaving():
+    """A target that has left must not be taken for staying when its row goes.
+
+    It is free again only when the list shows it as staying.
+    """
+    leaving = leaving_addresses(frozenset(), [ListedHost("10.0.0.1:1", "a", True)])
+    assert leaving == {"10.0.0.1:1"}
+    leaving = leaving_addresses(leaving, [])
+    assert leaving == {"10.0.0.1:1"}
+    assert leaving_addresses(leaving, [ListedHost("10.0.0.1:1", "a", False)]) == set()
--- /dev/null
+++ b/tests/membership/test_links.py
@@ -0,0 +1,187 @@
+"""Links between hosts: silence, hanging up, and pauses of a process."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from godwitladder.clock import Clock, PausedClock
+from godwitladder.membership.actor import Leave, Membership
+from godwitladder.membership.codec import encode
+from godwitladder.membership.links import Mesh
+from godwitladder.membership.members import Members
+from godwitladder.membership.messages import Heartbeat
+from godwitladder.scheduler.messages import HostsChanged, Tick
+from tests.fleet import SECRET, free_ports, wait_until
+
+TIMEOUT_S = 3.0
+
+
+class Relay:
+    """Passes bytes to an address, until it loses track of its connections."""
+
+    def __init__(self, to: str) -> None:
+        host, _, port = to.rpartition(":")
+        self.to = host, int(port)
+        self.sockets: list[socket.socket] = []
+        self.lost: set[socket.socket] = set()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self.server.accept()
+                far = socket.create_connection(self.to)
+                self.sockets += [near, far]
+                for pair in ((near, far), (far, near)):
+                    threading.Thread(target=self.pump, args=pair, daemon=True).start()
+
+    def pump(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(4096):
+                if source not in self.lost:
+                    sink.sendall(data)
+
+    def lose_track(self) -> None:
+        """Pass nothing more on the connections that are open."""
+        self.lost.update(self.sockets)
+
+    def close(self) -> None:
+        for item in (self.server, *self.sockets):
+            item.close()
+
+
+@pytest.fixture
+def stack():
+    with contextlib.ExitStack() as owned:
+        yield owned
+
+
+def start_mesh(stack, host, seeds=()):
+    """Return a started mesh and the list of what it was sent."""
+    got = []
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    deliver = lambda link, message: got.append(message.host)  # noqa: E731
+    mesh = Mesh(host, address, SECRET, Clock(), deliver, seeds)
+    mesh.start()
+    stack.callback(mesh.close)
+    return mesh, got
+
+
+def beat(host="h2"):
+    return Heartbeat(host, "a", "", 1, False, 0)
+
+
+def test_a_link_that_went_silent_is_replaced_by_a_new_one(stack):
+    """A connection stays open and carries nothing; new ones work.
+
+    Something between the two hosts has lost track of it. Writes still
+    succeed, so that only the silence shows it: the host drops it and dials
+    again, and what it sends then arrives.
+    """
+    far, got = start_mesh(stack, "h1")
+    relay = Relay(far.address)
+    stack.callback(relay.close)
+    near, _ = start_mesh(stack, "h2", [relay.address])
+    wait_until(lambda: near.current() and far.current(), "the first link")
+    old = near.current()[0]
+    relay.lose_track()
+    near.send("h1", beat())
+    near.drop_silent(0.0)
+    assert near.current() == []
+    wait_until(lambda: near.current() not in ([], [old]), "a new link")
+    wait_until(lambda: near.send("h1", beat()) and "h2" in got, "a message")
+
+
+def test_a_peer_that_left_the_list_is_not_dialled_again(stack):
+    """Addresses of hosts that are gone are not dialled for ever."""
+
+    def dialling():
+        return any(thread.name == "peer-dial" for thread in threading.enumerate())
+
+    wait_until(lambda: not dialling(), "dialling of other tests to end")
+    near, _ = start_mesh(stack, "h1")
+    near.keep({"127.0.0.1:9"})
+    assert dialling()
+    near.keep(set())
+    wait_until(lambda: not dialling(), "the dialling to end")
+
+
+class QuietMesh:
+    """Takes what membership sends."""
+
+    links: dict = {}
+
+    def __init__(self) -> None:
+        self.sent, self.excused = [], 0.0
+
+    def current(self):
+        return []
+
+    def broadcast(self, message) -> None:
+        self.sent.append(encode(message))
+
+    def drop_silent(self, timeout_s) -> None:
+        pass
+
+    def excuse(self, pause_s) -> None:
+        self.excused += pause_s
+
+
+def make_membership():
+    """Return membership of h1, its clock and what it published."""
+    clock, published = PausedClock(), []
+    members = Members(TIMEOUT_S)
+    me = Heartbeat("h1", "a", "", 1, False, 0)
+    actor = Membership(me, members, QuietMesh(), clock, published.append)
+    actor.on_start()
+    actor.on_receive(beat("h2"))
+    return actor, clock, published
+
+
+def tick(actor, clock, seconds):
+    clock.advance(seconds)
+    actor.on_receive(Tick())
+
+
+def test_a_pause_of_this_process_is_not_silence_of_its_peers():
+    """A host that stood still for long doesn't take all roles when it wakes.
+
+    The peers' heartbeats are still unread. Only when none come while it runs
+    are they taken for dead.
+    """
+    actor, clock, published = make_membership()
+    assert published[-1].hosts == ("h1", "h2")
+    tick(actor, clock, 60.0)
+    assert published[-1].hosts == ("h1", "h2")
+    for _ in range(7):
+        tick(actor, clock, 0.5)
+    assert published[-1].hosts == ("h1",)
+
+
+def test_a_leaving_host_hands_its_roles_over():
+    """Neither a host that leaves nor its peers count it among the allocators."""
+    actor, clock, published = make_membership()
+    actor.on_receive(Leave())
+    assert published[-1] == HostsChanged(("h2",), {})
+    leaving = Heartbeat("h2", "a", "", 1, True, 0)
+    actor.on_receive(leaving)
+    assert published[-1] == HostsChanged((), {})
+
+
+def test_a_peer_whose_clock_was_set_back_is_live_again():
+    """A host restarts with an earlier clock and so with a lower incarnation.
+
+    It is refused while the newer one may be there, and taken in once that
+    one has been silent for the timeout.
+    """
+    actor, clock, published = make_membership()
+    actor.on_receive(Heartbeat("h2", "a", "", 0, False, 0))
+    assert actor.members.rows["h2"].incarnation == 1
+    for _ in range(8):
+        tick(actor, clock, 0.5)
+    actor.on_receive(Heartbeat("h2", "a", "", 0, False, 0))
+    assert published[-1].hosts == ("h1", "h2")
