--- a/bench/ticks.py
+++ b/bench/ticks.py
@@ -1,114 +1,148 @@
-"""Measures what one run of the allocator costs."""
+"""Time one tick of the scheduler and one run of an allocator.
 
-import random
+``python -m bench.ticks`` prints the median and the longest of many, in
+milliseconds, with 16 targets and so many requests waiting at one host: on a
+full pool, where nothing can be dispatched, and on one with a free slot.
+"""
+
+import statistics
 import time
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
 
-from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.types import (
-    DemandLine,
-    PoolView,
-    TargetView,
-    Waiting,
-    WorkspaceView,
-)
-from godwitladder.ids import (
-    HostId,
-    RequestId,
-    ServiceName,
-    TargetName,
-    WorkspaceName,
+from godwitladder.configuration.model import Target, Tier, Workspace
+from godwitladder.configuration.state import ConfigState
+from godwitladder.ids import HostId, Incarnation, RequestId, StreamId, Zone
+from godwitladder.scheduler.exchange import Allowance
+from godwitladder.scheduler.pools import make_pools
+from godwitladder.scheduler.reports import (
+    choose_allocators,
+    due_reports,
+    update_targets,
 )
+from godwitladder.scheduler.role import PoolRole
+from godwitladder.scheduler.rows import RequestRow, Tables
+from godwitladder.scheduler.systems import add_request, run_systems
 
-SIZES = (100, 1_000, 10_000)
 TARGETS = 16
 SLOTS = 8
-WORKSPACES = 40
-RUNS = 41
-SERVICE = ServiceName("letters")
-
-
-def make_pool(waiting: int, slack_s: float) -> PoolView:
-    """Return a pool with one free slot on half of its targets."""
-    draw = random.Random(1)
-    pool = PoolView()
-    for index in range(TARGETS):
-        name = TargetName(f"engine-{index:02}")
-        pool.targets[name] = TargetView(
-            name=name,
-            services=frozenset({SERVICE}),
-            slots=SLOTS,
-            memory_tokens=100_000,
-            prefill_tps=4000.0 + 100 * index,
-            decode_tps=40.0 + index,
-            used=SLOTS - index % 2,
-            limit=SLOTS,
-        )
-    for index in range(waiting):
-        add_waiting(pool, index, slack_s, draw)
-    return pool
-
-
-def add_waiting(
-    pool: PoolView, index: int, slack_s: float, draw: random.Random
-) -> None:
-    """Add one waiting request."""
-    workspace = WorkspaceName(f"workspace-{draw.randrange(WORKSPACES)}")
-    pool.workspaces.setdefault(workspace, WorkspaceView())
-    line = DemandLine(
-        request=RequestId(f"request-{index:05}"),
-        workspace=workspace,
-        service=SERVICE,
-        tier_rank=draw.randrange(4),
-        prompt_tokens=draw.randrange(50, 2000),
-        predicted_tokens=draw.randrange(10, 500),
-        slack_s=slack_s,
-        waited_s=0.0,
+HOSTS = 15
+WAITING = (0, 100, 1_000, 10_000)
+ROUNDS = 60
+
+
+def make_config() -> ConfigState:
+    """Return a configuration with one pool."""
+    targets = {
+        f"engine-{index}": Target(f"10.0.0.{index}:1", Zone("a"), ("letters",), SLOTS)
+        for index in range(TARGETS)
+    }
+    workspaces = {f"workspace-{index}": Workspace("urgent") for index in range(5)}
+    return ConfigState(
+        tiers={"urgent": Tier(0)}, workspaces=workspaces, targets=targets
     )
-    deadline = slack_s * (1.0 + draw.random())
-    pool.waiting[line.request] = Waiting(HostId("host"), line, deadline, 0.0)
 
 
-def fresh_rows(pool: PoolView) -> None:
-    """Replace each row by one that was never weighed, as new reports do."""
-    for request, row in list(pool.waiting.items()):
-        pool.waiting[request] = Waiting(row.host, row.line, row.deadline, row.arrived)
+def make_tables(waiting: int) -> Tables:
+    """Return a host with so many waiting requests."""
+    tables = Tables(
+        HostId("h0"), Zone("a"), Incarnation(1), make_config(), hosts=("h0",)
+    )
+    update_targets(tables)
+    choose_allocators(tables, 0.0)
+    for index in range(waiting):
+        name = f"request-{index:06}"
+        row = RequestRow(
+            request=RequestId(name),
+            stream=StreamId(name),
+            workspace=f"workspace-{index % 5}",
+            service="letters",
+            tier_rank=index % 4,
+            prompt_tokens=500,
+            declared_tokens=500,
+            arrived=0.0,
+            deadline=1_000.0 + index % 97,
+            idempotent=True,
+        )
+        add_request(tables, row)
+    return tables
+
+
+def time_ticks(waiting: int, free: bool) -> list[float]:
+    """Return the seconds of each of many ticks, with a report in each."""
+    tables = make_tables(waiting)
+    (access,) = tables.pools.values()
+    now = 1.0
 
+    def tick() -> None:
+        run_systems(tables, now)
+        due_reports(tables, now)
 
-def time_runs(waiting: int, slack_s: float, fresh: bool, refuse: bool) -> list[float]:
-    """Return the milliseconds of several runs over the same pool."""
-    pool = make_pool(waiting, slack_s)
     times = []
-    for _ in range(RUNS):
-        pool.memory.refused_at = float("-inf") if refuse else 0.0
-        if fresh:
-            fresh_rows(pool)
-        start = time.perf_counter()
-        allocate(pool, 0.1)
-        times.append((time.perf_counter() - start) * 1000.0)
-    return sorted(times)
-
-
-def slack_for(waiting: int, share: float) -> float:
-    """Return a slack within which about ``share`` of the requests can start."""
-    seconds_each = 1000 / 5600 + 250 / 55
-    return share * waiting * seconds_each / (TARGETS * SLOTS)
-
-
-def tick_rows() -> list[list[str]]:
-    """Return milliseconds of a run, at 50 and 99 in 100, by size and case."""
-    cases = (
-        ("rows known from the last run", 1e3, False, False),
-        ("all rows new", 1e3, True, False),
-        ("looking for early refusals, few found", 1.0, False, True),
-        ("refusing about half", 0.5, False, True),
-    )
-    rows = []
-    for name, share, fresh, refuse in cases:
-        medians = []
-        cells = []
-        for size in SIZES:
-            times = time_runs(size, slack_for(size, share), fresh, refuse)
-            medians.append(times[len(times) // 2])
-            cells.append(f"{medians[-1]:.2f} / {times[-1]:.2f}")
-        rows.append([name, *cells, f"{medians[-1] / medians[-2]:.1f}"])
-    return rows
+    for _ in range(ROUNDS):
+        now += 0.5
+        access.answered = now
+        access.allowed_until = now + 1.0
+        if free:
+            running = tables.targets["engine-0"].running
+            allowance = Allowance("engine-0", running + 1, 1_000_000)
+            access.allowances = {"engine-0": allowance}
+        times.append(timed(tick))
+    return times
+
+
+def time_allocator(lines: int) -> list[float]:
+    """Return the seconds of many runs with so many lines from each host."""
+    config = make_config()
+    (pool,) = make_pools(config.targets).values()
+    role = PoolRole(pool, HostId("h0"), 1, 0.0)
+    role.configure(pool, config, frozenset())
+    ((_, report),) = due_reports(make_tables(lines), 1.0)
+    hosts = [f"h{index}" for index in range(HOSTS)]
+    now, times = 1.0, []
+    for number in range(1, ROUNDS + 1):
+        now += 0.5
+        for host in hosts:
+            rows = tuple(
+                replace(line, request=f"{host}-{line.request}") for line in report.lines
+            )
+            news = replace(
+                report,
+                host=host,
+                number=number,
+                sent_s=now,
+                term=role.term,
+                seen=number - 1,
+                lines=rows,
+            )
+            role.take_report(news, now)
+        times.append(timed(partial(role.run, hosts, now)))
+    return times
+
+
+def timed(call: Callable[[], object]) -> float:
+    """Return the seconds that ``call`` takes."""
+    started = time.perf_counter()
+    call()
+    return time.perf_counter() - started
+
+
+def show(name: str, times: list[float]) -> None:
+    """Print the median and the longest, in milliseconds."""
+    middle, most = statistics.median(times) * 1e3, max(times) * 1e3
+    print(f"{name:44} median {middle:7.2f} ms  longest {most:7.2f} ms")
+
+
+def main() -> None:
+    """Measure and print."""
+    for waiting in WAITING:
+        show(f"tick, full pool, {waiting} waiting", time_ticks(waiting, False))
+        show(f"tick, a free slot, {waiting} waiting", time_ticks(waiting, True))
+    for lines in (0, 1, 8, 32):
+        name = f"allocator, {HOSTS} hosts, {lines} lines each"
+        show(name, time_allocator(lines))
+
+
+if __name__ == "__main__":
+    main()
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -4,7 +4,9 @@
 """
 
 from collections import deque
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from godwitladder.decisions.types import DemandLine, Grant, TargetUse
 from godwitladder.ids import (
@@ -17,8 +19,7 @@
 from godwitladder.scheduler.exchange import Allowance, PoolReport
 
 
-@dataclass(frozen=True)
-class Counted:
+class Counted(NamedTuple):
     """Requests and tokens that count against a target."""
 
     running: int = 0
@@ -28,6 +29,18 @@
         return Counted(self.running + other.running, self.tokens + other.tokens)
 
 
+NOTHING = Counted()
+
+
+def add_up(counts: Iterable[Mapping[TargetName, Counted]]) -> dict[TargetName, Counted]:
+    """Return the sum for each target."""
+    total: dict[TargetName, Counted] = {}
+    for count in counts:
+        for name, row in count.items():
+            total[name] = total.get(name, NOTHING) + row
+    return total
+
+
 @dataclass(frozen=True)
 class SentAllowances:
     """The allowances of one offer; they replace those of offers before it.
@@ -127,31 +140,37 @@
             if sent.until_s <= self.sent_s:
                 del self.grants[request]
 
-    def counted(self, target: TargetName) -> Counted:
-        """Return the most that the host may have on ``target`` by now."""
-        use = self.uses.get(target)
-        running = [use.running] if use else [0]
-        tokens = [use.reserved_tokens] if use else [0]
+    def counted(self) -> dict[TargetName, Counted]:
+        """Return the most that the host may have on each target by now."""
+        most = {
+            name: Counted(use.running, use.reserved_tokens)
+            for name, use in self.uses.items()
+        }
         for sent in self.allowances:
-            allowance = sent.allowances.get(target)
-            if allowance:
-                running.append(allowance.running)
-                tokens.append(allowance.tokens)
-        return Counted(max(running), max(tokens)) + self.granted(target)
-
-    def running(self, target: TargetName) -> Counted:
-        """Return what runs there by the last report, or is granted by name."""
-        use = self.uses.get(target)
-        known = Counted(use.running, use.reserved_tokens) if use else Counted()
-        return known + self.granted(target)
-
-    def granted(self, target: TargetName) -> Counted:
-        """Return what grants that are not yet acknowledged add on ``target``."""
-        total = Counted()
+            for name, allowance in sent.allowances.items():
+                held = most.get(name, NOTHING)
+                most[name] = Counted(
+                    max(held.running, allowance.running),
+                    max(held.tokens, allowance.tokens),
+                )
+        return self._add_granted(most)
+
+    def running(self) -> dict[TargetName, Counted]:
+        """Return what runs by the last report, or is granted by name."""
+        known = {
+            name: Counted(use.running, use.reserved_tokens)
+            for name, use in self.uses.items()
+        }
+        return self._add_granted(known)
+
+    def _add_granted(
+        self, counts: dict[TargetName, Counted]
+    ) -> dict[TargetName, Counted]:
         for sent in self.grants.values():
-            if sent.grant.target == target:
-                total += Counted(1, sent.grant.reserved_tokens)
-        return total
+            grant = sent.grant
+            held = counts.get(grant.target, NOTHING)
+            counts[grant.target] = held + Counted(1, grant.reserved_tokens)
+        return counts
 
     def workspace_running(self, name: WorkspaceName) -> int:
         """Return the requests of a workspace that run or are granted by name."""
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -3,6 +3,7 @@
 Pure: what is to be sent is returned, and the actor sends it.
 """
 
+import math
 from collections import Counter
 
 from godwitladder.decisions.rendezvous import choose_host
@@ -90,13 +91,10 @@
     spill_requests(tables, now)
     mark_fresh(tables)
     reports = []
-    order: list[RequestRow] | None = None
     for access in tables.pools.values():
         if access.allocator is None or not is_due(tables, access, now):
             continue
-        if order is None:
-            order = waiting_order(tables)
-        reports.append((access.allocator, make_report(tables, access, order, now)))
+        reports.append((access.allocator, make_report(tables, access, now)))
     return reports
 
 
@@ -148,11 +146,15 @@
 
 def spill_requests(tables: Tables, now: float) -> None:
     """Ask other zones for requests that the first pool keeps waiting."""
+    late = {
+        service: now if pools[0].is_alone(now) else now - SPILL_AFTER_S
+        for service, pools in tables.by_service.items()
+        if len(pools) > 1
+    }
+    if not late:
+        return
     for row in tables.waiting.values():
-        pools = tables.by_service.get(row.service, [])
-        if row.spilled or len(pools) < 2:
-            continue
-        if pools[0].is_alone(now) or now - row.arrived >= SPILL_AFTER_S:
+        if not row.spilled and row.arrived <= late.get(row.service, -math.inf):
             spill(tables, row)
 
 
@@ -162,21 +164,12 @@
     tables.fresh.append(row.request)
 
 
-def make_report(
-    tables: Tables, access: PoolAccess, order: list[RequestRow], now: float
-) -> PoolReport:
+def make_report(tables: Tables, access: PoolAccess, now: float) -> PoolReport:
     """Return this host's next report on a pool."""
-    rows = [
-        row
-        for row in order
-        if row.service in access.pool.services
-        and row.state is RequestState.WAITING
-        and access in asked_pools(tables, row)
-        and row.request not in access.grants
-    ]
+    rows = demand(tables, access)
     number = access.next_number(now)
-    first, middle, last = split_lines(rows)
-    shown = first + last
+    head, middle, tail = split_lines(rows)
+    shown = head + tail
     access.asked = {row.request: access.asked.get(row.request, number) for row in shown}
     completions, access.completions = tuple(access.completions), []
     rest = Counter(row.tier_rank for row in middle)
@@ -198,6 +191,26 @@
     )
 
 
+def demand(tables: Tables, access: PoolAccess) -> list[RequestRow]:
+    """Return the requests to ask a pool's allocator for, in order."""
+    waiting, services, granted = (
+        RequestState.WAITING,
+        access.pool.services,
+        access.grants,
+    )
+    first = {name for name in services if tables.by_service[name][0] is access}
+    rows = waiting_order(tables)
+    if len(first) < len(services):
+        rows = [row for row in rows if row.service in first or row.spilled]
+    return [
+        row
+        for row in rows
+        if row.state is waiting
+        and row.service in services
+        and row.request not in granted
+    ]
+
+
 def split_lines(
     rows: list[RequestRow],
 ) -> tuple[list[RequestRow], list[RequestRow], list[RequestRow]]:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -24,10 +24,12 @@
 )
 from godwitladder.ids import HostId, Incarnation, RequestId, TargetName
 from godwitladder.scheduler.accounts import (
+    NOTHING,
     Counted,
     HostAccount,
     SentAllowances,
     SentGrant,
+    add_up,
 )
 from godwitladder.scheduler.exchange import (
     NO_RANK,
@@ -173,7 +175,7 @@
             The live hosts of the zone.
         """
         self.forget(now)
-        if not self.warm(expected, now):
+        if not self.warm(expected, now) or self.is_quiet(now):
             return []
         view = pool_view(self, now)
         allocation = allocate(view, now)
@@ -183,6 +185,13 @@
         contended = any(row.lines or row.more_waiting for row in self.current(now))
         return self.make_offers(offerings, contended, expected, now)
 
+    def is_quiet(self, now: float) -> bool:
+        """Return whether nothing waits and no host is due for an offer."""
+        return not any(
+            row.lines or row.more_waiting or self.is_due(row, False, now)
+            for row in self.current(now)
+        )
+
     def forget(self, now: float) -> None:
         """Drop hosts that are gone, and floors that nobody repeats."""
         for key, account in list(self.accounts.items()):
@@ -202,13 +211,13 @@
         """Return the account of a host that still reports."""
         return next(row for row in self.current(now) if row.host == host)
 
-    def counted(self, target: TargetName) -> Counted:
-        """Return the most that all hosts may have on ``target``."""
-        return sum((row.counted(target) for row in self.accounts.values()), Counted())
+    def counted(self) -> dict[TargetName, Counted]:
+        """Return the most that all hosts may have on each target."""
+        return add_up(row.counted() for row in self.accounts.values())
 
-    def running(self, target: TargetName) -> Counted:
-        """Return what all hosts run on ``target`` or are granted by name."""
-        return sum((row.running(target) for row in self.accounts.values()), Counted())
+    def running(self) -> dict[TargetName, Counted]:
+        """Return what all hosts run on each target or are granted by name."""
+        return add_up(row.running() for row in self.accounts.values())
 
     def collect(
         self, allocation: Allocation, view: PoolView, now: float
@@ -270,11 +279,12 @@
         due = [row for row in self.current(now) if self.is_due(row, contended, now)]
         home = [row.host for row in self.current(now) if row.host in expected]
         standing = self.standing(home, now) if due and not contended else {}
+        total = self.counted()
         for account in self.current(now):
             allowances = account.allowed()
             if account in due:
                 targets = standing.get(account.host, [])
-                allowances = self.allow(account, targets, len(home))
+                allowances = self.allow(account, targets, total, len(home))
             elif account.host not in offerings:
                 continue
             offering = offerings.get(account.host, Offering())
@@ -291,31 +301,45 @@
     ) -> dict[HostId, list[TargetView]]:
         """Return, for each host of the zone, where it may have one more."""
         views = target_views(self, now)
+        running = self.running()
         for name, target in views.items():
-            target.used = self.running(name).running + self.loads.others(name)
+            target.used = running.get(name, NOTHING).running + self.loads.others(name)
         standing: dict[HostId, list[TargetView]] = {}
         for grant in standing_grants(PoolView(targets=views), home):
             standing.setdefault(grant.host, []).append(views[grant.target])
         return standing
 
     def allow(
-        self, account: HostAccount, targets: list[TargetView], hosts: int
+        self,
+        account: HostAccount,
+        targets: list[TargetView],
+        total: dict[TargetName, Counted],
+        hosts: int,
     ) -> dict[TargetName, Allowance]:
         """Return an allowance of one more than what runs, where that fits.
 
-        It must fit beside all that other hosts may have by now, and not only
-        beside what they run: allowances that were taken back count until the
-        host has said that it knows.
+        It must fit beside all that other hosts may have by now, which is
+        ``total`` and grows with what is allowed here, and not only beside
+        what they run: allowances that were taken back count until the host
+        has said that it knows.
         """
-        rows = {}
+        rows: dict[TargetName, Allowance] = {}
+        if not targets:
+            return rows
+        counted, running = account.counted(), account.running()
         for target in targets:
-            total = self.counted(target.name)
-            own, used = account.counted(target.name), account.running(target.name)
-            others = self.loads.others(target.name)
-            if total.running + others - own.running + used.running < target.limit:
-                free = target.memory_tokens - total.tokens + own.tokens - used.tokens
-                tokens = used.tokens + max(0, free // (2 * hosts))
-                rows[target.name] = Allowance(target.name, used.running + 1, tokens)
+            name = target.name
+            own, used = counted.get(name, NOTHING), running.get(name, NOTHING)
+            all_counted = total.get(name, NOTHING)
+            others = all_counted.running - own.running + self.loads.others(name)
+            if others + used.running >= target.limit:
+                continue
+            free = target.memory_tokens - all_counted.tokens + own.tokens - used.tokens
+            tokens = used.tokens + max(0, free // (2 * hosts))
+            rows[name] = Allowance(name, used.running + 1, tokens)
+            total[name] = all_counted + Counted(
+                max(0, used.running + 1 - own.running), max(0, tokens - own.tokens)
+            )
         return rows
 
     def make_offer(
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -64,6 +64,10 @@
         Tokens counted against its target since it was dispatched.
     arrived, deadline, dispatched, first_token : float
         Monotonic seconds of this host's clock; 0 for not yet.
+    queued : bool
+        Whether the table's queue holds it.
+    order : tuple
+        Where it stands among the waiting ones: by tier, then by deadline.
     spilled : bool
         Whether other zones are asked for it too.
     claim : ClaimState
@@ -101,10 +105,14 @@
     first_token: float = 0.0
     held_tokens: int = 0
     spilled: bool = False
+    queued: bool = False
     decisions: "queue.SimpleQueue[Dispatch | Refusal]" = field(
         default_factory=queue.SimpleQueue, repr=False
     )
 
+    def __post_init__(self) -> None:
+        self.order = (self.tier_rank, self.deadline)
+
     @property
     def reserved_tokens(self) -> int:
         """Tokens of a target's memory that it is taken to need."""
@@ -152,6 +160,8 @@
         The pools of each service, in the same order.
     pool_of : dict
         The pool of each target.
+    queue : list of RequestRow
+        The waiting requests in order; see `systems.waiting_order`.
     fresh : list of RequestId
         Requests that began to wait since the last reports were made.
     """
@@ -167,6 +177,7 @@
     by_service: dict[ServiceName, list[PoolAccess]] = field(default_factory=dict)
     pool_of: dict[TargetName, PoolAccess] = field(default_factory=dict)
     fresh: list[RequestId] = field(default_factory=list)
+    queue: list[RequestRow] = field(default_factory=list)
     hosts: tuple[HostId, ...] = ()
     linked: Mapping[Zone, tuple[HostId, ...]] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -4,6 +4,9 @@
 callers goes into the rows' own queues, so that the systems touch no network.
 """
 
+from bisect import insort
+from operator import attrgetter
+
 from godwitladder.configuration.model import TargetState
 from godwitladder.decisions.prediction import grow
 from godwitladder.decisions.standing import fixed_share
@@ -16,6 +19,7 @@
 
 AVOID_S = 1.0
 KEPT_COMPLETIONS = 64
+SPARE_ROWS = 32
 
 
 def run_systems(tables: Tables, now: float) -> None:
@@ -76,10 +80,16 @@
 
 
 def waiting_order(tables: Tables) -> list[RequestRow]:
-    """Return the waiting requests, the most urgent first."""
-    return sorted(
-        tables.waiting.values(), key=lambda row: (row.tier_rank, row.deadline)
-    )
+    """Return the waiting requests, the most urgent first.
+
+    The list is kept in order as requests come, and may still hold some that
+    have gone: what reads it looks at their state.
+    """
+    if len(tables.queue) > 2 * len(tables.waiting) + SPARE_ROWS:
+        for row in tables.queue:
+            row.queued = row.request in tables.waiting
+        tables.queue = [row for row in tables.queue if row.queued]
+    return tables.queue
 
 
 def has_room(tables: Tables, service: str, now: float) -> bool:
@@ -212,6 +222,9 @@
     """Let a request wait; if it still does after this tick, it is reported."""
     tables.waiting[row.request] = row
     tables.fresh.append(row.request)
+    if not row.queued:
+        row.queued = True
+        insort(tables.queue, row, key=attrgetter("order"))
 
 
 def grow_request(tables: Tables, row: RequestRow, tokens: int) -> None:
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -13,6 +13,7 @@
     WorkspaceView,
 )
 from godwitladder.ids import TargetName, WorkspaceName
+from godwitladder.scheduler.accounts import NOTHING
 from godwitladder.scheduler.exchange import NO_RANK
 
 if TYPE_CHECKING:
@@ -41,14 +42,15 @@
 def target_views(role: "PoolRole", now: float) -> dict[TargetName, TargetView]:
     """Return every target that may take work."""
     views = {}
+    counted, running = role.counted(), role.running()
     for name in sorted(role.pool.targets):
         target = role.config.targets.get(name)
         if target is None or target.state is TargetState.LEAVING:
             continue
         if target.address in role.leaving or unreachable(role, name, now):
             continue
-        counted = role.counted(name)
-        role.loads.note_ours(name, role.running(name).running, now)
+        count = counted.get(name, NOTHING)
+        role.loads.note_ours(name, running.get(name, NOTHING).running, now)
         speed = role.speeds.learned[name]
         views[name] = TargetView(
             name=name,
@@ -57,8 +59,8 @@
             memory_tokens=target.memory_tokens,
             prefill_tps=speed.prefill_tps,
             decode_tps=speed.decode_tps,
-            used=counted.running + role.loads.others(name),
-            reserved_tokens=counted.tokens,
+            used=count.running + role.loads.others(name),
+            reserved_tokens=count.tokens,
             limit=role.easing.limit(name, target.slots, now),
         )
     return views
