Prove the quarantine of requests that crash their targets

The test's engine first kept its open streams alive with heartbeats after its crash, so letters on it waited for their deadlines; a process that ends breaks them, and now the stand-in does too.

Ruled out as a safeguard: the check on arrival. With it taken away the test stayed green, since the check before the first byte refuses as well; it saves a claim and a place in the queue.

--- a/tests/quarantine/test_hosts.py
+++ b/tests/quarantine/test_hosts.py
@@ -4,6 +4,7 @@
 import json
 from concurrent.futures import ThreadPoolExecutor
 
+from godwitladder.standins.base import Hangup
 from godwitladder.standins.engine import start_engine
 from tests.fleet import OPERATOR_TOKEN, Fleet, wait_until
 
@@ -22,9 +23,12 @@
 
 
 def start_ending(fleet: Fleet, name: str, ended: list[str]):
+    def hang_up(*args):
+        raise Hangup
+
     def crash() -> None:
         ended.append(name)
-        server.standin.knobs["break_after"] = 1
+        server.standin.await_events = hang_up
         server.shutdown()
         server.server_close()
 
--- /dev/null
+++ b/tests/quarantine/test_watch.py
@@ -0,0 +1,162 @@
+"""What a host does with requests whose target crashed, with fakes at its edges."""
+
+import dataclasses
+from dataclasses import dataclass, field
+
+import pytest
+
+from godwitladder.claims.actor import GiveUp, Note, Want
+from godwitladder.claims.collector import Settled, Verdict
+from godwitladder.clock import PausedClock
+from godwitladder.configuration.model import Service, ServiceKind, Target
+from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.quarantine import HOLD_S, Standing
+from godwitladder.outcomes import Reason, RequestState
+from godwitladder.quarantine.records import Cleared, Crash
+from godwitladder.quarantine.watch import CrashWatch, crash_digest
+from godwitladder.scheduler.rows import RequestRow
+from godwitladder.serving.calls import Call, CallRefused
+from godwitladder.standins.service import start_service
+from tests.fleet import free_ports
+
+MODEL = Service(ServiceKind.MODEL, True)
+PLAIN = Service(ServiceKind.PLAIN, True)
+
+
+@dataclass
+class FakeClaims:
+    """Settles every claim with one verdict and keeps what it was told."""
+
+    verdict: Verdict = Verdict.WON
+    told: list = field(default_factory=list)
+
+    def tell(self, message) -> None:
+        self.told.append(message)
+        if isinstance(message, Want):
+            message.reply.put(Settled(message.wanted.nonce, self.verdict))
+
+    def kinds(self) -> list[type]:
+        return [type(message) for message in self.told]
+
+
+class FakeMesh:
+    """Keeps what was broadcast."""
+
+    def __init__(self) -> None:
+        self.sent: list = []
+
+    def broadcast(self, message) -> None:
+        self.sent.append(message)
+
+
+def make_call(text: str, service: Service = MODEL) -> Call:
+    row = RequestRow("r", "s", "w", "letters", 0, 0, 0, 0.0, 9.0, True)
+    row.target = "t1"
+    body = b'{"messages": ["%b"]}' % text.encode()
+    return Call(row, service, body, "application/json", False)
+
+
+def make_watch(run, address: str = "") -> CrashWatch:
+    address = address or f"127.0.0.1:{free_ports(1)[0]}"
+    config = ConfigState(targets={"t1": Target(address=address)})
+    return CrashWatch(run, lambda: config, FakeClaims(), FakeMesh(), PausedClock())
+
+
+def end(state: RequestState):
+    def run(call: Call, environ, start_response) -> list[bytes]:
+        refusal = call.before_dispatch()
+        call.on_end(RequestState.NOT_RUN if refusal else state)
+        return [refusal]
+
+    return run
+
+
+def test_copies_that_wait_are_refused_before_they_are_written():
+    """Of many copies in the queue only the first takes its target.
+
+    All were let in before the first crash. Each is checked again before its
+    first byte, and refused as not run.
+    """
+    inner = end(RequestState.MAY_HAVE_RUN)
+    ended = []
+
+    def run(call, environ, start_response):
+        if not ended:
+            ended.append(call)
+            watch.serve(make_call("poison"), {}, None)
+        return inner(call, environ, start_response)
+
+    watch = make_watch(run)
+    [refusal] = watch.serve(make_call("poison"), {}, None)
+    assert (refusal.reason, refusal.outcome) == (
+        Reason.QUARANTINED,
+        RequestState.NOT_RUN,
+    )
+    crashes = [row for row in watch.mesh.sent if isinstance(row, Crash)]
+    assert [row.trial for row in crashes] == [False]
+
+
+def test_suspect_runs_alone_and_is_cleared_by_its_end():
+    """A bystander's next try claims the one trial, ends well, and is cleared."""
+    watch = make_watch(end(RequestState.MAY_HAVE_RUN))
+    call = make_call("letter")
+    watch.serve(call, {}, None)
+    assert watch.standing(crash_digest(call)) is Standing.SUSPECT
+    watch.run = end(RequestState.COMPLETED)
+    assert watch.serve(call, {}, None) == [None]
+    assert watch.standing(crash_digest(call)) is Standing.CLEAR
+    assert watch.claims.kinds() == [Note, Want, Note, GiveUp]
+    assert isinstance(watch.mesh.sent[-1], Cleared)
+
+
+@pytest.mark.parametrize("verdict", [Verdict.HELD, Verdict.UNAVAILABLE])
+def test_suspect_without_its_trial_is_refused_as_not_run(verdict):
+    """While another suspect runs, or the log is out, a suspect is refused.
+
+    Its key is freed, since it did not run and may be sent again.
+    """
+    watch = make_watch(end(RequestState.MAY_HAVE_RUN))
+    watch.serve(make_call("letter"), {}, None)
+    watch.claims.verdict = verdict
+    states = []
+    call = dataclasses.replace(make_call("letter"), on_end=states.append)
+    with pytest.raises(CallRefused) as refused:
+        watch.serve(call, {}, None)
+    assert refused.value.refusal.reason is Reason.QUARANTINED
+    assert refused.value.refusal.retry_after_s > 0
+    assert states == [RequestState.NOT_RUN]
+
+
+def test_lost_answer_of_a_live_target_is_no_crash():
+    """A service that lost one answer goes on, and so do its other calls."""
+    server = start_service()
+    watch = make_watch(end(RequestState.MAY_HAVE_RUN), server.address)
+    watch.serve(make_call("order", PLAIN), {}, None)
+    server.shutdown()
+    server.server_close()
+    assert not watch.mesh.sent
+
+
+def test_note_that_comes_twice_or_late_changes_nothing():
+    """Notes come over links and by the log; an old one suspects nobody anew."""
+    watch = make_watch(end(RequestState.COMPLETED))
+    note = Crash("report", "t1", "d", False)
+    watch.take(None, note)
+    watch.take(None, note)
+    assert watch.mesh.sent == [note]
+    watch.take(None, Cleared("second", "d"))
+    watch.replay(note, watch.clock.wall())
+    watch.replay(Crash("third", "t2", "d", False), watch.clock.wall() - HOLD_S - 1)
+    assert watch.standing("d") is Standing.CLEAR
+
+
+def test_digest_is_of_the_messages_alone():
+    """The same prompt is known again with other settings; a like one is not."""
+    row = make_call("poison").row
+    bodies = [
+        b'{"messages": ["x"], "max_tokens": 5}',
+        b'{"max_tokens": 9, "messages":["x"]}',
+        b'{"messages": ["y"]}',
+    ]
+    digests = [crash_digest(Call(row, MODEL, body, "", False)) for body in bodies]
+    assert digests[0] == digests[1] != digests[2]
