--- a/tests/claims/test_hosts.py
+++ b/tests/claims/test_hosts.py
@@ -186,6 +186,19 @@
     assert runs(fleet, key) == 1
 
 
+def test_lost_answer_of_the_service_holds_the_key(fleet):
+    """The charge ran and its answer was lost; no host runs it again.
+
+    The caller is told that it may have run, and each repeat is told the same.
+    """
+    key = new_key()
+    fleet.knobs(fleet.services["app-a1"], lose_answers=1)
+    for host in fleet.hosts:
+        lost = charge(fleet, host, key)
+        assert problem(lost) == ("target_lost", "may_have_run")
+    assert runs(fleet, key) == 1
+
+
 def test_key_with_another_body_is_refused_on_any_host(fleet):
     """One key can't stand for two orders."""
     key = new_key()
