--- a/demo/scenes.py
+++ b/demo/scenes.py
@@ -12,7 +12,10 @@
 LETTER_TOKENS = 800
 BURST_URGENT = 12
 BURST_NORMAL = 120
-BURST_TIMEOUT_S = "6"
+# Longer than the 8 s that the declared output would take: with less, a host
+# that has learned nothing yet may rightly refuse the whole burst.
+BURST_TOKENS = 1600
+BURST_TIMEOUT_S = "12"
 TAKEN_S = 20.0
 
 
@@ -186,7 +189,7 @@
         key = ADVISER_KEY if urgent else RETURNS_KEY
         host = fleet.hosts[number % len(fleet.hosts)]
         text = f"{tier} {number}"
-        return tier, send_chat(fleet, host, text, key, timeout, max_tokens=1600)
+        return tier, send_chat(fleet, host, text, key, timeout, max_tokens=BURST_TOKENS)
 
     count = BURST_URGENT + BURST_NORMAL
     with ThreadPoolExecutor(count) as pool:
