Test that a letter survives the death of its host

A host is killed with a letter half passed on; the caller goes on at another host by the id in the answer's head and its last event. The letter is whole and the engine ran it once.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,5 +1,10 @@
 """Every caller gets its own whole answer."""
 
+import json
+import signal
+
+from tests.fleet import CALLER_KEY
+
 
 def test_foreign_and_repeated_chunks_are_not_passed_on(fleet):
     """The caller sees its own chunks once, in order.
@@ -17,3 +22,44 @@
     numbers = [line for line in answer.data.split(b"\n") if line.startswith(b"id: ")]
     assert numbers == [b"id: %d" % index for index in range(11)]
     assert b"data: {}\n" not in answer.data
+
+
+def test_a_letter_whose_host_dies_is_had_whole_from_another(fleet):
+    """The caller goes on with its letter at any other host.
+
+    The host is killed after it has passed on the first events. The caller
+    takes the id from the answer's head to another host, together with the
+    number of the last event it has, and the engine's stream goes on there.
+    """
+    engine = fleet.add_engine("engine-a1", decode_tps=100)
+    first = fleet.add_host("host-a1", "a")
+    second = fleet.add_host("host-a2", "a")
+    fleet.wait_ready()
+    fleet.configure()
+    raw = {"model": "letters", "messages": ["A letter"], "stream": True}
+    answer = fleet.http.request(
+        "POST",
+        f"http://{first.callers}/v1/chat/completions",
+        body=json.dumps({**raw, "max_tokens": 800}),
+        headers={"Authorization": f"Bearer {CALLER_KEY}"},
+        preload_content=False,
+        timeout=60,
+    )
+    begun = b""
+    while begun.count(b"\nid: ") < 5:
+        begun += answer.read1(4096)
+    first.send(signal.SIGKILL)
+    begun = begun[: begun.rindex(b"\n\n")]
+    last = begun.rpartition(b"\nid: ")[2].partition(b"\n")[0].decode()
+    rest = fleet.http.request(
+        "GET",
+        f"http://{second.callers}/v1/requests/{answer.headers['Request-Id']}",
+        headers={"Authorization": f"Bearer {CALLER_KEY}", "Last-Event-ID": last},
+        timeout=60,
+    )
+    numbers = [
+        line for line in (begun + rest.data).split(b"\n") if line.startswith(b"id: ")
+    ]
+    assert numbers == [b"id: %d" % index for index in range(101)]
+    assert rest.data.rstrip().endswith(b"data: [DONE]")
+    assert [row["runs"] for row in fleet.ran(engine)] == [1]
