--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -111,6 +111,7 @@
             self.router.deliver,
             settings.peers.seeds,
             lambda link: self.membership.tell(LinkUp(link)),
+            settings.listen.peers_tls,
         )
         self.membership = self.start_actor(
             Membership,
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -24,6 +24,8 @@
 from godwitladder.logs import part_logger
 from godwitladder.membership.codec import BadMessage, decode, encode
 from godwitladder.membership.messages import Hello, Proof
+from godwitladder.settings import TlsSettings
+from godwitladder.tls import client_context, server_context
 
 log = part_logger("peers")
 
@@ -188,6 +190,8 @@
         Addresses to dial until the host closes.
     greeted : callable
         Called with each link when it comes up.
+    tls : TlsSettings or None
+        Certificate, key and authority, if links speak TLS.
     """
 
     def __init__(
@@ -199,7 +203,9 @@
         deliver: Callable[[Link, Any], None],
         seeds: Iterable[str] = (),
         greeted: Callable[[Link], None] = lambda link: None,
+        tls: TlsSettings | None = None,
     ) -> None:
+        self.tls = tls
         self.host = host
         self.address = address
         self.secret = secret
@@ -225,6 +231,7 @@
             compression=None,
             max_size=MESSAGE_BYTES,
             ping_interval=None,
+            ssl=server_context(self.tls) if self.tls else None,
         )
         threading.Thread(
             target=self.server.serve_forever, name="peers", daemon=True
@@ -323,7 +330,8 @@
         """Run a link to ``address``; return whether there was one."""
         try:
             connection = connect(
-                f"ws://{address}",
+                f"{'wss' if self.tls else 'ws'}://{address}",
+                ssl=client_context(self.tls) if self.tls else None,
                 compression=None,
                 proxy=None,
                 open_timeout=GREETING_TIMEOUT_S,
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -21,6 +21,7 @@
 from godwitladder.outcomes import RequestState
 from godwitladder.serving.problems import PROBLEM_TYPE
 from godwitladder.settings import LimitSettings, TlsSettings
+from godwitladder.tls import server_context
 
 # Bytes of an answer that wait for a caller who reads slowly; beyond them the
 # thread that writes the answer waits, and its engine's stream with it.
@@ -145,19 +146,6 @@
     return json.dumps(members).encode()
 
 
-def server_context(tls: TlsSettings) -> ssl.SSLContext:
-    """Return the TLS context of a listener; an authority asks for client ones."""
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
-    context.options |= ssl.OP_NO_RENEGOTIATION
-    context.sslsocket_class = TlsSocket
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
 def listen(address: str, tls: TlsSettings | None) -> socket.socket:
     """Return a bound socket, whose accepted ones speak TLS if ``tls`` is given."""
     host, _, port = address.rpartition(":")
@@ -165,6 +153,7 @@
     if tls is None:
         return sock
     context = server_context(tls)
+    context.sslsocket_class = TlsSocket
     return context.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
 
 
--- /dev/null
+++ b/tests/membership/test_tls.py
@@ -0,0 +1,80 @@
+"""Links between hosts over TLS."""
+
+import contextlib
+
+import trustme
+
+from godwitladder.clock import Clock
+from godwitladder.membership.links import Mesh
+from godwitladder.membership.messages import Heartbeat
+from godwitladder.settings import TlsSettings
+from tests.fleet import free_ports, wait_until
+
+
+def make_tls(folder, authority, name: str) -> TlsSettings:
+    """Write a host's certificate and return its settings."""
+    issued = authority.issue_cert("127.0.0.1")
+    path, root = folder / f"{name}.pem", folder / f"{name}-root.pem"
+    issued.private_key_and_cert_chain_pem.write_to_path(path)
+    authority.cert_pem.write_to_path(root)
+    return TlsSettings(str(path), str(path), str(root))
+
+
+class CountingClock(Clock):
+    """Counts the pauses between tries to dial."""
+
+    def __init__(self) -> None:
+        self.pauses = 0
+
+    def wait(self, event, seconds):
+        self.pauses += 1
+        return super().wait(event, seconds)
+
+
+def make_mesh(stack, name: str, port: int, tls, seeds: list, taken: list) -> Mesh:
+    mesh = Mesh(
+        name,
+        f"127.0.0.1:{port}",
+        "secret",
+        CountingClock(),
+        lambda link, message: taken.append((name, message.host)),
+        [f"127.0.0.1:{seed}" for seed in seeds],
+        tls=tls,
+    )
+    mesh.start()
+    stack.callback(mesh.close)
+    return mesh
+
+
+def test_only_peers_with_a_certificate_of_the_authority_get_a_link(tmp_path):
+    """A process that knows the secret but has no certificate stays outside.
+
+    Two hosts of one authority link up and hear each other. A third one has
+    the secret and a certificate of another authority: TLS fails before any
+    greeting, and it gets no link however long it dials.
+    """
+    ours, other = trustme.CA(), trustme.CA()
+    ports = sorted(free_ports(3))
+    taken: list = []
+    with contextlib.ExitStack() as stack:
+        tls = {
+            name: make_tls(tmp_path, authority, name)
+            for name, authority in (
+                ("outsider", other),
+                ("first", ours),
+                ("second", ours),
+            )
+        }
+        second = make_mesh(stack, "second", ports[2], tls["second"], [], taken)
+        first = make_mesh(stack, "first", ports[1], tls["first"], ports[2:], taken)
+        outsider = make_mesh(
+            stack, "outsider", ports[0], tls["outsider"], ports[1:], taken
+        )
+        wait_until(lambda: first.current() and second.current(), "a link")
+        for mesh in (first, second):
+            beat = Heartbeat(mesh.host, "a", mesh.address, 1, False, 0)
+            mesh.broadcast(beat)
+        wait_until(lambda: len(taken) >= 2, "both heartbeats")
+        assert sorted(taken) == [("first", "second"), ("second", "first")]
+        wait_until(lambda: outsider.clock.pauses > 2, "both dials to fail")
+        assert not outsider.current()
