--- a/godwitladder/standins/base.py
+++ b/godwitladder/standins/base.py
@@ -46,7 +46,9 @@
     def server_close(self) -> None:
         """Stop listening, and end the stand-in's own thread if it has one."""
         super().server_close()
-        self.standin.closed = True
+        with self.standin.changed:
+            self.standin.closed = True
+            self.standin.changed.notify_all()
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Stay quiet about connections that the other end has closed."""
--- a/godwitladder/standins/engine.py
+++ b/godwitladder/standins/engine.py
@@ -259,6 +259,8 @@
         sent = 0
         while True:
             events, finished = self.await_events(row, start)
+            if self.closed:
+                raise Hangup
             if not events and not finished:
                 handler.send_chunk(b": waiting\n\n")
                 continue
@@ -274,7 +276,8 @@
         """Wait for events from ``start`` on; return them and whether it ended."""
         with self.changed:
             self.changed.wait_for(
-                lambda: len(row.events) > start or row.finished, HEARTBEAT_S
+                lambda: len(row.events) > start or row.finished or self.closed,
+                HEARTBEAT_S,
             )
             return row.events[start:], row.finished
 
--- a/tests/serving/test_dispatching.py
+++ b/tests/serving/test_dispatching.py
@@ -174,6 +174,7 @@
     answer = app.ask("POST", "/v1/services/charge", b"x", HTTP_REQUEST_TIMEOUT="0.3")
     assert answer.problem()["outcome"] == "not_run"
     app.wait_idle()
+    assert app.metrics.sheds.get({"rank": "0", "reason": "deadline"}) == 1
 
 
 def test_the_rest_of_an_answer_can_be_had_again(stack):
