--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -120,6 +120,7 @@
             self.router.deliver,
             settings.peers.seeds,
             lambda link: self.membership.tell(LinkUp(link)),
+            settings.listen.peers_tls,
         )
         self.follower.send = self.mesh.send
         self.exchange = self.start_actor(ConfigExchange, self.follower)
