--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -1,10 +1,10 @@
 """Hands messages between hosts to the parts they are for, and passes some on."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pykka
 
-from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.ids import HostId
 from godwitladder.membership.links import Link, Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews
@@ -18,12 +18,18 @@
     ----------
     host : HostId
         This host.
+
+    Attributes
+    ----------
+    takers : dict
+        Called with the link and a message, for what no actor takes.
     """
 
     def __init__(self, host: HostId) -> None:
         self.host = host
         self.mesh: Mesh | None = None
         self.actors: dict[type, tuple[pykka.ActorRef, ...]] = {}
+        self.takers: dict[type, Callable[[Link, Any], None]] = {}
 
     def connect(
         self,
@@ -31,20 +37,22 @@
         membership: pykka.ActorRef,
         scheduler: pykka.ActorRef,
         allocator: pykka.ActorRef,
-        configuration: pykka.ActorRef,
     ) -> None:
         """Set the parts, once all of them are there."""
         self.mesh = mesh
         self.actors = {
-            Heartbeat: (membership, configuration),
+            Heartbeat: (membership,),
             LiveNews: (membership,),
             GrantOffer: (scheduler,),
             PoolReport: (allocator,),
             FloorReport: (allocator,),
-            ConfigRequest: (configuration,),
-            ConfigSnapshot: (configuration,),
         }
 
+    def add(self, actor: pykka.ActorRef, *kinds: type) -> None:
+        """Let ``actor`` take messages of these kinds too."""
+        for kind in kinds:
+            self.actors[kind] = (*self.actors.get(kind, ()), actor)
+
     def send(self, host: HostId, message: Any) -> None:
         """Send ``message`` to ``host``, which may be this one.
 
@@ -61,6 +69,9 @@
         if isinstance(message, GrantOffer) and message.host != self.host:
             self.send(message.host, message)
             return
+        taker = self.takers.get(type(message))
+        if taker:
+            taker(link, message)
         self._tell(message)
 
     def _tell(self, message: Any) -> None:
