--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -1,38 +1,43 @@
-"""The command line.
+"""godwitladder: a request scheduler for unlike engines.
 
-Exit codes: 0 done, 1 refused or rejected, 2 wrong usage or invalid input,
-3 the other end could not be reached.
+Run an entry host with "serve", change its configuration with numbered
+tickets ("ticket"), read what became of them ("audit") and how a host is
+("status"). Commands that ask a host take the operators' address of any
+entry host and read the operator's token from GODWITLADDER_TOKEN.
+
+Exit codes: 0 done; 1 the host refused, or the ticket was rejected; 2 wrong
+usage, or settings or a ticket with findings; 3 the host did not answer, or
+says that the outcome is open or that it can't do it now.
 """
 
 import json
-import os
 import sys
 import threading
+from argparse import RawDescriptionHelpFormatter
+from collections.abc import Callable
 from pathlib import Path
 
 import defopt
-import urllib3
 
 import godwitladder
+from godwitladder.client import AskFailed, OperatorClient
 from godwitladder.configuration.tickets import read_ticket
 from godwitladder.daemon import run_entry_host
-from godwitladder.findings import InvalidInput
+from godwitladder.findings import Finding, InvalidInput
 from godwitladder.logs import configure_logs
 from godwitladder.settings import read_settings
 from godwitladder.standins.engine import start_engine
 from godwitladder.standins.platform import start_platform
 from godwitladder.standins.service import start_service
 
-REFUSED = 1
 INVALID = 2
-UNREACHABLE = 3
-TOKEN_VARIABLE = "GODWITLADDER_TOKEN"
-REQUEST_TIMEOUT_S = 10.0
 
 
 def serve(*, settings: Path) -> None:
     """Run one entry host until SIGTERM, then finish what is in flight.
 
+    Nothing is started if the settings have findings.
+
     Parameters
     ----------
     settings : Path
@@ -57,42 +62,89 @@
 def check_ticket(ticket: Path) -> None:
     """Check a ticket by itself, without asking a host.
 
+    Whether its number is high enough and whether what it refers to exists is
+    only known when it is submitted.
+
     Parameters
     ----------
     ticket : Path
         TOML file with the ticket.
     """
-    read = read_ticket(ticket.read_bytes(), str(ticket))
+    read = read_ticket(read_file(ticket), str(ticket))
     print(f"{ticket}: ticket {read.number} is sound, {len(read.writes)} objects")
 
 
-def submit_ticket(ticket: Path, *, host: str) -> None:
-    """Submit a ticket through an entry host.
+def submit_ticket(
+    ticket: Path, *, host: str, wait: float = 3.0, as_json: bool = False
+) -> None:
+    """Submit a ticket through any entry host and print its verdict.
 
-    The operator's token is read from GODWITLADDER_TOKEN.
+    Where the outcome is open, submit the same file again: a ticket that was
+    taken already changes nothing.
 
     Parameters
     ----------
     ticket : Path
         TOML file with the ticket.
     host : str
-        Operators' address of any entry host, as address:port.
+        Operators' address of an entry host, as address:port.
+    wait : float
+        Longest wait for the verdict, in seconds; the host caps it at 10.
+    as_json : bool
+        Print the host's answer as it is.
     """
-    data = ticket.read_bytes()
+    data = read_file(ticket)
     read_ticket(data, str(ticket))
-    print(json.dumps(ask_host(host, "POST", "/v1/tickets", data)))
+    row = OperatorClient(host).submit(data, wait)
+    show([row], as_json, lambda row: f"offset {row['offset']}: {row['verdict']}")
+
+
+def list_tickets(*, host: str, as_json: bool = False) -> None:
+    """List the tickets that were accepted last.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of an entry host, as address:port.
+    as_json : bool
+        Print a JSON object a line.
+    """
+    rows = OperatorClient(host).get("/v1/tickets")["tickets"]
+    show(
+        rows,
+        as_json,
+        lambda row: f"{row['number']} by {row['operator']} at offset {row['offset']}",
+    )
 
 
-def show_audit(*, host: str) -> None:
-    """Print the audit trail, a JSON object a line.
+def show_ticket(number: int, *, host: str) -> None:
+    """Print every verdict on a ticket's number, and what of it is in force.
 
     Parameters
     ----------
+    number : int
+        The ticket's number.
     host : str
-        Operators' address of any entry host, as address:port.
+        Operators' address of an entry host, as address:port.
     """
-    for row in ask_host(host, "GET", "/v1/audit")["audit"]:
-        print(json.dumps(row))
+    answer = OperatorClient(host).get(f"/v1/tickets/{number}")
+    print(json.dumps(answer, indent=2))
+
+
+def show_audit(*, host: str, start: int = 0, as_json: bool = False) -> None:
+    """Print the audit trail, oldest first.
+
+    Parameters
+    ----------
+    host : str
+        Operators' address of an entry host, as address:port.
+    start : int
+        First offset to print.
+    as_json : bool
+        Print a JSON object a line.
+    """
+    rows = OperatorClient(host).get(f"/v1/audit?from={start}")["audit"]
+    show(rows, as_json, audit_line)
 
 
 def show_status(*, host: str) -> None:
@@ -103,40 +155,46 @@
     host : str
         Operators' address of the entry host, as address:port.
     """
-    print(json.dumps(ask_host(host, "GET", "/v1/status"), indent=2))
+    print(json.dumps(OperatorClient(host).get("/v1/status"), indent=2))
 
 
-def standin_platform(*, listen: str = "127.0.0.1:0") -> None:
+def standin_platform(*, listen: str = "127.0.0.1:0", knobs: list[str] = ()) -> None:
     """Run a stand-in of the platform.
 
     Parameters
     ----------
     listen : str
         Where to listen, as address:port.
+    knobs : list[str]
+        Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_platform(listen))
+    run_standin(start_platform(listen, **read_knobs(knobs)))
 
 
-def standin_engine(*, listen: str = "127.0.0.1:0") -> None:
+def standin_engine(*, listen: str = "127.0.0.1:0", knobs: list[str] = ()) -> None:
     """Run a stand-in of a language engine.
 
     Parameters
     ----------
     listen : str
         Where to listen, as address:port.
+    knobs : list[str]
+        Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_engine(listen))
+    run_standin(start_engine(listen, **read_knobs(knobs)))
 
 
-def standin_service(*, listen: str = "127.0.0.1:0") -> None:
+def standin_service(*, listen: str = "127.0.0.1:0", knobs: list[str] = ()) -> None:
     """Run a stand-in of a plain service.
 
     Parameters
     ----------
     listen : str
         Where to listen, as address:port.
+    knobs : list[str]
+        Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_service(listen))
+    run_standin(start_service(listen, **read_knobs(knobs)))
 
 
 def run_standin(server) -> None:
@@ -145,34 +203,53 @@
     threading.Event().wait()
 
 
-def ask_host(host: str, method: str, path: str, body: bytes | None = None) -> dict:
-    """Return a host's JSON answer, or end the program with an exit code."""
-    token = os.environ.get(TOKEN_VARIABLE, "")
+def read_knobs(texts: list[str]) -> dict:
+    """Return knobs given as ``name=value``."""
+    knobs = {}
+    findings = []
+    for text in texts:
+        name, _, value = text.partition("=")
+        try:
+            knobs[name] = json.loads(value)
+        except ValueError:
+            findings.append(Finding(f"--knobs {text}", "must be name=value in JSON"))
+    if findings:
+        raise InvalidInput(tuple(findings))
+    return knobs
+
+
+def read_file(path: Path) -> bytes:
+    """Return a file's bytes, or raise `InvalidInput`."""
     try:
-        answer = urllib3.request(
-            method,
-            f"http://{host}{path}",
-            body=body,
-            headers={"Authorization": f"Bearer {token}"},
-            timeout=REQUEST_TIMEOUT_S,
-            retries=False,
-        )
-    except urllib3.exceptions.HTTPError as error:
-        print(f"godwitladder: {host} did not answer: {error}", file=sys.stderr)
-        sys.exit(UNREACHABLE)
-    value = json.loads(answer.data)
-    if answer.status >= 400:
-        for row in value.get("findings", []):
-            print(f"{row['place']}: {row['text']}", file=sys.stderr)
-        print(value.get("detail", "The host refused."), file=sys.stderr)
-        sys.exit(REFUSED)
-    return value
+        return path.read_bytes()
+    except OSError as error:
+        text = f"can't be read: {error.strerror}"
+        raise InvalidInput((Finding(str(path), text),)) from error
+
+
+def audit_line(row: dict) -> str:
+    """Return an audit entry as a line for people."""
+    head = f"{row['offset']}: ticket {row['number']} by {row['operator'] or 'nobody'}"
+    cause = f" ({row['cause']})" if row["cause"] else ""
+    findings = "".join(f"\n    {text}" for text in row["findings"])
+    return f"{head}: {row['verdict']}{cause}, {row['reason']}{findings}"
+
+
+def show(rows: list[dict], as_json: bool, line: Callable[[dict], str]) -> None:
+    """Print rows, each on a line."""
+    for row in rows:
+        print(json.dumps(row) if as_json else line(row))
 
 
 COMMANDS = {
     "serve": serve,
     "settings": {"check": check_settings},
-    "ticket": {"check": check_ticket, "submit": submit_ticket},
+    "ticket": {
+        "check": check_ticket,
+        "submit": submit_ticket,
+        "list": list_tickets,
+        "show": show_ticket,
+    },
     "audit": show_audit,
     "status": show_status,
     "standin": {
@@ -183,10 +260,21 @@
 }
 
 
-def main() -> None:
+def main(argv: list[str] | None = None) -> None:
     """Run the command line."""
     try:
-        defopt.run(COMMANDS, version=godwitladder.__version__)
+        defopt.run(
+            COMMANDS,
+            argv=argv,
+            version=godwitladder.__version__,
+            argparse_kwargs={
+                "description": __doc__,
+                "formatter_class": RawDescriptionHelpFormatter,
+            },
+        )
     except InvalidInput as error:
         print(error, file=sys.stderr)
         sys.exit(INVALID)
+    except AskFailed as error:
+        print(error, file=sys.stderr)
+        sys.exit(error.exit_code)
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -186,6 +186,7 @@
         incarnation=tables.incarnation,
         pool=access.pool.name,
         number=number,
+        sent_s=now,
         term=access.term,
         seen=access.seen,
         uses=report_uses(access, targets),
@@ -216,7 +217,8 @@
         ]
         if row.running or held:
             running = row.running + len(held)
-            uses.append(TargetUse(row.name, running, row.reserved_tokens + sum(held)))
+            tokens = row.reserved_tokens + sum(held)
+            uses.append(TargetUse(row.name, running, tokens))
     return tuple(uses)
 
 
--- a/godwitladder/serving/operators.py
+++ b/godwitladder/serving/operators.py
@@ -13,9 +13,11 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason
 from godwitladder.platform.log import LogClient
+from godwitladder.quarantine.watch import CrashWatch
 from godwitladder.serving.auth import bearer_digest, matching_digest
 from godwitladder.serving.calls import CallRefused, deny
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.quarantine import QUARANTINE_PATH, answer_quarantine
 from godwitladder.serving.submission import (
     DEFAULT_WAIT_S,
     SubmissionFailed,
@@ -76,6 +78,7 @@
         self.metrics = metrics
         self.status = status
         self.desk = TicketDesk(log, follower)
+        self.watch: CrashWatch | None = None
 
     def __call__(self, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
@@ -108,6 +111,8 @@
             return self._show_ticket(number, start_response)
         if method == "GET" and path == "/v1/audit":
             return self._audit(environ, start_response)
+        if path.startswith(QUARANTINE_PATH):
+            return answer_quarantine(self.watch, environ, start_response)
         if method == "GET" and path == "/v1/status":
             return _json(start_response, asdict(self.status()))
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -24,6 +24,7 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
+from godwitladder.serving.dispatching import Dispatcher
 from godwitladder.settings import (
     ListenSettings,
     PeerSettings,
@@ -79,10 +80,22 @@
         return json.loads(self.read())
 
 
+class Unkeyed:
+    """Stands where calls with keys are served; hands every call on."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    def serve(self, call, environ, start_response, resume):
+        return self.dispatcher.serve(call, environ, start_response)
+
+
 class App:
     """A `CallerApp` with a scheduler behind it."""
 
-    def __init__(self, stack: contextlib.ExitStack, engine="", service="") -> None:
+    def __init__(
+        self, stack: contextlib.ExitStack, engine="", service="", **settings
+    ) -> None:
         self.metrics = Metrics()
         clock = Clock()
         router, ticker = Router("host"), Ticker(clock, 0.05)
@@ -99,8 +112,11 @@
         for part, actor in ((ticker, self.scheduler), (Ticker(clock, 0.05), allocator)):
             part.start(actor)
             stack.callback(part.stop)
-        self.app = CallerApp(make_settings(), self.scheduler, clock, self.metrics)
+        self.app = CallerApp(
+            make_settings(**settings), self.scheduler, clock, self.metrics
+        )
         self.app.config = make_config(engine, service)
+        self.app.keyed = Unkeyed(self.app.dispatcher)
         for actor in (allocator, self.scheduler):
             actor.ask(NewConfig(self.app.config))
 
