Order targets through leases in the log, and share the weight store's rate

A lease is a record of the orders stream and its offset the fencing number; whether it is granted is a function of the stream alone, by the log's own time. A target that ignores fencing numbers is guarded by a lease that the holder judges by its own clock right before the write, a wait of lease and longest write for the successor, whole-state orders and a second look. Weight reads take slots in the same stream.

Ruled out: done records (the target itself says what it is, and records expire), the offset of a ticket as version (it restarts with a new stream; the number goes on), a constant reading of the stream (an idle host reads nothing).

--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -100,6 +100,9 @@
         Tokens a second expected before any were measured.
     checks_fence : bool
         Whether it refuses orders with an old fencing number.
+    model, adapters, role : str, tuple of str, str
+        What it is ordered to have loaded and to be; all empty for a target
+        that takes no orders.
     """
 
     address: str = checked(host_port)
@@ -112,6 +115,9 @@
     generation: str = ""
     checks_fence: bool = False
     state: TargetState = TargetState.ACTIVE
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
 
 
 TYPES: dict[ObjectKind, type] = {
--- a/godwitladder/configuration/state.py
+++ b/godwitladder/configuration/state.py
@@ -24,6 +24,8 @@
         Offset of the next record to replay; never goes back.
     keys : dict
         Workspace name for each digest of a bearer key.
+    numbers : dict
+        Number of the ticket that wrote each target last.
     """
 
     offset: Offset = Offset(0)
@@ -32,6 +34,7 @@
     services: Mapping[str, Service] = field(default_factory=dict)
     targets: Mapping[str, Target] = field(default_factory=dict)
     keys: Mapping[str, str] = field(default_factory=dict)
+    numbers: Mapping[str, int] = field(default_factory=dict)
 
     def rank(self, workspace: Workspace) -> int:
         """Return the rank of the workspace's tier."""
@@ -53,4 +56,9 @@
         services=ledger.table(ObjectKind.SERVICE),
         targets=ledger.table(ObjectKind.TARGET),
         keys=keys,
+        numbers={
+            name.name: row.number
+            for name, row in ledger.objects.items()
+            if name.table == ObjectKind.TARGET.value
+        },
     )
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -32,8 +32,11 @@
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
+from godwitladder.orders.issuer import OrderIssuer
+from godwitladder.orders.stream import OrderStream
 from godwitladder.platform.hosts import HostListClient, HostListUnavailable
 from godwitladder.platform.log import LogClient
+from godwitladder.platform.weights import WeightClient
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.load import LoadReader
@@ -124,6 +127,7 @@
         )
         self.follower.send = self.mesh.send
         self.exchange = self.start_actor(ConfigExchange, self.follower)
+        self.orders = self.make_orders()
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -143,6 +147,24 @@
         self.stack.callback(actor.stop)
         return actor
 
+    def make_orders(self) -> OrderIssuer:
+        """Return the part that brings targets to the state in force."""
+        settings = self.settings
+        platform = settings.platform
+        holder = f"{settings.host}/{self.incarnation}"
+        weights = None
+        if platform.weights:
+            weights = WeightClient(platform.weights, settings.zone)
+            self.stack.callback(weights.close)
+        return OrderIssuer(
+            settings.host,
+            settings.zone,
+            OrderStream(self.log, self.clock, holder, platform.weight_reads_per_s),
+            weights,
+            self.clock,
+            lambda: self.callers.config,
+        )
+
     def make_tables(self) -> Tables:
         """Return the scheduler's tables, as they are at the start."""
         host, zone = self.settings.host, self.settings.zone
@@ -183,6 +205,7 @@
         self.start_part(Ticker(self.clock, idle_tick_s), self.allocator)
         heartbeat_s = self.settings.peers.heartbeat_s
         self.start_part(Ticker(self.clock, heartbeat_s), self.membership)
+        self.start_part(self.orders)
         self.start_part(LoadReader(self.allocator, self.clock))
         self.keys.start(idle_tick_s)
         self.follower.start()
@@ -293,6 +316,8 @@
         """Tell those that hand out and use targets about hosts that changed."""
         self.scheduler.tell(message)
         self.allocator.tell(message)
+        if isinstance(message, HostsChanged):
+            self.orders.hosts = message.hosts
 
     def follow_hosts(self) -> None:
         """Read the platform's host list from time to time, as a hint."""
--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -57,6 +57,9 @@
     ----------
     log, hosts, weights : str
         URLs of the log, the host list and the weight store.
+    weight_reads_per_s : float
+        Reads of the weight store that all hosts together may make, a little
+        below its own limit; the same on every host.
     log_retention_s : float
         How long the log keeps records at least, in seconds.
     config_stream : str
@@ -66,6 +69,7 @@
     log: str = checked(http_url)
     hosts: str = checked(http_url)
     weights: str = ""
+    weight_reads_per_s: float = checked(positive, default=4.0)
     log_retention_s: float = checked(positive, default=86_400.0)
     config_stream: str = checked(not_empty, default="config")
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -117,7 +117,9 @@
         self.services[name] = server
         return server
 
-    def add_host(self, name: str, zone: str, extra: str = "") -> Host:
+    def add_host(
+        self, name: str, zone: str, extra: str = "", platform_extra: str = ""
+    ) -> Host:
         """Start an entry host."""
         ports = [f"127.0.0.1:{port}" for port in free_ports(3)]
         host = Host(name, zone, *ports)
@@ -135,6 +137,7 @@
 [platform]
 log = "http://{self.platform.address}"
 hosts = "http://{self.platform.address}"
+{platform_extra}
 [peers]
 secret = "{SECRET}"
 seeds = {seeds}
--- /dev/null
+++ b/tests/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orders to targets."""
