--- a/godwitladder/configuration/judgement.py
+++ b/godwitladder/configuration/judgement.py
@@ -8,6 +8,8 @@
 from godwitladder.configuration.tickets import Ticket
 from godwitladder.findings import Finding, Findings
 
+Holders = dict[tuple[str, str], ObjectName]
+
 
 class Rejection(enum.Enum):
     """Why a ticket was rejected.
@@ -24,9 +26,19 @@
 
 
 def judge(
-    objects: Mapping[ObjectName, Versioned], ticket: Ticket
+    objects: Mapping[ObjectName, Versioned], holders: Holders, ticket: Ticket
 ) -> tuple[Rejection | None, tuple[Finding, ...]]:
-    """Return why ``ticket`` must be rejected, or None, with all findings."""
+    """Return why ``ticket`` must be rejected, or None, with all findings.
+
+    Only what the ticket touches is looked at. A look at every object took
+    17 ms at 3,200 workspaces, and a host that starts replays a thousand
+    tickets before it can serve.
+
+    Parameters
+    ----------
+    holders : dict
+        Which object in force holds each value of `unique_values`.
+    """
     numbers = Findings()
     same = False
     for name in ticket.writes:
@@ -39,9 +51,9 @@
                 f"{held.operator} at offset {held.offset}",
             )
     fit = Findings()
-    after = _after(objects, ticket)
-    _judge_references(after, ticket, fit)
-    _judge_unique(after, fit)
+    _judge_references(objects, ticket, fit)
+    _judge_removals(objects, ticket, fit)
+    _judge_unique(holders, ticket, fit)
     findings = tuple(numbers.rows + fit.rows)
     if same:
         return Rejection.CONFLICT, findings
@@ -50,30 +62,35 @@
     return (Rejection.INCONSISTENT if fit.rows else None), findings
 
 
-def _after(
-    objects: Mapping[ObjectName, Versioned], ticket: Ticket
-) -> dict[ObjectName, Any]:
-    """Return the values in force if the ticket were applied."""
-    after = {name: row.value for name, row in objects.items()} | ticket.writes
-    return {name: value for name, value in after.items() if value is not None}
-
-
 def _judge_references(
-    after: Mapping[ObjectName, Any], ticket: Ticket, findings: Findings
+    objects: Mapping[ObjectName, Versioned], ticket: Ticket, findings: Findings
 ) -> None:
-    """Note references to objects that would not exist.
-
-    Objects in force refer to nothing that is missing, so only what the
-    ticket writes, and what refers to the objects it removes, is looked at.
-    """
-    removes = any(value is None for value in ticket.writes.values())
-    for name in after if removes else ticket.writes:
-        for other in _references(name, after[name]):
-            if other not in after:
+    """Note references of the ticket to objects that would not exist."""
+    for name, value in ticket.writes.items():
+        for other in _references(name, value):
+            held = objects.get(other)
+            there = ticket.writes.get(other, held and held.value)
+            if there is None:
                 findings.add(str(name), f"refers to {other}, which does not exist")
 
 
+def _judge_removals(
+    objects: Mapping[ObjectName, Versioned], ticket: Ticket, findings: Findings
+) -> None:
+    """Note objects in force that refer to one that the ticket removes."""
+    removed = {name for name, value in ticket.writes.items() if value is None}
+    if not removed:
+        return
+    for name, row in objects.items():
+        if name in ticket.writes:
+            continue
+        for other in removed.intersection(_references(name, row.value)):
+            findings.add(str(name), f"refers to {other}, which does not exist")
+
+
 def _references(name: ObjectName, value: Any) -> Iterator[ObjectName]:
+    if value is None:
+        return
     if name.table == ObjectKind.WORKSPACE.value:
         yield ObjectName(ObjectKind.TIER.value, value.tier)
     if name.table == ObjectKind.TARGET.value:
@@ -81,22 +98,28 @@
             yield ObjectName(ObjectKind.SERVICE.value, service)
 
 
-def _judge_unique(after: Mapping[ObjectName, Any], findings: Findings) -> None:
+def _judge_unique(holders: Holders, ticket: Ticket, findings: Findings) -> None:
     """Note bearer keys and addresses that two objects would hold.
 
     A key held by two workspaces would serve its callers in whichever tier
     comes last in a table. A target listed twice would be given twice the
     work that its slots allow.
     """
-    holders: dict[tuple[str, str], ObjectName] = {}
-    for name, value in after.items():
-        for held in _unique_values(name, value):
-            other = holders.setdefault(held, name)
+    written: Holders = {}
+    for name, value in ticket.writes.items():
+        for held in unique_values(name, value):
+            other = written.setdefault(held, name)
+            outside = holders.get(held, name)
+            if other == name and outside not in ticket.writes:
+                other = outside
             if other != name:
                 findings.add(str(name), f"{held[0]} {held[1]} is also held by {other}")
 
 
-def _unique_values(name: ObjectName, value: Any) -> Iterator[tuple[str, str]]:
+def unique_values(name: ObjectName, value: Any) -> Iterator[tuple[str, str]]:
+    """Yield what no other object may hold; a removed one holds nothing."""
+    if value is None:
+        return
     if name.table == ObjectKind.WORKSPACE.value:
         for digest in value.key_digests:
             yield "key digest", digest
--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -13,7 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from godwitladder.configuration.judgement import Rejection, judge
+from godwitladder.configuration.judgement import (
+    Holders,
+    Rejection,
+    judge,
+    unique_values,
+)
 from godwitladder.configuration.model import ObjectKind, ObjectName, Versioned
 from godwitladder.configuration.tickets import Ticket, read_ticket
 from godwitladder.findings import Finding, InvalidInput
@@ -94,6 +99,8 @@
     tail : str
         SHA-256 of the record before ``next``, by which a log that was
         restored from another copy is told from the one replayed.
+    holders : dict
+        Index of ``objects``: who holds each value that may be held once.
     """
 
     objects: dict[ObjectName, Versioned] = field(default_factory=dict)
@@ -101,6 +108,11 @@
     audit: deque[AuditEntry] = field(default_factory=lambda: deque(maxlen=AUDIT_KEPT))
     next: Offset = Offset(0)
     tail: str = ""
+    holders: Holders = field(default_factory=dict, compare=False)
+
+    def __post_init__(self) -> None:
+        for name, row in self.objects.items():
+            self._hold(name, row.value)
 
     def table(self, kind: ObjectKind) -> Mapping[str, Any]:
         """Return the objects of ``kind`` in force, by name."""
@@ -137,7 +149,7 @@
         for name, row in older.objects.items():
             held = self.objects.get(name)
             if held is None or held.number < row.number:
-                self.objects[name] = row
+                self._write(name, row)
 
     def _judge(self, offset: Offset, time: float, data: bytes) -> AuditEntry:
         try:
@@ -184,21 +196,35 @@
                 f"{same.offset} for other content"
             )
             return Verdict.REJECTED, Rejection.CONFLICT, (Finding("number", text),)
-        cause, findings = judge(self.objects, ticket)
+        cause, findings = judge(self.objects, self.holders, ticket)
         verdict = Verdict.ACCEPTED if cause is None else Verdict.REJECTED
         return verdict, cause, findings
 
     def _apply(self, offset: Offset, ticket: Ticket) -> None:
         for name, value in ticket.writes.items():
-            self.objects[name] = Versioned(
+            row = Versioned(
                 ticket.number, ticket.operator, offset, ticket.digest, value
             )
+            self._write(name, row)
         self.accepted[ticket.number] = Accepted(
             ticket.number, ticket.operator, offset, ticket.digest
         )
         while len(self.accepted) > ACCEPTED_KEPT:
             del self.accepted[next(iter(self.accepted))]
 
+    def _write(self, name: ObjectName, row: Versioned) -> None:
+        old = self.objects.get(name)
+        for held in unique_values(name, old and old.value):
+            # Another object of the same ticket may have taken it over.
+            if self.holders.get(held) == name:
+                del self.holders[held]
+        self.objects[name] = row
+        self._hold(name, row.value)
+
+    def _hold(self, name: ObjectName, value: Any) -> None:
+        for held in unique_values(name, value):
+            self.holders[held] = name
+
 
 def record_digest(data: bytes) -> str:
     """Return the digest by which two copies of a record are compared."""
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -16,6 +16,7 @@
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
+from godwitladder.configuration.replica import Phase
 from godwitladder.configuration.state import make_state
 from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.ids import Incarnation
@@ -332,11 +333,14 @@
         client.close()
 
     def count_traffic(self) -> None:
-        """Show the traffic between hosts in the metrics."""
+        """Show the traffic between hosts, and the way to the log, in the metrics."""
         sent, received = self.mesh.traffic()
         self.metrics.control_bytes.set({"direction": "sent"}, sent)
         self.metrics.control_bytes.set({"direction": "received"}, received)
         self.metrics.links.set({}, len(self.mesh.current()))
+        following = self.follower.replica.phase is Phase.FOLLOWING
+        self.metrics.config_following.set({}, int(following))
+        self.metrics.log_reachable.set({}, int(self.follower.reachable))
 
     def start_part(self, part: Any, *args: Any) -> None:
         """Start a part that stops with the host."""
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -55,6 +55,12 @@
             "wasted_prefill_tokens_total", "Prompt tokens processed for nothing"
         )
         self.config_offset = self._gauge("config_offset", "Offset in force")
+        self.log_reachable = self._gauge(
+            "log_reachable", "1 while the log answers this host, else 0"
+        )
+        self.config_following = self._gauge(
+            "config_following", "1 while each record of the log is replayed, else 0"
+        )
         self.control_bytes = self._gauge(
             "control_bytes", "Bytes of messages between hosts so far, by direction"
         )
--- a/tests/configuration/test_ledger.py
+++ b/tests/configuration/test_ledger.py
@@ -95,6 +95,26 @@
     assert entries[2].verdict is Verdict.ACCEPTED
 
 
+def test_key_moves_from_one_workspace_to_another():
+    """A workspace is split in two, and its bearer key goes along.
+
+    In one ticket, then back by two: each time it is held once.
+    """
+    a = f'[workspaces.a]\ntier = "urgent"\nkey_digests = ["{KEY}"]\n'
+    b = a.replace("workspaces.a", "workspaces.b")
+    bare_a = '[workspaces.a]\ntier = "urgent"\n'
+    ledger, entries = replay(
+        ticket(1, BASE + a),
+        ticket(2, b + bare_a),
+        ticket(3, a),
+        ticket(4, b.replace(KEY, "0" * 64)),
+        ticket(5, a),
+    )
+    accepted = [entry.verdict is Verdict.ACCEPTED for entry in entries]
+    assert accepted == [True, True, False, True, True]
+    assert ledger.holders == Ledger(objects=ledger.objects).holders
+
+
 def test_removed_object_is_not_brought_back_by_an_older_ticket():
     ledger, entries = replay(
         ticket(3, tier("urgent")),
