--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -15,6 +15,8 @@
 from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
+from godwitladder.configuration.replica import Phase
 from godwitladder.configuration.state import make_state
 from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.ids import Incarnation
@@ -31,8 +33,11 @@
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
+from godwitladder.orders.issuer import OrderIssuer
+from godwitladder.orders.stream import OrderStream
 from godwitladder.platform.hosts import HostListClient, HostListUnavailable
 from godwitladder.platform.log import LogClient
+from godwitladder.platform.weights import WeightClient
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.load import LoadReader
@@ -124,6 +129,7 @@
         )
         self.follower.send = self.mesh.send
         self.exchange = self.start_actor(ConfigExchange, self.follower)
+        self.orders = self.make_orders()
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -132,9 +138,8 @@
             clock,
             self.publish_members,
         )
-        self.router.connect(
-            self.mesh, self.membership, self.scheduler, self.allocator, self.exchange
-        )
+        self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
+        self.router.add(self.exchange, Heartbeat, ConfigRequest, ConfigSnapshot)
         self.keys = self.make_keys()
         self.caller_server: TcpWSGIServer | None = None
 
@@ -144,6 +149,24 @@
         self.stack.callback(actor.stop)
         return actor
 
+    def make_orders(self) -> OrderIssuer:
+        """Return the part that brings targets to the state in force."""
+        settings = self.settings
+        platform = settings.platform
+        holder = f"{settings.host}/{self.incarnation}"
+        weights = None
+        if platform.weights:
+            weights = WeightClient(platform.weights, settings.zone)
+            self.stack.callback(weights.close)
+        return OrderIssuer(
+            settings.host,
+            settings.zone,
+            OrderStream(self.log, self.clock, holder, platform.weight_reads_per_s),
+            weights,
+            self.clock,
+            lambda: self.callers.config,
+        )
+
     def make_tables(self) -> Tables:
         """Return the scheduler's tables, as they are at the start."""
         host, zone = self.settings.host, self.settings.zone
@@ -184,6 +207,7 @@
         self.start_part(Ticker(self.clock, idle_tick_s), self.allocator)
         heartbeat_s = self.settings.peers.heartbeat_s
         self.start_part(Ticker(self.clock, heartbeat_s), self.membership)
+        self.start_part(self.orders)
         self.start_part(LoadReader(self.allocator, self.clock))
         self.keys.start(idle_tick_s)
         self.follower.start()
@@ -294,6 +318,8 @@
         """Tell those that hand out and use targets about hosts that changed."""
         self.scheduler.tell(message)
         self.allocator.tell(message)
+        if isinstance(message, HostsChanged):
+            self.orders.hosts = message.hosts
 
     def follow_hosts(self) -> None:
         """Read the platform's host list from time to time, as a hint."""
@@ -308,11 +334,14 @@
         client.close()
 
     def count_traffic(self) -> None:
-        """Show the traffic between hosts in the metrics."""
+        """Show the traffic between hosts, and the way to the log, in the metrics."""
         sent, received = self.mesh.traffic()
         self.metrics.control_bytes.set({"direction": "sent"}, sent)
         self.metrics.control_bytes.set({"direction": "received"}, received)
         self.metrics.links.set({}, len(self.mesh.current()))
+        following = self.follower.replica.phase is Phase.FOLLOWING
+        self.metrics.config_following.set({}, int(following))
+        self.metrics.log_reachable.set({}, int(self.follower.reachable))
 
     def start_part(self, part: Any, *args: Any) -> None:
         """Start a part that stops with the host."""
--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -108,7 +108,7 @@
             AllocatorTables("host", "a", hosts=("host",)), clock, router.send
         )
         stack.callback(allocator.stop)
-        router.connect(None, None, self.scheduler, allocator, None)
+        router.connect(None, None, self.scheduler, allocator)
         for part, actor in ((ticker, self.scheduler), (Ticker(clock, 0.05), allocator)):
             part.start(actor)
             stack.callback(part.stop)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,143 @@
+"""The command line, and settings checked as a whole."""
+
+import json
+
+import pytest
+
+from godwitladder import cli
+from godwitladder.findings import InvalidInput
+from godwitladder.settings import read_settings
+from tests.fleet import OPERATOR_TOKEN, digest
+
+SOUND = f"""
+host = "host-a1"
+zone = "a"
+zones = ["a", "b"]
+[[operators]]
+name = "hanna"
+digest = "{digest("token")}"
+[listen]
+callers = "127.0.0.1:7001"
+operators = "127.0.0.1:7002"
+peers = "127.0.0.1:7003"
+[platform]
+log = "http://127.0.0.1:7100"
+hosts = "http://127.0.0.1:7100"
+[peers]
+secret = "a secret of tests"
+"""
+
+
+def findings(tmp_path, text):
+    path = tmp_path / "host.toml"
+    path.write_text(text)
+    with pytest.raises(InvalidInput) as caught:
+        read_settings(path)
+    return [str(row).replace(str(path), "host.toml") for row in caught.value.findings]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ('zone = "a"', 'zone = "A"', "zone"),
+        ("127.0.0.1:7002", "127.0.0.1:7001", "listen.operators"),
+        ("127.0.0.1:7003", "localhost:7003", "listen.peers"),
+        (digest("token"), "f00", "operators[0].digest"),
+        ("http://127.0.0.1:7100", "127.0.0.1:7100", "platform.log"),
+        ("a secret of tests", "short", "peers.secret"),
+        ("[peers]", '[peers]\nseeds = ["host-b1"]', "peers.seeds"),
+        ("[peers]", "[peers]\ntimeout_s = 0.6", "peers.timeout_s"),
+        ("[peers]", "[peers]\ntimeout = 3", "peers.timeout"),
+        (
+            "[platform]",
+            '[listen.callers_tls]\ncertificate = "/none"\nkey = "/none"\n[platform]',
+            "listen.callers_tls.certificate",
+        ),
+    ],
+)
+def test_each_setting_at_fault_is_named(tmp_path, old, new, place):
+    assert old in SOUND
+    rows = findings(tmp_path, SOUND.replace(old, new))
+    assert rows[0].startswith(f"host.toml: {place}: ")
+
+
+def test_all_findings_come_together_and_nothing_starts(tmp_path, capsys):
+    """A host is started on settings with two typing errors.
+
+    It names both with the nearest known key, and exits before it listens.
+    """
+    text = SOUND.replace("callers =", "caller =").replace("secret =", "secrets =")
+    (tmp_path / "host.toml").write_text(text)
+    with pytest.raises(SystemExit) as caught:
+        cli.main(["serve", "--settings", str(tmp_path / "host.toml")])
+    assert caught.value.code == cli.INVALID
+    error = capsys.readouterr().err
+    assert "did you mean 'callers'" in error
+    assert "did you mean 'secret'" in error
+    assert error.count("is missing") == 2
+
+
+@pytest.mark.parametrize("text", ["", "host = ", None])
+def test_settings_that_can_not_be_read_are_findings(tmp_path, text):
+    path = tmp_path / "host.toml"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(InvalidInput):
+        read_settings(path)
+
+
+def run(capsys, *argv):
+    """Return exit code, output and errors of one command."""
+    try:
+        cli.main([str(item) for item in argv])
+        code = 0
+    except SystemExit as error:
+        code = error.code
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+def test_commands_of_an_operator(fleet, tmp_path, capsys, monkeypatch):
+    """An operator checks and submits tickets, and looks at what became of them.
+
+    A new host in a zone that is cut off from the log starts from its peer,
+    though it can't replay anything. Of a ticket that is submitted there the
+    operator reads that its outcome is open.
+    """
+    monkeypatch.setenv("GODWITLADDER_TOKEN", OPERATOR_TOKEN)
+    first = fleet.add_host("host-a1", "a")
+    fleet.wait_ready()
+    path = tmp_path / "ticket.toml"
+    path.write_text(fleet.ticket(4))
+    assert run(capsys, "ticket", "check", path)[0] == 0
+    host = ["--host", first.operators]
+    assert run(capsys, "ticket", "submit", path, *host)[:2] == (
+        0,
+        "offset 0: accepted\n",
+    )
+    path.write_text(fleet.ticket(4).replace("rank = 0", "rank = 7"))
+    code, out, error = run(capsys, "ticket", "submit", path, *host)
+    assert (code, out) == (1, "")
+    assert "4 is taken: hanna used it at offset 0 for other content" in error
+    path.write_text("number = 0")
+    assert run(capsys, "ticket", "submit", path, *host)[0] == cli.INVALID
+    lines = run(capsys, "audit", "--as-json", *host)[1].splitlines()
+    assert [json.loads(line)["cause"] for line in lines] == [None, "conflict"]
+    assert "4 by hanna at offset 0" in run(capsys, "ticket", "list", *host)[1]
+    shown = json.loads(run(capsys, "ticket", "show", 4, *host)[1])
+    assert "tiers.urgent" in shown["in_force"]
+
+    fleet.knobs(fleet.platform, cut_zones=["b"])
+    second = fleet.add_host("host-b1", "b")
+    fleet.wait_ready()
+    status = json.loads(run(capsys, "status", "--host", second.operators)[1])
+    assert (status["config_offset"], status["log_reachable"]) == (2, False)
+    assert status["peers"] == ["host-a1"]
+    path.write_text(fleet.ticket(5))
+    cut = ["--host", second.operators]
+    code, _, error = run(capsys, "ticket", "submit", path, *cut)
+    assert code == 3
+    assert "may_have_run" in error
+    monkeypatch.setenv("GODWITLADDER_TOKEN", "unknown")
+    assert run(capsys, "audit", *host)[0] == 1
+    assert run(capsys, "audit", "--host", "127.0.0.1:1")[0] == 3
