Prove spilling between zones, and what an allocator passes on

A full zone's work runs in the next one and goes on without it; reports from another zone are passed on once and answered the same way; floors, load reports and news of leaving targets reach the roles.

--- /dev/null
+++ b/tests/scheduler/test_allocator.py
@@ -0,0 +1,136 @@
+"""The actor that holds a host's roles, without its thread."""
+
+import pytest
+
+from godwitladder.clock import PausedClock
+from godwitladder.decisions.rendezvous import choose_host
+from godwitladder.decisions.types import DemandLine
+from godwitladder.membership.router import Router
+from godwitladder.scheduler.allocator import Allocator, AllocatorTables
+from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
+from godwitladder.scheduler.messages import (
+    HostsChanged,
+    NewConfig,
+    TargetLoad,
+    TargetsLeaving,
+    Tick,
+)
+from godwitladder.scheduler.pools import pool_key
+from tests.scheduler.desk import make_config
+
+HOSTS = ("h0", "h1", "h2")
+LINE = DemandLine("r", "advisers", "letters", 0, 10, 10, 60.0, 0.0)
+
+
+def make_allocator(host: str, hosts=HOSTS):
+    """Return a host's allocator actor, its clock and what it sent."""
+    clock, sent = PausedClock(), []
+    actor = Allocator(
+        AllocatorTables(host, "a"),
+        clock,
+        lambda to, message: sent.append((to, message)),
+    )
+    actor.on_receive(NewConfig(make_config({"e0": 4})))
+    actor.on_receive(HostsChanged(hosts, {"b": ("k0",)}))
+    return actor, clock, sent
+
+
+def pool_of(actor):
+    (pool,) = actor.tables.pools
+    return pool
+
+
+def holder_of(actor, hosts=HOSTS):
+    return choose_host(hosts, pool_key(pool_of(actor)))
+
+
+def report(actor, host, **fields):
+    return PoolReport(host, 1, pool_of(actor), 1, 5.0, 0, 0, lines=(LINE,), **fields)
+
+
+def test_one_host_holds_the_role_and_gives_it_up_when_it_leaves():
+    actors = {host: make_allocator(host)[0] for host in HOSTS}
+    (holder,) = [host for host, actor in actors.items() if actor.tables.roles]
+    actor = actors[holder]
+    assert holder == holder_of(actor)
+    actor.on_receive(HostsChanged(tuple(set(HOSTS) - {holder}), {}))
+    assert not actor.tables.roles
+
+
+def test_a_report_from_another_zone_is_passed_on_once_and_answered_the_same_way():
+    """A host of zone b has no link to the allocator, only to another host.
+
+    That one passes its report on, and the answer goes back through it. A
+    report that was passed on before is not passed on again: two hosts that
+    each take the other for the allocator would send it to and fro for ever.
+    """
+    hosts = ("h0",)
+    actor, _, sent = make_allocator("h1", hosts)
+    actor.on_receive(report(actor, "k5"))
+    ((to, passed),) = sent
+    assert (to, passed.via) == ("h0", "h1")
+    actor.on_receive(passed)
+    assert len(sent) == 1
+
+    holder, clock, sent = make_allocator("h0", hosts)
+    clock.advance(2.0)
+    holder.on_receive(passed)
+    ((to, offer),) = sent
+    assert (to, offer.host, len(offer.grants)) == ("h1", "k5", 1)
+
+
+def test_an_offer_for_another_host_is_passed_on():
+    class Mesh:
+        sent: list = []
+
+        def send(self, host, message):
+            self.sent.append((host, message))
+
+    router = Router("h1")
+    router.mesh = Mesh()
+    offer = GrantOffer("k5", 1, "h0", None, 1, 1, 1, 0.0)
+    router.deliver(None, offer)
+    assert router.mesh.sent == [("k5", offer)]
+
+
+def test_floors_are_told_to_other_zones_also_when_nothing_waits():
+    """Silence would read as a zone out of reach, to which nothing spills."""
+    hosts = ("h0",)
+    actor, clock, sent = make_allocator("h0", hosts)
+    config = make_config({"e0": 4})
+    other = make_config({"e1": 4}, zone="b")
+    both = {**config.targets, **other.targets}
+    config.targets.update(both)
+    actor.on_receive(NewConfig(config))
+    actor.on_receive(Tick())
+    floors = [(to, row) for to, row in sent if isinstance(row, FloorReport)]
+    assert [(to, row.to.zone, row.floor) for to, row in floors] == [("k0", "b", -1)]
+
+
+def test_a_target_is_trimmed_slowly_by_its_own_report():
+    """One stale report of a full engine must not stop all grants on it.
+
+    The engine says that it has a hundred requests; we know of none. Its
+    slots are taken away over several reports, not at the first.
+    """
+    hosts = ("h0",)
+    actor, clock, _ = make_allocator("h0", hosts)
+    role = actor.tables.roles[pool_of(actor)]
+    used = []
+    for _ in range(8):
+        actor.on_receive(TargetLoad("e0", 10))
+        used.append(role.loads.others("e0"))
+    assert used == sorted(used)
+    assert used[0] <= 1 < used[-1]
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+def test_news_of_a_leaving_target_reaches_the_roles(leaving):
+    hosts = ("h0",)
+    actor, clock, sent = make_allocator("h0", hosts)
+    if leaving:
+        addresses = [row.address for row in actor.tables.config.targets.values()]
+        actor.on_receive(TargetsLeaving(frozenset(addresses)))
+    clock.advance(2.0)
+    actor.on_receive(report(actor, "h0"))
+    assert sum(len(offer.grants) for _, offer in sent) == (0 if leaving else 1)
--- a/tests/scheduler/test_failures.py
+++ b/tests/scheduler/test_failures.py
@@ -134,3 +134,26 @@
     assert [answer.result().status for answer in before + after] == [200] * 12
     assert len(fleet.ran(leaving)) == ran
     assert len(fleet.ran(staying)) == 12 - ran
+
+
+def test_work_spills_to_another_zone_and_goes_on_without_it(fleet):
+    """A full zone uses the free slots of the next, until that is cut off.
+
+    Zone a has one slot, so its host asks zone b, whose allocator grants. Then
+    zone b's host is gone with grants out; what waits goes on in zone a, and
+    nothing has run twice.
+    """
+    home = fleet.add_engine("engine-a1", decode_tps=40)
+    away = fleet.add_engine("engine-b1", decode_tps=40)
+    near, far = fleet.add_host("host-a1", "a"), fleet.add_host("host-b1", "b")
+    fleet.wait_ready()
+    ticket = fleet.ticket().replace("slots = 8", "slots = 1")
+    there = f'address = "{away.address}"\nzone = '
+    fleet.configure(ticket.replace(f'{there}"a"', f'{there}"b"'))
+    wait_until(lambda: links(fleet, near) == 1, "the link between the zones")
+    answers = chat_many(fleet, [near], 8)
+    wait_until(lambda: len(fleet.ran(away)) >= 2, "work in the other zone")
+    far.process.kill()
+    assert [answer.result().status for answer in answers] == [200] * 8
+    runs = [row["runs"] for row in fleet.ran(home) + fleet.ran(away)]
+    assert runs == [1] * 8
