--- a/bench/ticks.py
+++ b/bench/ticks.py
@@ -17,11 +17,12 @@
 from godwitladder.scheduler.exchange import Allowance
 from godwitladder.scheduler.pools import make_pools
 from godwitladder.scheduler.reports import (
+    HEARTBEAT_S,
     choose_allocators,
     due_reports,
     update_targets,
 )
-from godwitladder.scheduler.role import PoolRole
+from godwitladder.scheduler.role import RENEW_S, PoolRole
 from godwitladder.scheduler.rows import RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
 
@@ -81,7 +82,7 @@
 
     times = []
     for _ in range(ROUNDS):
-        now += 0.5
+        now += HEARTBEAT_S
         access.answered = now
         access.allowed_until = now + 1.0
         if free:
@@ -102,7 +103,7 @@
     hosts = [f"h{index}" for index in range(HOSTS)]
     now, times = 1.0, []
     for number in range(1, ROUNDS + 1):
-        now += 0.5
+        now += RENEW_S
         for host in hosts:
             rows = tuple(
                 replace(line, request=f"{host}-{line.request}") for line in report.lines
