Find slow targets while their requests run

Cause: the allocator heard of a target's speed at completions only. One that slowed down kept its full limit until its long requests ended, and one that stood still kept it for good; the decisions' easing had no stretches of work. Now hosts add up, for each target and report, how long prompts and output took, and how long requests have waited for what is not there yet. Ruled out: a message for each progress of each stream, which grows with the streams; one line for each request, likewise. Of a stream that gives nothing or a fifth, the limit of eight falls to four or less within eight seconds and is whole again thirty seconds after.

--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -7,7 +7,12 @@
 
 from godwitladder.decisions.types import Grant
 from godwitladder.ids import HostId, RequestId, TargetName
-from godwitladder.scheduler.exchange import Allowance, Completion, GrantOffer
+from godwitladder.scheduler.exchange import (
+    Allowance,
+    Completion,
+    GrantOffer,
+    Stretch,
+)
 from godwitladder.scheduler.pools import Pool
 
 REACH_S = 3.0
@@ -59,6 +64,7 @@
     allowed_until: float = 0.0
     grants: dict[RequestId, HeldGrant] = field(default_factory=dict)
     completions: list[Completion] = field(default_factory=list)
+    stretches: dict[TargetName, Stretch] = field(default_factory=dict)
     asked: dict[RequestId, int] = field(default_factory=dict)
 
     def ask(self, allocator: HostId | None, now: float) -> None:
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -31,6 +31,7 @@
     update_targets,
 )
 from godwitladder.scheduler.rows import Tables
+from godwitladder.scheduler.stretches import note_progress
 from godwitladder.scheduler.systems import (
     add_request,
     finish_request,
@@ -138,7 +139,7 @@
     def _(self, message: Progress) -> None:
         row = self.tables.running.get(message.request)
         if row:
-            row.first_token = row.first_token or self.clock.monotonic()
+            note_progress(self.tables, row, message.tokens, self.clock.monotonic())
             grow_request(self.tables, row, message.tokens)
 
     @take.register
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -65,6 +65,28 @@
     total_s: float
 
 
+@dataclass(frozen=True)
+class Stretch:
+    """Work that a target has done, or should have done by now.
+
+    Attributes
+    ----------
+    prompt_tokens, output_tokens : int
+        Prompts read and tokens produced, over all requests of the host.
+    taken_s : float
+        Seconds that the requests took for it, added up.
+    open : bool
+        Whether the work is not done yet; then the tokens are what the
+        requests wait for, and only a ``taken_s`` that is too long says anything.
+    """
+
+    target: TargetName
+    prompt_tokens: int
+    output_tokens: int
+    taken_s: float
+    open: bool = False
+
+
 @dataclass(frozen=True)
 class Allowance:
     """How much a host may have on a target without asking for each request.
@@ -104,6 +126,8 @@
         The first requests in the host's order.
     rest : tuple of TierCount
         Those without a line.
+    stretches : tuple of Stretch
+        How fast targets were since the last report: at most two for each.
     avoided : tuple of TargetName
         Targets that this host could not connect to a moment ago.
     via : str
@@ -123,6 +147,7 @@
     rest: tuple[TierCount, ...] = ()
     avoided: tuple[TargetName, ...] = ()
     completions: tuple[Completion, ...] = ()
+    stretches: tuple[Stretch, ...] = ()
     via: HostId = HostId("")
 
 
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -19,6 +19,7 @@
 )
 from godwitladder.scheduler.pools import make_pools, pool_key
 from godwitladder.scheduler.rows import RequestRow, Tables, TargetRow
+from godwitladder.scheduler.stretches import take_stretches
 from godwitladder.scheduler.systems import refuse_request, waiting_order
 
 HEARTBEAT_S = 1.0
@@ -188,6 +189,7 @@
         rest=tuple(TierCount(*item) for item in sorted(rest.items())),
         avoided=tuple(row.name for row in targets if row.avoided_until > now),
         completions=completions,
+        stretches=take_stretches(tables, access, now),
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -39,6 +39,7 @@
     FloorReport,
     GrantOffer,
     PoolReport,
+    Stretch,
 )
 from godwitladder.scheduler.pools import Pool
 from godwitladder.scheduler.views import pool_view, target_views
@@ -135,17 +136,27 @@
         if not account.take(report, seen, now):
             return False
         for row in report.completions:
-            self.learn(row, now)
+            self.learn(row)
+        for stretch in report.stretches:
+            self.watch(stretch, now)
         wanted = any(row.lines or row.more_waiting for row in self.accounts.values())
         return wanted or account.next_number == 1
 
-    def learn(self, row: Completion, now: float) -> None:
+    def watch(self, row: Stretch, now: float) -> None:
+        """Take in how fast a target works while requests run."""
+        if row.target not in self.speeds.learned:
+            return
+        expected_s = self.speeds.expected_s(
+            row.target, row.prompt_tokens, row.output_tokens
+        )
+        if not row.open or row.taken_s > expected_s:
+            self.easing.observe(row.target, expected_s, row.taken_s, now)
+
+    def learn(self, row: Completion) -> None:
         """Take in the speed at which a request was completed."""
         if row.target not in self.speeds.learned:
             return
         prompt, output = row.prompt_tokens, row.output_tokens
-        expected_s = self.speeds.expected_s(row.target, prompt, output)
-        self.easing.observe(row.target, expected_s, row.total_s, now)
         if prompt and not row.first_token_s:
             output = 0
         self.speeds.observe(row.target, prompt, output, row.first_token_s, row.total_s)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -62,8 +62,9 @@
         Output that is as often exceeded as not; the predicted one is reserved.
     held_tokens : int
         Tokens counted against its target since it was dispatched.
-    arrived, deadline, dispatched, first_token : float
-        Monotonic seconds of this host's clock; 0 for not yet.
+    arrived, deadline, dispatched, first_token, progressed : float
+        Monotonic seconds of this host's clock; 0 for not yet. The last one is
+        when more output was last heard of.
     queued : bool
         Whether the table's queue holds it.
     order : tuple
@@ -103,6 +104,7 @@
     target: TargetName | None = None
     dispatched: float = 0.0
     first_token: float = 0.0
+    progressed: float = 0.0
     held_tokens: int = 0
     spilled: bool = False
     queued: bool = False
--- /dev/null
+++ b/godwitladder/scheduler/stretches.py
@@ -0,0 +1,68 @@
+"""How fast targets work while requests run, for the allocator to see.
+
+Completions alone show a slow target only when its requests end, which may be
+minutes after it slowed down, and a target that stands still completes nothing.
+
+Pure: times are handed in.
+"""
+
+from godwitladder.ids import TargetName
+from godwitladder.scheduler.access import PoolAccess
+from godwitladder.scheduler.exchange import Stretch
+from godwitladder.scheduler.rows import RequestRow, Tables
+
+AWAITED_TOKENS = 64
+"""Output that a running stream reports at once; the next report is due after
+so many tokens."""
+
+OPEN_S = 1.0
+"""Waits shorter than this say nothing: a prefill may stand behind others."""
+
+
+def note_progress(tables: Tables, row: RequestRow, tokens: int, now: float) -> None:
+    """Take in that ``row`` has produced ``tokens`` by ``now``."""
+    access = tables.pool_of.get(row.target)
+    if access:
+        prompt = 0 if row.first_token else row.prompt_tokens
+        since = row.progressed if row.first_token else row.dispatched
+        new = tokens - row.produced_tokens
+        done = Stretch(row.target, prompt, new, now - since)
+        held = access.stretches.get(row.target)
+        access.stretches[row.target] = join(held, done) if held else done
+    row.first_token = row.first_token or now
+    row.progressed = now
+
+
+def take_stretches(
+    tables: Tables, access: PoolAccess, now: float
+) -> tuple[Stretch, ...]:
+    """Return what to report, and start anew."""
+    done, access.stretches = access.stretches, {}
+    waited: dict[TargetName, Stretch] = {}
+    for row in tables.running.values():
+        if row.target not in access.pool.targets or not row.declared_tokens:
+            continue
+        stretch = awaited(row, now)
+        if stretch.taken_s >= OPEN_S:
+            held = waited.get(row.target)
+            waited[row.target] = join(held, stretch) if held else stretch
+    return (*done.values(), *waited.values())
+
+
+def awaited(row: RequestRow, now: float) -> Stretch:
+    """Return what ``row`` is waiting for."""
+    if not row.first_token:
+        taken_s = now - row.dispatched
+        return Stretch(row.target, row.prompt_tokens, 1, taken_s, open=True)
+    return Stretch(row.target, 0, AWAITED_TOKENS, now - row.progressed, open=True)
+
+
+def join(one: Stretch, other: Stretch) -> Stretch:
+    """Return both as one."""
+    return Stretch(
+        one.target,
+        one.prompt_tokens + other.prompt_tokens,
+        one.output_tokens + other.output_tokens,
+        one.taken_s + other.taken_s,
+        one.open,
+    )
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -15,7 +15,8 @@
 from godwitladder.scheduler.reports import due_reports, take_offer, update_targets
 from godwitladder.scheduler.role import LAPSE_S, WARM_UP_S
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.scheduler.systems import finish_request, run_systems
+from godwitladder.scheduler.stretches import note_progress
+from godwitladder.scheduler.systems import finish_request, grow_request, run_systems
 from tests.scheduler.desk import (
     decision,
     hosts_changed,
@@ -317,3 +318,53 @@
     assert desk.roles["h0"].running().get("e0", NOTHING).running == 0
     speeds = desk.roles["h0"].speeds
     assert speeds.learned["e0"] != speeds.expected["e0"]
+
+
+def run_for(desk, now, seconds, each):
+    """Let time pass, with ``each`` called and all reports delivered."""
+    for _ in range(int(seconds / 0.5)):
+        now += 0.5
+        each(now)
+        for host in desk.hosts:
+            desk.tick(host, now)
+            while desk.reports.get((host, "h0")):
+                desk.deliver_report(host, "h0", now)
+        desk.decide("h0", now)
+        for host in desk.hosts:
+            while desk.offers.get((host, "h0")):
+                desk.deliver_offer(host, "h0", now)
+    return now
+
+
+def progress(desk, row, tokens, now):
+    note_progress(desk.hosts["h1"], row, tokens, now)
+    grow_request(desk.hosts["h1"], row, tokens)
+
+
+@pytest.mark.parametrize("speed", [0.0, 0.2])
+def test_a_target_that_slows_down_gets_less_before_any_request_ends(speed):
+    """A target's limit falls while its requests still run.
+
+    It stands still, or produces a fifth of what it did; the request would
+    take minutes to end, and until then completions show nothing. Once its
+    tokens come as before, the limit rises again.
+    """
+    desk, now = settled({"e0": 8})
+    role, tps = desk.roles["h0"], desk.config.targets["e0"].decode_tps
+    row = submit(desk.hosts["h1"], make_request("r", now, declared_tokens=100_000))
+    run_systems(desk.hosts["h1"], now)
+    assert row.state is RequestState.DISPATCHED
+    progress(desk, row, 1, now + 0.02)
+
+    def work(now):
+        if speed:
+            progress(desk, row, row.produced_tokens + int(tps * speed / 2), now)
+
+    now = run_for(desk, now, 8.0, work)
+    assert role.easing.limit("e0", 8, now) <= 4
+
+    def work_well(now):
+        progress(desk, row, row.produced_tokens + int(tps / 2), now)
+
+    now = run_for(desk, now, 30.0, work_well)
+    assert role.easing.limit("e0", 8, now) == 8
