--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -15,7 +15,6 @@
 from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
-from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
 from godwitladder.configuration.state import make_state
 from godwitladder.drain import stop_accepting, unfinished
@@ -125,6 +124,7 @@
             self.router.deliver,
             settings.peers.seeds,
             lambda link: self.membership.tell(LinkUp(link)),
+            settings.listen.peers_tls,
         )
         self.follower.send = self.mesh.send
         self.exchange = self.start_actor(ConfigExchange, self.follower)
@@ -137,8 +137,9 @@
             clock,
             self.publish_members,
         )
-        self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
-        self.router.add(self.exchange, Heartbeat, ConfigRequest, ConfigSnapshot)
+        self.router.connect(
+            self.mesh, self.membership, self.scheduler, self.allocator, self.exchange
+        )
         self.keys = self.make_keys()
         self.caller_server: TcpWSGIServer | None = None
 
