--- /dev/null
+++ b/bench/tickets.py
@@ -0,0 +1,104 @@
+"""Measures how soon a ticket is in force: ``python -m bench.tickets``.
+
+Fifteen hosts' followers read the platform's stand-in over HTTP, all in this
+process, and tickets are appended one after the other. Prints the time from
+before an append until the last host, and any host, had the ticket in force.
+"""
+
+import contextlib
+import threading
+import time
+
+from godwitladder.clock import Clock
+from godwitladder.configuration.follower import ConfigFollower
+from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.state import make_state
+from godwitladder.ids import HostId, Zone
+from godwitladder.platform.log import CONFIG_STREAM, LogClient
+from godwitladder.standins.platform import start_platform
+
+HOSTS = 15
+TICKETS = 200
+WORKSPACES = 3200
+PAUSE_S = 0.05
+WAIT_S = 30.0
+
+
+class Timed:
+    """A host's follower and when each offset came in force on it."""
+
+    def __init__(self, stack: contextlib.ExitStack, address: str, index: int) -> None:
+        client = LogClient(f"http://{address}", Zone("a"))
+        stack.callback(client.close)
+        self.offset = 0
+        self.moved = threading.Condition()
+        self.times: dict[int, float] = {}
+        self.follower = ConfigFollower(
+            client, Clock(), self.publish, HostId(f"host-{index}")
+        )
+        stack.callback(self.follower.stop)
+        self.follower.start()
+
+    def publish(self, ledger: Ledger) -> None:
+        """Note the time once a host's parts could read the new state."""
+        make_state(ledger)
+        with self.moved:
+            for offset in range(self.offset, ledger.next):
+                self.times[offset] = time.perf_counter()
+            self.offset = ledger.next
+            self.moved.notify_all()
+
+    def await_offset(self, offset: int) -> float:
+        """Return when ``offset`` came in force."""
+        with self.moved:
+            if not self.moved.wait_for(lambda: offset in self.times, WAIT_S):
+                raise SystemExit(f"offset {offset} did not come in force")
+            return self.times[offset]
+
+
+def make_ticket(number: int, body: str) -> bytes:
+    """Return a ticket."""
+    head = f'number = {number}\noperator = "bench"\nreason = "a change"\n'
+    return (head + body).encode()
+
+
+def first_ticket() -> bytes:
+    """Return the ticket with all workspaces."""
+    rows = [
+        f'[workspaces.w{index}]\ntier = "normal"\nkey_digests = ["{index:064x}"]\n'
+        for index in range(WORKSPACES)
+    ]
+    return make_ticket(1, "[tiers.normal]\nrank = 1\n" + "".join(rows))
+
+
+def main() -> None:
+    """Run the measurement and print a table."""
+    with contextlib.ExitStack() as stack:
+        platform = start_platform()
+        stack.callback(platform.server_close)
+        stack.callback(platform.shutdown)
+        writer = LogClient(f"http://{platform.address}", Zone("a"))
+        stack.callback(writer.close)
+        hosts = [Timed(stack, platform.address, index) for index in range(HOSTS)]
+        writer.append(CONFIG_STREAM, [first_ticket()])
+        for host in hosts:
+            host.await_offset(0)
+        each, last = [], []
+        for number in range(2, TICKETS + 2):
+            ticket = make_ticket(number, f"[tiers.t{number % 9}]\nrank = {number}")
+            start = time.perf_counter()
+            offset = writer.append(CONFIG_STREAM, [ticket])
+            rows = [host.await_offset(offset) - start for host in hosts]
+            each += rows
+            last.append(max(rows))
+            time.sleep(PAUSE_S)
+    print(f"{HOSTS} hosts, {WORKSPACES} workspaces, {TICKETS} tickets; milliseconds")
+    print("| | p50 | p99 | most |\n|---|---|---|---|")
+    for name, rows in (("any host", each), ("last host", last)):
+        rows = sorted(rows)
+        cuts = [rows[len(rows) // 2], rows[int(len(rows) * 0.99)], rows[-1]]
+        print(f"| {name} | " + " | ".join(f"{cut * 1000:.0f}" for cut in cuts) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -3,7 +3,9 @@
 Run an entry host with "serve", change its configuration with numbered
 tickets ("ticket"), read what became of them ("audit") and how a host is
 ("status"). Commands that ask a host take the operators' address of any
-entry host and read the operator's token from GODWITLADDER_TOKEN.
+entry host and read the operator's token from GODWITLADDER_TOKEN. Where hosts
+speak TLS, put https:// before the address and the PEM file of the authority
+into GODWITLADDER_AUTHORITY.
 
 Exit codes: 0 done; 1 the host refused, or the ticket was rejected; 2 wrong
 usage, or settings or a ticket with findings; 3 the host did not answer, or
--- a/godwitladder/client.py
+++ b/godwitladder/client.py
@@ -8,6 +8,7 @@
 from godwitladder.findings import GodwitladderError
 
 TOKEN_VARIABLE = "GODWITLADDER_TOKEN"
+AUTHORITY_VARIABLE = "GODWITLADDER_AUTHORITY"
 # Above the longest wait for a verdict and the log's own timeout.
 TIMEOUT_S = 20.0
 REFUSED = 1
@@ -36,14 +37,21 @@
     Parameters
     ----------
     host : str
-        Operators' address, as ``address:port``.
-    token : str or None
-        The operator's token; None reads the environment.
+        Operators' address, as ``address:port`` or, for TLS, with ``https://``
+        before it.
+    token, authority : str or None
+        The operator's token, and the PEM file of the authority that signed
+        the host's certificate; None reads the environment.
     """
 
-    def __init__(self, host: str, token: str | None = None) -> None:
+    def __init__(
+        self, host: str, token: str | None = None, authority: str | None = None
+    ) -> None:
         self.host = host
+        self.root = host if "://" in host else f"http://{host}"
         self.token = os.environ.get(TOKEN_VARIABLE, "") if token is None else token
+        authority = authority or os.environ.get(AUTHORITY_VARIABLE)
+        self.pool = urllib3.PoolManager(retries=False, ca_certs=authority)
 
     def get(self, path: str) -> dict:
         """Return the host's answer to a question.
@@ -67,16 +75,15 @@
 
     def _ask(self, method: str, path: str, body: bytes | None) -> dict:
         try:
-            answer = urllib3.request(
+            answer = self.pool.request(
                 method,
-                f"http://{self.host}{path}",
+                self.root + path,
                 body=body,
                 headers={"Authorization": f"Bearer {self.token}"},
                 timeout=TIMEOUT_S,
-                retries=False,
             )
             value = json.loads(answer.data)
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
             text = f"{self.host} gave no answer: {error}"
             if method == "POST":
                 text += "\nThe outcome is open; submit the same ticket again."
--- a/godwitladder/configuration/follower.py
+++ b/godwitladder/configuration/follower.py
@@ -90,6 +90,7 @@
         self.stopping = threading.Event()
         self.caught_up = threading.Event()
         self.reachable = False
+        self.failed = False
         self.waiters: list[Waiter] = []
         self.peers: dict[HostId, int] = {}
         self.behind_since: float | None = None
@@ -126,9 +127,10 @@
         try:
             page = self.client.read(self.stream, cursor, wait_s)
         except LogUnavailable as error:
-            log.warning("The log did not answer", extra={"error": str(error)})
             with self.lock:
-                self.reachable = False
+                if self.reachable or not self.failed:
+                    log.warning("The log did not answer", extra={"error": str(error)})
+                self.reachable, self.failed = False, True
                 self.replica.lose_log()
             self.ask_peers()
             return False
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,13 +1,18 @@
 """The command line, and settings checked as a whole."""
 
+import contextlib
 import json
 
 import pytest
+import trustme
 
 from godwitladder import cli
+from godwitladder.client import AskFailed, OperatorClient
 from godwitladder.findings import InvalidInput
-from godwitladder.settings import read_settings
+from godwitladder.settings import TlsSettings, read_settings
 from tests.fleet import OPERATOR_TOKEN, digest
+from tests.membership.test_tls import make_tls
+from tests.serving.test_surface import serve
 
 SOUND = f"""
 host = "host-a1"
@@ -86,6 +91,26 @@
         read_settings(path)
 
 
+def test_client_trusts_only_the_authority_it_is_given(tmp_path):
+    """The operators' listener speaks TLS, and someone else answers in its place."""
+    authority, other = trustme.CA(), trustme.CA()
+    tls = make_tls(tmp_path, authority, "host")
+    foreign = make_tls(tmp_path, other, "foreign")
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"{}"]
+
+    with contextlib.ExitStack() as stack:
+        # With an authority the listener would ask callers for certificates.
+        served = TlsSettings(tls.certificate, tls.key)
+        root = f"https://127.0.0.1:{serve(stack, app, served)}"
+        assert OperatorClient(root, "t", tls.authority).get("/v1/status") == {}
+        with pytest.raises(AskFailed) as caught:
+            OperatorClient(root, "t", foreign.authority).get("/v1/status")
+        assert caught.value.exit_code == 3
+
+
 def run(capsys, *argv):
     """Return exit code, output and errors of one command."""
     try:
