--- a/godwitladder/configuration/judgement.py
+++ b/godwitladder/configuration/judgement.py
@@ -26,7 +26,10 @@
 
 
 def judge(
-    objects: Mapping[ObjectName, Versioned], holders: Holders, ticket: Ticket
+    objects: Mapping[ObjectName, Versioned],
+    holders: Holders,
+    floor: int,
+    ticket: Ticket,
 ) -> tuple[Rejection | None, tuple[Finding, ...]]:
     """Return why ``ticket`` must be rejected, or None, with all findings.
 
@@ -38,11 +41,16 @@
     ----------
     holders : dict
         Which object in force holds each value of `unique_values`.
+    floor : int
+        An object without a row can only be written by a higher number.
     """
     numbers = Findings()
     same = False
     for name in ticket.writes:
         held = objects.get(name)
+        if held is None and ticket.number <= floor:
+            text = f"ticket {ticket.number} is below removals up to ticket {floor}"
+            numbers.add(str(name), text)
         if held is not None and held.number >= ticket.number:
             same = same or held.number == ticket.number
             numbers.add(
--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -31,6 +31,8 @@
 # ten hours of tickets at the target size are ample to know it again.
 ACCEPTED_KEPT = 1000
 FINDINGS_KEPT = 20
+# Some months of removals at the target size, in a few megabytes.
+REMOVED_KEPT = 10_000
 # Stands before a snapshot. TOML allows no NUL, so no ticket starts like this.
 SNAPSHOT_MARK = b"\x00godwitladder snapshot\n"
 
@@ -89,7 +91,10 @@
     objects : dict
         Each object ever written, with the ticket that wrote it last. A
         removed object stays as a row with value None, so that an older
-        ticket can't bring it back.
+        ticket can't bring it back; the last ``REMOVED_KEPT`` of these do.
+    floor : int
+        Highest number of the removals no longer kept as rows. An object that
+        has no row can only be written by a higher one.
     accepted : dict
         The last ``ACCEPTED_KEPT`` accepted tickets by number.
     audit : deque
@@ -108,6 +113,7 @@
     audit: deque[AuditEntry] = field(default_factory=lambda: deque(maxlen=AUDIT_KEPT))
     next: Offset = Offset(0)
     tail: str = ""
+    floor: int = 0
     holders: Holders = field(default_factory=dict, compare=False)
 
     def __post_init__(self) -> None:
@@ -148,7 +154,8 @@
         """
         for name, row in older.objects.items():
             held = self.objects.get(name)
-            if held is None or held.number < row.number:
+            # Without a row it may have been removed, and its row dropped.
+            if row.number > (held.number if held else self.floor):
                 self._write(name, row)
 
     def _judge(self, offset: Offset, time: float, data: bytes) -> AuditEntry:
@@ -196,7 +203,7 @@
                 f"{same.offset} for other content"
             )
             return Verdict.REJECTED, Rejection.CONFLICT, (Finding("number", text),)
-        cause, findings = judge(self.objects, self.holders, ticket)
+        cause, findings = judge(self.objects, self.holders, self.floor, ticket)
         verdict = Verdict.ACCEPTED if cause is None else Verdict.REJECTED
         return verdict, cause, findings
 
@@ -211,6 +218,19 @@
         )
         while len(self.accepted) > ACCEPTED_KEPT:
             del self.accepted[next(iter(self.accepted))]
+        if None in ticket.writes.values():
+            self._drop_removed()
+
+    def _drop_removed(self) -> None:
+        """Bound the rows of removed objects, the lowest numbers first."""
+        rows = [
+            (row.number, name)
+            for name, row in self.objects.items()
+            if row.value is None
+        ]
+        for number, name in sorted(rows)[: max(0, len(rows) - REMOVED_KEPT)]:
+            self.floor = max(self.floor, number)
+            del self.objects[name]
 
     def _write(self, name: ObjectName, row: Versioned) -> None:
         old = self.objects.get(name)
--- a/godwitladder/configuration/snapshots.py
+++ b/godwitladder/configuration/snapshots.py
@@ -53,12 +53,15 @@
 
     next: int
     tail: str
+    floor: int = 0
 
 
 def encode_snapshot(ledger: Ledger) -> bytes:
     """Return ``ledger`` as a snapshot."""
     body = {
-        "head": dataclasses.asdict(SnapshotHead(ledger.next, ledger.tail)),
+        "head": dataclasses.asdict(
+            SnapshotHead(ledger.next, ledger.tail, ledger.floor)
+        ),
         "objects": [_object_row(name, row) for name, row in ledger.objects.items()],
         "accepted": [dataclasses.asdict(row) for row in ledger.accepted.values()],
         "audit": [dataclasses.asdict(row) for row in ledger.audit],
@@ -90,6 +93,7 @@
         audit=deque(audit, maxlen=AUDIT_KEPT),
         next=Offset(head.next),
         tail=head.tail,
+        floor=head.floor,
     )
 
 
--- a/tests/configuration/test_ledger.py
+++ b/tests/configuration/test_ledger.py
@@ -1,6 +1,8 @@
 """Verdicts on tickets."""
 
 import hashlib
+import runpy
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -9,8 +11,10 @@
 from godwitladder.configuration.judgement import Rejection
 from godwitladder.configuration.ledger import Ledger, Verdict
 from godwitladder.configuration.model import ObjectName
+from godwitladder.configuration.snapshots import decode_snapshot, encode_snapshot
 from godwitladder.configuration.tickets import read_ticket
 from godwitladder.findings import InvalidInput
+from godwitladder.settings import read_settings
 from tests.configuration.fakes import ticket, tier
 
 KEY = hashlib.sha256(b"key").hexdigest()
@@ -129,6 +133,31 @@
     ]
 
 
+def test_rows_of_removed_objects_are_bounded(monkeypatch):
+    """Targets come and go for years.
+
+    The rows of the oldest removals are dropped, and a stale ticket still
+    can't bring one of those objects back; a new one can be written.
+    """
+    monkeypatch.setattr("godwitladder.configuration.ledger.REMOVED_KEPT", 1)
+    names = ("a", "b")
+    ledger, entries = replay(
+        ticket(1, tier("a") + tier("b") + tier("c")),
+        *[ticket(5 + i, f'remove = ["tiers.{n}"]') for i, n in enumerate(names)],
+        ticket(3, tier("a")),
+        ticket(4, tier("b")),
+        ticket(9, tier("a")),
+    )
+    causes = [entry.cause for entry in entries[3:]]
+    assert causes == [Rejection.OUTDATED, Rejection.OUTDATED, None]
+    assert "below removals up to ticket 5" in entries[3].findings[0].text
+    assert decode_snapshot(encode_snapshot(ledger)) == ledger
+    behind, _ = replay(ticket(1, tier("b")))
+    ledger.objects.pop(ObjectName("tiers", "b"))
+    ledger.keep_newer(behind)
+    assert ObjectName("tiers", "b") not in ledger.objects
+
+
 @pytest.mark.parametrize(
     "text",
     [
@@ -161,3 +190,14 @@
         read_ticket(data)
     except InvalidInput as error:
         assert error.findings
+
+
+def test_examples_run_as_they_stand(capsys):
+    examples = Path(__file__).parent.parent.parent / "examples"
+    ledger = runpy.run_path(str(examples / "tickets_in_memory.py"))["main"]()
+    assert ledger.objects[ObjectName("tiers", "urgent")].value.rank == 1
+    assert "lost to ticket 3 of mart" in capsys.readouterr().out
+    tickets = sorted((examples / "operations").glob("ticket-*.toml"))
+    assert len([read_ticket(path.read_bytes()) for path in tickets]) == 3
+    hosts = sorted((examples / "operations").glob("host-*.toml"))
+    assert [read_settings(path).host for path in hosts] == ["host-a1", "host-a2"]
