--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -15,6 +15,7 @@
 from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
 from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
 from godwitladder.configuration.state import make_state
 from godwitladder.drain import stop_accepting, unfinished
@@ -137,9 +138,8 @@
             clock,
             self.publish_members,
         )
-        self.router.connect(
-            self.mesh, self.membership, self.scheduler, self.allocator, self.exchange
-        )
+        self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
+        self.router.add(self.exchange, Heartbeat, ConfigRequest, ConfigSnapshot)
         self.keys = self.make_keys()
         self.caller_server: TcpWSGIServer | None = None
 
--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -5,7 +5,6 @@
 
 import pykka
 
-from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.ids import HostId
 from godwitladder.membership.links import Link, Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews
@@ -38,20 +37,22 @@
         membership: pykka.ActorRef,
         scheduler: pykka.ActorRef,
         allocator: pykka.ActorRef,
-        configuration: pykka.ActorRef,
     ) -> None:
         """Set the parts, once all of them are there."""
         self.mesh = mesh
         self.actors = {
-            Heartbeat: (membership, configuration),
+            Heartbeat: (membership,),
             LiveNews: (membership,),
             GrantOffer: (scheduler,),
             PoolReport: (allocator,),
             FloorReport: (allocator,),
-            ConfigRequest: (configuration,),
-            ConfigSnapshot: (configuration,),
         }
 
+    def add(self, actor: pykka.ActorRef, *kinds: type) -> None:
+        """Let ``actor`` take messages of these kinds too."""
+        for kind in kinds:
+            self.actors[kind] = (*self.actors.get(kind, ()), actor)
+
     def send(self, host: HostId, message: Any) -> None:
         """Send ``message`` to ``host``, which may be this one.
 
