--- a/godwitladder/orders/issuer.py
+++ b/godwitladder/orders/issuer.py
@@ -169,6 +169,8 @@
             return
         for name in filter(None, (order.model, *order.adapters)):
             self._await_weight(name)
+            # The order makes the target read the store once more.
+            self.stream.await_weight_slot()
 
     def _await_weight(self, name: str) -> None:
         for _ in range(WEIGHT_TRIES):
