Shed the lowest tier when a host runs out of threads

Cause: a request that waits holds a thread of the server, 256 by default. The next arrival waited in the server's own queue, before its tier was known, behind everything that matters less. Sixteen spare threads take arrivals now, and each that needs one makes the scheduler refuse the last of the lowest tier waiting on this host.

--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -14,6 +14,7 @@
 from godwitladder.scheduler.messages import (
     Finished,
     HostsChanged,
+    MakeRoom,
     NewConfig,
     NothingSent,
     Progress,
@@ -35,6 +36,7 @@
     add_request,
     finish_request,
     grow_request,
+    make_room,
     refuse_request,
     return_request,
     run_systems,
@@ -154,6 +156,10 @@
             text = "The caller is gone."
             refuse_request(self.tables, row, refuse(Reason.CALLER_GONE, text))
 
+    @take.register
+    def _(self, message: MakeRoom) -> None:
+        make_room(self.tables)
+
     @take.register
     def _(self, message: NewConfig) -> None:
         if message.config.offset < self.tables.config.offset:
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -48,6 +48,11 @@
     request: RequestId
 
 
+@dataclass(frozen=True)
+class MakeRoom:
+    """The host has no thread left for one more request that waits."""
+
+
 @dataclass(frozen=True)
 class NewConfig:
     """A new configuration is in force."""
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -20,6 +20,8 @@
 AVOID_S = 1.0
 KEPT_COMPLETIONS = 64
 SPARE_ROWS = 32
+ROOM_RETRY_S = 1.0
+NO_ROOM = "This host has no room for more requests that wait."
 
 
 def run_systems(tables: Tables, now: float) -> None:
@@ -281,6 +283,19 @@
     row.decisions.put(refusal)
 
 
+def make_room(tables: Tables) -> None:
+    """Refuse the last of the least important requests that wait.
+
+    A request that waits holds one of its host's threads. Were the next one left
+    without any, it would wait in the server's queue before its tier is known,
+    behind all that matters less.
+    """
+    rows = [row for row in tables.waiting.values() if row.state is RequestState.WAITING]
+    if rows:
+        last = max(rows, key=lambda row: (row.tier_rank, row.arrived))
+        refuse_request(tables, last, refuse(Reason.SHED, NO_ROOM, ROOM_RETRY_S))
+
+
 def note_answered(tables: Tables, row: RequestRow) -> None:
     """Let the allocators that were asked for ``row`` know that it is answered."""
     for access in tables.by_service.get(row.service, ()):
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -66,7 +66,9 @@
         self.clock = clock
         self.metrics = metrics
         self.config = ConfigState()
-        self.dispatcher = Dispatcher(settings, scheduler, clock, metrics)
+        self.dispatcher = Dispatcher(
+            settings, scheduler, clock, metrics, self.is_crowded
+        )
         self.keyed: KeyedCalls | None = None
         self.open_calls = 0
         self.lock = threading.Lock()
@@ -77,6 +79,10 @@
             self.open_calls += 1
         return CountedAnswer(self._answer(environ, start_response), self._close_call)
 
+    def is_crowded(self) -> bool:
+        """Return whether the server is down to its spare threads."""
+        return self.open_calls > self.settings.limits.threads
+
     def _close_call(self) -> None:
         with self.lock:
             self.open_calls -= 1
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -13,7 +13,12 @@
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.scheduler.messages import NothingSent, Submit, Withdrawn
+from godwitladder.scheduler.messages import (
+    MakeRoom,
+    NothingSent,
+    Submit,
+    Withdrawn,
+)
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answers import (
     StreamedAnswer,
@@ -49,6 +54,8 @@
         The host's clock.
     metrics : Metrics
         Where to count.
+    is_crowded : callable
+        Returns whether more calls are open than the host has threads for.
     """
 
     def __init__(
@@ -57,7 +64,9 @@
         scheduler: pykka.ActorRef,
         clock: Clock,
         metrics: Metrics,
+        is_crowded: Callable[[], bool],
     ) -> None:
+        self.is_crowded = is_crowded
         self.settings = settings
         self.scheduler = scheduler
         self.clock = clock
@@ -67,6 +76,8 @@
         """Answer one call, once the scheduler has decided about it."""
         gone = environ.get("waitress.client_disconnected", lambda: False)
         self.scheduler.tell(Submit(call.row))
+        if self.is_crowded():
+            self.scheduler.tell(MakeRoom())
         while True:
             decision = self._await_decision(call, gone)
             if isinstance(decision, Refusal):
