End a host whose claims fail, and claim nothing on one that is stopping

A dead claims actor would leave callers waiting for its verdict for ever, and a dead reader of the stream would let every claim run out of its patience; both now end the host as its other parts do. A host that is stopping refused a keyed request only after its claim, which cost a claim and a release; it now refuses before.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -64,7 +64,9 @@
 LEAVE_S = 1.0
 """Time for balancers and peers to see that this host is leaving."""
 OPERATOR_THREADS = 8
-VITAL_THREADS = frozenset({"config", "hosts", "ticker", "http"})
+VITAL_THREADS = frozenset(
+    {"config", "hosts", "ticker", "http", "claim-read", "claim-write"}
+)
 FAILED_EXIT = 70
 
 
@@ -182,6 +184,7 @@
             self.log,
             self.clock,
             self.metrics,
+            self.fail,
         )
         self.stack.callback(keys.stop)
         self.router.takers |= keys.takers()
--- a/godwitladder/serving/keyed.py
+++ b/godwitladder/serving/keyed.py
@@ -49,6 +49,8 @@
 GONE = "The process that holds this key can't be reached; its request may have run."
 OTHER_BODY = "This key was used with another body, and this one did not run."
 EXPIRED = "This key is older than the time for which keys are known; it may have run."
+STOPPING = "This host is stopping; another one will take the request."
+STOPPING_RETRY_S = 1.0
 NO_LOG = "The key could not be claimed, since the platform's log does not answer."
 FORGED = "The key has the form of an issued one and was not issued to this workspace."
 
@@ -249,6 +251,8 @@
             The key can't be had.
         """
         row = call.row
+        if self.stopping:
+            raise CallRefused(refuse(Reason.STOPPING, STOPPING, STOPPING_RETRY_S))
         window = self.settings.claims.window_s / WINDOW_DEADLINES
         row.deadline = min(row.deadline, row.arrived + window)
         row.claim = ClaimState.NEEDED
--- a/godwitladder/serving/keys.py
+++ b/godwitladder/serving/keys.py
@@ -23,9 +23,10 @@
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.calls import Call, Caller, CallRefused
 from godwitladder.serving.forwarding import ForwardedAnswer, ForwardedCall, Forwarder
-from godwitladder.serving.keyed import KeyedCalls
+from godwitladder.serving.keyed import STOPPING_RETRY_S, KeyedCalls
 from godwitladder.serving.request_ids import RequestName, sign_request
 from godwitladder.settings import Settings
+from godwitladder.supervision import supervised
 
 if TYPE_CHECKING:
     from godwitladder.serving.callers import CallerApp
@@ -39,7 +40,6 @@
 FLUSH_S = 10.0
 FLUSH_POLL_S = 0.05
 STOPPING = "This host is stopping, and its keys would be lost with it."
-STOPPING_RETRY_S = 1.0
 
 
 def issue_key(keyed: KeyedCalls, caller: Caller, start_response) -> list[bytes]:
@@ -84,6 +84,8 @@
         The platform's log.
     clock, metrics : Clock, Metrics
         The host's.
+    fail : callable
+        Ends the host.
     """
 
     def __init__(
@@ -95,13 +97,15 @@
         client: LogClient,
         clock: Clock,
         metrics: Metrics,
+        fail: Callable[[], None],
     ) -> None:
         self.clock = clock
         self.callers = callers
         self.secret = settings.peers.secret
         work = threading.Event()
         host, window_s = settings.host, settings.claims.window_s
-        self.claims = Claims.start(
+        # Callers would wait for the verdict of a dead actor for ever.
+        self.claims = supervised(Claims, fail).start(
             host, incarnation, settings.claims, clock, metrics, work
         )
         self.claim_log = ClaimLog(
