Ask peers for a state less and less often when it leads nowhere

A state is several hundred kilobytes. A host whose log lost records, or whose peers are of a version whose states it can't read, asked for one every second for ever. The command line refuses unknown knobs of stand-ins.

--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -25,9 +25,10 @@
 from godwitladder.client import AskFailed, OperatorClient
 from godwitladder.configuration.tickets import read_ticket
 from godwitladder.daemon import run_entry_host
-from godwitladder.findings import Finding, InvalidInput
+from godwitladder.findings import Finding, Findings, InvalidInput
 from godwitladder.logs import configure_logs
 from godwitladder.settings import read_settings
+from godwitladder.standins import engine, platform, service
 from godwitladder.standins.engine import start_engine
 from godwitladder.standins.platform import start_platform
 from godwitladder.standins.service import start_service
@@ -170,7 +171,7 @@
     knobs : list[str]
         Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_platform(listen, **read_knobs(knobs)))
+    run_standin(start_platform(listen, **read_knobs(knobs, platform.KNOBS)))
 
 
 def standin_engine(*, listen: str = "127.0.0.1:0", knobs: list[str] = ()) -> None:
@@ -183,7 +184,7 @@
     knobs : list[str]
         Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_engine(listen, **read_knobs(knobs)))
+    run_standin(start_engine(listen, **read_knobs(knobs, engine.KNOBS)))
 
 
 def standin_service(*, listen: str = "127.0.0.1:0", knobs: list[str] = ()) -> None:
@@ -196,7 +197,7 @@
     knobs : list[str]
         Values to start with, each as name=value with the value in JSON.
     """
-    run_standin(start_service(listen, **read_knobs(knobs)))
+    run_standin(start_service(listen, **read_knobs(knobs, service.KNOBS)))
 
 
 def run_standin(server) -> None:
@@ -205,18 +206,19 @@
     threading.Event().wait()
 
 
-def read_knobs(texts: list[str]) -> dict:
+def read_knobs(texts: list[str], known: dict) -> dict:
     """Return knobs given as ``name=value``."""
     knobs = {}
-    findings = []
+    findings = Findings()
     for text in texts:
         name, _, value = text.partition("=")
+        if name not in known:
+            findings.add_unknown(f"--knobs {text}", name, known)
         try:
             knobs[name] = json.loads(value)
         except ValueError:
-            findings.append(Finding(f"--knobs {text}", "must be name=value in JSON"))
-    if findings:
-        raise InvalidInput(tuple(findings))
+            findings.add(f"--knobs {text}", "must be name=value in JSON")
+    findings.raise_if_any()
     return knobs
 
 
--- a/godwitladder/configuration/follower.py
+++ b/godwitladder/configuration/follower.py
@@ -23,7 +23,10 @@
 # A peer is ahead for a moment after every ticket. One that stays ahead for
 # two seconds read something that the log doesn't show this host.
 BEHIND_S = 2.0
+# A state is several hundred kilobytes. A peer whose answers lead nowhere, for
+# one of another version, must not be asked for it every second.
 REQUEST_PERIOD_S = 1.0
+REQUEST_PERIOD_MAX_S = 60.0
 # Four snapshots within the time that records are kept: three in a row may be
 # missed, and the next one is still in time.
 SNAPSHOTS_KEPT = 4
@@ -95,6 +98,7 @@
         self.peers: dict[HostId, int] = {}
         self.behind_since: float | None = None
         self.requested = float("-inf")
+        self.request_period_s = REQUEST_PERIOD_S
         self.asked = 0
         self.snapshot_tried = float("-inf")
         self.encoded: tuple[Offset, bytes] | None = None
@@ -156,12 +160,14 @@
         with self.lock:
             if not self._wants_state(max(self.peers.values(), default=-1), now):
                 return
-            if now - self.requested < REQUEST_PERIOD_S:
+            if now - self.requested < self.request_period_s:
                 return
             ahead = [row for row in self.peers if self.peers[row] >= self.ledger.next]
             if not ahead:
                 return
             self.requested = now
+            doubled = 2 * self.request_period_s
+            self.request_period_s = min(doubled, REQUEST_PERIOD_MAX_S)
             self.asked += 1
             host = ahead[self.asked % len(ahead)]
         if not self.send(host, ConfigRequest(self.host)):
@@ -183,6 +189,7 @@
                 return
             if taken:
                 log.info("Took a peer's state", extra={"offset": self.ledger.next})
+                self.request_period_s = REQUEST_PERIOD_S
                 self._changed()
 
     def await_offset(self, offset: Offset, wait_s: float) -> AuditEntry | None:
@@ -251,7 +258,7 @@
     def _wants_state(self, offset: int, now: float) -> bool:
         if self.replica.wants_state(offset):
             return True
-        if offset <= self.ledger.next:
+        if offset <= self.ledger.next or self.replica.phase is Phase.FORKED:
             self.behind_since = None
             return False
         if self.behind_since is None:
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -196,3 +196,26 @@
     assert rank(hosts.follow("host-1", 10)) == 6
     assert paused.replica.phase is Phase.FOLLOWING
     assert ObjectName("tiers", "low") in paused.ledger.objects
+
+
+@pytest.mark.parametrize(("forked", "most"), [(True, 0), (False, 7)])
+def test_peers_are_not_asked_for_ever(forked, most):
+    """A peer is ahead, and its state is of no use for a minute.
+
+    Either the log lost what is in force here, or the answers of the peer, a
+    host of a later version, can't be read.
+    """
+    hosts = FakeHosts(1)
+    hosts.submit(ticket(1, tier("urgent", 1)))
+    follower = hosts.follow("host-0")
+    if forked:
+        hosts.log.records["config"].clear()
+    asked = []
+    follower.send = lambda host, message: asked.append(host) or True
+    for _ in range(60):
+        hosts.clock.advance(1.0)
+        follower.hear("host-9", 100)
+        follower.follow_once()
+    assert (follower.replica.phase is Phase.FORKED) == forked
+    assert bool(asked) != forked
+    assert len(asked) <= most
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -111,6 +111,15 @@
         assert caught.value.exit_code == 3
 
 
+def test_knobs_are_checked_before_a_standin_starts(capsys):
+    code, _, error = run(
+        capsys, "standin", "engine", "--knobs", "frozn=true", "slots=x"
+    )
+    assert code == cli.INVALID
+    assert "did you mean 'frozen'" in error
+    assert "--knobs slots=x: must be name=value in JSON" in error
+
+
 def run(capsys, *argv):
     """Return exit code, output and errors of one command."""
     try:
