--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -14,6 +14,7 @@
 from godwitladder.scheduler.messages import (
     Finished,
     HostsChanged,
+    MakeRoom,
     NewConfig,
     NothingSent,
     Progress,
@@ -31,10 +32,12 @@
     update_targets,
 )
 from godwitladder.scheduler.rows import Tables
+from godwitladder.scheduler.stretches import note_progress
 from godwitladder.scheduler.systems import (
     add_request,
     finish_request,
     grow_request,
+    make_room,
     refuse_request,
     return_request,
     run_systems,
@@ -138,7 +141,7 @@
     def _(self, message: Progress) -> None:
         row = self.tables.running.get(message.request)
         if row:
-            row.first_token = row.first_token or self.clock.monotonic()
+            note_progress(self.tables, row, message.tokens, self.clock.monotonic())
             grow_request(self.tables, row, message.tokens)
 
     @take.register
@@ -154,6 +157,10 @@
             text = "The caller is gone."
             refuse_request(self.tables, row, refuse(Reason.CALLER_GONE, text))
 
+    @take.register
+    def _(self, message: MakeRoom) -> None:
+        make_room(self.tables)
+
     @take.register
     def _(self, message: NewConfig) -> None:
         if message.config.offset < self.tables.config.offset:
--- a/tests/quarantine/test_hosts.py
+++ b/tests/quarantine/test_hosts.py
@@ -2,6 +2,9 @@
 
 import itertools
 import json
+import os
+import subprocess
+import sys
 from concurrent.futures import ThreadPoolExecutor
 
 from godwitladder.standins.base import Hangup
@@ -39,7 +42,8 @@
 
 
 def ask(fleet: Fleet, host, text: str, key: str, **body):
-    return fleet.chat(host, text, headers={"Idempotency-Key": key}, **body)
+    headers = {"Idempotency-Key": key} if key else {}
+    return fleet.chat(host, text, headers=headers, **body)
 
 
 def told(answer) -> tuple[str, str]:
@@ -50,7 +54,7 @@
 def test_crashing_request_takes_two_targets_and_is_refused_everywhere(fleet):
     """Its caller is refused as not run, on every host; like prompts run.
 
-    It is sent again and again under new keys, each time to the next host. The
+    It is sent again and again, under new keys or none, to the next host. The
     first crash makes it and what ran beside it suspects, and its trial crashes
     a second target. It is refused until an operator lifts it. What ran beside
     it is tried, and answered.
@@ -73,7 +77,7 @@
             "the letters to run",
         )
         answers = [
-            ask(fleet, host, POISON, f"k{index}")
+            ask(fleet, host, POISON, f"k{index}" if index % 2 else "")
             for index, host in zip(range(9), hosts, strict=False)
         ]
         struck = [row.result() for row in beside]
@@ -94,12 +98,21 @@
 
 
 def lift(fleet: Fleet) -> None:
-    rows = fleet.operator_get(fleet.hosts[0], "/v1/quarantine")["quarantined"]
-    assert len(rows) == 1
-    answer = fleet.http.request(
-        "POST",
-        f"http://{fleet.hosts[1].operators}/v1/quarantine/lift",
-        body=json.dumps({"digest": rows[0]["digest"], "operator": "hanna"}),
-        headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+    """Lift the one quarantine by the command line."""
+    shown = run_command(fleet, "show").splitlines()
+    assert len(shown) == 1
+    digest = json.loads(shown[0])["digest"]
+    run_command(fleet, "lift", digest, "--operator", "hanna")
+
+
+def run_command(fleet: Fleet, *arguments: str) -> str:
+    command = [sys.executable, "-m", "godwitladder", "quarantine", *arguments]
+    done = subprocess.run(
+        [*command, "--host", fleet.hosts[1].operators],
+        env={**os.environ, "GODWITLADDER_TOKEN": OPERATOR_TOKEN},
+        capture_output=True,
+        text=True,
+        timeout=30,
     )
-    assert answer.status == 200, answer.data
+    assert done.returncode == 0, done.stderr
+    return done.stdout
