--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -3,6 +3,8 @@
 Pure: times are handed in.
 """
 
+import enum
+from collections import Counter
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.types import Grant
@@ -21,6 +23,14 @@
 grants, and has given the capacity to others, before the host helps itself."""
 
 
+class GrantFate(enum.Enum):
+    """What became of a grant that this host was given."""
+
+    USED = "used"
+    GIVEN_BACK = "given_back"
+    LAPSED = "lapsed"
+
+
 @dataclass(frozen=True)
 class HeldGrant:
     """A grant and the time at which it lapses here."""
@@ -47,6 +57,8 @@
         Whether something has changed that the allocator should know at once.
     reported : float
         When the last report was sent.
+    fates : Counter
+        Grants by what became of them, since they were last counted.
     """
 
     pool: Pool
@@ -66,6 +78,7 @@
     completions: list[Completion] = field(default_factory=list)
     stretches: dict[TargetName, Stretch] = field(default_factory=dict)
     asked: dict[RequestId, int] = field(default_factory=dict)
+    fates: Counter[GrantFate] = field(default_factory=Counter)
 
     def ask(self, allocator: HostId | None, now: float) -> None:
         """Report to ``allocator`` from now on.
@@ -127,6 +140,7 @@
             if held.until <= now:
                 del self.grants[request]
                 self.dirty = True
+                self.fates[GrantFate.LAPSED] += 1
 
     def is_alone(self, now: float) -> bool:
         """Return whether no allocator can be reached.
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -104,9 +104,17 @@
         wait_s = next_due_s(self.tables, now)
         if wait_s is not None:
             self.ticker.tick_in(wait_s)
+        self.count_grants()
         self.metrics.waiting.set({}, len(self.tables.waiting))
         self.metrics.running.set({}, len(self.tables.running))
 
+    def count_grants(self) -> None:
+        """Count what became of the grants that were given to this host."""
+        for access in self.tables.pools.values():
+            for fate, count in access.fates.items():
+                self.metrics.grants.add({"fate": fate.value}, count)
+            access.fates.clear()
+
     @functools.singledispatchmethod
     def take(self, message) -> None:
         """Take one message into the tables."""
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -13,7 +13,7 @@
 from godwitladder.decisions.types import TargetView
 from godwitladder.ids import HostId
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.scheduler.access import PoolAccess
+from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
 from godwitladder.scheduler.rows import Dispatch, RequestRow, Tables, TargetRow
 
@@ -60,7 +60,9 @@
             del access.grants[request]
             access.dirty = True
             target = tables.targets.get(held.grant.target)
-            if row and target and usable(tables, target, row, now):
+            used = row and target and usable(tables, target, row, now)
+            access.fates[GrantFate.USED if used else GrantFate.GIVEN_BACK] += 1
+            if used:
                 dispatch_request(tables, row, target, now)
 
 
