Close two more ways out of a call

A guard that fails right before a dispatch held the target's slot; a call whose answer the server could not start stayed open, and a planned stop would have waited for it for ever. Both have a test.

--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -77,7 +77,14 @@
         """Answer one request (WSGI)."""
         with self.lock:
             self.open_calls += 1
-        return CountedAnswer(self._answer(environ, start_response), self._close_call)
+        try:
+            body = self._answer(environ, start_response)
+        except BaseException:
+            # The server closes only an answer that it got: without this, one
+            # call that failed here would keep a planned stop waiting for ever.
+            self._close_call()
+            raise
+        return CountedAnswer(body, self._close_call)
 
     def is_crowded(self) -> bool:
         """Return whether the server is down to its spare threads."""
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -142,10 +142,10 @@
             # The caller left between the decision and now. Nothing was
             # written, so its prefill can still be saved.
             return self._refuse(start_response, refuse(Reason.CALLER_GONE, GONE))
-        refusal = self.call.before_dispatch()
-        if refusal:
-            return self._refuse(start_response, refusal)
         try:
+            refusal = self.call.before_dispatch()
+            if refusal:
+                return self._refuse(start_response, refusal)
             if self.call.service.kind is ServiceKind.PLAIN:
                 return self._call_plain(start_response)
             return self._answer_stream(start_response)
--- a/tests/serving/test_dispatching.py
+++ b/tests/serving/test_dispatching.py
@@ -1,6 +1,7 @@
 """Every way out of a dispatch frees its target and tells the truth."""
 
 import contextlib
+import dataclasses
 import json
 
 import pytest
@@ -220,3 +221,37 @@
     answer = app.chat({"HTTP_REQUEST_TIMEOUT": "0.2"}, max_tokens=4000)
     assert answer.problem()["reason"] == "deadline"
     app.wait_idle()
+
+
+def test_a_call_that_the_server_can_not_start_does_not_hold_up_a_stop(stack):
+    """A planned stop waits for open calls, and for no others.
+
+    The server refuses to start the answer, here for a header it does not
+    take. It never gets an answer to close, and the call is over all the same.
+    """
+
+    def refuse_start(status, headers):
+        raise ValueError("no such header")
+
+    app, _ = with_engine(stack)
+    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/"}
+    with pytest.raises(ValueError):
+        app.app(environ, refuse_start)
+    assert app.app.open_calls == 0
+
+
+def test_a_fault_right_before_the_dispatch_frees_the_target(stack):
+    """What guards a dispatch may fail too, and must not hold the slot."""
+
+    def fail():
+        raise RuntimeError("unforeseen")
+
+    def serve(call, environ, start_response, resume):
+        call = dataclasses.replace(call, before_dispatch=fail)
+        return app.app.dispatcher.serve(call, environ, start_response)
+
+    app, engine = with_engine(stack)
+    app.app.keyed.serve = serve
+    assert app.chat().problem()["outcome"] == "may_have_run"
+    app.wait_idle()
+    assert not engine.sequences
