--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -13,12 +13,13 @@
 
 import urllib3
 
-SECRET = "demo-peers"
+SECRET = "a secret of the demonstration"
 OPERATOR_TOKEN = "demo-operator"
 ADVISER_KEY = "demo-adviser"
 RETURNS_KEY = "demo-returns"
 START_S = 30.0
 STOP_S = 10.0
+LOG_TAIL = 1000
 LOWEST_PORT, HIGHEST_PORT = 10_000, 32_000
 ENGINES = ("engine-a1", "engine-a2")
 ENGINE_KNOBS = {"decode_tps": 200.0, "slots": 4}
@@ -128,7 +129,8 @@
     def is_ready(self, host: Host) -> bool:
         """Return whether ``host`` says that it is ready."""
         if host.process.poll() is not None:
-            raise DemoFailed(f"{host.name} ended at its start")
+            last = (self.folder / f"{host.name}.log").read_text()[-LOG_TAIL:]
+            raise DemoFailed(f"{host.name} ended at its start: {last}")
         try:
             return self.ask("GET", f"http://{host.operators}/readyz").status == 200
         except urllib3.exceptions.HTTPError:
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -39,6 +39,7 @@
 GONE_CHECK_S = 0.5
 REFUSED_RETRY_S = 1.0
 GONE = "The caller is gone."
+LATE = "The target gave no whole answer before the deadline; it may have run."
 
 
 class Dispatcher:
@@ -159,7 +160,7 @@
             self._note_cut(error)
             return self._refuse(start_response, error.refusal)
         except MayHaveRun as error:
-            return self._refuse(start_response, lost(str(error)))
+            return self._refuse(start_response, self._lost_refusal(error))
         except Exception:
             log.exception("A dispatch failed", extra={"request": self.identity})
             return self._refuse(start_response, internal_fault())
@@ -168,6 +169,12 @@
         self.ending.tell(refusal.outcome)
         return answer_problem(start_response, refusal, self.identity)
 
+    def _lost_refusal(self, error: MayHaveRun) -> Refusal:
+        """Return what to tell of a plain call that has no whole answer."""
+        if self.clock.monotonic() < self.call.row.deadline:
+            return lost(str(error))
+        return Refusal(RequestState.MAY_HAVE_RUN, Reason.DEADLINE, LATE)
+
     def _call_plain(self, start_response) -> list[bytes]:
         row = self.call.row
         answer = call_service(
--- a/tests/serving/test_dispatching.py
+++ b/tests/serving/test_dispatching.py
@@ -169,6 +169,17 @@
     assert app.outcomes() == {"may_have_run": 1}
 
 
+def test_a_slow_plain_call_ends_at_its_deadline_and_may_have_run(stack):
+    """The desk must not take a charge that is merely slow for one not made."""
+    app, service = with_service(stack, delay_s=1.0)
+    answer = app.ask("POST", "/v1/services/charge", b"x", HTTP_REQUEST_TIMEOUT="0.3")
+    assert answer.status.startswith("504")
+    problem = answer.problem()
+    assert (problem["outcome"], problem["reason"]) == ("may_have_run", "deadline")
+    assert len(service.runs) == 1
+    app.wait_idle()
+
+
 def test_a_connection_refused_frees_the_target_and_waits_on(stack):
     """Nothing was written, so the request waits until its deadline."""
     app = App(stack, service="127.0.0.1:9")
