Take the overhead of short prompts for what it is, not for a slow target

The two short questions before it had made both engines look slow: a prompt of ten tokens is expected to take a millisecond, the way to the engine alone takes longer, and the ratio cut each engine to one slot of four. Change: a stretch is compared with what is expected and a tenth of a second for overhead, and a stretch quicker than that counts as on time. The new test fails on the old code.

--- a/godwitladder/decisions/easing.py
+++ b/godwitladder/decisions/easing.py
@@ -15,6 +15,9 @@
     token changes little and a slow target is found in two or three seconds.
 SLOW : below one and a half times the expected, differences are those of
     batch sizes; above it, measured in `docs/MEASUREMENTS.md` (easing).
+OVERHEAD_S : the way to an engine, its queue and its first step cost the same
+    whatever the length. A tenth of the 1.1 s in which a first token is due
+    covers them, and is small beside a stretch that matters to a caller.
 CUT_EVERY_S : one cut needs a second before its effect is seen.
 STEP_EVERY_S, STEPS : from its lowest back to whole in about eight seconds.
 """
@@ -25,6 +28,7 @@
 
 GAIN = 0.25
 SLOW = 1.5
+OVERHEAD_S = 0.1
 CUT_EVERY_S = 1.0
 STEP_EVERY_S = 1.0
 STEPS = 8
@@ -66,7 +70,11 @@
         if expected_s <= 0:
             return
         row = self.rows.setdefault(target, Easing())
-        row.slowdown += GAIN * (min(taken_s / expected_s, 100.0) - row.slowdown)
+        # Prompts of a few tokens take as long as the way to the engine. Their
+        # ratio would be some tens on a sound target, and all its slots but one
+        # be taken from it; and much below one, hiding a stream that is slow.
+        ratio = max(1.0, min(taken_s / (expected_s + OVERHEAD_S), 100.0))
+        row.slowdown += GAIN * (ratio - row.slowdown)
         if row.slowdown > SLOW and now - row.changed >= CUT_EVERY_S:
             row.share = min(row.share, 1.0 / row.slowdown)
             row.changed = now
--- a/tests/decisions/test_learning.py
+++ b/tests/decisions/test_learning.py
@@ -199,3 +199,18 @@
         shown.append(loads.others("t"))
     assert set(shown[10:55]) <= {0, 1}
     assert set(shown[-20:]) <= {2, 3, 4}
+
+
+def test_the_overhead_of_short_prompts_is_no_slowness():
+    """Callers of a burst were shed while most slots stood empty.
+
+    A prompt of ten tokens should take a millisecond and takes twenty, for the
+    way there and the engine's own step. Taken for slowness, the first two
+    questions of the day left each target one slot of four.
+    """
+    easing = TargetEasing()
+    for second in range(10):
+        easing.observe("t", 0.001, 0.02, float(second))
+    assert easing.limit("t", 4, 10.0) == 4
+    easing.observe("t", 0.001, 1.0, 11.0)
+    assert easing.limit("t", 4, 11.0) < 4
