Answer a host that comes back after a quiet time at once

Cause: the allocator forgot a host of another zone that had nothing to ask, and numbered its next offers from one again; the host took them for late ones. The new test fails without the change, and its mutation turns red.

--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -314,12 +314,13 @@
         ).start()
 
     def _keep_dialling(self, address: str) -> None:
-        pause_s = REDIAL_S
-        if address < self.address:
-            self.clock.wait(self.stopping, 2 * REDIAL_S)
+        # Two ends that dial each other at once close each other's link; the
+        # one with the higher address gives the other time to try again.
+        first_pause_s = REDIAL_S if address > self.address else 3 * REDIAL_S
+        pause_s = first_pause_s
         while not self.stopping.is_set() and address in self.dialled:
             if not self._is_linked(address) and self._dial_once(address):
-                pause_s = REDIAL_S
+                pause_s = first_pause_s
             self.clock.wait(self.stopping, pause_s)
             pause_s = min(2 * pause_s, LONGEST_REDIAL_S)
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -55,7 +55,7 @@
 SILENT_S = 3.0
 """Demand of a host that was silent for so long is no longer answered."""
 
-FORGET_S = 10.0
+FORGET_S = 5.0
 """Use of a silent host counts for so long: its requests may still run. After
 that the targets' own load reports have had time to show them."""
 
@@ -107,6 +107,7 @@
         self.config = ConfigState()
         self.leaving: frozenset[str] = frozenset()
         self.accounts: dict[tuple[HostId, Incarnation], HostAccount] = {}
+        self.first_number = 1
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
@@ -131,7 +132,10 @@
     def take_report(self, report: PoolReport, now: float) -> bool:
         """Take in a host's report; return whether it calls for a run at once."""
         key = report.host, report.incarnation
-        account = self.accounts.setdefault(key, HostAccount(*key))
+        account = self.accounts.get(key)
+        if account is None:
+            account = HostAccount(*key, next_number=self.first_number)
+            self.accounts[key] = account
         seen = report.seen if report.term == self.term else 0
         if not account.take(report, seen, now):
             return False
@@ -140,7 +144,7 @@
         for stretch in report.stretches:
             self.watch(stretch, now)
         wanted = any(row.lines or row.more_waiting for row in self.accounts.values())
-        return wanted or account.next_number == 1
+        return wanted or account.offered == float("-inf")
 
     def watch(self, row: Stretch, now: float) -> None:
         """Take in how fast a target works while requests run."""
@@ -210,6 +214,9 @@
         """Drop hosts that are gone, and floors that nobody repeats."""
         for key, account in list(self.accounts.items()):
             if now - account.heard > FORGET_S:
+                # A host that comes back still knows the last offer's number,
+                # and would take those from one on for late ones.
+                self.first_number = max(self.first_number, account.next_number)
                 del self.accounts[key]
         for name, floor in list(self.floors.items()):
             if now - floor.heard > FLOOR_S:
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -13,7 +13,7 @@
 from godwitladder.scheduler.exchange import GrantOffer, PoolReport
 from godwitladder.scheduler.messages import HostsChanged
 from godwitladder.scheduler.reports import due_reports, take_offer, update_targets
-from godwitladder.scheduler.role import LAPSE_S, WARM_UP_S
+from godwitladder.scheduler.role import FORGET_S, LAPSE_S, WARM_UP_S
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.scheduler.stretches import note_progress
 from godwitladder.scheduler.systems import finish_request, grow_request, run_systems
@@ -368,3 +368,26 @@
 
     now = run_for(desk, now, 30.0, work_well)
     assert role.easing.limit("e0", 8, now) == 8
+
+
+def test_a_host_that_was_forgotten_is_answered_as_before():
+    """A host's first request after a quiet time is granted in one round trip.
+
+    Hosts of other zones report only while they use a pool, and the allocator
+    forgets them. When it then numbered its offers from one again, the host
+    took them for late ones, and its request waited for seconds.
+    """
+    desk, now = settled({"e0": 1})
+    now = run_for(desk, now, 5.0, lambda now: None)
+    now += FORGET_S + 1.0
+    desk.tick("h0", now)
+    desk.decide("h0", now)
+    row = submit(desk.hosts["h1"], make_request("r", now))
+    desk.tick("h1", now)
+    while desk.reports["h1", "h0"]:
+        desk.deliver_report("h1", "h0", now)
+    desk.decide("h0", now)
+    while desk.offers["h1", "h0"]:
+        desk.deliver_offer("h1", "h0", now)
+    run_systems(desk.hosts["h1"], now)
+    assert row.state is RequestState.DISPATCHED
