Count a host as ready only when it knows a peer

Cause: a host that starts is the only one it knows, so it takes itself for the allocator and hands all slots of its zone to its own callers. Ruled out: no dispatch at all before a peer is known, since a host that is cut off has to serve. Without seeds, or after three seconds, it is ready alone.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -61,6 +61,8 @@
 HOST_LIST_PERIOD_S = 1.0
 DRAIN_POLL_S = 0.1
 IDLE_LOOKS = 3
+ALONE_S = 3.0
+"""A host that found none of its seeds in this time serves alone."""
 LEAVE_S = 1.0
 """Time for balancers and peers to see that this host is leaving."""
 OPERATOR_THREADS = 8
@@ -88,6 +90,7 @@
         self.metrics = Metrics()
         self.stopping = threading.Event()
         self.failed = False
+        self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, settings.scheduler.idle_tick_s)
@@ -269,7 +272,17 @@
 
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
-        return self.follower.caught_up.is_set() and not self.stopping.is_set()
+        caught_up = self.follower.caught_up.is_set()
+        return caught_up and self.acquainted() and not self.stopping.is_set()
+
+    def acquainted(self) -> bool:
+        """Return whether a peer was found, or none can be.
+
+        A host that knows no peer takes itself for the allocator of its zone;
+        with callers sent to it, targets would get twice their slots.
+        """
+        waited_s = self.clock.monotonic() - self.started
+        return bool(self.mesh.current()) or not self.mesh.seeds or waited_s > ALONE_S
 
     def status(self) -> HostStatus:
         """Return what operators are told of this host."""
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -3,10 +3,12 @@
 import contextlib
 import socket
 import threading
+from types import SimpleNamespace
 
 import pytest
 
 from godwitladder.clock import Clock, PausedClock
+from godwitladder.daemon import ALONE_S, EntryHost
 from godwitladder.membership.actor import Leave, Membership
 from godwitladder.membership.codec import encode
 from godwitladder.membership.links import Mesh
@@ -185,3 +187,25 @@
         tick(actor, clock, 0.5)
     actor.on_receive(Heartbeat("h2", "a", "", 0, False, 0))
     assert published[-1].hosts == ("h1", "h2")
+
+
+@pytest.mark.parametrize(
+    ("seeds", "links", "waited_s", "ready"),
+    [
+        ({"a"}, [], 0.0, False),
+        ({"a"}, ["link"], 0.0, True),
+        (set(), [], 0.0, True),
+        ({"a"}, [], ALONE_S + 0.1, True),
+    ],
+)
+def test_a_host_is_not_ready_before_it_knows_a_peer(seeds, links, waited_s, ready):
+    """Callers sent to a host that knows nobody would overrun the targets.
+
+    It would take itself for the allocator. If all its seeds are gone it
+    serves alone after a while, as a host that is cut off must.
+    """
+    clock = PausedClock()
+    mesh = SimpleNamespace(seeds=seeds, current=lambda: links)
+    host = SimpleNamespace(clock=clock, started=clock.monotonic(), mesh=mesh)
+    clock.advance(waited_s)
+    assert EntryHost.acquainted(host) is ready
