--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -219,3 +219,19 @@
     assert (follower.replica.phase is Phase.FORKED) == forked
     assert bool(asked) != forked
     assert len(asked) <= most
+
+
+def test_record_that_is_read_again_is_judged_once():
+    """After an outage a host reads its last record again, to compare it.
+
+    Judged a second time it would stand twice in the trail of this host alone.
+    """
+    hosts = FakeHosts()
+    hosts.submit(ticket(1, tier("urgent", 1)))
+    follower = hosts.follow("host-0")
+    hosts.clients["host-0"].cut = True
+    hosts.follow("host-0")
+    hosts.clients["host-0"].cut = False
+    hosts.follow("host-0")
+    assert follower.replica.phase is Phase.FOLLOWING
+    assert [row.verdict for row in follower.ledger.audit] == [Verdict.ACCEPTED]
