--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -39,6 +39,7 @@
 GONE_CHECK_S = 0.5
 REFUSED_RETRY_S = 1.0
 GONE = "The caller is gone."
+LATE = "The target gave no whole answer before the deadline; it may have run."
 
 
 class Dispatcher:
@@ -142,10 +143,10 @@
             # The caller left between the decision and now. Nothing was
             # written, so its prefill can still be saved.
             return self._refuse(start_response, refuse(Reason.CALLER_GONE, GONE))
-        refusal = self.call.before_dispatch()
-        if refusal:
-            return self._refuse(start_response, refusal)
         try:
+            refusal = self.call.before_dispatch()
+            if refusal:
+                return self._refuse(start_response, refusal)
             if self.call.service.kind is ServiceKind.PLAIN:
                 return self._call_plain(start_response)
             return self._answer_stream(start_response)
@@ -159,7 +160,7 @@
             self._note_cut(error)
             return self._refuse(start_response, error.refusal)
         except MayHaveRun as error:
-            return self._refuse(start_response, lost(str(error)))
+            return self._refuse(start_response, self._lost_refusal(error))
         except Exception:
             log.exception("A dispatch failed", extra={"request": self.identity})
             return self._refuse(start_response, internal_fault())
@@ -168,6 +169,12 @@
         self.ending.tell(refusal.outcome)
         return answer_problem(start_response, refusal, self.identity)
 
+    def _lost_refusal(self, error: MayHaveRun) -> Refusal:
+        """Return what to tell of a plain call that has no whole answer."""
+        if self.clock.monotonic() < self.call.row.deadline:
+            return lost(str(error))
+        return Refusal(RequestState.MAY_HAVE_RUN, Reason.DEADLINE, LATE)
+
     def _call_plain(self, start_response) -> list[bytes]:
         row = self.call.row
         answer = call_service(
