Find a slow target by its streams, and follow prefixes, on the real path

Cause: an allocator eased a target off by completions only, which for a long answer come a minute after it slowed down, and its views had no prefixes. Hosts now report the fastest stretch of output of each target since the last report and the shortest silence of its streams; a slow reader makes only its own stream slow. A target is called slow only after 20 completions, since configured speeds are guesses. Ruled out: averaging the first completions equally (gain 1/(n+1)).

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -256,7 +256,9 @@
         )
         decode_s = now - stream.first_token
         expected_s = arrival.output / self.speeds.learned[target].decode_tps
-        self.easing.observe(target, expected_s, max(decode_s, expected_s / 10), now)
+        if self.speeds.known(target):
+            taken_s = max(decode_s, expected_s / 10)
+            self.easing.observe(target, expected_s, taken_s, now)
         self.speeds.observe(
             target,
             arrival.prompt,
@@ -311,7 +313,7 @@
         request = stream.arrival.request
         before = self.progress.get(request, 0.0)
         self.progress[request] = stream.produced
-        if before:
+        if before and self.speeds.known(target):
             tokens = max(stream.produced - before, 1.0)
             expected_s = tokens / self.speeds.learned[target].decode_tps
             self.easing.observe(target, expected_s, 1.0, now)
--- a/godwitladder/decisions/easing.py
+++ b/godwitladder/decisions/easing.py
@@ -16,6 +16,10 @@
 SLOW : below one and a half times the expected, differences are those of
     batch sizes; above it, measured in `docs/MEASUREMENTS.md` (easing).
 CUT_EVERY_S : one cut needs a second before its effect is seen.
+PROGRESS_TOKENS : a host takes note of a stream's progress after so much output,
+    once or twice a second at usual speeds.
+SILENT_FACTOR : a target is silent when no stream has made these for twice
+    the time they should take.
 STEP_EVERY_S, STEPS : from its lowest back to whole in about eight seconds.
 """
 
@@ -28,6 +32,8 @@
 CUT_EVERY_S = 1.0
 STEP_EVERY_S = 1.0
 STEPS = 8
+PROGRESS_TOKENS = 64
+SILENT_FACTOR = 2.0
 
 
 @dataclass
--- a/godwitladder/decisions/speeds.py
+++ b/godwitladder/decisions/speeds.py
@@ -11,6 +11,7 @@
     `godwitladder.decisions.easing`'s matter, in seconds.
 FLOOR : a target that stood still is not taken to be slower than a hundredth
     of what it was expected to be, so that it is tried again.
+KNOWN : after as many requests the configured speed is an eighth of the average.
 """
 
 from dataclasses import dataclass
@@ -19,14 +20,22 @@
 
 GAIN = 0.1
 FLOOR = 0.01
+KNOWN = 20
 
 
 @dataclass
 class Speed:
-    """Tokens a second: prefill of the whole target, decode of one request."""
+    """Tokens a second: prefill of the whole target, decode of one request.
+
+    Attributes
+    ----------
+    count : int
+        Completed requests that it was learned from.
+    """
 
     prefill_tps: float
     decode_tps: float
+    count: int = 0
 
 
 class TargetSpeeds:
@@ -67,6 +76,7 @@
         speed = self.learned.get(target)
         if speed is None:
             return
+        speed.count += 1
         floor = self.expected[target]
         if prompt > 0 and first_token_s > 0:
             seen = max(prompt / first_token_s, floor.prefill_tps * FLOOR)
@@ -76,6 +86,15 @@
             seen = max(seen, floor.decode_tps * FLOOR)
             speed.decode_tps += GAIN * (seen - speed.decode_tps)
 
+    def known(self, target: TargetName) -> bool:
+        """Return whether enough was seen of ``target`` to call it slow.
+
+        Configured speeds are guesses: measured against one that is too high,
+        a target that does its best would be eased off from the start.
+        """
+        speed = self.learned.get(target)
+        return speed is not None and speed.count >= KNOWN
+
     def expected_s(self, target: TargetName, prompt: int, output: int) -> float:
         """Return the seconds that a request will hold a slot of ``target``.
 
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -66,11 +66,24 @@
 
 @dataclass(frozen=True)
 class TargetUse:
-    """What one host has running on one target; tokens are reserved ones."""
+    """What one host has running on one target; tokens are reserved ones.
+
+    Attributes
+    ----------
+    stretch_tokens, stretch_s : int, float
+        Output tokens and seconds of the fastest stretch that one of its
+        streams made since its last report. The fastest, since a stream is
+        slow when its target is, but also when its own caller reads slowly.
+    silent_s : float
+        How long all streams that had begun have now made no progress.
+    """
 
     target: TargetName
     running: int
     reserved_tokens: int
+    stretch_tokens: int = 0
+    stretch_s: float = 0.0
+    silent_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -138,8 +138,9 @@
     def _(self, message: Progress) -> None:
         row = self.tables.running.get(message.request)
         if row:
-            row.first_token = row.first_token or self.clock.monotonic()
-            grow_request(self.tables, row, message.tokens)
+            now = self.clock.monotonic()
+            row.first_token = row.first_token or now
+            grow_request(self.tables, row, message.tokens, now)
 
     @take.register
     def _(self, message: Finished) -> None:
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -8,7 +8,7 @@
 
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
-from godwitladder.ids import HostId
+from godwitladder.ids import HostId, TargetName
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.exchange import (
@@ -182,7 +182,7 @@
         sent_s=now,
         term=access.term,
         seen=access.seen,
-        uses=report_uses(access, targets),
+        uses=report_uses(tables, access, targets, now),
         workspaces=report_workspaces(tables, access),
         lines=tuple(make_line(row, now) for row in shown),
         rest=tuple(TierCount(*item) for item in sorted(rest.items())),
@@ -219,9 +219,12 @@
     return rows[:FIRST_LINES], rows[FIRST_LINES:end], rows[end:]
 
 
-def report_uses(access: PoolAccess, targets: list[TargetRow]) -> tuple[TargetUse, ...]:
-    """Return what runs, and what grants are held for."""
+def report_uses(
+    tables: Tables, access: PoolAccess, targets: list[TargetRow], now: float
+) -> tuple[TargetUse, ...]:
+    """Return what runs, what grants are held for, and how fast streams were."""
     uses = []
+    silent = silences(tables, now)
     for row in targets:
         held = [
             grant.grant.reserved_tokens
@@ -231,10 +234,22 @@
         if row.running or held:
             running = row.running + len(held)
             tokens = row.reserved_tokens + sum(held)
-            uses.append(TargetUse(row.name, running, tokens))
+            stretch = row.stretch_tokens, row.stretch_s, silent.get(row.name, 0.0)
+            uses.append(TargetUse(row.name, running, tokens, *stretch))
+        row.stretch_tokens, row.stretch_s = 0, 0.0
     return tuple(uses)
 
 
+def silences(tables: Tables, now: float) -> dict[TargetName, float]:
+    """Return, by target, how long all streams that had begun are silent."""
+    silent: dict[TargetName, float] = {}
+    for row in tables.running.values():
+        if row.progressed:
+            quiet_s = now - row.progressed
+            silent[row.target] = min(quiet_s, silent.get(row.target, quiet_s))
+    return silent
+
+
 def report_workspaces(tables: Tables, access: PoolAccess) -> tuple[WorkspaceUse, ...]:
     """Return what workspaces with a quota run in a pool."""
     workspaces = tables.config.workspaces
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass, field
 
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.easing import TargetEasing
+from godwitladder.decisions.easing import PROGRESS_TOKENS, SILENT_FACTOR, TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
@@ -20,6 +21,7 @@
     PoolName,
     PoolView,
     Shed,
+    TargetUse,
     TargetView,
     Waiting,
 )
@@ -109,6 +111,7 @@
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
+        self.hints = PrefixHints()
         self.memory = AllocatorMemory()
         self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
@@ -120,7 +123,7 @@
     ) -> None:
         """Take in the targets as they stand, and addresses that are leaving."""
         for name in self.pool.targets - pool.targets:
-            for learned in (self.speeds, self.easing, self.loads):
+            for learned in (self.speeds, self.easing, self.loads, self.hints):
                 learned.forget(name)
         self.pool, self.config, self.leaving = pool, config, leaving
         for name in pool.targets:
@@ -136,16 +139,35 @@
             return False
         for row in report.completions:
             self.learn(row, now)
+        for use in report.uses:
+            self.watch(use, now)
         wanted = any(row.lines or row.more_waiting for row in self.accounts.values())
         return wanted or account.next_number == 1
 
+    def watch(self, use: TargetUse, now: float) -> None:
+        """Compare what streams made since the last report with the usual speed.
+
+        The longest answers would show a slow target only when they end, a
+        minute later. A target that stands still shows it by its silence.
+        """
+        if not self.speeds.known(use.target):
+            return
+        speed = self.speeds.learned[use.target]
+        if use.stretch_tokens:
+            expected_s = use.stretch_tokens / speed.decode_tps
+            self.easing.observe(use.target, expected_s, use.stretch_s, now)
+        usual_s = PROGRESS_TOKENS / speed.decode_tps
+        if use.silent_s > SILENT_FACTOR * usual_s:
+            self.easing.observe(use.target, usual_s, use.silent_s, now)
+
     def learn(self, row: Completion, now: float) -> None:
         """Take in the speed at which a request was completed."""
         if row.target not in self.speeds.learned:
             return
         prompt, output = row.prompt_tokens, row.output_tokens
         expected_s = self.speeds.expected_s(row.target, prompt, output)
-        self.easing.observe(row.target, expected_s, row.total_s, now)
+        if self.speeds.known(row.target):
+            self.easing.observe(row.target, expected_s, row.total_s, now)
         if prompt and not row.first_token_s:
             output = 0
         self.speeds.observe(row.target, prompt, output, row.first_token_s, row.total_s)
@@ -241,6 +263,7 @@
                 reserved_tokens=row.reserved_tokens,
                 lapse_s=LAPSE_S,
             )
+            self.hints.note_dispatch(row.target, waiting.line.prefix, now)
             offerings.setdefault(waiting.host, Offering()).grants.append(grant)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -62,8 +62,9 @@
         Output that is as often exceeded as not; the predicted one is reserved.
     held_tokens : int
         Tokens counted against its target since it was dispatched.
-    arrived, deadline, dispatched, first_token : float
-        Monotonic seconds of this host's clock; 0 for not yet.
+    arrived, deadline, dispatched, first_token, progressed : float
+        Monotonic seconds of this host's clock; 0 for not yet. The last is
+        when more output was last seen.
     queued : bool
         Whether the table's queue holds it.
     order : tuple
@@ -98,6 +99,7 @@
     prefix: str = ""
     predicted_tokens: int = 0
     likely_tokens: int = 0
+    progressed: float = 0.0
     produced_tokens: int = 0
     state: RequestState = RequestState.WAITING
     target: TargetName | None = None
@@ -133,13 +135,21 @@
 
 @dataclass
 class TargetRow:
-    """What this host knows of, and runs on, one target."""
+    """What this host knows of, and runs on, one target.
+
+    Attributes
+    ----------
+    stretch_tokens, stretch_s : int, float
+        The fastest stretch of output since the last report.
+    """
 
     name: TargetName
     target: Target
     running: int = 0
     reserved_tokens: int = 0
     avoided_until: float = 0.0
+    stretch_tokens: int = 0
+    stretch_s: float = 0.0
 
 
 @dataclass
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -227,8 +227,9 @@
         insort(tables.queue, row, key=attrgetter("order"))
 
 
-def grow_request(tables: Tables, row: RequestRow, tokens: int) -> None:
+def grow_request(tables: Tables, row: RequestRow, tokens: int, now: float) -> None:
     """Take in the output so far, and hold more memory if it needs more."""
+    note_stretch(tables, row, tokens, now)
     row.produced_tokens = tokens
     expected = row.predicted_tokens or row.declared_tokens
     row.predicted_tokens = grow(expected, tokens, row.declared_tokens)
@@ -240,6 +241,16 @@
     row.held_tokens = row.reserved_tokens
 
 
+def note_stretch(tables: Tables, row: RequestRow, tokens: int, now: float) -> None:
+    """Keep the fastest stretch of output of each target."""
+    target = tables.targets.get(row.target)
+    if target and row.progressed:
+        made, took_s = tokens - row.produced_tokens, now - row.progressed
+        if made * target.stretch_s >= target.stretch_tokens * took_s:
+            target.stretch_tokens, target.stretch_s = made, took_s
+    row.progressed = now
+
+
 def learn_length(tables: Tables, row: RequestRow, cut: bool) -> None:
     """Learn from the output of a request; ``cut`` if there is more to it."""
     tables.predictor.observe(
--- a/godwitladder/serving/ending.py
+++ b/godwitladder/serving/ending.py
@@ -5,6 +5,7 @@
 import pykka
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.easing import PROGRESS_TOKENS
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import RequestState
 from godwitladder.scheduler.messages import Finished, Progress
@@ -13,7 +14,6 @@
 # Between two reports of the output seen so far. Reservations grow by whole
 # predictions, so that finer steps would change nothing; each report costs a
 # run of the scheduler's systems.
-PROGRESS_TOKENS = 64
 
 
 class Ending:
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from godwitladder.configuration.model import TargetState
+from godwitladder.decisions.speeds import KNOWN
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
 from godwitladder.ids import HostId, Zone
 from godwitladder.outcomes import Reason, RequestState
@@ -15,7 +16,12 @@
 from godwitladder.scheduler.reports import due_reports, take_offer, update_targets
 from godwitladder.scheduler.role import LAPSE_S, WARM_UP_S
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.scheduler.systems import finish_request, run_systems
+from godwitladder.scheduler.systems import (
+    finish_request,
+    grow_request,
+    run_systems,
+)
+from godwitladder.scheduler.views import target_views
 from tests.scheduler.desk import (
     decision,
     hosts_changed,
@@ -317,3 +323,45 @@
     assert desk.roles["h0"].running().get("e0", NOTHING).running == 0
     speeds = desk.roles["h0"].speeds
     assert speeds.learned["e0"] != speeds.expected["e0"]
+
+
+@pytest.mark.parametrize("frozen", [False, True], ids=["slow", "frozen"])
+def test_a_slow_target_is_eased_off_while_its_streams_run(frozen):
+    """Two callers wait for long answers of an engine that slows down.
+
+    Nothing completes for a minute. The streams' progress, or that there is
+    none, must cut the engine's limit within seconds. A third caller, who
+    reads slowly while the engine is well, must not.
+    """
+    desk, now = settled({"e0": 8})
+    rows = [make_request(f"r{n}", now, declared_tokens=9000) for n in range(3)]
+    for row in rows:
+        submit(desk.hosts["h1"], row)
+    desk.settle(now)
+    easing, speed = desk.roles["h0"].easing, desk.roles["h0"].speeds.learned["e0"]
+    speed.count = KNOWN
+
+    def play(seconds, factor, streams):
+        nonlocal now
+        for _ in range(int(seconds * 2)):
+            now += 0.5
+            for row in streams:
+                made = max(1, int(0.5 * speed.decode_tps / factor))
+                tokens = row.produced_tokens + made
+                grow_request(desk.hosts["h1"], row, tokens, now)
+            desk.settle(now)
+
+    play(5, 1.0, rows)
+    play(10, 1.0, rows[:2])
+    assert easing.limit("e0", 8, now) == 8
+    play(12 if frozen else 6, 6.0, [] if frozen else rows)
+    assert easing.limit("e0", 8, now) <= 3
+
+
+def test_grants_follow_the_prefix_that_a_target_was_sent():
+    """Two engines are alike; the second letter shares the start of the first."""
+    desk, now = settled({"e0": 1, "e1": 1})
+    role = desk.roles["h0"]
+    role.hints.note_dispatch("e1", "start", now)
+    assert target_views(role, now)["e1"].prefixes == {"start"}
+    assert target_views(role, now)["e0"].prefixes == set()
