--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -334,10 +334,12 @@
     reads slowly while the engine is well, must not.
     """
     desk, now = settled({"e0": 8})
-    rows = [make_request(f"r{n}", now, declared_tokens=9000) for n in range(3)]
+    lengths = {"declared_tokens": 9000, "predicted_tokens": 900, "likely_tokens": 90}
+    rows = [make_request(f"r{n}", now, **lengths) for n in range(3)]
     for row in rows:
         submit(desk.hosts["h1"], row)
     desk.settle(now)
+    assert all(row.state is RequestState.DISPATCHED for row in rows)
     easing, speed = desk.roles["h0"].easing, desk.roles["h0"].speeds.learned["e0"]
     speed.count = KNOWN
 
