--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -76,7 +76,7 @@
     allowed_until: float = 0.0
     grants: dict[RequestId, HeldGrant] = field(default_factory=dict)
     completions: list[Completion] = field(default_factory=list)
-    stretches: dict[TargetName, Stretch] = field(default_factory=dict)
+    stretches: dict[tuple[TargetName, bool], Stretch] = field(default_factory=dict)
     asked: dict[RequestId, int] = field(default_factory=dict)
     fates: Counter[GrantFate] = field(default_factory=Counter)
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
@@ -111,6 +112,7 @@
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
+        self.hints = PrefixHints()
         self.memory = AllocatorMemory()
         self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
@@ -122,7 +124,7 @@
     ) -> None:
         """Take in the targets as they stand, and addresses that are leaving."""
         for name in self.pool.targets - pool.targets:
-            for learned in (self.speeds, self.easing, self.loads):
+            for learned in (self.speeds, self.easing, self.loads, self.hints):
                 learned.forget(name)
         self.pool, self.config, self.leaving = pool, config, leaving
         for name in pool.targets:
@@ -148,7 +150,7 @@
 
     def watch(self, row: Stretch, now: float) -> None:
         """Take in how fast a target works while requests run."""
-        if row.target not in self.speeds.learned:
+        if not self.speeds.known(row.target):
             return
         expected_s = self.speeds.expected_s(
             row.target, row.prompt_tokens, row.output_tokens
@@ -260,6 +262,7 @@
                 lapse_s=LAPSE_S,
             )
             offerings.setdefault(waiting.host, Offering()).grants.append(grant)
+            self.hints.note_dispatch(row.target, waiting.line.prefix, now)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
             shed = Shed(waiting.host, row.request, row.reason, row.retry_after_s)
--- a/godwitladder/scheduler/stretches.py
+++ b/godwitladder/scheduler/stretches.py
@@ -26,13 +26,32 @@
         prompt = 0 if row.first_token else row.prompt_tokens
         since = row.progressed if row.first_token else row.dispatched
         new = tokens - row.produced_tokens
-        done = Stretch(row.target, prompt, new, now - since)
-        held = access.stretches.get(row.target)
-        access.stretches[row.target] = join(held, done) if held else done
+        keep(access, Stretch(row.target, prompt, new, now - since))
     row.first_token = row.first_token or now
     row.progressed = now
 
 
+def keep(access: PoolAccess, done: Stretch) -> None:
+    """Keep what the next report is to tell of ``done``.
+
+    First tokens are added up. Of running streams the fastest is kept: each is
+    slow when its target is, but also when its own caller reads slowly, and
+    one such caller must not take slots from all others.
+    """
+    key = done.target, done.prompt_tokens > 0
+    held = access.stretches.get(key)
+    if held and done.prompt_tokens:
+        done = join(held, done)
+    elif held and is_faster(held, done):
+        done = held
+    access.stretches[key] = done
+
+
+def is_faster(one: Stretch, other: Stretch) -> bool:
+    """Return whether ``one`` made more output in a second than ``other``."""
+    return one.output_tokens * other.taken_s > other.output_tokens * one.taken_s
+
+
 def take_stretches(
     tables: Tables, access: PoolAccess, now: float
 ) -> tuple[Stretch, ...]:
@@ -43,9 +62,11 @@
         if row.target not in access.pool.targets or not row.declared_tokens:
             continue
         stretch = awaited(row, now)
-        if stretch.taken_s >= OPEN_S:
-            held = waited.get(row.target)
-            waited[row.target] = join(held, stretch) if held else stretch
+        # The shortest wait of all, for the same reason as in `keep`.
+        held = waited.get(row.target)
+        if held is None or stretch.taken_s < held.taken_s:
+            waited[row.target] = stretch
+    waited = {name: row for name, row in waited.items() if row.taken_s >= OPEN_S}
     return (*done.values(), *waited.values())
 
 
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -5,18 +5,25 @@
 import pytest
 
 from godwitladder.configuration.model import TargetState
+from godwitladder.decisions.speeds import KNOWN
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
 from godwitladder.ids import HostId, Zone
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.access import REACH_S
 from godwitladder.scheduler.accounts import NOTHING, HostAccount
-from godwitladder.scheduler.exchange import GrantOffer, PoolReport
+from godwitladder.scheduler.exchange import (
+    Completion,
+    GrantOffer,
+    PoolReport,
+    Stretch,
+)
 from godwitladder.scheduler.messages import HostsChanged
 from godwitladder.scheduler.reports import due_reports, take_offer, update_targets
 from godwitladder.scheduler.role import FORGET_S, LAPSE_S, WARM_UP_S
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.scheduler.stretches import note_progress
 from godwitladder.scheduler.systems import finish_request, grow_request, run_systems
+from godwitladder.scheduler.views import target_views
 from tests.scheduler.desk import (
     decision,
     hosts_changed,
@@ -355,6 +362,7 @@
     run_systems(desk.hosts["h1"], now)
     assert row.state is RequestState.DISPATCHED
     progress(desk, row, 1, now + 0.02)
+    role.speeds.learned["e0"].count = KNOWN
 
     def work(now):
         if speed:
@@ -370,6 +378,57 @@
     assert role.easing.limit("e0", 8, now) == 8
 
 
+@pytest.mark.parametrize("factor", [0.0, 0.1], ids=["silent", "slow"])
+def test_a_caller_that_reads_slowly_takes_no_slots_from_others(factor):
+    """Two callers read as the engine writes, a third hardly reads.
+
+    The third one's stream is as slow as on a slow engine. The engine's limit
+    stays whole, since the other streams show that it is well.
+    """
+    desk, now = settled({"e0": 8})
+    role, tps = desk.roles["h0"], desk.config.targets["e0"].decode_tps
+    role.speeds.learned["e0"].count = KNOWN
+    lengths = {"declared_tokens": 9000, "predicted_tokens": 900, "likely_tokens": 90}
+    rows = [make_request(f"r{n}", now, **lengths) for n in range(3)]
+    for row in rows:
+        submit(desk.hosts["h1"], row)
+    desk.settle(now)
+    for row in rows:
+        assert row.state is RequestState.DISPATCHED
+        progress(desk, row, 1, now + 0.02)
+
+    def work(now):
+        for row, part in zip(rows, (1.0, 1.0, factor), strict=True):
+            made = int(tps * part / 2)
+            if made:
+                progress(desk, row, row.produced_tokens + made, now)
+
+    now = run_for(desk, now, 12.0, work)
+    assert role.easing.limit("e0", 8, now) == 8
+
+
+def test_a_target_of_unknown_speed_is_not_called_slow():
+    """The configured speeds are guesses, and too high for a new engine.
+
+    It would be eased off from its first request on, though it does its best.
+    """
+    desk, now = settled({"e0": 8})
+    role = desk.roles["h0"]
+    for _ in range(KNOWN - 1):
+        role.learn(Completion("e0", "w", "chat", 10, 10, 5.0, 50.0))
+        role.watch(Stretch("e0", 0, 64, 60.0), now)
+    assert role.easing.limit("e0", 8, now) == 8
+
+
+def test_grants_follow_the_prefix_that_a_target_was_sent():
+    """Two engines are alike; the second letter shares the start of the first."""
+    desk, now = settled({"e0": 1, "e1": 1})
+    role = desk.roles["h0"]
+    role.hints.note_dispatch("e1", "start", now)
+    assert target_views(role, now)["e1"].prefixes == {"start"}
+    assert target_views(role, now)["e0"].prefixes == set()
+
+
 def test_a_host_that_was_forgotten_is_answered_as_before():
     """A host's first request after a quiet time is granted in one round trip.
 
