Give the bench of allocator runs a file of its own again

Cause: two benches came to be called bench/ticks.py, and the later one took the place of what make bench imports, which stopped it with an ImportError. The one that times allocate alone is bench/runs.py now.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -32,7 +32,7 @@
     tier_rows,
     waste_row,
 )
-from bench.ticks import SIZES, tick_rows
+from bench.runs import SIZES, tick_rows
 
 PLOT = Path(__file__).parent.parent / "docs" / "goodput.png"
 
--- /dev/null
+++ b/bench/runs.py
@@ -0,0 +1,114 @@
+"""Measures what one run of the allocator costs."""
+
+import random
+import time
+
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.types import (
+    DemandLine,
+    PoolView,
+    TargetView,
+    Waiting,
+    WorkspaceView,
+)
+from godwitladder.ids import (
+    HostId,
+    RequestId,
+    ServiceName,
+    TargetName,
+    WorkspaceName,
+)
+
+SIZES = (100, 1_000, 10_000)
+TARGETS = 16
+SLOTS = 8
+WORKSPACES = 40
+RUNS = 41
+SERVICE = ServiceName("letters")
+
+
+def make_pool(waiting: int, slack_s: float) -> PoolView:
+    """Return a pool with one free slot on half of its targets."""
+    draw = random.Random(1)
+    pool = PoolView()
+    for index in range(TARGETS):
+        name = TargetName(f"engine-{index:02}")
+        pool.targets[name] = TargetView(
+            name=name,
+            services=frozenset({SERVICE}),
+            slots=SLOTS,
+            memory_tokens=100_000,
+            prefill_tps=4000.0 + 100 * index,
+            decode_tps=40.0 + index,
+            used=SLOTS - index % 2,
+            limit=SLOTS,
+        )
+    for index in range(waiting):
+        add_waiting(pool, index, slack_s, draw)
+    return pool
+
+
+def add_waiting(
+    pool: PoolView, index: int, slack_s: float, draw: random.Random
+) -> None:
+    """Add one waiting request."""
+    workspace = WorkspaceName(f"workspace-{draw.randrange(WORKSPACES)}")
+    pool.workspaces.setdefault(workspace, WorkspaceView())
+    line = DemandLine(
+        request=RequestId(f"request-{index:05}"),
+        workspace=workspace,
+        service=SERVICE,
+        tier_rank=draw.randrange(4),
+        prompt_tokens=draw.randrange(50, 2000),
+        predicted_tokens=draw.randrange(10, 500),
+        slack_s=slack_s,
+        waited_s=0.0,
+    )
+    deadline = slack_s * (1.0 + draw.random())
+    pool.waiting[line.request] = Waiting(HostId("host"), line, deadline, 0.0)
+
+
+def fresh_rows(pool: PoolView) -> None:
+    """Replace each row by one that was never weighed, as new reports do."""
+    for request, row in list(pool.waiting.items()):
+        pool.waiting[request] = Waiting(row.host, row.line, row.deadline, row.arrived)
+
+
+def time_runs(waiting: int, slack_s: float, fresh: bool, refuse: bool) -> list[float]:
+    """Return the milliseconds of several runs over the same pool."""
+    pool = make_pool(waiting, slack_s)
+    times = []
+    for _ in range(RUNS):
+        pool.memory.refused_at = float("-inf") if refuse else 0.0
+        if fresh:
+            fresh_rows(pool)
+        start = time.perf_counter()
+        allocate(pool, 0.1)
+        times.append((time.perf_counter() - start) * 1000.0)
+    return sorted(times)
+
+
+def slack_for(waiting: int, share: float) -> float:
+    """Return a slack within which about ``share`` of the requests can start."""
+    seconds_each = 1000 / 5600 + 250 / 55
+    return share * waiting * seconds_each / (TARGETS * SLOTS)
+
+
+def tick_rows() -> list[list[str]]:
+    """Return milliseconds of a run, at 50 and 99 in 100, by size and case."""
+    cases = (
+        ("rows known from the last run", 1e3, False, False),
+        ("all rows new", 1e3, True, False),
+        ("looking for early refusals, few found", 1.0, False, True),
+        ("refusing about half", 0.5, False, True),
+    )
+    rows = []
+    for name, share, fresh, refuse in cases:
+        medians = []
+        cells = []
+        for size in SIZES:
+            times = time_runs(size, slack_for(size, share), fresh, refuse)
+            medians.append(times[len(times) // 2])
+            cells.append(f"{medians[-1]:.2f} / {times[-1]:.2f}")
+        rows.append([name, *cells, f"{medians[-1] / medians[-2]:.1f}"])
+    return rows
