Let allocators follow the prefixes that they sent to targets

Cause: the views of targets had no prefixes, so grants went by load alone. Not covered: what a host dispatches on a standing allowance, and the engines' cache events.

--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
@@ -111,6 +112,7 @@
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
+        self.hints = PrefixHints()
         self.memory = AllocatorMemory()
         self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
@@ -122,7 +124,7 @@
     ) -> None:
         """Take in the targets as they stand, and addresses that are leaving."""
         for name in self.pool.targets - pool.targets:
-            for learned in (self.speeds, self.easing, self.loads):
+            for learned in (self.speeds, self.easing, self.loads, self.hints):
                 learned.forget(name)
         self.pool, self.config, self.leaving = pool, config, leaving
         for name in pool.targets:
@@ -259,6 +261,7 @@
                 reserved_tokens=row.reserved_tokens,
                 lapse_s=LAPSE_S,
             )
+            self.hints.note_dispatch(row.target, waiting.line.prefix, now)
             offerings.setdefault(waiting.host, Offering()).grants.append(grant)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -68,6 +68,7 @@
             used=count.running + role.loads.others(name),
             reserved_tokens=count.tokens,
             limit=role.easing.limit(name, target.slots, now),
+            prefixes=role.hints.prefixes(name, now),
         )
     return views
 
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -6,7 +6,7 @@
 
 from godwitladder.configuration.model import TargetState
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
-from godwitladder.ids import HostId, Zone
+from godwitladder.ids import HostId, RequestId, Zone
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.access import REACH_S
 from godwitladder.scheduler.accounts import NOTHING, HostAccount
@@ -17,6 +17,7 @@
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.scheduler.stretches import note_progress
 from godwitladder.scheduler.systems import finish_request, grow_request, run_systems
+from godwitladder.scheduler.views import target_views
 from tests.scheduler.desk import (
     decision,
     hosts_changed,
@@ -391,3 +392,17 @@
         desk.deliver_offer("h1", "h0", now)
     run_systems(desk.hosts["h1"], now)
     assert row.state is RequestState.DISPATCHED
+
+
+def test_a_granted_request_marks_its_prefix_at_the_target():
+    """The next request with the same start is to find the first one's cache."""
+    desk, now = settled({"e0": 1})
+    submit(desk.hosts["h1"], make_request("first", now))
+    desk.settle(now)
+    submit(desk.hosts["h1"], make_request("second", now, prefix="start"))
+    desk.settle(now)
+    finish = desk.hosts["h1"].running[RequestId("first")]
+    finish_request(desk.hosts["h1"], finish, RequestState.COMPLETED, now + 1)
+    desk.settle(now + 1)
+    views = target_views(desk.roles["h0"], now + 1)
+    assert views["e0"].prefixes == {"start"}
