--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -261,8 +261,8 @@
                 reserved_tokens=row.reserved_tokens,
                 lapse_s=LAPSE_S,
             )
-            offerings.setdefault(waiting.host, Offering()).grants.append(grant)
             self.hints.note_dispatch(row.target, waiting.line.prefix, now)
+            offerings.setdefault(waiting.host, Offering()).grants.append(grant)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
             shed = Shed(waiting.host, row.request, row.reason, row.retry_after_s)
