Give no request a target that its host can't reach, and try a late copy

Cause of the quarantine test's failures (a letter refused after 60 s beside idle engines): the allocator chose the crashed engine again in each run, since its prefix was noted there, and dropped the choice only afterwards because the host avoids it. Traced by printing each request given up: no target was in use. Ruled out: learned speeds (2,000 to 4,000 prompt tokens and 42 to 47 output tokens a second at the refusals); easing (no row). Change: a target that the host avoids is left out of the choice. The new test fails on the old code. Cause of its second failure (the second try refused as quarantined): the try reached the next host before the news of the crash did, and was refused before its first byte as a copy that waited. True, but it kept an innocent request from its trial.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -118,7 +118,8 @@
         long = is_long(entry.slot_s, self.pool.memory.typical_s)
         if long and not part.takes_long():
             return False
-        room = part.choose(line, entry.row.deadline - self.now)
+        budget_s = entry.row.deadline - self.now
+        room = part.choose(line, budget_s, entry.row.avoided)
         if room is None:
             return False
         tokens = line.prompt_tokens + line.predicted_tokens
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -20,10 +20,11 @@
 """
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.types import DemandLine, Pace, PoolView, TargetView
-from godwitladder.ids import ServiceName
+from godwitladder.ids import ServiceName, TargetName
 
 MEMORY_SHARE = 0.9
 LONG_FACTOR = 8.0
@@ -129,20 +130,29 @@
         long_used = sum(room.long_used for room in self.rooms)
         return long_used + 1 <= max(1.0, self.slots * LONG_SHARE)
 
-    def choose(self, line: DemandLine, budget_s: float) -> Room | None:
+    def choose(
+        self,
+        line: DemandLine,
+        budget_s: float,
+        avoided: Collection[TargetName] = (),
+    ) -> Room | None:
         """Return the target where ``line`` ends first, of those in time.
 
         Parameters
         ----------
         budget_s : float
             Seconds to the deadline.
+        avoided : collection of TargetName
+            Targets that the request's host can't connect to. Left out here
+            and not after the choice: a request would be given the same one
+            in each run, and get nothing until its deadline.
         """
         tokens = line.prompt_tokens + line.predicted_tokens
         best = None
         best_score = float("inf")
         bound = self._affinity_bound() if line.prefix else 0.0
         for room in self.rooms:
-            if not room.fits(tokens):
+            if room.view.name in avoided or not room.fits(tokens):
                 continue
             seconds = room.seconds(line)
             if seconds > budget_s:
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -186,6 +186,8 @@
 
     Attributes
     ----------
+    avoided : frozenset of TargetName
+        Targets that its host could not connect to a moment ago.
     entry : Entry or None
         Kept by `allocate` from run to run, which spares weighing each row
         in each; leave it alone.
@@ -195,6 +197,7 @@
     line: DemandLine
     deadline: float
     arrived: float
+    avoided: frozenset[TargetName] = frozenset()
     entry: Entry | None = field(default=None, compare=False, repr=False)
 
 
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -43,6 +43,13 @@
 )
 
 
+@dataclasses.dataclass
+class Trial:
+    """Whether one call runs as the system's trial; ``release`` ends that."""
+
+    release: Callable[[], None] | None = None
+
+
 class CrashWatch:
     """Knows which requests may run, and tells other hosts of crashes.
 
@@ -90,15 +97,18 @@
         if standing is Standing.QUARANTINED:
             call.on_end(RequestState.NOT_RUN)
             raise CallRefused(quarantined(digest))
-        trial = standing is Standing.SUSPECT
-        release = self._begin_trial(call) if trial else _nothing
+        trial = Trial()
+        if standing is Standing.SUSPECT and not self._begin_trial(trial):
+            call.on_end(RequestState.NOT_RUN)
+            raise CallRefused(suspected())
         inner = call.on_end
 
         def on_end(state: RequestState) -> None:
             # What is known of a crash is told before the caller is answered,
             # or its next try would be at a target before the news.
-            self._note_end(call, digest, trial, state)
-            release()
+            self._note_end(call, digest, trial.release is not None, state)
+            if trial.release:
+                trial.release()
             inner(state)
 
         def before() -> Refusal | None:
@@ -158,21 +168,22 @@
         """End a quarantine everywhere."""
         self.publish(Lifted(secrets.token_hex(8), digest, operator))
 
-    def _late_refusal(self, digest: BodyDigest, trial: bool) -> Refusal | None:
+    def _late_refusal(self, digest: BodyDigest, trial: "Trial") -> Refusal | None:
         """Return why a request may not be written now after all.
 
-        Copies that were let in before the first crash wait in the queue; each
-        would take a target with it.
+        Copies that were let in before the news of the first crash wait in the
+        queue; each would take a target with it. One of them is the trial, as
+        if it had come after the news, and the others are refused.
         """
         standing = self.standing(digest)
         if standing is Standing.QUARANTINED:
             return quarantined(digest)
-        if standing is Standing.SUSPECT and not trial:
-            return suspected()
+        if standing is Standing.SUSPECT and not trial.release:
+            return None if self._begin_trial(trial) else suspected()
         return None
 
-    def _begin_trial(self, call: Call) -> Callable[[], None]:
-        """Claim the one trial of the system; return what ends it.
+    def _begin_trial(self, trial: "Trial") -> bool:
+        """Claim the one trial of the system; return whether that was won.
 
         The claim is won by one host through the log, whatever hosts think of
         each other. A trial that a dead host left open ends with its period.
@@ -184,9 +195,9 @@
         reply: queue.SimpleQueue[Settled] = queue.SimpleQueue()
         self.claims.tell(Want(Wanted(key, nonce, bytes(BODY_BYTES), 0.0, due), reply))
         if reply.get().verdict is not Verdict.WON:
-            call.on_end(RequestState.NOT_RUN)
-            raise CallRefused(suspected())
-        return lambda: self.claims.tell(GiveUp(key, nonce))
+            return False
+        trial.release = lambda: self.claims.tell(GiveUp(key, nonce))
+        return True
 
     def _note_end(
         self, call: Call, digest: BodyDigest, trial: bool, state: RequestState
@@ -255,7 +266,3 @@
             return True
         error = error.__cause__
     return False
-
-
-def _nothing() -> None:
-    pass
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -247,11 +247,8 @@
     ) -> dict[HostId, Offering]:
         """Return what was decided, by host."""
         offerings: dict[HostId, Offering] = {}
-        avoided = {row.host: row.avoided for row in self.current(now)}
         for row in allocation.placements:
             waiting = view.waiting[row.request]
-            if row.target in avoided[waiting.host]:
-                continue
             grant = Grant(
                 grant=row.request,
                 host=waiting.host,
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -36,6 +36,7 @@
                 row = Waiting(
                     account.host, line, now + line.slack_s, now - line.waited_s
                 )
+            row.avoided = account.avoided
             view.waiting[line.request] = row
     role.rows = view.waiting
     for name, floor in role.floors.items():
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -464,3 +464,22 @@
     desk.settle(now + 1)
     views = target_views(desk.roles["h0"], now + 1)
     assert views["e0"].prefixes == {"start"}
+
+
+def test_a_target_that_refuses_connections_holds_up_no_request():
+    """A caller's letter waited for its whole deadline beside idle engines.
+
+    The engine that has the start of its prompt is gone. The host says that it
+    can't connect to it; the allocator chose it again in each run, for its
+    prefix, and then granted nothing.
+    """
+    desk, now = settled({"e0": 1, "e1": 1}, hosts=("h0", "h1", "h2"))
+    desk.roles["h0"].hints.note_dispatch("e0", "start", now)
+    host = desk.hosts["h1"]
+    for name in ("e0", "e1"):
+        host.targets[name].avoided_until = now + 1.0 if name == "e0" else 0.0
+    for access in host.pools.values():
+        access.allowances = {}
+    row = submit(host, make_request("r", now, prefix="start"))
+    desk.settle(now)
+    assert (row.state, row.target) == (RequestState.DISPATCHED, "e1")
