--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,14 +1,16 @@
 """Measures the slopes behind ``docs/CAPACITY.md`` on this machine.
 
 ``python -m bench.capacity [PART ...]`` runs all parts, or those named: hosts,
-workspaces. Each prints readings at several sizes, the line through them, and
-what the line gives at the size to design for.
+load, workspaces, claims. Each prints readings at several sizes, the line
+through them, and what the line gives at the size to design for.
 """
 
 import contextlib
 import json
+import secrets
 import sys
 import tempfile
+import threading
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -16,12 +18,18 @@
 from pathlib import Path
 
 from bench.processes import cpu_seconds, fit_line, print_table, resident_bytes
+from godwitladder.claims.records import Claim
+from godwitladder.claims.table import ClaimTable
 from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.state import make_state
 from tests.fleet import Fleet, digest, make_fleet
 
 HOST_SIZES = (4, 16, 32)
 WORKSPACE_SIZES = (100, 400, 1600, 3200)
+CLAIM_SIZES = (1000, 10_000, 100_000)
+LOAD_HOSTS = 8
+LOAD_RATES = (0, 2, 4, 8)
+WINDOW_S = 86_400.0
 SETTLE_S = 4.0
 MEASURE_S = 10.0
 ZONE_HOSTS = 48
@@ -30,7 +38,6 @@
     ("resident", "MB", 1e-6),
     ("control", "KB/s", 1e-3),
 )
-WORKSPACES = 3200
 CONTROL_METRIC = "godwitladder_control_bytes"
 
 
@@ -174,9 +181,102 @@
     return "\n".join(lines).encode()
 
 
+def measure_load() -> None:
+    """Measure what requests add to the control traffic of one zone."""
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        fleet = make_fleet(Path(folder), stack)
+        for index in range(4):
+            fleet.add_engine(f"engine-a{index}", decode_tps=400, slots=64)
+        for index in range(LOAD_HOSTS):
+            fleet.add_host(f"host-a{index}", "a")
+        fleet.wait_ready()
+        fleet.configure()
+        time.sleep(SETTLE_S)
+        points = []
+        for rate in LOAD_RATES:
+            with Callers(fleet, rate):
+                time.sleep(SETTLE_S)
+                points.append((rate, measure_use(fleet)))
+    print(f"\n{LOAD_HOSTS} hosts of one zone, by requests a second at each:\n")
+    head = ("requests/s", "% of a core", "most", "MB resident", "most", "KB/s", "most")
+    print_table(head, [(rate, *use_cells(use)) for rate, use in points])
+    for which in ("mean", "most"):
+        line = fit_line([(rate, getattr(use, which).control) for rate, use in points])
+        print(f"control, {which}: {line.slope:.0f} B for each request at each host")
+
+
+class Callers:
+    """Sends short questions to each host at a steady rate while entered."""
+
+    def __init__(self, fleet: Fleet, rate: float) -> None:
+        self.fleet = fleet
+        self.rate = rate
+        self.stopping = threading.Event()
+        self.threads = [
+            threading.Thread(target=self.call, args=(host,)) for host in fleet.hosts
+        ]
+
+    def __enter__(self) -> "Callers":
+        for thread in self.threads if self.rate else ():
+            thread.start()
+        return self
+
+    def __exit__(self, *error) -> None:
+        self.stopping.set()
+        for thread in self.threads if self.rate else ():
+            thread.join()
+
+    def call(self, host) -> None:
+        """Call one host until told to stop."""
+        due = time.monotonic()
+        while not self.stopping.is_set():
+            self.fleet.chat(host, "Is 40 right?", max_tokens=16)
+            due += 1.0 / self.rate
+            self.stopping.wait(max(0.0, due - time.monotonic()))
+
+
+def measure_claims() -> None:
+    """Measure the memory and the replay time of the claims of a window."""
+    rows, memory, seconds = [], [], []
+    for size in CLAIM_SIZES:
+        records = [
+            Claim(
+                secrets.token_bytes(16), secrets.token_bytes(12), "h", 1, b"b" * 8, 0.0
+            )
+            for _ in range(size)
+        ]
+        tracemalloc.start()
+        table = ClaimTable(WINDOW_S)
+        for offset, record in enumerate(records):
+            table.replay(offset, 1.0, record)
+        held = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        start = time.perf_counter()
+        again = ClaimTable(WINDOW_S)
+        for offset, record in enumerate(records):
+            again.replay(offset, 1.0, record)
+        spent = time.perf_counter() - start
+        rows.append((size, f"{held / 1e6:.2f}", f"{spent * 1e3:.0f}"))
+        memory.append((size, held))
+        seconds.append((size, spent))
+    print("\nClaims of one window, beside the bytes of their records:\n")
+    print_table(("claims", "MB held", "ms to replay"), rows)
+    print(f"memory: {fit_line(memory).slope:.0f} B for each claim")
+    print(f"replay: {fit_line(seconds).slope * 1e6:.1f} us for each claim")
+
+
+def make_claim() -> Claim:
+    """Return a claim of a key of its own."""
+    key, nonce = secrets.token_bytes(16), secrets.token_bytes(12)
+    return Claim(key, nonce, "host-a1", 1, b"the body", 0.0)
+
+
 PARTS: dict[str, Callable[[], None]] = {
     "hosts": measure_hosts,
+    "load": measure_load,
     "workspaces": measure_workspaces,
+    "claims": measure_claims,
 }
 
 
--- /dev/null
+++ b/examples/allocation_in_memory.py
@@ -0,0 +1,42 @@
+"""Hand out a pool's slots and see who is given up, without hosts or a clock.
+
+The allocator places by tier, and gives up what can't be in time any more.
+Tokens and seconds throughout.
+"""
+
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.types import (
+    Allocation,
+    DemandLine,
+    PoolView,
+    TargetView,
+    Waiting,
+)
+
+NOW = 100.0
+
+
+def waiting(name: str, rank: int, slack_s: float) -> Waiting:
+    """Return a request for a letter of some 200 tokens."""
+    line = DemandLine(name, "advisers", "letters", rank, 500, 200, slack_s, 0.0)
+    return Waiting("host-a1", line, NOW + slack_s, NOW)
+
+
+def main() -> Allocation:
+    """Print and return what one run decides."""
+    services = frozenset({"letters"})
+    target = TargetView(
+        "engine-a1", services, 1, 100_000, prefill_tps=4000, decode_tps=40, limit=1
+    )
+    rows = [waiting("low", 1, 60.0), waiting("high", 0, 60.0), waiting("late", 1, 0.0)]
+    pool = PoolView({row.line.request: row for row in rows}, {target.name: target})
+    allocation = allocate(pool, NOW)
+    for placed in allocation.placements:
+        print(f"{placed.request} goes to {placed.target}")
+    for lost in allocation.given_up:
+        print(f"{lost.request} is given up: {lost.reason.value}")
+    return allocation
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/examples/claims_in_memory.py
@@ -0,0 +1,30 @@
+"""Settle rival claims of one key from the order of a log, without hosts.
+
+The claim with the lowest offset holds its key until it is released; every
+reader of the same records comes to the same holder.
+"""
+
+from godwitladder.claims.records import Claim, Release
+from godwitladder.claims.table import ClaimTable
+
+KEY = b"charge 17 mother"
+RECORDS = (
+    Claim(KEY, b"nonce of host-a1", "host-a1", 1, b"the body", 0.0),
+    Claim(KEY, b"nonce of host-b1", "host-b1", 1, b"the body", 0.0),
+    Release(KEY, b"nonce of host-a1"),
+)
+
+
+def main() -> list[str]:
+    """Print and return the holder of the key after each record."""
+    table = ClaimTable(window_s=86_400.0)
+    holders = []
+    for offset, record in enumerate(RECORDS):
+        table.replay(offset, float(offset), record)
+        holders.append(table.holder(KEY).host)
+        print(offset, type(record).__name__, "held by", holders[-1])
+    return holders
+
+
+if __name__ == "__main__":
+    main()
