Refuse the first tier by its likely length, and cancel what is for nobody

Cause 1: urgent requests of a burst were refused while slots came free a second later. Traced by printing each early refusal: they were judged by the reserved length, four times the likely one for a service nobody has asked for, so that at a deadline of 6 s they could wait 0.8 s. Change: of the most important tier that waits, a request is refused early only by its likely length.

Cause 2: the decision on work whose caller is gone was tested and not asked by the hosts. A joined answer without a key can't be had by anybody once its caller has left; it is now cancelled. Streams and keyed requests run on, since any host can give the rest of them. The new tests fail with each safeguard taken away.

--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -90,7 +90,8 @@
     if now + (ahead_s + group.work_s) / slots <= group.soonest:
         return []
     queue = TierQueue(group.entries, pool.workspaces, pool.memory.spent, now)
-    kept, late = project(queue, ahead_s, slots, now)
+    first = group.rank == backlog.ranks()[0]
+    kept, late = project(queue, ahead_s, slots, now, first)
     if pool.floors:
         fresh = [e for e in late if now - e.row.arrived < SPILL_AFTER_S]
         kept += fresh
@@ -110,7 +111,7 @@
 
 
 def project(
-    queue: TierQueue, ahead_s: float, slots: float, now: float
+    queue: TierQueue, ahead_s: float, slots: float, now: float, first: bool
 ) -> tuple[list[Entry], list[Entry]]:
     """Split requests into those that can start in time and those that can't.
 
@@ -120,11 +121,15 @@
         Slot seconds of the tiers before them.
     slots : float
         Slots that the work is spread over.
+    first : bool
+        Whether no more important tier waits. Such a request is given up only
+        when half of its kind would be late: nothing better can use its slot.
+        With the safe time it was refused while slots came free.
     """
     kept: list[Entry] = []
     late: list[Entry] = []
     for entry in queue.ordered():
-        if now + ahead_s / slots <= entry.safe:
+        if now + ahead_s / slots <= (entry.latest if first else entry.safe):
             kept.append(entry)
             ahead_s += entry.slot_s
         else:
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -7,6 +7,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
+from godwitladder.decisions.cancel import CallerGone, on_caller_gone
 from godwitladder.engines.engine import cancel_stream
 from godwitladder.engines.service import call_service
 from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
@@ -149,7 +150,7 @@
                 return self._refuse(start_response, refusal)
             if self.call.service.kind is ServiceKind.PLAIN:
                 return self._call_plain(start_response)
-            return self._answer_stream(start_response)
+            return self._answer_stream(gone, start_response)
         except NotSent:
             raise
         except TargetRefused as error:
@@ -195,7 +196,9 @@
             self.identity,
         )
 
-    def _answer_stream(self, start_response) -> Iterable[bytes]:
+    def _answer_stream(
+        self, gone: Callable[[], bool], start_response
+    ) -> Iterable[bytes]:
         address, stream = self.dispatch.address, self.dispatch.stream
         opened = open_for(address, stream, self.call.body)
         row = self.call.row
@@ -203,19 +206,38 @@
         if self.call.streamed:
             start_events(start_response, self.identity)
             return StreamedAnswer(follower, self.ending, self.identity, self._note_cut)
-        body = join_chunks(follower, self.identity, row.service, self.ending.report)
+
+        def report(tokens: int) -> None:
+            self.ending.report(tokens)
+            if gone() and self._is_for_nobody(tokens):
+                cut = Refusal(RequestState.MAY_HAVE_RUN, Reason.CALLER_GONE, GONE)
+                raise AnswerCut(cut)
+
+        body = join_chunks(follower, self.identity, row.service, report)
         self.ending.tell(RequestState.COMPLETED, follower.tally.tokens)
         return answer_whole(
             start_response, 200, "application/json", body, self.identity
         )
 
+    def _is_for_nobody(self, tokens: int) -> bool:
+        """Return whether to cancel work whose caller is gone.
+
+        Only where nobody can come back for the answer: the caller of a joined
+        answer was not told its id yet, and without a key no repeat finds it.
+        """
+        row = self.call.row
+        if row.key is not None:
+            return False
+        fate = on_caller_gone(True, row.idempotent, False, tokens, row.predicted_tokens)
+        return fate is CallerGone.CANCEL
+
     def _note_cut(self, error: AnswerCut) -> None:
-        """Log a cut answer, and spare the engine the rest of a late one."""
+        """Log a cut answer, and spare the engine the rest of a useless one."""
         log.warning(
             "An answer was cut",
             extra={"request": self.identity, "error": str(error)},
         )
-        if error.refusal.reason is not Reason.DEADLINE:
+        if error.refusal.reason not in (Reason.DEADLINE, Reason.CALLER_GONE):
             return
         try:
             cancel_stream(self.dispatch.address, self.dispatch.stream)
--- a/tests/decisions/test_allocation.py
+++ b/tests/decisions/test_allocation.py
@@ -262,3 +262,20 @@
     pool.targets["fast"].limit = pool.targets["fast"].used = 1
     add(pool, "r0", deadline=10.0)
     assert not allocate(pool, 0.0).placements
+
+
+def test_the_first_tier_is_not_refused_while_slots_come_free_in_time():
+    """Twelve urgent requests were refused a second before eight slots came free.
+
+    Nothing was known of their service yet, so four times the likely length was
+    reserved. Of the first tier only what half of its kind would miss is given
+    up; a lower tier is refused as soon as it is not safe.
+    """
+    pool = make_pool(make_target(limit=8, used=8, decode_tps=200.0))
+    lengths = {"prompt_tokens": 10, "likely_tokens": 200, "predicted_tokens": 800}
+    for n in range(12):
+        add(pool, f"a{n:02}", rank=0, deadline=5.0, **lengths)
+    for n in range(60):
+        add(pool, f"b{n:02}", rank=1, deadline=5.0, **lengths)
+    allocation = allocate(pool, 0.9)
+    assert {row.request[0] for row in allocation.given_up} == {"b"}
--- a/tests/serving/test_dispatching.py
+++ b/tests/serving/test_dispatching.py
@@ -3,6 +3,8 @@
 import contextlib
 import dataclasses
 import json
+import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -61,6 +63,48 @@
     assert app.outcomes() == {"not_run": 1}
 
 
+@pytest.mark.parametrize(
+    ("streamed", "key", "state"),
+    [(False, "", "cancelled"), (False, "k1", "done"), (True, "", "done")],
+)
+def test_work_that_nobody_can_come_back_for_is_cancelled(stack, streamed, key, state):
+    """The caller hangs up after the first tokens of a long answer.
+
+    A joined answer without a key can't be had by anybody any more, and the
+    engine is spared the rest. A streamed one can be resumed by its id, and
+    one with a key is found by its repeat: these run to their end.
+    """
+    app, engine = with_engine(stack)
+    left = []
+    environ = {"waitress.client_disconnected": lambda: bool(left)}
+    environ |= {"HTTP_IDEMPOTENCY_KEY": key} if key else {}
+    dispatcher = app.app.dispatcher
+    app.app.keyed = SimpleNamespace(serve=lambda *args: dispatcher.serve(*args[:3]))
+    leaving = make_leaving(engine, left)
+    answer = app.chat(environ, stream=streamed, max_tokens=4000)
+    if streamed:
+        next(iter(answer.body))
+    answer.body.close()
+    leaving.join()
+    app.wait_idle()
+    assert [item.state for item in engine.sequences.values()] == [state]
+
+
+def make_leaving(engine, left):
+    """Return a started thread that lets the caller leave at the first token."""
+
+    def leave():
+        with engine.changed:
+            engine.changed.wait_for(
+                lambda: any(row.events for row in engine.sequences.values()), 10.0
+            )
+        left.append(True)
+
+    thread = threading.Thread(target=leave)
+    thread.start()
+    return thread
+
+
 @pytest.mark.parametrize(
     "status, outcome", [(429, "not_run"), (503, "not_run"), (500, "may_have_run")]
 )
