--- a/bench/endtoend.py
+++ b/bench/endtoend.py
@@ -15,7 +15,8 @@
 from pathlib import Path
 
 from bench.processes import cpu_seconds, print_table, resident_bytes
-from demo.fleet import ADVISER_KEY, Fleet, Host, free_ports, wait_for
+from demo.fleet import ADVISER_KEY, Fleet, Host, wait_for
+from godwitladder.standins.ports import free_ports
 
 LATENCY_CALLS = 400
 RELAY_STREAMS = 200
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -3,8 +3,6 @@
 import contextlib
 import hashlib
 import json
-import random
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +11,8 @@
 
 import urllib3
 
+from godwitladder.standins.ports import free_ports
+
 SECRET = "a secret of the demonstration"
 OPERATOR_TOKEN = "demo-operator"
 ADVISER_KEY = "demo-adviser"
@@ -20,7 +20,7 @@
 START_S = 30.0
 STOP_S = 10.0
 LOG_TAIL = 1000
-LOWEST_PORT, HIGHEST_PORT = 10_000, 32_000
+
 ENGINES = ("engine-a1", "engine-a2")
 ENGINE_KNOBS = {"decode_tps": 200.0, "slots": 4}
 HOSTS = (("host-a1", "a"), ("host-a2", "a"), ("host-b1", "b"))
@@ -223,23 +223,6 @@
     return "\n".join(lines)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago.
-
-    They lie below the range from which the system takes ports for outgoing
-    connections; one of those could take a port before its process listens.
-    """
-    with contextlib.ExitStack() as stack:
-        ports = []
-        while len(ports) < count:
-            sock = stack.enter_context(socket.socket())
-            port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
-            with contextlib.suppress(OSError):
-                sock.bind(("127.0.0.1", port))
-                ports.append(port)
-        return ports
-
-
 def wait_for(condition, what: str) -> None:
     """Wait, within bounds, until ``condition`` holds."""
     due = time.monotonic() + START_S
--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -78,7 +78,7 @@
 
 
 def submit_ticket(
-    ticket: Path, *, host: str, wait: float = 3.0, as_json: bool = False
+    ticket: Path, *, host: str, wait: float = 3.0, json: bool = False
 ) -> None:
     """Submit a ticket through any entry host and print its verdict.
 
@@ -93,29 +93,29 @@
         Operators' address of an entry host, as address:port.
     wait : float
         Longest wait for the verdict, in seconds; the host caps it at 10.
-    as_json : bool
+    json : bool
         Print the host's answer as it is.
     """
     data = read_file(ticket)
     read_ticket(data, str(ticket))
     row = OperatorClient(host).submit(data, wait)
-    show([row], as_json, lambda row: f"offset {row['offset']}: {row['verdict']}")
+    show([row], json, lambda row: f"offset {row['offset']}: {row['verdict']}")
 
 
-def list_tickets(*, host: str, as_json: bool = False) -> None:
+def list_tickets(*, host: str, json: bool = False) -> None:
     """List the tickets that were accepted last.
 
     Parameters
     ----------
     host : str
         Operators' address of an entry host, as address:port.
-    as_json : bool
+    json : bool
         Print a JSON object a line.
     """
     rows = OperatorClient(host).get("/v1/tickets")["tickets"]
     show(
         rows,
-        as_json,
+        json,
         lambda row: f"{row['number']} by {row['operator']} at offset {row['offset']}",
     )
 
@@ -134,7 +134,7 @@
     print(json.dumps(answer, indent=2))
 
 
-def show_audit(*, host: str, start: int = 0, as_json: bool = False) -> None:
+def show_audit(*, host: str, start: int = 0, json: bool = False) -> None:
     """Print the audit trail, oldest first.
 
     Parameters
@@ -143,11 +143,11 @@
         Operators' address of an entry host, as address:port.
     start : int
         First offset to print.
-    as_json : bool
+    json : bool
         Print a JSON object a line.
     """
     rows = OperatorClient(host).get(f"/v1/audit?from={start}")["audit"]
-    show(rows, as_json, audit_line)
+    show(rows, json, audit_line)
 
 
 def show_status(*, host: str) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,9 +4,7 @@
 import hashlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +17,7 @@
 from godwitladder.standins.base import Server
 from godwitladder.standins.engine import start_engine
 from godwitladder.standins.platform import start_platform
+from godwitladder.standins.ports import free_ports
 from godwitladder.standins.service import start_service
 
 SECRET = "a secret of tests"
@@ -26,9 +25,6 @@
 CALLER_KEY = "adviser-key"
 LOW_KEY = "returns-key"
 WAIT_S = 20.0
-LOWEST_PORT = 10_000
-LOWEST_OUTGOING_PORT = 32_000
-ISSUED: set[int] = set()
 
 
 def digest(text: str) -> str:
@@ -36,33 +32,6 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free and stay so until a host listens on them.
-
-    They are below the range from which the kernel takes ports for outgoing
-    connections: one of those, taken while a host was starting, kept the host
-    from listening now and then.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(LOWEST_PORT, LOWEST_OUTGOING_PORT)
-        if port not in ISSUED and is_free(port):
-            ISSUED.add(port)
-            ports.append(port)
-    return ports
-
-
-def is_free(port: int) -> bool:
-    """Return whether nothing listens on ``port``."""
-    with socket.socket() as candidate:
-        candidate.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            candidate.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     """Wait, within bounds, until ``condition`` holds."""
     due = time.monotonic() + WAIT_S
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -15,7 +15,8 @@
 from godwitladder.membership.members import Members
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.scheduler.messages import HostsChanged, Tick
-from tests.fleet import SECRET, free_ports, wait_until
+from godwitladder.standins.ports import free_ports
+from tests.fleet import SECRET, wait_until
 
 TIMEOUT_S = 3.0
 
--- a/tests/membership/test_tls.py
+++ b/tests/membership/test_tls.py
@@ -8,7 +8,8 @@
 from godwitladder.membership.links import Mesh
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.settings import TlsSettings
-from tests.fleet import free_ports, wait_until
+from godwitladder.standins.ports import free_ports
+from tests.fleet import wait_until
 
 
 def make_tls(folder, authority, name: str) -> TlsSettings:
--- a/tests/quarantine/test_watch.py
+++ b/tests/quarantine/test_watch.py
@@ -17,8 +17,8 @@
 from godwitladder.quarantine.watch import CrashWatch, crash_digest
 from godwitladder.scheduler.rows import RequestRow
 from godwitladder.serving.calls import Call, CallRefused
+from godwitladder.standins.ports import free_ports
 from godwitladder.standins.service import start_service
-from tests.fleet import free_ports
 
 MODEL = Service(ServiceKind.MODEL, True)
 PLAIN = Service(ServiceKind.PLAIN, True)
--- a/tests/serving/test_loadtool.py
+++ b/tests/serving/test_loadtool.py
@@ -7,7 +7,8 @@
 from godwitladder.loadtool import Load, format_results, read_caller
 from godwitladder.serving.listener import make_listener
 from godwitladder.standins.engine import start_engine
-from tests.fleet import CALLER_KEY, free_ports
+from godwitladder.standins.ports import free_ports
+from tests.fleet import CALLER_KEY
 from tests.serving.app import App, make_settings
 
 
--- a/tests/serving/test_surface.py
+++ b/tests/serving/test_surface.py
@@ -14,8 +14,9 @@
 from godwitladder.serving import listener
 from godwitladder.serving.listener import make_listener
 from godwitladder.settings import LimitSettings, TlsSettings
+from godwitladder.standins.ports import free_ports
 from godwitladder.standins.service import start_service
-from tests.fleet import CALLER_KEY, free_ports, wait_until
+from tests.fleet import CALLER_KEY, wait_until
 from tests.serving.app import App
 
 LIMITS = LimitSettings(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,7 +155,7 @@
     assert "4 is taken: hanna used it at offset 0 for other content" in error
     path.write_text("number = 0")
     assert run(capsys, "ticket", "submit", path, *host)[0] == cli.INVALID
-    lines = run(capsys, "audit", "--as-json", *host)[1].splitlines()
+    lines = run(capsys, "audit", "--json", *host)[1].splitlines()
     assert [json.loads(line)["cause"] for line in lines] == [None, "conflict"]
     assert "4 by hanna at offset 0" in run(capsys, "ticket", "list", *host)[1]
     shown = json.loads(run(capsys, "ticket", "show", 4, *host)[1])
