--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -58,12 +58,17 @@
         Weight in the fair share among workspaces of a tier.
     quota : int
         Requests that may run at once; 0 for no bound of its own.
+    token_rate, token_burst : float
+        Tokens that may be run a second, over all hosts, and beyond that at
+        once; a rate of 0 for no bound.
     """
 
     tier: TierName
     key_digests: tuple[str, ...] = checked(sha256_digests, default=())
     share: float = checked(positive, default=1.0)
     quota: int = checked(not_negative, default=0)
+    token_rate: float = checked(not_negative, default=0.0)
+    token_burst: float = checked(not_negative, default=0.0)
 
 
 @dataclass(frozen=True)
@@ -92,6 +97,10 @@
 
     Attributes
     ----------
+    zone : str
+        Whose hosts share one queue for it.
+    place : str
+        The availability zone it stands in, where that is a part of ``zone``.
     slots : int
         Requests it runs at once.
     memory_tokens : int
@@ -118,6 +127,7 @@
     model: str = ""
     adapters: tuple[str, ...] = ()
     role: str = ""
+    place: Zone = Zone("")
 
 
 TYPES: dict[ObjectKind, type] = {
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -30,7 +30,9 @@
 )
 from godwitladder.decisions.types import (
     Allocation,
+    DemandLine,
     Entry,
+    GivenUp,
     Placement,
     PoolView,
     ShedReason,
@@ -99,6 +101,9 @@
                 continue
             if self.at_quota(line.workspace):
                 queue.drop(line.workspace)
+            elif (wait_s := self.quota_wait_s(line)) > 0:
+                placed.add(line.request)
+                self.refuse_quota(line, wait_s)
             elif self.place(entry):
                 placed.add(line.request)
                 misses = 0
@@ -123,7 +128,8 @@
         if room is None:
             return False
         tokens = line.prompt_tokens + line.predicted_tokens
-        room.take(tokens, long)
+        room.take(tokens, long, line.prompt_tokens)
+        self.pool.quotas.take(line.workspace, line.charge, self.now)
         self.note(entry, room, long)
         if line.workspace in self.running:
             self.running[line.workspace] += 1
@@ -132,6 +138,15 @@
         )
         return True
 
+    def quota_wait_s(self, line: DemandLine) -> float:
+        """Return the seconds until the workspace's tokens allow ``line``."""
+        return self.pool.quotas.wait_s(line.workspace, line.charge, self.now)
+
+    def refuse_quota(self, line: DemandLine, wait_s: float) -> None:
+        """Refuse what is beyond its workspace's tokens: nobody is owed it."""
+        row = GivenUp(line.request, ShedReason.QUOTA, wait_s)
+        self.allocation.given_up.append(row)
+
     def note(self, entry: Entry, room: Room, long: bool) -> None:
         """Remember a placement for the next runs."""
         line = entry.row.line
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -10,6 +10,13 @@
 ----------
 MARGIN : a request is started while its likely length, and this factor of it,
     fits before its deadline. Measured, `docs/MEASUREMENTS.md` (margin).
+LATE_RANKS : a request that can't be in time any more yields to those of the
+    next tier that still can, and shares its place with the one after. Without
+    that, a burst leaves each tier in a queue as long as its deadlines, and all
+    of it late: the letters of the first tier too, once the burst is over.
+PATIENCE : a request with an aim is given up, or refused when it comes, if it
+    can't start in this part of its time. The rest of its time is worth more to
+    its caller than to the queue: told at once, it can come back and be served.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
     it will ever be when it arrives; it counts as safe for so long.
 """
@@ -21,6 +28,8 @@
 from godwitladder.ids import ServiceName
 
 MARGIN = 1.25
+LATE_RANKS = 2
+PATIENCE = 0.5
 SAFE_LEAST_S = 1.0
 
 
@@ -70,12 +79,18 @@
         groups = self.groups
         for row in rows:
             entry = row.entry
-            key = entry.key if entry else (row.line.tier_rank, row.line.service)
+            key = (row.line.tier_rank, row.line.service)
+            if entry:
+                key = entry.key if now <= entry.aim else entry.late_key
             group = groups.get(key)
             if group is None:
                 group = self._add_group(*key)
             if entry is None or entry.pace != group.pace:
-                entry = row.entry = weigh(row, key, group.pace)
+                entry = row.entry = weigh(row, group.pace)
+                if now > entry.aim:
+                    group = groups.get(entry.late_key)
+                    if group is None:
+                        group = self._add_group(*entry.late_key)
             if entry.latest < now:
                 self.expired.append(entry)
                 continue
@@ -113,9 +128,11 @@
         return group
 
 
-def weigh(row: Waiting, key: GroupKey, pace: Pace) -> Entry:
+def weigh(row: Waiting, pace: Pace) -> Entry:
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
+    key: GroupKey = (line.tier_rank, line.service)
+    late_key: GroupKey = (line.tier_rank + LATE_RANKS, line.service)
     prefill_s, decode_s = pace
     likely = line.likely_tokens or line.predicted_tokens or 1
     slot_s = line.prompt_tokens * prefill_s + likely * decode_s
@@ -124,4 +141,8 @@
         most_s = slot_s + (line.predicted_tokens - likely) * decode_s
         safe = max(row.deadline - most_s * MARGIN, row.arrived + SAFE_LEAST_S)
         safe = min(safe, latest)
-    return Entry(row, slot_s, latest, safe, key, pace)
+    aim = row.aim - line.prompt_tokens * prefill_s
+    if row.aim < row.deadline:
+        give_up = row.arrived + PATIENCE * (row.deadline - row.arrived)
+        latest, safe = min(latest, give_up), min(safe, give_up)
+    return Entry(row, slot_s, latest, safe, key, pace, aim, late_key)
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -17,6 +17,8 @@
 AFFINITY_SLACK : the holder of a prefix is preferred while its load is at most
     a quarter of its slots above the pool's: a hit saves a prefill, a queue
     costs more than that.
+FAR_FACTOR : a target in another availability zone has to be this much sooner:
+    bytes between zones are paid for.
 """
 
 import math
@@ -30,6 +32,7 @@
 LONG_FACTOR = 8.0
 LONG_SHARE = 0.25
 AFFINITY_SLACK = 0.25
+FAR_FACTOR = 1.15
 PACE_STEP = 0.05
 NO_PACE = Pace(0.0, 0.0)
 
@@ -67,6 +70,7 @@
     prefill_s: float
     decode_s: float
     held: bool = False
+    unread: int = 0
 
     @property
     def load(self) -> float:
@@ -81,6 +85,8 @@
         """
         if self.held or self.used >= self.view.limit:
             return False
+        if self.unread * self.prefill_s > self.view.unread_s:
+            return False
         return not self.view.memory_tokens or tokens <= self.tokens or self.used == 0
 
     def seconds(self, line: DemandLine) -> float:
@@ -88,11 +94,12 @@
         output = max(1, line.likely_tokens or line.predicted_tokens)
         return line.prompt_tokens * self.prefill_s + output * self.decode_s
 
-    def take(self, tokens: int, long: bool) -> None:
+    def take(self, tokens: int, long: bool, prompt: int = 0) -> None:
         """Account for a request that is placed here."""
         self.used += 1
         self.tokens -= tokens
         self.long_used += long
+        self.unread += prompt
 
 
 @dataclass
@@ -123,7 +130,12 @@
 
     def has_free(self) -> bool:
         """Return whether any target has a free slot that is not held."""
-        return any(not room.held and room.used < room.view.limit for room in self.rooms)
+        return any(
+            not room.held
+            and room.used < room.view.limit
+            and room.unread * room.prefill_s <= room.view.unread_s
+            for room in self.rooms
+        )
 
     def takes_long(self) -> bool:
         """Return whether one more long request stays within the bound."""
@@ -157,7 +169,9 @@
             seconds = room.seconds(line)
             if seconds > budget_s:
                 continue
-            score = seconds * (1.0 + room.load)
+            score = seconds * (1.0 + room.load) + room.unread * room.prefill_s
+            if line.place and room.view.place != line.place:
+                score *= FAR_FACTOR
             if line.prefix and line.prefix in room.view.prefixes and room.load <= bound:
                 score -= seconds
             if score < best_score:
@@ -217,6 +231,7 @@
         used=view.used,
         tokens=view.memory_tokens * MEMORY_SHARE - view.reserved_tokens,
         long_used=long_used,
+        unread=view.unread_tokens,
         prefill_s=1.0 / max(view.prefill_tps, 1e-9),
         decode_s=1.0 / max(view.decode_tps, 1e-9),
     )
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from godwitladder.decisions.memory import AllocatorMemory
+from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.ids import (
     HostId,
     RequestId,
@@ -49,6 +50,13 @@
     likely_tokens : int
         Output that is as often exceeded as not; 0 for ``predicted_tokens``,
         which is what is reserved.
+    aim_s : float
+        Seconds left, when the line was sent, for its first output to count as
+        in time; at least ``slack_s`` where no aim is set.
+    charge : int
+        Tokens that it counts for in its workspace's quota.
+    place : str
+        Availability zone of its host.
     """
 
     request: RequestId
@@ -62,15 +70,27 @@
     prefix: str = ""
     repeats: int = 0
     likely_tokens: int = 0
+    aim_s: float = float("inf")
+    charge: int = 0
+    place: Zone = Zone("")
 
 
 @dataclass(frozen=True)
 class TargetUse:
-    """What one host has running on one target; tokens are reserved ones."""
+    """What one host has running on one target.
+
+    Attributes
+    ----------
+    reserved_tokens : int
+        Tokens of memory held by it.
+    unread_tokens : int
+        Prompt tokens of requests that have made no output yet.
+    """
 
     target: TargetName
     running: int
     reserved_tokens: int
+    unread_tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -127,6 +147,12 @@
         Tokens of memory held by these.
     limit : int
         Requests it may run at once, as eased off while it is slow.
+    unread_tokens : int
+        Prompt tokens sent there of which no output has come yet.
+    unread_s : float
+        Seconds of such reading beyond which it gets no further prompt.
+    place : str
+        Availability zone that it stands in.
     prefill_tps, decode_tps : float
         Learned speeds: prompt tokens a second of the whole target, output
         tokens a second of one request.
@@ -142,6 +168,9 @@
     reserved_tokens: int = 0
     limit: int = 0
     prefixes: set[str] = field(default_factory=set)
+    unread_tokens: int = 0
+    unread_s: float = float("inf")
+    place: Zone = Zone("")
 
 
 @dataclass(slots=True)
@@ -156,8 +185,10 @@
         Time after which it can't start and still end by its deadline.
     safe : float
         Time until which it ends by its deadline even if it is long.
-    key : tuple
-        Rank and service.
+    aim : float
+        Time after which its first output can't be in time any more.
+    key, late_key : tuple
+        Rank and service, while it can be in time and after that.
     pace : Pace
         Speeds that these were worked out from.
     """
@@ -168,6 +199,8 @@
     safe: float
     key: "GroupKey"
     pace: "Pace"
+    aim: float = float("inf")
+    late_key: "GroupKey" = (0, "")
 
 
 GroupKey = tuple[int, ServiceName]
@@ -198,6 +231,7 @@
     deadline: float
     arrived: float
     avoided: frozenset[TargetName] = frozenset()
+    aim: float = float("inf")
     entry: Entry | None = field(default=None, compare=False, repr=False)
 
 
@@ -224,6 +258,8 @@
         allocator within reach has lately shed under overload.
     memory : AllocatorMemory
         What `allocate` remembers from run to run: hand the same one in.
+    quotas : QuotaBook
+        What workspaces may have run, in tokens: likewise.
     """
 
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
@@ -232,6 +268,7 @@
     floors: dict[PoolName, int] = field(default_factory=dict)
     shed_ranks: dict[PoolName, int] = field(default_factory=dict)
     memory: AllocatorMemory = field(default_factory=AllocatorMemory)
+    quotas: QuotaBook = field(default_factory=QuotaBook)
 
 
 @dataclass(frozen=True)
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -217,7 +217,6 @@
             arrived=now,
             deadline=now + wait_s,
             idempotent=may_repeat(route),
-            prefix=facts.parts[-1].name if facts.parts else "",
         )
         row.aim = now + route.aim_s if route.aim_s else row.deadline
         row.hint_tokens = facts.output_hint
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -117,6 +117,7 @@
                 self.span,
                 self.incarnation,
                 hosts=(settings.host,),
+                place=settings.zone,
             ),
             clock,
             self.metrics,
@@ -125,7 +126,12 @@
         )
         self.allocator = self.start_actor(
             Allocator,
-            AllocatorTables(settings.host, self.span, standing=False),
+            AllocatorTables(
+                settings.host,
+                self.span,
+                standing=False,
+                quota_slack=settings.bounds.quota_slack,
+            ),
             clock,
             self.router.send,
         )
--- a/godwitladder/routing/state.py
+++ b/godwitladder/routing/state.py
@@ -31,7 +31,12 @@
     return ConfigState(
         offset=Offset(view.version),
         tiers={TIER: Tier(rank=0)},
-        workspaces={name: Workspace(tier=TIER) for name in document.workspaces},
+        workspaces={
+            name: Workspace(
+                tier=TIER, token_rate=row.quota.rate, token_burst=row.quota.burst
+            )
+            for name, row in document.workspaces.items()
+        },
         services={
             name: Service(
                 ServiceKind.MODEL if row.memory_tokens else ServiceKind.PLAIN, False
@@ -48,6 +53,7 @@
     return Target(
         address=entry.address,
         zone=span,
+        place=entry.zone,
         services=(entry.service,),
         slots=entry.slots,
         memory_tokens=service.memory_tokens,
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -3,6 +3,7 @@
 Pure: times are handed in.
 """
 
+import operator
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -24,9 +25,10 @@
 
     running: int = 0
     tokens: int = 0
+    unread: int = 0
 
     def __add__(self, other: "Counted") -> "Counted":
-        return Counted(self.running + other.running, self.tokens + other.tokens)
+        return Counted(*map(operator.add, self, other))
 
 
 NOTHING = Counted()
@@ -64,6 +66,7 @@
     until_s: float
     grant: Grant
     workspace: WorkspaceName
+    prompt_tokens: int = 0
 
 
 @dataclass
@@ -143,7 +146,7 @@
     def counted(self) -> dict[TargetName, Counted]:
         """Return the most that the host may have on each target by now."""
         most = {
-            name: Counted(use.running, use.reserved_tokens)
+            name: Counted(use.running, use.reserved_tokens, use.unread_tokens)
             for name, use in self.uses.items()
         }
         for sent in self.allowances:
@@ -152,6 +155,7 @@
                 most[name] = Counted(
                     max(held.running, allowance.running),
                     max(held.tokens, allowance.tokens),
+                    held.unread,
                 )
         return self._add_granted(most)
 
@@ -169,7 +173,9 @@
         for sent in self.grants.values():
             grant = sent.grant
             held = counts.get(grant.target, NOTHING)
-            counts[grant.target] = held + Counted(1, grant.reserved_tokens)
+            counts[grant.target] = held + Counted(
+                1, grant.reserved_tokens, sent.prompt_tokens
+            )
         return counts
 
     def workspace_running(self, name: WorkspaceName) -> int:
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -40,6 +40,7 @@
     finish_request,
     grow_request,
     make_room,
+    note_read,
     refuse_request,
     return_request,
     run_systems,
@@ -162,6 +163,7 @@
     def _(self, message: Progress) -> None:
         row = self.tables.running.get(message.request)
         if row:
+            note_read(self.tables, row)
             note_progress(self.tables, row, message.tokens, self.clock.monotonic())
             grow_request(self.tables, row, message.tokens)
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -25,6 +25,10 @@
 
 log = part_logger("allocator")
 
+UNSEEN_S = 30.0
+"""Cuts last for seconds; a host gone for longer has ended, and its part of the
+quotas goes back to the others."""
+
 
 @dataclass
 class AllocatorTables:
@@ -34,6 +38,10 @@
     ----------
     standing : bool
         Whether hosts are allowed some requests unasked while nothing waits.
+    quota_slack : float
+        Tokens that a workspace may have beyond its quota in a window.
+    seen : dict
+        When each host was last among the live ones.
     """
 
     host: HostId
@@ -45,6 +53,8 @@
     pools: dict[PoolName, Pool] = field(default_factory=dict)
     roles: dict[PoolName, PoolRole] = field(default_factory=dict)
     standing: bool = True
+    quota_slack: float = 0.0
+    seen: dict[HostId, float] = field(default_factory=dict)
 
 
 class Allocator(pykka.ThreadingActor):
@@ -97,6 +107,9 @@
     def _(self, message: Tick) -> None:
         self.due |= set(self.tables.roles)
         now = self.clock.monotonic()
+        share = self.seen_share(now)
+        for role in self.tables.roles.values():
+            role.quotas.share = share
         if now - self.floors_sent >= RENEW_S:
             self.floors_sent = now
             for role in self.tables.roles.values():
@@ -161,7 +174,22 @@
                     pool, tables.host, term, now, tables.standing
                 )
                 log.info("A role was taken up", extra={"pool": pool_key(name)})
-            tables.roles[name].configure(pool, tables.config, tables.leaving)
+            role = tables.roles[name]
+            role.configure(pool, tables.config, tables.leaving)
+            role.quotas.slack = tables.quota_slack
+            role.quotas.share = self.seen_share(now)
+
+    def seen_share(self, now: float) -> float:
+        """Return the part of the hosts that this one sees, of all lately seen.
+
+        Hosts that are cut off from this one may be served by an allocator of
+        their own. If both gave out whole quotas, a workspace would get twice
+        its own for as long as the cut lasts.
+        """
+        seen = self.tables.seen
+        seen.update(dict.fromkeys(self.tables.hosts, now))
+        recent = sum(now - at <= UNSEEN_S for at in seen.values())
+        return len(self.tables.hosts) / max(1, recent)
 
     def pass_on(self, message: PoolReport | FloorReport, pool: PoolName) -> None:
         """Pass a message from another zone on to this zone's allocator, once."""
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -185,7 +185,7 @@
         seen=access.seen,
         uses=report_uses(access, targets),
         workspaces=report_workspaces(tables, access),
-        lines=tuple(make_line(row, now) for row in shown),
+        lines=tuple(make_line(tables, row, now) for row in shown),
         rest=tuple(TierCount(*item) for item in sorted(rest.items())),
         avoided=tuple(row.name for row in targets if row.avoided_until > now),
         completions=completions,
@@ -233,7 +233,7 @@
         if row.running or held:
             running = row.running + len(held)
             tokens = row.reserved_tokens + sum(held)
-            uses.append(TargetUse(row.name, running, tokens))
+            uses.append(TargetUse(row.name, running, tokens, row.unread_tokens))
     return tuple(uses)
 
 
@@ -250,7 +250,7 @@
     return tuple(WorkspaceUse(*item) for item in sorted(counts.items()))
 
 
-def make_line(row: RequestRow, now: float) -> DemandLine:
+def make_line(tables: Tables, row: RequestRow, now: float) -> DemandLine:
     """Return the line of one waiting request."""
     return DemandLine(
         request=row.request,
@@ -263,6 +263,9 @@
         waited_s=now - row.arrived,
         prefix=row.prefix,
         likely_tokens=row.likely_tokens,
+        aim_s=row.aim - now if row.aim else math.inf,
+        charge=row.charge,
+        place=tables.place,
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -4,6 +4,7 @@
 over at any moment, since all of it comes back with the hosts' next reports.
 """
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -12,6 +13,7 @@
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
+from godwitladder.decisions.quotas import QuotaBook, TokenRate
 from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
 from godwitladder.decisions.standing import standing_grants
@@ -24,7 +26,13 @@
     TargetView,
     Waiting,
 )
-from godwitladder.ids import HostId, Incarnation, RequestId, TargetName
+from godwitladder.ids import (
+    HostId,
+    Incarnation,
+    RequestId,
+    TargetName,
+    WorkspaceName,
+)
 from godwitladder.scheduler.accounts import (
     NOTHING,
     Counted,
@@ -63,6 +71,12 @@
 WARM_UP_S = 1.0
 """A new allocator waits so long for hosts it expects to hear from."""
 
+UNREAD_S = 0.06
+"""Where each dispatch is asked for, a target gets no further prompt while it has
+more than this to read of those it was sent. It admits in order of arrival and
+reads in chunks between the output of all that it runs: what is sent early
+waits where no one can order it, and slows everything beside it."""
+
 FLOOR_S = 3.0
 """A floor that was not repeated for so long says nothing any more."""
 
@@ -85,6 +99,15 @@
     spill: list[RequestId] = field(default_factory=list)
 
 
+def token_rates(config: ConfigState) -> dict[WorkspaceName, TokenRate]:
+    """Return the token quotas of a configuration."""
+    return {
+        name: TokenRate(workspace.token_rate, workspace.token_burst)
+        for name, workspace in config.workspaces.items()
+        if workspace.token_rate
+    }
+
+
 class PoolRole:
     """One host's term as allocator of one pool.
 
@@ -106,6 +129,7 @@
         self, pool: Pool, me: HostId, term: int, now: float, standing: bool = True
     ) -> None:
         self.has_standing = standing
+        self.unread_s = math.inf if standing else UNREAD_S
         self.pool = pool
         self.me = me
         self.term = term
@@ -119,6 +143,7 @@
         self.easing = TargetEasing()
         self.hints = PrefixHints()
         self.memory = AllocatorMemory()
+        self.quotas = QuotaBook()
         self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
         self.shed_rank = NO_RANK
@@ -132,6 +157,7 @@
             for learned in (self.speeds, self.easing, self.loads, self.hints):
                 learned.forget(name)
         self.pool, self.config, self.leaving = pool, config, leaving
+        self.quotas.rates = token_rates(config)
         for name in pool.targets:
             target = config.targets[name]
             self.speeds.expect(name, target.prefill_tps, target.decode_tps)
@@ -288,7 +314,7 @@
         for grant in offering.grants:
             line = account.lines.pop(grant.request)
             account.grants[grant.request] = SentGrant(
-                account.next_number, until_s, grant, line.workspace
+                account.next_number, until_s, grant, line.workspace, line.prompt_tokens
             )
         for shed in offering.sheds:
             account.lines.pop(shed.request, None)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -144,12 +144,19 @@
 
 @dataclass
 class TargetRow:
-    """What this host knows of, and runs on, one target."""
+    """What this host knows of, and runs on, one target.
+
+    Attributes
+    ----------
+    unread_tokens : int
+        Prompt tokens of requests there that have made no output yet.
+    """
 
     name: TargetName
     target: Target
     running: int = 0
     reserved_tokens: int = 0
+    unread_tokens: int = 0
     avoided_until: float = 0.0
 
 
@@ -175,6 +182,8 @@
         The waiting requests in order; see `systems.waiting_order`.
     fresh : list of RequestId
         Requests that began to wait since the last reports were made.
+    place : str
+        The availability zone of this host, where that is a part of ``zone``.
     """
 
     host: HostId = HostId("")
@@ -194,3 +203,4 @@
     leaving: frozenset[str] = frozenset()
     predictor: OutputPredictor = field(default_factory=OutputPredictor)
     stopping: bool = False
+    place: Zone = Zone("")
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -208,7 +208,9 @@
     row.dispatched = now
     target.running += 1
     target.reserved_tokens += row.reserved_tokens
+    target.unread_tokens += row.prompt_tokens
     row.held_tokens = row.reserved_tokens
+    row.first_token = 0.0
     del tables.waiting[row.request]
     tables.running[row.request] = row
     note_answered(tables, row)
@@ -253,6 +255,16 @@
         insort(tables.queue, row, key=attrgetter("order"))
 
 
+def note_read(tables: Tables, row: RequestRow) -> None:
+    """Take in that a target has read a prompt, which the allocator waits for."""
+    target = tables.targets.get(row.target)
+    if target and not row.first_token:
+        target.unread_tokens -= row.prompt_tokens
+        access = tables.pool_of.get(row.target)
+        if access and row.prompt_tokens:
+            access.dirty = True
+
+
 def grow_request(tables: Tables, row: RequestRow, tokens: int) -> None:
     """Take in the output so far, and hold more memory if it needs more."""
     row.produced_tokens = tokens
@@ -343,4 +355,6 @@
     if target:
         target.running -= 1
         target.reserved_tokens -= row.held_tokens
+        if not row.first_token:
+            target.unread_tokens -= row.prompt_tokens
         note_use(tables, target)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -26,6 +26,7 @@
         targets=target_views(role, now),
         workspaces=workspace_views(role, now),
         memory=role.memory,
+        quotas=role.quotas,
     )
     for account in role.current(now):
         for line in account.lines.values():
@@ -34,7 +35,11 @@
             row = role.rows.get(line.request)
             if row is None or row.line is not line:
                 row = Waiting(
-                    account.host, line, now + line.slack_s, now - line.waited_s
+                    account.host,
+                    line,
+                    now + line.slack_s,
+                    now - line.waited_s,
+                    aim=now + line.aim_s,
                 )
             row.avoided = account.avoided
             view.waiting[line.request] = row
@@ -70,6 +75,9 @@
             reserved_tokens=count.tokens,
             limit=role.easing.limit(name, target.slots, now),
             prefixes=role.hints.prefixes(name, now),
+            unread_tokens=count.unread,
+            unread_s=role.unread_s,
+            place=target.place,
         )
     return views
 
