Start calls while their callers still wait, and put back rather than last a workspace's calls

Cause: callers leave a stream after 3.2 s of silence, yet calls were kept for half of their 12 to 15 s: 123 of 1,900 left while they waited. And with a workspace's rank before the route's, 210 of 306 letters of one workspace were refused while the least requests of another ran.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -67,24 +67,40 @@
         self.capacity = Capacity(pool)
         self.allocation = Allocation()
         self.backlog = Backlog(self.capacity)
-        self.backlog.sort(list(pool.waiting.values()), now)
         pool.memory.fade(now)
+        for rank in self.backlog.sort(list(pool.waiting.values()), now):
+            pool.memory.offered[rank] = pool.memory.offered.get(rank, 0.0) + 1.0
+        self.placed_s = 0.0
         self.running = {
             name: view.running for name, view in pool.workspaces.items() if view.quota
         }
 
     def place_tiers(self) -> None:
         """Place the tiers in strict order, while any slot is free."""
-        for rank in self.backlog.ranks():
+        for rank in self.turns():
             free = self.capacity.free_services()
             if not free:
-                return
+                break
             groups = [g for g in self.backlog.tier(rank) if g.service in free]
             placed = self.place_tier(groups, free)
             for group in groups:
                 kept = [e for e in group.entries if e.row.line.request not in placed]
                 if len(kept) < len(group.entries):
                     group.keep(kept)
+        if self.pool.policy.measures_flow:
+            self.note_flow()
+
+    def turns(self) -> list[int]:
+        """Return the ranks in the order in which they are placed."""
+        least = self.pool.policy.least_share
+        ranks = self.backlog.ranks()
+        return self.pool.memory.turns(ranks, least) if least else ranks
+
+    def note_flow(self) -> None:
+        """Remember how much was started while more waited."""
+        waits = any(group.entries for group in self.backlog.groups.values())
+        slots = sum(room.view.limit for room in self.capacity.rooms)
+        self.pool.memory.note_flow(self.placed_s, waits, slots, self.now)
 
     def place_tier(self, groups: list[Group], free: set[ServiceName]) -> set[RequestId]:
         """Place what fits of one tier and return it."""
@@ -144,13 +160,18 @@
 
     def refuse_quota(self, line: DemandLine, wait_s: float) -> None:
         """Refuse what is beyond its workspace's tokens: nobody is owed it."""
+        memory = self.pool.memory
+        memory.offered[line.tier_rank] = memory.offered.get(line.tier_rank, 1.0) - 1.0
         row = GivenUp(line.request, ShedReason.QUOTA, wait_s)
         self.allocation.given_up.append(row)
 
     def note(self, entry: Entry, room: Room, long: bool) -> None:
         """Remember a placement for the next runs."""
         line = entry.row.line
-        self.pool.memory.note(line.tier_rank, line.workspace, entry.slot_s)
+        memory = self.pool.memory
+        memory.note(line.tier_rank, line.workspace, entry.slot_s)
+        memory.served[line.tier_rank] = memory.served.get(line.tier_rank, 0.0) + 1.0
+        self.placed_s += entry.slot_s
         if long:
             end = self.now + room.seconds(line)
             self.pool.memory.note_long(room.view.name, end)
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -14,9 +14,6 @@
     next tier that still can, and shares its place with the one after. Without
     that, a burst leaves each tier in a queue as long as its deadlines, and all
     of it late: the letters of the first tier too, once the burst is over.
-PATIENCE : a request with an aim is given up, or refused when it comes, if it
-    can't start in this part of its time. The rest of its time is worth more to
-    its caller than to the queue: told at once, it can come back and be served.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
     it will ever be when it arrives; it counts as safe for so long.
 """
@@ -29,7 +26,6 @@
 
 MARGIN = 1.25
 LATE_RANKS = 2
-PATIENCE = 0.5
 SAFE_LEAST_S = 1.0
 
 
@@ -74,9 +70,10 @@
         self.groups: dict[GroupKey, Group] = {}
         self.expired: list[Entry] = []
 
-    def sort(self, rows: list[Waiting], now: float) -> None:
-        """Take ``rows`` in."""
+    def sort(self, rows: list[Waiting], now: float) -> list[int]:
+        """Take ``rows`` in; return the ranks of those that are new."""
         groups = self.groups
+        fresh = []
         for row in rows:
             entry = row.entry
             key = (row.line.tier_rank, row.line.service)
@@ -85,6 +82,8 @@
             group = groups.get(key)
             if group is None:
                 group = self._add_group(*key)
+            if entry is None:
+                fresh.append(row.line.tier_rank)
             if entry is None or entry.pace != group.pace:
                 entry = row.entry = weigh(row, group.pace)
                 if now > entry.aim:
@@ -99,6 +98,7 @@
             safe = entry.safe
             if safe < group.soonest:
                 group.soonest = safe
+        return fresh
 
     def ranks(self) -> list[int]:
         """Return the ranks that wait, the most important first."""
@@ -142,7 +142,5 @@
         safe = max(row.deadline - most_s * MARGIN, row.arrived + SAFE_LEAST_S)
         safe = min(safe, latest)
     aim = row.aim - line.prompt_tokens * prefill_s
-    if row.aim < row.deadline:
-        give_up = row.arrived + PATIENCE * (row.deadline - row.arrived)
-        latest, safe = min(latest, give_up), min(safe, give_up)
+    latest, safe = min(latest, row.start_by), min(safe, row.start_by)
     return Entry(row, slot_s, latest, safe, key, pace, aim, late_key)
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -207,6 +207,7 @@
 
     def __init__(self, pool: PoolView) -> None:
         self.services: dict[ServiceName, ServiceCapacity] = {}
+        self.rooms: list[Room] = []
         for view in pool.targets.values():
             if view.limit > 0:
                 self._add(make_room(view, pool.memory.long_on(view.name)))
@@ -220,6 +221,7 @@
         return {name for name, part in self.services.items() if part.has_free()}
 
     def _add(self, room: Room) -> None:
+        self.rooms.append(room)
         for service in room.view.services:
             self.services.setdefault(service, ServiceCapacity()).add(room)
 
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -14,6 +14,10 @@
 SPENT_HALF_LIFE_S : several times the length of a usual request, so that a
     burst is paid back over the next minute, and a workspace that was quiet
     for an hour has no claim on the pool.
+FLOW_S : what a pool really starts is an average over two seconds of
+    contention: short against a burst, long against a single slot.
+SHORT : a tier whose requests take at most a quarter of the time of those before
+    it may go first when it lately got too little: it costs them little.
 TYPICAL_GAIN : the usual length is an average over about fifty requests.
 """
 
@@ -27,6 +31,8 @@
 SPENT_HALF_LIFE_S = 20.0
 TYPICAL_GAIN = 0.02
 FORGOTTEN_S = 0.01
+FLOW_S = 2.0
+SHORT = 0.25
 
 
 @dataclass
@@ -47,6 +53,11 @@
         For each target, when its long requests are expected to end: a heap.
     refused_at : float
         When the queue was last looked through for early refusals.
+    flow : float
+        Slot seconds started in each second while more waited; 0 while nothing
+        did.
+    offered, served : dict
+        Requests that lately came, and that were placed, by rank.
     """
 
     given: dict[int, float] = field(default_factory=dict)
@@ -55,6 +66,10 @@
     long_ends: dict[TargetName, list[float]] = field(default_factory=dict)
     refused_at: float = float("-inf")
     faded: float = 0.0
+    flow: float = 0.0
+    flow_at: float = float("-inf")
+    offered: dict[int, float] = field(default_factory=dict)
+    served: dict[int, float] = field(default_factory=dict)
 
     def fade(self, now: float) -> None:
         """Let everything fade up to ``now``."""
@@ -63,6 +78,9 @@
         factor = 0.5 ** (elapsed_s / FLOW_HALF_LIFE_S)
         for rank in self.given:
             self.given[rank] *= factor
+        for counts in (self.offered, self.served):
+            for rank in counts:
+                counts[rank] *= factor
         factor = 0.5 ** (elapsed_s / SPENT_HALF_LIFE_S)
         for name, seconds in list(self.spent.items()):
             if seconds < FORGOTTEN_S:
@@ -89,6 +107,53 @@
         """Return the long requests that ``target`` is taken to run."""
         return len(self.long_ends.get(target, ()))
 
+    def note_flow(
+        self, placed_s: float, contended: bool, slots: float, now: float
+    ) -> None:
+        """Take in a run that placed ``placed_s`` slot seconds."""
+        if not contended:
+            self.flow = 0.0
+            return
+        if self.flow == 0.0:
+            self.flow, self.flow_at = slots, now
+            return
+        elapsed_s = now - self.flow_at
+        self.flow_at = now
+        kept = math.exp(-elapsed_s / FLOW_S)
+        self.flow = self.flow * kept + placed_s / FLOW_S
+
+    def share(self, rank: int) -> float:
+        """Return which part of a tier's requests was lately placed."""
+        offered = self.offered.get(rank, 0.0)
+        return min(1.0, self.served.get(rank, 0.0) / offered) if offered else 1.0
+
+    def turns(self, ranks: list[int], least: float) -> list[int]:
+        """Return ``ranks``, in order but for tiers that lately got too little.
+
+        Parameters
+        ----------
+        least : float
+            Part of the share of the tier before it that a tier is to get.
+        """
+        order: list[int] = []
+        for rank in ranks:
+            place = len(order)
+            while place and self.goes_before(rank, order[place - 1], least):
+                place -= 1
+            order.insert(place, rank)
+        return order
+
+    def goes_before(self, rank: int, other: int, least: float) -> bool:
+        """Return whether ``rank`` got too little beside ``other`` and is short."""
+        if self.share(rank) >= least * self.share(other):
+            return False
+        return self.mean_s(rank) <= SHORT * self.mean_s(other)
+
+    def mean_s(self, rank: int) -> float:
+        """Return the slot seconds of a request of ``rank``, as lately placed."""
+        served = self.served.get(rank, 0.0)
+        return self.given.get(rank, 0.0) / served if served else 0.0
+
     def slots_before(self, rank: int) -> float:
         """Return the slots that the tiers before ``rank`` keep busy."""
         given = sum(value for other, value in self.given.items() if other < rank)
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -11,11 +11,12 @@
 Thresholds
 ----------
 RATE_FACTOR, SLACK_SHARE : what is promised to operators is the quota, a tenth
-    more and a slack in each window. Half of the tenth and a third of the slack
-    are used here; the rest covers an allocator that takes over with an empty
-    book, and requests that two allocators grant while one of them is cut off.
-FRESH_SHARE : a new book starts half full, since nobody knows what was granted
-    a moment ago: full, each change of the allocator would give the burst anew.
+    more and a slack in each window. Most of both is used here, since what is
+    refused within them is lost to its caller; the rest covers an allocator that
+    takes over with a fresh book.
+FRESH_SHARE : a new book starts a quarter full, since nobody knows what was
+    granted a moment ago: full, each change of the allocator would give the
+    burst anew. A quarter of burst and slack fits into what is left above.
 """
 
 from collections.abc import Mapping
@@ -23,9 +24,9 @@
 
 from godwitladder.ids import WorkspaceName
 
-RATE_FACTOR = 1.05
-SLACK_SHARE = 0.3
-FRESH_SHARE = 0.5
+RATE_FACTOR = 1.08
+SLACK_SHARE = 0.75
+FRESH_SHARE = 0.25
 SOONEST_S = 0.1
 
 
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -24,7 +24,7 @@
 `backlog.MARGIN` : a request is started while its predicted length, and this factor of
     it, fits before its deadline. Measured (saturation).
 REFUSE_EVERY_S : looking through the whole queue costs as much as the rest of
-    a run; four times a second is soon enough to tell a caller.
+    a run; ten times a second is soon enough to tell a caller.
 LEAST_LEFT : early refusal lets the work ahead exceed what fits by this
     factor, as some of it ends sooner or goes away. Measured (saturation).
 SPILL_AFTER_S : wait that makes it worth asking another zone; two round trips
@@ -47,7 +47,7 @@
 )
 from godwitladder.ids import RequestId, ServiceName
 
-REFUSE_EVERY_S = 0.25
+REFUSE_EVERY_S = 0.1
 LEAST_LEFT = 0.05
 SPILL_AFTER_S = 0.5
 SPILL_MOST = 64
@@ -103,10 +103,14 @@
 def left_for(group: Group, pool: PoolView) -> float:
     """Return the slots that higher tiers leave to ``group``, as of late.
 
+    While work waits, what really starts in a second tells what the slots are
+    worth: targets are slower when full than their speeds say.
     They will go on coming: counted only as what waits, a low tier looks as
     if it had the whole pool as soon as the last of them has started.
     """
     slots = group.part.slots
+    if pool.memory.flow:
+        slots = min(slots, pool.memory.flow)
     return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.rank))
 
 
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -52,7 +52,9 @@
         which is what is reserved.
     aim_s : float
         Seconds left, when the line was sent, for its first output to count as
-        in time; at least ``slack_s`` where no aim is set.
+        in time; infinite where no aim is set.
+    start_s : float
+        Seconds left, likewise, in which it has to start to be of use.
     charge : int
         Tokens that it counts for in its workspace's quota.
     place : str
@@ -71,6 +73,7 @@
     repeats: int = 0
     likely_tokens: int = 0
     aim_s: float = float("inf")
+    start_s: float = float("inf")
     charge: int = 0
     place: Zone = Zone("")
 
@@ -232,6 +235,7 @@
     arrived: float
     avoided: frozenset[TargetName] = frozenset()
     aim: float = float("inf")
+    start_by: float = float("inf")
     entry: Entry | None = field(default=None, compare=False, repr=False)
 
 
@@ -244,6 +248,23 @@
     running: int = 0
 
 
+@dataclass(frozen=True)
+class Policy:
+    """How a pool treats tiers and full targets.
+
+    Attributes
+    ----------
+    least_share : float
+        A tier is served at least this part as often as the one before it; 0
+        for strict order.
+    measures_flow : bool
+        Whether early refusal goes by what really starts rather than by slots.
+    """
+
+    least_share: float = 0.0
+    measures_flow: bool = False
+
+
 @dataclass
 class PoolView:
     """Everything an allocator decides from.
@@ -269,6 +290,7 @@
     shed_ranks: dict[PoolName, int] = field(default_factory=dict)
     memory: AllocatorMemory = field(default_factory=AllocatorMemory)
     quotas: QuotaBook = field(default_factory=QuotaBook)
+    policy: Policy = Policy()
 
 
 @dataclass(frozen=True)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -234,13 +234,16 @@
         for record in batch.records:
             document = self.source.decode_document(record)
             if document is not None and document.version > self.document.version:
-                log.info(
-                    "A document is in force",
-                    extra={
-                        "version": document.version,
-                        "before": self.document.version,
+                extra = {
+                    "version": document.version,
+                    "before": self.document.version,
+                    "routes": len(document.routes),
+                    "quotas": {
+                        name: [row.quota.rate, row.quota.burst]
+                        for name, row in document.workspaces.items()
                     },
-                )
+                }
+                log.info("A document is in force", extra=extra)
                 self.document = document
                 changed = True
         return changed
--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -100,9 +100,20 @@
     return handler
 
 
+def is_new(record: logging.LogRecord) -> bool:
+    """Return whether a record tells of an error that was not logged before.
+
+    The server logs each answer that breaks, with all of its stack; where that
+    is how an answer is meant to end, a line has told so already.
+    """
+    error = record.exc_info and record.exc_info[1]
+    return not getattr(error, "logged", False)
+
+
 def _json_handler(stream) -> logging.Handler:
     handler = logging.StreamHandler(stream)
     handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s"))
+    handler.addFilter(is_new)
     return handler
 
 
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -7,7 +7,13 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
-from godwitladder.ids import RequestId, ServiceName, StreamId, WorkspaceName
+from godwitladder.ids import (
+    RequestId,
+    RouteName,
+    ServiceName,
+    StreamId,
+    WorkspaceName,
+)
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
@@ -31,11 +37,15 @@
 
 log = part_logger("routing")
 
-RANKS = 16
-"""Ranks of routes within one rank of workspaces."""
 UNKNOWN_RETRY_S = 0.5
 """A host without a document, or with one that is too old, asks again so soon:
 a read of the store is due within that time."""
+LEAST_SILENCE_S, AIMS, GAPS = 2.0, 4.0, 8.0
+"""Callers leave a stream after the longest of this silence and these multiples
+of the route's aim and of its longest pause: what the users say of theirs."""
+START_PART = 0.7
+"""Part of a caller's patience in which its call has to start; the rest is for
+the prompt to be read, or for the work of a plain service."""
 STOPPING_RETRY_S = 0.1
 """Another host can take the call at once."""
 NO_WORKSPACE = RoutedWorkspace(WorkspaceName(""))
@@ -71,6 +81,8 @@
     ----------
     in_force : InForce
         Replaced as a whole.
+    longest_wait_s : dict
+        The longest patience of callers seen on each route, in seconds.
     refusing : bool
         Whether new calls are turned away, since the host is about to stop.
     """
@@ -90,6 +102,7 @@
         self.metrics = metrics
         self.in_force = put_in_force(Document())
         self.refusing = False
+        self.longest_wait_s: dict[RouteName, float] = {}
         self.open_calls = 0
         self.lock = threading.Lock()
 
@@ -218,7 +231,9 @@
             deadline=now + wait_s,
             idempotent=may_repeat(route),
         )
-        row.aim = now + route.aim_s if route.aim_s else row.deadline
+        row.start_by = now + start_within_s(route, wait_s)
+        if route.aim_s:
+            row.aim = now + route.aim_s - self.spent_s(route, facts)
         row.hint_tokens = facts.output_hint
         row.charge = charge_of(facts, workspace.quota)
         return RoutedCall(
@@ -234,10 +249,39 @@
             event_tokens=known.event_tokens,
         )
 
+    def spent_s(self, route: Route, facts: CallFacts) -> float:
+        """Return the seconds that a caller has spent on earlier tries.
+
+        Callers of a route wait equally long, and say how much of it is left:
+        one that comes back after a refusal has less. Its answer can't be in
+        time any more, and must not take the place of one that can.
+        """
+        if facts.wait_s is None:
+            return 0.0
+        longest = max(self.longest_wait_s.get(route.name, 0.0), facts.wait_s)
+        self.longest_wait_s[route.name] = longest
+        return longest - facts.wait_s
+
 
 def rank_of(workspace: RoutedWorkspace, route: Route) -> int:
-    """Return the rank: the workspace's goes before the route's."""
-    return (workspace.rank or 0) * RANKS + min(route.rank, RANKS - 1)
+    """Return the rank: the route's, put back by the workspace's.
+
+    On one route a workspace of a higher rank goes first. Ordered by workspace
+    alone, the longest letters of one waited behind the least of another's
+    requests: 210 of 306 of them were refused in a burst.
+    """
+    return route.rank + (workspace.rank or 0)
+
+
+def start_within_s(route: Route, wait_s: float) -> float:
+    """Return the seconds in which a call has to start to be of use.
+
+    A caller leaves a stream after a silence, before its first event too.
+    """
+    if route.repeat is Repeat.STREAM:
+        silence_s = max(LEAST_SILENCE_S, AIMS * route.aim_s, GAPS * route.gap_s)
+        wait_s = min(wait_s, silence_s)
+    return wait_s * START_PART
 
 
 def may_repeat(route: Route) -> bool:
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -264,6 +264,7 @@
         prefix=row.prefix,
         likely_tokens=row.likely_tokens,
         aim_s=row.aim - now if row.aim else math.inf,
+        start_s=row.start_by - now,
         charge=row.charge,
         place=tables.place,
     )
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -20,6 +20,7 @@
 from godwitladder.decisions.types import (
     Allocation,
     Grant,
+    Policy,
     PoolName,
     PoolView,
     Shed,
@@ -77,6 +78,12 @@
 reads in chunks between the output of all that it runs: what is sent early
 waits where no one can order it, and slows everything beside it."""
 
+ASKED = Policy(least_share=0.6, measures_flow=True)
+"""Where each dispatch is asked for, a tier of short requests is served at least
+six tenths as often as the one before it. In strict order it got nothing for as
+long as the one before it could fill the pool, though a tenth of the pool would
+have served all of it."""
+
 FLOOR_S = 3.0
 """A floor that was not repeated for so long says nothing any more."""
 
@@ -130,6 +137,7 @@
     ) -> None:
         self.has_standing = standing
         self.unread_s = math.inf if standing else UNREAD_S
+        self.policy = Policy() if standing else ASKED
         self.pool = pool
         self.me = me
         self.term = term
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -1,6 +1,7 @@
 """The rows of one host's tables."""
 
 import enum
+import math
 import queue
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -69,6 +70,8 @@
         Whether the table's queue holds it.
     aim : float
         Until when its first output counts as in time; 0 for its deadline.
+    start_by : float
+        Until when it has to be dispatched to be of use to its caller.
     hint_tokens : int
         The caller's own guess of its output; 0 for none.
     charge : int
@@ -104,6 +107,7 @@
     body: BodyDigest = BodyDigest("")
     prefix: str = ""
     aim: float = 0.0
+    start_by: float = math.inf
     hint_tokens: int = 0
     charge: int = 0
     predicted_tokens: int = 0
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -27,6 +27,7 @@
         workspaces=workspace_views(role, now),
         memory=role.memory,
         quotas=role.quotas,
+        policy=role.policy,
     )
     for account in role.current(now):
         for line in account.lines.values():
@@ -40,6 +41,7 @@
                     now + line.slack_s,
                     now - line.waited_s,
                     aim=now + line.aim_s,
+                    start_by=now + line.start_s,
                 )
             row.avoided = account.avoided
             view.waiting[line.request] = row
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -51,6 +51,8 @@
 class StreamCut(GodwitladderError):
     """The rest of a stream can't be had; its answer must look broken."""
 
+    logged = True
+
 
 @dataclass(frozen=True)
 class WholeAnswer:
@@ -245,6 +247,9 @@
         self.passer.metrics.count_turned_away(self.call.row.tier_rank, refusal.reason)
         extra = self.names() | {
             "reason": refusal.reason.value,
+            "workspace": self.call.workspace,
+            "rank": self.call.row.tier_rank,
+            "charge": self.call.row.charge,
             "retry_after_s": refusal.retry_after_s,
             "waited_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
         }
@@ -333,6 +338,9 @@
         extra = self.names() | {
             "waited_s": round(waited_s, 3),
             "left_s": round(left_s, 3),
+            "workspace": self.call.workspace,
+            "rank": self.call.row.tier_rank,
+            "charge": self.call.row.charge,
             "send": self.sends,
         }
         log.info("A call is sent", extra=extra)
