Let a workspace's rank weigh half a route's, and send callers away for as long as a queue has lasted

Cause: letters of a lower workspace shared a tier with others' questions, which earn a third for the same engine time; callers refused in a burst came back into the same burst.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -11,6 +11,8 @@
 
 Thresholds
 ----------
+LONGEST_LOOK_S : a queue that has lasted for some seconds is taken to last as
+    long again, up to this: callers who come back sooner are refused again.
 MISSES : a tier is left after this many requests in a row that fit no target;
     looking at all of a thousand costs several milliseconds a run, and the
     next run looks again.
@@ -41,6 +43,7 @@
 from godwitladder.ids import RequestId, ServiceName, WorkspaceName
 
 MISSES = 32
+LONGEST_LOOK_S = 4.0
 
 
 def allocate(pool: PoolView, now: float) -> Allocation:
@@ -212,7 +215,10 @@
             line = entry.row.line
             key = line.service, line.tier_rank
             if key not in waits:
-                waits[key] = self.backlog.wait_s(*key)
+                waits[key] = max(
+                    self.backlog.wait_s(*key),
+                    min(self.pool.memory.contended_s(), LONGEST_LOOK_S),
+                )
             if reason is ShedReason.OVERLOAD:
                 self.note_shed(line.tier_rank)
             self.allocation.given_up.append(give_up(entry, reason, waits[key]))
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -11,7 +11,7 @@
 MARGIN : a request is started while its likely length, and this factor of it,
     fits before its deadline. Measured, `docs/MEASUREMENTS.md` (margin).
 LATE_RANKS : a request that can't be in time any more yields to those of the
-    next tier that still can, and shares its place with the one after. Without
+    next two tiers that still can, and shares its place with the one after. Without
     that, a burst leaves each tier in a queue as long as its deadlines, and all
     of it late: the letters of the first tier too, once the burst is over.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
@@ -25,7 +25,7 @@
 from godwitladder.ids import ServiceName
 
 MARGIN = 1.25
-LATE_RANKS = 2
+LATE_RANKS = 3
 SAFE_LEAST_S = 1.0
 
 
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -16,6 +16,7 @@
     for an hour has no claim on the pool.
 FLOW_S : what a pool really starts is an average over two seconds of
     contention: short against a burst, long against a single slot.
+CALM_S : a queue that was empty for half a second is a new one.
 SHORT : a tier whose requests take at most a quarter of the time of those before
     it may go first when it lately got too little: it costs them little.
 TYPICAL_GAIN : the usual length is an average over about fifty requests.
@@ -32,6 +33,7 @@
 TYPICAL_GAIN = 0.02
 FORGOTTEN_S = 0.01
 FLOW_S = 2.0
+CALM_S = 0.5
 SHORT = 0.25
 
 
@@ -56,6 +58,8 @@
     flow : float
         Slot seconds started in each second while more waited; 0 while nothing
         did.
+    contended, contended_since : float
+        When more waited than could start, last and first without a calm.
     offered, served : dict
         Requests that lately came, and that were placed, by rank.
     """
@@ -68,6 +72,8 @@
     faded: float = 0.0
     flow: float = 0.0
     flow_at: float = float("-inf")
+    contended: float = 0.0
+    contended_since: float = 0.0
     offered: dict[int, float] = field(default_factory=dict)
     served: dict[int, float] = field(default_factory=dict)
 
@@ -116,12 +122,20 @@
             return
         if self.flow == 0.0:
             self.flow, self.flow_at = slots, now
+            if now - self.contended > CALM_S:
+                self.contended_since = now
+            self.contended = now
             return
+        self.contended = now
         elapsed_s = now - self.flow_at
         self.flow_at = now
         kept = math.exp(-elapsed_s / FLOW_S)
         self.flow = self.flow * kept + placed_s / FLOW_S
 
+    def contended_s(self) -> float:
+        """Return how long more has waited than could start, without a calm."""
+        return self.contended - self.contended_since
+
     def share(self, rank: int) -> float:
         """Return which part of a tier's requests was lately placed."""
         offered = self.offered.get(rank, 0.0)
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -37,6 +37,8 @@
 
 log = part_logger("routing")
 
+ROUTE_STEP = 2
+"""Ranks of workspaces that weigh as much as one rank of routes."""
 UNKNOWN_RETRY_S = 0.5
 """A host without a document, or with one that is too old, asks again so soon:
 a read of the store is due within that time."""
@@ -270,7 +272,7 @@
     alone, the longest letters of one waited behind the least of another's
     requests: 210 of 306 of them were refused in a burst.
     """
-    return route.rank + (workspace.rank or 0)
+    return ROUTE_STEP * route.rank + (workspace.rank or 0)
 
 
 def start_within_s(route: Route, wait_s: float) -> float:
--- a/godwitladder/serving/ending.py
+++ b/godwitladder/serving/ending.py
@@ -33,6 +33,11 @@
         The host's clock.
     metrics : Metrics
         Where to count.
+
+    Attributes
+    ----------
+    first_s : float
+        Seconds from the call's arrival to its first output; 0 for none.
     """
 
     def __init__(
@@ -44,6 +49,7 @@
         self.metrics = metrics
         self.told = False
         self.reported = 0
+        self.first_s = 0.0
         self.lock = threading.Lock()
 
     def report(self, tokens: int) -> None:
@@ -52,6 +58,7 @@
             return
         if not self.reported:
             waited = self.clock.monotonic() - self.call.row.arrived
+            self.first_s = waited
             self.metrics.first_token.observe({}, waited)
         self.reported = tokens
         self.scheduler.tell(Progress(self.call.row.request, tokens))
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -229,6 +229,7 @@
         extra = self.names() | {
             "outcome": state.value,
             "tokens": tokens,
+            "first_s": round(self.ending.first_s, 3),
             "took_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
         }
         log.info("A call has ended", extra=extra)
