--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -98,7 +98,19 @@
 
 
 class Passing:
-    """One call, from its arrival at the scheduler to the end of its answer."""
+    """One call, from its arrival at the scheduler to the end of its answer.
+
+    Attributes
+    ----------
+    sends : int
+        How often it was written to a target.
+    running : bool
+        Whether the scheduler counts it as running at a target.
+    resume_from : str
+        Last event that the caller has of a stream which goes on elsewhere.
+    kept : WholeAnswer or None
+        A failure that a target made, for want of a better answer.
+    """
 
     def __init__(self, passer: Passer, call: RoutedCall, gone) -> None:
         self.passer = passer
@@ -109,6 +121,8 @@
         self.open = OpenCall(gone, call.until, self.withdraw)
         self.ending = Ending(call, passer.scheduler, passer.clock, passer.metrics)
         self.connection = None
+        self.running = False
+        self.resume_from = ""
         self.kept: WholeAnswer | None = None
         self.lost: MayHaveRun | None = None
         passer.watch.add(self.open)
@@ -158,9 +172,11 @@
         """Wait for the scheduler."""
         while True:
             try:
-                return self.call.row.decisions.get(timeout=DECISION_S)
+                decision = self.call.row.decisions.get(timeout=DECISION_S)
             except queue.Empty:
                 continue
+            self.running = isinstance(decision, Dispatch)
+            return decision
 
     def send(self, dispatch: Dispatch) -> urllib3.BaseHTTPResponse:
         """Write the call to its target and return the head of the answer.
@@ -179,7 +195,7 @@
         self.open.attach(connection.sock)
         self.sends += 1
         facts = SendFacts(
-            left_s, dispatch.target, self.call.workspace, self.last_event()
+            left_s, dispatch.target, self.call.workspace, self.resume_from
         )
         headers = self.passer.form.for_target(self.call.headers, facts)
         self.note_send(dispatch, left_s)
@@ -188,10 +204,6 @@
         )
         return self.check_head(response)
 
-    def last_event(self) -> str:
-        """Return where a stream is to go on; the first send says nothing."""
-        return ""
-
     def check_head(
         self, response: urllib3.BaseHTTPResponse
     ) -> urllib3.BaseHTTPResponse:
@@ -225,7 +237,9 @@
     def finish(self, state: RequestState, tokens: int = 0) -> None:
         """Tell the end of the call, and let go of its target."""
         self.close()
-        self.ending.tell(state, tokens)
+        if self.running:
+            # A call that waits, or was refused while it did, holds no target.
+            self.ending.tell(state, tokens)
         extra = self.names() | {
             "outcome": state.value,
             "tokens": tokens,
@@ -289,6 +303,7 @@
     def hand_back(self, proof: ReturnProof, avoid: bool = True) -> None:
         """Let the call wait for another target."""
         self.disconnect()
+        self.running = False
         self.passer.scheduler.tell(Returned(self.call.row.request, proof, avoid))
 
     def lost_refusal(self, error: MayHaveRun) -> Refusal:
@@ -387,11 +402,39 @@
         return self.events * self.passing.call.event_tokens
 
     def resume(self, error: MayHaveRun) -> None:
-        """Go on at another target, or break the answer."""
+        """Go on at another target, or break the answer.
+
+        Raises
+        ------
+        StreamCut
+            The stream may not go on, or no target takes it.
+        """
         passing = self.passing
         extra = passing.names() | {"error": str(error), "events": self.events}
         log.info("A stream broke", extra=extra)
-        raise StreamCut(str(error))
+        if not passing.call.route.resumable:
+            raise StreamCut(str(error))
+        passing.resume_from = self.last_id
+        response = self.reopen()
+        if response is None:
+            raise StreamCut(str(error))
+        self.reader = EventReader(response)
+
+    def reopen(self) -> urllib3.BaseHTTPResponse | None:
+        """Return the rest of the stream from another target, if one gives it."""
+        passing = self.passing
+        while passing.repeat():
+            decision = passing.await_decision()
+            if isinstance(decision, Refusal):
+                return None
+            try:
+                response = passing.send(decision)
+            except (NotSent, NotRun, MayHaveRun) as error:
+                passing.note("A stream did not go on", decision, error)
+                continue
+            if is_stream(response):
+                return response
+        return None
 
     def close(self) -> None:
         """End the call on whatever way out; called by the server."""
--- /dev/null
+++ b/tests/decisions/test_region.py
@@ -0,0 +1,135 @@
+"""Decisions for a pool in which each dispatch is asked for."""
+
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.memory import AllocatorMemory
+from godwitladder.decisions.quotas import QuotaBook, TokenRate
+from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
+from godwitladder.decisions.types import ShedReason
+from tests.decisions.pools import add, given_up, make_pool, make_target
+
+RATE = {"w0": TokenRate(1000.0, 2000.0)}
+
+
+def aimed(pool, request, rank, aim, **more):
+    add(pool, request, rank, **more)
+    pool.waiting[request].aim = aim
+
+
+def placed(pool, now=0.0):
+    return [row.request for row in allocate(pool, now).placements]
+
+
+def test_a_late_request_yields_to_one_that_can_be_in_time():
+    """A burst has left a question waiting past its aim; a summary just came.
+
+    The question is late whatever happens; served first, both would be late.
+    """
+    pool = make_pool(make_target(limit=1))
+    aimed(pool, "late", 0, aim=1.0)
+    aimed(pool, "fresh", 2, aim=9.0)
+    assert placed(pool, now=5.0) == ["fresh"]
+
+
+def test_among_requests_in_time_the_tier_decides():
+    pool = make_pool(make_target(limit=1))
+    aimed(pool, "low", 2, aim=9.0)
+    aimed(pool, "high", 0, aim=9.0)
+    assert placed(pool) == ["high"]
+
+
+def test_a_request_that_can_no_longer_start_is_refused():
+    """Its caller leaves after a silence; what it waits for would be read in vain."""
+    pool = make_pool(make_target(limit=0))
+    add(pool, "r")
+    pool.waiting["r"].start_by = 3.0
+    assert given_up(allocate(pool, 2.9)) == {}
+    pool.waiting["r"].entry = None
+    assert given_up(allocate(pool, 3.1)) == {"r": ShedReason.DEADLINE}
+
+
+def test_a_target_that_reads_gets_no_further_prompt():
+    """A long prompt was sent; the next would wait at the target, out of order."""
+    reading = make_target("t0", unread_tokens=1000, unread_s=0.1)
+    pool = make_pool(reading)
+    add(pool, "r")
+    assert placed(pool) == []
+    reading.unread_tokens = 400
+    assert placed(pool) == ["r"]
+
+
+def test_one_run_sends_one_long_prompt_to_each_target():
+    pool = make_pool(
+        *(make_target(name, unread_s=0.1) for name in ("t0", "t1")),
+    )
+    for number in range(4):
+        add(pool, f"r{number}", prompt_tokens=1000)
+    targets = [row.target for row in allocate(pool, 0.0).placements]
+    assert sorted(targets) == ["t0", "t1"]
+
+
+def test_the_own_zone_is_preferred_among_equals():
+    pool = make_pool(make_target("t0", place="a"), make_target("t1", place="b"))
+    add(pool, "r", place="b")
+    assert [row.target for row in allocate(pool, 0.0).placements] == ["t1"]
+
+
+def test_a_short_tier_is_not_starved():
+    """Questions fill the pool without end; verdicts take a tenth of their time."""
+    memory = AllocatorMemory()
+    memory.offered = {1: 100.0, 2: 100.0}
+    memory.served = {1: 80.0, 2: 10.0}
+    memory.given = {1: 80.0, 2: 1.0}
+    assert memory.turns([1, 2], 0.6) == [2, 1]
+    memory.given = {1: 80.0, 2: 10.0}
+    assert memory.turns([1, 2], 0.6) == [1, 2]
+    memory.given, memory.served = {1: 80.0, 2: 1.0}, {1: 80.0, 2: 50.0}
+    assert memory.turns([1, 2], 0.6) == [1, 2]
+
+
+def test_tokens_beyond_a_quota_are_refused_with_the_time_to_come_back():
+    pool = make_pool(make_target(limit=9))
+    pool.quotas = QuotaBook(rates=RATE)
+    for number in range(3):
+        add(pool, f"r{number}", charge=400)
+    allocation = allocate(pool, 0.0)
+    assert len(allocation.placements) == 1
+    refused = allocation.given_up
+    assert {row.reason for row in refused} == {ShedReason.QUOTA}
+    assert all(0.1 <= row.retry_after_s < 1.0 for row in refused)
+
+
+def test_a_window_holds_no_more_than_the_quota_allows():
+    """A workspace asks for ten times its quota, without a pause."""
+    book = QuotaBook(slack=500.0, rates=RATE)
+    used = []
+    for step in range(2000):
+        now = step / 100
+        if not book.wait_s("w0", 100, now):
+            book.take("w0", 100, now)
+            used.append(now)
+    for start in range(12):
+        window = sum(100 for at in used if start <= at < start + 8)
+        assert window <= (8 * 1000.0 + 2000.0) * 1.1 + 500.0
+
+
+def test_a_book_that_sees_half_of_the_hosts_gives_out_half():
+    book = QuotaBook(share=0.5, rates=RATE)
+    book.take("w0", 500, 0.0)
+    assert book.wait_s("w0", 500, 0.0) > 0.9
+
+
+def test_a_request_larger_than_the_bucket_runs_when_it_is_full():
+    book = QuotaBook(rates=RATE)
+    book.take("w0", 0, 0.0)
+    assert book.wait_s("w0", 50_000, 0.0) > 0
+    assert book.wait_s("w0", 50_000, 10.0) == 0
+
+
+def test_repeats_are_a_share_of_the_requests():
+    """Half of the targets fail each request; sent again, all of it comes twice."""
+    budget = RepeatBudget(RepeatBounds(0.2, 30.0, 10.0))
+    for _ in range(100):
+        budget.note_request("s", 0.0)
+    taken = sum(budget.take("s", 3, 1.0) for _ in range(100))
+    assert taken == int((0.2 * 100 + 30 / 3) * KEEP)
+    assert budget.take("s", 3, 11.5)
--- /dev/null
+++ b/tests/discovery/test_discovery.py
@@ -0,0 +1,230 @@
+"""Targets and documents as hosts read them from the store or from each other."""
+
+from dataclasses import replace
+
+from godwitladder.clock import PausedClock
+from godwitladder.discovery.feed import AWAY_S, PERIOD_S, SILENCE_S, TURN_S, Feed
+from godwitladder.discovery.source import (
+    Batch,
+    Record,
+    StoreTrimmed,
+    StoreUnavailable,
+)
+from godwitladder.discovery.targets import RETURN_S, TargetEntry, TargetTable
+from godwitladder.routing.currency import Currency
+from godwitladder.routing.model import Document
+
+ONE = TargetEntry("e1", "letters", "10.0.0.1:1", "a", 8)
+TWO = TargetEntry("e2", "letters", "10.0.0.2:1", "a", 8)
+KNOWN = {b"one": ONE, b"two": TWO, b"one leaves": replace(ONE, leaving=True)}
+
+
+class MemorySource:
+    """A store in memory whose records are documents and targets by name."""
+
+    def __init__(self):
+        self.documents, self.entries = [], []
+        self.away = False
+        self.first = 0
+        self.reads = 0
+
+    def read_documents(self, offset):
+        return self.read(self.documents, offset)
+
+    def read_entries(self, offset):
+        return self.read(self.entries, offset)
+
+    def read(self, records, offset):
+        self.reads += 1
+        if self.away:
+            raise StoreUnavailable("away")
+        if offset < 0:
+            newest = {record.key: record for record in records}
+            kept = tuple(record for record in newest.values() if record.value)
+            return Batch(-1, len(records), kept)
+        if offset < self.first:
+            raise StoreTrimmed("gone")
+        return Batch(offset, len(records), tuple(records[offset:]))
+
+    def put(self, value, key="e1"):
+        self.entries.append(Record(len(self.entries), key, value))
+
+    def put_document(self, version):
+        record = Record(len(self.documents), "config", b"%d" % version)
+        self.documents.append(record)
+
+    def decode_document(self, record):
+        return Document(version=int(record.value))
+
+    def decode_entry(self, record):
+        return KNOWN.get(record.value)
+
+
+def make_feed(source, clock, host="h1", hosts=("h1", "h2")):
+    views = []
+    feed = Feed(host, source, clock, Currency(5.0), views.append)
+    feed.hosts = hosts
+    return feed, views
+
+
+def names(feed):
+    return sorted(feed.table.rows)
+
+
+def test_a_target_that_leaves_the_list_is_gone_at_once():
+    table = TargetTable()
+    table.put(ONE)
+    assert table.drop("e1", now=100.0)
+    assert not table.rows
+
+
+def test_targets_that_lapsed_with_the_store_are_kept_until_they_are_back():
+    """The store was away, and all entries have lapsed in it meanwhile.
+
+    Every target works and writes itself anew within two seconds. Dropped at
+    once, each caller would be refused for that long with all targets idle.
+    """
+    table = TargetTable()
+    table.put(ONE)
+    table.put(TWO)
+    table.store_returned(100.0)
+    assert not table.keep_only(set(), now=100.1)
+    assert set(table.rows) == {"e1", "e2"}
+    table.put(ONE)
+    assert table.expire(100.0 + RETURN_S)
+    assert set(table.rows) == {"e1"}
+
+
+def test_a_target_that_had_said_it_leaves_is_not_waited_for():
+    table = TargetTable()
+    table.put(replace(ONE, leaving=True))
+    table.store_returned(100.0)
+    assert table.drop("e1", now=100.1)
+
+
+def test_an_older_document_never_comes_back():
+    """A host reads version 5, then a peer that is behind passes on version 4."""
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(5)
+    feed, views = make_feed(source, clock)
+    feed.step()
+    source.put_document(4)
+    clock.advance(PERIOD_S)
+    feed.step()
+    assert feed.document.version == 5
+    assert views[-1].document.version == 5
+
+
+def test_one_host_reads_and_the_other_hears_of_it():
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    source.put(b"one")
+    reader, _ = make_feed(source, clock)
+    other, views = make_feed(source, clock, host="h2")
+    reader.step(), other.step()
+    reader.spread = other.take_news
+    reads = source.reads
+    for _ in range(10):
+        source.put(b"one")
+        clock.advance(PERIOD_S)
+        reader.step(), other.step()
+    assert source.reads == reads + 20
+    assert other.currency.age_s(clock.boottime()) == 0.0
+    source.put(b"one leaves")
+    clock.advance(PERIOD_S)
+    reader.step()
+    assert views[-1].targets == (replace(ONE, leaving=True),)
+
+
+def test_beats_that_say_nothing_new_are_not_passed_on():
+    source, clock = MemorySource(), PausedClock()
+    source.put(b"one")
+    feed, _ = make_feed(source, clock)
+    feed.step()
+    news = []
+    feed.spread = news.append
+    source.put(b"one")
+    source.put(b"two", "e2")
+    clock.advance(PERIOD_S)
+    feed.step()
+    assert [row.key for row in news[0].entries.records] == ["e2"]
+
+
+def test_a_host_that_hears_nothing_reads_by_itself():
+    """The host that read for all is gone; no news comes any more."""
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    feed, _ = make_feed(source, clock, host="h2")
+    feed.step()
+    reads = source.reads
+    clock.advance(SILENCE_S)
+    feed.step()
+    assert source.reads == reads
+    clock.advance(2 * TURN_S)
+    feed.step()
+    assert source.reads == reads + 2
+
+
+def test_news_after_a_gap_says_nothing():
+    """A host missed one message: a target's leaving was in it.
+
+    The next message begins after it. Taken in, it would prove the host's
+    knowledge to be fresh, and the target would be used until it is gone.
+    """
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    reader, _ = make_feed(source, clock)
+    other, _ = make_feed(source, clock, host="h2")
+    source.put(b"one")
+    reader.step(), other.step()
+    source.put(b"one leaves")
+    clock.advance(PERIOD_S)
+    reader.step()
+    reader.spread = other.take_news
+    clock.advance(PERIOD_S)
+    reader.step()
+    assert other.currency.age_s(clock.boottime()) > 1.5 * PERIOD_S
+
+
+def test_history_that_is_gone_is_read_as_a_snapshot():
+    """A target left, and the records that told so were compacted away."""
+    source, clock = MemorySource(), PausedClock()
+    source.put(b"one")
+    source.put(b"two", "e2")
+    feed, _ = make_feed(source, clock)
+    feed.step()
+    source.put(b"")
+    source.put(b"two", "e2")
+    source.first = 4
+    clock.advance(PERIOD_S)
+    feed.step()
+    assert names(feed) == ["e2"]
+
+
+def test_lapsed_entries_after_an_outage_are_waited_for():
+    source, clock = MemorySource(), PausedClock()
+    source.put(b"one")
+    feed, _ = make_feed(source, clock)
+    feed.step()
+    source.away = True
+    for _ in range(4):
+        clock.advance(PERIOD_S)
+        feed.step()
+    assert names(feed) == ["e1"] and not feed.reachable
+    source.away = False
+    source.put(b"")
+    clock.advance(max(PERIOD_S, AWAY_S))
+    feed.step()
+    assert names(feed) == ["e1"]
+    clock.advance(RETURN_S)
+    feed.step()
+    assert names(feed) == []
+
+
+def test_an_entry_nobody_can_read_harms_no_other():
+    source, clock = MemorySource(), PausedClock()
+    source.put(b"one")
+    source.put(b"\xff", "e2")
+    feed, _ = make_feed(source, clock)
+    feed.step()
+    assert names(feed) == ["e1"]
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,254 @@
+"""What the adapter reads and writes on the wire of the users' platform."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from godwitladder.discovery.source import StoreTrimmed, StoreUnavailable
+from godwitladder.platform.documents import BadDocument, decode_document, digest_key
+from godwitladder.platform.entries import decode_entry
+from godwitladder.platform.headers import PlatformHeaders
+from godwitladder.platform.store import StoreClient, parse_records
+from godwitladder.routing.calls import SendFacts
+from godwitladder.routing.model import Repeat
+from godwitladder.standins.ingress import start_store
+
+ENTRY = {
+    "service": "letters",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 9,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Shop.example",
+            "pathPrefix": "/letters/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 800,
+            "priority": 0,
+            "trafficSplit": [
+                {"service": "letters", "weight": 90},
+                {"service": "drafts", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "resumable": True,
+            "gapTargetMs": 400,
+        },
+        {
+            "name": "r2",
+            "host": "shop.example",
+            "pathPrefix": "/charge/",
+            "kind": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 150,
+            "priority": 2,
+            "service": "core",
+            "maxAttempts": 1,
+            "public": False,
+        },
+    ],
+    "services": [
+        {"name": "letters", "engine": {"slots": 9, "kvCapacity": 600, "stride": 6}},
+        {"name": "core"},
+    ],
+    "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+    "tenants": [
+        {
+            "name": "w1",
+            "apiKeys": ["k1", "k2"],
+            "priority": 1,
+            "ratePerS": 100,
+            "burst": 50,
+            "plainTokens": 200,
+        }
+    ],
+}
+# Names that belong to the wire of the platform, and the folders that may use them.
+FOREIGN = re.compile(
+    r"Godwitladder-|/api/|log-(append|read|newest|join)|keyed\.(op|servers|hosts)"
+    r"|GODWITLADDER_NODE_FILE|Kv-From"
+)
+ADAPTER = ("godwitladder/platform/", "godwitladder/standins/")
+
+
+@pytest.fixture
+def store():
+    server = start_store()
+    yield server
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.fixture
+def client(store):
+    client = StoreClient(store.address)
+    yield client
+    client.close()
+
+
+def test_names_of_the_platform_stay_in_the_adapter():
+    root = Path(__file__).parents[2]
+    found = [
+        f"{path.relative_to(root)}: {match.group()}"
+        for path in (root / "godwitladder").rglob("*.py")
+        if not str(path.relative_to(root)).startswith(ADAPTER)
+        for match in FOREIGN.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def test_a_document_holds_routes_services_and_workspaces():
+    document = decode_document(json.dumps(CONFIG).encode())
+    letters, charge = document.routes
+    assert (letters.host, letters.repeat) == ("shop.example", Repeat.STREAM)
+    assert (letters.aim_s, letters.gap_s, letters.timeout_s) == (0.8, 0.4, 15.0)
+    assert [split.weight for split in letters.splits] == [90, 10]
+    assert letters.resumable and not charge.resumable
+    assert charge.splits[0].service == "core"
+    assert document.services["letters"].event_tokens == 6
+    workspace = document.workspace_of[digest_key("k2")]
+    assert (workspace.name, workspace.rank) == ("w1", 1)
+    assert workspace.quota.plain_tokens == 200
+    assert "k2" not in repr(document)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b"\xff", b'{"version": "x"}'])
+def test_what_is_no_document_is_refused(data):
+    with pytest.raises(BadDocument):
+        decode_document(data)
+
+
+def test_an_entry_names_a_target():
+    entry = decode_entry("e1", json.dumps(ENTRY).encode()).unwrap()
+    assert (entry.name, entry.service, entry.leaving) == ("e1", "letters", False)
+    leaving = decode_entry("e1", json.dumps(ENTRY | {"state": "draining"}).encode())
+    assert leaving.unwrap().leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "9"},
+        {"slots": 0},
+        {"slots": True},
+        {"address": "nowhere"},
+        {"service": 5},
+        {"zone": None},
+        {"born": 1.5},
+    ],
+)
+def test_an_unreadable_entry_names_no_target(change):
+    """Another writer's entry must not be used, nor end the host that reads it."""
+    assert isinstance(decode_entry("e1", json.dumps(ENTRY | change).encode()), Failure)
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_of_an_entry_are_borne(data):
+    assert isinstance(decode_entry("e1", data), Failure)
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_of_a_read_are_borne(data):
+    try:
+        parse_records(data, 0)
+    except StoreUnavailable:
+        pass
+
+
+def test_a_read_that_is_cut_short_is_no_read(store, client):
+    """Taken as whole, the rest would be skipped: a target that leaves stays."""
+    store.standin.put("keyed.t", "a", b"1")
+    data = client._request("GET", "/api/log-read", {"topic": "keyed.t", "from": 0})
+    assert len(parse_records(data, 0)) == 1
+    with pytest.raises(StoreUnavailable):
+        parse_records(data[:-1], 0)
+
+
+def test_newest_goes_through_all_pages(store, client):
+    for number in range(5):
+        store.standin.put("keyed.t", f"k{number}", b"v%d" % number)
+    store.standin.put("keyed.t", "k1", b"")
+    newest = client.newest("keyed.t")
+    assert [row.key for row in newest.records] == ["k0", "k2", "k3", "k4"]
+    assert newest.next == 6
+
+
+def test_records_are_read_from_an_offset(store, client):
+    client.append("keyed.t", "a", b"1")
+    client.append("keyed.t", "b", b"2")
+    (record,) = client.read("keyed.t", 1)
+    assert (record.offset, record.key, record.value) == (1, "b", b"2")
+    assert client.read("keyed.t", 2) == ()
+
+
+def test_history_that_is_gone_is_told(store, client):
+    client.append("keyed.t", "a", b"1")
+    store.standin.forget("keyed.t")
+    with pytest.raises(StoreTrimmed):
+        client.read("keyed.t", 0)
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_a_store_that_refuses_is_unavailable(store, client, status):
+    store.standin.knobs.status = status
+    with pytest.raises(StoreUnavailable):
+        client.read("keyed.t", 0)
+
+
+def test_a_callers_headers_are_read():
+    facts = PlatformHeaders().read_call(
+        (
+            ("Godwitladder-Attempt-Id", "a1"),
+            ("Godwitladder-Deadline-Ms", "1500"),
+            ("Godwitladder-Token-Usage", "1460,80"),
+            ("Godwitladder-Prompt-Prefix", "5c:800,91:660"),
+            ("Authorization", "Bearer k1"),
+            ("Godwitladder-Length-Hint", "33"),
+        )
+    )
+    assert (facts.attempt, facts.wait_s, facts.key) == ("a1", 1.5, "k1")
+    assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+    assert (facts.output_hint, facts.parts[-1].tokens) == (33, 660)
+
+
+@pytest.mark.parametrize("value", ["", "x", "-5", "nan", "inf", "1e400"])
+def test_a_wait_that_is_no_number_counts_as_not_sent(value):
+    facts = PlatformHeaders().read_call((("Godwitladder-Deadline-Ms", value),))
+    assert facts.wait_s is None
+
+
+def test_what_is_the_systems_to_set_is_not_passed_on():
+    """A caller sends the system's own headers; a target would believe them."""
+    forged = (
+        ("Godwitladder-Hold", "h"),
+        ("godwitladder-pin-ms", "9"),
+        ("Kv-From", "10.0.0.1:1/h"),
+        ("Godwitladder-Kv-Backup", "10.0.0.1:1"),
+        ("Godwitladder-Tenant", "other"),
+        ("Authorization", "Bearer k1"),
+        ("Connection", "keep-alive"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Own", "kept"),
+    )
+    sent = PlatformHeaders().for_target(forged, SendFacts(1.5, "e1", "w1"))
+    assert dict(sent) == {
+        "X-Own": "kept",
+        "Godwitladder-Deadline-Ms": "1500",
+        "Godwitladder-Expect-Instance": "e1",
+        "Godwitladder-Tenant": "w1",
+    }
--- /dev/null
+++ b/tests/platform/test_hosts.py
@@ -0,0 +1,196 @@
+"""Hosts as real processes, with stand-ins of the platform's store and engines."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from godwitladder.standins.ingress import start_engine, start_store
+from godwitladder.standins.ports import free_ports
+from tests.fleet import wait_until
+from tests.platform.test_adapter import ENTRY
+from tests.serving.test_passing import ROUTES
+
+SETTINGS = """
+host = "{host}"
+zone = "a"
+region = "r"
+[listen]
+callers = "127.0.0.1:{ports[0]}"
+readiness = "127.0.0.1:{ports[1]}"
+operators = "127.0.0.1:{ports[2]}"
+peers = "127.0.0.1:{ports[3]}"
+[store]
+address = "{store}"
+[peers]
+secret = "shared by the test"
+seeds = {seeds}
+[limits]
+threads = 16
+"""
+
+
+def make_config(version, keys=("k1",), rate=0):
+    return {
+        "version": version,
+        "routes": ROUTES,
+        "services": [{"name": "core"}],
+        "tenants": [{"name": "w1", "apiKeys": list(keys), "ratePerS": rate}],
+    }
+
+
+class Host:
+    """One host's process."""
+
+    def __init__(self, stack, folder, name, store, seeds):
+        self.ports = free_ports(4)
+        path = folder / f"{name}.toml"
+        text = SETTINGS.format(
+            host=name, ports=self.ports, store=store.address, seeds=json.dumps(seeds)
+        )
+        path.write_text(text)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "godwitladder.platform"],
+            env=os.environ | {"GODWITLADDER_NODE_FILE": str(path)},
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        stack.callback(self.process.wait)
+        stack.callback(self.process.kill)
+
+    @property
+    def peer(self):
+        return f"127.0.0.1:{self.ports[3]}"
+
+    def get(self, port, path, method="GET", headers=None):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        with contextlib.closing(connection):
+            connection.request(method, path, headers=headers or {})
+            answer = connection.getresponse()
+            return answer.status, dict(answer.getheaders()), answer.read()
+
+    def ready(self):
+        try:
+            return self.get(self.ports[1], "/")[0] == 200
+        except OSError:
+            return False
+
+    def status(self):
+        return json.loads(self.get(self.ports[2], "/v1/status")[2])
+
+    def call(self, path, key="k1", attempt="a1"):
+        headers = {
+            "Host": "shop.example",
+            "Godwitladder-Attempt-Id": attempt,
+            "Godwitladder-Deadline-Ms": "5000",
+            "Authorization": f"Bearer {key}",
+        }
+        return self.get(self.ports[0], path, "POST", headers)
+
+
+class Fleet:
+    """A store, two engines and two hosts."""
+
+    def __init__(self, stack, folder):
+        self.store = self.own(stack, start_store())
+        self.engines = {f"e{n}": self.own(stack, start_engine()) for n in range(2)}
+        self.store.standin.put_config(make_config(1))
+        for name in self.engines:
+            self.enter(name)
+        first = Host(stack, folder, "h1", self.store, [])
+        self.hosts = [first, Host(stack, folder, "h2", self.store, [first.peer])]
+        wait_until(lambda: all(host.ready() for host in self.hosts), "hosts")
+        wait_until(self.joined, "one mesh")
+
+    def own(self, stack, server):
+        stack.callback(server.server_close)
+        stack.callback(server.shutdown)
+        return server
+
+    def enter(self, name, **more):
+        address = self.engines[name].address
+        entry = ENTRY | {"service": "core", "address": address, "slots": 2} | more
+        self.store.standin.put("keyed.servers", name, json.dumps(entry).encode())
+
+    def joined(self):
+        statuses = [host.status() for host in self.hosts]
+        return all(
+            len(row["hosts"]) == 2 and len(row["targets"]) == 2 for row in statuses
+        )
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with contextlib.ExitStack() as stack:
+        yield Fleet(stack, tmp_path)
+
+
+def test_hosts_serve_routed_calls_and_follow_the_store(fleet):
+    """A caller's key is taken away, an engine leaves, the store goes away.
+
+    Calls are served by both hosts; the key is refused on both; the engine gets
+    nothing more; without the store, calls are served until keys are too old.
+    """
+    one, two = fleet.hosts
+    for number, host in enumerate([one, two, one, two]):
+        status, headers, body = host.call("/charge/x", attempt=f"a{number}")
+        assert (status, body) == (200, f"answer of a{number}".encode())
+    assert one.call("/stream/x")[2].count(b"id: ") == 5
+    assert one.call("/charge/x", key="no")[0] == 401
+
+    fleet.store.standin.put_config(make_config(2, keys=("k2",)))
+    wait_until(lambda: two.call("/charge/x")[0] == 401, "the key to go")
+    wait_until(lambda: one.call("/charge/x", key="k2")[0] == 200, "the new key")
+
+    fleet.enter("e0", state="draining")
+    wait_until(lambda: all("leaving" in h.status()["targets"].values()
+                           for h in fleet.hosts), "the engine to leave")  # fmt: skip
+    before = len(fleet.engines["e0"].standin.runs)
+    for _ in range(6):
+        assert two.call("/charge/x", key="k2")[0] == 200
+    assert len(fleet.engines["e0"].standin.runs) == before
+
+    fleet.store.standin.knobs.status = 503
+    assert one.call("/charge/x", key="k2")[0] == 200
+    wait_until(lambda: one.call("/charge/x", key="k2")[0] == 503, "old keys")
+    assert not one.ready()
+    fleet.store.standin.knobs.status = 0
+    wait_until(lambda: one.call("/charge/x", key="k2")[0] == 200, "the return")
+
+
+def test_a_planned_stop_cuts_no_call(fleet):
+    """SIGTERM comes while an engine works on a call.
+
+    The host isn't ready any more, the call is answered whole, the process ends
+    by itself with 0, and the other host goes on.
+    """
+    one, two = fleet.hosts
+    for engine in fleet.engines.values():
+        engine.standin.knobs.pause_s = 1.0
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(one.call("/charge/x")))
+    caller.start()
+    wait_until(lambda: any(e.standin.runs for e in fleet.engines.values()), "a run")
+    one.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not one.ready(), "the balancer's news")
+    caller.join(10)
+    assert answers[0][0] == 200
+    assert one.process.wait(10) == 0
+    assert two.call("/charge/x")[0] == 200
+
+
+def test_calls_go_on_when_the_allocators_host_is_killed(fleet):
+    """One of the two hosts is killed; it may have been the allocator.
+
+    The other one's links break at once, it takes the role, and serves.
+    """
+    one, two = fleet.hosts
+    one.process.kill()
+    wait_until(lambda: two.status()["hosts"] == ["h2"], "the loss to be seen")
+    wait_until(lambda: two.call("/charge/x")[0] == 200, "calls to go on")
--- /dev/null
+++ b/tests/routing/test_routing.py
@@ -0,0 +1,61 @@
+"""Which route a call takes, and how long a document may be believed."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from godwitladder.routing.currency import MARGIN_S, Currency
+from godwitladder.routing.matching import RouteTable, choose_split, host_of
+from godwitladder.routing.model import Repeat, Route, Split
+
+PARTS = st.lists(st.sampled_from(["a", "b"]), max_size=4)
+
+
+def make_route(prefix, host="h"):
+    return Route(
+        prefix, host, prefix, Repeat.IDEMPOTENT, (Split("s", 1.0),), 1.0, 0.1, 1, 0
+    )
+
+
+@given(st.lists(PARTS, max_size=6), PARTS, st.sampled_from(["", "c", "a"]))
+def test_the_longest_prefix_wins_as_in_a_plain_scan(prefixes, path, last):
+    routes = [make_route("/" + "".join(f"{p}/" for p in parts)) for parts in prefixes]
+    path = "/" + "".join(f"{part}/" for part in path) + last
+    fitting = [route.prefix for route in routes if path.startswith(route.prefix)]
+    found = RouteTable(routes).find("h", path)
+    assert (found.prefix if found else None) == max(fitting, key=len, default=None)
+
+
+def test_a_route_of_another_host_is_none():
+    assert RouteTable([make_route("/a/")]).find("other", "/a/x") is None
+
+
+def test_hosts_are_compared_without_case_and_port():
+    assert host_of("Shop.Example:8080") == "shop.example"
+
+
+def test_a_split_follows_its_weights():
+    splits = (Split("a", 90), Split("b", 10))
+    assert choose_split(splits, 0.0).service == "a"
+    assert choose_split(splits, 0.89).service == "a"
+    assert choose_split(splits, 0.91).service == "b"
+    assert choose_split((Split("a", 0), Split("b", 0)), 0.5).service == "b"
+
+
+def test_keys_are_believed_within_the_bound_only():
+    """The store is cut off and a key is taken away meanwhile.
+
+    The caller goes on with that key; the host last proved its document at 100.
+    Beyond the bound less a margin the key must be refused, whatever came since.
+    """
+    currency = Currency(5.0)
+    assert not currency.holds(0.0)
+    currency.prove(100.0)
+    assert currency.holds(100.0 + 5.0 - MARGIN_S)
+    assert not currency.holds(100.0 + 5.0 - MARGIN_S + 0.01)
+
+
+def test_a_late_older_proof_takes_nothing_back():
+    currency = Currency(5.0)
+    currency.prove(100.0)
+    currency.prove(90.0)
+    assert currency.age_s(101.0) == 1.0
