Hold back a call whose answer three targets have lost

Cause: a request that crashes the engine that runs it comes again at any host, and takes engine after engine. Hosts tell each other of lost answers by the digest of workspace, path and body; after the third target the call is refused, not run. Ruled out: the quarantine of keyed calls, whose trials are claims in the log; one lost answer as proof, since connections break and engines lose answers too.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -8,6 +8,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.ids import (
+    BodyDigest,
     RequestId,
     RouteName,
     ServiceName,
@@ -32,6 +33,7 @@
 from godwitladder.serving.answers import CountedAnswer, internal_fault
 from godwitladder.serving.auth import key_digest
 from godwitladder.serving.calls import CallRefused
+from godwitladder.serving.losses import digest_call
 from godwitladder.serving.passing import Passer
 from godwitladder.serving.problems import answer_problem
 
@@ -179,8 +181,20 @@
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
         workspace = self.find_workspace(document, route, facts, current)
         body = read_body(environ, document.bounds.body_bytes)
+        digest = digest_call(workspace.name, path, body)
+        held_s = self.passer.losses.held_s(digest)
+        if held_s > 0:
+            text = "Several targets lost the answer to this call."
+            raise _refused(Reason.LOST_BEFORE, text, held_s)
         return self.make_call(
-            environ["REQUEST_METHOD"], path, headers, facts, route, workspace, body
+            environ["REQUEST_METHOD"],
+            path,
+            headers,
+            facts,
+            route,
+            workspace,
+            body,
+            digest,
         )
 
     def need_current(self, current: bool) -> None:
@@ -214,6 +228,7 @@
         route: Route,
         workspace: RoutedWorkspace,
         body: bytes,
+        digest: BodyDigest,
     ) -> RoutedCall:
         """Return a call with its row."""
         now = self.clock.monotonic()
@@ -232,6 +247,7 @@
             arrived=now,
             deadline=now + wait_s,
             idempotent=may_repeat(route),
+            body=digest,
         )
         row.start_by = now + start_within_s(route, wait_s)
         if route.aim_s:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -45,6 +45,7 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.listener import make_listener
+from godwitladder.serving.losses import AnswerLost, LossBook
 from godwitladder.serving.passing import Passer
 from godwitladder.serving.watch import CallWatch
 from godwitladder.supervision import supervised, watch_threads
@@ -157,6 +158,8 @@
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.feed.spread = self.mesh.broadcast
         self.router.takers[FeedNews] = lambda link, news: self.feed.take_news(news)
+        self.losses = LossBook(clock, self.mesh.broadcast)
+        self.router.takers[AnswerLost] = lambda link, news: self.losses.take(news)
         self.watch = CallWatch(clock)
         self.app = RoutedApp(
             form, self.make_passer(form), self.currency, clock, self.metrics
@@ -191,6 +194,7 @@
             self.metrics,
             self.watch,
             budget,
+            self.losses,
             lambda: len(self.hosts),
         )
 
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -25,6 +25,7 @@
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.ending import Ending
 from godwitladder.serving.events import EventReader
+from godwitladder.serving.losses import LossBook
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.watch import CallWatch, Cause, OpenCall
 
@@ -86,6 +87,7 @@
     metrics: Metrics
     watch: CallWatch
     budget: RepeatBudget
+    losses: LossBook
     hosts: Callable[[], int]
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
@@ -162,6 +164,7 @@
             except MayHaveRun as error:
                 self.note("The answer was lost", decision, error)
                 self.lost = error
+                self.note_loss()
                 if not self.repeat():
                     return self.refuse_sent(start_response, self.lost_refusal(error))
             except Exception:
@@ -347,6 +350,11 @@
         }
         log.info(text, extra=extra)
 
+    def note_loss(self) -> None:
+        """Remember that the target lost the answer, unless it was cut here."""
+        if self.open.cause is None:
+            self.passer.losses.note(self.call.row.body, self.target)
+
     def note_send(self, dispatch: Dispatch, left_s: float) -> None:
         """Log a send."""
         waited_s = self.clock.monotonic() - self.call.row.arrived
@@ -414,6 +422,7 @@
         log.info("A stream broke", extra=extra)
         if not passing.call.route.resumable:
             raise StreamCut(str(error))
+        passing.note_loss()
         passing.resume_from = self.last_id
         response = self.reopen()
         if response is None:
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -17,6 +17,7 @@
 from godwitladder.routing.currency import Currency
 from godwitladder.scheduler.messages import Finished, Returned, ReturnProof, Submit
 from godwitladder.scheduler.rows import Dispatch
+from godwitladder.serving.losses import AnswerLost, LossBook, digest_call
 from godwitladder.serving.passing import Passer, StreamCut
 from godwitladder.serving.watch import CallWatch
 from godwitladder.standins.ingress import start_engine
@@ -122,6 +123,7 @@
             Metrics(),
             self.watch,
             RepeatBudget(RepeatBounds()),
+            LossBook(self.clock, lambda message: None),
             lambda: 1,
         )
         self.app = RoutedApp(form, passer, self.currency, self.clock, Metrics())
@@ -338,6 +340,22 @@
     assert not bench.watch.calls
 
 
+def test_a_call_that_three_targets_lost_is_held_back(stack):
+    """One call crashes each target that runs it, and comes again at any host.
+
+    Two other hosts tell of two targets, the third loss is seen here. Then the
+    call is refused before a fourth target, another call of its caller is not.
+    """
+    bench = Bench(stack, engines=2)
+    bench.engines[0].standin.knobs.foreign = True
+    digest = digest_call("w1", "/charge/bad", b"x")
+    for name in ("t8", "t9"):
+        bench.app.passer.losses.take(AnswerLost(digest, name))
+    assert bench.call("/charge/bad", body=b"x").status == 502
+    assert bench.call("/charge/bad", body=b"x").status == 503
+    assert bench.call("/charge/good", body=b"x").status == 200
+
+
 def test_a_host_about_to_stop_sends_callers_elsewhere(stack):
     bench = Bench(stack)
     bench.app.refusing = True
