--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -14,6 +14,9 @@
     next two tiers that still can, and shares its place with the one after. Without
     that, a burst leaves each tier in a queue as long as its deadlines, and all
     of it late: the letters of the first tier too, once the burst is over.
+RETURNED_RANKS : likewise for one whose caller was sent away and came back when
+    told to: it goes before those that have become late where they wait. Sent
+    away twice, a caller has waited for nothing.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
     it will ever be when it arrives; it counts as safe for so long.
 """
@@ -26,6 +29,7 @@
 
 MARGIN = 1.25
 LATE_RANKS = 3
+RETURNED_RANKS = 2
 SAFE_LEAST_S = 1.0
 
 
@@ -132,7 +136,8 @@
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
     key: GroupKey = (line.tier_rank, line.service)
-    late_key: GroupKey = (line.tier_rank + LATE_RANKS, line.service)
+    late_ranks = RETURNED_RANKS if line.returned else LATE_RANKS
+    late_key: GroupKey = (line.tier_rank + late_ranks, line.service)
     prefill_s, decode_s = pace
     likely = line.likely_tokens or line.predicted_tokens or 1
     slot_s = line.prompt_tokens * prefill_s + likely * decode_s
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -59,6 +59,8 @@
         Tokens that it counts for in its workspace's quota.
     place : str
         Availability zone of its host.
+    returned : bool
+        Whether its caller was sent away before, and has come back as told.
     """
 
     request: RequestId
@@ -76,6 +78,7 @@
     start_s: float = float("inf")
     charge: int = 0
     place: Zone = Zone("")
+    returned: bool = False
 
 
 @dataclass(frozen=True)
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -44,6 +44,9 @@
 UNKNOWN_RETRY_S = 0.5
 """A host without a document, or with one that is too old, asks again so soon:
 a read of the store is due within that time."""
+RETURNED_S = 0.3
+"""A caller that has spent more than this on earlier tries was sent away and came
+back as told; one that repeats at once has spent less."""
 LEAST_SILENCE_S, AIMS, GAPS = 2.0, 4.0, 8.0
 """Callers leave a stream after the longest of this silence and these multiples
 of the route's aim and of its longest pause: what the users say of theirs."""
@@ -251,7 +254,9 @@
         )
         row.start_by = now + start_within_s(route, wait_s)
         if route.aim_s:
-            row.aim = now + route.aim_s - self.spent_s(route, facts)
+            spent_s = self.spent_s(route, facts)
+            row.aim = now + route.aim_s - spent_s
+            row.returned = spent_s > RETURNED_S
         row.hint_tokens = facts.output_hint
         row.charge = charge_of(facts, workspace.quota)
         return RoutedCall(
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -267,6 +267,7 @@
         start_s=row.start_by - now,
         charge=row.charge,
         place=tables.place,
+        returned=row.returned,
     )
 
 
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -76,6 +76,8 @@
         The caller's own guess of its output; 0 for none.
     charge : int
         Tokens that it counts for in its workspace's quota.
+    returned : bool
+        Whether its caller was sent away before.
     order : tuple
         Where it stands among the waiting ones: by tier, then by deadline.
     spilled : bool
@@ -110,6 +112,7 @@
     start_by: float = math.inf
     hint_tokens: int = 0
     charge: int = 0
+    returned: bool = False
     predicted_tokens: int = 0
     likely_tokens: int = 0
     produced_tokens: int = 0
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -133,3 +133,14 @@
     taken = sum(budget.take("s", 3, 1.0) for _ in range(100))
     assert taken == int((0.2 * 100 + 30 / 3) * KEEP)
     assert budget.take("s", 3, 11.5)
+
+
+def test_who_comes_back_as_told_goes_before_those_that_are_late():
+    """A caller was sent away in a burst and is back; others became late here.
+
+    Sent away again, it would have waited for nothing.
+    """
+    pool = make_pool(make_target(limit=1))
+    aimed(pool, "late", 0, aim=1.0)
+    aimed(pool, "back", 0, aim=1.0, returned=True)
+    assert placed(pool, now=5.0) == ["back"]
