Ease no target off where each dispatch is asked for

Cause: a target that is full of long prompts answers slowly, was taken for a slow one and lost slots in the very burst that needed them all. The bound on unread prompts already keeps new work from a target that stands still.

--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -262,10 +262,13 @@
         for strict order.
     measures_flow : bool
         Whether early refusal goes by what really starts rather than by slots.
+    eases_off : bool
+        Whether a target that works slowly is given fewer requests at once.
     """
 
     least_share: float = 0.0
     measures_flow: bool = False
+    eases_off: bool = True
 
 
 @dataclass
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -78,11 +78,16 @@
 reads in chunks between the output of all that it runs: what is sent early
 waits where no one can order it, and slows everything beside it."""
 
-ASKED = Policy(least_share=0.6, measures_flow=True)
+ASKED = Policy(least_share=0.6, measures_flow=True, eases_off=False)
 """Where each dispatch is asked for, a tier of short requests is served at least
 six tenths as often as the one before it. In strict order it got nothing for as
 long as the one before it could fill the pool, though a tenth of the pool would
-have served all of it."""
+have served all of it.
+
+Nothing is eased off there: a target that stands still gets no further prompt by
+the bound above, and one that is only full looks slow. Eased off in a burst, the
+targets had a part of their slots left: 37% of the burst's letters came late or
+not at all, 24% with all slots in use."""
 
 FLOOR_S = 3.0
 """A floor that was not repeated for so long says nothing any more."""
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -75,7 +75,7 @@
             decode_tps=speed.decode_tps,
             used=count.running + role.loads.others(name),
             reserved_tokens=count.tokens,
-            limit=role.easing.limit(name, target.slots, now),
+            limit=limit_of(role, name, target.slots, now),
             prefixes=role.hints.prefixes(name, now),
             unread_tokens=count.unread,
             unread_s=role.unread_s,
@@ -84,6 +84,11 @@
     return views
 
 
+def limit_of(role: "PoolRole", name: TargetName, slots: int, now: float) -> int:
+    """Return how many requests a target may run at once."""
+    return role.easing.limit(name, slots, now) if role.policy.eases_off else slots
+
+
 def unreachable(role: "PoolRole", target: TargetName, now: float) -> bool:
     """Return whether half of the reporting hosts can't connect to ``target``.
 
