--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -26,6 +26,7 @@
     Tick,
     Withdrawn,
 )
+from godwitladder.scheduler.quotas import token_rates
 from godwitladder.scheduler.reports import (
     choose_allocators,
     due_reports,
@@ -189,12 +190,14 @@
         if message.config.offset < self.tables.config.offset:
             return
         self.tables.config = message.config
+        self.tables.quotas.rates = token_rates(message.config)
         update_targets(self.tables)
         choose_allocators(self.tables, self.clock.monotonic())
 
     @take.register
     def _(self, message: HostsChanged) -> None:
         self.tables.hosts = message.hosts
+        self.tables.seen.note(message.hosts, self.clock.monotonic())
         self.tables.linked = message.linked
         choose_allocators(self.tables, self.clock.monotonic())
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -21,14 +21,11 @@
     Tick,
 )
 from godwitladder.scheduler.pools import Pool, make_pools, pool_key
+from godwitladder.scheduler.quotas import SeenHosts
 from godwitladder.scheduler.role import RENEW_S, PoolRole
 
 log = part_logger("allocator")
 
-UNSEEN_S = 30.0
-"""Cuts last for seconds; a host gone for longer has ended, and its part of the
-quotas goes back to the others."""
-
 
 @dataclass
 class AllocatorTables:
@@ -40,7 +37,7 @@
         Whether hosts are allowed some requests unasked while nothing waits.
     quota_slack : float
         Tokens that a workspace may have beyond its quota in a window.
-    seen : dict
+    seen : SeenHosts
         When each host was last among the live ones.
     """
 
@@ -54,7 +51,7 @@
     roles: dict[PoolName, PoolRole] = field(default_factory=dict)
     standing: bool = True
     quota_slack: float = 0.0
-    seen: dict[HostId, float] = field(default_factory=dict)
+    seen: SeenHosts = field(default_factory=SeenHosts)
 
 
 class Allocator(pykka.ThreadingActor):
@@ -186,10 +183,8 @@
         their own. If both gave out whole quotas, a workspace would get twice
         its own for as long as the cut lasts.
         """
-        seen = self.tables.seen
-        seen.update(dict.fromkeys(self.tables.hosts, now))
-        recent = sum(now - at <= UNSEEN_S for at in seen.values())
-        return len(self.tables.hosts) / max(1, recent)
+        self.tables.seen.note(self.tables.hosts, now)
+        return len(self.tables.hosts) / self.tables.seen.recent(now)
 
     def pass_on(self, message: PoolReport | FloorReport, pool: PoolName) -> None:
         """Pass a message from another zone on to this zone's allocator, once."""
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -13,7 +13,7 @@
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
-from godwitladder.decisions.quotas import QuotaBook, TokenRate
+from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
 from godwitladder.decisions.standing import standing_grants
@@ -32,7 +32,6 @@
     Incarnation,
     RequestId,
     TargetName,
-    WorkspaceName,
 )
 from godwitladder.scheduler.accounts import (
     NOTHING,
@@ -52,6 +51,7 @@
     Stretch,
 )
 from godwitladder.scheduler.pools import Pool
+from godwitladder.scheduler.quotas import token_rates
 from godwitladder.scheduler.views import pool_view, target_views
 
 LAPSE_S = 2.5
@@ -111,15 +111,6 @@
     spill: list[RequestId] = field(default_factory=list)
 
 
-def token_rates(config: ConfigState) -> dict[WorkspaceName, TokenRate]:
-    """Return the token quotas of a configuration."""
-    return {
-        name: TokenRate(workspace.token_rate, workspace.token_burst)
-        for name, workspace in config.workspaces.items()
-        if workspace.token_rate
-    }
-
-
 class PoolRole:
     """One host's term as allocator of one pool.
 
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -9,6 +9,7 @@
 from godwitladder.configuration.model import Target
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.prediction import OutputPredictor
+from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
@@ -25,6 +26,7 @@
 )
 from godwitladder.outcomes import TRANSITIONS, Refusal, RequestState
 from godwitladder.scheduler.access import PoolAccess
+from godwitladder.scheduler.quotas import SeenHosts
 
 
 class IllegalTransition(GodwitladderError):
@@ -191,6 +193,10 @@
         Requests that began to wait since the last reports were made.
     place : str
         The availability zone of this host, where that is a part of ``zone``.
+    quotas : QuotaBook
+        What workspaces may have run by this host while it has no allocator.
+    seen : SeenHosts
+        The hosts that such a book shares the quotas with.
     """
 
     host: HostId = HostId("")
@@ -211,3 +217,5 @@
     predictor: OutputPredictor = field(default_factory=OutputPredictor)
     stopping: bool = False
     place: Zone = Zone("")
+    quotas: QuotaBook = field(default_factory=QuotaBook)
+    seen: SeenHosts = field(default_factory=SeenHosts)
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -27,6 +27,7 @@
 KEPT_COMPLETIONS = 64
 SPARE_ROWS = 32
 ROOM_RETRY_S = 1.0
+OVER_QUOTA = "The workspace has had its tokens for now."
 NO_ROOM = "This host has no room for more requests that wait."
 
 
@@ -82,6 +83,8 @@
         if row.service not in open_services or row.state is not RequestState.WAITING:
             continue
         target = choose_target(tables, row, now)
+        if target and not within_quota(tables, row, now):
+            continue
         if target:
             dispatch_request(tables, row, target, now)
             open_services = {
@@ -118,7 +121,7 @@
     it runs on other hosts.
     """
     workspace = tables.config.workspaces.get(row.workspace)
-    bounded = workspace is not None and workspace.quota > 0
+    bounded = workspace is not None and (workspace.quota or workspace.token_rate)
     candidates = [
         tables.targets[name]
         for access in tables.by_service.get(row.service, ())
@@ -134,6 +137,23 @@
     )
 
 
+def within_quota(tables: Tables, row: RequestRow, now: float) -> bool:
+    """Count ``row`` in its workspace's tokens, or refuse it.
+
+    Only a host without an allocator gets here with a workspace that has a
+    bound. It has a book of its own, with its part of the whole: without one,
+    each host that is cut off would let a workspace have all it asks for.
+    """
+    book = tables.quotas
+    book.share = 1.0 / tables.seen.recent(now)
+    wait_s = book.wait_s(row.workspace, row.charge, now)
+    if wait_s > 0:
+        refuse_request(tables, row, refuse(Reason.QUOTA, OVER_QUOTA, wait_s))
+        return False
+    book.take(row.workspace, row.charge, now)
+    return True
+
+
 def usable(tables: Tables, target: TargetRow, row: RequestRow, now: float) -> bool:
     """Return whether ``target`` may be sent ``row`` by any grant at all.
 
