--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -25,8 +25,10 @@
 from godwitladder.client import AskFailed, OperatorClient
 from godwitladder.configuration.tickets import read_ticket
 from godwitladder.daemon import run_entry_host
+from godwitladder.explain import explain
 from godwitladder.findings import Finding, Findings, InvalidInput
 from godwitladder.logs import configure_logs
+from godwitladder.routing.settings import read_routed_settings
 from godwitladder.settings import read_settings
 from godwitladder.standins import engine, platform, service
 from godwitladder.standins.engine import start_engine
@@ -62,6 +64,37 @@
     print(f"{settings}: sound")
 
 
+def check_routed_settings(*, settings: Path) -> None:
+    """Check the settings file of a host that serves routed calls.
+
+    Parameters
+    ----------
+    settings : Path
+        TOML file with a host's settings.
+    """
+    read_routed_settings(settings)
+    print(f"{settings}: sound")
+
+
+def explain_request(request: str, *logs: Path) -> None:
+    """Print what the log lines of hosts say of one request, in order of time.
+
+    Parameters
+    ----------
+    request : str
+        The id that the caller sent.
+    logs : Path
+        Files with the JSON lines of any number of hosts.
+    """
+    lines = (
+        line
+        for path in logs
+        for line in read_file(path).decode(errors="replace").splitlines()
+    )
+    for row in explain(lines, request):
+        print(row)
+
+
 def check_ticket(ticket: Path) -> None:
     """Check a ticket by itself, without asking a host.
 
@@ -274,7 +307,8 @@
 
 COMMANDS = {
     "serve": serve,
-    "settings": {"check": check_settings},
+    "settings": {"check": check_settings, "check-routed": check_routed_settings},
+    "explain": explain_request,
     "ticket": {
         "check": check_ticket,
         "submit": submit_ticket,
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -1,13 +1,9 @@
 """One entry host: wires the parts together and runs until told to stop."""
 
-import contextlib
 import os
 import signal
 import threading
-from collections.abc import Callable
-from typing import Any
 
-import pykka
 from aioprometheus import Gauge
 from waitress.server import TcpWSGIServer
 
@@ -38,6 +34,7 @@
 from godwitladder.metrics import Metrics
 from godwitladder.orders.issuer import OrderIssuer
 from godwitladder.orders.stream import OrderStream
+from godwitladder.parts import HostParts
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.load import LoadReader
@@ -51,16 +48,13 @@
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
 from godwitladder.serving.keys import KeyParts
-from godwitladder.serving.listener import make_listener
 from godwitladder.serving.operators import HostStatus, OperatorApp
-from godwitladder.settings import Settings, TlsSettings
-from godwitladder.supervision import supervised, watch_threads
+from godwitladder.settings import Settings
+from godwitladder.supervision import watch_threads
 
 log = part_logger("daemon")
 
 HOST_LIST_PERIOD_S = 1.0
-DRAIN_POLL_S = 0.1
-IDLE_LOOKS = 3
 ALONE_S = 3.0
 """A host that found none of its seeds in this time serves alone."""
 LEAVE_S = 1.0
@@ -72,7 +66,7 @@
 FAILED_EXIT = 70
 
 
-class EntryHost:
+class EntryHost(HostParts):
     """All parts of one host, owned by one exit stack.
 
     Parameters
@@ -84,12 +78,9 @@
     """
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
+        super().__init__(clock, settings.limits)
         self.settings = settings
-        self.clock = clock
-        self.stack = contextlib.ExitStack()
         self.metrics = Metrics()
-        self.stopping = threading.Event()
-        self.failed = False
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         self.router = Router(settings.host)
@@ -148,12 +139,6 @@
         self.keys = self.make_keys()
         self.caller_server: TcpWSGIServer | None = None
 
-    def start_actor(self, kind: type[pykka.ThreadingActor], *parts: Any) -> Any:
-        """Start an actor that stops with the host."""
-        actor = supervised(kind, self.fail).start(*parts)
-        self.stack.callback(actor.stop)
-        return actor
-
     def make_orders(self) -> OrderIssuer:
         """Return the part that brings targets to the state in force."""
         settings = self.settings
@@ -228,15 +213,6 @@
         )
         log.info("The host serves", extra={"host": self.settings.host})
 
-    def stop(self) -> None:
-        """Ask for a planned stop."""
-        self.stopping.set()
-
-    def fail(self) -> None:
-        """End at once: a part of the host no longer works."""
-        self.failed = True
-        self.stopping.set()
-
     def drain(self) -> None:
         """Take nothing new and wait for everything in flight.
 
@@ -250,22 +226,11 @@
         self.keys.keyed.stopping = True
         log.info("The host is leaving", extra={"host": self.settings.host})
         self.clock.sleep(LEAVE_S)
-        self.await_idle()
+        self.await_idle(self.busy)
         stop_accepting(self.caller_server)
-        self.await_idle()
+        self.await_idle(self.busy)
         self.keys.flush()
 
-    def await_idle(self) -> None:
-        """Wait until no request is under way, and was none a moment ago.
-
-        A single look could fall between two of a caller's requests, or
-        between a request's last byte and the call that serves it.
-        """
-        idle = 0
-        while idle < IDLE_LOOKS and not self.failed:
-            self.clock.sleep(DRAIN_POLL_S)
-            idle = 0 if self.busy() else idle + 1
-
     def busy(self) -> bool:
         """Return whether any request is waiting, running or being answered."""
         return self.callers.open_calls > 0 or unfinished(self.caller_server) > 0
@@ -359,20 +324,6 @@
         self.metrics.config_following.set({}, int(following))
         self.metrics.log_reachable.set({}, int(self.follower.reachable))
 
-    def start_part(self, part: Any, *args: Any) -> None:
-        """Start a part that stops with the host."""
-        part.start(*args)
-        self.stack.callback(part.stop)
-
-    def serve(
-        self, app: Callable, address: str, threads: int, tls: TlsSettings | None
-    ) -> TcpWSGIServer:
-        """Serve ``app`` by waitress at ``address``."""
-        server = make_listener(app, address, self.settings.limits, threads, tls)
-        threading.Thread(target=server.run, name="http", daemon=True).start()
-        self.stack.callback(server.close)
-        return server
-
 
 def run_entry_host(settings: Settings) -> None:
     """Run one entry host until SIGTERM or SIGINT, then stop as planned."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -1,14 +1,11 @@
 """One host that serves routed calls: wires the parts together and runs."""
 
-import contextlib
 import os
 import signal
 import threading
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
-import pykka
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
@@ -33,6 +30,7 @@
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
+from godwitladder.parts import HostParts
 from godwitladder.routing.app import ReadinessApp, RoutedApp, put_in_force
 from godwitladder.routing.calls import HeaderForm
 from godwitladder.routing.currency import Currency
@@ -44,11 +42,10 @@
 from godwitladder.scheduler.messages import HostsChanged, NewConfig, TargetsLeaving
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
-from godwitladder.serving.listener import make_listener
 from godwitladder.serving.losses import AnswerLost, LossBook
 from godwitladder.serving.passing import Passer
 from godwitladder.serving.watch import CallWatch
-from godwitladder.supervision import supervised, watch_threads
+from godwitladder.supervision import watch_threads
 
 log = part_logger("daemon")
 
@@ -62,14 +59,12 @@
 """The balancer takes a host out after two looks, one a second."""
 LAST_S = 0.5
 """Left of the grace period for the end of the process."""
-POLL_S = 0.1
-IDLE_LOOKS = 3
 SMALL_THREADS = 2
 VITAL_THREADS = frozenset({"feed", "ticker", "http", "watch"})
 FAILED_EXIT = 70
 
 
-class RoutingHost:
+class RoutingHost(HostParts):
     """All parts of one host, owned by one exit stack.
 
     Parameters
@@ -94,14 +89,11 @@
         form: HeaderForm,
         clock: Clock,
     ) -> None:
+        super().__init__(clock, settings.limits)
         self.path = path
         self.settings = settings
         self.source = source
-        self.clock = clock
-        self.stack = contextlib.ExitStack()
         self.metrics = Metrics()
-        self.stopping = threading.Event()
-        self.failed = False
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         # One queue for the whole region: targets of several zones in one pool
@@ -166,12 +158,6 @@
         )
         self.caller_server: TcpWSGIServer | None = None
 
-    def start_actor(self, kind: type[pykka.ThreadingActor], *parts: Any) -> Any:
-        """Start an actor that stops with the host."""
-        actor = supervised(kind, self.fail).start(*parts)
-        self.stack.callback(actor.stop)
-        return actor
-
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         address = self.settings.listen.peers
@@ -229,27 +215,6 @@
             extra={"host": settings.host, "incarnation": self.incarnation},
         )
 
-    def start_part(self, part: Any, *args: Any) -> None:
-        """Start a part that stops with the host."""
-        part.start(*args)
-        self.stack.callback(part.stop)
-
-    def serve(self, app: Callable, address: str, threads: int) -> TcpWSGIServer:
-        """Serve ``app`` by waitress at ``address``."""
-        server = make_listener(app, address, self.settings.limits, threads)
-        threading.Thread(target=server.run, name="http", daemon=True).start()
-        self.stack.callback(server.close)
-        return server
-
-    def stop(self) -> None:
-        """Ask for a planned stop."""
-        self.stopping.set()
-
-    def fail(self) -> None:
-        """End at once: a part of the host no longer works."""
-        self.failed = True
-        self.stopping.set()
-
     def ready(self) -> bool:
         """Return whether callers should be sent here."""
         known = self.app.in_force.document.version >= 0
@@ -281,16 +246,9 @@
         self.clock.sleep(NOTICE_S)
         self.app.refusing = True
         until = began + self.settings.bounds.grace_s - LAST_S
-        self.await_idle(until)
+        self.await_idle(self.busy, until)
         stop_accepting(self.caller_server)
-        self.await_idle(until)
-
-    def await_idle(self, until: float) -> None:
-        """Wait until no call is under way, and was none a moment ago."""
-        idle = 0
-        while idle < IDLE_LOOKS and self.clock.monotonic() < until:
-            self.clock.sleep(POLL_S)
-            idle = 0 if self.busy() else idle + 1
+        self.await_idle(self.busy, until)
 
     def busy(self) -> bool:
         """Return whether any call is waiting, running or being answered."""
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,30 @@
+"""The lines of a fleet about one request."""
+
+from godwitladder.cli import main
+from godwitladder.explain import explain
+
+LINES = [
+    'host-2 {"asctime": "09:02", "message": "passing: A call has ended",'
+    ' "request": "a1", "outcome": "failed"}',
+    'host-1 {"asctime": "09:01", "message": "passing: A call is sent",'
+    ' "request": "a1", "target": "e1"}',
+    '{"asctime": "09:01", "message": "passing: A call is sent", "request": "a2"}',
+    "a line of something else",
+    "{cut short",
+    "[1]",
+]
+
+
+def test_the_lines_of_all_hosts_come_in_order_of_time():
+    found = [str(line) for line in explain(LINES, "a1")]
+    assert found == [
+        "09:01 passing: A call is sent request=a1 target=e1",
+        "09:02 passing: A call has ended request=a1 outcome=failed",
+    ]
+
+
+def test_the_command_prints_them(tmp_path, capsys):
+    path = tmp_path / "lines"
+    path.write_text("\n".join(LINES))
+    main(["explain", "a2", str(path)])
+    assert capsys.readouterr().out.strip().endswith("request=a2")
