--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -384,7 +384,9 @@
                 return
             del self.links[link.peer]
         self._count_closed(link)
-        self.closed(link.peer)
+        # On a host that stops, whoever would be told has stopped already.
+        if not self.stopping.is_set():
+            self.closed(link.peer)
 
     def _count_closed(self, link: Link) -> None:
         self.closed_sent += link.sent
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -210,3 +210,36 @@
     host = SimpleNamespace(clock=clock, started=clock.monotonic(), mesh=mesh)
     clock.advance(waited_s)
     assert EntryHost.acquainted(host) is ready
+
+
+def make_mesh(stack, name, seeds=()):
+    """Return a mesh that runs, and the peers whose links it told of as closed."""
+    closed = []
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    mesh = Mesh(
+        name,
+        address,
+        SECRET,
+        Clock(),
+        lambda link, message: None,
+        seeds,
+        closed=closed.append,
+    )
+    mesh.start()
+    stack.callback(mesh.close)
+    return mesh, closed
+
+
+def test_a_mesh_that_stops_tells_nobody_of_closed_links():
+    """A host ends as planned, and its actors have stopped before its links close.
+
+    Its peer hears of the closed link at once. On the host itself, nobody is
+    left who could be told: the thread of each link failed with an error.
+    """
+    with contextlib.ExitStack() as stack:
+        one, told_one = make_mesh(stack, "h1")
+        two, told_two = make_mesh(stack, "h2", [one.address])
+        wait_until(lambda: one.links and two.links, "the link")
+        one.close()
+        wait_until(lambda: not one.links and told_two == ["h1"], "the end")
+    assert told_one == []
