--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -10,10 +10,11 @@
 import queue
 import sys
 import threading
-import time
 
 from pythonjsonlogger.json import JsonFormatter
 
+from godwitladder.clock import Clock
+
 QUEUED_LINES = 2_000
 """Lines that wait to be written: ten seconds at the rate."""
 LINES_PER_S = 200.0
@@ -36,15 +37,18 @@
     ----------
     target : logging.Handler
         Writes the lines.
+    clock : Clock
+        By which the rate is kept.
     """
 
-    def __init__(self, target: logging.Handler) -> None:
+    def __init__(self, target: logging.Handler, clock: Clock) -> None:
         super().__init__()
+        self.clock = clock
         self.target = target
         self.lines: queue.SimpleQueue[logging.LogRecord] = queue.SimpleQueue()
         self.dropped = 0
         self.budget = BURST_LINES
-        self.refilled = time.monotonic()
+        self.refilled = self.clock.monotonic()
 
     def start(self) -> None:
         """Start the thread that writes."""
@@ -59,7 +63,7 @@
 
     def take(self) -> bool:
         """Return whether the rate allows one more line."""
-        now = time.monotonic()
+        now = self.clock.monotonic()
         self.budget += (now - self.refilled) * LINES_PER_S
         self.budget = min(self.budget, BURST_LINES)
         self.refilled = now
@@ -94,7 +98,7 @@
 
 def configure_bounded_logs(level: str = "INFO") -> BoundedHandler:
     """Send the package's logs to standard output, bounded and never blocking."""
-    handler = BoundedHandler(_json_handler(sys.stdout))
+    handler = BoundedHandler(_json_handler(sys.stdout), Clock())
     handler.start()
     _set_handler(handler, level)
     return handler
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -6,7 +6,7 @@
 """
 
 import queue
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import pykka
@@ -15,7 +15,6 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.repeat_budget import RepeatBudget
 from godwitladder.engines.wire import MayHaveRun, NotSent, connect, send
-from godwitladder.findings import GodwitladderError
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
@@ -24,9 +23,10 @@
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.ending import Ending
-from godwitladder.serving.events import EventReader
 from godwitladder.serving.losses import LossBook
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.streaming import StreamPassing
+from godwitladder.serving.upstream import NotRun, WholeAnswer, is_stream, read_whole
 from godwitladder.serving.watch import CallWatch, Cause, OpenCall
 
 log = part_logger("passing")
@@ -45,30 +45,6 @@
 LATE = "The target gave no whole answer in time; it may have run."
 
 
-class NotRun(GodwitladderError):
-    """The target says that it did not run the request."""
-
-
-class StreamCut(GodwitladderError):
-    """The rest of a stream can't be had; its answer must look broken."""
-
-    logged = True
-
-
-@dataclass(frozen=True)
-class WholeAnswer:
-    """A target's answer that was read to its end."""
-
-    status: str
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    def start(self, start_response) -> list[bytes]:
-        """Answer the caller with it."""
-        start_response(self.status, self.headers)
-        return [self.body]
-
-
 @dataclass(frozen=True)
 class Passer:
     """What every call needs.
@@ -368,104 +344,3 @@
             "send": self.sends,
         }
         log.info("A call is sent", extra=extra)
-
-
-class StreamPassing:
-    """Passes the events of a stream on, and resumes it where that is allowed."""
-
-    def __init__(self, passing: Passing, response: urllib3.BaseHTTPResponse) -> None:
-        self.passing = passing
-        self.reader = EventReader(response)
-        self.events = 0
-        self.whole = False
-        self.last_id = ""
-
-    def begin(self, start_response) -> "StreamPassing":
-        """Send the head of the answer."""
-        response = self.reader.response
-        headers = self.passing.passer.form.for_caller(response.headers.items())
-        start_response(f"{response.status} {response.reason or ''}", headers)
-        return self
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield events as they come; a stream that breaks raises."""
-        while not self.whole:
-            try:
-                for block in self.reader:
-                    self.note_events()
-                    yield block
-                self.whole = True
-            except MayHaveRun as error:
-                self.resume(error)
-        self.passing.finish(RequestState.COMPLETED, self.tokens())
-
-    def note_events(self) -> None:
-        """Take in the events that were read."""
-        self.events += self.reader.take_count()
-        self.last_id = self.reader.last_id or self.last_id
-        self.passing.ending.report(self.tokens())
-
-    def tokens(self) -> int:
-        """Return the output tokens so far."""
-        return self.events * self.passing.call.event_tokens
-
-    def resume(self, error: MayHaveRun) -> None:
-        """Go on at another target, or break the answer.
-
-        Raises
-        ------
-        StreamCut
-            The stream may not go on, or no target takes it.
-        """
-        passing = self.passing
-        extra = passing.names() | {"error": str(error), "events": self.events}
-        log.info("A stream broke", extra=extra)
-        if not passing.call.route.resumable:
-            raise StreamCut(str(error))
-        passing.note_loss()
-        passing.resume_from = self.last_id
-        response = self.reopen()
-        if response is None:
-            raise StreamCut(str(error))
-        self.reader = EventReader(response)
-
-    def reopen(self) -> urllib3.BaseHTTPResponse | None:
-        """Return the rest of the stream from another target, if one gives it."""
-        passing = self.passing
-        while passing.repeat():
-            decision = passing.await_decision()
-            if isinstance(decision, Refusal):
-                return None
-            try:
-                response = passing.send(decision)
-            except (NotSent, NotRun, MayHaveRun) as error:
-                passing.note("A stream did not go on", decision, error)
-                continue
-            if is_stream(response):
-                return response
-        return None
-
-    def close(self) -> None:
-        """End the call on whatever way out; called by the server."""
-        if not self.whole:
-            self.passing.finish(RequestState.FAILED, self.tokens())
-
-
-def is_stream(response: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether an answer is a stream of events."""
-    kind = response.headers.get("Content-Type", "")
-    return response.status == 200 and kind.startswith("text/event-stream")
-
-
-def read_whole(response: urllib3.BaseHTTPResponse) -> bytes:
-    """Return the whole body of an answer.
-
-    Raises
-    ------
-    MayHaveRun
-        It broke off.
-    """
-    try:
-        return response.read(decode_content=False)
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        raise MayHaveRun(f"the answer broke: {error}") from error
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -18,7 +18,8 @@
 from godwitladder.scheduler.messages import Finished, Returned, ReturnProof, Submit
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.losses import AnswerLost, LossBook, digest_call
-from godwitladder.serving.passing import Passer, StreamCut
+from godwitladder.serving.passing import Passer
+from godwitladder.serving.upstream import StreamCut
 from godwitladder.serving.watch import CallWatch
 from godwitladder.standins.ingress import start_engine
 from tests.fleet import wait_until
