Know a crash before the claim behind its note is won

A page of the log that holds the note of a crash and the next trial's claim was answered claim first: the waiting thread acted on it before the note was known. On an idle machine the two come in pages of their own.

--- a/godwitladder/claims/actor.py
+++ b/godwitladder/claims/actor.py
@@ -187,10 +187,15 @@
 
     @take.register
     def _(self, message: PageRead) -> None:
-        self._reply(self.collector.read(message.page))
+        settled = self.collector.read(message.page)
+        # Notes before verdicts: a page may hold the note that a trial has
+        # crashed a target, and the claim of the next trial behind it. Told of
+        # the claim first, the waiting thread would dispatch a request that is
+        # quarantined, and a third target would go.
         for note, time in self.collector.notes:
             self.take_note(note, time)
         self.collector.notes.clear()
+        self._reply(settled)
 
     @take.register
     def _(self, message: ReadFailed) -> None:
