Let the test of a late stream begin with an allowance held

Forced (an allocator without standing allowances) both cases fail with the same answer; with the wait they pass. What the test asserts is unchanged.

--- a/tests/serving/app.py
+++ b/tests/serving/app.py
@@ -99,7 +99,7 @@
         self.metrics = Metrics()
         clock = Clock()
         router, ticker = Router("host"), Ticker(clock, 0.05)
-        tables = Tables("host", "a", hosts=("host",))
+        tables = self.tables = Tables("host", "a", hosts=("host",))
         self.scheduler: pykka.ActorRef = Scheduler.start(
             tables, clock, self.metrics, ticker, router.send
         )
@@ -120,6 +120,17 @@
         for actor in (allocator, self.scheduler):
             actor.ask(NewConfig(self.app.config))
 
+    def wait_allowed(self) -> None:
+        """Wait until a target may be used unasked.
+
+        Before that, the allocator is asked, and refuses what it expects to
+        take too long; afterwards a call starts at once.
+        """
+        pools = self.tables.pools
+        wait_until(
+            lambda: all(access.allowances for access in pools.values()), "allowances"
+        )
+
     def ask(self, method: str, path: str, body: bytes = b"", **environ) -> Answer:
         """Call the application as a server would, up to its first byte."""
         answer = Answer()
