--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -257,7 +257,6 @@
             spent_s = self.spent_s(route, facts)
             row.aim = now + route.aim_s - spent_s
             row.returned = spent_s > RETURNED_S
-        row.hint_tokens = facts.output_hint
         row.charge = charge_of(facts, workspace.quota)
         return RoutedCall(
             row=row,
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -74,8 +74,6 @@
         Until when its first output counts as in time; 0 for its deadline.
     start_by : float
         Until when it has to be dispatched to be of use to its caller.
-    hint_tokens : int
-        The caller's own guess of its output; 0 for none.
     charge : int
         Tokens that it counts for in its workspace's quota.
     returned : bool
@@ -112,7 +110,6 @@
     prefix: str = ""
     aim: float = 0.0
     start_by: float = math.inf
-    hint_tokens: int = 0
     charge: int = 0
     returned: bool = False
     predicted_tokens: int = 0
