Share quotas with hosts that were live a moment ago, also after a calm minute

Cause: a host without an allocator counted the hosts seen lately by the news of changes alone. After 30 s without a change, those that a cut took away counted as long gone, and it would have given out their part of the quotas too. The scheduler now notes the live hosts at each tick, as the allocator does. The new test was red without the change.

--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -126,7 +126,10 @@
 
     @take.register
     def _(self, message: Tick) -> None:
-        pass
+        # Hosts are told of only when they change. Noted then alone, those that
+        # a cut takes away after a calm minute would count as long gone, and
+        # their part of the quotas be given out here too.
+        self.tables.seen.note(self.tables.hosts, self.clock.monotonic())
 
     @take.register
     def _(self, message: Submit) -> None:
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -1,5 +1,6 @@
 """Tokens of a workspace on a host that has no allocator."""
 
+from godwitladder.clock import PausedClock
 from godwitladder.configuration.model import (
     Service,
     ServiceKind,
@@ -8,11 +9,15 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
+from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal
+from godwitladder.scheduler.actor import Scheduler
+from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.scheduler.quotas import UNSEEN_S, token_rates
 from godwitladder.scheduler.reports import update_targets
 from godwitladder.scheduler.rows import RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
+from godwitladder.scheduler.ticker import Ticker
 
 CONFIG = ConfigState(
     tiers={"t": Tier(0)},
@@ -58,3 +63,21 @@
     tables.seen.note(["h1"], now)
     decided = [submit(tables, number, now) for number in range(10)]
     assert sum(isinstance(row, Refusal) for row in decided) < 9
+
+
+def test_a_calm_minute_before_a_cut_changes_no_part():
+    """Five hosts see each other for a minute; then a cut leaves one alone.
+
+    Nothing changed in that minute, so nobody told of the hosts. The one that
+    is left must still share the quotas with the four that it has just lost.
+    """
+    clock = PausedClock()
+    tables = make_tables([])
+    scheduler = Scheduler(
+        tables, clock, Metrics(), Ticker(clock, 1.0), lambda host, report: None
+    )
+    scheduler.take(HostsChanged(("h1", "h2", "h3", "h4", "h5"), {}))
+    clock.advance(2 * UNSEEN_S)
+    scheduler.take(Tick())
+    scheduler.take(HostsChanged(("h1",), {}))
+    assert tables.seen.recent(clock.monotonic()) == 5
