Let both daemons share how they run, and drop what nothing calls

run() stood twice; the digest of a key was worked out beside serving/auth; a method of the table of targets and two names of the wire were used by nothing.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -78,7 +78,7 @@
     """
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
-        super().__init__(clock, settings.limits)
+        super().__init__(settings.host, clock, settings.limits)
         self.settings = settings
         self.metrics = Metrics()
         self.started = clock.monotonic()
@@ -179,16 +179,6 @@
         self.operators.watch = keys.watch
         return keys
 
-    def run(self) -> None:
-        """Serve until a stop was asked for and all work in flight is done."""
-        with self.stack:
-            self.start()
-            self.stopping.wait()
-            if self.failed:
-                return
-            self.drain()
-        log.info("The host has stopped", extra={"host": self.settings.host})
-
     def start(self) -> None:
         """Start every part."""
         self.mesh.start()
--- a/godwitladder/discovery/targets.py
+++ b/godwitladder/discovery/targets.py
@@ -3,7 +3,7 @@
 Pure: times are handed in.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from godwitladder.ids import ServiceName, TargetName, Zone
 
@@ -85,9 +85,3 @@
             del self.missing[name]
             self.rows.pop(name, None)
         return bool(late)
-
-    def mark_leaving(self, name: TargetName) -> None:
-        """Note that a target takes nothing new, from its own answers."""
-        row = self.rows.get(name)
-        if row:
-            self.rows[name] = replace(row, leaving=True)
--- a/godwitladder/parts.py
+++ b/godwitladder/parts.py
@@ -9,10 +9,14 @@
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
+from godwitladder.ids import HostId
+from godwitladder.logs import part_logger
 from godwitladder.serving.listener import make_listener
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.supervision import supervised
 
+log = part_logger("daemon")
+
 DRAIN_POLL_S = 0.1
 IDLE_LOOKS = 3
 
@@ -22,6 +26,8 @@
 
     Parameters
     ----------
+    host : HostId
+        The host's name, for its log.
     clock : Clock
         The host's clock.
     limits : LimitSettings
@@ -35,7 +41,8 @@
         Whether it ends because a part of it no longer works.
     """
 
-    def __init__(self, clock: Clock, limits: LimitSettings) -> None:
+    def __init__(self, host: HostId, clock: Clock, limits: LimitSettings) -> None:
+        self.host = host
         self.clock = clock
         self.limits = limits
         self.stack = contextlib.ExitStack()
@@ -66,6 +73,24 @@
         self.stack.callback(server.close)
         return server
 
+    def run(self) -> None:
+        """Serve until a stop was asked for and all work in flight is done."""
+        with self.stack:
+            self.start()
+            self.stopping.wait()
+            if self.failed:
+                return
+            self.drain()
+        log.info("The host has stopped", extra={"host": self.host})
+
+    def start(self) -> None:
+        """Start every part; each kind of host has its own."""
+        raise TypeError(f"{type(self).__name__} starts nothing")
+
+    def drain(self) -> None:
+        """Finish what is in flight; each kind of host has its own way."""
+        raise TypeError(f"{type(self).__name__} can't be drained")
+
     def stop(self) -> None:
         """Ask for a planned stop."""
         self.stopping.set()
--- a/godwitladder/platform/documents.py
+++ b/godwitladder/platform/documents.py
@@ -4,7 +4,6 @@
 over, and what is missing has the default that the platform's pages give.
 """
 
-import hashlib
 import json
 from typing import Any
 
@@ -19,6 +18,7 @@
     Split,
     TokenQuota,
 )
+from godwitladder.serving.auth import key_digest
 
 REPEATS = {
     "idempotent": Repeat.IDEMPOTENT,
@@ -55,11 +55,6 @@
         raise BadDocument(f"no configuration: {error!r}") from error
 
 
-def digest_key(key: str) -> KeyDigest:
-    """Return what is kept of a bearer key."""
-    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
-
-
 def _route(raw: dict[str, Any]) -> Route:
     splits = raw.get("trafficSplit") or [{"service": raw["service"], "weight": 1}]
     return Route(
@@ -96,7 +91,9 @@
     rank = raw.get("priority")
     return RoutedWorkspace(
         name=WorkspaceName(str(raw["name"])),
-        key_digests=frozenset(digest_key(str(key)) for key in raw.get("apiKeys") or ()),
+        key_digests=frozenset(
+            KeyDigest(key_digest(str(key))) for key in raw.get("apiKeys") or ()
+        ),
         rank=None if rank is None else int(rank),
         quota=TokenQuota(
             rate=float(raw.get("ratePerS") or 0),
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -13,7 +13,6 @@
 # Headers of answers.
 SIGNATURE = "Godwitladder-Response-Signature"
 NOT_EXECUTED = "Godwitladder-Not-Executed"
-LOAD = "Godwitladder-Engine-Load"
 
 SYSTEM_HEADERS = frozenset(
     name.lower()
@@ -44,5 +43,4 @@
 ENTRIES_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
 
-READINESS_PATH = "/api/readiness"
 SETTINGS_VARIABLE = "GODWITLADDER_NODE_FILE"
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -89,7 +89,7 @@
         form: HeaderForm,
         clock: Clock,
     ) -> None:
-        super().__init__(clock, settings.limits)
+        super().__init__(settings.host, clock, settings.limits)
         self.path = path
         self.settings = settings
         self.source = source
@@ -184,16 +184,6 @@
             lambda: len(self.hosts),
         )
 
-    def run(self) -> None:
-        """Serve until a stop was asked for and all work in flight is done."""
-        with self.stack:
-            self.start()
-            self.stopping.wait()
-            if self.failed:
-                return
-            self.drain()
-        log.info("The host has stopped", extra={"host": self.settings.host})
-
     def start(self) -> None:
         """Start every part."""
         settings = self.settings
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -10,12 +10,13 @@
 from returns.result import Failure
 
 from godwitladder.discovery.source import StoreTrimmed, StoreUnavailable
-from godwitladder.platform.documents import BadDocument, decode_document, digest_key
+from godwitladder.platform.documents import BadDocument, decode_document
 from godwitladder.platform.entries import decode_entry
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.platform.store import StoreClient, parse_records
 from godwitladder.routing.calls import SendFacts
 from godwitladder.routing.model import Repeat
+from godwitladder.serving.auth import key_digest
 from godwitladder.standins.ingress import start_store
 
 ENTRY = {
@@ -120,7 +121,7 @@
     assert letters.resumable and not charge.resumable
     assert charge.splits[0].service == "core"
     assert document.services["letters"].event_tokens == 6
-    workspace = document.workspace_of[digest_key("k2")]
+    workspace = document.workspace_of[key_digest("k2")]
     assert (workspace.name, workspace.rank) == ("w1", 1)
     assert workspace.quota.plain_tokens == 200
     assert "k2" not in repr(document)
