Let a new allocator start with what the hosts know was spent of the quotas

Ruled out: a full book (each change of the allocator would give the burst anew, and the bound in the window is 1.1 times the quota and the slack), the old allocator's word (it is gone or cut off).

Change: each host remembers what it sent to targets in the last eight seconds and tells an allocator that has not answered it yet. What hosts can't know, since they have just started, is given out to a quarter as before.

--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -14,20 +14,26 @@
     more and a slack in each window. Most of both is used here, since what is
     refused within them is lost to its caller; the rest covers an allocator that
     takes over with a fresh book.
-FRESH_SHARE : a new book starts a quarter full, since nobody knows what was
-    granted a moment ago: full, each change of the allocator would give the
-    burst anew. A quarter of burst and slack fits into what is left above.
+FRESH_SHARE : of what nobody can tell a new book, since the hosts that knew it
+    are gone, a quarter is given out: all of it would be the burst anew with each
+    change of the allocator. A quarter of burst and slack fits into what is
+    left above.
+HISTORY_S : hosts remember what they spent for so long, which is the window of
+    the promise. A new book is filled from that: a quarter full in any case, it
+    refused 98 calls within their quotas in the two seconds after a cut.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import accumulate
 
-from godwitladder.ids import WorkspaceName
+from godwitladder.ids import HostId, WorkspaceName
 
 RATE_FACTOR = 1.08
 SLACK_SHARE = 0.75
 FRESH_SHARE = 0.25
 SOONEST_S = 0.1
+HISTORY_S = 8
 
 
 @dataclass(frozen=True)
@@ -46,6 +52,59 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Spent:
+    """Tokens of one workspace that a host spent.
+
+    Attributes
+    ----------
+    tokens : tuple of int
+        In each of the last seconds, the newest first.
+    """
+
+    workspace: WorkspaceName
+    tokens: tuple[int, ...]
+
+
+@dataclass
+class SpendingHistory:
+    """What a host spent of each workspace's tokens in the last seconds.
+
+    Attributes
+    ----------
+    began : float or None
+        When it was first asked: what was spent before that is not known.
+    """
+
+    began: float | None = None
+    seconds: dict[WorkspaceName, dict[int, int]] = field(default_factory=dict)
+
+    def note(self, workspace: WorkspaceName, charge: int, now: float) -> None:
+        """Count a request that was sent to a target."""
+        rows = self.seconds.setdefault(workspace, {})
+        second = int(now)
+        rows[second] = rows.get(second, 0) + charge
+        for old in [at for at in rows if at <= second - HISTORY_S]:
+            del rows[old]
+
+    def rows(self, now: float) -> tuple[Spent, ...]:
+        """Return what was spent, of the workspaces that spent anything."""
+        newest = int(now)
+        seconds = range(newest, newest - HISTORY_S, -1)
+        rows = []
+        for name, spent in sorted(self.seconds.items()):
+            tokens = tuple(spent.get(second, 0) for second in seconds)
+            if any(tokens):
+                rows.append(Spent(name, tokens))
+        return tuple(rows)
+
+    def known_s(self, now: float) -> float:
+        """Return for how many of the last seconds nothing is missing."""
+        if self.began is None:
+            self.began = now
+        return now - self.began
+
+
 @dataclass
 class QuotaBook:
     """The buckets of all workspaces with a bound.
@@ -57,12 +116,51 @@
     share : float
         Part of each quota that this book may give out; less than 1 where
         other hosts can't be seen and may have a book of their own.
+    hosts : int
+        Hosts that a new book expects to be told by.
+    began : float or None
+        When the first of them told.
+    told : dict
+        Of each host that has told its past, the part of it that it knows.
+    past : dict
+        Tokens of each workspace that they spent, by second, the newest first.
     """
 
     slack: float = 0.0
     share: float = 1.0
     rates: Mapping[WorkspaceName, TokenRate] = field(default_factory=dict)
     buckets: dict[WorkspaceName, Bucket] = field(default_factory=dict)
+    hosts: int = 1
+    began: float | None = None
+    told: dict[HostId, float] = field(default_factory=dict)
+    past: dict[WorkspaceName, list[int]] = field(default_factory=dict)
+
+    def recall(
+        self, host: HostId, spent: Iterable[Spent], known_s: float, now: float
+    ) -> None:
+        """Take in what a host spent before this book was begun."""
+        if host in self.told:
+            return
+        if not self.told:
+            self.began = now
+        self.told[host] = min(1.0, max(0.0, known_s / HISTORY_S))
+        for row in spent:
+            past = self.past.setdefault(row.workspace, [0] * HISTORY_S)
+            for place, tokens in enumerate(row.tokens[:HISTORY_S]):
+                past[place] += tokens
+
+    def opening(self, workspace: WorkspaceName, rate: TokenRate) -> float:
+        """Return what a new book has left of a workspace's tokens.
+
+        What was spent in the last seconds is missing, less what has come in
+        since; where hosts can't tell, a part is taken to be missing.
+        """
+        known = sum(self.told.values()) / max(1, self.hosts, len(self.told))
+        full = self.size(rate) * (FRESH_SHARE + (1.0 - FRESH_SHARE) * known)
+        gained = rate.rate * RATE_FACTOR * self.share
+        sums = accumulate(self.past.get(workspace, ()))
+        missing = [spent - gained * (place + 1) for place, spent in enumerate(sums)]
+        return full - max(0.0, *missing) if missing else full
 
     def wait_s(self, workspace: WorkspaceName, charge: int, now: float) -> float:
         """Return the seconds until ``charge`` is within the quota; 0 for now."""
@@ -91,7 +189,9 @@
         size = self.size(rate)
         bucket = self.buckets.get(workspace)
         if bucket is None:
-            bucket = self.buckets[workspace] = Bucket(size * FRESH_SHARE, now)
+            left = self.opening(workspace, rate)
+            at = now if self.began is None else self.began
+            bucket = self.buckets[workspace] = Bucket(left, at)
         gained = (now - bucket.at) * rate.rate * RATE_FACTOR * self.share
         bucket.left = min(size, bucket.left + max(0.0, gained))
         bucket.at = now
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.quotas import SpendingHistory
 from godwitladder.decisions.types import Grant
 from godwitladder.ids import HostId, RequestId, TargetName
 from godwitladder.scheduler.exchange import (
@@ -59,6 +60,8 @@
         When the last report was sent.
     fates : Counter
         Grants by what became of them, since they were last counted.
+    history : SpendingHistory
+        Tokens of workspaces that were spent here.
     """
 
     pool: Pool
@@ -79,6 +82,7 @@
     stretches: dict[tuple[TargetName, bool], Stretch] = field(default_factory=dict)
     asked: dict[RequestId, int] = field(default_factory=dict)
     fates: Counter[GrantFate] = field(default_factory=Counter)
+    history: SpendingHistory = field(default_factory=SpendingHistory)
 
     def ask(self, allocator: HostId | None, now: float) -> None:
         """Report to ``allocator`` from now on.
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -16,6 +16,7 @@
 
 from dataclasses import dataclass
 
+from godwitladder.decisions.quotas import Spent
 from godwitladder.decisions.types import DemandLine, Grant, PoolName, Shed, TargetUse
 from godwitladder.ids import (
     HostId,
@@ -130,6 +131,11 @@
         How fast targets were since the last report: at most two for each.
     avoided : tuple of TargetName
         Targets that this host could not connect to a moment ago.
+    spent : tuple of Spent
+        Tokens that workspaces spent by this host, for an allocator that has
+        not answered yet and may be new.
+    known_s : float
+        For how many seconds back ``spent`` misses nothing.
     via : str
         The host that passed the report on; empty if none did.
     """
@@ -148,6 +154,8 @@
     avoided: tuple[TargetName, ...] = ()
     completions: tuple[Completion, ...] = ()
     stretches: tuple[Stretch, ...] = ()
+    spent: tuple[Spent, ...] = ()
+    known_s: float = 0.0
     via: HostId = HostId("")
 
 
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -175,6 +175,7 @@
     completions, access.completions = tuple(access.completions), []
     rest = Counter(row.tier_rank for row in middle)
     targets = [tables.targets[name] for name in sorted(access.pool.targets)]
+    unanswered = access.holder is None
     return PoolReport(
         host=tables.host,
         incarnation=tables.incarnation,
@@ -190,6 +191,8 @@
         avoided=tuple(row.name for row in targets if row.avoided_until > now),
         completions=completions,
         stretches=take_stretches(tables, access, now),
+        spent=access.history.rows(now) if unanswered else (),
+        known_s=access.history.known_s(now) if unanswered else 0.0,
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -176,6 +176,7 @@
         seen = report.seen if report.term == self.term else 0
         if not account.take(report, seen, now):
             return False
+        self.quotas.recall(report.host, report.spent, report.known_s, now)
         for row in report.completions:
             self.learn(row)
         for stretch in report.stretches:
@@ -232,6 +233,7 @@
         self.forget(now)
         if not self.warm(expected, now) or self.is_quiet(now):
             return []
+        self.quotas.hosts = len(expected)
         view = pool_view(self, now)
         allocation = allocate(view, now)
         offerings = self.collect(allocation, view, now)
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -235,6 +235,8 @@
     tables.running[row.request] = row
     note_answered(tables, row)
     note_use(tables, target)
+    if row.charge:
+        tables.pool_of[target.name].history.note(row.workspace, row.charge, now)
     row.decisions.put(
         Dispatch(row.request, row.stream, target.name, target.target.address)
     )
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -1,5 +1,7 @@
 """Tokens of a workspace on a host that has no allocator."""
 
+from dataclasses import replace
+
 from godwitladder.clock import PausedClock
 from godwitladder.configuration.model import (
     Service,
@@ -9,15 +11,23 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.quotas import (
+    FRESH_SHARE,
+    HISTORY_S,
+    QuotaBook,
+    Spent,
+)
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.scheduler.quotas import UNSEEN_S, token_rates
 from godwitladder.scheduler.reports import update_targets
-from godwitladder.scheduler.rows import RequestRow, Tables
+from godwitladder.scheduler.rows import Dispatch, RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
 from godwitladder.scheduler.ticker import Ticker
+from tests.scheduler.desk import Desk, make_role
+from tests.scheduler.desk import make_tables as tables_of
 
 CONFIG = ConfigState(
     tiers={"t": Tier(0)},
@@ -81,3 +91,82 @@
     scheduler.take(Tick())
     scheduler.take(HostsChanged(("h1",), {}))
     assert tables.seen.recent(clock.monotonic()) == 5
+
+
+PAIR = ("h0", "h1")
+SLOW = replace(
+    CONFIG,
+    workspaces={"w": Workspace("t", token_rate=10.0, token_burst=1000.0)},
+)
+SPENT_BY_EACH = 3
+
+
+def make_pair(now):
+    """Return two hosts that ask the allocator of the first one."""
+    hosts = {host: tables_of(host, PAIR, SLOW) for host in PAIR}
+    desk = Desk(SLOW, hosts, {"h0": make_role("h0", SLOW, now)})
+    for host in PAIR:
+        desk.point(host, "h0", now)
+        desk.hosts[host].pools[desk.pool].history.known_s(now - 60.0)
+    return desk
+
+
+def ask(desk, host, number, now):
+    """Let a host ask for one call of 100 tokens."""
+    row = RequestRow(f"{host}-{number}", "", "w", "s", 0, 0, 0, now, now + 9, False)
+    row.charge = 100
+    add_request(desk.hosts[host], row)
+    return row
+
+
+def count_sent(rows):
+    return sum(isinstance(row.decisions.get_nowait(), Dispatch) for row in rows)
+
+
+def test_a_new_allocator_gives_out_what_the_old_one_had_left():
+    """An allocator's host is lost in a calm moment; a workspace then sends its burst.
+
+    Six calls of its ten were spent a moment ago, and hosts remember that. The
+    new allocator lets the other four through. A book that starts a quarter
+    full refused them although they were paid for; one that starts full would
+    have let ten more through, which is more than the workspace may have.
+    """
+    now = 100.0
+    desk = make_pair(now)
+    rows = [ask(desk, host, n, now) for host in PAIR for n in range(SPENT_BY_EACH)]
+    desk.settle(now)
+    assert count_sent(rows) == 6
+    desk.roles = {"h1": make_role("h1", SLOW, now + 1, term=2)}
+    for host in PAIR:
+        desk.point(host, "h1", now + 1)
+    desk.reports.clear()
+    rows = [ask(desk, "h1", n, now + 1) for n in range(10, 20)]
+    desk.settle(now + 1)
+    assert count_sent(rows) == 4
+
+
+def test_processes_that_have_just_started_know_of_no_spending():
+    """All hosts lose power at once, and the workspaces' burst was just spent.
+
+    Nobody can tell. The new allocator gives out a quarter of it, not the burst
+    anew.
+    """
+    book = QuotaBook(rates=token_rates(CONFIG), hosts=2)
+    for host in PAIR:
+        book.recall(host, (), 0.5, now=10.0)
+    spent = 0
+    while book.wait_s("w", 10, 10.0) == 0:
+        book.take("w", 10, 10.0)
+        spent += 10
+    least = 1000.0 * FRESH_SHARE
+    assert least <= spent <= least + 1000.0 * 0.5 / HISTORY_S
+
+
+def test_what_was_spent_long_ago_has_come_in_again():
+    """A host tells of spending of seconds ago, which the rate has made up for."""
+    book = QuotaBook(rates=token_rates(CONFIG))
+    book.recall("h0", [Spent("w", (0, 0, 0, 900))], float(HISTORY_S), now=10.0)
+    assert book.wait_s("w", 1000, 10.0) == 0
+    book = QuotaBook(rates=token_rates(CONFIG))
+    book.recall("h0", [Spent("w", (4000, 0, 0, 0))], float(HISTORY_S), now=10.0)
+    assert book.wait_s("w", 100, 10.0) > 1.0
