Let a new allocator wait half as long for reports, and read settings that changed without a signal

Cause: after a cut heals, and after each change of the allocator, nothing is granted until all hosts have reported or a second has passed; heartbeats bring the change to all hosts within two periods of a quarter second now. The settings file was read again on SIGHUP only, though whoever writes it may leave the signal out.

The tests of the file fail without the comparison.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -92,6 +92,7 @@
         super().__init__(settings.host, clock, settings.limits)
         self.path = path
         self.settings = settings
+        self.file_text = read_text(path)
         self.source = source
         self.metrics = Metrics()
         self.started = clock.monotonic()
@@ -246,6 +247,7 @@
 
     def reload(self) -> None:
         """Read the settings file again; what can change without a start does."""
+        self.file_text = read_text(self.path)
         try:
             settings = read_routed_settings(self.path)
         except InvalidInput as error:
@@ -256,6 +258,15 @@
         self.settings = settings
         log.info("Settings were read again", extra={"host": settings.host})
 
+    def reload_if_changed(self) -> None:
+        """Read the settings again if the file holds something else than before.
+
+        Whoever writes the file may leave out the signal.
+        """
+        text = read_text(self.path)
+        if text and text != self.file_text:
+            self.reload()
+
     def publish_view(self, view: StoreView) -> None:
         """Put what the store says now in force on this host."""
         state = state_of(view, self.span)
@@ -281,6 +292,7 @@
         while not self.stopping.is_set():
             listed = listed or self.list_me(leaving=False)
             self.read_hosts()
+            self.reload_if_changed()
             linked = bool(self.mesh.current())
             period_s = HOSTS_PERIOD_S if linked and listed else LONELY_PERIOD_S
             self.clock.wait(self.stopping, period_s)
@@ -305,6 +317,15 @@
         return True
 
 
+def read_text(path: Path) -> str:
+    """Return what ``path`` holds; nothing while it can't be read."""
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        log.warning("The settings can't be read", extra={"error": str(error)})
+        return ""
+
+
 def run_routing_host(
     path: Path,
     settings: RoutedSettings,
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -69,8 +69,10 @@
 """Use of a silent host counts for so long: its requests may still run. After
 that the targets' own load reports have had time to show them."""
 
-WARM_UP_S = 1.0
-"""A new allocator waits so long for hosts it expects to hear from."""
+WARM_UP_S = 0.5
+"""A new allocator waits so long for hosts it expects to hear from. They report as
+soon as they see the change, and heartbeats bring it to all within two periods;
+everything stands still meanwhile."""
 
 UNREAD_S = 0.06
 """Where each dispatch is asked for, a target gets no further prompt while it has
