--- a/godwitladder/standins/ingress.py
+++ b/godwitladder/standins/ingress.py
@@ -180,12 +180,13 @@
 
 @dataclass(frozen=True)
 class Run:
-    """A request that an engine ran."""
+    """A request that an engine ran; ``at`` is in monotonic seconds."""
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
+    at: float = 0.0
 
 
 class Engine:
@@ -210,7 +211,8 @@
             self.head(503, [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")])
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
-        engine.runs.append(Run(self.command, self.path, headers, body))
+        now = time.monotonic()
+        engine.runs.append(Run(self.command, self.path, headers, body, now))
         try:
             self.run(engine.knobs)
         except OSError:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -33,6 +33,17 @@
         """Return where bytes come from and go to on ``way``."""
         return (self.near, self.far) if way is Way.TO else (self.far, self.near)
 
+    def reset(self) -> None:
+        """Reset both ends."""
+        # The pumps must not close them in the usual way. Shut for reading, they
+        # let go of the sockets, which else stay open while a pump reads.
+        self.lost = True
+        for end in (self.near, self.far):
+            with contextlib.suppress(OSError):
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                end.shutdown(socket.SHUT_RD)
+            end.close()
+
     def close(self) -> None:
         """Close both ends."""
         for end in (self.near, self.far):
@@ -120,10 +131,7 @@
         with self.lock:
             rows, self.connections = self.connections, set()
         for row in rows:
-            for end in (row.near, row.far):
-                with contextlib.suppress(OSError):
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            row.close()
+            row.reset()
 
     def silence(self) -> None:
         """Lose track of all open connections: they stay open, and carry nothing."""
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak, and its short run."""
--- /dev/null
+++ b/tests/soak/test_records.py
@@ -0,0 +1,98 @@
+"""Each promise that the soak holds is seen to be broken where it is."""
+
+import pytest
+
+from soak.plan import Fault, Kind, draw
+from soak.records import Attempt, History, TargetRun
+
+
+def make_history(faults=(), **attempt):
+    """Return a history with one whole call that ran once at e0."""
+    row = Attempt("a", "h0", "charge", "k1", sent=10.0, ended=10.1)
+    row.status, row.body, row.signature = 200, b"answer of a", "signed-a"
+    for name, value in attempt.items():
+        setattr(row, name, value)
+    history = History(list(faults), {"a": row})
+    history.runs.append(TargetRun(10.05, "e0", "a", "w1", False))
+    return history
+
+
+def test_a_whole_call_breaks_nothing():
+    assert make_history().check() == []
+
+
+@pytest.mark.parametrize(
+    ("attempt", "found"),
+    [
+        ({"status": 503, "body": b""}, "and ran"),
+        ({"status": 429, "body": b""}, "and ran"),
+        ({"body": b"answer of b"}, "got"),
+        ({"body": b"answer of"}, "got"),
+        ({"signature": "signed-b"}, "got"),
+        ({"route": "stream", "body": b"id: 1\ndata: piece 1\n\n"}, "got"),
+        ({"status": 0, "body": None, "error": "reset"}, "ended with"),
+        ({"key": "gone", "sent": 16.0, "ended": 16.1}, "revoked"),
+    ],
+)
+def test_what_a_caller_must_not_see_is_found(attempt, found):
+    history = make_history(**attempt)
+    history.revoked["gone"] = 10.0
+    (text,) = history.check()
+    assert found in text
+
+
+@pytest.mark.parametrize(
+    ("run", "found"),
+    [
+        (TargetRun(10.2, "e1", "a", "w1", False), "ran 2 times"),
+        (TargetRun(10.2, "e1", "stranger", "w1", False), "for 'w1'"),
+    ],
+)
+def test_what_a_target_must_not_run_is_found(run, found):
+    history = make_history()
+    history.runs.append(run)
+    (text,) = history.check()
+    assert found in text
+
+
+@pytest.mark.parametrize(("workspace", "keys"), [("w2", False), ("w1", True)])
+def test_a_wrong_workspace_or_a_key_passed_on_is_found(workspace, keys):
+    history = make_history()
+    history.runs = [TargetRun(10.05, "e0", "a", workspace, keys)]
+    assert len(history.check()) == 1
+
+
+def test_calls_to_a_target_that_left_are_found():
+    history = make_history()
+    history.left.append(("e0", 5.0, 12.0))
+    (text,) = history.check()
+    assert "after it left" in text
+
+
+def test_a_host_that_could_not_know_is_excused():
+    """The store was away while the target left; its hosts had no way to hear."""
+    history = make_history([Fault(4.0, Kind.STORE_DOWN, 0, 3.0)])
+    history.left.append(("e0", 5.0, 12.0))
+    assert history.check() == []
+
+
+def test_a_call_cut_by_a_fault_is_excused_and_one_cut_by_planned_work_is_not():
+    cut = {"status": 0, "body": None, "error": "reset"}
+    killed = [Fault(9.0, Kind.HOST_KILL, 0, 1.0)]
+    assert make_history(killed, **cut).check() == []
+    stopped = [Fault(9.0, Kind.HOST_TERM, 0, 1.0)]
+    assert len(make_history(stopped, **cut).check()) == 1
+
+
+def test_calls_that_may_repeat_may_run_twice():
+    history = make_history(route="lookup")
+    history.runs.append(TargetRun(10.2, "e1", "a", "w1", False))
+    assert history.check() == []
+
+
+def test_a_seed_draws_the_same_faults_each_time():
+    assert draw(7, 12.0, 8) == draw(7, 12.0, 8)
+    assert draw(7, 12.0, 8) != draw(9, 12.0, 8)
+    assert {fault.kind for seed in range(200) for fault in draw(seed, 12.0, 8)} == set(
+        Kind
+    )
