--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 RUN = $(VENV)/bin/python
 
-.PHONY: venv test lint format demo demo-up bench capacity mutants clean
+.PHONY: venv test lint format demo demo-up bench capacity mutants soak clean
 
 venv: $(VENV)/.ready
 
@@ -38,5 +38,8 @@
 mutants: venv
 	$(RUN) -m bench.mutants
 
+soak: venv
+	$(RUN) -m soak --count 10 --jobs 2 --faults 14
+
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -14,7 +14,15 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-COPIED = ("godwitladder", "tests", "bench", "demo", "examples", "pyproject.toml")
+COPIED = (
+    "godwitladder",
+    "tests",
+    "bench",
+    "demo",
+    "examples",
+    "soak",
+    "pyproject.toml",
+)
 TEST_TIMEOUT_S = 180
 
 
