Log lost and regained targets, and give the last rules of the platform a mutation

One line when a target takes no request, one when it completes one again, whatever the number of requests.

LOST, ROUTE and the route's time had no mutation. The one for planned stops stayed green: the call of its test ended within the notice of 2.5 s, so nothing had to wait. A second test has a call of four seconds; with the waiting taken away it is red. The stand-in of an engine turns away calls that name another one.

--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -156,6 +156,8 @@
     ----------
     unread_tokens : int
         Prompt tokens of requests there that have made no output yet.
+    answers : bool
+        False from a request that it did not take until one that it completed.
     """
 
     name: TargetName
@@ -164,6 +166,7 @@
     reserved_tokens: int = 0
     unread_tokens: int = 0
     avoided_until: float = 0.0
+    answers: bool = True
 
 
 @dataclass
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -12,6 +12,7 @@
 from godwitladder.decisions.standing import fixed_share
 from godwitladder.decisions.types import TargetView
 from godwitladder.ids import HostId
+from godwitladder.logs import part_logger
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
@@ -23,6 +24,8 @@
     TargetRow,
 )
 
+log = part_logger("scheduler")
+
 AVOID_S = 1.0
 KEPT_COMPLETIONS = 64
 SPARE_ROWS = 32
@@ -263,11 +266,31 @@
     target = tables.targets.get(row.target)
     _leave_target(tables, row)
     if target and avoid:
-        target.avoided_until = now + AVOID_S
+        leave_alone(target, now)
     row.change(RequestState.WAITING)
     add_request(tables, row)
 
 
+def leave_alone(target: TargetRow, now: float) -> None:
+    """Send nothing to a target for a moment: it took no request."""
+    target.avoided_until = now + AVOID_S
+    if target.answers:
+        target.answers = False
+        log.info("A target takes no requests", extra=names_of(target))
+
+
+def note_answer(target: TargetRow) -> None:
+    """Take in that a target answers, again if it took nothing before."""
+    if not target.answers:
+        target.answers = True
+        log.info("A target answers again", extra=names_of(target))
+
+
+def names_of(target: TargetRow) -> dict[str, str]:
+    """Return what a log line says of which target it is about."""
+    return {"target": target.name, "address": target.target.address}
+
+
 def add_request(tables: Tables, row: RequestRow) -> None:
     """Let a request wait; if it still does after this tick, it is reported."""
     tables.waiting[row.request] = row
@@ -314,6 +337,9 @@
     _leave_target(tables, row)
     row.change(state)
     completed = state is RequestState.COMPLETED
+    target = tables.targets.get(row.target)
+    if completed and target:
+        note_answer(target)
     if row.declared_tokens and row.produced_tokens:
         learn_length(tables, row, cut=not completed)
     access = tables.pool_of.get(row.target)
--- a/godwitladder/standins/ingress.py
+++ b/godwitladder/standins/ingress.py
@@ -168,9 +168,12 @@
         Between two events, and before an answer.
     status : int
         Status of its answers.
+    name : str
+        Its name, by which callers may insist on it; empty for any.
     """
 
     refuse: bool = False
+    name: str = ""
     cut_after: int = -1
     foreign: bool = False
     pause_s: float = 0.0
@@ -207,6 +210,10 @@
         """Run a request."""
         engine = self.server.standin
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        wanted = self.headers.get(names.EXPECT_INSTANCE, "")
+        if wanted and engine.knobs.name not in ("", wanted):
+            self.head(421, [("Content-Length", "0")])
+            return
         if engine.knobs.refuse:
             self.head(503, [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")])
             return
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -185,6 +185,25 @@
     assert two.call("/charge/x")[0] == 200
 
 
+def test_a_planned_stop_waits_for_a_call_that_outlasts_its_notice(fleet):
+    """SIGTERM comes, and an engine works on a call for four more seconds.
+
+    The balancer has seen the host go by then, and nothing new comes. The call
+    is still answered whole before the process ends.
+    """
+    one, _ = fleet.hosts
+    for engine in fleet.engines.values():
+        engine.standin.knobs.pause_s = 4.0
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(one.call("/charge/x")))
+    caller.start()
+    wait_until(lambda: any(e.standin.runs for e in fleet.engines.values()), "a run")
+    one.process.send_signal(signal.SIGTERM)
+    caller.join(10)
+    assert answers[0][0] == 200
+    assert one.process.wait(10) == 0
+
+
 def test_calls_go_on_when_the_allocators_host_is_killed(fleet):
     """One of the two hosts is killed; it may have been the allocator.
 
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -168,6 +168,21 @@
     assert answer.headers["Godwitladder-Response-Signature"] == "signed-a1"
 
 
+def test_an_engine_that_took_over_an_address_runs_nothing(stack):
+    """The engine of an address has ended; another service's has the address now.
+
+    Hosts hear of it late. The call names the engine that it is meant for, so
+    the other one turns it away, and the caller is told that it has not run.
+    """
+    bench = Bench(stack)
+    for engine in bench.engines:
+        engine.standin.knobs.name = "another"
+    answer = bench.call("/charge/x")
+    assert answer.status == 503
+    assert json.loads(answer.body)["outcome"] == "not_run"
+    assert bench.runs() == []
+
+
 def test_an_unknown_key_and_an_unknown_route_are_told(stack):
     bench = Bench(stack)
     assert bench.call("/charge/x", HTTP_AUTHORIZATION="Bearer no").status == 401
