Count open calls of both applications in one place

RoutedApp and CallerApp each had the count that a planned stop waits for; it stands once now, with the answer that ends it. No behaviour changes.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -2,7 +2,6 @@
 
 import random
 import secrets
-import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
@@ -30,9 +29,10 @@
     TokenQuota,
 )
 from godwitladder.scheduler.rows import RequestRow
-from godwitladder.serving.answers import CountedAnswer, internal_fault
+from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.auth import key_digest
 from godwitladder.serving.calls import CallRefused
+from godwitladder.serving.counting import CountedApp
 from godwitladder.serving.losses import digest_call
 from godwitladder.serving.passing import Passer
 from godwitladder.serving.problems import answer_problem
@@ -72,7 +72,7 @@
     return InForce(document, RouteTable(document.routes))
 
 
-class RoutedApp:
+class RoutedApp(CountedApp):
     """Serves callers by the routes of the document in force.
 
     Parameters
@@ -102,6 +102,7 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        super().__init__()
         self.form = form
         self.passer = passer
         self.currency = currency
@@ -110,24 +111,6 @@
         self.in_force = put_in_force(Document())
         self.refusing = False
         self.longest_wait_s: dict[RouteName, float] = {}
-        self.open_calls = 0
-        self.lock = threading.Lock()
-
-    def __call__(self, environ: Mapping, start_response) -> Iterable[bytes]:
-        """Answer one request (WSGI)."""
-        with self.lock:
-            self.open_calls += 1
-        try:
-            body = self.answer(environ, start_response)
-        except BaseException:
-            self.close_call()
-            raise
-        return CountedAnswer(body, self.close_call)
-
-    def close_call(self) -> None:
-        """Count a call that is done."""
-        with self.lock:
-            self.open_calls -= 1
 
     def answer(self, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one request, or say why not."""
--- a/godwitladder/serving/answers.py
+++ b/godwitladder/serving/answers.py
@@ -19,31 +19,6 @@
 SOUND_KIND = re.compile(r"[\x20-\x7e]+")
 
 
-class CountedAnswer:
-    """An answer that says when the server is done with it.
-
-    The count of open calls is what a planned stop waits for: it must fall
-    only after the last byte was handed to the server, not when the answer
-    starts.
-    """
-
-    def __init__(self, body: Iterable[bytes], done: Callable[[], None]) -> None:
-        self.body = body
-        self.done = done
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self.body)
-
-    def close(self) -> None:
-        """Called by the server at the end, also after a broken connection."""
-        try:
-            close = getattr(self.body, "close", None)
-            if close:
-                close()
-        finally:
-            self.done()
-
-
 class StreamedAnswer:
     """A dispatched request's answer as server-sent events.
 
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -1,6 +1,5 @@
 """The WSGI application that callers reach."""
 
-import threading
 from collections.abc import Iterable, Mapping
 
 import pykka
@@ -11,7 +10,7 @@
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason
-from godwitladder.serving.answers import CountedAnswer, internal_fault
+from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.auth import bearer_digest, matching_digest
 from godwitladder.serving.calls import (
     Call,
@@ -21,6 +20,7 @@
     read_chat,
     read_plain,
 )
+from godwitladder.serving.counting import CountedApp
 from godwitladder.serving.dispatching import Dispatcher
 from godwitladder.serving.keyed import BODY, KeyedCalls
 from godwitladder.serving.keys import KEYS_PATH, issue_key
@@ -35,7 +35,7 @@
 REQUEST_PATH = "/v1/requests/"
 
 
-class CallerApp:
+class CallerApp(CountedApp):
     """Serves callers, one thread for each request in progress.
 
     Parameters
@@ -62,6 +62,7 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        super().__init__()
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
@@ -70,31 +71,13 @@
             settings, scheduler, clock, metrics, self.is_crowded
         )
         self.keyed: KeyedCalls | None = None
-        self.open_calls = 0
-        self.lock = threading.Lock()
-
-    def __call__(self, environ: Mapping, start_response) -> Iterable[bytes]:
-        """Answer one request (WSGI)."""
-        with self.lock:
-            self.open_calls += 1
-        try:
-            body = self._answer(environ, start_response)
-        except BaseException:
-            # The server closes only an answer that it got: without this, one
-            # call that failed here would keep a planned stop waiting for ever.
-            self._close_call()
-            raise
-        return CountedAnswer(body, self._close_call)
 
     def is_crowded(self) -> bool:
         """Return whether the server is down to its spare threads."""
         return self.open_calls > self.settings.limits.threads
 
-    def _close_call(self) -> None:
-        with self.lock:
-            self.open_calls -= 1
-
-    def _answer(self, environ: Mapping, start_response) -> Iterable[bytes]:
+    def answer(self, environ: Mapping, start_response) -> Iterable[bytes]:
+        """Answer one request, or say why not."""
         try:
             return self._route(environ, start_response)
         except CallRefused as error:
--- a/tests/claims/test_forwarding.py
+++ b/tests/claims/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitladder.clock import Clock
-from godwitladder.serving.answers import CountedAnswer
+from godwitladder.serving.counting import CountedAnswer
 from godwitladder.serving.forwarding import ANSWER_BYTES, Forwarder
 
 ENVIRON = {"PATH_INFO": "/v1/services/charge", "HTTP_IDEMPOTENCY_KEY": "order-7"}
