--- a/godwitladder/standins/ingress.py
+++ b/godwitladder/standins/ingress.py
@@ -47,10 +47,13 @@
         Answer everything with this status; 0 for none.
     mute_s : float
         Seconds before each answer.
+    lose : bool
+        Do what it is asked, and close the connection without an answer.
     """
 
     status: int = 0
     mute_s: float = 0.0
+    lose: bool = False
 
 
 class Store:
@@ -119,7 +122,10 @@
         return bool(knobs.status)
 
     def answer(self, status: int, body: bytes) -> None:
-        """Send one answer."""
+        """Send one answer, unless it is to be lost."""
+        if self.server.standin.knobs.lose:
+            self.close_connection = True
+            return
         self.send_response(status)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -186,6 +186,7 @@
         self.name = name
         self.server: StandinServer = start_engine()
         self.server.standin.knobs.pause_s = 0.02
+        self.server.standin.knobs.name = name
         self.proxy = Proxy(self.server.address)
         self.lock = threading.Lock()
 
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -10,7 +10,6 @@
 from soak.proxy import Proxy, Way
 from soak.records import History
 
-BUSY_S = 0.3
 SLOW_S = 0.4
 
 
@@ -37,6 +36,7 @@
             Kind.ALL_KILL: self.kill_all,
             Kind.STORE_DOWN: lambda f: self.turn_store("status", 503, f),
             Kind.STORE_SLOW: lambda f: self.turn_store("mute_s", SLOW_S, f),
+            Kind.STORE_LOSES: lambda f: self.turn_store("lose", True, f),
             Kind.STORE_FORGET: self.forget,
             Kind.STORE_CUT: lambda f: self.hold(self.host(f).store, f, *Way),
             Kind.STORE_SILENT: lambda f: self.host(f).store.silence(),
@@ -49,6 +49,9 @@
             Kind.TARGET_FOREIGN: lambda f: self.turn(f, "foreign", True, False),
             Kind.TARGET_CUTS: lambda f: self.turn(f, "cut_after", 2, -1),
             Kind.TARGET_SLOW: lambda f: self.turn(f, "pause_s", SLOW_S, 0.02),
+            Kind.TARGET_REPLACED: lambda f: self.turn(
+                f, "name", "a stranger", self.target(f).name
+            ),
             Kind.TARGET_LEAVES: self.take_target_out,
             Kind.PEER_RESET: lambda f: self.host(f).door.reset(),
             Kind.PEER_SILENT: lambda f: self.host(f).door.silence(),
@@ -133,7 +136,7 @@
         knobs = self.fleet.store.standin.knobs
         setattr(knobs, knob, value)
         time.sleep(fault.for_s)
-        setattr(knobs, knob, type(value)(0))
+        setattr(knobs, knob, type(value)())
 
     def forget(self, fault: Fault) -> None:
         """Let the store forget its history."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -9,6 +9,7 @@
 REFUSALS = frozenset({408, 421, 429, 503})
 """Statuses that promise that nothing ran and nothing will."""
 
+DENIALS = frozenset({400, 401, 403, 404})
 EVENTS = 5
 CONTACT_S = 3.0
 """Faults excuse what happens up to so long after them."""
@@ -104,6 +105,7 @@
             self.wrong_answers(),
             self.unasked(),
             self.run_with_revoked_keys(),
+            self.denied(),
             self.sent_to_leaving(),
             self.cut_by_planned_work(),
         )
@@ -157,6 +159,14 @@
                 rows.append(f"{run.name} ran, its key revoked {late_s:.2f} s before")
         return rows
 
+    def denied(self) -> list[str]:
+        """Return calls whose key and route were there all the time, and denied."""
+        return [
+            f"{row.name} ({row.route}) was answered {row.status} by {row.host}"
+            for row in self.attempts.values()
+            if row.status in DENIALS and row.key not in self.revoked
+        ]
+
     def sent_to_leaving(self) -> list[str]:
         """Return runs on targets that had left, by hosts that could know."""
         return [
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -31,6 +31,7 @@
         ({"signature": "signed-b"}, "got"),
         ({"route": "stream", "body": b"id: 1\ndata: piece 1\n\n"}, "got"),
         ({"status": 0, "body": None, "error": "reset"}, "ended with"),
+        ({"status": 401, "body": b""}, "answered 401"),
         ({"key": "gone", "sent": 16.0, "ended": 16.1}, "revoked"),
     ],
 )
