--- a/tests/scheduler/desk.py
+++ b/tests/scheduler/desk.py
@@ -22,6 +22,7 @@
 from godwitladder.scheduler.systems import add_request, run_systems
 
 LETTERS = "letters"
+START = 3.0
 
 
 def make_config(slots: dict[str, int], zone: str = "a", **fields) -> ConfigState:
@@ -163,3 +164,26 @@
     """Let a host know who is live."""
     tables.hosts, tables.linked = message.hosts, message.linked
     choose_allocators(tables, now)
+
+
+def settled(slots, hosts=("h0", "h1")):
+    """Return a desk whose idle hosts hold allowances, and the time."""
+    desk = make_desk(slots, hosts)
+    desk.settle(START)
+    return desk, START + 0.8
+
+
+def run_for(desk, now, seconds, each):
+    """Let time pass, with ``each`` called and all reports delivered."""
+    for _ in range(int(seconds / 0.5)):
+        now += 0.5
+        each(now)
+        for host in desk.hosts:
+            desk.tick(host, now)
+            while desk.reports.get((host, "h0")):
+                desk.deliver_report(host, "h0", now)
+        desk.decide("h0", now)
+        for host in desk.hosts:
+            while desk.offers.get((host, "h0")):
+                desk.deliver_offer(host, "h0", now)
+    return now
--- a/tests/scheduler/test_allocation.py
+++ b/tests/scheduler/test_allocation.py
@@ -5,26 +5,22 @@
 import pytest
 
 from godwitladder.configuration.model import TargetState
-from godwitladder.decisions.speeds import KNOWN
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
-from godwitladder.ids import HostId, RequestId, Zone
+from godwitladder.ids import HostId, Zone
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.access import REACH_S
 from godwitladder.scheduler.accounts import NOTHING, HostAccount
 from godwitladder.scheduler.exchange import (
-    Completion,
     GrantOffer,
     PoolReport,
-    Stretch,
 )
 from godwitladder.scheduler.messages import HostsChanged
 from godwitladder.scheduler.reports import due_reports, take_offer, update_targets
 from godwitladder.scheduler.role import FORGET_S, LAPSE_S, WARM_UP_S
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.scheduler.stretches import note_progress
-from godwitladder.scheduler.systems import finish_request, grow_request, run_systems
-from godwitladder.scheduler.views import target_views
+from godwitladder.scheduler.systems import finish_request, run_systems
 from tests.scheduler.desk import (
+    START,
     decision,
     hosts_changed,
     make_config,
@@ -32,18 +28,11 @@
     make_request,
     make_role,
     make_tables,
+    run_for,
+    settled,
     submit,
 )
 
-START = 3.0
-
-
-def settled(slots, hosts=("h0", "h1")):
-    """Return a desk whose idle hosts hold allowances, and the time."""
-    desk = make_desk(slots, hosts)
-    desk.settle(START)
-    return desk, START + 0.8
-
 
 def test_an_unloaded_request_needs_no_message():
     """An idle pool's request is dispatched in the tick that takes it in.
@@ -327,108 +316,6 @@
     assert speeds.learned["e0"] != speeds.expected["e0"]
 
 
-def run_for(desk, now, seconds, each):
-    """Let time pass, with ``each`` called and all reports delivered."""
-    for _ in range(int(seconds / 0.5)):
-        now += 0.5
-        each(now)
-        for host in desk.hosts:
-            desk.tick(host, now)
-            while desk.reports.get((host, "h0")):
-                desk.deliver_report(host, "h0", now)
-        desk.decide("h0", now)
-        for host in desk.hosts:
-            while desk.offers.get((host, "h0")):
-                desk.deliver_offer(host, "h0", now)
-    return now
-
-
-def progress(desk, row, tokens, now):
-    note_progress(desk.hosts["h1"], row, tokens, now)
-    grow_request(desk.hosts["h1"], row, tokens)
-
-
-@pytest.mark.parametrize("speed", [0.0, 0.2])
-def test_a_target_that_slows_down_gets_less_before_any_request_ends(speed):
-    """A target's limit falls while its requests still run.
-
-    It stands still, or produces a fifth of what it did; the request would
-    take minutes to end, and until then completions show nothing. Once its
-    tokens come as before, the limit rises again.
-    """
-    desk, now = settled({"e0": 8})
-    role, tps = desk.roles["h0"], desk.config.targets["e0"].decode_tps
-    row = submit(desk.hosts["h1"], make_request("r", now, declared_tokens=100_000))
-    run_systems(desk.hosts["h1"], now)
-    assert row.state is RequestState.DISPATCHED
-    progress(desk, row, 1, now + 0.02)
-    role.speeds.learned["e0"].count = KNOWN
-
-    def work(now):
-        if speed:
-            progress(desk, row, row.produced_tokens + int(tps * speed / 2), now)
-
-    now = run_for(desk, now, 8.0, work)
-    assert role.easing.limit("e0", 8, now) <= 4
-
-    def work_well(now):
-        progress(desk, row, row.produced_tokens + int(tps / 2), now)
-
-    now = run_for(desk, now, 30.0, work_well)
-    assert role.easing.limit("e0", 8, now) == 8
-
-
-@pytest.mark.parametrize("factor", [0.0, 0.1], ids=["silent", "slow"])
-def test_a_caller_that_reads_slowly_takes_no_slots_from_others(factor):
-    """Two callers read as the engine writes, a third hardly reads.
-
-    The third one's stream is as slow as on a slow engine. The engine's limit
-    stays whole, since the other streams show that it is well.
-    """
-    desk, now = settled({"e0": 8})
-    role, tps = desk.roles["h0"], desk.config.targets["e0"].decode_tps
-    role.speeds.learned["e0"].count = KNOWN
-    lengths = {"declared_tokens": 9000, "predicted_tokens": 900, "likely_tokens": 90}
-    rows = [make_request(f"r{n}", now, **lengths) for n in range(3)]
-    for row in rows:
-        submit(desk.hosts["h1"], row)
-    desk.settle(now)
-    for row in rows:
-        assert row.state is RequestState.DISPATCHED
-        progress(desk, row, 1, now + 0.02)
-
-    def work(now):
-        for row, part in zip(rows, (1.0, 1.0, factor), strict=True):
-            made = int(tps * part / 2)
-            if made:
-                progress(desk, row, row.produced_tokens + made, now)
-
-    now = run_for(desk, now, 12.0, work)
-    assert role.easing.limit("e0", 8, now) == 8
-
-
-def test_a_target_of_unknown_speed_is_not_called_slow():
-    """The configured speeds are guesses, and too high for a new engine.
-
-    It would be eased off from its first request on, though it does its best.
-    """
-    desk, now = settled({"e0": 8})
-    role = desk.roles["h0"]
-    for _ in range(KNOWN - 1):
-        role.learn(Completion("e0", "w", "chat", 10, 10, 5.0, 50.0))
-        role.watch(Stretch("e0", 0, 64, 60.0), now)
-    assert role.easing.limit("e0", 8, now) == 8
-
-
-def test_grants_follow_the_prefix_that_a_target_was_sent():
-    """Two engines are alike; the second letter shares the start of the first."""
-    desk, now = settled({"e0": 1, "e1": 1})
-    role = desk.roles["h0"]
-    role.hints.note_dispatch("e1", "start", now)
-    assert target_views(role, now)["e1"].prefixes == {"start"}
-    assert target_views(role, now)["e0"].prefixes == set()
-
-
 def test_a_host_that_was_forgotten_is_answered_as_before():
     """A host's first request after a quiet time is granted in one round trip.
 
@@ -450,36 +337,3 @@
         desk.deliver_offer("h1", "h0", now)
     run_systems(desk.hosts["h1"], now)
     assert row.state is RequestState.DISPATCHED
-
-
-def test_a_granted_request_marks_its_prefix_at_the_target():
-    """The next request with the same start is to find the first one's cache."""
-    desk, now = settled({"e0": 1})
-    submit(desk.hosts["h1"], make_request("first", now))
-    desk.settle(now)
-    submit(desk.hosts["h1"], make_request("second", now, prefix="start"))
-    desk.settle(now)
-    finish = desk.hosts["h1"].running[RequestId("first")]
-    finish_request(desk.hosts["h1"], finish, RequestState.COMPLETED, now + 1)
-    desk.settle(now + 1)
-    views = target_views(desk.roles["h0"], now + 1)
-    assert views["e0"].prefixes == {"start"}
-
-
-def test_a_target_that_refuses_connections_holds_up_no_request():
-    """A caller's letter waited for its whole deadline beside idle engines.
-
-    The engine that has the start of its prompt is gone. The host says that it
-    can't connect to it; the allocator chose it again in each run, for its
-    prefix, and then granted nothing.
-    """
-    desk, now = settled({"e0": 1, "e1": 1}, hosts=("h0", "h1", "h2"))
-    desk.roles["h0"].hints.note_dispatch("e0", "start", now)
-    host = desk.hosts["h1"]
-    for name in ("e0", "e1"):
-        host.targets[name].avoided_until = now + 1.0 if name == "e0" else 0.0
-    for access in host.pools.values():
-        access.allowances = {}
-    row = submit(host, make_request("r", now, prefix="start"))
-    desk.settle(now)
-    assert (row.state, row.target) == (RequestState.DISPATCHED, "e1")
