Use the soak's proxy and settings in tests that had their own

test_links.py had a relay that loses track of connections, test_hosts.py the settings of a host: both stand once now. The same cases, the same assertions.

--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -1,7 +1,6 @@
 """Links between hosts: silence, hanging up, and pauses of a process."""
 
 import contextlib
-import socket
 import threading
 from types import SimpleNamespace
 
@@ -16,47 +15,12 @@
 from godwitladder.membership.messages import Heartbeat, Roster
 from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.standins.ports import free_ports
+from soak.proxy import Proxy
 from tests.fleet import SECRET, wait_until
 
 TIMEOUT_S = 3.0
 
 
-class Relay:
-    """Passes bytes to an address, until it loses track of its connections."""
-
-    def __init__(self, to: str) -> None:
-        host, _, port = to.rpartition(":")
-        self.to = host, int(port)
-        self.sockets: list[socket.socket] = []
-        self.lost: set[socket.socket] = set()
-        self.server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                near, _ = self.server.accept()
-                far = socket.create_connection(self.to)
-                self.sockets += [near, far]
-                for pair in ((near, far), (far, near)):
-                    threading.Thread(target=self.pump, args=pair, daemon=True).start()
-
-    def pump(self, source: socket.socket, sink: socket.socket) -> None:
-        with contextlib.suppress(OSError):
-            while data := source.recv(4096):
-                if source not in self.lost:
-                    sink.sendall(data)
-
-    def lose_track(self) -> None:
-        """Pass nothing more on the connections that are open."""
-        self.lost.update(self.sockets)
-
-    def close(self) -> None:
-        for item in (self.server, *self.sockets):
-            item.close()
-
-
 @pytest.fixture
 def stack():
     with contextlib.ExitStack() as owned:
@@ -86,12 +50,12 @@
     again, and what it sends then arrives.
     """
     far, got = start_mesh(stack, "h1")
-    relay = Relay(far.address)
+    relay = Proxy(far.address)
     stack.callback(relay.close)
     near, _ = start_mesh(stack, "h2", [relay.address])
     wait_until(lambda: near.current() and far.current(), "the first link")
     old = near.current()[0]
-    relay.lose_track()
+    relay.silence()
     near.send("h1", beat())
     near.drop_silent(0.0)
     assert near.current() == []
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -13,28 +13,11 @@
 
 from godwitladder.standins.ingress import start_engine, start_store
 from godwitladder.standins.ports import free_ports
+from soak.fleet import SETTINGS
 from tests.fleet import wait_until
 from tests.platform.test_adapter import ENTRY
 from tests.serving.test_passing import ROUTES
 
-SETTINGS = """
-host = "{host}"
-zone = "a"
-region = "r"
-[listen]
-callers = "127.0.0.1:{ports[0]}"
-readiness = "127.0.0.1:{ports[1]}"
-operators = "127.0.0.1:{ports[2]}"
-peers = "127.0.0.1:{ports[3]}"
-[store]
-address = "{store}"
-[peers]
-secret = "shared by the test"
-seeds = {seeds}
-[limits]
-threads = 16
-"""
-
 
 def make_config(version, keys=("k1",), rate=0):
     return {
@@ -52,7 +35,11 @@
         self.ports = free_ports(4)
         path = folder / f"{name}.toml"
         text = SETTINGS.format(
-            host=name, ports=self.ports, store=store.address, seeds=json.dumps(seeds)
+            name=name,
+            zone="a",
+            ports=self.ports,
+            store=store.address,
+            seeds=json.dumps(seeds),
         )
         path.write_text(text)
         self.process = subprocess.Popen(
