Let the soak wait for a handler of SIGTERM before it stops a host

Trace: the soak ran under nohup, whose processes pass SIGHUP over from their first moment; the soak took that for the program's own care of signals, sent SIGTERM while the interpreter was starting, and saw -15.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -144,14 +144,17 @@
             self.process.wait()
 
     def holds_signals(self) -> bool:
-        """Return whether the process answers SIGHUP in a way of its own."""
+        """Return whether the process answers SIGTERM in a way of its own.
+
+        SIGHUP tells nothing: where the soak itself runs under nohup, processes
+        pass it over from their first moment.
+        """
         try:
             text = Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return False
         masks = dict(line.split(":\t") for line in text.splitlines() if "Sig" in line)
-        answered = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
-        return bool(answered & 1 << signal.SIGHUP - 1)
+        return bool(int(masks["SigCgt"], 16) & 1 << signal.SIGTERM - 1)
 
     def is_interpreter_up(self) -> bool:
         """Return whether the interpreter has had its time to start."""
