Mend what a last read of the change found

The soak's check of leaving targets failed with an error on a run that nobody asked for, in place of reporting it (new test). A host that had ended by itself and was killed by a later fault was not noticed: the end is noted before each kill. A lock that nothing took is gone, an attribute is set from the start, an expression that served as a statement is one. bench/region.py had its own copies of two figures of routing/app.py.

--- a/bench/region.py
+++ b/bench/region.py
@@ -26,6 +26,7 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.ids import HostId, RequestId, StreamId, Zone
 from godwitladder.outcomes import Refusal, RequestState
+from godwitladder.routing.app import ROUTE_STEP, START_PART
 from godwitladder.routing.state import DECODE_TPS, PREFILL_TPS
 from godwitladder.scheduler.pools import make_pools
 from godwitladder.scheduler.reports import (
@@ -50,7 +51,6 @@
 SERVICE = "letters"
 HOST = HostId("h0")
 ZONE = Zone("r")
-START_PART = 0.7
 RETURN_PART = 1 / 3
 """Callers come back when told if that is within this part of the time they have."""
 TICK_S = 0.25
@@ -259,7 +259,7 @@
             StreamId(name),
             f"w{hash((call.prompt, call.output)) % 5}",
             SERVICE,
-            2 * kind.rank,
+            ROUTE_STEP * kind.rank,
             call.prompt,
             call.declared,
             self.now,
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -163,7 +163,7 @@
         gained = rate.rate * RATE_FACTOR * self.share
         sums = accumulate(self.past.get(workspace, ()))
         missing = [spent - gained * (place + 1) for place, spent in enumerate(sums)]
-        return full - max(0.0, *missing) if missing else full
+        return full - max([0.0, *missing])
 
     def wait_s(self, workspace: WorkspaceName, charge: int, now: float) -> float:
         """Return the seconds until ``charge`` is within the quota; 0 for now."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -62,6 +62,7 @@
         self.over = over
         self.host: Host | None = None
         self.connection: http.client.HTTPConnection | None = None
+        self.returned_s = 0.0
 
     def run(self) -> None:
         """Call until the run is over."""
@@ -89,7 +90,8 @@
     def send(self, attempt: Attempt) -> None:
         """Send a call and note its answer."""
         try:
-            self.connection.connect() if self.connection.sock is None else None
+            if self.connection.sock is None:
+                self.connection.connect()
         except OSError:
             self.hang_up()
             return
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,6 @@
 import signal
 import subprocess
 import sys
-import threading
 import time
 from pathlib import Path
 
@@ -123,13 +122,10 @@
             stderr=self.log,
         )
 
-    def is_running(self) -> bool:
-        """Return whether it should run; note if it ended by itself."""
-        if self.process is None or self.stopping:
-            return False
-        if self.process.poll() is not None:
-            self.ended_itself = True
-        return not self.ended_itself
+    def note_end(self) -> None:
+        """Note if the process has ended though nobody stopped it."""
+        if self.process is not None and not self.stopping:
+            self.ended_itself |= self.process.poll() is not None
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process is there."""
@@ -138,6 +134,7 @@
 
     def kill(self) -> None:
         """Kill the process."""
+        self.note_end()
         self.stopping = True
         self.signal(signal.SIGKILL)
         if self.process is not None:
@@ -231,7 +228,6 @@
         self.server.standin.knobs.pause_s = 0.02
         self.server.standin.knobs.name = name
         self.proxy = Proxy(self.server.address)
-        self.lock = threading.Lock()
 
     @property
     def knobs(self):
--- a/soak/records.py
+++ b/soak/records.py
@@ -174,6 +174,7 @@
             for run in self.runs
             for target, since, until in self.left
             if run.target == target and since + DRAIN_S < run.at < until
+            if run.name in self.attempts
             if self.attempts[run.name].sent > since + DRAIN_S
             if self.is_calm(since, run.at, STORE_KINDS | HOST_FAULTS)
         ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -95,7 +95,7 @@
             rows = [host.status() for host in self.fleet.hosts]
             self.history.findings.append(f"the fleet did not recover: {rows}")
         for host in self.fleet.hosts:
-            host.is_running()
+            host.note_end()
             if host.ended_itself:
                 self.history.ended.append(host.name)
         served = sum(self.is_served(caller, number) for number in range(LAST_CALLS))
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -97,3 +97,15 @@
     assert {fault.kind for seed in range(200) for fault in draw(seed, 12.0, 8)} == set(
         Kind
     )
+
+
+def test_a_stranger_at_a_target_that_left_is_found():
+    history = make_history()
+    history.runs.append(TargetRun(10.2, "e0", "stranger", "w1", False))
+    history.left.append(("e0", 5.0, 10.0))
+    history.left.append(("e0", 10.1, 20.0))
+    history.runs.append(TargetRun(15.0, "e0", "stranger", "w1", False))
+    assert all(
+        "stranger" in text or "after it left" in text for text in history.check()
+    )
+    assert sum("stranger" in text for text in history.check()) == 2
