Tell why an answer was late, and add up a fleet's lines with 'account'

Cause: the logs told how long a call took, not whether it was in time nor which part of its way made it late: a wait for a place, its target's first output, a pause, or that its caller had come back after its aim. Without that no change of policy can be told from luck.

'godwitladder account LOGS' adds refusals, answers by cause of lateness and the seconds that they held places, by route and by span of time.

--- /dev/null
+++ b/godwitladder/account.py
@@ -0,0 +1,167 @@
+"""Adds up what a fleet's log lines say of its calls: who got what, and why not.
+
+Each call that a host read leaves a line at its end: it was refused, or its
+answer came to an end. The answer's line tells whether it was in time and, if
+not, the first cause; between the line of its last send and that one, the call
+held a place at its target.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any
+
+from godwitladder.explain import read_line
+from godwitladder.outcomes import RequestState
+from godwitladder.serving.lateness import Lateness
+
+SENT = "passing: A call is sent"
+ENDED = "passing: A call has ended"
+REFUSED = "passing: A call was refused"
+TIME_FORM = "%Y-%m-%d %H:%M:%S,%f"
+LATE = tuple(cause for cause in Lateness if cause is not Lateness.IN_TIME)
+HEAD = (
+    "in time",
+    *(cause.value for cause in LATE),
+    "failed",
+    "refused",
+    "refused again",
+    "refused at s",
+    "held in time s",
+    "held late s",
+    "held in vain s",
+)
+
+
+@dataclass
+class Tally:
+    """What the calls of one route, or of one span of time, came to.
+
+    Attributes
+    ----------
+    ended : dict
+        Answers that came whole, by whether they were in time.
+    again : int
+        Refusals of callers that had come back as told.
+    ages_s : list of float
+        How long each refused call had waited.
+    held_s : dict
+        Seconds that answers held a place, by whether they were in time.
+    vain_s : float
+        Likewise of calls that failed.
+    """
+
+    ended: dict[Lateness, int] = field(default_factory=lambda: defaultdict(int))
+    failed: int = 0
+    refused: int = 0
+    again: int = 0
+    ages_s: list[float] = field(default_factory=list)
+    held_s: dict[Lateness, float] = field(default_factory=lambda: defaultdict(float))
+    vain_s: float = 0.0
+
+    def refuse(self, row: dict[str, Any]) -> None:
+        """Take in a refusal."""
+        self.refused += 1
+        self.again += bool(row.get("returned"))
+        self.ages_s.append(float(row.get("waited_s", 0.0)))
+
+    def end(self, row: dict[str, Any], held_s: float) -> None:
+        """Take in the end of an answer."""
+        if row.get("outcome") != RequestState.COMPLETED.value:
+            self.failed += 1
+            self.vain_s += held_s
+            return
+        cause = Lateness(row.get("lateness", Lateness.IN_TIME.value))
+        self.ended[cause] += 1
+        self.held_s[cause] += held_s
+
+    def cells(self) -> tuple[str, ...]:
+        """Return the row under `HEAD`."""
+        ages = sorted(self.ages_s)
+        middle = f"{ages[len(ages) // 2]:.2f}" if ages else "-"
+        late_s = sum(self.held_s[cause] for cause in LATE)
+        return (
+            str(self.ended[Lateness.IN_TIME]),
+            *(str(self.ended[cause]) for cause in LATE),
+            str(self.failed),
+            str(self.refused),
+            str(self.again),
+            middle,
+            f"{self.held_s[Lateness.IN_TIME]:.1f}",
+            f"{late_s:.1f}",
+            f"{self.vain_s:.1f}",
+        )
+
+
+@dataclass
+class Account:
+    """Tallies by route, and by span of time from the first line on."""
+
+    routes: dict[str, Tally] = field(default_factory=dict)
+    spans: dict[int, Tally] = field(default_factory=dict)
+
+
+def make_account(lines: Iterable[str], span_s: float = 2.0) -> Account:
+    """Return the account of a fleet's log lines.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        JSON lines of any number of hosts in any order; others are passed over.
+    span_s : float
+        Length of a span, in seconds.
+    """
+    rows = [row for row in map(read_line, lines) if _is_told(row)]
+    rows.sort(key=_second)
+    account = Account()
+    sent: dict[str, float] = {}
+    for row in rows:
+        request, second = str(row.get("request")), _second(row)
+        if row["message"] == SENT:
+            sent[request] = second
+            continue
+        route = str(row.get("route"))
+        span = int((second - _second(rows[0])) // span_s)
+        for tally in (
+            account.routes.setdefault(route, Tally()),
+            account.spans.setdefault(span, Tally()),
+        ):
+            if row["message"] == REFUSED:
+                tally.refuse(row)
+            else:
+                tally.end(row, second - sent.get(request, second))
+    return account
+
+
+def show_account(account: Account, span_s: float = 2.0) -> list[str]:
+    """Return the account as lines of text."""
+    routes = [(name, *tally.cells()) for name, tally in sorted(account.routes.items())]
+    spans = [
+        (f"{span * span_s:.0f} s", *tally.cells())
+        for span, tally in sorted(account.spans.items())
+    ]
+    return [
+        *_columns([("route", *HEAD), *routes]),
+        "",
+        *_columns([("from", *HEAD), *spans]),
+    ]
+
+
+def _columns(rows: list[tuple[str, ...]]) -> list[str]:
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    return [
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+
+
+def _is_told(row: dict[str, Any]) -> bool:
+    return row.get("message") in (SENT, ENDED, REFUSED) and _second(row) is not None
+
+
+def _second(row: dict[str, Any]) -> float | None:
+    try:
+        return datetime.strptime(str(row.get("asctime")), TIME_FORM).timestamp()
+    except ValueError:
+        return None
--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -22,6 +22,7 @@
 import defopt
 
 import godwitladder
+from godwitladder.account import make_account, show_account
 from godwitladder.client import AskFailed, OperatorClient
 from godwitladder.configuration.tickets import read_ticket
 from godwitladder.daemon import run_entry_host
@@ -95,6 +96,25 @@
         print(row)
 
 
+def account_for(*logs: Path, span: float = 2.0) -> None:
+    """Print what became of all calls in the log lines of hosts, and why.
+
+    Parameters
+    ----------
+    logs : Path
+        Files with the JSON lines of any number of hosts.
+    span : float
+        Seconds for each row of the second table, which goes by time.
+    """
+    lines = [
+        line
+        for path in logs
+        for line in read_file(path).decode(errors="replace").splitlines()
+    ]
+    for row in show_account(make_account(lines, span), span):
+        print(row)
+
+
 def check_ticket(ticket: Path) -> None:
     """Check a ticket by itself, without asking a host.
 
@@ -309,6 +329,7 @@
     "serve": serve,
     "settings": {"check": check_settings, "check-routed": check_routed_settings},
     "explain": explain_request,
+    "account": account_for,
     "ticket": {
         "check": check_ticket,
         "submit": submit_ticket,
--- /dev/null
+++ b/godwitladder/serving/lateness.py
@@ -0,0 +1,41 @@
+"""Tells why an answer was not in time.
+
+An answer's first output, or the whole of a plain one, is due by the call's
+aim; after that no pause of a stream may be longer than its route allows.
+"""
+
+import enum
+
+from godwitladder.scheduler.rows import RequestRow
+
+
+class Lateness(enum.Enum):
+    """The first cause for which an answer was late."""
+
+    IN_TIME = "in_time"
+    CAME_LATE = "came_late"
+    WAITED = "waited"
+    TARGET = "target"
+    PAUSE = "pause"
+
+
+def judge_lateness(
+    row: RequestRow, first_at: float, pause_s: float, gap_s: float
+) -> Lateness:
+    """Return why an answer was late, if it was.
+
+    Parameters
+    ----------
+    first_at : float
+        When its first output came, in seconds of the host's monotonic clock.
+    pause_s, gap_s : float
+        Longest pause that it had, and the longest that it may have; 0 for
+        no bound.
+    """
+    if row.aim and first_at > row.aim:
+        if row.arrived > row.aim:
+            return Lateness.CAME_LATE
+        return Lateness.WAITED if row.dispatched > row.aim else Lateness.TARGET
+    if gap_s and pause_s > gap_s:
+        return Lateness.PAUSE
+    return Lateness.IN_TIME
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -23,6 +23,7 @@
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.ending import Ending
+from godwitladder.serving.lateness import judge_lateness
 from godwitladder.serving.losses import LossBook
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.streaming import StreamPassing
@@ -88,6 +89,8 @@
         Last event that the caller has of a stream which goes on elsewhere.
     kept : WholeAnswer or None
         A failure that a target made, for want of a better answer.
+    pause_s : float
+        Longest time between two events of a stream.
     """
 
     def __init__(self, passer: Passer, call: RoutedCall, gone) -> None:
@@ -102,6 +105,7 @@
         self.running = False
         self.resume_from = ""
         self.kept: WholeAnswer | None = None
+        self.pause_s = 0.0
         self.lost: MayHaveRun | None = None
         passer.watch.add(self.open)
 
@@ -219,11 +223,20 @@
         if self.running:
             # A call that waits, or was refused while it did, holds no target.
             self.ending.tell(state, tokens)
+        row = self.call.row
+        took_s = self.clock.monotonic() - row.arrived
+        first_s = self.ending.first_s or took_s
+        lateness = judge_lateness(
+            row, row.arrived + first_s, self.pause_s, self.call.route.gap_s
+        )
         extra = self.names() | {
             "outcome": state.value,
+            "lateness": lateness.value,
             "tokens": tokens,
+            "prompt": row.prompt_tokens,
             "first_s": round(self.ending.first_s, 3),
-            "took_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
+            "pause_s": round(self.pause_s, 3),
+            "took_s": round(took_s, 3),
         }
         log.info("A call has ended", extra=extra)
 
@@ -245,6 +258,7 @@
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
             "retry_after_s": refusal.retry_after_s,
+            "returned": self.call.row.returned,
             "waited_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
         }
         log.info("A call was refused", extra=extra)
@@ -338,6 +352,7 @@
         extra = self.names() | {
             "waited_s": round(waited_s, 3),
             "left_s": round(left_s, 3),
+            "returned": self.call.row.returned,
             "workspace": self.call.workspace,
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -18,7 +18,13 @@
 
 
 class StreamPassing:
-    """Passes the events of a stream on, and resumes it where that is allowed."""
+    """Passes the events of a stream on, and resumes it where that is allowed.
+
+    Attributes
+    ----------
+    heard : float
+        When the last events came; 0 before the first.
+    """
 
     def __init__(self, passing: "Passing", response: urllib3.BaseHTTPResponse) -> None:
         self.passing = passing
@@ -26,6 +32,7 @@
         self.events = 0
         self.whole = False
         self.last_id = ""
+        self.heard = 0.0
 
     def begin(self, start_response) -> "StreamPassing":
         """Send the head of the answer."""
@@ -50,6 +57,10 @@
         """Take in the events that were read."""
         self.events += self.reader.take_count()
         self.last_id = self.reader.last_id or self.last_id
+        now = self.passing.clock.monotonic()
+        if self.heard:
+            self.passing.pause_s = max(self.passing.pause_s, now - self.heard)
+        self.heard = now
         self.passing.ending.report(self.tokens())
 
     def tokens(self) -> int:
--- /dev/null
+++ b/tests/test_account.py
@@ -0,0 +1,64 @@
+"""What became of a fleet's calls, added up from its lines."""
+
+import json
+
+from godwitladder.account import make_account
+from godwitladder.cli import main
+from godwitladder.serving.lateness import Lateness
+
+TIME = "2026-01-01 00:00:0{},000"
+
+
+def line(second: int, text: str, **fields) -> str:
+    """Return one line of a host's log, with its name before the JSON."""
+    row = {"asctime": TIME.format(second), "message": f"passing: {text}", **fields}
+    return f"host-1 {json.dumps(row)}"
+
+
+LINES = [
+    line(3, "A call has ended", request="a", route="r", outcome="completed"),
+    line(0, "A call is sent", request="a", route="r"),
+    line(1, "A call was refused", request="b", route="r", waited_s=0.2, returned=True),
+    line(1, "A call is sent", request="c", route="r"),
+    line(
+        5,
+        "A call has ended",
+        request="c",
+        route="r",
+        outcome="completed",
+        lateness="pause",
+    ),
+    line(2, "A call is sent", request="d", route="s"),
+    line(4, "A call has ended", request="d", route="s", outcome="failed"),
+    line(0, "Something else", request="e", route="s"),
+    "not of a log",
+]
+
+
+def test_answers_refusals_and_places_are_added_up_by_route():
+    account = make_account(LINES)
+    tally = account.routes["r"]
+    assert tally.ended == {Lateness.IN_TIME: 1, Lateness.PAUSE: 1}
+    assert (tally.refused, tally.again, tally.ages_s) == (1, 1, [0.2])
+    assert tally.held_s == {Lateness.IN_TIME: 3.0, Lateness.PAUSE: 4.0}
+    assert account.routes["s"].failed == 1
+    assert account.routes["s"].vain_s == 2.0
+
+
+def test_spans_count_from_the_first_line():
+    account = make_account(LINES, span_s=2.0)
+    assert sorted(account.spans) == [0, 1, 2]
+    assert account.spans[0].refused == 1
+
+
+def test_no_lines_make_an_empty_account():
+    assert make_account(["nothing"]).routes == {}
+
+
+def test_the_command_prints_both_tables(tmp_path, capsys):
+    path = tmp_path / "lines"
+    path.write_text("\n".join(LINES))
+    main(["account", str(path)])
+    shown = capsys.readouterr().out
+    assert "refused again" in shown
+    assert "4 s" in shown
