Know callers that come back by their body, not by the time they have left

Cause: a call's time spent was taken for the route's longest time minus its own. Callers' times differ by 15 in 100, so that nearly every first try of a call with 15 s counted as one that had come back, late beyond help.

Now the allocator keeps when each caller that it refused first asked, by the body's digest, which each demand line of a model call bears. Ruled out: the attempt's id (new each time), the host (another one each time).

--- a/bench/region.py
+++ b/bench/region.py
@@ -53,6 +53,8 @@
 ZONE = Zone("r")
 RETURN_PART = 1 / 3
 """Callers come back when told if that is within this part of the time they have."""
+IMPATIENCE = 0.15
+"""Callers of a kind wait for up to this part less than the most patient."""
 TICK_S = 0.25
 SIZE_FLOOR, SIZE_PART, SIZE_MOST = 0.3, 0.7, 4.0
 """A call is worth a fixed part and one that grows with its size."""
@@ -139,6 +141,7 @@
     first: float = 0.0
     ended: float = 0.0
     refused: bool = False
+    body: str = ""
 
 
 @dataclass
@@ -203,7 +206,9 @@
     length = min(dice.lognormvariate(mean, kind.spread), LONGEST_OUTPUT)
     output = max(6, int(kind.output * length))
     declared = int(output * dice.uniform(1.5, 6.0))
-    return Call(kind, prompt, output, declared, now, now + kind.patience_s)
+    patience_s = kind.patience_s * dice.uniform(1.0 - IMPATIENCE, 1.0)
+    body = f"{dice.getrandbits(48):012x}"
+    return Call(kind, prompt, output, declared, now, now + patience_s, body=body)
 
 
 @dataclass
@@ -266,9 +271,9 @@
             call.until,
             False,
         )
-        row.aim = call.asked + kind.aim_s
+        row.aim = self.now + kind.aim_s
         row.start_by = self.now + min(patience_s, kind.silence_s) * START_PART
-        row.returned = call.tries > 0
+        row.body = call.body
         predictor = self.tables.predictor
         row.predicted_tokens = predictor.predict(row.workspace, SERVICE, call.declared)
         row.likely_tokens = predictor.likely(row.workspace, SERVICE, call.declared)
--- a/godwitladder/account.py
+++ b/godwitladder/account.py
@@ -24,6 +24,7 @@
 HEAD = (
     "in time",
     *(cause.value for cause in LATE),
+    "came back",
     "failed",
     "refused",
     "refused again",
@@ -42,8 +43,10 @@
     ----------
     ended : dict
         Answers that came whole, by whether they were in time.
+    back : int
+        Of these, to callers that had been refused before.
     again : int
-        Refusals of callers that had come back as told.
+        Refusals of callers that had been refused before.
     ages_s : list of float
         How long each refused call had waited.
     held_s : dict
@@ -53,6 +56,7 @@
     """
 
     ended: dict[Lateness, int] = field(default_factory=lambda: defaultdict(int))
+    back: int = 0
     failed: int = 0
     refused: int = 0
     again: int = 0
@@ -60,13 +64,13 @@
     held_s: dict[Lateness, float] = field(default_factory=lambda: defaultdict(float))
     vain_s: float = 0.0
 
-    def refuse(self, row: dict[str, Any]) -> None:
+    def refuse(self, row: dict[str, Any], again: bool) -> None:
         """Take in a refusal."""
         self.refused += 1
-        self.again += bool(row.get("returned"))
+        self.again += again
         self.ages_s.append(float(row.get("waited_s", 0.0)))
 
-    def end(self, row: dict[str, Any], held_s: float) -> None:
+    def end(self, row: dict[str, Any], held_s: float, back: bool) -> None:
         """Take in the end of an answer."""
         if row.get("outcome") != RequestState.COMPLETED.value:
             self.failed += 1
@@ -74,6 +78,7 @@
             return
         cause = Lateness(row.get("lateness", Lateness.IN_TIME.value))
         self.ended[cause] += 1
+        self.back += back
         self.held_s[cause] += held_s
 
     def cells(self) -> tuple[str, ...]:
@@ -84,6 +89,7 @@
         return (
             str(self.ended[Lateness.IN_TIME]),
             *(str(self.ended[cause]) for cause in LATE),
+            str(self.back),
             str(self.failed),
             str(self.refused),
             str(self.again),
@@ -116,10 +122,12 @@
     rows.sort(key=_second)
     account = Account()
     sent: dict[str, float] = {}
+    bodies: dict[str, str] = {}
+    refused: set[str] = set()
     for row in rows:
         request, second = str(row.get("request")), _second(row)
         if row["message"] == SENT:
-            sent[request] = second
+            sent[request], bodies[request] = second, str(row.get("body"))
             continue
         route = str(row.get("route"))
         span = int((second - _second(rows[0])) // span_s)
@@ -128,9 +136,12 @@
             account.spans.setdefault(span, Tally()),
         ):
             if row["message"] == REFUSED:
-                tally.refuse(row)
+                tally.refuse(row, row.get("body") in refused)
             else:
-                tally.end(row, second - sent.get(request, second))
+                held_s = second - sent.get(request, second)
+                tally.end(row, held_s, bodies.get(request) in refused)
+        if row["message"] == REFUSED:
+            refused.add(row.get("body"))
     return account
 
 
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -221,6 +221,7 @@
                 )
             if reason is ShedReason.OVERLOAD:
                 self.note_shed(line.tier_rank)
+            self.pool.memory.callers.note(line.body, entry.row.asked, self.now)
             self.allocation.given_up.append(give_up(entry, reason, waits[key]))
 
     def note_shed(self, rank: int) -> None:
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -136,7 +136,7 @@
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
     key: GroupKey = (line.tier_rank, line.service)
-    late_ranks = RETURNED_RANKS if line.returned else LATE_RANKS
+    late_ranks = RETURNED_RANKS if row.returned else LATE_RANKS
     late_key: GroupKey = (line.tier_rank + late_ranks, line.service)
     prefill_s, decode_s = pace
     likely = line.likely_tokens or line.predicted_tokens or 1
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -26,6 +26,7 @@
 import math
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.returns import RefusedCallers
 from godwitladder.ids import TargetName, WorkspaceName
 
 FLOW_HALF_LIFE_S = 10.0
@@ -62,6 +63,8 @@
         When more waited than could start, last and first without a calm.
     offered, served : dict
         Requests that lately came, and that were placed, by rank.
+    callers : RefusedCallers
+        Who was refused lately.
     """
 
     given: dict[int, float] = field(default_factory=dict)
@@ -76,6 +79,7 @@
     contended_since: float = 0.0
     offered: dict[int, float] = field(default_factory=dict)
     served: dict[int, float] = field(default_factory=dict)
+    callers: RefusedCallers = field(default_factory=RefusedCallers)
 
     def fade(self, now: float) -> None:
         """Let everything fade up to ``now``."""
--- /dev/null
+++ b/godwitladder/decisions/returns.py
@@ -0,0 +1,52 @@
+"""Knows callers again that were sent away and have come back.
+
+Load pattern: a burst. Who was refused comes back seconds later, to another
+host, as a new request with all of its waiting still ahead. Taken for one that
+has just come it is put before callers who can still be served in time, and its
+own answer is late whatever is done.
+
+A caller sends the same body again, so the body's digest tells. The time that
+callers say they have left does not: it differs from caller to caller by more
+than the time that most have spent. Taken from that, nine in ten first tries
+counted as late, and the calls that could be in time yielded to others.
+
+Two callers who send the same words within the time kept are taken for one:
+the second then yields to others for nothing, which is rare and harms only it.
+
+Thresholds
+----------
+KEPT_S : twice the longest time that callers wait, who come back within it.
+KEPT : callers refused in that time at 1,500 requests a second, half of them.
+"""
+
+from collections import OrderedDict
+
+from godwitladder.ids import BodyDigest
+
+KEPT_S = 30.0
+KEPT = 25_000
+
+
+class RefusedCallers:
+    """When callers that were refused lately first asked, by their body."""
+
+    def __init__(self) -> None:
+        self.asked: OrderedDict[BodyDigest, float] = OrderedDict()
+
+    def note(self, body: BodyDigest, asked: float, now: float) -> None:
+        """A caller that first asked at ``asked`` is refused."""
+        if not body:
+            return
+        self.asked.setdefault(body, asked)
+        while self.asked and self.is_old(now):
+            self.asked.popitem(last=False)
+
+    def first_asked(self, body: BodyDigest, now: float) -> float | None:
+        """Return when a caller that was refused before first asked."""
+        asked = self.asked.get(body)
+        return None if asked is None or now - asked > KEPT_S else asked
+
+    def is_old(self, now: float) -> bool:
+        """Return whether the oldest is to be forgotten."""
+        oldest = next(iter(self.asked.values()))
+        return now - oldest > KEPT_S or len(self.asked) > KEPT
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -12,6 +12,7 @@
 from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.ids import (
+    BodyDigest,
     HostId,
     RequestId,
     ServiceName,
@@ -59,8 +60,8 @@
         Tokens that it counts for in its workspace's quota.
     place : str
         Availability zone of its host.
-    returned : bool
-        Whether its caller was sent away before, and has come back as told.
+    body : BodyDigest
+        By which its caller is known again; empty where bodies are alike.
     """
 
     request: RequestId
@@ -78,7 +79,7 @@
     start_s: float = float("inf")
     charge: int = 0
     place: Zone = Zone("")
-    returned: bool = False
+    body: BodyDigest = BodyDigest("")
 
 
 @dataclass(frozen=True)
@@ -230,6 +231,8 @@
     entry : Entry or None
         Kept by `allocate` from run to run, which spares weighing each row
         in each; leave it alone.
+    asked : float
+        When its caller first asked: before ``arrived`` if it has come back.
     """
 
     host: HostId
@@ -239,8 +242,18 @@
     avoided: frozenset[TargetName] = frozenset()
     aim: float = float("inf")
     start_by: float = float("inf")
+    asked: float | None = None
     entry: Entry | None = field(default=None, compare=False, repr=False)
 
+    def __post_init__(self) -> None:
+        if self.asked is None:
+            self.asked = self.arrived
+
+    @property
+    def returned(self) -> bool:
+        """Whether its caller was sent away before, and has come back."""
+        return self.asked < self.arrived
+
 
 @dataclass
 class WorkspaceView:
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -9,7 +9,6 @@
 from godwitladder.ids import (
     BodyDigest,
     RequestId,
-    RouteName,
     ServiceName,
     StreamId,
     WorkspaceName,
@@ -44,9 +43,6 @@
 UNKNOWN_RETRY_S = 0.5
 """A host without a document, or with one that is too old, asks again so soon:
 a read of the store is due within that time."""
-RETURNED_S = 0.3
-"""A caller that has spent more than this on earlier tries was sent away and came
-back as told; one that repeats at once has spent less."""
 LEAST_SILENCE_S, AIMS, GAPS = 2.0, 4.0, 8.0
 """Callers leave a stream after the longest of this silence and these multiples
 of the route's aim and of its longest pause: what the users say of theirs."""
@@ -88,8 +84,6 @@
     ----------
     in_force : InForce
         Replaced as a whole.
-    longest_wait_s : dict
-        The longest patience of callers seen on each route, in seconds.
     refusing : bool
         Whether new calls are turned away, since the host is about to stop.
     """
@@ -110,7 +104,6 @@
         self.metrics = metrics
         self.in_force = put_in_force(Document())
         self.refusing = False
-        self.longest_wait_s: dict[RouteName, float] = {}
 
     def answer(self, environ: Mapping, start_response) -> Iterable[bytes]:
         """Answer one request, or say why not."""
@@ -237,9 +230,7 @@
         )
         row.start_by = now + start_within_s(route, wait_s)
         if route.aim_s:
-            spent_s = self.spent_s(route, facts)
-            row.aim = now + route.aim_s - spent_s
-            row.returned = spent_s > RETURNED_S
+            row.aim = now + route.aim_s
         row.charge = charge_of(facts, workspace.quota)
         return RoutedCall(
             row=row,
@@ -254,19 +245,6 @@
             event_tokens=known.event_tokens,
         )
 
-    def spent_s(self, route: Route, facts: CallFacts) -> float:
-        """Return the seconds that a caller has spent on earlier tries.
-
-        Callers of a route wait equally long, and say how much of it is left:
-        one that comes back after a refusal has less. Its answer can't be in
-        time any more, and must not take the place of one that can.
-        """
-        if facts.wait_s is None:
-            return 0.0
-        longest = max(self.longest_wait_s.get(route.name, 0.0), facts.wait_s)
-        self.longest_wait_s[route.name] = longest
-        return longest - facts.wait_s
-
 
 def rank_of(workspace: RoutedWorkspace, route: Route) -> int:
     """Return the rank: the route's, put back by the workspace's.
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -8,7 +8,7 @@
 
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import DemandLine, Shed, ShedReason, TargetUse
-from godwitladder.ids import HostId
+from godwitladder.ids import BodyDigest, HostId
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.exchange import (
@@ -40,6 +40,10 @@
 SPILL_AFTER_S = 1.0
 """A request that waited so long is asked for in other zones in any case."""
 
+CALLER_DIGITS = 12
+"""Of a body's digest in a demand line: two of 25,000 callers are mistaken for each
+other once in a million times, and lines cost bytes between zones."""
+
 SHED_REASONS = {
     ShedReason.OVERLOAD: Reason.SHED,
     ShedReason.DEADLINE: Reason.DEADLINE,
@@ -270,10 +274,18 @@
         start_s=row.start_by - now,
         charge=row.charge,
         place=tables.place,
-        returned=row.returned,
+        body=caller_digest(row),
     )
 
 
+def caller_digest(row: RequestRow) -> BodyDigest:
+    """Return by what the caller of ``row`` is known again.
+
+    Calls of plain services often have no body, or the same; prompts differ.
+    """
+    return BodyDigest(row.body[:CALLER_DIGITS] if row.prompt_tokens else "")
+
+
 def take_offer(tables: Tables, offer: GrantOffer, now: float) -> None:
     """Take in an allocator's offer."""
     access = tables.pools.get(offer.pool)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -76,8 +76,6 @@
         Until when it has to be dispatched to be of use to its caller.
     charge : int
         Tokens that it counts for in its workspace's quota.
-    returned : bool
-        Whether its caller was sent away before.
     order : tuple
         Where it stands among the waiting ones: by tier, then by deadline.
     spilled : bool
@@ -111,7 +109,6 @@
     aim: float = 0.0
     start_by: float = math.inf
     charge: int = 0
-    returned: bool = False
     predicted_tokens: int = 0
     likely_tokens: int = 0
     produced_tokens: int = 0
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -7,12 +7,13 @@
 
 from godwitladder.configuration.model import TargetState
 from godwitladder.decisions.types import (
+    DemandLine,
     PoolView,
     TargetView,
     Waiting,
     WorkspaceView,
 )
-from godwitladder.ids import TargetName, WorkspaceName
+from godwitladder.ids import HostId, TargetName, WorkspaceName
 from godwitladder.scheduler.accounts import NOTHING
 from godwitladder.scheduler.exchange import NO_RANK
 
@@ -35,14 +36,7 @@
             # deadline would move on with each run between two reports.
             row = role.rows.get(line.request)
             if row is None or row.line is not line:
-                row = Waiting(
-                    account.host,
-                    line,
-                    now + line.slack_s,
-                    now - line.waited_s,
-                    aim=now + line.aim_s,
-                    start_by=now + line.start_s,
-                )
+                row = take_line(role, account.host, line, now)
             row.avoided = account.avoided
             view.waiting[line.request] = row
     role.rows = view.waiting
@@ -53,6 +47,26 @@
     return view
 
 
+def take_line(role: "PoolRole", host: HostId, line: DemandLine, now: float) -> Waiting:
+    """Return a demand line with its times by the allocator's clock.
+
+    The aim counts from when the caller first asked, also if it was refused
+    since then and has come back.
+    """
+    arrived = now - line.waited_s
+    asked = role.memory.callers.first_asked(line.body, now)
+    asked = arrived if asked is None else min(asked, arrived)
+    return Waiting(
+        host,
+        line,
+        now + line.slack_s,
+        arrived,
+        aim=asked + line.waited_s + line.aim_s,
+        start_by=now + line.start_s,
+        asked=asked,
+    )
+
+
 def target_views(role: "PoolRole", now: float) -> dict[TargetName, TargetView]:
     """Return every target that may take work."""
     views = {}
--- a/godwitladder/serving/lateness.py
+++ b/godwitladder/serving/lateness.py
@@ -1,7 +1,8 @@
-"""Tells why an answer was not in time.
+"""Tells why an answer was not in time, as far as the host can see.
 
 An answer's first output, or the whole of a plain one, is due by the call's
-aim; after that no pause of a stream may be longer than its route allows.
+aim; after that no pause of a stream may be longer than its route allows. What
+a caller has spent on earlier tries at other hosts isn't counted here.
 """
 
 import enum
@@ -13,7 +14,6 @@
     """The first cause for which an answer was late."""
 
     IN_TIME = "in_time"
-    CAME_LATE = "came_late"
     WAITED = "waited"
     TARGET = "target"
     PAUSE = "pause"
@@ -33,8 +33,6 @@
         no bound.
     """
     if row.aim and first_at > row.aim:
-        if row.arrived > row.aim:
-            return Lateness.CAME_LATE
         return Lateness.WAITED if row.dispatched > row.aim else Lateness.TARGET
     if gap_s and pause_s > gap_s:
         return Lateness.PAUSE
--- a/godwitladder/serving/passing.py
+++ b/godwitladder/serving/passing.py
@@ -258,7 +258,6 @@
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
             "retry_after_s": refusal.retry_after_s,
-            "returned": self.call.row.returned,
             "body": self.call.row.body[:8],
             "wait_s": round(self.call.row.deadline - self.call.row.arrived, 3),
             "waited_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
@@ -354,7 +353,6 @@
         extra = self.names() | {
             "waited_s": round(waited_s, 3),
             "left_s": round(left_s, 3),
-            "returned": self.call.row.returned,
             "body": self.call.row.body[:8],
             "workspace": self.call.workspace,
             "rank": self.call.row.tier_rank,
