Let a route's lost call take nothing that waits below it

Cause: when a call ran out of time, all that waited for the same targets at a lower rank was refused with it. That keeps the tiers of the product's own interface strict; routed calls, whose kinds are owed a part each, lost each question and verdict that was still in time whenever one letter, even one that had come back late, ran out. And the host that was told to refuse a late letter refused its least important call in its place.

Both are now left out where tiers are not strict.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -195,6 +195,8 @@
             self.drop([entry], ShedReason.DEADLINE)
             if was_possible(entry) and self.capacity.of(line.service).slots:
                 lost.setdefault(line.tier_rank, set()).add(line.service)
+        if not self.pool.policy.is_strict:
+            return
         for rank, services in sorted(lost.items()):
             self.note_shed(rank)
             below = give_up_below(self.backlog, rank, services)
@@ -202,7 +204,7 @@
 
     def follow_others(self) -> None:
         """Keep nothing below a tier that another allocator had to shed."""
-        if not self.pool.shed_ranks:
+        if not self.pool.shed_ranks or not self.pool.policy.is_strict:
             return
         rank = min(self.pool.shed_ranks.values())
         below = give_up_below(self.backlog, rank, self.capacity.services)
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -134,12 +134,20 @@
 
 @dataclass(frozen=True)
 class Shed:
-    """An allocator gives a waiting request up; it is refused at once."""
+    """An allocator gives a waiting request up; it is refused at once.
+
+    Attributes
+    ----------
+    exact : bool
+        Whether just this request is meant, and not the least important one
+        that its host has by now.
+    """
 
     host: HostId
     request: RequestId
     reason: ShedReason
     retry_after_s: float
+    exact: bool = False
 
 
 @dataclass
@@ -277,11 +285,14 @@
         Whether early refusal goes by what really starts rather than by slots.
     eases_off : bool
         Whether a target that works slowly is given fewer requests at once.
+    is_strict : bool
+        Whether nothing of a lower tier is kept once a tier had to be shed.
     """
 
     least_share: float = 0.0
     measures_flow: bool = False
     eases_off: bool = True
+    is_strict: bool = True
 
 
 @dataclass
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -314,7 +314,7 @@
     """
     if access is not tables.by_service[row.service][0]:
         return
-    if shed.reason is ShedReason.OVERLOAD:
+    if shed.reason is ShedReason.OVERLOAD and not shed.exact:
         row = least_important(tables, access, row)
     if shed.reason is not ShedReason.QUOTA and has_open_pool(tables, row, now):
         if not row.spilled:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -80,12 +80,16 @@
 reads in chunks between the output of all that it runs: what is sent early
 waits where no one can order it, and slows everything beside it."""
 
-ASKED = Policy(least_share=0.6, measures_flow=True, eases_off=False)
+ASKED = Policy(least_share=0.6, measures_flow=True, eases_off=False, is_strict=False)
 """Where each dispatch is asked for, a tier of short requests is served at least
 six tenths as often as the one before it. In strict order it got nothing for as
 long as the one before it could fill the pool, though a tenth of the pool would
 have served all of it.
 
+Tiers are not strict there: each kind of call is owed a part of the targets. A
+letter that ran out of time took every shorter call that waited with it, though
+these were still in time and would hardly have cost it a place.
+
 Nothing is eased off there: a target that stands still gets no further prompt by
 the bound above, and one that is only full looks slow. Eased off in a burst, the
 targets had a part of their slots left: 37% of the burst's letters came late or
@@ -301,7 +305,13 @@
             offerings.setdefault(waiting.host, Offering()).grants.append(grant)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
-            shed = Shed(waiting.host, row.request, row.reason, row.retry_after_s)
+            shed = Shed(
+                waiting.host,
+                row.request,
+                row.reason,
+                row.retry_after_s,
+                exact=not self.policy.is_strict,
+            )
             offerings.setdefault(waiting.host, Offering()).sheds.append(shed)
         if allocation.shed_rank is not None:
             self.note_shed(allocation.shed_rank, now)
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -5,6 +5,7 @@
 from godwitladder.decisions.quotas import QuotaBook, TokenRate
 from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
 from godwitladder.decisions.types import ShedReason
+from godwitladder.scheduler.role import ASKED
 from tests.decisions.pools import add, given_up, make_pool, make_target
 
 RATE = {"w0": TokenRate(1000.0, 2000.0)}
@@ -145,3 +146,17 @@
     aimed(pool, "back", 0, aim=1.0, arrived=4.0)
     pool.waiting["back"].asked = 0.0
     assert placed(pool, now=5.0) == ["back"]
+
+
+def test_a_letter_out_of_time_takes_no_shorter_call_with_it():
+    """All places are taken; a letter has waited for as long as it may.
+
+    The letter is refused. A question that has just come is still in time and is
+    served as soon as a place is free, where each kind is owed a part.
+    """
+    pool = make_pool(make_target(limit=1, used=1))
+    pool.policy = ASKED
+    aimed(pool, "letter", 0, aim=1.0)
+    pool.waiting["letter"].start_by = 2.0
+    aimed(pool, "question", 2, aim=9.0, arrived=2.9)
+    assert given_up(allocate(pool, 3.0)) == {"letter": ShedReason.DEADLINE}
