Serve calls by place: in time before late, a part owed to each rank and size

Now a waiting call has a place: whether it can still be in time, its rank, its size among those of its rank (learned quantiles). Places are served in order, and one that got less than its part goes first.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -5,9 +5,9 @@
 request on a quiet host goes before a high tier's on a busy one.
 
 One run goes through these steps, each in a module of its own: what ran out of
-time is given up (`shedding`), free slots go to the tiers in strict order
-(`fairness` orders a tier, `capacity` chooses the target), and of what still
-waits, the lowest tier is refused as far as it can't start in time.
+time is given up (`shedding`), free slots go to the places in their order
+(`shares`; `fairness` orders what stands at one, `capacity` chooses the target),
+and of what still waits, the last is refused as far as it can't start in time.
 
 Thresholds
 ----------
@@ -23,6 +23,7 @@
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.capacity import Capacity, Room, is_long
 from godwitladder.decisions.fairness import TierQueue
+from godwitladder.decisions.shares import Place, serving_order
 from godwitladder.decisions.shedding import (
     give_up,
     give_up_below,
@@ -53,7 +54,7 @@
     `Waiting.entry`; the caller accounts for what was decided.
     """
     run = _Run(pool, now)
-    run.place_tiers()
+    run.place_all()
     run.drop_expired()
     run.follow_others()
     run.drop(refuse_early(run.backlog, pool, now), ShedReason.OVERLOAD)
@@ -69,23 +70,30 @@
         self.now = now
         self.capacity = Capacity(pool)
         self.allocation = Allocation()
-        self.backlog = Backlog(self.capacity)
+        sizes = pool.memory.sizes if pool.policy.least_share else None
+        self.backlog = Backlog(self.capacity, sizes)
         pool.memory.fade(now)
-        for rank in self.backlog.sort(list(pool.waiting.values()), now):
-            pool.memory.offered[rank] = pool.memory.offered.get(rank, 0.0) + 1.0
+        for entry in self.backlog.sort(list(pool.waiting.values()), now):
+            if not entry.row.returned:
+                self.count_offered(entry, 1.0)
         self.placed_s = 0.0
         self.running = {
             name: view.running for name, view in pool.workspaces.items() if view.quota
         }
 
-    def place_tiers(self) -> None:
-        """Place the tiers in strict order, while any slot is free."""
-        for rank in self.turns():
+    def count_offered(self, entry: Entry, number: float) -> None:
+        """Add ``number`` to what lately came to the place of ``entry``."""
+        offered = self.pool.memory.offered
+        offered[entry.place] = offered.get(entry.place, 0.0) + number
+
+    def place_all(self) -> None:
+        """Place what waits in the order of places, while any slot is free."""
+        for place in self.turns():
             free = self.capacity.free_services()
             if not free:
                 break
-            groups = [g for g in self.backlog.tier(rank) if g.service in free]
-            placed = self.place_tier(groups, free)
+            groups = [g for g in self.backlog.at(place) if g.service in free]
+            placed = self.place_groups(groups, free)
             for group in groups:
                 kept = [e for e in group.entries if e.row.line.request not in placed]
                 if len(kept) < len(group.entries):
@@ -93,11 +101,14 @@
         if self.pool.policy.measures_flow:
             self.note_flow()
 
-    def turns(self) -> list[int]:
-        """Return the ranks in the order in which they are placed."""
+    def turns(self) -> list[Place]:
+        """Return the places in the order in which they are served."""
         least = self.pool.policy.least_share
-        ranks = self.backlog.ranks()
-        return self.pool.memory.turns(ranks, least) if least else ranks
+        places = self.backlog.places()
+        if not least:
+            return places
+        shares = {place: self.pool.memory.share(place) for place in places}
+        return serving_order(places, shares, least)
 
     def note_flow(self) -> None:
         """Remember how much was started while more waited."""
@@ -105,8 +116,10 @@
         slots = sum(room.view.limit for room in self.capacity.rooms)
         self.pool.memory.note_flow(self.placed_s, waits, slots, self.now)
 
-    def place_tier(self, groups: list[Group], free: set[ServiceName]) -> set[RequestId]:
-        """Place what fits of one tier and return it."""
+    def place_groups(
+        self, groups: list[Group], free: set[ServiceName]
+    ) -> set[RequestId]:
+        """Place what fits of one place's groups and return it."""
         entries = [entry for group in groups for entry in group.entries]
         queue = TierQueue(
             entries, self.pool.workspaces, self.pool.memory.spent, self.now
@@ -122,7 +135,7 @@
                 queue.drop(line.workspace)
             elif (wait_s := self.quota_wait_s(line)) > 0:
                 placed.add(line.request)
-                self.refuse_quota(line, wait_s)
+                self.refuse_quota(entry, wait_s)
             elif self.place(entry):
                 placed.add(line.request)
                 misses = 0
@@ -161,19 +174,18 @@
         """Return the seconds until the workspace's tokens allow ``line``."""
         return self.pool.quotas.wait_s(line.workspace, line.charge, self.now)
 
-    def refuse_quota(self, line: DemandLine, wait_s: float) -> None:
+    def refuse_quota(self, entry: Entry, wait_s: float) -> None:
         """Refuse what is beyond its workspace's tokens: nobody is owed it."""
-        memory = self.pool.memory
-        memory.offered[line.tier_rank] = memory.offered.get(line.tier_rank, 1.0) - 1.0
-        row = GivenUp(line.request, ShedReason.QUOTA, wait_s)
+        if not entry.row.returned:
+            self.count_offered(entry, -1.0)
+        row = GivenUp(entry.row.line.request, ShedReason.QUOTA, wait_s)
         self.allocation.given_up.append(row)
 
     def note(self, entry: Entry, room: Room, long: bool) -> None:
         """Remember a placement for the next runs."""
         line = entry.row.line
         memory = self.pool.memory
-        memory.note(line.tier_rank, line.workspace, entry.slot_s)
-        memory.served[line.tier_rank] = memory.served.get(line.tier_rank, 0.0) + 1.0
+        memory.note(entry.place_at(self.now), line.workspace, entry.slot_s)
         self.placed_s += entry.slot_s
         if long:
             end = self.now + room.seconds(line)
@@ -212,10 +224,10 @@
 
     def drop(self, entries: Iterable[Entry], reason: ShedReason) -> None:
         """Give ``entries`` up for ``reason``."""
-        waits: dict[tuple[ServiceName, int], float] = {}
+        waits: dict[tuple[ServiceName, Place], float] = {}
         for entry in entries:
             line = entry.row.line
-            key = line.service, line.tier_rank
+            key = line.service, entry.place
             if key not in waits:
                 waits[key] = max(
                     self.backlog.wait_s(*key),
@@ -233,12 +245,13 @@
 
     def summarize(self) -> None:
         """Fill in what other allocators are told."""
-        ranks = self.backlog.ranks()
-        self.allocation.floor = ranks[-1] if ranks else None
+        places = self.backlog.places()
+        ranks = [place.rank for place in places]
+        self.allocation.floor = max(ranks, default=None)
         if self.pool.floors:
             self.allocation.spill = offer_elsewhere(self.backlog)
-        if ranks:
+        if places:
             self.allocation.backlog_s = max(
-                self.backlog.wait_s(group.service, ranks[-1])
+                self.backlog.wait_s(group.service, places[-1])
                 for group in self.backlog.groups.values()
             )
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -1,4 +1,4 @@
-"""Sorts the waiting requests by tier and service, with the work in each.
+"""Sorts the waiting requests by place and service, with the work in each.
 
 Load pattern: a thousand requests wait and a slot is free every few
 milliseconds. A run that sorted all of them for that slot would hold the
@@ -10,13 +10,6 @@
 ----------
 MARGIN : a request is started while its likely length, and this factor of it,
     fits before its deadline. Measured, `docs/MEASUREMENTS.md` (margin).
-LATE_RANKS : a request that can't be in time any more yields to those of the
-    next two tiers that still can, and shares its place with the one after. Without
-    that, a burst leaves each tier in a queue as long as its deadlines, and all
-    of it late: the letters of the first tier too, once the burst is over.
-RETURNED_RANKS : likewise for one whose caller was sent away and came back when
-    told to: it goes before those that have become late where they wait. Sent
-    away twice, a caller has waited for nothing.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
     it will ever be when it arrives; it counts as safe for so long.
 """
@@ -24,18 +17,18 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.capacity import Capacity, ServiceCapacity
-from godwitladder.decisions.types import Entry, GroupKey, Pace, Waiting
+from godwitladder.decisions.shares import Place, Timeliness
+from godwitladder.decisions.sizes import CallSizes
+from godwitladder.decisions.types import Entry, Pace, Waiting
 from godwitladder.ids import ServiceName
 
 MARGIN = 1.25
-LATE_RANKS = 3
-RETURNED_RANKS = 2
 SAFE_LEAST_S = 1.0
 
 
 @dataclass(slots=True)
 class Group:
-    """The waiting requests of one tier and service.
+    """The waiting requests of one place and service.
 
     Attributes
     ----------
@@ -45,7 +38,7 @@
         None of them has to start before this time.
     """
 
-    rank: int
+    place: Place
     service: ServiceName
     part: ServiceCapacity
     pace: Pace
@@ -63,81 +56,91 @@
 class Backlog:
     """All waiting requests of a pool.
 
+    Parameters
+    ----------
+    sizes : CallSizes or None
+        Which requests are large; None where size makes no difference.
+
     Attributes
     ----------
     expired : list of Entry
         Those that can no longer start in time.
     """
 
-    def __init__(self, capacity: Capacity) -> None:
+    def __init__(self, capacity: Capacity, sizes: CallSizes | None = None) -> None:
         self.capacity = capacity
-        self.groups: dict[GroupKey, Group] = {}
+        self.sizes = sizes
+        self.groups: dict[tuple[Place, ServiceName], Group] = {}
         self.expired: list[Entry] = []
 
-    def sort(self, rows: list[Waiting], now: float) -> list[int]:
-        """Take ``rows`` in; return the ranks of those that are new."""
-        groups = self.groups
+    def sort(self, rows: list[Waiting], now: float) -> list[Entry]:
+        """Take ``rows`` in; return the new ones."""
+        paces: dict[ServiceName, Pace] = {}
         fresh = []
         for row in rows:
+            service = row.line.service
+            pace = paces.get(service)
+            if pace is None:
+                pace = paces[service] = self.capacity.of(service).pace
             entry = row.entry
-            key = (row.line.tier_rank, row.line.service)
-            if entry:
-                key = entry.key if now <= entry.aim else entry.late_key
-            group = groups.get(key)
-            if group is None:
-                group = self._add_group(*key)
-            if entry is None:
-                fresh.append(row.line.tier_rank)
-            if entry is None or entry.pace != group.pace:
-                entry = row.entry = weigh(row, group.pace)
-                if now > entry.aim:
-                    group = groups.get(entry.late_key)
-                    if group is None:
-                        group = self._add_group(*entry.late_key)
+            if entry is None or entry.pace != pace:
+                is_new = entry is None
+                entry = row.entry = self.weigh(row, pace)
+                if is_new:
+                    fresh.append(entry)
             if entry.latest < now:
                 self.expired.append(entry)
-                continue
-            group.entries.append(entry)
-            group.work_s += entry.slot_s
-            safe = entry.safe
-            if safe < group.soonest:
-                group.soonest = safe
+            else:
+                self._add(entry, now)
         return fresh
 
-    def ranks(self) -> list[int]:
-        """Return the ranks that wait, the most important first."""
-        return sorted({group.rank for group in self.groups.values() if group.entries})
-
-    def tier(self, rank: int) -> list[Group]:
-        """Return the groups of one tier."""
-        return [group for group in self.groups.values() if group.rank == rank]
-
-    def work_s(self, service: ServiceName, rank: int) -> float:
-        """Return the slot seconds waiting for ``service`` at ``rank`` or before."""
+    def weigh(self, row: Waiting, pace: Pace) -> Entry:
+        """Return ``row`` with what it needs on the fastest target."""
+        entry = weigh(row, pace)
+        if self.sizes is not None:
+            rank = row.line.tier_rank
+            if not row.returned:
+                self.sizes.observe(rank, entry.slot_s)
+            size = self.sizes.size(rank, entry.slot_s)
+            entry.place = entry.place._replace(size=size)
+        return entry
+
+    def places(self) -> list[Place]:
+        """Return the places that wait, the first to be served first."""
+        return sorted({group.place for group in self.groups.values() if group.entries})
+
+    def at(self, place: Place) -> list[Group]:
+        """Return the groups of one place."""
+        return [group for group in self.groups.values() if group.place == place]
+
+    def work_s(self, service: ServiceName, place: Place) -> float:
+        """Return the slot seconds waiting for ``service`` at ``place`` or before."""
         return sum(
             group.work_s
             for group in self.groups.values()
-            if group.service == service and group.rank <= rank
+            if group.service == service and group.place <= place
         )
 
-    def wait_s(self, service: ServiceName, rank: int) -> float:
+    def wait_s(self, service: ServiceName, place: Place) -> float:
         """Return the seconds until all of that work has started."""
         slots = max(1, self.capacity.of(service).slots)
-        return self.work_s(service, rank) / slots
+        return self.work_s(service, place) / slots
 
-    def _add_group(self, rank: int, service: ServiceName) -> Group:
-        part = self.capacity.of(service)
-        group = Group(rank, service, part, part.pace)
-        self.groups[rank, service] = group
-        return group
+    def _add(self, entry: Entry, now: float) -> None:
+        service, place = entry.row.line.service, entry.place_at(now)
+        group = self.groups.get((place, service))
+        if group is None:
+            part = self.capacity.of(service)
+            group = self.groups[place, service] = Group(place, service, part, part.pace)
+        group.entries.append(entry)
+        group.work_s += entry.slot_s
+        if entry.safe < group.soonest:
+            group.soonest = entry.safe
 
 
 def weigh(row: Waiting, pace: Pace) -> Entry:
     """Return ``row`` with what it needs on the fastest target."""
     line = row.line
-    key: GroupKey = (line.tier_rank, line.service)
-    late_ranks = RETURNED_RANKS if row.returned else LATE_RANKS
-    late_key: GroupKey = (line.tier_rank + late_ranks, line.service)
     prefill_s, decode_s = pace
     likely = line.likely_tokens or line.predicted_tokens or 1
     slot_s = line.prompt_tokens * prefill_s + likely * decode_s
@@ -146,6 +149,14 @@
         most_s = slot_s + (line.predicted_tokens - likely) * decode_s
         safe = max(row.deadline - most_s * MARGIN, row.arrived + SAFE_LEAST_S)
         safe = min(safe, latest)
-    aim = row.aim - line.prompt_tokens * prefill_s
-    latest, safe = min(latest, row.start_by), min(safe, row.start_by)
-    return Entry(row, slot_s, latest, safe, key, pace, aim, late_key)
+    late = Timeliness.CAME_BACK if row.returned else Timeliness.LATE
+    return Entry(
+        row,
+        slot_s,
+        min(latest, row.start_by),
+        min(safe, row.start_by),
+        Place(Timeliness.IN_TIME, line.tier_rank),
+        Place(late, line.tier_rank),
+        pace,
+        row.aim - line.prompt_tokens * prefill_s,
+    )
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -17,8 +17,6 @@
 FLOW_S : what a pool really starts is an average over two seconds of
     contention: short against a burst, long against a single slot.
 CALM_S : a queue that was empty for half a second is a new one.
-SHORT : a tier whose requests take at most a quarter of the time of those before
-    it may go first when it lately got too little: it costs them little.
 TYPICAL_GAIN : the usual length is an average over about fifty requests.
 """
 
@@ -27,6 +25,8 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.returns import RefusedCallers
+from godwitladder.decisions.shares import Place
+from godwitladder.decisions.sizes import CallSizes
 from godwitladder.ids import TargetName, WorkspaceName
 
 FLOW_HALF_LIFE_S = 10.0
@@ -35,7 +35,6 @@
 FORGOTTEN_S = 0.01
 FLOW_S = 2.0
 CALM_S = 0.5
-SHORT = 0.25
 
 
 @dataclass
@@ -45,7 +44,7 @@
     Attributes
     ----------
     given : dict
-        Slot seconds lately given to each tier, by rank.
+        Slot seconds lately given to each place.
     spent : dict
         Slot seconds lately given to each workspace.
     typical_s : float
@@ -62,12 +61,14 @@
     contended, contended_since : float
         When more waited than could start, last and first without a calm.
     offered, served : dict
-        Requests that lately came, and that were placed, by rank.
+        Requests that lately came, and that were placed in time, by place.
+    sizes : CallSizes
+        Which requests of a rank are large.
     callers : RefusedCallers
         Who was refused lately.
     """
 
-    given: dict[int, float] = field(default_factory=dict)
+    given: dict[Place, float] = field(default_factory=dict)
     spent: dict[WorkspaceName, float] = field(default_factory=dict)
     typical_s: float = 0.0
     long_ends: dict[TargetName, list[float]] = field(default_factory=dict)
@@ -77,8 +78,9 @@
     flow_at: float = float("-inf")
     contended: float = 0.0
     contended_since: float = 0.0
-    offered: dict[int, float] = field(default_factory=dict)
-    served: dict[int, float] = field(default_factory=dict)
+    offered: dict[Place, float] = field(default_factory=dict)
+    served: dict[Place, float] = field(default_factory=dict)
+    sizes: CallSizes = field(default_factory=CallSizes)
     callers: RefusedCallers = field(default_factory=RefusedCallers)
 
     def fade(self, now: float) -> None:
@@ -86,11 +88,9 @@
         elapsed_s = max(0.0, now - self.faded)
         self.faded = now
         factor = 0.5 ** (elapsed_s / FLOW_HALF_LIFE_S)
-        for rank in self.given:
-            self.given[rank] *= factor
-        for counts in (self.offered, self.served):
-            for rank in counts:
-                counts[rank] *= factor
+        for counts in (self.given, self.offered, self.served):
+            for place in counts:
+                counts[place] *= factor
         factor = 0.5 ** (elapsed_s / SPENT_HALF_LIFE_S)
         for name, seconds in list(self.spent.items()):
             if seconds < FORGOTTEN_S:
@@ -101,9 +101,10 @@
             while ends and ends[0] <= now:
                 heapq.heappop(ends)
 
-    def note(self, rank: int, workspace: WorkspaceName, slot_s: float) -> None:
+    def note(self, place: Place, workspace: WorkspaceName, slot_s: float) -> None:
         """A request was placed."""
-        self.given[rank] = self.given.get(rank, 0.0) + slot_s
+        self.given[place] = self.given.get(place, 0.0) + slot_s
+        self.served[place] = self.served.get(place, 0.0) + 1.0
         self.spent[workspace] = self.spent.get(workspace, 0.0) + slot_s
         if slot_s > 0:
             before = self.typical_s or slot_s
@@ -140,39 +141,14 @@
         """Return how long more has waited than could start, without a calm."""
         return self.contended - self.contended_since
 
-    def share(self, rank: int) -> float:
-        """Return which part of a tier's requests was lately placed."""
-        offered = self.offered.get(rank, 0.0)
-        return min(1.0, self.served.get(rank, 0.0) / offered) if offered else 1.0
-
-    def turns(self, ranks: list[int], least: float) -> list[int]:
-        """Return ``ranks``, in order but for tiers that lately got too little.
-
-        Parameters
-        ----------
-        least : float
-            Part of the share of the tier before it that a tier is to get.
-        """
-        order: list[int] = []
-        for rank in ranks:
-            place = len(order)
-            while place and self.goes_before(rank, order[place - 1], least):
-                place -= 1
-            order.insert(place, rank)
-        return order
-
-    def goes_before(self, rank: int, other: int, least: float) -> bool:
-        """Return whether ``rank`` got too little beside ``other`` and is short."""
-        if self.share(rank) >= least * self.share(other):
-            return False
-        return self.mean_s(rank) <= SHORT * self.mean_s(other)
-
-    def mean_s(self, rank: int) -> float:
-        """Return the slot seconds of a request of ``rank``, as lately placed."""
-        served = self.served.get(rank, 0.0)
-        return self.given.get(rank, 0.0) / served if served else 0.0
-
-    def slots_before(self, rank: int) -> float:
-        """Return the slots that the tiers before ``rank`` keep busy."""
-        given = sum(value for other, value in self.given.items() if other < rank)
+    def share(self, place: Place) -> float:
+        """Return which part of a place's requests was lately placed in time."""
+        offered = self.offered.get(place, 0.0)
+        if offered <= 0:
+            return 1.0
+        return min(1.0, self.served.get(place, 0.0) / offered)
+
+    def slots_before(self, place: Place) -> float:
+        """Return the slots that the places before ``place`` keep busy."""
+        given = sum(value for other, value in self.given.items() if other < place)
         return given * math.log(2) / FLOW_HALF_LIFE_S
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -68,10 +68,10 @@
     pool.memory.refused_at = now
     refused: list[Entry] = []
     lowest_elsewhere = max(pool.floors.values(), default=-1)
-    for rank in reversed(backlog.ranks()):
-        if rank < lowest_elsewhere:
+    for place in reversed(backlog.places()):
+        if place.rank < lowest_elsewhere:
             break
-        groups = backlog.tier(rank)
+        groups = backlog.at(place)
         for group in groups:
             refused += refuse_late(group, backlog, pool, now)
         if any(group.entries for group in groups):
@@ -86,11 +86,11 @@
     slots = left_for(group, pool)
     if not slots:
         return []
-    ahead_s = backlog.work_s(group.service, group.rank) - group.work_s
+    ahead_s = backlog.work_s(group.service, group.place) - group.work_s
     if now + (ahead_s + group.work_s) / slots <= group.soonest:
         return []
     queue = TierQueue(group.entries, pool.workspaces, pool.memory.spent, now)
-    first = group.rank == backlog.ranks()[0]
+    first = group.place == backlog.places()[0]
     kept, late = project(queue, ahead_s, slots, now, first)
     if pool.floors:
         fresh = [e for e in late if now - e.row.arrived < SPILL_AFTER_S]
@@ -111,7 +111,7 @@
     slots = group.part.slots
     if pool.memory.flow:
         slots = min(slots, pool.memory.flow)
-    return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.rank))
+    return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.place))
 
 
 def project(
@@ -148,7 +148,7 @@
     given_up: list[Entry] = []
     rivals = find_rivals(backlog, services)
     for group in backlog.groups.values():
-        if group.rank > rank and group.service in rivals:
+        if group.place.rank > rank and group.service in rivals:
             given_up += group.entries
             group.keep([])
     return given_up
@@ -168,10 +168,10 @@
 def offer_elsewhere(backlog: Backlog) -> list[RequestId]:
     """Return the requests that another zone should be asked for."""
     offered: list[RequestId] = []
-    for rank in backlog.ranks():
+    for place in backlog.places():
         late: list[Entry] = []
-        for group in backlog.tier(rank):
-            if backlog.wait_s(group.service, rank) > SPILL_AFTER_S:
+        for group in backlog.at(place):
+            if backlog.wait_s(group.service, place) > SPILL_AFTER_S:
                 late += group.entries
         room = SPILL_MOST - len(offered)
         soonest = heapq.nsmallest(room, late, key=lambda entry: entry.latest)
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -11,6 +11,7 @@
 
 from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.quotas import QuotaBook
+from godwitladder.decisions.shares import Place
 from godwitladder.ids import (
     BodyDigest,
     HostId,
@@ -202,8 +203,8 @@
         Time until which it ends by its deadline even if it is long.
     aim : float
         Time after which its first output can't be in time any more.
-    key, late_key : tuple
-        Rank and service, while it can be in time and after that.
+    place, late_place : Place
+        Where it stands while it can be in time, and after that.
     pace : Pace
         Speeds that these were worked out from.
     """
@@ -212,13 +213,14 @@
     slot_s: float
     latest: float
     safe: float
-    key: "GroupKey"
+    place: Place
+    late_place: Place
     pace: "Pace"
     aim: float = float("inf")
-    late_key: "GroupKey" = (0, "")
 
-
-GroupKey = tuple[int, ServiceName]
+    def place_at(self, now: float) -> Place:
+        """Return where it stands at a time."""
+        return self.place if now <= self.aim else self.late_place
 
 
 class Pace(NamedTuple):
@@ -279,8 +281,8 @@
     Attributes
     ----------
     least_share : float
-        A tier is served at least this part as often as the one before it; 0
-        for strict order.
+        A rank is served at least this part as often as the first one; 0 for
+        strict order.
     measures_flow : bool
         Whether early refusal goes by what really starts rather than by slots.
     eases_off : bool
