Refuse calls that will start too late for their aim, at each place

Cause: early refusal went by the time that callers wait, not by the aim, and only looked at the last place that waits; with late calls there, nothing else was looked at. A call in a burst waited out its aim and was late or refused after it.

Each place is looked at by its own rate now: what those before it leave, or what it lately got by its part.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -41,6 +41,7 @@
     ShedReason,
     WorkspaceView,
 )
+from godwitladder.decisions.untimely import refuse_untimely
 from godwitladder.ids import RequestId, ServiceName, WorkspaceName
 
 MISSES = 32
@@ -57,7 +58,8 @@
     run.place_all()
     run.drop_expired()
     run.follow_others()
-    run.drop(refuse_early(run.backlog, pool, now), ShedReason.OVERLOAD)
+    refuse = refuse_early if pool.policy.is_strict else refuse_untimely
+    run.drop(refuse(run.backlog, pool, now), ShedReason.OVERLOAD)
     run.summarize()
     return run.allocation
 
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -152,3 +152,7 @@
         """Return the slots that the places before ``place`` keep busy."""
         given = sum(value for other, value in self.given.items() if other < place)
         return given * math.log(2) / FLOW_HALF_LIFE_S
+
+    def slots_of(self, place: Place) -> float:
+        """Return the slots that ``place`` itself lately kept busy."""
+        return self.given.get(place, 0.0) * math.log(2) / FLOW_HALF_LIFE_S
--- a/godwitladder/decisions/shares.py
+++ b/godwitladder/decisions/shares.py
@@ -48,7 +48,7 @@
 class Place(NamedTuple):
     """Where a waiting call stands; the lowest is served first."""
 
-    lateness: Timeliness
+    timeliness: Timeliness
     rank: int
     size: Size = Size.USUAL
 
@@ -77,7 +77,7 @@
     shares : mapping
         Part of the calls of each place that was lately served.
     """
-    in_time = [place for place in places if place.lateness is Timeliness.IN_TIME]
+    in_time = [place for place in places if place.timeliness is Timeliness.IN_TIME]
     got = {place: shares[place] / weight(place, in_time[0], least) for place in in_time}
     order: list[Place] = []
     for place in in_time:
--- /dev/null
+++ b/godwitladder/decisions/untimely.py
@@ -0,0 +1,63 @@
+"""Refuses calls that their targets will not reach in time, as soon as that shows.
+
+Load pattern: a burst on a pool where each kind of call is owed a part. A call
+that waits until its aim has passed is late or lost, and its caller has waited
+for nothing: told at once, it can turn elsewhere or come back when there is
+room. Kept all the same, it stands in line before calls that could be in time.
+
+A call's place (`shares`) is served at a rate: what the places before it leave
+of what really starts in a second, or what it got lately by its own part,
+whichever is more. Reckoned only with what the others leave, a place that is
+owed a part looks as if it got nothing, and all of it is refused before its
+turn comes.
+
+Thresholds
+----------
+REFUSE_EVERY_S : looking through the whole queue costs as much as the rest of
+    a run; ten times a second is soon enough to tell a caller.
+"""
+
+from godwitladder.decisions.backlog import Backlog, Group
+from godwitladder.decisions.fairness import TierQueue
+from godwitladder.decisions.shares import Timeliness
+from godwitladder.decisions.shedding import left_for
+from godwitladder.decisions.types import Entry, PoolView
+
+REFUSE_EVERY_S = 0.1
+
+
+def refuse_untimely(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
+    """Take out and return what will not start in time, at any place."""
+    if now - pool.memory.refused_at < REFUSE_EVERY_S:
+        return []
+    pool.memory.refused_at = now
+    refused: list[Entry] = []
+    for group in backlog.groups.values():
+        refused += take_untimely(group, pool, now)
+    return refused
+
+
+def take_untimely(group: Group, pool: PoolView, now: float) -> list[Entry]:
+    """Take out and return the requests of ``group`` that will not start in time."""
+    rate = max(left_for(group, pool), pool.memory.slots_of(group.place))
+    if not rate or not group.entries:
+        return []
+    kept: list[Entry] = []
+    late: list[Entry] = []
+    ahead_s = 0.0
+    queue = TierQueue(group.entries, pool.workspaces, pool.memory.spent, now)
+    for entry in queue.ordered():
+        if now + ahead_s / rate <= start_limit(entry, group):
+            kept.append(entry)
+            ahead_s += entry.slot_s
+        else:
+            late.append(entry)
+    group.keep(kept)
+    return late
+
+
+def start_limit(entry: Entry, group: Group) -> float:
+    """Return the time by which ``entry`` has to start."""
+    if group.place.timeliness is Timeliness.IN_TIME:
+        return min(entry.aim, entry.latest)
+    return entry.latest
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -221,3 +221,36 @@
     pool.waiting["letter"].start_by = 2.0
     aimed(pool, "question", 2, aim=9.0, arrived=2.9)
     assert given_up(allocate(pool, 3.0)) == {"letter": ShedReason.DEADLINE}
+
+
+def test_a_call_that_will_be_late_is_refused_at_once():
+    """A burst: forty questions come to a place that starts one a second.
+
+    Those that can start by their aim wait; the others are told at once to come
+    back, and none waits until it is late.
+    """
+    pool = make_pool(make_target(limit=1, used=1))
+    pool.policy = ASKED
+    for number in range(40):
+        aimed(pool, f"q{number:02}", 2, aim=5.0)
+    refused = given_up(allocate(pool, 1.0))
+    assert 30 < len(refused) < 40
+    assert set(refused.values()) == {ShedReason.OVERLOAD}
+
+
+def test_a_place_that_is_owed_a_part_is_not_refused_for_what_others_take():
+    """Letters take all that starts; verdicts got their part a moment ago.
+
+    Reckoned with what the letters leave, no verdict would ever start in time.
+    """
+    pool = make_pool(make_target(limit=10, used=10))
+    pool.policy = ASKED
+    pool.memory.given = {LETTER: 145.0, VERDICT: 60.0}
+    for number in range(12):
+        aimed(pool, f"v{number}", 4, aim=4.0, predicted_tokens=20)
+    assert given_up(allocate(pool, 0.0)) == {}
+    pool.memory.given = {LETTER: 145.0}
+    for row in pool.waiting.values():
+        row.entry = None
+    pool.memory.refused_at = -1.0
+    assert len(given_up(allocate(pool, 0.0))) > 6
