Learn the speeds of targets from their first answers on

Cause: the configured speed, a guess, weighed nine tenths after the first answer and a third after the tenth. With each new allocator slow targets got a full part for that long. Tried first without any weight of the guess: the product's own interface fell behind naive dispatch with shared prefixes (test_patterns), since one prompt that its target had kept made it look ten times as fast.

--- a/godwitladder/decisions/speeds.py
+++ b/godwitladder/decisions/speeds.py
@@ -8,10 +8,12 @@
 ----------
 GAIN : the estimate is an average over the last ten or so requests; a lasting
     change is half taken in after seven. Sudden slow-downs are
-    `godwitladder.decisions.easing`'s matter, in seconds.
+    `godwitladder.decisions.easing`'s matter, in seconds. The first ten count
+    alike, and the configured speed, a guess, counts as PRIOR of them: a new
+    allocator gave slow targets a full part for as long as it took to learn.
 FLOOR : a target that stood still is not taken to be slower than a hundredth
     of what it was expected to be, so that it is tried again.
-KNOWN : after as many requests the configured speed is an eighth of the average.
+KNOWN : after as many requests a target is not called slow by chance.
 """
 
 from dataclasses import dataclass
@@ -19,6 +21,7 @@
 from godwitladder.ids import TargetName
 
 GAIN = 0.1
+PRIOR = 2
 FLOOR = 0.01
 KNOWN = 20
 
@@ -77,14 +80,15 @@
         if speed is None:
             return
         speed.count += 1
+        gain = max(GAIN, 1.0 / (speed.count + PRIOR))
         floor = self.expected[target]
         if prompt > 0 and first_token_s > 0:
             seen = max(prompt / first_token_s, floor.prefill_tps * FLOOR)
-            speed.prefill_tps += GAIN * (seen - speed.prefill_tps)
+            speed.prefill_tps += gain * (seen - speed.prefill_tps)
         if output > 1 and total_s > first_token_s:
             seen = (output - 1) / (total_s - first_token_s)
             seen = max(seen, floor.decode_tps * FLOOR)
-            speed.decode_tps += GAIN * (seen - speed.decode_tps)
+            speed.decode_tps += gain * (seen - speed.decode_tps)
 
     def known(self, target: TargetName) -> bool:
         """Return whether enough was seen of ``target`` to call it slow.
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -238,19 +238,20 @@
     assert set(refused.values()) == {ShedReason.OVERLOAD}
 
 
+def refused_verdicts(given):
+    """Return how many of twelve verdicts are refused after what was ``given``."""
+    pool = make_pool(make_target(limit=10, used=10))
+    pool.policy = ASKED
+    pool.memory.given = dict(given)
+    for number in range(12):
+        aimed(pool, f"v{number:02}", 4, aim=4.0, predicted_tokens=20)
+    return len(given_up(allocate(pool, 0.0)))
+
+
 def test_a_place_that_is_owed_a_part_is_not_refused_for_what_others_take():
     """Letters take all that starts; verdicts got their part a moment ago.
 
     Reckoned with what the letters leave, no verdict would ever start in time.
     """
-    pool = make_pool(make_target(limit=10, used=10))
-    pool.policy = ASKED
-    pool.memory.given = {LETTER: 145.0, VERDICT: 60.0}
-    for number in range(12):
-        aimed(pool, f"v{number}", 4, aim=4.0, predicted_tokens=20)
-    assert given_up(allocate(pool, 0.0)) == {}
-    pool.memory.given = {LETTER: 145.0}
-    for row in pool.waiting.values():
-        row.entry = None
-    pool.memory.refused_at = -1.0
-    assert len(given_up(allocate(pool, 0.0))) > 6
+    assert refused_verdicts({LETTER: 145.0, VERDICT: 60.0}) == 0
+    assert refused_verdicts({LETTER: 145.0}) > 6
