Send a prompt where it is in time and stops no stream for too long

A line through first outputs and lengths is learned for each target; a call goes only where its first output is in time and the streams' pauses stay within bounds, while any target, also a busy one, could do that.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -18,12 +18,13 @@
     next run looks again.
 """
 
+import math
 from collections.abc import Iterable
 
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.capacity import Capacity, Room, is_long
 from godwitladder.decisions.fairness import TierQueue
-from godwitladder.decisions.shares import Place, serving_order
+from godwitladder.decisions.shares import Place, Timeliness, serving_order
 from godwitladder.decisions.shedding import (
     give_up,
     give_up_below,
@@ -158,7 +159,7 @@
         if long and not part.takes_long():
             return False
         budget_s = entry.row.deadline - self.now
-        room = part.choose(line, budget_s, entry.row.avoided)
+        room = part.choose(line, budget_s, entry.row.avoided, self.aim_s(entry))
         if room is None:
             return False
         tokens = line.prompt_tokens + line.predicted_tokens
@@ -172,6 +173,13 @@
         )
         return True
 
+    def aim_s(self, entry: Entry) -> float | None:
+        """Return the seconds left for the first output; None if any will do."""
+        if not self.pool.policy.keeps_pace:
+            return None
+        in_time = entry.place_at(self.now).timeliness is Timeliness.IN_TIME
+        return entry.row.aim - self.now if in_time else math.inf
+
     def quota_wait_s(self, line: DemandLine) -> float:
         """Return the seconds until the workspace's tokens allow ``line``."""
         return self.pool.quotas.wait_s(line.workspace, line.charge, self.now)
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -71,6 +71,7 @@
     decode_s: float
     held: bool = False
     unread: int = 0
+    unread_requests: int = 0
 
     @property
     def load(self) -> float:
@@ -94,12 +95,44 @@
         output = max(1, line.likely_tokens or line.predicted_tokens)
         return line.prompt_tokens * self.prefill_s + output * self.decode_s
 
+    def first_s(self, line: DemandLine) -> float:
+        """Return the seconds to the first output, behind what it is reading."""
+        return self.stall_s() + self.alone_s(line)
+
+    def alone_s(self, line: DemandLine) -> float:
+        """Return the seconds to the first output with nothing else to read."""
+        return self.view.first_s + line.prompt_tokens * self.view.read_s
+
+    def stall_s(self) -> float:
+        """Return the seconds for which it takes in what it was sent so far."""
+        fixed_s = self.unread_requests * self.view.first_s
+        return fixed_s + self.unread * self.view.read_s
+
+    def pause_left_s(self, line: DemandLine) -> float:
+        """Return how long streams here may stand still beside their usual pace."""
+        if not line.gap_s:
+            return math.inf
+        return line.gap_s - line.event_tokens * self.decode_s
+
+    def keeps_pace(self, line: DemandLine, aim_s: float) -> bool:
+        """Return whether ``line`` is in time here and delays no stream too much."""
+        first_s = self.first_s(line)
+        if first_s > aim_s:
+            return False
+        return not self.used or first_s <= self.pause_left_s(line)
+
+    def could_keep_pace(self, line: DemandLine, aim_s: float) -> bool:
+        """Return whether it would with nothing else to read."""
+        alone_s = self.alone_s(line)
+        return alone_s <= aim_s and alone_s <= self.pause_left_s(line)
+
     def take(self, tokens: int, long: bool, prompt: int = 0) -> None:
         """Account for a request that is placed here."""
         self.used += 1
         self.tokens -= tokens
         self.long_used += long
         self.unread += prompt
+        self.unread_requests += 1
 
 
 @dataclass
@@ -147,6 +180,7 @@
         line: DemandLine,
         budget_s: float,
         avoided: Collection[TargetName] = (),
+        aim_s: float | None = None,
     ) -> Room | None:
         """Return the target where ``line`` ends first, of those in time.
 
@@ -158,7 +192,14 @@
             Targets that the request's host can't connect to. Left out here
             and not after the choice: a request would be given the same one
             in each run, and get nothing until its deadline.
+        aim_s : float or None
+            Seconds left for its first output; infinite where that is late
+            already. Targets that keep pace are chosen while there are any,
+            busy ones included. None for no such choice.
         """
+        paced = aim_s is not None and any(
+            room.could_keep_pace(line, aim_s) for room in self.rooms
+        )
         tokens = line.prompt_tokens + line.predicted_tokens
         best = None
         best_score = float("inf")
@@ -166,6 +207,8 @@
         for room in self.rooms:
             if room.view.name in avoided or not room.fits(tokens):
                 continue
+            if paced and not room.keeps_pace(line, aim_s):
+                continue
             seconds = room.seconds(line)
             if seconds > budget_s:
                 continue
@@ -234,6 +277,7 @@
         tokens=view.memory_tokens * MEMORY_SHARE - view.reserved_tokens,
         long_used=long_used,
         unread=view.unread_tokens,
+        unread_requests=view.unread_requests,
         prefill_s=1.0 / max(view.prefill_tps, 1e-9),
         decode_s=1.0 / max(view.decode_tps, 1e-9),
     )
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -62,6 +62,8 @@
         When more waited than could start, last and first without a calm.
     offered, served : dict
         Requests that lately came, and that were placed in time, by place.
+    started : dict
+        Slot seconds that each place started, fading over `FLOW_S`.
     sizes : CallSizes
         Which requests of a rank are large.
     callers : RefusedCallers
@@ -80,6 +82,7 @@
     contended_since: float = 0.0
     offered: dict[Place, float] = field(default_factory=dict)
     served: dict[Place, float] = field(default_factory=dict)
+    started: dict[Place, float] = field(default_factory=dict)
     sizes: CallSizes = field(default_factory=CallSizes)
     callers: RefusedCallers = field(default_factory=RefusedCallers)
 
@@ -91,6 +94,9 @@
         for counts in (self.given, self.offered, self.served):
             for place in counts:
                 counts[place] *= factor
+        factor = math.exp(-elapsed_s / FLOW_S)
+        for place in self.started:
+            self.started[place] *= factor
         factor = 0.5 ** (elapsed_s / SPENT_HALF_LIFE_S)
         for name, seconds in list(self.spent.items()):
             if seconds < FORGOTTEN_S:
@@ -104,6 +110,7 @@
     def note(self, place: Place, workspace: WorkspaceName, slot_s: float) -> None:
         """A request was placed."""
         self.given[place] = self.given.get(place, 0.0) + slot_s
+        self.started[place] = self.started.get(place, 0.0) + slot_s
         self.served[place] = self.served.get(place, 0.0) + 1.0
         self.spent[workspace] = self.spent.get(workspace, 0.0) + slot_s
         if slot_s > 0:
@@ -153,6 +160,11 @@
         given = sum(value for other, value in self.given.items() if other < place)
         return given * math.log(2) / FLOW_HALF_LIFE_S
 
-    def slots_of(self, place: Place) -> float:
-        """Return the slots that ``place`` itself lately kept busy."""
-        return self.given.get(place, 0.0) * math.log(2) / FLOW_HALF_LIFE_S
+    def rate(self, place: Place) -> float:
+        """Return the slot seconds that ``place`` started in each second."""
+        return self.started.get(place, 0.0) / FLOW_S
+
+    def rate_before(self, place: Place) -> float:
+        """Return likewise for all places before ``place``."""
+        rows = self.started.items()
+        return sum(value for other, value in rows if other < place) / FLOW_S
--- a/godwitladder/decisions/speeds.py
+++ b/godwitladder/decisions/speeds.py
@@ -18,6 +18,7 @@
 
 from dataclasses import dataclass
 
+from godwitladder.decisions.reading import ReadingFit
 from godwitladder.ids import TargetName
 
 GAIN = 0.1
@@ -47,6 +48,7 @@
     def __init__(self) -> None:
         self.expected: dict[TargetName, Speed] = {}
         self.learned: dict[TargetName, Speed] = {}
+        self.fits: dict[TargetName, ReadingFit] = {}
 
     def expect(self, target: TargetName, prefill_tps: float, decode_tps: float) -> None:
         """Set the configured speeds; what was learned is kept if they stand."""
@@ -59,6 +61,7 @@
         """Drop a target that is gone."""
         self.expected.pop(target, None)
         self.learned.pop(target, None)
+        self.fits.pop(target, None)
 
     def observe(
         self,
@@ -83,6 +86,7 @@
         gain = max(GAIN, 1.0 / (speed.count + PRIOR))
         floor = self.expected[target]
         if prompt > 0 and first_token_s > 0:
+            self.fits.setdefault(target, ReadingFit()).observe(prompt, first_token_s)
             seen = max(prompt / first_token_s, floor.prefill_tps * FLOOR)
             speed.prefill_tps += gain * (seen - speed.prefill_tps)
         if output > 1 and total_s > first_token_s:
@@ -90,6 +94,12 @@
             seen = max(seen, floor.decode_tps * FLOOR)
             speed.decode_tps += gain * (seen - speed.decode_tps)
 
+    def reading(self, target: TargetName) -> tuple[float, float]:
+        """Return a prompt's seconds to its first output: fixed, and a token."""
+        fit = self.fits.get(target)
+        line = fit.line() if fit else None
+        return line or (0.0, 1.0 / max(self.learned[target].prefill_tps, 1e-9))
+
     def known(self, target: TargetName) -> bool:
         """Return whether enough was seen of ``target`` to call it slow.
 
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -61,6 +61,10 @@
         Tokens that it counts for in its workspace's quota.
     place : str
         Availability zone of its host.
+    gap_s : float
+        Longest pause that its answer may have, in seconds; 0 for no bound.
+    event_tokens : int
+        Output tokens that come to its caller at once.
     body : BodyDigest
         By which its caller is known again; empty where bodies are alike.
     """
@@ -81,6 +85,8 @@
     charge: int = 0
     place: Zone = Zone("")
     body: BodyDigest = BodyDigest("")
+    gap_s: float = 0.0
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
@@ -93,12 +99,15 @@
         Tokens of memory held by it.
     unread_tokens : int
         Prompt tokens of requests that have made no output yet.
+    unread_requests : int
+        How many these are.
     """
 
     target: TargetName
     running: int
     reserved_tokens: int
     unread_tokens: int = 0
+    unread_requests: int = 0
 
 
 @dataclass(frozen=True)
@@ -167,6 +176,10 @@
         Prompt tokens sent there of which no output has come yet.
     unread_s : float
         Seconds of such reading beyond which it gets no further prompt.
+    unread_requests : int
+        How many requests these tokens are of.
+    first_s, read_s : float
+        Seconds until a prompt's first output: for any, and for each token.
     place : str
         Availability zone that it stands in.
     prefill_tps, decode_tps : float
@@ -185,7 +198,10 @@
     limit: int = 0
     prefixes: set[str] = field(default_factory=set)
     unread_tokens: int = 0
+    unread_requests: int = 0
     unread_s: float = float("inf")
+    first_s: float = 0.0
+    read_s: float = 0.0
     place: Zone = Zone("")
 
 
@@ -287,6 +303,9 @@
         Whether early refusal goes by what really starts rather than by slots.
     eases_off : bool
         Whether a target that works slowly is given fewer requests at once.
+    keeps_pace : bool
+        Whether a call goes only where its first output is in time and makes
+        no pause in others that is too long, while any target could do so.
     is_strict : bool
         Whether nothing of a lower tier is kept once a tier had to be shed.
     """
@@ -294,6 +313,7 @@
     least_share: float = 0.0
     measures_flow: bool = False
     eases_off: bool = True
+    keeps_pace: bool = False
     is_strict: bool = True
 
 
--- a/godwitladder/decisions/untimely.py
+++ b/godwitladder/decisions/untimely.py
@@ -20,10 +20,11 @@
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.fairness import TierQueue
 from godwitladder.decisions.shares import Timeliness
-from godwitladder.decisions.shedding import left_for
 from godwitladder.decisions.types import Entry, PoolView
 
 REFUSE_EVERY_S = 0.1
+LEAST_RATE = 0.01
+"""Slot seconds a second; a place that gets nothing keeps the first of its queue."""
 
 
 def refuse_untimely(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
@@ -39,9 +40,9 @@
 
 def take_untimely(group: Group, pool: PoolView, now: float) -> list[Entry]:
     """Take out and return the requests of ``group`` that will not start in time."""
-    rate = max(left_for(group, pool), pool.memory.slots_of(group.place))
-    if not rate or not group.entries:
+    if not group.part.slots:
         return []
+    rate = max(left_over(group, pool), pool.memory.rate(group.place), LEAST_RATE)
     kept: list[Entry] = []
     late: list[Entry] = []
     ahead_s = 0.0
@@ -56,6 +57,15 @@
     return late
 
 
+def left_over(group: Group, pool: PoolView) -> float:
+    """Return what the places before ``group`` leave of what starts, a second.
+
+    Before work has waited for a while, all slots are taken to come free.
+    """
+    flow = pool.memory.flow or group.part.slots
+    return min(flow, group.part.slots) - pool.memory.rate_before(group.place)
+
+
 def start_limit(entry: Entry, group: Group) -> float:
     """Return the time by which ``entry`` has to start."""
     if group.place.timeliness is Timeliness.IN_TIME:
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -26,6 +26,7 @@
     running: int = 0
     tokens: int = 0
     unread: int = 0
+    unread_requests: int = 0
 
     def __add__(self, other: "Counted") -> "Counted":
         return Counted(*map(operator.add, self, other))
@@ -146,7 +147,12 @@
     def counted(self) -> dict[TargetName, Counted]:
         """Return the most that the host may have on each target by now."""
         most = {
-            name: Counted(use.running, use.reserved_tokens, use.unread_tokens)
+            name: Counted(
+                use.running,
+                use.reserved_tokens,
+                use.unread_tokens,
+                use.unread_requests,
+            )
             for name, use in self.uses.items()
         }
         for sent in self.allowances:
@@ -156,6 +162,7 @@
                     max(held.running, allowance.running),
                     max(held.tokens, allowance.tokens),
                     held.unread,
+                    held.unread_requests,
                 )
         return self._add_granted(most)
 
@@ -174,7 +181,7 @@
             grant = sent.grant
             held = counts.get(grant.target, NOTHING)
             counts[grant.target] = held + Counted(
-                1, grant.reserved_tokens, sent.prompt_tokens
+                1, grant.reserved_tokens, sent.prompt_tokens, 1
             )
         return counts
 
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -240,7 +240,11 @@
         if row.running or held:
             running = row.running + len(held)
             tokens = row.reserved_tokens + sum(held)
-            uses.append(TargetUse(row.name, running, tokens, row.unread_tokens))
+            uses.append(
+                TargetUse(
+                    row.name, running, tokens, row.unread_tokens, row.unread_requests
+                )
+            )
     return tuple(uses)
 
 
@@ -275,6 +279,8 @@
         charge=row.charge,
         place=tables.place,
         body=caller_digest(row),
+        gap_s=row.gap_s,
+        event_tokens=row.event_tokens,
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -80,7 +80,13 @@
 reads in chunks between the output of all that it runs: what is sent early
 waits where no one can order it, and slows everything beside it."""
 
-ASKED = Policy(least_share=0.6, measures_flow=True, eases_off=False, is_strict=False)
+ASKED = Policy(
+    least_share=0.6,
+    measures_flow=True,
+    eases_off=False,
+    keeps_pace=True,
+    is_strict=False,
+)
 """Where each dispatch is asked for, a tier of short requests is served at least
 six tenths as often as the one before it. In strict order it got nothing for as
 long as the one before it could fill the pool, though a tenth of the pool would
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -74,6 +74,10 @@
         Until when its first output counts as in time; 0 for its deadline.
     start_by : float
         Until when it has to be dispatched to be of use to its caller.
+    gap_s : float
+        Longest pause that its answer may have, in seconds; 0 for no bound.
+    event_tokens : int
+        Output tokens that come to its caller at once.
     charge : int
         Tokens that it counts for in its workspace's quota.
     order : tuple
@@ -108,6 +112,8 @@
     prefix: str = ""
     aim: float = 0.0
     start_by: float = math.inf
+    gap_s: float = 0.0
+    event_tokens: int = 1
     charge: int = 0
     predicted_tokens: int = 0
     likely_tokens: int = 0
@@ -151,8 +157,9 @@
 
     Attributes
     ----------
-    unread_tokens : int
-        Prompt tokens of requests there that have made no output yet.
+    unread_tokens, unread_requests : int
+        Prompt tokens of requests there that have made no output yet, and
+        how many these are.
     answers : bool
         False from a request that it did not take until one that it completed.
     """
@@ -162,6 +169,7 @@
     running: int = 0
     reserved_tokens: int = 0
     unread_tokens: int = 0
+    unread_requests: int = 0
     avoided_until: float = 0.0
     answers: bool = True
 
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -232,6 +232,7 @@
     target.running += 1
     target.reserved_tokens += row.reserved_tokens
     target.unread_tokens += row.prompt_tokens
+    target.unread_requests += 1
     row.held_tokens = row.reserved_tokens
     row.first_token = 0.0
     del tables.waiting[row.request]
@@ -306,6 +307,7 @@
     target = tables.targets.get(row.target)
     if target and not row.first_token:
         target.unread_tokens -= row.prompt_tokens
+        target.unread_requests -= 1
         access = tables.pool_of.get(row.target)
         if access and row.prompt_tokens:
             access.dirty = True
@@ -406,4 +408,5 @@
         target.reserved_tokens -= row.held_tokens
         if not row.first_token:
             target.unread_tokens -= row.prompt_tokens
+            target.unread_requests -= 1
         note_use(tables, target)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -80,6 +80,7 @@
         count = counted.get(name, NOTHING)
         role.loads.note_ours(name, running.get(name, NOTHING).running, now)
         speed = role.speeds.learned[name]
+        first_s, read_s = role.speeds.reading(name)
         views[name] = TargetView(
             name=name,
             services=frozenset(target.services),
@@ -92,6 +93,9 @@
             limit=limit_of(role, name, target.slots, now),
             prefixes=role.hints.prefixes(name, now),
             unread_tokens=count.unread,
+            unread_requests=count.unread_requests,
+            first_s=first_s,
+            read_s=read_s,
             unread_s=role.unread_s,
             place=target.place,
         )
