Count a waiting request once, and put what lies beyond a quota last

Cause, found while reading how shares are counted: each report of a host told of its waiting requests anew, and each time they counted as come: a rank whose calls wait looked starved and went before all others. And of a workspace that sends six times its quota, calls that nobody is owed stood in line before late ones within quotas, while the quota was spent on whatever came to its turn.

A request is counted when it is first seen. A bucket without slack, charged as calls come, tells which are within the quota; the others run where there is room.

--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -84,9 +84,9 @@
                 pace = paces[service] = self.capacity.of(service).pace
             entry = row.entry
             if entry is None or entry.pace != pace:
-                is_new = entry is None
                 entry = row.entry = self.weigh(row, pace)
-                if is_new:
+                if not row.counted:
+                    row.counted = True
                     fresh.append(entry)
             if entry.latest < now:
                 self.expired.append(entry)
@@ -99,7 +99,7 @@
         entry = weigh(row, pace)
         if self.sizes is not None:
             rank = row.line.tier_rank
-            if not row.returned:
+            if not row.counted and not row.returned:
                 self.sizes.observe(rank, entry.slot_s)
             size = self.sizes.size(rank, entry.slot_s)
             entry.place = entry.place._replace(size=size)
@@ -149,13 +149,16 @@
         most_s = slot_s + (line.predicted_tokens - likely) * decode_s
         safe = max(row.deadline - most_s * MARGIN, row.arrived + SAFE_LEAST_S)
         safe = min(safe, latest)
+    in_time = Timeliness.IN_TIME
     late = Timeliness.CAME_BACK if row.returned else Timeliness.LATE
+    if not row.entitled:
+        in_time = late = Timeliness.BEYOND_QUOTA
     return Entry(
         row,
         slot_s,
         min(latest, row.start_by),
         min(safe, row.start_by),
-        Place(Timeliness.IN_TIME, line.tier_rank),
+        Place(in_time, line.tier_rank),
         Place(late, line.tier_rank),
         pace,
         row.aim - line.prompt_tokens * prefill_s,
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -24,6 +24,7 @@
 import math
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.entitlement import Entitlements
 from godwitladder.decisions.returns import RefusedCallers
 from godwitladder.decisions.shares import Place
 from godwitladder.decisions.sizes import CallSizes
@@ -68,6 +69,8 @@
         Which requests of a rank are large.
     callers : RefusedCallers
         Who was refused lately.
+    entitlements : Entitlements
+        What workspaces have left of their quotas as requests come.
     """
 
     given: dict[Place, float] = field(default_factory=dict)
@@ -85,6 +88,7 @@
     started: dict[Place, float] = field(default_factory=dict)
     sizes: CallSizes = field(default_factory=CallSizes)
     callers: RefusedCallers = field(default_factory=RefusedCallers)
+    entitlements: Entitlements = field(default_factory=Entitlements)
 
     def fade(self, now: float) -> None:
         """Let everything fade up to ``now``."""
--- a/godwitladder/decisions/shares.py
+++ b/godwitladder/decisions/shares.py
@@ -14,7 +14,8 @@
 rank: at one user its answer is worth a tenth, at another a third, and either
 way less than an answer in time that costs its callers no more. Among the late
 those go first whose callers were sent away and have come back: sent away
-twice, they have waited for nothing.
+twice, they have waited for nothing. What lies beyond its workspace's quota is owed to
+nobody and comes last.
 
 Thresholds
 ----------
@@ -38,11 +39,15 @@
 
 
 class Timeliness(enum.IntEnum):
-    """Whether a call can be in time, and if not, whether it has come back."""
+    """Whether a call can be in time, and what it is owed if not.
+
+    Those beyond the quota of their workspace may be in time or not.
+    """
 
     IN_TIME = 0
     CAME_BACK = 1
     LATE = 2
+    BEYOND_QUOTA = 3
 
 
 class Place(NamedTuple):
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -257,6 +257,10 @@
     entry : Entry or None
         Kept by `allocate` from run to run, which spares weighing each row
         in each; leave it alone.
+    entitled : bool
+        Whether it was within its workspace's quota when it came.
+    counted : bool
+        Whether `allocate` has seen it, in this report or an earlier one.
     asked : float
         When its caller first asked: before ``arrived`` if it has come back.
     """
@@ -269,6 +273,8 @@
     aim: float = float("inf")
     start_by: float = float("inf")
     asked: float | None = None
+    entitled: bool = True
+    counted: bool = False
     entry: Entry | None = field(default=None, compare=False, repr=False)
 
     def __post_init__(self) -> None:
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -36,7 +36,7 @@
             # deadline would move on with each run between two reports.
             row = role.rows.get(line.request)
             if row is None or row.line is not line:
-                row = take_line(role, account.host, line, now)
+                row = take_line(role, account.host, line, now, row)
             row.avoided = account.avoided
             view.waiting[line.request] = row
     role.rows = view.waiting
@@ -47,15 +47,34 @@
     return view
 
 
-def take_line(role: "PoolRole", host: HostId, line: DemandLine, now: float) -> Waiting:
+def take_line(
+    role: "PoolRole",
+    host: HostId,
+    line: DemandLine,
+    now: float,
+    before: Waiting | None,
+) -> Waiting:
     """Return a demand line with its times by the allocator's clock.
 
     The aim counts from when the caller first asked, also if it was refused
     since then and has come back.
+
+    Parameters
+    ----------
+    before : Waiting or None
+        The same request as an earlier report told of it. Counted anew with
+        each report, a request that waits for long looked like many that came.
     """
     arrived = now - line.waited_s
-    asked = role.memory.callers.first_asked(line.body, now)
-    asked = arrived if asked is None else min(asked, arrived)
+    known = role.memory.callers.first_asked(line.body, now)
+    asked = arrived if known is None else min(known, arrived)
+    if before is not None:
+        entitled = before.entitled
+    else:
+        # One that has come back was counted when it first came.
+        entitled = known is not None or role.memory.entitlements.take(
+            line.workspace, line.charge, role.quotas.rates, now
+        )
     return Waiting(
         host,
         line,
@@ -64,6 +83,8 @@
         aim=asked + line.waited_s + line.aim_s,
         start_by=now + line.start_s,
         asked=asked,
+        entitled=entitled,
+        counted=before is not None and before.counted,
     )
 
 
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.entitlement import Entitlements
 from godwitladder.decisions.quotas import QuotaBook, TokenRate
 from godwitladder.decisions.reading import ReadingFit
 from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
@@ -314,3 +315,27 @@
     for _ in range(20):
         fit.observe(500, 0.1)
     assert fit.line() is None
+
+
+def test_a_call_beyond_its_quota_yields_to_late_ones_within_theirs():
+    """One workspace sends six times its quota; another's question is late."""
+    pool = make_pool(make_target(limit=1))
+    aimed(pool, "beyond", 0, aim=9.0)
+    pool.waiting["beyond"].entitled = False
+    aimed(pool, "late", 2, aim=1.0)
+    assert placed(pool, now=5.0) == ["late"]
+
+
+def test_calls_are_entitled_as_they_come_up_to_the_quota():
+    book = Entitlements()
+    asked = [book.take("w0", 900, RATE, 0.0) for _ in range(3)]
+    assert asked == [True, True, False]
+    assert book.take("w0", 900, RATE, 0.8)
+    assert book.take("free", 10**9, RATE, 0.8)
+
+
+def test_a_call_larger_than_its_quota_is_entitled_when_nothing_was_spent():
+    book = Entitlements()
+    assert book.take("w0", 5000, RATE, 0.0)
+    assert not book.take("w0", 10, RATE, 1.0)
+    assert book.take("w0", 10, RATE, 3.5)
