Serve nearby while an allocator misses to answer

Now an allocator answers a host whose calls wait at least each 0.2 s, and a host of routed calls that misses two answers uses its fixed share of the targets in its own zone.

Ruled out: the same for the product's own interface, where the machine of the grants' tests holds that nothing is used without leave.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -112,6 +112,7 @@
                 self.incarnation,
                 hosts=(settings.host,),
                 place=settings.zone,
+                helps_itself=True,
             ),
             clock,
             self.metrics,
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -24,6 +24,14 @@
 grants, and has given the capacity to others, before the host helps itself."""
 
 
+UNANSWERED_S = 0.4
+"""Time after which a host with requests waiting takes its allocator for out of
+reach: two answers are missing. A silent cut is known for one after 1.5 s only, and
+what waits for so long is late. What hosts take meanwhile is within their fixed
+shares, beside what the allocator may have given others: for a second a target
+queues a few more."""
+
+
 class GrantFate(enum.Enum):
     """What became of a grant that this host was given."""
 
@@ -54,6 +62,9 @@
         When the last offer came, or asking began.
     echoed : int
         Number of the last report that an offer has answered.
+    unanswered : tuple of int and float
+        Number and time of the first report since then that asked for requests;
+        0 for none.
     dirty : bool
         Whether something has changed that the allocator should know at once.
     reported : float
@@ -73,6 +84,7 @@
     number: int = 0
     answered: float = 0.0
     echoed: int = 0
+    unanswered: tuple[int, float] = (0, 0.0)
     dirty: bool = True
     reported: float = float("-inf")
     allowances: dict[TargetName, Allowance] = field(default_factory=dict)
@@ -94,6 +106,7 @@
             return
         self.allocator = allocator
         self.answered = now
+        self.unanswered = (0, 0.0)
         self.dirty = True
         self.drop()
 
@@ -115,6 +128,8 @@
         self.seen = offer.number
         self.answered = now
         self.echoed = max(self.echoed, offer.echo)
+        if self.echoed >= self.unanswered[0]:
+            self.unanswered = (0, 0.0)
         self.allowances = {row.target: row for row in offer.allowances}
         self.allowed_until = offer.until_s
         for grant in offer.grants:
@@ -155,6 +170,16 @@
         asking = now - self.reported <= REACH_S
         return self.allocator is None or (silent and asking)
 
+    def note_asked(self, now: float) -> None:
+        """A report is sent that asks for the requests in ``asked``."""
+        if self.asked and not self.unanswered[0]:
+            self.unanswered = (self.number, now)
+
+    def is_unanswered(self, now: float) -> bool:
+        """Return whether the allocator has missed to answer for a moment."""
+        number, asked_at = self.unanswered
+        return number > 0 and now - asked_at > UNANSWERED_S
+
     def answers(self, request: RequestId) -> bool:
         """Return whether the allocator has answered a report of ``request``."""
         return request in self.asked and self.echoed >= self.asked[request]
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -176,6 +176,7 @@
     head, middle, tail = split_lines(rows)
     shown = head + tail
     access.asked = {row.request: access.asked.get(row.request, number) for row in shown}
+    access.note_asked(now)
     completions, access.completions = tuple(access.completions), []
     rest = Counter(row.tier_rank for row in middle)
     targets = [tables.targets[name] for name in sorted(access.pool.targets)]
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -62,6 +62,10 @@
 """Longest time between two offers to a host that reports. At half a second
 the allocator's host used 7.5% of a core among 32 idle hosts."""
 
+ANSWER_S = 0.2
+"""Longest time between two offers to a host that asks for requests, also if
+nothing was decided: it then knows that its allocator can be reached."""
+
 SILENT_S = 3.0
 """Demand of a host that was silent for so long is no longer answered."""
 
@@ -371,7 +375,8 @@
     def is_due(self, account: HostAccount, contended: bool, now: float) -> bool:
         """Return whether the allowances of ``account`` are to be set anew."""
         taken_back = contended and account.holds_allowances()
-        return taken_back or now - account.offered >= RENEW_S
+        longest_s = ANSWER_S if account.lines else RENEW_S
+        return taken_back or now - account.offered >= longest_s
 
     def standing(
         self, home: list[HostId], now: float
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -202,6 +202,9 @@
         What workspaces may have run by this host while it has no allocator.
     seen : SeenHosts
         The hosts that such a book shares the quotas with.
+    helps_itself : bool
+        Whether this host uses its fixed share of near targets as soon as its
+        allocator misses to answer, beside what that may have given others.
     """
 
     host: HostId = HostId("")
@@ -224,3 +227,4 @@
     place: Zone = Zone("")
     quotas: QuotaBook = field(default_factory=QuotaBook)
     seen: SeenHosts = field(default_factory=SeenHosts)
+    helps_itself: bool = False
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -128,7 +128,7 @@
     candidates = [
         tables.targets[name]
         for access in tables.by_service.get(row.service, ())
-        if not bounded or access.is_alone(now)
+        if not bounded or access.is_alone(now) or is_left_alone(tables, access, now)
         for name in access.pool.targets
         if may_add(tables, access, tables.targets[name], row.reserved_tokens, now)
         and usable(tables, tables.targets[name], row, now)
@@ -180,7 +180,7 @@
     if allowance and target.running < allowance.running:
         held = target.reserved_tokens + tokens
         return held <= allowance.tokens or not target.target.memory_tokens
-    if not access.is_alone(now):
+    if not access.is_alone(now) and not may_help_itself(tables, access, target, now):
         return False
     hosts = sharing(tables, access)
     if not hosts:
@@ -188,6 +188,23 @@
     return target.running < fixed_share(plain_view(target), tables.host, hosts)
 
 
+def may_help_itself(
+    tables: Tables, access: PoolAccess, target: TargetRow, now: float
+) -> bool:
+    """Return whether a host may use ``target`` while its allocator is silent.
+
+    Only targets of its own availability zone: of the others it can't tell whether
+    they are beyond the same cut.
+    """
+    near = target.target.place == tables.place
+    return near and is_left_alone(tables, access, now)
+
+
+def is_left_alone(tables: Tables, access: PoolAccess, now: float) -> bool:
+    """Return whether the allocator of this host's zone is silent for a moment."""
+    return tables.helps_itself and access.home and access.is_unanswered(now)
+
+
 def sharing(tables: Tables, access: PoolAccess) -> tuple[HostId, ...]:
     """Return the hosts among which a pool without an allocator is shared.
 
