--- a/tests/scheduler/test_returns.py
+++ b/tests/scheduler/test_returns.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from godwitladder.decisions.types import Shed, ShedReason
+from godwitladder.outcomes import RequestState
+from godwitladder.scheduler.exchange import GrantOffer
 from godwitladder.scheduler.pools import make_pools
 from godwitladder.scheduler.reports import due_reports, take_offer
 from godwitladder.scheduler.role import PoolRole
@@ -82,3 +85,33 @@
         exchange(tables, role, now)
     (row,) = role.rows.values()
     assert not row.returned
+
+
+def test_just_the_request_that_is_named_is_refused():
+    """A letter is beyond its time; a question has just come to the same host.
+
+    Where kinds are owed a part each, a host that refused its least important
+    call in the letter's place would refuse one that can still be in time.
+    """
+    tables, role = make_asked()
+    now = START + 1.0
+    submit(tables, make_request("runs", now))
+    exchange(tables, role, now)
+    (access,) = tables.pools.values()
+    letter = submit(tables, make_request("letter", now))
+    question = submit(tables, make_request("question", now, rank=2))
+    order = Shed("h0", letter.request, ShedReason.OVERLOAD, 1.0, exact=True)
+    offer = GrantOffer(
+        "h0",
+        tables.incarnation,
+        "h0",
+        access.pool.name,
+        role.term,
+        access.seen + 1,
+        0,
+        now + 1.0,
+        sheds=(order,),
+    )
+    take_offer(tables, offer, now)
+    assert letter.state is RequestState.NOT_RUN
+    assert question.state is RequestState.WAITING
