Call the order of waiting calls their precedence, and drop a branch nothing reaches

'place' already names the availability zone of a host and of a target, in the same tables. The flow in early refusal of the strict tiers was only measured for routed calls, which have a refusal of their own now. Behaviour is unchanged.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -40,7 +40,7 @@
 
     def weigh(*args):
         entry = whole(*args)
-        entry.late_place = entry.place
+        entry.late_precedence = entry.precedence
         return entry
 
     return patch.object(backlog, "weigh", weigh)
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -5,8 +5,8 @@
 request on a quiet host goes before a high tier's on a busy one.
 
 One run goes through these steps, each in a module of its own: what ran out of
-time is given up (`shedding`), free slots go to the places in their order
-(`shares`; `fairness` orders what stands at one, `capacity` chooses the target),
+time is given up (`shedding`), free slots go by precedence
+(`shares`; `fairness` orders requests of one, `capacity` chooses the target),
 and of what still waits, the last is refused as far as it can't start in time.
 
 Thresholds
@@ -24,7 +24,7 @@
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.capacity import Capacity, Room, is_long
 from godwitladder.decisions.fairness import TierQueue
-from godwitladder.decisions.shares import Place, Timeliness, serving_order
+from godwitladder.decisions.shares import Precedence, Timeliness, serving_order
 from godwitladder.decisions.shedding import (
     give_up,
     give_up_below,
@@ -85,17 +85,17 @@
         }
 
     def count_offered(self, entry: Entry, number: float) -> None:
-        """Add ``number`` to what lately came to the place of ``entry``."""
+        """Add ``number`` to what lately came with the precedence of ``entry``."""
         offered = self.pool.memory.offered
-        offered[entry.place] = offered.get(entry.place, 0.0) + number
+        offered[entry.precedence] = offered.get(entry.precedence, 0.0) + number
 
     def place_all(self) -> None:
-        """Place what waits in the order of places, while any slot is free."""
-        for place in self.turns():
+        """Place what waits by precedence, while any slot is free."""
+        for precedence in self.turns():
             free = self.capacity.free_services()
             if not free:
                 break
-            groups = [g for g in self.backlog.at(place) if g.service in free]
+            groups = [g for g in self.backlog.at(precedence) if g.service in free]
             placed = self.place_groups(groups, free)
             for group in groups:
                 kept = [e for e in group.entries if e.row.line.request not in placed]
@@ -104,14 +104,14 @@
         if self.pool.policy.measures_flow:
             self.note_flow()
 
-    def turns(self) -> list[Place]:
-        """Return the places in the order in which they are served."""
+    def turns(self) -> list[Precedence]:
+        """Return what waits by precedence, the first to be served first."""
         least = self.pool.policy.least_share
-        places = self.backlog.places()
+        waiting = self.backlog.precedences()
         if not least:
-            return places
-        shares = {place: self.pool.memory.share(place) for place in places}
-        return serving_order(places, shares, least)
+            return waiting
+        shares = {each: self.pool.memory.share(each) for each in waiting}
+        return serving_order(waiting, shares, least)
 
     def note_flow(self) -> None:
         """Remember how much was started while more waited."""
@@ -122,7 +122,7 @@
     def place_groups(
         self, groups: list[Group], free: set[ServiceName]
     ) -> set[RequestId]:
-        """Place what fits of one place's groups and return it."""
+        """Place what fits of one precedence's groups and return it."""
         entries = [entry for group in groups for entry in group.entries]
         queue = TierQueue(
             entries, self.pool.workspaces, self.pool.memory.spent, self.now
@@ -177,7 +177,7 @@
         """Return the seconds left for the first output; None if any will do."""
         if not self.pool.policy.keeps_pace:
             return None
-        in_time = entry.place_at(self.now).timeliness is Timeliness.IN_TIME
+        in_time = entry.precedence_at(self.now).timeliness is Timeliness.IN_TIME
         return entry.row.aim - self.now if in_time else math.inf
 
     def quota_wait_s(self, line: DemandLine) -> float:
@@ -195,7 +195,7 @@
         """Remember a placement for the next runs."""
         line = entry.row.line
         memory = self.pool.memory
-        memory.note(entry.place_at(self.now), line.workspace, entry.slot_s)
+        memory.note(entry.precedence_at(self.now), line.workspace, entry.slot_s)
         self.placed_s += entry.slot_s
         if long:
             end = self.now + room.seconds(line)
@@ -234,10 +234,10 @@
 
     def drop(self, entries: Iterable[Entry], reason: ShedReason) -> None:
         """Give ``entries`` up for ``reason``."""
-        waits: dict[tuple[ServiceName, Place], float] = {}
+        waits: dict[tuple[ServiceName, Precedence], float] = {}
         for entry in entries:
             line = entry.row.line
-            key = line.service, entry.place
+            key = line.service, entry.precedence
             if key not in waits:
                 waits[key] = max(
                     self.backlog.wait_s(*key),
@@ -255,13 +255,13 @@
 
     def summarize(self) -> None:
         """Fill in what other allocators are told."""
-        places = self.backlog.places()
-        ranks = [place.rank for place in places]
+        waiting = self.backlog.precedences()
+        ranks = [precedence.rank for precedence in waiting]
         self.allocation.floor = max(ranks, default=None)
         if self.pool.floors:
             self.allocation.spill = offer_elsewhere(self.backlog)
-        if places:
+        if waiting:
             self.allocation.backlog_s = max(
-                self.backlog.wait_s(group.service, places[-1])
+                self.backlog.wait_s(group.service, waiting[-1])
                 for group in self.backlog.groups.values()
             )
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -1,4 +1,4 @@
-"""Sorts the waiting requests by place and service, with the work in each.
+"""Sorts the waiting requests by precedence and service, with the work in each.
 
 Load pattern: a thousand requests wait and a slot is free every few
 milliseconds. A run that sorted all of them for that slot would hold the
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.capacity import Capacity, ServiceCapacity
-from godwitladder.decisions.shares import Place, Timeliness
+from godwitladder.decisions.shares import Precedence, Timeliness
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.decisions.types import Entry, Pace, Waiting
 from godwitladder.ids import ServiceName
@@ -28,7 +28,7 @@
 
 @dataclass(slots=True)
 class Group:
-    """The waiting requests of one place and service.
+    """The waiting requests of one precedence and service.
 
     Attributes
     ----------
@@ -38,7 +38,7 @@
         None of them has to start before this time.
     """
 
-    place: Place
+    precedence: Precedence
     service: ServiceName
     part: ServiceCapacity
     pace: Pace
@@ -70,7 +70,7 @@
     def __init__(self, capacity: Capacity, sizes: CallSizes | None = None) -> None:
         self.capacity = capacity
         self.sizes = sizes
-        self.groups: dict[tuple[Place, ServiceName], Group] = {}
+        self.groups: dict[tuple[Precedence, ServiceName], Group] = {}
         self.expired: list[Entry] = []
 
     def sort(self, rows: list[Waiting], now: float) -> list[Entry]:
@@ -102,36 +102,42 @@
             if not row.counted and not row.returned:
                 self.sizes.observe(rank, entry.slot_s)
             size = self.sizes.size(rank, entry.slot_s)
-            entry.place = entry.place._replace(size=size)
+            entry.precedence = entry.precedence._replace(size=size)
         return entry
 
-    def places(self) -> list[Place]:
-        """Return the places that wait, the first to be served first."""
-        return sorted({group.place for group in self.groups.values() if group.entries})
+    def precedences(self) -> list[Precedence]:
+        """Return the precedences that wait, the first to be served first."""
+        return sorted(
+            {group.precedence for group in self.groups.values() if group.entries}
+        )
 
-    def at(self, place: Place) -> list[Group]:
-        """Return the groups of one place."""
-        return [group for group in self.groups.values() if group.place == place]
+    def at(self, precedence: Precedence) -> list[Group]:
+        """Return the groups of one precedence."""
+        return [
+            group for group in self.groups.values() if group.precedence == precedence
+        ]
 
-    def work_s(self, service: ServiceName, place: Place) -> float:
-        """Return the slot seconds waiting for ``service`` at ``place`` or before."""
+    def work_s(self, service: ServiceName, precedence: Precedence) -> float:
+        """Return the slot seconds for ``service`` at ``precedence`` or before."""
         return sum(
             group.work_s
             for group in self.groups.values()
-            if group.service == service and group.place <= place
+            if group.service == service and group.precedence <= precedence
         )
 
-    def wait_s(self, service: ServiceName, place: Place) -> float:
+    def wait_s(self, service: ServiceName, precedence: Precedence) -> float:
         """Return the seconds until all of that work has started."""
         slots = max(1, self.capacity.of(service).slots)
-        return self.work_s(service, place) / slots
+        return self.work_s(service, precedence) / slots
 
     def _add(self, entry: Entry, now: float) -> None:
-        service, place = entry.row.line.service, entry.place_at(now)
-        group = self.groups.get((place, service))
+        service, precedence = entry.row.line.service, entry.precedence_at(now)
+        group = self.groups.get((precedence, service))
         if group is None:
             part = self.capacity.of(service)
-            group = self.groups[place, service] = Group(place, service, part, part.pace)
+            group = self.groups[precedence, service] = Group(
+                precedence, service, part, part.pace
+            )
         group.entries.append(entry)
         group.work_s += entry.slot_s
         if entry.safe < group.soonest:
@@ -158,8 +164,8 @@
         slot_s,
         min(latest, row.start_by),
         min(safe, row.start_by),
-        Place(in_time, line.tier_rank),
-        Place(late, line.tier_rank),
+        Precedence(in_time, line.tier_rank),
+        Precedence(late, line.tier_rank),
         pace,
         row.aim - line.prompt_tokens * prefill_s,
     )
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -26,7 +26,7 @@
 
 from godwitladder.decisions.entitlement import Entitlements
 from godwitladder.decisions.returns import RefusedCallers
-from godwitladder.decisions.shares import Place
+from godwitladder.decisions.shares import Precedence
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.ids import TargetName, WorkspaceName
 
@@ -45,7 +45,7 @@
     Attributes
     ----------
     given : dict
-        Slot seconds lately given to each place.
+        Slot seconds lately given to each precedence.
     spent : dict
         Slot seconds lately given to each workspace.
     typical_s : float
@@ -62,9 +62,9 @@
     contended, contended_since : float
         When more waited than could start, last and first without a calm.
     offered, served : dict
-        Requests that lately came, and that were placed in time, by place.
+        Requests that lately came, and that were placed in time, by precedence.
     started : dict
-        Slot seconds that each place started, fading over `FLOW_S`.
+        Slot seconds that each precedence started, fading over `FLOW_S`.
     sizes : CallSizes
         Which requests of a rank are large.
     callers : RefusedCallers
@@ -73,7 +73,7 @@
         What workspaces have left of their quotas as requests come.
     """
 
-    given: dict[Place, float] = field(default_factory=dict)
+    given: dict[Precedence, float] = field(default_factory=dict)
     spent: dict[WorkspaceName, float] = field(default_factory=dict)
     typical_s: float = 0.0
     long_ends: dict[TargetName, list[float]] = field(default_factory=dict)
@@ -83,9 +83,9 @@
     flow_at: float = float("-inf")
     contended: float = 0.0
     contended_since: float = 0.0
-    offered: dict[Place, float] = field(default_factory=dict)
-    served: dict[Place, float] = field(default_factory=dict)
-    started: dict[Place, float] = field(default_factory=dict)
+    offered: dict[Precedence, float] = field(default_factory=dict)
+    served: dict[Precedence, float] = field(default_factory=dict)
+    started: dict[Precedence, float] = field(default_factory=dict)
     sizes: CallSizes = field(default_factory=CallSizes)
     callers: RefusedCallers = field(default_factory=RefusedCallers)
     entitlements: Entitlements = field(default_factory=Entitlements)
@@ -96,11 +96,11 @@
         self.faded = now
         factor = 0.5 ** (elapsed_s / FLOW_HALF_LIFE_S)
         for counts in (self.given, self.offered, self.served):
-            for place in counts:
-                counts[place] *= factor
+            for precedence in counts:
+                counts[precedence] *= factor
         factor = math.exp(-elapsed_s / FLOW_S)
-        for place in self.started:
-            self.started[place] *= factor
+        for precedence in self.started:
+            self.started[precedence] *= factor
         factor = 0.5 ** (elapsed_s / SPENT_HALF_LIFE_S)
         for name, seconds in list(self.spent.items()):
             if seconds < FORGOTTEN_S:
@@ -111,11 +111,13 @@
             while ends and ends[0] <= now:
                 heapq.heappop(ends)
 
-    def note(self, place: Place, workspace: WorkspaceName, slot_s: float) -> None:
+    def note(
+        self, precedence: Precedence, workspace: WorkspaceName, slot_s: float
+    ) -> None:
         """A request was placed."""
-        self.given[place] = self.given.get(place, 0.0) + slot_s
-        self.started[place] = self.started.get(place, 0.0) + slot_s
-        self.served[place] = self.served.get(place, 0.0) + 1.0
+        self.given[precedence] = self.given.get(precedence, 0.0) + slot_s
+        self.started[precedence] = self.started.get(precedence, 0.0) + slot_s
+        self.served[precedence] = self.served.get(precedence, 0.0) + 1.0
         self.spent[workspace] = self.spent.get(workspace, 0.0) + slot_s
         if slot_s > 0:
             before = self.typical_s or slot_s
@@ -152,23 +154,23 @@
         """Return how long more has waited than could start, without a calm."""
         return self.contended - self.contended_since
 
-    def share(self, place: Place) -> float:
-        """Return which part of a place's requests was lately placed in time."""
-        offered = self.offered.get(place, 0.0)
+    def share(self, precedence: Precedence) -> float:
+        """Return which part of a precedence's requests was lately placed in time."""
+        offered = self.offered.get(precedence, 0.0)
         if offered <= 0:
             return 1.0
-        return min(1.0, self.served.get(place, 0.0) / offered)
+        return min(1.0, self.served.get(precedence, 0.0) / offered)
 
-    def slots_before(self, place: Place) -> float:
-        """Return the slots that the places before ``place`` keep busy."""
-        given = sum(value for other, value in self.given.items() if other < place)
+    def slots_before(self, precedence: Precedence) -> float:
+        """Return the slots that the precedences before ``precedence`` keep busy."""
+        given = sum(value for other, value in self.given.items() if other < precedence)
         return given * math.log(2) / FLOW_HALF_LIFE_S
 
-    def rate(self, place: Place) -> float:
-        """Return the slot seconds that ``place`` started in each second."""
-        return self.started.get(place, 0.0) / FLOW_S
+    def rate(self, precedence: Precedence) -> float:
+        """Return the slot seconds that ``precedence`` started in each second."""
+        return self.started.get(precedence, 0.0) / FLOW_S
 
-    def rate_before(self, place: Place) -> float:
-        """Return likewise for all places before ``place``."""
+    def rate_before(self, precedence: Precedence) -> float:
+        """Return likewise for all precedences before ``precedence``."""
         rows = self.started.items()
-        return sum(value for other, value in rows if other < place) / FLOW_S
+        return sum(value for other, value in rows if other < precedence) / FLOW_S
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -68,10 +68,10 @@
     pool.memory.refused_at = now
     refused: list[Entry] = []
     lowest_elsewhere = max(pool.floors.values(), default=-1)
-    for place in reversed(backlog.places()):
-        if place.rank < lowest_elsewhere:
+    for precedence in reversed(backlog.precedences()):
+        if precedence.rank < lowest_elsewhere:
             break
-        groups = backlog.at(place)
+        groups = backlog.at(precedence)
         for group in groups:
             refused += refuse_late(group, backlog, pool, now)
         if any(group.entries for group in groups):
@@ -86,11 +86,11 @@
     slots = left_for(group, pool)
     if not slots:
         return []
-    ahead_s = backlog.work_s(group.service, group.place) - group.work_s
+    ahead_s = backlog.work_s(group.service, group.precedence) - group.work_s
     if now + (ahead_s + group.work_s) / slots <= group.soonest:
         return []
     queue = TierQueue(group.entries, pool.workspaces, pool.memory.spent, now)
-    first = group.place == backlog.places()[0]
+    first = group.precedence == backlog.precedences()[0]
     kept, late = project(queue, ahead_s, slots, now, first)
     if pool.floors:
         fresh = [e for e in late if now - e.row.arrived < SPILL_AFTER_S]
@@ -103,15 +103,11 @@
 def left_for(group: Group, pool: PoolView) -> float:
     """Return the slots that higher tiers leave to ``group``, as of late.
 
-    While work waits, what really starts in a second tells what the slots are
-    worth: targets are slower when full than their speeds say.
     They will go on coming: counted only as what waits, a low tier looks as
     if it had the whole pool as soon as the last of them has started.
     """
     slots = group.part.slots
-    if pool.memory.flow:
-        slots = min(slots, pool.memory.flow)
-    return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.place))
+    return max(slots * LEAST_LEFT, slots - pool.memory.slots_before(group.precedence))
 
 
 def project(
@@ -148,7 +144,7 @@
     given_up: list[Entry] = []
     rivals = find_rivals(backlog, services)
     for group in backlog.groups.values():
-        if group.place.rank > rank and group.service in rivals:
+        if group.precedence.rank > rank and group.service in rivals:
             given_up += group.entries
             group.keep([])
     return given_up
@@ -168,10 +164,10 @@
 def offer_elsewhere(backlog: Backlog) -> list[RequestId]:
     """Return the requests that another zone should be asked for."""
     offered: list[RequestId] = []
-    for place in backlog.places():
+    for precedence in backlog.precedences():
         late: list[Entry] = []
-        for group in backlog.at(place):
-            if backlog.wait_s(group.service, place) > SPILL_AFTER_S:
+        for group in backlog.at(precedence):
+            if backlog.wait_s(group.service, precedence) > SPILL_AFTER_S:
                 late += group.entries
         room = SPILL_MOST - len(offered)
         soonest = heapq.nsmallest(room, late, key=lambda entry: entry.latest)
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -11,7 +11,7 @@
 
 from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.quotas import QuotaBook
-from godwitladder.decisions.shares import Place
+from godwitladder.decisions.shares import Precedence
 from godwitladder.ids import (
     BodyDigest,
     HostId,
@@ -219,8 +219,8 @@
         Time until which it ends by its deadline even if it is long.
     aim : float
         Time after which its first output can't be in time any more.
-    place, late_place : Place
-        Where it stands while it can be in time, and after that.
+    precedence, late_precedence : Precedence
+        When it is served while it can be in time, and after that.
     pace : Pace
         Speeds that these were worked out from.
     """
@@ -229,14 +229,14 @@
     slot_s: float
     latest: float
     safe: float
-    place: Place
-    late_place: Place
+    precedence: Precedence
+    late_precedence: Precedence
     pace: "Pace"
     aim: float = float("inf")
 
-    def place_at(self, now: float) -> Place:
-        """Return where it stands at a time."""
-        return self.place if now <= self.aim else self.late_place
+    def precedence_at(self, now: float) -> Precedence:
+        """Return its precedence at a time."""
+        return self.precedence if now <= self.aim else self.late_precedence
 
 
 class Pace(NamedTuple):
--- a/godwitladder/decisions/untimely.py
+++ b/godwitladder/decisions/untimely.py
@@ -5,11 +5,10 @@
 for nothing: told at once, it can turn elsewhere or come back when there is
 room. Kept all the same, it stands in line before calls that could be in time.
 
-A call's place (`shares`) is served at a rate: what the places before it leave
-of what really starts in a second, or what it got lately by its own part,
-whichever is more. Reckoned only with what the others leave, a place that is
-owed a part looks as if it got nothing, and all of it is refused before its
-turn comes.
+Calls of one precedence (`shares`) are served at a rate: what those before them
+leave of what really starts in a second, or what they got lately by their own
+part, whichever is more. Reckoned only with what the others leave, calls that are
+owed a part look as if they got nothing, and all are refused before their turn.
 
 Thresholds
 ----------
@@ -24,11 +23,11 @@
 
 REFUSE_EVERY_S = 0.1
 LEAST_RATE = 0.01
-"""Slot seconds a second; a place that gets nothing keeps the first of its queue."""
+"""Slot seconds a second; where nothing starts, the first of a queue is kept."""
 
 
 def refuse_untimely(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
-    """Take out and return what will not start in time, at any place."""
+    """Take out and return what will not start in time, at any precedence."""
     if now - pool.memory.refused_at < REFUSE_EVERY_S:
         return []
     pool.memory.refused_at = now
@@ -42,7 +41,7 @@
     """Take out and return the requests of ``group`` that will not start in time."""
     if not group.part.slots:
         return []
-    rate = max(left_over(group, pool), pool.memory.rate(group.place), LEAST_RATE)
+    rate = max(left_over(group, pool), pool.memory.rate(group.precedence), LEAST_RATE)
     kept: list[Entry] = []
     late: list[Entry] = []
     ahead_s = 0.0
@@ -58,16 +57,16 @@
 
 
 def left_over(group: Group, pool: PoolView) -> float:
-    """Return what the places before ``group`` leave of what starts, a second.
+    """Return what those before ``group`` leave of what starts in a second.
 
     Before work has waited for a while, all slots are taken to come free.
     """
     flow = pool.memory.flow or group.part.slots
-    return min(flow, group.part.slots) - pool.memory.rate_before(group.place)
+    return min(flow, group.part.slots) - pool.memory.rate_before(group.precedence)
 
 
 def start_limit(entry: Entry, group: Group) -> float:
     """Return the time by which ``entry`` has to start."""
-    if group.place.timeliness is Timeliness.IN_TIME:
+    if group.precedence.timeliness is Timeliness.IN_TIME:
         return min(entry.aim, entry.latest)
     return entry.latest
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -8,7 +8,7 @@
 from godwitladder.decisions.quotas import QuotaBook, TokenRate
 from godwitladder.decisions.reading import ReadingFit
 from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
-from godwitladder.decisions.shares import Place, Size, Timeliness, serving_order
+from godwitladder.decisions.shares import Precedence, Size, Timeliness, serving_order
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.decisions.types import ShedReason
 from godwitladder.scheduler.role import ASKED
@@ -82,14 +82,14 @@
 
 def order_of(shares, least=0.6):
     """Return the names in serving order of (name, place, share) rows."""
-    places = {place: name for name, place, _ in shares}
-    got = {place: share for _, place, share in shares}
-    return [places[place] for place in serving_order(sorted(got), got, least)]
+    names = {precedence: name for name, precedence, _ in shares}
+    got = {precedence: share for _, precedence, share in shares}
+    return [names[each] for each in serving_order(sorted(got), got, least)]
 
 
-LETTER = Place(Timeliness.IN_TIME, 0)
-QUESTION = Place(Timeliness.IN_TIME, 2)
-VERDICT = Place(Timeliness.IN_TIME, 4)
+LETTER = Precedence(Timeliness.IN_TIME, 0)
+QUESTION = Precedence(Timeliness.IN_TIME, 2)
+VERDICT = Precedence(Timeliness.IN_TIME, 4)
 
 
 def test_no_rank_is_starved_however_long_its_calls_are():
@@ -127,8 +127,8 @@
 
 def test_late_calls_of_any_rank_come_after_those_in_time():
     """A burst is over; late letters wait beside a verdict that has just come."""
-    back = Place(Timeliness.CAME_BACK, 0)
-    late = Place(Timeliness.LATE, 0)
+    back = Precedence(Timeliness.CAME_BACK, 0)
+    late = Precedence(Timeliness.LATE, 0)
     rows = [("late", late, 0.0), ("verdict", VERDICT, 1.0), ("back", back, 0.0)]
     assert order_of(rows) == ["verdict", "back", "late"]
 
