Begin a lone host's book of quotas anew after its allocator was heard of

Cause, found while reading: hosts use their own books for moments now, while an allocator misses to answer. A bucket that filled up between two such moments would give a workspace's burst out a second time, 19 hosts together a whole one, though the allocator had let it run meanwhile. Unused since the allocator was heard of for the length of the window, it opens as a new one does, with a quarter.

Tried first by the time since its last use alone: a host that is cut off for ten seconds would have lost what it gained in them (test_a_host_that_is_cut_off).

--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -183,6 +183,22 @@
         if rate is not None and rate.rate > 0:
             self.fill(workspace, rate, now).left -= charge
 
+    def begin_anew(self, workspace: WorkspaceName, told_at: float) -> None:
+        """Forget a bucket that was not in use when another book was.
+
+        A host without an allocator keeps a book only while it has none. What the
+        allocator let run in between is not in it, and a bucket that had filled
+        up meanwhile would be spent a second time.
+
+        Parameters
+        ----------
+        told_at : float
+            When an allocator was last heard of.
+        """
+        bucket = self.buckets.get(workspace)
+        if bucket is not None and told_at - bucket.at > HISTORY_S:
+            del self.buckets[workspace]
+
     def size(self, rate: TokenRate) -> float:
         """Return the tokens that a full bucket holds."""
         return (rate.burst + self.slack * SLACK_SHARE) * self.share
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -149,6 +149,7 @@
     """
     book = tables.quotas
     book.share = 1.0 / tables.seen.recent(now)
+    book.begin_anew(row.workspace, tables.by_service[row.service][0].answered)
     wait_s = book.wait_s(row.workspace, row.charge, now)
     if wait_s > 0:
         refuse_request(tables, row, refuse(Reason.QUOTA, OVER_QUOTA, wait_s))
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -16,6 +16,7 @@
     HISTORY_S,
     QuotaBook,
     Spent,
+    TokenRate,
 )
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal
@@ -195,3 +196,25 @@
     book = QuotaBook(rates=token_rates(CONFIG))
     book.recall("h0", [Spent("w", (4000, 0, 0, 0))], float(HISTORY_S), now=10.0)
     assert book.wait_s("w", 100, 10.0) > 1.0
+
+
+def test_a_host_left_alone_twice_does_not_spend_a_full_bucket():
+    """Its allocator is silent for a moment, answers for a minute, is silent again.
+
+    In the minute the allocator let the workspace run all of its quota. A book that
+    had filled up since the first silence would give the burst out once more.
+    """
+    book = QuotaBook(rates={"w0": TokenRate(1000.0, 8000.0)})
+    assert book.wait_s("w0", 2000, 0.0) == 0.0
+    book.take("w0", 2000, 0.0)
+    book.begin_anew("w0", told_at=59.0)
+    assert book.wait_s("w0", 2000, 60.0) == 0.0
+    book.take("w0", 2000, 60.0)
+    assert book.wait_s("w0", 2000, 60.1) > 1.0
+
+
+def test_a_book_in_use_is_not_begun_anew():
+    book = QuotaBook(rates={"w0": TokenRate(1000.0, 8000.0)})
+    book.take("w0", 2000, 10.0)
+    book.begin_anew("w0", told_at=9.5)
+    assert "w0" in book.buckets
