--- /dev/null
+++ b/godwitladder/decisions/policy.py
@@ -0,0 +1,62 @@
+"""How a pool treats tiers, late calls and full targets.
+
+Load patterns: the product's own interface promises strict tiers to operators
+who set them; routed calls are of kinds that are owed a part each. The same
+decisions serve both, and what differs is told here.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Policy:
+    """How a pool treats tiers and full targets.
+
+    Attributes
+    ----------
+    least_share : float
+        A rank is served at least this part as often as the first one; 0 for
+        strict order.
+    measures_flow : bool
+        Whether early refusal goes by what really starts rather than by slots.
+    eases_off : bool
+        Whether a target that works slowly is given fewer requests at once.
+    keeps_pace : bool
+        Whether a call goes only where its first output is in time and makes
+        no pause in others that is too long, while any target could do so.
+    is_strict : bool
+        Whether nothing of a lower tier is kept once a tier had to be shed.
+    """
+
+    least_share: float = 0.0
+    measures_flow: bool = False
+    eases_off: bool = True
+    keeps_pace: bool = False
+    is_strict: bool = True
+
+
+STRICT = Policy()
+"""The product's own interface."""
+
+ASKED = Policy(
+    least_share=0.4,
+    measures_flow=True,
+    eases_off=False,
+    keeps_pace=True,
+    is_strict=False,
+)
+"""Where each dispatch is asked for, tiers are not strict: each rank is served at
+least four tenths as often as the first. In strict order the last got a quarter of
+its credit in a burst of 1.8 times a load that is itself beyond the targets, and
+nothing in some seconds. The part has its price, which the first rank pays: of all
+credit in such a burst 0.75 is had without any, 0.72 with three to four tenths, 0.67
+with six (a model of the engines, four seeds; `bench.ablation`).
+
+A letter that ran out of time took every shorter call that waited with it, though
+these were still in time and would hardly have cost it a place; so nothing is
+given up for what a higher tier lost.
+
+Nothing is eased off there: a target that stands still gets no further prompt by
+the bound on unread prompts, and one that is only full looks slow. Eased off in a
+burst, the targets had a part of their slots left: 37% of the burst's letters came
+late or not at all, 24% with all slots in use."""
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from godwitladder.decisions.memory import AllocatorMemory
+from godwitladder.decisions.policy import Policy
 from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.decisions.shares import Precedence
 from godwitladder.ids import (
@@ -296,33 +297,6 @@
     running: int = 0
 
 
-@dataclass(frozen=True)
-class Policy:
-    """How a pool treats tiers and full targets.
-
-    Attributes
-    ----------
-    least_share : float
-        A rank is served at least this part as often as the first one; 0 for
-        strict order.
-    measures_flow : bool
-        Whether early refusal goes by what really starts rather than by slots.
-    eases_off : bool
-        Whether a target that works slowly is given fewer requests at once.
-    keeps_pace : bool
-        Whether a call goes only where its first output is in time and makes
-        no pause in others that is too long, while any target could do so.
-    is_strict : bool
-        Whether nothing of a lower tier is kept once a tier had to be shed.
-    """
-
-    least_share: float = 0.0
-    measures_flow: bool = False
-    eases_off: bool = True
-    keeps_pace: bool = False
-    is_strict: bool = True
-
-
 @dataclass
 class PoolView:
     """Everything an allocator decides from.
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -13,6 +13,7 @@
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.memory import AllocatorMemory
+from godwitladder.decisions.policy import ASKED, STRICT
 from godwitladder.decisions.quotas import QuotaBook
 from godwitladder.decisions.reports import LoadReports
 from godwitladder.decisions.speeds import TargetSpeeds
@@ -20,7 +21,6 @@
 from godwitladder.decisions.types import (
     Allocation,
     Grant,
-    Policy,
     PoolName,
     PoolView,
     Shed,
@@ -84,29 +84,6 @@
 reads in chunks between the output of all that it runs: what is sent early
 waits where no one can order it, and slows everything beside it."""
 
-ASKED = Policy(
-    least_share=0.4,
-    measures_flow=True,
-    eases_off=False,
-    keeps_pace=True,
-    is_strict=False,
-)
-"""Where each dispatch is asked for, tiers are not strict: each rank is served at
-least four tenths as often as the first. In strict order the last got a quarter of
-its credit in a burst of 1.8 times a load that is itself beyond the targets, and
-nothing in some seconds. The part has its price, which the first rank pays: of all
-credit in such a burst 0.75 is had without any, 0.72 with three to four tenths, 0.67
-with six (a model of the engines, four seeds; `bench.ablation`).
-
-A letter that ran out of time took every shorter call that waited with it, though
-these were still in time and would hardly have cost it a place; so nothing is
-given up for what a higher tier lost.
-
-Nothing is eased off there: a target that stands still gets no further prompt by
-the bound above, and one that is only full looks slow. Eased off in a burst, the
-targets had a part of their slots left: 37% of the burst's letters came late or
-not at all, 24% with all slots in use."""
-
 FLOOR_S = 3.0
 """A floor that was not repeated for so long says nothing any more."""
 
@@ -151,7 +128,7 @@
     ) -> None:
         self.has_standing = standing
         self.unread_s = math.inf if standing else UNREAD_S
-        self.policy = Policy() if standing else ASKED
+        self.policy = STRICT if standing else ASKED
         self.pool = pool
         self.me = me
         self.term = term
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -5,13 +5,13 @@
 
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.entitlement import Entitlements
+from godwitladder.decisions.policy import ASKED
 from godwitladder.decisions.quotas import QuotaBook, TokenRate
 from godwitladder.decisions.reading import ReadingFit
 from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
 from godwitladder.decisions.shares import Precedence, Size, Timeliness, serving_order
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.decisions.types import ShedReason
-from godwitladder.scheduler.role import ASKED
 from tests.decisions.pools import add, given_up, make_pool, make_target
 
 RATE = {"w0": TokenRate(1000.0, 2000.0)}
