Let one piece tell when to look for refusals, and one how a quantile moves

Found on a last read of the change: both early refusals had the same bound and the same check, sizes had its own copy of the step of a quantile, and a group of the backlog kept a pace that nothing reads any more.

--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -41,7 +41,6 @@
     precedence: Precedence
     service: ServiceName
     part: ServiceCapacity
-    pace: Pace
     entries: list[Entry] = field(default_factory=list)
     work_s: float = 0.0
     soonest: float = float("inf")
@@ -135,9 +134,8 @@
         group = self.groups.get((precedence, service))
         if group is None:
             part = self.capacity.of(service)
-            group = self.groups[precedence, service] = Group(
-                precedence, service, part, part.pace
-            )
+            group = Group(precedence, service, part)
+            self.groups[precedence, service] = group
         group.entries.append(entry)
         group.work_s += entry.slot_s
         if entry.safe < group.soonest:
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -58,14 +58,21 @@
     return entry.row.arrived <= entry.latest
 
 
+def is_time_to_refuse(pool: PoolView, now: float) -> bool:
+    """Return whether the queue is to be looked through again, and note it."""
+    if now - pool.memory.refused_at < REFUSE_EVERY_S:
+        return False
+    pool.memory.refused_at = now
+    return True
+
+
 def refuse_early(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
     """Take out and return what can't start in time, of the lowest tier.
 
     When all of that tier is gone the next one is looked at, and so on up.
     """
-    if now - pool.memory.refused_at < REFUSE_EVERY_S:
+    if not is_time_to_refuse(pool, now):
         return []
-    pool.memory.refused_at = now
     refused: list[Entry] = []
     lowest_elsewhere = max(pool.floors.values(), default=-1)
     for precedence in reversed(backlog.precedences()):
--- a/godwitladder/decisions/sizes.py
+++ b/godwitladder/decisions/sizes.py
@@ -14,6 +14,7 @@
 import math
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.prediction import moved
 from godwitladder.decisions.shares import Size
 
 LARGE_QUANTILE = 0.7
@@ -37,11 +38,6 @@
         self.largest = max(self.largest, self.large)
 
 
-def moved(above: bool, quantile: float) -> float:
-    """Return the part of a step by which one call moves a quantile."""
-    return quantile if above else quantile - 1.0
-
-
 @dataclass
 class CallSizes:
     """The bounds of each rank."""
--- a/godwitladder/decisions/untimely.py
+++ b/godwitladder/decisions/untimely.py
@@ -12,25 +12,23 @@
 
 Thresholds
 ----------
-REFUSE_EVERY_S : looking through the whole queue costs as much as the rest of
-    a run; ten times a second is soon enough to tell a caller.
+LEAST_RATE : slot seconds a second; where nothing starts, the first of a queue
+    is kept.
 """
 
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.fairness import TierQueue
 from godwitladder.decisions.shares import Timeliness
+from godwitladder.decisions.shedding import is_time_to_refuse
 from godwitladder.decisions.types import Entry, PoolView
 
-REFUSE_EVERY_S = 0.1
 LEAST_RATE = 0.01
-"""Slot seconds a second; where nothing starts, the first of a queue is kept."""
 
 
 def refuse_untimely(backlog: Backlog, pool: PoolView, now: float) -> list[Entry]:
     """Take out and return what will not start in time, at any precedence."""
-    if now - pool.memory.refused_at < REFUSE_EVERY_S:
+    if not is_time_to_refuse(pool, now):
         return []
-    pool.memory.refused_at = now
     refused: list[Entry] = []
     for group in backlog.groups.values():
         refused += take_untimely(group, pool, now)
