Serve calls on threads that end when idle, and links on one event loop

Calls are served by a dispatcher that starts a thread when none waits, up to the bound of before, and ends it after two idle seconds. All links of a host run on one asyncio loop in one thread, by websockets' own asyncio interface. Ruled out: a loop of our own over websockets' protocol objects, which would be a transport of our own; asyncio costs little here, as ssl, its largest import, is loaded by urllib3 in any case.

Two tests looked at what is no longer there (a thread named peer-dial, a pause by Clock.wait) and look at the tasks and at Clock.pause now; their conditions are the same.

--- a/godwitladder/clock.py
+++ b/godwitladder/clock.py
@@ -4,9 +4,13 @@
 seconds throughout.
 """
 
+import asyncio
 import threading
 import time
 
+POLL_S = 0.01
+"""Between two looks of a paused clock, in seconds of the runtime."""
+
 
 class Clock:
     """Time of the runtime.
@@ -40,6 +44,10 @@
         """Wait for ``event`` at most ``seconds``; return whether it is set."""
         return event.wait(seconds)
 
+    async def pause(self, seconds: float) -> None:
+        """Hold up the calling coroutine for ``seconds``."""
+        await asyncio.sleep(seconds)
+
 
 class PausedClock(Clock):
     """A clock that stands still until a test advances it.
@@ -83,5 +91,11 @@
         due = self.now + seconds
         with self.changed:
             while self.now < due and not event.is_set():
-                self.changed.wait(0.01)
+                self.changed.wait(POLL_S)
         return event.is_set()
+
+    async def pause(self, seconds: float) -> None:
+        """Hold up the coroutine until the clock was advanced by ``seconds``."""
+        due = self.now + seconds
+        while self.now < due:
+            await asyncio.sleep(POLL_S)
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -27,8 +27,8 @@
     Listed,
     Membership,
 )
-from godwitladder.membership.links import Mesh
 from godwitladder.membership.members import Members
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -21,8 +21,9 @@
     choose_contacts,
     leaving_addresses,
 )
-from godwitladder.membership.links import Link, Mesh
+from godwitladder.membership.links import Link
 from godwitladder.membership.members import Member, Members
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews, Roster
 from godwitladder.scheduler.messages import HostsChanged, TargetsLeaving, Tick
 
--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -6,7 +6,8 @@
 import pykka
 
 from godwitladder.ids import HostId
-from godwitladder.membership.links import Link, Mesh
+from godwitladder.membership.links import Link
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat, LiveNews, Roster
 from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
 
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -21,7 +21,8 @@
 from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.ids import BodyDigest
 from godwitladder.logs import part_logger
-from godwitladder.membership.links import Link, Mesh
+from godwitladder.membership.links import Link
+from godwitladder.membership.mesh import Mesh
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.quarantine.records import Cleared, Crash, CrashNote, Lifted
 from godwitladder.serving.calls import Call, CallRefused
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -25,8 +25,8 @@
     Membership,
 )
 from godwitladder.membership.contacts import ListedHost
-from godwitladder.membership.links import Mesh
 from godwitladder.membership.members import Members
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
@@ -60,7 +60,7 @@
 LAST_S = 0.5
 """Left of the grace period for the end of the process."""
 SMALL_THREADS = 2
-VITAL_THREADS = frozenset({"feed", "ticker", "http", "watch"})
+VITAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers"})
 FAILED_EXIT = 70
 
 
--- a/godwitladder/serving/forwarding.py
+++ b/godwitladder/serving/forwarding.py
@@ -19,7 +19,8 @@
 from godwitladder.ids import HostId, Incarnation
 from godwitladder.logs import part_logger
 from godwitladder.membership.codec import peer_message
-from godwitladder.membership.links import Link, Mesh
+from godwitladder.membership.links import Link
+from godwitladder.membership.mesh import Mesh
 
 log = part_logger("forwarding")
 
--- a/godwitladder/serving/keys.py
+++ b/godwitladder/serving/keys.py
@@ -15,7 +15,7 @@
 from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
 from godwitladder.ids import Incarnation, StreamId, TargetName
 from godwitladder.logs import part_logger
-from godwitladder.membership.links import Mesh
+from godwitladder.membership.mesh import Mesh
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
 from godwitladder.quarantine.records import Cleared, Crash, Lifted
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -20,6 +20,7 @@
 
 from godwitladder.outcomes import RequestState
 from godwitladder.serving.problems import PROBLEM_TYPE
+from godwitladder.serving.threads import ElasticDispatcher
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.tls import server_context
 
@@ -190,12 +191,13 @@
     limits : LimitSettings
         Bounds on what callers may send.
     threads : int
-        Requests that are served at once.
+        Requests that are served at once; a thread is started when one needs it.
     tls : TlsSettings or None
         Certificate and key, if the listener speaks TLS.
     """
     server = waitress.create_server(
         app,
+        _dispatcher=ElasticDispatcher(threads + SPARE_THREADS),
         sockets=[listen(address, tls)],
         threads=threads + SPARE_THREADS,
         connection_limit=limits.connections + SPARE_CONNECTIONS,
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -1,7 +1,6 @@
 """Links between hosts: silence, hanging up, and pauses of a process."""
 
 import contextlib
-import threading
 from types import SimpleNamespace
 
 import pytest
@@ -10,8 +9,8 @@
 from godwitladder.daemon import ALONE_S, EntryHost
 from godwitladder.membership.actor import Leave, LinkUp, Membership
 from godwitladder.membership.codec import encode
-from godwitladder.membership.links import Mesh
 from godwitladder.membership.members import Members
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat, Roster
 from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.standins.ports import free_ports
@@ -65,16 +64,11 @@
 
 def test_a_peer_that_left_the_list_is_not_dialled_again(stack):
     """Addresses of hosts that are gone are not dialled for ever."""
-
-    def dialling():
-        return any(thread.name == "peer-dial" for thread in threading.enumerate())
-
-    wait_until(lambda: not dialling(), "dialling of other tests to end")
     near, _ = start_mesh(stack, "h1")
     near.keep({"127.0.0.1:9"})
-    assert dialling()
+    wait_until(lambda: "127.0.0.1:9" in near.dials, "the dialling")
     near.keep(set())
-    wait_until(lambda: not dialling(), "the dialling to end")
+    wait_until(lambda: not near.dials, "the dialling to end")
 
 
 class QuietMesh:
--- a/tests/membership/test_tls.py
+++ b/tests/membership/test_tls.py
@@ -5,7 +5,7 @@
 import trustme
 
 from godwitladder.clock import Clock
-from godwitladder.membership.links import Mesh
+from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.settings import TlsSettings
 from godwitladder.standins.ports import free_ports
@@ -27,9 +27,9 @@
     def __init__(self) -> None:
         self.pauses = 0
 
-    def wait(self, event, seconds):
+    async def pause(self, seconds):
         self.pauses += 1
-        return super().wait(event, seconds)
+        await super().pause(seconds)
 
 
 def make_mesh(stack, name: str, port: int, tls, seeds: list, taken: list) -> Mesh:
