Link hosts of a large region to a few hubs in each availability zone

Cause: all hosts linked to all are 19,000 connections for 195 hosts, and the news of all to all grows with the square of their number.

Beyond that the strongest hosts of each availability zone are hubs; every host is linked to all hubs, hubs see by their links who is live, and one of them tells each other host. Allocators are chosen among hubs that are strong enough; reports reach an allocator through another hub where a link is missing. Only hosts that may be allocators read the list of hosts while they have a link.

Not measured yet in full size; the tests of links, scheduler, platform and routing pass.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -1,37 +1,55 @@
 """The actor that keeps the table of peers and spreads heartbeats.
 
-Every heartbeat period a host sends what it knows of who is live to a few
-peers, and a heartbeat reaches all by way of others. A heartbeat to every peer
-would make each host's work grow with the zone: 6.5% of a core was measured
-for 48 hosts, of which the whole control may use 3%.
+Every heartbeat period a hub sends what it knows of who is live to a few other
+hubs, and a heartbeat reaches all by way of others: one to every peer would make
+each host's work grow with the zone. Hosts that are no hubs (`hubs`) send their
+heartbeats to the hubs alone, more seldom, and are told of all others by one.
 """
 
 import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
 import pykka
 
 from godwitladder.clock import Clock
 from godwitladder.ids import HostId, Incarnation
+from godwitladder.logs import part_logger
 from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import (
     ListedHost,
     choose_contacts,
     leaving_addresses,
 )
+from godwitladder.membership.hubs import choose_able, choose_hubs, teller_of
 from godwitladder.membership.links import Link
-from godwitladder.membership.members import Member, Members
+from godwitladder.membership.members import SELDOM, Member, Members
 from godwitladder.membership.mesh import Mesh
-from godwitladder.membership.messages import Heartbeat, LiveNews, Roster
+from godwitladder.membership.messages import Directory, Heartbeat, LiveNews, Roster
+from godwitladder.membership.telling import Teller
 from godwitladder.scheduler.messages import HostsChanged, TargetsLeaving, Tick
 
+log = part_logger("membership")
+
 FORGET_S = 600.0
-# With four peers a period, the longest gap between two advances of a live
-# host's count at any of 48 hosts was 4.6 periods in 400 simulated ones; the
-# timeout allows for six. With three it was 5.2.
 FANOUT = 4
+"""Peers that are sent the news each period. With fewer, a live host's count could
+stand still at some peer for longer than the timeout."""
+HUB_BEATS = 2
+"""Heartbeat periods between two heartbeats of a hub to hosts that are no hubs."""
+HOST_BEATS = 4
+"""The same for the heartbeats of hosts that are no hubs."""
+DIAL_S = 30.0
+"""A hub that is gone is dialled for so long: it may be cut off for a while."""
+SETTLED_S = 5.0
+"""Links beyond those to hubs are given up once all hubs were linked for so long."""
+TOLD_S = 3.0
+"""A host that has become a hub goes by what it was told for so long, until all
+others have made their links to it."""
+STRANGERS = 6
+"""Hosts of a long list that are tried at once: with any one link come the rest."""
+UNBOUNDED = 1 << 30
 
 
 @dataclass(frozen=True)
@@ -79,6 +97,8 @@
         row.leaving,
         row.config_offset,
         row.count,
+        row.place,
+        row.cores,
     )
 
 
@@ -92,6 +112,8 @@
         row.leaving,
         row.config_offset,
         row.count,
+        row.place,
+        row.cores,
     )
 
 
@@ -110,6 +132,19 @@
         The host's clock.
     publish : callable
         Called with `HostsChanged` and `TargetsLeaving` when they change.
+    mesh_hosts : int
+        Up to so many hosts all are linked to all.
+
+    Attributes
+    ----------
+    hubs : frozenset of HostId
+        The hubs of this host's zone, as far as this host knows.
+    hubs_seen : dict
+        When each address was last that of a hub.
+    contacts : set of str
+        Addresses that the platform's list asks to hold links to.
+    teller : HostId
+        The hub that tells this host of all others; empty if none did.
     """
 
     def __init__(
@@ -119,6 +154,7 @@
         mesh: Mesh,
         clock: Clock,
         publish: Callable[[HostsChanged | TargetsLeaving], None],
+        mesh_hosts: int = UNBOUNDED,
     ) -> None:
         super().__init__()
         self.me = me
@@ -132,6 +168,14 @@
         self.targets: frozenset[str] = frozenset()
         self.ran = clock.monotonic()
         self.turn: list[Link] = []
+        self.mesh_hosts = mesh_hosts
+        self.hubs: frozenset[HostId] = frozenset((me.host,))
+        self.hubs_seen: dict[str, float] = {}
+        self.unsettled = clock.monotonic()
+        self.contacts: set[str] = set()
+        self.teller = HostId("")
+        self.told_at = float("-inf")
+        self.telling = Teller(me.host)
 
     def on_start(self) -> None:
         """Publish that this host is there, alone as yet."""
@@ -157,6 +201,7 @@
         """Publish the live hosts if they have changed."""
         live = self.members.live(self.clock.monotonic())
         shown = [(row.host, row.incarnation) for row in live]
+        self.choose_hubs(live)
         changed = self.hosts_changed(live)
         if (changed, shown) != (self.published, self.shown):
             self.published, self.shown = changed, shown
@@ -176,7 +221,48 @@
         mine = zones.pop(self.me.zone, ())
         if not self.me.leaving:
             mine = (*mine, self.me.host)
-        return HostsChanged(tuple(sorted(mine)), zones)
+        hosts = tuple(sorted(mine))
+        hubs = frozenset() if self.is_mesh() else self.hubs
+        return HostsChanged(hosts, zones, self.allocators(live, hosts), hubs)
+
+    def allocators(
+        self, live: list[Member], hosts: tuple[HostId, ...]
+    ) -> tuple[HostId, ...] | None:
+        """Return the hosts that may be allocators; None if all may."""
+        rows = [row for row in self.at_home(live) if row.host in self.hubs]
+        if not self.is_mesh():
+            # A hub without a link could be sent no report. Another one passes
+            # reports on, if it is the allocator for the rest.
+            near = (*self.mesh.links, self.me.host)
+            rows = [row for row in rows if row.host in near]
+        able = choose_able(rows)
+        return None if able == set(hosts) else tuple(sorted(able))
+
+    def at_home(self, live: list[Member]) -> list[Member]:
+        """Return the hosts of this zone that are not leaving, this one too."""
+        mine = as_member(self.me, self.clock.monotonic())
+        rows = (*live, mine)
+        return [row for row in rows if row.zone == self.me.zone and not row.leaving]
+
+    def choose_hubs(self, live: list[Member]) -> None:
+        """Work out which hosts are hubs now."""
+        rows = self.at_home(live)
+        hubs = choose_hubs(rows, self.mesh_hosts)
+        if hubs != self.hubs:
+            self.hubs = hubs
+            self.unsettled = self.clock.monotonic()
+            if not self.is_mesh():
+                log.info("Hubs have changed", extra={"hubs": sorted(hubs)})
+        others = frozenset(row.host for row in rows) - hubs
+        self.members.seldom = others
+
+    def is_mesh(self) -> bool:
+        """Return whether every host is a hub, as far as this one knows."""
+        return not self.members.seldom
+
+    def is_hub(self) -> bool:
+        """Return whether this host is a hub."""
+        return self.me.host in self.hubs
 
     @functools.singledispatchmethod
     def take(self, message) -> None:
@@ -189,6 +275,8 @@
         self.mesh.drop_silent(self.silence_s())
         self.me = replace(self.me, count=self.me.count + 1)
         self.spread_news()
+        self.tend_links()
+        self.tell_others()
 
     @take.register
     def _(self, message: LinkUp) -> None:
@@ -197,7 +285,9 @@
 
     @take.register
     def _(self, message: LinkDown) -> None:
-        self.members.suspect(message.peer, self.clock.monotonic())
+        # Of a host that is no hub, one that is none either knows by a hub.
+        if self.is_hub() or message.peer in self.hubs:
+            self.members.suspect(message.peer, self.clock.monotonic())
 
     @take.register
     def _(self, message: LiveNews) -> None:
@@ -223,12 +313,33 @@
         contacts = choose_contacts(self.me.address, self.me.zone, listed, self.targets)
         self.mesh.meet(contacts)
 
+    @take.register
+    def _(self, message: Directory) -> None:
+        now = self.clock.monotonic()
+        told = {row.host for row in message.members} - {self.me.host}
+        if message.whole:
+            self.teller = message.teller
+            self.members.told = told
+        elif message.teller == self.teller:
+            self.members.told |= told
+            for host in message.gone:
+                self.members.suspect(host, now)
+        else:
+            return
+        self.told_at = now
+        for row in message.members:
+            if row.host != self.me.host:
+                self.members.hear(as_member(row, now))
+
     @take.register
     def _(self, message: Listed) -> None:
-        contacts = choose_contacts(
-            self.me.address, self.me.zone, message.hosts, self.targets
-        )
-        self.mesh.keep(contacts)
+        if len(message.hosts) > self.mesh_hosts:
+            self.meet_strangers(message.hosts)
+        else:
+            self.contacts = choose_contacts(
+                self.me.address, self.me.zone, message.hosts, self.targets
+            )
+            self.tend_links()
         leaving = leaving_addresses(self.leaving, message.hosts)
         if leaving != self.leaving:
             self.leaving = leaving
@@ -254,35 +365,117 @@
         return not known and row.host != self.me.host
 
     def roster(self) -> Roster:
-        """Return the live hosts as they told of themselves."""
+        """Return the live hubs as they told of themselves."""
         live = self.members.live(self.clock.monotonic())
-        return Roster(tuple(as_heartbeat(row) for row in live))
+        return Roster(
+            tuple(
+                as_heartbeat(row) for row in live if row.host not in self.members.seldom
+            )
+        )
 
     def silence_s(self) -> float:
         """Return after which silence a link is taken for dead, in seconds.
 
-        News takes the links in turns, so a link is silent for a whole round
-        of them; the timeout, which is six periods, and two rounds are allowed.
+        News takes the links of hubs in turns, so a link is silent for a whole
+        round of them; the timeout, which is six periods, and two rounds are
+        allowed.
         """
+        timeout_s = self.members.timeout_s
+        if not self.is_mesh():
+            return timeout_s * (SELDOM if self.is_hub() else 1)
         rounds = len(self.mesh.links) / FANOUT
-        return self.members.timeout_s * (1 + rounds / 3)
+        return timeout_s * (1 + rounds / 3)
 
     def spread_news(self) -> None:
-        """Send who is live to the next few peers, each link in its turn.
+        """Send who is live to the next few hubs, each link in its turn.
 
-        The turns run through a shuffled list of all links, so that each link
+        The turns run through a shuffled list of their links, so that each link
         carries something from time to time and a silent one is noticed.
         """
+        if not self.is_mesh():
+            self.beat()
+        if not self.is_hub():
+            return
         live = self.members.live(self.clock.monotonic())
-        news = LiveNews(
-            (self.me.host, *(row.host for row in live)),
-            (self.me.incarnation, *(row.incarnation for row in live)),
-            (self.me.count, *(row.count for row in live)),
-        )
-        data = encode(news)
-        for _ in range(min(FANOUT, len(self.mesh.links))):
+        rows = [row for row in live if row.host not in self.members.seldom]
+        data = encode(self.live_news(rows))
+        links = self.links_of_hubs()
+        for _ in range(min(FANOUT, len(links))):
             if not self.turn:
-                self.turn = self.mesh.current()
+                self.turn = links
                 random.shuffle(self.turn)
-            if self.turn:
-                self.turn.pop().send(data)
+            self.turn.pop().send(data)
+
+    def beat(self) -> None:
+        """Send this host's own heartbeat over the links that carry no news."""
+        if self.me.count % (HUB_BEATS if self.is_hub() else HOST_BEATS):
+            return
+        links = self.mesh.current()
+        if self.is_hub():
+            links = [link for link in links if link.peer not in self.hubs]
+        self.mesh.spread(links, encode(self.live_news(())))
+
+    def live_news(self, rows: Collection[Member]) -> LiveNews:
+        """Return the news that this host and those in ``rows`` are live."""
+        return LiveNews(
+            (self.me.host, *(row.host for row in rows)),
+            (self.me.incarnation, *(row.incarnation for row in rows)),
+            (self.me.count, *(row.count for row in rows)),
+        )
+
+    def links_of_hubs(self) -> list[Link]:
+        """Return the links that news goes over."""
+        links = self.mesh.current()
+        if self.is_mesh():
+            return links
+        return [link for link in links if link.peer in self.hubs]
+
+    def tend_links(self) -> None:
+        """Dial the hubs, and give up links that nothing goes over."""
+        now = self.clock.monotonic()
+        for row in self.at_home(self.members.live(now)):
+            if row.host in self.hubs and row.host != self.me.host:
+                self.hubs_seen[row.address] = now
+        for address, at in list(self.hubs_seen.items()):
+            if now - at > DIAL_S:
+                del self.hubs_seen[address]
+        if self.is_hub():
+            # Of two hubs the one with the lower address dials, as both want it.
+            wanted = {*self.contacts, *self.hubs_seen}
+            self.mesh.keep({row for row in wanted if row > self.me.address})
+            return
+        unlinked = self.hubs - set(self.mesh.links)
+        if unlinked:
+            self.unsettled = now
+        self.mesh.keep(set(self.hubs_seen), seeds=bool(unlinked))
+        if now - self.unsettled > SETTLED_S:
+            self.mesh.release(set(self.hubs_seen))
+
+    def tell_others(self) -> None:
+        """Tell those hosts that are this hub's to tell who is live."""
+        now = self.clock.monotonic()
+        if not self.is_hub():
+            return
+        if now - self.told_at > TOLD_S:
+            self.members.told.clear()
+        live = self.members.live(now)
+        hubs = [row.host for row in self.at_home(live) if row.host in self.hubs]
+        links = [
+            link
+            for link in self.mesh.current()
+            if link.peer in self.members.seldom
+            and teller_of(link.peer, hubs) == self.me.host
+        ]
+        mine = as_member(self.me, now)
+        self.telling.tell([as_heartbeat(row) for row in (*live, mine)], links)
+
+    def meet_strangers(self, listed: Collection[ListedHost]) -> None:
+        """Dial a few hosts that this one doesn't know of.
+
+        After a cut, two parts of a fleet may each have hubs of their own and
+        know nothing of the other part: one link joins them again.
+        """
+        live = self.members.live(self.clock.monotonic())
+        known = {row.address for row in live} | {self.me.address} | self.targets
+        strangers = [row.address for row in listed if row.address not in known]
+        self.mesh.meet(set(random.sample(strangers, min(STRANGERS, len(strangers)))))
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -58,6 +58,8 @@
         When the last message came, in monotonic seconds.
     sent, received : int
         Bytes of messages so far.
+    dialled : bool
+        Whether this host made the connection.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.outgoing: collections.deque[bytes] = collections.deque()
         self.ready = asyncio.Event()
         self.woken = False
+        self.dialled = False
 
     def send(self, data: bytes) -> bool:
         """Queue an encoded message; return False if the queue is full."""
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -9,6 +9,9 @@
 
 from godwitladder.ids import HostId, Incarnation, Zone
 
+SELDOM = 2
+"""Hosts that are no hubs send heartbeats less often, since a hub hears hundreds."""
+
 
 @dataclass
 class Member:
@@ -20,6 +23,10 @@
         When its heartbeats last advanced, in monotonic seconds.
     count : int
         Number of its last heartbeat, which tells news from repetition.
+    place : Zone
+        Its availability zone, where ``zone`` names a whole region.
+    cores : float
+        How much processor it has, in cores of usual speed.
     """
 
     host: HostId
@@ -30,6 +37,8 @@
     leaving: bool = False
     config_offset: int = 0
     count: int = 0
+    place: Zone = Zone("")
+    cores: float = 0.0
 
 
 @dataclass
@@ -40,10 +49,19 @@
     ----------
     timeout_s : float
         Silence after which a peer no longer counts as live.
+
+    Attributes
+    ----------
+    seldom : frozenset of HostId
+        Peers that send heartbeats `SELDOM` times as seldom as others.
+    told : set of HostId
+        Peers that a hub has told of, and which it will tell when they are gone.
     """
 
     timeout_s: float
     rows: dict[HostId, Member] = field(default_factory=dict)
+    seldom: frozenset[HostId] = frozenset()
+    told: set[HostId] = field(default_factory=set)
 
     def hear(self, member: Member) -> bool:
         """Take in a heartbeat; return False if it is of an older incarnation.
@@ -80,15 +98,24 @@
         A process that was killed closes its links at once. Waiting for the
         timeout instead, its allocator's pools would stand still that long.
         """
+        self.told.discard(host)
         held = self.rows.get(host)
         if held:
-            held.heard = min(held.heard, now - self.timeout_s)
+            held.heard = min(held.heard, now - self.patience_s(host))
 
     def live(self, now: float) -> list[Member]:
-        """Return the members heard of within the timeout, by host id."""
-        rows = [row for row in self.rows.values() if now - row.heard < self.timeout_s]
+        """Return the members heard or told of within their time, by host id."""
+        rows = [row for row in self.rows.values() if self.is_live(row, now)]
         return sorted(rows, key=lambda row: row.host)
 
+    def is_live(self, row: Member, now: float) -> bool:
+        """Return whether a member counts as live."""
+        return now - row.heard < self.patience_s(row.host) or row.host in self.told
+
+    def patience_s(self, host: HostId) -> float:
+        """Return after which silence a peer no longer counts as live, in seconds."""
+        return self.timeout_s * (SELDOM if host in self.seldom else 1)
+
     def excuse(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of its peers.
 
@@ -102,5 +129,5 @@
     def forget(self, now: float, after_s: float) -> None:
         """Drop rows not heard of for ``after_s``, which bounds the table."""
         for host, row in list(self.rows.items()):
-            if now - row.heard > after_s:
+            if now - row.heard > after_s and host not in self.told:
                 del self.rows[host]
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -47,9 +47,8 @@
 class Mesh:
     """All links of one host: those it accepts and those it dials.
 
-    Of two hosts the one with the lower address dials, so that a pair has one
-    link. Seeds are dialled in any case, unless they have dialled first: with
-    the host list gone, nobody else could tell them of this host.
+    Seeds are dialled in any case, unless they have dialled first: with the host
+    list gone, nobody else could tell them of this host.
 
     Parameters
     ----------
@@ -190,24 +189,39 @@
 
     def broadcast(self, message: Any) -> None:
         """Send ``message`` over every link."""
-        data = encode(message)
-        queued = [link for link in self.current() if link.queue(data)]
+        self.spread(self.current(), encode(message))
+
+    def spread(self, links: Iterable[Link], data: bytes) -> None:
+        """Send an encoded message over ``links``."""
+        queued = [link for link in links if link.queue(data)]
         # One wake of the loop for all links: each costs a system call.
         self.post(_wake, queued)
 
-    def keep(self, addresses: set[str]) -> None:
-        """Dial ``addresses`` and the seeds, and no others any more.
+    def keep(self, addresses: set[str], seeds: bool = True) -> None:
+        """Dial ``addresses``, and the seeds too, and no others any more.
 
         A link that is up stays up: the list that the addresses come from
         lags, and may miss a host that is there.
+
+        Parameters
+        ----------
+        seeds : bool
+            Whether the seeds are to be dialled.
         """
-        wanted = {address for address in addresses if address > self.address}
+        wanted = addresses | self.seeds if seeds else addresses
         with self.lock:
-            self.dialled &= wanted | self.seeds
+            self.dialled &= wanted
             new = wanted - self.dialled
         for address in new:
             self._dial(address)
 
+    def release(self, addresses: set[str]) -> None:
+        """Close the links that this host dialled to other than ``addresses``."""
+        for link in self.current():
+            if link.dialled and link.address not in addresses:
+                log.info("A link is given up", extra={"peer": link.peer})
+                link.close()
+
     def meet(self, addresses: set[str]) -> None:
         """Dial each of ``addresses`` once, lower ones too after a moment.
 
@@ -316,6 +330,7 @@
             connection.transport.abort()
             return False
         link = Link(hello.host, hello.address, connection, self.clock, self.post)
+        link.dialled = not accepted
         self._add(link)
         try:
             self.greeted(link)
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -33,7 +33,15 @@
 @peer_message
 @dataclass(frozen=True)
 class Heartbeat:
-    """All a host tells of itself; sent when a link comes up or it changes."""
+    """All a host tells of itself; sent when a link comes up or it changes.
+
+    Attributes
+    ----------
+    place : Zone
+        Its availability zone, where ``zone`` names a whole region.
+    cores : float
+        How much processor it has, in cores of usual speed.
+    """
 
     host: HostId
     zone: Zone
@@ -42,6 +50,8 @@
     leaving: bool
     config_offset: int
     count: int = 0
+    place: Zone = Zone("")
+    cores: float = 0.0
 
 
 @peer_message
@@ -63,6 +73,31 @@
 @peer_message
 @dataclass(frozen=True)
 class Roster:
-    """The live hosts and where they listen, told once when a link comes up."""
+    """Live hosts and where they listen, told once when a link comes up.
+
+    All of them where every host is a hub, else the hubs.
+    """
+
+    members: tuple[Heartbeat, ...]
+
+
+@peer_message
+@dataclass(frozen=True)
+class Directory:
+    """What a hub tells a host that is no hub of all live hosts.
+
+    The first one on a link is whole; those after it hold what has changed.
+
+    Attributes
+    ----------
+    members : tuple of Heartbeat
+        Live hosts as they told of themselves; those that are new or have
+        changed, if the message is not whole.
+    gone : tuple of HostId
+        Hosts that are live no more.
+    """
 
+    teller: HostId
+    whole: bool
     members: tuple[Heartbeat, ...]
+    gone: tuple[HostId, ...] = ()
--- /dev/null
+++ b/godwitladder/membership/telling.py
@@ -0,0 +1,58 @@
+"""A hub's side of telling hosts that are no hubs who is live."""
+
+from collections.abc import Collection
+from dataclasses import replace
+
+from godwitladder.ids import HostId
+from godwitladder.membership.codec import encode
+from godwitladder.membership.links import Link
+from godwitladder.membership.messages import Directory, Heartbeat
+
+
+class Teller:
+    """Tells each host all live hosts once, and from then on what changes.
+
+    A link keeps its order and loses nothing while it is up, so that changes
+    are enough; a new link begins with all hosts again.
+
+    Parameters
+    ----------
+    host : HostId
+        This host.
+
+    Attributes
+    ----------
+    known : dict
+        The live hosts as they were told last.
+    informed : set of Link
+        Links over which all of them were told.
+    """
+
+    def __init__(self, host: HostId) -> None:
+        self.host = host
+        self.known: dict[HostId, Heartbeat] = {}
+        self.informed: set[Link] = set()
+
+    def tell(self, rows: Collection[Heartbeat], links: Collection[Link]) -> None:
+        """Tell the peers of ``links`` that the hosts in ``rows`` are live."""
+        # A count says when a host was heard last, which is no change.
+        live = {row.host: replace(row, count=0) for row in rows}
+        new = tuple(row for host, row in live.items() if self.known.get(host) != row)
+        gone = tuple(host for host in self.known if host not in live)
+        self.known = live
+        informed = {link for link in links if link in self.informed}
+        self._send(Directory(self.host, True, tuple(live.values())), links, informed)
+        if new or gone:
+            change = encode(Directory(self.host, False, new, gone))
+            for link in informed:
+                link.send(change)
+        self.informed = set(links)
+
+    def _send(
+        self, whole: Directory, links: Collection[Link], informed: set[Link]
+    ) -> None:
+        fresh = [link for link in links if link not in informed]
+        if fresh:
+            data = encode(whole)
+            for link in fresh:
+                link.send(data)
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -24,7 +24,10 @@
     Listed,
     Membership,
 )
+from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import ListedHost
+from godwitladder.membership.hubs import MESH_HOSTS, teller_of
+from godwitladder.membership.links import Link
 from godwitladder.membership.members import Members
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
@@ -60,6 +63,8 @@
 LAST_S = 0.5
 """Left of the grace period for the end of the process."""
 SMALL_THREADS = 2
+SHOWN_HOSTS = 12
+"""Allocators that a log line names."""
 VITAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers"})
 FAILED_EXIT = 70
 
@@ -101,6 +106,7 @@
         # keep a letter from waiting in one zone beside idle ones in the next.
         self.span = Zone(settings.region)
         self.hosts: tuple[HostId, ...] = (settings.host,)
+        self.hubs: frozenset[HostId] = frozenset()
         self.currency = Currency(settings.bounds.revoke_s)
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
@@ -148,23 +154,43 @@
             self.mesh,
             clock,
             self.publish_members,
+            MESH_HOSTS,
         )
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.feed.spread = self.mesh.broadcast
         self.router.takers[FeedNews] = lambda link, news: self.feed.take_news(news)
         self.losses = LossBook(clock, self.mesh.broadcast)
-        self.router.takers[AnswerLost] = lambda link, news: self.losses.take(news)
+        self.router.takers[AnswerLost] = self.take_loss
         self.watch = CallWatch(clock)
         self.app = RoutedApp(
             form, self.make_passer(form), self.currency, clock, self.metrics
         )
         self.caller_server: TcpWSGIServer | None = None
 
+    def take_loss(self, link: Link, news: AnswerLost) -> None:
+        """Take in a lost answer, and pass it on to hosts that can't have it yet.
+
+        The host that lost it has links to hubs alone; one of them tells the rest.
+        """
+        self.losses.take(news)
+        hubs = self.hubs
+        if link.peer in hubs or teller_of(link.peer, hubs) != self.host:
+            return
+        rest = [row for row in self.mesh.current() if row.peer not in hubs]
+        self.mesh.spread([row for row in rest if row is not link], encode(news))
+
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         address = self.settings.listen.peers
         return Heartbeat(
-            self.settings.host, self.span, address, self.incarnation, False, 0
+            self.settings.host,
+            self.span,
+            address,
+            self.incarnation,
+            False,
+            0,
+            place=self.settings.zone,
+            cores=self.settings.processor.cores,
         )
 
     def make_passer(self, form: HeaderForm) -> Passer:
@@ -283,21 +309,38 @@
         self.scheduler.tell(message)
         self.allocator.tell(message)
         if isinstance(message, HostsChanged):
+            gone = set(self.hosts) - set(message.hosts)
+            new = set(message.hosts) - set(self.hosts)
             self.hosts = message.hosts
-            self.feed.hosts = message.hosts
-            log.info("Live hosts have changed", extra={"hosts": list(message.hosts)})
+            self.hubs = message.hubs
+            self.feed.hosts = message.allocators
+            extra = {
+                "hosts": len(message.hosts),
+                "new": sorted(new),
+                "gone": sorted(gone),
+                "allocators": list(message.allocators[:SHOWN_HOSTS]),
+            }
+            log.info("Live hosts have changed", extra=extra)
 
     def follow_hosts(self) -> None:
         """Put this host on the list, and read it from time to time."""
         listed = False
         while not self.stopping.is_set():
             listed = listed or self.list_me(leaving=False)
-            self.read_hosts()
-            self.reload_if_changed()
             linked = bool(self.mesh.current())
+            if not linked or self.reads_hosts():
+                self.read_hosts()
+            self.reload_if_changed()
             period_s = HOSTS_PERIOD_S if linked and listed else LONELY_PERIOD_S
             self.clock.wait(self.stopping, period_s)
 
+    def reads_hosts(self) -> bool:
+        """Return whether it is for this host to look for hosts that nobody knows.
+
+        Each reading is priced, and one host that finds another joins all.
+        """
+        return self.host in self.feed.hosts
+
     def read_hosts(self) -> None:
         """Read the list of hosts."""
         try:
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -83,6 +83,27 @@
     quota_slack: float = checked(not_negative, default=0.0)
 
 
+@dataclass(frozen=True)
+class ProcessorSettings:
+    """How much processor the host has.
+
+    Attributes
+    ----------
+    share : float
+        Part of a core.
+    speed : float
+        How fast that core is, against one of usual speed.
+    """
+
+    share: float = checked(positive, default=1.0)
+    speed: float = checked(positive, default=1.0)
+
+    @property
+    def cores(self) -> float:
+        """Processor in cores of usual speed."""
+        return self.share * self.speed
+
+
 @dataclass(frozen=True)
 class RoutedSettings:
     """Everything a host that serves routed calls is told at its start.
@@ -101,6 +122,7 @@
     peers: RoutedPeers
     bounds: BoundSettings = field(default_factory=BoundSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
+    processor: ProcessorSettings = field(default_factory=ProcessorSettings)
 
 
 def read_routed_settings(path: Path) -> RoutedSettings:
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -39,12 +39,15 @@
         Tokens that a workspace may have beyond its quota in a window.
     seen : SeenHosts
         When each host was last among the live ones.
+    able : tuple of HostId or None
+        Hosts of this zone that may be allocators; None if all may.
     """
 
     host: HostId
     zone: Zone
     config: ConfigState = field(default_factory=ConfigState)
     hosts: tuple[HostId, ...] = ()
+    able: tuple[HostId, ...] | None = None
     linked: Mapping[Zone, tuple[HostId, ...]] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
     pools: dict[PoolName, Pool] = field(default_factory=dict)
@@ -53,6 +56,11 @@
     quota_slack: float = 0.0
     seen: SeenHosts = field(default_factory=SeenHosts)
 
+    @property
+    def allocators(self) -> tuple[HostId, ...]:
+        """Hosts of this zone that may be allocators."""
+        return self.hosts if self.able is None else self.able
+
 
 class Allocator(pykka.ThreadingActor):
     """Hands out the pools for which this host is the allocator.
@@ -144,6 +152,7 @@
     @take.register
     def _(self, message: HostsChanged) -> None:
         self.tables.hosts = message.hosts
+        self.tables.able = message.able
         self.tables.linked = message.linked
         self.update_roles()
 
@@ -159,7 +168,7 @@
             name: pool
             for name, pool in tables.pools.items()
             if name.zone == tables.zone
-            and choose_host(tables.hosts, pool_key(name)) == tables.host
+            and choose_host(tables.allocators, pool_key(name)) == tables.host
         }
         for name in set(tables.roles) - set(mine):
             del tables.roles[name]
@@ -188,7 +197,7 @@
 
     def pass_on(self, message: PoolReport | FloorReport, pool: PoolName) -> None:
         """Pass a message from another zone on to this zone's allocator, once."""
-        holder = choose_host(self.tables.hosts, pool_key(pool))
+        holder = choose_host(self.tables.allocators, pool_key(pool))
         if pool.zone != self.tables.zone or message.via or holder is None:
             return
         if holder != self.tables.host:
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -178,6 +178,8 @@
         Whether the host is to report at once, since something was taken back.
     spill : tuple of RequestId
         Requests that should be asked for in other zones too.
+    via : str
+        The host that passed on the report which this answers; empty if none did.
     """
 
     host: HostId
@@ -193,6 +195,7 @@
     grants: tuple[Grant, ...] = ()
     sheds: tuple[Shed, ...] = ()
     spill: tuple[RequestId, ...] = ()
+    via: HostId = HostId("")
 
 
 @peer_message
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -97,10 +97,21 @@
         Those of this zone that are not leaving, this one among them.
     linked : dict
         Those of each other zone to which there is a link.
+    able : tuple of HostId or None
+        Hosts of this zone that may be allocators; None if all may.
+    hubs : frozenset of HostId
+        Those to which all others are linked; empty if all are linked to all.
     """
 
     hosts: tuple[HostId, ...]
     linked: Mapping[Zone, tuple[HostId, ...]]
+    able: tuple[HostId, ...] | None = None
+    hubs: frozenset[HostId] = frozenset()
+
+    @property
+    def allocators(self) -> tuple[HostId, ...]:
+        """Hosts of this zone that may be allocators."""
+        return self.hosts if self.able is None else self.able
 
 
 @dataclass(frozen=True)
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -86,7 +86,7 @@
     knows its zone's allocator and passes messages on.
     """
     for name, access in tables.pools.items():
-        hosts = tables.hosts if access.home else tables.linked.get(name.zone, ())
+        hosts = tables.allocators if access.home else tables.linked.get(name.zone, ())
         key = pool_key(name) if access.home else tables.host
         access.ask(choose_host(hosts, key), now)
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -430,6 +430,7 @@
             grants=tuple(offering.grants),
             sheds=tuple(offering.sheds),
             spill=tuple(offering.spill),
+            via=account.via,
         )
 
     def floor_report(self, to: PoolName, now: float) -> FloorReport:
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -182,6 +182,8 @@
     ----------
     hosts : tuple of HostId
         Live hosts of this zone that are not leaving.
+    able : tuple of HostId or None
+        Those of them that may be allocators; None if all may.
     linked : dict
         Live hosts of each other zone that this host has a link to.
     leaving : frozenset of str
@@ -220,6 +222,7 @@
     fresh: list[RequestId] = field(default_factory=list)
     queue: list[RequestRow] = field(default_factory=list)
     hosts: tuple[HostId, ...] = ()
+    able: tuple[HostId, ...] | None = None
     linked: Mapping[Zone, tuple[HostId, ...]] = field(default_factory=dict)
     leaving: frozenset[str] = frozenset()
     predictor: OutputPredictor = field(default_factory=OutputPredictor)
@@ -228,3 +231,8 @@
     quotas: QuotaBook = field(default_factory=QuotaBook)
     seen: SeenHosts = field(default_factory=SeenHosts)
     helps_itself: bool = False
+
+    @property
+    def allocators(self) -> tuple[HostId, ...]:
+        """Hosts of this zone that may be allocators."""
+        return self.hosts if self.able is None else self.able
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -91,6 +91,9 @@
     def meet(self, addresses) -> None:
         self.met |= addresses
 
+    def keep(self, addresses, seeds=True) -> None:
+        pass
+
     def excuse(self, pause_s) -> None:
         self.excused += pause_s
 
