Let hubs and the hosts they tell agree after any series of faults

Cause: on a network in memory with 45 hosts, hosts that started together knew just the seeds, and beyond a cut hosts believed for ever in what a hub out of reach had told. Hubs that had just become hubs did not know it.

Peers are told the hubs whenever these change; what was told is doubted once the teller is out of reach; a change goes to everyone told so far before another hub takes over. Random series of kills, restarts and cuts end in one view now.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -45,8 +45,11 @@
 SETTLED_S = 5.0
 """Links beyond those to hubs are given up once all hubs were linked for so long."""
 TOLD_S = 3.0
-"""A host that has become a hub goes by what it was told for so long, until all
-others have made their links to it."""
+"""What a hub has told is believed for so long after the link to it was lost, until
+another one tells; and on a host that has become a hub, until all others have made
+their links to it."""
+MEET_AGAIN_S = 2.0
+"""Several peers name the same host at once; it is dialled for one of them."""
 STRANGERS = 6
 """Hosts of a long list that are tried at once: with any one link come the rest."""
 UNBOUNDED = 1 << 30
@@ -143,8 +146,12 @@
         When each address was last that of a hub.
     contacts : set of str
         Addresses that the platform's list asks to hold links to.
+    met : dict
+        When each address that a peer named was last dialled.
     teller : HostId
         The hub that tells this host of all others; empty if none did.
+    told_at : float
+        When what it told was last known to hold.
     """
 
     def __init__(
@@ -171,8 +178,10 @@
         self.mesh_hosts = mesh_hosts
         self.hubs: frozenset[HostId] = frozenset((me.host,))
         self.hubs_seen: dict[str, float] = {}
+        self.hubs_told: frozenset[HostId] = frozenset()
         self.unsettled = clock.monotonic()
         self.contacts: set[str] = set()
+        self.met: dict[str, float] = {}
         self.teller = HostId("")
         self.told_at = float("-inf")
         self.telling = Teller(me.host)
@@ -271,11 +280,14 @@
 
     @take.register
     def _(self, message: Tick) -> None:
-        self.members.forget(self.clock.monotonic(), FORGET_S)
+        now = self.clock.monotonic()
+        self.members.forget(now, FORGET_S)
+        self.met = {row: at for row, at in self.met.items() if now - at < MEET_AGAIN_S}
         self.mesh.drop_silent(self.silence_s())
         self.me = replace(self.me, count=self.me.count + 1)
         self.spread_news()
         self.tend_links()
+        self.name_hubs()
         self.tell_others()
 
     @take.register
@@ -306,11 +318,13 @@
         # peer. With the platform's list alone it knew a part of them for up to
         # ten seconds, and chose other allocators than the rest.
         now = self.clock.monotonic()
-        new = [row for row in message.members if self.is_new(row)]
-        for row in new:
-            self.members.hear(as_member(row, now))
-        listed = [ListedHost(row.address, row.zone, row.leaving) for row in new]
+        for row in message.members:
+            if self.is_new(row):
+                self.members.hear(as_member(row, now))
+        unmet = [row for row in message.members if self.is_unmet(row, now)]
+        listed = [ListedHost(row.address, row.zone, row.leaving) for row in unmet]
         contacts = choose_contacts(self.me.address, self.me.zone, listed, self.targets)
+        self.met |= dict.fromkeys(contacts, now)
         self.mesh.meet(contacts)
 
     @take.register
@@ -364,6 +378,14 @@
         known = held is not None and held.incarnation >= row.incarnation
         return not known and row.host != self.me.host
 
+    def is_unmet(self, row: Heartbeat, now: float) -> bool:
+        """Return whether a host is to be dialled, since there is no link to it."""
+        held = self.members.rows.get(row.host)
+        ended = held is not None and held.incarnation > row.incarnation
+        tried = now - self.met.get(row.address, float("-inf")) < MEET_AGAIN_S
+        linked = row.host in (*self.mesh.links, self.me.host)
+        return not (ended or tried or linked)
+
     def roster(self) -> Roster:
         """Return the live hubs as they told of themselves."""
         live = self.members.live(self.clock.monotonic())
@@ -436,8 +458,9 @@
         for row in self.at_home(self.members.live(now)):
             if row.host in self.hubs and row.host != self.me.host:
                 self.hubs_seen[row.address] = now
+        living = {row.address for row in self.at_home(self.members.live(now))}
         for address, at in list(self.hubs_seen.items()):
-            if now - at > DIAL_S:
+            if now - at > DIAL_S or (at < now and address in living):
                 del self.hubs_seen[address]
         if self.is_hub():
             # Of two hubs the one with the lower address dials, as both want it.
@@ -449,15 +472,25 @@
             self.unsettled = now
         self.mesh.keep(set(self.hubs_seen), seeds=bool(unlinked))
         if now - self.unsettled > SETTLED_S:
-            self.mesh.release(set(self.hubs_seen))
+            current = {row for row, at in self.hubs_seen.items() if at == now}
+            self.mesh.release(current)
+
+    def name_hubs(self) -> None:
+        """Tell all peers the hubs, if these have changed.
+
+        Hosts that start together know only the seeds, and were told of no hubs
+        while those knew as few hosts as they did themselves.
+        """
+        if not self.is_mesh() and self.hubs != self.hubs_told:
+            self.hubs_told = self.hubs
+            self.mesh.broadcast(self.roster())
 
     def tell_others(self) -> None:
         """Tell those hosts that are this hub's to tell who is live."""
         now = self.clock.monotonic()
+        self.doubt_told(now)
         if not self.is_hub():
             return
-        if now - self.told_at > TOLD_S:
-            self.members.told.clear()
         live = self.members.live(now)
         hubs = [row.host for row in self.at_home(live) if row.host in self.hubs]
         links = [
@@ -469,6 +502,17 @@
         mine = as_member(self.me, now)
         self.telling.tell([as_heartbeat(row) for row in (*live, mine)], links)
 
+    def doubt_told(self, now: float) -> None:
+        """Forget what a hub has told that can no longer tell, or need not.
+
+        Beyond a cut a host would believe for ever in all that it was told, and
+        wait for hubs that are out of its reach.
+        """
+        if self.teller in self.mesh.links and not self.is_hub():
+            self.told_at = now
+        elif now - self.told_at > TOLD_S:
+            self.members.told.clear()
+
     def meet_strangers(self, listed: Collection[ListedHost]) -> None:
         """Dial a few hosts that this one doesn't know of.
 
--- a/godwitladder/membership/telling.py
+++ b/godwitladder/membership/telling.py
@@ -34,25 +34,25 @@
         self.informed: set[Link] = set()
 
     def tell(self, rows: Collection[Heartbeat], links: Collection[Link]) -> None:
-        """Tell the peers of ``links`` that the hosts in ``rows`` are live."""
+        """Tell the peers of ``links`` that the hosts in ``rows`` are live.
+
+        Whoever was told so far is told this change too: the same change may make
+        another hub the one that tells it, and makes that one know that it is.
+        """
         # A count says when a host was heard last, which is no change.
         live = {row.host: replace(row, count=0) for row in rows}
         new = tuple(row for host, row in live.items() if self.known.get(host) != row)
         gone = tuple(host for host in self.known if host not in live)
         self.known = live
-        informed = {link for link in links if link in self.informed}
-        self._send(Directory(self.host, True, tuple(live.values())), links, informed)
+        fresh = set(links) - self.informed
         if new or gone:
-            change = encode(Directory(self.host, False, new, gone))
-            for link in informed:
-                link.send(change)
+            _send(Directory(self.host, False, new, gone), self.informed)
+        if fresh:
+            _send(Directory(self.host, True, tuple(live.values())), fresh)
         self.informed = set(links)
 
-    def _send(
-        self, whole: Directory, links: Collection[Link], informed: set[Link]
-    ) -> None:
-        fresh = [link for link in links if link not in informed]
-        if fresh:
-            data = encode(whole)
-            for link in fresh:
-                link.send(data)
+
+def _send(message: Directory, links: Collection[Link]) -> None:
+    data = encode(message)
+    for link in links:
+        link.send(data)
--- /dev/null
+++ b/tests/membership/test_hubs.py
@@ -0,0 +1,214 @@
+"""Hosts of a large region: who is linked to whom, and what each knows of the rest."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitladder.membership.actor import Leave
+from godwitladder.membership.hubs import LEAST_HUBS, choose_able, choose_hubs
+from godwitladder.membership.members import Member
+from tests.membership.net import MESH_HOSTS, Net
+
+PLACES = ("zone-a", "zone-b", "zone-c")
+SETTLE_S = 10
+
+
+def make_net(hosts_each=15):
+    net = Net(PLACES, hosts_each)
+    net.run(SETTLE_S)
+    return net
+
+
+def hosts_known(net, nodes=None):
+    """Return the different sets of hosts that ``nodes`` know as live."""
+    return {node.view().hosts for node in nodes or net.alive()}
+
+
+def allocators(net, nodes=None):
+    return {node.view().allocators for node in nodes or net.alive()}
+
+
+def names(nodes):
+    return tuple(sorted(node.name for node in nodes))
+
+
+def member(host, place="a", cores=1.0):
+    return Member(host, "region", f"{host}:1", 1, 0.0, place=place, cores=cores)
+
+
+def test_hubs_are_the_strongest_hosts_of_each_place():
+    rows = [
+        member(f"{place}{n}", place, 1.0 + (n == 3)) for place in "ab" for n in range(9)
+    ]
+    hubs = choose_hubs(rows, MESH_HOSTS)
+    assert {"a3", "b3"} <= hubs
+    assert len(hubs) >= LEAST_HUBS
+    assert {host[0] for host in hubs} == {"a", "b"}
+
+
+def test_a_few_hosts_are_all_hubs():
+    rows = [member(f"h{n}") for n in range(MESH_HOSTS)]
+    assert len(choose_hubs(rows, MESH_HOSTS)) == MESH_HOSTS
+
+
+def test_weak_hosts_hand_nothing_out_where_there_are_strong_ones():
+    rows = [member("a", cores=0.5), member("b", cores=2.0), member("c", cores=1.9)]
+    assert choose_able(rows) == {"b", "c"}
+
+
+def test_hosts_that_start_together_know_each_other_by_a_few_links():
+    """Many hosts start at once and know three seeds only, which are no hubs.
+
+    Within seconds all of them know all others and name the same allocators,
+    so that no target is handed out twice; links are held to hubs alone, the
+    ones to the seeds are given up.
+    """
+    net = make_net()
+    assert hosts_known(net) == {names(net.nodes)}
+    assert len(allocators(net)) == 1
+    hubs = net.nodes[0].view().hubs
+    assert len(hubs) == LEAST_HUBS
+    for node in net.nodes:
+        linked = set(node.mesh.links)
+        if node.name in hubs:
+            assert len(linked) == len(net.nodes) - 1
+        else:
+            assert linked == hubs
+
+
+def test_hosts_at_rest_say_little():
+    """At rest nothing is told but that hosts live: a few hundred bytes a second."""
+    net = make_net()
+    before = net.sent_bytes
+    net.run(10)
+    assert (net.sent_bytes - before) / 10 / len(net.nodes) < 2_000
+
+
+def test_an_allocator_that_dies_is_replaced_by_the_same_one_everywhere():
+    """The process of an allocator is killed, and its links close.
+
+    All hosts name the same others at once, without waiting for a timeout,
+    and soon count one host less, so that shares of quotas go to the rest.
+    """
+    net = make_net()
+    (first, *_) = net.nodes[0].view().allocators
+    victim = next(node for node in net.nodes if node.name == first)
+    net.kill(victim)
+    assert all(first not in row for row in allocators(net))
+    assert len(allocators(net)) == 1
+    net.run(3)
+    assert hosts_known(net) == {names(net.alive())}
+    assert len(net.nodes[-1].view().hubs) == LEAST_HUBS
+
+
+def test_a_zone_that_is_cut_off_goes_on_by_itself_and_joins_again():
+    """Nothing gets through between one zone and the others, and no link closes.
+
+    Within a few seconds the hosts on each side know just each other, and each
+    side has allocators of its own. When the cut ends, all name the same again.
+    """
+    net = make_net()
+    net.cut_off("zone-b")
+    net.run(6)
+    inside = [node for node in net.nodes if node.place == "zone-b"]
+    outside = [node for node in net.nodes if node.place != "zone-b"]
+    for side in (inside, outside):
+        assert hosts_known(net, side) == {names(side)}
+        assert len(allocators(net, side)) == 1
+        assert set(*allocators(net, side)) <= set(names(side))
+    net.cuts.clear()
+    net.run(SETTLE_S)
+    assert hosts_known(net) == {names(net.nodes)}
+    assert len(allocators(net)) == 1
+
+
+@pytest.mark.parametrize("away_s", [0.5, 40])
+def test_all_hosts_are_killed_at_once_and_come_back(away_s):
+    """Every process ends at the same moment and starts anew, knowing nobody.
+
+    They find each other by the seeds as at the first start, and no host
+    believes for long in a process that is gone.
+    """
+    net = make_net()
+    for node in net.nodes:
+        net.kill(node)
+    net.run(away_s)
+    for node in net.nodes:
+        net.restart(node)
+        node.mesh.keep(set())
+    net.run(SETTLE_S)
+    assert hosts_known(net) == {names(net.nodes)}
+    assert len(allocators(net)) == 1
+    rows = net.nodes[0].actor.members.rows.values()
+    assert all(row.incarnation > 1 for row in rows)
+
+
+def test_a_host_that_is_no_hub_dies_and_everyone_hears_of_it():
+    """Hubs see its link close and tell the hosts that have none to it."""
+    net = make_net()
+    hubs = net.nodes[0].view().hubs
+    victim = next(node for node in net.nodes if node.name not in hubs)
+    net.kill(victim)
+    net.run(1)
+    assert hosts_known(net) == {names(net.alive())}
+    net.restart(victim)
+    victim.mesh.keep(set())
+    net.run(SETTLE_S)
+    assert hosts_known(net) == {names(net.nodes)}
+
+
+def test_a_leaving_hub_hands_its_part_over():
+    """A hub announces that it leaves; others take its part before it ends."""
+    net = make_net()
+    (first, *_) = net.nodes[0].view().allocators
+    hub = next(node for node in net.nodes if node.name == first)
+    hub.actor.on_receive(Leave())
+    net.run(2)
+    assert all(first not in row for row in allocators(net))
+    assert len(allocators(net)) == 1
+    assert first not in net.nodes[-1].view().hosts
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "restart", "cut", "heal", "kill_all", "run"]),
+        st.integers(0, 999),
+    ),
+    max_size=8,
+)
+
+
+@settings(max_examples=12, deadline=None, derandomize=True)
+@given(STEPS)
+def test_after_any_series_of_faults_all_hosts_agree_again(steps):
+    """Hosts are killed and come back, zones are cut off and heal, in any order.
+
+    Half a second passes between two faults. Once they have ended, all live
+    hosts know just each other within seconds, and name the same allocators.
+    """
+    net = make_net(hosts_each=5)
+    for kind, number in steps:
+        apply(net, kind, number)
+        net.run(0.5)
+    net.cuts.clear()
+    net.run(1.5 * SETTLE_S)
+    assert hosts_known(net) <= {names(net.alive())}
+    assert len(allocators(net)) <= 1
+
+
+def apply(net, kind, number):
+    node = net.nodes[number % len(net.nodes)]
+    if kind == "kill" and node.alive:
+        net.kill(node)
+    elif kind == "restart" and not node.alive:
+        net.restart(node)
+    elif kind == "cut":
+        net.cut_off(PLACES[number % len(PLACES)])
+    elif kind == "heal":
+        net.cuts.clear()
+    elif kind == "kill_all":
+        for row in net.alive():
+            net.kill(row)
+            net.restart(row)
+    elif kind == "run":
+        net.run(number / 100)
