Load and wake less on a host that serves routed calls

The ledger of tickets, pickle and socketserver were loaded by every host and used by none on the users' platform; the watcher of calls woke 20 times a second without a call to watch.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,8 +20,7 @@
 from bench.processes import cpu_seconds, fit_line, print_table, resident_bytes
 from godwitladder.claims.records import Claim
 from godwitladder.claims.table import ClaimTable
-from godwitladder.configuration.ledger import Ledger
-from godwitladder.configuration.state import make_state
+from godwitladder.configuration.ledger import Ledger, make_state
 from tests.fleet import Fleet, digest, make_fleet
 
 HOST_SIZES = (4, 16, 32)
--- a/bench/tickets.py
+++ b/bench/tickets.py
@@ -12,8 +12,7 @@
 from godwitladder.clients.log import CONFIG_STREAM, LogClient
 from godwitladder.clock import Clock
 from godwitladder.configuration.follower import ConfigFollower
-from godwitladder.configuration.ledger import Ledger
-from godwitladder.configuration.state import make_state
+from godwitladder.configuration.ledger import Ledger, make_state
 from godwitladder.ids import HostId, Zone
 from godwitladder.standins.platform import start_platform
 
--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -20,6 +20,7 @@
     unique_values,
 )
 from godwitladder.configuration.model import ObjectKind, ObjectName, Versioned
+from godwitladder.configuration.state import ConfigState
 from godwitladder.configuration.tickets import Ticket, read_ticket
 from godwitladder.findings import Finding, InvalidInput
 from godwitladder.ids import Offset, TicketNumber
@@ -249,3 +250,26 @@
 def record_digest(data: bytes) -> str:
     """Return the digest by which two copies of a record are compared."""
     return hashlib.sha256(data).hexdigest()
+
+
+def make_state(ledger: Ledger) -> ConfigState:
+    """Return the view of ``ledger`` as it stands."""
+    workspaces = ledger.table(ObjectKind.WORKSPACE)
+    keys = {
+        digest: name
+        for name, workspace in workspaces.items()
+        for digest in workspace.key_digests
+    }
+    return ConfigState(
+        offset=ledger.next,
+        tiers=ledger.table(ObjectKind.TIER),
+        workspaces=workspaces,
+        services=ledger.table(ObjectKind.SERVICE),
+        targets=ledger.table(ObjectKind.TARGET),
+        keys=keys,
+        numbers={
+            name.name: row.number
+            for name, row in ledger.objects.items()
+            if name.table == ObjectKind.TARGET.value
+        },
+    )
--- a/godwitladder/configuration/state.py
+++ b/godwitladder/configuration/state.py
@@ -3,9 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from godwitladder.configuration.ledger import Ledger
 from godwitladder.configuration.model import (
-    ObjectKind,
     Service,
     Target,
     Tier,
@@ -39,26 +37,3 @@
     def rank(self, workspace: Workspace) -> int:
         """Return the rank of the workspace's tier."""
         return self.tiers[workspace.tier].rank
-
-
-def make_state(ledger: Ledger) -> ConfigState:
-    """Return the view of ``ledger`` as it stands."""
-    workspaces = ledger.table(ObjectKind.WORKSPACE)
-    keys = {
-        digest: name
-        for name, workspace in workspaces.items()
-        for digest in workspace.key_digests
-    }
-    return ConfigState(
-        offset=ledger.next,
-        tiers=ledger.table(ObjectKind.TIER),
-        workspaces=workspaces,
-        services=ledger.table(ObjectKind.SERVICE),
-        targets=ledger.table(ObjectKind.TARGET),
-        keys=keys,
-        numbers={
-            name.name: row.number
-            for name, row in ledger.objects.items()
-            if name.table == ObjectKind.TARGET.value
-        },
-    )
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -13,10 +13,9 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.exchange import ConfigExchange
 from godwitladder.configuration.follower import ConfigFollower
-from godwitladder.configuration.ledger import Ledger
+from godwitladder.configuration.ledger import Ledger, make_state
 from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
-from godwitladder.configuration.state import make_state
 from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.ids import Incarnation
 from godwitladder.logs import part_logger
--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import logging.handlers
 import queue
 import sys
 import threading
--- a/godwitladder/serving/watch.py
+++ b/godwitladder/serving/watch.py
@@ -91,6 +91,7 @@
         self.calls: dict[int, OpenCall] = {}
         self.lock = threading.Lock()
         self.stopping = threading.Event()
+        self.busy = threading.Event()
 
     def start(self) -> None:
         """Start to look."""
@@ -99,20 +100,26 @@
     def stop(self) -> None:
         """Stop looking."""
         self.stopping.set()
+        self.busy.set()
 
     def add(self, call: OpenCall) -> None:
         """Look after ``call`` from now on."""
         with self.lock:
             self.calls[id(call)] = call
+            self.busy.set()
 
     def remove(self, call: OpenCall) -> None:
         """Stop looking after ``call``."""
         with self.lock:
             self.calls.pop(id(call), None)
+            if not self.calls and not self.stopping.is_set():
+                self.busy.clear()
 
     def run(self) -> None:
-        """Look until stopped."""
-        while not self.clock.wait(self.stopping, STEP_S):
+        """Look until stopped; a host without calls doesn't wake for it."""
+        while not self.stopping.is_set():
+            self.busy.wait()
+            self.clock.wait(self.stopping, STEP_S)
             self.look()
 
     def look(self) -> None:
