Let idle hosts of a routed region be silent towards their allocator

Cause: each host reported on each pool once a second, and was answered once a second, whether it had anything or not: with 195 hosts and two pools some 400 reports and offers a second for nothing, at one host. A host that neither runs nor wants anything is silent now, and offers answer reports. A host that was not answered yet goes on reporting, since it tells what was spent.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -118,6 +118,7 @@
                 self.incarnation,
                 hosts=(settings.host,),
                 place=settings.zone,
+                standing=False,
                 helps_itself=True,
             ),
             clock,
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -85,6 +85,8 @@
         The host that passes messages on; empty if there is a link.
     received, sent_s : int, float
         Number of the last report, and when the host sent it by its own clock.
+    echoed : int
+        Number of the last report that an offer has answered.
     heard, offered : float
         When it was taken in, and when the last offer was sent.
     next_number : int
@@ -95,6 +97,7 @@
     incarnation: Incarnation
     via: HostId = HostId("")
     received: int = 0
+    echoed: int = 0
     sent_s: float = 0.0
     heard: float = 0.0
     offered: float = float("-inf")
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -127,8 +127,15 @@
 
 
 def in_use(tables: Tables, access: PoolAccess) -> bool:
-    """Return whether this host is to keep in touch with a pool's allocator."""
-    if access.home or access.asked:
+    """Return whether this host is to keep in touch with a pool's allocator.
+
+    Where nothing is allowed unasked, a host that neither runs nor wants anything
+    is silent: hundreds of idle hosts would take most of their allocator's time.
+    One that was not answered yet says again what its workspaces have spent.
+    """
+    if access.home and (tables.standing or access.holder is None):
+        return True
+    if access.asked or access.grants:
         return True
     return any(tables.targets[name].running for name in access.pool.targets)
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -352,7 +352,9 @@
         return offers
 
     def is_due(self, account: HostAccount, contended: bool, now: float) -> bool:
-        """Return whether the allowances of ``account`` are to be set anew."""
+        """Return whether ``account`` is to be answered, or its allowances set anew."""
+        if not self.has_standing and account.echoed == account.received:
+            return False
         taken_back = contended and account.holds_allowances()
         longest_s = ANSWER_S if account.lines else RENEW_S
         return taken_back or now - account.offered >= longest_s
@@ -414,6 +416,7 @@
         before = set(account.allowed())
         number, account.next_number = account.next_number, account.next_number + 1
         account.offered = now
+        account.echoed = account.received
         until_s = account.sent_s + LAPSE_S
         account.allowances.append(SentAllowances(number, until_s, allowances))
         return GrantOffer(
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -204,6 +204,8 @@
         What workspaces may have run by this host while it has no allocator.
     seen : SeenHosts
         The hosts that such a book shares the quotas with.
+    standing : bool
+        Whether allocators allow some requests unasked while nothing waits.
     helps_itself : bool
         Whether this host uses its fixed share of near targets as soon as its
         allocator misses to answer, beside what that may have given others.
@@ -230,6 +232,7 @@
     place: Zone = Zone("")
     quotas: QuotaBook = field(default_factory=QuotaBook)
     seen: SeenHosts = field(default_factory=SeenHosts)
+    standing: bool = True
     helps_itself: bool = False
 
     @property
