Let a host that starts learn the store's contents from a peer

A host that starts asks a peer and reads by itself only if none tells it within seconds; so it serves also if it starts while the store is away, with the peer's proof and its age. Only hosts that may be allocators list themselves, and read the list.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -4,6 +4,9 @@
 nothing for a while reads by itself. Each read is a priced call of a store that
 allows a few hundred a second for all hosts together: with each host reading
 by itself, the calls would grow with the number of hosts.
+
+A host that has just started asks a peer for all that there is, and reads by
+itself only if none answers. So it can also serve while the store is away.
 """
 
 import threading
@@ -11,7 +14,7 @@
 from dataclasses import dataclass, replace
 
 from godwitladder.clock import Clock
-from godwitladder.discovery.messages import FeedNews, RawBatch, RawRecord
+from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch, RawRecord
 from godwitladder.discovery.source import (
     Batch,
     Record,
@@ -38,6 +41,12 @@
 """Added to that for each host before it in the order, so that not all begin at
 once when the reader is gone."""
 TURNS = 10
+UNLINKED_S = 1.0
+"""A host that found no peer in this time after its start reads by itself."""
+UNTOLD_S = 3.0
+"""The same for one that has peers of which none told it anything."""
+ASK_S = 0.25
+"""Between two questions of a host that knows nothing yet."""
 AWAY_S = 1.5
 """Failure to read for so long counts as the store being away: targets may have
 lapsed there although they live."""
@@ -89,8 +98,14 @@
         self.currency = currency
         self.publish = publish
         self.spread: Callable[[FeedNews], None] = lambda news: None
+        self.ask: Callable[[FeedWanted], bool] = lambda wanted: False
+        self.started = clock.boottime()
+        self.asked_at = float("-inf")
+        self.linked = False
         self.hosts: tuple[HostId, ...] = (host,)
         self.table = TargetTable()
+        self.newest_documents: dict[str, Record] = {}
+        self.newest_entries: dict[str, Record] = {}
         self.document = Document()
         self.next_document = -1
         self.next_entry = -1
@@ -118,12 +133,44 @@
     def step(self) -> None:
         """Read if it is this host's turn, and let go of what is gone."""
         now = self.clock.boottime()
-        if now - self.read_at >= PERIOD_S and self.is_turn(now):
+        if self.awaits_peer(now):
+            self.ask_peer(now)
+        elif now - self.read_at >= PERIOD_S and self.is_turn(now):
             self.read()
         with self.lock:
             if self.table.expire(self.clock.boottime()):
                 self.tell()
 
+    def awaits_peer(self, now: float) -> bool:
+        """Return whether this host knows nothing yet, and a peer may tell it."""
+        if self.next_document >= 0 or self.is_reader():
+            return False
+        return now - self.started < (UNTOLD_S if self.linked else UNLINKED_S)
+
+    def is_reader(self) -> bool:
+        """Return whether this host is the one that reads for others."""
+        return len(self.hosts) > 1 and self.hosts[0] == self.host
+
+    def ask_peer(self, now: float) -> None:
+        """Ask a peer for all that it knows."""
+        if now - self.asked_at >= ASK_S:
+            self.asked_at = now
+            self.linked = self.ask(FeedWanted(self.host))
+
+    def all_news(self) -> FeedNews | None:
+        """Return all that this host knows; None if it knows nothing."""
+        with self.lock:
+            if self.next_document < 0:
+                return None
+            documents = tuple(self.newest_documents.values())
+            entries = tuple(self.newest_entries.values())
+            return FeedNews(
+                self.host,
+                self.currency.age_s(self.clock.boottime()),
+                _raw(Batch(-1, self.next_document, documents)),
+                _raw(Batch(-1, self.next_entry, entries)),
+            )
+
     def is_turn(self, now: float) -> bool:
         """Return whether this host is to read now."""
         if not self.hosts or self.hosts[0] == self.host or self.next_document < 0:
@@ -222,10 +269,12 @@
         changed = False
         if documents.next >= self.next_document:
             self.next_document = documents.next
+            _keep_newest(self.newest_documents, documents)
             changed |= self.take_documents(documents)
             self.currency.prove(began)
         if entries.next >= self.next_entry:
             self.next_entry = entries.next
+            _keep_newest(self.newest_entries, entries)
             changed |= self.take_entries(entries)
         if changed:
             self.tell()
@@ -285,6 +334,17 @@
         self.publish(StoreView(self.version, self.document, targets))
 
 
+def _keep_newest(newest: dict[str, Record], batch: Batch) -> None:
+    """Bring ``newest``, the records in force by key, in line with ``batch``."""
+    if batch.whole:
+        newest.clear()
+    for record in batch.records:
+        if record.value:
+            newest[record.key] = record
+        else:
+            newest.pop(record.key, None)
+
+
 def _fits(batch: RawBatch, following: int) -> bool:
     return batch.start < 0 or 0 <= batch.start <= following
 
--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -24,15 +24,23 @@
     records: tuple[RawRecord, ...] = ()
 
 
+@peer_message
+@dataclass(frozen=True)
+class FeedWanted:
+    """A host that has just started asks a peer for all that it knows."""
+
+    host: HostId
+
+
 @peer_message
 @dataclass(frozen=True)
 class FeedNews:
-    """What one host has just read in the store.
+    """What one host has read in the store.
 
     Attributes
     ----------
     age_s : float
-        Seconds since the read began, when this was sent. A duration, since
+        Seconds since the last read began, when this was sent. A duration, since
         hosts share no clock.
     """
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -1,6 +1,7 @@
 """One host that serves routed calls: wires the parts together and runs."""
 
 import os
+import random
 import signal
 import threading
 from collections.abc import Callable
@@ -11,7 +12,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.repeat_budget import RepeatBounds, RepeatBudget
 from godwitladder.discovery.feed import Feed, StoreView
-from godwitladder.discovery.messages import FeedNews
+from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source, StoreUnavailable
 from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.findings import InvalidInput
@@ -107,6 +108,7 @@
         self.span = Zone(settings.region)
         self.hosts: tuple[HostId, ...] = (settings.host,)
         self.hubs: frozenset[HostId] = frozenset()
+        self.listed = False
         self.currency = Currency(settings.bounds.revoke_s)
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
@@ -159,7 +161,9 @@
         )
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.feed.spread = self.mesh.broadcast
+        self.feed.ask = self.ask_peer
         self.router.takers[FeedNews] = lambda link, news: self.feed.take_news(news)
+        self.router.takers[FeedWanted] = self.tell_newcomer
         self.losses = LossBook(clock, self.mesh.broadcast)
         self.router.takers[AnswerLost] = self.take_loss
         self.watch = CallWatch(clock)
@@ -168,6 +172,17 @@
         )
         self.caller_server: TcpWSGIServer | None = None
 
+    def ask_peer(self, wanted: FeedWanted) -> bool:
+        """Ask one of the peers; return False if there is none."""
+        links = self.mesh.current()
+        return bool(links) and random.choice(links).send(encode(wanted))
+
+    def tell_newcomer(self, link: Link, wanted: FeedWanted) -> None:
+        """Tell a host that has just started what this one knows of the store."""
+        news = self.feed.all_news()
+        if news is not None:
+            link.send(encode(news))
+
     def take_loss(self, link: Link, news: AnswerLost) -> None:
         """Take in a lost answer, and pass it on to hosts that can't have it yet.
 
@@ -260,7 +275,8 @@
         began = self.clock.monotonic()
         log.info("The host is leaving", extra={"open_calls": self.app.open_calls})
         self.membership.ask(Leave())
-        self.list_me(leaving=True)
+        if self.listed:
+            self.list_me(leaving=True)
         self.caller_server.closing = True
         self.clock.sleep(NOTICE_S)
         self.app.refusing = True
@@ -325,20 +341,24 @@
 
     def follow_hosts(self) -> None:
         """Put this host on the list, and read it from time to time."""
-        listed = False
+        self.clock.wait(self.stopping, LONELY_PERIOD_S)
         while not self.stopping.is_set():
-            listed = listed or self.list_me(leaving=False)
             linked = bool(self.mesh.current())
-            if not linked or self.reads_hosts():
+            keeps = not linked or self.keeps_list()
+            if keeps and not self.listed:
+                self.listed = self.list_me(leaving=False)
+            if keeps:
                 self.read_hosts()
             self.reload_if_changed()
-            period_s = HOSTS_PERIOD_S if linked and listed else LONELY_PERIOD_S
+            settled = linked and (self.listed or not keeps)
+            period_s = HOSTS_PERIOD_S if settled else LONELY_PERIOD_S
             self.clock.wait(self.stopping, period_s)
 
-    def reads_hosts(self) -> bool:
-        """Return whether it is for this host to look for hosts that nobody knows.
+    def keeps_list(self) -> bool:
+        """Return whether it is for this host to be listed, and to read the list.
 
-        Each reading is priced, and one host that finds another joins all.
+        Each call of the store is priced. Whoever finds one of the hosts that
+        may be allocators finds all, so these are enough.
         """
         return self.host in self.feed.hosts
 
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -2,8 +2,19 @@
 
 from dataclasses import replace
 
+import pytest
+
 from godwitladder.clock import PausedClock
-from godwitladder.discovery.feed import AWAY_S, PERIOD_S, SILENCE_S, TURN_S, Feed
+from godwitladder.discovery.feed import (
+    AWAY_S,
+    PERIOD_S,
+    SILENCE_S,
+    TURN_S,
+    UNLINKED_S,
+    UNTOLD_S,
+    Feed,
+)
+from godwitladder.discovery.messages import FeedWanted
 from godwitladder.discovery.source import (
     Batch,
     Record,
@@ -11,6 +22,7 @@
     StoreUnavailable,
 )
 from godwitladder.discovery.targets import RETURN_S, TargetEntry, TargetTable
+from godwitladder.membership.codec import decode, encode
 from godwitladder.routing.currency import Currency
 from godwitladder.routing.model import Document
 
@@ -64,6 +76,25 @@
     views = []
     feed = Feed(host, source, clock, Currency(5.0), views.append)
     feed.hosts = hosts
+    # No host that started a while ago waits for a peer to tell it all.
+    feed.started = clock.boottime() - UNTOLD_S
+    return feed, views
+
+
+def make_newcomer(source, clock, tellers, host="h2"):
+    """Return a feed that has just started, and asks the feeds in ``tellers``."""
+    feed, views = make_feed(source, clock, host)
+    feed.started = clock.boottime()
+
+    def ask(wanted):
+        assert wanted == FeedWanted(host)
+        for teller in tellers:
+            news = teller.all_news()
+            if news is not None:
+                feed.take_news(decode(encode(news)))
+        return bool(tellers)
+
+    feed.ask = ask
     return feed, views
 
 
@@ -254,3 +285,81 @@
     feed, _ = make_feed(source, clock)
     feed.step()
     assert names(feed) == ["e1"]
+
+
+def test_a_host_that_starts_while_the_store_is_away_learns_all_from_a_peer():
+    """The store is down, and a host starts; its peers serve on.
+
+    Without what they know it would refuse every caller for as long as the
+    store is away. It takes over the age of their proof too, so that it believes
+    in keys no longer than they do.
+    """
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(3)
+    source.put(b"one")
+    source.put(b"two", key="e2")
+    peer, _ = make_feed(source, clock)
+    peer.step()
+    source.away = True
+    clock.advance(2.0)
+    feed, views = make_newcomer(source, clock, [peer])
+    feed.step()
+    assert views[-1].document.version == 3
+    assert views[-1].targets == (ONE, TWO)
+    assert feed.currency.age_s(clock.boottime()) == 2.0
+    source.away = False
+    source.put(b"one leaves")
+    clock.advance(PERIOD_S)
+    peer.spread = feed.take_news
+    peer.step()
+    assert views[-1].targets == (replace(ONE, leaving=True), TWO)
+
+
+def test_a_target_that_was_dropped_is_not_told_to_a_newcomer():
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    source.put(b"one")
+    source.put(b"two", key="e2")
+    peer, _ = make_feed(source, clock)
+    peer.step()
+    source.put(b"", key="e1")
+    clock.advance(PERIOD_S)
+    peer.step()
+    feed, _ = make_newcomer(source, clock, [peer])
+    feed.step()
+    assert names(feed) == ["e2"]
+
+
+def test_hosts_that_start_together_read_once_for_all():
+    """All hosts start at once, and nobody can tell anybody anything yet.
+
+    The one that reads for all reads; the others ask until it can tell them,
+    and make no calls of their own.
+    """
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    reader, _ = make_feed(source, clock)
+    feed, _ = make_newcomer(source, clock, [reader])
+    feed.step()
+    assert feed.next_document < 0
+    reader.step()
+    clock.advance(0.3)
+    feed.step()
+    assert feed.document.version == 1
+    assert source.reads == 2
+
+
+@pytest.mark.parametrize(("tellers", "patience_s"), [(0, UNLINKED_S), (1, UNTOLD_S)])
+def test_a_newcomer_that_nobody_tells_reads_by_itself(tellers, patience_s):
+    """It has no peer, or one that knows as little as it does itself."""
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    mute = [make_feed(source, clock)[0] for _ in range(tellers)]
+    feed, _ = make_newcomer(source, clock, mute)
+    feed.step()
+    clock.advance(patience_s - 0.1)
+    feed.step()
+    assert source.reads == 0
+    clock.advance(0.2)
+    feed.step()
+    assert feed.document.version == 1
