Test the loop of links, and the threads of a host at rest

A peer that reads nothing, bytes that are no message, a fault in what takes a message in, a herd that dials at once, an address that is taken. The mesh that was closed before it listened ended its thread by an error: mended.

--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -7,12 +7,13 @@
 
 import asyncio
 import socket
+import ssl
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from websockets.asyncio.client import connect
-from websockets.asyncio.server import serve
+from websockets.asyncio.server import Server, serve
 from websockets.exceptions import WebSocketException
 
 from godwitladder.clock import Clock
@@ -110,6 +111,8 @@
         self.server: socket.socket | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
         self.thread: threading.Thread | None = None
+        self.context: ssl.SSLContext | None = None
+        self.listener: Server | None = None
 
     def start(self) -> None:
         """Listen for peers, and dial the seeds.
@@ -120,6 +123,7 @@
             The address can't be listened on.
         """
         host, _, port = self.address.rpartition(":")
+        self.context = server_context(self.tls) if self.tls else None
         self.server = socket.create_server((host, int(port)), backlog=BACKLOG)
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(_log_failure)
@@ -131,7 +135,7 @@
     def run(self) -> None:
         """Run the loop of the links until the mesh closes."""
         try:
-            self.loop.run_until_complete(self._listen())
+            self.loop.create_task(self._listen()).add_done_callback(_raise_failure)
             self.loop.run_forever()
             self.loop.run_until_complete(self._end_tasks())
         finally:
@@ -139,7 +143,7 @@
             self.loop.close()
 
     async def _listen(self) -> None:
-        await serve(
+        self.listener = await serve(
             self._accept,
             sock=self.server,
             backlog=BACKLOG,
@@ -148,7 +152,7 @@
             open_timeout=GREETING_TIMEOUT_S,
             ping_interval=None,
             server_header=None,
-            ssl=server_context(self.tls) if self.tls else None,
+            ssl=self.context,
         )
 
     async def _end_tasks(self) -> None:
@@ -370,6 +374,12 @@
         link.ready.set()
 
 
+def _raise_failure(task: asyncio.Task) -> None:
+    """Hand what ended ``task`` to the loop, which logs it."""
+    if not task.cancelled():
+        task.result()
+
+
 def _log_failure(loop: asyncio.AbstractEventLoop, context: dict) -> None:
     error = context.get("exception")
     log.error("The loop of links met an error", extra={"error": repr(error or context)})
--- /dev/null
+++ b/tests/membership/test_mesh.py
@@ -0,0 +1,141 @@
+"""Many links on one event loop: no peer may harm the links to the others."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from godwitladder.clock import Clock
+from godwitladder.membership.codec import encode
+from godwitladder.membership.links import QUEUE_MESSAGES
+from godwitladder.membership.mesh import Mesh
+from godwitladder.membership.messages import Heartbeat
+from godwitladder.standins.ports import free_ports
+from tests.fleet import SECRET, wait_until
+
+HERD = 40
+
+
+@pytest.fixture
+def stack():
+    with contextlib.ExitStack() as owned:
+        yield owned
+
+
+def start_mesh(stack, name, seeds=(), address="", deliver=None):
+    """Return a started mesh and the hosts of what it was sent."""
+    got = []
+    take = deliver or (lambda link, message: got.append(message.host))
+    address = address or f"127.0.0.1:{free_ports(1)[0]}"
+    mesh = Mesh(name, address, SECRET, Clock(), take, seeds)
+    mesh.start()
+    stack.callback(mesh.close)
+    return mesh, got
+
+
+def beat(host):
+    return Heartbeat(host, "a", "", 1, False, 0)
+
+
+def linked(mesh, count):
+    return lambda: len(mesh.current()) == count
+
+
+def test_links_to_many_peers_share_one_thread(stack):
+    hub, _ = start_mesh(stack, "hub")
+    before = threading.active_count()
+    peers = [start_mesh(stack, f"h{n}", [hub.address])[0] for n in range(10)]
+    wait_until(linked(hub, 10), "all links")
+    assert threading.active_count() == before + len(peers)
+
+
+def test_a_peer_that_reads_nothing_harms_no_other(stack):
+    """A peer stops reading, and its connection stays open.
+
+    What is for it piles up to a bound and is then refused; the next message
+    to another peer arrives at once.
+    """
+    hub, _ = start_mesh(stack, "hub")
+    gate = threading.Event()
+    start_mesh(stack, "stuck", [hub.address], deliver=lambda *_: gate.wait(60))
+    stack.callback(gate.set)
+    _, got = start_mesh(stack, "good", [hub.address])
+    wait_until(linked(hub, 2), "both links")
+    large = encode(Heartbeat("hub", "a" * 50_000, "", 1, False, 0))
+    (stuck,) = [link for link in hub.current() if link.peer == "stuck"]
+    taken = [stuck.send(large) for _ in range(3 * QUEUE_MESSAGES)]
+    assert not all(taken)
+    assert len(stuck.outgoing) <= QUEUE_MESSAGES
+    assert hub.send("good", beat("hub"))
+    wait_until(lambda: got == ["hub"], "the message to the other peer")
+
+
+def test_bytes_that_are_no_message_break_one_link_only(stack):
+    """A peer of another kind, or one in error, connects and sends anything."""
+    hub, _ = start_mesh(stack, "hub")
+    _, got = start_mesh(stack, "good", [hub.address])
+    wait_until(linked(hub, 1), "the good link")
+    host, _, port = hub.address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as stranger:
+        stranger.sendall(b"\x00\xff" * 100)
+        while stranger.recv(4096):
+            pass
+    assert hub.send("good", beat("hub"))
+    wait_until(lambda: got == ["hub"], "the message")
+
+
+def test_a_message_that_nobody_can_take_in_breaks_its_link_only(stack):
+    """What takes a message in fails by an error that nobody foresaw.
+
+    The link breaks, the error is logged, the loop goes on, and the peer makes
+    a new link.
+    """
+
+    def fail(link, message):
+        raise ValueError("a fault")
+
+    hub, _ = start_mesh(stack, "hub", deliver=fail)
+    near, _ = start_mesh(stack, "near", [hub.address])
+    wait_until(linked(near, 1), "the first link")
+    (first,) = near.current()
+    near.send("hub", beat("near"))
+    wait_until(lambda: near.current() not in ([], [first]), "a new link")
+
+
+def test_a_herd_of_hosts_comes_back_at_once(stack):
+    """All hosts have lost their hub and dial the one that took its address.
+
+    They connect at the same moment; all of them have their link soon, and
+    the hub still has one thread for them.
+    """
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    with contextlib.ExitStack() as first:
+        hub, _ = start_mesh(first, "hub", address=address)
+        herd = [start_mesh(stack, f"h{n}", [address])[0] for n in range(HERD)]
+        wait_until(linked(hub, HERD), "the first links")
+    wait_until(lambda: not any(mesh.current() for mesh in herd), "the loss")
+    before = threading.active_count()
+    hub, _ = start_mesh(stack, "hub", address=address)
+    wait_until(linked(hub, HERD), "the links to the new hub")
+    assert threading.active_count() == before + 1
+
+
+def test_an_address_that_is_taken_is_told_at_the_start(stack):
+    mesh, _ = start_mesh(stack, "h1")
+    other = Mesh("h2", mesh.address, SECRET, Clock(), lambda *_: None)
+    with pytest.raises(OSError, match="in use"):
+        other.start()
+
+
+def test_links_that_lead_to_no_hub_are_given_up(stack):
+    """Those that this host has made; the others belong to their own hosts."""
+    near, _ = start_mesh(stack, "near")
+    far, _ = start_mesh(stack, "far")
+    kept, _ = start_mesh(stack, "kept")
+    near.keep({far.address, kept.address})
+    start_mesh(stack, "caller", [near.address])
+    wait_until(linked(near, 3), "three links")
+    near.keep({kept.address})
+    near.release({kept.address})
+    wait_until(lambda: sorted(near.links) == ["caller", "kept"], "the end of one")
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -200,3 +200,37 @@
     one.process.kill()
     wait_until(lambda: two.status()["hosts"] == ["h2"], "the loss to be seen")
     wait_until(lambda: two.call("/charge/x")[0] == 200, "calls to go on")
+
+
+THREADS_AT_REST = 24
+
+
+def test_a_host_holds_few_threads_before_and_after_a_burst(fleet):
+    """Forty callers come at once to a host at rest, and leave again.
+
+    All are answered at the same time, and the threads that served them end:
+    hundreds of hosts on one machine could not each keep one for every call
+    that they might have to bear.
+    """
+    one, _ = fleet.hosts
+    wait_until(lambda: threads_of(one) <= THREADS_AT_REST, "a host at rest")
+    for engine in fleet.engines.values():
+        engine.standin.knobs.pause_s = 0.3
+    answers = []
+    callers = [
+        threading.Thread(
+            target=lambda n=n: answers.append(one.call("/charge/x", attempt=f"b{n}"))
+        )
+        for n in range(40)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join(30)
+    assert len(answers) == 40
+    wait_until(lambda: threads_of(one) <= THREADS_AT_REST, "the threads to end")
+
+
+def threads_of(host):
+    """Return how many threads a host's process has."""
+    return len(os.listdir(f"/proc/{host.process.pid}/task"))
