--- a/godwitladder/membership/telling.py
+++ b/godwitladder/membership/directory.py
@@ -1,4 +1,4 @@
-"""A hub's side of telling hosts that are no hubs who is live."""
+"""A hub's reports of the live hosts to hosts that are no hubs."""
 
 from collections.abc import Collection
 from dataclasses import replace
@@ -9,8 +9,8 @@
 from godwitladder.membership.messages import Directory, Heartbeat
 
 
-class Teller:
-    """Tells each host all live hosts once, and from then on what changes.
+class DirectoryPublisher:
+    """Reports all live hosts once over each link, and from then on what changes.
 
     A link keeps its order and loses nothing while it is up, so that changes
     are enough; a new link begins with all hosts again.
@@ -23,9 +23,9 @@
     Attributes
     ----------
     known : dict
-        The live hosts as they were told last.
+        The live hosts as they were reported last.
     informed : set of Link
-        Links over which all of them were told.
+        Links over which all of them were reported.
     """
 
     def __init__(self, host: HostId) -> None:
@@ -33,11 +33,11 @@
         self.known: dict[HostId, Heartbeat] = {}
         self.informed: set[Link] = set()
 
-    def tell(self, rows: Collection[Heartbeat], links: Collection[Link]) -> None:
-        """Tell the peers of ``links`` that the hosts in ``rows`` are live.
+    def publish(self, rows: Collection[Heartbeat], links: Collection[Link]) -> None:
+        """Report to the peers of ``links`` that the hosts in ``rows`` are live.
 
-        Whoever was told so far is told this change too: the same change may make
-        another hub the one that tells it, and makes that one know that it is.
+        Whoever was reported to so far hears of this change too: the same change
+        may make another hub the one that reports, which learns of it by this.
         """
         # A count says when a host was heard last, which is no change.
         live = {row.host: replace(row, count=0) for row in rows}
--- a/godwitladder/membership/hubs.py
+++ b/godwitladder/membership/hubs.py
@@ -48,8 +48,8 @@
     return frozenset(row.host for row in rows if row.cores >= ABLE_SHARE * most)
 
 
-def teller_of(host: HostId, hubs: Iterable[HostId]) -> HostId | None:
-    """Return the hub that tells ``host`` of all others."""
+def publisher_of(host: HostId, hubs: Iterable[HostId]) -> HostId | None:
+    """Return the hub that reports all live hosts to ``host``."""
     return choose_host(hubs, host)
 
 
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.ids import HostId, Incarnation, Zone
+from godwitladder.membership.messages import Heartbeat
 
 SELDOM = 2
 """Hosts that are no hubs send heartbeats less often, since a hub hears hundreds."""
@@ -41,6 +42,37 @@
     cores: float = 0.0
 
 
+def as_member(row: Heartbeat, now: float) -> Member:
+    """Return a heartbeat as a row of the table, heard at ``now``."""
+    return Member(
+        row.host,
+        row.zone,
+        row.address,
+        row.incarnation,
+        now,
+        row.leaving,
+        row.config_offset,
+        row.count,
+        row.place,
+        row.cores,
+    )
+
+
+def as_heartbeat(row: Member) -> Heartbeat:
+    """Return what ``row`` last told of itself."""
+    return Heartbeat(
+        row.host,
+        row.zone,
+        row.address,
+        row.incarnation,
+        row.leaving,
+        row.config_offset,
+        row.count,
+        row.place,
+        row.cores,
+    )
+
+
 @dataclass
 class Members:
     """The peers of one host.
@@ -54,14 +86,14 @@
     ----------
     seldom : frozenset of HostId
         Peers that send heartbeats `SELDOM` times as seldom as others.
-    told : set of HostId
-        Peers that a hub has told of, and which it will tell when they are gone.
+    reported : set of HostId
+        Peers that a hub reports as live; it will report when they are gone.
     """
 
     timeout_s: float
     rows: dict[HostId, Member] = field(default_factory=dict)
     seldom: frozenset[HostId] = frozenset()
-    told: set[HostId] = field(default_factory=set)
+    reported: set[HostId] = field(default_factory=set)
 
     def hear(self, member: Member) -> bool:
         """Take in a heartbeat; return False if it is of an older incarnation.
@@ -98,19 +130,19 @@
         A process that was killed closes its links at once. Waiting for the
         timeout instead, its allocator's pools would stand still that long.
         """
-        self.told.discard(host)
+        self.reported.discard(host)
         held = self.rows.get(host)
         if held:
             held.heard = min(held.heard, now - self.patience_s(host))
 
     def live(self, now: float) -> list[Member]:
-        """Return the members heard or told of within their time, by host id."""
+        """Return the members heard within their time or reported, by host id."""
         rows = [row for row in self.rows.values() if self.is_live(row, now)]
         return sorted(rows, key=lambda row: row.host)
 
     def is_live(self, row: Member, now: float) -> bool:
         """Return whether a member counts as live."""
-        return now - row.heard < self.patience_s(row.host) or row.host in self.told
+        return now - row.heard < self.patience_s(row.host) or row.host in self.reported
 
     def patience_s(self, host: HostId) -> float:
         """Return after which silence a peer no longer counts as live, in seconds."""
@@ -129,5 +161,5 @@
     def forget(self, now: float, after_s: float) -> None:
         """Drop rows not heard of for ``after_s``, which bounds the table."""
         for host, row in list(self.rows.items()):
-            if now - row.heard > after_s and host not in self.told:
+            if now - row.heard > after_s and host not in self.reported:
                 del self.rows[host]
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -84,7 +84,7 @@
 @peer_message
 @dataclass(frozen=True)
 class Directory:
-    """What a hub tells a host that is no hub of all live hosts.
+    """What a hub reports of all live hosts to a host that is none.
 
     The first one on a link is whole; those after it hold what has changed.
 
@@ -97,7 +97,7 @@
         Hosts that are live no more.
     """
 
-    teller: HostId
+    publisher: HostId
     whole: bool
     members: tuple[Heartbeat, ...]
     gone: tuple[HostId, ...] = ()
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -27,7 +27,7 @@
 )
 from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import ListedHost
-from godwitladder.membership.hubs import MESH_HOSTS, teller_of
+from godwitladder.membership.hubs import MESH_HOSTS, publisher_of
 from godwitladder.membership.links import Link
 from godwitladder.membership.members import Members
 from godwitladder.membership.mesh import Mesh
@@ -190,7 +190,7 @@
         """
         self.losses.take(news)
         hubs = self.hubs
-        if link.peer in hubs or teller_of(link.peer, hubs) != self.host:
+        if link.peer in hubs or publisher_of(link.peer, hubs) != self.host:
             return
         rest = [row for row in self.mesh.current() if row.peer not in hubs]
         self.mesh.spread([row for row in rest if row is not link], encode(news))
