Look at the store's news only when they are due, and list three hosts

A host that hears news from another woke ten times a second to see that they were fresh. A host that starts waits 0.4 s for a peer, and 1.2 s for what it knows.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -41,11 +41,12 @@
 """Added to that for each host before it in the order, so that not all begin at
 once when the reader is gone."""
 TURNS = 10
-UNLINKED_S = 1.0
-"""A host that found no peer in this time after its start reads by itself."""
-UNTOLD_S = 3.0
+UNLINKED_S = 0.4
+"""A host that found no peer in this time after its start reads by itself. After a
+kill of all hosts nobody is served before the first one has read."""
+UNTOLD_S = 1.2
 """The same for one that has peers of which none told it anything."""
-ASK_S = 0.25
+ASK_S = 0.2
 """Between two questions of a host that knows nothing yet."""
 AWAY_S = 1.5
 """Failure to read for so long counts as the store being away: targets may have
@@ -128,7 +129,17 @@
         """Follow until stopped."""
         while not self.stopping.is_set():
             self.step()
-            self.clock.wait(self.stopping, STEP_S)
+            self.clock.wait(self.stopping, self.pause_s())
+
+    def pause_s(self) -> float:
+        """Return the seconds until this host is to look again.
+
+        One that hears news from another looks when these have become too old.
+        """
+        reads = not self.hosts or self.hosts[0] == self.host
+        if reads or self.next_document < 0 or self.table.missing:
+            return STEP_S
+        return max(STEP_S, SILENCE_S - self.currency.age_s(self.clock.boottime()))
 
     def step(self) -> None:
         """Read if it is this host's turn, and let go of what is gone."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -10,6 +10,7 @@
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.rendezvous import rank_hosts
 from godwitladder.decisions.repeat_budget import RepeatBounds, RepeatBudget
 from godwitladder.discovery.feed import Feed, StoreView
 from godwitladder.discovery.messages import FeedNews, FeedWanted
@@ -63,6 +64,9 @@
 """The balancer takes a host out after two looks, one a second."""
 LAST_S = 0.5
 """Left of the grace period for the end of the process."""
+LIST_KEEPERS = 3
+"""Hosts that keep the list of hosts: two of them may fail at once."""
+LIST_KEY = "list of hosts"
 SMALL_THREADS = 2
 SHOWN_HOSTS = 12
 """Allocators that a log line names."""
@@ -357,10 +361,9 @@
     def keeps_list(self) -> bool:
         """Return whether it is for this host to be listed, and to read the list.
 
-        Each call of the store is priced. Whoever finds one of the hosts that
-        may be allocators finds all, so these are enough.
+        Each call of the store is priced, and whoever finds one host finds all.
         """
-        return self.host in self.feed.hosts
+        return self.host in rank_hosts(self.feed.hosts, LIST_KEY)[:LIST_KEEPERS]
 
     def read_hosts(self) -> None:
         """Read the list of hosts."""
