Tell a host that starts at once, also when all start together

Hosts that are seeds read at their start, a host asks over each link as it comes up, and one that knows nothing yet answers later.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -6,7 +6,9 @@
 by itself, the calls would grow with the number of hosts.
 
 A host that has just started asks a peer for all that there is, and reads by
-itself only if none answers. So it can also serve while the store is away.
+itself only if none answers. So it can also serve while the store is away. Hosts
+that others dial at their start read at once: when all start together, somebody
+has to know.
 """
 
 import threading
@@ -83,6 +85,14 @@
         Told of each proof.
     publish : callable
         Called with a `StoreView` when anything has changed.
+    reads_first : bool
+        Whether this host reads at its start without asking a peer.
+
+    Attributes
+    ----------
+    unanswered : list of callable
+        Called with all that this host knows, once it knows anything: hosts that
+        asked before.
     """
 
     def __init__(
@@ -92,6 +102,7 @@
         clock: Clock,
         currency: Currency,
         publish: Callable[[StoreView], None],
+        reads_first: bool = False,
     ) -> None:
         self.host = host
         self.source = source
@@ -100,6 +111,8 @@
         self.publish = publish
         self.spread: Callable[[FeedNews], None] = lambda news: None
         self.ask: Callable[[FeedWanted], bool] = lambda wanted: False
+        self.reads_first = reads_first
+        self.unanswered: list[Callable[[FeedNews], None]] = []
         self.started = clock.boottime()
         self.asked_at = float("-inf")
         self.linked = False
@@ -137,7 +150,7 @@
         One that hears news from another looks when these have become too old.
         """
         reads = not self.hosts or self.hosts[0] == self.host
-        if reads or self.next_document < 0 or self.table.missing:
+        if reads or not self.knows() or self.table.missing:
             return STEP_S
         return max(STEP_S, SILENCE_S - self.currency.age_s(self.clock.boottime()))
 
@@ -154,7 +167,7 @@
 
     def awaits_peer(self, now: float) -> bool:
         """Return whether this host knows nothing yet, and a peer may tell it."""
-        if self.next_document >= 0 or self.is_reader():
+        if self.knows() or self.reads_first or self.is_reader():
             return False
         return now - self.started < (UNTOLD_S if self.linked else UNLINKED_S)
 
@@ -162,6 +175,25 @@
         """Return whether this host is the one that reads for others."""
         return len(self.hosts) > 1 and self.hosts[0] == self.host
 
+    def knows(self) -> bool:
+        """Return whether this host knows anything of the store."""
+        return self.next_document >= 0
+
+    def answer(self, reply: Callable[[FeedNews], None]) -> None:
+        """Call ``reply`` with all that this host knows, now or once it does."""
+        with self.lock:
+            news = self.all_news()
+            if news is None:
+                self.unanswered.append(reply)
+        if news is not None:
+            reply(news)
+
+    def answer_all(self) -> None:
+        """Answer the hosts that asked when this one knew nothing."""
+        waiting, self.unanswered = self.unanswered, []
+        for reply in waiting:
+            reply(self.all_news())
+
     def ask_peer(self, now: float) -> None:
         """Ask a peer for all that it knows."""
         if now - self.asked_at >= ASK_S:
@@ -171,7 +203,7 @@
     def all_news(self) -> FeedNews | None:
         """Return all that this host knows; None if it knows nothing."""
         with self.lock:
-            if self.next_document < 0:
+            if not self.knows():
                 return None
             documents = tuple(self.newest_documents.values())
             entries = tuple(self.newest_entries.values())
@@ -289,6 +321,8 @@
             changed |= self.take_entries(entries)
         if changed:
             self.tell()
+        if self.unanswered:
+            self.answer_all()
 
     def take_documents(self, batch: Batch) -> bool:
         """Put the newest document in force, if it is newer than the one there is.
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -143,7 +143,15 @@
             clock,
             self.router.send,
         )
-        self.feed = Feed(settings.host, source, clock, self.currency, self.publish_view)
+        seeds = settings.peers.seeds
+        self.feed = Feed(
+            settings.host,
+            source,
+            clock,
+            self.currency,
+            self.publish_view,
+            reads_first=settings.listen.peers in seeds or not seeds,
+        )
         self.mesh = Mesh(
             settings.host,
             settings.listen.peers,
@@ -151,7 +159,7 @@
             clock,
             self.router.deliver,
             settings.peers.seeds,
-            lambda link: self.membership.tell(LinkUp(link)),
+            self.link_up,
             closed=lambda peer: self.membership.tell(LinkDown(peer)),
         )
         self.membership = self.start_actor(
@@ -183,9 +191,13 @@
 
     def tell_newcomer(self, link: Link, wanted: FeedWanted) -> None:
         """Tell a host that has just started what this one knows of the store."""
-        news = self.feed.all_news()
-        if news is not None:
-            link.send(encode(news))
+        self.feed.answer(lambda news: link.send(encode(news)))
+
+    def link_up(self, link: Link) -> None:
+        """Tell the membership of a new link; ask at once what this host lacks."""
+        self.membership.tell(LinkUp(link))
+        if not self.feed.knows() and not self.feed.reads_first:
+            link.send(encode(FeedWanted(self.host)))
 
     def take_loss(self, link: Link, news: AnswerLost) -> None:
         """Take in a lost answer, and pass it on to hosts that can't have it yet.
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -363,3 +363,29 @@
     clock.advance(0.2)
     feed.step()
     assert feed.document.version == 1
+
+
+def test_a_host_that_knows_nothing_yet_answers_once_it_does():
+    """All hosts were killed; one asks another that has just started as well.
+
+    It is told as soon as the other one has read, without asking again.
+    """
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    reader, _ = make_feed(source, clock)
+    told = []
+    reader.answer(told.append)
+    assert not told
+    reader.step()
+    assert [news.documents.next for news in told] == [1]
+    reader.answer(told.append)
+    assert len(told) == 2
+
+
+def test_a_host_that_others_dial_reads_at_once():
+    source, clock = MemorySource(), PausedClock()
+    source.put_document(1)
+    feed, _ = make_newcomer(source, clock, [])
+    feed.reads_first = True
+    feed.step()
+    assert feed.document.version == 1
