--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -31,7 +31,8 @@
 
 log = part_logger("peers")
 
-REDIAL_S = 0.5
+REDIAL_S = 0.1
+"""After a restart of all hosts some listen a moment later than others dial."""
 LONGEST_REDIAL_S = 1.0
 """A host that restarts, or a zone that is back after a cut, is without a link for
 so long: it chooses its own allocator meanwhile, and both fill the targets."""
@@ -77,6 +78,8 @@
     ----------
     dials : dict
         The task that keeps dialling each address.
+    greeting : set of str
+        Addresses to which a connection is being made.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         self.dialled: set[str] = set()
         self.dials: dict[str, asyncio.Task] = {}
         self.meetings: set[asyncio.Task] = set()
+        self.greeting: set[str] = set()
         self.closed_sent = 0
         self.closed_received = 0
         self.lock = threading.Lock()
@@ -281,7 +285,7 @@
         first_pause_s = REDIAL_S if address > self.address else 3 * REDIAL_S
         pause_s = first_pause_s
         while address in self.dialled:
-            if not self._is_linked(address) and await self._dial_once(address):
+            if await self._dial_once(address):
                 pause_s = first_pause_s
             await self.clock.pause(pause_s)
             pause_s = min(2 * pause_s, LONGEST_REDIAL_S)
@@ -297,14 +301,16 @@
         # each other close each other's link, so the lower one goes first.
         if address < self.address:
             await self.clock.pause(MEET_PAUSE_S)
-        if not self._is_linked(address):
-            await self._dial_once(address)
+        await self._dial_once(address)
 
     def _is_linked(self, address: str) -> bool:
         return any(link.address == address for link in self.current())
 
     async def _dial_once(self, address: str) -> bool:
         """Run a link to ``address``; return whether there was one."""
+        if self._is_linked(address) or address in self.greeting:
+            return False
+        self.greeting.add(address)
         try:
             connection = await connect(
                 f"{'wss' if self.tls else 'ws'}://{address}",
@@ -316,15 +322,20 @@
                 ping_interval=None,
                 user_agent_header=None,
             )
+            link = await self._greet(connection, accepted=False)
         except (WebSocketException, OSError, TimeoutError):
             return False
-        return await self._run(connection, accepted=False)
+        finally:
+            self.greeting.discard(address)
+        return link is not None and await self._serve(link)
 
     async def _accept(self, connection: Any) -> None:
-        await self._run(connection, accepted=True)
+        link = await self._greet(connection, accepted=True)
+        if link is not None:
+            await self._serve(link)
 
-    async def _run(self, connection: Any, accepted: bool) -> bool:
-        """Greet the other end and serve the link until it breaks."""
+    async def _greet(self, connection: Any, accepted: bool) -> Link | None:
+        """Return the link over a new connection; None if the other end can't greet."""
         try:
             hello = await greet(
                 connection, self.host, self.address, self.secret, accepted
@@ -332,10 +343,14 @@
         except (GreetingFailed, WebSocketException, OSError) as error:
             log.warning("A greeting failed", extra={"error": str(error)})
             connection.transport.abort()
-            return False
+            return None
         link = Link(hello.host, hello.address, connection, self.clock, self.post)
         link.dialled = not accepted
         self._add(link)
+        return link
+
+    async def _serve(self, link: Link) -> bool:
+        """Deliver what comes over ``link`` until it breaks; return True."""
         try:
             self.greeted(link)
             await link.read(self.deliver)
