--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -46,9 +46,12 @@
 LEAST_SILENCE_S, AIMS, GAPS = 2.0, 4.0, 8.0
 """Callers leave a stream after the longest of this silence and these multiples
 of the route's aim and of its longest pause: what the users say of theirs."""
+UNBOUNDED = 1 << 30
 START_PART = 0.7
 """Part of a caller's patience in which its call has to start; the rest is for
 the prompt to be read, or for the work of a plain service."""
+FULL_RETRY_S = 0.5
+"""Another host is likely to have room at once; this one has when a call ends."""
 STOPPING_RETRY_S = 0.1
 """Another host can take the call at once."""
 NO_WORKSPACE = RoutedWorkspace(WorkspaceName(""))
@@ -79,6 +82,8 @@
         Sends calls on.
     currency : Currency
         How long the document may be used.
+    most_calls : int
+        Calls that may be open at once; some threads beyond them refuse the rest.
 
     Attributes
     ----------
@@ -95,8 +100,10 @@
         currency: Currency,
         clock: Clock,
         metrics: Metrics,
+        most_calls: int = UNBOUNDED,
     ) -> None:
         super().__init__()
+        self.most_calls = most_calls
         self.form = form
         self.passer = passer
         self.currency = currency
@@ -147,6 +154,10 @@
         document = in_force.document
         if self.refusing:
             raise _refused(Reason.STOPPING, "This host is stopping.", STOPPING_RETRY_S)
+        # Without a thread left a call would wait unread, and its caller would
+        # be told nothing until its time is up.
+        if self.open_calls > self.most_calls:
+            raise _refused(Reason.SHED, "This host is full.", FULL_RETRY_S)
         if document.version < 0:
             raise _refused(Reason.NO_CONFIG, "No document is known.", UNKNOWN_RETRY_S)
         path = environ.get("REQUEST_URI") or environ["PATH_INFO"]
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -180,7 +180,12 @@
         self.router.takers[AnswerLost] = self.take_loss
         self.watch = CallWatch(clock)
         self.app = RoutedApp(
-            form, self.make_passer(form), self.currency, clock, self.metrics
+            form,
+            self.make_passer(form),
+            self.currency,
+            clock,
+            self.metrics,
+            settings.limits.threads,
         )
         self.caller_server: TcpWSGIServer | None = None
 
