--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -267,3 +267,17 @@
         one.close()
         wait_until(lambda: not one.links and told_two == ["h1"], "the end")
     assert told_one == []
+
+
+def test_a_roster_does_not_bring_a_silent_host_back():
+    """A host has died, and a peer that has not noticed yet names it.
+
+    Its last word is known here already, so the name is no sign of life. Taken
+    for one, each new link would keep the dead host among the allocators.
+    """
+    actor, clock, published = make_membership()
+    for _ in range(8):
+        tick(actor, clock, 0.5)
+    assert published[-1].hosts == ("h1",)
+    actor.on_receive(Roster((beat("h2"),)))
+    assert published[-1].hosts == ("h1",)
