--- a/tests/membership/test_hubs.py
+++ b/tests/membership/test_hubs.py
@@ -11,6 +11,7 @@
 
 PLACES = ("zone-a", "zone-b", "zone-c")
 SETTLE_S = 10
+SEED_OF_B = "zone-b-14"
 
 
 def make_net(hosts_each=15):
@@ -122,6 +123,28 @@
     assert len(allocators(net)) == 1
 
 
+def test_a_zone_that_is_cut_off_loses_its_hubs_too():
+    """The hubs of a zone are killed at the moment at which it is cut off.
+
+    Its other hosts were told of everyone by hubs that are out of reach now.
+    They find each other by the seed that is left to them, and go on together;
+    believing what they were told, they would wait for allocators for ever.
+    """
+    net = make_net()
+    hubs = net.nodes[0].view().hubs
+    net.cut_off("zone-b")
+    for node in net.nodes:
+        if node.place == "zone-b" and node.name in hubs - {SEED_OF_B}:
+            net.kill(node)
+    net.run(SETTLE_S)
+    inside = [node for node in net.alive() if node.place == "zone-b"]
+    assert hosts_known(net, inside) == {names(inside)}
+    assert len(allocators(net, inside)) == 1
+    net.cuts.clear()
+    net.run(SETTLE_S)
+    assert hosts_known(net) == {names(net.alive())}
+
+
 @pytest.mark.parametrize("away_s", [0.5, 40])
 def test_all_hosts_are_killed_at_once_and_come_back(away_s):
     """Every process ends at the same moment and starts anew, knowing nobody.
--- a/tests/membership/test_mesh.py
+++ b/tests/membership/test_mesh.py
@@ -85,21 +85,26 @@
     wait_until(lambda: got == ["hub"], "the message")
 
 
-def test_a_message_that_nobody_can_take_in_breaks_its_link_only(stack):
+@pytest.mark.parametrize("failing", ["hub", "near"])
+def test_a_message_that_nobody_can_take_in_breaks_its_link_only(stack, failing):
     """What takes a message in fails by an error that nobody foresaw.
 
-    The link breaks, the error is logged, the loop goes on, and the peer makes
-    a new link.
+    The link breaks, the error is logged, the loop goes on, and whoever dials
+    makes a new link, also if the error was its own.
     """
 
     def fail(link, message):
         raise ValueError("a fault")
 
-    hub, _ = start_mesh(stack, "hub", deliver=fail)
-    near, _ = start_mesh(stack, "near", [hub.address])
-    wait_until(linked(near, 1), "the first link")
+    takers = {failing: fail}
+    hub, _ = start_mesh(stack, "hub", deliver=takers.get("hub"))
+    near, _ = start_mesh(stack, "near", [hub.address], deliver=takers.get("near"))
+    wait_until(lambda: hub.current() and near.current(), "the first link")
     (first,) = near.current()
-    near.send("hub", beat("near"))
+    if failing == "hub":
+        near.send("hub", beat("near"))
+    else:
+        hub.send("near", beat("hub"))
     wait_until(lambda: near.current() not in ([], [first]), "a new link")
 
 
