--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -274,10 +274,17 @@
         self.post(self._start_dialling, address)
 
     def _start_dialling(self, address: str) -> None:
-        if address not in self.dials:
+        task = self.dials.get(address)
+        # One that has just ended may not have been forgotten yet.
+        if task is None or task.done():
             task = self.loop.create_task(self._keep_dialling(address))
             self.dials[address] = task
-            task.add_done_callback(lambda _: self.dials.pop(address, None))
+            task.add_done_callback(lambda done: self._end_dialling(address, done))
+
+    def _end_dialling(self, address: str, task: asyncio.Task) -> None:
+        if self.dials.get(address) is task:
+            del self.dials[address]
+        _raise_failure(task)
 
     async def _keep_dialling(self, address: str) -> None:
         # Two ends that dial each other at once close each other's link; the
