--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -10,11 +10,11 @@
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.rendezvous import rank_hosts
 from godwitladder.decisions.repeat_budget import RepeatBounds, RepeatBudget
 from godwitladder.discovery.feed import Feed, StoreView
+from godwitladder.discovery.hostlist import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
-from godwitladder.discovery.source import Source, StoreUnavailable
+from godwitladder.discovery.source import Source
 from godwitladder.drain import stop_accepting, unfinished
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
@@ -55,18 +55,13 @@
 log = part_logger("daemon")
 
 IDLE_TICK_S = 0.25
-HOSTS_PERIOD_S = 10.0
-LONELY_PERIOD_S = 1.0
-"""How often a host that has no link to any other reads the list of hosts."""
+FIRST_LOOK_S = 1.0
 ALONE_S = 3.0
 """A host that found no other in this time serves alone."""
 NOTICE_S = 2.5
 """The balancer takes a host out after two looks, one a second."""
 LAST_S = 0.5
 """Left of the grace period for the end of the process."""
-LIST_KEEPERS = 3
-"""Hosts that keep the list of hosts: two of them may fail at once."""
-LIST_KEY = "list of hosts"
 SMALL_THREADS = 2
 SHOWN_HOSTS = 12
 """Allocators that a log line names."""
@@ -112,7 +107,6 @@
         self.span = Zone(settings.region)
         self.hosts: tuple[HostId, ...] = (settings.host,)
         self.hubs: frozenset[HostId] = frozenset()
-        self.listed = False
         self.currency = Currency(settings.bounds.revoke_s)
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
@@ -171,6 +165,12 @@
             self.publish_members,
             MESH_HOSTS,
         )
+        self.host_list = HostList(
+            settings.host,
+            source,
+            ListedHost(settings.listen.peers, self.span, leaving=False),
+            lambda rows: self.membership.tell(Listed(rows)),
+        )
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.feed.spread = self.mesh.broadcast
         self.feed.ask = self.ask_peer
@@ -296,8 +296,7 @@
         began = self.clock.monotonic()
         log.info("The host is leaving", extra={"open_calls": self.app.open_calls})
         self.membership.ask(Leave())
-        if self.listed:
-            self.list_me(leaving=True)
+        self.host_list.leave()
         self.caller_server.closing = True
         self.clock.sleep(NOTICE_S)
         self.app.refusing = True
@@ -361,45 +360,13 @@
             log.info("Live hosts have changed", extra=extra)
 
     def follow_hosts(self) -> None:
-        """Put this host on the list, and read it from time to time."""
-        self.clock.wait(self.stopping, LONELY_PERIOD_S)
-        while not self.stopping.is_set():
+        """Do this host's part in the list of hosts, and see if settings changed."""
+        # Peers are mostly found by the seeds in this time.
+        period_s = FIRST_LOOK_S
+        while not self.clock.wait(self.stopping, period_s):
             linked = bool(self.mesh.current())
-            keeps = not linked or self.keeps_list()
-            if keeps and not self.listed:
-                self.listed = self.list_me(leaving=False)
-            if keeps:
-                self.read_hosts()
+            period_s = self.host_list.look(linked, self.feed.hosts)
             self.reload_if_changed()
-            settled = linked and (self.listed or not keeps)
-            period_s = HOSTS_PERIOD_S if settled else LONELY_PERIOD_S
-            self.clock.wait(self.stopping, period_s)
-
-    def keeps_list(self) -> bool:
-        """Return whether it is for this host to be listed, and to read the list.
-
-        Each call of the store is priced, and whoever finds one host finds all.
-        """
-        return self.host in rank_hosts(self.feed.hosts, LIST_KEY)[:LIST_KEEPERS]
-
-    def read_hosts(self) -> None:
-        """Read the list of hosts."""
-        try:
-            rows = self.source.read_hosts()
-        except StoreUnavailable as error:
-            log.info("No list of hosts", extra={"error": str(error)})
-            return
-        self.membership.tell(Listed(tuple(row for row in rows if not row.leaving)))
-
-    def list_me(self, leaving: bool) -> bool:
-        """Put this host on the list; return whether the store took it."""
-        row = ListedHost(self.settings.listen.peers, self.span, leaving)
-        try:
-            self.source.list_host(row)
-        except StoreUnavailable as error:
-            log.info("The host is not listed", extra={"error": str(error)})
-            return False
-        return True
 
 
 def read_text(path: Path) -> str:
