Judge a target's reach by all hosts, also where most are silent

Found by reading: half of the reporting hosts decided that a target can't be reached, and since idle hosts are silent one busy host could be half of them.

--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -129,13 +129,14 @@
 
 
 def unreachable(role: "PoolRole", target: TargetName, now: float) -> bool:
-    """Return whether half of the reporting hosts can't connect to ``target``.
+    """Return whether half of the hosts can't connect to ``target``.
 
-    One host's broken path must not take a target from all others.
+    One host's broken path must not take a target from all others, nor from
+    itself alone while the rest have nothing to report.
     """
     current = role.current(now)
     avoiding = sum(target in row.avoided for row in current)
-    return avoiding > 0 and avoiding * 2 >= len(current)
+    return avoiding > 0 and avoiding * 2 >= max(len(current), role.quotas.hosts)
 
 
 def workspace_views(role: "PoolRole", now: float) -> dict[WorkspaceName, WorkspaceView]:
--- /dev/null
+++ b/tests/scheduler/test_idle.py
@@ -0,0 +1,90 @@
+"""Hosts of a routed region that neither run nor want anything."""
+
+from godwitladder.decisions.types import PoolName
+from godwitladder.ids import HostId, Incarnation
+from godwitladder.scheduler.exchange import GrantOffer, PoolReport
+from godwitladder.scheduler.pools import make_pools
+from godwitladder.scheduler.reports import HEARTBEAT_S, due_reports, take_offer
+from godwitladder.scheduler.role import ANSWER_S, PoolRole
+from godwitladder.scheduler.views import target_views
+from tests.scheduler.desk import (
+    START,
+    make_config,
+    make_request,
+    make_tables,
+    submit,
+)
+
+HOSTS = ("h0", "h1", "h2", "h3")
+POOL = PoolName("a", "letters")
+
+
+def make_host():
+    tables = make_tables("h1", HOSTS, make_config({"e0": 2}))
+    tables.standing = False
+    return tables
+
+
+def make_role():
+    config = make_config({"e0": 2, "e1": 2})
+    (pool,) = make_pools(config.targets).values()
+    role = PoolRole(pool, HostId("h0"), 1, START, standing=False)
+    role.configure(pool, config, frozenset())
+    return role
+
+
+def offer_to(tables, number, now):
+    access = next(iter(tables.pools.values()))
+    offer = GrantOffer(
+        HostId("h1"), Incarnation(1), access.allocator, POOL, 1, number, 1, now + 2
+    )
+    take_offer(tables, offer, now)
+
+
+def report_of(host, number, now, **fields):
+    return PoolReport(HostId(host), Incarnation(1), POOL, number, now, 1, 0, **fields)
+
+
+def test_an_idle_host_that_was_answered_is_silent_and_asks_when_a_call_comes():
+    """A host says what it has spent until its allocator answers, then nothing.
+
+    Minutes later a call comes: the host asks at once, and doesn't take the
+    allocator for gone because it has had nothing to answer.
+    """
+    tables = make_host()
+    assert due_reports(tables, START)
+    assert due_reports(tables, START + HEARTBEAT_S)
+    offer_to(tables, 1, START + 1.1)
+    assert not due_reports(tables, START + 60)
+    submit(tables, make_request("r", START + 90))
+    access = next(iter(tables.pools.values()))
+    ((host, report),) = due_reports(tables, START + 90)
+    assert host == access.allocator
+    assert [line.request for line in report.lines] == ["r"]
+    assert not access.is_alone(START + 90)
+
+
+def test_an_allocator_answers_each_report_once_and_says_nothing_unasked():
+    role = make_role()
+    role.take_report(report_of("h1", 1, START), START)
+    first = role.run(HOSTS, START + 1)
+    assert [offer.host for offer in first] == ["h1"]
+    for step in range(10):
+        assert not role.run(HOSTS, START + 1 + step * ANSWER_S)
+    role.take_report(report_of("h1", 2, START + 2.5), START + 2.5)
+    assert role.run(HOSTS, START + 4)[0].echo == 2
+
+
+def test_a_target_that_one_busy_host_cannot_reach_is_kept_for_the_silent_ones():
+    """The way of one host to a target is broken, while the others are idle.
+
+    They have nothing to report. Judged by those that do, all would lose the
+    target; it is left out only once half of all hosts can't reach it.
+    """
+    role = make_role()
+    role.take_report(report_of("h1", 1, START, avoided=("e0",)), START)
+    role.run(HOSTS, START + 1)
+    assert "e0" in target_views(role, START + 1)
+    role.take_report(report_of("h2", 1, START, avoided=("e0",)), START + 1)
+    role.run(HOSTS, START + 2)
+    assert "e0" not in target_views(role, START + 2)
