Work the live hosts out once for all messages at hand

Cause: at the start of a large region each of hundreds of heartbeats made a hub sort and compare all hosts.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -112,10 +112,15 @@
         self.show()
 
     def on_receive(self, message) -> None:
-        """Take ``message`` in; publish a changed list."""
+        """Take ``message`` in; publish a changed list once no other is at hand.
+
+        When all hosts of a large region start, hundreds of messages come at
+        once, and each list that is worked out grows with the hosts.
+        """
         self.excuse_pause()
         self.take(message)
-        if not isinstance(message, LiveNews):
+        at_hand = not self.actor_inbox.empty()
+        if isinstance(message, Tick) or not (isinstance(message, LiveNews) or at_hand):
             self.show()
 
     def excuse_pause(self) -> None:
