Tell when reports come late to an allocator, and when one is silent

An overload outlasted its cause, and the logs could not tell whether the allocator had fallen behind: nothing said how old the reports were that it decided from, nor that hosts went without its answers.

The allocator now tells once a second how long reports took to it, its own queue included, with the messages that are queued and the waiting calls told of; and once when they are in time again. Clocks are not shared, so the least difference between a host's clock and its own stands for no delay. Hosts tell when an allocator falls silent and when it answers.

--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -65,6 +65,8 @@
     unanswered : tuple of int and float
         Number and time of the first report since then that asked for requests;
         0 for none.
+    silent_since : float or None
+        Since when the allocator is taken for silent; None while it is not.
     dirty : bool
         Whether something has changed that the allocator should know at once.
     reported : float
@@ -85,6 +87,7 @@
     answered: float = 0.0
     echoed: int = 0
     unanswered: tuple[int, float] = (0, 0.0)
+    silent_since: float | None = None
     dirty: bool = True
     reported: float = float("-inf")
     allowances: dict[TargetName, Allowance] = field(default_factory=dict)
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -115,6 +115,7 @@
         share = self.seen_share(now)
         for role in self.tables.roles.values():
             role.quotas.share = share
+            self.tell_delays(role, now)
         if now - self.floors_sent >= RENEW_S:
             self.floors_sent = now
             for role in self.tables.roles.values():
@@ -185,6 +186,18 @@
             role.quotas.slack = tables.quota_slack
             role.quotas.share = self.seen_share(now)
 
+    def tell_delays(self, role: PoolRole, now: float) -> None:
+        """Log that reports come late, or that they are in time again."""
+        news = role.delays.look(now)
+        if news is None:
+            return
+        queued = self.actor_inbox.qsize()
+        extra = {"pool": pool_key(role.pool.name), "queued": queued, **news.fields()}
+        if news.late:
+            log.warning("Reports come late", extra=extra)
+        else:
+            log.info("Reports are in time again", extra=extra)
+
     def seen_share(self, now: float) -> float:
         """Return the part of the hosts that this one sees, of all lately seen.
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -41,6 +41,7 @@
     SentGrant,
     add_up,
 )
+from godwitladder.scheduler.delays import ReportDelays
 from godwitladder.scheduler.exchange import (
     NO_RANK,
     Allowance,
@@ -145,6 +146,7 @@
         self.quotas = QuotaBook()
         self.rows: dict[RequestId, Waiting] = {}
         self.loads = LoadReports()
+        self.delays = ReportDelays()
         self.shed_rank = NO_RANK
         self.shed_at = now
 
@@ -164,6 +166,7 @@
     def take_report(self, report: PoolReport, now: float) -> bool:
         """Take in a host's report; return whether it calls for a run at once."""
         key = report.host, report.incarnation
+        self.delays.note(report, now)
         account = self.accounts.get(key)
         if account is None:
             account = HostAccount(*key, next_number=self.first_number)
@@ -252,6 +255,7 @@
                 # and would take those from one on for late ones.
                 self.first_number = max(self.first_number, account.next_number)
                 del self.accounts[key]
+                self.delays.forget(*key)
         for name, floor in list(self.floors.items()):
             if now - floor.heard > FLOOR_S:
                 del self.floors[name]
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -16,6 +16,7 @@
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
+from godwitladder.scheduler.pools import pool_key
 from godwitladder.scheduler.rows import (
     Dispatch,
     IllegalTransition,
@@ -37,6 +38,7 @@
 def run_systems(tables: Tables, now: float) -> None:
     """Run every system once, in order."""
     expire_requests(tables, now)
+    note_silence(tables, now)
     lapse_grants(tables, now)
     use_grants(tables, now)
     place_requests(tables, now)
@@ -50,6 +52,28 @@
             refuse_request(tables, row, refuse(Reason.DEADLINE, detail, 1.0))
 
 
+def note_silence(tables: Tables, now: float) -> None:
+    """Log when an allocator falls silent, and when it answers again."""
+    for name, access in tables.pools.items():
+        silent = access.is_unanswered(now) or access.is_alone(now)
+        if silent == (access.silent_since is not None):
+            continue
+        extra = {
+            "pool": pool_key(name),
+            "allocator": access.allocator,
+            "waiting": len(access.asked),
+            "sent": access.number,
+            "answered": access.echoed,
+        }
+        if silent:
+            access.silent_since = now
+            log.info("The allocator is silent", extra=extra)
+        else:
+            extra["silent_s"] = round(now - access.silent_since, 3)
+            access.silent_since = None
+            log.info("The allocator answers", extra=extra)
+
+
 def lapse_grants(tables: Tables, now: float) -> None:
     """Drop grants and allowances that may no longer be used."""
     for access in tables.pools.values():
--- /dev/null
+++ b/tests/scheduler/test_delays.py
@@ -0,0 +1,36 @@
+"""Delays of reports, and what is told of them."""
+
+from godwitladder.decisions.types import PoolName
+from godwitladder.ids import HostId, Incarnation
+from godwitladder.scheduler.delays import LATE_S, TELL_S, ReportDelays
+from godwitladder.scheduler.exchange import PoolReport
+from tests.scheduler.desk import START
+
+POOL = PoolName("a", "letters")
+
+
+def report_of(number, sent_s):
+    return PoolReport(HostId("h1"), Incarnation(1), POOL, number, sent_s, 1, 0)
+
+
+def test_the_clocks_of_two_hosts_may_differ_by_any_time():
+    delays = ReportDelays()
+    for number in range(5):
+        delays.note(report_of(number, 9_000.0 + number), START + number)
+    assert delays.look(START + 5) is None
+
+
+def test_late_reports_are_told_of_at_once_then_each_second_and_when_it_is_over():
+    delays = ReportDelays()
+    delays.note(report_of(1, 0.0), START)
+    assert delays.look(START) is None
+    told = []
+    for step in range(1, 13):
+        now = START + step * 0.25
+        late_s = 2 * LATE_S if step <= 8 else 0.0
+        delays.note(report_of(step, step * 0.25 - late_s), now)
+        news = delays.look(now)
+        if news is not None:
+            told.append((step, news.late))
+    assert told == [(1, True), (5, True), (9, False)]
+    assert TELL_S == 1.0
--- a/tests/scheduler/test_silence.py
+++ b/tests/scheduler/test_silence.py
@@ -82,3 +82,23 @@
     for offer in role.run(("h0",), now):
         take_offer(tables, offer, now)
     assert not access.is_unanswered(now)
+
+
+def test_a_silence_of_the_allocator_is_told_of_once_and_so_is_its_end(caplog):
+    """On-call engineers see from when to when a host went without its allocator."""
+    tables, role = make_asked()
+    caplog.set_level("INFO")
+    now = START + 1.0
+    for number in range(2):
+        submit(tables, make_request(f"r{number}", now))
+    reports = due_reports(tables, now)
+    for _ in range(3):
+        now += UNANSWERED_S
+        run_systems(tables, now)
+    assert caplog.text.count("The allocator is silent") == 1
+    for _, report in reports:
+        role.take_report(report, now)
+    for offer in role.run(("h0",), now):
+        take_offer(tables, offer, now)
+    run_systems(tables, now)
+    assert caplog.text.count("The allocator answers") == 1
