Failing tests of an allocator that falls behind its reports

- An actor of which the queue of messages is never empty decides nothing in two seconds, though 39 reports ask it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Settings and fixtures shared by all tests."""
 
 import contextlib
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -22,3 +23,22 @@
     """A fleet with only the platform's stand-in; ends what it started."""
     with contextlib.ExitStack() as stack:
         yield make_fleet(tmp_path, stack)
+
+
+def pytest_collection_modifyitems(config, items):
+    """Pass over the tests that `KNOWN-RED.txt` names, unless asked for by name."""
+    known = read_known_red(config.rootpath / "KNOWN-RED.txt")
+    if any("::" in arg for arg in config.args):
+        return
+    red = [item for item in items if item.nodeid in known]
+    if red:
+        config.hook.pytest_deselected(items=red)
+        items[:] = [item for item in items if item.nodeid not in known]
+
+
+def read_known_red(path: Path) -> set[str]:
+    """Return the tests in the list: the first word of each line that names one."""
+    if not path.exists():
+        return set()
+    words = [line.split()[:1] for line in path.read_text().splitlines()]
+    return {word[0] for word in words if word and "::" in word[0]}
--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -134,3 +134,30 @@
     clock.advance(2.0)
     actor.on_receive(report(actor, "h0"))
     assert sum(len(offer.grants) for _, offer in sent) == (0 if leaving else 1)
+
+
+class BusyInbox:
+    """A queue of messages in which another one always waits."""
+
+    def empty(self) -> bool:
+        return False
+
+    def qsize(self) -> int:
+        return 1
+
+
+def test_an_allocator_decides_while_messages_keep_coming():
+    """Guards against a queue of messages that is never empty, and so never served.
+
+    Hosts ask more and more often for what nobody grants them.
+    """
+    actor, clock, sent = make_allocator("h0", ("h0",))
+    actor.actor_inbox = BusyInbox()
+    for number in range(1, 40):
+        clock.advance(0.05)
+        row = PoolReport(
+            "h0", 1, pool_of(actor), number, clock.monotonic(), 0, 0, lines=(LINE,)
+        )
+        actor.on_receive(row)
+    granted = [row for _, row in sent if isinstance(row, GrantOffer) and row.grants]
+    assert granted
