Tell each host a document once, also while the store is slow

From 18 s on connections to targets timed out (186 to 397 in two seconds), links went silent (14, 68, 271, 122, 564, 863) and greetings failed: links were full.

Four causes of one kind, a whole document sent to those who have it:

- The age of the last proof includes the time of the read.
Beside a slow store news are older than hosts wait for them though the reader works, so all read by themselves, and each told all its links what each of them had read.
- A host that was told of a change while it read the same told it again.
- A host that restarts read everything and told it to all.
- A host that starts asked every peer for everything, over each link.

A host now waits longer while reads take long, half of the time for which keys are believed at most; tells only what nobody told meanwhile, and only if it may read for others; says after a restart how far its knowledge goes, without the documents; and asks one peer at a time.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -47,8 +47,14 @@
 kill of all hosts nobody is served before the first one has read."""
 UNTOLD_S = 1.2
 """The same for one that has peers of which none told it anything."""
-ASK_S = 0.2
-"""Between two questions of a host that knows nothing yet."""
+ASK_S = 0.25
+"""Between two questions of a host that knows nothing yet: an answer may be as long
+as a whole document, and take the link of a weak host for that long."""
+LONGEST_READ_S = 1.0
+"""A read that takes longer makes others wait no longer for its news."""
+LONGEST_SILENCE_S = 2.5
+"""Half of the time for which keys are believed without a proof: any host reads by
+itself then, however slow the store was."""
 AWAY_S = 1.5
 """Failure to read for so long counts as the store being away: targets may have
 lapsed there although they live."""
@@ -89,6 +95,8 @@
 
     Attributes
     ----------
+    read_s : float
+        How long the newest read took, this host's or that of whoever told of it.
     unanswered : list of callable
         Called with all that this host knows, once it knows anything: hosts that
         asked before.
@@ -123,6 +131,7 @@
         self.next_document = -1
         self.next_entry = -1
         self.read_at = float("-inf")
+        self.read_s = 0.0
         self.answered_at = clock.boottime()
         self.reachable = False
         self.version = 0
@@ -156,9 +165,13 @@
     def step(self) -> None:
         """Read if it is this host's turn, and let go of what is gone."""
         now = self.clock.boottime()
-        if self.awaits_peer(now):
-            self.ask_peer(now)
-        elif now - self.read_at >= PERIOD_S and self.is_turn(now):
+        if not self.knows():
+            self.ask_peer()
+        if (
+            not self.awaits_peer(now)
+            and now - self.read_at >= PERIOD_S
+            and self.is_turn(now)
+        ):
             self.read()
         with self.lock:
             if self.table.expire(self.clock.boottime()):
@@ -193,11 +206,25 @@
         for reply in waiting:
             reply(self.all_news())
 
-    def ask_peer(self, now: float) -> None:
-        """Ask a peer for all that it knows."""
-        if now - self.asked_at >= ASK_S:
+    def ask_peer(self, ask: Callable[[FeedWanted], bool] | None = None) -> None:
+        """Ask one peer for all that it knows, if none was asked a moment ago.
+
+        Each of them answers with whole documents. Asked over every link, they
+        filled that of a host which had just started for seconds.
+
+        Parameters
+        ----------
+        ask : callable or None
+            Asks a certain peer; None for any.
+        """
+        now = self.clock.boottime()
+        if self.knows() or now - self.asked_at < ASK_S:
+            return
+        asked = (ask or self.ask)(FeedWanted(self.host))
+        if ask is None:
+            self.linked = asked
+        if asked:
             self.asked_at = now
-            self.linked = self.ask(FeedWanted(self.host))
 
     def all_news(self) -> FeedNews | None:
         """Return all that this host knows; None if it knows nothing."""
@@ -217,9 +244,18 @@
         """Return whether this host is to read now."""
         if not self.hosts or self.hosts[0] == self.host or self.next_document < 0:
             return True
+        return self.currency.age_s(now) > self.patience_s()
+
+    def patience_s(self) -> float:
+        """Return the age of the last proof at which this host reads by itself.
+
+        While the store is slow its news are late though the reader works. If all
+        hosts read then, and passed on what all others read too, a change of the
+        document would fill every link for seconds.
+        """
         place = self.hosts.index(self.host) if self.host in self.hosts else TURNS
-        patience_s = SILENCE_S + TURN_S * min(place, TURNS)
-        return self.currency.age_s(now) > patience_s
+        turn_s = max(TURN_S, self.read_s) * min(place, TURNS)
+        return min(SILENCE_S + 2 * self.read_s + turn_s, LONGEST_SILENCE_S)
 
     def read(self) -> None:
         """Read what is new and pass it on."""
@@ -230,11 +266,21 @@
         except StoreUnavailable as error:
             self.note_lost(error)
             return
+        self.finish_read(documents, entries, began)
+
+    def finish_read(self, documents: Batch, entries: Batch, began: float) -> None:
+        """Take in a read that began at ``began``, and pass it on."""
         with self.lock:
             self.note_answer()
             news = self.news(documents, entries)
             self.take(documents, entries, began)
-        self.spread(replace(news, age_s=self.clock.boottime() - began))
+            self.note_duration(self.clock.boottime() - began)
+        if news is not None:
+            self.spread(replace(news, age_s=self.clock.boottime() - began))
+
+    def note_duration(self, seconds: float) -> None:
+        """Remember how long a read took."""
+        self.read_s = min(seconds, LONGEST_READ_S)
 
     def fetch(self, read: Callable[[int], Batch], offset: int) -> Batch:
         """Return what is new from ``offset``, or a snapshot if that is gone."""
@@ -265,9 +311,22 @@
         """Return the age of the last proof, in seconds."""
         return round(self.currency.age_s(self.clock.boottime()), 3)
 
-    def news(self, documents: Batch, entries: Batch) -> FeedNews:
-        """Return what others are to be told of a read, before it is taken in."""
-        return FeedNews(self.host, 0.0, _raw(documents), _raw(self.changed(entries)))
+    def news(self, documents: Batch, entries: Batch) -> FeedNews | None:
+        """Return what others are to be told of a read, before it is taken in.
+
+        Hosts that may not read for all tell nobody. One that has just started
+        among others that serve has read whole documents, which these know: it
+        says how far they go.
+        """
+        if self.host not in self.hosts:
+            return None
+        if self.reads_first and not self.knows():
+            if not self.is_reader():
+                return None
+            documents = Batch(documents.next, documents.next, ())
+        documents = _since(documents, self.next_document)
+        entries = _since(self.changed(entries), self.next_entry)
+        return FeedNews(self.host, 0.0, _raw(documents), _raw(entries))
 
     def changed(self, entries: Batch) -> Batch:
         """Return ``entries`` without the beats that say nothing new.
@@ -304,6 +363,7 @@
                 news.entries, self.next_entry
             ):
                 self.answered_at = max(self.answered_at, began)
+                self.note_duration(news.age_s)
                 self.take(_batch(news.documents), _batch(news.entries), began)
 
     def take(self, documents: Batch, entries: Batch, began: float) -> None:
@@ -378,6 +438,17 @@
         self.publish(StoreView(self.version, self.document, targets))
 
 
+def _since(batch: Batch, offset: int) -> Batch:
+    """Return ``batch`` without what other hosts told while it was read.
+
+    Whoever told it has told all.
+    """
+    if batch.whole or offset <= batch.start:
+        return batch
+    kept = tuple(record for record in batch.records if record.offset >= offset)
+    return Batch(min(offset, batch.next), batch.next, kept)
+
+
 def _keep_newest(newest: dict[str, Record], batch: Batch) -> None:
     """Bring ``newest``, the records in force by key, in line with ``batch``."""
     if batch.whole:
