Report to an allocator what has changed, and all of it once a second

Seventeen hosts filled the 10 Mbit/s link of their allocator (2 MB a second of 1.25), and its processor took in some 5,000 lines a second at most, nearly all of them known.

A report now holds the lines that are new and the names of those that are gone. What an allocator has granted or shed it has dropped, so that is told anew if it still waits. A whole report once a second makes up for whatever was lost; a new allocator gets one first. While an allocator is behind, whole ones are rarer.

A state machine of lost reports and offers shows that an allocator knows what waits a second later.

--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -5,6 +5,7 @@
 
 import enum
 from collections import Counter, deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.quotas import SpendingHistory
@@ -32,6 +33,12 @@
 queues a few more."""
 
 
+WHOLE_S = 1.0
+"""Between two reports that tell an allocator all, also what it has missed."""
+WHOLE_BEHIND = 6.0
+"""The same, as a multiple of the time for which an allocator is behind: all that
+waits, from all hosts, may be what it is behind with."""
+
 MOST_OUTSTANDING = 64
 """Unanswered reports that a host remembers."""
 
@@ -78,6 +85,12 @@
     outstanding : deque of tuple of int and float
         Number and time of each report that asked for requests and is not
         answered yet, the oldest first.
+    told : set of RequestId
+        Requests of which the allocator holds a line, as far as this host knows.
+    settled : set of RequestId
+        Requests that it has granted or shed since the last report.
+    told_whole : float
+        When it was last told of all requests.
     fates : Counter
         Grants by what became of them, since they were last counted.
     history : SpendingHistory
@@ -106,6 +119,9 @@
     completions: list[Completion] = field(default_factory=list)
     stretches: dict[tuple[TargetName, bool], Stretch] = field(default_factory=dict)
     asked: dict[RequestId, int] = field(default_factory=dict)
+    told: set[RequestId] = field(default_factory=set)
+    settled: set[RequestId] = field(default_factory=set)
+    told_whole: float = float("-inf")
     fates: Counter[GrantFate] = field(default_factory=Counter)
     history: SpendingHistory = field(default_factory=SpendingHistory)
 
@@ -129,6 +145,7 @@
         self.holder, self.term, self.seen = None, 0, 0
         self.allowances = {}
         self.grants = {}
+        self.told_whole = float("-inf")
 
     def take(self, offer: GrantOffer, now: float) -> bool:
         """Take in an offer; return False for one that is late or foreign."""
@@ -151,6 +168,9 @@
         for grant in offer.grants:
             self.grants[grant.request] = HeldGrant(grant, offer.until_s)
         self.dirty |= offer.urgent or bool(offer.grants)
+        # The allocator has dropped their lines, whatever becomes of them here.
+        self.settled.update(grant.request for grant in offer.grants)
+        self.settled.update(shed.request for shed in offer.sheds)
         return True
 
     def next_number(self, now: float) -> int:
@@ -186,6 +206,28 @@
         asking = now - self.reported <= REACH_S
         return self.allocator is None or (silent and asking)
 
+    def news_of(
+        self, requests: Collection[RequestId], now: float
+    ) -> tuple[Collection[RequestId], tuple[RequestId, ...], bool]:
+        """Note that a report tells of ``requests``, and return what it has to hold.
+
+        Returns
+        -------
+        lines : collection of RequestId
+            Those that need a line.
+        gone : tuple of RequestId
+            Those that the allocator may know of and that are no longer among them.
+        changes : bool
+            Whether that is what has changed; else the lines are all there are.
+        """
+        known = self.told | self.settled
+        lines = [row for row in requests if row not in self.told - self.settled]
+        self.told, self.settled = set(requests), set()
+        if now - self.told_whole >= max(WHOLE_S, WHOLE_BEHIND * self.behind_s(now)):
+            self.told_whole = now
+            return requests, (), False
+        return lines, tuple(sorted(known - self.told)), True
+
     def note_asked(self, now: float) -> None:
         """A report is sent that asks for the requests in ``asked``."""
         if not self.asked:
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -124,15 +124,20 @@
         self.avoided = frozenset(report.avoided)
         self._acknowledge(seen)
         self._lapse()
-        # A line whose grant is still on its way must not be granted again: the
-        # host would have two targets held for one request until both lapse.
-        self.lines = {
-            line.request: line
-            for line in report.lines
-            if line.request not in self.grants
-        }
+        self._take_lines(report)
         return True
 
+    def _take_lines(self, report: PoolReport) -> None:
+        if not report.changes:
+            self.lines = {}
+        for request in report.gone:
+            self.lines.pop(request, None)
+        for line in report.lines:
+            # A line whose grant is still on its way must not be granted again:
+            # the host would have two targets held for one request until both lapse.
+            if line.request not in self.grants:
+                self.lines[line.request] = line
+
     def _acknowledge(self, seen: int) -> None:
         while len(self.allowances) > 1 and self.allowances[1].number <= seen:
             self.allowances.popleft()
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -1,7 +1,9 @@
 """What hosts and allocators send each other.
 
 A host sends each allocator one report, which holds its demand, its use, and
-what it has completed: one message, since a request that leaves the demand
+what it has completed. Of the demand most reports tell only what has changed, and
+one in a while tells all, for an allocator that is new or has missed something.
+Use and demand are in one message, since a request that leaves the demand
 appears in the use, and a reader that saw only one of the two would count it
 twice or not at all. The allocator answers with an offer, which likewise holds
 allowances, grants and sheds.
@@ -124,7 +126,8 @@
     uses : tuple of TargetUse
         Requests running, and grants held for requests that can't go yet.
     lines : tuple of DemandLine
-        The first requests in the host's order.
+        The first requests in the host's order; if the report tells of changes,
+        those of them that the reports before it did not hold.
     rest : tuple of TierCount
         Those without a line.
     stretches : tuple of Stretch
@@ -138,6 +141,10 @@
         For how many seconds back ``spent`` misses nothing.
     via : str
         The host that passed the report on; empty if none did.
+    changes : bool
+        Whether ``lines`` and ``gone`` are what has changed since the last report.
+    gone : tuple of RequestId
+        Requests that have no line any more.
     """
 
     host: HostId
@@ -157,6 +164,8 @@
     spent: tuple[Spent, ...] = ()
     known_s: float = 0.0
     via: HostId = HostId("")
+    changes: bool = False
+    gone: tuple[RequestId, ...] = ()
 
 
 @peer_message
