--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -35,10 +35,6 @@
 
 WHOLE_S = 1.0
 """Between two reports that tell an allocator all, also what it has missed."""
-WHOLE_BEHIND = 6.0
-"""The same, as a multiple of the time for which an allocator is behind: all that
-waits, from all hosts, may be what it is behind with."""
-
 MOST_OUTSTANDING = 64
 """Unanswered reports that a host remembers."""
 
@@ -223,7 +219,7 @@
         known = self.told | self.settled
         lines = [row for row in requests if row not in self.told - self.settled]
         self.told, self.settled = set(requests), set()
-        if now - self.told_whole >= max(WHOLE_S, WHOLE_BEHIND * self.behind_s(now)):
+        if now - self.told_whole >= WHOLE_S:
             self.told_whole = now
             return requests, (), False
         return lines, tuple(sorted(known - self.told)), True
