Compress messages between hosts that hold whole documents

The rest of what filled links when the configuration grew: a document of 890 routes has 230 kB, and seven versions of it came within ten seconds. A host that reads for sixteen others over a link of 10 Mbit/s needs three seconds for each version, in which its own calls, reports and heartbeats wait; the bound for a change to be in force is three seconds.

What a peer may make of a message is bounded. A host of an older version passes over such messages, and reads the store by itself.

--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -5,6 +5,9 @@
 added later goes last and has a default, and unknown names are skipped, so
 that hosts of two versions understand each other.
 
+A long message, which holds whole documents, is compressed: a host with a slow
+link would be held up for seconds by each of them.
+
 Every field is checked for its type, since a peer may be of another version
 or in error. The checks are put together once for each dataclass: what a host
 spends on control is mostly the reading of messages.
@@ -14,6 +17,7 @@
 import enum
 import functools
 import typing
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +26,13 @@
 from godwitladder.findings import GodwitladderError
 from godwitladder.tables import plain_type
 
+COMPRESSED = "Compressed"
+"""In place of the name of a message that is compressed."""
+LONG_BYTES = 8_192
+"""Shorter messages are not worth the time that compressing takes."""
+MOST_BYTES = 16_777_216
+"""Of a message that was compressed: whatever a peer sends, memory is bounded."""
+
 KINDS: dict[str, type] = {}
 
 Reader = Callable[[Any], Any]
@@ -39,7 +50,10 @@
 
 def encode(message: Any) -> bytes:
     """Return ``message`` in CBOR."""
-    return cbor2.dumps([type(message).__name__, message], default=_encode_value)
+    data = cbor2.dumps([type(message).__name__, message], default=_encode_value)
+    if len(data) < LONG_BYTES:
+        return data
+    return cbor2.dumps([COMPRESSED, zlib.compress(data, zlib.Z_BEST_SPEED)])
 
 
 def decode(data: bytes) -> Any | None:
@@ -52,12 +66,22 @@
     """
     try:
         name, fields = cbor2.loads(data)
+        if name == COMPRESSED:
+            name, fields = cbor2.loads(_expand(fields))
         kind = KINDS.get(name)
         return make_reader(kind)(fields) if kind else None
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+    except (cbor2.CBORDecodeError, ValueError, TypeError, zlib.error) as error:
         raise BadMessage(f"not a message: {error}") from error
 
 
+def _expand(data: bytes) -> bytes:
+    expander = zlib.decompressobj()
+    expanded = expander.decompress(data, MOST_BYTES)
+    if not expander.eof:
+        raise ValueError(f"more than {MOST_BYTES} bytes, or cut off")
+    return expanded
+
+
 def _encode_value(encoder: Any, value: Any) -> None:
     if isinstance(value, enum.Enum):
         encoder.encode(value.value)
--- a/tests/membership/test_codec.py
+++ b/tests/membership/test_codec.py
@@ -1,5 +1,6 @@
 """Messages between hosts, as bytes."""
 
+import zlib
 from dataclasses import dataclass
 
 import cbor2
@@ -8,7 +9,16 @@
 from hypothesis import strategies as st
 
 from godwitladder.decisions.types import PoolName
-from godwitladder.membership.codec import BadMessage, decode, encode, peer_message
+from godwitladder.discovery.messages import FeedNews, RawBatch, RawRecord
+from godwitladder.membership.codec import (
+    COMPRESSED,
+    LONG_BYTES,
+    MOST_BYTES,
+    BadMessage,
+    decode,
+    encode,
+    peer_message,
+)
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.scheduler.exchange import PoolReport, TierCount
 
@@ -68,3 +78,33 @@
 def test_fields_of_a_wrong_type_are_refused(fields):
     with pytest.raises(BadMessage):
         decode(cbor2.dumps(["Sample", fields]))
+
+
+ROUTE = b'{"name": "r-%d", "pathPrefix": "/huno/le%d/", "kind": "streaming"}'
+
+
+def test_whole_documents_go_over_a_link_in_a_tenth_of_their_bytes():
+    """Guards against a new document that fills the links of all hosts for seconds."""
+    value = b",".join(ROUTE % (number, number) for number in range(900))
+    batch = RawBatch(-1, 7, (RawRecord(6, "config", value),))
+    news = FeedNews("h1", 0.0, batch, RawBatch(3, 3))
+    data = encode(news)
+    assert len(data) * 10 <= len(value)
+    assert decode(data) == news
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"not compressed",
+        zlib.compress(b"\x82" + bytes(LONG_BYTES))[:-4],
+        zlib.compress(bytes(MOST_BYTES + 1)),
+        "text",
+        7,
+    ],
+)
+def test_a_compressed_message_that_is_none_is_refused(data):
+    """Guards against a peer in error that takes a host's memory, or its thread."""
+    with pytest.raises(BadMessage):
+        decode(cbor2.dumps([COMPRESSED, data]))
