Tell of the store also from hosts that may not read for others, if need be

Where the store turns just these away, the strongest of a region, they would have served nobody after the five seconds for which keys are believed, with links to hosts that read it. Such a host now tells others what it reads if it has heard of nobody's read for three seconds. The test is red without that (mutation), as it was before the rule.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -55,6 +55,9 @@
 LONGEST_SILENCE_S = 2.5
 """Half of the time for which keys are believed without a proof: any host reads by
 itself then, however slow the store was."""
+UNHEARD_S = 3.0
+"""A host that may not read for others tells them what it has read after so long
+without news: the store has turned away all that may."""
 AWAY_S = 1.5
 """Failure to read for so long counts as the store being away: targets may have
 lapsed there although they live."""
@@ -95,6 +98,8 @@
 
     Attributes
     ----------
+    heard_at : float
+        When another host's news were last taken in.
     read_s : float
         How long the newest read took, this host's or that of whoever told of it.
     unanswered : list of callable
@@ -131,6 +136,7 @@
         self.next_document = -1
         self.next_entry = -1
         self.read_at = float("-inf")
+        self.heard_at = clock.boottime()
         self.read_s = 0.0
         self.answered_at = clock.boottime()
         self.reachable = False
@@ -314,11 +320,12 @@
     def news(self, documents: Batch, entries: Batch) -> FeedNews | None:
         """Return what others are to be told of a read, before it is taken in.
 
-        Hosts that may not read for all tell nobody. One that has just started
-        among others that serve has read whole documents, which these know: it
-        says how far they go.
+        Hosts that may not read for all tell nobody while they hear from one that
+        may. One that has just started among others that serve has read whole
+        documents, which these know: it says how far they go.
         """
-        if self.host not in self.hosts:
+        unheard_s = self.clock.boottime() - self.heard_at
+        if self.host not in self.hosts and unheard_s <= UNHEARD_S:
             return None
         if self.reads_first and not self.knows():
             if not self.is_reader():
@@ -363,6 +370,7 @@
                 news.entries, self.next_entry
             ):
                 self.answered_at = max(self.answered_at, began)
+                self.heard_at = self.clock.boottime()
                 self.note_duration(news.age_s)
                 self.take(_batch(news.documents), _batch(news.entries), began)
 
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -217,7 +217,8 @@
             Whether that is what has changed; else the lines are all there are.
         """
         known = self.told | self.settled
-        lines = [row for row in requests if row not in self.told - self.settled]
+        held = self.told - self.settled
+        lines = [request for request in requests if request not in held]
         self.told, self.settled = set(requests), set()
         if now - self.told_whole >= WHOLE_S:
             self.told_whole = now
--- a/tests/discovery/test_slow_store.py
+++ b/tests/discovery/test_slow_store.py
@@ -143,3 +143,21 @@
     clock.advance(ASK_S)
     feed.ask_peer(lambda wanted: asked.append(8) is None)
     assert asked == [0, 8]
+
+
+def test_hosts_that_the_store_turns_away_hear_from_any_other():
+    """Guards against strong hosts that serve nobody while weak ones read the store.
+
+    The store turns away all that may read for others.
+    """
+    source, away, clock = MemorySource(), MemorySource(), PausedClock()
+    source.put_document(1)
+    strong, _ = make_feed(source, clock, hosts=("h1",))
+    weak, _ = make_feed(source, clock, host="h9", hosts=("h1",))
+    strong.step(), weak.step()
+    weak.spread = strong.take_news
+    strong.source, away.away = away, True
+    for _ in range(60):
+        clock.advance(0.1)
+        strong.step(), weak.step()
+        assert strong.currency.holds(clock.boottime())
