--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/backlog.py
@@ -9,7 +9,7 @@
 Thresholds
 ----------
 MARGIN : a request is started while its likely length, and this factor of it,
-    fits before its deadline. Measured, `docs/MEASUREMENTS.md` (margin).
+    fits before its deadline: longer ones than predicted end in time too.
 SAFE_LEAST_S : one that could end in time only if it is short is as safe as
     it will ever be when it arrives; it counts as safe for so long.
 """
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -9,11 +9,11 @@
 Thresholds
 ----------
 MEMORY_SHARE : what may be reserved of a target's memory; the rest takes in
-    streams that outlive a 90-in-100 prediction. Measured (memory).
+    streams that outlive a 90-in-100 prediction.
 LONG_FACTOR : a request is long when it holds a slot eight times as long as a
     usual one: short questions and full reviews are tens of times apart.
 LONG_SHARE : long requests together take at most a quarter of the slots. From
-    a half upwards the bound was hardly ever reached; measured (long requests).
+    a half upwards they would hardly ever reach the bound.
 AFFINITY_SLACK : the holder of a prefix is preferred while its load is at most
     a quarter of its slots above the pool's: a hit saves a prefill, a queue
     costs more than that.
--- a/godwitladder/decisions/easing.py
+++ b/godwitladder/decisions/easing.py
@@ -14,7 +14,7 @@
 GAIN : the slow-down is an average over about four stretches, so one late
     token changes little and a slow target is found in two or three seconds.
 SLOW : below one and a half times the expected, differences are those of
-    batch sizes; above it, measured in `docs/MEASUREMENTS.md` (easing).
+    batch sizes.
 OVERHEAD_S : the way to an engine, its queue and its first step cost the same
     whatever the length. A tenth of the 1.1 s in which a first token is due
     covers them, and is small beside a stretch that matters to a caller.
--- a/godwitladder/decisions/policy.py
+++ b/godwitladder/decisions/policy.py
@@ -46,12 +46,9 @@
     is_strict=False,
 )
 """Where each dispatch is asked for, tiers are not strict: each rank is served at
-least six tenths as often as the first. In strict order the last got a quarter of
-its credit in a burst of 1.8 times a load that is itself beyond the targets, and
-nothing in some seconds. The part has its price, which the first rank pays: of all
-credit in such a burst 0.75 is had without any, 0.67 with six tenths (a model of the
-engines, four seeds; `bench.ablation`). With four tenths, 0.72 there, the second
-rank earned 0.29 of its credit on a day that lost half of its engines; with six 0.37.
+least six tenths as often as the first. In strict order the last gets hardly anything
+in a burst, and nothing in some seconds. The part has its price, which the first rank
+pays; with less of it the second rank starves where many targets are lost.
 
 A letter that ran out of time took every shorter call that waited with it, though
 these were still in time and would hardly have cost it a place; so nothing is
@@ -59,5 +56,4 @@
 
 Nothing is eased off there: a target that stands still gets no further prompt by
 the bound on unread prompts, and one that is only full looks slow. Eased off in a
-burst, the targets had a part of their slots left: 37% of the burst's letters came
-late or not at all, 24% with all slots in use."""
+burst, targets would use a part of their slots when all are needed."""
--- a/godwitladder/decisions/prediction.py
+++ b/godwitladder/decisions/prediction.py
@@ -12,7 +12,8 @@
 
 Thresholds
 ----------
-RESERVE_QUANTILE : measured, `docs/MEASUREMENTS.md` (prediction).
+RESERVE_QUANTILE : what is reserved; one in ten outlives it, and finds the part of
+    memory that is never reserved.
 LIKELY_QUANTILE : the median; of what is refused as too late, at most half
     would have been in time.
 LEAST_STEP : an estimate follows a tenfold change of lengths within about 25
--- a/godwitladder/decisions/returns.py
+++ b/godwitladder/decisions/returns.py
@@ -7,9 +7,8 @@
 
 A caller sends the same body again, so the body's digest tells. The time that
 callers say they have left does not: it differs from caller to caller by more
-than the time that most have spent. Taken from that, 364 of 722 answers of one
-kind counted as late on a day of overload, first tries among them, and calls that
-could be in time yielded to others.
+than the time that most have spent. Taken from that, first tries count as late, and
+calls that could be in time yield to others.
 
 Two callers who send the same words within the time kept are taken for one:
 the second then yields to others for nothing, which is rare and harms only it.
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -22,11 +22,11 @@
 Thresholds
 ----------
 `backlog.MARGIN` : a request is started while its predicted length, and this factor of
-    it, fits before its deadline. Measured (saturation).
+    it, fits before its deadline.
 REFUSE_EVERY_S : looking through the whole queue costs as much as the rest of
     a run; ten times a second is soon enough to tell a caller.
 LEAST_LEFT : early refusal lets the work ahead exceed what fits by this
-    factor, as some of it ends sooner or goes away. Measured (saturation).
+    factor, as some of it ends sooner or goes away.
 SPILL_AFTER_S : wait that makes it worth asking another zone; two round trips
     of demand and grant take less.
 SPILL_MOST : offers a run makes; more would move a whole queue at once and
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -15,7 +15,14 @@
 from dataclasses import dataclass, replace
 
 from godwitladder.clock import Clock
-from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch, RawRecord
+from godwitladder.discovery.batches import (
+    fits,
+    keep_newest,
+    raw_batch,
+    read_batch,
+    since,
+)
+from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import (
     Batch,
     Record,
@@ -242,8 +249,8 @@
             return FeedNews(
                 self.host,
                 self.currency.age_s(self.clock.boottime()),
-                _raw(Batch(-1, self.next_document, documents)),
-                _raw(Batch(-1, self.next_entry, entries)),
+                raw_batch(Batch(-1, self.next_document, documents)),
+                raw_batch(Batch(-1, self.next_entry, entries)),
             )
 
     def is_turn(self, now: float) -> bool:
@@ -331,9 +338,9 @@
             if not self.is_reader():
                 return None
             documents = Batch(documents.next, documents.next, ())
-        documents = _since(documents, self.next_document)
-        entries = _since(self.changed(entries), self.next_entry)
-        return FeedNews(self.host, 0.0, _raw(documents), _raw(entries))
+        documents = since(documents, self.next_document)
+        entries = since(self.changed(entries), self.next_entry)
+        return FeedNews(self.host, 0.0, raw_batch(documents), raw_batch(entries))
 
     def changed(self, entries: Batch) -> Batch:
         """Return ``entries`` without the beats that say nothing new.
@@ -366,25 +373,25 @@
         """
         began = self.clock.boottime() - news.age_s
         with self.lock:
-            if _fits(news.documents, self.next_document) and _fits(
+            if fits(news.documents, self.next_document) and fits(
                 news.entries, self.next_entry
             ):
                 self.answered_at = max(self.answered_at, began)
                 self.heard_at = self.clock.boottime()
                 self.note_duration(news.age_s)
-                self.take(_batch(news.documents), _batch(news.entries), began)
+                self.take(read_batch(news.documents), read_batch(news.entries), began)
 
     def take(self, documents: Batch, entries: Batch, began: float) -> None:
         """Take in a read that began at ``began``."""
         changed = False
         if documents.next >= self.next_document:
             self.next_document = documents.next
-            _keep_newest(self.newest_documents, documents)
+            keep_newest(self.newest_documents, documents)
             changed |= self.take_documents(documents)
             self.currency.prove(began)
         if entries.next >= self.next_entry:
             self.next_entry = entries.next
-            _keep_newest(self.newest_entries, entries)
+            keep_newest(self.newest_entries, entries)
             changed |= self.take_entries(entries)
         if changed:
             self.tell()
@@ -444,39 +451,3 @@
             },
         )
         self.publish(StoreView(self.version, self.document, targets))
-
-
-def _since(batch: Batch, offset: int) -> Batch:
-    """Return ``batch`` without what other hosts told while it was read.
-
-    Whoever told it has told all.
-    """
-    if batch.whole or offset <= batch.start:
-        return batch
-    kept = tuple(record for record in batch.records if record.offset >= offset)
-    return Batch(min(offset, batch.next), batch.next, kept)
-
-
-def _keep_newest(newest: dict[str, Record], batch: Batch) -> None:
-    """Bring ``newest``, the records in force by key, in line with ``batch``."""
-    if batch.whole:
-        newest.clear()
-    for record in batch.records:
-        if record.value:
-            newest[record.key] = record
-        else:
-            newest.pop(record.key, None)
-
-
-def _fits(batch: RawBatch, following: int) -> bool:
-    return batch.start < 0 or 0 <= batch.start <= following
-
-
-def _raw(batch: Batch) -> RawBatch:
-    rows = (RawRecord(row.offset, row.key, row.value) for row in batch.records)
-    return RawBatch(batch.start, batch.next, tuple(rows))
-
-
-def _batch(raw: RawBatch) -> Batch:
-    rows = (Record(row.offset, row.key, row.value) for row in raw.records)
-    return Batch(raw.start, raw.next, tuple(rows))
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -262,8 +262,7 @@
     """Return the rank: the route's, put back by the workspace's.
 
     On one route a workspace of a higher rank goes first. Ordered by workspace
-    alone, the longest letters of one waited behind the least of another's
-    requests: 210 of 306 of them were refused in a burst.
+    alone, the longest letters of one wait behind the least of another's requests.
     """
     return ROUTE_STEP * route.rank + (workspace.rank or 0)
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -60,8 +60,8 @@
 its allocator helps itself to its fixed share."""
 
 RENEW_S = 1.0
-"""Longest time between two offers to a host that reports. At half a second
-the allocator's host used 7.5% of a core among 32 idle hosts."""
+"""Longest time between two offers to a host that reports: what idle hosts cost
+their allocator grows with their number."""
 
 ANSWER_S = 0.2
 """Longest time between two offers to a host that asks for requests, also if
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -16,7 +16,6 @@
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
-from godwitladder.scheduler.pools import pool_key
 from godwitladder.scheduler.rows import (
     Dispatch,
     IllegalTransition,
@@ -24,6 +23,7 @@
     Tables,
     TargetRow,
 )
+from godwitladder.scheduler.silence import note_silence
 
 log = part_logger("scheduler")
 
@@ -52,29 +52,6 @@
             refuse_request(tables, row, refuse(Reason.DEADLINE, detail, 1.0))
 
 
-def note_silence(tables: Tables, now: float) -> None:
-    """Log when an allocator falls silent, and when it answers again."""
-    for name, access in tables.pools.items():
-        unanswered = access.is_unanswered(now) or access.is_alone(now)
-        silent = access.allocator is not None and unanswered
-        if silent == (access.silent_since is not None):
-            continue
-        extra = {
-            "pool": pool_key(name),
-            "allocator": access.allocator,
-            "waiting": len(access.asked),
-            "sent": access.number,
-            "answered": access.echoed,
-        }
-        if silent:
-            access.silent_since = now
-            log.info("The allocator is silent", extra=extra)
-        else:
-            extra["silent_s"] = round(now - access.silent_since, 3)
-            access.silent_since = None
-            log.info("The allocator answers", extra=extra)
-
-
 def lapse_grants(tables: Tables, now: float) -> None:
     """Drop grants and allowances that may no longer be used."""
     for access in tables.pools.values():
