--- a/godwitladder/scheduler/delays.py
+++ b/godwitladder/scheduler/delays.py
@@ -96,9 +96,7 @@
         """Return what is to be told now, if anything."""
         worst_s, self.worst_s = self.worst_s, 0.0
         late = worst_s > LATE_S
-        if late == (self.late_since is not None) and not (
-            late and now - self.told >= TELL_S
-        ):
+        if not self.is_worth_telling(late, now):
             return None
         since = now if self.late_since is None else self.late_since
         self.late_since = since if late else None
@@ -106,3 +104,10 @@
         news = DelayNews(late, worst_s, now - since, self.reports, self.lines)
         self.reports = self.lines = 0
         return news
+
+    def is_worth_telling(self, late: bool, now: float) -> bool:
+        """Return whether that reports are ``late``, or not, is to be told now."""
+        was_late = self.late_since is not None
+        if late != was_late:
+            return True
+        return late and now - self.told >= TELL_S
--- a/tests/scheduler/overload.py
+++ b/tests/scheduler/overload.py
@@ -3,7 +3,6 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.types import PoolName
 from godwitladder.membership.codec import decode, encode
 from godwitladder.outcomes import Reason, Refusal, RequestState
 from godwitladder.scheduler.pools import make_pools
@@ -77,11 +76,6 @@
         self.role = PoolRole(pool, access.allocator, 1, self.now, standing=False)
         self.role.configure(pool, config, frozenset())
 
-    @property
-    def pool(self) -> PoolName:
-        """The only pool."""
-        return self.role.pool.name
-
     def play(self, seconds: float, calls_per_s: float) -> None:
         """Let time pass while callers ask ``calls_per_s`` times a second."""
         for _ in range(round(seconds / STEP_S)):
