Let the host that reads for all tell what it reads also after a restart

A document that was written while the reader restarted, and before the next host's turn, came to nobody: the reader told how far it had read, without it, and each host waited until it read by itself, up to two seconds later. The bound for a change to be in force is two seconds on some deployments.

What it costs is one document, compressed, to each host with each start of that one host.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -328,16 +328,14 @@
         """Return what others are to be told of a read, before it is taken in.
 
         Hosts that may not read for all tell nobody while they hear from one that
-        may. One that has just started among others that serve has read whole
-        documents, which these know: it says how far they go.
+        may. One that has just started has read whole documents: only the reader
+        tells of them, as a change may have come while there was none.
         """
         unheard_s = self.clock.boottime() - self.heard_at
         if self.host not in self.hosts and unheard_s <= UNHEARD_S:
             return None
-        if self.reads_first and not self.knows():
-            if not self.is_reader():
-                return None
-            documents = Batch(documents.next, documents.next, ())
+        if self.reads_first and not self.knows() and not self.is_reader():
+            return None
         documents = since(documents, self.next_document)
         entries = since(self.changed(entries), self.next_entry)
         return FeedNews(self.host, 0.0, raw_batch(documents), raw_batch(entries))
