--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -55,6 +55,25 @@
     until: float
 
 
+@dataclass(frozen=True)
+class DemandNews:
+    """What a report tells of the requests that wait.
+
+    Attributes
+    ----------
+    lines : tuple of RequestId
+        Those that need a line.
+    gone : tuple of RequestId
+        Those that the allocator may know of and that wait no longer.
+    changes : bool
+        Whether that is what has changed; else the lines are all there are.
+    """
+
+    lines: tuple[RequestId, ...]
+    gone: tuple[RequestId, ...] = ()
+    changes: bool = False
+
+
 @dataclass
 class PoolAccess:
     """What this host knows of and holds in one pool.
@@ -202,28 +221,17 @@
         asking = now - self.reported <= REACH_S
         return self.allocator is None or (silent and asking)
 
-    def news_of(
-        self, requests: Collection[RequestId], now: float
-    ) -> tuple[Collection[RequestId], tuple[RequestId, ...], bool]:
-        """Note that a report tells of ``requests``, and return what it has to hold.
-
-        Returns
-        -------
-        lines : collection of RequestId
-            Those that need a line.
-        gone : tuple of RequestId
-            Those that the allocator may know of and that are no longer among them.
-        changes : bool
-            Whether that is what has changed; else the lines are all there are.
-        """
+    def tell(self, requests: Collection[RequestId], now: float) -> DemandNews:
+        """Note that a report tells of ``requests``, and return what it has to hold."""
         known = self.told | self.settled
         held = self.told - self.settled
-        lines = [request for request in requests if request not in held]
+        lines = tuple(request for request in requests if request not in held)
         self.told, self.settled = set(requests), set()
         if now - self.told_whole >= WHOLE_S:
             self.told_whole = now
-            return requests, (), False
-        return lines, tuple(sorted(known - self.told)), True
+            return DemandNews(tuple(requests))
+        gone = tuple(sorted(known - self.told))
+        return DemandNews(lines, gone, changes=True)
 
     def note_asked(self, now: float) -> None:
         """A report is sent that asks for the requests in ``asked``."""
--- a/godwitladder/scheduler/delays.py
+++ b/godwitladder/scheduler/delays.py
@@ -14,7 +14,7 @@
 from godwitladder.scheduler.exchange import PoolReport
 
 LATE_S = 0.3
-"""Delay that is told of. Half of a short call's time to its first output."""
+"""Delay that is told of: most of the time that a short call has to its first output."""
 TELL_S = 1.0
 """Between two lines about reports that come late."""
 
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -200,7 +200,7 @@
     shown = {row.request: row for row in head + tail}
     access.asked = {request: access.asked.get(request, number) for request in shown}
     access.note_asked(now)
-    lines, gone, changes = access.news_of(shown, now)
+    news = access.tell(shown, now)
     completions, access.completions = tuple(access.completions), []
     rest = Counter(row.tier_rank for row in middle)
     targets = [tables.targets[name] for name in sorted(access.pool.targets)]
@@ -215,15 +215,15 @@
         seen=access.seen,
         uses=report_uses(access, targets),
         workspaces=report_workspaces(tables, access),
-        lines=tuple(make_line(tables, shown[request], now) for request in lines),
+        lines=tuple(make_line(tables, shown[request], now) for request in news.lines),
         rest=tuple(TierCount(*item) for item in sorted(rest.items())),
         avoided=tuple(row.name for row in targets if row.avoided_until > now),
         completions=completions,
         stretches=take_stretches(tables, access, now),
         spent=access.history.rows(now) if unanswered else (),
         known_s=access.history.known_s(now) if unanswered else 0.0,
-        changes=changes,
-        gone=gone,
+        changes=news.changes,
+        gone=news.gone,
     )
 
 
