Work out once a run what an allocator and a host look up for each row

Now counts are kept until a report or an offer changes them, hosts are listed once a run, and who can't be reached is counted once. Messages are written and read by functions made for each type. No decision changes.

--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -19,6 +19,7 @@
 import typing
 import zlib
 from collections.abc import Callable
+from operator import attrgetter
 from typing import Any
 
 import cbor2
@@ -36,6 +37,9 @@
 KINDS: dict[str, type] = {}
 
 Reader = Callable[[Any], Any]
+Writer = Callable[[Any], Any]
+
+SCALARS = frozenset({int, float, str, bool, bytes})
 
 
 class BadMessage(GodwitladderError):
@@ -50,7 +54,8 @@
 
 def encode(message: Any) -> bytes:
     """Return ``message`` in CBOR."""
-    data = cbor2.dumps([type(message).__name__, message], default=_encode_value)
+    kind = type(message)
+    data = cbor2.dumps([kind.__name__, _dataclass_writer(kind)(message)])
     if len(data) < LONG_BYTES:
         return data
     return cbor2.dumps([COMPRESSED, zlib.compress(data, zlib.Z_BEST_SPEED)])
@@ -82,16 +87,39 @@
     return expanded
 
 
-def _encode_value(encoder: Any, value: Any) -> None:
-    if isinstance(value, enum.Enum):
-        encoder.encode(value.value)
+@functools.cache
+def _make_writer(hint: Any) -> Writer | None:
+    """Return what turns a value into plain ones; None if it is plain already."""
+    optional = type(None) in typing.get_args(hint)
+    hint = plain_type(hint)
+    if typing.get_origin(hint) is tuple:
+        inner = _make_writer(typing.get_args(hint)[0])
+        write = inner and (lambda rows: [inner(row) for row in rows])
+    elif dataclasses.is_dataclass(hint):
+        write = _dataclass_writer(hint)
+    elif issubclass(hint, enum.Enum):
+        write = attrgetter("value")
     else:
-        encoder.encode([getattr(value, name) for name in _field_names(type(value))])
+        return None
+    if not optional or write is None:
+        return write
+    return lambda value: None if value is None else write(value)
 
 
 @functools.cache
-def _field_names(kind: type) -> tuple[str, ...]:
-    return tuple(field.name for field in dataclasses.fields(kind))
+def _dataclass_writer(kind: type) -> Writer:
+    hints = typing.get_type_hints(kind)
+    names = [field.name for field in dataclasses.fields(kind)]
+    writers = [(place, _make_writer(hints[name])) for place, name in enumerate(names)]
+    nested = [(place, write) for place, write in writers if write is not None]
+
+    def write(value: Any) -> list:
+        row = [getattr(value, name) for name in names]
+        for place, write_item in nested:
+            row[place] = write_item(row[place])
+        return row
+
+    return write
 
 
 @functools.cache
@@ -120,10 +148,25 @@
     hints = typing.get_type_hints(kind)
     fields = dataclasses.fields(kind)
     readers = [make_reader(hints[field.name]) for field in fields]
+    plain = [plain_type(hints[field.name]) for field in fields]
+    scalars = [(place, hint) for place, hint in enumerate(plain) if hint in SCALARS]
+    others = [
+        (place, readers[place])
+        for place, hint in enumerate(plain)
+        if hint not in SCALARS
+    ]
 
     def read(value: Any) -> Any:
         if type(value) is not list:
             raise TypeError(f"{kind.__name__} is no array: {value!r}")
+        # Nearly all messages are of this version, and a call for each field of
+        # each line is most of what reading one costs.
+        if len(value) == len(fields) and all(
+            [type(value[place]) is hint for place, hint in scalars]
+        ):
+            for place, reader in others:
+                value[place] = reader(value[place])
+            return kind(*value)
         # Fields of a later version are passed over; missing ones have
         # defaults, or the call below raises TypeError.
         pairs = zip(readers, value, strict=False)
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -37,11 +37,13 @@
 
 def add_up(counts: Iterable[Mapping[TargetName, Counted]]) -> dict[TargetName, Counted]:
     """Return the sum for each target."""
-    total: dict[TargetName, Counted] = {}
+    rows: dict[TargetName, list[Counted]] = {}
     for count in counts:
         for name, row in count.items():
-            total[name] = total.get(name, NOTHING) + row
-    return total
+            rows.setdefault(name, []).append(row)
+    return {
+        name: Counted(*map(sum, zip(*row, strict=True))) for name, row in rows.items()
+    }
 
 
 @dataclass(frozen=True)
@@ -91,6 +93,8 @@
         When it was taken in, and when the last offer was sent.
     next_number : int
         Number of the next offer.
+    known_counted, known_running : dict or None
+        Kept from one run to the next until anything that they are made of changes.
     """
 
     host: HostId
@@ -109,11 +113,14 @@
     avoided: frozenset[TargetName] = frozenset()
     allowances: deque[SentAllowances] = field(default_factory=deque)
     grants: dict[RequestId, SentGrant] = field(default_factory=dict)
+    known_counted: dict[TargetName, Counted] | None = None
+    known_running: dict[TargetName, Counted] | None = None
 
     def take(self, report: PoolReport, seen: int, now: float) -> bool:
         """Take in a report; return False for one that came out of order."""
         if report.number <= self.received:
             return False
+        self.forget_counts()
         self.received = report.number
         self.sent_s = report.sent_s
         self.heard = now
@@ -127,6 +134,20 @@
         self._take_lines(report)
         return True
 
+    def note_grant(self, sent: SentGrant) -> None:
+        """Count a grant that an offer brings."""
+        self.grants[sent.grant.request] = sent
+        self.forget_counts()
+
+    def note_allowances(self, sent: SentAllowances) -> None:
+        """Count the allowances of an offer."""
+        self.allowances.append(sent)
+        self.forget_counts()
+
+    def forget_counts(self) -> None:
+        """Let the counts be worked out anew."""
+        self.known_counted = self.known_running = None
+
     def _take_lines(self, report: PoolReport) -> None:
         if not report.changes:
             self.lines = {}
@@ -154,6 +175,17 @@
 
     def counted(self) -> dict[TargetName, Counted]:
         """Return the most that the host may have on each target by now."""
+        if self.known_counted is None:
+            self.known_counted = self._count_most()
+        return self.known_counted
+
+    def running(self) -> dict[TargetName, Counted]:
+        """Return what runs by the last report, or is granted by name."""
+        if self.known_running is None:
+            self.known_running = self._count_running()
+        return self.known_running
+
+    def _count_most(self) -> dict[TargetName, Counted]:
         most = {
             name: Counted(
                 use.running,
@@ -174,8 +206,7 @@
                 )
         return self._add_granted(most)
 
-    def running(self) -> dict[TargetName, Counted]:
-        """Return what runs by the last report, or is granted by name."""
+    def _count_running(self) -> dict[TargetName, Counted]:
         known = {
             name: Counted(use.running, use.reserved_tokens)
             for name, use in self.uses.items()
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.affinity import PrefixHints
@@ -137,6 +138,8 @@
         self.config = ConfigState()
         self.leaving: frozenset[str] = frozenset()
         self.accounts: dict[tuple[HostId, Incarnation], HostAccount] = {}
+        self.listed: list[HostAccount] = []
+        self.listed_at: float | None = None
         self.first_number = 1
         self.floors: dict[PoolName, Floor] = {}
         self.speeds = TargetSpeeds()
@@ -166,6 +169,7 @@
     def take_report(self, report: PoolReport, now: float) -> bool:
         """Take in a host's report; return whether it calls for a run at once."""
         key = report.host, report.incarnation
+        self.listed_at = None
         self.delays.note(report, now)
         account = self.accounts.get(key)
         if account is None:
@@ -249,6 +253,7 @@
 
     def forget(self, now: float) -> None:
         """Drop hosts that are gone, and floors that nobody repeats."""
+        self.listed_at = None
         for key, account in list(self.accounts.items()):
             if now - account.heard > FORGET_S:
                 # A host that comes back still knows the last offer's number,
@@ -262,9 +267,11 @@
 
     def current(self, now: float) -> list[HostAccount]:
         """Return the account of each host that still reports: its newest."""
-        rows = sorted(self.accounts.values(), key=lambda row: row.incarnation)
-        newest = {row.host: row for row in rows if now - row.heard < SILENT_S}
-        return list(newest.values())
+        if self.listed_at != now:
+            rows = sorted(self.accounts.values(), key=attrgetter("incarnation"))
+            newest = {row.host: row for row in rows if now - row.heard < SILENT_S}
+            self.listed, self.listed_at = list(newest.values()), now
+        return self.listed
 
     def account(self, host: HostId, now: float) -> HostAccount:
         """Return the account of a host that still reports."""
@@ -324,8 +331,14 @@
         until_s = account.sent_s + LAPSE_S
         for grant in offering.grants:
             line = account.lines.pop(grant.request)
-            account.grants[grant.request] = SentGrant(
-                account.next_number, until_s, grant, line.workspace, line.prompt_tokens
+            account.note_grant(
+                SentGrant(
+                    account.next_number,
+                    until_s,
+                    grant,
+                    line.workspace,
+                    line.prompt_tokens,
+                )
             )
         for shed in offering.sheds:
             account.lines.pop(shed.request, None)
@@ -343,7 +356,7 @@
         home = [row.host for row in self.current(now) if row.host in expected]
         open_handed = due and not contended and self.has_standing
         standing = self.standing(home, now) if open_handed else {}
-        total = self.counted()
+        total = self.counted() if standing else {}
         for account in self.current(now):
             allowances = account.allowed()
             if account in due:
@@ -422,7 +435,7 @@
         account.offered = now
         account.echoed = account.received
         until_s = account.sent_s + LAPSE_S
-        account.allowances.append(SentAllowances(number, until_s, allowances))
+        account.note_allowances(SentAllowances(number, until_s, allowances))
         return GrantOffer(
             host=account.host,
             incarnation=account.incarnation,
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -115,10 +115,18 @@
     return any(
         may_add(tables, access, tables.targets[name], 0, now)
         for access in tables.by_service.get(service, ())
+        if may_use_unasked(tables, access, now)
         for name in access.pool.targets
     )
 
 
+def may_use_unasked(tables: Tables, access: PoolAccess, now: float) -> bool:
+    """Return whether this host may use any target of a pool without a grant."""
+    if access.allowances or access.is_alone(now):
+        return True
+    return is_left_alone(tables, access, now)
+
+
 def choose_target(tables: Tables, row: RequestRow, now: float) -> TargetRow | None:
     """Return the least used target that this host may use unasked, if any.
 
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -3,6 +3,7 @@
 Pure: a role and a time go in, views come out.
 """
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from godwitladder.configuration.model import TargetState
@@ -92,11 +93,12 @@
     """Return every target that may take work."""
     views = {}
     counted, running = role.counted(), role.running()
+    unreachable = unreachable_targets(role, now)
     for name in sorted(role.pool.targets):
         target = role.config.targets.get(name)
         if target is None or target.state is TargetState.LEAVING:
             continue
-        if target.address in role.leaving or unreachable(role, name, now):
+        if target.address in role.leaving or name in unreachable:
             continue
         count = counted.get(name, NOTHING)
         role.loads.note_ours(name, running.get(name, NOTHING).running, now)
@@ -128,15 +130,16 @@
     return role.easing.limit(name, slots, now) if role.policy.eases_off else slots
 
 
-def unreachable(role: "PoolRole", target: TargetName, now: float) -> bool:
-    """Return whether half of the hosts can't connect to ``target``.
+def unreachable_targets(role: "PoolRole", now: float) -> set[TargetName]:
+    """Return the targets to which half of the hosts can't connect.
 
     One host's broken path must not take a target from all others, nor from
     itself alone while the rest have nothing to report.
     """
     current = role.current(now)
-    avoiding = sum(target in row.avoided for row in current)
-    return avoiding > 0 and avoiding * 2 >= max(len(current), role.quotas.hosts)
+    avoiding = Counter(name for row in current for name in row.avoided)
+    hosts = max(len(current), role.quotas.hosts)
+    return {name for name, count in avoiding.items() if count * 2 >= hosts}
 
 
 def workspace_views(role: "PoolRole", now: float) -> dict[WorkspaceName, WorkspaceView]:
@@ -149,6 +152,11 @@
     views = {}
     for name in names & set(role.config.workspaces):
         workspace = role.config.workspaces[name]
-        running = sum(row.workspace_running(name) for row in role.accounts.values())
+        running = workspace_running(role, name) if workspace.quota else 0
         views[name] = WorkspaceView(workspace.share, workspace.quota, running)
     return views
+
+
+def workspace_running(role: "PoolRole", name: WorkspaceName) -> int:
+    """Return the requests of a workspace that run on all hosts."""
+    return sum(row.workspace_running(name) for row in role.accounts.values())
