--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -2,7 +2,7 @@
 
 import random
 import secrets
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
@@ -16,7 +16,13 @@
 from godwitladder.logs import part_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
-from godwitladder.routing.calls import CallFacts, HeaderForm, Headers, RoutedCall
+from godwitladder.routing.calls import (
+    CallFacts,
+    HeaderForm,
+    Headers,
+    PromptPart,
+    RoutedCall,
+)
 from godwitladder.routing.currency import Currency
 from godwitladder.routing.matching import RouteTable, choose_split, host_of
 from godwitladder.routing.model import (
@@ -238,6 +244,7 @@
             deadline=now + wait_s,
             idempotent=may_repeat(route),
             body=digest,
+            prefix=shared_start(facts.parts),
         )
         row.start_by = now + start_within_s(route, wait_s)
         if route.aim_s:
@@ -283,6 +290,15 @@
     return route.repeat is Repeat.IDEMPOTENT or route.resumable
 
 
+def shared_start(parts: Sequence[PromptPart]) -> str:
+    """Return by what the start of a prompt is known that others have too.
+
+    The last part belongs to the request alone. A target that keeps the part before
+    it keeps all before that one as well.
+    """
+    return parts[-2].name if len(parts) > 1 else ""
+
+
 def charge_of(facts: CallFacts, quota: TokenQuota) -> int:
     """Return the tokens that a request counts for in its workspace's quota."""
     return facts.prompt_tokens + facts.output_tokens or quota.plain_tokens
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -3,6 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from godwitladder.routing.app import shared_start
+from godwitladder.routing.calls import PromptPart
 from godwitladder.routing.currency import MARGIN_S, Currency
 from godwitladder.routing.matching import RouteTable, choose_split, host_of
 from godwitladder.routing.model import Repeat, Route, Split
@@ -59,3 +61,12 @@
     currency.prove(100.0)
     currency.prove(90.0)
     assert currency.age_s(101.0) == 1.0
+
+
+def test_prompts_with_a_common_start_are_known_by_its_last_part():
+    """Guards against prompts that are read anew beside a target that keeps them."""
+    guide, garment = PromptPart("guide", 528), PromptPart("garment", 2454)
+    first = (guide, garment, PromptPart("one", 900))
+    second = (guide, garment, PromptPart("two", 400))
+    assert shared_start(first) == shared_start(second) == "garment"
+    assert shared_start((PromptPart("alone", 10),)) == shared_start(()) == ""
