--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -19,6 +19,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from godwitladder.decisions.backlog import Backlog, Group
@@ -80,6 +81,7 @@
             if not entry.row.returned:
                 self.count_offered(entry, 1.0)
         self.placed_s = 0.0
+        self.promised: Counter[WorkspaceName] = Counter()
         self.running = {
             name: view.running for name, view in pool.workspaces.items() if view.quota
         }
@@ -137,8 +139,12 @@
             if self.at_quota(line.workspace):
                 queue.drop(line.workspace)
             elif (wait_s := self.quota_wait_s(line)) > 0:
+                # Waiting for its quota or refused, it is no part of the pool's load.
                 placed.add(line.request)
-                self.refuse_quota(entry, wait_s)
+                if wait_s <= self.patience_s(entry):
+                    self.promised[line.workspace] += line.charge
+                else:
+                    self.refuse_quota(entry, wait_s)
             elif self.place(entry):
                 placed.add(line.request)
                 misses = 0
@@ -182,7 +188,20 @@
 
     def quota_wait_s(self, line: DemandLine) -> float:
         """Return the seconds until the workspace's tokens allow ``line``."""
-        return self.pool.quotas.wait_s(line.workspace, line.charge, self.now)
+        promised = self.promised[line.workspace]
+        return self.pool.quotas.wait_s(line.workspace, line.charge, self.now, promised)
+
+    def patience_s(self, entry: Entry) -> float:
+        """Return the seconds for which ``entry`` may wait for its quota.
+
+        A quota fills all the time: refused at once, a caller who could be served in
+        time by the next second's tokens is sent away for as many seconds as it is
+        told, and comes back late. Without an aim nobody can tell what is in time.
+        """
+        if math.isinf(entry.aim):
+            return 0.0
+        until = entry.aim if self.now <= entry.aim else entry.latest
+        return until - self.now
 
     def refuse_quota(self, entry: Entry, wait_s: float) -> None:
         """Refuse what is beyond its workspace's tokens: nobody is owed it."""
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -165,14 +165,22 @@
         missing = [spent - gained * (place + 1) for place, spent in enumerate(sums)]
         return full - max([0.0, *missing])
 
-    def wait_s(self, workspace: WorkspaceName, charge: int, now: float) -> float:
-        """Return the seconds until ``charge`` is within the quota; 0 for now."""
+    def wait_s(
+        self, workspace: WorkspaceName, charge: int, now: float, promised: int = 0
+    ) -> float:
+        """Return the seconds until ``charge`` is within the quota; 0 for now.
+
+        Parameters
+        ----------
+        promised : int
+            Tokens of requests that wait for the quota before this one.
+        """
         rate = self.rates.get(workspace)
         if rate is None or rate.rate <= 0:
             return 0.0
         bucket = self.fill(workspace, rate, now)
         # One request larger than the whole bucket would otherwise never run.
-        missing = min(charge, self.size(rate)) - bucket.left
+        missing = min(charge, self.size(rate)) + promised - bucket.left
         if missing <= 0:
             return 0.0
         return max(SOONEST_S, missing / (rate.rate * RATE_FACTOR * self.share))
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -12,7 +12,7 @@
 from godwitladder.decisions.shares import Precedence, Size, Timeliness, serving_order
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.decisions.types import ShedReason
-from tests.decisions.pools import add, given_up, make_pool, make_target
+from tests.decisions.pools import add, given_up, make_pool, make_target, take
 
 RATE = {"w0": TokenRate(1000.0, 2000.0)}
 
@@ -162,6 +162,32 @@
     assert all(0.1 <= row.retry_after_s < 1.0 for row in refused)
 
 
+def test_a_call_waits_for_a_quota_that_fills_within_its_aim():
+    """Guards against callers sent away for seconds for want of a moment's tokens."""
+    pool = make_pool(make_target(limit=9))
+    pool.quotas = QuotaBook(rates=RATE)
+    aimed(pool, "now", 0, aim=0.8, charge=500)
+    aimed(pool, "soon", 0, aim=0.8, charge=600)
+    aimed(pool, "too late", 0, aim=0.8, charge=600)
+    first = allocate(pool, 0.0)
+    assert [row.request for row in first.placements] == ["now"]
+    assert given_up(first) == {"too late": ShedReason.QUOTA}
+    take(pool, first)
+    assert placed(pool, now=0.5) == []
+    assert placed(pool, now=0.6) == ["soon"]
+
+
+def test_calls_that_wait_for_a_quota_are_no_load_of_the_pool():
+    """Guards against others refused for places that such calls do not take."""
+    pool = make_pool(make_target(limit=9))
+    pool.policy = ASKED
+    pool.quotas = QuotaBook(rates=RATE)
+    aimed(pool, "now", 0, aim=0.8, charge=500)
+    aimed(pool, "soon", 0, aim=0.8, charge=400)
+    allocate(pool, 0.0)
+    assert pool.memory.flow == 0.0
+
+
 def test_a_window_holds_no_more_than_the_quota_allows():
     """A workspace asks for ten times its quota, without a pause."""
     book = QuotaBook(slack=500.0, rates=RATE)
