--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -13,6 +13,7 @@
 from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.easing import TargetEasing
+from godwitladder.decisions.forecast import ReadingForecast
 from godwitladder.decisions.memory import AllocatorMemory
 from godwitladder.decisions.policy import ASKED, STRICT
 from godwitladder.decisions.quotas import QuotaBook
@@ -145,6 +146,7 @@
         self.speeds = TargetSpeeds()
         self.easing = TargetEasing()
         self.hints = PrefixHints()
+        self.forecast = ReadingForecast()
         self.memory = AllocatorMemory()
         self.quotas = QuotaBook()
         self.rows: dict[RequestId, Waiting] = {}
@@ -158,7 +160,13 @@
     ) -> None:
         """Take in the targets as they stand, and addresses that are leaving."""
         for name in self.pool.targets - pool.targets:
-            for learned in (self.speeds, self.easing, self.loads, self.hints):
+            for learned in (
+                self.speeds,
+                self.easing,
+                self.loads,
+                self.hints,
+                self.forecast,
+            ):
                 learned.forget(name)
         self.pool, self.config, self.leaving = pool, config, leaving
         self.quotas.rates = token_rates(config)
@@ -302,6 +310,7 @@
                 lapse_s=LAPSE_S,
             )
             self.hints.note_dispatch(row.target, waiting.line.prefix, now)
+            self.note_reading(row.target, waiting.line.prompt_tokens, now)
             offerings.setdefault(waiting.host, Offering()).grants.append(grant)
         for row in allocation.given_up:
             waiting = view.waiting[row.request]
@@ -320,6 +329,11 @@
             offerings.setdefault(host, Offering()).spill.append(request)
         return offerings
 
+    def note_reading(self, target: TargetName, tokens: int, now: float) -> None:
+        """Foretell when a prompt is read that has just been granted."""
+        _, read_s = self.speeds.reading(target)
+        self.forecast.note(target, tokens, tokens * read_s, now)
+
     def note_shed(self, rank: int, now: float) -> None:
         """Remember the most important tier shed within the last seconds."""
         old = now - self.shed_at > FLOOR_S
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from godwitladder.configuration.model import TargetState
+from godwitladder.decisions.forecast import Unread
 from godwitladder.decisions.types import (
     DemandLine,
     PoolView,
@@ -103,6 +104,8 @@
         count = counted.get(name, NOTHING)
         role.loads.note_ours(name, running.get(name, NOTHING).running, now)
         speed = role.speeds.learned[name]
+        told = Unread(count.unread, count.unread_requests)
+        unread = role.forecast.unread(name, told, now)
         first_s, read_s = role.speeds.reading(name)
         views[name] = TargetView(
             name=name,
@@ -115,8 +118,8 @@
             reserved_tokens=count.tokens,
             limit=limit_of(role, name, target.slots, now),
             prefixes=role.hints.prefixes(name, now),
-            unread_tokens=count.unread,
-            unread_requests=count.unread_requests,
+            unread_tokens=unread.tokens,
+            unread_requests=unread.requests,
             first_s=first_s,
             read_s=read_s,
             unread_s=role.unread_s,
