Replay a flood beside old news, and a target that stands still

The cap counts prompts of which no host has told, read or not: counted as overdue, a target that reads nothing took all of its places (5 of 5 in the test, 3 now).

--- a/godwitladder/decisions/forecast.py
+++ b/godwitladder/decisions/forecast.py
@@ -6,15 +6,15 @@
 after each prompt, and callers are refused beside empty places.
 
 So a prompt counts as read when its target has had the time for it since it was
-granted, whether its host has told so yet or not. A target that stands still is
-found all the same: of what should be read by now, hosts go on telling that it is
-not, and beyond a few such prompts what they tell is what counts.
+granted, whether its host has told so yet or not. With a few prompts of which no
+host has told so, what hosts tell is what counts again: a target that stands still
+costs these calls and no more.
 
 Thresholds
 ----------
 TRANSIT_S : a grant's way to its host, and the prompt's way to its target.
-MOST_OVERDUE : as many prompts of a usual length are read while one report of it
-    is on its way; a target that stands still costs so many calls more.
+MOST_UNHEARD : as many prompts of a usual length are read while one report of it
+    is on its way.
 """
 
 from collections import deque
@@ -23,7 +23,7 @@
 from godwitladder.ids import TargetName
 
 TRANSIT_S = 0.03
-MOST_OVERDUE = 2
+MOST_UNHEARD = 3
 
 
 @dataclass(frozen=True)
@@ -82,7 +82,7 @@
         rows = self.rows.get(target, ())
         while rows and rows[0].end <= now:
             rows.popleft()
-        if told.requests - len(rows) > MOST_OVERDUE:
+        if told.requests >= MOST_UNHEARD:
             return told
         tokens = sum(row.left(now) for row in rows)
         return Unread(min(told.tokens, tokens), min(told.requests, len(rows)))
--- /dev/null
+++ b/tests/scheduler/test_flood.py
@@ -0,0 +1,25 @@
+"""Places in use while far more calls come than there are places for."""
+
+from tests.scheduler.flood import DECODE_TPS, PREFILL_TPS, Flood
+
+USED_SHARE = 0.9
+"""Of the time that a place can be in use: news of its end and the next grant are on
+their way for the rest."""
+
+
+def test_places_stay_in_use_while_news_of_them_are_old():
+    """Guards against places that stand empty until it is heard what was read."""
+    flood = Flood(news_s=0.2)
+    flood.play(3, calls_per_s=40)
+    flood.used.clear()
+    flood.play(4, calls_per_s=40)
+    hold_s = flood.prompt / PREFILL_TPS + flood.output / DECODE_TPS
+    attainable = flood.targets * flood.slots * hold_s / (hold_s + 2 * flood.news_s)
+    assert sum(flood.used) / len(flood.used) >= USED_SHARE * attainable
+
+
+def test_a_target_that_stands_still_takes_few_calls():
+    """Guards against a place after the other filled at a target that reads nothing."""
+    flood = Flood(stuck={"e0"})
+    flood.play(7, calls_per_s=40)
+    assert flood.sent.count("e0") <= 3
