--- a/godwitladder/scheduler/delays.py
+++ b/godwitladder/scheduler/delays.py
@@ -78,8 +78,8 @@
     reports: int = 0
     lines: int = 0
 
-    def note(self, report: PoolReport, now: float) -> None:
-        """Take in that ``report`` is taken in now."""
+    def note(self, report: PoolReport, now: float) -> float:
+        """Take in that ``report`` is taken in now; return its delay in seconds."""
         key = report.host, report.incarnation
         passed_s = now - report.sent_s
         least_s = min(passed_s, self.least.get(key, passed_s))
@@ -87,6 +87,7 @@
         self.worst_s = max(self.worst_s, passed_s - least_s)
         self.reports += 1
         self.lines += len(report.lines)
+        return passed_s - least_s
 
     def forget(self, host: HostId, incarnation: Incarnation) -> None:
         """Drop what is known of a process that is gone."""
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -55,7 +55,7 @@
 )
 from godwitladder.scheduler.pools import Pool
 from godwitladder.scheduler.quotas import token_rates
-from godwitladder.scheduler.views import pool_view, target_views
+from godwitladder.scheduler.views import pool_view, take_line, target_views
 
 LAPSE_S = 2.5
 """An allowance outlives a lost renewal, and lapses before a host that lost
@@ -183,7 +183,7 @@
         """Take in a host's report; return whether it calls for a run at once."""
         key = report.host, report.incarnation
         self.listed_at = None
-        self.delays.note(report, now)
+        delay_s = self.delays.note(report, now)
         account = self.accounts.get(key)
         if account is None:
             account = HostAccount(*key, next_number=self.first_number)
@@ -191,6 +191,7 @@
         seen = report.seen if report.term == self.term else 0
         if not account.take(report, seen, now):
             return False
+        self.take_lines(account, report, now - delay_s)
         self.quotas.recall(report.host, report.spent, report.known_s, now)
         for row in report.completions:
             self.learn(row)
@@ -199,6 +200,20 @@
         wanted = any(row.lines or row.more_waiting for row in self.accounts.values())
         return wanted or account.offered == float("-inf")
 
+    def take_lines(
+        self, account: HostAccount, report: PoolReport, told_at: float
+    ) -> None:
+        """Take in requests as they stood when their host told of them.
+
+        Counted from the moment in which a report is taken in, what a caller has
+        left would grow by the delay, and places would go to calls that have left.
+        """
+        for line in report.lines:
+            if account.lines.get(line.request) is line:
+                before = self.rows.get(line.request)
+                row = take_line(self, account.host, line, told_at, before)
+                self.rows[line.request] = row
+
     def watch(self, row: Stretch, now: float) -> None:
         """Take in how fast a target works while requests run."""
         if not self.speeds.known(row.target):
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -56,7 +56,7 @@
     now: float,
     before: Waiting | None,
 ) -> Waiting:
-    """Return a demand line with its times by the allocator's clock.
+    """Return a demand line as of ``now``, with its times by the allocator's clock.
 
     The aim counts from when the caller first asked, also if it was refused
     since then and has come back.
--- a/tests/scheduler/test_flood.py
+++ b/tests/scheduler/test_flood.py
@@ -1,5 +1,16 @@
 """Places in use while far more calls come than there are places for."""
 
+import pytest
+
+from godwitladder.scheduler.reports import due_reports
+from tests.scheduler.desk import (
+    START,
+    make_config,
+    make_request,
+    make_role,
+    make_tables,
+    submit,
+)
 from tests.scheduler.flood import DECODE_TPS, PREFILL_TPS, Flood
 
 USED_SHARE = 0.9
@@ -23,3 +34,14 @@
     flood = Flood(stuck={"e0"})
     flood.play(7, calls_per_s=40)
     assert flood.sent.count("e0") <= 3
+
+
+def test_what_a_caller_has_left_does_not_grow_on_the_way():
+    """Guards against places for calls whose callers have left meanwhile."""
+    config = make_config({"e0": 1})
+    tables, role = make_tables("h0", ("h0",), config), make_role("h0", config, START)
+    for name, at, delay_s in (("prompt", START, 0.0), ("delayed", START + 1.0, 0.4)):
+        row = submit(tables, make_request(name, at, timeout_s=1.0))
+        ((_, report),) = due_reports(tables, at)
+        role.take_report(report, at + delay_s)
+        assert role.rows[name].deadline == pytest.approx(row.deadline)
