--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -31,6 +31,7 @@
 KEPT_COMPLETIONS = 64
 SPARE_ROWS = 32
 ROOM_RETRY_S = 1.0
+EXPIRED_RETRY_S = 1.0
 OVER_QUOTA = "The workspace has had its tokens for now."
 NO_ROOM = "This host has no room for more requests that wait."
 
@@ -45,11 +46,17 @@
 
 
 def expire_requests(tables: Tables, now: float) -> None:
-    """Refuse what can no longer be answered in time."""
+    """Refuse what can no longer be answered in time.
+
+    The allocator does so too, but one that is far behind would leave callers
+    without an answer until they have no time left to turn elsewhere.
+    """
     for row in list(tables.waiting.values()):
-        if row.deadline <= now and row.state is RequestState.WAITING:
-            detail = "The deadline passed before a target was free."
-            refuse_request(tables, row, refuse(Reason.DEADLINE, detail, 1.0))
+        until = min(row.deadline, row.start_by)
+        if until <= now and row.state is RequestState.WAITING:
+            detail = "No target was free in time."
+            refusal = refuse(Reason.DEADLINE, detail, EXPIRED_RETRY_S)
+            refuse_request(tables, row, refusal)
 
 
 def lapse_grants(tables: Tables, now: float) -> None:
--- a/tests/scheduler/test_flood.py
+++ b/tests/scheduler/test_flood.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.reports import due_reports
+from godwitladder.scheduler.systems import run_systems
 from tests.scheduler.desk import (
     START,
     make_config,
@@ -45,3 +47,18 @@
         ((_, report),) = due_reports(tables, at)
         role.take_report(report, at + delay_s)
         assert role.rows[name].deadline == pytest.approx(row.deadline)
+
+
+def test_a_call_of_no_use_any_more_is_told_so_without_an_allocator():
+    """Guards against callers held to their end by an allocator that is far behind."""
+    config = make_config({"e0": 1})
+    tables = make_tables("h0", ("h0", "h1"), config)
+    row = make_request("r", START, timeout_s=2.0)
+    row.start_by = START + 1.4
+    submit(tables, row)
+    run_systems(tables, START + 1.3)
+    assert row.decisions.empty()
+    run_systems(tables, START + 1.4)
+    refusal = row.decisions.get_nowait()
+    assert (refusal.reason, refusal.outcome) == (Reason.DEADLINE, RequestState.NOT_RUN)
+    assert refusal.retry_after_s
