--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -32,6 +32,10 @@
 SPARE_ROWS = 32
 ROOM_RETRY_S = 1.0
 EXPIRED_RETRY_S = 1.0
+GRANT_WAY_S = 0.25
+GRANT_WAY_SHARE = 0.1
+"""For so long, and no more than this part of the rest of its time, a call waits for
+a grant that may have been given in the last moment."""
 OVER_QUOTA = "The workspace has had its tokens for now."
 NO_ROOM = "This host has no room for more requests that wait."
 
@@ -52,13 +56,20 @@
     without an answer until they have no time left to turn elsewhere.
     """
     for row in list(tables.waiting.values()):
-        until = min(row.deadline, row.start_by)
-        if until <= now and row.state is RequestState.WAITING:
+        if is_too_late(row, now) and row.state is RequestState.WAITING:
             detail = "No target was free in time."
             refusal = refuse(Reason.DEADLINE, detail, EXPIRED_RETRY_S)
             refuse_request(tables, row, refusal)
 
 
+def is_too_late(row: RequestRow, now: float) -> bool:
+    """Return whether ``row`` is of no use any more, and no grant on its way."""
+    if row.start_by >= row.deadline:
+        return now >= row.deadline
+    rest_s = row.deadline - row.start_by
+    return now >= row.start_by + min(GRANT_WAY_S, rest_s * GRANT_WAY_SHARE)
+
+
 def lapse_grants(tables: Tables, now: float) -> None:
     """Drop grants and allowances that may no longer be used."""
     for access in tables.pools.values():
