--- a/godwitladder/decisions/untimely.py
+++ b/godwitladder/decisions/untimely.py
@@ -12,6 +12,8 @@
 
 Thresholds
 ----------
+LATE_AIMS : aims for which a call waits that is late whatever happens; told then,
+    its caller has most of its time left to turn elsewhere or to come back.
 LEAST_RATE : slot seconds a second; where nothing starts, the first of a queue
     is kept.
 """
@@ -22,6 +24,7 @@
 from godwitladder.decisions.shedding import is_time_to_refuse
 from godwitladder.decisions.types import Entry, PoolView
 
+LATE_AIMS = 2.0
 LEAST_RATE = 0.01
 
 
@@ -67,4 +70,5 @@
     """Return the time by which ``entry`` has to start."""
     if group.precedence.timeliness is Timeliness.IN_TIME:
         return min(entry.aim, entry.latest)
-    return entry.latest
+    row = entry.row
+    return min(entry.latest, row.arrived + LATE_AIMS * (row.aim - row.asked))
