--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -37,9 +37,11 @@
 """Shortest time between two reports. It grows with what the last one held, so
 that a long queue with many arrivals costs no more than a short one."""
 
-PROMPT_S = 0.1
-"""An allocator that keeps up answers what asks for requests in less. For as long as
-it takes more, the next report waits: about one report of each host is on its way
+SLOW_S = 0.5
+"""An allocator that keeps up answers what asks for requests within a fifth of a
+second and a tick of its own. One that does not is sent less."""
+SLOW_SHARE = 0.5
+"""Of the time for which it is behind: about two reports of a host are on their way
 then, however slow the allocator or its link."""
 
 SPILL_AFTER_S = 1.0
@@ -126,8 +128,10 @@
     overload that lasts when its cause is gone.
     """
     shortest_s = GAP_S + GAP_PER_LINE_S * len(access.asked)
-    behind_s = access.behind_s(now) - PROMPT_S
-    return max(shortest_s, min(behind_s, HEARTBEAT_S))
+    behind_s = access.behind_s(now)
+    if behind_s <= SLOW_S:
+        return shortest_s
+    return max(shortest_s, min(behind_s * SLOW_SHARE, HEARTBEAT_S))
 
 
 def is_due(tables: Tables, access: PoolAccess, now: float) -> bool:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -68,11 +68,6 @@
 ANSWER_S = 0.2
 """Longest time between two offers to a host that asks for requests, also if
 nothing was decided: it then knows that its allocator can be reached."""
-SOON_S = 0.06
-SOON_PER_HOST_S = 0.0015
-"""Likewise as long as there are few hosts: each of them sends its next report about
-when the last one is answered. With more of them, offers would take the time that
-decisions need."""
 
 SILENT_S = 3.0
 """Demand of a host that was silent for so long is no longer answered."""
@@ -407,13 +402,9 @@
         if not self.has_standing and account.echoed == account.received:
             return False
         taken_back = contended and account.holds_allowances()
-        longest_s = self.answer_s() if account.lines else RENEW_S
+        longest_s = ANSWER_S if account.lines else RENEW_S
         return taken_back or now - account.offered >= longest_s
 
-    def answer_s(self) -> float:
-        """Return the longest time between two offers to a host that asks."""
-        return min(ANSWER_S, max(SOON_S, SOON_PER_HOST_S * len(self.listed)))
-
     def standing(
         self, home: list[HostId], now: float
     ) -> dict[HostId, list[TargetView]]:
