--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -22,6 +22,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from godwitladder.decisions.admission import Flow
 from godwitladder.decisions.backlog import Backlog, Group
 from godwitladder.decisions.capacity import Capacity, Room, is_long
 from godwitladder.decisions.fairness import TierQueue
@@ -63,9 +64,15 @@
     refuse = refuse_early if pool.policy.is_strict else refuse_untimely
     run.drop(refuse(run.backlog, pool, now), ShedReason.OVERLOAD)
     run.summarize()
+    pool.memory.admission.look(now)
     return run.allocation
 
 
+def flow_of(entry: Entry) -> Flow:
+    """Return whose calls of which service ``entry`` is one of."""
+    return entry.row.line.service, entry.row.line.workspace
+
+
 class _Run:
     """One run of the allocator."""
 
@@ -78,6 +85,7 @@
         self.backlog = Backlog(self.capacity, sizes)
         pool.memory.fade(now)
         for entry in self.backlog.sort(list(pool.waiting.values()), now):
+            pool.memory.admission.asked[flow_of(entry)] += 1
             if not entry.row.returned:
                 self.count_offered(entry, 1.0)
         self.placed_s = 0.0
@@ -214,6 +222,7 @@
         """Remember a placement for the next runs."""
         line = entry.row.line
         memory = self.pool.memory
+        memory.admission.served[flow_of(entry)] += 1
         memory.note(entry.precedence_at(self.now), line.workspace, entry.slot_s)
         self.placed_s += entry.slot_s
         if long:
@@ -264,6 +273,8 @@
                 )
             if reason is ShedReason.OVERLOAD:
                 self.note_shed(line.tier_rank)
+            if reason is not ShedReason.QUOTA:
+                self.pool.memory.admission.shed[flow_of(entry)] += 1
             self.pool.memory.callers.note(line.body, entry.row.asked, self.now)
             self.allocation.given_up.append(give_up(entry, reason, waits[key]))
 
--- a/godwitladder/decisions/memory.py
+++ b/godwitladder/decisions/memory.py
@@ -24,6 +24,7 @@
 import math
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.admission import Admission
 from godwitladder.decisions.entitlement import Entitlements
 from godwitladder.decisions.returns import RefusedCallers
 from godwitladder.decisions.shares import Precedence
@@ -71,6 +72,8 @@
         Who was refused lately.
     entitlements : Entitlements
         What workspaces have left of their quotas as requests come.
+    admission : Admission
+        Which part of the calls hosts ask for.
     """
 
     given: dict[Precedence, float] = field(default_factory=dict)
@@ -89,6 +92,7 @@
     sizes: CallSizes = field(default_factory=CallSizes)
     callers: RefusedCallers = field(default_factory=RefusedCallers)
     entitlements: Entitlements = field(default_factory=Entitlements)
+    admission: Admission = field(default_factory=Admission)
 
     def fade(self, now: float) -> None:
         """Let everything fade up to ``now``."""
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.admission import Flow
 from godwitladder.ids import (
     BodyDigest,
     RequestId,
@@ -33,6 +34,7 @@
     RoutedWorkspace,
     TokenQuota,
 )
+from godwitladder.scheduler.gate import AdmissionGate
 from godwitladder.scheduler.rows import RequestRow
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.auth import key_digest
@@ -90,6 +92,8 @@
         How long the document may be used.
     most_calls : int
         Calls that may be open at once; some threads beyond them refuse the rest.
+    gate : AdmissionGate or None
+        Which calls are worth asking an allocator for; None for all.
 
     Attributes
     ----------
@@ -107,9 +111,11 @@
         clock: Clock,
         metrics: Metrics,
         most_calls: int = UNBOUNDED,
+        gate: AdmissionGate | None = None,
     ) -> None:
         super().__init__()
         self.most_calls = most_calls
+        self.gate = gate or AdmissionGate()
         self.form = form
         self.passer = passer
         self.currency = currency
@@ -176,6 +182,8 @@
             self.need_current(current)
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
         workspace = self.find_workspace(document, route, facts, current)
+        service = choose_split(route.splits, random.random()).service
+        self.need_open((service, workspace.name), facts)
         body = read_body(environ, document.bounds.body_bytes)
         digest = digest_call(workspace.name, path, body)
         held_s = self.passer.losses.held_s(digest)
@@ -188,11 +196,20 @@
             headers,
             facts,
             route,
+            service,
             workspace,
             body,
             digest,
         )
 
+    def need_open(self, flow: Flow, facts: CallFacts) -> None:
+        """Refuse a call that the allocator would hardly serve."""
+        now = self.clock.monotonic()
+        name = RequestId(facts.attempt)
+        refusal = self.gate.refusal(flow, name, random.random(), now)
+        if refusal is not None:
+            raise CallRefused(refusal)
+
     def need_current(self, current: bool) -> None:
         """Refuse what can't be told from a document that is too old."""
         if not current:
@@ -222,6 +239,7 @@
         headers: Headers,
         facts: CallFacts,
         route: Route,
+        service: ServiceName,
         workspace: RoutedWorkspace,
         body: bytes,
         digest: BodyDigest,
@@ -229,7 +247,6 @@
         """Return a call with its row."""
         now = self.clock.monotonic()
         wait_s = min(facts.wait_s or route.timeout_s, route.timeout_s)
-        service = choose_split(route.splits, random.random()).service
         known = self.in_force.document.services.get(service, NO_SERVICE)
         identity = secrets.token_hex(8)
         row = RequestRow(
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -110,17 +110,18 @@
         self.currency = Currency(settings.bounds.revoke_s)
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
+        tables = Tables(
+            settings.host,
+            self.span,
+            self.incarnation,
+            hosts=(settings.host,),
+            place=settings.zone,
+            standing=False,
+            helps_itself=True,
+        )
         self.scheduler = self.start_actor(
             Scheduler,
-            Tables(
-                settings.host,
-                self.span,
-                self.incarnation,
-                hosts=(settings.host,),
-                place=settings.zone,
-                standing=False,
-                helps_itself=True,
-            ),
+            tables,
             clock,
             self.metrics,
             self.ticker,
@@ -186,6 +187,7 @@
             clock,
             self.metrics,
             settings.limits.threads,
+            tables.gate,
         )
         self.caller_server: TcpWSGIServer | None = None
 
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -18,6 +18,7 @@
 
 from dataclasses import dataclass
 
+from godwitladder.decisions.admission import AdmissionShare
 from godwitladder.decisions.quotas import Spent
 from godwitladder.decisions.types import DemandLine, Grant, PoolName, Shed, TargetUse
 from godwitladder.ids import (
@@ -189,6 +190,8 @@
         Requests that should be asked for in other zones too.
     via : str
         The host that passed on the report which this answers; empty if none did.
+    shares : tuple of AdmissionShare
+        Workspaces of whose calls only a part is to be asked for.
     """
 
     host: HostId
@@ -205,6 +208,7 @@
     sheds: tuple[Shed, ...] = ()
     spill: tuple[RequestId, ...] = ()
     via: HostId = HostId("")
+    shares: tuple[AdmissionShare, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -326,6 +326,8 @@
         return
     if not access.take(offer, now):
         return
+    if access.home:
+        tables.gate.set(offer.pool, offer.shares, now)
     for request in offer.spill:
         row = tables.waiting.get(request)
         if row and not row.spilled:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -10,8 +10,9 @@
 from operator import attrgetter
 
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.admission import AdmissionShare
 from godwitladder.decisions.affinity import PrefixHints
-from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.allocation import LONGEST_LOOK_S, allocate
 from godwitladder.decisions.easing import TargetEasing
 from godwitladder.decisions.forecast import ReadingForecast
 from godwitladder.decisions.memory import AllocatorMemory
@@ -480,6 +481,18 @@
             sheds=tuple(offering.sheds),
             spill=tuple(offering.spill),
             via=account.via,
+            shares=self.admission_shares(),
+        )
+
+    def admission_shares(self) -> tuple[AdmissionShare, ...]:
+        """Return of whose calls hosts are to ask for a part only."""
+        memory = self.memory
+        if self.policy.is_strict or not memory.admission.shares:
+            return ()
+        backlog_s = min(memory.contended_s(), LONGEST_LOOK_S)
+        return tuple(
+            AdmissionShare(service, workspace, share, backlog_s)
+            for (service, workspace), share in memory.admission.shares.items()
         )
 
     def floor_report(self, to: PoolName, now: float) -> FloorReport:
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -26,6 +26,7 @@
 )
 from godwitladder.outcomes import TRANSITIONS, Refusal, RequestState
 from godwitladder.scheduler.access import PoolAccess
+from godwitladder.scheduler.gate import AdmissionGate
 from godwitladder.scheduler.quotas import SeenHosts
 
 
@@ -204,6 +205,8 @@
         What workspaces may have run by this host while it has no allocator.
     seen : SeenHosts
         The hosts that such a book shares the quotas with.
+    gate : AdmissionGate
+        Which calls are worth asking for; any thread may ask it.
     standing : bool
         Whether allocators allow some requests unasked while nothing waits.
     helps_itself : bool
@@ -232,6 +235,7 @@
     place: Zone = Zone("")
     quotas: QuotaBook = field(default_factory=QuotaBook)
     seen: SeenHosts = field(default_factory=SeenHosts)
+    gate: AdmissionGate = field(default_factory=AdmissionGate)
     standing: bool = True
     helps_itself: bool = False
 
--- /dev/null
+++ b/tests/decisions/test_admission.py
@@ -0,0 +1,65 @@
+"""Which part of the calls of a flood hosts ask for."""
+
+import random
+
+from godwitladder.decisions.admission import LEAST_SHARE, LOOK_S, Admission
+
+FLOOD, QUIET = ("models", "floods"), ("models", "quiet")
+
+
+def play(admission: Admission, seconds: float, came: dict, places: int) -> list[int]:
+    """Let calls come in each look; return how many were asked for in each."""
+    dice = random.Random(1)
+    asked = []
+    now = max(admission.looked, 0.0)
+    for _ in range(round(seconds / LOOK_S)):
+        now += LOOK_S
+        calls = [
+            flow
+            for flow, number in came.items()
+            for _ in range(number)
+            if dice.random() < admission.shares.get(flow, 1.0)
+        ]
+        dice.shuffle(calls)
+        admission.asked.update(calls)
+        admission.served.update(calls[:places])
+        admission.shed.update(calls[places:])
+        asked.append(len(calls))
+        admission.look(now)
+    return asked
+
+
+def test_an_allocator_is_asked_for_some_more_than_it_can_serve():
+    """Guards against an allocator that is buried in calls that it will refuse."""
+    asked = play(Admission(), 5.0, {FLOOD: 100}, places=10)
+    assert asked[0] == 100
+    assert max(asked[8:]) <= 40
+    assert min(asked[8:]) >= 10
+
+
+def test_a_workspace_that_floods_closes_nothing_for_others():
+    """Guards against others refused unseen for what one workspace asks."""
+    admission = Admission()
+    for step in range(20):
+        admission.asked.update({FLOOD: 80, QUIET: 5})
+        admission.served.update({FLOOD: 10, QUIET: 5})
+        admission.shed.update({FLOOD: 70})
+        admission.look(step * LOOK_S)
+    assert admission.shares[FLOOD] < 1.0
+    assert QUIET not in admission.shares
+
+
+def test_all_is_asked_for_again_as_soon_as_nothing_is_shed():
+    """Guards against callers refused beside free places when a flood has gone."""
+    admission = Admission()
+    play(admission, 5.0, {FLOOD: 100}, places=10)
+    assert admission.shares[FLOOD] <= 0.5
+    play(admission, 1.0, {FLOOD: 10}, places=100)
+    assert not admission.shares
+
+
+def test_some_calls_are_seen_also_while_none_can_be_served():
+    """Guards against a service that nobody asks for when its targets are back."""
+    admission = Admission()
+    play(admission, 5.0, {FLOOD: 100}, places=0)
+    assert admission.shares[FLOOD] == LEAST_SHARE
--- /dev/null
+++ b/tests/scheduler/test_gate.py
@@ -0,0 +1,37 @@
+"""Calls that are refused before an allocator is asked for them."""
+
+import pytest
+
+from godwitladder.decisions.admission import AdmissionShare
+from godwitladder.decisions.types import PoolName
+from godwitladder.outcomes import Reason, RequestState
+from godwitladder.scheduler.gate import VALID_S, AdmissionGate
+
+POOL = PoolName("region", "models")
+FLOW, OTHER = ("models", "floods"), ("models", "quiet")
+
+
+@pytest.fixture
+def gate():
+    made = AdmissionGate()
+    made.set(POOL, [AdmissionShare(*FLOW, 0.25, 2.0)], 10.0)
+    return made
+
+
+def test_a_part_of_the_calls_is_refused_truly_with_a_time_to_come_back(gate):
+    """Guards against callers who wait for what an allocator would refuse anyway."""
+    assert gate.refusal(FLOW, "r", 0.2, 10.5) is None
+    refusal = gate.refusal(FLOW, "r", 0.3, 10.5)
+    assert (refusal.reason, refusal.outcome) == (Reason.SHED, RequestState.NOT_RUN)
+    assert 2.0 <= refusal.retry_after_s <= 4.0
+    assert gate.refusal(OTHER, "r", 0.9, 10.5) is None
+
+
+def test_a_silent_allocator_closes_nothing(gate):
+    """Guards against refusals by what was true before an allocator was lost."""
+    assert gate.refusal(FLOW, "r", 0.9, 10.0 + VALID_S + 0.1) is None
+
+
+def test_what_an_allocator_says_anew_replaces_what_it_said(gate):
+    gate.set(POOL, [], 10.2)
+    assert gate.refusal(FLOW, "r", 0.9, 10.3) is None
