--- a/godwitladder/decisions/entitlement.py
+++ b/godwitladder/decisions/entitlement.py
@@ -35,8 +35,10 @@
         rate = rates.get(workspace)
         if rate is None or rate.rate <= 0:
             return True
-        bucket = self.buckets.setdefault(workspace, Bucket(rate.burst, now, rate))
-        bucket.fill(rate, rate.burst, rate.rate, now)
+        bucket = self.buckets.setdefault(workspace, Bucket(rate.burst, now))
+        gained = max(0.0, now - bucket.at) * rate.rate
+        bucket.left = min(rate.burst, bucket.left + gained)
+        bucket.at = now
         # One call larger than the whole bucket is within it when it is full.
         if min(charge, rate.burst) > bucket.left:
             return False
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -46,38 +46,10 @@
 
 @dataclass
 class Bucket:
-    """What is left of one workspace's tokens, and when that was worked out.
-
-    Attributes
-    ----------
-    held_back : float
-        Tokens that were left when the quota was lowered, beyond what it allows
-        since. They come back when it is raised: lost to a change that lasted for
-        a moment, calls within the quota would be refused after it.
-    """
+    """What is left of one workspace's tokens, and when that was worked out."""
 
     left: float
     at: float
-    rate: TokenRate
-    held_back: float = 0.0
-
-    def fill(self, rate: TokenRate, size: float, gain: float, now: float) -> None:
-        """Add what has come in up to ``now``.
-
-        Parameters
-        ----------
-        size : float
-            Tokens that a full bucket holds by ``rate``.
-        gain : float
-            Tokens that come in each second.
-        """
-        if rate.burst > self.rate.burst:
-            self.left, self.held_back = self.left + self.held_back, 0.0
-        elif rate.burst < self.rate.burst:
-            self.held_back += max(0.0, self.left - size)
-        self.rate = rate
-        self.left = min(size, self.left + max(0.0, now - self.at) * gain)
-        self.at = now
 
 
 @dataclass(frozen=True)
@@ -241,10 +213,13 @@
 
     def fill(self, workspace: WorkspaceName, rate: TokenRate, now: float) -> Bucket:
         """Return the bucket as it stands now."""
+        size = self.size(rate)
         bucket = self.buckets.get(workspace)
         if bucket is None:
             left = self.opening(workspace, rate)
             at = now if self.began is None else self.began
-            bucket = self.buckets[workspace] = Bucket(left, at, rate)
-        bucket.fill(rate, self.size(rate), rate.rate * RATE_FACTOR * self.share, now)
+            bucket = self.buckets[workspace] = Bucket(left, at)
+        gained = (now - bucket.at) * rate.rate * RATE_FACTOR * self.share
+        bucket.left = min(size, bucket.left + max(0.0, gained))
+        bucket.at = now
         return bucket
