--- a/godwitladder/decisions/entitlement.py
+++ b/godwitladder/decisions/entitlement.py
@@ -11,7 +11,6 @@
 room, after all that are in time.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.quotas import Bucket, TokenRate
@@ -28,11 +27,10 @@
         self,
         workspace: WorkspaceName,
         charge: int,
-        rates: Mapping[WorkspaceName, TokenRate],
+        rate: TokenRate | None,
         now: float,
     ) -> bool:
         """Return whether a call that has just come is within its quota."""
-        rate = rates.get(workspace)
         if rate is None or rate.rate <= 0:
             return True
         bucket = self.buckets.setdefault(workspace, Bucket(rate.burst, now))
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -20,7 +20,10 @@
     left above.
 HISTORY_S : hosts remember what they spent for so long, which is the window of
     the promise. A new book is filled from that: a quarter full in any case, it
-    refused 98 calls within their quotas in the two seconds after a cut.
+    refused calls within their quotas after a cut.
+LOWERED_AFTER_S : what is promised of a lower quota holds one window after it was
+    set. Taken for binding at once, a workspace that had used the higher one has its
+    calls refused for seconds though nobody owes that to anyone.
 """
 
 from collections.abc import Iterable, Mapping
@@ -34,6 +37,7 @@
 FRESH_SHARE = 0.25
 SOONEST_S = 0.1
 HISTORY_S = 8
+LOWERED_AFTER_S = 6.0
 
 
 @dataclass(frozen=True)
@@ -43,6 +47,18 @@
     rate: float
     burst: float
 
+    def is_below(self, other: "TokenRate") -> bool:
+        """Return whether this quota allows less than ``other``."""
+        return self.rate < other.rate or self.burst < other.burst
+
+
+@dataclass(frozen=True)
+class FormerRate:
+    """A higher quota, and until when it is still gone by."""
+
+    rate: TokenRate
+    until: float
+
 
 @dataclass
 class Bucket:
@@ -124,6 +140,10 @@
         Of each host that has told its past, the part of it that it knows.
     past : dict
         Tokens of each workspace that they spent, by second, the newest first.
+    former : dict
+        Quotas that were lowered a moment ago.
+    settled : mapping
+        The quotas that `settle` has taken in.
     """
 
     slack: float = 0.0
@@ -134,6 +154,38 @@
     began: float | None = None
     told: dict[HostId, float] = field(default_factory=dict)
     past: dict[WorkspaceName, list[int]] = field(default_factory=dict)
+    former: dict[WorkspaceName, FormerRate] = field(default_factory=dict)
+    settled: Mapping[WorkspaceName, TokenRate] = field(default_factory=dict)
+
+    def settle(self, now: float) -> None:
+        """Take in quotas that were set since the last call."""
+        if self.settled is self.rates:
+            return
+        for name, rate in self.rates.items():
+            before = self.rate_of(name, now, self.settled)
+            if before is not None and rate.is_below(before):
+                self.former.setdefault(name, FormerRate(before, now + LOWERED_AFTER_S))
+            else:
+                self.former.pop(name, None)
+        self.settled = self.rates
+
+    def rate_of(
+        self,
+        workspace: WorkspaceName,
+        now: float,
+        rates: Mapping[WorkspaceName, TokenRate] | None = None,
+    ) -> TokenRate | None:
+        """Return the quota that a workspace has now; None for no bound.
+
+        Parameters
+        ----------
+        rates : mapping or None
+            In place of those in force.
+        """
+        former = self.former.get(workspace)
+        if former is not None and now < former.until:
+            return former.rate
+        return (self.rates if rates is None else rates).get(workspace)
 
     def recall(
         self, host: HostId, spent: Iterable[Spent], known_s: float, now: float
@@ -175,7 +227,7 @@
         promised : int
             Tokens of requests that wait for the quota before this one.
         """
-        rate = self.rates.get(workspace)
+        rate = self.rate_of(workspace, now)
         if rate is None or rate.rate <= 0:
             return 0.0
         bucket = self.fill(workspace, rate, now)
@@ -187,7 +239,7 @@
 
     def take(self, workspace: WorkspaceName, charge: int, now: float) -> None:
         """Count a request that is let in."""
-        rate = self.rates.get(workspace)
+        rate = self.rate_of(workspace, now)
         if rate is not None and rate.rate > 0:
             self.fill(workspace, rate, now).left -= charge
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -257,6 +257,7 @@
             The live hosts of the zone.
         """
         self.forget(now)
+        self.quotas.settle(now)
         if not self.warm(expected, now) or self.is_quiet(now):
             return []
         self.quotas.hosts = len(expected)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -75,7 +75,10 @@
     else:
         # One that has come back was counted when it first came.
         entitled = known is not None or role.memory.entitlements.take(
-            line.workspace, line.charge, role.quotas.rates, now
+            line.workspace,
+            line.charge,
+            role.quotas.rate_of(line.workspace, now),
+            now,
         )
     return Waiting(
         host,
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -6,7 +6,7 @@
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.entitlement import Entitlements
 from godwitladder.decisions.policy import ASKED
-from godwitladder.decisions.quotas import QuotaBook, TokenRate
+from godwitladder.decisions.quotas import LOWERED_AFTER_S, QuotaBook, TokenRate
 from godwitladder.decisions.reading import ReadingFit
 from godwitladder.decisions.repeat_budget import KEEP, RepeatBounds, RepeatBudget
 from godwitladder.decisions.shares import Precedence, Size, Timeliness, serving_order
@@ -188,6 +188,32 @@
     assert pool.memory.flow == 0.0
 
 
+def test_a_lowered_quota_binds_when_most_of_a_window_has_passed():
+    """Guards against refusals by a lower quota before it is promised to anyone."""
+    high, low = {"w0": TokenRate(1000.0, 2000.0)}, {"w0": TokenRate(100.0, 200.0)}
+    book = QuotaBook(rates=high)
+    book.recall("host", (), 8.0, 0.0)
+    book.settle(0.0)
+    book.rates = low
+    book.settle(1.0)
+    assert book.wait_s("w0", 2000, 1.0 + LOWERED_AFTER_S - 0.1) == 0.0
+    assert book.wait_s("w0", 200, 1.0 + LOWERED_AFTER_S, promised=1) > 0.0
+    book.rates = high
+    book.settle(8.0)
+    assert book.rate_of("w0", 8.0) == high["w0"]
+
+
+def test_a_quota_lowered_twice_goes_by_the_first_one_no_longer():
+    """Guards against a quota that is never lowered since it is lowered often."""
+    rates = [{"w0": TokenRate(rate, 2000.0)} for rate in (1000.0, 500.0, 100.0)]
+    book = QuotaBook(rates=rates[0])
+    book.settle(0.0)
+    for now, row in ((1.0, rates[1]), (4.0, rates[2])):
+        book.rates = row
+        book.settle(now)
+    assert book.rate_of("w0", 1.0 + LOWERED_AFTER_S) == rates[2]["w0"]
+
+
 def test_a_window_holds_no_more_than_the_quota_allows():
     """A workspace asks for ten times its quota, without a pause."""
     book = QuotaBook(slack=500.0, rates=RATE)
@@ -354,14 +380,14 @@
 
 def test_calls_are_entitled_as_they_come_up_to_the_quota():
     book = Entitlements()
-    asked = [book.take("w0", 900, RATE, 0.0) for _ in range(3)]
+    asked = [book.take("w0", 900, RATE["w0"], 0.0) for _ in range(3)]
     assert asked == [True, True, False]
-    assert book.take("w0", 900, RATE, 0.8)
-    assert book.take("free", 10**9, RATE, 0.8)
+    assert book.take("w0", 900, RATE["w0"], 0.8)
+    assert book.take("free", 10**9, None, 0.8)
 
 
 def test_a_call_larger_than_its_quota_is_entitled_when_nothing_was_spent():
     book = Entitlements()
-    assert book.take("w0", 5000, RATE, 0.0)
-    assert not book.take("w0", 10, RATE, 1.0)
-    assert book.take("w0", 10, RATE, 3.5)
+    assert book.take("w0", 5000, RATE["w0"], 0.0)
+    assert not book.take("w0", 10, RATE["w0"], 1.0)
+    assert book.take("w0", 10, RATE["w0"], 3.5)
