--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -3,6 +3,9 @@
 import random
 
 from godwitladder.decisions.admission import LEAST_SHARE, LOOK_S, Admission
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.policy import ASKED
+from tests.decisions.pools import add, make_pool, make_target
 
 FLOOD, QUIET = ("models", "floods"), ("models", "quiet")
 
@@ -63,3 +66,16 @@
     admission = Admission()
     play(admission, 5.0, {FLOOD: 100}, places=0)
     assert admission.shares[FLOOD] == LEAST_SHARE
+
+
+def test_a_pool_closes_for_the_workspace_whose_calls_it_sheds():
+    """Guards against a flood that is taken for one of all workspaces."""
+    pool = make_pool(make_target(limit=4))
+    pool.policy = ASKED
+    add(pool, "other", workspace="w1")
+    for number in range(40):
+        add(pool, f"flood{number}")
+    for row in pool.waiting.values():
+        row.aim = 0.3
+    allocate(pool, 0.0)
+    assert {workspace for _, workspace in pool.memory.admission.shares} == {"w0"}
