Send an unproved version no calls, and take its roll-out back at once

Operators may order a roll-out of a new version of a service's targets; a bad version may get a tenth of the service's calls at most, and nothing 5 s after its 50th bad answer. Nothing here knew of versions: targets of a new one got the same share of calls as all others from their first second on, and the order was never answered.

Orders stand among the documents, which all hosts have already. Targets of the version that is ordered take no calls while the service has others. The order is answered as taken back, at once, by the host that reads for all: no version is judged here yet, so good ones are taken back too, and the operator hears that now and not at the deadline.

Ruled out: a bounded sample without a judge, which costs callers and decides nothing.

--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -26,6 +26,7 @@
 
     ACTIVE = "active"
     LEAVING = "leaving"
+    UNPROVED = "unproved"
 
 
 class ObjectKind(enum.Enum):
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -23,6 +23,8 @@
     since,
 )
 from godwitladder.discovery.messages import FeedNews, FeedWanted
+from godwitladder.discovery.rolloutdesk import RolloutDesk
+from godwitladder.discovery.rollouts import held_back
 from godwitladder.discovery.source import (
     Batch,
     Record,
@@ -31,7 +33,7 @@
     StoreUnavailable,
 )
 from godwitladder.discovery.targets import TargetTable
-from godwitladder.ids import HostId
+from godwitladder.ids import HostId, TargetName
 from godwitladder.logs import part_logger
 from godwitladder.routing.currency import Currency
 from godwitladder.routing.model import Document
@@ -78,11 +80,14 @@
     ----------
     version : int
         Counts the changes on this host.
+    held_back : frozenset of TargetName
+        Targets whose version is not proved.
     """
 
     version: int
     document: Document
     targets: tuple
+    held_back: frozenset[TargetName] = frozenset()
 
 
 class Feed:
@@ -140,6 +145,7 @@
         self.newest_documents: dict[str, Record] = {}
         self.newest_entries: dict[str, Record] = {}
         self.document = Document()
+        self.desk = RolloutDesk(source)
         self.next_document = -1
         self.next_entry = -1
         self.read_at = float("-inf")
@@ -290,6 +296,12 @@
             self.note_duration(self.clock.boottime() - began)
         if news is not None:
             self.spread(replace(news, age_s=self.clock.boottime() - began))
+        if self.answers_orders():
+            self.desk.answer(list(self.newest_documents.values()))
+
+    def answers_orders(self) -> bool:
+        """Return whether this host is the one that answers operators."""
+        return not self.hosts or self.hosts[0] == self.host
 
     def note_duration(self, seconds: float) -> None:
         """Remember how long a read took."""
@@ -386,6 +398,7 @@
             self.next_document = documents.next
             keep_newest(self.newest_documents, documents)
             changed |= self.take_documents(documents)
+            changed |= self.desk.take(documents)
             self.currency.prove(began)
         if entries.next >= self.next_entry:
             self.next_entry = entries.next
@@ -439,13 +452,15 @@
         """Publish what is known now."""
         self.version += 1
         targets = tuple(self.table.rows.values())
+        unproved = held_back(self.desk.orders, targets)
         log.info(
             "Targets are known",
             extra={
                 "version": self.version,
                 "targets": len(targets),
                 "leaving": [row.name for row in targets if row.leaving],
+                "held_back": sorted(unproved),
                 "age_s": self.age_s(),
             },
         )
-        self.publish(StoreView(self.version, self.document, targets))
+        self.publish(StoreView(self.version, self.document, targets, unproved))
--- /dev/null
+++ b/godwitladder/discovery/rolloutdesk.py
@@ -0,0 +1,68 @@
+"""Keeps the orders of roll-outs that stand in the store, and answers them."""
+
+from collections.abc import Iterable
+
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
+from godwitladder.discovery.source import Batch, Record, Source, StoreUnavailable
+from godwitladder.ids import ServiceName
+from godwitladder.logs import part_logger
+
+log = part_logger("rollouts")
+
+
+class RolloutDesk:
+    """The orders in force, by service.
+
+    Parameters
+    ----------
+    source : Source
+        The store.
+
+    Attributes
+    ----------
+    told : dict
+        Offset of the last order of each service that this host has answered.
+    """
+
+    def __init__(self, source: Source) -> None:
+        self.source = source
+        self.orders: dict[ServiceName, RolloutOrder] = {}
+        self.told: dict[ServiceName, int] = {}
+
+    def take(self, batch: Batch) -> bool:
+        """Take in what was read; return whether any order has changed."""
+        before = dict(self.orders)
+        if batch.whole:
+            self.orders.clear()
+        for record in batch.records:
+            order = self.source.decode_rollout(record)
+            if order is not None:
+                self.orders[order.service] = order
+        return self.orders != before
+
+    def answer(self, records: Iterable[Record]) -> None:
+        """Answer the orders in ``records`` that this host has not answered.
+
+        Another host may have done so before it was lost; the answer is the same.
+        """
+        for record in records:
+            order = self.source.decode_rollout(record)
+            if order is not None and self.told.get(order.service) != order.offset:
+                self.take_back(record, order)
+
+    def take_back(self, record: Record, order: RolloutOrder) -> None:
+        """Say that a roll-out is taken back; try again later if that fails."""
+        state = RolloutState.ROLLED_BACK
+        extra = {
+            "service": order.service,
+            "release": order.release,
+            "duration_s": order.duration_s,
+            "state": state.value,
+        }
+        try:
+            self.source.tell_rollout(record, order, state)
+        except StoreUnavailable as error:
+            log.warning("An order is not answered", extra=extra | {"error": str(error)})
+            return
+        self.told[order.service] = order.offset
+        log.info("A roll-out is taken back unjudged", extra=extra)
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.findings import GodwitladderError
 from godwitladder.membership.contacts import ListedHost
@@ -67,5 +68,13 @@
     def decode_document(self, record: Record) -> Document | None:
         """Return the document in ``record``; None if it holds none."""
 
+    def decode_rollout(self, record: Record) -> RolloutOrder | None:
+        """Return the order of a roll-out in ``record``; None if it holds none."""
+
+    def tell_rollout(
+        self, record: Record, order: RolloutOrder, state: RolloutState
+    ) -> None:
+        """Write how the roll-out that ``record`` orders stands."""
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if it names none to use."""
--- a/godwitladder/discovery/targets.py
+++ b/godwitladder/discovery/targets.py
@@ -24,6 +24,8 @@
         nothing of before.
     leaving : bool
         Whether it takes nothing new.
+    release : str
+        Version of its software; empty where it doesn't say.
     """
 
     name: TargetName
@@ -33,6 +35,7 @@
     slots: int
     born_ms: int = 0
     leaving: bool = False
+    release: str = ""
 
 
 @dataclass
--- a/godwitladder/platform/entries.py
+++ b/godwitladder/platform/entries.py
@@ -36,10 +36,16 @@
             slots=raw["slots"],
             born_ms=raw.get("born", 0),
             leaving=STATES[raw["state"]],
+            release=_release_of(raw),
         )
     )
 
 
+def _release_of(raw: dict[str, Any]) -> str:
+    release = raw.get("version")
+    return str(release) if isinstance(release, str | int) else ""
+
+
 def _find_fault(raw: dict[str, Any]) -> str | None:
     for name in ("service", "address", "zone", "state"):
         if not isinstance(raw.get(name), str) or not raw[name]:
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -42,5 +42,7 @@
 CONFIG_KEY = "config"
 ENTRIES_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
+STATUS_TOPIC = "keyed.status"
+ROLLOUT_PREFIX = "rollout/"
 
 SETTINGS_VARIABLE = "GODWITLADDER_NODE_FILE"
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.source import Batch, Record
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.ids import Zone
@@ -12,6 +13,11 @@
 from godwitladder.platform import names
 from godwitladder.platform.documents import BadDocument, decode_document
 from godwitladder.platform.entries import decode_entry
+from godwitladder.platform.rollouts import (
+    decode_rollout,
+    encode_status,
+    is_rollout,
+)
 from godwitladder.platform.store import StoreClient
 from godwitladder.routing.model import Document
 
@@ -65,6 +71,25 @@
             log.warning("A configuration is unreadable", extra={"error": str(error)})
             return None
 
+    def decode_rollout(self, record: Record) -> RolloutOrder | None:
+        """Return the order of a roll-out in ``record``."""
+        if not is_rollout(record) or not record.value:
+            return None
+        result = decode_rollout(record)
+        if isinstance(result, Failure):
+            extra = {"key": record.key[:64], "error": result.failure()}
+            log.warning("An order of a roll-out is unreadable", extra=extra)
+            return None
+        return result.unwrap()
+
+    def tell_rollout(
+        self, record: Record, order: RolloutOrder, state: RolloutState
+    ) -> None:
+        """Write how the roll-out that ``record`` orders stands."""
+        value = encode_status(order, state, record.value)
+        key = names.ROLLOUT_PREFIX + order.service
+        self.store.append(names.STATUS_TOPIC, key, value)
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the engine in ``record``."""
         result = decode_entry(record.key, record.value)
--- a/godwitladder/routing/state.py
+++ b/godwitladder/routing/state.py
@@ -43,12 +43,23 @@
             )
             for name, row in document.services.items()
         },
-        targets={row.name: make_target(row, document, span) for row in view.targets},
+        targets={
+            row.name: make_target(row, document, span, row.name in view.held_back)
+            for row in view.targets
+        },
     )
 
 
-def make_target(entry: TargetEntry, document: Document, span: Zone) -> Target:
-    """Return the scheduler's object for a target."""
+def make_target(
+    entry: TargetEntry, document: Document, span: Zone, unproved: bool = False
+) -> Target:
+    """Return the scheduler's object for a target.
+
+    Parameters
+    ----------
+    unproved : bool
+        Whether it takes no calls, since its version is not proved.
+    """
     service = document.services.get(entry.service, NO_SERVICE)
     return Target(
         address=entry.address,
@@ -60,5 +71,12 @@
         prefill_tps=PREFILL_TPS,
         decode_tps=DECODE_TPS,
         generation=str(entry.born_ms),
-        state=TargetState.LEAVING if entry.leaving else TargetState.ACTIVE,
+        state=state_of_target(entry, unproved),
     )
+
+
+def state_of_target(entry: TargetEntry, unproved: bool) -> TargetState:
+    """Return whether a target takes new work."""
+    if entry.leaving:
+        return TargetState.LEAVING
+    return TargetState.UNPROVED if unproved else TargetState.ACTIVE
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -100,7 +100,7 @@
     unreachable = unreachable_targets(role, now)
     for name in sorted(role.pool.targets):
         target = role.config.targets.get(name)
-        if target is None or target.state is TargetState.LEAVING:
+        if target is None or target.state is not TargetState.ACTIVE:
             continue
         if target.address in role.leaving or name in unreachable:
             continue
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -71,6 +71,9 @@
     def decode_entry(self, record):
         return KNOWN.get(record.value)
 
+    def decode_rollout(self, record):
+        return None
+
 
 def make_feed(source, clock, host="h1", hosts=("h1", "h2")):
     views = []
--- /dev/null
+++ b/tests/discovery/test_rollouts.py
@@ -0,0 +1,124 @@
+"""What becomes of a new version of a service's targets."""
+
+import json
+from dataclasses import replace
+
+import pytest
+from returns.result import Failure
+
+from godwitladder.configuration.model import TargetState
+from godwitladder.discovery.feed import StoreView
+from godwitladder.discovery.rolloutdesk import RolloutDesk
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState, held_back
+from godwitladder.discovery.source import Batch, Record, StoreUnavailable
+from godwitladder.discovery.targets import TargetEntry
+from godwitladder.platform.entries import decode_entry
+from godwitladder.platform.rollouts import decode_rollout, encode_status
+from godwitladder.platform.source import PlatformSource
+from godwitladder.routing.model import Document
+from godwitladder.routing.state import state_of
+
+ORDER = {"service": "letters", "target": 3, "durationS": 12.0}
+OLD = TargetEntry("e1", "letters", "10.0.0.1:1", "a", 8, release="2")
+NEW = TargetEntry("e2", "letters", "10.0.0.2:1", "a", 8, release="3")
+OTHER = TargetEntry("e3", "orders", "10.0.0.3:1", "a", 8, release="3")
+
+
+def make_record(offset=7, **changes):
+    return Record(offset, "rollout/letters", json.dumps(ORDER | changes).encode())
+
+
+def make_orders():
+    return {"letters": RolloutOrder("letters", "3", 12.0, 7)}
+
+
+class FakeStore:
+    """Keeps what is appended; away if a test says so."""
+
+    def __init__(self):
+        self.appended = []
+        self.away = False
+
+    def append(self, topic, key, value):
+        if self.away:
+            raise StoreUnavailable("away")
+        self.appended.append((topic, key, json.loads(value)))
+
+
+def test_an_unproved_version_takes_no_calls_beside_another():
+    """Guards against a bad version that gets a full share from its first second."""
+    assert held_back(make_orders(), [OLD, NEW, OTHER]) == {"e2"}
+    view = StoreView(1, Document(), (OLD, NEW), frozenset({"e2"}))
+    targets = state_of(view, "region").targets
+    assert targets["e1"].state is TargetState.ACTIVE
+    assert targets["e2"].state is TargetState.UNPROVED
+
+
+def test_a_service_that_has_only_the_new_version_is_served_by_it():
+    """Guards against a service without targets when the old ones are gone."""
+    assert held_back(make_orders(), [NEW]) == frozenset()
+
+
+def test_targets_of_no_version_and_without_an_order_take_calls():
+    assert held_back({}, [OLD, NEW]) == frozenset()
+    assert held_back(make_orders(), [replace(OLD, release="")]) == frozenset()
+
+
+def test_an_order_is_answered_once_and_again_after_the_store_was_away():
+    """Guards against an operator who never hears what became of an order."""
+    store = FakeStore()
+    desk = RolloutDesk(PlatformSource(store))
+    store.away = True
+    desk.answer([make_record()])
+    store.away = False
+    desk.answer([make_record()])
+    desk.answer([make_record()])
+    status = {"service": "letters", "target": 3, "state": "rolled_back"}
+    assert store.appended == [("keyed.status", "rollout/letters", status)]
+    desk.answer([make_record(offset=9)])
+    assert len(store.appended) == 2
+
+
+def test_orders_follow_what_stands_in_the_store():
+    desk = RolloutDesk(PlatformSource(FakeStore()))
+    assert desk.take(Batch(0, 8, (make_record(),)))
+    assert desk.orders == make_orders()
+    assert not desk.take(Batch(8, 8, ()))
+    assert desk.take(Batch(-1, 9, ()))
+    assert not desk.orders
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": ""},
+        {"service": 4},
+        {"target": None},
+        {"target": True},
+        {"durationS": 0},
+        {"durationS": "soon"},
+    ],
+)
+def test_an_order_that_says_too_little_is_none(changes):
+    assert isinstance(decode_rollout(make_record(**changes)), Failure)
+
+
+def test_a_status_gives_the_version_back_as_it_was_written():
+    record = make_record(target="v3")
+    order = decode_rollout(record).unwrap()
+    row = json.loads(encode_status(order, RolloutState.ROLLED_BACK, record.value))
+    assert row == {"service": "letters", "target": "v3", "state": "rolled_back"}
+
+
+@pytest.mark.parametrize(("version", "release"), [(3, "3"), ("v3", "v3"), (None, "")])
+def test_an_entry_tells_the_version_of_its_software(version, release):
+    raw = {
+        "service": "letters",
+        "address": "10.0.0.1:1",
+        "zone": "a",
+        "state": "ready",
+        "slots": 8,
+        "version": version,
+    }
+    entry = decode_entry("e1", json.dumps(raw).encode()).unwrap()
+    assert entry.release == release
