--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -147,6 +147,7 @@
         extra = {
             "request": facts.attempt,
             "reason": refusal.reason.value,
+            "detail": refusal.detail,
             "version": self.in_force.document.version,
             "age_s": round(self.currency.age_s(self.clock.boottime()), 3),
             "retry_after_s": refusal.retry_after_s,
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -31,6 +31,10 @@
 hosts expect an answer."""
 
 
+MOST_SHARES = 16
+"""Workspaces that a log line names."""
+
+
 @dataclass
 class AllocatorTables:
     """What an allocator knows beside its roles.
@@ -92,6 +96,7 @@
         self.due: set[PoolName] = set()
         self.ran = float("-inf")
         self.floors_sent = float("-inf")
+        self.told_shares: dict[PoolName, tuple[float, bool]] = {}
 
     def on_receive(self, message) -> None:
         """Take ``message`` in, and run the roles if no other is at hand.
@@ -129,6 +134,7 @@
         for role in self.tables.roles.values():
             role.quotas.share = share
             self.tell_delays(role, now)
+            self.tell_shares(role, now)
         if now - self.floors_sent >= RENEW_S:
             self.floors_sent = now
             for role in self.tables.roles.values():
@@ -211,6 +217,27 @@
         else:
             log.info("Reports are in time again", extra=extra)
 
+    def tell_shares(self, role: PoolRole, now: float) -> None:
+        """Log of whose calls hosts ask for a part only, or that they ask for all."""
+        shares = role.memory.admission.shares
+        told_at, told = self.told_shares.get(role.pool.name, (float("-inf"), False))
+        if not shares and not told:
+            return
+        if shares and now - told_at < RENEW_S:
+            return
+        self.told_shares[role.pool.name] = now, bool(shares)
+        rows = {
+            f"{service}/{workspace}": round(share, 2)
+            for (service, workspace), share in sorted(shares.items())[:MOST_SHARES]
+        }
+        extra = {
+            "pool": pool_key(role.pool.name),
+            "flows": len(shares),
+            "shares": rows,
+            "contended_s": round(role.memory.contended_s(), 3),
+        }
+        log.info("A part of the calls is asked for", extra=extra)
+
     def seen_share(self, now: float) -> float:
         """Return the part of the hosts that this one sees, of all lately seen.
 
