Show in the account how many places were in use, and refusals before a wait

An empty place beside refused callers could be seen only by a script of one's own over the lines. The seconds that calls held places, by span.

--- a/godwitladder/account.py
+++ b/godwitladder/account.py
@@ -1,7 +1,8 @@
 """Adds up what a fleet's log lines say of its calls: who got what, and why not.
 
 Each call that a host read leaves a line at its end: it was refused, or its
-answer came to an end. The answer's line tells whether it was in time and, if
+answer came to an end. One that was turned away before it waited for a place counts as
+refused, if that was for want of room. The answer's line tells whether it was in time and, if
 not, the first cause; between the line of its last send and that one, the call
 held a place at its target.
 """
@@ -13,12 +14,14 @@
 from typing import Any
 
 from godwitladder.explain import read_line
-from godwitladder.outcomes import RequestState
+from godwitladder.outcomes import Reason, RequestState
 from godwitladder.serving.lateness import Lateness
 
 SENT = "passing: A call is sent"
 ENDED = "passing: A call has ended"
 REFUSED = "passing: A call was refused"
+TURNED_AWAY = "routing: A call was turned away"
+NO_ROUTE = "-"
 TIME_FORM = "%Y-%m-%d %H:%M:%S,%f"
 LATE = tuple(cause for cause in Lateness if cause is not Lateness.IN_TIME)
 HEAD = (
@@ -102,10 +105,24 @@
 
 @dataclass
 class Account:
-    """Tallies by route, and by span of time from the first line on."""
+    """Tallies by route, and by span of time from the first line on.
+
+    Attributes
+    ----------
+    places_s : dict
+        Seconds for which calls held places in each span: by the length of a span,
+        the mean number of places in use.
+    """
 
     routes: dict[str, Tally] = field(default_factory=dict)
     spans: dict[int, Tally] = field(default_factory=dict)
+    places_s: dict[int, float] = field(default_factory=lambda: defaultdict(float))
+
+    def hold(self, begin_s: float, end_s: float, span_s: float) -> None:
+        """Take in that a call held a place, in seconds from the first line on."""
+        for span in range(int(begin_s // span_s), int(end_s // span_s) + 1):
+            within = min(end_s, (span + 1) * span_s) - max(begin_s, span * span_s)
+            self.places_s[span] += max(0.0, within)
 
 
 def make_account(lines: Iterable[str], span_s: float = 2.0) -> Account:
@@ -129,13 +146,16 @@
         if row["message"] == SENT:
             sent[request], bodies[request] = second, str(row.get("body"))
             continue
-        route = str(row.get("route"))
-        span = int((second - _second(rows[0])) // span_s)
+        route = str(row.get("route", NO_ROUTE))
+        first = _second(rows[0])
+        span = int((second - first) // span_s)
+        if row["message"] == ENDED and request in sent:
+            account.hold(sent[request] - first, second - first, span_s)
         for tally in (
             account.routes.setdefault(route, Tally()),
             account.spans.setdefault(span, Tally()),
         ):
-            if row["message"] == REFUSED:
+            if row["message"] != ENDED:
                 tally.refuse(row, row.get("body") in refused)
             else:
                 held_s = second - sent.get(request, second)
@@ -149,13 +169,17 @@
     """Return the account as lines of text."""
     routes = [(name, *tally.cells()) for name, tally in sorted(account.routes.items())]
     spans = [
-        (f"{span * span_s:.0f} s", *tally.cells())
+        (
+            f"{span * span_s:g} s",
+            f"{account.places_s[span] / span_s:.1f}",
+            *tally.cells(),
+        )
         for span, tally in sorted(account.spans.items())
     ]
     return [
         *_columns([("route", *HEAD), *routes]),
         "",
-        *_columns([("from", *HEAD), *spans]),
+        *_columns([("from", "places in use", *HEAD), *spans]),
     ]
 
 
@@ -168,7 +192,11 @@
 
 
 def _is_told(row: dict[str, Any]) -> bool:
-    return row.get("message") in (SENT, ENDED, REFUSED) and _second(row) is not None
+    if _second(row) is None:
+        return False
+    if row.get("message") == TURNED_AWAY:
+        return row.get("reason") == Reason.SHED.value
+    return row.get("message") in (SENT, ENDED, REFUSED)
 
 
 def _second(row: dict[str, Any]) -> float | None:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -54,6 +54,18 @@
     assert account.spans[0].refused == 2
 
 
+def test_places_in_use_are_the_seconds_that_calls_held_them():
+    """Guards against empty places beside refused callers that nobody can see."""
+    account = make_account(LINES, span_s=2.0)
+    assert dict(account.places_s) == {0: 3.0, 1: 5.0, 2: 1.0}
+
+
+def test_a_call_turned_away_for_want_of_room_counts_as_refused():
+    away = {"asctime": TIME.format(1), "message": "routing: A call was turned away"}
+    lines = [json.dumps(away | {"reason": reason}) for reason in ("shed", "no_config")]
+    assert make_account(lines).spans[0].refused == 1
+
+
 def test_no_lines_make_an_empty_account():
     assert make_account(["nothing"]).routes == {}
 
