--- a/godwitladder/account.py
+++ b/godwitladder/account.py
@@ -1,10 +1,10 @@
 """Adds up what a fleet's log lines say of its calls: who got what, and why not.
 
 Each call that a host read leaves a line at its end: it was refused, or its
-answer came to an end. One that was turned away before it waited for a place counts as
-refused, if that was for want of room. The answer's line tells whether it was in time and, if
-not, the first cause; between the line of its last send and that one, the call
-held a place at its target.
+answer came to an end. One that was turned away for want of room before it waited
+counts as refused. The answer's line tells whether it was in time and, if not, the
+first cause; between the line of its last send and that one, the call held a place
+at its target.
 """
 
 from collections import defaultdict
