--- a/godwitladder/decisions/admission.py
+++ b/godwitladder/decisions/admission.py
@@ -11,11 +11,14 @@
 The rest are refused by their host, at once and truly. By workspace, since one that
 floods its targets would otherwise have the calls of all others refused with its own.
 
-A part is worked out anew some times a second and moves by a bounded factor, so that
-one odd moment closes nothing, and it is whole again as soon as nothing is shed.
+An allocator that keeps up sees all that come, and chooses best from all: parts are
+taken only while what it hears is old. A part is worked out anew some times a second
+and moves by a bounded factor, so that one odd moment closes nothing, and it is whole
+again as soon as nothing is shed.
 
 Thresholds
 ----------
+BEHIND_S : news of an allocator that keeps up are some hundredths of a second old.
 CANDIDATES : calls to choose from for each that is served.
 LOOK_S : long enough to see some calls of a busy workspace.
 LEAST_SHARE : what is refused unseen stays bounded, however low the service is.
@@ -28,6 +31,7 @@
 
 from godwitladder.ids import ServiceName, WorkspaceName
 
+BEHIND_S = 0.1
 CANDIDATES = 2.0
 LOOK_S = 0.25
 LEAST_SHARE = 0.2
@@ -71,13 +75,19 @@
     shares: dict[Flow, float] = field(default_factory=dict)
     looked: float = float("-inf")
 
-    def look(self, now: float) -> None:
-        """Work the parts out anew if it is time to."""
+    def look(self, now: float, behind_s: float) -> None:
+        """Work the parts out anew if it is time to.
+
+        Parameters
+        ----------
+        behind_s : float
+            Age of what the allocator hears.
+        """
         if now - self.looked < LOOK_S:
             return
         self.looked = now
         for flow in set(self.shares) | set(self.shed):
-            share = self.next_share(flow)
+            share = self.next_share(flow, behind_s > BEHIND_S)
             if share < 1.0:
                 self.shares[flow] = share
             else:
@@ -85,10 +95,10 @@
         for counts in (self.asked, self.served, self.shed):
             counts.clear()
 
-    def next_share(self, flow: Flow) -> float:
-        """Return the next part for ``flow``."""
+    def next_share(self, flow: Flow, behind: bool) -> float:
+        """Return the next part for ``flow``; ``behind`` if the allocator is."""
         before = self.shares.get(flow, 1.0)
-        if not self.shed[flow]:
+        if not behind or not self.shed[flow]:
             return before * STEP
         if self.asked[flow] < FEW:
             return before
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -313,6 +313,8 @@
         What `allocate` remembers from run to run: hand the same one in.
     quotas : QuotaBook
         What workspaces may have run, in tokens: likewise.
+    behind_s : float
+        Age of what is known here of the hosts' requests and targets.
     """
 
     waiting: dict[RequestId, Waiting] = field(default_factory=dict)
@@ -323,6 +325,7 @@
     memory: AllocatorMemory = field(default_factory=AllocatorMemory)
     quotas: QuotaBook = field(default_factory=QuotaBook)
     policy: Policy = Policy()
+    behind_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/godwitladder/scheduler/delays.py
+++ b/godwitladder/scheduler/delays.py
@@ -15,6 +15,8 @@
 
 LATE_S = 0.3
 """Delay that is told of: most of the time that a short call has to its first output."""
+FADE_S = 0.25
+"""Half-life of the longest delay of late: some reports of each host."""
 TELL_S = 1.0
 """Between two lines about reports that come late."""
 
@@ -69,6 +71,8 @@
         Since when reports come late.
     told : float
         When this was last told of.
+    peak_s, peak_at : float
+        The longest delay of late, and when it was seen.
     """
 
     least: dict[tuple[HostId, Incarnation], float] = field(default_factory=dict)
@@ -77,6 +81,8 @@
     told: float = float("-inf")
     reports: int = 0
     lines: int = 0
+    peak_s: float = 0.0
+    peak_at: float = 0.0
 
     def note(self, report: PoolReport, now: float) -> float:
         """Take in that ``report`` is taken in now; return its delay in seconds."""
@@ -87,7 +93,14 @@
         self.worst_s = max(self.worst_s, passed_s - least_s)
         self.reports += 1
         self.lines += len(report.lines)
-        return passed_s - least_s
+        delay_s = passed_s - least_s
+        if delay_s >= self.lately_s(now):
+            self.peak_s, self.peak_at = delay_s, now
+        return delay_s
+
+    def lately_s(self, now: float) -> float:
+        """Return the longest delay of late, which fades, in seconds."""
+        return self.peak_s * 0.5 ** ((now - self.peak_at) / FADE_S)
 
     def forget(self, host: HostId, incarnation: Incarnation) -> None:
         """Drop what is known of a process that is gone."""
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -2,15 +2,27 @@
 
 import random
 
-from godwitladder.decisions.admission import LEAST_SHARE, LOOK_S, Admission
+from godwitladder.decisions.admission import (
+    BEHIND_S,
+    LEAST_SHARE,
+    LOOK_S,
+    Admission,
+)
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.policy import ASKED
 from tests.decisions.pools import add, make_pool, make_target
 
+BEHIND = 2 * BEHIND_S
 FLOOD, QUIET = ("models", "floods"), ("models", "quiet")
 
 
-def play(admission: Admission, seconds: float, came: dict, places: int) -> list[int]:
+def play(
+    admission: Admission,
+    seconds: float,
+    came: dict,
+    places: int,
+    behind_s: float = BEHIND,
+) -> list[int]:
     """Let calls come in each look; return how many were asked for in each."""
     dice = random.Random(1)
     asked = []
@@ -28,7 +40,7 @@
         admission.served.update(calls[:places])
         admission.shed.update(calls[places:])
         asked.append(len(calls))
-        admission.look(now)
+        admission.look(now, behind_s)
     return asked
 
 
@@ -47,7 +59,7 @@
         admission.asked.update({FLOOD: 80, QUIET: 5})
         admission.served.update({FLOOD: 10, QUIET: 5})
         admission.shed.update({FLOOD: 70})
-        admission.look(step * LOOK_S)
+        admission.look(step * LOOK_S, BEHIND)
     assert admission.shares[FLOOD] < 1.0
     assert QUIET not in admission.shares
 
@@ -61,6 +73,12 @@
     assert not admission.shares
 
 
+def test_an_allocator_that_keeps_up_is_asked_for_all():
+    """Guards against callers refused unseen who would have been served first."""
+    asked = play(Admission(), 3.0, {FLOOD: 100}, places=10, behind_s=0.02)
+    assert min(asked) == 100
+
+
 def test_some_calls_are_seen_also_while_none_can_be_served():
     """Guards against a service that nobody asks for when its targets are back."""
     admission = Admission()
@@ -77,5 +95,6 @@
         add(pool, f"flood{number}")
     for row in pool.waiting.values():
         row.aim = 0.3
+    pool.behind_s = BEHIND
     allocate(pool, 0.0)
     assert {workspace for _, workspace in pool.memory.admission.shares} == {"w0"}
