--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -21,8 +21,8 @@
 HISTORY_S : hosts remember what they spent for so long, which is the window of
     the promise. A new book is filled from that: a quarter full in any case, it
     refused calls within their quotas after a cut.
-LOWERED_AFTER_S : what is promised of a lower quota holds one window after it was
-    set. Taken for binding at once, a workspace that had used the higher one has its
+LOWERED_AFTER_S : what is promised of a lower quota holds one window after all hosts
+    know it. Taken for binding at once, a workspace that had used the higher one has its
     calls refused for seconds though nobody owes that to anyone.
 """
 
@@ -37,7 +37,7 @@
 FRESH_SHARE = 0.25
 SOONEST_S = 0.1
 HISTORY_S = 8
-LOWERED_AFTER_S = 6.0
+LOWERED_AFTER_S = float(HISTORY_S)
 
 
 @dataclass(frozen=True)
