Hold an unproved version back no longer than its roll-out, and let shares go when nothing waits

Found by reading the change: orders stay in the store for ever, so targets of the same version that come later by any other way would have stood idle beside old ones; old targets that are leaving are no reason to hold new ones back. Shares were worked out in runs only, and runs stop when nothing waits: the first calls after a flood were refused by its shares, and the log told of them each second.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -193,7 +193,8 @@
         ):
             self.read()
         with self.lock:
-            if self.table.expire(self.clock.boottime()):
+            now = self.clock.boottime()
+            if self.table.expire(now) | self.desk.expire(now):
                 self.tell()
 
     def awaits_peer(self, now: float) -> bool:
@@ -398,7 +399,7 @@
             self.next_document = documents.next
             keep_newest(self.newest_documents, documents)
             changed |= self.take_documents(documents)
-            changed |= self.desk.take(documents)
+            changed |= self.desk.take(documents, self.clock.boottime())
             self.currency.prove(began)
         if entries.next >= self.next_entry:
             self.next_entry = entries.next
--- a/godwitladder/discovery/rolloutdesk.py
+++ b/godwitladder/discovery/rolloutdesk.py
@@ -1,6 +1,7 @@
 """Keeps the orders of roll-outs that stand in the store, and answers them."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.source import Batch, Record, Source, StoreUnavailable
@@ -9,6 +10,18 @@
 
 log = part_logger("rollouts")
 
+AFTER_S = 15.0
+"""Targets of a version that is taken back are emptied within some seconds. Held back
+for longer, those of the same version that come by any other way would stand idle."""
+
+
+@dataclass(frozen=True)
+class SeenOrder:
+    """An order, and until when its version is held back."""
+
+    order: RolloutOrder
+    until: float
+
 
 class RolloutDesk:
     """The orders in force, by service.
@@ -20,6 +33,10 @@
 
     Attributes
     ----------
+    orders : dict
+        Those whose version is held back.
+    seen : dict
+        The last order of each service, also after that.
     told : dict
         Offset of the last order of each service that this host has answered.
     """
@@ -27,17 +44,25 @@
     def __init__(self, source: Source) -> None:
         self.source = source
         self.orders: dict[ServiceName, RolloutOrder] = {}
+        self.seen: dict[ServiceName, SeenOrder] = {}
         self.told: dict[ServiceName, int] = {}
 
-    def take(self, batch: Batch) -> bool:
-        """Take in what was read; return whether any order has changed."""
-        before = dict(self.orders)
-        if batch.whole:
-            self.orders.clear()
+    def take(self, batch: Batch, now: float) -> bool:
+        """Take in what was read; return whether any version is held back anew."""
         for record in batch.records:
             order = self.source.decode_rollout(record)
-            if order is not None:
-                self.orders[order.service] = order
+            seen = self.seen.get(order.service) if order is not None else None
+            if order is not None and (seen is None or seen.order != order):
+                until = now + order.duration_s + AFTER_S
+                self.seen[order.service] = SeenOrder(order, until)
+        return self.expire(now)
+
+    def expire(self, now: float) -> bool:
+        """Let go of orders that are over; return whether anything changed."""
+        before = self.orders
+        self.orders = {
+            service: row.order for service, row in self.seen.items() if row.until > now
+        }
         return self.orders != before
 
     def answer(self, records: Iterable[Record]) -> None:
--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -46,7 +46,7 @@
 ) -> frozenset[TargetName]:
     """Return the targets that take no calls, since their version is not proved.
 
-    Where a service has no other targets left, there is nothing to go back to.
+    Where a service has no other targets that stay, there is nothing to go back to.
     """
     unproved: dict[ServiceName, list[TargetName]] = {}
     proved: set[ServiceName] = set()
@@ -54,7 +54,7 @@
         order = orders.get(entry.service)
         if order is not None and entry.release == order.release:
             unproved.setdefault(entry.service, []).append(entry.name)
-        else:
+        elif not entry.leaving:
             proved.add(entry.service)
     return frozenset(
         name
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -258,7 +258,11 @@
         """
         self.forget(now)
         self.quotas.settle(now)
-        if not self.warm(expected, now) or self.is_quiet(now):
+        if not self.warm(expected, now):
+            return []
+        if self.is_quiet(now):
+            # With nothing left to decide, a flood's shares would stay as they are.
+            self.memory.admission.look(now, 0.0)
             return []
         self.quotas.hosts = len(expected)
         view = pool_view(self, now)
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -8,7 +8,7 @@
 
 from godwitladder.configuration.model import TargetState
 from godwitladder.discovery.feed import StoreView
-from godwitladder.discovery.rolloutdesk import RolloutDesk
+from godwitladder.discovery.rolloutdesk import AFTER_S, RolloutDesk
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState, held_back
 from godwitladder.discovery.source import Batch, Record, StoreUnavailable
 from godwitladder.discovery.targets import TargetEntry
@@ -57,6 +57,7 @@
 def test_a_service_that_has_only_the_new_version_is_served_by_it():
     """Guards against a service without targets when the old ones are gone."""
     assert held_back(make_orders(), [NEW]) == frozenset()
+    assert held_back(make_orders(), [replace(OLD, leaving=True), NEW]) == frozenset()
 
 
 def test_targets_of_no_version_and_without_an_order_take_calls():
@@ -79,13 +80,17 @@
     assert len(store.appended) == 2
 
 
-def test_orders_follow_what_stands_in_the_store():
+def test_a_version_is_held_back_until_its_roll_out_is_over():
+    """Guards against targets that stand idle for an order of long ago."""
     desk = RolloutDesk(PlatformSource(FakeStore()))
-    assert desk.take(Batch(0, 8, (make_record(),)))
+    assert desk.take(Batch(0, 8, (make_record(),)), now=100.0)
     assert desk.orders == make_orders()
-    assert not desk.take(Batch(8, 8, ()))
-    assert desk.take(Batch(-1, 9, ()))
+    assert not desk.take(Batch(-1, 8, (make_record(),)), now=105.0)
+    assert not desk.expire(100.0 + 12.0 + AFTER_S - 0.1)
+    assert desk.expire(100.0 + 12.0 + AFTER_S)
+    assert not desk.take(Batch(-1, 8, (make_record(),)), now=200.0)
     assert not desk.orders
+    assert desk.take(Batch(8, 10, (make_record(offset=9),)), now=300.0)
 
 
 @pytest.mark.parametrize(
