Answer roll-outs from the orders that were taken in, not by decoding them again

The desk decoded every record of the documents' topic at each read, though it had taken the orders in already; an order that can't be read was told of in the log at each read, every 0.6 s, in place of once. It keeps the record beside its order now and answers from that. The answers are the same; the tests hand the records to take() and keep their assertions.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -298,7 +298,7 @@
         if news is not None:
             self.spread(replace(news, age_s=self.clock.boottime() - began))
         if self.answers_orders():
-            self.desk.answer(list(self.newest_documents.values()))
+            self.desk.answer()
 
     def answers_orders(self) -> bool:
         """Return whether this host is the one that answers operators."""
--- a/godwitladder/discovery/rolloutdesk.py
+++ b/godwitladder/discovery/rolloutdesk.py
@@ -1,6 +1,5 @@
 """Keeps the orders of roll-outs that stand in the store, and answers them."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
@@ -19,6 +18,7 @@
 class SeenOrder:
     """An order, and until when its version is held back."""
 
+    record: Record
     order: RolloutOrder
     until: float
 
@@ -54,7 +54,7 @@
             seen = self.seen.get(order.service) if order is not None else None
             if order is not None and (seen is None or seen.order != order):
                 until = now + order.duration_s + AFTER_S
-                self.seen[order.service] = SeenOrder(order, until)
+                self.seen[order.service] = SeenOrder(record, order, until)
         return self.expire(now)
 
     def expire(self, now: float) -> bool:
@@ -65,15 +65,14 @@
         }
         return self.orders != before
 
-    def answer(self, records: Iterable[Record]) -> None:
-        """Answer the orders in ``records`` that this host has not answered.
+    def answer(self) -> None:
+        """Answer the orders that this host has not answered.
 
         Another host may have done so before it was lost; the answer is the same.
         """
-        for record in records:
-            order = self.source.decode_rollout(record)
-            if order is not None and self.told.get(order.service) != order.offset:
-                self.take_back(record, order)
+        for row in list(self.seen.values()):
+            if self.told.get(row.order.service) != row.order.offset:
+                self.take_back(row.record, row.order)
 
     def take_back(self, record: Record, order: RolloutOrder) -> None:
         """Say that a roll-out is taken back; try again later if that fails."""
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -69,14 +69,16 @@
     """Guards against an operator who never hears what became of an order."""
     store = FakeStore()
     desk = RolloutDesk(PlatformSource(store))
+    desk.take(Batch(0, 8, (make_record(),)), now=100.0)
     store.away = True
-    desk.answer([make_record()])
+    desk.answer()
     store.away = False
-    desk.answer([make_record()])
-    desk.answer([make_record()])
+    desk.answer()
+    desk.answer()
     status = {"service": "letters", "target": 3, "state": "rolled_back"}
     assert store.appended == [("keyed.status", "rollout/letters", status)]
-    desk.answer([make_record(offset=9)])
+    desk.take(Batch(8, 10, (make_record(offset=9),)), now=101.0)
+    desk.answer()
     assert len(store.appended) == 2
 
 
