Log the rate limits that targets state in their answers

The incident of the rate limit has three hypotheses that the logs cannot tell apart, since no line says what an answer told of its target. The adapter now decodes the header into AnswerMetadata.rate_limit (requests per second; negative, infinite or unreadable values count as not stated and are logged), the proxy passes it to the scheduler for each answer to the very request that it sent, and the scheduler logs the first statement and its end. Answers of another target (421) and of another request state nothing here. A statement belongs to the generation that the request was dispatched to. Nothing is decided by it yet.

The stand-in engine learns to say it.

--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -1,7 +1,9 @@
 """Reads and writes the platform's headers of requests and answers."""
 
+import math
 from collections.abc import Iterable, Mapping
 
+from godwitladder.logs import component_logger
 from godwitladder.platform import names
 from godwitladder.routing.calls import (
     AnswerMetadata,
@@ -11,6 +13,8 @@
     PromptPart,
 )
 
+log = component_logger("platform")
+
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -27,6 +31,7 @@
     }
 )
 BEARER = "bearer "
+MAX_LOGGED_CHARS = 64
 
 
 class PlatformHeaders:
@@ -77,6 +82,7 @@
             attempt=headers.get(names.ATTEMPT, ""),
             signature=headers.get(names.SIGNATURE, ""),
             not_run=names.NOT_EXECUTED in headers,
+            rate_limit=_parse_rate(headers.get(names.RATE_LIMIT)),
         )
 
     def for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
@@ -92,6 +98,20 @@
     return value if 0 < value < 1e9 else None
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return a rate per second; None if there is none or it is invalid."""
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        rate = math.nan
+    if 0 <= rate < math.inf:
+        return rate
+    log.info("A rate limit is invalid", extra={"rate_limit": text[:MAX_LOGGED_CHARS]})
+    return None
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     if not (first.strip().isdecimal() and second.strip().isdecimal()):
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -13,6 +13,7 @@
 # Headers of answers.
 SIGNATURE = "Godwitladder-Response-Signature"
 NOT_EXECUTED = "Godwitladder-Not-Executed"
+RATE_LIMIT = "Server-Limit"
 
 SYSTEM_HEADERS = frozenset(
     name.lower()
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -102,11 +102,15 @@
         The target's signature of the answer.
     not_run : bool
         Whether the target states that it did not run the request.
+    rate_limit : float or None
+        Requests per second that the target takes from all hosts together, as long
+        as its answers state so; None for no limit.
     """
 
     attempt: str
     signature: str
     not_run: bool
+    rate_limit: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -50,6 +50,7 @@
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.losses import AnswerLost, LossRegistry
 from godwitladder.serving.proxying import RoutedProxy
+from godwitladder.serving.statements import TargetStatements
 from godwitladder.supervision import watch_threads
 
 log = component_logger("daemon")
@@ -182,6 +183,7 @@
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
         self.losses = LossRegistry(clock, self.mesh.broadcast)
         self.router.message_handlers[AnswerLost] = self.receive_loss
+        self.statements = TargetStatements(self.scheduler, tables.rate_limits)
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
             codec,
@@ -251,6 +253,7 @@
             self.watch,
             budget,
             self.losses,
+            self.statements,
             lambda: len(self.hosts),
         )
 
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -18,6 +18,7 @@
     NoFreeThread,
     NothingSent,
     Progress,
+    RateLimitStated,
     Returned,
     ReturnProof,
     Stop,
@@ -27,6 +28,10 @@
     Withdrawn,
 )
 from godwitladder.scheduler.quotas import token_rates
+from godwitladder.scheduler.rate_limits import (
+    take_rate_limit,
+    target_generations,
+)
 from godwitladder.scheduler.reports import (
     choose_allocators,
     due_reports,
@@ -178,6 +183,10 @@
         row.produced_tokens = message.output_tokens
         finish_request(self.tables, row, message.state, self.clock.monotonic())
 
+    @take.register
+    def _(self, message: RateLimitStated) -> None:
+        take_rate_limit(self.tables, message, self.clock.monotonic())
+
     @take.register
     def _(self, message: Withdrawn) -> None:
         row = self.tables.waiting.get(message.request)
@@ -196,7 +205,11 @@
         self.tables.config = message.config
         self.tables.quotas.rates = token_rates(message.config)
         update_targets(self.tables)
-        choose_allocators(self.tables, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.tables.rate_limits.keep_generations(
+            target_generations(message.config), now
+        )
+        choose_allocators(self.tables, now)
 
     @take.register
     def _(self, message: HostsChanged) -> None:
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -83,6 +83,23 @@
     output_tokens: int = 0
 
 
+@dataclass(frozen=True)
+class RateLimitStated:
+    """A target's answer states a rate limit, or no longer states one.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the target to which the request was dispatched.
+    requests_per_s : float
+        Requests that it takes from all hosts together; infinite for no limit.
+    """
+
+    target: TargetName
+    generation: str
+    requests_per_s: float
+
+
 @dataclass(frozen=True)
 class Withdrawn:
     """The caller of a waiting request has disconnected."""
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -10,6 +10,7 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.prediction import OutputPredictor
 from godwitladder.decisions.quotas import TokenQuotas
+from godwitladder.decisions.rate_limits import RateLimits
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
@@ -44,12 +45,19 @@
 
 @dataclass(frozen=True)
 class Dispatch:
-    """Permission to send one request to one target once."""
+    """Permission to send one request to one target once.
+
+    Attributes
+    ----------
+    generation : str
+        Distinguishes the target's process from earlier ones of the same name.
+    """
 
     request: RequestId
     stream: StreamId
     target: TargetName
     address: str
+    generation: str = ""
 
 
 @dataclass
@@ -219,6 +227,8 @@
         Token quotas that this host enforces while it has no allocator.
     seen_hosts : SeenHosts
         Hosts with which it shares the quotas then.
+    rate_limits : RateLimits
+        Rate limits that targets have stated.
     gate : AdmissionGate
         Admission shares received from allocators. May be called by any thread.
     has_standing_grants : bool
@@ -250,6 +260,7 @@
     availability_zone: Zone = Zone("")
     quotas: TokenQuotas = field(default_factory=TokenQuotas)
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     gate: AdmissionGate = field(default_factory=AdmissionGate)
     has_standing_grants: bool = True
     early_fallback: bool = False
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -298,7 +298,13 @@
     if access and row.charge:
         access.history.record_spending(row.workspace, row.charge, now)
     row.decisions.put(
-        Dispatch(row.request, row.stream, target.name, target.target.address)
+        Dispatch(
+            row.request,
+            row.stream,
+            target.name,
+            target.target.address,
+            target.target.generation,
+        )
     )
 
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -27,6 +27,7 @@
 from godwitladder.serving.lateness import classify_lateness
 from godwitladder.serving.losses import LossRegistry
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.streaming import ProxiedStream
 from godwitladder.serving.upstream import (
     BufferedAnswer,
@@ -72,6 +73,8 @@
         Limits the retries of each service.
     losses : LossRegistry
         The lost answers that hosts share.
+    statements : TargetStatements
+        Receives what targets state about themselves in their answers.
     count_hosts : callable
         Returns the number of hosts that share the retry budget.
     """
@@ -83,6 +86,7 @@
     watcher: CallWatcher
     retry_budget: RetryBudget
     losses: LossRegistry
+    statements: TargetStatements
     count_hosts: Callable[[], int]
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
@@ -222,13 +226,15 @@
         response = send(
             connection, self.call.method, self.call.path, self.call.body, headers
         )
-        return self.check_headers(response)
+        return self.check_headers(dispatch, response)
 
     def check_headers(
-        self, response: urllib3.BaseHTTPResponse
+        self, dispatch: Dispatch, response: urllib3.BaseHTTPResponse
     ) -> urllib3.BaseHTTPResponse:
         """Return ``response`` if its headers show that it answers this call.
 
+        What they state about the target itself is recorded, whatever the status.
+
         Raises
         ------
         NotRun
@@ -237,6 +243,13 @@
             The response belongs to another call, or a success is unsigned.
         """
         metadata = self.proxy.header_codec.read_answer(response.headers)
+        # An answer of another target, or to another request, states nothing about
+        # this target now.
+        if (
+            response.status != HTTP_MISDIRECTED
+            and metadata.attempt == self.call.metadata.attempt
+        ):
+            self.proxy.statements.record(dispatch, metadata.rate_limit)
         if metadata.not_run or response.status == HTTP_MISDIRECTED:
             raise NotRun(f"answered {response.status}")
         # A target may return the answer to another request, which has another attempt
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -213,6 +213,8 @@
         Status of answers that are no streams.
     events : int
         Number of the last event of a stream.
+    rate_limit : float
+        Requests per second that every answer states as the limit; 0 for none.
     """
 
     refuse: bool = False
@@ -222,6 +224,7 @@
     pause_s: float = 0.0
     status: int = 200
     events: int = 5
+    rate_limit: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -324,6 +327,10 @@
         attempt_id = other_id or self.headers.get(names.ATTEMPT, "")
         self.send_header(names.ATTEMPT, attempt_id)
         self.send_header(names.SIGNATURE, f"signed-{attempt_id}")
+        if self.server.standin.knobs.rate_limit:
+            self.send_header(
+                names.RATE_LIMIT, str(self.server.standin.knobs.rate_limit)
+            )
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -256,3 +256,20 @@
         "Godwitladder-Expect-Instance": "e1",
         "Godwitladder-Tenant": "w1",
     }
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [("3", 3.0), ("2.7", 2.7), ("0", 0.0), ("0.25", 0.25)],
+)
+def test_the_rate_limit_of_a_target_is_read(value, rate):
+    assert PlatformHeaders().read_answer({"Server-Limit": value}).rate_limit == rate
+
+
+@pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e999", "three", "3/s"])
+def test_an_invalid_rate_limit_counts_as_not_stated(value):
+    assert PlatformHeaders().read_answer({"Server-Limit": value}).rate_limit is None
+
+
+def test_an_answer_without_a_rate_limit_states_none():
+    assert PlatformHeaders().read_answer({}).rate_limit is None
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -8,6 +8,7 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.rate_limits import RateLimits
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
@@ -20,6 +21,7 @@
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.losses import AnswerLost, LossRegistry, digest_call
 from godwitladder.serving.proxying import RoutedProxy
+from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.upstream import StreamTruncated
 from godwitladder.standins.routed import start_engine
 from tests.fleet import wait_until
@@ -125,6 +127,7 @@
             self.watcher,
             RetryBudget(RetryLimits()),
             LossRegistry(self.clock, lambda message: None),
+            TargetStatements(self.scheduler, RateLimits()),
             lambda: 1,
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
