Forget what targets state in one place, and test that a change is reported at once

The rule by which a rate limit ends with the process that stated it (restarted under its name, or without an entry for a minute) moves to decisions/target_processes.py, since whatever else a target states of itself ends alike. No behaviour changes.

A mutation that drops the changed targets from reports between two full ones was not noticed; a test of the reports now is red without it.

--- a/godwitladder/decisions/rate_limits.py
+++ b/godwitladder/decisions/rate_limits.py
@@ -39,8 +39,6 @@
     of it at the same time stay below one and a half times the limit.
 MIN_RATE : requests per second that a target gets at least. With one in four seconds,
     the end of a limit is seen within that time.
-KEEP_ABSENT_S : a target whose entry lapses and returns, as after an outage of the
-    store, still has its limit; one that was absent for this long has ended.
 CLEARED_S : for this time the end of a limit is told, so that an older statement of
     another host doesn't bring it back.
 """
@@ -50,13 +48,13 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.rendezvous import rank_hosts
+from godwitladder.decisions.target_processes import ProcessRow, drop_ended
 from godwitladder.ids import HostId, TargetName
 
 NO_LIMIT = math.inf
 BURST_S = 0.25
 FALLBACK_SHARE = 1 / 3
 MIN_RATE = 0.25
-KEEP_ABSENT_S = 60.0
 CLEARED_S = 10.0
 ROUNDING = 1e-9
 
@@ -82,23 +80,23 @@
 
 
 @dataclass
-class LimitRow:
+class LimitRow(ProcessRow):
     """What one target last stated, and the bucket from which it gets requests.
 
     Attributes
     ----------
-    observed_at, present_at : float
-        Times of the answer that stated it, and when the target last had an entry.
+    requests_per_s : float
+        Requests that it takes from all hosts together; infinite for no limit.
+    observed_at : float
+        Time of the answer that stated it.
     requests : float
         Requests that may be sent now.
     refilled_at : float
         Time for which ``requests`` holds.
     """
 
-    generation: str
     requests_per_s: float
     observed_at: float
-    present_at: float
     requests: float
     refilled_at: float
 
@@ -157,7 +155,7 @@
         """
         row = self.rows.get(target)
         if row is None:
-            row = LimitRow(generation, NO_LIMIT, observed_at, now, 0.0, now)
+            row = LimitRow(generation, now, NO_LIMIT, observed_at, 0.0, now)
             self.rows[target] = row
         if observed_at < row.observed_at:
             return False
@@ -190,23 +188,9 @@
     def keep_generations(
         self, generations: Mapping[TargetName, str], now: float
     ) -> None:
-        """Forget targets that have restarted, or have been absent for long.
-
-        Parameters
-        ----------
-        generations : mapping
-            Generation of each target that has an entry now.
-        now : float
-            Current time, in seconds.
-        """
-        for name, row in list(self.rows.items()):
-            generation = generations.get(name)
-            if generation is not None:
-                row.present_at = now
-            restarted = generation is not None and generation != row.generation
-            if restarted or now - row.present_at > KEEP_ABSENT_S:
-                del self.rows[name]
-                self.record_change()
+        """Forget what ended processes have stated; see `drop_ended`."""
+        if drop_ended(self.rows, generations, now):
+            self.record_change()
 
     def record_change(self) -> None:
         """Update what depends on the limits."""
--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -8,15 +8,15 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.rate_limits import (
     FALLBACK_SHARE,
-    KEEP_ABSENT_S,
     MIN_RATE,
     NO_LIMIT,
     RateLimits,
 )
+from godwitladder.decisions.target_processes import KEEP_ABSENT_S
 from godwitladder.metrics import Metrics
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.messages import NewConfig, RateLimitStated
-from godwitladder.scheduler.reports import RATE_LIMITED_TEXT
+from godwitladder.scheduler.reports import RATE_LIMITED_TEXT, make_report
 from godwitladder.scheduler.ticker import Ticker
 from tests.scheduler.harness import START, make_config, make_tables
 from tests.scheduler.limited import (
@@ -202,3 +202,16 @@
     pool.run(20.0)
     ranks = Counter(call.rank for call in pool.sent)
     assert ranks[1] >= 0.4 * ranks[0]
+
+
+def test_a_change_is_in_the_next_report():
+    """Guards against a second in which the allocator grants as before."""
+    pool = LimitedPool({"e0": 8})
+    tables = pool.harness.hosts["h1"]
+    (access,) = tables.pools.values()
+    make_report(tables, access, pool.now)
+    pool.state_limit("h1", LIMIT)
+    (statement,) = make_report(tables, access, pool.now + 0.1).rate_limits
+    assert (statement.target, statement.requests_per_s) == ("e0", LIMIT)
+    assert make_report(tables, access, pool.now + 0.2).rate_limits == ()
+    assert len(make_report(tables, access, pool.now + 1.2).rate_limits) == 1
