Log targets that state that they leave, or that they want no requests for a while

The hypotheses on targets that leave or ask for rest can't be told apart by the logs: no line says what an answer stated. The adapter now decodes both headers (AnswerMetadata.leaving, retry_after_s), the proxy passes them to the scheduler from every answer to the very request that it sent, and the scheduler logs the first statement of each. Nothing is decided by either yet.

The functions that take statements into the tables move to scheduler/statements.py, where all kinds end with the process that stated them.

--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -31,6 +31,7 @@
     }
 )
 BEARER = "bearer "
+IS_LEAVING = "1"
 MAX_LOGGED_CHARS = 64
 
 
@@ -82,7 +83,9 @@
             attempt=headers.get(names.ATTEMPT, ""),
             signature=headers.get(names.SIGNATURE, ""),
             not_run=names.NOT_EXECUTED in headers,
-            rate_limit=_parse_rate(headers.get(names.RATE_LIMIT)),
+            rate_limit=_parse_number(headers, names.RATE_LIMIT),
+            leaving=headers.get(names.LEAVING) == IS_LEAVING,
+            retry_after_s=_parse_number(headers, names.RETRY_AFTER),
         )
 
     def for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
@@ -98,17 +101,19 @@
     return value if 0 < value < 1e9 else None
 
 
-def _parse_rate(text: str | None) -> float | None:
-    """Return a rate per second; None if there is none or it is invalid."""
+def _parse_number(headers: Mapping[str, str], name: str) -> float | None:
+    """Return a number that is not negative; None if there is none or it is invalid."""
+    text = headers.get(name)
     if text is None:
         return None
     try:
-        rate = float(text)
+        value = float(text)
     except ValueError:
-        rate = math.nan
-    if 0 <= rate < math.inf:
-        return rate
-    log.info("A rate limit is invalid", extra={"rate_limit": text[:MAX_LOGGED_CHARS]})
+        value = math.nan
+    if 0 <= value < math.inf:
+        return value
+    extra = {"header": name, "value": text[:MAX_LOGGED_CHARS]}
+    log.info("A header of a target is invalid", extra=extra)
     return None
 
 
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -14,6 +14,8 @@
 SIGNATURE = "Godwitladder-Response-Signature"
 NOT_EXECUTED = "Godwitladder-Not-Executed"
 RATE_LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 
 SYSTEM_HEADERS = frozenset(
     name.lower()
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -105,12 +105,19 @@
     rate_limit : float or None
         Requests per second that the target takes from all hosts together, as long
         as its answers state so; None for no limit.
+    leaving : bool
+        Whether the target states that it is leaving.
+    retry_after_s : float or None
+        Seconds for which a target that refuses a request wants no others from this
+        host; None if not stated.
     """
 
     attempt: str
     signature: str
     not_run: bool
     rate_limit: float | None = None
+    leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -133,8 +133,8 @@
         Time of the last full report.
     fates : Counter
         Number of grants by outcome since the metrics were last updated.
-    changed_limits : set of TargetName
-        Targets whose rate limit this host has seen change since the last report.
+    changed_targets : set of TargetName
+        Targets that have stated something new to this host since the last report.
     history : SpendingHistory
         Tokens that workspaces have spent through this host.
     """
@@ -167,7 +167,7 @@
     decided: set[RequestId] = field(default_factory=set)
     full_report_at: float = float("-inf")
     fates: Counter[GrantFate] = field(default_factory=Counter)
-    changed_limits: set[TargetName] = field(default_factory=set)
+    changed_targets: set[TargetName] = field(default_factory=set)
     history: SpendingHistory = field(default_factory=SpendingHistory)
 
     def set_allocator(self, allocator: HostId | None, now: float) -> None:
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -14,11 +14,13 @@
 from godwitladder.scheduler.messages import (
     Finished,
     HostsChanged,
+    LeavingStated,
     NewConfig,
     NoFreeThread,
     NothingSent,
     Progress,
     RateLimitStated,
+    RestStated,
     Returned,
     ReturnProof,
     Stop,
@@ -27,9 +29,7 @@
     Tick,
     Withdrawn,
 )
-from godwitladder.scheduler.pools import target_generations
 from godwitladder.scheduler.quotas import token_rates
-from godwitladder.scheduler.rate_limits import take_rate_limit
 from godwitladder.scheduler.reports import (
     choose_allocators,
     due_reports,
@@ -38,6 +38,12 @@
     update_targets,
 )
 from godwitladder.scheduler.rows import Tables
+from godwitladder.scheduler.statements import (
+    forget_ended_processes,
+    take_leaving,
+    take_rate_limit,
+    take_rest,
+)
 from godwitladder.scheduler.systems import (
     add_request,
     finish_request,
@@ -185,6 +191,14 @@
     def _(self, message: RateLimitStated) -> None:
         take_rate_limit(self.tables, message, self.clock.monotonic())
 
+    @take.register
+    def _(self, message: LeavingStated) -> None:
+        take_leaving(self.tables, message, self.clock.monotonic())
+
+    @take.register
+    def _(self, message: RestStated) -> None:
+        take_rest(self.tables, message, self.clock.monotonic())
+
     @take.register
     def _(self, message: Withdrawn) -> None:
         row = self.tables.waiting.get(message.request)
@@ -204,9 +218,7 @@
         self.tables.quotas.rates = token_rates(message.config)
         update_targets(self.tables)
         now = self.clock.monotonic()
-        self.tables.rate_limits.keep_generations(
-            target_generations(message.config.targets), now
-        )
+        forget_ended_processes(self.tables, now)
         choose_allocators(self.tables, now)
 
     @take.register
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -100,6 +100,37 @@
     requests_per_s: float
 
 
+@dataclass(frozen=True)
+class LeavingStated:
+    """A target's answer states that the target is leaving.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the target to which the request was dispatched.
+    """
+
+    target: TargetName
+    generation: str
+
+
+@dataclass(frozen=True)
+class RestStated:
+    """A target has refused a request and wants no others from this host for a while.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the target to which the request was dispatched.
+    rest_s : float
+        Seconds for which it wants none, counted from its answer.
+    """
+
+    target: TargetName
+    generation: str
+    rest_s: float
+
+
 @dataclass(frozen=True)
 class Withdrawn:
     """The caller of a waiting request has disconnected."""
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -249,7 +249,7 @@
     tables: Tables, access: PoolAccess, only_changed: bool, now: float
 ) -> tuple[StatedLimit, ...]:
     """Return the rate limits of a pool's targets, or those that have changed."""
-    changed, access.changed_limits = access.changed_limits, set()
+    changed, access.changed_targets = access.changed_targets, set()
     targets = changed if only_changed else access.pool.targets
     return tables.rate_limits.statements(targets, now)
 
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -8,9 +8,11 @@
 
 from godwitladder.configuration.model import Target
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.prediction import OutputPredictor
 from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.decisions.rate_limits import RateLimits
+from godwitladder.decisions.rests import Rests
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
@@ -233,6 +235,10 @@
         Hosts with which it shares the quotas then.
     rate_limits : RateLimits
         Rate limits that targets have stated.
+    departures : Departures
+        Targets that have stated that they are leaving.
+    rests : Rests
+        For how long targets want no requests from this host.
     gate : AdmissionGate
         Admission shares received from allocators. May be called by any thread.
     has_standing_grants : bool
@@ -265,6 +271,8 @@
     quotas: TokenQuotas = field(default_factory=TokenQuotas)
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    departures: Departures = field(default_factory=Departures)
+    rests: Rests = field(default_factory=Rests)
     gate: AdmissionGate = field(default_factory=AdmissionGate)
     has_standing_grants: bool = True
     early_fallback: bool = False
--- /dev/null
+++ b/godwitladder/scheduler/statements.py
@@ -0,0 +1,73 @@
+"""Takes what targets state about themselves into the tables of a host.
+
+Pure: times are passed as arguments.
+"""
+
+from godwitladder.decisions.rate_limits import NO_LIMIT
+from godwitladder.logs import component_logger
+from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
+from godwitladder.scheduler.pools import target_generations
+from godwitladder.scheduler.rows import Tables, TargetRow
+
+log = component_logger("scheduler")
+
+Statement = LeavingStated | RateLimitStated | RestStated
+
+
+def forget_ended_processes(tables: Tables, now: float) -> None:
+    """Forget what targets have stated whose processes have ended."""
+    generations = target_generations(tables.config.targets)
+    for table in (tables.rate_limits, tables.departures, tables.rests):
+        table.keep_generations(generations, now)
+
+
+def find_stating_target(tables: Tables, message: Statement) -> TargetRow | None:
+    """Return the target whose answer states something; None if it has ended.
+
+    An answer to a request that was dispatched to an earlier process of the target says
+    nothing about the present one.
+    """
+    target = tables.targets.get(message.target)
+    if target is None or target.target.generation != message.generation:
+        return None
+    return target
+
+
+def take_rate_limit(tables: Tables, message: RateLimitStated, now: float) -> None:
+    """Record a rate limit, and log it if it is new."""
+    target = find_stating_target(tables, message)
+    if target is None or not tables.rate_limits.observe(
+        message.target, message.generation, message.requests_per_s, now, now
+    ):
+        return
+    report_soon(tables, target)
+    if message.requests_per_s == NO_LIMIT:
+        log.info("A target's rate limit has ended", extra=target.log_fields())
+        return
+    extra = target.log_fields() | {"requests_per_s": message.requests_per_s}
+    log.info("A target states a rate limit", extra=extra)
+
+
+def take_leaving(tables: Tables, message: LeavingStated, now: float) -> None:
+    """Record that a target leaves, and log it if it is new."""
+    target = find_stating_target(tables, message)
+    if target and tables.departures.observe(message.target, message.generation, now):
+        log.info("A target states that it is leaving", extra=target.log_fields())
+
+
+def take_rest(tables: Tables, message: RestStated, now: float) -> None:
+    """Record for how long a target wants no requests, and log it if it is new."""
+    target = find_stating_target(tables, message)
+    if target and tables.rests.observe(
+        message.target, message.generation, message.rest_s, now
+    ):
+        extra = target.log_fields() | {"rest_s": message.rest_s}
+        log.info("A target wants no requests for a while", extra=extra)
+
+
+def report_soon(tables: Tables, target: TargetRow) -> None:
+    """Include what a target has stated in the next report, which is sent at once."""
+    access = tables.pool_of.get(target.name)
+    if access is not None:
+        access.changed_targets.add(target.name)
+        access.dirty = True
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -249,7 +249,7 @@
             response.status != HTTP_MISDIRECTED
             and metadata.attempt == self.call.metadata.attempt
         ):
-            self.proxy.statements.record(dispatch, metadata.rate_limit)
+            self.proxy.statements.record(dispatch, response.status, metadata)
         if metadata.not_run or response.status == HTTP_MISDIRECTED:
             raise NotRun(f"answered {response.status}")
         # A target may return the answer to another request, which has another attempt
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -3,9 +3,17 @@
 import pykka
 
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
-from godwitladder.scheduler.messages import RateLimitStated
+from godwitladder.routing.calls import AnswerMetadata
+from godwitladder.scheduler.messages import (
+    LeavingStated,
+    RateLimitStated,
+    RestStated,
+)
 from godwitladder.scheduler.rows import Dispatch
 
+REFUSING_STATUSES = frozenset({429, 503})
+"""Statuses with which a target refuses a request for the time being."""
+
 
 class TargetStatements:
     """Statements in the answers that this host receives.
@@ -25,18 +33,35 @@
         self.scheduler = scheduler
         self.rate_limits = rate_limits
 
-    def record(self, dispatch: Dispatch, rate_limit: float | None) -> None:
+    def record(self, dispatch: Dispatch, status: int, metadata: AnswerMetadata) -> None:
         """Record what the answer to a dispatched request states.
 
         Parameters
         ----------
-        rate_limit : float or None
-            Requests per second that the target takes; None if not stated.
+        dispatch : Dispatch
+            The request's dispatch.
+        status : int
+            HTTP status of the answer.
+        metadata : AnswerMetadata
+            What its headers state.
         """
-        if rate_limit is None and dispatch.target not in self.rate_limits.limited:
-            return
-        if rate_limit is None:
-            rate_limit = NO_LIMIT
-        self.scheduler.tell(
-            RateLimitStated(dispatch.target, dispatch.generation, rate_limit)
-        )
+        for message in read_statements(dispatch, status, metadata):
+            self.scheduler.tell(message)
+        if metadata.rate_limit is None and dispatch.target in self.rate_limits.limited:
+            ended = RateLimitStated(dispatch.target, dispatch.generation, NO_LIMIT)
+            self.scheduler.tell(ended)
+
+
+def read_statements(
+    dispatch: Dispatch, status: int, metadata: AnswerMetadata
+) -> list[RateLimitStated | LeavingStated | RestStated]:
+    """Return the messages for what an answer states about its target."""
+    process = dispatch.target, dispatch.generation
+    messages = []
+    if metadata.rate_limit is not None:
+        messages.append(RateLimitStated(*process, metadata.rate_limit))
+    if metadata.leaving:
+        messages.append(LeavingStated(*process))
+    if metadata.retry_after_s is not None and status in REFUSING_STATUSES:
+        messages.append(RestStated(*process, metadata.retry_after_s))
+    return messages
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -215,6 +215,10 @@
         Number of the last event of a stream.
     rate_limit : float
         Requests per second that every answer states as the limit; 0 for none.
+    leaving : bool
+        Whether every answer states that the engine is leaving.
+    rest_s : float
+        Seconds of rest that a refusal with 503 asks for; 0 for none.
     """
 
     refuse: bool = False
@@ -225,6 +229,8 @@
     status: int = 200
     events: int = 5
     rate_limit: float = 0.0
+    leaving: bool = False
+    rest_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -283,7 +289,7 @@
             self.send_head(421, [("Content-Length", "0")])
             return
         if engine.knobs.refuse:
-            self.send_head(503, [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")])
+            self.send_refusal(engine.knobs.rest_s)
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
         now = time.monotonic()
@@ -295,6 +301,13 @@
 
     do_GET = do_POST
 
+    def send_refusal(self, rest_s: float) -> None:
+        """Refuse a request, which does not run, and ask for rest if there is any."""
+        headers = [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")]
+        if rest_s:
+            headers.append((names.RETRY_AFTER, str(rest_s)))
+        self.send_head(503, headers)
+
     def run(self, knobs: EngineKnobs) -> None:
         """Answer an accepted request."""
         if "/stream/" in self.path:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -81,7 +81,7 @@
 # Names in the protocols of the platform, and the folders that may use them.
 PLATFORM_NAMES = re.compile(
     r"Godwitladder-|/api/|log-(append|read|newest|join)|keyed\.(op|servers|hosts)"
-    r"|GODWITLADDER_NODE_FILE|Kv-From"
+    r"|GODWITLADDER_NODE_FILE|Kv-From|Server-(Limit|Leaving)"
 )
 ADAPTER_FOLDERS = ("godwitladder/platform/", "godwitladder/standins/")
 
@@ -273,3 +273,17 @@
 
 def test_an_answer_without_a_rate_limit_states_none():
     assert PlatformHeaders().read_answer({}).rate_limit is None
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_a_leaving_target_is_told_by_its_answers(value, leaving):
+    assert PlatformHeaders().read_answer({"Server-Leaving": value}).leaving is leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [("3", 3.0), ("0.5", 0.5), ("-1", None), ("nan", None), ("Thu, 3 Dec 2026", None)],
+)
+def test_the_rest_that_a_target_asks_for_is_read(value, seconds):
+    answer = PlatformHeaders().read_answer({"Retry-After": value})
+    assert answer.retry_after_s == seconds
--- a/tests/scheduler/limited.py
+++ b/tests/scheduler/limited.py
@@ -4,8 +4,8 @@
 
 from godwitladder.outcomes import Refusal, RequestState
 from godwitladder.scheduler.messages import RateLimitStated
-from godwitladder.scheduler.rate_limits import take_rate_limit
 from godwitladder.scheduler.rows import Dispatch, RequestRow
+from godwitladder.scheduler.statements import take_rate_limit
 from godwitladder.scheduler.systems import finish_request, run_systems
 from tests.scheduler.harness import (
     START,
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -3,7 +3,8 @@
 import pytest
 
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
-from godwitladder.scheduler.messages import RateLimitStated
+from godwitladder.routing.calls import AnswerMetadata
+from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.statements import TargetStatements
 from tests.serving.test_passing import Bench, stack
@@ -13,6 +14,10 @@
 DISPATCH = Dispatch("r", "r", "e0", "10.0.0.1:1", "7")
 
 
+def answer(**fields):
+    return AnswerMetadata("a1", "signed", False, **fields)
+
+
 class Inbox:
     """Collects the messages to the scheduler."""
 
@@ -29,7 +34,7 @@
 
 
 def test_a_rate_limit_is_passed_on_with_the_generation(inbox):
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, 3.0)
+    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer(rate_limit=3.0))
     assert inbox.messages == [RateLimitStated("e0", "7", 3.0)]
 
 
@@ -37,12 +42,30 @@
     """Guards against a limit that stays after answers have stopped to state it."""
     limits = RateLimits()
     limits.observe("e0", "7", 3.0, 1.0, 1.0)
-    TargetStatements(inbox, limits).record(DISPATCH, None)
+    TargetStatements(inbox, limits).record(DISPATCH, 200, answer())
     assert inbox.messages == [RateLimitStated("e0", "7", NO_LIMIT)]
 
 
 def test_an_answer_that_states_nothing_costs_nothing(inbox):
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, None)
+    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer())
+    assert inbox.messages == []
+
+
+def test_a_leaving_target_is_passed_on(inbox):
+    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer(leaving=True))
+    assert inbox.messages == [LeavingStated("e0", "7")]
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_rest_is_passed_on_from_a_refusal(inbox, status):
+    metadata = answer(retry_after_s=3.0)
+    TargetStatements(inbox, RateLimits()).record(DISPATCH, status, metadata)
+    assert inbox.messages == [RestStated("e0", "7", 3.0)]
+
+
+def test_another_answer_asks_for_no_rest(inbox):
+    metadata = answer(retry_after_s=3.0)
+    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, metadata)
     assert inbox.messages == []
 
 
