Show that targets that leave, or ask for rest, get calls all the same

Two hosts as processes and two stand-in engines. One engine states that it leaves while the store is away: from three seconds after that it gets 155 more calls, none is allowed. One engine refuses calls that may be sent to one target only, and asks for three seconds of rest: a host that it has asked sends it 161 more in that time, two are allowed.

The hosts log both statements. For the target that leaves, that puts out hypothesis 2 (grants given before): calls go on at the same pace past the life of a grant. For the rest it bears out 3 and 4: the time is not kept, and where a call may not be sent again, not even the second for which a target that refuses is avoided. The other way, 5 (a grant on its way), could give some calls, not 161.

--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -256,6 +256,27 @@
     at: float = 0.0
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an engine, whether it ran or not.
+
+    Attributes
+    ----------
+    at : float
+        When it arrived, in monotonic seconds.
+    attempt : str
+        Attempt id of the request.
+    rate_limit, leaving, rest_s
+        What its answer states, as in `EngineKnobs`; ``rest_s`` only in a refusal.
+    """
+
+    at: float
+    attempt: str
+    rate_limit: float
+    leaving: bool
+    rest_s: float
+
+
 class Engine:
     """Requests that an engine ran, and its knobs.
 
@@ -265,6 +286,8 @@
         Faults and pace of the engine.
     runs : list of Run
         Requests that ran, in order of arrival.
+    arrivals : list of Arrival
+        All requests that were meant for it, in order of arrival.
     broken_connections : int
         Number of connections that broke while an answer was sent.
     """
@@ -272,6 +295,7 @@
     def __init__(self) -> None:
         self.knobs = EngineKnobs()
         self.runs: list[Run] = []
+        self.arrivals: list[Arrival] = []
         self.broken_connections = 0
 
 
@@ -288,11 +312,12 @@
         if expected and engine.knobs.name not in ("", expected):
             self.send_head(421, [("Content-Length", "0")])
             return
+        now = time.monotonic()
+        engine.arrivals.append(self.make_arrival(engine.knobs, now))
         if engine.knobs.refuse:
             self.send_refusal(engine.knobs.rest_s)
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
-        now = time.monotonic()
         engine.runs.append(Run(self.command, self.path, headers, body, now))
         try:
             self.run(engine.knobs)
@@ -301,6 +326,16 @@
 
     do_GET = do_POST
 
+    def make_arrival(self, knobs: EngineKnobs, now: float) -> Arrival:
+        """Return the record of the request that is being read."""
+        return Arrival(
+            now,
+            self.headers.get(names.ATTEMPT, ""),
+            knobs.rate_limit,
+            knobs.leaving,
+            knobs.rest_s if knobs.refuse else 0.0,
+        )
+
     def send_refusal(self, rest_s: float) -> None:
         """Refuse a request, which does not run, and ask for rest if there is any."""
         headers = [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")]
@@ -340,10 +375,11 @@
         attempt_id = other_id or self.headers.get(names.ATTEMPT, "")
         self.send_header(names.ATTEMPT, attempt_id)
         self.send_header(names.SIGNATURE, f"signed-{attempt_id}")
-        if self.server.standin.knobs.rate_limit:
-            self.send_header(
-                names.RATE_LIMIT, str(self.server.standin.knobs.rate_limit)
-            )
+        knobs = self.server.standin.knobs
+        if knobs.rate_limit:
+            self.send_header(names.RATE_LIMIT, str(knobs.rate_limit))
+        if knobs.leaving:
+            self.send_header(names.LEAVING, "1")
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
