Send nothing to a target once its answers say that it leaves

What callers saw: nothing, as long as the target's process lived; calls that were still there at its end would have broken.

Cause: hosts and allocators learn that a target leaves from its entry alone. While the store is away or late the entry says that it takes requests, and what each answer of the target says was not read.

Now a host that is told sends nothing more to this process of the target, with or without a grant (decisions/departures.py, checked where requests are dispatched and again right before the first byte), and tells the allocator with a report that is sent at once, which then grants the target to nobody. A departure holds for the process that stated it: one that was restarted gets requests at once, and an entry that lapses and returns changes nothing.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -183,7 +183,9 @@
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
         self.losses = LossRegistry(clock, self.mesh.broadcast)
         self.router.message_handlers[AnswerLost] = self.receive_loss
-        self.statements = TargetStatements(self.scheduler, tables.rate_limits)
+        self.statements = TargetStatements(
+            self.scheduler, tables.rate_limits, tables.departures
+        )
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
             codec,
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -224,6 +224,7 @@
             role = tables.roles[name]
             role.configure(pool, tables.config, tables.leaving)
             role.rate_limits.keep_generations(generations, now)
+            role.departures.keep_generations(generations, now)
             role.rate_limits.share = self.visible_share(now)
             role.quotas.slack = tables.quota_slack
             role.quotas.share = self.visible_share(now)
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass
 
 from godwitladder.decisions.admission import AdmissionShare
+from godwitladder.decisions.departures import Departure
 from godwitladder.decisions.quotas import WorkspaceSpending
 from godwitladder.decisions.rate_limits import StatedLimit
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
@@ -166,6 +167,9 @@
     rate_limits : tuple of StatedLimit
         Rate limits of targets: all that the host knows in a full report, and
         otherwise those that have changed.
+    departures : tuple of Departure
+        Targets that have stated that they leave: all that the host knows in a full
+        report, and otherwise new ones.
     """
 
     host: HostId
@@ -188,6 +192,7 @@
     incremental: bool = False
     removed: tuple[RequestId, ...] = ()
     rate_limits: tuple[StatedLimit, ...] = ()
+    departures: tuple[Departure, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -5,11 +5,11 @@
 
 import math
 from collections import Counter
+from collections.abc import Collection
 
-from godwitladder.decisions.rate_limits import StatedLimit
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import RequestDemand, Shed, ShedReason, TargetUse
-from godwitladder.ids import BodyDigest, HostId
+from godwitladder.ids import BodyDigest, HostId, TargetName
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.exchange import (
@@ -220,6 +220,7 @@
     unlisted_counts = Counter(row.tier_rank for row in middle)
     targets = [tables.targets[name] for name in sorted(access.pool.targets)]
     unanswered = access.holder is None
+    stating = take_stating_targets(access, update.incremental)
     return PoolReport(
         host=tables.host,
         incarnation=tables.incarnation,
@@ -241,17 +242,23 @@
         covered_s=access.history.covered_s(now) if unanswered else 0.0,
         incremental=update.incremental,
         removed=update.removed,
-        rate_limits=report_rate_limits(tables, access, update.incremental, now),
+        rate_limits=tables.rate_limits.statements(stating, now),
+        departures=tables.departures.statements(stating),
     )
 
 
-def report_rate_limits(
-    tables: Tables, access: PoolAccess, only_changed: bool, now: float
-) -> tuple[StatedLimit, ...]:
-    """Return the rate limits of a pool's targets, or those that have changed."""
-    changed, access.changed_targets = access.changed_targets, set()
-    targets = changed if only_changed else access.pool.targets
-    return tables.rate_limits.statements(targets, now)
+def take_stating_targets(access: PoolAccess, only_new: bool) -> Collection[TargetName]:
+    """Return the targets whose statements a report is to list.
+
+    Parameters
+    ----------
+    access : PoolAccess
+        The pool that is reported on.
+    only_new : bool
+        Whether to list only targets that have stated something since the last report.
+    """
+    new, access.changed_targets = access.changed_targets, set()
+    return new if only_new else access.pool.targets
 
 
 def select_demand(tables: Tables, access: PoolAccess) -> list[RequestRow]:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -14,6 +14,7 @@
 from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import MAX_CONTENTION_S, allocate
 from godwitladder.decisions.allocator_state import AllocatorState
+from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.forecast import PrefillForecast
 from godwitladder.decisions.load_reports import LoadReports
 from godwitladder.decisions.policy import ROUTED, STRICT
@@ -162,6 +163,7 @@
         self.state = AllocatorState()
         self.quotas = TokenQuotas()
         self.rate_limits = RateLimits()
+        self.departures = Departures()
         self.waiting: dict[RequestId, WaitingRequest] = {}
         self.loads = LoadReports()
         self.delays = ReportDelays()
@@ -200,9 +202,10 @@
         if not account.take(report, acked_offer, now):
             return False
         self.update_waiting(account, report, now - delay_s)
-        if report.rate_limits:
+        if report.rate_limits or report.departures:
             generations = target_generations(self.config.targets)
             self.rate_limits.observe_all(report.rate_limits, generations, now - delay_s)
+            self.departures.observe_all(report.departures, generations, now)
         self.quotas.add_history(report.host, report.spent, report.covered_s, now)
         for row in report.completions:
             self.observe_completion(row)
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -52,6 +52,7 @@
     """Record that a target leaves, and log it if it is new."""
     target = find_stating_target(tables, message)
     if target and tables.departures.observe(message.target, message.generation, now):
+        report_soon(tables, target)
         log.info("A target states that it is leaving", extra=target.log_fields())
 
 
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -200,11 +200,14 @@
     The allocator grants nothing on a leaving target, but grants that it gave before
     it learned that the target is leaving are still outstanding. Without this second
     check, new work would be sent to the target until they expire or are renewed.
+
+    A target may state that it leaves before the store does, or while that is away.
     """
     return (
         row.service in target.target.services
         and target.target.state is TargetState.ACTIVE
         and target.target.address not in tables.leaving
+        and not tables.departures.includes(target.name, target.target.generation)
         and target.avoided_until <= now
     )
 
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -105,6 +105,8 @@
             continue
         if target.address in role.leaving or name in unreachable:
             continue
+        if role.departures.includes(name, target.generation):
+            continue
         count = max_usage.get(name, NO_USAGE)
         role.loads.record_own(name, usage.get(name, NO_USAGE).running, now)
         speed = role.speeds.learned[name]
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -216,6 +216,7 @@
         left_s = self.left_s()
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
+        self.proxy.statements.check(dispatch)
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -2,7 +2,9 @@
 
 import pykka
 
+from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
+from godwitladder.engines.wire import NotSent
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
     LeavingStated,
@@ -27,11 +29,33 @@
         The scheduler's actor.
     rate_limits : RateLimits
         The limits that the scheduler knows. Only ``limited`` is read.
+    departures : Departures
+        The leaving targets that the scheduler knows.
     """
 
-    def __init__(self, scheduler: pykka.ActorRef, rate_limits: RateLimits) -> None:
+    def __init__(
+        self,
+        scheduler: pykka.ActorRef,
+        rate_limits: RateLimits,
+        departures: Departures,
+    ) -> None:
         self.scheduler = scheduler
         self.rate_limits = rate_limits
+        self.departures = departures
+
+    def check(self, dispatch: Dispatch) -> None:
+        """Check again that a request may be sent, right before its first byte.
+
+        A thread may wait for the processor or for a connection after the dispatch,
+        and other answers may state something in that time.
+
+        Raises
+        ------
+        NotSent
+            The target has stated that it wants no requests.
+        """
+        if self.departures.includes(dispatch.target, dispatch.generation):
+            raise NotSent("the target has stated that it is leaving")
 
     def record(self, dispatch: Dispatch, status: int, metadata: AnswerMetadata) -> None:
         """Record what the answer to a dispatched request states.
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -8,6 +8,7 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import RateLimits
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
 from godwitladder.metrics import Metrics
@@ -121,6 +122,7 @@
         form = PlatformHeaders()
         self.freshness = DocumentFreshness(5.0)
         self.freshness.confirm(self.clock.boottime())
+        self.statements = TargetStatements(self.scheduler, RateLimits(), Departures())
         proxy = RoutedProxy(
             form,
             self.scheduler,
@@ -129,7 +131,7 @@
             self.watcher,
             RetryBudget(RetryLimits()),
             LossRegistry(self.clock, lambda message: None),
-            TargetStatements(self.scheduler, RateLimits()),
+            self.statements,
             lambda: 1,
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
@@ -18,6 +19,10 @@
     return AnswerMetadata("a1", "signed", False, **fields)
 
 
+def make_statements(inbox, limits=None):
+    return TargetStatements(inbox, limits or RateLimits(), Departures())
+
+
 class Inbox:
     """Collects the messages to the scheduler."""
 
@@ -34,7 +39,7 @@
 
 
 def test_a_rate_limit_is_passed_on_with_the_generation(inbox):
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer(rate_limit=3.0))
+    make_statements(inbox).record(DISPATCH, 200, answer(rate_limit=3.0))
     assert inbox.messages == [RateLimitStated("e0", "7", 3.0)]
 
 
@@ -42,30 +47,30 @@
     """Guards against a limit that stays after answers have stopped to state it."""
     limits = RateLimits()
     limits.observe("e0", "7", 3.0, 1.0, 1.0)
-    TargetStatements(inbox, limits).record(DISPATCH, 200, answer())
+    make_statements(inbox, limits).record(DISPATCH, 200, answer())
     assert inbox.messages == [RateLimitStated("e0", "7", NO_LIMIT)]
 
 
 def test_an_answer_that_states_nothing_costs_nothing(inbox):
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer())
+    make_statements(inbox).record(DISPATCH, 200, answer())
     assert inbox.messages == []
 
 
 def test_a_leaving_target_is_passed_on(inbox):
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, answer(leaving=True))
+    make_statements(inbox).record(DISPATCH, 200, answer(leaving=True))
     assert inbox.messages == [LeavingStated("e0", "7")]
 
 
 @pytest.mark.parametrize("status", [429, 503])
 def test_a_rest_is_passed_on_from_a_refusal(inbox, status):
     metadata = answer(retry_after_s=3.0)
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, status, metadata)
+    make_statements(inbox).record(DISPATCH, status, metadata)
     assert inbox.messages == [RestStated("e0", "7", 3.0)]
 
 
 def test_another_answer_asks_for_no_rest(inbox):
     metadata = answer(retry_after_s=3.0)
-    TargetStatements(inbox, RateLimits()).record(DISPATCH, 200, metadata)
+    make_statements(inbox).record(DISPATCH, 200, metadata)
     assert inbox.messages == []
 
 
@@ -114,3 +119,13 @@
     (message,) = rate_limits(bench)
     assert message.requests_per_s == 3.0
     assert message.target == f"t-{bench.engines[1].address}"
+
+
+def test_a_call_dispatched_before_its_target_left_is_not_written(stack):
+    """Guards against a thread that is late to write what was dispatched in time."""
+    bench = Bench(stack, engines=2)
+    first, second = bench.engines
+    bench.statements.departures.observe(f"t-{first.address}", "", 1.0)
+    assert bench.call("/charge/x").status == 200
+    assert not first.standin.arrivals
+    assert len(second.standin.runs) == 1
