Test the ways around a rate limit one by one

Two mutations went unnoticed since each hid the other: allowances that a host still holds on a limited target, and allowances that are offered there. Each has a test of its own now, and so has a call that could wait in vain for a fast target which admits it too late while a slow one is free.

--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -6,6 +6,8 @@
 
 from godwitladder.clock import ManualClock
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.policy import ROUTED
 from godwitladder.decisions.rate_limits import (
     FALLBACK_SHARE,
     MIN_RATE,
@@ -17,7 +19,9 @@
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.messages import NewConfig, RateLimitStated
 from godwitladder.scheduler.reports import RATE_LIMITED_TEXT, make_report
+from godwitladder.scheduler.systems import has_capacity
 from godwitladder.scheduler.ticker import Ticker
+from tests.decisions.pools import add, make_pool, make_target
 from tests.scheduler.harness import START, make_config, make_tables
 from tests.scheduler.limited import (
     HOSTS,
@@ -215,3 +219,35 @@
     assert (statement.target, statement.requests_per_s) == ("e0", LIMIT)
     assert make_report(tables, access, pool.now + 0.2).rate_limits == ()
     assert len(make_report(tables, access, pool.now + 1.2).rate_limits) == 1
+
+
+def test_an_allowance_that_is_still_held_sends_nothing_to_a_limited_target():
+    """Guards against one short request after the other within an allowance."""
+    pool = LimitedPool({"e0": 8}, standing=True)
+    pool.run(2.0, calls_per_step=0)
+    tables = pool.harness.hosts["h1"]
+    (access,) = tables.pools.values()
+    assert access.allowances["e0"].running > 0
+    pool.state_limit("h1", LIMIT)
+    assert not has_capacity(tables, "letters", pool.now)
+
+
+def test_no_allowance_is_offered_on_a_limited_target():
+    pool = LimitedPool({"e0": 8, "e1": 8}, standing=True)
+    pool.state_limit("h1", LIMIT)
+    pool.run(3.0, calls_per_step=0)
+    for tables in pool.harness.hosts.values():
+        (access,) = tables.pools.values()
+        assert set(access.allowances) == {"e1"}
+
+
+def test_a_call_goes_to_a_slow_target_while_the_fast_one_takes_no_more():
+    """Guards against calls that wait for a target which admits them too late."""
+    fast = make_target("fast", first_s=0.1, requests_per_s=0.5)
+    fast.available_requests, fast.next_request_s = 0, 2.0
+    pool = make_pool(fast, make_target("slow", first_s=2.0))
+    pool.policy = ROUTED
+    add(pool, "r1")
+    pool.waiting["r1"].ttft_deadline = 1.0
+    (placement,) = allocate(pool, 0.0).placements
+    assert placement.target == "slow"
