Let targets of the soak state limits, departures and rests, and check that hosts keep to them

The checks: in four seconds a target gets at most one and a half times its limit and five more from hosts that were told; nothing more than two seconds after a host was told that it leaves; two calls from a host in a rest it was asked for. Hosts that were killed, paused or cut off are excused, as the promise does. Statements excuse no cut call.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
     count: int = 1,
     jobs: int = 1,
     faults: int = 8,
+    statements: int = 3,
     seconds: float = 12.0,
     hosts: int = 4,
     logs: str = "",
@@ -32,6 +33,8 @@
         Number of seeds that run concurrently.
     faults : int
         Number of faults per seed.
+    statements : int
+        How often targets state something about themselves, per seed.
     seconds : float
         Duration of each run in seconds, without startup and final checks.
     hosts : int
@@ -40,7 +43,7 @@
         Directory for the logs of the hosts, with one subdirectory per seed.
     """
     first_seed = int(time.time()) if first < 0 else first
-    size = RunSize(hosts=hosts, faults=faults, seconds=seconds)
+    size = RunSize(hosts=hosts, faults=faults, statements=statements, seconds=seconds)
 
     def run_one_seed(seed: int) -> Outcome:
         folder = None
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -237,6 +237,7 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.started_ms = 1_700_000_000_000
         self.server: StandinServer = start_engine()
         self.server.standin.knobs.pause_s = 0.02
         self.server.standin.knobs.name = name
@@ -258,7 +259,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1_700_000_000_000,
+            "born": self.started_ms,
         }
         return json.dumps(row).encode()
 
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -11,6 +11,8 @@
 from soak.records import History
 
 SLOW_DELAY_S = 0.4
+RATE_LIMIT = 1.5
+REST_S = 2.5
 
 
 class Injector:
@@ -69,6 +71,9 @@
                 f, "name", "a stranger", self.target(f).name
             ),
             FaultKind.TARGET_LEAVES: self.deregister_target,
+            FaultKind.TARGET_LIMITS: lambda f: self.state(f, rate_limit=RATE_LIMIT),
+            FaultKind.TARGET_SAYS_LEAVING: lambda f: self.state(f, leaving=True),
+            FaultKind.TARGET_RESTS: lambda f: self.state(f, refuse=True, rest_s=REST_S),
             FaultKind.PEER_RESET: lambda f: self.host(f).peer_proxy.reset(),
             FaultKind.PEER_SILENT: lambda f: self.host(f).peer_proxy.blackhole(),
             FaultKind.CONFIG: lambda f: self.change_config(),
@@ -186,6 +191,25 @@
         time.sleep(fault.duration_s)
         setattr(knobs, knob, normal_value)
 
+    def state(self, fault: Fault, **statement) -> None:
+        """Let a target state something for the duration of the fault.
+
+        A target that has left doesn't come back, but another process of it does.
+        """
+        target = self.target(fault)
+        if not self.reserve(target.name):
+            return
+        normal = {name: getattr(target.knobs, name) for name in statement}
+        for name, value in statement.items():
+            setattr(target.knobs, name, value)
+        time.sleep(fault.duration_s)
+        for name, value in normal.items():
+            setattr(target.knobs, name, value)
+        if fault.kind is FaultKind.TARGET_SAYS_LEAVING:
+            target.started_ms += 1
+            self.fleet.write_entry(target, "ready")
+        self.release(target.name)
+
     def deregister_target(self, fault: Fault) -> None:
         """Mark a target as draining, delete its entry halfway, then restore it."""
         target = self.target(fault)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -34,6 +34,9 @@
     PEER_SILENT = "peer_silent"
     CONFIG = "config"
     REVOKE = "revoke"
+    TARGET_LIMITS = "target_limits"
+    TARGET_SAYS_LEAVING = "target_says_leaving"
+    TARGET_RESTS = "target_rests"
 
 
 PLANNED_KINDS = frozenset(
@@ -47,6 +50,15 @@
 )
 """Planned operations of operators, which must not interrupt any call."""
 
+STATEMENT_KINDS = frozenset(
+    {FaultKind.TARGET_LIMITS, FaultKind.TARGET_SAYS_LEAVING, FaultKind.TARGET_RESTS}
+)
+"""What targets state about themselves in their answers.
+
+They are drawn apart from the other kinds, so that an old seed still draws the same
+faults. They must not interrupt any call either.
+"""
+
 STORE_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 
 PLANNED_ONLY_INTERVAL = 4
@@ -56,6 +68,11 @@
 """
 
 MAX_FAULT_DURATION_S = 4.0
+STATEMENT_DURATION_S = (5.0, 9.0)
+"""Shortest and longest duration of a statement: hosts have three seconds to learn of
+a rate limit, and it is checked in windows of four."""
+LAST_STATEMENT_FRACTION = 0.4
+"""Fraction of a run in which statements start."""
 LAST_START_FRACTION = 0.75
 """Fraction of a run in which faults start; the rest leaves time for their effects."""
 
@@ -87,6 +104,32 @@
         return self.start_s + self.duration_s
 
 
+def draw_statements(seed: int, seconds: float, count: int) -> list[Fault]:
+    """Return what targets state in a run, in order of the start.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random generator. The same arguments give the same statements.
+    seconds : float
+        Duration of the run.
+    count : int
+        Number of statements.
+    """
+    rng = random.Random(f"{seed}-statements")
+    kinds = sorted(STATEMENT_KINDS, key=lambda kind: kind.value)
+    statements = [
+        Fault(
+            rng.uniform(0.5, seconds * LAST_STATEMENT_FRACTION),
+            rng.choice(kinds),
+            rng.randrange(100),
+            rng.uniform(*STATEMENT_DURATION_S),
+        )
+        for _ in range(count)
+    ]
+    return sorted(statements, key=lambda fault: fault.start_s)
+
+
 def draw_faults(seed: int, seconds: float, count: int) -> list[Fault]:
     """Return the faults of a run in order of their start.
 
@@ -104,7 +147,9 @@
     """
     rng = random.Random(seed)
     kinds = sorted(
-        PLANNED_KINDS if seed % PLANNED_ONLY_INTERVAL == 0 else FaultKind,
+        PLANNED_KINDS
+        if seed % PLANNED_ONLY_INTERVAL == 0
+        else set(FaultKind) - STATEMENT_KINDS,
         key=lambda k: k.value,
     )
     faults = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,8 +11,8 @@
 from soak.callers import Balancer, Caller
 from soak.fleet import Fleet
 from soak.inject import Injector
-from soak.plan import draw_faults
-from soak.records import Attempt, History, TargetRun
+from soak.plan import draw_faults, draw_statements
+from soak.records import Attempt, History, TargetArrival, TargetRun
 
 START_TIMEOUT_S = 40.0
 RECOVERY_TIMEOUT_S = 40.0
@@ -23,12 +23,16 @@
 
 @dataclass(frozen=True)
 class RunSize:
-    """Size of a run: numbers of its parts, and its duration in seconds."""
+    """Size of a run: numbers of its parts, and its duration in seconds.
+
+    ``statements`` is how often targets state something about themselves.
+    """
 
     hosts: int = 4
     targets: int = 3
     callers: int = 6
     faults: int = 8
+    statements: int = 0
     seconds: float = 12.0
 
 
@@ -78,7 +82,10 @@
         self.size = size
         self.fleet = fleet
         self.started_at = time.monotonic()
-        self.history = History(draw_faults(seed, size.seconds, size.faults))
+        faults = draw_faults(seed, size.seconds, size.faults)
+        faults += draw_statements(seed, size.seconds, size.statements)
+        faults.sort(key=lambda fault: fault.start_s)
+        self.history = History(faults, hosts=size.hosts)
         self.stop_event = threading.Event()
 
     def clock(self) -> float:
@@ -138,7 +145,7 @@
         return attempt.abandoned or attempt.status == 200
 
     def record_target_runs(self) -> None:
-        """Record the requests that the targets ran."""
+        """Record the requests that reached the targets, and those that they ran."""
         for target in self.fleet.targets:
             for run in target.server.standin.runs:
                 headers = run.headers
@@ -152,6 +159,18 @@
                     )
                 )
 
+            for row in target.server.standin.arrivals:
+                self.history.arrivals.append(
+                    TargetArrival(
+                        row.at - self.started_at,
+                        target.name,
+                        row.attempt,
+                        row.rate_limit,
+                        row.leaving,
+                        row.rest_s,
+                    )
+                )
+
     def outcome(self) -> Outcome:
         """Check the history and return the outcome."""
         rows: list[Attempt] = list(self.history.attempts.values())
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -2,8 +2,16 @@
 
 import pytest
 
-from soak.plan import Fault, FaultKind, draw_faults
-from soak.records import Attempt, History, TargetRun
+from soak.plan import (
+    STATEMENT_KINDS,
+    Fault,
+    FaultKind,
+    draw_faults,
+    draw_statements,
+)
+from soak.records import Attempt, History, TargetArrival, TargetRun
+
+FIRST_KINDS_OF_344 = ["revoke", "revoke", "host_term", "host_term"]
 
 
 def make_history(faults=(), **attempt):
@@ -99,7 +107,21 @@
     assert draw_faults(7, 12.0, 8) != draw_faults(9, 12.0, 8)
     assert {
         fault.kind for seed in range(200) for fault in draw_faults(seed, 12.0, 8)
-    } == set(FaultKind)
+    } == set(FaultKind) - STATEMENT_KINDS
+
+
+def test_a_seed_draws_the_same_statements_each_time():
+    assert draw_statements(7, 12.0, 3) == draw_statements(7, 12.0, 3)
+    assert draw_statements(7, 12.0, 3) != draw_statements(9, 12.0, 3)
+    assert {
+        fault.kind for seed in range(50) for fault in draw_statements(seed, 12.0, 3)
+    } == STATEMENT_KINDS
+
+
+def test_the_faults_of_seeds_that_failed_stay_as_they_were():
+    """Guards against new kinds that change what an old seed draws."""
+    kinds = [fault.kind.value for fault in draw_faults(344, 12.0, 14)[:4]]
+    assert kinds == FIRST_KINDS_OF_344
 
 
 def test_a_stranger_at_a_target_that_left_is_found():
@@ -112,3 +134,85 @@
         "stranger" in text or "after it left" in text for text in history.check()
     )
     assert sum("stranger" in text for text in history.check()) == 2
+
+
+def make_arrivals(times, faults=(), hosts=1, **statement):
+    """Return a history in which e0 states something to each of its calls.
+
+    The calls are answered 0.1 s after they arrive, by the hosts in turn.
+    """
+    history = History(list(faults), hosts=hosts)
+    for number, at in enumerate(times):
+        name, host = f"a{number}", f"h{number % hosts}"
+        attempt = Attempt(name, host, "lookup", "k1", at - 0.01, at + 0.1, 200)
+        attempt.body, attempt.signature = f"answer of {name}".encode(), f"signed-{name}"
+        history.attempts[name] = attempt
+        history.arrivals.append(TargetArrival(at, "e0", name, **statement))
+    return history
+
+
+def steps(begin, end, step):
+    return [begin + step * count for count in range(round((end - begin) / step))]
+
+
+def test_requests_beyond_a_rate_limit_are_found():
+    (text,) = make_arrivals(steps(10.0, 18.0, 0.25), rate_limit=1.5).check()
+    assert text == "e0 got 16 requests at a limit of 1.5"
+
+
+def test_requests_of_many_hosts_are_counted_together():
+    history = make_arrivals(steps(10.0, 18.0, 0.2), hosts=4, rate_limit=2.0)
+    assert len(history.check()) == 1
+
+
+@pytest.mark.parametrize(
+    ("times", "rate"),
+    [
+        (steps(10.0, 18.0, 0.5), 2.0),
+        (steps(10.0, 13.0, 0.05), 2.0),
+        (steps(10.0, 18.0, 0.2), 0.0),
+    ],
+)
+def test_requests_within_a_rate_limit_or_before_it_is_known_are_not(times, rate):
+    assert make_arrivals(times, rate_limit=rate).check() == []
+
+
+def test_a_host_that_was_never_told_is_not_held_to_a_limit():
+    history = make_arrivals(steps(10.0, 18.0, 0.2), rate_limit=2.0)
+    for attempt in history.attempts.values():
+        attempt.status, attempt.error, attempt.abandoned = 0, "left", True
+    assert history.check() == []
+
+
+def test_a_host_that_was_restarted_is_excused():
+    killed = Fault(14.0, FaultKind.HOST_KILL, 0, 1.0)
+    times = steps(10.0, 18.0, 0.1)
+    assert make_arrivals(times, [killed], rate_limit=2.0).check() == []
+    other = Fault(14.0, FaultKind.HOST_KILL, 1, 1.0)
+    assert make_arrivals(times, [other], hosts=2, rate_limit=2.0).check() != []
+
+
+def test_requests_to_a_target_that_says_that_it_leaves_are_found():
+    history = make_arrivals([10.0, 11.0, 12.0, 12.3], leaving=True)
+    (text,) = history.check()
+    assert text == "e0 got a3 though it leaves"
+
+
+def test_another_process_of_a_target_that_left_gets_requests():
+    history = make_arrivals([10.0, 11.0], leaving=True)
+    later = make_arrivals([10.0, 11.0, 15.0, 16.0])
+    history.attempts |= later.attempts
+    history.arrivals += later.arrivals[2:]
+    assert history.check() == []
+
+
+def test_requests_to_a_target_that_asked_for_rest_are_found():
+    history = make_arrivals([10.0, 10.4, 10.6, 11.0, 12.0], rest_s=2.5)
+    (text,) = history.check()
+    assert text == "e0 got 3 from h0 while it rested"
+
+
+def test_few_requests_in_a_rest_or_those_of_other_hosts_are_not():
+    assert make_arrivals([10.0, 10.4, 10.6, 12.0, 12.6], rest_s=2.5).check() == []
+    times = [10.0, 10.1, 10.6, 10.7, 11.0, 11.1]
+    assert make_arrivals(times, hosts=2, rest_s=2.5).check() == []
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -6,12 +6,22 @@
 
 SHORT = RunSize(hosts=3, targets=2, callers=4, faults=6, seconds=6.0)
 
+SHORT_WITH_STATEMENTS = RunSize(
+    hosts=3, targets=3, callers=4, faults=4, statements=3, seconds=9.0
+)
+
 SEEDS = {
     0: "planned work only: no call may be cut",
     3: "kills, pauses and faults of the store",
 }
 """Seeds that CI runs at a small size -> what they cover."""
 
+STATEMENTS = {
+    30: "a rate limit, a rest and a departure beside faults of hosts",
+    56: "planned work only: no call may be cut",
+}
+"""Seeds in which targets state something about themselves -> what they cover."""
+
 FAILED = {
     1796269771: "a target that came back while the reader was paused stayed unknown",
     344: "SIGTERM while the host was loading ended it as a crash (-15)",
@@ -30,6 +40,12 @@
     assert run_seed(seed, SHORT, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", STATEMENTS)
+def test_what_targets_state_is_kept_to(seed, tmp_path):
+    """Rate limits, departures and rests hold while hosts and targets fail."""
+    assert run_seed(seed, SHORT_WITH_STATEMENTS, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("seed", FAILED)
 def test_a_failed_seed_violates_no_guarantee(seed, tmp_path):
     """The seed gives the same faults at the same times as in the run that failed."""
