Place calls on targets that refuse some host only if no other can take them

A target that turns one host away and asks it for rest is full for the others too: each of them was sent there once every few seconds, and a call that may be sent once was lost by it. The allocator knows from reports which targets have asked any host for rest, and takes them last. A target that alone can take a call still gets it, so none idles.

--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -237,7 +237,9 @@
         """Return the target likely to finish ``demand`` first, of those in time.
 
         Targets in other availability zones are rated slower, and one that holds the
-        prefix is rated faster while its load allows it.
+        prefix is rated faster while its load allows it. A target that refuses the
+        requests of some host is the last choice: it would probably refuse this one
+        too, and a request that may be sent once would be lost.
 
         Parameters
         ----------
@@ -267,7 +269,7 @@
         )
         tokens = demand.prompt_tokens + demand.predicted_tokens
         best = None
-        best_score = float("inf")
+        best_score = True, math.inf
         bound = self._affinity_bound() if demand.prefix else 0.0
         for target in self.targets:
             if target.view.name in excluded or not target.fits(tokens):
@@ -292,8 +294,9 @@
                 and target.load <= bound
             ):
                 score -= seconds
-            if score < best_score:
-                best, best_score = target, score
+            rating = target.view.refuses, score
+            if rating < best_score:
+                best, best_score = target, rating
         return best
 
     def lacks_memory(self, demand: RequestDemand) -> bool:
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -200,6 +200,8 @@
         Requests that it may get now within this limit.
     next_request_s : float
         Seconds until it may get a request; 0 if it may now.
+    refuses : bool
+        Whether it has asked any host to send nothing for a while.
     """
 
     name: TargetName
@@ -221,6 +223,7 @@
     requests_per_s: float = float("inf")
     available_requests: float = float("inf")
     next_request_s: float = 0.0
+    refuses: bool = False
 
 
 @dataclass(slots=True)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -100,6 +100,7 @@
     views = {}
     max_usage, usage = role.max_usage(), role.current_usage()
     unreachable = unreachable_targets(role, now)
+    refusing = refusing_targets(role, now)
     for name in sorted(role.pool.targets):
         target = role.config.targets.get(name)
         if target is None or target.state is not TargetState.ACTIVE:
@@ -136,6 +137,7 @@
             requests_per_s=role.rate_limits.requests_per_s(name),
             available_requests=role.rate_limits.available(name, now),
             next_request_s=role.rate_limits.wait_s(name, now),
+            refuses=name in refusing,
         )
     return views
 
@@ -163,6 +165,16 @@
     return {name for name, count in avoiding.items() if count * 2 >= hosts}
 
 
+def refusing_targets(role: "PoolRole", now: float) -> set[TargetName]:
+    """Return the targets that have asked any host to send nothing for a while."""
+    return {
+        name
+        for row in role.current(now)
+        for name, until in row.rests.items()
+        if until > now
+    }
+
+
 def workspace_views(role: "PoolRole", now: float) -> dict[WorkspaceName, WorkspaceView]:
     """Return the share, quota and use of each workspace with waiting requests."""
     names = {
--- a/tests/scheduler/test_rests.py
+++ b/tests/scheduler/test_rests.py
@@ -134,3 +134,15 @@
     waiting.ttft_deadline, waiting.rests = 1.0, {"fast": 10.0}
     (placement,) = allocate(pool, 0.0).placements
     assert placement.target == "slow"
+
+
+def test_a_call_goes_to_a_target_that_refuses_no_other_host():
+    """Guards against calls that may be sent once and are lost to a full target."""
+    pool = LimitedPool({"e0": 8, "e1": 8})
+    pool.run(2.0)
+    pool.ask_for_rest("h1", REST_S)
+    pool.run(2 * STEP_S)
+    asked_at = pool.now
+    pool.run(2.0)
+    assert not sent_after(pool, asked_at, "h0")
+    assert sent_after(pool, asked_at, "h0", "e1")
