Heed the rest that targets ask for on the product's own interface too

The same cause elsewhere: engines and plain services off the users' platform say with a plain Retry-After when they may be asked again, and it was not read there either. Refusals (429, 503) of both kinds now tell the scheduler, which keeps to the rest as for routed calls; orders and probes of streams are no requests and go on.

--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -12,7 +12,13 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from godwitladder.engines.wire import MayHaveRun, TargetRefused, connect, send
+from godwitladder.engines.wire import (
+    MayHaveRun,
+    TargetRefused,
+    connect,
+    read_rest,
+    send,
+)
 from godwitladder.ids import StreamId
 
 # Statuses that mean that an engine has not started the request. Any other error
@@ -173,4 +179,4 @@
         raise MayHaveRun(f"answer broke: {error}") from error
     finally:
         connection.close()
-    raise TargetRefused(response.status, text)
+    raise TargetRefused(response.status, text, read_rest(response))
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -1,5 +1,6 @@
 """HTTP connections to targets that tell failures before the first byte from later."""
 
+import math
 from collections.abc import Mapping
 
 import urllib3
@@ -8,6 +9,8 @@
 from godwitladder.findings import GodwitladderError
 
 CONNECT_TIMEOUT_S = 2.0
+RESTING_STATUSES = frozenset({429, 503})
+"""Statuses with which a target refuses a request for the time being."""
 
 
 class NotSent(GodwitladderError):
@@ -25,11 +28,30 @@
     ----------
     status : int
         The target's HTTP status.
+    text : str
+        The beginning of its answer.
+    rest_s : float
+        Seconds for which it wants no requests from this host; 0 if not stated.
     """
 
-    def __init__(self, status: int, text: str) -> None:
+    def __init__(self, status: int, text: str, rest_s: float = 0.0) -> None:
         super().__init__(f"target answered {status}: {text}")
         self.status = status
+        self.rest_s = rest_s
+
+
+def read_rest(response: urllib3.BaseHTTPResponse) -> float:
+    """Return for how many seconds a target that refuses wants no requests.
+
+    0 if the answer is no refusal, or states no valid time in seconds.
+    """
+    if response.status not in RESTING_STATUSES:
+        return 0.0
+    try:
+        seconds = float(response.headers.get("Retry-After", "0"))
+    except ValueError:
+        return 0.0
+    return seconds if 0 < seconds < math.inf else 0.0
 
 
 def connect(
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -17,6 +17,7 @@
 from godwitladder.scheduler.messages import (
     NoFreeThread,
     NothingSent,
+    RestStated,
     Submit,
     Withdrawn,
 )
@@ -131,6 +132,7 @@
         self.call = call
         self.dispatch = dispatch
         self.clock = dispatcher.clock
+        self.scheduler = dispatcher.scheduler
         self.reporter = DispatchReporter(
             call, dispatcher.scheduler, dispatcher.clock, dispatcher.metrics
         )
@@ -163,6 +165,7 @@
         except NotSent:
             raise
         except TargetRefused as error:
+            self._record_rest(error.rest_s)
             text = f"The target turned the request away: {error}."
             refusal = refuse(Reason.TARGET_REFUSED, text, REFUSED_RETRY_S)
             return self._refuse(start_response, refusal)
@@ -196,6 +199,7 @@
             self.clock,
             row.deadline,
         )
+        self._record_rest(answer.rest_s)
         self.reporter.report_end(RequestState.COMPLETED)
         return answer_buffered(
             start_response,
@@ -205,6 +209,12 @@
             self.identity,
         )
 
+    def _record_rest(self, rest_s: float) -> None:
+        """Tell the scheduler if the target wants no requests for a while."""
+        if rest_s > 0:
+            rest = RestStated(self.dispatch.target, self.dispatch.generation, rest_s)
+            self.scheduler.tell(rest)
+
     def _answer_stream(
         self, gone: Callable[[], bool], start_response
     ) -> Iterable[bytes]:
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -8,7 +8,7 @@
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.decisions.rests import Rests
-from godwitladder.engines.wire import NotSent
+from godwitladder.engines.wire import RESTING_STATUSES, NotSent
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
     LeavingStated,
@@ -17,9 +17,6 @@
 )
 from godwitladder.scheduler.rows import Dispatch
 
-REFUSING_STATUSES = frozenset({429, 503})
-"""Statuses with which a target refuses a request for the time being."""
-
 
 @dataclass(frozen=True)
 class TargetStatements:
@@ -94,6 +91,6 @@
         messages.append(RateLimitStated(*process, metadata.rate_limit))
     if metadata.leaving:
         messages.append(LeavingStated(*process))
-    if metadata.retry_after_s is not None and status in REFUSING_STATUSES:
+    if metadata.retry_after_s is not None and status in RESTING_STATUSES:
         messages.append(RestStated(*process, metadata.retry_after_s))
     return messages
--- a/godwitladder/standins/service.py
+++ b/godwitladder/standins/service.py
@@ -26,6 +26,7 @@
     "cut_answers": 0,
     "unframed_answers": 0,
     "foreign_answers": 0,
+    "rest_s": 0.0,
 }
 
 
@@ -53,7 +54,14 @@
         self.routes |= {("POST", "call"): self.call, ("GET", "ran"): self.report_runs}
 
     def call(self, handler: Handler) -> None:
-        """Run one call, then answer or fail as the knobs say."""
+        """Run one call, then answer or fail as the knobs say.
+
+        With ``rest_s``, refuse it instead and ask for so many seconds of rest.
+        """
+        if self.knobs["rest_s"]:
+            handler.extra_headers["Retry-After"] = str(self.knobs["rest_s"])
+            handler.send_json({"error": "refused"}, 503)
+            return
         digest = hashlib.sha256(handler.body).hexdigest()
         record = CallRecord(
             handler.headers.get("X-Call-Id", ""), handler.parts[1], digest
