Report a rest when it begins and once a second

Every report listed all rests of its host, up to some thirty times a second while calls wait: with many targets that refuse, that is traffic that grows with the trouble. A rest has a fixed end, so it is listed when it begins and in full reports, and the allocator keeps it in between.

--- a/godwitladder/decisions/rests.py
+++ b/godwitladder/decisions/rests.py
@@ -7,8 +7,8 @@
 What a target wants is stated to one host, and holds for that host: others may still
 send their requests there. So nothing is shared between hosts. A host tells its
 allocator how long each rest still lasts, so that no request of it is granted there in
-the meantime, and one is as soon as the rest ends: some 30 bytes for each resting
-target in a report, at 15 hosts as at 213.
+the meantime, and one is as soon as the rest ends. Rests are listed when they begin and
+once a second: some 30 bytes for each resting target and busy host in a second.
 
 A process that was frozen finds its rests as much shorter as it stood still. One that
 is restarted has forgotten them and is refused once more.
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -169,7 +169,9 @@
         self.workspaces = {use.workspace: use.running for use in report.workspaces}
         self.more_waiting = sum(row.count for row in report.unlisted)
         self.avoided = frozenset(report.avoided)
-        self.rests = {row.target: now + row.rest_s for row in report.rests}
+        if not report.incremental:
+            self.rests = {}
+        self.rests |= {row.target: now + row.rest_s for row in report.rests}
         self._acknowledge(acked_offer)
         self._drop_expired()
         self._update_demands(report)
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -172,7 +172,8 @@
         Targets that have stated that they leave: all that the host knows in a full
         report, and otherwise new ones.
     rests : tuple of RemainingRest
-        Targets that want no requests from the host for a while.
+        Targets that want no requests from the host for a while: all in a full report,
+        and otherwise new ones.
     """
 
     host: HostId
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -245,7 +245,7 @@
         removed=update.removed,
         rate_limits=tables.rate_limits.statements(stating, now),
         departures=tables.departures.statements(stating),
-        rests=tables.rests.statements(access.pool.targets, now),
+        rests=tables.rests.statements(stating, now),
     )
 
 
--- a/tests/scheduler/test_rests.py
+++ b/tests/scheduler/test_rests.py
@@ -4,10 +4,10 @@
 
 from godwitladder.decisions.allocation import allocate
 from godwitladder.decisions.policy import ROUTED
-from godwitladder.decisions.rests import MAX_REST_S, Rests
+from godwitladder.decisions.rests import MAX_REST_S, RemainingRest, Rests
 from godwitladder.decisions.target_processes import KEEP_ABSENT_S
 from godwitladder.scheduler.messages import RestStated
-from godwitladder.scheduler.reports import TARGETS_REFUSE_TEXT
+from godwitladder.scheduler.reports import TARGETS_REFUSE_TEXT, make_report
 from godwitladder.scheduler.statements import take_rest
 from tests.decisions.pools import add, make_pool, make_target
 from tests.scheduler.limited import STEP_S, TTFT_BUDGET_S, LimitedPool
@@ -146,3 +146,17 @@
     pool.run(2.0)
     assert not sent_after(pool, asked_at, "h0")
     assert sent_after(pool, asked_at, "h0", "e1")
+
+
+def test_a_rest_is_reported_when_it_begins_and_once_a_second():
+    """Guards against reports that grow with the number of targets that refuse."""
+    pool = LimitedPool({"e0": 8})
+    tables = pool.harness.hosts["h1"]
+    (access,) = tables.pools.values()
+    make_report(tables, access, pool.now)
+    pool.ask_for_rest("h1", REST_S)
+    (rest,) = make_report(tables, access, pool.now + 0.1).rests
+    assert rest == RemainingRest("e0", pytest.approx(REST_S - 0.1))
+    assert make_report(tables, access, pool.now + 0.2).rests == ()
+    assert len(make_report(tables, access, pool.now + 1.2).rests) == 1
+    assert make_report(tables, access, pool.now + REST_S).rests == ()
