Repeat a rate limit to an allocator only where an answer has just stated it

Every host that knew a limit listed it once a second: at 213 hosts and 40 limited targets that is traffic that grows with the trouble. Hosts learn limits from their allocator, so they need not tell it what it told them. A full report lists a limit if it was stated in the last two seconds, or if the allocator has not answered yet.

--- a/godwitladder/decisions/rate_limits.py
+++ b/godwitladder/decisions/rate_limits.py
@@ -10,9 +10,10 @@
 at its allocator. Hosts report what an answer states with their next report, and the
 allocator returns what it knows with its next offer. From then on every host that asks
 for grants knows the limit, which is all hosts with requests, whether there are 15 of
-them or 213. Only targets with a limit are listed, and only after a change or once a
-second, so that the cost is some 40 bytes for each limited target and busy host in a
-second.
+them or 213. Offers list limits only after a change. Reports list them after a change
+and once a second, and then only what an answer has stated in the last seconds: each
+limited target costs as many rows as it gets requests, not as there are hosts. All are
+listed for an allocator that has not answered yet.
 
 - A host that joins is granted from the same bucket. One that leaves or freezes takes
   nothing with it but grants that it holds, which expire within seconds.
@@ -39,6 +40,8 @@
     of it at the same time stay below one and a half times the limit.
 MIN_RATE : requests per second that a target gets at least. With one in four seconds,
     the end of a limit is seen within that time.
+RESTATED_S : a host repeats what was stated this long ago at most, for an allocator
+    that has missed it. While a target gets requests, some host has a newer answer.
 CLEARED_S : for this time the end of a limit is told, so that an older statement of
     another host doesn't bring it back.
 """
@@ -55,6 +58,7 @@
 BURST_S = 0.25
 FALLBACK_SHARE = 1 / 3
 MIN_RATE = 0.25
+RESTATED_S = 2.0
 CLEARED_S = 10.0
 ROUNDING = 1e-9
 
@@ -200,9 +204,22 @@
         )
 
     def statements(
-        self, targets: Collection[TargetName], now: float
+        self,
+        targets: Collection[TargetName],
+        now: float,
+        max_age_s: float = math.inf,
     ) -> tuple[StatedLimit, ...]:
-        """Return what ``targets`` state, and which limits have ended recently."""
+        """Return what ``targets`` state, and which limits have ended recently.
+
+        Parameters
+        ----------
+        targets : collection of TargetName
+            Targets to include.
+        now : float
+            Current time, in seconds.
+        max_age_s : float
+            Age in seconds up to which statements are included.
+        """
         return tuple(
             StatedLimit(
                 name,
@@ -212,7 +229,7 @@
             )
             for name, row in sorted(self.rows.items())
             if name in targets
-            if row.is_limited or now - row.observed_at <= CLEARED_S
+            if now - row.observed_at <= (max_age_s if row.is_limited else CLEARED_S)
         )
 
     def requests_per_s(self, target: TargetName) -> float:
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -166,8 +166,9 @@
     removed : tuple of RequestId
         Requests that are no longer listed.
     rate_limits : tuple of StatedLimit
-        Rate limits of targets: all that the host knows in a full report, and
-        otherwise those that have changed.
+        Rate limits of targets: in a full report all that were stated just now, or all
+        that the host knows if the allocator has not answered it; otherwise those that
+        have changed.
     departures : tuple of Departure
         Targets that have stated that they leave: all that the host knows in a full
         report, and otherwise new ones.
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Collection
 
+from godwitladder.decisions.rate_limits import RESTATED_S
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import RequestDemand, Shed, ShedReason, TargetUse
 from godwitladder.ids import BodyDigest, HostId, TargetName
@@ -243,7 +244,9 @@
         covered_s=access.history.covered_s(now) if unanswered else 0.0,
         incremental=update.incremental,
         removed=update.removed,
-        rate_limits=tables.rate_limits.statements(stating, now),
+        rate_limits=tables.rate_limits.statements(
+            stating, now, math.inf if unanswered else RESTATED_S
+        ),
         departures=tables.departures.statements(stating),
         rests=tables.rests.statements(stating, now),
     )
--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -12,10 +12,12 @@
     FALLBACK_SHARE,
     MIN_RATE,
     NO_LIMIT,
+    RESTATED_S,
     RateLimits,
 )
 from godwitladder.decisions.target_processes import KEEP_ABSENT_S
 from godwitladder.metrics import Metrics
+from godwitladder.scheduler.access import FULL_REPORT_INTERVAL_S
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.messages import NewConfig, RateLimitStated
 from godwitladder.scheduler.reports import RATE_LIMITED_TEXT, make_report
@@ -251,3 +253,20 @@
     pool.waiting["r1"].ttft_deadline = 1.0
     (placement,) = allocate(pool, 0.0).placements
     assert placement.target == "slow"
+
+
+def test_an_allocator_that_answers_is_not_told_again_what_it_knows():
+    """Guards against reports that repeat a limit from each of hundreds of hosts."""
+    pool = LimitedPool({"e0": 8})
+    pool.run(1.0)
+    pool.state_limit("h1", LIMIT)
+    pool.run(0.5)
+    tables = pool.harness.hosts["h2"]
+    (access,) = tables.pools.values()
+    assert tables.rate_limits.limited == {"e0"}
+    later = pool.now + RESTATED_S + FULL_REPORT_INTERVAL_S
+    report = make_report(tables, access, later)
+    assert not report.incremental
+    assert report.rate_limits == ()
+    access.drop()
+    assert len(make_report(tables, access, later + 0.1).rate_limits) == 1
