Keep what a target states while its entry is missing

Found by reading: an entry may lapse and return while its process runs, and a statement that came in between was dropped, since its target was not known. For a target that leaves, one call after the entry's return breaks the promise. Statements are kept for the process that made them now, whether it has an entry or not, and end with it as before. A test and a mutation.

--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -4,7 +4,7 @@
 """
 
 from godwitladder.decisions.rate_limits import NO_LIMIT
-from godwitladder.ids import ServiceName
+from godwitladder.ids import ServiceName, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
 from godwitladder.scheduler.pools import target_generations
@@ -22,57 +22,59 @@
         table.keep_generations(generations, now)
 
 
-def find_stating_target(tables: Tables, message: Statement) -> TargetRow | None:
-    """Return the target whose answer states something; None if it has ended.
+def is_current(tables: Tables, message: Statement) -> bool:
+    """Return whether a statement is of the present process of its target.
 
-    An answer to a request that was dispatched to an earlier process of the target says
-    nothing about the present one.
+    An answer to a request that was dispatched to an earlier process says nothing about
+    the present one. A target without an entry may still run and get its entry back, so
+    what it states is kept.
     """
     target = tables.targets.get(message.target)
-    if target is None or target.target.generation != message.generation:
-        return None
-    return target
+    return target is None or target.target.generation == message.generation
 
 
 def take_rate_limit(tables: Tables, message: RateLimitStated, now: float) -> None:
     """Record a rate limit, and log it if it is new."""
-    target = find_stating_target(tables, message)
-    if target is None or not tables.rate_limits.observe(
+    if not is_current(tables, message) or not tables.rate_limits.observe(
         message.target, message.generation, message.requests_per_s, now, now
     ):
         return
-    report_soon(tables, target)
+    report_soon(tables, message.target)
     if message.requests_per_s == NO_LIMIT:
-        log.info("A target's rate limit has ended", extra=target.log_fields())
+        extra = {"target": message.target}
+        log.info("A target's rate limit has ended", extra=extra)
         return
-    extra = target.log_fields() | {"requests_per_s": message.requests_per_s}
+    extra = {"target": message.target, "requests_per_s": message.requests_per_s}
     log.info("A target states a rate limit", extra=extra)
 
 
 def take_leaving(tables: Tables, message: LeavingStated, now: float) -> None:
     """Record that a target leaves, and log it if it is new."""
-    target = find_stating_target(tables, message)
-    if target and tables.departures.observe(message.target, message.generation, now):
-        report_soon(tables, target)
-        log.info("A target states that it is leaving", extra=target.log_fields())
+    if not is_current(tables, message) or not tables.departures.observe(
+        message.target, message.generation, now
+    ):
+        return
+    report_soon(tables, message.target)
+    extra = {"target": message.target}
+    log.info("A target states that it is leaving", extra=extra)
 
 
 def take_rest(tables: Tables, message: RestStated, now: float) -> None:
     """Record for how long a target wants no requests, and log it if it is new."""
-    target = find_stating_target(tables, message)
-    if target and tables.rests.observe(
+    if not is_current(tables, message) or not tables.rests.observe(
         message.target, message.generation, message.rest_s, now
     ):
-        report_soon(tables, target)
-        extra = target.log_fields() | {"rest_s": message.rest_s}
-        log.info("A target wants no requests for a while", extra=extra)
+        return
+    report_soon(tables, message.target)
+    extra = {"target": message.target, "rest_s": message.rest_s}
+    log.info("A target wants no requests for a while", extra=extra)
 
 
-def report_soon(tables: Tables, target: TargetRow) -> None:
+def report_soon(tables: Tables, target: TargetName) -> None:
     """Include what a target has stated in the next report, which is sent at once."""
-    access = tables.pool_of.get(target.name)
+    access = tables.pool_of.get(target)
     if access is not None:
-        access.changed_targets.add(target.name)
+        access.changed_targets.add(target)
         access.dirty = True
 
 
--- a/tests/scheduler/test_departures.py
+++ b/tests/scheduler/test_departures.py
@@ -121,3 +121,16 @@
     departures.observe("e0", "1", 1.0)
     departures.keep_generations({}, 1.1 + KEEP_ABSENT_S)
     assert not departures.rows
+
+
+def test_a_departure_that_is_stated_while_the_entry_is_missing_holds():
+    """Guards against calls to a leaving target whose entry lapses and returns."""
+    pool = LimitedPool({"e0": 8})
+    tables = pool.harness.hosts["h1"]
+    tables.config = ConfigState()
+    update_targets(tables)
+    state_leaving(pool, "h1")
+    tables.config = pool.harness.config
+    update_targets(tables)
+    forget_ended_processes(tables, pool.now)
+    assert tables.departures.includes("e0", "1")
