Test the share of a limit after hosts have ended, and the time to come back

Two mutations went unnoticed: the share that an allocator gives out was tested only where the set of hosts changes, not as hosts that were lost are forgotten; and calls beyond a limit were refused in time by another safeguard, so that the slots which a rate can keep busy were not tested.

--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -17,6 +17,7 @@
     Tick,
 )
 from godwitladder.scheduler.pools import pool_key
+from godwitladder.scheduler.quotas import HOST_EXPIRY_S
 from tests.scheduler.harness import make_config
 
 HOSTS = ("h0", "h1", "h2")
@@ -184,6 +185,9 @@
     (role,) = actor.tables.roles.values()
     actor.on_receive(Tick())
     assert role.rate_limits.requests_per_s("e0") == 1.0
+    clock.advance(HOST_EXPIRY_S)
+    actor.on_receive(Tick())
+    assert role.rate_limits.requests_per_s("e0") == 3.0
     assert caplog.text.count("Current rate limits of targets") == 1
 
 
--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -270,3 +270,22 @@
     assert report.rate_limits == ()
     access.drop()
     assert len(make_report(tables, access, later + 0.1).rate_limits) == 1
+
+
+def test_a_queue_beyond_the_limit_is_told_when_the_limit_has_worked_it_off():
+    """Guards against callers told to come back at once to targets that take no more.
+
+    Forty calls of a tenth of a second wait for a target with eight free slots, which
+    takes one call per second.
+    """
+    target = make_target(limit=8, requests_per_s=1.0, prefill_tps=5e4, decode_tps=1e3)
+    target.available_requests, target.next_request_s = 0, 1.0
+    pool = make_pool(target)
+    pool.policy = ROUTED
+    pool.state.typical_s = 0.1
+    for number in range(40):
+        add(pool, f"r{number}", deadline=60.0)
+        pool.waiting[f"r{number}"].ttft_deadline = 5.0
+    sheds = allocate(pool, 0.0).sheds
+    assert len(sheds) >= 30
+    assert all(shed.retry_after_s >= 5.0 for shed in sheds)
