--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -1,4 +1,4 @@
-"""Takes what targets state about themselves into the tables of a host.
+"""What targets state about themselves, in the tables of a host.
 
 Pure: times are passed as arguments.
 """
@@ -78,6 +78,19 @@
         access.dirty = True
 
 
+def may_send_within_limit(tables: Tables, target: TargetRow, now: float) -> bool:
+    """Return whether a target's rate limit allows a request without a grant.
+
+    Requests with a grant are counted by the allocator that grants them.
+    """
+    limits = tables.rate_limits
+    if target.name not in limits.limited:
+        return True
+    hosts = tables.seen_hosts.recent(now) | {tables.host}
+    share = limits.fallback_share(target.name, tables.host, hosts)
+    return limits.wait_s(target.name, now, share) == 0
+
+
 def is_rate_limited(tables: Tables, service: ServiceName) -> bool:
     """Return whether all targets of a service have a rate limit now."""
     targets = service_targets(tables, service)
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -16,7 +16,6 @@
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
-from godwitladder.scheduler.rate_limits import may_send_within_limit
 from godwitladder.scheduler.rows import (
     Dispatch,
     IllegalTransition,
@@ -25,6 +24,7 @@
     TargetRow,
 )
 from godwitladder.scheduler.silence import log_silence
+from godwitladder.scheduler.statements import may_send_within_limit
 
 log = component_logger("scheduler")
 
