Replace a target's rate limit by that of its next process

Found by reading: a limit that a restarted target stated before its entry told of the restart was put into the row of the earlier process, and went with it.

--- a/godwitladder/decisions/rate_limits.py
+++ b/godwitladder/decisions/rate_limits.py
@@ -158,7 +158,7 @@
         Statements older than the known one have no effect.
         """
         row = self.rows.get(target)
-        if row is None:
+        if row is None or row.generation != generation:
             row = LimitRow(generation, now, NO_LIMIT, observed_at, 0.0, now)
             self.rows[target] = row
         if observed_at < row.observed_at:
--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -289,3 +289,12 @@
     sheds = allocate(pool, 0.0).sheds
     assert len(sheds) >= 30
     assert all(shed.retry_after_s >= 5.0 for shed in sheds)
+
+
+def test_a_statement_of_a_restarted_target_replaces_that_of_its_earlier_process():
+    """Guards against a limit that is dropped with the earlier process."""
+    limits = RateLimits()
+    limits.observe("e0", "1", 3.0, 10.0, 10.0)
+    assert limits.observe("e0", "2", 5.0, 11.0, 11.0)
+    limits.keep_generations({"e0": "2"}, 12.0)
+    assert limits.requests_per_s("e0") == 5.0
