Hear a target's refusal that carries no attempt id

What such an answer states was dropped, as if it belonged to another request. An answer without an id is heard now, and one with another id still is not.

--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -245,10 +245,10 @@
         """
         metadata = self.proxy.header_codec.read_answer(response.headers)
         # An answer of another target, or to another request, states nothing about
-        # this target now.
-        if (
-            response.status != HTTP_MISDIRECTED
-            and metadata.attempt == self.call.metadata.attempt
+        # this target now. A refusal may come without an attempt id.
+        if response.status != HTTP_MISDIRECTED and metadata.attempt in (
+            "",
+            self.call.metadata.attempt,
         ):
             self.proxy.statements.record(dispatch, response.status, metadata)
         if metadata.not_run or response.status == HTTP_MISDIRECTED:
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -337,11 +337,14 @@
         )
 
     def send_refusal(self, rest_s: float) -> None:
-        """Refuse a request, which does not run, and ask for rest if there is any."""
+        """Refuse a request, which does not run, and ask for rest if there is any.
+
+        A refusal carries neither an attempt id nor a signature.
+        """
         headers = [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")]
         if rest_s:
             headers.append((names.RETRY_AFTER, str(rest_s)))
-        self.send_head(503, headers)
+        self.send_head(503, headers, identified=False)
 
     def run(self, knobs: EngineKnobs) -> None:
         """Answer an accepted request."""
@@ -368,14 +371,19 @@
             self.send_chunk(event)
         self.send_chunk(b"")
 
-    def send_head(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the status line and the headers of an answer."""
-        other_id = "other" if self.server.standin.knobs.foreign else None
-        self.send_response(status)
-        attempt_id = other_id or self.headers.get(names.ATTEMPT, "")
-        self.send_header(names.ATTEMPT, attempt_id)
-        self.send_header(names.SIGNATURE, f"signed-{attempt_id}")
+    def send_head(
+        self, status: int, headers: list[tuple[str, str]], identified: bool = True
+    ) -> None:
+        """Send the status line and the headers of an answer.
+
+        An identified answer carries an attempt id and a signature.
+        """
         knobs = self.server.standin.knobs
+        self.send_response(status)
+        if identified:
+            attempt_id = "other" if knobs.foreign else self.headers.get(names.ATTEMPT)
+            self.send_header(names.ATTEMPT, attempt_id or "")
+            self.send_header(names.SIGNATURE, f"signed-{attempt_id or ''}")
         if knobs.rate_limit:
             self.send_header(names.RATE_LIMIT, str(knobs.rate_limit))
         if knobs.leaving:
