Call the time until a host may retry a target a cooldown

Identifiers, log lines and comments follow, and the docstrings on rate limits are reworded likewise. The log line reads "A target has requested a cooldown". No behaviour changes.

--- a/bench/statements.py
+++ b/bench/statements.py
@@ -9,9 +9,9 @@
 from dataclasses import replace
 
 from bench.processes import print_table
+from godwitladder.decisions.cooldowns import RemainingCooldown
 from godwitladder.decisions.departures import Departure
 from godwitladder.decisions.rate_limits import RateLimits, StatedLimit
-from godwitladder.decisions.rests import RemainingRest
 from godwitladder.decisions.types import PoolName
 from godwitladder.membership.codec import encode
 from godwitladder.scheduler.exchange import PoolReport
@@ -43,7 +43,7 @@
         REPORT,
         rate_limits=tuple(StatedLimit(name, generation, 2.7, 0.25) for name in names),
         departures=tuple(Departure(name, generation) for name in names),
-        rests=tuple(RemainingRest(name, 2.5) for name in names),
+        cooldowns=tuple(RemainingCooldown(name, 2.5) for name in names),
     )
 
 
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -209,20 +209,22 @@
         """Return the seconds until the rate limits admit a request; 0 if now."""
         return min((target.view.next_request_s for target in self.targets), default=0.0)
 
-    def rest_ends(self, rests: Mapping[TargetName, float], now: float) -> float:
-        """Return when the first of the targets wants requests of a host again.
+    def cooldown_ends(self, cooldowns: Mapping[TargetName, float], now: float) -> float:
+        """Return when the first cooldown of the targets for a host ends.
 
         Parameters
         ----------
-        rests : mapping
-            Time until which targets want no requests of the host.
+        cooldowns : mapping
+            End of each cooldown of a target for the host.
         now : float
             Current time, in seconds.
         """
-        # Most hosts rest from no target, and this is asked for each waiting request.
-        if not rests:
+        # This runs for each waiting request, and most hosts have no cooldowns.
+        if not cooldowns:
             return now
-        ends = (max(now, rests.get(target.view.name, now)) for target in self.targets)
+        ends = (
+            max(now, cooldowns.get(target.view.name, now)) for target in self.targets
+        )
         return min(ends, default=now)
 
     def admits_long(self) -> bool:
--- a/godwitladder/decisions/late_refusal.py
+++ b/godwitladder/decisions/late_refusal.py
@@ -54,8 +54,8 @@
     ahead_s = 0.0
     queue = TierQueue(group.entries, pool.workspaces, pool.state.spent, now)
     for entry in queue.ordered():
-        rest_ends = group.capacity.rest_ends(entry.waiting.rests, now)
-        starts = max(earliest + ahead_s / rate, rest_ends)
+        cooldown_ends = group.capacity.cooldown_ends(entry.waiting.cooldowns, now)
+        starts = max(earliest + ahead_s / rate, cooldown_ends)
         if starts <= start_limit(entry, group):
             kept.append(entry)
             ahead_s += entry.slot_s
--- a/godwitladder/decisions/rate_limits.py
+++ b/godwitladder/decisions/rate_limits.py
@@ -1,7 +1,7 @@
 """Keeps to the rate limits that targets state in their answers.
 
-Load pattern: a target in need states how many requests per second it takes from all
-hosts together, while it still has free slots. Short requests pass through a few slots
+Load pattern: an overloaded target states the total rate at which it accepts requests,
+over all hosts, while it still has free slots. Short requests pass through a few slots
 many times per second, so a limit on concurrent requests doesn't keep to it. Each host
 sees only the answers to its own requests, and a host that kept to the limit by itself
 would let all hosts together send it once each.
@@ -72,7 +72,7 @@
     generation : str
         Generation of the target that stated it.
     requests_per_s : float
-        Requests that it takes from all hosts together; infinite for no limit.
+        Total rate over all hosts; infinite for no limit.
     age_s : float
         Seconds since the answer that stated it.
     """
@@ -90,7 +90,7 @@
     Attributes
     ----------
     requests_per_s : float
-        Requests that it takes from all hosts together; infinite for no limit.
+        Total rate over all hosts; infinite for no limit.
     observed_at : float
         Time of the answer that stated it.
     requests : float
@@ -111,7 +111,7 @@
 
     @property
     def rate(self) -> float:
-        """Requests per second that it gets from all hosts together."""
+        """Requests per second that it gets, over all hosts."""
         return max(self.requests_per_s, MIN_RATE)
 
     def refill(self, share: float, now: float) -> None:
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -279,8 +279,8 @@
     ----------
     avoided : frozenset of TargetName
         Targets to which its host recently failed to connect.
-    rests : dict
-        Time until which targets want no requests from its host.
+    cooldowns : dict
+        End of each cooldown of a target for its host.
     ttft_deadline : float
         First output deadline; infinite for no bound.
     start_by : float
@@ -307,7 +307,7 @@
     within_quota: bool = True
     counted: bool = False
     entry: QueueEntry | None = field(default=None, compare=False, repr=False)
-    rests: dict[TargetName, float] = field(default_factory=dict)
+    cooldowns: dict[TargetName, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         if self.first_arrived is None:
@@ -315,10 +315,10 @@
 
     def excluded_targets(self, now: float) -> Collection[TargetName]:
         """Return the targets to which its host can't or must not send it now."""
-        if not self.rests:
+        if not self.cooldowns:
             return self.avoided
-        resting = {name for name, until in self.rests.items() if until > now}
-        return self.avoided | resting
+        cooling_down = {name for name, until in self.cooldowns.items() if until > now}
+        return self.avoided | cooling_down
 
     @property
     def is_retry(self) -> bool:
--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -16,7 +16,7 @@
     MayHaveRun,
     TargetRefused,
     connect,
-    read_rest,
+    read_cooldown,
     send,
 )
 from godwitladder.ids import StreamId
@@ -179,4 +179,4 @@
         raise MayHaveRun(f"answer broke: {error}") from error
     finally:
         connection.close()
-    raise TargetRefused(response.status, text, read_rest(response))
+    raise TargetRefused(response.status, text, read_cooldown(response))
--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from godwitladder.clock import Clock
-from godwitladder.engines.wire import MayHaveRun, connect, read_rest, send
+from godwitladder.engines.wire import MayHaveRun, connect, read_cooldown, send
 from godwitladder.ids import ServiceName, StreamId
 
 MAX_READ_BYTES = 65_536
@@ -20,15 +20,15 @@
 
     Attributes
     ----------
-    rest_s : float
-        Seconds for which the service wants no requests from this host; 0 if not
+    cooldown_s : float
+        Seconds until this host may retry a service that refuses; 0 if not
         stated.
     """
 
     status: int
     content_type: str
     body: bytes
-    rest_s: float = 0.0
+    cooldown_s: float = 0.0
 
 
 def call_service(
@@ -65,7 +65,7 @@
         response.close()
         connection.close()
     kind = response.headers.get("Content-Type", "application/octet-stream")
-    return ServiceAnswer(response.status, kind, data, read_rest(response))
+    return ServiceAnswer(response.status, kind, data, read_cooldown(response))
 
 
 def _check_headers(response: urllib3.BaseHTTPResponse, call: StreamId) -> None:
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -9,7 +9,7 @@
 from godwitladder.findings import GodwitladderError
 
 CONNECT_TIMEOUT_S = 2.0
-RESTING_STATUSES = frozenset({429, 503})
+COOLDOWN_STATUSES = frozenset({429, 503})
 """Statuses with which a target refuses a request for the time being."""
 
 
@@ -30,22 +30,22 @@
         The target's HTTP status.
     text : str
         The beginning of its answer.
-    rest_s : float
-        Seconds for which it wants no requests from this host; 0 if not stated.
+    cooldown_s : float
+        Seconds until this host may retry; 0 if not stated.
     """
 
-    def __init__(self, status: int, text: str, rest_s: float = 0.0) -> None:
+    def __init__(self, status: int, text: str, cooldown_s: float = 0.0) -> None:
         super().__init__(f"target answered {status}: {text}")
         self.status = status
-        self.rest_s = rest_s
+        self.cooldown_s = cooldown_s
 
 
-def read_rest(response: urllib3.BaseHTTPResponse) -> float:
-    """Return for how many seconds a target that refuses wants no requests.
+def read_cooldown(response: urllib3.BaseHTTPResponse) -> float:
+    """Return the seconds until this host may retry a target that refuses.
 
     0 if the answer is no refusal, or states no valid time in seconds.
     """
-    if response.status not in RESTING_STATUSES:
+    if response.status not in COOLDOWN_STATUSES:
         return 0.0
     try:
         seconds = float(response.headers.get("Retry-After", "0"))
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -103,13 +103,13 @@
     not_run : bool
         Whether the target states that it did not run the request.
     rate_limit : float or None
-        Requests per second that the target takes from all hosts together, as long
-        as its answers state so; None for no limit.
+        Total request rate that the target accepts, over all hosts, until an answer
+        no longer states it; None for no limit.
     leaving : bool
         Whether the target states that it is leaving.
     retry_after_s : float or None
-        Seconds for which a target that refuses a request wants no others from this
-        host; None if not stated.
+        Seconds after which this host may retry a target that refuses a request;
+        None if not stated.
     """
 
     attempt: str
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -184,7 +184,11 @@
         self.losses = LossRegistry(clock, self.mesh.broadcast)
         self.router.message_handlers[AnswerLost] = self.receive_loss
         self.statements = TargetStatements(
-            self.scheduler, clock, tables.rate_limits, tables.departures, tables.rests
+            self.scheduler,
+            clock,
+            tables.rate_limits,
+            tables.departures,
+            tables.cooldowns,
         )
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
--- a/godwitladder/scheduler/accounts.py
+++ b/godwitladder/scheduler/accounts.py
@@ -125,8 +125,8 @@
         Number of the next offer.
     more_waiting : int
         Number of waiting requests that are not listed in ``demands``.
-    rests : dict
-        Time until which each target wants no requests from the host, by the clock of
+    cooldowns : dict
+        Time until which the host must send nothing to a target, by the clock of
         the allocator.
     limits_version : int
         Version of the rate limits that the host was last told.
@@ -151,7 +151,7 @@
     avoided: frozenset[TargetName] = frozenset()
     allowances: deque[SentAllowances] = field(default_factory=deque)
     grants: dict[RequestId, SentGrant] = field(default_factory=dict)
-    rests: dict[TargetName, float] = field(default_factory=dict)
+    cooldowns: dict[TargetName, float] = field(default_factory=dict)
     limits_version: int = 0
     cached_max_usage: dict[TargetName, Usage] | None = None
     cached_usage: dict[TargetName, Usage] | None = None
@@ -170,8 +170,8 @@
         self.more_waiting = sum(row.count for row in report.unlisted)
         self.avoided = frozenset(report.avoided)
         if not report.incremental:
-            self.rests = {}
-        self.rests |= {row.target: now + row.rest_s for row in report.rests}
+            self.cooldowns = {}
+        self.cooldowns |= {row.target: now + row.cooldown_s for row in report.cooldowns}
         self._acknowledge(acked_offer)
         self._drop_expired()
         self._update_demands(report)
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -12,6 +12,7 @@
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.scheduler.exchange import GrantOffer, PoolReport
 from godwitladder.scheduler.messages import (
+    CooldownStated,
     Finished,
     HostsChanged,
     LeavingStated,
@@ -20,7 +21,6 @@
     NothingSent,
     Progress,
     RateLimitStated,
-    RestStated,
     Returned,
     ReturnProof,
     Stop,
@@ -40,9 +40,9 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.statements import (
     forget_ended_processes,
+    take_cooldown,
     take_leaving,
     take_rate_limit,
-    take_rest,
 )
 from godwitladder.scheduler.systems import (
     add_request,
@@ -196,8 +196,8 @@
         take_leaving(self.tables, message, self.clock.monotonic())
 
     @take.register
-    def _(self, message: RestStated) -> None:
-        take_rest(self.tables, message, self.clock.monotonic())
+    def _(self, message: CooldownStated) -> None:
+        take_cooldown(self.tables, message, self.clock.monotonic())
 
     @take.register
     def _(self, message: Withdrawn) -> None:
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -20,10 +20,10 @@
 from dataclasses import dataclass
 
 from godwitladder.decisions.admission import AdmissionShare
+from godwitladder.decisions.cooldowns import RemainingCooldown
 from godwitladder.decisions.departures import Departure
 from godwitladder.decisions.quotas import WorkspaceSpending
 from godwitladder.decisions.rate_limits import StatedLimit
-from godwitladder.decisions.rests import RemainingRest
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
 from godwitladder.ids import (
     HostId,
@@ -172,7 +172,7 @@
     departures : tuple of Departure
         Targets that have stated that they leave: all that the host knows in a full
         report, and otherwise new ones.
-    rests : tuple of RemainingRest
+    cooldowns : tuple of RemainingCooldown
         Targets that want no requests from the host for a while: all in a full report,
         and otherwise new ones.
     """
@@ -198,7 +198,7 @@
     removed: tuple[RequestId, ...] = ()
     rate_limits: tuple[StatedLimit, ...] = ()
     departures: tuple[Departure, ...] = ()
-    rests: tuple[RemainingRest, ...] = ()
+    cooldowns: tuple[RemainingCooldown, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -92,7 +92,7 @@
     generation : str
         Generation of the target to which the request was dispatched.
     requests_per_s : float
-        Requests that it takes from all hosts together; infinite for no limit.
+        Total request rate that it accepts, over all hosts; infinite for no limit.
     """
 
     target: TargetName
@@ -115,20 +115,20 @@
 
 
 @dataclass(frozen=True)
-class RestStated:
-    """A target has refused a request and wants no others from this host for a while.
+class CooldownStated:
+    """A target has refused a request and stated when this host may retry.
 
     Attributes
     ----------
     generation : str
         Generation of the target to which the request was dispatched.
-    rest_s : float
-        Seconds for which it wants none, counted from its answer.
+    cooldown_s : float
+        Seconds until then, counted from its answer.
     """
 
     target: TargetName
     generation: str
-    rest_s: float
+    cooldown_s: float
 
 
 @dataclass(frozen=True)
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -21,7 +21,7 @@
 )
 from godwitladder.scheduler.pools import make_pools, pool_key, target_generations
 from godwitladder.scheduler.rows import RequestRow, Tables, TargetRow
-from godwitladder.scheduler.statements import is_rate_limited, is_resting
+from godwitladder.scheduler.statements import is_cooling_down, is_rate_limited
 from godwitladder.scheduler.systems import refuse_request, waiting_order
 from godwitladder.scheduler.throughput import take_samples
 
@@ -248,7 +248,7 @@
             stating, now, math.inf if unanswered else RESTATED_S
         ),
         departures=tables.departures.statements(stating),
-        rests=tables.rests.statements(stating, now),
+        cooldowns=tables.cooldowns.statements(stating, now),
     )
 
 
@@ -410,7 +410,7 @@
 
 def shed_text(tables: Tables, row: RequestRow, reason: ShedReason, now: float) -> str:
     """Return why ``row`` is refused, by what the targets of its service state."""
-    if reason is ShedReason.OVERLOAD and is_resting(tables, row.service, now):
+    if reason is ShedReason.OVERLOAD and is_cooling_down(tables, row.service, now):
         return TARGETS_REFUSE_TEXT
     if reason is ShedReason.OVERLOAD and is_rate_limited(tables, row.service):
         return RATE_LIMITED_TEXT
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -8,11 +8,11 @@
 
 from godwitladder.configuration.model import Target
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.prediction import OutputPredictor
 from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.decisions.rate_limits import RateLimits
-from godwitladder.decisions.rests import Rests
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
@@ -237,8 +237,8 @@
         Rate limits that targets have stated.
     departures : Departures
         Targets that have stated that they are leaving.
-    rests : Rests
-        For how long targets want no requests from this host.
+    cooldowns : Cooldowns
+        Cooldowns that targets have requested of this host.
     gate : AdmissionGate
         Admission shares received from allocators. May be called by any thread.
     has_standing_grants : bool
@@ -272,7 +272,7 @@
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
     rate_limits: RateLimits = field(default_factory=RateLimits)
     departures: Departures = field(default_factory=Departures)
-    rests: Rests = field(default_factory=Rests)
+    cooldowns: Cooldowns = field(default_factory=Cooldowns)
     gate: AdmissionGate = field(default_factory=AdmissionGate)
     has_standing_grants: bool = True
     early_fallback: bool = False
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -6,19 +6,23 @@
 from godwitladder.decisions.rate_limits import NO_LIMIT
 from godwitladder.ids import ServiceName, TargetName
 from godwitladder.logs import component_logger
-from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
+from godwitladder.scheduler.messages import (
+    CooldownStated,
+    LeavingStated,
+    RateLimitStated,
+)
 from godwitladder.scheduler.pools import target_generations
 from godwitladder.scheduler.rows import Tables, TargetRow
 
 log = component_logger("scheduler")
 
-Statement = LeavingStated | RateLimitStated | RestStated
+Statement = LeavingStated | RateLimitStated | CooldownStated
 
 
 def forget_ended_processes(tables: Tables, now: float) -> None:
     """Forget what targets have stated whose processes have ended."""
     generations = target_generations(tables.config.targets)
-    for table in (tables.rate_limits, tables.departures, tables.rests):
+    for table in (tables.rate_limits, tables.departures, tables.cooldowns):
         table.keep_generations(generations, now)
 
 
@@ -59,15 +63,15 @@
     log.info("A target states that it is leaving", extra=extra)
 
 
-def take_rest(tables: Tables, message: RestStated, now: float) -> None:
-    """Record for how long a target wants no requests, and log it if it is new."""
-    if not is_current(tables, message) or not tables.rests.observe(
-        message.target, message.generation, message.rest_s, now
+def take_cooldown(tables: Tables, message: CooldownStated, now: float) -> None:
+    """Record the cooldown of a target, and log it if it is new."""
+    if not is_current(tables, message) or not tables.cooldowns.observe(
+        message.target, message.generation, message.cooldown_s, now
     ):
         return
     report_soon(tables, message.target)
-    extra = {"target": message.target, "rest_s": message.rest_s}
-    log.info("A target wants no requests for a while", extra=extra)
+    extra = {"target": message.target, "cooldown_s": message.cooldown_s}
+    log.info("A target has requested a cooldown", extra=extra)
 
 
 def report_soon(tables: Tables, target: TargetName) -> None:
@@ -99,11 +103,11 @@
     )
 
 
-def is_resting(tables: Tables, service: ServiceName, now: float) -> bool:
+def is_cooling_down(tables: Tables, service: ServiceName, now: float) -> bool:
     """Return whether all targets of a service want no requests from this host now."""
     targets = service_targets(tables, service)
     return bool(targets) and all(
-        tables.rests.remaining_s(target.name, target.target.generation, now) > 0
+        tables.cooldowns.remaining_s(target.name, target.target.generation, now) > 0
         for target in targets
     )
 
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -209,7 +209,7 @@
         and target.target.state is TargetState.ACTIVE
         and target.target.address not in tables.leaving
         and not tables.departures.includes(target.name, generation)
-        and not tables.rests.remaining_s(target.name, generation, now)
+        and not tables.cooldowns.remaining_s(target.name, generation, now)
         and target.avoided_until <= now
     )
 
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -41,7 +41,7 @@
             if row is None or row.demand is not demand:
                 row = make_waiting(role, account.host, demand, now, row)
             row.avoided = account.avoided
-            row.rests = account.rests
+            row.cooldowns = account.cooldowns
             view.waiting[demand.request] = row
     role.waiting = view.waiting
     for name, floor in role.floors.items():
@@ -170,7 +170,7 @@
     return {
         name
         for row in role.current(now)
-        for name, until in row.rests.items()
+        for name, until in row.cooldowns.items()
         if until > now
     }
 
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -15,9 +15,9 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.messages import (
+    CooldownStated,
     NoFreeThread,
     NothingSent,
-    RestStated,
     Submit,
     Withdrawn,
 )
@@ -165,7 +165,7 @@
         except NotSent:
             raise
         except TargetRefused as error:
-            self._record_rest(error.rest_s)
+            self._record_cooldown(error.cooldown_s)
             text = f"The target turned the request away: {error}."
             refusal = refuse(Reason.TARGET_REFUSED, text, REFUSED_RETRY_S)
             return self._refuse(start_response, refusal)
@@ -199,7 +199,7 @@
             self.clock,
             row.deadline,
         )
-        self._record_rest(answer.rest_s)
+        self._record_cooldown(answer.cooldown_s)
         self.reporter.report_end(RequestState.COMPLETED)
         return answer_buffered(
             start_response,
@@ -209,11 +209,13 @@
             self.identity,
         )
 
-    def _record_rest(self, rest_s: float) -> None:
-        """Tell the scheduler if the target wants no requests for a while."""
-        if rest_s > 0:
-            rest = RestStated(self.dispatch.target, self.dispatch.generation, rest_s)
-            self.scheduler.tell(rest)
+    def _record_cooldown(self, cooldown_s: float) -> None:
+        """Tell the scheduler if the target has requested a cooldown."""
+        if cooldown_s > 0:
+            cooldown = CooldownStated(
+                self.dispatch.target, self.dispatch.generation, cooldown_s
+            )
+            self.scheduler.tell(cooldown)
 
     def _answer_stream(
         self, gone: Callable[[], bool], start_response
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -5,15 +5,15 @@
 import pykka
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
-from godwitladder.decisions.rests import Rests
-from godwitladder.engines.wire import RESTING_STATUSES, NotSent
+from godwitladder.engines.wire import COOLDOWN_STATUSES, NotSent
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
+    CooldownStated,
     LeavingStated,
     RateLimitStated,
-    RestStated,
 )
 from godwitladder.scheduler.rows import Dispatch
 
@@ -35,15 +35,15 @@
         The limits that the scheduler knows. Only ``limited`` is read.
     departures : Departures
         The leaving targets that the scheduler knows.
-    rests : Rests
-        The rests that the scheduler knows.
+    cooldowns : Cooldowns
+        The cooldowns that the scheduler knows.
     """
 
     scheduler: pykka.ActorRef
     clock: Clock
     rate_limits: RateLimits
     departures: Departures
-    rests: Rests
+    cooldowns: Cooldowns
 
     def check(self, dispatch: Dispatch) -> None:
         """Check again that a request may be sent, right before its first byte.
@@ -54,13 +54,13 @@
         Raises
         ------
         NotSent
-            The target has stated that it wants no requests.
+            The target is leaving, or has requested a cooldown.
         """
         process = dispatch.target, dispatch.generation
         if self.departures.includes(*process):
             raise NotSent("the target has stated that it is leaving")
-        if self.rests.remaining_s(*process, self.clock.monotonic()) > 0:
-            raise NotSent("the target has stated that it wants no requests for now")
+        if self.cooldowns.remaining_s(*process, self.clock.monotonic()) > 0:
+            raise NotSent("the target has stated that it has requested a cooldown")
 
     def record(self, dispatch: Dispatch, status: int, metadata: AnswerMetadata) -> None:
         """Record what the answer to a dispatched request states.
@@ -83,7 +83,7 @@
 
 def read_statements(
     dispatch: Dispatch, status: int, metadata: AnswerMetadata
-) -> list[RateLimitStated | LeavingStated | RestStated]:
+) -> list[RateLimitStated | LeavingStated | CooldownStated]:
     """Return the messages for what an answer states about its target."""
     process = dispatch.target, dispatch.generation
     messages = []
@@ -91,6 +91,6 @@
         messages.append(RateLimitStated(*process, metadata.rate_limit))
     if metadata.leaving:
         messages.append(LeavingStated(*process))
-    if metadata.retry_after_s is not None and status in RESTING_STATUSES:
-        messages.append(RestStated(*process, metadata.retry_after_s))
+    if metadata.retry_after_s is not None and status in COOLDOWN_STATUSES:
+        messages.append(CooldownStated(*process, metadata.retry_after_s))
     return messages
--- a/godwitladder/standins/engine.py
+++ b/godwitladder/standins/engine.py
@@ -29,8 +29,8 @@
 refuse_status : int
     HTTP status with which every new request is refused, without running it;
     0 for none.
-rest_s : float
-    Seconds of rest that such a refusal asks for; 0 for none.
+cooldown_s : float
+    Seconds of cooldown that such a refusal asks for; 0 for none.
 drop_finish : bool
     Whether answers end without a finish reason and token usage.
 scramble : bool
@@ -65,7 +65,7 @@
     "break_after": 0,
     "silent_after": 0,
     "refuse_status": 0,
-    "rest_s": 0.0,
+    "cooldown_s": 0.0,
     "drop_finish": False,
     "scramble": False,
 }
@@ -272,8 +272,8 @@
         and is answered with the events of that sequence.
         """
         if self.knobs["refuse_status"]:
-            if self.knobs["rest_s"]:
-                handler.extra_headers["Retry-After"] = str(self.knobs["rest_s"])
+            if self.knobs["cooldown_s"]:
+                handler.extra_headers["Retry-After"] = str(self.knobs["cooldown_s"])
             handler.send_json({"error": "refused"}, self.knobs["refuse_status"])
             return
         body = json.loads(handler.body)
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -217,8 +217,8 @@
         Requests per second that every answer states as the limit; 0 for none.
     leaving : bool
         Whether every answer states that the engine is leaving.
-    rest_s : float
-        Seconds of rest that a refusal with 503 asks for; 0 for none.
+    cooldown_s : float
+        Seconds of cooldown that a refusal with 503 asks for; 0 for none.
     """
 
     refuse: bool = False
@@ -230,7 +230,7 @@
     events: int = 5
     rate_limit: float = 0.0
     leaving: bool = False
-    rest_s: float = 0.0
+    cooldown_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -266,15 +266,15 @@
         When it arrived, in monotonic seconds.
     attempt : str
         Attempt id of the request.
-    rate_limit, leaving, rest_s
-        What its answer states, as in `EngineKnobs`; ``rest_s`` only in a refusal.
+    rate_limit, leaving, cooldown_s
+        What its answer states, as in `EngineKnobs`; ``cooldown_s`` only in a refusal.
     """
 
     at: float
     attempt: str
     rate_limit: float
     leaving: bool
-    rest_s: float
+    cooldown_s: float
 
 
 class Engine:
@@ -315,7 +315,7 @@
         now = time.monotonic()
         engine.arrivals.append(self.make_arrival(engine.knobs, now))
         if engine.knobs.refuse:
-            self.send_refusal(engine.knobs.rest_s)
+            self.send_refusal(engine.knobs.cooldown_s)
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
         engine.runs.append(Run(self.command, self.path, headers, body, now))
@@ -333,17 +333,17 @@
             self.headers.get(names.ATTEMPT, ""),
             knobs.rate_limit,
             knobs.leaving,
-            knobs.rest_s if knobs.refuse else 0.0,
+            knobs.cooldown_s if knobs.refuse else 0.0,
         )
 
-    def send_refusal(self, rest_s: float) -> None:
-        """Refuse a request, which does not run, and ask for rest if there is any.
+    def send_refusal(self, cooldown_s: float) -> None:
+        """Refuse a request, which does not run, and ask for cooldown if there is any.
 
         A refusal carries neither an attempt id nor a signature.
         """
         headers = [(names.NOT_EXECUTED, "1"), ("Content-Length", "0")]
-        if rest_s:
-            headers.append((names.RETRY_AFTER, str(rest_s)))
+        if cooldown_s:
+            headers.append((names.RETRY_AFTER, str(cooldown_s)))
         self.send_head(503, headers, identified=False)
 
     def run(self, knobs: EngineKnobs) -> None:
--- a/godwitladder/standins/service.py
+++ b/godwitladder/standins/service.py
@@ -26,7 +26,7 @@
     "cut_answers": 0,
     "unframed_answers": 0,
     "foreign_answers": 0,
-    "rest_s": 0.0,
+    "cooldown_s": 0.0,
 }
 
 
@@ -56,10 +56,10 @@
     def call(self, handler: Handler) -> None:
         """Run one call, then answer or fail as the knobs say.
 
-        With ``rest_s``, refuse it instead and ask for so many seconds of rest.
+        With ``cooldown_s``, refuse it instead and ask for so many seconds of cooldown.
         """
-        if self.knobs["rest_s"]:
-            handler.extra_headers["Retry-After"] = str(self.knobs["rest_s"])
+        if self.knobs["cooldown_s"]:
+            handler.extra_headers["Retry-After"] = str(self.knobs["cooldown_s"])
             handler.send_json({"error": "refused"}, 503)
             return
         digest = hashlib.sha256(handler.body).hexdigest()
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -13,7 +13,7 @@
 
 SLOW_DELAY_S = 0.4
 RATE_LIMIT = 1.5
-REST_S = 2.5
+COOLDOWN_S = 2.5
 
 
 class Injector:
@@ -74,7 +74,9 @@
             FaultKind.TARGET_LEAVES: self.deregister_target,
             FaultKind.TARGET_LIMITS: lambda f: self.state(f, rate_limit=RATE_LIMIT),
             FaultKind.TARGET_SAYS_LEAVING: lambda f: self.state(f, leaving=True),
-            FaultKind.TARGET_RESTS: lambda f: self.state(f, refuse=True, rest_s=REST_S),
+            FaultKind.TARGET_RESTS: lambda f: self.state(
+                f, refuse=True, cooldown_s=COOLDOWN_S
+            ),
             FaultKind.PEER_RESET: lambda f: self.host(f).peer_proxy.reset(),
             FaultKind.PEER_SILENT: lambda f: self.host(f).peer_proxy.blackhole(),
             FaultKind.CONFIG: lambda f: self.change_config(),
--- a/soak/records.py
+++ b/soak/records.py
@@ -123,7 +123,7 @@
         Rate limit that its answer stated, in requests per second; 0 for none.
     leaving : bool
         Whether its answer stated that the target leaves.
-    rest_s : float
+    cooldown_s : float
         Seconds of rest that its answer asked for; 0 for none.
     """
 
@@ -132,7 +132,7 @@
     name: str
     rate_limit: float = 0.0
     leaving: bool = False
-    rest_s: float = 0.0
+    cooldown_s: float = 0.0
 
 
 @dataclass
@@ -183,7 +183,7 @@
             self.interrupted_by_planned_operations(),
             self.sent_beyond_rate_limits(),
             self.sent_to_leaving_targets(),
-            self.sent_to_resting_targets(),
+            self.sent_during_cooldowns(),
         )
         return [row for part in parts for row in part]
 
@@ -345,15 +345,15 @@
             if row.host == host and row.status and not row.abandoned
         )
 
-    def sent_to_resting_targets(self) -> list[str]:
-        """Return the rests in which a target got too much from the host it asked."""
+    def sent_during_cooldowns(self) -> list[str]:
+        """Return the cooldowns in which a target got too much from the host."""
         rows = []
         for target, arrivals in self.arrivals_by_target().items():
             for asked in arrivals:
-                if not asked.rest_s:
+                if not asked.cooldown_s:
                     continue
                 host = self.attempts[asked.name].host
-                begin, end = asked.at + TOLD_S, asked.at + asked.rest_s
+                begin, end = asked.at + TOLD_S, asked.at + asked.cooldown_s
                 count = sum(
                     begin < row.at < end and self.attempts[row.name].host == host
                     for row in arrivals
--- a/soak/run.py
+++ b/soak/run.py
@@ -167,7 +167,7 @@
                         row.attempt,
                         row.rate_limit,
                         row.leaving,
-                        row.rest_s,
+                        row.cooldown_s,
                     )
                 )
 
--- a/tests/platform/test_target_statements.py
+++ b/tests/platform/test_target_statements.py
@@ -15,7 +15,7 @@
 ALLOWED = 1.5 * LIMIT * WINDOW_S + 5
 DRAIN_S = 2.0
 NOTICE_S = 1.0
-REST_S = 3.0
+COOLDOWN_S = 3.0
 GRACE_S = 0.5
 ALLOWED_IN_REST = 2
 CALLERS = 6
@@ -104,16 +104,16 @@
     engine, other = (fleet.engines[name].standin for name in ("e0", "e1"))
     with busy_callers(fleet):
         wait_until(lambda: len(engine.runs) > 20, "calls")
-        engine.knobs.rest_s = REST_S
+        engine.knobs.cooldown_s = COOLDOWN_S
         engine.knobs.refuse = True
-        wait_until(lambda: any(row.rest_s for row in engine.arrivals), "a refusal")
-        first = next(row.at for row in engine.arrivals if row.rest_s)
-        wait_until(lambda: other.runs[-1].at > first + REST_S, "the rest to end")
+        wait_until(lambda: any(row.cooldown_s for row in engine.arrivals), "a refusal")
+        first = next(row.at for row in engine.arrivals if row.cooldown_s)
+        wait_until(lambda: other.runs[-1].at > first + COOLDOWN_S, "the rest to end")
         engine.knobs.refuse = False
         before = len(engine.runs)
         wait_until(lambda: len(engine.runs) > before, "calls after the rest")
     for host in ("h0", "h1"):
         rows = [row for row in engine.arrivals if row.attempt.startswith(host)]
-        told = next(row.at for row in rows if row.rest_s)
-        late = [row for row in rows if told + GRACE_S < row.at < told + REST_S]
+        told = next(row.at for row in rows if row.cooldown_s)
+        late = [row for row in rows if told + GRACE_S < row.at < told + COOLDOWN_S]
         assert len(late) <= ALLOWED_IN_REST
--- a/tests/scheduler/limited.py
+++ b/tests/scheduler/limited.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, replace
 
 from godwitladder.outcomes import Refusal, RequestState
-from godwitladder.scheduler.messages import RateLimitStated, RestStated
+from godwitladder.scheduler.messages import CooldownStated, RateLimitStated
 from godwitladder.scheduler.rows import Dispatch, RequestRow
-from godwitladder.scheduler.statements import take_rate_limit, take_rest
+from godwitladder.scheduler.statements import take_cooldown, take_rate_limit
 from godwitladder.scheduler.systems import finish_request, run_systems
 from tests.scheduler.harness import (
     START,
@@ -115,10 +115,10 @@
         statement = RateLimitStated(target, "1", rate)
         take_rate_limit(self.harness.hosts[host], statement, self.now)
 
-    def ask_for_rest(self, host, rest_s, target="e0"):
-        """Let an answer to ``host`` ask for rest."""
-        statement = RestStated(target, "1", rest_s)
-        take_rest(self.harness.hosts[host], statement, self.now)
+    def ask_for_cooldown(self, host, cooldown_s, target="e0"):
+        """Let an answer to ``host`` ask for cooldown."""
+        statement = CooldownStated(target, "1", cooldown_s)
+        take_cooldown(self.harness.hosts[host], statement, self.now)
 
     def run(self, seconds, calls_per_step=1, **fields):
         """Let all hosts send calls for so long."""
--- a/tests/serving/test_dispatching.py
+++ b/tests/serving/test_dispatching.py
@@ -121,22 +121,22 @@
     assert app.outcomes() == {outcome: 1}
 
 
-def test_an_engine_that_asks_for_rest_is_left_alone(stack):
-    """Guards against calls to an engine that has just asked for rest."""
-    app, _ = with_engine(stack, refuse_status=503, rest_s=60.0)
+def test_an_engine_that_asks_for_cooldown_is_left_alone(stack):
+    """Guards against calls to an engine that has just asked for cooldown."""
+    app, _ = with_engine(stack, refuse_status=503, cooldown_s=60.0)
     app.chat().problem()
     app.wait_until_idle()
-    assert app.tables.rests.rows.keys() == {"engine"}
+    assert app.tables.cooldowns.rows.keys() == {"engine"}
 
 
-def test_a_plain_service_that_asks_for_rest_is_left_alone(stack):
-    """Guards against calls to a service that has just asked for rest."""
-    app, _ = with_service(stack, rest_s=60.0)
+def test_a_plain_service_that_asks_for_cooldown_is_left_alone(stack):
+    """Guards against calls to a service that has just asked for cooldown."""
+    app, _ = with_service(stack, cooldown_s=60.0)
     answer = app.ask("POST", "/v1/services/charge", b"pay")
     assert answer.status.startswith("503")
     answer.read()
     app.wait_until_idle()
-    assert app.tables.rests.rows.keys() == {"app"}
+    assert app.tables.cooldowns.rows.keys() == {"app"}
 
 
 def test_an_engine_whose_first_answer_is_lost_is_resumed(stack):
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -8,9 +8,9 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import RateLimits
-from godwitladder.decisions.rests import Rests
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
@@ -124,7 +124,7 @@
         self.freshness = DocumentFreshness(5.0)
         self.freshness.confirm(self.clock.boottime())
         self.statements = TargetStatements(
-            self.scheduler, self.clock, RateLimits(), Departures(), Rests()
+            self.scheduler, self.clock, RateLimits(), Departures(), Cooldowns()
         )
         proxy = RoutedProxy(
             form,
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -3,11 +3,15 @@
 import pytest
 
 from godwitladder.clock import ManualClock
+from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
-from godwitladder.decisions.rests import Rests
 from godwitladder.routing.calls import AnswerMetadata
-from godwitladder.scheduler.messages import LeavingStated, RateLimitStated, RestStated
+from godwitladder.scheduler.messages import (
+    CooldownStated,
+    LeavingStated,
+    RateLimitStated,
+)
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.statements import TargetStatements
 from tests.serving.test_passing import Bench, stack
@@ -23,7 +27,7 @@
 
 def make_statements(inbox, limits=None):
     return TargetStatements(
-        inbox, ManualClock(), limits or RateLimits(), Departures(), Rests()
+        inbox, ManualClock(), limits or RateLimits(), Departures(), Cooldowns()
     )
 
 
@@ -66,13 +70,13 @@
 
 
 @pytest.mark.parametrize("status", [429, 503])
-def test_a_rest_is_passed_on_from_a_refusal(inbox, status):
+def test_a_cooldown_is_passed_on_from_a_refusal(inbox, status):
     metadata = answer(retry_after_s=3.0)
     make_statements(inbox).record(DISPATCH, status, metadata)
-    assert inbox.messages == [RestStated("e0", "7", 3.0)]
+    assert inbox.messages == [CooldownStated("e0", "7", 3.0)]
 
 
-def test_another_answer_asks_for_no_rest(inbox):
+def test_another_answer_asks_for_no_cooldown(inbox):
     metadata = answer(retry_after_s=3.0)
     make_statements(inbox).record(DISPATCH, 200, metadata)
     assert inbox.messages == []
@@ -135,24 +139,25 @@
     assert len(second.standin.runs) == 1
 
 
-def test_a_call_dispatched_before_its_target_asked_for_rest_is_not_written(stack):
+def test_a_call_dispatched_before_its_target_asked_for_cooldown_is_not_written(stack):
     """Guards against a thread that is late to write what was dispatched in time."""
     bench = Bench(stack, engines=2)
     first, second = bench.engines
     now = bench.clock.monotonic()
-    bench.statements.rests.observe(f"t-{first.address}", "", 60.0, now)
+    bench.statements.cooldowns.observe(f"t-{first.address}", "", 60.0, now)
     assert bench.call("/charge/x").status == 200
     assert not first.standin.arrivals
     assert len(second.standin.runs) == 1
 
 
-def test_a_refused_call_that_may_not_be_sent_again_tells_of_the_rest(stack):
-    """Guards against a rest that is learned only where another target is tried."""
+def test_a_refused_call_that_may_not_be_sent_again_tells_of_the_cooldown(stack):
+    """Guards against a cooldown that is learned only where another target is tried."""
     bench = Bench(stack)
     knobs = bench.engines[0].standin.knobs
-    knobs.refuse, knobs.rest_s = True, 3.0
+    knobs.refuse, knobs.cooldown_s = True, 3.0
     answer = bench.call("/charge/x")
     assert answer.status == 503
     assert (
-        RestStated(f"t-{bench.engines[0].address}", "", 3.0) in bench.scheduler.others
+        CooldownStated(f"t-{bench.engines[0].address}", "", 3.0)
+        in bench.scheduler.others
     )
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -207,12 +207,12 @@
 
 
 def test_requests_to_a_target_that_asked_for_rest_are_found():
-    history = make_arrivals([10.0, 10.4, 10.6, 11.0, 12.0], rest_s=2.5)
+    history = make_arrivals([10.0, 10.4, 10.6, 11.0, 12.0], cooldown_s=2.5)
     (text,) = history.check()
     assert text == "e0 got 3 from h0 while it rested"
 
 
 def test_few_requests_in_a_rest_or_those_of_other_hosts_are_not():
-    assert make_arrivals([10.0, 10.4, 10.6, 12.0, 12.6], rest_s=2.5).check() == []
+    assert make_arrivals([10.0, 10.4, 10.6, 12.0, 12.6], cooldown_s=2.5).check() == []
     times = [10.0, 10.1, 10.6, 10.7, 11.0, 11.1]
-    assert make_arrivals(times, hosts=2, rest_s=2.5).check() == []
+    assert make_arrivals(times, hosts=2, cooldown_s=2.5).check() == []
