--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -22,7 +22,7 @@
     unique_values,
     validate_ticket,
 )
-from godwitladder.findings import Finding, InvalidInput
+from godwitladder.findings import Finding, GodwitladderError, InvalidInput
 from godwitladder.ids import Offset, TicketNumber
 
 # One day of tickets at the largest supported size, so that the audit trail in
@@ -40,6 +40,10 @@
 SNAPSHOT_MAGIC = b"\x00godwitladder snapshot\n"
 
 
+class MissingRecords(GodwitladderError):
+    """Raised when records of the log would be skipped."""
+
+
 class Verdict(enum.Enum):
     """Outcome of a ticket."""
 
@@ -153,9 +157,17 @@
         -------
         AuditEntry or None
             The ticket's audit entry; None for a snapshot or an old record.
+
+        Raises
+        ------
+        MissingRecords
+            If the record does not follow the last one. Its tickets would be
+            missing here for good, and nothing else would tell.
         """
         if offset < self.next:
             return None
+        if offset > self.next:
+            raise MissingRecords(f"record {offset} was read in place of {self.next}")
         self.next = Offset(offset + 1)
         self.tail = record_digest(data)
         if data.startswith(SNAPSHOT_MAGIC):
--- a/godwitladder/configuration/replica.py
+++ b/godwitladder/configuration/replica.py
@@ -16,6 +16,9 @@
 )
 from godwitladder.configuration.snapshots import InvalidSnapshot, decode_snapshot
 from godwitladder.ids import Offset
+from godwitladder.logs import component_logger
+
+log = component_logger("config")
 
 
 class Phase(enum.Enum):
@@ -41,6 +44,45 @@
     FORKED = "forked"
 
 
+@dataclass
+class SnapshotSearch:
+    """Records read in a row while looking for a snapshot.
+
+    Attributes
+    ----------
+    start : int
+        Offset of the first record read.
+    records : list of Record
+        All records read since, without a gap.
+    """
+
+    start: Offset
+    records: list[Record] = field(default_factory=list)
+
+    @property
+    def next(self) -> Offset:
+        """The offset to read from next."""
+        return Offset(self.start + len(self.records))
+
+    def read_state(self, record: Record) -> Ledger | None:
+        """Return the state in the next record if all records after it were read.
+
+        If the state ends before the first record read, the tickets in the gap
+        would be missing for good.
+        """
+        if not record.data.startswith(SNAPSHOT_MAGIC):
+            return None
+        try:
+            ledger = decode_snapshot(record.data)
+        except InvalidSnapshot as error:
+            log.warning(
+                "A snapshot in the configuration log is invalid",
+                extra={"offset": record.offset, "error": str(error)},
+            )
+            return None
+        return ledger if self.start <= ledger.next <= record.offset else None
+
+
 @dataclass
 class Replica:
     """A ledger and its position in the log.
@@ -54,10 +96,8 @@
     caught_up : bool
         Whether it has once reached the end of the log or installed a peer's
         state.
-    seek_records : list of Record
-        Records read while looking for a snapshot.
-    seek_start : int
-        Offset at which the search for a snapshot started.
+    search : SnapshotSearch or None
+        What was read so far while looking for a snapshot; None in other phases.
     snapshot_time : float or None
         The log's timestamp of the newest snapshot read, in seconds since the
         epoch.
@@ -71,21 +111,15 @@
     ledger: Ledger = field(default_factory=Ledger)
     phase: Phase = Phase.FOLLOWING
     caught_up: bool = False
-    seek_records: list[Record] = field(default_factory=list)
-    seek_start: Offset = Offset(0)
+    search: SnapshotSearch | None = None
     snapshot_time: float | None = None
     snapshot_offset: Offset = Offset(0)
     first_time: float | None = None
 
     def cursor(self) -> Offset:
         """Return the offset to read from next."""
-        if self.phase is Phase.SEEKING:
-            last = (
-                self.seek_records[-1].offset + 1
-                if self.seek_records
-                else self.seek_start
-            )
-            return Offset(last)
+        if self.search:
+            return self.search.next
         if self.phase in (Phase.CHECKING, Phase.FORKED):
             return Offset(max(0, self.ledger.next - 1))
         return self.ledger.next
@@ -100,8 +134,8 @@
 
     def process_page(self, page: Page) -> list[AuditEntry]:
         """Process a page read at `cursor` and return the new audit entries."""
-        if self.phase is Phase.SEEKING:
-            return self._seek_snapshot(page)
+        if self.search:
+            return self._continue_search(page)
         if page.next < self.ledger.next:
             self.phase = Phase.FORKED
             return []
@@ -141,9 +175,8 @@
             return False
         if ledger.next == self.ledger.next and self.caught_up:
             return False
-        self._install(ledger)
+        self._install(ledger, Phase.CHECKING)
         self.caught_up = True
-        self.phase = Phase.CHECKING
         return True
 
     def needs_state(self, offset: int) -> bool:
@@ -178,36 +211,42 @@
 
     def _start_seeking(self, first: Offset) -> None:
         self.phase = Phase.SEEKING
-        self.seek_records = []
-        self.seek_start = first
+        self.search = SnapshotSearch(first)
 
-    def _seek_snapshot(self, page: Page) -> list[AuditEntry]:
-        """Look for a snapshot for which all later records have been read.
+    def _continue_search(self, page: Page) -> list[AuditEntry]:
+        # A log that ends before the records read so far was restored from an older
+        # copy, and what it holds from now on doesn't follow on those records.
+        if page.next < self.search.next:
+            self.search = None
+            self.phase = Phase.CHECKING
+            return []
+        return self._seek_snapshot(page)
 
-        If the state of a snapshot ends before the first record read, the tickets
-        in the gap would be missing for good, so such a snapshot is skipped.
-        """
-        if page.first > self.cursor():
+    def _seek_snapshot(self, page: Page) -> list[AuditEntry]:
+        """Look for a snapshot for which all later records have been read."""
+        if page.first > self.search.next:
             self._start_seeking(page.first)
-        for index, record in enumerate(page.records):
-            self.seek_records.append(record)
-            if not record.data.startswith(SNAPSHOT_MAGIC):
-                continue
-            try:
-                ledger = decode_snapshot(record.data)
-            except InvalidSnapshot:
-                continue
-            if self.seek_start <= ledger.next <= record.offset:
-                self._install(ledger)
-                self.phase = Phase.FOLLOWING
-                rest = self.seek_records + list(page.records[index + 1 :])
-                self.seek_records = []
-                entries = self._replay(rest)
-                self.caught_up = self.caught_up or self.ledger.next >= page.next
-                return entries
-        return []
-
-    def _install(self, ledger: Ledger) -> None:
+        search, found = self.search, None
+        for record in page.records:
+            found = found or search.read_state(record)
+            search.records.append(record)
+        if found is None:
+            return []
+        log.info(
+            "Recovering from a snapshot in the configuration log",
+            extra={
+                "state_offset": found.next,
+                "first_read": search.start,
+                "next": search.next,
+            },
+        )
+        self._install(found, Phase.FOLLOWING)
+        entries = self._replay(search.records)
+        self.caught_up = self.caught_up or self.ledger.next >= page.next
+        return entries
+
+    def _install(self, ledger: Ledger, phase: Phase) -> None:
         ledger.merge_newer(self.ledger)
         self.ledger = ledger
-        self.seek_records = []
+        self.search = None
+        self.phase = phase
--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from godwitladder.configuration.ledger import Verdict
+from godwitladder.configuration.ledger import Ledger, MissingRecords, Verdict
 from godwitladder.configuration.model import ObjectName
 from godwitladder.configuration.replica import Phase
 from godwitladder.configuration.snapshots import decode_snapshot, encode_snapshot
+from godwitladder.ids import Offset
 from tests.configuration.fakes import FakeHosts, ticket, tier
 
 URGENT = ObjectName("tiers", "urgent")
@@ -199,6 +200,32 @@
     assert ObjectName("tiers", "low") in paused.ledger.objects
 
 
+def test_search_for_a_snapshot_starts_over_in_a_log_that_lost_records():
+    """Guards against replaying records that the log has lost after a snapshot."""
+    hosts = FakeHosts(3)
+    hosts.submit(ticket(1, tier("urgent", 1)))
+    paused = hosts.follow("host-1")
+    hosts.submit(ticket(2, tier("urgent", 2)))
+    hosts.submit(ticket(3, tier("urgent", 3)))
+    late = encode_snapshot(hosts.follow("host-2").ledger)
+    hosts.submit(ticket(4, tier("low", 4)))
+    hosts.log.expire("config", 2)
+    paused.follow_once()
+    del hosts.log.records["config"][1:]
+    hosts.follow("host-1")
+    assert paused.replica.phase is Phase.SEEKING
+    hosts.submit(ticket(5, tier("normal", 5)))
+    hosts.log.append("config", [late])
+    followed = hosts.follow("host-2").ledger
+    assert hosts.follow("host-1").ledger.objects == followed.objects
+
+
+def test_ledger_refuses_a_record_after_a_gap():
+    """Guards against tickets that are missing without any sign."""
+    with pytest.raises(MissingRecords):
+        Ledger().replay(Offset(1), 0.0, ticket(1, tier("urgent")).encode())
+
+
 @pytest.mark.parametrize(("forked", "max_requests"), [(True, 0), (False, 7)])
 def test_requests_for_unusable_states_are_limited(forked, max_requests):
     """A peer is ahead for a minute, but its state can't be used.
