Close a stopping host's listener in its loop, and then its idle connections

Cause: `stop_accepting` closed the listening socket from the main thread while the loop's thread waited in poll, which holds the socket. It went on to accept until poll returned; the next connection woke poll, the last reference went, and the kernel reset that connection.

A line with the time of the close in a scratch copy: six that were looked up were sent 9 to 154 ms after the close, no connection was open then, and the host ended 0.3 s later. A server alone, closed from another thread: the first connection is reset and the next are refused, in 3 of 3. Ruled out: kept connections at the end of the process (none was open), and the backlog alone (the callers connected after the close).

Why it works: the loop itself accepts what is in the backlog and closes the listener, so that nothing else holds it. The loop also closes connections with nothing on them and nothing in their buffer before the process ends; it alone reads requests, so none can come in between.

The same fault elsewhere: the product's own entry host; it also asks callers to close their connections now while it drains.

Four mutants. The one of the wait for what is in flight went green, since the wait for connections guards the same call; it takes both waits away now.

--- a/godwitladder/base_host.py
+++ b/godwitladder/base_host.py
@@ -13,6 +13,7 @@
 from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
+from godwitladder.drain import close_idle, stop_accepting
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
 from godwitladder.serving.listener import make_listener
@@ -123,6 +124,31 @@
         self.failed = True
         self.stopping.set()
 
+    def close_connections(
+        self,
+        server: TcpWSGIServer,
+        is_busy: Callable[[], bool],
+        until: float = float("inf"),
+    ) -> None:
+        """Close the listener, and then each connection once no request is on it.
+
+        Parameters
+        ----------
+        server : TcpWSGIServer
+            The server to close.
+        is_busy : callable
+            Returns whether a request is in flight.
+        until : float, default=inf
+            Monotonic time, in seconds, at which the wait ends at the latest.
+        """
+        stop_accepting(server)
+        self.wait_until_idle(lambda: is_busy() or close_idle(server) > 0, until)
+        if server.active_channels:
+            log.warning(
+                "Connections of callers end with the process",
+                extra={"open": len(server.active_channels)},
+            )
+
     def wait_until_idle(
         self, is_busy: Callable[[], bool], until: float = float("inf")
     ) -> None:
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -17,7 +17,7 @@
 from godwitladder.configuration.ledger import Ledger, make_state
 from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
-from godwitladder.drain import count_unfinished, stop_accepting
+from godwitladder.drain import count_unfinished
 from godwitladder.ids import Incarnation
 from godwitladder.logs import component_logger
 from godwitladder.membership.actor import (
@@ -213,11 +213,11 @@
         self.membership.ask(Leave())
         self.scheduler.ask(Stop())
         self.keys.keyed.stopping = True
+        self.caller_server.closing = True
         log.info("The host is leaving", extra={"host": self.settings.host})
         self.clock.sleep(LEAVE_DELAY_S)
         self.wait_until_idle(self.has_open_calls)
-        stop_accepting(self.caller_server)
-        self.wait_until_idle(self.has_open_calls)
+        self.close_connections(self.caller_server, self.has_open_calls)
         self.keys.flush()
 
     def has_open_calls(self) -> bool:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -16,7 +16,7 @@
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
-from godwitladder.drain import count_unfinished, stop_accepting
+from godwitladder.drain import count_unfinished
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
 from godwitladder.logs import component_logger
@@ -321,8 +321,7 @@
         self.app.refusing = True
         until = began + self.settings.bounds.grace_s - EXIT_RESERVE_S
         self.wait_until_idle(self.has_open_calls, until)
-        stop_accepting(self.caller_server)
-        self.wait_until_idle(self.has_open_calls, until)
+        self.close_connections(self.caller_server, self.has_open_calls, until)
 
     def has_open_calls(self) -> bool:
         """Return whether any call is waiting, running or being answered."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,10 +1,20 @@
 """A graceful stop truncates no request or response that is in flight."""
 
+import contextlib
 import signal
 import socket
 import threading
+import time
 
-from godwitladder.drain import count_unfinished
+import pytest
+
+from godwitladder.drain import (
+    close_idle_channels,
+    count_unfinished,
+    is_readable,
+    run_in_loop,
+    stop_accepting,
+)
 from godwitladder.serving.listener import make_listener
 from godwitladder.settings import LimitSettings
 from tests.fleet import CALLER_KEY, wait_until
@@ -96,3 +106,73 @@
         caller.sendall(f"GET / HTTP/1.1\r\nAuthorization: {CALLER_KEY}\r\n".encode())
         wait_until(lambda: count_unfinished(server) == 1, "the half request")
     server.close()
+
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def make_server():
+    """Return a server that answers every request with an empty body."""
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    return make_listener(app, "127.0.0.1:0", LimitSettings(), 4)
+
+
+def has_input(server):
+    return any(is_readable(channel) for channel in server.active_channels.values())
+
+
+def test_no_connection_is_accepted_and_reset_as_the_listener_closes():
+    """Guards against a listener that lives on while its loop waits in poll."""
+    servers = [make_server() for _ in range(5)]
+    for server in servers:
+        threading.Thread(target=server.run, daemon=True).start()
+    time.sleep(0.1)  # The loops are in poll by now, or else the test shows nothing.
+    for server in servers:
+        address = server.socket.getsockname()
+        stop_accepting(server)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+
+
+def test_connections_in_the_backlog_are_served_as_the_listener_closes():
+    """Guards against resets of connections that the loop has not accepted yet."""
+    server = make_server()
+    address = server.socket.getsockname()
+    callers = [socket.create_connection(address) for _ in range(3)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+    stop, _ = in_thread(stop_accepting, server)
+    wait_until(lambda: server.trigger.thunks, "the stop to wait for the loop")
+    threading.Thread(target=server.run, daemon=True).start()
+    stop.join()
+    for caller in callers:
+        with caller:
+            assert caller.recv(12) == b"HTTP/1.1 200"
+
+
+def test_only_connections_without_a_request_are_closed():
+    """Guards against resets of requests that come just before the process ends."""
+    server = make_server()
+    address = server.socket.getsockname()
+    with contextlib.ExitStack() as stack:
+        callers = [
+            stack.enter_context(socket.create_connection(address)) for _ in range(2)
+        ]
+        idle, late = callers
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        wait_until(lambda: len(server.active_channels) == 2, "both connections")
+        server.closing = True
+
+        def close_as_a_request_arrives(server):
+            late.sendall(REQUEST)
+            wait_until(lambda: has_input(server), "the request to arrive")
+            return close_idle_channels(server)
+
+        assert run_in_loop(server, close_as_a_request_arrives) == 1
+        assert b"Connection: close" in late.recv(1000)
+        assert idle.recv(1) == b""
