Let services compete for targets that have no slots now

What callers saw: while the targets of a service had no slots, calls of the first tier ran out of time and were refused, and calls of a lower tier stayed and took the next slots.

Cause: the allocator passed over expired calls of services without slots, and reckoned which services compete from the capacity, which leaves out targets without slots.

Evidence: test_no_lower_tier_is_kept_when_a_higher_expires_without_capacity was red on (1 <= 0). With the first rule alone changed it stayed red: 13 calls of rank 0 shed, shed_rank 0, the call of rank 1 kept. With both it is green. Ruled out: that the check is wrong.

Why it works: which services compete follows from the targets they share, and not from the slots of the moment; so no call below a shed tier is left for any of these targets. `follow_other_allocators` had the same fault.

--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -278,13 +278,13 @@
                 self.shed([entry], ShedReason.QUOTA)
                 continue
             self.shed([entry], ShedReason.DEADLINE)
-            if was_feasible(entry) and self.capacity.of(demand.service).slots:
+            if was_feasible(entry):
                 missed_services.setdefault(demand.tier_rank, set()).add(demand.service)
         if not self.pool.policy.is_strict:
             return
         for rank, services in sorted(missed_services.items()):
             self.record_shed_rank(rank)
-            below = shed_below_rank(self.backlog, rank, services)
+            below = shed_below_rank(self.backlog, self.pool, rank, services)
             self.shed(below, ShedReason.OVERLOAD)
 
     def follow_other_allocators(self) -> None:
@@ -292,7 +292,8 @@
         if not self.pool.shed_ranks or not self.pool.policy.is_strict:
             return
         rank = min(self.pool.shed_ranks.values())
-        below = shed_below_rank(self.backlog, rank, self.capacity.services)
+        services = {group.service for group in self.backlog.groups.values()}
+        below = shed_below_rank(self.backlog, self.pool, rank, services)
         self.shed(below, ShedReason.OVERLOAD)
 
     def shed(self, entries: Iterable[QueueEntry], reason: ShedReason) -> None:
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/shedding.py
@@ -172,14 +172,14 @@
 
 
 def shed_below_rank(
-    backlog: Backlog, rank: int, services: Iterable[ServiceName]
+    backlog: Backlog, pool: PoolView, rank: int, services: Iterable[ServiceName]
 ) -> list[QueueEntry]:
     """Remove and return waiting requests of tiers below ``rank``.
 
     Only requests that could use a target of ``services`` are removed.
     """
     removed: list[QueueEntry] = []
-    affected = find_services_sharing_targets(backlog, services)
+    affected = find_services_sharing_targets(pool, services)
     for group in backlog.groups.values():
         if group.precedence.rank > rank and group.service in affected:
             removed += group.entries
@@ -188,18 +188,16 @@
 
 
 def find_services_sharing_targets(
-    backlog: Backlog, services: Iterable[ServiceName]
+    pool: PoolView, services: Iterable[ServiceName]
 ) -> set[ServiceName]:
-    """Return all services that share a target with one of ``services``."""
-    capacity = backlog.capacity
-    targets = {
-        target.view.name for name in services for target in capacity.of(name).targets
-    }
-    return {
-        name
-        for name, part in capacity.services.items()
-        if any(target.view.name in targets for target in part.targets)
-    }
+    """Return all services that share a target with one of ``services``.
+
+    A target without slots counts too. Otherwise a tier would be shed for lack of
+    slots while a lower one was kept for the same target, to take its next slot.
+    """
+    named = set(services)
+    shared = (view.services for view in pool.targets.values() if named & view.services)
+    return set().union(*shared)
 
 
 def select_spill(backlog: Backlog) -> list[RequestId]:
