Deliver the reports of hubs to the membership

What callers saw: nothing by itself. Shares that are split by the number of hosts were too large, and hosts that knew fewer than 25 acted as in a mesh.

Cause: the router's list of message types lacked `Directory`; a message without a receiver is dropped. Since the hubs came, no host that is not a hub has ever applied a report.

With the network of the tests going through the router, as hosts do, eight tests of test_hubs.py were red.

Why it works: the router derives the list from the handlers of the actor, so that a handled message is a delivered one.

The same fault elsewhere: other messages with a handler are delivered.

--- a/godwitladder/membership/router.py
+++ b/godwitladder/membership/router.py
@@ -1,14 +1,16 @@
 """Routes peer messages to the components that handle them, or to other hosts."""
 
+import inspect
 from collections.abc import Callable
 from typing import Any
 
 import pykka
 
 from godwitladder.ids import HostId
+from godwitladder.membership.actor import Membership
+from godwitladder.membership.codec import MESSAGE_TYPES
 from godwitladder.membership.links import Link
 from godwitladder.membership.mesh import Mesh
-from godwitladder.membership.messages import Heartbeat, LiveNews, Roster
 from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
 
 
@@ -45,13 +47,11 @@
         """Set the mesh and the actors, once they have been created."""
         self.mesh = mesh
         self.actors = {
-            Heartbeat: (membership,),
-            LiveNews: (membership,),
-            Roster: (membership,),
             GrantOffer: (scheduler,),
             PoolReport: (allocator,),
             FloorReport: (allocator,),
         }
+        self.add(membership, *handled_messages(Membership))
 
     def add(self, actor: pykka.ActorRef, *kinds: type) -> None:
         """Register ``actor`` as a further receiver of messages of these types."""
@@ -82,3 +82,13 @@
     def _tell(self, message: Any) -> None:
         for actor in self.actors.get(type(message), ()):
             actor.tell(message)
+
+
+def handled_messages(kind: type[pykka.Actor]) -> list[type]:
+    """Return the peer messages that the ``handle`` method of an actor accepts.
+
+    A list beside the handlers could lack one, and that message would be dropped by
+    every host without a sign.
+    """
+    handlers = inspect.getattr_static(kind, "handle").dispatcher.registry
+    return [message for message in MESSAGE_TYPES.values() if message in handlers]
--- a/tests/membership/net.py
+++ b/tests/membership/net.py
@@ -7,6 +7,7 @@
 from godwitladder.membership.codec import decode, encode
 from godwitladder.membership.members import Members
 from godwitladder.membership.messages import Heartbeat
+from godwitladder.membership.router import Router
 from godwitladder.scheduler.messages import HostsChanged, Tick
 
 STEP_S = 0.25
@@ -75,6 +76,10 @@
             link.last_heard += pause_s
 
 
+class Idle:
+    """An actor that gets no message from the membership of other hosts."""
+
+
 class Node:
     """A simulated host with its membership actor."""
 
@@ -109,6 +114,12 @@
             MESH_HOSTS,
         )
         self.actor.on_start()
+        self.router = Router(self.name)
+        self.router.connect(self.mesh, self, Idle(), Idle())
+
+    def tell(self, message):
+        """Receive a message from the router, as the actor's reference does."""
+        self.actor.on_receive(message)
 
     def view(self) -> HostsChanged:
         return self.published[-1]
@@ -207,4 +218,4 @@
             if not up or not far.owner.alive or self.is_cut(link.owner, far.owner):
                 continue
             far.last_heard = self.clock.monotonic()
-            far.owner.actor.on_receive(decode(data))
+            far.owner.router.deliver(far, decode(data))
