Compare digests of the live hosts, and request a view that stays different

What callers saw: after faults, some hosts left out live hosts or kept dead ones for good; they share budgets wrongly and may choose other allocators.

Cause: messages tell of changes only. A host that missed one (a full queue on a link drops messages, a cut lost them), never heard of a row, or dropped a row on evidence of its own is not told again, since for all others nothing changes.

Evidence: test_hosts_agree_again_after_some_are_killed_and_the_others_restarted was red on: after all 12 were restarted, nine hosts knew the three seeds and themselves, for the whole 30 s looked at; the seeds knew all twelve. [cut 272, kill 922]: zone-b-1 listed a dead host for good and zone-a-4 lacked up to four. [run 362, kill_all 732, ...]: zone-b-4 lacks two hosts from 7.5 s and five from 12.5 s after the heal. All three are tests now.

Ruled out: repeating whole lists at intervals, whose cost grows with the square of the hosts; sequence numbers on reports alone, which don't see a row that the receiver has dropped itself.

Why it works: each heartbeat carries a digest of hosts and incarnations. When two digests stay different and unchanged for 2 s, nothing is under way that would mend it, and the view is requested from a hub; then at doubling intervals up to 30 s. While hosts come and go digests change, so nobody asks.

Not green yet at this commit: a series drawn by test_after_any_series_of_faults_all_hosts_agree_again, which the tests' network draws since it goes through the router.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -15,6 +15,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.ids import HostId, Incarnation
+from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import (
     ListedHost,
@@ -25,10 +26,18 @@
 from godwitladder.membership.links import Link
 from godwitladder.membership.members import Member, Members, as_member
 from godwitladder.membership.mesh import Mesh
-from godwitladder.membership.messages import Directory, Heartbeat, LiveNews, Roster
+from godwitladder.membership.messages import (
+    Directory,
+    Heartbeat,
+    LiveNews,
+    Roster,
+    ViewRequest,
+)
 from godwitladder.membership.topology import UNBOUNDED, Topology
 from godwitladder.scheduler.messages import HostsChanged, TargetsLeaving, Tick
 
+log = component_logger("membership")
+
 MEMBER_RETENTION_S = 600.0
 """Time after which a silent host is removed from the table."""
 
@@ -142,6 +151,7 @@
         changed = self.make_hosts_changed(live)
         if (changed, incarnations) != (self.published, self.published_incarnations):
             self.published, self.published_incarnations = changed, incarnations
+            self.gossip.views.update(self.topology.zone_hosts(live))
             self.publish(changed)
 
     def make_hosts_changed(self, live: list[Member]) -> HostsChanged:
@@ -175,6 +185,7 @@
     def _(self, message: Tick) -> None:
         self.members.forget(self.clock.monotonic(), MEMBER_RETENTION_S)
         self.topology.maintain_links()
+        self.gossip.views.retain(self.mesh.links)
         self.gossip.send_due()
 
     @handle.register
@@ -195,6 +206,8 @@
         rows = zip(message.hosts, message.incarnations, message.counts, strict=False)
         for host, incarnation, count in rows:
             self.members.record_gossip(host, incarnation, count, now)
+        if self.gossip.is_request_due(message):
+            self.request_view(message.hosts[0])
 
     @handle.register
     def _(self, message: Heartbeat) -> None:
@@ -218,6 +231,10 @@
     def _(self, message: Directory) -> None:
         self.gossip.handle_directory(message)
 
+    @handle.register
+    def _(self, message: ViewRequest) -> None:
+        self.send(message.host, self.gossip.make_view(message.host))
+
     @handle.register
     def _(self, message: HostListRead) -> None:
         if len(message.hosts) > self.topology.max_mesh_hosts:
@@ -239,6 +256,20 @@
     def _(self, message: Leave) -> None:
         self._announce(leaving=True)
 
+    def request_view(self, peer: HostId) -> None:
+        """Request the live hosts that a peer knows and this host may not."""
+        log.info(
+            "A peer knows other live hosts, requesting them",
+            extra={"peer": peer, "known": len(self.published_incarnations)},
+        )
+        self.send(peer, ViewRequest(self.topology.me.host))
+
+    def send(self, host: HostId, message: ViewRequest | Directory | Roster) -> None:
+        """Send ``message`` if there is a link; a lost one is requested again."""
+        link = self.mesh.links.get(host)
+        if link:
+            link.send(encode(message))
+
     def _announce(self, **changes) -> None:
         self.topology.update_heartbeat(**changes)
         self.mesh.broadcast(self.topology.me)
--- a/godwitladder/membership/gossip.py
+++ b/godwitladder/membership/gossip.py
@@ -18,6 +18,7 @@
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Directory, LiveNews, Roster
 from godwitladder.membership.topology import FANOUT, Topology
+from godwitladder.membership.views import ViewComparison
 
 HUB_HEARTBEAT_PERIODS = 2
 """Number of heartbeat periods between two heartbeats of a hub to hosts that are not
@@ -55,6 +56,8 @@
         The hub that reports all live hosts to this one; empty before any report.
     report_valid_at : float
         Monotonic time at which the publisher's reports were last known to be valid.
+    views : ViewComparison
+        Compares the live hosts that this host knows with those that its peers know.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         self.publisher = HostId("")
         self.report_valid_at = float("-inf")
         self.directory = DirectoryPublisher(topology.me.host)
+        self.views = ViewComparison()
 
     def send_due(self) -> None:
         """Send the messages that are due in this heartbeat period."""
@@ -115,6 +119,7 @@
             (me.host, *(row.host for row in rows)),
             (me.incarnation, *(row.incarnation for row in rows)),
             (me.count, *(row.count for row in rows)),
+            self.views.digest,
         )
 
     def live_hubs(self) -> list[Member]:
@@ -179,7 +184,43 @@
         hosts as live forever, and wait for hubs that it can't reach.
         """
         now = self.clock.monotonic()
-        if self.publisher in self.mesh.links and not self.topology.is_hub():
+        if self.has_publisher() and not self.topology.is_hub():
             self.report_valid_at = now
         elif now - self.report_valid_at > REPORT_TTL_S:
             self.members.reported.clear()
+
+    def has_publisher(self) -> bool:
+        """Return whether the host that reports to this one is a hub and linked."""
+        return (
+            self.publisher in self.topology.hubs and self.publisher in self.mesh.links
+        )
+
+    def is_request_due(self, message: LiveNews) -> bool:
+        """Return whether to request the view of the sender, which stays different."""
+        now = self.clock.monotonic()
+        peer = message.hosts[0]
+        return self.should_agree(peer) and self.views.is_request_due(
+            peer, message.view, now
+        )
+
+    def should_agree(self, peer: HostId) -> bool:
+        """Return whether this host should know the same live hosts as ``peer``.
+
+        Hubs should agree with all hubs, and another host with the hub that reports
+        to it. Without one, any hub can tell it.
+        """
+        row = self.members.rows.get(peer)
+        if row is None or row.zone != self.topology.me.zone:
+            return False
+        if peer not in self.topology.hubs:
+            return False
+        follows = self.topology.is_hub() or not self.has_publisher()
+        return follows or peer == self.publisher
+
+    def make_view(self, host: HostId) -> Directory | Roster:
+        """Return the answer to a `ViewRequest` of ``host``."""
+        mine = as_member(self.topology.me, self.clock.monotonic())
+        rows = tuple(as_heartbeat(row) for row in (*self.topology.live(), mine))
+        if host in self.members.non_hubs:
+            return Directory(self.topology.me.host, True, rows)
+        return Roster(rows)
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -73,11 +73,25 @@
     ----------
     counts : tuple of int
         Number of the last known heartbeat of each host.
+    view : int
+        Digest of all live hosts of the zone that the sender knows; 0 if not given.
     """
 
     hosts: tuple[HostId, ...]
     incarnations: tuple[Incarnation, ...]
     counts: tuple[int, ...]
+    view: int = 0
+
+
+@peer_message
+@dataclass(frozen=True)
+class ViewRequest:
+    """Request for all live hosts that the receiver knows.
+
+    The answer is a `Directory` to a host that is not a hub, and a `Roster` to a hub.
+    """
+
+    host: HostId
 
 
 @peer_message
--- a/tests/membership/test_hubs.py
+++ b/tests/membership/test_hubs.py
@@ -241,6 +241,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [("cut", 272), ("kill", 922)],
+        [
+            ("run", 362),
+            ("kill_all", 732),
+            ("kill", 106),
+            ("cut", 278),
+            ("cut", 257),
+            ("cut", 727),
+        ],
+    ],
+)
+def test_hosts_look_again_at_rows_that_no_news_comes_for(steps):
+    """Guards against views that stay apart, as messages tell of changes alone."""
+    check_agreement_after(steps)
+
+
 def check_agreement_after(steps):
     net = make_net(hosts_per_zone=5)
     for kind, number in steps:
