Let a suspicion of a reported host end

What callers saw: a host left out live hosts for good after links to them had closed once.

Cause: a host that saw a link close took the peer out of what a hub had reported to it. For the hub nothing had changed, so that no news came of the peer; once the last heartbeat heard directly was too old, it was missing.

Ruled out: a report that was lost; the last one named all 14 hosts.

Why it works: a report is changed by the hub that sends it alone. The host's own evidence is kept beside it, and ends after two timeouts, by when the hub has noticed too or still hears the peer.

--- a/godwitladder/membership/gossip.py
+++ b/godwitladder/membership/gossip.py
@@ -168,7 +168,7 @@
         elif message.publisher == self.publisher:
             self.members.reported |= hosts
             for host in message.removed:
-                self.members.suspect(host, now)
+                self.members.remove_report(host, now)
         else:
             # These changes apply to a report that this host never received or
             # has replaced by that of another hub.
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -14,6 +14,9 @@
 """Factor of the timeout for hosts that are not hubs. They send heartbeats less
 often, since a hub receives those of hundreds of hosts."""
 
+SUSPICION_FACTOR = 2
+"""Timeouts for which a host does not believe reports of a peer whose link closed."""
+
 
 @dataclass
 class Member:
@@ -92,12 +95,15 @@
         `NON_HUB_TIMEOUT_FACTOR`.
     reported : set of HostId
         Peers that a hub reports as live; the hub also reports their removal.
+    suspected_until : dict
+        Monotonic time until which reports of a suspected peer don't count.
     """
 
     timeout_s: float
     rows: dict[HostId, Member] = field(default_factory=dict)
     non_hubs: frozenset[HostId] = frozenset()
     reported: set[HostId] = field(default_factory=set)
+    suspected_until: dict[HostId, float] = field(default_factory=dict)
 
     def record_heartbeat(self, member: Member) -> bool:
         """Record a heartbeat; return False if its incarnation is outdated.
@@ -149,9 +155,21 @@
         """Treat a host as failed until its heartbeats advance again.
 
         The links of a killed process close at once. If its peers waited for the
-        timeout instead, the pools that it allocates would stall for that long.
+        timeout instead, the pools that it allocates would stall for that long. Its
+        reports count again after `SUSPICION_FACTOR` timeouts: by then a hub
+        has noticed too, or knows better. What a hub reports is changed by that hub
+        alone, which sends no news of a host that has not changed for it.
         """
+        self.suspected_until[host] = now + SUSPICION_FACTOR * self.timeout_s
+        self.silence(host, now)
+
+    def remove_report(self, host: HostId, now: float) -> None:
+        """Treat a host as failed that the reporting hub no longer considers live."""
         self.reported.discard(host)
+        self.silence(host, now)
+
+    def silence(self, host: HostId, now: float) -> None:
+        """Treat a host as not heard within its timeout."""
         entry = self.rows.get(host)
         if entry:
             entry.last_heard = min(entry.last_heard, now - self.patience_s(host))
@@ -163,7 +181,10 @@
 
     def is_live(self, row: Member, now: float) -> bool:
         """Return whether a member was heard within its timeout or is reported."""
-        return self.is_heard(row, now) or row.host in self.reported
+        if self.is_heard(row, now):
+            return True
+        suspected = now < self.suspected_until.get(row.host, now)
+        return row.host in self.reported and not suspected
 
     def is_heard(self, row: Member, now: float) -> bool:
         """Return whether a sign of life of a member came within its timeout."""
@@ -188,3 +209,6 @@
         for host, row in list(self.rows.items()):
             if now - row.last_heard > after_s and host not in self.reported:
                 del self.rows[host]
+        self.suspected_until = {
+            host: until for host, until in self.suspected_until.items() if now < until
+        }
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,6 +1,6 @@
 """Which hosts are considered live."""
 
-from godwitladder.membership.members import Member, Members
+from godwitladder.membership.members import SUSPICION_FACTOR, Member, Members
 
 TIMEOUT_S = 3.0
 
@@ -56,3 +56,15 @@
     assert live(members, 10.0) == []
     members.reported.add("host-a1")
     assert live(members, 10.0) == ["host-a1"]
+
+
+def test_suspicion_of_a_reported_host_ends():
+    """Guards against a live host that is missing for good after its link closed."""
+    members = Members(TIMEOUT_S)
+    members.record_heartbeat(member("host-a1"))
+    members.reported.add("host-a1")
+    members.suspect("host-a1", 1.0)
+    assert live(members, 1.0) == []
+    assert live(members, 1.0 + SUSPICION_FACTOR * TIMEOUT_S) == ["host-a1"]
+    members.remove_report("host-a1", 20.0)
+    assert live(members, 20.0) == []
