Keep what a membership tick reckons for each host from one tick to the next

Cause, as far as it is found: each host goes through all hosts it knows four times a second. It hashed every id to rank hubs and publishers, copied a tuple for each host it listed, and a hub built two records for each host to find what had changed in its report. This grows with the square of the fleet.

Why it works: weights are a function of two ids and are kept; a report's entry is kept while its table entry is the same object; the list of live hosts is one pass. No decision changes.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -162,18 +162,19 @@
         """
         topology = self.topology
         me = topology.me
-        zones: dict[str, tuple[HostId, ...]] = {}
+        zones: dict[str, list[HostId]] = {}
         for row in live:
             reachable = row.zone == me.zone or row.host in self.mesh.links
             if reachable and not row.leaving:
-                zones[row.zone] = (*zones.get(row.zone, ()), row.host)
-        mine = zones.pop(me.zone, ())
+                zones.setdefault(row.zone, []).append(row.host)
+        mine = zones.pop(me.zone, [])
         if not me.leaving:
-            mine = (*mine, me.host)
+            mine.append(me.host)
         hosts = tuple(sorted(mine))
+        others = {zone: tuple(row) for zone, row in zones.items()}
         hubs = frozenset() if topology.is_mesh() else topology.hubs
         return HostsChanged(
-            hosts, zones, topology.allocator_candidates(live, hosts), hubs
+            hosts, others, topology.allocator_candidates(live, hosts), hubs
         )
 
     @functools.singledispatchmethod
--- a/godwitladder/membership/directory.py
+++ b/godwitladder/membership/directory.py
@@ -6,6 +6,7 @@
 from godwitladder.ids import HostId
 from godwitladder.membership.codec import encode
 from godwitladder.membership.links import Link
+from godwitladder.membership.members import Member, as_heartbeat
 from godwitladder.membership.messages import Directory, Heartbeat
 
 
@@ -26,22 +27,26 @@
         Heartbeats of the live hosts in the last report.
     informed : set of Link
         Links that have received a complete report.
+    rows : dict
+        The table entry that each heartbeat in the last report was made from. An entry
+        is replaced when anything but its heartbeat count changes.
     """
 
     def __init__(self, host: HostId) -> None:
         self.host = host
         self.last_report: dict[HostId, Heartbeat] = {}
         self.informed: set[Link] = set()
+        self.rows: dict[HostId, Member] = {}
 
-    def publish(self, rows: Collection[Heartbeat], links: Collection[Link]) -> None:
+    def publish(self, rows: Collection[Member], links: Collection[Link]) -> None:
         """Report the live hosts ``rows`` to the peers of ``links``.
 
         Links that were informed before receive this change too, even if they are
         no longer in ``links``: the change itself may make another hub responsible
         for a peer, and that hub learns about the change only from this report.
         """
-        # A new heartbeat count alone is not a change to report.
-        live = {row.host: replace(row, count=0) for row in rows}
+        live = {row.host: self.report_of(row) for row in rows}
+        self.rows = {row.host: row for row in rows}
         new = tuple(
             row for host, row in live.items() if self.last_report.get(host) != row
         )
@@ -54,6 +59,15 @@
             _send(Directory(self.host, True, tuple(live.values())), fresh)
         self.informed = set(links)
 
+    def report_of(self, row: Member) -> Heartbeat:
+        """Return the entry of a report for a live host, that of the last if unchanged.
+
+        A new heartbeat count alone is not a change to report.
+        """
+        if self.rows.get(row.host) is row:
+            return self.last_report[row.host]
+        return replace(as_heartbeat(row), count=0)
+
 
 def _send(message: Directory, links: Collection[Link]) -> None:
     data = encode(message)
--- a/godwitladder/membership/gossip.py
+++ b/godwitladder/membership/gossip.py
@@ -155,7 +155,7 @@
             and choose_publisher(link.peer, hubs) == topology.me.host
         ]
         mine = as_member(topology.me, self.clock.monotonic())
-        self.directory.publish([as_heartbeat(row) for row in (*live, mine)], links)
+        self.directory.publish([*live, mine], links)
 
     def handle_directory(self, message: Directory) -> None:
         """Apply a hub's report of the live hosts."""
--- a/godwitladder/membership/hubs.py
+++ b/godwitladder/membership/hubs.py
@@ -13,10 +13,11 @@
 costs capacity but nothing else.
 """
 
+import functools
 import math
 from collections.abc import Collection, Iterable
 
-from godwitladder.decisions.rendezvous import choose_host, weight
+from godwitladder.decisions.rendezvous import weight
 from godwitladder.ids import HostId, Zone
 from godwitladder.membership.members import Member
 
@@ -28,6 +29,9 @@
 """Minimum ratio of an allocator's cores to those of the strongest hub. The queue of
 a whole region would be limited by the processor of a weak allocator."""
 HUB_KEY = "hub"
+MAX_CACHED_WEIGHTS = 8_192
+"""Weights that are kept, as they are needed in each heartbeat period: those of 600
+hosts and of 12 hubs for each of them."""
 
 
 def choose_hubs(rows: Collection[Member], max_mesh_hosts: int) -> frozenset[HostId]:
@@ -56,11 +60,20 @@
 
 def choose_publisher(host: HostId, hubs: Iterable[HostId]) -> HostId | None:
     """Return the hub that reports all live hosts to ``host``."""
-    return choose_host(hubs, host)
+    return max(hubs, key=lambda hub: _publisher_weight(hub, host), default=None)
 
 
 def _rank_by_strength(rows: Iterable[Member]) -> list[Member]:
-    def strength(row: Member) -> tuple:
-        return row.cores, weight(row.host, HUB_KEY)
+    return sorted(
+        rows, key=lambda row: (row.cores, _hub_weight(row.host)), reverse=True
+    )
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_WEIGHTS)
+def _hub_weight(host: HostId) -> tuple[bytes, HostId]:
+    return weight(host, HUB_KEY)
+
 
-    return sorted(rows, key=strength, reverse=True)
+@functools.lru_cache(maxsize=MAX_CACHED_WEIGHTS)
+def _publisher_weight(hub: HostId, host: HostId) -> tuple[bytes, HostId]:
+    return weight(hub, host)
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from godwitladder.ids import HostId, Incarnation, Zone
 from godwitladder.membership.messages import Heartbeat
@@ -176,15 +177,21 @@
 
     def live(self, now: float) -> list[Member]:
         """Return the live members, sorted by host id."""
-        rows = [row for row in self.rows.values() if self.is_live(row, now)]
-        return sorted(rows, key=lambda row: row.host)
-
-    def is_live(self, row: Member, now: float) -> bool:
-        """Return whether a member was heard within its timeout or is reported."""
-        if self.is_heard(row, now):
-            return True
-        suspected = now < self.suspected_until.get(row.host, now)
-        return row.host in self.reported and not suspected
+        hub_since = now - self.timeout_s
+        other_since = now - NON_HUB_TIMEOUT_FACTOR * self.timeout_s
+        non_hubs, reported = self.non_hubs, self.reported
+        suspected = self.suspects(now)
+        rows = [
+            row
+            for host, row in self.rows.items()
+            if row.last_heard > (other_since if host in non_hubs else hub_since)
+            or (host in reported and host not in suspected)
+        ]
+        return sorted(rows, key=attrgetter("host"))
+
+    def suspects(self, now: float) -> set[HostId]:
+        """Return the peers whose reports don't count at the moment."""
+        return {host for host, until in self.suspected_until.items() if now < until}
 
     def is_heard(self, row: Member, now: float) -> bool:
         """Return whether a sign of life of a member came within its timeout."""
