Bound the accepts of a closing listener, and count no report as heard

Found reading the diff: with no file descriptor left, a connection stays in the backlog, and the loop would have gone on trying to accept it. A reported host that is no hub counted as heard for a second and a half, as its longer timeout was not known yet when it was entered.

--- a/godwitladder/drain.py
+++ b/godwitladder/drain.py
@@ -60,7 +60,8 @@
         Number of connections accepted.
     """
     accepted = 0
-    while is_readable(server):
+    # Without file descriptors left, a connection stays in the backlog.
+    while is_readable(server) and accepted < server.adj.backlog:
         server.handle_accept()
         accepted += 1
     wasyncore.dispatcher.close(server)
@@ -111,8 +112,8 @@
         except Exception as error:
             done.set_exception(error)
 
-    server.trigger.pull_trigger(call)
     try:
+        server.trigger.pull_trigger(call)
         return done.result(LOOP_TIMEOUT_S)
     except (TimeoutError, OSError) as error:
         log.warning(
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -136,7 +136,7 @@
             member.last_heard = entry.last_heard
             member.count = max(entry.count, member.count)
         else:
-            member.last_heard = now - self.patience_s(member.host)
+            member.last_heard = now - NON_HUB_TIMEOUT_FACTOR * self.timeout_s
 
     def record_gossip(
         self, host: HostId, incarnation: Incarnation, count: int, now: float
