Test the announcement of hubs and the end of reports by themselves

Their mutants were green since the comparison of views mends the same cases after 2 s. The tests that they name now fail without each of the two.

--- a/tests/membership/test_hubs.py
+++ b/tests/membership/test_hubs.py
@@ -14,7 +14,9 @@
 )
 from godwitladder.membership.members import Member
 from godwitladder.membership.messages import ViewRequest
-from tests.membership.net import MESH_HOSTS, Net
+from godwitladder.membership.views import SETTLED_S
+from godwitladder.scheduler.messages import Tick
+from tests.membership.net import MESH_HOSTS, STEP_S, Net
 
 ZONES = ("zone-a", "zone-b", "zone-c")
 SETTLE_S = 10
@@ -92,6 +94,25 @@
             assert linked == hubs
 
 
+def test_hosts_that_start_together_agree_before_they_compare_views():
+    """Guards against seconds in which each host chooses its own allocators."""
+    net = Net(ZONES, 15)
+    net.run(SETTLED_S)
+    assert hosts_known(net) == {names(net.nodes)}
+
+
+def test_a_host_without_links_drops_what_a_hub_reported():
+    """Guards against a host that waits for hosts that it can't reach."""
+    net = make_net()
+    hubs = net.nodes[0].view().hubs
+    node = next(node for node in net.nodes if node.name not in hubs)
+    node.mesh.links.clear()
+    for _ in range(40):
+        net.clock.advance(STEP_S)
+        node.actor.on_receive(Tick())
+    assert node.view().hosts == (node.name,)
+
+
 def test_idle_hosts_send_little():
     """Without changes, hosts send only heartbeats: a few hundred bytes per second."""
     net = make_net()
