--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,6 +9,7 @@
 import pytest
 
 from godwitladder.drain import (
+    accept_all_and_close,
     close_idle_channels,
     count_unfinished,
     is_readable,
@@ -176,3 +177,11 @@
         assert run_in_loop(server, close_as_a_request_arrives) == 1
         assert b"Connection: close" in late.recv(1000)
         assert idle.recv(1) == b""
+
+
+def test_listener_closes_though_a_connection_can_not_be_accepted(monkeypatch):
+    """Guards against a loop that tries to accept for ever without descriptors."""
+    server = make_server()
+    monkeypatch.setattr(server, "handle_accept", lambda: None)
+    with socket.create_connection(server.socket.getsockname()):
+        assert accept_all_and_close(server) == server.adj.backlog
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -68,3 +68,11 @@
     assert live(members, 1.0 + SUSPICION_FACTOR * TIMEOUT_S) == ["host-a1"]
     members.remove_report("host-a1", 20.0)
     assert live(members, 20.0) == []
+
+
+def test_reported_host_that_is_no_hub_is_not_heard_by_its_longer_timeout():
+    """Guards against a report that counts as heard once its host is no hub."""
+    members = Members(TIMEOUT_S)
+    members.record_report(member("host-a1", last_heard=10.0))
+    members.non_hubs = frozenset({"host-a1"})
+    assert live(members, 10.0) == []
