Log when a direct path to a target is lost and when it is back

Two lines (prefix paths) and the gauge lost_paths tell it. Nothing decides by it yet; connecting moves from the proxied call to a component of its own.

--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -66,6 +66,9 @@
             "control_bytes", "Bytes of messages between hosts so far, by direction"
         )
         self.peer_links = self._gauge("peer_links", "Links to other hosts that are up")
+        self.lost_paths = self._gauge(
+            "lost_paths", "Targets to which the last direct connection failed"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- /dev/null
+++ b/godwitladder/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets, directly or through another host."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -36,6 +36,7 @@
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
+from godwitladder.paths.connector import Connector
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -190,6 +191,7 @@
             tables.departures,
             tables.cooldowns,
         )
+        self.connector = Connector(clock, self.metrics)
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
             codec,
@@ -261,6 +263,7 @@
             self.losses,
             self.statements,
             lambda: len(self.hosts),
+            self.connector,
         )
 
     def start(self) -> None:
@@ -358,6 +361,7 @@
         # Targets first: calls on a new route may arrive as soon as it is active.
         self.scheduler.tell(NewConfig(state))
         self.allocator.tell(NewConfig(state))
+        self.connector.retain([row.address for row in state.targets.values()])
         if view.document is not self.app.in_force.document:
             self.app.in_force = index_document(view.document)
         self.metrics.config_offset.set({}, view.document.version)
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -14,10 +14,11 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.retry_budget import RetryBudget
-from godwitladder.engines.wire import MayHaveRun, NotSent, connect, send
+from godwitladder.engines.wire import MayHaveRun, NotSent, send
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
+from godwitladder.paths.connector import Connector
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -38,9 +39,6 @@
 
 log = component_logger("passing")
 
-CONNECT_TIMEOUT_S = 0.3
-"""Connecting within a region takes 1 to 5 ms. A target that does not accept in
-this time is overloaded or down, and another target can still meet the deadline."""
 IDLE_TIMEOUT_S = 60.0
 """Maximum silence of a target on one connection, in seconds. `CallWatcher` ends calls
 at their own deadline long before."""
@@ -77,6 +75,8 @@
         Receives what targets state about themselves in their answers.
     count_hosts : callable
         Returns the number of hosts that share the retry budget.
+    connector : Connector
+        Connects calls to their targets.
     """
 
     header_codec: HeaderCodec
@@ -88,6 +88,7 @@
     losses: LossRegistry
     statements: TargetStatements
     count_hosts: Callable[[], int]
+    connector: Connector
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
@@ -211,7 +212,7 @@
             The answer was lost or belongs to another call.
         """
         self.target = dispatch.target
-        connection = connect(dispatch.address, IDLE_TIMEOUT_S, CONNECT_TIMEOUT_S)
+        connection = self.proxy.connector.connect(dispatch.address, IDLE_TIMEOUT_S)
         self.connection = connection
         left_s = self.left_s()
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -14,6 +14,7 @@
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
+from godwitladder.paths.connector import Connector
 from godwitladder.platform.documents import decode_document
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.routing.app import RoutedApp, index_document
@@ -136,6 +137,7 @@
             LossRegistry(self.clock, lambda message: None),
             self.statements,
             lambda: 1,
+            Connector(self.clock, Metrics()),
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
         document = decode_document(json.dumps(CONFIG | {"routes": ROUTES}).encode())
