--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,12 +8,14 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterable
 from pathlib import Path
 
 from godwitladder.platform import names
 from godwitladder.standins.ports import free_ports
 from godwitladder.standins.routed import StandinServer, start_engine, start_store
-from soak.proxy import Proxy
+from soak import host_process
+from soak.proxy import CutMode, Proxy
 
 SETTINGS_TEMPLATE = """
 host = "{name}"
@@ -82,6 +84,11 @@
     """A host: its settings file, its process, and the proxies around it.
 
     One proxy leads from the host to the store, the other from peers to the host.
+
+    Attributes
+    ----------
+    paths : dict
+        Proxies that lead from the host alone to targets, by the target's address.
     """
 
     def __init__(self, folder: Path, name: str, zone: str, store: str) -> None:
@@ -90,6 +97,7 @@
         self.ports = free_ports(4)
         self.store_proxy = Proxy(store)
         self.peer_proxy = Proxy(self.peer_address)
+        self.paths: dict[str, Proxy] = {}
         self.settings_path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         self.process: subprocess.Popen | None = None
@@ -106,6 +114,21 @@
         """Address at which the host accepts peers."""
         return f"127.0.0.1:{self.ports[3]}"
 
+    def make_paths(self, targets: Iterable["Target"]) -> None:
+        """Give the host paths of its own to ``targets``."""
+        addresses = [target.proxy.address for target in targets]
+        self.paths = {address: Proxy(address) for address in addresses}
+
+    def cut_paths(self, mode: CutMode) -> None:
+        """Cut all paths of the host's own to the targets."""
+        for path in self.paths.values():
+            path.cut(mode)
+
+    def restore_paths(self) -> None:
+        """Restore all paths of the host's own to the targets."""
+        for path in self.paths.values():
+            path.restore()
+
     def write_settings(self, seeds: list[str]) -> None:
         """Write the settings file; ``seeds`` are addresses of peers."""
         text = SETTINGS_TEMPLATE.format(
@@ -120,9 +143,14 @@
     def start(self) -> None:
         """Start the process."""
         self.stopping = False
+        proxies = {address: path.address for address, path in self.paths.items()}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "godwitladder.platform"],
-            env=os.environ | {names.SETTINGS_VARIABLE: str(self.settings_path)},
+            [sys.executable, "-m", "soak.host_process"],
+            env=os.environ
+            | {
+                names.SETTINGS_VARIABLE: str(self.settings_path),
+                host_process.VARIABLE: json.dumps(proxies),
+            },
             stdout=self.log,
             stderr=self.log,
         )
@@ -229,6 +257,8 @@
             self.kill()
         self.store_proxy.close()
         self.peer_proxy.close()
+        for path in self.paths.values():
+            path.close()
         self.log.close()
 
 
@@ -271,10 +301,31 @@
 
 
 class Fleet:
-    """The hosts, targets and store of one run; the exit stack closes them all."""
+    """The hosts, targets and store of one run; the exit stack closes them all.
+
+    Parameters
+    ----------
+    stack : ExitStack
+        Owns all that the fleet starts.
+    folder : Path
+        Where settings and logs of the hosts are written.
+    hosts, targets : int
+        Number of hosts and of targets.
+    zones : str, default="ab"
+        Availability zones, one letter each, which the hosts take in turn.
+    has_own_paths : bool, default=False
+        Whether each host has proxies of its own to the targets, so that its paths
+        can be cut while those of other hosts stay.
+    """
 
     def __init__(
-        self, stack: contextlib.ExitStack, folder: Path, hosts: int, targets: int
+        self,
+        stack: contextlib.ExitStack,
+        folder: Path,
+        hosts: int,
+        targets: int,
+        zones: str = "ab",
+        has_own_paths: bool = False,
     ) -> None:
         self.store = start_store()
         stack.callback(self.store.server_close)
@@ -286,9 +337,13 @@
         for target in self.targets:
             stack.callback(target.close)
             self.write_entry(target, "ready")
-        self.hosts = [
-            Host(folder, f"h{n}", "ab"[n % 2], self.store.address) for n in range(hosts)
-        ]
+        self.hosts = []
+        for number in range(hosts):
+            zone = zones[number % len(zones)]
+            host = Host(folder, f"h{number}", zone, self.store.address)
+            if has_own_paths:
+                host.make_paths(self.targets)
+            self.hosts.append(host)
         for host in self.hosts:
             stack.callback(host.close)
             others = [
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,6 +21,18 @@
     FROM_UPSTREAM = "from"
 
 
+QUEUE_FILL = 3
+"""Connections that fill the queue of a listener with a backlog of 0."""
+
+
+class CutMode(enum.Enum):
+    """What becomes of connections while a path is cut."""
+
+    HANG = "hang"
+    RESET = "reset"
+    LIVE_ON = "live_on"
+
+
 class Connection:
     """A proxied connection: the sockets to its client and to the address behind.
 
@@ -89,14 +101,22 @@
         self.connections: set[Connection] = set()
         self.lock = threading.Lock()
         self.server = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
-        threading.Thread(target=self.accept_connections, daemon=True).start()
-
-    def accept_connections(self) -> None:
-        """Accept connections until the proxy is closed."""
+        self.port = self.server.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        self.blockers: list[socket.socket] = []
+        self.start_accepting()
+
+    def start_accepting(self) -> None:
+        """Start the thread that accepts connections."""
+        threading.Thread(
+            target=self.accept_connections, args=(self.server,), daemon=True
+        ).start()
+
+    def accept_connections(self, server: socket.socket) -> None:
+        """Accept connections until ``server`` is closed."""
         with contextlib.suppress(OSError):
             while True:
-                client, _ = self.server.accept()
+                client, _ = server.accept()
                 threading.Thread(
                     target=self.handle_client, args=(client,), daemon=True
                 ).start()
@@ -154,6 +174,42 @@
             for connection in self.connections:
                 connection.discards_data = True
 
+    def cut(self, mode: CutMode) -> None:
+        """Cut the path until `restore`: no new connection is established.
+
+        Connections hang, are reset, or live on while new ones are refused, as
+        ``mode`` says.
+        """
+        self.stop_listening()
+        if mode is CutMode.HANG:
+            self.held.update(Direction)
+            # The kernel drops the opening packets of a listener with a full queue.
+            self.server = self.listen(backlog=0)
+            self.blockers = [_start_connection(self.port) for _ in range(QUEUE_FILL)]
+        elif mode is CutMode.RESET:
+            self.reset()
+
+    def restore(self) -> None:
+        """Restore the path."""
+        self.stop_listening()
+        for blocker in self.blockers:
+            blocker.close()
+        self.blockers = []
+        self.held.clear()
+        self.server = self.listen()
+        self.start_accepting()
+
+    def stop_listening(self) -> None:
+        """Close the listener, so that new connections are refused."""
+        # Without the shutdown, a thread in accept keeps the listener open.
+        with contextlib.suppress(OSError):
+            self.server.shutdown(socket.SHUT_RDWR)
+        self.server.close()
+
+    def listen(self, backlog: int | None = None) -> socket.socket:
+        """Return a listener at the address of this proxy."""
+        return socket.create_server(("127.0.0.1", self.port), backlog=backlog)
+
     def heal(self) -> None:
         """End all faults, except that blackholed connections stay so."""
         self.delay_s, self.refusing = 0.0, False
@@ -167,3 +223,11 @@
             connections, self.connections = self.connections, set()
         for connection in connections:
             connection.close()
+
+
+def _start_connection(port: int) -> socket.socket:
+    """Return a socket that has begun to connect to ``port``."""
+    blocker = socket.socket()
+    blocker.setblocking(False)
+    blocker.connect_ex(("127.0.0.1", port))
+    return blocker
