Serve calls through another host while a direct path to the target is lost

What callers saw: on hosts without paths to targets every call was refused, while the targets had room and other hosts reached them.

Cause: a host served a call only by a connection of its own, and had no memory of paths: each second another call spent 0.3 s on each target that it cannot reach.

Why it works: where a direct connection fails within 0.1 s, the connection leads through another host that has a path (a tunnel: a websocket between the hosts, whose other end connects to the target). The entry host speaks to the target as before, so one dispatch, deadline, cancel, quota, budget, stated limits and the target's own bytes stay where they were; a gateway connects directly and to known targets only. Lost paths are remembered and tried once a second beside a tunnel, at no cost to the call. Gateways in the zones of the host or the target go first, at random.

--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -30,6 +30,7 @@
     Directory,
     Heartbeat,
     LiveNews,
+    Peer,
     Roster,
     ViewRequest,
 )
@@ -173,8 +174,13 @@
         hosts = tuple(sorted(mine))
         others = {zone: tuple(row) for zone, row in zones.items()}
         hubs = frozenset() if topology.is_mesh() else topology.hubs
+        peers = tuple(
+            Peer(row.host, row.address, row.availability_zone)
+            for row in live
+            if row.zone == me.zone and not row.leaving
+        )
         return HostsChanged(
-            hosts, others, topology.allocator_candidates(live, hosts), hubs
+            hosts, others, topology.allocator_candidates(live, hosts), hubs, peers
         )
 
     @functools.singledispatchmethod
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -9,7 +9,7 @@
 import socket
 import ssl
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from websockets.asyncio.client import connect
@@ -45,6 +45,12 @@
 BACKLOG = 512
 """Connections that may wait to be accepted. After a restart all hosts dial at once,
 and a connection that finds the queue full is retried only seconds later."""
+TUNNEL_PATH = "/tunnel"
+TUNNEL_PING_INTERVAL_S, TUNNEL_PING_TIMEOUT_S = 1.0, 2.0
+"""A gateway that freezes or is cut off sends nothing; its tunnels then end within
+the sum, and what may be repeated is sent another way."""
+TUNNEL_QUEUE_MESSAGES = 4
+"""Messages of a tunnel that wait to be written, beyond which its reading stops."""
 JOIN_TIMEOUT_S = 2.0
 """Longest wait for the event loop's thread, which otherwise ends with the process."""
 
@@ -80,6 +86,8 @@
 
     Attributes
     ----------
+    serve_tunnel : callable or None
+        Serves a tunnel over an authenticated connection of a peer; None for none.
     links : dict
         The open link to each peer.
     dial_addresses : set of str
@@ -105,6 +113,7 @@
         on_link_down: Callable[[HostId], None] = lambda peer: None,
     ) -> None:
         self.on_link_down = on_link_down
+        self.serve_tunnel: Callable[[Any, HostId], Awaitable[None]] | None = None
         self.tls = tls
         self.host = host
         self.address = address
@@ -339,16 +348,7 @@
             return False
         self.connecting.add(address)
         try:
-            connection = await connect(
-                f"{'wss' if self.tls else 'ws'}://{address}",
-                ssl=client_context(self.tls) if self.tls else None,
-                compression=None,
-                proxy=None,
-                open_timeout=HANDSHAKE_TIMEOUT_S,
-                max_size=MAX_MESSAGE_BYTES,
-                ping_interval=None,
-                user_agent_header=None,
-            )
+            connection = await self._connect(address)
             link = await self._perform_handshake(connection, accepted=False)
         except (WebSocketException, OSError, TimeoutError):
             return False
@@ -356,7 +356,59 @@
             self.connecting.discard(address)
         return link is not None and await self._serve(link)
 
+    async def _connect(self, address: str, path: str = "/", **options: Any) -> Any:
+        """Return a new connection to the peer at ``address``."""
+        defaults = {"ping_interval": None, "max_size": MAX_MESSAGE_BYTES}
+        return await connect(
+            f"{'wss' if self.tls else 'ws'}://{address}{path}",
+            ssl=client_context(self.tls) if self.tls else None,
+            compression=None,
+            proxy=None,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            user_agent_header=None,
+            **(defaults | options),
+        )
+
+    async def open_tunnel_connection(self, address: str) -> Any:
+        """Return a new authenticated connection to a peer, for one tunnel.
+
+        Raises
+        ------
+        HandshakeFailed, WebSocketException, OSError
+            The peer was not reached or is not one of this fleet's.
+        """
+        connection = await self._connect(
+            address,
+            TUNNEL_PATH,
+            ping_interval=TUNNEL_PING_INTERVAL_S,
+            ping_timeout=TUNNEL_PING_TIMEOUT_S,
+            max_queue=TUNNEL_QUEUE_MESSAGES,
+        )
+        try:
+            await perform_handshake(
+                connection, self.host, self.address, self.secret, accepted=False
+            )
+        except BaseException:
+            connection.transport.abort()
+            raise
+        return connection
+
+    async def _accept_tunnel(self, connection: Any) -> None:
+        try:
+            hello = await perform_handshake(
+                connection, self.host, self.address, self.secret, accepted=True
+            )
+        except (HandshakeFailed, WebSocketException, OSError) as error:
+            log.warning("Peer handshake failed", extra={"error": str(error)})
+        else:
+            await self.serve_tunnel(connection, hello.host)
+        finally:
+            connection.transport.abort()
+
     async def _accept(self, connection: Any) -> None:
+        if connection.request.path == TUNNEL_PATH and self.serve_tunnel is not None:
+            await self._accept_tunnel(connection)
+            return
         link = await self._perform_handshake(connection, accepted=True)
         if link is not None:
             await self._serve(link)
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -62,6 +62,23 @@
     cores: float = 0.0
 
 
+@dataclass(frozen=True)
+class Peer:
+    """Where another live host is.
+
+    Attributes
+    ----------
+    address : str
+        Where the host listens for peers, ``address:port``.
+    availability_zone : Zone
+        Its availability zone if its zone is a whole region, else empty.
+    """
+
+    host: HostId
+    address: str
+    availability_zone: Zone = Zone("")
+
+
 @peer_message
 @dataclass(frozen=True)
 class LiveNews:
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -69,6 +69,12 @@
         self.lost_paths = self._gauge(
             "lost_paths", "Targets to which the last direct connection failed"
         )
+        self.tunnels = self._counter(
+            "tunnels_total", "Rounds of gateways asked for a tunnel, by outcome"
+        )
+        self.gateway_tunnels = self._gauge(
+            "gateway_tunnels", "Tunnels of other hosts through this one"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -1,21 +1,70 @@
-"""Connects calls to their targets, and records which targets this host reaches."""
+"""Connects calls to their targets, directly or through another host.
 
+A host whose own path to a target is lost reaches it through a tunnel, so that its
+callers are served as those of other hosts are. Meanwhile it tries the direct path
+about once a second beside a tunnel, at no cost to the call.
+"""
+
+import random
+import select
+import socket
 import threading
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 
 from urllib3.connection import HTTPConnection
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.paths import PathTable
+from godwitladder.decisions.paths import Gateways, PathTable, order_gateways
 from godwitladder.engines.wire import NotSent, connect
+from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
+from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
+from godwitladder.paths.messages import TunnelRequest
+from godwitladder.paths.tunnels import (
+    TunnelFailed,
+    TunnelRefused,
+    Tunnels,
+    TunnelSocket,
+)
 
 log = component_logger("paths")
 
 CONNECT_TIMEOUT_S = 0.3
 """Connecting within a region takes 1 to 5 ms. A target that does not accept in
 this time is overloaded or down, and another target can still meet the deadline."""
+DIRECT_TIMEOUT_S = 0.1
+"""The same where a tunnel may be opened instead."""
+TUNNEL_TIMEOUT_S = 0.25
+NO_ZONE = Zone("")
+MAX_GATEWAYS_TRIED = 4
+
+
+@dataclass(frozen=True)
+class TargetConnection:
+    """An open connection to a target.
+
+    Attributes
+    ----------
+    http : HTTPConnection
+        The connection.
+    tunnel : TunnelSocket or None
+        Its socket if it leads through another host.
+    """
+
+    http: HTTPConnection
+    tunnel: TunnelSocket | None = None
+
+    @property
+    def gateway(self) -> str:
+        """The host through which the connection leads; empty for none."""
+        return self.tunnel.gateway if self.tunnel else ""
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether the way through another host broke."""
+        return self.tunnel is not None and self.tunnel.is_broken
 
 
 class Connector:
@@ -27,34 +76,191 @@
         The host's clock.
     metrics : Metrics
         The metrics to update.
+    availability_zone : Zone
+        Availability zone of this host.
+    tunnels : Tunnels or None
+        Opens tunnels; None if all connections are direct.
 
     Attributes
     ----------
     paths : PathTable
         The targets that this host reaches directly, guarded by ``lock``.
+    gateways : Gateways
+        What is known of other hosts as gateways, guarded by ``lock``.
+    peers : tuple of Peer
+        The other live hosts.
+    places : dict
+        Availability zone of each target, by its address.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        availability_zone: Zone = NO_ZONE,
+        tunnels: Tunnels | None = None,
+    ) -> None:
         self.clock = clock
         self.metrics = metrics
+        self.availability_zone = availability_zone
+        self.tunnels = tunnels
         self.paths = PathTable()
+        self.gateways = Gateways()
+        self.peers: tuple[Peer, ...] = ()
+        self.places: dict[str, Zone] = {}
         self.lock = threading.Lock()
 
-    def connect(self, address: str, read_timeout_s: float) -> HTTPConnection:
+    def connect(
+        self, address: str, read_timeout_s: float, left_s: float
+    ) -> TargetConnection:
         """Return a new open connection to the target at ``address``.
 
+        Parameters
+        ----------
+        read_timeout_s : float
+            Longest silence of the target, in seconds.
+        left_s : float
+            Seconds until the call's deadline.
+
         Raises
         ------
         NotSent
             The connection could not be established.
         """
+        has_gateways = self.tunnels is not None and bool(self.peers)
+        if not has_gateways or not self.is_lost(address):
+            timeout_s = DIRECT_TIMEOUT_S if has_gateways else CONNECT_TIMEOUT_S
+            try:
+                return self.connect_directly(address, read_timeout_s, timeout_s)
+            except NotSent:
+                if not has_gateways:
+                    raise
+        probe = self.start_probe(address)
+        tunnel = self.open_tunnel(address, left_s)
+        direct = self.finish_probe(address, probe, wait=tunnel is None)
+        if direct is not None:
+            if tunnel is not None:
+                tunnel.close()
+            return TargetConnection(_wrap(direct, address, read_timeout_s))
+        if tunnel is None:
+            raise NotSent(f"no path to {address}")
+        return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
+
+    def connect_directly(
+        self, address: str, read_timeout_s: float, timeout_s: float
+    ) -> TargetConnection:
+        """Return a new direct connection.
+
+        Raises
+        ------
+        NotSent
+            The connection could not be established within ``timeout_s``.
+        """
         try:
-            connection = connect(address, read_timeout_s, CONNECT_TIMEOUT_S)
+            connection = connect(address, read_timeout_s, timeout_s)
         except NotSent as error:
             self.record_failed(address, error)
             raise
         self.record_connected(address)
-        return connection
+        return TargetConnection(connection)
+
+    def open_tunnel(self, address: str, left_s: float) -> TunnelSocket | None:
+        """Return a tunnel to the target; None if no gateway opens one."""
+        candidates = self.choose_gateways(address)
+        for gateway in candidates:
+            request = TunnelRequest(address, max(0.1, left_s))
+            extra = {"address": address, "gateway": gateway.host}
+            try:
+                tunnel = self.tunnels.open(gateway, request, TUNNEL_TIMEOUT_S)
+            except TunnelRefused as error:
+                log.info("A gateway can't help", extra=extra | {"error": str(error)})
+                self.record_refused(gateway, address, error)
+                continue
+            except TunnelFailed as error:
+                log.info("A gateway failed", extra=extra | {"error": str(error)})
+                with self.lock:
+                    self.gateways.record_failed(gateway.host, self.clock.monotonic())
+                continue
+            with self.lock:
+                self.paths.record_round(address, True, self.clock.monotonic())
+            self.metrics.tunnels.inc({"outcome": "open"})
+            return tunnel
+        if candidates:
+            with self.lock:
+                self.paths.record_round(address, False, self.clock.monotonic())
+            self.metrics.tunnels.inc({"outcome": "none"})
+        return None
+
+    def choose_gateways(self, address: str) -> Sequence[Peer]:
+        """Return the gateways to try, in order; none if it is too early to try."""
+        now = self.clock.monotonic()
+        target_zone = self.places.get(address, self.availability_zone)
+        with self.lock:
+            if not self.paths.is_round_due(address, now):
+                return ()
+            usable = [
+                row
+                for row in self.peers
+                if self.gateways.may_help(row.host, address, now)
+            ]
+        random.shuffle(usable)
+        rows = order_gateways(usable, self.availability_zone, target_zone)
+        return rows[:MAX_GATEWAYS_TRIED]
+
+    def record_refused(self, gateway: Peer, address: str, error: TunnelRefused) -> None:
+        """Record that a gateway opened no tunnel, and what else it doesn't reach."""
+        with self.lock:
+            self.gateways.record_refused(
+                gateway.host, address, error.answer, self.clock.monotonic()
+            )
+
+    def start_probe(self, address: str) -> socket.socket | None:
+        """Start to connect directly to a target whose path is lost, if that is due."""
+        if not self.take_probe(address):
+            return None
+        host, _, port = address.rpartition(":")
+        probe = socket.socket()
+        probe.setblocking(False)
+        probe.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        probe.connect_ex((host, int(port)))
+        return probe
+
+    def finish_probe(
+        self, address: str, probe: socket.socket | None, wait: bool
+    ) -> socket.socket | None:
+        """Return ``probe`` if it is connected; close it if not.
+
+        Parameters
+        ----------
+        wait : bool
+            Whether to wait for it, because there is no other way.
+        """
+        if probe is None:
+            return None
+        poll = select.poll()
+        poll.register(probe, select.POLLOUT)
+        is_ready = poll.poll(CONNECT_TIMEOUT_S * 1000 if wait else 0)
+        error = probe.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if is_ready and not error:
+            self.record_connected(address)
+            return probe
+        probe.close()
+        return None
+
+    def is_lost(self, address: str) -> bool:
+        """Return whether the last direct connection to ``address`` failed."""
+        with self.lock:
+            return self.paths.is_lost(address)
+
+    def lost_paths(self, limit: int) -> tuple[str, ...]:
+        """Return at most ``limit`` targets that this host does not reach directly."""
+        with self.lock:
+            return tuple(sorted(self.paths.lost)[:limit])
+
+    def take_probe(self, address: str) -> bool:
+        """Return whether to try the direct path to ``address`` now."""
+        with self.lock:
+            return self.paths.take_probe(address, self.clock.monotonic())
 
     def record_connected(self, address: str) -> None:
         """Record a direct connection, and log it if the path was lost."""
@@ -78,12 +284,28 @@
         log.warning("The direct path to a target is lost", extra=extra)
         self.count_lost_paths()
 
-    def retain(self, addresses: Collection[str]) -> None:
-        """Forget the paths to all targets but those at ``addresses``."""
+    def set_places(self, places: dict[str, Zone]) -> None:
+        """Set the known targets, by address, with their availability zones."""
+        self.places = places
         with self.lock:
-            self.paths.retain(frozenset(addresses))
+            self.paths.retain(frozenset(places))
         self.count_lost_paths()
 
+    def set_peers(self, peers: Collection[Peer]) -> None:
+        """Set the other live hosts."""
+        self.peers = tuple(peers)
+        with self.lock:
+            self.gateways.retain({row.host for row in peers})
+
     def count_lost_paths(self) -> None:
         """Update the metric of lost paths."""
         self.metrics.lost_paths.set({}, len(self.paths.lost))
+
+
+def _wrap(sock: socket.socket, address: str, read_timeout_s: float) -> HTTPConnection:
+    """Return an HTTP connection over a connected socket."""
+    host, _, port = address.rpartition(":")
+    connection = HTTPConnection(host, int(port), timeout=read_timeout_s)
+    sock.settimeout(read_timeout_s)
+    connection.sock = sock
+    return connection
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -37,6 +37,8 @@
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
 from godwitladder.paths.connector import Connector
+from godwitladder.paths.gateway import Gateway
+from godwitladder.paths.tunnels import Tunnels
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -160,6 +162,14 @@
             self.link_up,
             on_link_down=lambda peer: self.membership.tell(LinkDown(peer)),
         )
+        self.connector = Connector(
+            clock, self.metrics, settings.zone, Tunnels(self.mesh)
+        )
+        self.gateway = Gateway(
+            self.connector,
+            lambda count: self.metrics.gateway_tunnels.set({}, count),
+        )
+        self.mesh.serve_tunnel = self.gateway.serve
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -191,7 +201,6 @@
             tables.departures,
             tables.cooldowns,
         )
-        self.connector = Connector(clock, self.metrics)
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
             codec,
@@ -322,13 +331,21 @@
         self.caller_server.closing = True
         self.clock.sleep(DRAIN_NOTICE_S)
         self.app.refusing = True
+        self.gateway.is_stopping = True
         until = began + self.settings.bounds.grace_s - EXIT_RESERVE_S
         self.wait_until_idle(self.has_open_calls, until)
         self.close_connections(self.caller_server, self.has_open_calls, until)
 
     def has_open_calls(self) -> bool:
-        """Return whether any call is waiting, running or being answered."""
-        return self.app.open_calls > 0 or count_unfinished(self.caller_server) > 0
+        """Return whether any call is waiting, running or being answered.
+
+        Calls of other hosts that lead through this one count too.
+        """
+        return (
+            self.app.open_calls > 0
+            or self.gateway.open_tunnels > 0
+            or count_unfinished(self.caller_server) > 0
+        )
 
     def reload(self) -> None:
         """Reload the settings file, and apply what can change without a restart."""
@@ -361,7 +378,9 @@
         # Targets first: calls on a new route may arrive as soon as it is active.
         self.scheduler.tell(NewConfig(state))
         self.allocator.tell(NewConfig(state))
-        self.connector.retain([row.address for row in state.targets.values()])
+        places = {row.address: Zone(row.place) for row in state.targets.values()}
+        self.connector.set_places(places)
+        self.gateway.set_targets(places)
         if view.document is not self.app.in_force.document:
             self.app.in_force = index_document(view.document)
         self.metrics.config_offset.set({}, view.document.version)
@@ -376,6 +395,7 @@
             self.hosts = message.hosts
             self.hubs = message.hubs
             self.feed.hosts = message.allocators
+            self.connector.set_peers(message.peers)
             extra = {
                 "hosts": len(message.hosts),
                 "new": sorted(new),
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -2,10 +2,11 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from godwitladder.configuration.state import ConfigState
 from godwitladder.ids import HostId, RequestId, TargetName, Zone
+from godwitladder.membership.messages import Peer
 from godwitladder.outcomes import RequestState
 from godwitladder.scheduler.rows import RequestRow
 
@@ -164,12 +165,15 @@
         Hosts of this zone that may be allocators; None if all may.
     hubs : frozenset of HostId
         Hosts to which all others are linked; empty in a full mesh.
+    peers : tuple of Peer
+        Where the other live hosts of this zone are.
     """
 
     hosts: tuple[HostId, ...]
     linked: Mapping[Zone, tuple[HostId, ...]]
     allocator_candidates: tuple[HostId, ...] | None = None
     hubs: frozenset[HostId] = frozenset()
+    peers: tuple[Peer, ...] = field(default=(), compare=False)
 
     @property
     def allocators(self) -> tuple[HostId, ...]:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -18,7 +18,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.paths.connector import Connector
+from godwitladder.paths.connector import Connector, TargetConnection
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -139,7 +139,7 @@
         self.reporter = DispatchReporter(
             call, proxy.scheduler, proxy.clock, proxy.metrics
         )
-        self.connection = None
+        self.connection: TargetConnection | None = None
         self.running = False
         self.resume_from = ""
         self.error_answer: BufferedAnswer | None = None
@@ -212,8 +212,10 @@
             The answer was lost or belongs to another call.
         """
         self.target = dispatch.target
-        connection = self.proxy.connector.connect(dispatch.address, IDLE_TIMEOUT_S)
-        self.connection = connection
+        self.connection = self.proxy.connector.connect(
+            dispatch.address, IDLE_TIMEOUT_S, self.left_s()
+        )
+        connection = self.connection.http
         left_s = self.left_s()
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
@@ -394,7 +396,7 @@
         """Close the connection to the target, if there is one."""
         self.open_call.detach()
         if self.connection is not None:
-            self.connection.close()
+            self.connection.http.close()
             self.connection = None
 
     def close(self) -> None:
@@ -421,8 +423,11 @@
         log.info(text, extra=extra)
 
     def record_loss(self) -> None:
-        """Record that the target lost the answer, unless this host aborted the call."""
-        if self.open_call.cause is None:
+        """Record that the target lost the answer, unless this host aborted the call.
+
+        A tunnel that breaks says nothing of the target.
+        """
+        if self.open_call.cause is None and not self.connection.is_broken:
             self.proxy.losses.report_loss(self.call.row.body, self.target)
 
     def record_send(self, dispatch: Dispatch, left_s: float) -> None:
@@ -437,5 +442,6 @@
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
             "send": self.sends,
+            "gateway": self.connection.gateway,
         }
         log.info("A call is sent", extra=extra)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -346,8 +346,12 @@
             self.hosts.append(host)
         for host in self.hosts:
             stack.callback(host.close)
+            # A seed that is a proxy is dialled again and again, since no link has its
+            # address, and each time the link to that peer is replaced.
             others = [
-                row.peer_proxy.address for row in self.hosts[:2] if row is not host
+                row.peer_address if has_own_paths else row.peer_proxy.address
+                for row in self.hosts[:2]
+                if row is not host
             ]
             host.write_settings(others)
             host.start()
