Refuse for want of a path where a host reaches no target of a service

What callers saw: "More important work needs the capacity.", come back in 6 s, while the targets were idle and the host had no way to them.

Cause: a refusal names the reason of the allocator, which knows nothing of the paths of the host that asked; the host itself kept no record that it had not connected.

Why it works: a row remembers that the last attempt to connect failed on all ways, until a request completes; a request whose service has only such targets is refused as no_target, not run, come back in a second.

--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -160,7 +160,7 @@
     @take.register
     def _(self, message: NothingSent) -> None:
         row = self.tables.running[message.request]
-        return_request(self.tables, row, self.clock.monotonic())
+        return_request(self.tables, row, self.clock.monotonic(), unreached=True)
 
     @take.register
     def _(self, message: Returned) -> None:
@@ -171,6 +171,7 @@
             self.clock.monotonic(),
             may_have_run=message.proof is ReturnProof.IDEMPOTENT,
             avoid=message.avoid,
+            unreached=message.avoid and message.proof is ReturnProof.NOTHING_SENT,
         )
 
     @take.register
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -22,7 +22,11 @@
 from godwitladder.scheduler.pools import make_pools, pool_key, target_generations
 from godwitladder.scheduler.rows import RequestRow, Tables, TargetRow
 from godwitladder.scheduler.statements import is_cooling_down, is_rate_limited
-from godwitladder.scheduler.systems import refuse_request, waiting_order
+from godwitladder.scheduler.systems import (
+    no_path_refusal,
+    refuse_request,
+    waiting_order,
+)
 from godwitladder.scheduler.throughput import take_samples
 
 HEARTBEAT_S = 1.0
@@ -399,9 +403,10 @@
             spill(tables, row)
         return
     text = shed_text(tables, row, shed.reason, now)
-    refuse_request(
-        tables, row, refuse(SHED_REASONS[shed.reason], text, shed.retry_after_s)
-    )
+    refusal = refuse(SHED_REASONS[shed.reason], text, shed.retry_after_s)
+    if shed.reason is not ShedReason.QUOTA:
+        refusal = no_path_refusal(tables, row) or refusal
+    refuse_request(tables, row, refusal)
 
 
 def shed_text(tables: Tables, row: RequestRow, reason: ShedReason, now: float) -> str:
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -187,6 +187,8 @@
     accepts_requests : bool
         Whether the target accepts requests. Set to False when it doesn't accept
         one, and to True when it completes one.
+    is_unreached : bool
+        Whether the last attempt to connect to the target failed, on all ways.
     """
 
     name: TargetName
@@ -197,6 +199,7 @@
     pending_prefill_requests: int = 0
     avoided_until: float = 0.0
     accepts_requests: bool = True
+    is_unreached: bool = False
 
     def log_fields(self) -> dict[str, str]:
         """Return the log fields that identify the target."""
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -39,6 +39,9 @@
 be in transit: seconds, and a fraction of the time from its latest start to its
 deadline. The shorter of the two applies."""
 OVER_QUOTA = "The workspace has had its tokens for now."
+NO_PATH = "No path leads from here to a target of the service, nor through a peer."
+NO_PATH_RETRY_S = 1.0
+"""A caller that returns may be led to another host, or the path be back."""
 NO_THREAD = "This host has no room for more requests that wait."
 
 
@@ -61,7 +64,24 @@
         if is_too_late(row, now) and row.state is RequestState.WAITING:
             detail = "No target was free in time."
             refusal = refuse(Reason.DEADLINE, detail, EXPIRED_RETRY_S)
-            refuse_request(tables, row, refusal)
+            refuse_request(tables, row, no_path_refusal(tables, row) or refusal)
+
+
+def no_path_refusal(tables: Tables, row: RequestRow) -> Refusal | None:
+    """Return the refusal of a request whose service this host can't reach.
+
+    None if it reaches a target. The allocator refuses by its own view: it would say
+    that more important work takes the capacity, while targets are idle.
+    """
+    targets = [
+        target
+        for target in tables.targets.values()
+        if row.service in target.target.services
+        and target.target.state is TargetState.ACTIVE
+    ]
+    if not targets or not all(target.is_unreached for target in targets):
+        return None
+    return refuse(Reason.NO_TARGET, NO_PATH, NO_PATH_RETRY_S)
 
 
 def is_too_late(row: RequestRow, now: float) -> bool:
@@ -324,6 +344,7 @@
     now: float,
     may_have_run: bool = False,
     avoid: bool = True,
+    unreached: bool = False,
 ) -> None:
     """Queue a dispatched request again.
 
@@ -335,6 +356,8 @@
         Whether the target may have run it.
     avoid : bool
         Whether this host should avoid the target for a while.
+    unreached : bool
+        Whether there was no connection to the target.
 
     Raises
     ------
@@ -345,6 +368,8 @@
         raise IllegalTransition(f"{row.request} may have run and is not idempotent")
     target = tables.targets.get(row.target)
     _leave_target(tables, row)
+    if target:
+        target.is_unreached = unreached
     if target and avoid:
         avoid_target(target, now)
     row.change(RequestState.WAITING)
@@ -361,6 +386,7 @@
 
 def record_acceptance(target: TargetRow) -> None:
     """Record that a target accepts requests, and log it if it did not before."""
+    target.is_unreached = False
     if not target.accepts_requests:
         target.accepts_requests = True
         log.info("A target answers again", extra=target.log_fields())
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -5,13 +5,17 @@
 import pytest
 
 from godwitladder.decisions.speeds import MIN_OBSERVATIONS
+from godwitladder.decisions.types import Shed, ShedReason
 from godwitladder.ids import RequestId
-from godwitladder.outcomes import RequestState
+from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.exchange import Completion, ThroughputSample
+from godwitladder.scheduler.reports import apply_shed
 from godwitladder.scheduler.systems import (
+    NO_PATH_RETRY_S,
     dispatch_request,
     finish_request,
     grow_request,
+    no_path_refusal,
     return_request,
     run_systems,
 )
@@ -174,3 +178,38 @@
     row = submit(host, make_request("r", now, prefix="start"))
     harness.settle(now)
     assert (row.state, row.target) == (RequestState.DISPATCHED, "e1")
+
+
+@pytest.mark.parametrize("reason", [ShedReason.OVERLOAD, ShedReason.DEADLINE])
+def test_a_host_that_reaches_no_target_says_so_in_its_refusals(reason):
+    """Guards against naming a lack of capacity where only the path is missing."""
+    tables = make_tables("h0", ("h0",), make_config({"e0": 4, "e1": 4}))
+    rows = []
+    for name in ("e0", "e1"):
+        rows.append(submit(tables, make_request(name, 1.0, timeout_s=2.0)))
+        dispatch_request(tables, rows[-1], tables.targets[name], 1.0)
+        return_request(tables, rows[-1], 1.1, unreached=True)
+    shed_row, late_row = rows
+    (access,) = tables.pools.values()
+    shed = Shed("h0", shed_row.request, reason, 7.0)
+    apply_shed(tables, access, shed_row, shed, 1.2)
+    run_systems(tables, 9.0)
+    for row in (shed_row, late_row):
+        refusals = [row.decisions.get_nowait() for _ in range(row.decisions.qsize())]
+        assert refusals[-1].reason is Reason.NO_TARGET
+        assert refusals[-1].outcome is RequestState.NOT_RUN
+        assert refusals[-1].retry_after_s == NO_PATH_RETRY_S
+
+
+def test_a_host_that_reaches_one_target_names_the_allocator_s_reason():
+    """Guards against a missing path as the reason while a target is reached."""
+    tables = make_tables("h0", ("h0",), make_config({"e0": 4, "e1": 4}))
+    row = dispatch(tables, "r", 1.0)
+    return_request(tables, row, 1.1, unreached=True)
+    assert no_path_refusal(tables, row) is None
+    dispatch_request(tables, row, tables.targets["e1"], 3.0)
+    return_request(tables, row, 3.1, unreached=True)
+    assert no_path_refusal(tables, row) is not None
+    row = dispatch(tables, "s", 4.0)
+    finish_request(tables, row, RequestState.COMPLETED, 4.1)
+    assert no_path_refusal(tables, row) is None
