--- a/tests/decisions/test_paths.py
+++ b/tests/decisions/test_paths.py
@@ -1,6 +1,7 @@
 """Which targets a host reaches directly."""
 
-from godwitladder.decisions.paths import PROBE_INTERVAL_S, PathTable
+from godwitladder.decisions.paths import PROBE_INTERVAL_S, PathTable, order_gateways
+from godwitladder.membership.messages import Peer
 
 
 def test_a_path_is_lost_from_a_failed_connection_to_the_next_one_made():
@@ -30,3 +31,10 @@
     paths.record_failed("t", 0.0)
     paths.retain(frozenset({"t"}))
     assert set(paths.lost) == {"t"}
+
+
+def test_gateways_in_the_zones_of_the_host_and_the_target_go_first():
+    """Guards against bytes that cross zones where they needn't."""
+    peers = [Peer(f"h{zone}", "", zone) for zone in "cba"]
+    assert [row.host for row in order_gateways(peers, "a", "a")][0] == "ha"
+    assert [row.host for row in order_gateways(peers, "a", "b")] == ["hb", "ha", "hc"]
--- /dev/null
+++ b/tests/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to targets."""
