Give brittle targets fewer requests as soon as one refuses

What callers would see: targets that state that they are brittle fall over again and again, and with each fall all calls that they ran end.

Cause: the statement (Server-Brittle) was not decoded. Each host left a target that had refused a call alone for a second, by itself; together the hosts had it turn away more than it bears. A host whose allocator is silent for a moment also used targets beside what the allocator had given to others.

Fixed shares of brittle targets aren't used while an allocator may still give them to others.

The class is that of the rate limits and leaving targets: what a target states in its answers was thrown away.

--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -86,6 +86,7 @@
             rate_limit=_parse_number(headers, names.RATE_LIMIT),
             leaving=headers.get(names.LEAVING) == IS_LEAVING,
             retry_after_s=_parse_number(headers, names.RETRY_AFTER),
+            max_refusals_per_s=_parse_number(headers, names.BRITTLE),
         )
 
     def for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -15,6 +15,7 @@
 NOT_EXECUTED = "Godwitladder-Not-Executed"
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+BRITTLE = "Server-Brittle"
 RETRY_AFTER = "Retry-After"
 
 SYSTEM_HEADERS = frozenset(
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -110,6 +110,9 @@
     retry_after_s : float or None
         Seconds after which this host may retry a target that refuses a request;
         None if not stated.
+    max_refusals_per_s : float or None
+        Refusals in a second beyond which the target falls over; None if it is not
+        brittle.
     """
 
     attempt: str
@@ -118,6 +121,7 @@
     rate_limit: float | None = None
     leaving: bool = False
     retry_after_s: float | None = None
+    max_refusals_per_s: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -200,6 +200,7 @@
             tables.rate_limits,
             tables.departures,
             tables.cooldowns,
+            tables.brittle,
         )
         self.watch = CallWatcher(clock)
         self.app = RoutedApp(
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -145,6 +145,8 @@
         Number of grants by outcome since the metrics were last updated.
     changed_targets : set of TargetName
         Targets that have stated something new to this host since the last report.
+    brittle_refusals : set of TargetName
+        Brittle targets that have refused a request since the last report.
     history : SpendingHistory
         Tokens that workspaces have spent through this host.
     """
@@ -179,6 +181,7 @@
     least_answer_s: float = math.inf
     fates: Counter[GrantFate] = field(default_factory=Counter)
     changed_targets: set[TargetName] = field(default_factory=set)
+    brittle_refusals: set[TargetName] = field(default_factory=set)
     history: SpendingHistory = field(default_factory=SpendingHistory)
 
     def set_allocator(self, allocator: HostId | None, now: float) -> None:
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -12,6 +12,7 @@
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.scheduler.exchange import GrantOffer, PoolReport
 from godwitladder.scheduler.messages import (
+    BrittlenessStated,
     CooldownStated,
     Finished,
     HostsChanged,
@@ -40,6 +41,7 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.statements import (
     forget_ended_processes,
+    take_brittleness,
     take_cooldown,
     take_leaving,
     take_rate_limit,
@@ -196,6 +198,10 @@
     def _(self, message: LeavingStated) -> None:
         take_leaving(self.tables, message, self.clock.monotonic())
 
+    @take.register
+    def _(self, message: BrittlenessStated) -> None:
+        take_brittleness(self.tables, message, self.clock.monotonic())
+
     @take.register
     def _(self, message: CooldownStated) -> None:
         take_cooldown(self.tables, message, self.clock.monotonic())
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -175,6 +175,8 @@
     cooldowns : tuple of RemainingCooldown
         Targets that want no requests from the host for a while: all in a full report,
         and otherwise new ones.
+    brittle_refusals : tuple of TargetName
+        Brittle targets that have refused a request of the host since its last report.
     """
 
     host: HostId
@@ -199,6 +201,7 @@
     rate_limits: tuple[StatedLimit, ...] = ()
     departures: tuple[Departure, ...] = ()
     cooldowns: tuple[RemainingCooldown, ...] = ()
+    brittle_refusals: tuple[TargetName, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -115,6 +115,26 @@
     generation: str
 
 
+@dataclass(frozen=True)
+class BrittlenessStated:
+    """A target's answer states that it falls over when it refuses too many requests.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the target to which the request was dispatched.
+    max_refusals_per_s : float
+        Refusals in a second beyond which it falls over.
+    refused : bool
+        Whether the answer is a refusal.
+    """
+
+    target: TargetName
+    generation: str
+    max_refusals_per_s: float
+    refused: bool
+
+
 @dataclass(frozen=True)
 class CooldownStated:
     """A target has refused a request and stated when this host may retry.
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -223,6 +223,7 @@
     targets = [tables.targets[name] for name in sorted(access.pool.targets)]
     unanswered = access.holder is None
     stating = take_stating_targets(access, update.incremental)
+    refusals, access.brittle_refusals = sorted(access.brittle_refusals), set()
     return PoolReport(
         host=tables.host,
         incarnation=tables.incarnation,
@@ -249,6 +250,7 @@
         ),
         departures=tables.departures.statements(stating),
         cooldowns=tables.cooldowns.statements(stating, now),
+        brittle_refusals=tuple(refusals),
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -14,6 +14,7 @@
 from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import MAX_CONTENTION_S, allocate
 from godwitladder.decisions.allocator_state import AllocatorState
+from godwitladder.decisions.brittleness import BrittleTargets
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.forecast import PrefillForecast
 from godwitladder.decisions.load_reports import LoadReports
@@ -164,6 +165,7 @@
         self.quotas = TokenQuotas()
         self.rate_limits = RateLimits()
         self.departures = Departures()
+        self.brittle = BrittleTargets()
         self.waiting: dict[RequestId, WaitingRequest] = {}
         self.loads = LoadReports()
         self.delays = ReportDelays()
@@ -178,6 +180,7 @@
             for learned in (
                 self.speeds,
                 self.throttles,
+                self.brittle,
                 self.loads,
                 self.hints,
                 self.forecast,
@@ -206,6 +209,9 @@
             generations = target_generations(self.config.targets)
             self.rate_limits.observe_all(report.rate_limits, generations, now - delay_s)
             self.departures.observe_all(report.departures, generations, now)
+        for name in report.brittle_refusals:
+            running = self.current_usage().get(name, NO_USAGE).running
+            self.brittle.record_refusal(name, running, now)
         self.quotas.add_history(report.host, report.spent, report.covered_s, now)
         for row in report.completions:
             self.observe_completion(row)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -8,6 +8,7 @@
 
 from godwitladder.configuration.model import Target
 from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.brittleness import BrittleStatements
 from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.prediction import OutputPredictor
@@ -242,6 +243,8 @@
         Targets that have stated that they are leaving.
     cooldowns : Cooldowns
         Cooldowns that targets have requested of this host.
+    brittle : BrittleStatements
+        Targets that have stated that they are brittle.
     gate : AdmissionGate
         Admission shares received from allocators. May be called by any thread.
     has_standing_grants : bool
@@ -276,6 +279,7 @@
     rate_limits: RateLimits = field(default_factory=RateLimits)
     departures: Departures = field(default_factory=Departures)
     cooldowns: Cooldowns = field(default_factory=Cooldowns)
+    brittle: BrittleStatements = field(default_factory=BrittleStatements)
     gate: AdmissionGate = field(default_factory=AdmissionGate)
     has_standing_grants: bool = True
     early_fallback: bool = False
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -7,6 +7,7 @@
 from godwitladder.ids import ServiceName, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.scheduler.messages import (
+    BrittlenessStated,
     CooldownStated,
     LeavingStated,
     RateLimitStated,
@@ -16,7 +17,7 @@
 
 log = component_logger("scheduler")
 
-Statement = LeavingStated | RateLimitStated | CooldownStated
+Statement = LeavingStated | RateLimitStated | CooldownStated | BrittlenessStated
 
 
 def forget_ended_processes(tables: Tables, now: float) -> None:
@@ -74,6 +75,20 @@
     log.info("A target has requested a cooldown", extra=extra)
 
 
+def take_brittleness(tables: Tables, message: BrittlenessStated, now: float) -> None:
+    """Record that a target is brittle, and report a refusal at once."""
+    if not is_current(tables, message):
+        return
+    extra = {"target": message.target, "refusals_per_s": message.max_refusals_per_s}
+    if tables.brittle.observe(message.target, now):
+        log.info("A target states that it is brittle", extra=extra)
+    access = tables.pool_of.get(message.target)
+    if message.refused and access is not None:
+        log.info("A brittle target has refused a request", extra=extra)
+        access.brittle_refusals.add(message.target)
+        access.dirty = True
+
+
 def report_soon(tables: Tables, target: TargetName) -> None:
     """Include what a target has stated in the next report, which is sent at once."""
     access = tables.pool_of.get(target)
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -261,10 +261,12 @@
     """Return whether a host may use ``target`` while its allocator is silent.
 
     Only targets in the host's own availability zone qualify: the others may be on
-    the other side of the same network partition.
+    the other side of the same network partition. What the allocator has given to
+    others may fill a target, which must not happen to a brittle one.
     """
     is_near = target.target.place == tables.availability_zone
-    return is_near and uses_fallback(tables, access, now)
+    is_brittle = tables.brittle.includes(target.name, now)
+    return is_near and not is_brittle and uses_fallback(tables, access, now)
 
 
 def uses_fallback(tables: Tables, access: PoolAccess, now: float) -> bool:
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -146,6 +146,7 @@
     role: "PoolRole", name: TargetName, slots: int, now: float
 ) -> int:
     """Return the number of requests that a target may run concurrently."""
+    slots = role.brittle.limit(name, slots, now)
     return (
         role.throttles.limit(name, slots, now)
         if role.policy.throttles_slow_targets
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -1,16 +1,18 @@
 """Passes on to the scheduler what targets state about themselves in their answers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pykka
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.brittleness import BrittleStatements
 from godwitladder.decisions.cooldowns import Cooldowns
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.engines.wire import COOLDOWN_STATUSES, NotSent
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
+    BrittlenessStated,
     CooldownStated,
     LeavingStated,
     RateLimitStated,
@@ -37,6 +39,8 @@
         The leaving targets that the scheduler knows.
     cooldowns : Cooldowns
         The cooldowns that the scheduler knows.
+    brittle : BrittleStatements
+        The brittle targets that the scheduler knows.
     """
 
     scheduler: pykka.ActorRef
@@ -44,6 +48,7 @@
     rate_limits: RateLimits
     departures: Departures
     cooldowns: Cooldowns
+    brittle: BrittleStatements = field(default_factory=BrittleStatements)
 
     def check(self, dispatch: Dispatch) -> None:
         """Check again that a request may be sent, right before its first byte.
@@ -76,10 +81,26 @@
         """
         for message in read_statements(dispatch, status, metadata):
             self.scheduler.tell(message)
+        self.record_brittleness(dispatch, metadata)
         if metadata.rate_limit is None and dispatch.target in self.rate_limits.limited:
             ended = RateLimitStated(dispatch.target, dispatch.generation, NO_LIMIT)
             self.scheduler.tell(ended)
 
+    def record_brittleness(self, dispatch: Dispatch, metadata: AnswerMetadata) -> None:
+        """Record that a target is brittle, if it has just refused or that is new."""
+        if metadata.max_refusals_per_s is None:
+            return
+        known = self.brittle.includes(dispatch.target, self.clock.monotonic())
+        if known and not metadata.not_run:
+            return
+        message = BrittlenessStated(
+            dispatch.target,
+            dispatch.generation,
+            metadata.max_refusals_per_s,
+            metadata.not_run,
+        )
+        self.scheduler.tell(message)
+
 
 def read_statements(
     dispatch: Dispatch, status: int, metadata: AnswerMetadata
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -20,6 +20,8 @@
 
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
+FALL_S = 2.0
+"""Seconds after which an engine that has fallen over is back."""
 
 
 @dataclass
@@ -219,6 +221,11 @@
         Whether every answer states that the engine is leaving.
     cooldown_s : float
         Seconds of cooldown that a refusal with 503 asks for; 0 for none.
+    room : int
+        Number of requests that it takes at once; it refuses more. -1 for any number.
+    brittle : float
+        Refusals in a second beyond which the engine falls over for `FALL_S`, as every
+        answer states; 0 for none.
     """
 
     refuse: bool = False
@@ -231,6 +238,8 @@
     rate_limit: float = 0.0
     leaving: bool = False
     cooldown_s: float = 0.0
+    room: int = -1
+    brittle: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -290,14 +299,49 @@
         All requests that were meant for it, in order of arrival.
     broken_connections : int
         Number of connections that broke while an answer was sent.
+    open_requests : int
+        Number of requests that it works on.
+    refusals : list of float
+        When it refused requests since it last fell over, in monotonic seconds.
+    falls : list of float
+        When it fell over.
     """
 
     def __init__(self) -> None:
         self.knobs = EngineKnobs()
+        self.lock = threading.Lock()
+        self.open_requests = 0
+        self.refusals: list[float] = []
+        self.falls: list[float] = []
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.broken_connections = 0
 
+    def is_down(self) -> bool:
+        """Return whether the engine has fallen over and is not back yet."""
+        return bool(self.falls) and time.monotonic() < self.falls[-1] + FALL_S
+
+    def admit(self) -> bool:
+        """Return whether there is room for a request, and count it either way."""
+        with self.lock:
+            if self.knobs.refuse or self.open_requests == self.knobs.room:
+                self.record_refusal(time.monotonic())
+                return False
+            self.open_requests += 1
+            return True
+
+    def release(self) -> None:
+        """Make room for another request."""
+        with self.lock:
+            self.open_requests -= 1
+
+    def record_refusal(self, now: float) -> None:
+        """Record a refusal, and fall over if there were too many."""
+        self.refusals = [at for at in self.refusals if now - at < 1.0] + [now]
+        if 0 < self.knobs.brittle < len(self.refusals) and not self.is_down():
+            self.falls.append(now)
+            self.refusals = []
+
 
 class EngineHandler(BaseHTTPRequestHandler):
     """Answers requests to an engine."""
@@ -314,7 +358,7 @@
             return
         now = time.monotonic()
         engine.arrivals.append(self.make_arrival(engine.knobs, now))
-        if engine.knobs.refuse:
+        if not engine.admit():
             self.send_refusal(engine.knobs.cooldown_s)
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
@@ -323,6 +367,8 @@
             self.run(engine.knobs)
         except OSError:
             engine.broken_connections += 1
+        finally:
+            engine.release()
 
     do_GET = do_POST
 
@@ -386,6 +432,8 @@
             self.send_header(names.SIGNATURE, f"signed-{attempt_id or ''}")
         if knobs.rate_limit:
             self.send_header(names.RATE_LIMIT, str(knobs.rate_limit))
+        if knobs.brittle:
+            self.send_header(names.BRITTLE, str(knobs.brittle))
         if knobs.leaving:
             self.send_header(names.LEAVING, "1")
         for name, value in headers:
@@ -411,6 +459,10 @@
         self.standin = standin
         self.address = f"127.0.0.1:{self.server_port}"
 
+    def verify_request(self, request, client_address) -> bool:
+        """Return whether to read from a connection; an engine that is down won't."""
+        return not (isinstance(self.standin, Engine) and self.standin.is_down())
+
     def handle_error(self, request, client_address) -> None:
         """Print no traceback: tests break connections on purpose."""
 
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -8,6 +8,7 @@
 from godwitladder.decisions.types import Shed, ShedReason
 from godwitladder.ids import RequestId
 from godwitladder.outcomes import Reason, RequestState
+from godwitladder.scheduler import systems
 from godwitladder.scheduler.exchange import Completion, ThroughputSample
 from godwitladder.scheduler.reports import apply_shed
 from godwitladder.scheduler.systems import (
@@ -213,3 +214,14 @@
     row = dispatch(tables, "s", 4.0)
     finish_request(tables, row, RequestState.COMPLETED, 4.1)
     assert no_path_refusal(tables, row) is None
+
+
+def test_a_brittle_target_is_not_used_beside_a_silent_allocator(monkeypatch):
+    """Guards against filling a brittle target twice, by grants and by fixed shares."""
+    monkeypatch.setattr(systems, "uses_fallback", lambda *args: True)
+    tables = make_tables("h0", ("h0",), make_config({"e0": 4}))
+    (access,) = tables.pools.values()
+    target = tables.targets["e0"]
+    assert systems.may_fall_back(tables, access, target, 1.0)
+    tables.brittle.observe("e0", 1.0)
+    assert not systems.may_fall_back(tables, access, target, 1.1)
