--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -46,7 +46,8 @@
 """Connections that may wait to be accepted. After a restart all hosts dial at once,
 and a connection that finds the queue full is retried only seconds later."""
 TUNNEL_PATH = "/tunnel"
-TUNNEL_PING_INTERVAL_S, TUNNEL_PING_TIMEOUT_S = 1.0, 2.0
+TUNNEL_PING_INTERVAL_S, TUNNEL_PING_TIMEOUT_S = 0.5, 1.5
+TUNNEL_CLOSE_TIMEOUT_S = 0.25
 """A gateway that freezes or is cut off sends nothing; its tunnels then end within
 the sum, and what may be repeated is sent another way."""
 TUNNEL_QUEUE_MESSAGES = 4
@@ -382,6 +383,7 @@
             TUNNEL_PATH,
             ping_interval=TUNNEL_PING_INTERVAL_S,
             ping_timeout=TUNNEL_PING_TIMEOUT_S,
+            close_timeout=TUNNEL_CLOSE_TIMEOUT_S,
             max_queue=TUNNEL_QUEUE_MESSAGES,
         )
         try:
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -8,6 +8,7 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.paths import Gateways
 from godwitladder.engines.wire import MayHaveRun, NotSent, send
 from godwitladder.ids import HostId, Zone
 from godwitladder.membership.mesh import Mesh
@@ -347,6 +348,7 @@
     refusal = far.gateway.refusal
     far.gateway.refusal = lambda request: asked.append(request) or refusal(request)
     for _ in range(5):
+        near.connector.gateways = Gateways()
         with pytest.raises(NotSent):
             near.connect(address)
     assert len(asked) == 1
