Serve the product's own interface through other hosts too

The same cause elsewhere: calls of the product's own interface, resumed streams, answers looked up after a takeover and the check for a crash each connected by themselves. A cut path looked like a refusal of capacity, like a stream that no target has, and, when connections are reset, like a crash of the target, which quarantines the request.

All of these now connect through the host's connector. A refused connection counts as a crash only if no other host reaches the target either.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -18,7 +18,7 @@
 from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
 from godwitladder.drain import count_unfinished
-from godwitladder.ids import Incarnation
+from godwitladder.ids import Incarnation, Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.actor import (
     ConfigChanged,
@@ -34,6 +34,9 @@
 from godwitladder.metrics import Metrics
 from godwitladder.orders.issuer import OrderIssuer
 from godwitladder.orders.stream import OrderStream
+from godwitladder.paths.connector import Connector, ConnectTimeouts
+from godwitladder.paths.gateway import Gateway
+from godwitladder.paths.tunnels import Tunnels
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.load import LoadReader
@@ -62,6 +65,8 @@
 CRITICAL_THREADS = frozenset(
     {"config", "hosts", "ticker", "http", "claim-read", "claim-write"}
 )
+CONNECT_TIMEOUTS = ConnectTimeouts(only_way_s=2.0, before_tunnel_s=0.5)
+"""Targets may be in another region, and a connection there takes some round trips."""
 FAILURE_EXIT_CODE = 70
 
 
@@ -108,7 +113,12 @@
             settings.platform.config_stream,
             settings.platform.log_retention_s,
         )
-        self.callers = CallerApp(settings, self.scheduler, clock, self.metrics)
+        self.connector = Connector(
+            clock, self.metrics, settings.zone, timeouts=CONNECT_TIMEOUTS
+        )
+        self.callers = CallerApp(
+            settings, self.scheduler, clock, self.metrics, self.connector.dial
+        )
         self.operators = OperatorApp(
             settings, self.log, self.follower, self.metrics, self.status
         )
@@ -122,6 +132,12 @@
             lambda link: self.membership.tell(LinkUp(link)),
             settings.listen.peers_tls,
         )
+        self.connector.tunnels = Tunnels(self.mesh)
+        self.gateway = Gateway(
+            self.connector,
+            lambda count: self.metrics.gateway_tunnels.set({}, count),
+        )
+        self.mesh.serve_tunnel = self.gateway.serve
         self.follower.send = self.mesh.send
         self.exchange = self.start_actor(ConfigExchange, self.follower)
         self.orders = self.make_order_issuer()
@@ -214,6 +230,7 @@
         self.scheduler.ask(Stop())
         self.keys.keyed.stopping = True
         self.caller_server.closing = True
+        self.gateway.is_stopping = True
         log.info("The host is leaving", extra={"host": self.settings.host})
         self.clock.sleep(LEAVE_DELAY_S)
         self.wait_until_idle(self.has_open_calls)
@@ -221,8 +238,15 @@
         self.keys.flush()
 
     def has_open_calls(self) -> bool:
-        """Return whether a request is queued or running or its response is unsent."""
-        return self.callers.open_calls > 0 or count_unfinished(self.caller_server) > 0
+        """Return whether a request is queued or running or its response is unsent.
+
+        Calls of other hosts that lead through this one count too.
+        """
+        return (
+            self.callers.open_calls > 0
+            or self.gateway.open_tunnels > 0
+            or count_unfinished(self.caller_server) > 0
+        )
 
     def ready(self) -> bool:
         """Return whether load balancers should send callers to this host."""
@@ -289,7 +313,13 @@
         self.callers.config = state
         self.scheduler.tell(NewConfig(state))
         self.allocator.tell(NewConfig(state))
-        targets = frozenset(target.address for target in state.targets.values())
+        places = {
+            target.address: Zone(target.place or target.zone)
+            for target in state.targets.values()
+        }
+        self.connector.set_places(places)
+        self.gateway.set_targets(places)
+        targets = frozenset(places)
         self.membership.tell(ConfigChanged(state.offset, targets))
         self.metrics.config_offset.set({}, state.offset)
 
@@ -302,6 +332,7 @@
         self.allocator.tell(message)
         if isinstance(message, HostsChanged):
             self.orders.hosts = message.hosts
+            self.connector.set_peers(message.peers)
 
     def poll_host_list(self) -> None:
         """Read the platform's host list periodically until the host stops.
--- a/godwitladder/decisions/paths.py
+++ b/godwitladder/decisions/paths.py
@@ -36,6 +36,8 @@
         Time of the first failure.
     tried_at : float
         Time of the last attempt to connect directly.
+    error : Exception or None
+        Why that attempt failed.
     next_round_at : float
         Time from which gateways may be asked.
     round_interval_s : float
@@ -44,6 +46,7 @@
 
     since: float
     tried_at: float
+    error: Exception | None = None
     next_round_at: float = 0.0
     round_interval_s: float = MIN_ROUND_INTERVAL_S
 
@@ -68,15 +71,22 @@
         """Record a direct connection; return the path if it was lost until now."""
         return self.lost.pop(address, None)
 
-    def record_failed(self, address: str, now: float) -> bool:
+    def record_failed(
+        self, address: str, now: float, error: Exception | None = None
+    ) -> bool:
         """Record a failed direct connection; return whether the path was sound."""
         path = self.lost.get(address)
         if path is None:
-            self.lost[address] = LostPath(now, now)
+            self.lost[address] = LostPath(now, now, error)
             return True
-        path.tried_at = now
+        path.tried_at, path.error = now, error
         return False
 
+    def last_error(self, address: str) -> Exception | None:
+        """Return why the last direct connection to ``address`` failed, if it did."""
+        path = self.lost.get(address)
+        return path.error if path else None
+
     def take_probe(self, address: str, now: float) -> bool:
         """Return whether to try the direct path now, and record the attempt if so."""
         path = self.lost.get(address)
--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -13,6 +13,7 @@
 from urllib3.connection import HTTPConnection
 
 from godwitladder.engines.wire import (
+    Dial,
     MayHaveRun,
     TargetRefused,
     connect,
@@ -116,7 +117,7 @@
 
 
 def open_stream(
-    address: str, stream: StreamId, body: bytes, idle_s: float
+    address: str, stream: StreamId, body: bytes, idle_s: float, dial: Dial = connect
 ) -> EngineStream:
     """Dispatch ``body`` as ``stream``; only this call starts work at the engine.
 
@@ -125,14 +126,18 @@
     NotSent, MayHaveRun, TargetRefused
         See `godwitladder.engines.wire`.
     """
-    connection = connect(address, idle_s)
+    connection = dial(address, idle_s)
     headers = {"Content-Type": "application/json", STREAM_HEADER: stream}
     response = send(connection, "POST", "/v1/chat/completions", body, headers)
     return _open_or_raise(connection, response)
 
 
 def resume_stream(
-    address: str, stream: StreamId, sequence: int, idle_s: float
+    address: str,
+    stream: StreamId,
+    sequence: int,
+    idle_s: float,
+    dial: Dial = connect,
 ) -> EngineStream:
     """Read ``stream`` from event ``sequence`` on, without a new dispatch.
 
@@ -141,14 +146,14 @@
     NotSent, MayHaveRun, TargetRefused
         See `godwitladder.engines.wire`.
     """
-    connection = connect(address, idle_s)
+    connection = dial(address, idle_s)
     path = f"/v1/streams/{stream}?from={sequence}"
     return _open_or_raise(connection, send(connection, "GET", path, None, {}))
 
 
-def cancel_stream(address: str, stream: StreamId) -> None:
+def cancel_stream(address: str, stream: StreamId, dial: Dial = connect) -> None:
     """Cancel ``stream`` at the engine."""
-    connection = connect(address, 2.0)
+    connection = dial(address, 2.0)
     try:
         send(connection, "DELETE", f"/v1/streams/{stream}", None, {})
     finally:
--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from godwitladder.clock import Clock
-from godwitladder.engines.wire import MayHaveRun, connect, read_cooldown, send
+from godwitladder.engines.wire import Dial, MayHaveRun, connect, read_cooldown, send
 from godwitladder.ids import ServiceName, StreamId
 
 MAX_READ_BYTES = 65_536
@@ -39,6 +39,7 @@
     content_type: str,
     clock: Clock,
     deadline: float,
+    dial: Dial = connect,
 ) -> ServiceAnswer:
     """Dispatch one call and return its complete answer.
 
@@ -46,6 +47,8 @@
     ----------
     deadline : float
         Monotonic time in seconds after which the answer is no longer useful.
+    dial : callable
+        Connects to the service.
 
     Raises
     ------
@@ -53,7 +56,7 @@
         See `godwitladder.engines.wire`. An answer that ends before its stated
         length raises `MayHaveRun` and is never returned truncated.
     """
-    connection = connect(address, max(0.1, deadline - clock.monotonic()))
+    connection = dial(address, max(0.1, deadline - clock.monotonic()))
     headers = {"Content-Type": content_type, CALL_HEADER: call}
     response = send(connection, "POST", f"/call/{service}", body, headers)
     try:
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -1,7 +1,7 @@
 """HTTP connections to targets that tell failures before the first byte from later."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -13,6 +13,13 @@
 """Statuses with which a target refuses a request for the time being."""
 
 
+Dial = Callable[[str, float], HTTPConnection]
+"""Returns an open connection to an address, with a timeout of reads in seconds.
+
+Raises `NotSent` if the connection could not be established.
+"""
+
+
 class NotSent(GodwitladderError):
     """The request was not dispatched: no byte of it was sent to the target."""
 
--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -175,9 +175,9 @@
         others = {zone: tuple(row) for zone, row in zones.items()}
         hubs = frozenset() if topology.is_mesh() else topology.hubs
         peers = tuple(
-            Peer(row.host, row.address, row.availability_zone)
+            Peer(row.host, row.address, row.availability_zone or row.zone)
             for row in live
-            if row.zone == me.zone and not row.leaving
+            if (row.zone == me.zone or row.host in self.mesh.links) and not row.leaving
         )
         return HostsChanged(
             hosts, others, topology.allocator_candidates(live, hosts), hubs, peers
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -98,7 +98,7 @@
     def count_refused_request(self, rank: int, reason: Reason) -> None:
         """Count a request that was refused while it was queued."""
         self.count_request(rank, RequestState.NOT_RUN)
-        if reason in (Reason.SHED, Reason.DEADLINE):
+        if reason in (Reason.SHED, Reason.DEADLINE, Reason.NO_TARGET):
             self.sheds.inc({"rank": str(rank), "reason": reason.value})
 
     def count_refused_call(self, reason: Reason) -> None:
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -5,6 +5,7 @@
 about once a second beside a tunnel, at no cost to the call.
 """
 
+import errno
 import random
 import select
 import socket
@@ -31,14 +32,30 @@
 
 log = component_logger("paths")
 
-CONNECT_TIMEOUT_S = 0.3
-"""Connecting within a region takes 1 to 5 ms. A target that does not accept in
-this time is overloaded or down, and another target can still meet the deadline."""
-DIRECT_TIMEOUT_S = 0.1
-"""The same where a tunnel may be opened instead."""
 TUNNEL_TIMEOUT_S = 0.25
 NO_ZONE = Zone("")
 MAX_GATEWAYS_TRIED = 4
+MAX_TUNNEL_S = 3600.0
+"""Longest life of a tunnel for a call whose deadline is kept by its host alone."""
+
+
+@dataclass(frozen=True)
+class ConnectTimeouts:
+    """How long to wait for a direct connection to a target, in seconds.
+
+    Connecting within a region takes 1 to 5 ms. A target that does not accept in time
+    is overloaded or down, and another target can still meet the deadline.
+
+    Attributes
+    ----------
+    only_way_s : float
+        Where there is no other way.
+    before_tunnel_s : float
+        Where a tunnel may be opened instead.
+    """
+
+    only_way_s: float = 0.3
+    before_tunnel_s: float = 0.1
 
 
 @dataclass(frozen=True)
@@ -80,6 +97,8 @@
         Availability zone of this host.
     tunnels : Tunnels or None
         Opens tunnels; None if all connections are direct.
+    timeouts : ConnectTimeouts
+        Limits of the time to connect directly.
 
     Attributes
     ----------
@@ -99,7 +118,9 @@
         metrics: Metrics,
         availability_zone: Zone = NO_ZONE,
         tunnels: Tunnels | None = None,
+        timeouts: ConnectTimeouts = ConnectTimeouts(),
     ) -> None:
+        self.timeouts = timeouts
         self.clock = clock
         self.metrics = metrics
         self.availability_zone = availability_zone
@@ -129,7 +150,8 @@
         """
         has_gateways = self.tunnels is not None and bool(self.peers)
         if not has_gateways or not self.is_lost(address):
-            timeout_s = DIRECT_TIMEOUT_S if has_gateways else CONNECT_TIMEOUT_S
+            times = self.timeouts
+            timeout_s = times.before_tunnel_s if has_gateways else times.only_way_s
             try:
                 return self.connect_directly(address, read_timeout_s, timeout_s)
             except NotSent:
@@ -143,9 +165,21 @@
                 tunnel.close()
             return TargetConnection(_wrap(direct, address, read_timeout_s))
         if tunnel is None:
-            raise NotSent(f"no path to {address}")
+            with self.lock:
+                cause = self.paths.last_error(address)
+            raise NotSent(f"no path to {address}") from cause
         return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
 
+    def dial(self, address: str, read_timeout_s: float) -> HTTPConnection:
+        """Return a new open connection to the target at ``address``.
+
+        Raises
+        ------
+        NotSent
+            The connection could not be established.
+        """
+        return self.connect(address, read_timeout_s, MAX_TUNNEL_S).http
+
     def connect_directly(
         self, address: str, read_timeout_s: float, timeout_s: float
     ) -> TargetConnection:
@@ -239,12 +273,13 @@
             return None
         poll = select.poll()
         poll.register(probe, select.POLLOUT)
-        is_ready = poll.poll(CONNECT_TIMEOUT_S * 1000 if wait else 0)
+        is_ready = poll.poll(self.timeouts.only_way_s * 1000 if wait else 0)
         error = probe.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if is_ready and not error:
             self.record_connected(address)
             return probe
         probe.close()
+        self.record_failed(address, OSError(error or errno.ETIMEDOUT, "no connection"))
         return None
 
     def is_lost(self, address: str) -> bool:
@@ -276,7 +311,8 @@
     def record_failed(self, address: str, error: Exception) -> None:
         """Record a failed direct connection, and log it if the path was sound."""
         with self.lock:
-            is_new = self.paths.record_failed(address, self.clock.monotonic())
+            now = self.clock.monotonic()
+            is_new = self.paths.record_failed(address, now, error)
             lost = len(self.paths.lost)
         if not is_new:
             return
--- a/godwitladder/paths/gateway.py
+++ b/godwitladder/paths/gateway.py
@@ -13,7 +13,7 @@
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
-from godwitladder.paths.connector import DIRECT_TIMEOUT_S, Connector
+from godwitladder.paths.connector import Connector
 from godwitladder.paths.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
 from godwitladder.paths.splicing import READ_BYTES, splice
 
@@ -127,7 +127,7 @@
         """Return the streams of a new connection; None if there is no path."""
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(DIRECT_TIMEOUT_S):
+            async with asyncio.timeout(self.connector.timeouts.before_tunnel_s):
                 streams = await asyncio.open_connection(
                     host, int(port), limit=READ_BYTES
                 )
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -18,7 +18,7 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.quarantine import HOLD_S, Quarantine, QuarantineStatus
 from godwitladder.engines.engine import resume_stream
-from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused, connect
+from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.ids import BodyDigest
 from godwitladder.logs import component_logger
 from godwitladder.membership.links import Link
@@ -75,6 +75,8 @@
         The links to other hosts.
     clock : Clock
         The host's clock.
+    dial : callable
+        Connects to targets.
 
     Attributes
     ----------
@@ -93,7 +95,9 @@
         claims: pykka.ActorRef,
         mesh: Mesh,
         clock: Clock,
+        dial: Dial = connect,
     ) -> None:
+        self.dial = dial
         self.run = run
         self.config = config
         self.claims = claims
@@ -270,9 +274,11 @@
             return False
         try:
             if call.service.kind is ServiceKind.PLAIN:
-                connect(target.address, PROBE_TIMEOUT_S).close()
+                self.dial(target.address, PROBE_TIMEOUT_S).close()
                 return False
-            resume_stream(target.address, call.row.stream, 0, PROBE_TIMEOUT_S).close()
+            resume_stream(
+                target.address, call.row.stream, 0, PROBE_TIMEOUT_S, self.dial
+            ).close()
         except NotSent as error:
             return _is_connection_refused(error)
         except TargetRefused as error:
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -6,6 +6,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.state import ConfigState
+from godwitladder.engines.wire import Dial, connect
 from godwitladder.ids import ServiceName, WorkspaceName
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
@@ -49,6 +50,8 @@
         The host's clock.
     metrics : Metrics
         Metrics that count requests and refusals.
+    dial : callable
+        Connects to targets.
 
     Attributes
     ----------
@@ -63,14 +66,16 @@
         scheduler: pykka.ActorRef,
         clock: Clock,
         metrics: Metrics,
+        dial: Dial = connect,
     ) -> None:
         super().__init__()
+        self.dial = dial
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
         self.config = ConfigState()
         self.dispatcher = Dispatcher(
-            settings, scheduler, clock, metrics, self.exceeds_thread_limit
+            settings, scheduler, clock, metrics, self.exceeds_thread_limit, dial
         )
         self.keyed: KeyedCalls | None = None
 
@@ -111,7 +116,14 @@
             identity = path[len(REQUEST_PATH) :]
             secret = self.settings.peers.secret
             return resume_request(
-                environ, identity, caller, config, secret, self.clock, start_response
+                environ,
+                identity,
+                caller,
+                config,
+                secret,
+                self.clock,
+                start_response,
+                self.dial,
             )
         raise deny(Reason.UNKNOWN_PATH, f"There is no {method} {path}.")
 
@@ -126,7 +138,14 @@
         def resume(identity: str) -> Iterable[bytes]:
             secret = self.settings.peers.secret
             return resume_request(
-                {}, identity, caller, self.config, secret, self.clock, start_response
+                {},
+                identity,
+                caller,
+                self.config,
+                secret,
+                self.clock,
+                start_response,
+                self.dial,
             )
 
         environ = {**environ, BODY_KEY: body}
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -10,7 +10,7 @@
 from godwitladder.decisions.cancel import DisconnectAction, disconnect_action
 from godwitladder.engines.engine import cancel_stream
 from godwitladder.engines.service import call_service
-from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
+from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
@@ -66,6 +66,8 @@
         The metrics to update.
     exceeds_thread_limit : callable
         Returns whether more calls are open than the host has threads for.
+    dial : callable
+        Connects to targets.
     """
 
     def __init__(
@@ -75,7 +77,9 @@
         clock: Clock,
         metrics: Metrics,
         exceeds_thread_limit: Callable[[], bool],
+        dial: Dial = connect,
     ) -> None:
+        self.dial = dial
         self.exceeds_thread_limit = exceeds_thread_limit
         self.settings = settings
         self.scheduler = scheduler
@@ -121,7 +125,7 @@
     Parameters
     ----------
     dispatcher : Dispatcher
-        Provides the settings, scheduler, clock and metrics.
+        Provides the settings, scheduler, clock, metrics and connections.
     call : Call
         The call to send.
     dispatch : Dispatch
@@ -132,6 +136,7 @@
         self.call = call
         self.dispatch = dispatch
         self.clock = dispatcher.clock
+        self.dial = dispatcher.dial
         self.scheduler = dispatcher.scheduler
         self.reporter = DispatchReporter(
             call, dispatcher.scheduler, dispatcher.clock, dispatcher.metrics
@@ -198,6 +203,7 @@
             self.call.content_type,
             self.clock,
             row.deadline,
+            self.dial,
         )
         self._record_cooldown(answer.cooldown_s)
         self.reporter.report_end(RequestState.COMPLETED)
@@ -221,9 +227,11 @@
         self, gone: Callable[[], bool], start_response
     ) -> Iterable[bytes]:
         address, stream = self.dispatch.address, self.dispatch.stream
-        opened = dispatch_stream(address, stream, self.call.body)
+        opened = dispatch_stream(address, stream, self.call.body, self.dial)
         row = self.call.row
-        follower = StreamFollower(address, stream, self.clock, row.deadline, opened)
+        follower = StreamFollower(
+            address, stream, self.clock, row.deadline, opened, self.dial
+        )
         if self.call.streamed:
             start_events(start_response, self.identity)
             return StreamedAnswer(
@@ -268,7 +276,7 @@
         if error.refusal.reason not in (Reason.DEADLINE, Reason.CALLER_GONE):
             return
         try:
-            cancel_stream(self.dispatch.address, self.dispatch.stream)
+            cancel_stream(self.dispatch.address, self.dispatch.stream, self.dial)
         except (NotSent, MayHaveRun) as cancel_error:
             log.info(
                 "Could not cancel a stream",
--- a/godwitladder/serving/keys.py
+++ b/godwitladder/serving/keys.py
@@ -17,7 +17,7 @@
 from godwitladder.configuration.model import ServiceKind
 from godwitladder.configuration.state import ConfigState
 from godwitladder.engines.engine import resume_stream
-from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
+from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.ids import Incarnation, StreamId, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.membership.mesh import Mesh
@@ -123,7 +123,12 @@
         )
         self.forwarder = Forwarder(host, incarnation, mesh, callers, clock)
         self.watch = CrashWatch(
-            callers.dispatcher.serve, lambda: callers.config, self.claims, mesh, clock
+            callers.dispatcher.serve,
+            lambda: callers.config,
+            self.claims,
+            mesh,
+            clock,
+            callers.dial,
         )
         self.claims.tell(SubscribeCrashEvents(self.watch.replay))
         self.keyed = callers.keyed = KeyedCalls(
@@ -179,7 +184,9 @@
     def find_request_id(self, call: Call, stream: StreamId) -> str:
         """Return the signed id of ``stream`` if a target has it, else ``""``."""
         row = call.row
-        target = find_stream(self.callers.config, row.service, stream)
+        target = find_stream(
+            self.callers.config, row.service, stream, self.callers.dial
+        )
         if target is None:
             return ""
         return sign_request_id(
@@ -188,7 +195,7 @@
 
 
 def find_stream(
-    config: ConfigState, service: str, stream: StreamId
+    config: ConfigState, service: str, stream: StreamId, dial: Dial = connect
 ) -> TargetName | None:
     """Ask each target of ``service`` and return the one that has ``stream``.
 
@@ -202,7 +209,7 @@
         if service not in target.services:
             continue
         try:
-            resume_stream(target.address, stream, 0, PROBE_TIMEOUT_S).close()
+            resume_stream(target.address, stream, 0, PROBE_TIMEOUT_S, dial).close()
         except (NotSent, MayHaveRun, TargetRefused):
             continue
         return TargetName(name)
--- a/godwitladder/serving/relay.py
+++ b/godwitladder/serving/relay.py
@@ -17,7 +17,7 @@
     open_stream,
     resume_stream,
 )
-from godwitladder.engines.wire import MayHaveRun, NotSent, TargetRefused
+from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import StreamId
 from godwitladder.outcomes import Reason, Refusal, RequestState
@@ -114,6 +114,8 @@
         clock.
     opened : EngineStream or None
         The connection that dispatched the request, if this host did.
+    dial : callable
+        Connects to the target.
 
     Attributes
     ----------
@@ -128,7 +130,9 @@
         clock: Clock,
         deadline: float,
         opened: EngineStream | None = None,
+        dial: Dial = connect,
     ) -> None:
+        self.dial = dial
         self.address = address
         self.stream = stream
         self.clock = clock
@@ -184,7 +188,11 @@
     def _resume(self) -> EngineStream:
         try:
             return resume_stream(
-                self.address, self.stream, self.progress.next_sequence, IDLE_TIMEOUT_S
+                self.address,
+                self.stream,
+                self.progress.next_sequence,
+                IDLE_TIMEOUT_S,
+                self.dial,
             )
         except TargetRefused as error:
             text = f"the target no longer has the stream: {error}"
@@ -230,7 +238,9 @@
     return Refusal(RequestState.MAY_HAVE_RUN, Reason.TARGET_LOST, text)
 
 
-def dispatch_stream(address: str, stream: StreamId, body: bytes) -> EngineStream | None:
+def dispatch_stream(
+    address: str, stream: StreamId, body: bytes, dial: Dial = connect
+) -> EngineStream | None:
     """Dispatch ``body``; return None if the engine gave no answer but may have it.
 
     A request that was written is never written a second time. Its stream is
@@ -243,6 +253,6 @@
         See `godwitladder.engines.wire`.
     """
     try:
-        return open_stream(address, stream, body, IDLE_TIMEOUT_S)
+        return open_stream(address, stream, body, IDLE_TIMEOUT_S, dial)
     except MayHaveRun:
         return None
--- a/godwitladder/serving/resuming.py
+++ b/godwitladder/serving/resuming.py
@@ -12,6 +12,7 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind, Target
 from godwitladder.configuration.state import ConfigState
+from godwitladder.engines.wire import Dial, connect
 from godwitladder.outcomes import Reason, Refusal, RequestState
 from godwitladder.serving.answers import answer_buffered, event_bytes, start_events
 from godwitladder.serving.calls import Caller, CallRefused, deny, read_timeout
@@ -34,6 +35,7 @@
     secret: str,
     clock: Clock,
     start_response,
+    dial: Dial = connect,
 ) -> Iterable[bytes]:
     """Answer with the stream of ``identity`` from the requested event on.
 
@@ -46,7 +48,7 @@
     name, target = find_request(identity, caller, config, secret)
     start = read_start(environ)
     deadline = clock.monotonic() + read_timeout(environ, RESUME_TIMEOUT_S)
-    follower = StreamFollower(target.address, name.stream, clock, deadline)
+    follower = StreamFollower(target.address, name.stream, clock, deadline, dial=dial)
     try:
         if "application/json" in environ.get("HTTP_ACCEPT", ""):
             body = join_chunks(follower, identity, "")
