Cut hosts off from targets in the soak

Each host has proxies of its own to the targets where a run has cuts; connections hang, are reset, or live on while new ones are refused. Cuts are drawn apart, so that old seeds draw the same faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,7 @@
     jobs: int = 1,
     faults: int = 8,
     statements: int = 3,
+    cuts: int = 0,
     seconds: float = 12.0,
     hosts: int = 4,
     logs: str = "",
@@ -35,6 +36,8 @@
         Number of faults per seed.
     statements : int
         How often targets state something about themselves, per seed.
+    cuts : int
+        How often a host loses its paths to all targets, per seed.
     seconds : float
         Duration of each run in seconds, without startup and final checks.
     hosts : int
@@ -43,7 +46,9 @@
         Directory for the logs of the hosts, with one subdirectory per seed.
     """
     first_seed = int(time.time()) if first < 0 else first
-    size = RunSize(hosts=hosts, faults=faults, statements=statements, seconds=seconds)
+    size = RunSize(
+        hosts=hosts, faults=faults, statements=statements, cuts=cuts, seconds=seconds
+    )
 
     def run_one_seed(seed: int) -> Outcome:
         folder = None
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -8,7 +8,7 @@
 from godwitladder.standins.routed import EngineKnobs
 from soak.fleet import Fleet, Host, Target
 from soak.plan import Fault, FaultKind
-from soak.proxy import Direction, Proxy
+from soak.proxy import CutMode, Direction, Proxy
 from soak.records import History
 
 SLOW_DELAY_S = 0.4
@@ -79,6 +79,7 @@
             ),
             FaultKind.PEER_RESET: lambda f: self.host(f).peer_proxy.reset(),
             FaultKind.PEER_SILENT: lambda f: self.host(f).peer_proxy.blackhole(),
+            FaultKind.PATHS_CUT: self.cut_paths,
             FaultKind.CONFIG: lambda f: self.change_config(),
             FaultKind.REVOKE: self.revoke,
         }
@@ -187,6 +188,17 @@
         time.sleep(fault.duration_s)
         proxy.refusing = False
 
+    def cut_paths(self, fault: Fault) -> None:
+        """Cut all paths of a host to the targets, in one of three ways."""
+        host = self.host(fault)
+        modes = list(CutMode)
+        if not self.reserve(f"paths of {host.name}"):
+            return
+        host.cut_paths(modes[fault.affected_index % len(modes)])
+        time.sleep(fault.duration_s)
+        host.restore_paths()
+        self.release(f"paths of {host.name}")
+
     def set_target_fault(self, fault: Fault, knob: str, value, normal_value) -> None:
         """Set a fault of a target for the duration, then restore its usual value."""
         knobs = self.target(fault).knobs
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,7 @@
     TARGET_LIMITS = "target_limits"
     TARGET_SAYS_LEAVING = "target_says_leaving"
     TARGET_RESTS = "target_rests"
+    PATHS_CUT = "paths_cut"
 
 
 PLANNED_KINDS = frozenset(
@@ -59,6 +60,9 @@
 faults. They must not interrupt any call either.
 """
 
+CUT_KINDS = frozenset({FaultKind.PATHS_CUT})
+"""Cuts of all paths of a host to the targets. They are drawn apart too."""
+
 STORE_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 
 PLANNED_ONLY_INTERVAL = 4
@@ -130,6 +134,33 @@
     return sorted(statements, key=lambda fault: fault.start_s)
 
 
+def draw_cuts(seed: int, seconds: float, count: int) -> list[Fault]:
+    """Return the cuts of hosts' paths to the targets, in order of the start.
+
+    Several hosts may be cut off at once, and a host again and again.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random generator. The same arguments give the same cuts.
+    seconds : float
+        Duration of the run.
+    count : int
+        Number of cuts.
+    """
+    rng = random.Random(f"{seed}-cuts")
+    cuts = [
+        Fault(
+            rng.uniform(0.5, seconds * LAST_START_FRACTION),
+            FaultKind.PATHS_CUT,
+            rng.randrange(100),
+            rng.uniform(0.3, MAX_FAULT_DURATION_S),
+        )
+        for _ in range(count)
+    ]
+    return sorted(cuts, key=lambda fault: fault.start_s)
+
+
 def draw_faults(seed: int, seconds: float, count: int) -> list[Fault]:
     """Return the faults of a run in order of their start.
 
@@ -149,7 +180,7 @@
     kinds = sorted(
         PLANNED_KINDS
         if seed % PLANNED_ONLY_INTERVAL == 0
-        else set(FaultKind) - STATEMENT_KINDS,
+        else set(FaultKind) - STATEMENT_KINDS - CUT_KINDS,
         key=lambda k: k.value,
     )
     faults = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from soak.callers import Balancer, Caller
 from soak.fleet import Fleet
 from soak.inject import Injector
-from soak.plan import draw_faults, draw_statements
+from soak.plan import draw_cuts, draw_faults, draw_statements
 from soak.records import Attempt, History, TargetArrival, TargetRun
 
 START_TIMEOUT_S = 40.0
@@ -25,7 +25,8 @@
 class RunSize:
     """Size of a run: numbers of its parts, and its duration in seconds.
 
-    ``statements`` is how often targets state something about themselves.
+    ``statements`` is how often targets state something about themselves, ``cuts`` how
+    often a host loses its paths to all targets.
     """
 
     hosts: int = 4
@@ -33,6 +34,7 @@
     callers: int = 6
     faults: int = 8
     statements: int = 0
+    cuts: int = 0
     seconds: float = 12.0
 
 
@@ -68,7 +70,9 @@
     with contextlib.ExitStack() as stack:
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        fleet = Fleet(stack, folder, size.hosts, size.targets)
+        fleet = Fleet(
+            stack, folder, size.hosts, size.targets, has_own_paths=size.cuts > 0
+        )
         if not fleet.wait_until_converged(START_TIMEOUT_S):
             return Outcome(seed, 0, 0, 0, ["the hosts did not find each other"])
         return SoakRun(seed, size, fleet).run()
@@ -84,6 +88,7 @@
         self.started_at = time.monotonic()
         faults = draw_faults(seed, size.seconds, size.faults)
         faults += draw_statements(seed, size.seconds, size.statements)
+        faults += draw_cuts(seed, size.seconds, size.cuts)
         faults.sort(key=lambda fault: fault.start_s)
         self.history = History(faults, hosts=size.hosts)
         self.stop_event = threading.Event()
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -1,5 +1,7 @@
 """Short runs of the soak test, and all seeds that have failed before."""
 
+import dataclasses
+
 import pytest
 
 from soak.run import RunSize, run_seed
@@ -22,6 +24,12 @@
 }
 """Seeds in which targets state something about themselves -> what they cover."""
 
+CUTS = {
+    601: "hosts lose their paths to the targets beside faults of hosts",
+    604: "the same beside planned work",
+}
+"""Seeds in which hosts lose their paths to the targets -> what they cover."""
+
 FAILED = {
     1796269771: "a target that came back while the reader was paused stayed unknown",
     344: "SIGTERM while the host was loading ended it as a crash (-15)",
@@ -53,6 +61,13 @@
     assert run_seed(seed, SHORT_WITH_STATEMENTS, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", CUTS)
+def test_cut_paths_violate_no_guarantee(seed, tmp_path):
+    """All guarantees hold while hosts have no path of their own to the targets."""
+    size = dataclasses.replace(SHORT, faults=3, cuts=4, seconds=9.0)
+    assert run_seed(seed, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("seed", FAILED)
 def test_a_failed_seed_violates_no_guarantee(seed, tmp_path):
     """The seed gives the same faults at the same times as in the run that failed."""
