Keep a target that answers while half of the hosts cannot reach it

Cause: the allocator left a target out for all hosts as soon as half of them avoided it. That share can't tell a target that is down from paths that are cut; hosts still avoid targets where no gateway is left to lead them (all full, or none reached in time).

Evidence: test_a_target_that_answers_some_hosts_is_kept_while_half_cannot_reach_it, seen failing without the change (its mutation).

Why it works: a target that has completed a request for any host within the last second is up. One that is down completes nothing, so the vote is a second late at most.

--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -166,6 +166,7 @@
         self.rate_limits = RateLimits()
         self.departures = Departures()
         self.brittle = BrittleTargets()
+        self.answered_at: dict[TargetName, float] = {}
         self.waiting: dict[RequestId, WaitingRequest] = {}
         self.loads = LoadReports()
         self.delays = ReportDelays()
@@ -177,6 +178,7 @@
     ) -> None:
         """Update the pool, the configuration and the addresses that are leaving."""
         for name in self.pool.targets - pool.targets:
+            self.answered_at.pop(name, None)
             for learned in (
                 self.speeds,
                 self.throttles,
@@ -214,6 +216,7 @@
             self.brittle.record_refusal(name, running, now)
         self.quotas.add_history(report.host, report.spent, report.covered_s, now)
         for row in report.completions:
+            self.answered_at[row.target] = now
             self.observe_completion(row)
         for sample in report.throughput_samples:
             self.observe_throughput(sample, now)
@@ -254,6 +257,10 @@
             output = 0
         self.speeds.observe(row.target, prompt, output, row.first_token_s, row.total_s)
 
+    def has_answered(self, target: TargetName, since: float) -> bool:
+        """Return whether a target has completed a request after ``since``."""
+        return self.answered_at.get(target, float("-inf")) > since
+
     def take_floor(self, report: FloorReport, now: float) -> None:
         """Store the floor report of another allocator."""
         self.floors[report.pool] = Floor(report.floor, report.shed_rank, now)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -23,6 +23,10 @@
     from godwitladder.scheduler.role import PoolRole
 
 
+ANSWER_MEMORY_S = 1.0
+"""Time for which an answer shows that a target is up; a host avoids one as long."""
+
+
 def pool_view(role: "PoolRole", now: float) -> PoolView:
     """Return the input of `allocate`."""
     view = PoolView(
@@ -155,15 +159,21 @@
 
 
 def unreachable_targets(role: "PoolRole", now: float) -> set[TargetName]:
-    """Return the targets to which at least half of the hosts can't connect.
+    """Return the targets that are probably down.
 
-    The broken network path of one host must not make a target unavailable to all
-    hosts, even while no other host has anything to report.
+    At least half of the hosts can't connect to them, and none has had an answer of
+    late. The broken network path of one host must not make a target unavailable to
+    all hosts, even while no other host has anything to report, and neither must the
+    paths of many hosts while the target answers those that reach it.
     """
     current = role.current(now)
     avoiding = Counter(name for row in current for name in row.avoided)
     hosts = max(len(current), role.quotas.expected_hosts)
-    return {name for name, count in avoiding.items() if count * 2 >= hosts}
+    return {
+        name
+        for name, count in avoiding.items()
+        if count * 2 >= hosts and not role.has_answered(name, now - ANSWER_MEMORY_S)
+    }
 
 
 def refusing_targets(role: "PoolRole", now: float) -> set[TargetName]:
--- a/tests/scheduler/test_idle.py
+++ b/tests/scheduler/test_idle.py
@@ -2,11 +2,11 @@
 
 from godwitladder.decisions.types import PoolName
 from godwitladder.ids import HostId, Incarnation
-from godwitladder.scheduler.exchange import GrantOffer, PoolReport
+from godwitladder.scheduler.exchange import Completion, GrantOffer, PoolReport
 from godwitladder.scheduler.pools import make_pools
 from godwitladder.scheduler.reports import HEARTBEAT_S, due_reports, take_offer
 from godwitladder.scheduler.role import ANSWER_INTERVAL_S, PoolRole
-from godwitladder.scheduler.views import target_views
+from godwitladder.scheduler.views import ANSWER_MEMORY_S, target_views
 from tests.scheduler.harness import (
     START,
     make_config,
@@ -88,3 +88,14 @@
     role.take_report(report_of("h2", 1, START, avoided=("e0",)), START + 1)
     role.run(HOSTS, START + 2)
     assert "e0" not in target_views(role, START + 2)
+
+
+def test_a_target_that_answers_some_hosts_is_kept_while_half_cannot_reach_it():
+    """Guards against losing a sound target for all where half have lost their paths."""
+    role = make_role()
+    for host in ("h1", "h2"):
+        role.take_report(report_of(host, 1, START, avoided=("e0",)), START)
+    done = Completion("e0", "w", "chat", 10, 10, 0.1, 0.2)
+    role.take_report(report_of("h0", 1, START, completions=(done,)), START)
+    assert "e0" in target_views(role, START)
+    assert "e0" not in target_views(role, START + ANSWER_MEMORY_S)
