Ask only hosts that open tunnels, and for no longer than half a second

Found by reading: a host of an older version takes the connection of a tunnel for a new link and drops the one it had, so that links flap while a fleet is being updated. A heartbeat says now whether its host opens tunnels. Four gateways that don't answer took a second, in which a target may begin to leave; no further one is asked after 0.5 s.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -305,6 +305,7 @@
             self.incarnation,
             False,
             0,
+            is_gateway=True,
         )
 
     def publish_config(self, ledger: Ledger) -> None:
--- a/godwitladder/membership/actor.py
+++ b/godwitladder/membership/actor.py
@@ -177,7 +177,9 @@
         peers = tuple(
             Peer(row.host, row.address, row.availability_zone or row.zone)
             for row in live
-            if (row.zone == me.zone or row.host in self.mesh.links) and not row.leaving
+            if row.is_gateway
+            and not row.leaving
+            and (row.zone == me.zone or row.host in self.mesh.links)
         )
         return HostsChanged(
             hosts, others, topology.allocator_candidates(live, hosts), hubs, peers
--- a/godwitladder/membership/members.py
+++ b/godwitladder/membership/members.py
@@ -33,6 +33,8 @@
         Its availability zone if ``zone`` names a whole region, else empty.
     cores : float
         Its processor capacity, in cores of standard speed.
+    is_gateway : bool
+        Whether it opens tunnels for other hosts.
     """
 
     host: HostId
@@ -45,6 +47,7 @@
     count: int = 0
     availability_zone: Zone = Zone("")
     cores: float = 0.0
+    is_gateway: bool = False
 
 
 def as_member(row: Heartbeat, now: float) -> Member:
@@ -60,6 +63,7 @@
         row.count,
         row.availability_zone,
         row.cores,
+        row.is_gateway,
     )
 
 
@@ -75,6 +79,7 @@
         row.count,
         row.availability_zone,
         row.cores,
+        row.is_gateway,
     )
 
 
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -49,6 +49,9 @@
         Its availability zone if ``zone`` names a whole region, else empty.
     cores : float
         Its processor capacity, in cores of standard speed.
+    is_gateway : bool
+        Whether it opens tunnels for other hosts. A host of a version that doesn't
+        would take the connection of a tunnel for a link.
     """
 
     host: HostId
@@ -60,11 +63,12 @@
     count: int = 0
     availability_zone: Zone = Zone("")
     cores: float = 0.0
+    is_gateway: bool = False
 
 
 @dataclass(frozen=True)
 class Peer:
-    """Where another live host is.
+    """Where another live host is that opens tunnels.
 
     Attributes
     ----------
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -35,6 +35,9 @@
 TUNNEL_TIMEOUT_S = 0.25
 NO_ZONE = Zone("")
 MAX_GATEWAYS_TRIED = 4
+MAX_ROUND_S = 0.5
+"""Time after which no further gateway is asked: the call holds a slot meanwhile, and
+its target may have begun to leave."""
 MAX_TUNNEL_S = 3600.0
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
 
@@ -201,8 +204,12 @@
     def open_tunnel(self, address: str, left_s: float) -> TunnelSocket | None:
         """Return a tunnel to the target; None if no gateway opens one."""
         candidates = self.choose_gateways(address)
+        began = self.clock.monotonic()
         for gateway in candidates:
-            request = TunnelRequest(address, max(0.1, left_s))
+            waited_s = self.clock.monotonic() - began
+            if waited_s > MAX_ROUND_S:
+                break
+            request = TunnelRequest(address, max(0.1, left_s - waited_s))
             extra = {"address": address, "gateway": gateway.host}
             try:
                 tunnel = self.tunnels.open(gateway, request, TUNNEL_TIMEOUT_S)
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -253,6 +253,7 @@
             0,
             availability_zone=self.settings.zone,
             cores=self.settings.processor.cores,
+            is_gateway=True,
         )
 
     def make_proxy(self, codec: HeaderCodec) -> RoutedProxy:
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -186,7 +186,7 @@
     hubs : frozenset of HostId
         Hosts to which all others are linked; empty in a full mesh.
     peers : tuple of Peer
-        Where the other live hosts of this zone are.
+        Other live hosts that may be gateways of tunnels.
     """
 
     hosts: tuple[HostId, ...]
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -283,3 +283,11 @@
     assert published[-1].hosts == ("h1",)
     actor.on_receive(Roster((make_heartbeat("h2"),)))
     assert published[-1].hosts == ("h1",)
+
+
+def test_only_hosts_that_open_tunnels_are_gateways():
+    """Guards against a host of an older version that takes a tunnel for a link."""
+    actor, _, published = make_membership()
+    actor.on_receive(Heartbeat("h3", "a", "h3:1", 1, False, 0, is_gateway=True))
+    assert published[-1].hosts == ("h1", "h2", "h3")
+    assert [peer.host for peer in published[-1].peers] == ["h3"]
