Take a full gateway for what it is, not for a target without a path

Found by reading: after a round of gateways without a tunnel a target was asked for less and less often, also if gateways had no room or failed. With one host carrying the calls of many, paths that it has would have stayed unused for up to 4 s. Only a round in which every gateway that was asked has no path counts now; the test fails without that.

--- a/godwitladder/decisions/paths.py
+++ b/godwitladder/decisions/paths.py
@@ -102,12 +102,12 @@
         path = self.lost.get(address)
         return path is not None and now >= path.next_round_at
 
-    def record_round(self, address: str, is_open: bool, now: float) -> None:
-        """Record whether a gateway opened a tunnel to a target."""
+    def record_round(self, address: str, is_reached: bool, now: float) -> None:
+        """Record whether any of the gateways that were asked reaches a target."""
         path = self.lost.get(address)
         if path is None:
             return
-        if is_open:
+        if is_reached:
             path.next_round_at, path.round_interval_s = now, MIN_ROUND_INTERVAL_S
             return
         path.next_round_at = now + path.round_interval_s
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -22,7 +22,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
-from godwitladder.paths.messages import TunnelRequest
+from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
 from godwitladder.paths.tunnels import (
     TunnelFailed,
     TunnelRefused,
@@ -38,6 +38,7 @@
 MAX_ROUND_S = 0.5
 """Time after which no further gateway is asked: the call holds a slot meanwhile, and
 its target may have begun to leave."""
+MIN_TUNNEL_S = 0.1
 MAX_TUNNEL_S = 3600.0
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
 
@@ -203,34 +204,51 @@
 
     def open_tunnel(self, address: str, left_s: float) -> TunnelSocket | None:
         """Return a tunnel to the target; None if no gateway opens one."""
-        candidates = self.choose_gateways(address)
-        began = self.clock.monotonic()
-        for gateway in candidates:
-            waited_s = self.clock.monotonic() - began
-            if waited_s > MAX_ROUND_S:
+        outcomes = set()
+        deadline = self.clock.monotonic() + left_s
+        give_up_at = self.clock.monotonic() + MAX_ROUND_S
+        for gateway in self.choose_gateways(address):
+            now = self.clock.monotonic()
+            if now > give_up_at:
                 break
-            request = TunnelRequest(address, max(0.1, left_s - waited_s))
-            extra = {"address": address, "gateway": gateway.host}
-            try:
-                tunnel = self.tunnels.open(gateway, request, TUNNEL_TIMEOUT_S)
-            except TunnelRefused as error:
-                log.info("A gateway can't help", extra=extra | {"error": str(error)})
-                self.record_refused(gateway, address, error)
-                continue
-            except TunnelFailed as error:
-                log.info("A gateway failed", extra=extra | {"error": str(error)})
-                with self.lock:
-                    self.gateways.record_failed(gateway.host, self.clock.monotonic())
-                continue
+            request = TunnelRequest(address, max(MIN_TUNNEL_S, deadline - now))
+            result = self.ask_gateway(gateway, request)
+            if isinstance(result, TunnelSocket):
+                self.record_round(address, is_reached=True)
+                return result
+            outcomes.add(result)
+        # A gateway that is full or fails says nothing about the target.
+        if outcomes == {TunnelOutcome.NO_PATH}:
+            self.record_round(address, is_reached=False)
+        return None
+
+    def ask_gateway(
+        self, gateway: Peer, request: TunnelRequest
+    ) -> TunnelSocket | TunnelOutcome | None:
+        """Return a tunnel, or why the gateway opened none; None if it failed."""
+        extra = {"address": request.address, "gateway": gateway.host}
+        try:
+            return self.tunnels.open(gateway, request, TUNNEL_TIMEOUT_S)
+        except TunnelRefused as error:
+            answer = error.answer
+            log.info(
+                "A gateway can't help", extra=extra | {"outcome": answer.outcome.value}
+            )
+            now = self.clock.monotonic()
             with self.lock:
-                self.paths.record_round(address, True, self.clock.monotonic())
-            self.metrics.tunnels.inc({"outcome": "open"})
-            return tunnel
-        if candidates:
+                self.gateways.record_refused(gateway.host, request.address, answer, now)
+            return answer.outcome
+        except TunnelFailed as error:
+            log.info("A gateway failed", extra=extra | {"error": str(error)})
             with self.lock:
-                self.paths.record_round(address, False, self.clock.monotonic())
-            self.metrics.tunnels.inc({"outcome": "none"})
-        return None
+                self.gateways.record_failed(gateway.host, self.clock.monotonic())
+            return None
+
+    def record_round(self, address: str, is_reached: bool) -> None:
+        """Record whether any of the gateways that were asked reaches a target."""
+        with self.lock:
+            self.paths.record_round(address, is_reached, self.clock.monotonic())
+        self.metrics.tunnels.inc({"outcome": "open" if is_reached else "no_path"})
 
     def choose_gateways(self, address: str) -> Sequence[Peer]:
         """Return the gateways to try, in order; none if it is too early to try."""
@@ -248,13 +266,6 @@
         rows = order_gateways(usable, self.availability_zone, target_zone)
         return rows[:MAX_GATEWAYS_TRIED]
 
-    def record_refused(self, gateway: Peer, address: str, error: TunnelRefused) -> None:
-        """Record that a gateway opened no tunnel, and what else it doesn't reach."""
-        with self.lock:
-            self.gateways.record_refused(
-                gateway.host, address, error.answer, self.clock.monotonic()
-            )
-
     def start_probe(self, address: str) -> socket.socket | None:
         """Start to connect directly to a target whose path is lost, if that is due."""
         if not self.take_probe(address):
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -300,6 +300,20 @@
     assert refusal_of(near, far, engine.address) is TunnelOutcome.STOPPING
 
 
+def test_a_full_gateway_does_not_delay_the_next_request_for_a_target(
+    stack, monkeypatch
+):
+    """Guards against taking a gateway without room for a target without a path."""
+    engine = start_target(stack)
+    near, far = make_pair(stack, engine.address)
+    monkeypatch.setattr(gateway_module, "MAX_TUNNELS", 0)
+    with pytest.raises(NotSent):
+        near.connect(engine.address)
+    monkeypatch.undo()
+    near.connector.gateways = Gateways()
+    assert near.connect(engine.address).gateway == "far"
+
+
 def test_only_hosts_of_the_fleet_get_a_tunnel(stack):
     """Guards against a tunnel for anyone who reaches the peers' listener."""
     engine = start_target(stack)
@@ -318,7 +332,6 @@
     far.mesh.post(frozen.wait, TIMEOUT_S)
     with pytest.raises(NotSent):
         near.connect(engine.address)
-    near.connector.paths.lost[engine.address].next_round_at = 0.0
     assert not near.connector.choose_gateways(engine.address)
     frozen.set()
 
