--- a/tests/platform/test_cut_paths.py
+++ b/tests/platform/test_cut_paths.py
@@ -12,6 +12,7 @@
 
 from soak.fleet import Fleet, make_config
 from soak.proxy import CutMode
+from tests.fleet import wait_until
 
 CALLERS = 2
 SETTLED_S = 1.0
@@ -207,3 +208,23 @@
         assert (status, problem["reason"]) == (503, "no_target")
         assert problem["outcome"] == "not_run"
         assert count_runs(fleet) == {}
+
+
+def test_a_planned_stop_waits_for_a_long_call_of_another_host(tmp_path):
+    """Guards against a gateway that ends while a call that leads through it runs."""
+    with contextlib.ExitStack() as stack:
+        fleet = make_fleet(stack, tmp_path, hosts=2)
+        first, gateway = fleet.hosts
+        first.cut_paths(CutMode.HANG)
+        for target in fleet.targets:
+            target.knobs.pause_s = 0.8
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(call(first, "/stream/x", "a1", timeout=20))
+        )
+        caller.start()
+        wait_until(lambda: count_runs(fleet), "the call to run")
+        assert gateway.terminate() == 0
+        caller.join()
+        ((status, body),) = answers
+        assert (status, body.count(b"id: ")) == (200, 5)
