Take only a missing connection for a missing path

Found by reading: a call that is held back right before its first byte, since the target has stated that it leaves or wants a rest, was returned as if there were no connection. With all targets of a service at rest, refusals named a missing path. The test fails without the distinction. What targets stated of their brittleness is forgotten with them.

--- a/godwitladder/decisions/brittleness.py
+++ b/godwitladder/decisions/brittleness.py
@@ -24,6 +24,7 @@
 STATEMENT_MEMORY_S : seconds for which a statement holds without another answer.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from godwitladder.ids import TargetName
@@ -95,6 +96,12 @@
         self.stated_at[target] = now
         return is_new
 
+    def retain(self, targets: Collection[TargetName]) -> None:
+        """Forget all targets but ``targets``."""
+        self.stated_at = {
+            name: at for name, at in self.stated_at.items() if name in targets
+        }
+
     def includes(self, target: TargetName, now: float) -> bool:
         """Return whether a target counts as brittle."""
         return now - self.stated_at.get(target, float("-inf")) < STATEMENT_MEMORY_S
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -24,6 +24,10 @@
     """The request was not dispatched: no byte of it was sent to the target."""
 
 
+class NoConnection(NotSent):
+    """No connection to the target could be established, on any way."""
+
+
 class MayHaveRun(GodwitladderError):
     """The request may have reached the target, but no complete answer arrived."""
 
@@ -71,7 +75,7 @@
 
     Raises
     ------
-    NotSent
+    NoConnection
         The connection could not be established.
     """
     host, _, port = address.rpartition(":")
@@ -80,7 +84,7 @@
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as error:
         connection.close()
-        raise NotSent(f"no connection to {address}: {error}") from error
+        raise NoConnection(f"no connection to {address}: {error}") from error
     connection.timeout = read_timeout_s
     connection.sock.settimeout(read_timeout_s)
     return connection
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -17,7 +17,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.paths import Gateways, PathTable, order_gateways
-from godwitladder.engines.wire import NotSent, connect
+from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.messages import Peer
@@ -149,7 +149,7 @@
 
         Raises
         ------
-        NotSent
+        NoConnection
             The connection could not be established.
         """
         has_gateways = self.tunnels is not None and bool(self.peers)
@@ -158,7 +158,7 @@
             timeout_s = times.before_tunnel_s if has_gateways else times.only_way_s
             try:
                 return self.connect_directly(address, read_timeout_s, timeout_s)
-            except NotSent:
+            except NoConnection:
                 if not has_gateways:
                     raise
         probe = self.start_probe(address)
@@ -171,7 +171,7 @@
         if tunnel is None:
             with self.lock:
                 cause = self.paths.last_error(address)
-            raise NotSent(f"no path to {address}") from cause
+            raise NoConnection(f"no path to {address}") from cause
         return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
 
     def dial(self, address: str, read_timeout_s: float) -> HTTPConnection:
@@ -179,7 +179,7 @@
 
         Raises
         ------
-        NotSent
+        NoConnection
             The connection could not be established.
         """
         return self.connect(address, read_timeout_s, MAX_TUNNEL_S).http
@@ -191,12 +191,12 @@
 
         Raises
         ------
-        NotSent
+        NoConnection
             The connection could not be established within ``timeout_s``.
         """
         try:
             connection = connect(address, read_timeout_s, timeout_s)
-        except NotSent as error:
+        except NoConnection as error:
             self.record_failed(address, error)
             raise
         self.record_connected(address)
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -173,7 +173,7 @@
             self.clock.monotonic(),
             may_have_run=message.proof is ReturnProof.IDEMPOTENT,
             avoid=message.avoid,
-            unreached=message.avoid and message.proof is ReturnProof.NOTHING_SENT,
+            unreached=message.unreached,
         )
 
     @take.register
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -46,11 +46,14 @@
         Why this can't lead to an unwanted second run.
     avoid : bool
         Whether this host should avoid the target for a while.
+    unreached : bool
+        Whether there was no connection to the target.
     """
 
     request: RequestId
     proof: ReturnProof
     avoid: bool = True
+    unreached: bool = False
 
 
 @dataclass(frozen=True)
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -25,6 +25,7 @@
     generations = target_generations(tables.config.targets)
     for table in (tables.rate_limits, tables.departures, tables.cooldowns):
         table.keep_generations(generations, now)
+    tables.brittle.retain(generations)
 
 
 def is_current(tables: Tables, message: Statement) -> bool:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -14,7 +14,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.retry_budget import RetryBudget
-from godwitladder.engines.wire import MayHaveRun, NotSent, send
+from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
@@ -173,7 +173,8 @@
             except NotSent as error:
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
-                self.requeue(ReturnProof.NOTHING_SENT, avoid=not aborted)
+                unreached = isinstance(error, NoConnection) and not aborted
+                self.requeue(ReturnProof.NOTHING_SENT, not aborted, unreached)
             except NotRun as error:
                 self.log_failed_send("The target did not run the call", decision, error)
                 refusal = self.requeue_or_refuse(error)
@@ -367,7 +368,9 @@
             self.call.row.service, self.proxy.count_hosts(), now
         )
 
-    def requeue(self, proof: ReturnProof, avoid: bool = True) -> None:
+    def requeue(
+        self, proof: ReturnProof, avoid: bool = True, unreached: bool = False
+    ) -> None:
         """Put the call back into the scheduler's queue.
 
         Parameters
@@ -376,10 +379,14 @@
             Why sending the call again is safe.
         avoid : bool, default=True
             Whether to avoid the last target.
+        unreached : bool, default=False
+            Whether there was no connection to it.
         """
         self.disconnect()
         self.running = False
-        self.proxy.scheduler.tell(Returned(self.call.row.request, proof, avoid))
+        self.proxy.scheduler.tell(
+            Returned(self.call.row.request, proof, avoid, unreached)
+        )
 
     def lost_refusal(self, error: MayHaveRun) -> Refusal:
         """Return the refusal for a call that may have run."""
--- a/tests/decisions/test_brittleness.py
+++ b/tests/decisions/test_brittleness.py
@@ -44,3 +44,5 @@
     assert statements.includes("t", 2.0 + STATEMENT_MEMORY_S - 0.1)
     assert not statements.includes("t", 2.0 + STATEMENT_MEMORY_S)
     assert statements.observe("t", 2.0 + STATEMENT_MEMORY_S)
+    statements.retain({"other"})
+    assert statements.stated_at == {}
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -65,6 +65,7 @@
     def __init__(self, addresses):
         self.addresses = list(addresses)
         self.returned, self.finished, self.others = [], [], []
+        self.unreached = []
         self.rows = {}
 
     def tell(self, message):
@@ -73,6 +74,7 @@
             self.decide(message.row)
         elif isinstance(message, Returned):
             self.returned.append(message.proof)
+            self.unreached.append(message.unreached)
             self.decide(self.rows[message.request])
         elif isinstance(message, Finished):
             self.finished.append(message.state)
@@ -246,6 +248,17 @@
     bench.scheduler.addresses.insert(0, UNREACHABLE_ADDRESS)
     assert bench.call("/charge/x").body == b"answer of a1"
     assert bench.scheduler.returned == [ReturnProof.NOTHING_SENT]
+    assert bench.scheduler.unreached == [True]
+
+
+def test_a_call_that_is_held_back_is_no_sign_of_a_lost_path(stack):
+    """Guards against naming a missing path where the target wants no requests."""
+    bench = Bench(stack, engines=2)
+    first = f"t-{bench.engines[0].address}"
+    bench.statements.departures.observe(first, "", 0.0)
+    assert bench.call("/charge/x").body == b"answer of a1"
+    assert bench.scheduler.returned == [ReturnProof.NOTHING_SENT]
+    assert bench.scheduler.unreached == [False]
 
 
 def test_an_answer_to_another_request_is_never_returned(stack):
