--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -3,9 +3,11 @@
 import pytest
 
 from soak.plan import (
+    CUT_KINDS,
     STATEMENT_KINDS,
     Fault,
     FaultKind,
+    draw_cuts,
     draw_faults,
     draw_statements,
 )
@@ -107,7 +109,13 @@
     assert draw_faults(7, 12.0, 8) != draw_faults(9, 12.0, 8)
     assert {
         fault.kind for seed in range(200) for fault in draw_faults(seed, 12.0, 8)
-    } == set(FaultKind) - STATEMENT_KINDS
+    } == set(FaultKind) - STATEMENT_KINDS - CUT_KINDS
+
+
+def test_a_seed_draws_the_same_cuts_each_time():
+    assert draw_cuts(7, 12.0, 4) == draw_cuts(7, 12.0, 4)
+    assert draw_cuts(7, 12.0, 4) != draw_cuts(9, 12.0, 4)
+    assert {fault.kind for fault in draw_cuts(7, 12.0, 4)} == CUT_KINDS
 
 
 def test_a_seed_draws_the_same_statements_each_time():
