Add failing tests of a paused caller and of a reset behind a gateway

What callers would see: a caller that pauses for some seconds loses the rest of its answer if that comes through another host, and a request that crashes its targets is not held back after three of them.

--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import threading
+import time
 
 import pytest
 
@@ -28,6 +29,9 @@
 RESET = struct.pack("ii", 1, 0)
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
 UNREAD_BYTES = 1 << 27
+PAUSED_BYTES = 1 << 25
+PAUSE_S = 4.0
+SETTLED_S = 0.3
 
 
 class PathHost:
@@ -242,6 +246,34 @@
     assert target.sent < UNREAD_BYTES
 
 
+def test_a_caller_that_pauses_gets_its_whole_answer(stack):
+    """Guards against taking a gateway for silent while its data waits to be read."""
+    whole = bytes(PAUSED_BYTES)
+    target = RawTarget(stack, lambda target, sock: sock.sendall(HEAD + whole))
+    near, _ = make_pair(stack, target.address)
+    response = ask(near.connect(target.address))
+    time.sleep(PAUSE_S)
+    assert len(read_response_body(response)) == len(whole)
+
+
+def test_a_reset_of_the_target_counts_against_the_target_not_the_tunnel(stack):
+    """Guards against a request that crashes targets and is never held back.
+
+    Losses are counted only if the way to the target is not to blame for them.
+    """
+
+    def serve(target, sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    target = RawTarget(stack, serve)
+    near, _ = make_pair(stack, target.address)
+    connection = near.connect(target.address)
+    with pytest.raises(MayHaveRun):
+        ask(connection)
+    time.sleep(SETTLED_S)
+    assert not connection.is_broken
+
+
 def test_a_gateway_without_a_path_opens_no_tunnel_through_a_third_host(stack):
     """Guards against chains and loops of tunnels."""
     engine = start_target(stack)
