Ping a gateway only while nothing waits to be read, and tell a target's reset apart

What callers saw: a caller that read nothing for 4 s lost the rest of an answer that came through another host; a request that crashes its targets by resets was not counted as lost there, so that it could reach more than three of them.

Cause: the library answers pings in the order of the data, so pongs wait behind what the caller doesn't read, and its own pings took a sound gateway for silent. A reset behind the gateway ended the tunnel without a close code of its own and looked like a broken tunnel, for which the target is not to blame.

Why it works: pings are sent here; an interval counts as silent only if nothing has arrived and neither side waits for data to be taken. The gateway closes with a code for an end in order, with another one for a reset, and gives the other end 30 s to read on.

--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -46,10 +46,8 @@
 """Connections that may wait to be accepted. After a restart all hosts dial at once,
 and a connection that finds the queue full is retried only seconds later."""
 TUNNEL_PATH = "/tunnel"
-TUNNEL_PING_INTERVAL_S, TUNNEL_PING_TIMEOUT_S = 0.5, 1.5
 TUNNEL_CLOSE_TIMEOUT_S = 0.25
-"""A gateway that freezes or is cut off sends nothing; its tunnels then end within
-the sum, and what may be repeated is sent another way."""
+"""A gateway that is frozen doesn't answer the closing handshake either."""
 TUNNEL_QUEUE_MESSAGES = 4
 """Messages of a tunnel that wait to be written, beyond which its reading stops."""
 JOIN_TIMEOUT_S = 2.0
@@ -381,8 +379,6 @@
         connection = await self._connect(
             address,
             TUNNEL_PATH,
-            ping_interval=TUNNEL_PING_INTERVAL_S,
-            ping_timeout=TUNNEL_PING_TIMEOUT_S,
             close_timeout=TUNNEL_CLOSE_TIMEOUT_S,
             max_queue=TUNNEL_QUEUE_MESSAGES,
         )
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -23,6 +23,7 @@
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
 from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
+from godwitladder.paths.splicing import StreamEnd
 from godwitladder.paths.tunnels import (
     TunnelFailed,
     TunnelRefused,
@@ -85,7 +86,7 @@
     @property
     def is_broken(self) -> bool:
         """Whether the way through another host broke."""
-        return self.tunnel is not None and self.tunnel.is_broken
+        return self.tunnel is not None and self.tunnel.end is StreamEnd.BROKEN
 
 
 class Connector:
--- a/godwitladder/paths/gateway.py
+++ b/godwitladder/paths/gateway.py
@@ -15,13 +15,16 @@
 from godwitladder.membership.codec import InvalidMessage, decode, encode
 from godwitladder.paths.connector import Connector
 from godwitladder.paths.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
-from godwitladder.paths.splicing import READ_BYTES, splice
+from godwitladder.paths.splicing import READ_BYTES, Splice
 
 log = component_logger("paths")
 
 REQUEST_TIMEOUT_S = 1.0
 MAX_TUNNELS = 64
 """Bounds what this host forwards, since its own callers share its processor."""
+CLOSE_TIMEOUT_S = 30.0
+"""Time for the other end to read the rest after the target's end: a caller may pause,
+and a connection that acknowledges nothing for as long is dropped anyway."""
 MAX_LISTED_PATHS = 64
 """Limit on the addresses in an answer."""
 
@@ -100,9 +103,10 @@
         try:
             await connection.send(encode(TunnelAnswer(outcome, lost)))
             if streams:
+                connection.close_timeout = CLOSE_TIMEOUT_S
                 # The deadline of the call, which its own host also keeps.
                 async with asyncio.timeout(request.timeout_s):
-                    await splice(connection, *streams)
+                    await Splice(connection, *streams).run()
         except TimeoutError:
             log.info("A tunnel outlived its call", extra=extra)
         finally:
--- a/godwitladder/paths/tunnels.py
+++ b/godwitladder/paths/tunnels.py
@@ -18,7 +18,7 @@
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Peer
 from godwitladder.paths.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
-from godwitladder.paths.splicing import READ_BYTES, splice
+from godwitladder.paths.splicing import READ_BYTES, Splice, StreamEnd
 
 
 class TunnelRefused(GodwitladderError):
@@ -46,12 +46,12 @@
     ----------
     gateway : HostId
         The host through which the tunnel leads.
-    is_broken : bool
-        Whether the tunnel ended otherwise than by the target's own end.
+    end : StreamEnd or None
+        How the target's connection has ended; None while it is open here.
     """
 
     gateway = HostId("")
-    is_broken = False
+    end: StreamEnd | None = None
 
     def recv_into(self, *args) -> int:
         """Receive bytes.
@@ -59,12 +59,12 @@
         Raises
         ------
         ConnectionResetError
-            The tunnel broke. An answer without a stated length would otherwise end
-            here and look complete.
+            The target's connection was reset, or the tunnel broke. An answer without
+            a stated length would otherwise end here and look complete.
         """
         count = super().recv_into(*args)
-        if count == 0 and self.is_broken:
-            raise ConnectionResetError(f"the tunnel through {self.gateway} broke")
+        if count == 0 and self.end in (StreamEnd.RESET, StreamEnd.BROKEN):
+            raise ConnectionResetError(f"{self.end.value}, through {self.gateway}")
         return count
 
 
@@ -146,10 +146,10 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Forward bytes until either end closes."""
-        ended = False
+        end = StreamEnd.BROKEN
         try:
-            ended = await splice(connection, reader, writer)
+            end = await Splice(connection, reader, writer).run(self.mesh.clock)
         finally:
             # Before the call reads the end of the stream.
-            tunnel.is_broken = not ended
+            tunnel.end = end
             writer.close()
