Count a target as reached as soon as a request runs or is lost there

What callers saw: no_target, though their host was connected to the target and requests ran on it. The mark of a failed connection was taken back only by a request that completes.

--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -388,7 +388,6 @@
 
 def record_acceptance(target: TargetRow) -> None:
     """Record that a target accepts requests, and log it if it did not before."""
-    target.is_unreached = False
     if not target.accepts_requests:
         target.accepts_requests = True
         log.info("A target answers again", extra=target.log_fields())
@@ -407,6 +406,7 @@
     """Record that a target has finished a prefill, and report it to the allocator."""
     target = tables.targets.get(row.target)
     if target and not row.first_token:
+        target.is_unreached = False
         target.pending_prefill_tokens -= row.prompt_tokens
         target.pending_prefill_requests -= 1
         access = tables.pool_of.get(row.target)
@@ -450,6 +450,8 @@
     target = tables.targets.get(row.target)
     if completed and target:
         record_acceptance(target)
+    if target and state is not RequestState.NOT_RUN:
+        target.is_unreached = False
     if row.declared_tokens and row.produced_tokens:
         observe_length(tables, row, incomplete=not completed)
     access = tables.pool_of.get(row.target)
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -17,6 +17,7 @@
     finish_request,
     grow_request,
     no_path_refusal,
+    record_first_output,
     return_request,
     run_systems,
 )
@@ -225,3 +226,17 @@
     assert systems.may_fall_back(tables, access, target, 1.0)
     tables.brittle.observe("e0", 1.0)
     assert not systems.may_fall_back(tables, access, target, 1.1)
+
+
+def test_a_target_that_is_reached_again_is_no_missing_path_before_a_request_completes():
+    """Guards against naming a missing path while requests run or fail at the target."""
+    tables = make_tables("h0", ("h0",), make_config({"e0": 4}))
+    row = dispatch(tables, "r", 1.0)
+    return_request(tables, row, 1.1, unreached=True)
+    running, waiting = dispatch(tables, "s", 3.0), make_request("w", 3.0)
+    record_first_output(tables, running)
+    assert no_path_refusal(tables, waiting) is None
+    return_request(tables, running, 3.2, unreached=True)
+    lost = dispatch(tables, "t", 5.0)
+    finish_request(tables, lost, RequestState.MAY_HAVE_RUN, 5.1)
+    assert no_path_refusal(tables, waiting) is None
