--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -211,12 +211,13 @@
             generations = target_generations(self.config.targets)
             self.rate_limits.observe_all(report.rate_limits, generations, now - delay_s)
             self.departures.observe_all(report.departures, generations, now)
-        for name in report.brittle_refusals:
+        for name in self.pool.targets.intersection(report.brittle_refusals):
             running = self.current_usage().get(name, NO_USAGE).running
             self.brittle.record_refusal(name, running, now)
         self.quotas.add_history(report.host, report.spent, report.covered_s, now)
         for row in report.completions:
-            self.answered_at[row.target] = now
+            if row.target in self.pool.targets:
+                self.answered_at[row.target] = now
             self.observe_completion(row)
         for sample in report.throughput_samples:
             self.observe_throughput(sample, now)
--- a/tests/scheduler/test_idle.py
+++ b/tests/scheduler/test_idle.py
@@ -99,3 +99,13 @@
     role.take_report(report_of("h0", 1, START, completions=(done,)), START)
     assert "e0" in target_views(role, START)
     assert "e0" not in target_views(role, START + ANSWER_MEMORY_S)
+
+
+def test_late_reports_of_targets_that_are_gone_leave_nothing_behind():
+    """Guards against tables that grow with each target that ever was."""
+    role = make_role()
+    done = Completion("gone", "w", "chat", 10, 10, 0.1, 0.2)
+    report = report_of("h0", 1, START, completions=(done,), brittle_refusals=("gone",))
+    role.take_report(report, START)
+    assert "gone" not in role.answered_at
+    assert "gone" not in role.brittle.rows
