Start a brittle target that is back under a new name with the lower limit

What callers would see: a target that has fallen over comes back empty under a new name, gets as many requests as its entry tells, and may fall again at once, as its limit was kept by name.

Why it works: targets of a service are brittle alike; one that joins a pool takes over the limit of the last refusal there, which grows with time as it does for the others. A pool without a refusal gives newcomers all their slots as before.

--- a/godwitladder/decisions/brittleness.py
+++ b/godwitladder/decisions/brittleness.py
@@ -7,8 +7,9 @@
 
 The allocator of the pool hears of each refusal at once. It then grants the target fewer
 requests than it had, and one more after each interval without a refusal, so that the
-rare refusals that remain show the room that is left. A process that starts anew under
-its old name keeps the lower limit: it is as brittle as before, and all hosts want it.
+rare refusals that remain show the room that is left. A process that starts anew, under
+its old name or another one, begins with the lower limit: it is as brittle as the one
+before, and all hosts want it.
 
 A host that hears nothing of its allocator for a moment doesn't use a brittle target
 beside what the allocator may have given to others.
@@ -53,9 +54,18 @@
 
 @dataclass
 class BrittleTargets:
-    """The brittle targets of a pool that have refused requests, at its allocator."""
+    """The brittle targets of a pool that have refused requests, at its allocator.
+
+    Attributes
+    ----------
+    rows : dict
+        The targets with a limit.
+    last : BrittleTarget or None
+        State of the target that refused last; None before the first refusal.
+    """
 
     rows: dict[TargetName, BrittleTarget] = field(default_factory=dict)
+    last: BrittleTarget | None = None
 
     def record_refusal(self, target: TargetName, running: int, now: float) -> None:
         """Record a refusal while ``running`` requests were with the target."""
@@ -63,7 +73,8 @@
         if row is not None and now - row.refused_at < SETTLING_S:
             return
         before = self.limit(target, running, now)
-        self.rows[target] = BrittleTarget(max(1, int(before * KEPT_FRACTION)), now)
+        self.last = BrittleTarget(max(1, int(before * KEPT_FRACTION)), now)
+        self.rows[target] = self.last
 
     def limit(self, target: TargetName, slots: int, now: float) -> int:
         """Return the number of requests that a target may have at once."""
@@ -73,6 +84,11 @@
         grown = int((now - row.refused_at) / GROWTH_INTERVAL_S)
         return max(1, min(slots, row.limit + grown))
 
+    def adopt(self, target: TargetName) -> None:
+        """Give a target that has joined the pool the limit of the last refusal."""
+        if self.last is not None:
+            self.rows[target] = self.last
+
     def forget(self, target: TargetName) -> None:
         """Forget a target that has left the pool."""
         self.rows.pop(target, None)
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -188,6 +188,8 @@
                 self.forecast,
             ):
                 learned.forget(name)
+        for name in pool.targets - self.pool.targets:
+            self.brittle.adopt(name)
         self.pool, self.config, self.leaving = pool, config, leaving
         self.quotas.rates = token_rates(config)
         for name in pool.targets:
--- a/tests/decisions/test_brittleness.py
+++ b/tests/decisions/test_brittleness.py
@@ -46,3 +46,20 @@
     assert statements.observe("t", 2.0 + STATEMENT_MEMORY_S)
     statements.retain({"other"})
     assert statements.stated_at == {}
+
+
+def test_a_process_under_a_new_name_starts_with_the_limit_of_the_last_refusal():
+    """Guards against filling a target that is back after a fall as if it had room.
+
+    Targets of a service are brittle alike, and a process that starts again mostly has
+    a new name.
+    """
+    targets = BrittleTargets()
+    targets.adopt("first")
+    assert targets.limit("first", 8, 0.0) == 8
+    targets.record_refusal("first", 8, 0.0)
+    targets.forget("first")
+    targets.adopt("second")
+    assert targets.limit("second", 8, 0.1) == 6
+    assert targets.limit("second", 8, 9 * GROWTH_INTERVAL_S) == 8
+    assert targets.limit("third", 8, 0.1) == 8
--- a/tests/scheduler/test_idle.py
+++ b/tests/scheduler/test_idle.py
@@ -109,3 +109,14 @@
     role.take_report(report, START)
     assert "gone" not in role.answered_at
     assert "gone" not in role.brittle.rows
+
+
+def test_a_target_that_joins_a_brittle_pool_is_not_filled_at_once():
+    """Guards against a fall of each process that is back under a new name."""
+    role = make_role()
+    role.brittle.record_refusal("e0", 2, START)
+    config = make_config({"e1": 2, "e2": 2})
+    (pool,) = make_pools(config.targets).values()
+    role.configure(pool, config, frozenset())
+    views = target_views(role, START + 0.1)
+    assert (views["e1"].limit, views["e2"].limit) == (2, 1)
