Give gateways time for their own attempt, and test the end of a round

What callers of the product's own interface would see: no way through another host where connecting takes long, since a gateway was given 0.25 s to answer and 0.5 s to connect, and counted as failed for a second while it still tried. The times stand together now.

The body that passes a tunnel in a test is larger than the largest message between hosts now.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -65,7 +65,9 @@
 CRITICAL_THREADS = frozenset(
     {"config", "hosts", "ticker", "http", "claim-read", "claim-write"}
 )
-CONNECT_TIMEOUTS = ConnectTimeouts(only_way_s=2.0, before_tunnel_s=0.5)
+CONNECT_TIMEOUTS = ConnectTimeouts(
+    only_way_s=2.0, before_tunnel_s=0.5, tunnel_s=1.25, round_s=2.5
+)
 """Targets may be in another region, and a connection there takes some round trips."""
 FAILURE_EXIT_CODE = 70
 
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -33,12 +33,8 @@
 
 log = component_logger("paths")
 
-TUNNEL_TIMEOUT_S = 0.25
 NO_ZONE = Zone("")
 MAX_GATEWAYS_TRIED = 4
-MAX_ROUND_S = 0.5
-"""Time after which no further gateway is asked: the call holds a slot meanwhile, and
-its target may have begun to leave."""
 MIN_TUNNEL_S = 0.1
 MAX_TUNNEL_S = 3600.0
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
@@ -46,7 +42,7 @@
 
 @dataclass(frozen=True)
 class ConnectTimeouts:
-    """How long to wait for a direct connection to a target, in seconds.
+    """How long to wait for a connection to a target, in seconds.
 
     Connecting within a region takes 1 to 5 ms. A target that does not accept in time
     is overloaded or down, and another target can still meet the deadline.
@@ -56,11 +52,18 @@
     only_way_s : float
         Where there is no other way.
     before_tunnel_s : float
-        Where a tunnel may be opened instead.
+        Where a tunnel may be opened instead; also for a gateway.
+    tunnel_s : float
+        For a gateway to answer, whose own attempt is a part of it.
+    round_s : float
+        After which no further gateway is asked: the call holds a slot meanwhile, and
+        its target may have begun to leave.
     """
 
     only_way_s: float = 0.3
     before_tunnel_s: float = 0.1
+    tunnel_s: float = 0.25
+    round_s: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -103,7 +106,7 @@
     tunnels : Tunnels or None
         Opens tunnels; None if all connections are direct.
     timeouts : ConnectTimeouts
-        Limits of the time to connect directly.
+        Limits of the time to connect.
 
     Attributes
     ----------
@@ -207,7 +210,7 @@
         """Return a tunnel to the target; None if no gateway opens one."""
         outcomes = set()
         deadline = self.clock.monotonic() + left_s
-        give_up_at = self.clock.monotonic() + MAX_ROUND_S
+        give_up_at = self.clock.monotonic() + self.timeouts.round_s
         for gateway in self.choose_gateways(address):
             now = self.clock.monotonic()
             if now > give_up_at:
@@ -229,7 +232,7 @@
         """Return a tunnel, or why the gateway opened none; None if it failed."""
         extra = {"address": request.address, "gateway": gateway.host}
         try:
-            return self.tunnels.open(gateway, request, TUNNEL_TIMEOUT_S)
+            return self.tunnels.open(gateway, request, self.timeouts.tunnel_s)
         except TunnelRefused as error:
             answer = error.answer
             log.info(
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -9,6 +9,7 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.daemon import CONNECT_TIMEOUTS
 from godwitladder.decisions.paths import Gateways
 from godwitladder.engines.wire import MayHaveRun, NotSent, send
 from godwitladder.ids import HostId, Zone
@@ -16,7 +17,7 @@
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
 from godwitladder.paths import gateway as gateway_module
-from godwitladder.paths.connector import Connector
+from godwitladder.paths.connector import Connector, ConnectTimeouts
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
 from godwitladder.paths.tunnels import TunnelRefused, Tunnels
@@ -117,7 +118,7 @@
     engine = start_target(stack)
     near, _ = make_pair(stack, engine.address)
     connection = near.connect(engine.address)
-    body = bytes(range(256)) * 10_000
+    body = bytes(range(256)) * 20_000
     response = send(
         connection.http, "POST", "/a?b=%41", body, {"godwitladder-attempt-id": "a1"}
     )
@@ -398,3 +399,27 @@
             near.connect(address)
     assert len(asked) == 1
     assert near.connector.paths.lost[address].round_interval_s > 1.0
+
+
+@pytest.mark.parametrize("timeouts", [ConnectTimeouts(), CONNECT_TIMEOUTS])
+def test_a_gateway_may_say_that_it_has_no_path(timeouts):
+    """Guards against taking a gateway that still tries its path for one that fails."""
+    assert timeouts.tunnel_s > 2 * timeouts.before_tunnel_s
+    assert timeouts.round_s >= timeouts.tunnel_s
+
+
+def test_no_gateway_is_asked_after_the_time_of_a_round(stack):
+    """Guards against a slot that is held while one gateway after the other fails."""
+    engine = start_target(stack)
+    near, _ = make_pair(stack, engine.address)
+    asked = []
+
+    def ask_slowly(gateway, request):
+        asked.append(gateway)
+        time.sleep(near.connector.timeouts.round_s + 0.1)
+
+    near.connector.ask_gateway = ask_slowly
+    near.connector.set_peers([Peer(HostId(f"h{n}"), "") for n in range(3)])
+    with pytest.raises(NotSent):
+        near.connect(engine.address)
+    assert len(asked) == 1
