Test an allocator without paths, paths that flap, and limits through tunnels alone

Asked again of the change: is it so while the host that is cut off grants to all, while one path of two is lost and back several times, and where a limit is stated through tunnels only?

--- a/tests/platform/test_cut_paths.py
+++ b/tests/platform/test_cut_paths.py
@@ -10,10 +10,12 @@
 
 import pytest
 
+from godwitladder.decisions.rendezvous import choose_host
 from soak.fleet import Fleet, make_config
 from soak.proxy import CutMode
 from tests.fleet import wait_until
 
+POOL = "r/core"
 CALLERS = 2
 SETTLED_S = 1.0
 OBSERVED_S = 3.0
@@ -228,3 +230,54 @@
         caller.join()
         ((status, body),) = answers
         assert (status, body.count(b"id: ")) == (200, 5)
+
+
+def test_an_allocator_without_paths_serves_its_callers_and_grants_to_others(tmp_path):
+    """Guards against an allocator that takes its own lost paths for lost targets."""
+    with contextlib.ExitStack() as stack:
+        fleet = make_fleet(stack, tmp_path)
+        names = [host.name for host in fleet.hosts]
+        allocator = fleet.hosts[names.index(choose_host(names, POOL))]
+        allocator.cut_paths(CutMode.HANG)
+        time.sleep(SETTLED_S)
+        shares = served_shares(fleet.hosts, "/lookup/x")
+        assert min(shares.values()) > 0.9, shares
+
+
+@pytest.mark.parametrize("mode", CutMode)
+def test_paths_that_are_lost_and_back_in_quick_turns_cost_no_call(tmp_path, mode):
+    """Guards against calls lost to a path that flaps, or with one target of two."""
+    with contextlib.ExitStack() as stack:
+        fleet = make_fleet(stack, tmp_path)
+        host = fleet.hosts[0]
+        until = time.monotonic() + OBSERVED_S
+        callers = [Caller(host, "/lookup/x", until) for _ in range(CALLERS)]
+        paths = list(host.paths.values())
+        while time.monotonic() < until:
+            paths[0].cut(mode)
+            time.sleep(0.3)
+            paths[0].restore()
+            time.sleep(0.2)
+        for caller in callers:
+            caller.join()
+        statuses = Counter(status for row in callers for status, _ in row.answers)
+        assert statuses[200] > 0.9 * statuses.total(), statuses
+
+
+def test_a_limit_stated_through_a_tunnel_alone_is_kept(tmp_path):
+    """Guards against a statement that is read from direct connections only."""
+    limit = 2.0
+    with contextlib.ExitStack() as stack:
+        fleet = make_fleet(stack, tmp_path)
+        fleet.hosts[0].cut_paths(CutMode.HANG)
+        until = time.monotonic() + SETTLED_S + 3.0 + WINDOW_S
+        callers = [Caller(fleet.hosts[0], "/lookup/x", until) for _ in range(4)]
+        time.sleep(SETTLED_S)
+        for target in fleet.targets:
+            target.knobs.rate_limit = limit
+        for caller in callers:
+            caller.join()
+        for target in fleet.targets:
+            arrivals = target.server.standin.arrivals
+            late = [row.at for row in arrivals if row.at > until - WINDOW_S]
+            assert 0 < len(late) <= 1.5 * limit * WINDOW_S + 5
