--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -22,6 +22,7 @@
 from godwitladder.standins.platform import start_platform
 from godwitladder.standins.ports import free_ports
 from godwitladder.standins.service import start_service
+from soak import host_process
 
 SECRET = "a secret of tests"
 OPERATOR_TOKEN = "operator-token"
@@ -53,6 +54,7 @@
     operators: str
     peers: str
     process: subprocess.Popen | None = None
+    proxies: dict[str, str] = field(default_factory=dict)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -90,15 +92,20 @@
         return server
 
     def add_host(
-        self, name: str, zone: str, extra: str = "", platform_extra: str = ""
+        self,
+        name: str,
+        zone: str,
+        extra: str = "",
+        platform_extra: str = "",
+        proxies: dict[str, str] | None = None,
     ) -> Host:
         """Start an entry host and add it to the platform's host list.
 
         ``extra`` is appended to the settings, ``platform_extra`` to their table
-        ``platform``.
+        ``platform``. ``proxies`` lead from this host alone to addresses.
         """
         ports = [f"127.0.0.1:{port}" for port in free_ports(3)]
-        host = Host(name, zone, *ports)
+        host = Host(name, zone, *ports, proxies=proxies or {})
         seeds = json.dumps([other.peers for other in self.hosts])
         text = f"""
 host = "{name}"
@@ -135,9 +142,13 @@
     def start_host(self, host: Host) -> None:
         """Start a process for ``host`` with its settings file."""
         path = self.folder / f"{host.name}.toml"
+        program = ["godwitladder"]
+        if host.proxies:
+            program.insert(0, "soak.host_process")
         with open(self.folder / f"{host.name}.log", "ab") as output:
             host.process = subprocess.Popen(
-                [sys.executable, "-m", "godwitladder", "serve", "--settings", path],
+                [sys.executable, "-m", *program, "serve", "--settings", path],
+                env=os.environ | {host_process.VARIABLE: json.dumps(host.proxies)},
                 stderr=output,
             )
         self.stack.callback(end_process, host.process)
