Take a probe without a descriptor for a failed one

What callers would see: 500 with the outcome may_have_run, though nothing was sent, on a host that has no descriptor left when it tries a lost path.

--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -275,7 +275,12 @@
         if not self.take_probe(address):
             return None
         host, _, port = address.rpartition(":")
-        probe = socket.socket()
+        try:
+            probe = socket.socket()
+        except OSError as error:
+            # No descriptor is left; a call ends, or this one is queued again.
+            self.record_failed(address, error)
+            return None
         probe.setblocking(False)
         probe.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         probe.connect_ex((host, int(port)))
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -1,6 +1,7 @@
 """Tunnels to targets through another host, in one process."""
 
 import contextlib
+import errno
 import socket
 import struct
 import threading
@@ -423,3 +424,19 @@
     with pytest.raises(NotSent):
         near.connect(engine.address)
     assert len(asked) == 1
+
+
+def test_a_host_without_descriptors_reports_that_nothing_was_sent(stack, monkeypatch):
+    """Guards against a call that fails as lost because its host had no descriptor."""
+    engine = start_target(stack)
+    near, _ = make_pair(stack, engine.address)
+    near.connector.paths.lost[engine.address].tried_at = float("-inf")
+    near.connector.open_tunnel = lambda address, left_s: None
+
+    def fail(*args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(socket, "socket", fail)
+    with pytest.raises(NotSent):
+        near.connect(engine.address)
+    monkeypatch.undo()
