Log that a connection leads through another host

Only routed calls told it, in the line of the send; on calls of the product's own interface no line did. One line for each connection that goes another way; its test failed before.

--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -218,6 +218,8 @@
             request = TunnelRequest(address, max(MIN_TUNNEL_S, deadline - now))
             result = self.ask_gateway(gateway, request)
             if isinstance(result, TunnelSocket):
+                extra = {"address": address, "gateway": gateway.host}
+                log.info("A connection leads through another host", extra=extra)
                 self.record_round(address, is_reached=True)
                 return result
             outcomes.add(result)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import logging
 import socket
 import struct
 import threading
@@ -440,3 +441,13 @@
     with pytest.raises(NotSent):
         near.connect(engine.address)
     monkeypatch.undo()
+
+
+def test_a_connection_through_another_host_is_logged(stack, caplog):
+    """Guards against calls of the own interface whose way no line tells."""
+    caplog.set_level(logging.INFO)
+    engine = start_target(stack)
+    near, _ = make_pair(stack, engine.address)
+    near.connector.dial(engine.address, TIMEOUT_S).close()
+    lines = [row for row in caplog.records if "leads through" in row.message]
+    assert [(row.address, row.gateway) for row in lines] == [(engine.address, "far")]
