--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -96,6 +96,27 @@
     assert role.throttles.limit("e0", 8, now) == 8
 
 
+@pytest.mark.parametrize("silence_s", [1.0, 1.5])
+def test_a_target_that_is_silent_for_a_second_keeps_its_slots(silence_s):
+    """Guards against leaving a sound target idle for seconds after a short silence."""
+    harness, now = make_settled_harness({"e0": 8})
+    role, tps = harness.roles["h0"], harness.config.targets["e0"].decode_tps
+    row = submit(harness.hosts["h1"], make_request("r", now, declared_tokens=100_000))
+    run_systems(harness.hosts["h1"], now)
+    progress(harness, row, 1, now + 0.02)
+    role.speeds.learned["e0"].count = MIN_OBSERVATIONS
+    limits = set()
+
+    def work(now):
+        progress(harness, row, row.produced_tokens + int(tps / 2), now)
+        limits.add(role.throttles.limit("e0", 8, now))
+
+    now = run_for(harness, now, 6.0, work)
+    now = run_for(harness, now, silence_s, lambda now: None)
+    run_for(harness, now, 8.0, work)
+    assert limits == {8}
+
+
 @pytest.mark.parametrize("factor", [0.0, 0.1], ids=["silent", "slow"])
 def test_a_caller_that_reads_slowly_takes_no_slots_from_others(factor):
     """Guards against a lower limit of an engine because one caller reads slowly.
