Log who granted what of a quota, and sum it up from the lines of all hosts

The record of a workspace that got more than its quota can't tell its hypotheses apart: a refusal for its quota doesn't say whether the allocator or the host's own share refused, and nothing says what an allocator had left, what a new one began with, or what hosts gave out by themselves. No decision is changed.

- A call that is sent or refused names the allocator and its term, or the host's own share.
- The allocator of a pool writes a line each second in which a workspace was granted anything: term, version of the document, share, hosts heard of; granted, left and begun with, for the 16 workspaces with the least left.
- A host whose allocator answers again says what it spent by its own share meanwhile.
- godwitladder spending names the window in which each workspace spent most, and who granted it.

--- a/godwitladder/account.py
+++ b/godwitladder/account.py
@@ -177,18 +177,18 @@
         The outcomes by route and by time span.
     """
     rows = [row for row in map(parse_log_line, lines) if _is_counted(row)]
-    rows.sort(key=_timestamp)
+    rows.sort(key=timestamp)
     summary = CallSummary()
     sent: dict[str, float] = {}
     bodies: dict[str, str] = {}
     refused: set[str] = set()
     for row in rows:
-        request, time = str(row.get("request")), _timestamp(row)
+        request, time = str(row.get("request")), timestamp(row)
         if row["message"] == SENT:
             sent[request], bodies[request] = time, str(row.get("body"))
             continue
         route = str(row.get("route", NO_ROUTE))
-        start = _timestamp(rows[0])
+        start = timestamp(rows[0])
         span = int((time - start) // span_s)
         if row["message"] == ENDED and request in sent:
             summary.add_slot_time(sent[request] - start, time - start, span_s)
@@ -228,13 +228,14 @@
         for span, stats in sorted(summary.spans.items())
     ]
     return [
-        *_align_columns([("route", *TABLE_HEADER), *routes]),
+        *align_columns([("route", *TABLE_HEADER), *routes]),
         "",
-        *_align_columns([("from", "places in use", *TABLE_HEADER), *spans]),
+        *align_columns([("from", "places in use", *TABLE_HEADER), *spans]),
     ]
 
 
-def _align_columns(rows: list[tuple[str, ...]]) -> list[str]:
+def align_columns(rows: list[tuple[str, ...]]) -> list[str]:
+    """Return the rows of a table as lines of text with aligned columns."""
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     return [
         "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
@@ -243,14 +244,15 @@
 
 
 def _is_counted(row: dict[str, Any]) -> bool:
-    if _timestamp(row) is None:
+    if timestamp(row) is None:
         return False
     if row.get("message") == TURNED_AWAY:
         return row.get("reason") == Reason.SHED.value
     return row.get("message") in (SENT, ENDED, REFUSED)
 
 
-def _timestamp(row: dict[str, Any]) -> float | None:
+def timestamp(row: dict[str, Any]) -> float | None:
+    """Return the time of a log line in seconds; None if it has none."""
     try:
         return datetime.strptime(str(row.get("asctime")), TIME_FORMAT).timestamp()
     except ValueError:
--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -17,7 +17,7 @@
 import sys
 import threading
 from argparse import RawDescriptionHelpFormatter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import defopt
@@ -32,6 +32,7 @@
 from godwitladder.logs import configure_logs
 from godwitladder.routing.settings import read_routed_settings
 from godwitladder.settings import read_settings
+from godwitladder.spending import find_spending_windows, format_windows
 from godwitladder.standins import engine, platform, service
 from godwitladder.standins.engine import start_engine
 from godwitladder.standins.platform import start_platform
@@ -107,13 +108,31 @@
     span : float
         Length of the time span for each row of the second table, in seconds.
     """
-    lines = [
+    for row in format_summary(summarize_calls(read_log_lines(logs), span), span):
+        print(row)
+
+
+def show_spending(*logs: Path, window: float = 8.0) -> None:
+    """Print the window in which each workspace spent most, and who granted it.
+
+    Parameters
+    ----------
+    logs : Path
+        Files with the JSON log lines of any number of hosts.
+    window : float
+        Length of the window, in seconds.
+    """
+    for row in format_windows(find_spending_windows(read_log_lines(logs), window)):
+        print(row)
+
+
+def read_log_lines(logs: Iterable[Path]) -> list[str]:
+    """Return the lines of log files."""
+    return [
         line
         for path in logs
         for line in read_file(path).decode(errors="replace").splitlines()
     ]
-    for row in format_summary(summarize_calls(lines, span), span):
-        print(row)
 
 
 def check_ticket(ticket: Path) -> None:
@@ -344,6 +363,7 @@
     "settings": {"check": check_settings, "check-routed": check_routed_settings},
     "explain": explain_request,
     "account": summarize_logs,
+    "spending": show_spending,
     "ticket": {
         "check": check_ticket,
         "submit": submit_ticket,
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -29,9 +29,11 @@
     seconds without need.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import accumulate
+from operator import attrgetter
 
 from godwitladder.ids import HostId, WorkspaceName
 
@@ -147,6 +149,39 @@
         return now - self.started_at
 
 
+@dataclass(frozen=True)
+class QuotaActivity:
+    """What a workspace was granted in an interval, and how its bucket stands.
+
+    Attributes
+    ----------
+    rate : TokenRate
+        The quota that applies.
+    granted : int
+        Tokens granted in the interval.
+    left : float
+        Tokens left in the bucket.
+    began : float or None
+        Tokens with which the bucket began, if it was created in the interval.
+    """
+
+    workspace: WorkspaceName
+    rate: TokenRate
+    granted: int
+    left: float
+    began: float | None
+
+    def fields(self) -> Mapping[str, float | None]:
+        """Return the fields for the log line."""
+        return {
+            "rate": self.rate.rate,
+            "burst": self.rate.burst,
+            "granted": self.granted,
+            "left": round(self.left),
+            "began": None if self.began is None else round(self.began),
+        }
+
+
 @dataclass
 class TokenQuotas:
     """Token buckets of all workspaces that have a quota.
@@ -176,6 +211,10 @@
         Higher quotas that still apply, by workspace.
     applied_rates : mapping
         The ``rates`` that the last call of `apply_rates` applied.
+    granted : Counter
+        Tokens granted since the last call of `take_activity`, by workspace.
+    opened : dict
+        Tokens with which buckets began since then, by workspace.
     """
 
     slack: float = 0.0
@@ -188,6 +227,8 @@
     past_spending: dict[WorkspaceName, list[int]] = field(default_factory=dict)
     former: dict[WorkspaceName, FormerRate] = field(default_factory=dict)
     applied_rates: Mapping[WorkspaceName, TokenRate] = field(default_factory=dict)
+    granted: Counter[WorkspaceName] = field(default_factory=Counter)
+    opened: dict[WorkspaceName, float] = field(default_factory=dict)
 
     def apply_rates(self, now: float) -> None:
         """Apply quotas that were set since the last call.
@@ -310,6 +351,21 @@
         rate = self.rate_of(workspace, now)
         if rate is not None and rate.rate > 0:
             self.refill(workspace, rate, now).tokens -= charge
+            self.granted[workspace] += charge
+
+    def take_activity(self, now: float) -> list[QuotaActivity]:
+        """Return what workspaces were granted since the last call, least left first."""
+        rows = []
+        for name, granted in self.granted.items():
+            rate = self.rate_of(name, now)
+            if rate is not None:
+                left = self.refill(name, rate, now).tokens
+                rows.append(
+                    QuotaActivity(name, rate, granted, left, self.opened.get(name))
+                )
+        self.granted.clear()
+        self.opened.clear()
+        return sorted(rows, key=attrgetter("left"))
 
     def discard_stale_bucket(
         self, workspace: WorkspaceName, answered_at: float
@@ -345,6 +401,7 @@
             tokens = self.initial_tokens(workspace, rate)
             start = now if self.first_report_at is None else self.first_report_at
             bucket = self.buckets[workspace] = TokenBucket(tokens, start)
+            self.opened[workspace] = tokens
         gained = (now - bucket.updated_at) * rate.rate * RATE_FACTOR * self.share
         bucket.tokens = min(capacity, bucket.tokens + max(0.0, gained))
         bucket.updated_at = now
--- a/godwitladder/outcomes.py
+++ b/godwitladder/outcomes.py
@@ -41,6 +41,10 @@
 }
 
 
+OWN_SHARE = "own share"
+"""Decided by a host that has no answer of an allocator."""
+
+
 class Reason(enum.Enum):
     """Why a request was refused or failed; the values are part of the public API."""
 
@@ -109,12 +113,16 @@
     retry_after_s : float or None
         Delay after which the caller may retry, in seconds; None if a retry
         can't succeed.
+    decided_by : str
+        Allocator that decided, or `OWN_SHARE`; empty if it needs no allocator. For
+        the log only.
     """
 
     outcome: RequestState
     reason: Reason
     detail: str
     retry_after_s: float | None = None
+    decided_by: str = ""
 
 
 def refuse(reason: Reason, detail: str, retry_after_s: float | None = None) -> Refusal:
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -149,6 +149,9 @@
         Brittle targets that have refused a request since the last report.
     history : SpendingHistory
         Tokens that workspaces have spent through this host.
+    own_tokens : int
+        Tokens of quotas that this host has spent without grants, since it last
+        logged them.
     """
 
     pool: Pool
@@ -183,6 +186,7 @@
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
     history: SpendingHistory = field(default_factory=SpendingHistory)
+    own_tokens: int = 0
 
     def set_allocator(self, allocator: HostId | None, now: float) -> None:
         """Send reports to ``allocator`` from now on.
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -40,6 +40,10 @@
 """Maximum number of workspaces in a log line."""
 MAX_LOGGED_LIMITS = 16
 """Maximum number of targets in a log line."""
+MAX_LOGGED_QUOTAS = 16
+"""Maximum number of workspaces in a log line."""
+QUOTA_LOG_INTERVAL_S = 1.0
+"""Minimum time between two log lines about the quotas of a pool."""
 
 
 @dataclass
@@ -115,6 +119,7 @@
         self.floors_sent_at = float("-inf")
         self.logged_shares: dict[PoolName, tuple[float, bool]] = {}
         self.logged_limits: dict[PoolName, int] = {}
+        self.logged_quotas: dict[PoolName, float] = {}
 
     def on_receive(self, message) -> None:
         """Process ``message``, and run the roles if no other message is queued.
@@ -154,6 +159,7 @@
             self.log_delays(role, now)
             self.log_rate_limits(role)
             self.log_admission_shares(role, now)
+            self.log_quotas(role, now)
         if now - self.floors_sent_at >= RENEWAL_INTERVAL_S:
             self.floors_sent_at = now
             for role in self.tables.roles.values():
@@ -210,9 +216,11 @@
             and choose_host(tables.allocators, pool_key(name)) == tables.host
         }
         for name in set(tables.roles) - set(mine):
-            del tables.roles[name]
+            role = tables.roles.pop(name)
             self.logged_limits.pop(name, None)
-            log.info("Allocator role ended", extra={"pool": pool_key(name)})
+            self.logged_quotas.pop(name, None)
+            extra = {"pool": pool_key(name), "term": role.term}
+            log.info("Allocator role ended", extra=extra)
         generations = target_generations(tables.config.targets)
         for name, pool in mine.items():
             if name not in tables.roles:
@@ -220,7 +228,8 @@
                 tables.roles[name] = PoolRole(
                     pool, tables.host, term, now, tables.has_standing_grants
                 )
-                log.info("Allocator role started", extra={"pool": pool_key(name)})
+                extra = {"pool": pool_key(name), "term": term}
+                log.info("Allocator role started", extra=extra)
             role = tables.roles[name]
             role.configure(pool, tables.config, tables.leaving)
             role.rate_limits.keep_generations(generations, now)
@@ -283,6 +292,31 @@
         }
         log.info("Current rate limits of targets", extra=extra)
 
+    def log_quotas(self, role: PoolRole, now: float) -> None:
+        """Log what workspaces with quotas were granted, those with the least left.
+
+        Together with the lines of hosts that use their own shares, these tell which
+        part gave out what of a quota.
+        """
+        logged_at = self.logged_quotas.get(role.pool.name, float("-inf"))
+        if now - logged_at < QUOTA_LOG_INTERVAL_S:
+            return
+        rows = role.quotas.take_activity(now)
+        if not rows:
+            return
+        self.logged_quotas[role.pool.name] = now
+        extra = {
+            "pool": pool_key(role.pool.name),
+            "term": role.term,
+            "version": role.config.offset,
+            "share": round(role.quotas.share, 3),
+            "expected_hosts": role.quotas.expected_hosts,
+            "reported_hosts": len(role.quotas.coverage),
+            "workspaces": len(rows),
+            "quotas": {row.workspace: row.fields() for row in rows[:MAX_LOGGED_QUOTAS]},
+        }
+        log.info("Current quotas of workspaces", extra=extra)
+
     def visible_share(self, now: float) -> float:
         """Return the ratio of live hosts to all hosts that were seen recently.
 
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -6,6 +6,7 @@
 import math
 from collections import Counter
 from collections.abc import Collection
+from dataclasses import replace
 
 from godwitladder.decisions.rate_limits import RESTATED_S
 from godwitladder.decisions.rendezvous import choose_host
@@ -408,7 +409,8 @@
     refusal = refuse(SHED_REASONS[shed.reason], text, shed.retry_after_s)
     if shed.reason is not ShedReason.QUOTA:
         refusal = no_path_refusal(tables, row) or refusal
-    refuse_request(tables, row, refusal)
+    decided_by = f"{access.holder}/{access.term}"
+    refuse_request(tables, row, replace(refusal, decided_by=decided_by))
 
 
 def shed_text(tables: Tables, row: RequestRow, reason: ShedReason, now: float) -> str:
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -54,6 +54,8 @@
     ----------
     generation : str
         Distinguishes the target's process from earlier ones of the same name.
+    granted_by : str
+        Allocator and term that granted it, or `OWN_SHARE`. For the log only.
     """
 
     request: RequestId
@@ -61,6 +63,7 @@
     target: TargetName
     address: str
     generation: str = ""
+    granted_by: str = ""
 
 
 @dataclass
--- a/godwitladder/scheduler/silence.py
+++ b/godwitladder/scheduler/silence.py
@@ -21,7 +21,11 @@
         elif not silent and access.silent_since is not None:
             silent_s = round(now - access.silent_since, 3)
             access.silent_since = None
-            extra = exchange_log_fields(access) | {"silent_s": silent_s}
+            extra = exchange_log_fields(access) | {
+                "silent_s": silent_s,
+                "own_tokens": access.own_tokens,
+            }
+            access.own_tokens = 0
             log.info("The allocator answers again", extra=extra)
 
 
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -5,6 +5,7 @@
 """
 
 from bisect import insort
+from dataclasses import replace
 from operator import attrgetter
 
 from godwitladder.configuration.model import TargetState
@@ -13,7 +14,7 @@
 from godwitladder.decisions.types import TargetView
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
-from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
+from godwitladder.outcomes import OWN_SHARE, Reason, Refusal, RequestState, refuse
 from godwitladder.scheduler.access import GrantFate, PoolAccess
 from godwitladder.scheduler.exchange import Completion
 from godwitladder.scheduler.rows import (
@@ -118,7 +119,8 @@
             used = row and target and is_usable(tables, target, row, now)
             access.fates[GrantFate.USED if used else GrantFate.GIVEN_BACK] += 1
             if used:
-                dispatch_request(tables, row, target, now)
+                issuer = f"{access.holder}/{access.term}"
+                dispatch_request(tables, row, target, now, issuer)
 
 
 def dispatch_without_grants(tables: Tables, now: float) -> None:
@@ -203,14 +205,15 @@
     """
     quotas = tables.quotas
     quotas.share = 1.0 / tables.seen_hosts.count_recent(now)
-    quotas.discard_stale_bucket(
-        row.workspace, tables.by_service[row.service][0].answered_at
-    )
+    access = tables.by_service[row.service][0]
+    quotas.discard_stale_bucket(row.workspace, access.answered_at)
     wait_s = quotas.wait_s(row.workspace, row.charge, now)
     if wait_s > 0:
-        refuse_request(tables, row, refuse(Reason.QUOTA, OVER_QUOTA, wait_s))
+        refusal = refuse(Reason.QUOTA, OVER_QUOTA, wait_s)
+        refuse_request(tables, row, replace(refusal, decided_by=OWN_SHARE))
         return False
     quotas.take(row.workspace, row.charge, now)
+    access.own_tokens += row.charge
     return True
 
 
@@ -305,7 +308,11 @@
 
 
 def dispatch_request(
-    tables: Tables, row: RequestRow, target: TargetRow, now: float
+    tables: Tables,
+    row: RequestRow,
+    target: TargetRow,
+    now: float,
+    granted_by: str = OWN_SHARE,
 ) -> None:
     """Permit the caller's thread to send ``row`` to ``target``.
 
@@ -336,6 +343,7 @@
             target.name,
             target.target.address,
             target.target.generation,
+            granted_by,
         )
     )
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -323,6 +323,7 @@
         extra = self.log_fields() | {
             "reason": refusal.reason.value,
             "detail": refusal.detail,
+            "decided_by": refusal.decided_by,
             "workspace": self.call.workspace,
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
@@ -449,6 +450,7 @@
             "rank": self.call.row.tier_rank,
             "charge": self.call.row.charge,
             "send": self.sends,
+            "granted_by": dispatch.granted_by,
             "gateway": self.connection.gateway,
         }
         log.info("A call is sent", extra=extra)
