--- /dev/null
+++ b/tests/scheduler/test_quota_accounts.py
@@ -0,0 +1,54 @@
+"""Tests that a workspace gets its quota once, whoever hands it out."""
+
+import pytest
+
+from godwitladder.decisions.quotas import TokenRate
+from tests.scheduler.quota_fleet import Load, QuotaFleet
+
+HOSTS = 15
+SMALL = TokenRate(62_606.0, 62_606.0)
+LARGE = TokenRate(226_878.0, 226_878.0)
+RATES = pytest.mark.parametrize("rate", [SMALL, LARGE], ids=["small", "large"])
+SEEDS = pytest.mark.parametrize("seed", [1, 2])
+ORDERS_PER_TOKEN = 56 / 62_606
+
+
+def make_load(rate, times, with_orders=False):
+    """Return the load of a workspace that asks for some times its quota."""
+    orders = times / 7 * rate.rate * ORDERS_PER_TOKEN if with_orders else 0.0
+    return Load(times * rate.rate, orders_per_s=orders)
+
+
+def nothing(fleet):
+    """Let no caller ask for anything."""
+
+
+@RATES
+@SEEDS
+def test_an_allocator_that_was_away_does_not_spend_a_bucket_that_refilled(rate, seed):
+    """Guards against a second burst as an allocator comes back from a pause."""
+    fleet, load = QuotaFleet(HOSTS, rate, seed), make_load(rate, 7)
+    fleet.play(10, load)
+    fleet.pause(fleet.allocator_of(), 4.5)
+    fleet.play(15, load)
+    assert fleet.worst_ratio() <= 1
+
+
+@RATES
+def test_pools_do_not_each_grant_a_whole_quota(rate):
+    """Guards against two allocators that each keep the whole quota of a workspace."""
+    fleet = QuotaFleet(HOSTS, rate, seed=1)
+    fleet.play(12, nothing)
+    fleet.play(12, make_load(rate, 7, with_orders=True))
+    assert fleet.worst_ratio() <= 1
+
+
+@SEEDS
+def test_hosts_without_an_answer_do_not_each_overdraw_their_share(seed):
+    """Guards against one large request on each host while the allocator is silent."""
+    fleet, load = QuotaFleet(96, SMALL, seed), make_load(SMALL, 7)
+    fleet.play(10, load)
+    for host in fleet.names:
+        fleet.late_s[host] = 30.0
+    fleet.play(10, load)
+    assert fleet.worst_ratio() <= 1
