Let an allocator count what others have granted of a quota while it was away

An allocator's process stands still for seconds. Hosts spend their own shares, then another allocator grants; as the first is back, hosts turn to it again, and its buckets have refilled to the brim. It heeded only the first report of each host, so that what was spent meanwhile was counted nowhere, and the burst was granted again.

Why it works: hosts record what they send with the issuer of its grant (allocator and term, or none) and tell it once a second, and at once after spending by themselves; what the reader granted is left out. A report replaces what the same process told before, so it may be lost, late or repeated. The allocator adds its own grants, and grants no more than a bucket would hold after all of it, each at the time it was spent. Its former bucket stays beside that for what can't be known, and begins anew, with a warm-up, as the process has stood still for a second.

A quota that is lowered does not leave a debt of what the higher one allowed. The test of reports from another zone let its clock jump by 2 s without a tick, which is a pause now; it ticks.

--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -19,10 +19,6 @@
     again with each change of the allocator; a quarter of burst and slack fits
     into what the two factors above leave unused.
 SOONEST_S : shortest wait that is reported for a request beyond its quota.
-HISTORY_S : seconds for which hosts remember what they spent, which is the window
-    of the promise. New buckets are filled according to this history. Starting a
-    quarter full in every case refused requests within their quotas after a
-    network partition.
 LOWERED_AFTER_S : delay before a lowered quota applies. The promise for a lower
     quota holds one window after all hosts know it. If it applied at once, a
     workspace that had used the higher quota would have its requests refused for
@@ -32,16 +28,21 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from itertools import accumulate
 from operator import attrgetter
 
-from godwitladder.ids import HostId, WorkspaceName
+from godwitladder.decisions.spending import (
+    HISTORY_S,
+    Issuer,
+    Process,
+    SpendingLedger,
+    WorkspaceSpending,
+)
+from godwitladder.ids import HostId, Incarnation, WorkspaceName
 
 RATE_FACTOR = 1.08
 SLACK_SHARE = 0.75
 FRESH_SHARE = 0.25
 SOONEST_S = 0.1
-HISTORY_S = 8
 LOWERED_AFTER_S = float(HISTORY_S)
 
 
@@ -89,66 +90,6 @@
     updated_at: float
 
 
-@dataclass(frozen=True)
-class WorkspaceSpending:
-    """Tokens of one workspace that one host spent.
-
-    Attributes
-    ----------
-    workspace : WorkspaceName
-        The workspace.
-    tokens : tuple of int
-        Tokens spent in each of the last seconds, newest first.
-    """
-
-    workspace: WorkspaceName
-    tokens: tuple[int, ...]
-
-
-@dataclass
-class SpendingHistory:
-    """Tokens of each workspace that one host spent in the last seconds.
-
-    Attributes
-    ----------
-    started_at : float or None
-        Time of the first call of `covered_s`, in seconds. Spending before that is
-        taken as unknown.
-    seconds : dict
-        Tokens spent by workspace and by second.
-    """
-
-    started_at: float | None = None
-    seconds: dict[WorkspaceName, dict[int, int]] = field(default_factory=dict)
-
-    def record_spending(
-        self, workspace: WorkspaceName, charge: int, now: float
-    ) -> None:
-        """Record the tokens of a request that was sent to a target."""
-        spent = self.seconds.setdefault(workspace, {})
-        second = int(now)
-        spent[second] = spent.get(second, 0) + charge
-        for old in [key for key in spent if key <= second - HISTORY_S]:
-            del spent[old]
-
-    def recent_spending(self, now: float) -> tuple[WorkspaceSpending, ...]:
-        """Return the recent spending of each workspace that spent any tokens."""
-        newest = int(now)
-        seconds = range(newest, newest - HISTORY_S, -1)
-        rows = []
-        for name, spent in sorted(self.seconds.items()):
-            tokens = tuple(spent.get(second, 0) for second in seconds)
-            if any(tokens):
-                rows.append(WorkspaceSpending(name, tokens))
-        return tuple(rows)
-
-    def covered_s(self, now: float) -> float:
-        """Return for how many seconds back the history is complete."""
-        if self.started_at is None:
-            self.started_at = now
-        return now - self.started_at
-
-
 @dataclass(frozen=True)
 class QuotaActivity:
     """What a workspace was granted in an interval, and how its bucket stands.
@@ -197,16 +138,16 @@
         Quotas now in force, by workspace.
     buckets : dict
         Buckets that are in use, by workspace.
+    issuers : frozenset of Issuer
+        The allocator that owns these quotas, in its terms; empty for a host that
+        spends its own share.
+    ledger : SpendingLedger
+        What workspaces have spent, by the grants of all issuers.
     expected_hosts : int
         Hosts that are expected to report their spending to a new allocator.
-    first_report_at : float or None
-        Time of the first such report, in seconds.
     coverage : dict
         For each host that has reported, the fraction of the last `HISTORY_S`
         seconds that its report covers.
-    past_spending : dict
-        Tokens of each workspace that these hosts spent in each of the last
-        seconds, newest first.
     former : dict
         Higher quotas that still apply, by workspace.
     applied_rates : mapping
@@ -221,10 +162,10 @@
     share: float = 1.0
     rates: Mapping[WorkspaceName, TokenRate] = field(default_factory=dict)
     buckets: dict[WorkspaceName, TokenBucket] = field(default_factory=dict)
+    issuers: frozenset[Issuer] = frozenset()
+    ledger: SpendingLedger = field(default_factory=SpendingLedger)
     expected_hosts: int = 1
-    first_report_at: float | None = None
     coverage: dict[HostId, float] = field(default_factory=dict)
-    past_spending: dict[WorkspaceName, list[int]] = field(default_factory=dict)
     former: dict[WorkspaceName, FormerRate] = field(default_factory=dict)
     applied_rates: Mapping[WorkspaceName, TokenRate] = field(default_factory=dict)
     granted: Counter[WorkspaceName] = field(default_factory=Counter)
@@ -268,6 +209,11 @@
             return former.rate
         return (self.rates if rates is None else rates).get(workspace)
 
+    def record_coverage(self, host: HostId, covered_s: float) -> None:
+        """Record for how many seconds back the first report of a host is complete."""
+        covered = min(1.0, max(0.0, covered_s / HISTORY_S))
+        self.coverage.setdefault(host, covered)
+
     def add_history(
         self,
         host: HostId,
@@ -275,9 +221,7 @@
         covered_s: float,
         now: float,
     ) -> None:
-        """Add the spending that a host reports from before these buckets existed.
-
-        Only the first report of each host counts.
+        """Count the spending that a host reports to a new allocator.
 
         Parameters
         ----------
@@ -288,37 +232,57 @@
         covered_s : float
             For how many seconds back ``spent`` is complete.
         now : float
-            Current time, in seconds.
+            When it told this, in seconds.
         """
-        if host in self.coverage:
-            return
-        if not self.coverage:
-            self.first_report_at = now
-        self.coverage[host] = min(1.0, max(0.0, covered_s / HISTORY_S))
-        for row in spent:
-            totals = self.past_spending.setdefault(row.workspace, [0] * HISTORY_S)
-            for age_index, tokens in enumerate(row.tokens[:HISTORY_S]):
-                totals[age_index] += tokens
-
-    def initial_tokens(self, workspace: WorkspaceName, rate: TokenRate) -> float:
+        self.record_coverage(host, covered_s)
+        self.take_spending((host, Incarnation(0)), spent, now, now)
+
+    def take_spending(
+        self,
+        process: Process,
+        spent: Iterable[WorkspaceSpending],
+        sent_at: float,
+        sent_s: float,
+    ) -> None:
+        """Count what a host tells it has spent; see `SpendingLedger.replace_told`."""
+        self.ledger.replace_told(process, spent, sent_at, sent_s, self.issuers)
+
+    def begin_again(self) -> None:
+        """Start as a new allocator does, with what hosts are yet to report.
+
+        An allocator that was away keeps its ledger. But others have granted what it
+        hasn't heard of, and its buckets have refilled meanwhile.
+        """
+        self.buckets.clear()
+        self.coverage.clear()
+
+    def initial_tokens(self, rate: TokenRate) -> float:
         """Return the tokens that a new bucket starts with.
 
-        A full bucket is reduced by the reported spending of the last seconds,
-        less what the rate has refilled since. What hosts that have just started
-        or are unreachable have spent is unknown. Hosts on the other side of a
-        network partition may have spent most of a quota: their buckets give out
-        the rest of it, and this one gives out its share in addition. So the
-        unknown part of the history starts with only `FRESH_SHARE` of a bucket.
+        What hosts that have just started or are unreachable have spent is unknown.
+        Hosts on the other side of a network partition may have spent most of a
+        quota: their buckets give out the rest of it, and this one gives out its
+        share in addition. So the unknown part of the history starts with only
+        `FRESH_SHARE` of a bucket. The known part is in the ledger.
         """
         coverage = sum(self.coverage.values()) / max(
             1, self.expected_hosts, len(self.coverage)
         )
         coverage *= self.share
-        full = self.capacity(rate) * (FRESH_SHARE + (1.0 - FRESH_SHARE) * coverage)
-        gained = rate.rate * RATE_FACTOR * self.share
-        sums = accumulate(self.past_spending.get(workspace, ()))
-        missing = [spent - gained * (index + 1) for index, spent in enumerate(sums)]
-        return full - max([0.0, *missing])
+        return self.capacity(rate) * (FRESH_SHARE + (1.0 - FRESH_SHARE) * coverage)
+
+    def available(self, workspace: WorkspaceName, rate: TokenRate, now: float) -> float:
+        """Return the tokens that may be granted, or the debt if negative.
+
+        The bucket tells what may be granted without knowing of others, the ledger
+        what everyone has spent of the whole quota, as far as that is known.
+        """
+        left = self.ledger.account(workspace).available(
+            now,
+            rate.burst + self.slack * SLACK_SHARE,
+            rate.rate * RATE_FACTOR,
+        )
+        return min(left, self.refill(workspace, rate, now).tokens)
 
     def wait_s(
         self, workspace: WorkspaceName, charge: int, now: float, queued_tokens: int = 0
@@ -339,10 +303,10 @@
         rate = self.rate_of(workspace, now)
         if rate is None or rate.rate <= 0:
             return 0.0
-        bucket = self.refill(workspace, rate, now)
+        available = self.available(workspace, rate, now)
         # Without this limit, a request larger than the full bucket would never run.
         charge = min(charge, self.capacity(rate))
-        return self.refill_s(rate, charge + queued_tokens - bucket.tokens)
+        return self.refill_s(rate, charge + queued_tokens - available)
 
     def refill_s(self, rate: TokenRate, missing: float) -> float:
         """Return the seconds in which a bucket gains ``missing`` tokens."""
@@ -382,8 +346,8 @@
         if rate is None or rate.rate <= 0:
             return 0.0
         if self.share < 1.0:
-            tokens = self.refill(workspace, rate, now).tokens
-            wait_s = self.refill_s(rate, charge * (1.0 - phase) - tokens)
+            available = self.available(workspace, rate, now)
+            wait_s = self.refill_s(rate, charge * (1.0 - phase) - available)
         else:
             wait_s = self.wait_s(workspace, charge, now)
         if wait_s == 0:
@@ -395,6 +359,7 @@
         rate = self.rate_of(workspace, now)
         if rate is not None and rate.rate > 0:
             self.refill(workspace, rate, now).tokens -= charge
+            self.ledger.record_grant(workspace, charge, now)
             self.granted[workspace] += charge
 
     def take_activity(self, now: float) -> list[QuotaActivity]:
@@ -403,7 +368,7 @@
         for name, granted in self.granted.items():
             rate = self.rate_of(name, now)
             if rate is not None:
-                left = self.refill(name, rate, now).tokens
+                left = self.available(name, rate, now)
                 rows.append(
                     QuotaActivity(name, rate, granted, left, self.opened.get(name))
                 )
@@ -442,9 +407,8 @@
         capacity = self.capacity(rate)
         bucket = self.buckets.get(workspace)
         if bucket is None:
-            tokens = self.initial_tokens(workspace, rate)
-            start = now if self.first_report_at is None else self.first_report_at
-            bucket = self.buckets[workspace] = TokenBucket(tokens, start)
+            tokens = self.initial_tokens(rate)
+            bucket = self.buckets[workspace] = TokenBucket(tokens, now)
             self.opened[workspace] = tokens
         gained = (now - bucket.updated_at) * rate.rate * RATE_FACTOR * self.share
         bucket.tokens = min(capacity, bucket.tokens + max(0.0, gained))
--- /dev/null
+++ b/godwitladder/decisions/spending.py
@@ -0,0 +1,343 @@
+"""Records what workspaces have spent, as facts that can be added up anywhere.
+
+Load pattern: a workspace asks for several times its quota while its allocator
+pauses, is cut off or is replaced. Several parts hand out the quota in turn or at the
+same time: allocators of all pools, in each of their terms, and hosts without an
+answer. If each counted only what it gave out itself, the workspace would get a part
+of its quota from each of them.
+
+So each host records what it has sent, and by whose grant. It tells this to the
+allocator that it reports to, except for what that allocator granted. The allocator
+adds its own grants. A report replaces what the same process told before. It may
+therefore be lost, repeated or late, and it counts once.
+
+Pure: times are passed in.
+
+Thresholds
+----------
+HISTORY_S : window in which a workspace may run its quota, in seconds.
+RECORDED_S : seconds for which spending is recorded. The first and the last of them lie
+    in the window only in part.
+SLOT_S : resolution of an account. A bucket that is full gains nothing in the slot in
+    which it is spent, so that longer slots would refuse what is within a quota.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from godwitladder.ids import HostId, Incarnation, WorkspaceName
+
+HISTORY_S = 8
+RECORDED_S = HISTORY_S + 1
+SLOT_S = 0.25
+RECORDED_SLOTS = int(RECORDED_S / SLOT_S)
+
+Process = tuple[HostId, Incarnation]
+
+
+@dataclass(frozen=True)
+class Issuer:
+    """An allocator in one of its terms, which grants requests.
+
+    Attributes
+    ----------
+    allocator : HostId
+        The host; empty for a host that sends without a grant.
+    term : int
+        The term.
+    """
+
+    allocator: HostId
+    term: int
+
+    def __str__(self) -> str:
+        return f"{self.allocator}/{self.term}"
+
+
+NO_ISSUER = Issuer(HostId(""), 0)
+
+
+@dataclass(frozen=True)
+class WorkspaceSpending:
+    """Tokens of one workspace that one host spent by the grants of one issuer.
+
+    Attributes
+    ----------
+    workspace : WorkspaceName
+        The workspace.
+    tokens : tuple of int
+        Tokens spent in each of the last seconds, newest first.
+    allocator, term : HostId, int
+        The issuer of the grants.
+    """
+
+    workspace: WorkspaceName
+    tokens: tuple[int, ...]
+    allocator: HostId = NO_ISSUER.allocator
+    term: int = NO_ISSUER.term
+
+    @property
+    def issuer(self) -> Issuer:
+        """The issuer of the grants."""
+        return Issuer(self.allocator, self.term)
+
+
+@dataclass
+class SpendingHistory:
+    """Tokens of each workspace that one host spent in the last seconds.
+
+    Attributes
+    ----------
+    started_at : float or None
+        Time of the first call of `covered_s`, in seconds. Spending before that is
+        taken as unknown.
+    seconds : dict
+        Tokens spent by issuer and workspace, and by second.
+    """
+
+    started_at: float | None = None
+    seconds: dict[tuple[Issuer, WorkspaceName], dict[int, int]] = field(
+        default_factory=dict
+    )
+
+    def record_spending(
+        self,
+        workspace: WorkspaceName,
+        charge: int,
+        now: float,
+        issuer: Issuer = NO_ISSUER,
+    ) -> None:
+        """Record the tokens of a request that was sent to a target."""
+        spent = self.seconds.setdefault((issuer, workspace), {})
+        second = int(now)
+        spent[second] = spent.get(second, 0) + charge
+
+    def recent_spending(
+        self, now: float, reader: Issuer | None = None
+    ) -> tuple[WorkspaceSpending, ...]:
+        """Return the recent spending by issuer and workspace.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        reader : Issuer or None
+            Issuer whose own grants are left out.
+        """
+        self.drop_old(now)
+        newest = int(now)
+        seconds = range(newest, newest - RECORDED_S, -1)
+        return tuple(
+            WorkspaceSpending(
+                name,
+                tuple(spent.get(second, 0) for second in seconds),
+                issuer.allocator,
+                issuer.term,
+            )
+            for (issuer, name), spent in self.seconds.items()
+            if issuer != reader
+        )
+
+    def drop_old(self, now: float) -> None:
+        """Drop the seconds that no window contains any more."""
+        oldest = int(now) - RECORDED_S
+        for key, spent in list(self.seconds.items()):
+            for second in [second for second in spent if second <= oldest]:
+                del spent[second]
+            if not spent:
+                del self.seconds[key]
+
+    def covered_s(self, now: float) -> float:
+        """Return for how many seconds back the history is complete."""
+        if self.started_at is None:
+            self.started_at = now
+        return now - self.started_at
+
+
+@dataclass
+class WorkspaceAccount:
+    """What one workspace has spent in the last seconds, by anyone's grants.
+
+    Attributes
+    ----------
+    slots : Counter
+        Tokens spent, by slot of the allocator's clock.
+    first_slot : int or None
+        Slot at which the account begins.
+    first_tokens : float
+        Tokens that were available then.
+    quota : tuple or None
+        Capacity and refill of the bucket, in tokens and in tokens per second.
+    cached_slot, cached_tokens : int or None, float
+        Slot at whose start so many tokens are available; None if not computed yet.
+    """
+
+    slots: Counter[int] = field(default_factory=Counter)
+    first_slot: int | None = None
+    first_tokens: float = 0.0
+    quota: tuple[float, float] | None = None
+    cached_slot: int | None = None
+    cached_tokens: float = 0.0
+
+    def add(self, slot: int, tokens: int) -> None:
+        """Add tokens that were spent in a slot, or take them back if negative."""
+        if self.first_slot is not None and slot < self.first_slot:
+            return
+        self.slots[slot] += tokens
+        if self.cached_slot is not None and slot < self.cached_slot:
+            self.cached_slot = None
+
+    def available(self, now: float, capacity: float, refill: float) -> float:
+        """Return the tokens that a bucket would have left after this spending.
+
+        Spending that becomes known late counts in the slot in which it took place. If
+        it counted when it becomes known, what the bucket gained since would be lost.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        capacity : float
+            Capacity of the bucket, in tokens.
+        refill : float
+            Tokens that it gains per second.
+        """
+        newest = slot_of(now)
+        if self.quota != (capacity, refill):
+            self.change_quota(newest, capacity, refill)
+        gained = refill * (now - newest * SLOT_S)
+        return min(capacity, self.tokens_at(newest) + gained) - self.slots[newest]
+
+    def change_quota(self, newest: int, capacity: float, refill: float) -> None:
+        """Go on with another quota, with what is left of the one before.
+
+        If the spending of the last seconds counted against a quota that was lowered
+        since, requests would be refused for seconds without need.
+        """
+        if self.quota is not None:
+            left = self.tokens_at(newest) - self.slots[newest]
+            self.first_slot, self.first_tokens = newest, min(capacity, left)
+            self.slots.clear()
+        self.quota, self.cached_slot = (capacity, refill), None
+
+    def tokens_at(self, newest: int) -> float:
+        """Return the tokens available at the start of a slot."""
+        if self.cached_slot == newest:
+            return self.cached_tokens
+        self.move_start(newest - RECORDED_SLOTS)
+        tokens = self.first_tokens
+        for slot in range(self.first_slot, newest):
+            tokens = self.spend_slot(tokens, self.slots[slot])
+        self.cached_slot, self.cached_tokens = newest, tokens
+        return tokens
+
+    def spend_slot(self, tokens: float, spent: int) -> float:
+        """Return the tokens left at the end of a slot in which some were spent."""
+        capacity, refill = self.quota
+        return min(capacity, tokens + refill * SLOT_S) - spent
+
+    def move_start(self, first: int) -> None:
+        """Let the account begin at a slot, if it began earlier.
+
+        A debt from before that is forgiven: no window contains it any more.
+        """
+        if self.first_slot is None:
+            self.first_slot, self.first_tokens = first, self.quota[0]
+            for slot in [slot for slot in self.slots if slot < first]:
+                del self.slots[slot]
+        while self.first_slot < first:
+            spent = self.slots.pop(self.first_slot, 0)
+            self.first_tokens = max(0.0, self.spend_slot(self.first_tokens, spent))
+            self.first_slot += 1
+
+
+class ToldSpending(NamedTuple):
+    """Tokens that a host has told, with their slot in the account."""
+
+    workspace: WorkspaceName
+    slot: int
+    tokens: int
+
+
+@dataclass
+class SpendingLedger:
+    """Accounts of all workspaces, as one allocator knows them.
+
+    Attributes
+    ----------
+    accounts : dict
+        Account of each workspace.
+    told : dict
+        What each process of a host told last.
+    """
+
+    accounts: dict[WorkspaceName, WorkspaceAccount] = field(default_factory=dict)
+    told: dict[Process, list[ToldSpending]] = field(default_factory=dict)
+
+    def account(self, workspace: WorkspaceName) -> WorkspaceAccount:
+        """Return the account of a workspace."""
+        account = self.accounts.get(workspace)
+        if account is None:
+            account = self.accounts[workspace] = WorkspaceAccount()
+        return account
+
+    def record_grant(self, workspace: WorkspaceName, charge: int, now: float) -> None:
+        """Count a request that the owner of this ledger grants."""
+        self.account(workspace).add(slot_of(now), charge)
+
+    def replace_told(
+        self,
+        process: Process,
+        rows: Iterable[WorkspaceSpending],
+        sent_at: float,
+        sent_s: float,
+        own: Collection[Issuer] = (),
+    ) -> None:
+        """Count what a host tells of its spending, in place of what it told before.
+
+        Tokens of a second count at its end, so that they leave the window with the
+        last of them.
+
+        Parameters
+        ----------
+        process : tuple of HostId and Incarnation
+            The process that tells it.
+        rows : iterable of WorkspaceSpending
+            What it spent.
+        sent_at : float
+            When it told this, in seconds on the clock of the reader.
+        sent_s : float
+            The same on the clock of the host, by whose seconds it counts.
+        own : collection of Issuer
+            Issuers whose grants this ledger counts by itself.
+        """
+        for entry in self.told.pop(process, ()):
+            self.account(entry.workspace).add(entry.slot, -entry.tokens)
+        last_slot_at = sent_at - sent_s % 1 + 1 - SLOT_S
+        entries = [
+            ToldSpending(
+                row.workspace, slot_of(min(sent_at, last_slot_at - age_s)), tokens
+            )
+            for row in rows
+            if row.issuer not in own
+            for age_s, tokens in enumerate(row.tokens[:RECORDED_S])
+            if tokens
+        ]
+        for entry in entries:
+            self.account(entry.workspace).add(entry.slot, entry.tokens)
+        if entries:
+            self.told[process] = entries
+
+    def drop_old(self, now: float) -> None:
+        """Drop what processes have told that no window contains any more."""
+        oldest = slot_of(now) - RECORDED_SLOTS
+        for process, entries in list(self.told.items()):
+            if all(entry.slot < oldest for entry in entries):
+                del self.told[process]
+
+
+def slot_of(now: float) -> int:
+    """Return the number of the slot that contains a time."""
+    return int(now // SLOT_S)
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.quotas import SpendingHistory
+from godwitladder.decisions.spending import Issuer, SpendingHistory
 from godwitladder.decisions.types import Grant
 from godwitladder.ids import HostId, RequestId, TargetName
 from godwitladder.scheduler.exchange import (
@@ -149,6 +149,8 @@
         Brittle targets that have refused a request since the last report.
     history : SpendingHistory
         Tokens that workspaces have spent through this host.
+    spent_alone : bool
+        Whether this host has spent tokens without a grant since the last report.
     own_tokens : int
         Tokens of quotas that this host has spent without grants, since it last
         logged them.
@@ -186,8 +188,14 @@
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
     history: SpendingHistory = field(default_factory=SpendingHistory)
+    spent_alone: bool = False
     own_tokens: int = 0
 
+    @property
+    def issuer(self) -> Issuer | None:
+        """Allocator whose offers are in use, in its term; None before the first."""
+        return None if self.holder is None else Issuer(self.holder, self.term)
+
     def set_allocator(self, allocator: HostId | None, now: float) -> None:
         """Send reports to ``allocator`` from now on.
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -36,6 +36,9 @@
 time within which hosts expect an answer."""
 
 
+MAX_ABSENCE_S = 1.0
+"""Maximum time without a message, ticks included, after which an allocator goes on as
+before. Hosts choose another allocator soon after."""
 MAX_LOGGED_SHARES = 16
 """Maximum number of workspaces in a log line."""
 MAX_LOGGED_LIMITS = 16
@@ -116,6 +119,7 @@
         self.send = send
         self.due: set[PoolName] = set()
         self.last_run_at = float("-inf")
+        self.active_at = float("inf")
         self.floors_sent_at = float("-inf")
         self.logged_shares: dict[PoolName, tuple[float, bool]] = {}
         self.logged_limits: dict[PoolName, int] = {}
@@ -127,14 +131,28 @@
         The queue is never empty if messages arrive faster than they are
         processed. Roles would then never run without the limit on batching.
         """
+        now = self.clock.monotonic()
+        if now - self.active_at > MAX_ABSENCE_S:
+            self.begin_again(now)
+        self.active_at = now
         self.take(message)
         if not self.due:
             return
-        now = self.clock.monotonic()
         if self.actor_inbox.empty() or now - self.last_run_at >= MAX_BATCH_DELAY_S:
             self.run(now)
             self.last_run_at = self.clock.monotonic()
 
+    def begin_again(self, now: float) -> None:
+        """Let all roles warm up again after this process has stood still."""
+        for name, role in self.tables.roles.items():
+            role.begin_again(now)
+            extra = {
+                "pool": pool_key(name),
+                "term": role.term,
+                "absent_s": round(now - self.active_at, 3),
+            }
+            log.warning("Allocator role warms up again", extra=extra)
+
     def run(self, now: float) -> None:
         """Run the roles that are due, and send their offers."""
         for name in self.due & set(self.tables.roles):
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -22,8 +22,8 @@
 from godwitladder.decisions.admission import AdmissionShare
 from godwitladder.decisions.cooldowns import RemainingCooldown
 from godwitladder.decisions.departures import Departure
-from godwitladder.decisions.quotas import WorkspaceSpending
 from godwitladder.decisions.rate_limits import StatedLimit
+from godwitladder.decisions.spending import WorkspaceSpending
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
 from godwitladder.ids import (
     HostId,
@@ -154,8 +154,8 @@
         Speed of targets since the last report: for each target at most two samples
         of finished work and one of work in progress.
     spent : tuple of WorkspaceSpending
-        Tokens that workspaces spent through this host. Sent until the allocator
-        answers, since it may be new.
+        Tokens that workspaces spent through this host, except by the grants of the
+        allocator that the report goes to.
     covered_s : float
         Number of past seconds for which ``spent`` is complete.
     via : str
@@ -177,6 +177,10 @@
         and otherwise new ones.
     brittle_refusals : tuple of TargetName
         Brittle targets that have refused a request of the host since its last report.
+    lists_spending : bool
+        Whether ``spent`` is the whole list, which replaces earlier ones. It is in full
+        reports, in those before the first answer of an allocator, and in the next
+        one after the host has spent tokens without a grant.
     """
 
     host: HostId
@@ -202,6 +206,7 @@
     departures: tuple[Departure, ...] = ()
     cooldowns: tuple[RemainingCooldown, ...] = ()
     brittle_refusals: tuple[TargetName, ...] = ()
+    lists_spending: bool = False
 
 
 @peer_message
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -225,6 +225,8 @@
     unanswered = access.holder is None
     stating = take_stating_targets(access, update.incremental)
     refusals, access.brittle_refusals = sorted(access.brittle_refusals), set()
+    lists_spending = unanswered or access.spent_alone or not update.incremental
+    access.spent_alone = False
     return PoolReport(
         host=tables.host,
         incarnation=tables.incarnation,
@@ -242,8 +244,10 @@
         avoided=tuple(row.name for row in targets if row.avoided_until > now),
         completions=completions,
         throughput_samples=take_samples(tables, access, now),
-        spent=access.history.recent_spending(now) if unanswered else (),
-        covered_s=access.history.covered_s(now) if unanswered else 0.0,
+        spent=(
+            access.history.recent_spending(now, access.issuer) if lists_spending else ()
+        ),
+        covered_s=access.history.covered_s(now),
         incremental=update.incremental,
         removed=update.removed,
         rate_limits=tables.rate_limits.statements(
@@ -252,6 +256,7 @@
         departures=tables.departures.statements(stating),
         cooldowns=tables.cooldowns.statements(stating, now),
         brittle_refusals=tuple(refusals),
+        lists_spending=lists_spending,
     )
 
 
@@ -409,8 +414,7 @@
     refusal = refuse(SHED_REASONS[shed.reason], text, shed.retry_after_s)
     if shed.reason is not ShedReason.QUOTA:
         refusal = no_path_refusal(tables, row) or refusal
-    decided_by = f"{access.holder}/{access.term}"
-    refuse_request(tables, row, replace(refusal, decided_by=decided_by))
+    refuse_request(tables, row, replace(refusal, decided_by=str(access.issuer)))
 
 
 def shed_text(tables: Tables, row: RequestRow, reason: ShedReason, now: float) -> str:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -22,6 +22,7 @@
 from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.decisions.rate_limits import RateLimits, StatedLimit
 from godwitladder.decisions.speeds import TargetSpeeds
+from godwitladder.decisions.spending import Issuer
 from godwitladder.decisions.standing import standing_grants
 from godwitladder.decisions.throttling import TargetThrottles
 from godwitladder.decisions.types import (
@@ -162,7 +163,7 @@
         self.hints = PrefixHints()
         self.forecast = PrefillForecast()
         self.state = AllocatorState()
-        self.quotas = TokenQuotas()
+        self.quotas = TokenQuotas(issuers=frozenset({Issuer(host, term)}))
         self.rate_limits = RateLimits()
         self.departures = Departures()
         self.brittle = BrittleTargets()
@@ -216,7 +217,9 @@
         for name in self.pool.targets.intersection(report.brittle_refusals):
             running = self.current_usage().get(name, NO_USAGE).running
             self.brittle.record_refusal(name, running, now)
-        self.quotas.add_history(report.host, report.spent, report.covered_s, now)
+        self.quotas.record_coverage(report.host, report.covered_s)
+        if report.lists_spending or report.spent:
+            self.quotas.take_spending(key, report.spent, now - delay_s, report.sent_s)
         for row in report.completions:
             if row.target in self.pool.targets:
                 self.answered_at[row.target] = now
@@ -280,9 +283,18 @@
         twice their slots for a while. Hosts that stay silent for longer than the
         warm-up are unlikely to exist.
         """
-        reporting = {account.host for account in self.accounts.values()}
+        reporting = set(self.quotas.coverage)
         return reporting >= set(expected) or now - self.started_at >= WARM_UP_S
 
+    def begin_again(self, now: float) -> None:
+        """Warm up again after an absence in which hosts may have gone elsewhere.
+
+        They have spent quotas by the grants of another allocator or by their own
+        shares, which the first of them to report doesn't know of the others.
+        """
+        self.started_at = now
+        self.quotas.begin_again()
+
     def run(self, expected: Collection[HostId], now: float) -> list[GrantOffer]:
         """Allocate the pool, and return the offers that are due.
 
@@ -300,6 +312,7 @@
         """
         self.drop_expired(now)
         self.quotas.apply_rates(now)
+        self.quotas.ledger.drop_old(now)
         if not self.is_warmed_up(expected, now):
             return []
         if self.is_quiet(now):
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -11,6 +11,7 @@
 
 from godwitladder.configuration.model import TargetState
 from godwitladder.decisions.prediction import grow_reservation
+from godwitladder.decisions.spending import NO_ISSUER, Issuer
 from godwitladder.decisions.standing import fixed_share
 from godwitladder.decisions.types import TargetView
 from godwitladder.ids import HostId, WorkspaceName
@@ -121,8 +122,7 @@
             used = row and target and is_usable(tables, target, row, now)
             access.fates[GrantFate.USED if used else GrantFate.GIVEN_BACK] += 1
             if used:
-                issuer = f"{access.holder}/{access.term}"
-                dispatch_request(tables, row, target, now, issuer)
+                dispatch_request(tables, row, target, now, access.issuer)
 
 
 def dispatch_without_grants(tables: Tables, now: float) -> None:
@@ -319,7 +319,7 @@
     row: RequestRow,
     target: TargetRow,
     now: float,
-    granted_by: str = OWN_SHARE,
+    issuer: Issuer = NO_ISSUER,
 ) -> None:
     """Permit the caller's thread to send ``row`` to ``target``.
 
@@ -342,7 +342,8 @@
     mark_use_changed(tables, target)
     access = tables.pool_of.get(target.name)
     if access and row.charge:
-        access.history.record_spending(row.workspace, row.charge, now)
+        access.history.record_spending(row.workspace, row.charge, now, issuer)
+        access.spent_alone |= issuer == NO_ISSUER
     row.decisions.put(
         Dispatch(
             row.request,
@@ -350,7 +351,7 @@
             target.name,
             target.target.address,
             target.target.generation,
-            granted_by,
+            OWN_SHARE if issuer == NO_ISSUER else str(issuer),
         )
     )
 
--- a/tests/scheduler/quota_fleet.py
+++ b/tests/scheduler/quota_fleet.py
@@ -55,6 +55,7 @@
     workspace: str
     service: str
     tokens: int
+    granted_by: str
 
 
 @dataclass
@@ -286,8 +287,9 @@
         for process, row in self.waiting:
             if row.decisions.empty():
                 still.append((process, row))
-            elif isinstance(row.decisions.get_nowait(), Dispatch):
-                self.runs.append(Run(self.now, row.workspace, row.service, row.charge))
+            elif isinstance(decision := row.decisions.get_nowait(), Dispatch):
+                fields = row.workspace, row.service, row.charge, decision.granted_by
+                self.runs.append(Run(self.now, *fields))
                 entry = (self.now + RUN_S, next(self.numbers), process, row.request)
                 heapq.heappush(self.running, entry)
         self.waiting = still
--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -18,6 +18,7 @@
 )
 from godwitladder.scheduler.pools import pool_key
 from godwitladder.scheduler.quotas import HOST_EXPIRY_S
+from godwitladder.scheduler.role import WARM_UP_S
 from tests.scheduler.harness import make_config
 
 HOSTS = ("h0", "h1", "h2")
@@ -77,7 +78,9 @@
     assert len(sent) == 1
 
     holder, clock, sent = make_allocator("h0", hosts)
-    clock.advance(2.0)
+    for _ in range(4):
+        clock.advance(0.5)
+        holder.on_receive(Tick())
     holder.on_receive(forwarded)
     ((to, offer),) = sent
     assert (to, offer.host, len(offer.grants)) == ("h1", "k5", 1)
@@ -199,3 +202,15 @@
     assert role.rate_limits.limited == {"e0"}
     actor.on_receive(NewConfig(make_config({"e0": 4}, generation="2")))
     assert not role.rate_limits.limited
+
+
+def test_an_allocator_that_stood_still_warms_up_again():
+    """Guards against granting what others have granted during a pause."""
+    hosts = ("h0",)
+    holder, clock, sent = make_allocator("h0", hosts)
+    clock.advance(2.0)
+    holder.on_receive(report(holder, "k5"))
+    assert not sent
+    clock.advance(WARM_UP_S)
+    holder.on_receive(Tick())
+    assert len(sent) == 1
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -13,11 +13,10 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.quotas import (
     FRESH_SHARE,
-    HISTORY_S,
     TokenQuotas,
     TokenRate,
-    WorkspaceSpending,
 )
+from godwitladder.decisions.spending import HISTORY_S, WorkspaceSpending
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal
 from godwitladder.scheduler.actor import Scheduler
