Count a workspace's quota over all pools, not once for each

What callers saw: nothing failed; a workspace that asks for both services gets more than its quota, without any fault. Each pool's allocator kept the whole quota.

Why it works: a host records what it sends once for all pools, and tells each pool's allocator what others have granted: once a second, so two pools know of each other's grants within about that. A host without requests in a pool reports to it as long as it spends elsewhere. Terms are told apart between pools of one allocator too. A report that leaves out the grants of an earlier term is not taken for a complete one.

--- a/godwitladder/decisions/spending.py
+++ b/godwitladder/decisions/spending.py
@@ -23,7 +23,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -117,29 +117,33 @@
     def recent_spending(
         self, now: float, reader: Issuer | None = None
     ) -> tuple[WorkspaceSpending, ...]:
-        """Return the recent spending by issuer and workspace.
+        """Return the recent spending of each workspace.
 
         Parameters
         ----------
         now : float
             Current time, in seconds.
         reader : Issuer or None
-            Issuer whose own grants are left out.
+            Issuer whose own grants are left out. For an unknown reader, the grants of
+            each issuer are listed apart.
         """
         self.drop_old(now)
-        newest = int(now)
-        seconds = range(newest, newest - RECORDED_S, -1)
+        sums: dict[tuple[Issuer, WorkspaceName], Counter[int]] = {}
+        for (issuer, name), spent in self.seconds.items():
+            if issuer == reader:
+                continue
+            key = (issuer if reader is None else NO_ISSUER), name
+            sums.setdefault(key, Counter()).update(spent)
         return tuple(
-            WorkspaceSpending(
-                name,
-                tuple(spent.get(second, 0) for second in seconds),
-                issuer.allocator,
-                issuer.term,
-            )
-            for (issuer, name), spent in self.seconds.items()
-            if issuer != reader
+            _make_row(name, issuer, spent, int(now))
+            for (issuer, name), spent in sums.items()
         )
 
+    def has_grants_of_others(self, now: float, reader: Issuer | None) -> bool:
+        """Return whether anything was spent lately that ``reader`` did not grant."""
+        self.drop_old(now)
+        return any(issuer != reader for issuer, _ in self.seconds)
+
     def drop_old(self, now: float) -> None:
         """Drop the seconds that no window contains any more."""
         oldest = int(now) - RECORDED_S
@@ -338,6 +342,15 @@
                 del self.told[process]
 
 
+def _make_row(
+    name: WorkspaceName, issuer: Issuer, spent: Mapping[int, int], newest: int
+) -> WorkspaceSpending:
+    """Return the row of a report, up to the oldest second with any spending."""
+    seconds = range(newest, min(spent) - 1, -1)
+    tokens = tuple(spent.get(second, 0) for second in seconds)
+    return WorkspaceSpending(name, tokens, issuer.allocator, issuer.term)
+
+
 def slot_of(now: float) -> int:
     """Return the number of the slot that contains a time."""
     return int(now // SLOT_S)
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.spending import Issuer, SpendingHistory
+from godwitladder.decisions.spending import Issuer
 from godwitladder.decisions.types import Grant
 from godwitladder.ids import HostId, RequestId, TargetName
 from godwitladder.scheduler.exchange import (
@@ -147,8 +147,6 @@
         Targets that have stated something new to this host since the last report.
     brittle_refusals : set of TargetName
         Brittle targets that have refused a request since the last report.
-    history : SpendingHistory
-        Tokens that workspaces have spent through this host.
     spent_alone : bool
         Whether this host has spent tokens without a grant since the last report.
     own_tokens : int
@@ -187,7 +185,6 @@
     fates: Counter[GrantFate] = field(default_factory=Counter)
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
-    history: SpendingHistory = field(default_factory=SpendingHistory)
     spent_alone: bool = False
     own_tokens: int = 0
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -120,6 +120,7 @@
         self.due: set[PoolName] = set()
         self.last_run_at = float("-inf")
         self.active_at = float("inf")
+        self.last_term = 0
         self.floors_sent_at = float("-inf")
         self.logged_shares: dict[PoolName, tuple[float, bool]] = {}
         self.logged_limits: dict[PoolName, int] = {}
@@ -242,7 +243,7 @@
         generations = target_generations(tables.config.targets)
         for name, pool in mine.items():
             if name not in tables.roles:
-                term = int(self.clock.wall() * 1000)
+                term = self.next_term()
                 tables.roles[name] = PoolRole(
                     pool, tables.host, term, now, tables.has_standing_grants
                 )
@@ -256,6 +257,14 @@
             role.quotas.slack = tables.quota_slack
             role.quotas.share = self.visible_share(now)
 
+    def next_term(self) -> int:
+        """Return the number of a new term, which no other pool has either.
+
+        Hosts tell allocators apart by it, whose grants they add up.
+        """
+        self.last_term = max(self.last_term + 1, int(self.clock.wall() * 1000))
+        return self.last_term
+
     def log_delays(self, role: PoolRole, now: float) -> None:
         """Log that reports are late, or that they are in time again."""
         status = role.delays.poll_status(now)
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -36,6 +36,7 @@
 from godwitladder.membership.codec import peer_message
 
 NO_RANK = -1
+NO_TERM = 0
 
 
 @dataclass(frozen=True)
@@ -134,7 +135,8 @@
         Time of sending in seconds, on the clock of the host. Only differences
         between such times are meaningful.
     term, acked_offer : int
-        Term of the allocator, and number of the last offer received from it.
+        Term of the allocator, and number of the last offer received from it; `NO_TERM`
+        and 0 if it has not answered yet.
     uses : tuple of TargetUse
         Running requests, and grants held for requests that can't be dispatched
         yet.
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -154,21 +154,23 @@
     waited = now - access.reported_at
     if access.dirty:
         return waited >= gap_s(access, now)
-    return waited >= HEARTBEAT_S and needs_heartbeat(tables, access)
+    return waited >= HEARTBEAT_S and needs_heartbeat(tables, access, now)
 
 
-def needs_heartbeat(tables: Tables, access: PoolAccess) -> bool:
+def needs_heartbeat(tables: Tables, access: PoolAccess, now: float) -> bool:
     """Return whether this host should send heartbeats to a pool's allocator.
 
     If there are no standing grants, a host without running and waiting requests
     sends nothing: heartbeats of hundreds of idle hosts would take most of the
     allocator's time. A host that the allocator has not answered yet keeps reporting
-    what its workspaces have spent.
+    what its workspaces have spent, and so does one that spends quotas in other pools.
     """
     if access.is_local and (tables.has_standing_grants or access.holder is None):
         return True
     if access.requested or access.grants:
         return True
+    if tables.spending.has_grants_of_others(now, access.issuer):
+        return True
     return any(tables.targets[name].running for name in access.pool.targets)
 
 
@@ -245,9 +247,11 @@
         completions=completions,
         throughput_samples=take_samples(tables, access, now),
         spent=(
-            access.history.recent_spending(now, access.issuer) if lists_spending else ()
+            tables.spending.recent_spending(now, access.issuer)
+            if lists_spending
+            else ()
         ),
-        covered_s=access.history.covered_s(now),
+        covered_s=tables.spending.covered_s(now),
         incremental=update.incremental,
         removed=update.removed,
         rate_limits=tables.rate_limits.statements(
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -51,6 +51,7 @@
 from godwitladder.scheduler.delays import ReportDelays
 from godwitladder.scheduler.exchange import (
     NO_RANK,
+    NO_TERM,
     Allowance,
     Completion,
     FloorReport,
@@ -217,7 +218,9 @@
         for name in self.pool.targets.intersection(report.brittle_refusals):
             running = self.current_usage().get(name, NO_USAGE).running
             self.brittle.record_refusal(name, running, now)
-        self.quotas.record_coverage(report.host, report.covered_s)
+        # What a host lists is without the grants of the term that it knows.
+        if report.term in (NO_TERM, self.term):
+            self.quotas.record_coverage(report.host, report.covered_s)
         if report.lists_spending or report.spent:
             self.quotas.take_spending(key, report.spent, now - delay_s, report.sent_s)
         for row in report.completions:
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -14,6 +14,7 @@
 from godwitladder.decisions.prediction import OutputPredictor
 from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.decisions.rate_limits import RateLimits
+from godwitladder.decisions.spending import SpendingHistory
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
@@ -238,6 +239,8 @@
         Availability zone of this host; empty unless it is a part of ``zone``.
     quotas : TokenQuotas
         Token quotas that this host enforces while it has no allocator.
+    spending : SpendingHistory
+        Tokens that workspaces have spent through this host, in all pools.
     seen_hosts : SeenHosts
         Hosts with which it shares the quotas then.
     rate_limits : RateLimits
@@ -278,6 +281,7 @@
     stopping: bool = False
     availability_zone: Zone = Zone("")
     quotas: TokenQuotas = field(default_factory=TokenQuotas)
+    spending: SpendingHistory = field(default_factory=SpendingHistory)
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
     rate_limits: RateLimits = field(default_factory=RateLimits)
     departures: Departures = field(default_factory=Departures)
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -340,10 +340,7 @@
     tables.running[row.request] = row
     withdraw_demand(tables, row)
     mark_use_changed(tables, target)
-    access = tables.pool_of.get(target.name)
-    if access and row.charge:
-        access.history.record_spending(row.workspace, row.charge, now, issuer)
-        access.spent_alone |= issuer == NO_ISSUER
+    record_spending(tables, row, issuer, now)
     row.decisions.put(
         Dispatch(
             row.request,
@@ -356,6 +353,22 @@
     )
 
 
+def record_spending(
+    tables: Tables, row: RequestRow, issuer: Issuer, now: float
+) -> None:
+    """Record the charge of a dispatched request, to tell the allocators of it.
+
+    A workspace has one quota for all pools: each allocator learns what was spent in
+    the others once a second, and what hosts spend by themselves at once.
+    """
+    if not row.charge:
+        return
+    tables.spending.record_spending(row.workspace, row.charge, now, issuer)
+    if issuer == NO_ISSUER:
+        for access in tables.pools.values():
+            access.spent_alone = access.dirty = True
+
+
 def return_request(
     tables: Tables,
     row: RequestRow,
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -108,7 +108,7 @@
     harness = AllocationHarness(SLOW, hosts, {"h0": make_role("h0", SLOW, now)})
     for host in PAIR:
         harness.set_allocator(host, "h0", now)
-        harness.hosts[host].pools[harness.pool].history.covered_s(now - 60.0)
+        harness.hosts[host].spending.covered_s(now - 60.0)
     return harness
 
 
