--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,7 +33,11 @@
 seeds = {seeds}
 [limits]
 threads = 32
+[bounds]
+quota_slack = {quota_slack}
 """
+QUOTA_SLACK = 2_000.0
+"""Tokens that a workspace may run beyond its quota in a window."""
 SERVICE = "core"
 ROUTES = (
     ("charge", "non_idempotent", {"maxAttempts": 1}),
@@ -89,6 +93,8 @@
     ----------
     paths : dict
         Proxies that lead from the host alone to targets, by the target's address.
+    peer_paths : dict
+        Proxies that lead from the host alone to peers, by the peer's address.
     """
 
     def __init__(self, folder: Path, name: str, zone: str, store: str) -> None:
@@ -98,6 +104,7 @@
         self.store_proxy = Proxy(store)
         self.peer_proxy = Proxy(self.peer_address)
         self.paths: dict[str, Proxy] = {}
+        self.peer_paths: dict[str, Proxy] = {}
         self.settings_path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         self.process: subprocess.Popen | None = None
@@ -137,13 +144,15 @@
             ports=self.ports,
             store=self.store_proxy.address,
             seeds=json.dumps(seeds),
+            quota_slack=QUOTA_SLACK,
         )
         self.settings_path.write_text(text)
 
     def start(self) -> None:
         """Start the process."""
         self.stopping = False
-        proxies = {address: path.address for address, path in self.paths.items()}
+        paths = self.paths | self.peer_paths
+        proxies = {address: path.address for address, path in paths.items()}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "soak.host_process"],
             env=os.environ
@@ -257,7 +266,7 @@
             self.kill()
         self.store_proxy.close()
         self.peer_proxy.close()
-        for path in self.paths.values():
+        for path in (self.paths | self.peer_paths).values():
             path.close()
         self.log.close()
 
@@ -265,8 +274,9 @@
 class Target:
     """A stand-in target behind a proxy."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, service: str = SERVICE) -> None:
         self.name = name
+        self.service = service
         self.started_ms = 1_700_000_000_000
         self.server: StandinServer = start_engine()
         self.server.standin.knobs.pause_s = 0.02
@@ -281,7 +291,7 @@
     def make_entry(self, state: str) -> bytes:
         """Return the encoded entry of the target in the store."""
         row = {
-            "service": SERVICE,
+            "service": self.service,
             "address": self.proxy.address,
             "zone": "a",
             "version": "v1",
@@ -316,6 +326,11 @@
     has_own_paths : bool, default=False
         Whether each host has proxies of its own to the targets, so that its paths
         can be cut while those of other hosts stay.
+    has_peer_paths : bool, default=False
+        Whether each host has proxies of its own to its peers, so that it can be cut
+        off from them.
+    services : tuple of str
+        Services that the targets serve in turn.
     """
 
     def __init__(
@@ -326,6 +341,8 @@
         targets: int,
         zones: str = "ab",
         has_own_paths: bool = False,
+        has_peer_paths: bool = False,
+        services: tuple[str, ...] = (SERVICE,),
     ) -> None:
         self.store = start_store()
         stack.callback(self.store.server_close)
@@ -333,7 +350,9 @@
         self.version = 1
         self.keys = ["k1", "k2"]
         self.put_config()
-        self.targets = [Target(f"e{n}") for n in range(targets)]
+        self.targets = [
+            Target(f"e{n}", services[n % len(services)]) for n in range(targets)
+        ]
         for target in self.targets:
             stack.callback(target.close)
             self.write_entry(target, "ready")
@@ -344,21 +363,41 @@
             if has_own_paths:
                 host.make_paths(self.targets)
             self.hosts.append(host)
+        if has_peer_paths:
+            self.make_peer_paths()
         for host in self.hosts:
             stack.callback(host.close)
             # A seed that is a proxy is dialled again and again, since no link has its
             # address, and each time the link to that peer is replaced.
             others = [
-                row.peer_address if has_own_paths else row.peer_proxy.address
+                row.peer_address
+                if has_own_paths or has_peer_paths
+                else row.peer_proxy.address
                 for row in self.hosts[:2]
                 if row is not host
             ]
             host.write_settings(others)
             host.start()
 
+    def make_peer_paths(self) -> None:
+        """Give each host paths of its own to all others."""
+        for host in self.hosts:
+            others = [row.peer_address for row in self.hosts if row is not host]
+            host.peer_paths = {address: Proxy(address) for address in others}
+
+    def paths_between_peers(self, host: Host) -> list[Proxy]:
+        """Return the proxies between a host and its peers, in both directions."""
+        address = host.peer_address
+        others = [row.peer_paths[address] for row in self.hosts if row is not host]
+        return [*host.peer_paths.values(), *others]
+
+    def make_config(self) -> dict:
+        """Return the configuration document to publish."""
+        return make_config(self.version, self.keys)
+
     def put_config(self) -> None:
         """Publish the current version and keys to the store."""
-        self.store.standin.put_config(make_config(self.version, self.keys))
+        self.store.standin.put_config(self.make_config())
 
     def write_entry(self, target: Target, state: str) -> None:
         """Write the entry of a target; an empty ``state`` deletes it."""
