Tell an allocator four times a second what others have granted of a quota

Cause: two pools told each other once a second, in full reports, and both gave out the same second's part until then; the lines of both allocators show 2,531 and 1,422 tokens granted in one second of 2,160.

Why it works: a report that is sent anyway lists it again after a quarter of a second. Hosts that have nothing else to report keep to a second.

--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -149,6 +149,8 @@
         Brittle targets that have refused a request since the last report.
     spent_alone : bool
         Whether this host has spent tokens without a grant since the last report.
+    spending_listed_at : float
+        Time of the last report that listed what workspaces have spent.
     own_tokens : int
         Tokens of quotas that this host has spent without grants, since it last
         logged them.
@@ -186,6 +188,7 @@
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
     spent_alone: bool = False
+    spending_listed_at: float = float("-inf")
     own_tokens: int = 0
 
     @property
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -181,8 +181,8 @@
         Brittle targets that have refused a request of the host since its last report.
     lists_spending : bool
         Whether ``spent`` is the whole list, which replaces earlier ones. It is in full
-        reports, in those before the first answer of an allocator, and in the next
-        one after the host has spent tokens without a grant.
+        reports, in those before the first answer of an allocator, in others a few
+        times per second, and in the next one after spending without a grant.
     """
 
     host: HostId
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -33,6 +33,10 @@
 HEARTBEAT_S = 1.0
 """Maximum time between two reports on a pool that is in use."""
 
+SPENDING_INTERVAL_S = 0.25
+"""Minimum time between two reports that list what workspaces have spent by the grants
+of other allocators, if they are sent anyway."""
+
 MAX_FIRST_DEMANDS = 24
 MAX_LAST_DEMANDS = 8
 """Number of requests from the start and from the end of the queue that a report lists
@@ -227,8 +231,9 @@
     unanswered = access.holder is None
     stating = take_stating_targets(access, update.incremental)
     refusals, access.brittle_refusals = sorted(access.brittle_refusals), set()
-    lists_spending = unanswered or access.spent_alone or not update.incremental
-    access.spent_alone = False
+    lists_spending = not update.incremental or needs_spending(access, now)
+    if lists_spending:
+        access.spent_alone, access.spending_listed_at = False, now
     return PoolReport(
         host=tables.host,
         incarnation=tables.incarnation,
@@ -264,6 +269,17 @@
     )
 
 
+def needs_spending(access: PoolAccess, now: float) -> bool:
+    """Return whether a report that lists only changes must list spending.
+
+    What other pools grant has to reach an allocator soon: until then, both give out
+    the same part of a quota.
+    """
+    if access.spent_alone or access.holder is None:
+        return True
+    return now - access.spending_listed_at >= SPENDING_INTERVAL_S
+
+
 def take_stating_targets(access: PoolAccess, only_new: bool) -> Collection[TargetName]:
     """Return the targets whose statements a report is to list.
 
--- a/tests/soak/test_quotas.py
+++ b/tests/soak/test_quotas.py
@@ -9,6 +9,9 @@
 SEEDS = {1: "an allocator is disturbed while two pools share the quotas"}
 """Seeds that CI runs at a small size -> what they cover."""
 
+FAILED = {2: "two pools heard of each other's grants too late"}
+"""Seeds that have failed -> why. They run at the size at which they failed."""
+
 SLACK = 100.0
 QUOTA = Quota(0.0, 10.0, 10.0)
 ALLOWED = (10 * 8 + 10) * 1.1 + SLACK
@@ -26,6 +29,12 @@
     assert run_quota_seed(seed, SHORT, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", FAILED)
+def test_a_failed_seed_exceeds_no_quota(seed, tmp_path):
+    """The seed gives the same faults at the same times as in the run that failed."""
+    assert run_quota_seed(seed, QuotaRunSize(), tmp_path).violations == []
+
+
 def test_a_window_with_more_than_the_quota_is_found():
     (text,) = make_history([(1.0, 150), (8.9, 60)]).check()
     assert "ran 210 tokens" in text
