Divide the retry budget among all hosts that were seen of late, not those in sight

The slack of the retry budget was divided by the hosts that a host sees at the moment.

Why it works: as with quotas, a host that was seen in the last 30 s still has its part. A host that ended gets it back to the others after that.

Also: the settings of the soak's hosts are complete as a template again, which other tests use. Looked at and left: limits that targets state already count hosts that way, and a third of a limit is what hosts without an answer share; slots of targets that hosts without an answer use are divided by the hosts in sight, which costs queueing, no promise.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -49,6 +49,7 @@
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.messages import HostsChanged, NewConfig, TargetsLeaving
+from godwitladder.scheduler.quotas import SharingHosts
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.call_watcher import CallWatcher
@@ -112,6 +113,7 @@
         # zone, requests would wait in one zone while another has idle targets.
         self.span = Zone(settings.region)
         self.hosts: tuple[HostId, ...] = (settings.host,)
+        self.sharing_hosts = SharingHosts(clock, self.hosts)
         self.hubs: frozenset[HostId] = frozenset()
         self.freshness = DocumentFreshness(settings.bounds.revoke_s)
         self.router = Router(settings.host)
@@ -275,7 +277,7 @@
             budget,
             self.losses,
             self.statements,
-            lambda: len(self.hosts),
+            self.sharing_hosts.count,
             self.connector,
         )
 
@@ -397,6 +399,7 @@
             gone = set(self.hosts) - set(message.hosts)
             new = set(message.hosts) - set(self.hosts)
             self.hosts = message.hosts
+            self.sharing_hosts.update(message.hosts)
             self.hubs = message.hubs
             self.feed.hosts = message.allocators
             self.connector.set_peers(message.peers)
--- a/godwitladder/scheduler/quotas.py
+++ b/godwitladder/scheduler/quotas.py
@@ -1,11 +1,10 @@
-"""Token quotas of workspaces, and the share of them that a host may grant.
-
-Pure: times are passed in as arguments.
-"""
+"""Token quotas of workspaces, and the hosts that share what all may use together."""
 
+import threading
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
+from godwitladder.clock import Clock
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.quotas import TokenRate
 from godwitladder.ids import HostId, WorkspaceName
@@ -45,3 +44,38 @@
     def count_recent(self, now: float) -> int:
         """Return the number of hosts that were seen recently, at least 1."""
         return max(1, len(self.recent(now)))
+
+
+class SharingHosts:
+    """Number of hosts that share a limit; may be used by any thread.
+
+    Hosts on the other side of a network partition use their part of a limit too. If
+    each side counted only the hosts that it sees, all sides together would use the
+    limit several times.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the host.
+    hosts : collection of HostId
+        Live hosts, this one included.
+    """
+
+    def __init__(self, clock: Clock, hosts: Collection[HostId]) -> None:
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.seen = SeenHosts()
+        self.hosts = hosts
+
+    def update(self, hosts: Collection[HostId]) -> None:
+        """Set the hosts that are alive from now on."""
+        with self.lock:
+            self.seen.record_alive(self.hosts, self.clock.monotonic())
+            self.hosts = hosts
+
+    def count(self) -> int:
+        """Return the number of hosts that are alive or were seen recently."""
+        with self.lock:
+            now = self.clock.monotonic()
+            self.seen.record_alive(self.hosts, now)
+            return self.seen.count_recent(now)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,11 +33,10 @@
 seeds = {seeds}
 [limits]
 threads = 32
-[bounds]
-quota_slack = {quota_slack}
 """
 QUOTA_SLACK = 2_000.0
 """Tokens that a workspace may run beyond its quota in a window."""
+SETTINGS_TEMPLATE += f"[bounds]\nquota_slack = {QUOTA_SLACK}\n"
 SERVICE = "core"
 ROUTES = (
     ("charge", "non_idempotent", {"maxAttempts": 1}),
@@ -144,7 +143,6 @@
             ports=self.ports,
             store=self.store_proxy.address,
             seeds=json.dumps(seeds),
-            quota_slack=QUOTA_SLACK,
         )
         self.settings_path.write_text(text)
 
