--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -214,3 +214,9 @@
     clock.advance(WARM_UP_S)
     holder.on_receive(Tick())
     assert len(sent) == 1
+
+
+def test_terms_of_two_pools_on_one_allocator_differ():
+    """Guards against grants of one pool that count as those of the other."""
+    actor, _, _ = make_allocator("h0", ("h0",))
+    assert actor.next_term() < actor.next_term()
