--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -4,7 +4,8 @@
 requests share the targets equally with those of other workspaces, and requests
 within a quota wait behind requests beyond one. A limit at each host would have
 to be a share of the whole, and callers are spread unevenly over hosts. The
-allocator sees all requests, so it alone keeps the buckets.
+allocator of a pool sees all requests of the pool, so it keeps the buckets, and a
+ledger of what others have granted; see `spending`.
 
 Pure: times are passed in.
 
@@ -39,7 +40,7 @@
     SpendingLedger,
     WorkspaceSpending,
 )
-from godwitladder.ids import HostId, Incarnation, WorkspaceName
+from godwitladder.ids import HostId, WorkspaceName
 
 RATE_FACTOR = 1.08
 SLACK_SHARE = 0.75
@@ -217,38 +218,18 @@
         covered = min(1.0, max(0.0, covered_s / HISTORY_S))
         self.coverage.setdefault(host, covered)
 
-    def add_history(
-        self,
-        host: HostId,
-        spent: Iterable[WorkspaceSpending],
-        covered_s: float,
-        now: float,
-    ) -> None:
-        """Count the spending that a host reports to a new allocator.
-
-        Parameters
-        ----------
-        host : HostId
-            The host that reports.
-        spent : iterable of WorkspaceSpending
-            What it spent in the last seconds.
-        covered_s : float
-            For how many seconds back ``spent`` is complete.
-        now : float
-            When it told this, in seconds.
-        """
-        self.record_coverage(host, covered_s)
-        self.take_spending((host, Incarnation(0)), spent, now, now)
-
     def take_spending(
         self,
         process: Process,
         spent: Iterable[WorkspaceSpending],
         sent_at: float,
         sent_s: float,
-        term: int = 0,
+        term: int,
     ) -> None:
-        """Count what a host tells it has spent; see `SpendingLedger.replace_told`.
+        """Count what a host tells it has spent.
+
+        The parameters are those of `SpendingLedger.replace_told` and
+        `SpendingLedger.replace_totals`.
 
         Hosts in touch are on this side of a partition, so that what other pools grant
         them is taken from the buckets too: the ledger, which counts against a whole
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -148,7 +148,7 @@
     brittle_refusals : set of TargetName
         Brittle targets that have refused a request since the last report.
     spent_alone : bool
-        Whether this host has spent tokens without a grant since the last report.
+        Whether this host has spent tokens without a grant since it last listed them.
     spending_listed_at : float
         Time of the last report that listed what workspaces have spent.
     own_tokens : int
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -259,9 +259,9 @@
             role.quotas.set_share(self.visible_share(now), now)
 
     def next_term(self) -> int:
-        """Return the number of a new term, which no other pool has either.
+        """Return the number of a new term, which no other pool of this host has.
 
-        Hosts tell allocators apart by it, whose grants they add up.
+        Hosts add up the grants of each term apart from those of others.
         """
         self.last_term = max(self.last_term + 1, int(self.clock.wall() * 1000))
         return self.last_term
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -18,6 +18,7 @@
 from godwitladder.decisions.sizes import CallSizes
 from godwitladder.decisions.types import ShedReason
 from tests.decisions.pools import add, make_pool, make_target, shed_reasons, take
+from tests.scheduler.harness import add_history
 
 RATE = {"w0": TokenRate(1000.0, 2000.0)}
 
@@ -210,7 +211,7 @@
     """Guards against refusals by a lower quota before its promise holds."""
     high, low = {"w0": TokenRate(1000.0, 2000.0)}, {"w0": TokenRate(100.0, 200.0)}
     quotas = TokenQuotas(rates=high)
-    quotas.add_history("host", (), 8.0, 0.0)
+    add_history(quotas, "host", (), 8.0, 0.0)
     quotas.apply_rates(0.0)
     quotas.rates = low
     quotas.apply_rates(1.0)
--- a/tests/scheduler/harness.py
+++ b/tests/scheduler/harness.py
@@ -9,6 +9,7 @@
 from godwitladder.decisions.types import PoolName
 from godwitladder.ids import HostId, Incarnation, RequestId, StreamId, Zone
 from godwitladder.outcomes import Refusal
+from godwitladder.scheduler.exchange import NO_TERM
 from godwitladder.scheduler.messages import HostsChanged
 from godwitladder.scheduler.pools import make_pools
 from godwitladder.scheduler.reports import (
@@ -195,3 +196,9 @@
             while harness.offers.get((host, "h0")):
                 harness.deliver_offer(host, "h0", now)
     return now
+
+
+def add_history(quotas, host, spent, covered_s, now):
+    """Let a host report its spending to an allocator that has just started."""
+    quotas.record_coverage(host, covered_s)
+    quotas.take_spending((host, Incarnation(1)), spent, now, now, NO_TERM)
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -26,7 +26,7 @@
 from godwitladder.scheduler.rows import Dispatch, RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
 from godwitladder.scheduler.ticker import Ticker
-from tests.scheduler.harness import AllocationHarness, make_role
+from tests.scheduler.harness import AllocationHarness, add_history, make_role
 from tests.scheduler.harness import make_tables as tables_of
 
 CONFIG = ConfigState(
@@ -155,7 +155,7 @@
     """
     quotas = TokenQuotas(rates=token_rates(CONFIG), expected_hosts=2)
     for host in PAIR:
-        quotas.add_history(host, (), 0.5, now=10.0)
+        add_history(quotas, host, (), 0.5, now=10.0)
     spent = spend_all(quotas, 10.0)
     least = 1000.0 * FRESH_SHARE
     assert least <= spent <= least + 1000.0 * 0.5 / HISTORY_S
@@ -180,12 +180,12 @@
     """
     rates = token_rates(SLOW)
     old = TokenQuotas(rates=rates)
-    old.add_history("h0", (), float(HISTORY_S), now=10.0)
+    add_history(old, "h0", (), float(HISTORY_S), now=10.0)
     for _ in range(50):
         old.take("w", 10, 10.0)
     old.share = 2 / 3
     new = TokenQuotas(rates=rates, share=1 / 3)
-    new.add_history("h1", (), float(HISTORY_S), now=10.0)
+    add_history(new, "h1", (), float(HISTORY_S), now=10.0)
     total = 500 + spend_all(old, 10.0) + spend_all(new, 10.0)
     assert 1000 <= total <= 1000 * 7 / 6 + 10
 
@@ -193,13 +193,21 @@
 def test_tokens_spent_long_ago_have_been_refilled():
     """Tokens that were spent seconds ago have been refilled at the token rate."""
     quotas = TokenQuotas(rates=token_rates(CONFIG))
-    quotas.add_history(
-        "h0", [WorkspaceSpending("w", (0, 0, 0, 900))], float(HISTORY_S), now=10.0
+    add_history(
+        quotas,
+        "h0",
+        [WorkspaceSpending("w", (0, 0, 0, 900))],
+        float(HISTORY_S),
+        now=10.0,
     )
     assert quotas.wait_s("w", 1000, 10.0) == 0
     quotas = TokenQuotas(rates=token_rates(CONFIG))
-    quotas.add_history(
-        "h0", [WorkspaceSpending("w", (4000, 0, 0, 0))], float(HISTORY_S), now=10.0
+    add_history(
+        quotas,
+        "h0",
+        [WorkspaceSpending("w", (4000, 0, 0, 0))],
+        float(HISTORY_S),
+        now=10.0,
     )
     assert quotas.wait_s("w", 100, 10.0) > 1.0
 
