Test that shares smaller than a request add up over hosts

The mutation that takes the overdraft away left the test of the fleet green; the new test turns red for it, and for the one that lets each host overdraw a whole request.

--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -233,3 +233,19 @@
     quotas.take("w0", 2000, 10.0)
     quotas.discard_stale_bucket("w0", answered_at=9.5)
     assert "w0" in quotas.buckets
+
+
+def test_shares_that_are_smaller_than_a_request_add_up():
+    """Guards against hosts that each overdraw their share, or never use it.
+
+    Ten hosts hear nothing of their allocator, and their full buckets of 100 tokens
+    are asked for 400. About as many are taken as all buckets hold.
+    """
+    hosts = 10
+    taken = 0
+    for number in range(hosts):
+        quotas = TokenQuotas(rates=token_rates(CONFIG), share=1 / hosts)
+        quotas.spend_share("w", 400, 0.0, 0.0)
+        waited = quotas.spend_share("w", 400, 60.0, (number + 0.5) / hosts)
+        taken += 0 if waited else 400
+    assert 600 <= taken <= 1400
