--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -22,7 +22,7 @@
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.scheduler.quotas import HOST_EXPIRY_S, token_rates
-from godwitladder.scheduler.reports import update_targets
+from godwitladder.scheduler.reports import make_report, update_targets
 from godwitladder.scheduler.rows import Dispatch, RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
 from godwitladder.scheduler.ticker import Ticker
@@ -249,3 +249,14 @@
         waited = quotas.spend_share("w", 400, 60.0, (number + 0.5) / hosts)
         taken += 0 if waited else 400
     assert 600 <= taken <= 1400
+
+
+def test_a_host_tells_at_once_what_it_spent_by_itself():
+    """Guards against an allocator that doesn't learn of spending without grants."""
+    tables = make_tables(["h1"])
+    assert isinstance(submit(tables, 0, now=10.0), Dispatch)
+    (access,) = tables.pools.values()
+    access.full_report_at = 10.0
+    report = make_report(tables, access, 10.0)
+    assert report.lists_spending
+    assert [(row.workspace, row.tokens) for row in report.spent] == [("w", (100,))]
