--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -260,3 +260,12 @@
     report = make_report(tables, access, 10.0)
     assert report.lists_spending
     assert [(row.workspace, row.tokens) for row in report.spent] == [("w", (100,))]
+
+
+def test_a_quota_that_was_just_used_up_begins_with_nothing():
+    """Guards against a part of the burst for each allocator that is new."""
+    quotas = TokenQuotas(rates=token_rates(CONFIG))
+    spent = [WorkspaceSpending("w", (0, 0, 100), used_up=True)]
+    add_history(quotas, "h0", spent, float(HISTORY_S), now=10.0)
+    assert quotas.wait_s("w", 10, 10.0) > 0
+    assert quotas.wait_s("w", 500, 11.0) == 0
