--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -269,3 +269,13 @@
     add_history(quotas, "h0", spent, float(HISTORY_S), now=10.0)
     assert quotas.wait_s("w", 10, 10.0) > 0
     assert quotas.wait_s("w", 500, 11.0) == 0
+
+
+def test_hosts_that_are_lost_have_spent_their_share_before_it_is_noticed():
+    """Guards against a quota that both sides give out until a cut is noticed."""
+    quotas = TokenQuotas(rates=token_rates(CONFIG))
+    add_history(quotas, "h0", (), float(HISTORY_S), now=10.0)
+    rate = quotas.rates["w"]
+    assert quotas.available("w", rate, 10.0) == 1000
+    quotas.set_share(0.5, 10.0)
+    assert quotas.available("w", rate, 10.0) < 1000 * 0.5
