--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -279,3 +279,15 @@
     assert quotas.available("w", rate, 10.0) == 1000
     quotas.set_share(0.5, 10.0)
     assert quotas.available("w", rate, 10.0) < 1000 * 0.5
+
+
+def test_grants_of_other_pools_are_taken_from_this_side_of_a_partition():
+    """Guards against pools that each give out their side's share of a quota."""
+    quotas = TokenQuotas(rates=token_rates(CONFIG), share=0.5)
+    process, rate = ("h0", 1), quotas.rates["w"]
+    quotas.record_coverage("h0", float(HISTORY_S))
+    for now, total in ((10.0, 0), (18.0, 0), (18.2, 300)):
+        spent = [WorkspaceSpending("w", (total,), total=total)]
+        quotas.take_spending(process, spent, now, now, 1)
+        left = quotas.available("w", rate, now)
+    assert 200 <= left < 350
