--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -34,9 +34,10 @@
 [limits]
 threads = 32
 """
-QUOTA_SLACK = 2_000.0
-"""Tokens that a workspace may run beyond its quota in a window."""
-SETTINGS_TEMPLATE += f"[bounds]\nquota_slack = {QUOTA_SLACK}\n"
+QUOTA_TEMPLATE = """
+[bounds]
+quota_slack = {quota_slack}
+"""
 SERVICE = "core"
 ROUTES = (
     ("charge", "non_idempotent", {"maxAttempts": 1}),
@@ -94,6 +95,8 @@
         Proxies that lead from the host alone to targets, by the target's address.
     peer_paths : dict
         Proxies that lead from the host alone to peers, by the peer's address.
+    quota_slack : float
+        Tokens that a workspace may run beyond its quota in a window.
     """
 
     def __init__(self, folder: Path, name: str, zone: str, store: str) -> None:
@@ -104,6 +107,7 @@
         self.peer_proxy = Proxy(self.peer_address)
         self.paths: dict[str, Proxy] = {}
         self.peer_paths: dict[str, Proxy] = {}
+        self.quota_slack = 0.0
         self.settings_path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         self.process: subprocess.Popen | None = None
@@ -144,6 +148,7 @@
             store=self.store_proxy.address,
             seeds=json.dumps(seeds),
         )
+        text += QUOTA_TEMPLATE.format(quota_slack=self.quota_slack)
         self.settings_path.write_text(text)
 
     def start(self) -> None:
@@ -329,6 +334,8 @@
         off from them.
     services : tuple of str
         Services that the targets serve in turn.
+    quota_slack : float, default=0.0
+        Tokens that a workspace may run beyond its quota in a window.
     """
 
     def __init__(
@@ -341,6 +348,7 @@
         has_own_paths: bool = False,
         has_peer_paths: bool = False,
         services: tuple[str, ...] = (SERVICE,),
+        quota_slack: float = 0.0,
     ) -> None:
         self.store = start_store()
         stack.callback(self.store.server_close)
@@ -358,6 +366,7 @@
         for number in range(hosts):
             zone = zones[number % len(zones)]
             host = Host(folder, f"h{number}", zone, self.store.address)
+            host.quota_slack = quota_slack
             if has_own_paths:
                 host.make_paths(self.targets)
             self.hosts.append(host)
--- a/soak/quotas.py
+++ b/soak/quotas.py
@@ -23,7 +23,7 @@
 
 from godwitladder.explain import parse_log_line
 from godwitladder.platform import names
-from soak.fleet import QUOTA_SLACK, SERVICE, Fleet, Host, make_config
+from soak.fleet import SERVICE, Fleet, Host, make_config
 from soak.proxy import CutMode
 from soak.quota_records import Quota, QuotaHistory, TokenRun
 from soak.run import RECOVERY_TIMEOUT_S, START_TIMEOUT_S
@@ -32,6 +32,7 @@
 PATHS = ("/lookup/x", "/side/x")
 SIDE_FRACTION = 0.3
 RATE, BURST = 2_000.0, 2_000.0
+QUOTA_SLACK = 2_000.0
 FLOOD, MODEST = "flood", "modest"
 LOAD = {FLOOD: 6.0, MODEST: 0.4}
 """What each workspace asks for, as a multiple of its quota."""
@@ -356,6 +357,7 @@
             size.targets,
             has_peer_paths=True,
             services=(SERVICE, SIDE),
+            quota_slack=QUOTA_SLACK,
         )
         if not fleet.wait_until_converged(START_TIMEOUT_S):
             text = "the hosts did not find each other"
