Take back what a host's share gained while its allocator answered

Cause, from the spending by issuer: a host's own bucket refills to the brim while the allocator answers, and was discarded only after 8 s; as the allocator is silent twice within that, all hosts begin with full buckets of a quota that is used up (73 and 126 thousand tokens in half a second).

Why it works: the share was the allocator's in that time, so a bucket that missed an answer begins as a new one does, with nothing if the quota was just used up; a debt still refills.

--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -412,6 +412,31 @@
         if bucket is not None and answered_at - bucket.updated_at > HISTORY_S:
             del self.buckets[workspace]
 
+    def resume_share(
+        self, workspace: WorkspaceName, answered_at: float, now: float
+    ) -> None:
+        """Take back what a bucket gained while an allocator answered.
+
+        The share was the allocator's in that time. A host that hears nothing of it
+        again and again would otherwise begin with a full bucket each time.
+
+        Parameters
+        ----------
+        workspace : WorkspaceName
+            The workspace.
+        answered_at : float
+            When an allocator last answered this host, in seconds.
+        now : float
+            Current time, in seconds.
+        """
+        bucket, rate = self.buckets.get(workspace), self.rate_of(workspace, now)
+        if bucket is None or rate is None or answered_at <= bucket.updated_at:
+            return
+        refilled = self.refill(workspace, rate, now)
+        refilled.tokens = min(
+            refilled.tokens, self.initial_tokens(workspace, rate, now)
+        )
+
     def capacity(self, rate: TokenRate) -> float:
         """Return the capacity of a bucket, in tokens."""
         return (rate.burst + self.slack * SLACK_SHARE) * self.share
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -212,6 +212,7 @@
     refused_at = tables.spending.refused_at.get(row.workspace)
     if refused_at is not None:
         quotas.ledger.used_up_at[row.workspace] = refused_at
+    quotas.resume_share(row.workspace, access.answered_at, now)
     phase = overdraft_phase(tables.host, row.workspace)
     wait_s = quotas.spend_share(row.workspace, row.charge, now, phase)
     if wait_s > 0:
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -291,3 +291,12 @@
         quotas.take_spending(process, spent, now, now, 1)
         left = quotas.available("w", rate, now)
     assert 200 <= left < 350
+
+
+def test_a_share_does_not_refill_while_an_allocator_answers():
+    """Guards against a full bucket on each host as an allocator is silent again."""
+    quotas = TokenQuotas(rates={"w0": TokenRate(1000.0, 8000.0)}, share=0.5)
+    assert quotas.spend_share("w0", 900, 10.0, 0.0) == 0.0
+    quotas.ledger.used_up_at["w0"] = 15.0
+    quotas.resume_share("w0", 14.9, 15.0)
+    assert quotas.spend_share("w0", 900, 15.0, 0.0) > 0.0
