--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -417,8 +417,9 @@
     ) -> None:
         """Take back what a bucket gained while an allocator answered.
 
-        The share was the allocator's in that time. A host that hears nothing of it
-        again and again would otherwise begin with a full bucket each time.
+        The share was the allocator's in that time. If the allocator has used the
+        quota up, hosts that hear nothing of it again would otherwise all begin with
+        full buckets. If it has not, the share is still there.
 
         Parameters
         ----------
@@ -432,10 +433,9 @@
         bucket, rate = self.buckets.get(workspace), self.rate_of(workspace, now)
         if bucket is None or rate is None or answered_at <= bucket.updated_at:
             return
-        refilled = self.refill(workspace, rate, now)
-        refilled.tokens = min(
-            refilled.tokens, self.initial_tokens(workspace, rate, now)
-        )
+        if self.ledger.is_used_up(workspace, now):
+            refilled = self.refill(workspace, rate, now)
+            refilled.tokens = min(0.0, refilled.tokens)
 
     def capacity(self, rate: TokenRate) -> float:
         """Return the capacity of a bucket, in tokens."""
