Apply a quota that is lowered a second time a window later too

What callers saw: calls refused for a quota that did not bind yet, for 8 s. The former quota of the first lowering stayed in the table when it was over, and kept that of the second from being noted, so that the second lowering applied at once.

Evidence: the new test, red before (300 a second applied at once, 600 expected). Found by reading. Why it works: a former quota that is over is replaced.

--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/quotas.py
@@ -186,7 +186,9 @@
         for name, rate in self.rates.items():
             before = self.rate_of(name, now, self.applied_rates)
             if before is not None and rate.is_below(before):
-                self.former.setdefault(name, FormerRate(before, now + LOWERED_AFTER_S))
+                former = self.former.get(name)
+                if former is None or now >= former.until:
+                    self.former[name] = FormerRate(before, now + LOWERED_AFTER_S)
             else:
                 self.former.pop(name, None)
         self.applied_rates = self.rates
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -13,6 +13,7 @@
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.quotas import (
     FRESH_SHARE,
+    LOWERED_AFTER_S,
     TokenQuotas,
     TokenRate,
 )
@@ -300,3 +301,13 @@
     quotas.ledger.used_up_at["w0"] = 15.0
     quotas.resume_share("w0", 14.9, 15.0)
     assert quotas.spend_share("w0", 900, 15.0, 0.0) > 0.0
+
+
+def test_a_quota_that_is_lowered_again_applies_a_window_later():
+    """Guards against refusing for a quota that no host is bound by yet."""
+    quotas = TokenQuotas()
+    for now, tokens in ((0.0, 900.0), (10.0, 600.0), (30.0, 300.0)):
+        quotas.rates = {"w": TokenRate(tokens, tokens)}
+        quotas.apply_rates(now)
+    assert quotas.rate_of("w", 30.0) == TokenRate(600.0, 600.0)
+    assert quotas.rate_of("w", 30.0 + LOWERED_AFTER_S) == TokenRate(300.0, 300.0)
