Report spending only of workspaces that have a quota

Every request of every workspace was recorded and listed to all pools, a few times a second, though no allocator limits those without a quota: bytes for nothing, and a report at once for each request that a host without an answer sent. Found by reading; the new test was red before.

--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -360,12 +360,13 @@
 def record_spending(
     tables: Tables, row: RequestRow, issuer: Issuer, now: float
 ) -> None:
-    """Record the charge of a dispatched request, to tell the allocators of it.
+    """Record the charge of a request of a workspace with a token quota.
 
     A workspace has one quota for all pools: each allocator learns what was spent in
     the others once a second, and what hosts spend by themselves at once.
     """
-    if not row.charge:
+    workspace = tables.config.workspaces.get(row.workspace)
+    if not row.charge or workspace is None or not workspace.token_rate:
         return
     tables.spending.record_spending(row.workspace, row.charge, now, issuer)
     if issuer == NO_ISSUER:
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -311,3 +311,12 @@
         quotas.apply_rates(now)
     assert quotas.rate_of("w", 30.0) == TokenRate(600.0, 600.0)
     assert quotas.rate_of("w", 30.0 + LOWERED_AFTER_S) == TokenRate(300.0, 300.0)
+
+
+def test_spending_without_a_quota_is_not_reported():
+    """Guards against reports for workspaces that no allocator limits."""
+    tables = make_tables(["h1"])
+    tables.config = replace(CONFIG, workspaces={"w": Workspace("t")})
+    tables.quotas.rates = {}
+    assert isinstance(submit(tables, 0, now=10.0), Dispatch)
+    assert tables.spending.recent_spending(10.0) == ()
