Forget workspaces that spend nothing any more, and hosts that have ended

Found by reading; the tests of both were red before. Entries go once no window contains them, looked for once a second; what the rule binds is unchanged.

--- a/godwitladder/decisions/spending.py
+++ b/godwitladder/decisions/spending.py
@@ -39,6 +39,7 @@
 RECORDED_S = HISTORY_S + 1
 USED_UP_S = 3.0
 MAX_LISTING_GAP_S = 1.5
+DROP_INTERVAL_S = 1.0
 SLOT_S = 0.25
 RECORDED_SLOTS = int(RECORDED_S / SLOT_S)
 
@@ -186,6 +187,9 @@
                 del spent[second]
             if not spent:
                 del self.seconds[key], self.totals[key]
+        for name, refused_at in list(self.refused_at.items()):
+            if now - refused_at > USED_UP_S:
+                del self.refused_at[name]
 
     def covered_s(self, now: float) -> float:
         """Return for how many seconds back the history is complete."""
@@ -227,6 +231,10 @@
         if self.cached_slot is not None and slot < self.cached_slot:
             self.cached_slot = None
 
+    def is_over(self, oldest: int) -> bool:
+        """Return whether nothing was spent since a slot."""
+        return all(slot < oldest for slot, spent in self.slots.items() if spent)
+
     def available(self, now: float, capacity: float, refill: float) -> float:
         """Return the tokens that a bucket would have left after this spending.
 
@@ -321,12 +329,15 @@
         When each process told last, and the totals of that.
     used_up_at : dict
         When a host last told that a quota is used up, by workspace.
+    dropped_at : float
+        When old entries were last dropped, in seconds.
     """
 
     accounts: dict[WorkspaceName, WorkspaceAccount] = field(default_factory=dict)
     told: dict[Process, list[ToldSpending]] = field(default_factory=dict)
     totals: dict[Process, ToldTotals] = field(default_factory=dict)
     used_up_at: dict[WorkspaceName, float] = field(default_factory=dict)
+    dropped_at: float = -math.inf
 
     def account(self, workspace: WorkspaceName) -> WorkspaceAccount:
         """Return the account of a workspace."""
@@ -428,7 +439,10 @@
         return now - self.used_up_at.get(workspace, -math.inf) <= USED_UP_S
 
     def drop_old(self, now: float) -> None:
-        """Drop what processes have told that no window contains any more."""
+        """Drop what no window contains any more, once a second."""
+        if now - self.dropped_at < DROP_INTERVAL_S:
+            return
+        self.dropped_at = now
         oldest = slot_of(now) - RECORDED_SLOTS
         for process, entries in list(self.told.items()):
             if all(entry.slot < oldest for entry in entries):
@@ -436,6 +450,10 @@
         for process, row in list(self.totals.items()):
             if slot_of(row.told_at) < oldest:
                 del self.totals[process]
+        for workspace, account in list(self.accounts.items()):
+            if account.is_over(oldest):
+                del self.accounts[workspace]
+                self.used_up_at.pop(workspace, None)
 
 
 def _tokens_by_age(spent: Mapping[int, int], newest: int) -> tuple[int, ...]:
--- a/godwitladder/scheduler/quotas.py
+++ b/godwitladder/scheduler/quotas.py
@@ -30,8 +30,10 @@
     last_seen: dict[HostId, float] = field(default_factory=dict)
 
     def record_alive(self, hosts: Collection[HostId], now: float) -> None:
-        """Record that ``hosts`` are alive."""
+        """Record that ``hosts`` are alive, and drop those that have ended."""
         self.last_seen.update(dict.fromkeys(hosts, now))
+        for host in set(self.last_seen) - self.recent(now):
+            del self.last_seen[host]
 
     def recent(self, now: float) -> set[HostId]:
         """Return the hosts that were seen recently."""
--- a/tests/decisions/test_spending.py
+++ b/tests/decisions/test_spending.py
@@ -100,9 +100,17 @@
     ledger, history = SpendingLedger(), SpendingHistory()
     history.record_spending("w", 900, 20.0, OTHER)
     tell(ledger, H3, history, 20.5)
-    ledger.drop_old(20.5 + RECORDED_S + 1)
+    ledger.replace_totals(H3, history.recent_spending(20.5), 20.5, 1)
+    left(ledger, 20.5)
+    history.refused_at["w"] = 20.0
+    now = 20.5 + RECORDED_S + 1
+    ledger.drop_old(now)
     assert not ledger.told
-    assert not history.recent_spending(20.5 + RECORDED_S + 1)
+    assert not ledger.totals
+    assert not ledger.accounts
+    assert not history.recent_spending(now)
+    assert not history.refused_at
+    assert not history.totals
 
 
 def test_growth_is_what_a_host_in_touch_has_spent_since_it_last_told():
--- a/tests/scheduler/test_sharing_hosts.py
+++ b/tests/scheduler/test_sharing_hosts.py
@@ -2,7 +2,7 @@
 
 from godwitladder.clock import ManualClock
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
-from godwitladder.scheduler.quotas import HOST_EXPIRY_S, SharingHosts
+from godwitladder.scheduler.quotas import HOST_EXPIRY_S, SeenHosts, SharingHosts
 
 HOSTS = ("h0", "h1", "h2", "h3", "h4")
 LIMITS = RetryLimits(ratio=0.2, slack=100.0, window_s=10.0)
@@ -35,3 +35,11 @@
     side.update(HOSTS[:1])
     clock.advance(HOST_EXPIRY_S + 1)
     assert side.count() == 1
+
+
+def test_hosts_that_ended_are_forgotten():
+    """Guards against a table of all hosts that ever were."""
+    seen = SeenHosts()
+    for number in range(100):
+        seen.record_alive([f"h{number}"], number * HOST_EXPIRY_S)
+    assert len(seen.last_seen) <= 2
