--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -17,13 +17,19 @@
     TokenQuotas,
     TokenRate,
 )
-from godwitladder.decisions.spending import HISTORY_S, WorkspaceSpending
+from godwitladder.decisions.spending import (
+    HISTORY_S,
+    RECORDED_S,
+    Issuer,
+    WorkspaceSpending,
+)
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal
 from godwitladder.scheduler.actor import Scheduler
+from godwitladder.scheduler.exchange import NO_TERM, PoolReport
 from godwitladder.scheduler.messages import HostsChanged, Tick
 from godwitladder.scheduler.quotas import HOST_EXPIRY_S, token_rates
-from godwitladder.scheduler.reports import make_report, update_targets
+from godwitladder.scheduler.reports import make_report, needs_heartbeat, update_targets
 from godwitladder.scheduler.rows import Dispatch, RequestRow, Tables
 from godwitladder.scheduler.systems import add_request, run_systems
 from godwitladder.scheduler.ticker import Ticker
@@ -257,7 +263,8 @@
     tables = make_tables(["h1"])
     assert isinstance(submit(tables, 0, now=10.0), Dispatch)
     (access,) = tables.pools.values()
-    access.full_report_at = 10.0
+    access.holder = "h2"
+    access.full_report_at = access.spending_listed_at = 10.0
     report = make_report(tables, access, 10.0)
     assert report.lists_spending
     assert [(row.workspace, row.tokens) for row in report.spent] == [("w", (100,))]
@@ -320,3 +327,37 @@
     tables.quotas.rates = {}
     assert isinstance(submit(tables, 0, now=10.0), Dispatch)
     assert tables.spending.recent_spending(10.0) == ()
+
+
+def test_a_host_without_requests_tells_a_pool_what_it_spends_elsewhere():
+    """Guards against a pool that never hears of the grants of another."""
+    tables = make_tables(["h1"])
+    tables.has_standing_grants = False
+    (access,) = tables.pools.values()
+    access.holder = "h2"
+    assert not needs_heartbeat(tables, access, 10.0)
+    tables.spending.record_spending("w", 100, 10.0, Issuer("h3", 1))
+    assert needs_heartbeat(tables, access, 10.0)
+    assert not needs_heartbeat(tables, access, 10.0 + RECORDED_S + 1)
+
+
+def test_a_host_knows_that_a_quota_was_just_used_up():
+    """Guards against new buckets for a quota that an allocator refused for."""
+    now = 100.0
+    harness = make_pair(now)
+    for number in range(20):
+        ask(harness, "h0", number, now)
+    harness.settle(now)
+    spending = harness.hosts["h0"].spending
+    assert spending.is_used_up("w", now + 1.0)
+    assert all(row.used_up for row in spending.recent_spending(now + 1.0))
+    assert not spending.is_used_up("w", now + 10.0)
+
+
+def test_a_list_without_the_grants_of_an_earlier_term_is_not_complete():
+    """Guards against a full bucket for a role that ends and begins again."""
+    role = make_role("h0", SLOW, 10.0, term=2)
+    for host, term in (("h1", 1), ("h2", 2), ("h3", NO_TERM)):
+        report = PoolReport(host, 1, role.pool.name, 1, 5.0, term, 0, covered_s=60.0)
+        role.take_report(report, 10.0)
+    assert set(role.quotas.coverage) == {"h2", "h3"}
