--- a/tests/scheduler/test_quota_accounts.py
+++ b/tests/scheduler/test_quota_accounts.py
@@ -88,3 +88,23 @@
     since, asked = fleet.now, fleet.asked["w"]
     fleet.play(6, load)
     assert fleet.ran(since) >= 0.9 * (fleet.asked["w"] - asked)
+
+
+@pytest.mark.parametrize("apart", [1, 5])
+def test_both_sides_of_a_partition_serve_a_workspace_within_its_quota(apart):
+    """Guards against keeping a quota by refusing what each side's share holds."""
+    fleet, load = QuotaFleet(HOSTS, LARGE, seed=1), make_load(LARGE, 0.5, True)
+    fleet.play(10, load)
+    holder = fleet.allocator_of()
+    fleet.cut([holder, *[name for name in fleet.names if name != holder][: apart - 1]])
+    fleet.play(2.5, load)
+    since, asked = fleet.now, fleet.asked["w"]
+    fleet.play(5, load)
+    during = fleet.ran(since) / (fleet.asked["w"] - asked)
+    fleet.cut([])
+    fleet.play(1, load)
+    since, asked = fleet.now, fleet.asked["w"]
+    fleet.play(5, load)
+    after = fleet.ran(since) / (fleet.asked["w"] - asked)
+    assert after >= 0.95
+    assert during >= 0.9
