Log each recorded lost answer, and whether a broken stream may be resumed

The lines did not tell whether a host had seen the end of a target under a request: a recorded loss left no line, nor did one that was not recorded. Each now tells the body's digest, the target, who observed it and how many targets count; a broken stream tells its body and whether its route may be resumed; the refusal names the digest.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -202,7 +202,7 @@
         digest = digest_call(workspace.name, path, body)
         held_s = self.proxy.losses.held_s(digest)
         if held_s > 0:
-            text = "Several targets lost the answer to this call."
+            text = f"Several targets lost the answer to this call ({digest[:8]})."
             raise _refused(Reason.LOST_BEFORE, text, held_s)
         return self.make_call(
             environ["REQUEST_METHOD"],
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -238,7 +238,7 @@
         The host that lost the answer is linked to the hubs only. The hub that is
         that host's publisher forwards the message to the hosts that are no hubs.
         """
-        self.losses.record_loss(news)
+        self.losses.record_loss(news, link.peer)
         hubs = self.hubs
         if link.peer in hubs or choose_publisher(link.peer, hubs) != self.host:
             return
--- a/godwitladder/serving/losses.py
+++ b/godwitladder/serving/losses.py
@@ -44,14 +44,22 @@
     def report_loss(self, digest: BodyDigest, target: TargetName) -> None:
         """Record a loss that this host observed, and send it to the peers."""
         message = AnswerLost(digest, target)
-        self.record_loss(message)
+        self.record_loss(message, "this host")
         self.broadcast(message)
 
-    def record_loss(self, message: AnswerLost) -> None:
+    def record_loss(self, message: AnswerLost, observed_by: str) -> None:
         """Record a loss that this host or a peer observed."""
         with self.lock:
             now = self.clock.monotonic()
             self.table.record_loss(message.digest, message.target, now)
+            targets = len(self.table.losses[message.digest].targets)
+        extra = {
+            "body": message.digest[:8],
+            "target": message.target,
+            "observed_by": observed_by,
+            "targets": targets,
+        }
+        log.info("A lost answer was recorded", extra=extra)
 
     def held_s(self, digest: BodyDigest) -> float:
         """Return for how many more seconds to hold a call back; 0 if it is not held."""
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -94,7 +94,12 @@
             The route does not allow it, or no target continues the stream.
         """
         proxied_call = self.proxied_call
-        extra = proxied_call.log_fields() | {"error": str(error), "events": self.events}
+        extra = proxied_call.log_fields() | {
+            "error": str(error),
+            "events": self.events,
+            "body": proxied_call.call.row.body[:8],
+            "resumable": proxied_call.call.route.resumable,
+        }
         log.info("A stream broke", extra=extra)
         if not proxied_call.call.route.resumable:
             raise StreamTruncated(str(error))
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -393,7 +393,7 @@
     bench.engines[0].standin.knobs.foreign = True
     digest = digest_call("w1", "/charge/bad", b"x")
     for name in ("t8", "t9"):
-        bench.app.proxy.losses.record_loss(AnswerLost(digest, name))
+        bench.app.proxy.losses.record_loss(AnswerLost(digest, name), "h2")
     assert bench.call("/charge/bad", body=b"x").status == 502
     assert bench.call("/charge/bad", body=b"x").status == 503
     assert bench.call("/charge/good", body=b"x").status == 200
