Add failing tests of a request that ends each target that runs it

The stand-in engine learns to end under a request: before the head, after it, in the middle of a stream, or in silence, and comes back as a new process. soak.crashes plays such a request beside others, with hosts that are killed, started anew or cut off from their peers.

--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -6,12 +6,14 @@
 """
 
 import base64
+import enum
 import json
 import socket
 import struct
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qsl, urlsplit
@@ -22,6 +24,7 @@
 READ_HEADER = struct.Struct(">QQ")
 FALL_S = 2.0
 """Seconds after which an engine that has fallen over is back."""
+EVENTS_BEFORE_ENDING = 2
 
 
 @dataclass
@@ -193,6 +196,31 @@
     return 200, body
 
 
+class Ending(enum.Enum):
+    """When an engine ends under a request.
+
+    Attributes
+    ----------
+    BEFORE_HEAD
+        Before it answers.
+    AFTER_HEAD
+        After the status and headers of its answer.
+    MID_STREAM
+        After the first events of a stream; after the head of any other answer.
+    SILENT
+        Before it answers, and its connections stay open without a sign.
+    """
+
+    BEFORE_HEAD = "before_head"
+    AFTER_HEAD = "after_head"
+    MID_STREAM = "mid_stream"
+    SILENT = "silent"
+
+
+class EngineEnded(Exception):
+    """Raised in the thread of a request under which the engine has ended."""
+
+
 @dataclass
 class EngineKnobs:
     """Knobs of an engine, which set its faults and its pace.
@@ -226,6 +254,10 @@
     brittle : float
         Refusals in a second beyond which the engine falls over for `FALL_S`, as every
         answer states; 0 for none.
+    ends_on : bytes
+        Body of the requests that end the engine; empty for none.
+    ending : Ending
+        When it ends under them.
     """
 
     refuse: bool = False
@@ -240,6 +272,8 @@
     cooldown_s: float = 0.0
     room: int = -1
     brittle: float = 0.0
+    ends_on: bytes = b""
+    ending: Ending = Ending.BEFORE_HEAD
 
 
 @dataclass(frozen=True)
@@ -305,6 +339,10 @@
         When it refused requests since it last fell over, in monotonic seconds.
     falls : list of float
         When it fell over.
+    endings : list of float
+        When it ended under a request.
+    on_end : callable
+        Called with the kind when it ends under a request; breaks its connections.
     """
 
     def __init__(self) -> None:
@@ -313,6 +351,8 @@
         self.open_requests = 0
         self.refusals: list[float] = []
         self.falls: list[float] = []
+        self.endings: list[float] = []
+        self.on_end: Callable[[Ending], None] = lambda ending: None
         self.runs: list[Run] = []
         self.arrivals: list[Arrival] = []
         self.broken_connections = 0
@@ -335,6 +375,18 @@
         with self.lock:
             self.open_requests -= 1
 
+    def end(self, ending: Ending) -> None:
+        """End under a request.
+
+        Raises
+        ------
+        EngineEnded
+            Always, so that the request's thread sends nothing more.
+        """
+        self.endings.append(time.monotonic())
+        self.on_end(ending)
+        raise EngineEnded
+
     def record_refusal(self, now: float) -> None:
         """Record a refusal, and fall over if there were too many."""
         self.refusals = [at for at in self.refusals if now - at < 1.0] + [now]
@@ -364,7 +416,9 @@
         headers = {name.lower(): value for name, value in self.headers.items()}
         engine.runs.append(Run(self.command, self.path, headers, body, now))
         try:
-            self.run(engine.knobs)
+            self.run(engine.knobs, body)
+        except EngineEnded:
+            self.close_connection = True
         except OSError:
             engine.broken_connections += 1
         finally:
@@ -392,22 +446,50 @@
             headers.append((names.RETRY_AFTER, str(cooldown_s)))
         self.send_head(503, headers, identified=False)
 
-    def run(self, knobs: EngineKnobs) -> None:
-        """Answer an accepted request."""
+    def run(self, knobs: EngineKnobs, request_body: bytes) -> None:
+        """Answer an accepted request, or end under it."""
+        if knobs.ends_on and request_body == knobs.ends_on:
+            self.end_under_request(knobs)
         if "/stream/" in self.path:
-            self.stream(knobs)
+            self.stream(knobs, knobs.events)
+            self.send_chunk(b"")
             return
         time.sleep(knobs.pause_s)
         body = b"answer of " + self.headers.get(names.ATTEMPT, "").encode()
         self.send_head(knobs.status, [("Content-Length", str(len(body)))])
         self.wfile.write(body)
 
-    def stream(self, knobs: EngineKnobs) -> None:
-        """Send server-sent events in chunks, after the ``Last-Event-Id`` if given."""
+    def end_under_request(self, knobs: EngineKnobs) -> None:
+        """Answer as far as the knob ``ending`` says, then end the engine.
+
+        Raises
+        ------
+        EngineEnded
+            Always.
+        """
+        time.sleep(knobs.pause_s)
+        if knobs.ending in (Ending.AFTER_HEAD, Ending.MID_STREAM):
+            events = EVENTS_BEFORE_ENDING if knobs.ending is Ending.MID_STREAM else 0
+            if "/stream/" in self.path:
+                self.stream(knobs, events)
+            else:
+                self.send_head(knobs.status, [("Content-Length", "1000")])
+            # A reset would discard what the reader has not read yet.
+            time.sleep(knobs.pause_s)
+        self.server.standin.end(knobs.ending)
+
+    def stream(self, knobs: EngineKnobs, events: int) -> None:
+        """Send server-sent events in chunks, after the ``Last-Event-Id`` if given.
+
+        Parameters
+        ----------
+        events : int
+            Number of the last event to send.
+        """
         content_type = ("Content-Type", "text/event-stream")
         self.send_head(200, [content_type, ("Transfer-Encoding", "chunked")])
         start = int(self.headers.get(names.LAST_EVENT) or 0)
-        for number in range(start + 1, knobs.events + 1):
+        for number in range(start + 1, events + 1):
             time.sleep(knobs.pause_s)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             if 0 <= knobs.cut_after < number:
@@ -415,7 +497,6 @@
                 self.connection.shutdown(socket.SHUT_RDWR)
                 raise ConnectionResetError("stream cut by the knob cut_after")
             self.send_chunk(event)
-        self.send_chunk(b"")
 
     def send_head(
         self, status: int, headers: list[tuple[str, str]], identified: bool = True
--- /dev/null
+++ b/soak/crashes.py
@@ -0,0 +1,398 @@
+"""Plays a request that ends each target that runs it, beside requests that don't.
+
+Hosts are real processes, and may be killed, started anew or cut off from their peers
+meanwhile. What the targets got and what callers were answered is checked.
+
+``python -m soak.crashes`` plays one run and prints its outcome.
+"""
+
+import contextlib
+import enum
+import http.client
+import json
+import random
+import sys
+import tempfile
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import defopt
+
+from godwitladder.platform import names
+from godwitladder.standins.routed import Ending
+from soak.fleet import Fleet, Host
+from soak.proxy import CutMode
+
+START_TIMEOUT_S = 40.0
+GUILTY_INTERVAL_S = 0.35
+GUILTY_BODY = b"a request that ends its target"
+SHARED_BODY = b"a request that many callers send"
+CALL_TIMEOUT_S = 5.0
+MAX_TRIES = 3
+MAX_RETRY_DELAY_S = 1.0
+PAUSE_S = 0.05
+"""Pause of the targets before each event, so that requests run side by side."""
+FAULT_INTERVAL_S = 2.0
+CUT_DURATION_S = 1.5
+CONTACT_S = 3.0
+"""Seconds within which hosts in touch have learned of something, and after which a
+disturbed host is in touch again."""
+ENDINGS_BEFORE = 3
+"""Number of targets that a request may end before its further sends count."""
+MAX_LATE_SENDS = 3
+MIN_SERVED_FRACTION = 0.9
+
+
+class HostFault(enum.Enum):
+    """What disturbs the hosts of a run, again and again."""
+
+    NONE = "none"
+    KILL = "kill"
+    CUT = "cut"
+
+
+class Group(enum.Enum):
+    """Callers whose requests end no target: bodies of their own, or a shared one."""
+
+    OWN = "own"
+    SHARED = "shared"
+
+
+@dataclass(frozen=True)
+class CrashRunSize:
+    """Size of a run: numbers of its parts, its faults, its duration in seconds."""
+
+    hosts: int = 6
+    targets: int = 8
+    own_callers: int = 8
+    shared_callers: int = 4
+    seconds: float = 20.0
+    path: str = "/stream/stream/x"
+    ending: Ending = Ending.AFTER_HEAD
+    fault: HostFault = HostFault.NONE
+
+
+@dataclass
+class CrashHistory:
+    """What was observed in one run; times are monotonic seconds.
+
+    Attributes
+    ----------
+    sent_by : dict
+        Host that each attempt of the guilty request was sent to.
+    statuses : list of int
+        HTTP status of each of them; 0 for a broken answer.
+    endings : list of float
+        When a target ended.
+    arrivals : list of tuple
+        Time and attempt of each arrival of the guilty request at a target.
+    disturbed : dict
+        Begin and end of the faults of each host.
+    asked, served : dict
+        Number of requests of each group of callers, and of those that were served.
+    """
+
+    sent_by: dict[str, str] = field(default_factory=dict)
+    statuses: list[int] = field(default_factory=list)
+    endings: list[float] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    disturbed: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    asked: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
+    served: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
+
+    def late_arrivals(self) -> list[tuple[float, str]]:
+        """Return the arrivals that hosts in touch sent when they had to know."""
+        if len(self.endings) < ENDINGS_BEFORE:
+            return []
+        from_s = sorted(self.endings)[ENDINGS_BEFORE - 1] + CONTACT_S
+        return [
+            (at, attempt)
+            for at, attempt in self.arrivals
+            if at > from_s and self.was_in_touch(self.sent_by[attempt], at)
+        ]
+
+    def was_in_touch(self, host: str, at: float) -> bool:
+        """Return whether ``host`` was undisturbed for `CONTACT_S` before ``at``."""
+        return not any(
+            begin <= at and end + CONTACT_S > at
+            for begin, end in self.disturbed.get(host, ())
+        )
+
+    def served_fraction(self, group: Group) -> float:
+        """Return the fraction of a group's requests that were served."""
+        return self.served[group] / max(1, self.asked[group])
+
+    def check(self) -> list[str]:
+        """Return a line for each violation of a guarantee."""
+        late = len(self.late_arrivals())
+        rows = []
+        if late > MAX_LATE_SENDS:
+            rows.append(f"the request reached {late} targets after it was known")
+        for group in Group:
+            fraction = self.served_fraction(group)
+            if fraction < MIN_SERVED_FRACTION:
+                rows.append(f"{fraction:.2f} of the {group.value} requests were served")
+        return rows
+
+
+@dataclass(frozen=True)
+class CrashOutcome:
+    """Result of a run: numbers of endings, arrivals, late ones; served fractions."""
+
+    seed: int
+    endings: int
+    arrivals: int
+    late: int
+    statuses: dict[int, int]
+    asked: dict[str, int]
+    served: dict[str, float]
+    violations: list[str]
+
+
+class CrashRun:
+    """A run on a fleet that has started."""
+
+    def __init__(self, seed: int, size: CrashRunSize, fleet: Fleet) -> None:
+        self.size = size
+        self.seed = seed
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.history = CrashHistory()
+        self.lock = threading.Lock()
+        self.stop_event = threading.Event()
+
+    def run(self) -> CrashOutcome:
+        """Send all requests and inject the faults, then check what happened."""
+        self.prepare_targets()
+        groups = [Group.OWN] * self.size.own_callers
+        groups += [Group.SHARED] * self.size.shared_callers
+        threads = [
+            threading.Thread(target=self.call_until_stopped, args=(number, group))
+            for number, group in enumerate(groups)
+        ]
+        threads.append(threading.Thread(target=self.disturb_hosts))
+        for thread in threads:
+            thread.start()
+        self.send_guilty_requests()
+        self.stop_event.set()
+        for thread in threads:
+            thread.join()
+        self.record_targets()
+        return self.outcome()
+
+    def prepare_targets(self) -> None:
+        """Let the guilty request end the targets."""
+        for target in self.fleet.targets:
+            target.knobs.ends_on = GUILTY_BODY
+            target.knobs.ending = self.size.ending
+            target.knobs.pause_s = PAUSE_S
+
+    def send_guilty_requests(self) -> None:
+        """Send the guilty request again and again, to any host."""
+        end = time.monotonic() + self.size.seconds
+        number = 0
+        with ThreadPoolExecutor(32) as pool:
+            while time.monotonic() < end:
+                number += 1
+                host = self.rng.choice(self.fleet.hosts)
+                attempt = f"g{number}"
+                self.history.sent_by[attempt] = host.name
+                pool.submit(self.send_guilty_request, host, attempt)
+                time.sleep(GUILTY_INTERVAL_S)
+
+    def send_guilty_request(self, host: Host, attempt: str) -> None:
+        """Send the guilty request once."""
+        status, _ = self.call(host, self.size.path, GUILTY_BODY, attempt)
+        with self.lock:
+            self.history.statuses.append(status)
+
+    def call_until_stopped(self, number: int, group: Group) -> None:
+        """Send requests that end no target, one after the other."""
+        rng = random.Random(f"{self.seed}-{number}")
+        count = 0
+        while not self.stop_event.wait(0.02):
+            count += 1
+            name = f"c{number}-{count}"
+            body = SHARED_BODY if group is Group.SHARED else name.encode()
+            is_served = self.request(rng, name, body)
+            with self.lock:
+                self.history.asked[group] += 1
+                self.history.served[group] += is_served
+
+    def request(self, rng: random.Random, name: str, body: bytes) -> bool:
+        """Send one request until it is served; return whether it was."""
+        path = rng.choice(("/lookup/x", "/resume/stream/x"))
+        for number in range(MAX_TRIES):
+            host = rng.choice(self.fleet.hosts)
+            status, retry_after_s = self.call(host, path, body, f"{name}-{number}")
+            if status == 200:
+                return True
+            if number + 1 < MAX_TRIES:
+                time.sleep(min(retry_after_s, MAX_RETRY_DELAY_S))
+        return False
+
+    def call(
+        self, host: Host, path: str, body: bytes, attempt: str
+    ) -> tuple[int, float]:
+        """Send one call; return its status and Retry-After, 0 if it failed."""
+        headers = {
+            "Host": "shop.example",
+            names.ATTEMPT: attempt,
+            names.DEADLINE_MS: str(int(CALL_TIMEOUT_S * 1000)),
+            "Authorization": "Bearer k1",
+        }
+        connection = http.client.HTTPConnection(
+            host.caller_address, timeout=CALL_TIMEOUT_S
+        )
+        with contextlib.closing(connection):
+            try:
+                connection.request("POST", path, body, headers)
+                answer = connection.getresponse()
+                answer.read()
+            except (OSError, http.client.HTTPException):
+                return 0, 0.0
+        return answer.status, float(answer.getheader("Retry-After") or 0.0)
+
+    def disturb_hosts(self) -> None:
+        """Disturb one host after the other, as the size of the run says."""
+        if self.size.fault is HostFault.NONE:
+            return
+        while not self.stop_event.wait(FAULT_INTERVAL_S):
+            host = self.rng.choice(self.fleet.hosts)
+            begin = time.monotonic()
+            if self.size.fault is HostFault.KILL:
+                host.kill()
+                host.start()
+                self.wait_until_ready(host)
+            else:
+                self.cut_off(host)
+            rows = self.history.disturbed.setdefault(host.name, [])
+            rows.append((begin, time.monotonic()))
+
+    def wait_until_ready(self, host: Host) -> None:
+        """Wait until a host that was started serves, or the run ends."""
+        while not host.is_ready() and not self.stop_event.wait(0.05):
+            pass
+
+    def cut_off(self, host: Host) -> None:
+        """Cut a host off from its peers; callers, store and targets reach it."""
+        paths = self.fleet.paths_between_peers(host)
+        for path in paths:
+            path.cut(self.rng.choice((CutMode.HANG, CutMode.RESET)))
+        self.stop_event.wait(CUT_DURATION_S)
+        for path in paths:
+            path.restore()
+
+    def record_targets(self) -> None:
+        """Record what the targets got of the guilty request."""
+        for target in self.fleet.targets:
+            engine = target.server.standin
+            self.history.endings += engine.endings
+            self.history.arrivals += [
+                (row.at, row.attempt)
+                for row in engine.arrivals
+                if row.attempt in self.history.sent_by
+            ]
+
+    def outcome(self) -> CrashOutcome:
+        """Check the history and return the outcome."""
+        history = self.history
+        statuses = history.statuses
+        return CrashOutcome(
+            self.seed,
+            len(history.endings),
+            len(history.arrivals),
+            len(history.late_arrivals()),
+            {status: statuses.count(status) for status in sorted(set(statuses))},
+            {group.value: history.asked[group] for group in Group},
+            {group.value: round(history.served_fraction(group), 3) for group in Group},
+            history.check(),
+        )
+
+
+def start_crash_fleet(
+    stack: contextlib.ExitStack, folder: Path, size: CrashRunSize
+) -> Fleet:
+    """Return a fleet that has started and whose targets end when they are told to.
+
+    Raises
+    ------
+    TimeoutError
+        The hosts did not find each other.
+    """
+    fleet = Fleet(
+        stack,
+        folder,
+        size.hosts,
+        size.targets,
+        zones="abc",
+        has_peer_paths=size.fault is HostFault.CUT,
+    )
+    for target in fleet.targets:
+        target.server.standin.on_end = lambda ending, target=target: target.end(
+            ending, fleet.write_entry
+        )
+    if not fleet.wait_until_converged(START_TIMEOUT_S):
+        raise TimeoutError("the hosts did not find each other")
+    return fleet
+
+
+def run_crash_seed(
+    seed: int, size: CrashRunSize, folder: Path | None = None
+) -> CrashOutcome:
+    """Run one seed and return its outcome; settings and logs go to ``folder``."""
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        return CrashRun(seed, size, start_crash_fleet(stack, folder, size)).run()
+
+
+def main(
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    path: str = "/stream/stream/x",
+    ending: str = Ending.AFTER_HEAD.value,
+    fault: str = HostFault.NONE.value,
+    hosts: int = 6,
+    logs: str = "",
+) -> None:
+    """Play one run, and exit with status 1 if a guarantee was violated.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all that is drawn.
+    seconds : float
+        Duration of the run in seconds.
+    path : str
+        Path of the guilty request.
+    ending : str
+        When targets end under it: before_head, after_head, mid_stream or silent.
+    fault : str
+        What disturbs the hosts: none, kill or cut.
+    hosts : int
+        Number of host processes.
+    logs : str
+        Directory for the logs of the hosts.
+    """
+    size = CrashRunSize(
+        hosts=hosts,
+        seconds=seconds,
+        path=path,
+        ending=Ending(ending),
+        fault=HostFault(fault),
+    )
+    folder = Path(logs) if logs else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+    outcome = run_crash_seed(seed, size, folder)
+    print(json.dumps(vars(outcome)), flush=True)
+    sys.exit(1 if outcome.violations else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,13 +7,19 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from godwitladder.platform import names
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed import StandinServer, start_engine, start_store
+from godwitladder.standins.routed import (
+    Ending,
+    StandinServer,
+    start_engine,
+    start_store,
+)
 from soak import host_process
 from soak.proxy import CutMode, Proxy
 
@@ -57,6 +63,10 @@
 UTIME_FIELD, STIME_FIELD = 13, 14
 """Zero-based fields of /proc/PID/stat, if the process name contains no space."""
 TARGET_SLOTS = 4
+EXPIRY_S = 1.0
+"""Seconds after which the entry of a target that has ended is removed."""
+RESTART_S = 2.0
+"""Seconds after which a new process of it has started, under a new name."""
 
 
 def make_config(version: int, keys: list[str]) -> dict:
@@ -278,7 +288,8 @@
     """A stand-in target behind a proxy."""
 
     def __init__(self, name: str, service: str = SERVICE) -> None:
-        self.name = name
+        self.name = self.first_name = name
+        self.incarnation = 0
         self.service = service
         self.started_ms = 1_700_000_000_000
         self.server: StandinServer = start_engine()
@@ -306,6 +317,24 @@
         }
         return json.dumps(row).encode()
 
+    def end(self, ending: Ending, write_entry: Callable[["Target", str], None]) -> None:
+        """End the process of the target, and start another one in its place."""
+        is_silent = ending is Ending.SILENT
+        self.proxy.cut(CutMode.HANG if is_silent else CutMode.RESET)
+        threading.Thread(target=self.restart, args=(write_entry,), daemon=True).start()
+
+    def restart(self, write_entry: Callable[["Target", str], None]) -> None:
+        """Remove the entry, and start a new process under a new name."""
+        time.sleep(EXPIRY_S)
+        write_entry(self, "")
+        time.sleep(RESTART_S - EXPIRY_S)
+        self.incarnation += 1
+        self.name = self.knobs.name = f"{self.first_name}-{self.incarnation}"
+        self.started_ms += 1
+        self.proxy.reset()
+        self.proxy.restore()
+        write_entry(self, "ready")
+
     def close(self) -> None:
         """Stop the proxy and the server."""
         self.proxy.close()
--- /dev/null
+++ b/tests/soak/test_crashes.py
@@ -0,0 +1,96 @@
+"""A request that ends its targets is stopped, and those beside it are served."""
+
+import contextlib
+
+import pytest
+
+from godwitladder.standins.routed import Ending
+from soak.crashes import (
+    GUILTY_BODY,
+    CrashRun,
+    CrashRunSize,
+    HostFault,
+    run_crash_seed,
+    start_crash_fleet,
+)
+from soak.proxy import CutMode
+from tests.fleet import wait_until
+
+RUNS = {
+    "after_head": ("/stream/stream/x", Ending.AFTER_HEAD, HostFault.NONE),
+    "mid_stream_and_cuts": ("/stream/stream/x", Ending.MID_STREAM, HostFault.CUT),
+    "before_head_and_kills": ("/charge/x", Ending.BEFORE_HEAD, HostFault.KILL),
+}
+HELD_BACK = 503
+TRIES = 12
+
+
+@pytest.mark.parametrize("kind", RUNS)
+def test_a_request_that_ends_its_targets_reaches_no_more(kind, tmp_path):
+    """Guards against targets that end one by one under a request that is repeated."""
+    path, ending, fault = RUNS[kind]
+    size = CrashRunSize(
+        hosts=4, targets=6, seconds=10.0, path=path, ending=ending, fault=fault
+    )
+    assert run_crash_seed(1, size, tmp_path).violations == []
+
+
+@pytest.fixture
+def run(tmp_path):
+    """A run whose requests the test sends by itself."""
+    size = CrashRunSize(
+        hosts=3,
+        targets=6,
+        path="/charge/x",
+        ending=Ending.BEFORE_HEAD,
+        fault=HostFault.CUT,
+    )
+    with contextlib.ExitStack() as stack:
+        run = CrashRun(1, size, start_crash_fleet(stack, tmp_path, size))
+        run.prepare_targets()
+        yield run
+
+
+def send_guilty_request(run, host, number):
+    """Send the guilty request to a host and return the status."""
+    return run.call(host, "/charge/x", GUILTY_BODY, f"g{number}")[0]
+
+
+def send_until_held_back(run, host):
+    """Send the guilty request to a host until it is held back there."""
+    for number in range(TRIES):
+        if send_guilty_request(run, host, number) == HELD_BACK:
+            return
+    raise AssertionError("the request was not held back")
+
+
+def count_endings(run):
+    """Return how often targets have ended."""
+    return sum(len(row.server.standin.endings) for row in run.fleet.targets)
+
+
+def test_a_host_that_starts_knows_which_requests_end_targets(run):
+    """Guards against hosts that start with no memory of what ended the targets."""
+    first, second, newcomer = run.fleet.hosts
+    send_until_held_back(run, first)
+    newcomer.kill()
+    newcomer.start()
+    assert run.fleet.wait_until_converged(30.0)
+    before = count_endings(run)
+    assert send_guilty_request(run, newcomer, "-late") == HELD_BACK
+    assert count_endings(run) == before
+
+
+def test_a_host_that_was_cut_off_learns_which_requests_end_targets(run):
+    """Guards against hosts that missed the news while their links were down."""
+    first, second, cut_off = run.fleet.hosts
+    for path in run.fleet.paths_between_peers(cut_off):
+        path.cut(CutMode.RESET)
+    wait_until(lambda: len(first.status().get("hosts", ())) == 2, "the cut")
+    send_until_held_back(run, first)
+    for path in run.fleet.paths_between_peers(cut_off):
+        path.restore()
+    assert run.fleet.wait_until_converged(30.0)
+    before = count_endings(run)
+    assert send_guilty_request(run, cut_off, "-late") == HELD_BACK
+    assert count_endings(run) == before
