Hold calls back for crashes of targets, not for lost answers, and clear what completes

What callers saw: requests that ran three times on targets which something else had ended were held back for a minute.

Now one table decides for both. Routed calls are suspected from the second crash in a row on, since a crash takes a dozen innocent requests with it; a suspect runs on trial, one for each request and each target; a crash under a trial quarantines it and clears those that ran beside it; any completed run clears it. A quarantined request is tried again after 5 and 30 s, as its trial may have met another crash, and never after that while it is repeated: there is no minute after which three more targets pay. It is refused with 503 without Retry-After (it has not run, and there is no time to come back); a suspect whose trial runs, with one second.

What tells a crash from a lost answer: the process refuses connections while another target accepts one; else the entry that goes or is replaced within ten seconds (an end in silence, a target that is back at once, a host without paths). A call is checked again right before its first byte, so that copies in the queue and further sends of one attempt are held back.

Ruled out: trials from the first crash on, as in the own interface (all that ran beside a crash would wait for each other), and agreeing on a trial before it begins (a caller would wait for a slow peer; two trials begun in the same milliseconds cost one target more).

test_a_call_that_three_targets_lost_is_held_back is replaced: it took foreign answers of a live target for a sign that the call ends targets, which is the fault. The new tests end real stand-ins, and ask that lost answers of a live target hold nothing back.

--- a/godwitladder/claims/records.py
+++ b/godwitladder/claims/records.py
@@ -84,8 +84,15 @@
 
 
 def encode_record(record: StreamRecord) -> bytes:
-    """Encode ``record`` as CBOR."""
-    return cbor2.dumps([KINDS[type(record)], *astuple(record)])
+    """Encode ``record`` as CBOR.
+
+    The generation in a crash is left out if it is empty, so that hosts of an older
+    version can read the record.
+    """
+    fields = list(astuple(record))
+    if isinstance(record, Crash) and not record.generation:
+        del fields[-1]
+    return cbor2.dumps([KINDS[type(record)], *fields])
 
 
 def decode_record(data: bytes) -> StreamRecord:
--- a/godwitladder/outcomes.py
+++ b/godwitladder/outcomes.py
@@ -63,7 +63,7 @@
     DEADLINE = "deadline"
     NO_TARGET = "no_target"
     QUARANTINED = "quarantined"
-    LOST_BEFORE = "lost_before"
+    CRASHED_TARGETS = "crashed_targets"
     LOG_UNAVAILABLE = "log_unavailable"
     STOPPING = "stopping"
     TARGET_REFUSED = "target_refused"
@@ -87,7 +87,7 @@
     Reason.QUOTA: http.HTTPStatus.TOO_MANY_REQUESTS,
     Reason.DEADLINE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_TARGET: http.HTTPStatus.SERVICE_UNAVAILABLE,
-    Reason.LOST_BEFORE: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.CRASHED_TARGETS: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.LOG_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.STOPPING: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/godwitladder/quarantine/records.py
+++ b/godwitladder/quarantine/records.py
@@ -17,20 +17,22 @@
         Unique id of this event. It arrives both over links and through the
         log, and duplicates are recognized by this id.
     trial : bool
-        Whether the request ran as the trial: the one suspect that was allowed
-        to run.
+        Whether the request ran on trial.
+    generation : str
+        Generation of the target's process; empty if it is not known.
     """
 
     report: str
     target: TargetName
     digest: BodyDigest
     trial: bool
+    generation: str = ""
 
 
 @peer_message
 @dataclass(frozen=True)
 class Cleared:
-    """A suspect request has completed."""
+    """A request that was part of crashes has completed."""
 
     report: str
     digest: BodyDigest
@@ -46,4 +48,24 @@
     operator: str
 
 
+@peer_message
+@dataclass(frozen=True)
+class TrialBegan:
+    """A suspect is about to be sent to a target, on trial."""
+
+    report: str
+    digest: BodyDigest
+    target: TargetName
+
+
+@peer_message
+@dataclass(frozen=True)
+class TrialEnded:
+    """A trial has ended without a verdict."""
+
+    report: str
+    digest: BodyDigest
+
+
 CrashEvent = Crash | Cleared | Lifted
+QuarantineEvent = CrashEvent | TrialBegan | TrialEnded
--- /dev/null
+++ b/godwitladder/quarantine/registry.py
@@ -0,0 +1,152 @@
+"""What this host knows of requests that crash targets, from itself and from peers."""
+
+import functools
+import threading
+
+from godwitladder.clock import Clock
+from godwitladder.decisions.quarantine import (
+    Quarantine,
+    QuarantinePolicy,
+    QuarantineStatus,
+    Trials,
+)
+from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.logs import component_logger
+from godwitladder.quarantine.records import (
+    Cleared,
+    Crash,
+    Lifted,
+    QuarantineEvent,
+    TrialBegan,
+    TrialEnded,
+)
+
+log = component_logger("quarantine")
+
+OWN_POLICY = QuarantinePolicy()
+"""Policy of the product's own interface: the log lets one suspect run at a time."""
+MAX_SEEN_EVENTS = 10_000
+MAX_TRIAL_S = 10.0
+"""Time after which a trial counts as ended: its host may be gone."""
+
+
+class QuarantineRegistry:
+    """Table of suspects and quarantined requests, which any thread may use.
+
+    Parameters
+    ----------
+    clock : Clock
+        The host's clock.
+    policy : QuarantinePolicy
+        When a request is suspected, and for how long.
+
+    Attributes
+    ----------
+    seen : dict
+        Ids of the latest events that were applied, in order of arrival.
+    trials : Trials
+        Trials that run, on any host.
+    """
+
+    def __init__(self, clock: Clock, policy: QuarantinePolicy = OWN_POLICY) -> None:
+        self.clock = clock
+        self.table = Quarantine(policy)
+        self.trials = Trials(MAX_TRIAL_S)
+        self.seen: dict[str, None] = {}
+        self.lock = threading.Lock()
+
+    def status(self, digest: BodyDigest) -> QuarantineStatus:
+        """Return the quarantine status of the request with ``digest``."""
+        with self.lock:
+            return self.table.status(digest, self.clock.monotonic())
+
+    def is_known(self, digest: BodyDigest) -> bool:
+        """Return whether a request has been part of any crash."""
+        return self.table.is_known(digest)
+
+    def remaining_quarantines(self) -> dict[BodyDigest, float]:
+        """Return the remaining time of each quarantine in seconds, by digest."""
+        with self.lock:
+            return self.table.remaining_quarantines(self.clock.monotonic())
+
+    def refuses(self, digest: BodyDigest) -> bool:
+        """Return whether a request must not run now, and prolong its quarantine."""
+        now = self.clock.monotonic()
+        with self.lock:
+            status = self.table.status(digest, now)
+            if status is not QuarantineStatus.QUARANTINED:
+                return False
+            is_due = self.table.is_retrial_due(digest, now)
+            if is_due and not self.trials.is_running(digest, now):
+                return False
+            self.table.renew(digest, now)
+            return True
+
+    def may_try(self, digest: BodyDigest, target: TargetName | None = None) -> bool:
+        """Return whether a suspect may be tried now, at ``target`` if that is given."""
+        now = self.clock.monotonic()
+        with self.lock:
+            if self.trials.is_running(digest, now):
+                return False
+            return target is None or not self.trials.is_used(target, now)
+
+    def apply(self, event: QuarantineEvent, age_s: float = 0.0) -> bool:
+        """Apply an event; return False if it was applied before.
+
+        ``age_s`` is its age in seconds.
+        """
+        with self.lock:
+            if event.report in self.seen:
+                return False
+            self.seen[event.report] = None
+            if len(self.seen) > MAX_SEEN_EVENTS:
+                del self.seen[next(iter(self.seen))]
+            self._apply(event, self.clock.monotonic() - age_s)
+            return True
+
+    @functools.singledispatchmethod
+    def _apply(self, event: QuarantineEvent, at: float) -> None:
+        raise TypeError(f"unknown event {event!r}")
+
+    @_apply.register
+    def _(self, event: Crash, at: float) -> None:
+        before = self.table.status(event.digest, at)
+        self.table.record_crash(
+            event.target, event.digest, event.trial, at, event.generation
+        )
+        self.trials.end(event.digest)
+        history = self.table.histories.get(event.digest)
+        after = self.table.status(event.digest, at)
+        extra = {
+            "body": event.digest[:8],
+            "target": event.target,
+            "trial": event.trial,
+            "crashes": len(history.crashes) if history else 0,
+            "status": after.value,
+        }
+        log.info("A target crashed under a request", extra=extra)
+        if after is not before and after is QuarantineStatus.QUARANTINED:
+            log.warning("A request is quarantined", extra=extra)
+
+    @_apply.register
+    def _(self, event: Cleared, at: float) -> None:
+        self.table.clear(event.digest, at)
+        self.trials.end(event.digest)
+        log.info("A request is cleared", extra={"body": event.digest[:8]})
+
+    @_apply.register
+    def _(self, event: Lifted, at: float) -> None:
+        self.table.lift(event.digest, at)
+        extra = {"body": event.digest[:8], "operator": event.operator}
+        log.info("A quarantine was lifted", extra=extra)
+
+    @_apply.register
+    def _(self, event: TrialBegan, at: float) -> None:
+        self.table.count_retrial(event.digest)
+        self.trials.begin(event.digest, event.target, at)
+        extra = {"body": event.digest[:8], "target": event.target}
+        log.info("A request is on trial", extra=extra)
+
+    @_apply.register
+    def _(self, event: TrialEnded, at: float) -> None:
+        self.trials.end(event.digest)
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -5,7 +5,6 @@
 import json
 import queue
 import secrets
-import threading
 from collections.abc import Callable, Iterable, Mapping
 
 import pykka
@@ -16,7 +15,7 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quarantine import HOLD_S, Quarantine, QuarantineStatus
+from godwitladder.decisions.quarantine import HOLD_S, QuarantineStatus
 from godwitladder.engines.engine import resume_stream
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.ids import BodyDigest
@@ -25,7 +24,9 @@
 from godwitladder.membership.mesh import Mesh
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.quarantine.acknowledgements import EventAcknowledgements
+from godwitladder.quarantine.evidence import is_connection_refused
 from godwitladder.quarantine.records import Cleared, Crash, CrashEvent, Lifted
+from godwitladder.quarantine.registry import QuarantineRegistry
 from godwitladder.serving.calls import Call, CallRefused
 
 log = component_logger("quarantine")
@@ -35,7 +36,6 @@
 TRIAL_RETRY_AFTER_S = 2.0
 ACK_TIMEOUT_S = 0.5
 """A peer that has not acknowledged an event by then is taken as unreachable."""
-MAX_SEEN_EVENTS = 10_000
 UNKNOWN_STREAM_STATUS = 404
 SUSPECT_TEXT = (
     "A target crashed while it ran this request. Such requests run one at a time, "
@@ -80,10 +80,8 @@
 
     Attributes
     ----------
-    table : Quarantine
+    registry : QuarantineRegistry
         Suspect and quarantined requests.
-    seen : dict
-        Ids of the latest events that were applied, in order of arrival.
     acknowledgements : EventAcknowledgements
         Events of this host that peers have not yet acknowledged.
     """
@@ -103,10 +101,8 @@
         self.claims = claims
         self.mesh = mesh
         self.clock = clock
-        self.table = Quarantine()
-        self.seen: dict[str, None] = {}
+        self.registry = QuarantineRegistry(clock)
         self.acknowledgements = EventAcknowledgements(clock)
-        self.lock = threading.Lock()
 
     def serve(self, call: Call, environ: Mapping, start_response) -> Iterable[bytes]:
         """Serve one call, if it may run.
@@ -147,8 +143,7 @@
 
     def status(self, digest: BodyDigest) -> QuarantineStatus:
         """Return the quarantine status of the request with ``digest``."""
-        with self.lock:
-            return self.table.status(digest, self.clock.monotonic())
+        return self.registry.status(digest)
 
     def handle_message(self, link: Link, message: CrashEvent) -> None:
         """Apply a peer's event, and forward it if it is new."""
@@ -165,22 +160,7 @@
 
         Returns whether the event was applied. ``age_s`` is its age in seconds.
         """
-        with self.lock:
-            if event.report in self.seen or age_s > HOLD_S:
-                return False
-            self.seen[event.report] = None
-            if len(self.seen) > MAX_SEEN_EVENTS:
-                del self.seen[next(iter(self.seen))]
-            self._apply(event, self.clock.monotonic() - age_s)
-            return True
-
-    def _apply(self, event: CrashEvent, at: float) -> None:
-        if isinstance(event, Crash):
-            self.table.record_crash(event.target, event.digest, event.trial, at)
-        elif isinstance(event, Cleared):
-            self.table.clear(event.digest)
-        else:
-            self.table.lift(event.digest)
+        return age_s <= HOLD_S and self.registry.apply(event, age_s)
 
     def publish(self, event: CrashEvent) -> None:
         """Apply an event of this host and send it to all other hosts."""
@@ -206,10 +186,7 @@
 
     def remaining_quarantines(self) -> dict[BodyDigest, float]:
         """Return the remaining time of each quarantine in seconds, by digest."""
-        now = self.clock.monotonic()
-        with self.lock:
-            rows = self.table.quarantined.items()
-            return {digest: until - now for digest, until in rows if until > now}
+        return self.registry.remaining_quarantines()
 
     def lift(self, digest: BodyDigest, operator: str) -> None:
         """Lift a quarantine on all hosts."""
@@ -280,7 +257,7 @@
                 target.address, call.row.stream, 0, PROBE_TIMEOUT_S, self.dial
             ).close()
         except NotSent as error:
-            return _is_connection_refused(error)
+            return is_connection_refused(error)
         except TargetRefused as error:
             return error.status == UNKNOWN_STREAM_STATUS
         except MayHaveRun:
@@ -310,15 +287,3 @@
 def suspect_refusal() -> Refusal:
     """Return the refusal for a suspect that can't run as the trial now."""
     return refuse(Reason.QUARANTINED, SUSPECT_TEXT, TRIAL_RETRY_AFTER_S)
-
-
-def _is_connection_refused(error: BaseException | None) -> bool:
-    """Return whether ``error`` was caused by a refused connection.
-
-    If a whole machine or rack is down, connections time out instead.
-    """
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        error = error.__cause__
-    return False
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -1,5 +1,6 @@
 """The WSGI applications for routed calls and for readiness probes."""
 
+import hashlib
 import random
 import secrets
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -40,7 +41,6 @@
 from godwitladder.serving.auth import key_digest
 from godwitladder.serving.calls import CallRefused
 from godwitladder.serving.counting import CountedApp
-from godwitladder.serving.losses import digest_call
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.proxying import RoutedProxy
 
@@ -173,7 +173,7 @@
         ------
         CallRefused
             No route matches, the key is not valid, the body is too large, the
-            call is not admitted, its answers were lost before, the host is
+            call is not admitted, targets crashed under it, the host is
             stopping or at its limit, or the document is missing or too old.
         """
         in_force = self.in_force
@@ -200,10 +200,9 @@
         self.check_admission((service, workspace.name), metadata)
         body = read_body(environ, document.limits.body_bytes)
         digest = digest_call(workspace.name, path, body)
-        held_s = self.proxy.losses.held_s(digest)
-        if held_s > 0:
-            text = f"Several targets lost the answer to this call ({digest[:8]})."
-            raise _refused(Reason.LOST_BEFORE, text, held_s)
+        refusal = self.proxy.quarantine.refusal(digest)
+        if refusal is not None:
+            raise CallRefused(refusal)
         return self.make_call(
             environ["REQUEST_METHOD"],
             path,
@@ -364,6 +363,12 @@
     return metadata.prompt_tokens + metadata.output_tokens or quota.default_tokens
 
 
+def digest_call(workspace: str, path: str, body: bytes) -> BodyDigest:
+    """Return the digest by which a repeated call is recognized."""
+    text = f"{workspace}\n{path}\n".encode() + body
+    return BodyDigest(hashlib.blake2b(text, digest_size=12).hexdigest())
+
+
 def read_headers(environ: Mapping) -> Headers:
     """Return the headers of a WSGI request."""
     rows = [
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable
 from pathlib import Path
+from typing import get_args
 
 from waitress.server import TcpWSGIServer
 
@@ -40,6 +41,9 @@
 from godwitladder.paths.connector import Connector
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
+from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
+from godwitladder.quarantine.gate import QuarantineGate
+from godwitladder.quarantine.records import QuarantineEvent
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -53,7 +57,6 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.call_watcher import CallWatcher
-from godwitladder.serving.losses import AnswerLost, LossRegistry
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.supervision import watch_threads
@@ -196,8 +199,13 @@
             self.feed.apply_news(news)
         )
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
-        self.losses = LossRegistry(clock, self.mesh.broadcast)
-        self.router.message_handlers[AnswerLost] = self.receive_loss
+        self.quarantine = QuarantineGate(
+            clock,
+            self.mesh.broadcast,
+            CrashEvidence(clock, lambda: self.connector.places),
+        )
+        for kind in get_args(QuarantineEvent):
+            self.router.message_handlers[kind] = self.receive_quarantine_event
         self.statements = TargetStatements(
             self.scheduler,
             clock,
@@ -232,18 +240,19 @@
         self.membership.tell(LinkUp(link))
         self.feed.request_state(lambda wanted: link.send(encode(wanted)))
 
-    def receive_loss(self, link: Link, news: AnswerLost) -> None:
-        """Record a lost answer, and forward it to hosts that have not received it.
+    def receive_quarantine_event(self, link: Link, event: QuarantineEvent) -> None:
+        """Apply a peer's event, and forward it to hosts that have not received it.
 
-        The host that lost the answer is linked to the hubs only. The hub that is
-        that host's publisher forwards the message to the hosts that are no hubs.
+        The host that sent it is linked to the hubs only. The hub that is that host's
+        publisher forwards the event to the hosts that are no hubs.
         """
-        self.losses.record_loss(news, link.peer)
+        if not self.quarantine.registry.apply(event):
+            return
         hubs = self.hubs
         if link.peer in hubs or choose_publisher(link.peer, hubs) != self.host:
             return
         rest = [row for row in self.mesh.current() if row.peer not in hubs]
-        self.mesh.multicast([row for row in rest if row is not link], encode(news))
+        self.mesh.multicast([row for row in rest if row is not link], encode(event))
 
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
@@ -275,7 +284,7 @@
             self.metrics,
             self.watch,
             budget,
-            self.losses,
+            self.quarantine,
             self.statements,
             self.sharing_hosts.count,
             self.connector,
@@ -387,6 +396,12 @@
         places = {row.address: Zone(row.place) for row in state.targets.values()}
         self.connector.set_places(places)
         self.gateway.set_targets(places)
+        self.quarantine.update_targets(
+            {
+                row.name: TargetPresence(str(row.started_ms), row.leaving)
+                for row in view.targets
+            }
+        )
         if view.document is not self.app.in_force.document:
             self.app.in_force = index_document(view.document)
         self.metrics.config_offset.set({}, view.document.version)
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -19,6 +19,8 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.paths.connector import Connector, TargetConnection
+from godwitladder.quarantine.evidence import LostCall
+from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -26,12 +28,12 @@
 from godwitladder.serving.call_watcher import AbortCause, CallWatcher, OpenCall
 from godwitladder.serving.dispatch_reporter import DispatchReporter
 from godwitladder.serving.lateness import classify_lateness
-from godwitladder.serving.losses import LossRegistry
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.streaming import ProxiedStream
 from godwitladder.serving.upstream import (
     BufferedAnswer,
+    ForeignAnswer,
     NotRun,
     is_stream,
     read_response_body,
@@ -48,6 +50,8 @@
 REFUSED_RETRY_S = 0.5
 DECISION_POLL_INTERVAL_S = 1.0
 HTTP_MISDIRECTED = 421
+MIN_SILENCE_S = 1.0
+"""Silence of a target, in seconds, from which it may have ended without a sign."""
 DEADLINE_DETAIL = "The target gave no whole answer in time; it may have run."
 
 
@@ -69,8 +73,8 @@
         Aborts calls whose caller has disconnected or whose deadline has passed.
     retry_budget : RetryBudget
         Limits the retries of each service.
-    losses : LossRegistry
-        The lost answers that hosts share.
+    quarantine : QuarantineGate
+        Holds back calls that crash targets.
     statements : TargetStatements
         Receives what targets state about themselves in their answers.
     count_hosts : callable
@@ -85,7 +89,7 @@
     metrics: Metrics
     watcher: CallWatcher
     retry_budget: RetryBudget
-    losses: LossRegistry
+    quarantine: QuarantineGate
     statements: TargetStatements
     count_hosts: Callable[[], int]
     connector: Connector
@@ -127,6 +131,12 @@
         Longest time between two events of the stream, in seconds.
     loss_error : MayHaveRun or None
         The error of the last send whose answer was lost.
+    dispatch : Dispatch or None
+        The dispatch of the last send.
+    on_trial : bool
+        Whether the call runs as the trial of a request that targets crashed under.
+    heard_at : float
+        Monotonic time of the last sign of the target, or of the send.
     """
 
     def __init__(self, proxy: RoutedProxy, call: RoutedCall, gone) -> None:
@@ -145,6 +155,9 @@
         self.error_answer: BufferedAnswer | None = None
         self.pause_s = 0.0
         self.loss_error: MayHaveRun | None = None
+        self.dispatch: Dispatch | None = None
+        self.on_trial = False
+        self.heard_at = 0.0
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -170,6 +183,10 @@
                 answer = self.handle_answer(response, start_response)
                 if answer is not None:
                     return answer
+            except HeldBack as error:
+                return self.refuse_sent(
+                    start_response, self.true_refusal(error.refusal)
+                )
             except NotSent as error:
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
@@ -183,7 +200,7 @@
             except MayHaveRun as error:
                 self.log_failed_send("The answer was lost", decision, error)
                 self.loss_error = error
-                self.record_loss()
+                self.record_loss(error)
                 if not self.retry():
                     return self.refuse_sent(start_response, self.lost_refusal(error))
             except Exception:
@@ -211,8 +228,11 @@
             The target stated that it did not run the call.
         MayHaveRun
             The answer was lost or belongs to another call.
+        HeldBack
+            Targets crashed under the request.
         """
         self.target = dispatch.target
+        self.dispatch = dispatch
         self.connection = self.proxy.connector.connect(
             dispatch.address, IDLE_TIMEOUT_S, self.left_s()
         )
@@ -221,6 +241,9 @@
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
         self.proxy.statements.check(dispatch)
+        body = self.call.row.body
+        self.on_trial = self.proxy.quarantine.begin(body, dispatch.target)
+        self.heard_at = self.clock.monotonic()
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
@@ -231,6 +254,7 @@
         response = send(
             connection, self.call.method, self.call.path, self.call.body, headers
         )
+        self.heard_at = self.clock.monotonic()
         return self.check_headers(dispatch, response)
 
     def check_headers(
@@ -244,7 +268,7 @@
         ------
         NotRun
             The target did not run the call.
-        MayHaveRun
+        ForeignAnswer
             The response belongs to another call, or a success is unsigned.
         """
         metadata = self.proxy.header_codec.read_answer(response.headers)
@@ -260,9 +284,9 @@
         # A target may return the answer to another request, which has another attempt
         # id.
         if metadata.attempt != self.call.metadata.attempt:
-            raise MayHaveRun("the answer belongs to another request")
+            raise ForeignAnswer("the answer belongs to another request")
         if 200 <= response.status < 300 and not metadata.signature:
-            raise MayHaveRun("the answer bears no signature")
+            raise ForeignAnswer("the answer bears no signature")
         return response
 
     def handle_answer(
@@ -280,6 +304,8 @@
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
+        if response.status < 500:
+            self.record_completion()
         self.finish(RequestState.COMPLETED)
         return answer.start(start_response)
 
@@ -315,8 +341,7 @@
         self.close()
         if self.error_answer:
             return self.error_answer.start(start_response)
-        if self.loss_error:
-            refusal = self.lost_refusal(self.loss_error)
+        refusal = self.true_refusal(refusal)
         self.proxy.metrics.count_refused_request(
             self.call.row.tier_rank, refusal.reason
         )
@@ -335,6 +360,10 @@
         log.info("A call was refused", extra=extra)
         return answer_problem(start_response, refusal, exact=True)
 
+    def true_refusal(self, refusal: Refusal) -> Refusal:
+        """Return ``refusal``, unless the call was sent before and may have run."""
+        return self.lost_refusal(self.loss_error) if self.loss_error else refusal
+
     def refuse_sent(self, start_response, refusal: Refusal) -> Iterable[bytes]:
         """Answer a call that was sent and got no answer from its target."""
         self.finish(refusal.outcome)
@@ -402,6 +431,7 @@
 
     def disconnect(self) -> None:
         """Close the connection to the target, if there is one."""
+        self.end_trial()
         self.open_call.detach()
         if self.connection is not None:
             self.connection.http.close()
@@ -430,13 +460,37 @@
         }
         log.info(text, extra=extra)
 
-    def record_loss(self) -> None:
-        """Record that the target lost the answer, unless this host aborted the call.
+    def record_loss(self, error: MayHaveRun) -> None:
+        """Record that the answer was lost, unless this host aborted the call.
 
-        A tunnel that breaks says nothing of the target.
+        A tunnel that breaks says nothing of the target, nor does the answer to
+        another call.
         """
-        if self.open_call.cause is None and not self.connection.is_broken:
-            self.proxy.losses.report_loss(self.call.row.body, self.target)
+        if isinstance(error, ForeignAnswer) or self.connection.is_broken:
+            return
+        lost_call = LostCall(
+            self.call.row.body,
+            self.target,
+            self.dispatch.address,
+            self.dispatch.generation,
+            self.on_trial,
+        )
+        if self.open_call.cause is None:
+            has_ended = self.proxy.quarantine.record_loss(lost_call)
+            self.on_trial = self.on_trial and not has_ended
+        elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
+            self.proxy.quarantine.record_silence(lost_call)
+
+    def record_completion(self) -> None:
+        """Record that the call has run to its end."""
+        self.proxy.quarantine.record_completion(self.call.row.body)
+        self.on_trial = False
+
+    def end_trial(self) -> None:
+        """End the trial, if the call is one and has shown nothing."""
+        if self.on_trial:
+            self.on_trial = False
+            self.proxy.quarantine.end_trial(self.call.row.body)
 
     def record_send(self, dispatch: Dispatch, left_s: float) -> None:
         """Log a send and record its queueing time."""
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -8,6 +8,7 @@
 from godwitladder.engines.wire import MayHaveRun, NotSent
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import Refusal, RequestState
+from godwitladder.quarantine.gate import HeldBack
 from godwitladder.serving.events import EventReader
 from godwitladder.serving.upstream import NotRun, StreamTruncated, is_stream
 
@@ -67,6 +68,7 @@
                 self.complete = True
             except MayHaveRun as error:
                 self.resume(error)
+        self.proxied_call.record_completion()
         self.proxied_call.finish(RequestState.COMPLETED, self.count_tokens())
 
     def record_events(self) -> None:
@@ -78,7 +80,7 @@
             self.proxied_call.pause_s = max(
                 self.proxied_call.pause_s, now - self.last_received_at
             )
-        self.last_received_at = now
+        self.last_received_at = self.proxied_call.heard_at = now
         self.proxied_call.reporter.report_progress(self.count_tokens())
 
     def count_tokens(self) -> int:
@@ -103,7 +105,7 @@
         log.info("A stream broke", extra=extra)
         if not proxied_call.call.route.resumable:
             raise StreamTruncated(str(error))
-        proxied_call.record_loss()
+        proxied_call.record_loss(error)
         proxied_call.resume_from = self.last_id
         response = self.reopen()
         if response is None:
@@ -119,6 +121,11 @@
                 return None
             try:
                 response = proxied_call.send(decision)
+            except HeldBack as error:
+                proxied_call.log_failed_send(
+                    "Could not resume a stream", decision, error
+                )
+                return None
             except (NotSent, NotRun, MayHaveRun) as error:
                 proxied_call.log_failed_send(
                     "Could not resume a stream", decision, error
--- a/godwitladder/serving/upstream.py
+++ b/godwitladder/serving/upstream.py
@@ -12,6 +12,10 @@
     """The target stated that it did not run the request."""
 
 
+class ForeignAnswer(MayHaveRun):
+    """The answer is not that of the call: the target runs, and lost the answer."""
+
+
 class StreamTruncated(GodwitladderError):
     """The rest of a stream is not available; the caller must see a broken answer."""
 
--- /dev/null
+++ b/tests/quarantine/test_gate.py
@@ -0,0 +1,159 @@
+"""Which routed calls a host holds back, and what it learns from its peers."""
+
+import pytest
+
+from godwitladder.clock import ManualClock
+from godwitladder.membership.codec import decode, encode
+from godwitladder.outcomes import RequestState
+from godwitladder.quarantine.evidence import LostCall
+from godwitladder.quarantine.gate import HeldBack, QuarantineGate
+from godwitladder.quarantine.records import Cleared, Crash, TrialBegan
+from godwitladder.serving.problems import refusal_status
+
+
+class FakeEvidence:
+    """Evidence whose result a test sets."""
+
+    def __init__(self, ended=True):
+        self.ended = ended
+        self.waiting = []
+
+    def has_ended(self, address):
+        return self.ended
+
+    def wait_for_entry(self, call):
+        self.waiting.append(call)
+
+
+class Net:
+    """Gates of several hosts that hear from each other at once, unless cut off."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.cut = set()
+        self.evidence = FakeEvidence()
+        self.gates = [self.make_gate(number) for number in range(count)]
+
+    def make_gate(self, number):
+        return QuarantineGate(
+            self.clock,
+            lambda event: self.broadcast(number, event),
+            self.evidence,
+        )
+
+    def broadcast(self, sender, event):
+        for number, gate in enumerate(self.gates):
+            if number != sender and not {number, sender} & self.cut:
+                gate.registry.apply(decode(encode(event)))
+
+
+def crash(gate, number, digest="poison"):
+    """Send a request to a target that crashes under it; return if that was a trial."""
+    trial = gate.begin(digest, f"t{number}")
+    gate.record_loss(LostCall(digest, f"t{number}", "address", "1", trial))
+    return trial
+
+
+def quarantine(net, digest="poison"):
+    return [crash(net.gates[0], number, digest) for number in range(3)]
+
+
+def test_a_request_takes_three_targets_over_all_hosts():
+    net = Net(3)
+    assert [crash(net.gates[n], n) for n in range(3)] == [False, False, True]
+    for gate in net.gates:
+        refusal = gate.refusal("poison")
+        assert refusal.outcome is RequestState.NOT_RUN
+        assert refusal_status(refusal) == 503
+
+
+def test_a_quarantined_request_is_not_invited_back():
+    """Guards against a refusal that tells the caller to repeat what is never run."""
+    net = Net(1)
+    quarantine(net)
+    assert net.gates[0].refusal("poison").retry_after_s is None
+
+
+def test_copies_of_a_suspect_wait_for_its_trial():
+    """Guards against copies at several hosts that crash a target each."""
+    net = Net(2)
+    crash(net.gates[0], 0)
+    crash(net.gates[0], 1)
+    assert net.gates[0].begin("poison", "t2")
+    assert net.gates[1].refusal("poison").retry_after_s
+    net.gates[0].end_trial("poison")
+    assert net.gates[1].refusal("poison") is None
+
+
+def test_copies_that_were_queued_are_held_back_before_they_are_sent():
+    """Guards against copies that were admitted before the first crash was known."""
+    net = Net(1)
+    assert net.gates[0].refusal("poison") is None
+    quarantine(net)
+    with pytest.raises(HeldBack):
+        net.gates[0].begin("poison", "t9")
+
+
+def test_two_suspects_are_not_tried_on_one_target():
+    """Guards against a crash that may have been caused by either of two suspects."""
+    net = Net(2)
+    for number in range(2):
+        crash(net.gates[0], number)
+        crash(net.gates[0], number, "letter")
+    assert net.gates[0].begin("poison", "t5")
+    with pytest.raises(HeldBack):
+        net.gates[1].begin("letter", "t5")
+    assert net.gates[1].begin("letter", "t6")
+
+
+def test_those_beside_a_quarantined_request_are_cleared_everywhere():
+    """Guards against innocent requests that stay suspected once the cause is known."""
+    net = Net(2)
+    for number in range(2):
+        crash(net.gates[0], number)
+        crash(net.gates[0], number, "letter")
+    crash(net.gates[0], 2)
+    assert not net.gates[1].begin("letter", "t7")
+
+
+def test_a_completed_run_clears_on_all_hosts():
+    net = Net(2)
+    crash(net.gates[0], 0, "letter")
+    crash(net.gates[0], 1, "letter")
+    net.gates[1].record_completion("letter")
+    assert not net.gates[0].begin("letter", "t2")
+
+
+def test_a_completed_run_of_an_unknown_request_tells_nobody():
+    """Guards against a message for each request that is served."""
+    sent = []
+    gate = QuarantineGate(ManualClock(), sent.append, FakeEvidence())
+    gate.record_completion("letter")
+    assert sent == []
+
+
+def test_a_lost_answer_of_a_live_target_is_no_crash():
+    net = Net(1)
+    net.evidence.ended = False
+    for number in range(5):
+        assert not crash(net.gates[0], number)
+    assert len(net.evidence.waiting) == 5
+
+
+def test_a_host_whose_trial_is_never_ended_holds_nobody_back_for_long():
+    """Guards against a trial of a host that is gone."""
+    net = Net(2)
+    crash(net.gates[0], 0)
+    crash(net.gates[0], 1)
+    net.gates[0].begin("poison", "t2")
+    net.clock.advance(11.0)
+    assert net.gates[1].refusal("poison") is None
+
+
+def test_events_pass_between_hosts_unchanged():
+    for event in (
+        Crash("e1", "t1", "poison", True, "7"),
+        Cleared("e2", "poison"),
+        TrialBegan("e3", "poison", "t1"),
+    ):
+        assert decode(encode(event)) == event
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -3,11 +3,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from godwitladder.decisions import quarantine
 from godwitladder.decisions.quarantine import (
     HOLD_S,
     MERGE_S,
     Quarantine,
+    QuarantinePolicy,
     QuarantineStatus,
+    Trials,
 )
 
 
@@ -80,3 +83,97 @@
         for other in beside:
             table.record_crash(target, other, False, now + 1)
     assert crashes == min(2, order.count("poison"))
+
+
+PATIENT = QuarantinePolicy(
+    free_crashes=1, quarantine_s=3600.0, retrial_delays_s=(5.0, 30.0)
+)
+
+
+def make_suspect(table, digest, now=1.0):
+    """Let two targets crash under a request."""
+    table.record_crash("t1", digest, False, now, "1")
+    table.record_crash("t2", digest, False, now + 1, "1")
+
+
+def test_one_crash_beside_another_request_holds_nobody_back():
+    """Guards against all that ran on a crashed target waiting for trials."""
+    table = Quarantine(PATIENT)
+    table.record_crash("t1", "letter", False, 1.0, "1")
+    assert table.status("letter", 1.0) is QuarantineStatus.CLEAR
+    table.record_crash("t2", "letter", False, 2.0, "1")
+    assert table.status("letter", 2.0) is QuarantineStatus.SUSPECT
+
+
+def test_a_completed_copy_clears_a_popular_request():
+    """Guards against a popular request that is held back for what another did."""
+    table = Quarantine(PATIENT)
+    make_suspect(table, "popular")
+    table.clear("popular", 3.0)
+    table.record_crash("t3", "popular", False, 4.0, "1")
+    assert table.status("popular", 4.0) is QuarantineStatus.CLEAR
+
+
+def test_a_target_that_is_back_under_its_name_counts_again():
+    """Guards against two crashes of one name that count as one."""
+    table = Quarantine(PATIENT)
+    table.record_crash("t1", "poison", False, 1.0, "1")
+    table.record_crash("t1", "poison", False, 4.0, "2")
+    assert table.status("poison", 4.0) is QuarantineStatus.SUSPECT
+
+
+def test_a_quarantine_lasts_while_the_request_is_repeated():
+    """Guards against a request that crashes more targets each time it is forgotten."""
+    table = Quarantine(PATIENT)
+    table.record_crash("t1", "poison", True, 0.0)
+    for now in range(0, 20_000, 3_000):
+        assert table.status("poison", now) is QuarantineStatus.QUARANTINED
+        table.renew("poison", now)
+
+
+def test_a_request_whose_trial_met_another_crash_is_tried_again():
+    """Guards against an innocent request that stays quarantined."""
+    table = Quarantine(PATIENT)
+    table.record_crash("t1", "letter", True, 0.0)
+    assert not table.is_retrial_due("letter", 4.9)
+    assert table.is_retrial_due("letter", 5.0)
+    table.count_retrial("letter")
+    table.clear("letter", 6.0)
+    assert table.status("letter", 6.0) is QuarantineStatus.CLEAR
+
+
+def test_a_quarantined_request_is_tried_again_only_twice():
+    """Guards against a crashing request that reaches targets again and again."""
+    table = Quarantine(PATIENT)
+    table.record_crash("t1", "poison", True, 0.0)
+    trials, now = 0, 0.0
+    while now < 3_000:
+        now += 1.0
+        if table.is_retrial_due("poison", now):
+            trials += 1
+            table.count_retrial("poison")
+            table.record_crash(f"t{now}", "poison", True, now)
+    assert trials == 2
+
+
+def test_targets_and_requests_have_one_trial_at_a_time():
+    """Guards against two suspects on one target, whose crash would show nothing."""
+    trials = Trials(10.0)
+    trials.begin("letter", "t1", 0.0)
+    assert trials.is_running("letter", 1.0)
+    assert trials.is_used("t1", 1.0)
+    assert not trials.is_used("t2", 1.0)
+    assert not trials.is_running("letter", 10.0)
+    trials.end("letter")
+    assert not trials.is_used("t1", 1.0)
+
+
+def test_the_table_is_bounded(monkeypatch):
+    """Guards against a table that grows with each request that was ever lost."""
+    monkeypatch.setattr(quarantine, "MAX_SUSPECTS", 10)
+    table = Quarantine(PATIENT)
+    for number in range(20):
+        table.record_crash(f"t{number}", f"r{number}", False, 1.0)
+    assert len(table.histories) == 10
+    table.record_crash("t1", "late", False, 1.0 + HOLD_S)
+    assert list(table.histories) == ["late"]
