See the end of a target under a stream whose head has come

What callers saw: a stream that may not be resumed ended target after target, the caller got a 500 each time, and nothing was held back: 55 targets in 20 s, 45 sends too late.

Cause: the error of a broken stream left before the loss was recorded if the route can't be resumed; a further target that was lost while a stream was resumed wasn't recorded either.

--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -103,9 +103,9 @@
             "resumable": proxied_call.call.route.resumable,
         }
         log.info("A stream broke", extra=extra)
+        proxied_call.record_loss(error)
         if not proxied_call.call.route.resumable:
             raise StreamTruncated(str(error))
-        proxied_call.record_loss(error)
         proxied_call.resume_from = self.last_id
         response = self.reopen()
         if response is None:
@@ -130,6 +130,8 @@
                 proxied_call.log_failed_send(
                     "Could not resume a stream", decision, error
                 )
+                if isinstance(error, MayHaveRun):
+                    proxied_call.record_loss(error)
                 continue
             if is_stream(response):
                 return response
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -409,6 +409,8 @@
     [
         ("/charge/x", Ending.BEFORE_HEAD),
         ("/charge/x", Ending.AFTER_HEAD),
+        ("/stream/stream/x", Ending.AFTER_HEAD),
+        ("/stream/stream/x", Ending.MID_STREAM),
         ("/resume/stream/x", Ending.MID_STREAM),
     ],
 )
