Tell a host that starts or was cut off which requests crash targets

What callers saw: with hosts that are killed or cut off, requests that end their targets went on to reach others: 33 sends too late in 20 s, for three allowed.

Cause: what hosts know lives in their memory and was told once, to whoever was linked at that moment; nothing said what a newcomer learns. Now both ends of a new link tell each other all they know (500 rows of each kind at most), crashes and clearings, with their age; what is new to the receiver it passes on, as the peer may have been cut off from all others. A clearing wins over the crashes before it, so that a returning link brings no old suspicions. A zone that is cut off decides by what it knows, and both sides' crashes add up after it.

--- a/godwitladder/decisions/quarantine.py
+++ b/godwitladder/decisions/quarantine.py
@@ -18,7 +18,7 @@
 """
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from godwitladder.ids import BodyDigest, TargetName
@@ -233,6 +233,40 @@
             if history.quarantined_until > now
         }
 
+    def restore(
+        self,
+        digest: BodyDigest,
+        processes: Iterable[TargetProcess],
+        last_at: float,
+        quarantined_until: float,
+        retrials: int,
+    ) -> bool:
+        """Add what another host knows of a request; return whether any of it is new."""
+        if self.cleared.get(digest, float("-inf")) >= last_at:
+            return False
+        history = self._history(digest, last_at)
+        if history is None:
+            return False
+        before = len(history.crashes), history.quarantined_until, history.retrials
+        for process in processes:
+            crash = self.crashes.get(process)
+            if crash is None:
+                crash = self.crashes[process] = CrashRecord(process, last_at)
+            if not crash.cause:
+                self._add_crash(digest, history, crash, last_at)
+        if quarantined_until:
+            history.retrials = max(history.retrials, retrials)
+            if not history.quarantined_until:
+                self._quarantine(digest, history, last_at)
+            history.quarantined_until = max(
+                history.quarantined_until, quarantined_until
+            )
+        elif not history.crashes and not history.quarantined_until:
+            del self.histories[digest]
+            return False
+        is_new = len(history.crashes) != before[0] or history.retrials != before[2]
+        return is_new or bool(history.quarantined_until) != bool(before[1])
+
     def remove_expired(self, now: float) -> None:
         """Remove expired entries, which bounds the size of the tables."""
         self.histories = {
--- a/godwitladder/quarantine/records.py
+++ b/godwitladder/quarantine/records.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from godwitladder.decisions.quarantine import TargetProcess
 from godwitladder.ids import BodyDigest, TargetName
 from godwitladder.membership.codec import peer_message
 
@@ -69,3 +70,43 @@
 
 CrashEvent = Crash | Cleared | Lifted
 QuarantineEvent = CrashEvent | TrialBegan | TrialEnded
+
+
+@dataclass(frozen=True)
+class KnownHistory:
+    """What a host knows of a request that was part of crashes.
+
+    Attributes
+    ----------
+    processes : tuple of TargetProcess
+        Processes that ended under it and that no other request explains.
+    age_s : float
+        Seconds since the last of these crashes.
+    quarantined_s : float
+        Seconds for which it is still quarantined; 0 if it is not.
+    retrials : int
+        Number of trials since it was quarantined.
+    """
+
+    digest: BodyDigest
+    processes: tuple[TargetProcess, ...]
+    age_s: float
+    quarantined_s: float = 0.0
+    retrials: int = 0
+
+
+@dataclass(frozen=True)
+class KnownClearing:
+    """A request that has completed, and the seconds since then."""
+
+    digest: BodyDigest
+    age_s: float
+
+
+@peer_message
+@dataclass(frozen=True)
+class KnownCrashes:
+    """All that a host knows, for a peer to which it has a new link."""
+
+    histories: tuple[KnownHistory, ...] = ()
+    cleared: tuple[KnownClearing, ...] = ()
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -15,6 +15,9 @@
 from godwitladder.quarantine.records import (
     Cleared,
     Crash,
+    KnownClearing,
+    KnownCrashes,
+    KnownHistory,
     Lifted,
     QuarantineEvent,
     TrialBegan,
@@ -28,6 +31,8 @@
 MAX_SEEN_EVENTS = 10_000
 MAX_TRIAL_S = 10.0
 """Time after which a trial counts as ended: its host may be gone."""
+MAX_KNOWN_ROWS = 500
+"""Limit on the rows of each kind that are sent over a new link, the newest ones."""
 
 
 class QuarantineRegistry:
@@ -150,3 +155,59 @@
     @_apply.register
     def _(self, event: TrialEnded, at: float) -> None:
         self.trials.end(event.digest)
+
+    def known_crashes(self) -> KnownCrashes:
+        """Return all that this host knows, for a peer."""
+        now = self.clock.monotonic()
+        with self.lock:
+            self.table.remove_expired(now)
+            histories = sorted(
+                self.table.histories.items(), key=lambda row: -row[1].last_at
+            )
+            cleared = sorted(self.table.cleared.items(), key=lambda row: -row[1])
+            return KnownCrashes(
+                tuple(
+                    KnownHistory(
+                        digest,
+                        tuple(crash.process for crash in row.crashes),
+                        now - row.last_at,
+                        max(0.0, row.quarantined_until - now),
+                        row.retrials,
+                    )
+                    for digest, row in histories[:MAX_KNOWN_ROWS]
+                ),
+                tuple(
+                    KnownClearing(digest, now - at)
+                    for digest, at in cleared[:MAX_KNOWN_ROWS]
+                ),
+            )
+
+    def merge(self, known: KnownCrashes) -> bool:
+        """Add what a peer knows; return whether any of it was new."""
+        now = self.clock.monotonic()
+        with self.lock:
+            new = [self._merge_clearing(row, now) for row in known.cleared]
+            new += [self._merge_history(row, now) for row in known.histories]
+        if any(new):
+            log.info("Learned of crashes from a peer", extra={"requests": sum(new)})
+        return any(new)
+
+    def _merge_clearing(self, row: KnownClearing, now: float) -> bool:
+        at = now - row.age_s
+        if self.table.cleared.get(row.digest, float("-inf")) >= at:
+            return False
+        history = self.table.histories.get(row.digest)
+        if history is None or history.last_at > at:
+            return False
+        self.table.clear(row.digest, at)
+        return True
+
+    def _merge_history(self, row: KnownHistory, now: float) -> bool:
+        quarantined_until = now + row.quarantined_s if row.quarantined_s else 0.0
+        return self.table.restore(
+            row.digest,
+            row.processes,
+            now - row.age_s,
+            quarantined_until,
+            row.retrials,
+        )
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -43,7 +43,7 @@
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
-from godwitladder.quarantine.records import QuarantineEvent
+from godwitladder.quarantine.records import KnownCrashes, QuarantineEvent
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -206,6 +206,7 @@
         )
         for kind in get_args(QuarantineEvent):
             self.router.message_handlers[kind] = self.receive_quarantine_event
+        self.router.message_handlers[KnownCrashes] = self.receive_known_crashes
         self.statements = TargetStatements(
             self.scheduler,
             clock,
@@ -239,6 +240,11 @@
         """Report a new link to the membership, and ask the peer for missing data."""
         self.membership.tell(LinkUp(link))
         self.feed.request_state(lambda wanted: link.send(encode(wanted)))
+        # A host that starts or was cut off would send requests that crash targets to
+        # further ones.
+        known = self.quarantine.registry.known_crashes()
+        if known != KnownCrashes():
+            link.send(encode(known))
 
     def receive_quarantine_event(self, link: Link, event: QuarantineEvent) -> None:
         """Apply a peer's event, and forward it to hosts that have not received it.
@@ -254,6 +260,15 @@
         rest = [row for row in self.mesh.current() if row.peer not in hubs]
         self.mesh.multicast([row for row in rest if row is not link], encode(event))
 
+    def receive_known_crashes(self, link: Link, known: KnownCrashes) -> None:
+        """Add what a peer knows, and forward it if any of it is new.
+
+        The peer may have been cut off from all other hosts until now.
+        """
+        if self.quarantine.registry.merge(known):
+            others = [row for row in self.mesh.current() if row is not link]
+            self.mesh.multicast(others, encode(known))
+
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         address = self.settings.listen.peers
--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -46,6 +46,12 @@
             if number != sender and not {number, sender} & self.cut:
                 gate.registry.apply(decode(encode(event)))
 
+    def link_up(self, one, two):
+        pair = self.gates[one].registry, self.gates[two].registry
+        known = [decode(encode(row.known_crashes())) for row in pair]
+        for registry, other in zip(pair, reversed(known), strict=True):
+            registry.merge(other)
+
 
 def crash(gate, number, digest="poison"):
     """Send a request to a target that crashes under it; return if that was a trial."""
@@ -140,6 +146,51 @@
     assert len(net.evidence.waiting) == 5
 
 
+def test_a_host_that_starts_learns_all_from_one_link():
+    """Guards against hosts that start with no memory of what crashed the targets."""
+    net = Net(2)
+    quarantine(net)
+    net.gates.append(net.make_gate(2))
+    net.link_up(1, 2)
+    assert net.gates[2].refusal("poison").retry_after_s is None
+
+
+def test_a_host_that_was_cut_off_learns_both_crashes_and_clearings():
+    """Guards against a link that comes back and brings old suspicions with it."""
+    net = Net(2)
+    crash(net.gates[0], 0, "letter")
+    crash(net.gates[0], 1, "letter")
+    net.clock.advance(1.0)
+    net.cut = {1}
+    net.gates[0].record_completion("letter")
+    quarantine(net)
+    net.cut = set()
+    net.link_up(0, 1)
+    assert not net.gates[1].begin("letter", "t7")
+    assert not net.gates[0].begin("letter", "t8")
+    assert net.gates[1].refusal("poison")
+
+
+def test_what_two_parts_saw_counts_together():
+    """Guards against crashes on both sides of a cut that are not added up."""
+    net = Net(2)
+    net.cut = {1}
+    crash(net.gates[0], 0)
+    crash(net.gates[1], 1)
+    net.link_up(0, 1)
+    net.cut = set()
+    assert net.gates[0].begin("poison", "t2")
+    assert net.gates[1].refusal("poison").retry_after_s
+
+
+def test_what_is_known_already_is_not_news():
+    """Guards against peers that forward the same crashes to each other forever."""
+    net = Net(2)
+    quarantine(net)
+    known = net.gates[0].registry.known_crashes()
+    assert not net.gates[1].registry.merge(known)
+
+
 def test_a_host_whose_trial_is_never_ended_holds_nobody_back_for_long():
     """Guards against a trial of a host that is gone."""
     net = Net(2)
