--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -158,16 +158,16 @@
 def test_a_host_that_was_cut_off_learns_both_crashes_and_clearings():
     """Guards against a link that comes back and brings old suspicions with it."""
     net = Net(2)
-    crash(net.gates[0], 0, "letter")
-    crash(net.gates[0], 1, "letter")
+    crash(net.gates[0], 7, "letter")
+    crash(net.gates[0], 8, "letter")
     net.clock.advance(1.0)
     net.cut = {1}
     net.gates[0].record_completion("letter")
     quarantine(net)
     net.cut = set()
     net.link_up(0, 1)
-    assert not net.gates[1].begin("letter", "t7")
-    assert not net.gates[0].begin("letter", "t8")
+    assert not net.gates[1].begin("letter", "t5")
+    assert not net.gates[0].begin("letter", "t6")
     assert net.gates[1].refusal("poison")
 
 
