Log at which software version a call is sent, and which stream it takes up

No line told the version of a call's target, nor that a caller takes a stream up, so that the hypotheses could not be told apart. The entry's version now goes with the dispatch, the adapter decodes Resumes, and 'A call is sent' names both with the last event. Nothing is decided by them yet.

--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -126,6 +126,8 @@
         Role that it is ordered to assume; empty if it takes no orders.
     place : str
         Its availability zone, if that is only a part of ``zone``.
+    release : str
+        Version of its software; empty if not known.
     """
 
     address: str = checked(host_port)
@@ -142,6 +144,7 @@
     adapters: tuple[str, ...] = ()
     role: str = ""
     place: Zone = Zone("")
+    release: str = ""
 
 
 TYPES: dict[ObjectKind, type] = {
--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -56,6 +56,7 @@
             ),
             parts=_parse_prompt_parts(found.get(names.PREFIX.lower(), "")),
             last_event=found.get(names.LAST_EVENT.lower(), ""),
+            resumes=found.get(names.RESUMES.lower(), ""),
         )
 
     def for_target(
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -9,6 +9,7 @@
 PREFIX = "Godwitladder-Prompt-Prefix"
 LENGTH_HINT = "Godwitladder-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
 
 # Headers of answers.
 SIGNATURE = "Godwitladder-Response-Signature"
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -55,6 +55,8 @@
     last_event : str
         Id of the last event of a stream that the caller received; empty if not
         sent.
+    resumes : str
+        Attempt that brought the first event of that stream; empty if not sent.
     """
 
     attempt: str = ""
@@ -65,6 +67,7 @@
     output_hint: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True)
--- a/godwitladder/routing/state.py
+++ b/godwitladder/routing/state.py
@@ -73,6 +73,7 @@
         decode_tps=DECODE_TPS,
         generation=str(entry.started_ms),
         state=target_state(entry, unproved),
+        release=entry.release,
     )
 
 
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -57,6 +57,8 @@
         Distinguishes the target's process from earlier ones of the same name.
     granted_by : str
         Allocator and term that granted it, or `OWN_SHARE`. For the log only.
+    release : str
+        Version of the target's software; empty if not known.
     """
 
     request: RequestId
@@ -65,6 +67,7 @@
     address: str
     generation: str = ""
     granted_by: str = ""
+    release: str = ""
 
 
 @dataclass
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -353,6 +353,7 @@
             target.target.address,
             target.target.generation,
             OWN_SHARE if issuer == NO_ISSUER else str(issuer),
+            target.target.release,
         )
     )
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -506,5 +506,8 @@
             "send": self.sends,
             "granted_by": dispatch.granted_by,
             "gateway": self.connection.gateway,
+            "release": dispatch.release,
+            "last_event": self.resume_from or self.call.metadata.last_event,
+            "resumes": self.call.metadata.resumes,
         }
         log.info("A call is sent", extra=extra)
