--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -8,6 +8,7 @@
 import base64
 import enum
 import json
+import random
 import socket
 import struct
 import threading
@@ -258,6 +259,10 @@
         Body of the requests that end the engine; empty for none.
     ending : Ending
         When it ends under them.
+    version : str
+        Version of its software, which it writes into each event; empty for none.
+    cut_probability : float
+        Probability with which a stream is cut before each event but the first.
     """
 
     refuse: bool = False
@@ -274,6 +279,8 @@
     brittle: float = 0.0
     ends_on: bytes = b""
     ending: Ending = Ending.BEFORE_HEAD
+    version: str = ""
+    cut_probability: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -491,11 +498,13 @@
         start = int(self.headers.get(names.LAST_EVENT) or 0)
         for number in range(start + 1, events + 1):
             time.sleep(knobs.pause_s)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            if 0 <= knobs.cut_after < number:
+            version = f" of {knobs.version}".encode() if knobs.version else b""
+            event = b"id: %d\ndata: piece %d%b\n\n" % (number, number, version)
+            is_cut = number > start + 1 and random.random() < knobs.cut_probability
+            if is_cut or 0 <= knobs.cut_after < number:
                 self.send_chunk(event[:7])
                 self.connection.shutdown(socket.SHUT_RDWR)
-                raise ConnectionResetError("stream cut by the knob cut_after")
+                raise ConnectionResetError("stream cut by a knob")
             self.send_chunk(event)
 
     def send_head(
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -15,6 +15,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,7 +25,7 @@
 from godwitladder.platform import names
 from godwitladder.standins.routed import Ending
 from soak.fleet import Fleet, Host
-from soak.proxy import CutMode
+from soak.host_faults import CONTACT_S, HostFault, HostFaults
 
 START_TIMEOUT_S = 40.0
 GUILTY_INTERVAL_S = 0.35
@@ -35,25 +36,12 @@
 MAX_RETRY_DELAY_S = 1.0
 PAUSE_S = 0.05
 """Pause of the targets before each event, so that requests run side by side."""
-FAULT_INTERVAL_S = 2.0
-CUT_DURATION_S = 1.5
-CONTACT_S = 3.0
-"""Seconds within which hosts in touch have learned of something, and after which a
-disturbed host is in touch again."""
 ENDINGS_BEFORE = 3
 """Number of targets that a request may end before its further sends count."""
 MAX_LATE_SENDS = 3
 MIN_SERVED_FRACTION = 0.9
 
 
-class HostFault(enum.Enum):
-    """What disturbs the hosts of a run, again and again."""
-
-    NONE = "none"
-    KILL = "kill"
-    CUT = "cut"
-
-
 class Group(enum.Enum):
     """Callers whose requests end no target: bodies of their own, or a shared one."""
 
@@ -89,8 +77,8 @@
         When a target ended.
     arrivals : list of tuple
         Time and attempt of each arrival of the guilty request at a target.
-    disturbed : dict
-        Begin and end of the faults of each host.
+    was_in_touch : callable
+        Returns whether a host was in touch at some time.
     asked, served : dict
         Number of requests of each group of callers, and of those that were served.
     """
@@ -99,7 +87,7 @@
     statuses: list[int] = field(default_factory=list)
     endings: list[float] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
-    disturbed: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    was_in_touch: Callable[[str, float], bool] = lambda host, at: True
     asked: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
     served: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
 
@@ -114,13 +102,6 @@
             if at > from_s and self.was_in_touch(self.sent_by[attempt], at)
         ]
 
-    def was_in_touch(self, host: str, at: float) -> bool:
-        """Return whether ``host`` was undisturbed for `CONTACT_S` before ``at``."""
-        return not any(
-            begin <= at and end + CONTACT_S > at
-            for begin, end in self.disturbed.get(host, ())
-        )
-
     def served_fraction(self, group: Group) -> float:
         """Return the fraction of a group's requests that were served."""
         return self.served[group] / max(1, self.asked[group])
@@ -160,9 +141,10 @@
         self.seed = seed
         self.fleet = fleet
         self.rng = random.Random(seed)
-        self.history = CrashHistory()
         self.lock = threading.Lock()
         self.stop_event = threading.Event()
+        self.faults = HostFaults(fleet, size.fault, self.rng, self.stop_event)
+        self.history = CrashHistory(was_in_touch=self.faults.was_in_touch)
 
     def run(self) -> CrashOutcome:
         """Send all requests and inject the faults, then check what happened."""
@@ -173,7 +155,7 @@
             threading.Thread(target=self.call_until_stopped, args=(number, group))
             for number, group in enumerate(groups)
         ]
-        threads.append(threading.Thread(target=self.disturb_hosts))
+        threads.append(threading.Thread(target=self.faults.run))
         for thread in threads:
             thread.start()
         self.send_guilty_requests()
@@ -256,36 +238,6 @@
                 return 0, 0.0
         return answer.status, float(answer.getheader("Retry-After") or 0.0)
 
-    def disturb_hosts(self) -> None:
-        """Disturb one host after the other, as the size of the run says."""
-        if self.size.fault is HostFault.NONE:
-            return
-        while not self.stop_event.wait(FAULT_INTERVAL_S):
-            host = self.rng.choice(self.fleet.hosts)
-            begin = time.monotonic()
-            if self.size.fault is HostFault.KILL:
-                host.kill()
-                host.start()
-                self.wait_until_ready(host)
-            else:
-                self.cut_off(host)
-            rows = self.history.disturbed.setdefault(host.name, [])
-            rows.append((begin, time.monotonic()))
-
-    def wait_until_ready(self, host: Host) -> None:
-        """Wait until a host that was started serves, or the run ends."""
-        while not host.is_ready() and not self.stop_event.wait(0.05):
-            pass
-
-    def cut_off(self, host: Host) -> None:
-        """Cut a host off from its peers; callers, store and targets reach it."""
-        paths = self.fleet.paths_between_peers(host)
-        for path in paths:
-            path.cut(self.rng.choice((CutMode.HANG, CutMode.RESET)))
-        self.stop_event.wait(CUT_DURATION_S)
-        for path in paths:
-            path.restore()
-
     def record_targets(self) -> None:
         """Record what the targets got of the guilty request."""
         for target in self.fleet.targets:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -65,6 +65,7 @@
 TARGET_SLOTS = 4
 EXPIRY_S = 1.0
 """Seconds after which the entry of a target that has ended is removed."""
+DRAIN_S = 3.0
 RESTART_S = 2.0
 """Seconds after which a new process of it has started, under a new name."""
 
@@ -290,6 +291,7 @@
     def __init__(self, name: str, service: str = SERVICE) -> None:
         self.name = self.first_name = name
         self.incarnation = 0
+        self.version = "v1"
         self.service = service
         self.started_ms = 1_700_000_000_000
         self.server: StandinServer = start_engine()
@@ -308,7 +310,7 @@
             "service": self.service,
             "address": self.proxy.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": TARGET_SLOTS,
             "state": state,
             "coldRemainingMs": 0,
@@ -324,17 +326,33 @@
         threading.Thread(target=self.restart, args=(write_entry,), daemon=True).start()
 
     def restart(self, write_entry: Callable[["Target", str], None]) -> None:
-        """Remove the entry, and start a new process under a new name."""
+        """Remove the entry of a process that has ended, and start another one."""
         time.sleep(EXPIRY_S)
         write_entry(self, "")
         time.sleep(RESTART_S - EXPIRY_S)
-        self.incarnation += 1
-        self.name = self.knobs.name = f"{self.first_name}-{self.incarnation}"
-        self.started_ms += 1
+        self.renew()
         self.proxy.reset()
         self.proxy.restore()
         write_entry(self, "ready")
 
+    def replace(
+        self, version: str, write_entry: Callable[["Target", str], None]
+    ) -> None:
+        """Replace the process by one of another version, as in a roll-out."""
+        write_entry(self, "draining")
+        time.sleep(DRAIN_S)
+        write_entry(self, "")
+        self.proxy.reset()
+        self.renew()
+        self.version = self.knobs.version = version
+        write_entry(self, "ready")
+
+    def renew(self) -> None:
+        """Give the target the name and start time of a new process."""
+        self.incarnation += 1
+        self.name = self.knobs.name = f"{self.first_name}-{self.incarnation}"
+        self.started_ms += 1
+
     def close(self) -> None:
         """Stop the proxy and the server."""
         self.proxy.close()
--- /dev/null
+++ b/soak/host_faults.py
@@ -0,0 +1,83 @@
+"""Disturbs the hosts of a run, one after the other, and records when."""
+
+import enum
+import random
+import threading
+import time
+
+from soak.fleet import Fleet, Host
+from soak.proxy import CutMode
+
+FAULT_INTERVAL_S = 2.0
+CUT_DURATION_S = 1.5
+CONTACT_S = 3.0
+"""Seconds within which hosts in touch have learned of something, and after which a
+disturbed host is in touch again."""
+
+
+class HostFault(enum.Enum):
+    """What disturbs the hosts of a run, again and again."""
+
+    NONE = "none"
+    KILL = "kill"
+    CUT = "cut"
+
+
+class HostFaults:
+    """Injects one kind of fault into one host after the other.
+
+    Attributes
+    ----------
+    disturbed : dict
+        Begin and end of the faults of each host, in monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        kind: HostFault,
+        rng: random.Random,
+        stop_event: threading.Event,
+    ) -> None:
+        self.fleet = fleet
+        self.kind = kind
+        self.rng = rng
+        self.stop_event = stop_event
+        self.disturbed: dict[str, list[tuple[float, float]]] = {}
+
+    def run(self) -> None:
+        """Disturb hosts until the run ends."""
+        if self.kind is HostFault.NONE:
+            return
+        while not self.stop_event.wait(FAULT_INTERVAL_S):
+            host = self.rng.choice(self.fleet.hosts)
+            begin = time.monotonic()
+            if self.kind is HostFault.KILL:
+                self.restart(host)
+            else:
+                self.cut_off(host)
+            rows = self.disturbed.setdefault(host.name, [])
+            rows.append((begin, time.monotonic()))
+
+    def restart(self, host: Host) -> None:
+        """Kill a host, start it, and wait until it serves or the run ends."""
+        host.kill()
+        host.start()
+        while not host.is_ready() and not self.stop_event.wait(0.05):
+            pass
+
+    def cut_off(self, host: Host) -> None:
+        """Cut a host off from its peers; callers, store and targets reach it."""
+        paths = self.fleet.paths_between_peers(host)
+        for path in paths:
+            path.cut(self.rng.choice((CutMode.HANG, CutMode.RESET)))
+        self.stop_event.wait(CUT_DURATION_S)
+        for path in paths:
+            path.restore()
+
+    def was_in_touch(self, host: str, at: float) -> bool:
+        """Return whether ``host`` was undisturbed for `CONTACT_S` before ``at``."""
+        return not any(
+            begin <= at and end + CONTACT_S > at
+            for begin, end in self.disturbed.get(host, ())
+        )
--- /dev/null
+++ b/soak/versions.py
@@ -0,0 +1,348 @@
+"""Plays streams that break, before targets of two versions of their software.
+
+Callers take a broken stream up again at any host, as the host itself may do. Hosts are
+real processes, and may be killed, started anew or cut off from their peers meanwhile,
+and targets replaced by others of the next version. Each event tells the version of
+the target that made it; what callers read is checked.
+
+``python -m soak.versions`` plays one run and prints its outcome.
+"""
+
+import contextlib
+import http.client
+import json
+import random
+import re
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import defopt
+
+from godwitladder.platform import names
+from soak.fleet import Fleet, Host
+from soak.host_faults import HostFault, HostFaults
+
+START_TIMEOUT_S = 40.0
+CALL_TIMEOUT_S = 10.0
+EVENTS = 20
+PAUSE_S = 0.02
+CUT_PROBABILITY = 0.06
+VERSIONS = ("v1", "v2")
+MAX_TRIES = 4
+RETRY_PAUSE_S = 0.1
+ROLL_INTERVAL_S = 1.0
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\w+)\n\n")
+MAX_MIXED = 2
+"""Streams of two versions that may be seen."""
+MIN_TAKEN_UP = 12
+"""Number of streams taken up from which their share counts."""
+MIN_SHARE_RATIO = 0.5
+"""Least ratio of the share of streams that go on to that of new ones that begin."""
+
+
+@dataclass(frozen=True)
+class VersionRunSize:
+    """Size of a run: numbers of its parts, its faults, its duration in seconds."""
+
+    hosts: int = 6
+    targets: int = 8
+    callers: int = 10
+    seconds: float = 20.0
+    fault: HostFault = HostFault.NONE
+    rolls: bool = False
+
+
+@dataclass
+class Stream:
+    """What a caller has read of one stream, over all its tries.
+
+    Attributes
+    ----------
+    first_attempt : str
+        Attempt that brought the first event; empty before it.
+    events : list of tuple
+        Number and version of each event, in order.
+    within_answer : bool
+        Whether one answer held events of two versions.
+    """
+
+    first_attempt: str = ""
+    events: list[tuple[int, str]] = field(default_factory=list)
+    within_answer: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last event was read."""
+        return bool(self.events) and self.events[-1][0] == EVENTS
+
+    @property
+    def is_mixed(self) -> bool:
+        """Whether the stream holds events of two versions."""
+        return len({version for _, version in self.events}) > 1
+
+    @property
+    def is_in_order(self) -> bool:
+        """Whether no event is missing or came twice."""
+        numbers = [number for number, _ in self.events]
+        return numbers == list(range(1, len(numbers) + 1))
+
+
+@dataclass
+class VersionHistory:
+    """What callers observed in one run.
+
+    Attributes
+    ----------
+    asked, begun : int
+        Number of new streams that hosts in touch were asked for, and that began.
+    taken_up, went_on : int
+        The same for streams that were taken up.
+    """
+
+    streams: list[Stream] = field(default_factory=list)
+    asked: int = 0
+    begun: int = 0
+    taken_up: int = 0
+    went_on: int = 0
+
+    def check(self) -> list[str]:
+        """Return a line for each violation of a guarantee."""
+        rows = []
+        mixed = [row for row in self.streams if row.is_mixed]
+        if len(mixed) > MAX_MIXED:
+            inside = sum(row.within_answer for row in mixed)
+            rows.append(f"{len(mixed)} streams of two versions, {inside} in one answer")
+        disordered = sum(not row.is_in_order for row in self.streams)
+        if disordered:
+            rows.append(f"{disordered} streams miss an event or hold one twice")
+        begun = self.begun / max(1, self.asked)
+        went_on = self.went_on / max(1, self.taken_up)
+        if self.taken_up >= MIN_TAKEN_UP and went_on < MIN_SHARE_RATIO * begun:
+            rows.append(f"{went_on:.2f} went on, {begun:.2f} began")
+        return rows
+
+
+@dataclass(frozen=True)
+class VersionOutcome:
+    """Result of a run; shares are those of hosts in touch."""
+
+    seed: int
+    streams: int
+    complete: int
+    mixed: int
+    within_answer: int
+    begun: str
+    went_on: str
+    violations: list[str]
+
+
+class VersionRun:
+    """A run on a fleet that has started."""
+
+    def __init__(self, seed: int, size: VersionRunSize, fleet: Fleet) -> None:
+        self.seed = seed
+        self.size = size
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.history = VersionHistory()
+        self.lock = threading.Lock()
+        self.stop_event = threading.Event()
+        self.faults = HostFaults(fleet, size.fault, self.rng, self.stop_event)
+
+    def run(self) -> VersionOutcome:
+        """Send all streams and inject the faults, then check what callers read."""
+        threads = [
+            threading.Thread(target=self.call_until_stopped, args=(number,))
+            for number in range(self.size.callers)
+        ]
+        threads.append(threading.Thread(target=self.faults.run))
+        threads.append(threading.Thread(target=self.replace_targets))
+        for thread in threads:
+            thread.start()
+        time.sleep(self.size.seconds)
+        self.stop_event.set()
+        for thread in threads:
+            thread.join()
+        return self.outcome()
+
+    def call_until_stopped(self, number: int) -> None:
+        """Read one stream after the other."""
+        rng = random.Random(f"{self.seed}-{number}")
+        count = 0
+        while not self.stop_event.wait(PAUSE_S):
+            count += 1
+            stream = Stream()
+            self.read_stream(rng, stream, f"s{number}-{count}")
+            with self.lock:
+                self.history.streams.append(stream)
+
+    def read_stream(self, rng: random.Random, stream: Stream, name: str) -> None:
+        """Read one stream, and take it up again when it breaks."""
+        for number in range(MAX_TRIES):
+            self.read_part(rng.choice(self.fleet.hosts), stream, f"{name}-{number}")
+            if stream.is_complete or self.stop_event.is_set():
+                return
+            time.sleep(RETRY_PAUSE_S)
+
+    def read_part(self, host: Host, stream: Stream, attempt: str) -> None:
+        """Send one attempt and read what it brings."""
+        sent_at = time.monotonic()
+        is_new = not stream.events
+        events = self.fetch(host, stream, attempt)
+        if is_new and events:
+            stream.first_attempt = attempt
+        stream.within_answer |= len({version for _, version in events}) > 1
+        stream.events += events
+        if not self.faults.was_in_touch(host.name, sent_at) or self.is_disturbed(host):
+            return
+        with self.lock:
+            if is_new:
+                self.history.asked += 1
+                self.history.begun += bool(events)
+            else:
+                self.history.taken_up += 1
+                self.history.went_on += bool(events)
+
+    def is_disturbed(self, host: Host) -> bool:
+        """Return whether the process of a host does not run."""
+        return host.process is None or host.process.poll() is not None
+
+    def fetch(self, host: Host, stream: Stream, attempt: str) -> list[tuple[int, str]]:
+        """Send one attempt; return the events that it brings."""
+        headers = {
+            "Host": "shop.example",
+            names.ATTEMPT: attempt,
+            names.DEADLINE_MS: str(int(CALL_TIMEOUT_S * 1000)),
+            "Authorization": "Bearer k1",
+        }
+        if stream.events:
+            headers[names.LAST_EVENT] = str(stream.events[-1][0])
+            headers[names.RESUMES] = stream.first_attempt
+        connection = http.client.HTTPConnection(
+            host.caller_address, timeout=CALL_TIMEOUT_S
+        )
+        content = b""
+        with contextlib.closing(connection):
+            try:
+                connection.request("POST", "/resume/stream/x", b"x", headers)
+                answer = connection.getresponse()
+                if answer.status != 200:
+                    return []
+                while block := answer.read1():
+                    content += block
+            except (OSError, http.client.HTTPException):
+                # The stream has broken; what came before counts.
+                pass
+        return [
+            (int(number), version.decode())
+            for number, version in EVENT.findall(content)
+        ]
+
+    def replace_targets(self) -> None:
+        """Replace one target after the other by one of the other version."""
+        if not self.size.rolls:
+            return
+        number = 0
+        while not self.stop_event.wait(ROLL_INTERVAL_S):
+            target = self.fleet.targets[number % len(self.fleet.targets)]
+            number += 1
+            target.replace("v3", self.fleet.write_entry)
+
+    def outcome(self) -> VersionOutcome:
+        """Check the history and return the outcome."""
+        history = self.history
+        return VersionOutcome(
+            self.seed,
+            len(history.streams),
+            sum(row.is_complete for row in history.streams),
+            sum(row.is_mixed for row in history.streams),
+            sum(row.within_answer for row in history.streams),
+            f"{history.begun} of {history.asked}",
+            f"{history.went_on} of {history.taken_up}",
+            history.check(),
+        )
+
+
+def start_version_fleet(
+    stack: contextlib.ExitStack, folder: Path, size: VersionRunSize
+) -> Fleet:
+    """Return a fleet that has started, whose targets are of two versions in turn.
+
+    Raises
+    ------
+    TimeoutError
+        The hosts did not find each other.
+    """
+    fleet = Fleet(
+        stack,
+        folder,
+        size.hosts,
+        size.targets,
+        zones="abc",
+        has_peer_paths=size.fault is HostFault.CUT,
+    )
+    for number, target in enumerate(fleet.targets):
+        target.version = target.knobs.version = VERSIONS[number % len(VERSIONS)]
+        target.knobs.pause_s = PAUSE_S
+        target.knobs.events = EVENTS
+        target.knobs.cut_probability = CUT_PROBABILITY
+        fleet.write_entry(target, "ready")
+    if not fleet.wait_until_converged(START_TIMEOUT_S):
+        raise TimeoutError("the hosts did not find each other")
+    return fleet
+
+
+def run_version_seed(
+    seed: int, size: VersionRunSize, folder: Path | None = None
+) -> VersionOutcome:
+    """Run one seed and return its outcome; settings and logs go to ``folder``."""
+    with contextlib.ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        fleet = start_version_fleet(stack, folder, size)
+        return VersionRun(seed, size, fleet).run()
+
+
+def main(
+    *,
+    seed: int = 1,
+    seconds: float = 20.0,
+    fault: str = HostFault.NONE.value,
+    rolls: bool = False,
+    hosts: int = 6,
+    logs: str = "",
+) -> None:
+    """Play one run, and exit with status 1 if a guarantee was violated.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all that callers and faults draw.
+    seconds : float
+        Duration of the run in seconds.
+    fault : str
+        What disturbs the hosts: none, kill or cut.
+    rolls : bool
+        Whether targets are replaced by others of a third version.
+    hosts : int
+        Number of host processes.
+    logs : str
+        Directory for the logs of the hosts.
+    """
+    size = VersionRunSize(
+        hosts=hosts, seconds=seconds, fault=HostFault(fault), rolls=rolls
+    )
+    folder = Path(logs) if logs else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+    outcome = run_version_seed(seed, size, folder)
+    print(json.dumps(vars(outcome)), flush=True)
+    sys.exit(1 if outcome.violations else 0)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -9,10 +9,10 @@
     GUILTY_BODY,
     CrashRun,
     CrashRunSize,
-    HostFault,
     run_crash_seed,
     start_crash_fleet,
 )
+from soak.host_faults import HostFault
 from soak.proxy import CutMode
 from tests.fleet import wait_until
 
