Let a stream go on at the software version that began it, on any host

What callers saw: during a roll-out, streams held events of two versions, which don't fit together; half of all that broke, most of them within one answer.

Cause: the version stood in the entry of a target and reached the roll-outs alone. Neither the host's own resuming nor a caller's take-up knew one, and nothing read Resumes.

Now a stream has an origin, the service and version of its first event. The call carries it through the queue: a host and its allocator place it at targets of that version only, new streams spare these while any stream waits for them, and a stream whose version has no target left is refused at once (503, no time to come back), so that its caller can start anew. Both ways of resuming go through the same row. A stream without an event may begin anywhere.

Who knows: the host that began the stream, and two keepers chosen by a hash of the attempt (hubs where not all hosts are linked). A host that doesn't know asks all candidates and takes the first answer, 0.3 s at most; if nobody knows, it refuses with 503 and Retry-After. While a service has had one version for a minute nobody is told or asked, as every stream began at that one.

Ruled out: telling all hosts of each stream (1,500 a second to 380 hosts); the store (a write a stream); guessing at the only version present (it may have just replaced the one that began the stream).

--- a/godwitladder/configuration/model.py
+++ b/godwitladder/configuration/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from godwitladder.ids import ServiceName, TierName, Zone
+from godwitladder.ids import Release, ServiceName, TierName, Zone
 from godwitladder.tables import (
     checked,
     host_port,
@@ -144,7 +144,7 @@
     adapters: tuple[str, ...] = ()
     role: str = ""
     place: Zone = Zone("")
-    release: str = ""
+    release: Release = Release("")
 
 
 TYPES: dict[ObjectKind, type] = {
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -20,7 +20,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from godwitladder.decisions.admission import Flow
 from godwitladder.decisions.backlog import Backlog, Group
@@ -45,7 +45,7 @@
     ShedReason,
     WorkspaceView,
 )
-from godwitladder.ids import RequestId, ServiceName, WorkspaceName
+from godwitladder.ids import RequestId, ServiceName, TargetName, WorkspaceName
 
 MAX_MISSES = 32
 MAX_CONTENTION_S = 4.0
@@ -96,6 +96,11 @@
                 self.count_offered(entry, 1.0)
         self.placed_s = 0.0
         self.reserved_quota: Counter[WorkspaceName] = Counter()
+        self.continued = {
+            (row.demand.service, row.demand.release)
+            for row in pool.waiting.values()
+            if row.demand.release
+        }
         self.running = {
             name: view.running for name, view in pool.workspaces.items() if view.quota
         }
@@ -189,8 +194,9 @@
         target = service_capacity.choose(
             demand,
             budget_s,
-            entry.waiting.excluded_targets(self.now),
+            self.excluded_targets(entry),
             self.ttft_budget_s(entry),
+            self.spared_targets(demand),
         )
         if target is None:
             return False
@@ -205,6 +211,31 @@
         )
         return True
 
+    def excluded_targets(self, entry: QueueEntry) -> Collection[TargetName]:
+        """Return the targets on which a request must not be placed."""
+        excluded = entry.waiting.excluded_targets(self.now)
+        demand = entry.waiting.demand
+        if not demand.release:
+            return excluded
+        capacity = self.capacity.of(demand.service)
+        return capacity.names_of(demand.release, others=True) | set(excluded)
+
+    def spared_targets(self, demand: RequestDemand) -> Collection[TargetName]:
+        """Return the targets that streams which are to go on need.
+
+        In a roll-out the last targets of a version may be the least used. New streams
+        can begin at any other.
+        """
+        if demand.release or not self.continued:
+            return ()
+        capacity = self.capacity.of(demand.service)
+        names = [
+            capacity.names_of(release)
+            for service, release in self.continued
+            if service == demand.service
+        ]
+        return set().union(*names)
+
     def ttft_budget_s(self, entry: QueueEntry) -> float | None:
         """Return the seconds left for the first output.
 
--- a/godwitladder/decisions/capacity.py
+++ b/godwitladder/decisions/capacity.py
@@ -27,7 +27,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.types import PoolView, RequestDemand, TargetView, TokenTimes
-from godwitladder.ids import ServiceName, TargetName
+from godwitladder.ids import Release, ServiceName, TargetName
 
 MEMORY_SHARE = 0.9
 LONG_FACTOR = 8.0
@@ -238,6 +238,7 @@
         budget_s: float,
         excluded: Collection[TargetName] = (),
         ttft_budget_s: float | None = None,
+        spared: Collection[TargetName] = (),
     ) -> TargetCapacity | None:
         """Return the target likely to finish ``demand`` first, of those in time.
 
@@ -262,6 +263,9 @@
             any target, even a busy one, could meet the latency bounds without pending
             prefill, only targets that meet them now are chosen. None to ignore them.
 
+        spared : collection of TargetName
+            Targets that others need, which are the last choice too.
+
         Returns
         -------
         TargetCapacity or None
@@ -299,11 +303,19 @@
                 and target.load <= bound
             ):
                 score -= seconds
-            rating = target.view.refuses, score
+            rating = target.view.refuses or target.view.name in spared, score
             if rating < best_score:
                 best, best_score = target, rating
         return best
 
+    def names_of(self, release: Release, others: bool = False) -> set[TargetName]:
+        """Return the targets of a software version, or those of all others."""
+        return {
+            target.view.name
+            for target in self.targets
+            if (target.view.release == release) != others
+        }
+
     def lacks_memory(self, demand: RequestDemand) -> bool:
         """Return whether a target has a free slot but can't fit ``demand``."""
         tokens = demand.prompt_tokens + demand.predicted_tokens
--- /dev/null
+++ b/godwitladder/decisions/stream_origins.py
@@ -0,0 +1,111 @@
+"""At which software version streams began, so that they go on at the same one.
+
+What targets of two versions write doesn't fit together, and targets don't check it. A
+broken stream may be taken up at any host, while the host that began it may be gone. The
+version is therefore known to the host that began the stream and to some others, its
+keepers. While a service has had one version alone for long enough, each stream began at
+that one, and nobody has to be told.
+
+Pure: times are passed in, in seconds.
+
+Thresholds
+----------
+KEEP_S : callers take a stream up within their deadline, which is some seconds.
+KEEPERS : hosts beside the one that began the stream. All that know are gone only if
+    these hosts are killed together.
+MAX_ORIGINS : an origin takes some 200 bytes.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from godwitladder.decisions.rendezvous import rank_hosts
+from godwitladder.ids import AttemptId, HostId, Release, ServiceName
+
+KEEP_S = 60.0
+KEEPERS = 2
+MAX_ORIGINS = 20_000
+
+
+@dataclass(frozen=True)
+class StreamOrigin:
+    """The service and software version at which a stream began."""
+
+    service: ServiceName
+    release: Release
+
+
+@dataclass
+class StreamOrigins:
+    """Origins of recent streams, by the attempt that brought the first event.
+
+    Attributes
+    ----------
+    rows : dict
+        Time of the record and origin, the oldest first.
+    """
+
+    rows: dict[AttemptId, tuple[float, StreamOrigin]] = field(default_factory=dict)
+
+    def record(self, attempt: AttemptId, origin: StreamOrigin, now: float) -> None:
+        """Record at which version a stream began."""
+        self.rows.pop(attempt, None)
+        self.rows[attempt] = now, origin
+        while self.rows:
+            oldest = next(iter(self.rows))
+            if len(self.rows) <= MAX_ORIGINS and now - self.rows[oldest][0] <= KEEP_S:
+                return
+            del self.rows[oldest]
+
+    def find(self, attempt: AttemptId) -> StreamOrigin | None:
+        """Return the origin of a stream; None if it is not known here."""
+        row = self.rows.get(attempt)
+        return row[1] if row else None
+
+
+@dataclass
+class ReleaseHistory:
+    """Software versions that the targets of each service had of late.
+
+    Attributes
+    ----------
+    watched_since : float or None
+        Time of the first list of targets; None before it.
+    present_at : dict
+        Time at which each version was last present.
+    """
+
+    watched_since: float | None = None
+    present_at: dict[StreamOrigin, float] = field(default_factory=dict)
+
+    def observe(self, present: Iterable[StreamOrigin], now: float) -> None:
+        """Record which versions the targets have now."""
+        if self.watched_since is None:
+            self.watched_since = now
+        self.present_at |= dict.fromkeys(present, now)
+
+    def only_release(
+        self, service: ServiceName, present: Collection[StreamOrigin], now: float
+    ) -> Release | None:
+        """Return the only version of a service for `KEEP_S`; None if there were others.
+
+        Parameters
+        ----------
+        present : collection of StreamOrigin
+            The versions that targets have now.
+        """
+        if self.watched_since is None or now - self.watched_since < KEEP_S:
+            return None
+        self.observe(present, now)
+        self.present_at = {
+            row: at for row, at in self.present_at.items() if now - at < KEEP_S
+        }
+        releases = {row.release for row in self.present_at if row.service == service}
+        return releases.pop() if len(releases) == 1 else None
+
+
+def choose_keepers(
+    hosts: Collection[HostId], own: HostId, attempt: AttemptId
+) -> list[HostId]:
+    """Return the hosts to tell of a stream that this host has begun."""
+    return rank_hosts(set(hosts) - {own}, attempt)[:KEEPERS]
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -17,6 +17,7 @@
 from godwitladder.ids import (
     BodyDigest,
     HostId,
+    Release,
     RequestId,
     ServiceName,
     TargetName,
@@ -71,6 +72,8 @@
         Longest allowed pause in its output in seconds; 0 for no bound.
     event_tokens : int
         Output tokens in each event of its stream.
+    release : Release
+        Software version of the only targets that may run it; empty if any may.
     body : BodyDigest
         Digest by which a retry of the same caller is recognized; empty where
         different callers send equal bodies.
@@ -94,6 +97,7 @@
     body: BodyDigest = BodyDigest("")
     gap_s: float = 0.0
     event_tokens: int = 1
+    release: Release = Release("")
 
 
 @dataclass(frozen=True)
@@ -202,6 +206,8 @@
         Seconds until it may get a request; 0 if it may now.
     refuses : bool
         Whether it has asked any host to send nothing for a while.
+    release : Release
+        Version of its software; empty if not known.
     """
 
     name: TargetName
@@ -224,6 +230,7 @@
     available_requests: float = float("inf")
     next_request_s: float = 0.0
     refuses: bool = False
+    release: Release = Release("")
 
 
 @dataclass(slots=True)
--- a/godwitladder/discovery/targets.py
+++ b/godwitladder/discovery/targets.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 
-from godwitladder.ids import ServiceName, TargetName, Zone
+from godwitladder.ids import Release, ServiceName, TargetName, Zone
 
 REMOVAL_DELAY_S = 2.0
 """How long after a store outage an expired entry is kept. Targets rewrite entries that
@@ -24,7 +24,7 @@
         under the same name has no state from the previous one.
     leaving : bool
         Whether the target accepts no new calls.
-    release : str
+    release : Release
         Version of the target's software; empty if not given.
     """
 
@@ -35,7 +35,7 @@
     slots: int
     started_ms: int = 0
     leaving: bool = False
-    release: str = ""
+    release: Release = Release("")
 
 
 @dataclass
--- a/godwitladder/outcomes.py
+++ b/godwitladder/outcomes.py
@@ -64,6 +64,8 @@
     NO_TARGET = "no_target"
     QUARANTINED = "quarantined"
     CRASHED_TARGETS = "crashed_targets"
+    ORIGIN_UNKNOWN = "origin_unknown"
+    RELEASE_GONE = "release_gone"
     LOG_UNAVAILABLE = "log_unavailable"
     STOPPING = "stopping"
     TARGET_REFUSED = "target_refused"
@@ -88,6 +90,8 @@
     Reason.DEADLINE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_TARGET: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.CRASHED_TARGETS: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.ORIGIN_UNKNOWN: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.RELEASE_GONE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.QUARANTINED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
     Reason.LOG_UNAVAILABLE: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.STOPPING: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/godwitladder/platform/entries.py
+++ b/godwitladder/platform/entries.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from godwitladder.discovery.targets import TargetEntry
-from godwitladder.ids import ServiceName, TargetName, Zone
+from godwitladder.ids import Release, ServiceName, TargetName, Zone
 from godwitladder.tables import host_port
 
 IS_LEAVING = {"ready": False, "draining": True}
@@ -41,9 +41,9 @@
     )
 
 
-def _parse_release(raw: dict[str, Any]) -> str:
+def _parse_release(raw: dict[str, Any]) -> Release:
     release = raw.get("version")
-    return str(release) if isinstance(release, str | int) else ""
+    return Release(str(release) if isinstance(release, str | int) else "")
 
 
 def _find_problem(raw: dict[str, Any]) -> str | None:
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -8,8 +8,11 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.admission import Flow
+from godwitladder.decisions.stream_origins import StreamOrigin
 from godwitladder.ids import (
+    AttemptId,
     BodyDigest,
+    Release,
     RequestId,
     ServiceName,
     StreamId,
@@ -37,6 +40,7 @@
 )
 from godwitladder.scheduler.gate import AdmissionGate
 from godwitladder.scheduler.rows import RequestRow
+from godwitladder.scheduler.systems import RELEASE_GONE_TEXT
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.auth import key_digest
 from godwitladder.serving.calls import CallRefused
@@ -65,6 +69,10 @@
 free thread at once; this one has when a call ends."""
 STOPPING_RETRY_S = 0.1
 """Retry-After of a host that is stopping; other hosts can take the call at once."""
+ANY_RELEASE = Release("")
+ORIGIN_UNKNOWN_TEXT = "It is not known here at which version the stream began."
+ORIGIN_RETRY_S = 0.5
+"""Retry-After, in seconds, of a stream of unknown origin; another host may know it."""
 NO_WORKSPACE = RoutedWorkspace(WorkspaceName(""))
 NO_SERVICE = RoutedService(ServiceName(""))
 
@@ -173,8 +181,9 @@
         ------
         CallRefused
             No route matches, the key is not valid, the body is too large, the
-            call is not admitted, targets crashed under it, the host is
-            stopping or at its limit, or the document is missing or too old.
+            call is not admitted, its stream can't go on, targets crashed under it,
+            the host is stopping or at its limit, or the document is missing or too
+            old.
         """
         in_force = self.in_force
         document = in_force.document
@@ -196,7 +205,8 @@
             self.require_current(current)
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
         workspace = self.find_workspace(document, route, metadata, current)
-        service = choose_split(route.splits, random.random()).service
+        origin = self.find_origin(route, metadata)
+        service = origin.service
         self.check_admission((service, workspace.name), metadata)
         body = read_body(environ, document.limits.body_bytes)
         digest = digest_call(workspace.name, path, body)
@@ -213,8 +223,30 @@
             workspace,
             body,
             digest,
+            origin.release,
         )
 
+    def find_origin(self, route: Route, metadata: CallMetadata) -> StreamOrigin:
+        """Return the service of a call, and the version at which its stream began.
+
+        The version is empty for a new call.
+
+        Raises
+        ------
+        CallRefused
+            The call takes a stream up of which nobody knows where it began, or whose
+            service the route no longer leads to.
+        """
+        service = choose_split(route.splits, random.random()).service
+        if not (route.resumable and metadata.last_event):
+            return StreamOrigin(service, ANY_RELEASE)
+        origin = self.proxy.origins.find(service, AttemptId(metadata.resumes))
+        if origin is None:
+            raise _refused(Reason.ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_TEXT, ORIGIN_RETRY_S)
+        if origin.service not in {split.service for split in route.splits}:
+            raise _refused(Reason.RELEASE_GONE, RELEASE_GONE_TEXT)
+        return origin
+
     def check_admission(self, flow: Flow, metadata: CallMetadata) -> None:
         """Refuse a call that the allocator would probably not serve.
 
@@ -277,6 +309,7 @@
         workspace: RoutedWorkspace,
         body: bytes,
         digest: BodyDigest,
+        release: Release,
     ) -> RoutedCall:
         """Return the call with its row for the scheduler's table."""
         now = self.clock.monotonic()
@@ -302,6 +335,7 @@
             row.ttft_deadline = now + route.ttft_budget_s
         row.gap_s, row.event_tokens = route.gap_s, routed_service.event_tokens
         row.charge = quota_charge(metadata, workspace.quota)
+        row.release = release
         return RoutedCall(
             row=row,
             route=route,
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -14,6 +14,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
+from godwitladder.decisions.stream_origins import StreamOrigin
 from godwitladder.discovery.feed import Feed, StoreView
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
@@ -59,6 +60,12 @@
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
+from godwitladder.serving.stream_origins import (
+    OriginKnown,
+    OriginWanted,
+    StreamBegan,
+    StreamOriginRegistry,
+)
 from godwitladder.supervision import watch_threads
 
 log = component_logger("daemon")
@@ -169,6 +176,7 @@
             self.link_up,
             on_link_down=lambda peer: self.membership.tell(LinkDown(peer)),
         )
+        self.origins = StreamOriginRegistry(settings.host, self.mesh, clock)
         self.connector = Connector(
             clock, self.metrics, settings.zone, Tunnels(self.mesh)
         )
@@ -207,6 +215,10 @@
         for kind in get_args(QuarantineEvent):
             self.router.message_handlers[kind] = self.receive_quarantine_event
         self.router.message_handlers[KnownCrashes] = self.receive_known_crashes
+        handlers = self.router.message_handlers
+        handlers[StreamBegan] = self.origins.receive_began
+        handlers[OriginWanted] = self.origins.receive_wanted
+        handlers[OriginKnown] = self.origins.receive_known
         self.statements = TargetStatements(
             self.scheduler,
             clock,
@@ -303,6 +315,7 @@
             self.statements,
             self.sharing_hosts.count,
             self.connector,
+            self.origins,
         )
 
     def start(self) -> None:
@@ -411,6 +424,9 @@
         places = {row.address: Zone(row.place) for row in state.targets.values()}
         self.connector.set_places(places)
         self.gateway.set_targets(places)
+        self.origins.update_targets(
+            frozenset(StreamOrigin(row.service, row.release) for row in view.targets)
+        )
         self.quarantine.update_targets(
             {
                 row.name: TargetPresence(str(row.started_ms), row.leaving)
@@ -430,7 +446,7 @@
             new = set(message.hosts) - set(self.hosts)
             self.hosts = message.hosts
             self.sharing_hosts.update(message.hosts)
-            self.hubs = message.hubs
+            self.hubs = self.origins.hubs = message.hubs
             self.feed.hosts = message.allocators
             self.connector.set_peers(message.peers)
             extra = {
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -379,6 +379,7 @@
         body=caller_digest(row),
         gap_s=row.gap_s,
         event_tokens=row.event_tokens,
+        release=row.release,
     )
 
 
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -22,6 +22,7 @@
     HostId,
     Incarnation,
     KeyDigest,
+    Release,
     RequestId,
     ServiceName,
     StreamId,
@@ -67,7 +68,7 @@
     address: str
     generation: str = ""
     granted_by: str = ""
-    release: str = ""
+    release: Release = Release("")
 
 
 @dataclass
@@ -100,6 +101,9 @@
         Number of output tokens that the caller receives in one event.
     charge : int
         Number of tokens charged to the quota of the workspace.
+    release : Release
+        Software version of the only targets that may run it, as its stream began
+        there; empty if any may.
     order : tuple
         Sort key of the queue: tier, then deadline.
     spilled : bool
@@ -136,6 +140,7 @@
     gap_s: float = 0.0
     event_tokens: int = 1
     charge: int = 0
+    release: Release = Release("")
     predicted_tokens: int = 0
     likely_tokens: int = 0
     produced_tokens: int = 0
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -46,6 +46,7 @@
 NO_PATH = "No path leads from here to a target of the service, nor through a peer."
 NO_PATH_RETRY_S = 1.0
 """A caller that returns may be led to another host, or the path be back."""
+RELEASE_GONE_TEXT = "No target of the version that began the stream is left."
 NO_THREAD = "This host has no room for more requests that wait."
 
 
@@ -69,6 +70,24 @@
             detail = "No target was free in time."
             refusal = refuse(Reason.DEADLINE, detail, EXPIRED_RETRY_S)
             refuse_request(tables, row, no_path_refusal(tables, row) or refusal)
+        elif row.release and row.state is RequestState.WAITING:
+            refuse_gone_release(tables, row)
+
+
+def refuse_gone_release(tables: Tables, row: RequestRow) -> None:
+    """Refuse a stream if no target of the version that began it is left.
+
+    Its caller can only start anew, and would otherwise wait for nothing.
+    """
+    if any(
+        row.service in target.target.services
+        and target.target.release == row.release
+        and target.target.state is TargetState.ACTIVE
+        and not tables.departures.includes(target.name, target.target.generation)
+        for target in tables.targets.values()
+    ):
+        return
+    refuse_request(tables, row, refuse(Reason.RELEASE_GONE, RELEASE_GONE_TEXT))
 
 
 def no_path_refusal(tables: Tables, row: RequestRow) -> Refusal | None:
@@ -240,6 +259,7 @@
     generation = target.target.generation
     return (
         row.service in target.target.services
+        and row.release in ("", target.target.release)
         and target.target.state is TargetState.ACTIVE
         and target.target.address not in tables.leaving
         and not tables.departures.includes(target.name, generation)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -142,6 +142,7 @@
             available_requests=role.rate_limits.available(name, now),
             next_request_s=role.rate_limits.wait_s(name, now),
             refuses=name in refusing,
+            release=target.release,
         )
     return views
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -14,6 +14,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.retry_budget import RetryBudget
+from godwitladder.decisions.stream_origins import StreamOrigin
 from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
@@ -30,6 +31,7 @@
 from godwitladder.serving.lateness import classify_lateness
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.statements import TargetStatements
+from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.streaming import ProxiedStream
 from godwitladder.serving.upstream import (
     BufferedAnswer,
@@ -81,6 +83,8 @@
         Returns the number of hosts that share the retry budget.
     connector : Connector
         Connects calls to their targets.
+    origins : StreamOriginRegistry
+        At which version streams began.
     """
 
     header_codec: HeaderCodec
@@ -93,6 +97,7 @@
     statements: TargetStatements
     count_hosts: Callable[[], int]
     connector: Connector
+    origins: StreamOriginRegistry
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
@@ -486,6 +491,18 @@
         self.proxy.quarantine.record_completion(self.call.row.body)
         self.on_trial = False
 
+    def record_origin(self) -> None:
+        """Record that the stream has begun; it goes on at this version only.
+
+        A stream that was taken up keeps the version of its first event.
+        """
+        row = self.call.row
+        if not self.call.route.resumable:
+            return
+        row.release = row.release or self.dispatch.release
+        origin = StreamOrigin(row.service, row.release)
+        self.proxy.origins.record(self.call.metadata.attempt, origin)
+
     def end_trial(self) -> None:
         """End the trial, if the call is one and has shown nothing."""
         if self.on_trial:
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -73,6 +73,8 @@
 
     def record_events(self) -> None:
         """Record the events just read and report the progress."""
+        if not self.events:
+            self.proxied_call.record_origin()
         self.events += self.reader.take_count()
         self.last_id = self.reader.last_id or self.last_id
         now = self.proxied_call.clock.monotonic()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -223,8 +223,11 @@
             ("Godwitladder-Prompt-Prefix", "5c:800,91:660"),
             ("Authorization", "Bearer k1"),
             ("Godwitladder-Length-Hint", "33"),
+            ("Last-Event-Id", "7"),
+            ("Resumes", "a0"),
         )
     )
+    assert (facts.last_event, facts.resumes) == ("7", "a0")
     assert (facts.attempt, facts.wait_s, facts.key) == ("a1", 1.5, "k1")
     assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
     assert (facts.output_hint, facts.parts[-1].tokens) == (33, 660)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -12,6 +12,7 @@
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import RateLimits
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
+from godwitladder.decisions.stream_origins import StreamOrigin
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector
@@ -27,6 +28,7 @@
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
+from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.upstream import StreamTruncated
 from godwitladder.standins.routed import Ending, start_engine
 from tests.fleet import wait_until
@@ -69,6 +71,7 @@
         self.returned, self.finished, self.others = [], [], []
         self.unreached = []
         self.rows = {}
+        self.release = ""
 
     def tell(self, message):
         if isinstance(message, Submit):
@@ -88,7 +91,23 @@
             row.decisions.put(refuse(Reason.SHED, "Nothing is left.", 1.5))
             return
         address = self.addresses.pop(0)
-        row.decisions.put(Dispatch(row.request, row.stream, f"t-{address}", address))
+        dispatch = Dispatch(
+            row.request, row.stream, f"t-{address}", address, release=self.release
+        )
+        row.decisions.put(dispatch)
+
+
+class FakePeers:
+    """Links of a host that is alone."""
+
+    def current(self):
+        return []
+
+    def send(self, host, message):
+        return False
+
+    def multicast(self, links, data):
+        pass
 
 
 class Answer:
@@ -138,6 +157,7 @@
             self.published.append,
             CrashEvidence(self.clock, lambda: self.addresses),
         )
+        self.origins = StreamOriginRegistry("h1", FakePeers(), self.clock)
         proxy = RoutedProxy(
             form,
             self.scheduler,
@@ -149,6 +169,7 @@
             self.statements,
             lambda: 1,
             Connector(self.clock, Metrics()),
+            self.origins,
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
         document = decode_document(json.dumps(CONFIG | {"routes": ROUTES}).encode())
@@ -456,6 +477,77 @@
     assert bench.call("/charge/x", body=b"x").status == 200
 
 
+def take_up(bench, resumes="a0", path="/resume/stream/x"):
+    """Take up a stream after its second event."""
+    return bench.call(path, HTTP_LAST_EVENT_ID="2", HTTP_RESUMES=resumes)
+
+
+def last_row(bench):
+    """Return the last row that was submitted to the scheduler."""
+    return list(bench.scheduler.rows.values())[-1]
+
+
+def test_a_stream_that_is_taken_up_waits_for_targets_of_its_version(stack):
+    """Guards against a stream that its caller takes up at another version."""
+    bench = Bench(stack)
+    bench.origins.record("a0", StreamOrigin("core", "v7"))
+    answer = take_up(bench)
+    assert answer.status == 200
+    assert b"piece 2" not in answer.body
+    assert last_row(bench).release == "v7"
+
+
+def test_a_stream_of_unknown_origin_is_refused_as_not_run(stack):
+    """Guards against a guess at which version a stream began."""
+    bench = Bench(stack)
+    answer = take_up(bench)
+    assert answer.status == 503
+    assert answer.headers["Retry-After"] == "0.50"
+    assert json.loads(answer.body)["reason"] == "origin_unknown"
+    assert bench.runs() == []
+
+
+def test_a_stream_whose_service_has_gone_is_refused(stack):
+    """Guards against a stream that goes on at another service of a split route."""
+    bench = Bench(stack)
+    bench.origins.record("a0", StreamOrigin("another", "v7"))
+    answer = take_up(bench)
+    assert json.loads(answer.body)["reason"] == "release_gone"
+    assert bench.runs() == []
+
+
+def test_a_stream_that_its_host_resumes_waits_for_targets_of_its_version(stack):
+    """Guards against one answer that holds events of two versions."""
+    bench = Bench(stack, engines=2)
+    bench.scheduler.release = "v7"
+    bench.engines[0].standin.knobs.cut_after = 2
+    answer = bench.call("/resume/stream/x")
+    assert answer.body.count(b"id: ") == 5
+    assert last_row(bench).release == "v7"
+    assert bench.origins.find("core", "a1") == StreamOrigin("core", "v7")
+
+
+def test_a_stream_without_an_event_may_begin_at_any_version(stack):
+    """Guards against a stream that can't begin as its first target has gone."""
+    bench = Bench(stack, engines=2)
+    bench.scheduler.release = "v7"
+    bench.engines[0].standin.knobs.cut_after = 0
+    releases = []
+    decide = bench.scheduler.decide
+    bench.scheduler.decide = lambda row: (releases.append(row.release), decide(row))
+    assert bench.call("/resume/stream/x").body.count(b"id: ") == 5
+    assert releases == ["", ""]
+
+
+def test_a_stream_that_was_taken_up_keeps_the_version_of_its_first_event(stack):
+    """Guards against the version of the second target that counts as the origin."""
+    bench = Bench(stack)
+    bench.origins.record("a0", StreamOrigin("core", "v7"))
+    bench.scheduler.release = "v8"
+    take_up(bench)
+    assert bench.origins.find("core", "a1") == StreamOrigin("core", "v7")
+
+
 def test_a_stopping_host_refuses_calls(stack):
     bench = Bench(stack)
     bench.app.refusing = True
--- /dev/null
+++ b/tests/serving/test_stream_origins.py
@@ -0,0 +1,155 @@
+"""Hosts tell each other at which version streams began."""
+
+import threading
+
+import pytest
+
+from godwitladder.clock import Clock
+from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.membership.codec import decode, encode
+from godwitladder.serving.stream_origins import (
+    OriginKnown,
+    OriginWanted,
+    StreamBegan,
+    StreamOriginRegistry,
+)
+
+V1, V2 = StreamOrigin("core", "v1"), StreamOrigin("core", "v2")
+
+
+class FakeLink:
+    """A link to a host, which takes each message at once."""
+
+    def __init__(self, net, sender, receiver):
+        self.net = net
+        self.sender = sender
+        self.peer = receiver
+
+    def send(self, data):
+        return self.net.deliver(self.sender, self.peer, decode(data))
+
+
+class FakePeers:
+    """The links of one host of a net."""
+
+    def __init__(self, net, host):
+        self.net = net
+        self.host = host
+
+    def current(self):
+        others = [row for row in self.net.up() if row != self.host]
+        return [FakeLink(self.net, self.host, row) for row in others]
+
+    def send(self, host, message):
+        return self.net.deliver(self.host, host, decode(encode(message)))
+
+    def multicast(self, links, data):
+        for link in links:
+            link.send(data)
+
+
+class Net:
+    """Registries of several hosts, some of which may be gone or mute."""
+
+    def __init__(self, *hosts):
+        clock = Clock()
+        self.gone, self.mute = set(), set()
+        self.messages = []
+        self.registries = {
+            host: StreamOriginRegistry(host, FakePeers(self, host), clock)
+            for host in hosts
+        }
+        for registry in self.registries.values():
+            registry.update_targets(frozenset({V1, V2}))
+
+    def up(self):
+        return [host for host in self.registries if host not in self.gone]
+
+    def deliver(self, sender, receiver, message):
+        if {sender, receiver} & self.gone:
+            return False
+        self.messages.append(message)
+        registry = self.registries[receiver]
+        link = FakeLink(self, receiver, sender)
+        if isinstance(message, StreamBegan):
+            registry.receive_began(link, message)
+        elif isinstance(message, OriginWanted) and receiver not in self.mute:
+            registry.receive_wanted(link, message)
+        elif isinstance(message, OriginKnown):
+            registry.receive_known(link, message)
+        return True
+
+
+HOSTS = [f"h{number}" for number in range(6)]
+
+
+def test_any_host_learns_where_a_stream_began():
+    net = Net(*HOSTS)
+    net.registries["h0"].record("a1", V1)
+    for registry in net.registries.values():
+        assert registry.find("core", "a1") == V1
+
+
+def test_the_origin_is_known_after_the_host_that_began_the_stream_is_gone():
+    """Guards against streams that can't go on as their host was killed."""
+    net = Net(*HOSTS)
+    net.registries["h0"].record("a1", V1)
+    net.gone = {"h0"}
+    for host in net.up():
+        assert net.registries[host].find("core", "a1") == V1
+
+
+def test_a_stream_of_unknown_origin_does_not_go_on():
+    """Guards against a guess where two versions serve."""
+    net = Net(*HOSTS)
+    net.registries["h0"].record("a1", V1)
+    assert net.registries["h1"].find("core", "a2") is None
+    assert net.registries["h1"].find("core", "") is None
+
+
+def test_a_peer_that_does_not_answer_delays_no_caller_for_long():
+    """Guards against a frozen peer that keeps the answers of others waiting."""
+    net = Net(*HOSTS)
+    net.registries["h0"].record("a1", V1)
+    net.mute = {"h0"}
+    assert net.registries["h1"].find("core", "a1") == V1
+    net.mute = set(HOSTS)
+    found = []
+    asker = threading.Thread(
+        target=lambda: found.append(net.registries["h1"].ask("a9"))
+    )
+    asker.start()
+    asker.join(10.0)
+    assert found == [None]
+    assert net.registries["h1"].questions == {}
+
+
+def test_nobody_is_told_while_a_service_has_one_version(monkeypatch):
+    """Guards against messages for each stream when nothing could go wrong."""
+    net = Net(*HOSTS)
+    registry = net.registries["h0"]
+    monkeypatch.setattr(
+        registry.history, "only_release", lambda service, present, now: "v1"
+    )
+    registry.record("a1", V1)
+    assert net.messages == []
+    assert registry.find("core", "unknown") == V1
+
+
+def test_only_hubs_keep_origins_where_not_all_hosts_are_linked():
+    """Guards against keepers that the next host can't ask."""
+    net = Net(*HOSTS)
+    for registry in net.registries.values():
+        registry.hubs = frozenset({"h4", "h5"})
+    net.registries["h0"].record("a1", V1)
+    keepers = [host for host in HOSTS if net.registries[host].origins.find("a1")]
+    assert keepers == ["h0", "h4", "h5"]
+
+
+@pytest.mark.parametrize(
+    "message",
+    [StreamBegan("a1", V1), OriginWanted(3, "a1"), OriginKnown(3, V1)]
+    + [OriginKnown(3, None)],
+)
+def test_messages_pass_between_hosts_unchanged(message):
+    assert decode(encode(message)) == message
