--- a/godwitladder/decisions/stream_origins.py
+++ b/godwitladder/decisions/stream_origins.py
@@ -3,7 +3,7 @@
 What targets of two versions write doesn't fit together, and targets don't check it. A
 broken stream may be taken up at any host, while the host that began it may be gone. The
 version is therefore known to the host that began the stream and to some others, its
-keepers. While a service has had one version alone for long enough, each stream began at
+replicas. While a service has had one version alone for long enough, each stream began at
 that one, and nobody has to be told.
 
 Pure: times are passed in, in seconds.
@@ -11,7 +11,7 @@
 Thresholds
 ----------
 KEEP_S : callers take a stream up within their deadline, which is some seconds.
-KEEPERS : hosts beside the one that began the stream. All that know are gone only if
+REPLICAS : hosts beside the one that began the stream. All that know are gone only if
     these hosts are killed together.
 MAX_ORIGINS : an origin takes some 200 bytes.
 """
@@ -23,7 +23,7 @@
 from godwitladder.ids import AttemptId, HostId, Release, ServiceName
 
 KEEP_S = 60.0
-KEEPERS = 2
+REPLICAS = 2
 MAX_ORIGINS = 20_000
 
 
@@ -104,8 +104,8 @@
         return releases.pop() if len(releases) == 1 else None
 
 
-def choose_keepers(
+def choose_replica_hosts(
     hosts: Collection[HostId], own: HostId, attempt: AttemptId
 ) -> list[HostId]:
     """Return the hosts to tell of a stream that this host has begun."""
-    return rank_hosts(set(hosts) - {own}, attempt)[:KEEPERS]
+    return rank_hosts(set(hosts) - {own}, attempt)[:REPLICAS]
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -7,7 +7,7 @@
     ReleaseHistory,
     StreamOrigin,
     StreamOrigins,
-    choose_keepers,
+    choose_replica_hosts,
 )
 from tests.decisions.pools import add, make_pool, make_target
 
@@ -60,10 +60,10 @@
 
 def test_the_host_that_began_a_stream_is_not_its_own_keeper():
     hosts = ["h1", "h2", "h3", "h4"]
-    keepers = choose_keepers(hosts, "h1", "a1")
-    assert len(keepers) == 2
-    assert "h1" not in keepers
-    assert choose_keepers(["h1"], "h1", "a1") == []
+    replicas = choose_replica_hosts(hosts, "h1", "a1")
+    assert len(replicas) == 2
+    assert "h1" not in replicas
+    assert choose_replica_hosts(["h1"], "h1", "a1") == []
 
 
 def make_versions(**limits):
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -137,13 +137,13 @@
 
 
 def test_only_hubs_keep_origins_where_not_all_hosts_are_linked():
-    """Guards against keepers that the next host can't ask."""
+    """Guards against replicas that the next host can't ask."""
     net = Net(*HOSTS)
     for registry in net.registries.values():
         registry.hubs = frozenset({"h4", "h5"})
     net.registries["h0"].record("a1", V1)
-    keepers = [host for host in HOSTS if net.registries[host].origins.find("a1")]
-    assert keepers == ["h0", "h4", "h5"]
+    replicas = [host for host in HOSTS if net.registries[host].origins.find("a1")]
+    assert replicas == ["h0", "h4", "h5"]
 
 
 @pytest.mark.parametrize(
