--- a/godwitladder/decisions/stream_origins.py
+++ b/godwitladder/decisions/stream_origins.py
@@ -2,8 +2,8 @@
 
 What targets of two versions write doesn't fit together, and targets don't check it. A
 broken stream may be taken up at any host, while the host that began it may be gone. The
-version is therefore known to the host that began the stream and to some others, its
-replicas. While a service has had one version alone for long enough, each stream began at
+version is therefore known to the host that began the stream, and replicated to a few
+others. While a service has had one version alone for long enough, each stream began at
 that one, and nobody has to be told.
 
 Pure: times are passed in, in seconds.
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -28,7 +28,7 @@
 @peer_message
 @dataclass(frozen=True)
 class StreamBegan:
-    """A stream has begun, as told to its replicas."""
+    """A stream has begun, as told to the hosts that hold a replica."""
 
     attempt: AttemptId
     origin: StreamOrigin
@@ -117,8 +117,8 @@
             only = self.history.only_release(origin.service, self.present, now)
         if only is not None:
             return
-        for replica in choose_replica_hosts(self.candidates(), self.host, attempt):
-            self.peers.send(replica, StreamBegan(attempt, origin))
+        for host in choose_replica_hosts(self.candidates(), self.host, attempt):
+            self.peers.send(host, StreamBegan(attempt, origin))
 
     def find(self, service: ServiceName, attempt: AttemptId) -> StreamOrigin | None:
         """Return where a stream that is taken up began; None if nobody knows.
@@ -182,12 +182,12 @@
         return None
 
     def candidate_links(self) -> list[Link]:
-        """Return the links to the hosts that may be replicas."""
+        """Return the links to the hosts that may hold a replica."""
         rows = self.peers.current()
         return [row for row in rows if not self.hubs or row.peer in self.hubs]
 
     def candidates(self) -> list[HostId]:
-        """Return the hosts that may be replicas and that this host is linked to."""
+        """Return the hosts that may hold a replica and that this host is linked to."""
         return [row.peer for row in self.candidate_links()]
 
     def receive_began(self, link: Link, message: StreamBegan) -> None:
