--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -118,6 +118,8 @@
         HeldBack
             The call must not be sent.
         """
+        if not self.registry.is_known(digest):
+            return False
         refusal = self.refusal(digest, target)
         if refusal is not None:
             raise HeldBack(refusal)
