Recognize a stream whose caller names no attempt by its request

A stream is now also known by the digest of its request, unless equal requests began at different versions within a minute: then nothing is guessed.

--- a/godwitladder/decisions/stream_origins.py
+++ b/godwitladder/decisions/stream_origins.py
@@ -3,8 +3,10 @@
 What targets of two versions write doesn't fit together, and targets don't check it. A
 broken stream may be taken up at any host, while the host that began it may be gone. The
 version is therefore known to the host that began the stream, and replicated to a few
-others. While a service has had one version alone for long enough, each stream began at
-that one, and nobody has to be told.
+others. A caller names the attempt that brought the first event; the stream of one that
+names none is recognized by its request, unless equal requests began at different
+versions. While a service has had one version alone for long enough, each stream began
+at that one, and nobody has to be told.
 
 Pure: times are passed in, in seconds.
 
@@ -20,7 +22,13 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.rendezvous import rank_hosts
-from godwitladder.ids import AttemptId, HostId, Release, ServiceName
+from godwitladder.ids import (
+    AttemptId,
+    BodyDigest,
+    HostId,
+    Release,
+    ServiceName,
+)
 
 KEEP_S = 60.0
 REPLICAS = 2
@@ -35,34 +43,74 @@
     release: Release
 
 
+TimedOrigin = tuple[float, StreamOrigin | None]
+
+
+@dataclass(frozen=True)
+class StreamName:
+    """What identifies a stream.
+
+    Attributes
+    ----------
+    attempt : AttemptId
+        The attempt that brought its first event; empty if the caller names none.
+    body : BodyDigest
+        Digest of its request.
+    """
+
+    attempt: AttemptId
+    body: BodyDigest
+
+
 @dataclass
 class StreamOrigins:
-    """Origins of recent streams, by the attempt that brought the first event.
+    """Origins of recent streams, the oldest first.
 
     Attributes
     ----------
-    rows : dict
-        Time of the record and origin, the oldest first.
+    by_attempt : dict
+        Time and origin, by the attempt that brought the first event.
+    by_body : dict
+        The same by the digest of the request; the origin is None if equal requests
+        began at different versions.
     """
 
-    rows: dict[AttemptId, tuple[float, StreamOrigin]] = field(default_factory=dict)
+    by_attempt: dict[AttemptId, TimedOrigin] = field(default_factory=dict)
+    by_body: dict[BodyDigest, TimedOrigin] = field(default_factory=dict)
 
-    def record(self, attempt: AttemptId, origin: StreamOrigin, now: float) -> None:
+    def record(self, stream: StreamName, origin: StreamOrigin, now: float) -> None:
         """Record at which version a stream began."""
-        self.rows.pop(attempt, None)
-        self.rows[attempt] = now, origin
-        while self.rows:
-            oldest = next(iter(self.rows))
-            if len(self.rows) <= MAX_ORIGINS and now - self.rows[oldest][0] <= KEEP_S:
-                return
-            del self.rows[oldest]
-
-    def find(self, attempt: AttemptId) -> StreamOrigin | None:
+        remove_old(self.by_body, now)
+        _, other = self.by_body.get(stream.body, (now, origin))
+        put(self.by_body, stream.body, origin if other == origin else None, now)
+        put(self.by_attempt, stream.attempt, origin, now)
+
+    def find(self, stream: StreamName) -> StreamOrigin | None:
         """Return the origin of a stream; None if it is not known here."""
-        row = self.rows.get(attempt)
+        row = (
+            self.by_attempt.get(stream.attempt)
+            if stream.attempt
+            else self.by_body.get(stream.body)
+        )
         return row[1] if row else None
 
 
+def put(table: dict[str, TimedOrigin], key: str, origin, now: float) -> None:
+    """Put an origin at the end of a table, and remove the oldest beyond its limits."""
+    table.pop(key, None)
+    table[key] = now, origin
+    remove_old(table, now)
+
+
+def remove_old(table: dict[str, TimedOrigin], now: float) -> None:
+    """Remove what is too old, and the oldest of too many."""
+    while table:
+        oldest = next(iter(table))
+        if len(table) <= MAX_ORIGINS and now - table[oldest][0] <= KEEP_S:
+            return
+        del table[oldest]
+
+
 @dataclass
 class ReleaseHistory:
     """Software versions that the targets of each service had of late.
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -8,7 +8,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.admission import Flow
-from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
 from godwitladder.ids import (
     AttemptId,
     BodyDigest,
@@ -205,11 +205,11 @@
             self.require_current(current)
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
         workspace = self.find_workspace(document, route, metadata, current)
-        origin = self.find_origin(route, metadata)
-        service = origin.service
-        self.check_admission((service, workspace.name), metadata)
         body = read_body(environ, document.limits.body_bytes)
         digest = digest_call(workspace.name, path, body)
+        origin = self.find_origin(route, metadata, digest)
+        service = origin.service
+        self.check_admission((service, workspace.name), metadata)
         refusal = self.proxy.quarantine.refusal(digest)
         if refusal is not None:
             raise CallRefused(refusal)
@@ -226,7 +226,9 @@
             origin.release,
         )
 
-    def find_origin(self, route: Route, metadata: CallMetadata) -> StreamOrigin:
+    def find_origin(
+        self, route: Route, metadata: CallMetadata, digest: BodyDigest
+    ) -> StreamOrigin:
         """Return the service of a call, and the version at which its stream began.
 
         The version is empty for a new call.
@@ -240,7 +242,8 @@
         service = choose_split(route.splits, random.random()).service
         if not (route.resumable and metadata.last_event):
             return StreamOrigin(service, ANY_RELEASE)
-        origin = self.proxy.origins.find(service, AttemptId(metadata.resumes))
+        stream = StreamName(AttemptId(metadata.resumes), digest)
+        origin = self.proxy.origins.find(service, stream)
         if origin is None:
             raise _refused(Reason.ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_TEXT, ORIGIN_RETRY_S)
         if origin.service not in {split.service for split in route.splits}:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -14,8 +14,9 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.retry_budget import RetryBudget
-from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
 from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
+from godwitladder.ids import AttemptId
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
@@ -501,7 +502,8 @@
             return
         row.release = row.release or self.dispatch.release
         origin = StreamOrigin(row.service, row.release)
-        self.proxy.origins.record(self.call.metadata.attempt, origin)
+        stream = StreamName(AttemptId(self.call.metadata.attempt), row.body)
+        self.proxy.origins.record(stream, origin)
 
     def end_trial(self) -> None:
         """End the trial, if the call is one and has shown nothing."""
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -10,11 +10,12 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.stream_origins import (
     ReleaseHistory,
+    StreamName,
     StreamOrigin,
     StreamOrigins,
     choose_replica_hosts,
 )
-from godwitladder.ids import AttemptId, HostId, ServiceName
+from godwitladder.ids import HostId, ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode, peer_message
 from godwitladder.membership.links import Link
@@ -30,7 +31,7 @@
 class StreamBegan:
     """A stream has begun, as told to the hosts that hold a replica."""
 
-    attempt: AttemptId
+    stream: StreamName
     origin: StreamOrigin
 
 
@@ -40,7 +41,7 @@
     """Question where a stream began."""
 
     question: int
-    attempt: AttemptId
+    stream: StreamName
 
 
 @peer_message
@@ -106,35 +107,36 @@
             self.present = present
             self.history.observe(present, self.clock.monotonic())
 
-    def record(self, attempt: AttemptId, origin: StreamOrigin) -> None:
+    def record(self, stream: StreamName, origin: StreamOrigin) -> None:
         """Record that a stream has begun, before its first event is passed on.
 
         Other hosts are told unless they can tell by themselves.
         """
         now = self.clock.monotonic()
         with self.lock:
-            self.origins.record(attempt, origin, now)
+            self.origins.record(stream, origin, now)
             only = self.history.only_release(origin.service, self.present, now)
         if only is not None:
             return
-        for host in choose_replica_hosts(self.candidates(), self.host, attempt):
-            self.peers.send(host, StreamBegan(attempt, origin))
+        for host in choose_replica_hosts(self.candidates(), self.host, stream.attempt):
+            self.peers.send(host, StreamBegan(stream, origin))
 
-    def find(self, service: ServiceName, attempt: AttemptId) -> StreamOrigin | None:
+    def find(self, service: ServiceName, stream: StreamName) -> StreamOrigin | None:
         """Return where a stream that is taken up began; None if nobody knows.
 
         Parameters
         ----------
         service : ServiceName
             The service that it has if it has had one version alone.
-        attempt : AttemptId
-            The attempt that brought its first event; empty if the caller names none.
+        stream : StreamName
+            What the caller says of the stream.
         """
-        origin, source = self.find_locally(service, attempt), "this host"
-        if origin is None and attempt:
-            origin, source = self.ask(attempt), "peers"
+        origin, source = self.find_locally(service, stream), "this host"
+        if origin is None:
+            origin, source = self.ask(stream), "peers"
         extra = {
-            "resumes": attempt,
+            "resumes": stream.attempt,
+            "body": stream.body[:8],
             "service": origin.service if origin else service,
             "release": origin.release if origin else "",
             "known_from": source if origin else "",
@@ -143,25 +145,25 @@
         return origin
 
     def find_locally(
-        self, service: ServiceName, attempt: AttemptId
+        self, service: ServiceName, stream: StreamName
     ) -> StreamOrigin | None:
         """Return what this host knows of a stream's origin."""
         with self.lock:
-            origin = self.origins.find(attempt)
+            origin = self.origins.find(stream)
             if origin is not None:
                 return origin
             now = self.clock.monotonic()
             release = self.history.only_release(service, self.present, now)
         return None if release is None else StreamOrigin(service, release)
 
-    def ask(self, attempt: AttemptId) -> StreamOrigin | None:
+    def ask(self, stream: StreamName) -> StreamOrigin | None:
         """Return what any peer knows of a stream's origin."""
         links = self.candidate_links()
         number = next(self.numbers)
         answers: queue.SimpleQueue[OriginKnown] = queue.SimpleQueue()
         self.questions[number] = answers
         try:
-            self.peers.multicast(links, encode(OriginWanted(number, attempt)))
+            self.peers.multicast(links, encode(OriginWanted(number, stream)))
             return self.await_origin(answers, len(links))
         finally:
             del self.questions[number]
@@ -193,12 +195,13 @@
     def receive_began(self, link: Link, message: StreamBegan) -> None:
         """Keep the origin of a stream for another host."""
         with self.lock:
-            self.origins.record(message.attempt, message.origin, self.clock.monotonic())
+            now = self.clock.monotonic()
+            self.origins.record(message.stream, message.origin, now)
 
     def receive_wanted(self, link: Link, message: OriginWanted) -> None:
         """Answer a peer's question."""
         with self.lock:
-            origin = self.origins.find(message.attempt)
+            origin = self.origins.find(message.stream)
         link.send(encode(OriginKnown(message.question, origin)))
 
     def receive_known(self, link: Link, message: OriginKnown) -> None:
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -5,6 +5,7 @@
 from godwitladder.decisions.stream_origins import (
     KEEP_S,
     ReleaseHistory,
+    StreamName,
     StreamOrigin,
     StreamOrigins,
     choose_replica_hosts,
@@ -19,11 +20,13 @@
     monkeypatch.setattr(stream_origins, "MAX_ORIGINS", 3)
     table = StreamOrigins()
     for number in range(5):
-        table.record(f"a{number}", V1, float(number))
-    assert list(table.rows) == ["a2", "a3", "a4"]
-    table.record("a9", V2, KEEP_S + 4.5)
-    assert list(table.rows) == ["a9"]
-    assert table.find("a4") is None
+        table.record(StreamName(f"a{number}", f"b{number}"), V1, float(number))
+    assert list(table.by_attempt) == ["a2", "a3", "a4"]
+    assert list(table.by_body) == ["b2", "b3", "b4"]
+    table.record(StreamName("a9", "b9"), V2, KEEP_S + 4.5)
+    assert list(table.by_attempt) == ["a9"]
+    assert list(table.by_body) == ["b9"]
+    assert table.find(StreamName("a4", "b4")) is None
 
 
 def test_a_service_that_had_one_version_tells_where_streams_began():
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -12,7 +12,7 @@
 from godwitladder.decisions.departures import Departures
 from godwitladder.decisions.rate_limits import RateLimits
 from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
-from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector
@@ -490,7 +490,7 @@
 def test_a_stream_that_is_taken_up_waits_for_targets_of_its_version(stack):
     """Guards against a stream that its caller takes up at another version."""
     bench = Bench(stack)
-    bench.origins.record("a0", StreamOrigin("core", "v7"))
+    bench.origins.record(StreamName("a0", "-"), StreamOrigin("core", "v7"))
     answer = take_up(bench)
     assert answer.status == 200
     assert b"piece 2" not in answer.body
@@ -507,10 +507,20 @@
     assert bench.runs() == []
 
 
+def test_a_caller_that_names_no_attempt_takes_its_stream_up(stack):
+    """Guards against refusing each caller that doesn't say which stream it takes up."""
+    bench = Bench(stack, engines=2)
+    bench.scheduler.release = "v7"
+    bench.call("/resume/stream/x", body=b"prompt")
+    answer = bench.call("/resume/stream/x", body=b"prompt", HTTP_LAST_EVENT_ID="2")
+    assert answer.status == 200
+    assert last_row(bench).release == "v7"
+
+
 def test_a_stream_whose_service_has_gone_is_refused(stack):
     """Guards against a stream that goes on at another service of a split route."""
     bench = Bench(stack)
-    bench.origins.record("a0", StreamOrigin("another", "v7"))
+    bench.origins.record(StreamName("a0", "-"), StreamOrigin("another", "v7"))
     answer = take_up(bench)
     assert json.loads(answer.body)["reason"] == "release_gone"
     assert bench.runs() == []
@@ -524,7 +534,9 @@
     answer = bench.call("/resume/stream/x")
     assert answer.body.count(b"id: ") == 5
     assert last_row(bench).release == "v7"
-    assert bench.origins.find("core", "a1") == StreamOrigin("core", "v7")
+    assert bench.origins.find("core", StreamName("a1", "-")) == StreamOrigin(
+        "core", "v7"
+    )
 
 
 def test_a_stream_without_an_event_may_begin_at_any_version(stack):
@@ -542,10 +554,12 @@
 def test_a_stream_that_was_taken_up_keeps_the_version_of_its_first_event(stack):
     """Guards against the version of the second target that counts as the origin."""
     bench = Bench(stack)
-    bench.origins.record("a0", StreamOrigin("core", "v7"))
+    bench.origins.record(StreamName("a0", "-"), StreamOrigin("core", "v7"))
     bench.scheduler.release = "v8"
     take_up(bench)
-    assert bench.origins.find("core", "a1") == StreamOrigin("core", "v7")
+    assert bench.origins.find("core", StreamName("a1", "-")) == StreamOrigin(
+        "core", "v7"
+    )
 
 
 def test_a_stopping_host_refuses_calls(stack):
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
 from godwitladder.membership.codec import decode, encode
 from godwitladder.serving.stream_origins import (
     OriginKnown,
@@ -15,6 +15,8 @@
 )
 
 V1, V2 = StreamOrigin("core", "v1"), StreamOrigin("core", "v2")
+A1, A2, A9 = (StreamName(f"a{number}", f"b{number}") for number in (1, 2, 9))
+UNNAMED = StreamName("", "b1")
 
 
 class FakeLink:
@@ -85,39 +87,54 @@
 
 def test_any_host_learns_where_a_stream_began():
     net = Net(*HOSTS)
-    net.registries["h0"].record("a1", V1)
+    net.registries["h0"].record(A1, V1)
     for registry in net.registries.values():
-        assert registry.find("core", "a1") == V1
+        assert registry.find("core", A1) == V1
 
 
 def test_the_origin_is_known_after_the_host_that_began_the_stream_is_gone():
     """Guards against streams that can't go on as their host was killed."""
     net = Net(*HOSTS)
-    net.registries["h0"].record("a1", V1)
+    net.registries["h0"].record(A1, V1)
     net.gone = {"h0"}
     for host in net.up():
-        assert net.registries[host].find("core", "a1") == V1
+        assert net.registries[host].find("core", A1) == V1
 
 
 def test_a_stream_of_unknown_origin_does_not_go_on():
     """Guards against a guess where two versions serve."""
     net = Net(*HOSTS)
-    net.registries["h0"].record("a1", V1)
-    assert net.registries["h1"].find("core", "a2") is None
-    assert net.registries["h1"].find("core", "") is None
+    net.registries["h0"].record(A1, V1)
+    assert net.registries["h1"].find("core", A2) is None
+    assert net.registries["h1"].find("core", StreamName("", "other")) is None
+
+
+def test_a_stream_that_its_caller_does_not_name_is_known_by_its_request():
+    """Guards against refusing all callers that name no attempt."""
+    net = Net(*HOSTS)
+    net.registries["h0"].record(A1, V1)
+    for registry in net.registries.values():
+        assert registry.find("core", UNNAMED) == V1
+
+
+def test_equal_requests_at_two_versions_tell_nothing():
+    """Guards against a stream that goes on where another caller's equal one began."""
+    net = Net("h0")
+    net.registries["h0"].record(A1, V1)
+    net.registries["h0"].record(StreamName("a2", "b1"), V2)
+    assert net.registries["h0"].find("core", UNNAMED) is None
+    assert net.registries["h0"].find("core", A1) == V1
 
 
 def test_a_peer_that_does_not_answer_delays_no_caller_for_long():
     """Guards against a frozen peer that keeps the answers of others waiting."""
     net = Net(*HOSTS)
-    net.registries["h0"].record("a1", V1)
+    net.registries["h0"].record(A1, V1)
     net.mute = {"h0"}
-    assert net.registries["h1"].find("core", "a1") == V1
+    assert net.registries["h1"].find("core", A1) == V1
     net.mute = set(HOSTS)
     found = []
-    asker = threading.Thread(
-        target=lambda: found.append(net.registries["h1"].ask("a9"))
-    )
+    asker = threading.Thread(target=lambda: found.append(net.registries["h1"].ask(A9)))
     asker.start()
     asker.join(10.0)
     assert found == [None]
@@ -131,9 +148,9 @@
     monkeypatch.setattr(
         registry.history, "only_release", lambda service, present, now: "v1"
     )
-    registry.record("a1", V1)
+    registry.record(A1, V1)
     assert net.messages == []
-    assert registry.find("core", "unknown") == V1
+    assert registry.find("core", A9) == V1
 
 
 def test_only_hubs_keep_origins_where_not_all_hosts_are_linked():
@@ -141,14 +158,14 @@
     net = Net(*HOSTS)
     for registry in net.registries.values():
         registry.hubs = frozenset({"h4", "h5"})
-    net.registries["h0"].record("a1", V1)
-    replicas = [host for host in HOSTS if net.registries[host].origins.find("a1")]
+    net.registries["h0"].record(A1, V1)
+    replicas = [host for host in HOSTS if net.registries[host].origins.find(A1)]
     assert replicas == ["h0", "h4", "h5"]
 
 
 @pytest.mark.parametrize(
     "message",
-    [StreamBegan("a1", V1), OriginWanted(3, "a1"), OriginKnown(3, V1)]
+    [StreamBegan(A1, V1), OriginWanted(3, A1), OriginKnown(3, V1)]
     + [OriginKnown(3, None)],
 )
 def test_messages_pass_between_hosts_unchanged(message):
