Run three tests at a time in make test

Cause of the twelve minutes: most tests wait for real processes or for times that are checked, one after the other. No check is dropped. Ports are reserved across processes already.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 RUN = $(VENV)/bin/python
+TEST_WORKERS = 3
 
 .PHONY: venv test lint format demo demo-up bench capacity mutants soak clean
 
@@ -13,7 +14,7 @@
 	touch $@
 
 test: venv
-	$(RUN) -m pytest tests
+	$(RUN) -m pytest tests -n $(TEST_WORKERS) --dist worksteal
 
 lint: venv
 	$(RUN) -m ruff format --check .
