Report a call that ran as such when a later target refuses it

What callers saw: an idempotent call that ran at one target, whose answer was lost or an error, and that a second target then refused, was answered 503 'not run'.

Cause: the refusal of the last send was answered without looking at the sends before it; a refusal from the queue did look. The same cause as for calls that are held back after they ran, found beside it. Shown red before: both cases of the new test (503, not 502 and 500).

--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -190,9 +190,7 @@
                 if answer is not None:
                     return answer
             except HeldBack as error:
-                return self.refuse_sent(
-                    start_response, self.true_refusal(error.refusal)
-                )
+                return self.refuse_sent(start_response, error.refusal)
             except NotSent as error:
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
@@ -371,7 +369,15 @@
         return self.lost_refusal(self.loss_error) if self.loss_error else refusal
 
     def refuse_sent(self, start_response, refusal: Refusal) -> Iterable[bytes]:
-        """Answer a call that was sent and got no answer from its target."""
+        """Answer a call that was sent and got no answer from its target.
+
+        The last target may state that it ran nothing, after another one ran the call.
+        """
+        if refusal.outcome is RequestState.NOT_RUN:
+            if self.error_answer:
+                self.finish(RequestState.FAILED)
+                return self.error_answer.start(start_response)
+            refusal = self.true_refusal(refusal)
         self.finish(refusal.outcome)
         return answer_problem(start_response, refusal, exact=True)
 
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -466,6 +466,19 @@
     assert len(bench.runs()) == 3
 
 
+@pytest.mark.parametrize("kind", ["lost", "failed"])
+def test_a_call_that_ran_is_not_reported_as_not_run_by_a_later_refusal(stack, kind):
+    """Guards against the refusal of a second target after the call ran at the first."""
+    bench = Bench(stack, engines=2)
+    first, second = (engine.standin.knobs for engine in bench.engines)
+    first.foreign = kind == "lost"
+    first.status = 500 if kind == "failed" else 200
+    second.refuse = True
+    answer = bench.call("/lookup/x")
+    assert answer.status == (502 if kind == "lost" else 500)
+    assert len(bench.runs()) == 1
+
+
 def test_answers_that_are_lost_by_a_live_target_hold_nothing_back(stack):
     """Guards against innocent calls that are held back as answers are lost."""
     bench = Bench(stack)
