--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -12,7 +12,6 @@
 import json
 import random
 import sys
-import tempfile
 import threading
 import time
 from collections.abc import Callable
@@ -25,9 +24,14 @@
 from godwitladder.platform import names
 from godwitladder.standins.routed import Ending
 from soak.fleet import Fleet, Host
-from soak.host_faults import CONTACT_S, HostFault, HostFaults
+from soak.host_faults import (
+    CONTACT_S,
+    HostFault,
+    HostFaults,
+    await_fleet,
+    make_fleet,
+)
 
-START_TIMEOUT_S = 40.0
 GUILTY_INTERVAL_S = 0.35
 GUILTY_BODY = b"a request that ends its target"
 SHARED_BODY = b"a request that many callers send"
@@ -266,30 +270,15 @@
 
 
 def start_crash_fleet(
-    stack: contextlib.ExitStack, folder: Path, size: CrashRunSize
+    stack: contextlib.ExitStack, folder: Path | None, size: CrashRunSize
 ) -> Fleet:
-    """Return a fleet that has started and whose targets end when they are told to.
-
-    Raises
-    ------
-    TimeoutError
-        The hosts did not find each other.
-    """
-    fleet = Fleet(
-        stack,
-        folder,
-        size.hosts,
-        size.targets,
-        zones="abc",
-        has_peer_paths=size.fault is HostFault.CUT,
-    )
+    """Return a fleet that has started and whose targets end when they are told to."""
+    fleet = make_fleet(stack, folder, size.hosts, size.targets, size.fault)
     for target in fleet.targets:
         target.server.standin.on_end = lambda ending, target=target: target.end(
             ending, fleet.write_entry
         )
-    if not fleet.wait_until_converged(START_TIMEOUT_S):
-        raise TimeoutError("the hosts did not find each other")
-    return fleet
+    return await_fleet(fleet)
 
 
 def run_crash_seed(
@@ -297,8 +286,6 @@
 ) -> CrashOutcome:
     """Run one seed and return its outcome; settings and logs go to ``folder``."""
     with contextlib.ExitStack() as stack:
-        if folder is None:
-            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         return CrashRun(seed, size, start_crash_fleet(stack, folder, size)).run()
 
 
@@ -338,10 +325,7 @@
         ending=Ending(ending),
         fault=HostFault(fault),
     )
-    folder = Path(logs) if logs else None
-    if folder:
-        folder.mkdir(parents=True, exist_ok=True)
-    outcome = run_crash_seed(seed, size, folder)
+    outcome = run_crash_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
     sys.exit(1 if outcome.violations else 0)
 
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -1,13 +1,17 @@
 """Disturbs the hosts of a run, one after the other, and records when."""
 
+import contextlib
 import enum
 import random
+import tempfile
 import threading
 import time
+from pathlib import Path
 
 from soak.fleet import Fleet, Host
 from soak.proxy import CutMode
 
+START_TIMEOUT_S = 40.0
 FAULT_INTERVAL_S = 2.0
 CUT_DURATION_S = 1.5
 CONTACT_S = 3.0
@@ -81,3 +85,36 @@
             begin <= at and end + CONTACT_S > at
             for begin, end in self.disturbed.get(host, ())
         )
+
+
+def make_fleet(
+    stack: contextlib.ExitStack,
+    folder: Path | None,
+    hosts: int,
+    targets: int,
+    fault: HostFault,
+) -> Fleet:
+    """Return a fleet in three availability zones whose hosts can be disturbed.
+
+    Settings and logs go to ``folder``, or else to a temporary one.
+    """
+    if folder is None:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    folder.mkdir(parents=True, exist_ok=True)
+    has_peer_paths = fault is HostFault.CUT
+    return Fleet(
+        stack, folder, hosts, targets, zones="abc", has_peer_paths=has_peer_paths
+    )
+
+
+def await_fleet(fleet: Fleet) -> Fleet:
+    """Return ``fleet`` once all hosts have found each other and know all targets.
+
+    Raises
+    ------
+    TimeoutError
+        They did not in time.
+    """
+    if not fleet.wait_until_converged(START_TIMEOUT_S):
+        raise TimeoutError("the hosts did not find each other")
+    return fleet
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -14,7 +14,6 @@
 import random
 import re
 import sys
-import tempfile
 import threading
 import time
 from dataclasses import dataclass, field
@@ -24,14 +23,14 @@
 
 from godwitladder.platform import names
 from soak.fleet import Fleet, Host
-from soak.host_faults import HostFault, HostFaults
+from soak.host_faults import HostFault, HostFaults, await_fleet, make_fleet
 
-START_TIMEOUT_S = 40.0
 CALL_TIMEOUT_S = 10.0
 EVENTS = 20
 PAUSE_S = 0.02
 CUT_PROBABILITY = 0.06
 VERSIONS = ("v1", "v2")
+NEXT_VERSION = "v3"
 MAX_TRIES = 4
 RETRY_PAUSE_S = 0.1
 ROLL_INTERVAL_S = 1.0
@@ -250,7 +249,7 @@
         while not self.stop_event.wait(ROLL_INTERVAL_S):
             target = self.fleet.targets[number % len(self.fleet.targets)]
             number += 1
-            target.replace("v3", self.fleet.write_entry)
+            target.replace(NEXT_VERSION, self.fleet.write_entry)
 
     def outcome(self) -> VersionOutcome:
         """Check the history and return the outcome."""
@@ -268,32 +267,17 @@
 
 
 def start_version_fleet(
-    stack: contextlib.ExitStack, folder: Path, size: VersionRunSize
+    stack: contextlib.ExitStack, folder: Path | None, size: VersionRunSize
 ) -> Fleet:
-    """Return a fleet that has started, whose targets are of two versions in turn.
-
-    Raises
-    ------
-    TimeoutError
-        The hosts did not find each other.
-    """
-    fleet = Fleet(
-        stack,
-        folder,
-        size.hosts,
-        size.targets,
-        zones="abc",
-        has_peer_paths=size.fault is HostFault.CUT,
-    )
+    """Return a fleet that has started, whose targets are of two versions in turn."""
+    fleet = make_fleet(stack, folder, size.hosts, size.targets, size.fault)
     for number, target in enumerate(fleet.targets):
         target.version = target.knobs.version = VERSIONS[number % len(VERSIONS)]
         target.knobs.pause_s = PAUSE_S
         target.knobs.events = EVENTS
         target.knobs.cut_probability = CUT_PROBABILITY
         fleet.write_entry(target, "ready")
-    if not fleet.wait_until_converged(START_TIMEOUT_S):
-        raise TimeoutError("the hosts did not find each other")
-    return fleet
+    return await_fleet(fleet)
 
 
 def run_version_seed(
@@ -301,8 +285,6 @@
 ) -> VersionOutcome:
     """Run one seed and return its outcome; settings and logs go to ``folder``."""
     with contextlib.ExitStack() as stack:
-        if folder is None:
-            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         fleet = start_version_fleet(stack, folder, size)
         return VersionRun(seed, size, fleet).run()
 
@@ -336,10 +318,7 @@
     size = VersionRunSize(
         hosts=hosts, seconds=seconds, fault=HostFault(fault), rolls=rolls
     )
-    folder = Path(logs) if logs else None
-    if folder:
-        folder.mkdir(parents=True, exist_ok=True)
-    outcome = run_version_seed(seed, size, folder)
+    outcome = run_version_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
     sys.exit(1 if outcome.violations else 0)
 
