--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,4 +1,4 @@
-"""Each check of the runs with crashing requests and with two versions finds its fault."""
+"""The checks of crashing requests and of two versions find each fault."""
 
 from soak.crashes import CrashHistory, Group
 from soak.versions import Stream, VersionHistory
