--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,10 @@
 settings.load_profile("fixed")
 
 
+FLEET_FOLDERS = frozenset({"platform", "soak"})
+"""Folders whose tests run one at a time: each of them starts many processes."""
+
+
 @pytest.fixture
 def fleet(tmp_path):
     """A fleet that has only the stand-in of the platform; stopped after the test."""
@@ -26,6 +30,15 @@
 
 
 def pytest_collection_modifyitems(config, items):
+    """Group the tests of whole fleets, and deselect those known to fail."""
+    for item in items:
+        folder = item.path.relative_to(config.rootpath / "tests").parts[0]
+        if folder in FLEET_FOLDERS:
+            item.add_marker(pytest.mark.xdist_group(folder))
+    deselect_known_red(config, items)
+
+
+def deselect_known_red(config, items):
     """Deselect the tests listed in `KNOWN-RED.txt`, unless a test is named by id."""
     known = read_known_red(config.rootpath / "KNOWN-RED.txt")
     if any("::" in arg for arg in config.args):
