--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -32,8 +32,8 @@
     make_fleet,
 )
 
-GUILTY_INTERVAL_S = 0.35
-GUILTY_BODY = b"a request that ends its target"
+POISON_INTERVAL_S = 0.35
+POISON_BODY = b"a request that ends its target"
 SHARED_BODY = b"a request that many callers send"
 CALL_TIMEOUT_S = 5.0
 MAX_TRIES = 3
@@ -74,13 +74,13 @@
     Attributes
     ----------
     sent_by : dict
-        Host that each attempt of the guilty request was sent to.
+        Host that each attempt of the poison request was sent to.
     statuses : list of int
         HTTP status of each of them; 0 for a broken answer.
     endings : list of float
         When a target ended.
     arrivals : list of tuple
-        Time and attempt of each arrival of the guilty request at a target.
+        Time and attempt of each arrival of the poison request at a target.
     was_in_touch : callable
         Returns whether a host was in touch at some time.
     asked, served : dict
@@ -162,7 +162,7 @@
         threads.append(threading.Thread(target=self.faults.run))
         for thread in threads:
             thread.start()
-        self.send_guilty_requests()
+        self.send_poison_requests()
         self.stop_event.set()
         for thread in threads:
             thread.join()
@@ -170,14 +170,14 @@
         return self.outcome()
 
     def prepare_targets(self) -> None:
-        """Let the guilty request end the targets."""
+        """Let the poison request end the targets."""
         for target in self.fleet.targets:
-            target.knobs.ends_on = GUILTY_BODY
+            target.knobs.ends_on = POISON_BODY
             target.knobs.ending = self.size.ending
             target.knobs.pause_s = PAUSE_S
 
-    def send_guilty_requests(self) -> None:
-        """Send the guilty request again and again, to any host."""
+    def send_poison_requests(self) -> None:
+        """Send the poison request again and again, to any host."""
         end = time.monotonic() + self.size.seconds
         number = 0
         with ThreadPoolExecutor(32) as pool:
@@ -186,12 +186,12 @@
                 host = self.rng.choice(self.fleet.hosts)
                 attempt = f"g{number}"
                 self.history.sent_by[attempt] = host.name
-                pool.submit(self.send_guilty_request, host, attempt)
-                time.sleep(GUILTY_INTERVAL_S)
+                pool.submit(self.send_poison_request, host, attempt)
+                time.sleep(POISON_INTERVAL_S)
 
-    def send_guilty_request(self, host: Host, attempt: str) -> None:
-        """Send the guilty request once."""
-        status, _ = self.call(host, self.size.path, GUILTY_BODY, attempt)
+    def send_poison_request(self, host: Host, attempt: str) -> None:
+        """Send the poison request once."""
+        status, _ = self.call(host, self.size.path, POISON_BODY, attempt)
         with self.lock:
             self.history.statuses.append(status)
 
@@ -243,7 +243,7 @@
         return answer.status, float(answer.getheader("Retry-After") or 0.0)
 
     def record_targets(self) -> None:
-        """Record what the targets got of the guilty request."""
+        """Record what the targets got of the poison request."""
         for target in self.fleet.targets:
             engine = target.server.standin
             self.history.endings += engine.endings
@@ -308,7 +308,7 @@
     seconds : float
         Duration of the run in seconds.
     path : str
-        Path of the guilty request.
+        Path of the poison request.
     ending : str
         When targets end under it: before_head, after_head, mid_stream or silent.
     fault : str
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -45,7 +45,7 @@
 
 
 def test_a_host_that_reaches_no_target_sees_no_crash():
-    """Guards against a host without paths that takes all its calls for guilty."""
+    """Guards against a host without paths that takes all its calls for poison."""
     ended, other = closed_address(), closed_address()
     assert not make_evidence(ended, other).has_ended(ended)
 
@@ -65,7 +65,7 @@
 
 
 def test_a_target_that_leaves_has_not_crashed():
-    """Guards against calls that count as guilty when a target is taken away."""
+    """Guards against calls that count as poison when a target is taken away."""
     evidence = make_evidence()
     evidence.wait_for_entry(lost_call())
     evidence.take_ended({"t1": TargetPresence("1", True)})
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -6,7 +6,7 @@
 
 from godwitladder.standins.routed import Ending
 from soak.crashes import (
-    GUILTY_BODY,
+    POISON_BODY,
     CrashRun,
     CrashRunSize,
     run_crash_seed,
@@ -51,15 +51,15 @@
         yield run
 
 
-def send_guilty_request(run, host, number):
-    """Send the guilty request to a host and return the status."""
-    return run.call(host, "/charge/x", GUILTY_BODY, f"g{number}")[0]
+def send_poison_request(run, host, number):
+    """Send the poison request to a host and return the status."""
+    return run.call(host, "/charge/x", POISON_BODY, f"g{number}")[0]
 
 
 def send_until_held_back(run, host):
-    """Send the guilty request to a host until it is held back there."""
+    """Send the poison request to a host until it is held back there."""
     for number in range(TRIES):
-        if send_guilty_request(run, host, number) == HELD_BACK:
+        if send_poison_request(run, host, number) == HELD_BACK:
             return
     raise AssertionError("the request was not held back")
 
@@ -77,7 +77,7 @@
     newcomer.start()
     assert run.fleet.wait_until_converged(30.0)
     before = count_endings(run)
-    assert send_guilty_request(run, newcomer, "-late") == HELD_BACK
+    assert send_poison_request(run, newcomer, "-late") == HELD_BACK
     assert count_endings(run) == before
 
 
@@ -92,5 +92,5 @@
         path.restore()
     assert run.fleet.wait_until_converged(30.0)
     before = count_endings(run)
-    assert send_guilty_request(run, cut_off, "-late") == HELD_BACK
+    assert send_poison_request(run, cut_off, "-late") == HELD_BACK
     assert count_endings(run) == before
