Ask all hosts about a stream without a name, and trust the only version if the store is heard

What callers would see: events of two versions in one stream. Found by reading the change again, in two ways: - a caller names no attempt, its request is one that others send too, and the asked host knows of an equal stream that began at another version: its version was taken, as the first answer was enough; - a host that has lost the store has not heard of a new version, and took the only one that it knew for that at which the stream began. Now all linked hosts have to answer and to agree for a stream without a name, and the only version counts while the list of targets is at most 2 s old; a named stream is looked up first.

--- a/godwitladder/decisions/stream_origins.py
+++ b/godwitladder/decisions/stream_origins.py
@@ -94,6 +94,11 @@
         )
         return row[1] if row else None
 
+    def is_ambiguous(self, stream: StreamName) -> bool:
+        """Return whether equal requests are known to have begun at several versions."""
+        row = None if stream.attempt else self.by_body.get(stream.body)
+        return row is not None and row[1] is None
+
 
 def put(table: dict[str, TimedOrigin], key: str, origin, now: float) -> None:
     """Put an origin at the end of a table, and remove the oldest beyond its limits."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -82,6 +82,8 @@
 ADMIN_THREADS = 2
 MAX_LOGGED_HOSTS = 12
 """Limit on the allocators listed in a log line."""
+MAX_TARGETS_AGE_S = 2.0
+"""Age of the list of targets up to which a version that has just come is known."""
 CRITICAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers"})
 FAILURE_EXIT_CODE = 70
 
@@ -176,7 +178,9 @@
             self.link_up,
             on_link_down=lambda peer: self.membership.tell(LinkDown(peer)),
         )
-        self.origins = StreamOriginRegistry(settings.host, self.mesh, clock)
+        self.origins = StreamOriginRegistry(
+            settings.host, self.mesh, clock, self.knows_targets
+        )
         self.connector = Connector(
             clock, self.metrics, settings.zone, Tunnels(self.mesh)
         )
@@ -258,6 +262,10 @@
         if known != KnownCrashes():
             link.send(encode(known))
 
+    def knows_targets(self) -> bool:
+        """Return whether the list of targets is that of the store, or nearly so."""
+        return self.feed.age_s() <= MAX_TARGETS_AGE_S
+
     def receive_quarantine_event(self, link: Link, event: QuarantineEvent) -> None:
         """Apply a peer's event, and forward it to hosts that have not received it.
 
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -3,7 +3,7 @@
 import itertools
 import queue
 import threading
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -47,10 +47,17 @@
 @peer_message
 @dataclass(frozen=True)
 class OriginKnown:
-    """Answer to `OriginWanted`; the origin is None if it is not known."""
+    """Answer to `OriginWanted`; the origin is None if it is not known.
+
+    Attributes
+    ----------
+    is_ambiguous : bool
+        Whether equal requests are known to have begun at different versions.
+    """
 
     question: int
     origin: StreamOrigin | None
+    is_ambiguous: bool = False
 
 
 class Peers(Protocol):
@@ -77,6 +84,8 @@
         The links to other hosts.
     clock : Clock
         The host's clock.
+    is_current : callable
+        Returns whether the known list of targets is that of the store.
 
     Attributes
     ----------
@@ -88,8 +97,15 @@
         Queue of the answers to each open question of this host.
     """
 
-    def __init__(self, host: HostId, peers: Peers, clock: Clock) -> None:
+    def __init__(
+        self,
+        host: HostId,
+        peers: Peers,
+        clock: Clock,
+        is_current: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.host = host
+        self.is_current = is_current
         self.peers = peers
         self.clock = clock
         self.hubs: frozenset[HostId] = frozenset()
@@ -115,8 +131,7 @@
         now = self.clock.monotonic()
         with self.lock:
             self.origins.record(stream, origin, now)
-            only = self.history.only_release(origin.service, self.present, now)
-        if only is not None:
+        if self.find_only(origin.service) is not None:
             return
         for host in choose_replica_hosts(self.candidates(), self.host, stream.attempt):
             self.peers.send(host, StreamBegan(stream, origin))
@@ -131,9 +146,13 @@
         stream : StreamName
             What the caller says of the stream.
         """
-        origin, source = self.find_locally(service, stream), "this host"
-        if origin is None:
-            origin, source = self.ask(stream), "peers"
+        if stream.attempt:
+            origin = self.find_named(stream)
+        else:
+            origin = self.find_unnamed(stream)
+        source = "record"
+        if origin is None and not self.is_ambiguous(stream):
+            origin, source = self.find_only(service), "only version"
         extra = {
             "resumes": stream.attempt,
             "body": stream.body[:8],
@@ -144,44 +163,78 @@
         log.info("A stream is taken up", extra=extra)
         return origin
 
-    def find_locally(
-        self, service: ServiceName, stream: StreamName
-    ) -> StreamOrigin | None:
-        """Return what this host knows of a stream's origin."""
+    def find_named(self, stream: StreamName) -> StreamOrigin | None:
+        """Return what any host knows of a stream whose first attempt is named."""
         with self.lock:
             origin = self.origins.find(stream)
-            if origin is not None:
-                return origin
+        if origin is not None:
+            return origin
+        answers = self.ask(stream, lambda answer: answer.origin is not None)
+        return next((row.origin for row in answers if row.origin is not None), None)
+
+    def find_unnamed(self, stream: StreamName) -> StreamOrigin | None:
+        """Return the origin of all streams of equal requests, if they have one.
+
+        Any host may have begun another such stream at another version. All have to
+        answer, and to agree.
+        """
+        count = len(self.candidate_links())
+        answers = self.ask(stream, lambda answer: answer.is_ambiguous)
+        with self.lock:
+            known = {row.origin for row in answers} | {self.origins.find(stream)}
+        known.discard(None)
+        is_ambiguous = any(row.is_ambiguous for row in answers)
+        if is_ambiguous or len(answers) < count or len(known) != 1:
+            return None
+        return known.pop()
+
+    def is_ambiguous(self, stream: StreamName) -> bool:
+        """Return whether this host knows equal requests of different versions."""
+        with self.lock:
+            return self.origins.is_ambiguous(stream)
+
+    def find_only(self, service: ServiceName) -> StreamOrigin | None:
+        """Return the only version that a service has had for long enough, if any.
+
+        A host that has lost the store does not see a version that is new.
+        """
+        if not self.is_current():
+            return None
+        with self.lock:
             now = self.clock.monotonic()
             release = self.history.only_release(service, self.present, now)
         return None if release is None else StreamOrigin(service, release)
 
-    def ask(self, stream: StreamName) -> StreamOrigin | None:
-        """Return what any peer knows of a stream's origin."""
+    def ask(
+        self, stream: StreamName, is_enough: Callable[[OriginKnown], bool]
+    ) -> list[OriginKnown]:
+        """Return the answers of peers, up to the first that is enough."""
         links = self.candidate_links()
         number = next(self.numbers)
         answers: queue.SimpleQueue[OriginKnown] = queue.SimpleQueue()
         self.questions[number] = answers
         try:
             self.peers.multicast(links, encode(OriginWanted(number, stream)))
-            return self.await_origin(answers, len(links))
+            return self.collect(answers, len(links), is_enough)
         finally:
             del self.questions[number]
 
-    def await_origin(
-        self, answers: "queue.SimpleQueue[OriginKnown]", count: int
-    ) -> StreamOrigin | None:
-        """Return the first origin in up to ``count`` answers."""
+    def collect(
+        self,
+        answers: "queue.SimpleQueue[OriginKnown]",
+        count: int,
+        is_enough: Callable[[OriginKnown], bool],
+    ) -> list[OriginKnown]:
+        """Return up to ``count`` answers, up to the first that is enough, if in time."""
         deadline = self.clock.monotonic() + ANSWER_TIMEOUT_S
-        for _ in range(count):
+        rows: list[OriginKnown] = []
+        while len(rows) < count and not (rows and is_enough(rows[-1])):
             left_s = max(0.0, deadline - self.clock.monotonic())
             try:
-                answer = answers.get(timeout=left_s)
+                rows.append(answers.get(timeout=left_s))
             except queue.Empty:
-                return None
-            if answer.origin is not None:
-                return answer.origin
-        return None
+                break
+        return rows
 
     def candidate_links(self) -> list[Link]:
         """Return the links to the hosts that may hold a replica."""
@@ -202,7 +255,8 @@
         """Answer a peer's question."""
         with self.lock:
             origin = self.origins.find(message.stream)
-        link.send(encode(OriginKnown(message.question, origin)))
+            is_ambiguous = self.origins.is_ambiguous(message.stream)
+        link.send(encode(OriginKnown(message.question, origin, is_ambiguous)))
 
     def receive_known(self, link: Link, message: OriginKnown) -> None:
         """Take a peer's answer; it may be too late."""
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -126,6 +126,26 @@
     assert net.registries["h0"].find("core", A1) == V1
 
 
+def test_equal_requests_that_other_hosts_began_tell_nothing():
+    """Guards against a stream that goes on where the equal one of a peer began."""
+    net = Net(*HOSTS)
+    for registry in net.registries.values():
+        registry.hubs = frozenset({"h4"})
+    net.registries["h4"].origins.record(A1, V1, 0.0)
+    net.registries["h0"].origins.record(StreamName("a2", "b1"), V2, 0.0)
+    assert net.registries["h0"].find("core", UNNAMED) is None
+    assert net.registries["h0"].find("core", A1) == V1
+
+
+def test_a_stream_without_a_name_needs_the_answers_of_all_peers():
+    """Guards against a silent peer that knows of an equal request."""
+    net = Net("h0", "h1", "h2")
+    net.registries["h0"].origins.record(A1, V1, 0.0)
+    net.mute = {"h2"}
+    assert net.registries["h0"].find("core", UNNAMED) is None
+    assert net.registries["h1"].find("core", A1) == V1
+
+
 def test_a_peer_that_does_not_answer_delays_no_caller_for_long():
     """Guards against a frozen peer that keeps the answers of others waiting."""
     net = Net(*HOSTS)
@@ -134,7 +154,9 @@
     assert net.registries["h1"].find("core", A1) == V1
     net.mute = set(HOSTS)
     found = []
-    asker = threading.Thread(target=lambda: found.append(net.registries["h1"].ask(A9)))
+    asker = threading.Thread(
+        target=lambda: found.append(net.registries["h1"].find("core", A9))
+    )
     asker.start()
     asker.join(10.0)
     assert found == [None]
@@ -153,6 +175,19 @@
     assert registry.find("core", A9) == V1
 
 
+def test_a_host_that_has_lost_the_store_does_not_tell_the_only_version(monkeypatch):
+    """Guards against a host that has not heard of the version that began a stream."""
+    net = Net(*HOSTS)
+    registry = net.registries["h0"]
+    monkeypatch.setattr(
+        registry.history, "only_release", lambda service, present, now: "v1"
+    )
+    registry.is_current = lambda: False
+    assert registry.find("core", A9) is None
+    net.registries["h1"].record(A9, V2)
+    assert registry.find("core", A9) == V2
+
+
 def test_only_hubs_keep_origins_where_not_all_hosts_are_linked():
     """Guards against replicas that the next host can't ask."""
     net = Net(*HOSTS)
@@ -166,7 +201,7 @@
 @pytest.mark.parametrize(
     "message",
     [StreamBegan(A1, V1), OriginWanted(3, A1), OriginKnown(3, V1)]
-    + [OriginKnown(3, None)],
+    + [OriginKnown(3, None, True)],
 )
 def test_messages_pass_between_hosts_unchanged(message):
     assert decode(encode(message)) == message
