--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -225,7 +225,7 @@
         count: int,
         is_enough: Callable[[OriginKnown], bool],
     ) -> list[OriginKnown]:
-        """Return up to ``count`` answers, up to the first that is enough, if in time."""
+        """Return the answers in time, ``count`` at most, up to one that is enough."""
         deadline = self.clock.monotonic() + ANSWER_TIMEOUT_S
         rows: list[OriginKnown] = []
         while len(rows) < count and not (rows and is_enough(rows[-1])):
