Log what shows that a target has ended, who told of it, and that a call was held back

From the lines alone an engineer could not tell why a call was held back right before its first byte (it left no line of its own), by what a lost answer was or wasn't taken for an end, nor which peer told of a crash, a trial or a clearing. Each decision has a line now; nothing is decided differently.

--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -140,18 +140,22 @@
     def record_loss(self, call: LostCall) -> bool:
         """Record a call whose connection broke; return whether its target has ended."""
         if self.evidence.has_ended(call.address):
+            log_loss("The target refuses connections", call)
             self.publish_crash(call)
             return True
+        log_loss("Nothing shows yet that the target has ended", call)
         self.evidence.wait_for_entry(call)
         return False
 
     def record_silence(self, call: LostCall) -> None:
         """Record a call that was given up as its target had fallen silent."""
+        log_loss("A target fell silent under a call", call)
         self.evidence.wait_for_entry(call)
 
     def update_targets(self, present: Mapping[TargetName, TargetPresence]) -> None:
         """Report the crashes that the entries of targets now show."""
         for call in self.evidence.take_ended(present):
+            log_loss("The target's entry shows that it has ended", call)
             self.publish_crash(call)
 
     def publish_crash(self, call: LostCall) -> None:
@@ -168,6 +172,17 @@
         self.broadcast(event)
 
 
+def log_loss(text: str, call: LostCall) -> None:
+    """Log what shows, or doesn't, that a target has ended under a call."""
+    extra = {
+        "body": call.digest[:8],
+        "target": call.target,
+        "address": call.address,
+        "trial": call.trial,
+    }
+    log.info(text, extra=extra)
+
+
 def make_event_id() -> str:
     """Return a unique id of an event."""
     return secrets.token_hex(8)
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -51,6 +51,8 @@
         Ids of the latest events that were applied, in order of arrival.
     trials : Trials
         Trials that run, on any host.
+    source : str
+        Where the event that is being applied came from.
     """
 
     def __init__(self, clock: Clock, policy: QuarantinePolicy = OWN_POLICY) -> None:
@@ -58,6 +60,7 @@
         self.table = Quarantine(policy)
         self.trials = Trials(MAX_TRIAL_S)
         self.seen: dict[str, None] = {}
+        self.source = ""
         self.lock = threading.Lock()
 
     def status(self, digest: BodyDigest) -> QuarantineStatus:
@@ -95,10 +98,17 @@
                 return False
             return target is None or not self.trials.is_used(target, now)
 
-    def apply(self, event: QuarantineEvent, age_s: float = 0.0) -> bool:
+    def apply(
+        self, event: QuarantineEvent, age_s: float = 0.0, source: str = ""
+    ) -> bool:
         """Apply an event; return False if it was applied before.
 
-        ``age_s`` is its age in seconds.
+        Parameters
+        ----------
+        age_s : float
+            Age of the event in seconds.
+        source : str
+            Peer that it came from, for the log; empty for this host or the log.
         """
         with self.lock:
             if event.report in self.seen:
@@ -106,6 +116,7 @@
             self.seen[event.report] = None
             if len(self.seen) > MAX_SEEN_EVENTS:
                 del self.seen[next(iter(self.seen))]
+            self.source = source
             self._apply(event, self.clock.monotonic() - age_s)
             return True
 
@@ -126,6 +137,7 @@
             "body": event.digest[:8],
             "target": event.target,
             "trial": event.trial,
+            "from": self.source,
             "crashes": len(history.crashes) if history else 0,
             "status": after.value,
         }
@@ -137,7 +149,8 @@
     def _(self, event: Cleared, at: float) -> None:
         self.table.clear(event.digest, at)
         self.trials.end(event.digest)
-        log.info("A request is cleared", extra={"body": event.digest[:8]})
+        extra = {"body": event.digest[:8], "from": self.source}
+        log.info("A request is cleared", extra=extra)
 
     @_apply.register
     def _(self, event: Lifted, at: float) -> None:
@@ -149,12 +162,18 @@
     def _(self, event: TrialBegan, at: float) -> None:
         self.table.count_retrial(event.digest)
         self.trials.begin(event.digest, event.target, at)
-        extra = {"body": event.digest[:8], "target": event.target}
+        extra = {
+            "body": event.digest[:8],
+            "target": event.target,
+            "from": self.source,
+        }
         log.info("A request is on trial", extra=extra)
 
     @_apply.register
     def _(self, event: TrialEnded, at: float) -> None:
         self.trials.end(event.digest)
+        extra = {"body": event.digest[:8], "from": self.source}
+        log.info("A trial has ended without a verdict", extra=extra)
 
     def known_crashes(self) -> KnownCrashes:
         """Return all that this host knows, for a peer."""
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -190,6 +190,7 @@
                 if answer is not None:
                     return answer
             except HeldBack as error:
+                self.log_failed_send("A call was held back", decision, error)
                 return self.refuse_sent(start_response, error.refusal)
             except NotSent as error:
                 self.log_failed_send("Nothing was sent", decision, error)
