Pass on only what is new of a peer's crashes

What it would cost: as parts of a fleet meet again, each host sent all that a peer knows (up to 15 KB) over each of its links, once for each peer that knew more: with the square of the hosts in a full mesh. Now each host passes on the rows that were new to it, once. The line names the peer and the first digests. The new test was not possible before (merge told only whether).

--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -31,6 +31,8 @@
 MAX_SEEN_EVENTS = 10_000
 MAX_TRIAL_S = 10.0
 """Time after which a trial counts as ended: its host may be gone."""
+MAX_LOGGED_ROWS = 8
+NOTHING_KNOWN = KnownCrashes()
 MAX_KNOWN_ROWS = 500
 """Limit on the rows of each kind that are sent over a new link, the newest ones."""
 
@@ -201,15 +203,24 @@
                 ),
             )
 
-    def merge(self, known: KnownCrashes) -> bool:
-        """Add what a peer knows; return whether any of it was new."""
+    def merge(self, known: KnownCrashes, source: str = "") -> KnownCrashes:
+        """Add what a peer knows; return what of it was new.
+
+        ``source`` is the peer, for the log.
+        """
         now = self.clock.monotonic()
         with self.lock:
-            new = [self._merge_clearing(row, now) for row in known.cleared]
-            new += [self._merge_history(row, now) for row in known.histories]
-        if any(new):
-            log.info("Learned of crashes from a peer", extra={"requests": sum(new)})
-        return any(new)
+            cleared = [row for row in known.cleared if self._merge_clearing(row, now)]
+            rows = [row for row in known.histories if self._merge_history(row, now)]
+        new = KnownCrashes(tuple(rows), tuple(cleared))
+        if new != NOTHING_KNOWN:
+            extra = {
+                "from": source,
+                "crashed": [row.digest[:8] for row in rows[:MAX_LOGGED_ROWS]],
+                "cleared": [row.digest[:8] for row in cleared[:MAX_LOGGED_ROWS]],
+            }
+            log.info("Learned of crashes from a peer", extra=extra)
+        return new
 
     def _merge_clearing(self, row: KnownClearing, now: float) -> bool:
         at = now - row.age_s
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -45,6 +45,7 @@
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.records import KnownCrashes, QuarantineEvent
+from godwitladder.quarantine.registry import NOTHING_KNOWN
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -259,7 +260,7 @@
         # A host that starts or was cut off would send requests that crash targets to
         # further ones.
         known = self.quarantine.registry.known_crashes()
-        if known != KnownCrashes():
+        if known != NOTHING_KNOWN:
             link.send(encode(known))
 
     def knows_targets(self) -> bool:
@@ -281,13 +282,16 @@
         self.mesh.multicast([row for row in rest if row is not link], encode(event))
 
     def receive_known_crashes(self, link: Link, known: KnownCrashes) -> None:
-        """Add what a peer knows, and forward it if any of it is new.
+        """Add what a peer knows, and forward what of it is new.
 
-        The peer may have been cut off from all other hosts until now.
+        The peer may have been cut off from all other hosts until now. Each host
+        forwards a row once: if all that a peer knows were forwarded, a fleet whose
+        parts meet again would send it over each of its links.
         """
-        if self.quarantine.registry.merge(known):
+        new = self.quarantine.registry.merge(known, link.peer)
+        if new != NOTHING_KNOWN:
             others = [row for row in self.mesh.current() if row is not link]
-            self.mesh.multicast(others, encode(known))
+            self.mesh.multicast(others, encode(new))
 
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -8,6 +8,7 @@
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.quarantine.records import Cleared, Crash, TrialBegan
+from godwitladder.quarantine.registry import NOTHING_KNOWN
 from godwitladder.serving.problems import refusal_status
 
 
@@ -188,7 +189,18 @@
     net = Net(2)
     quarantine(net)
     known = net.gates[0].registry.known_crashes()
-    assert not net.gates[1].registry.merge(known)
+    assert net.gates[1].registry.merge(known) == NOTHING_KNOWN
+
+
+def test_only_what_is_new_is_passed_on():
+    """Guards against all that a peer knows being sent over each link of a fleet."""
+    net = Net(2)
+    quarantine(net)
+    net.cut = {1}
+    crash(net.gates[0], 7, "letter")
+    known = net.gates[0].registry.known_crashes()
+    new = net.gates[1].registry.merge(known)
+    assert [row.digest for row in new.histories] == ["letter"]
 
 
 def test_a_host_whose_trial_is_never_ended_holds_nobody_back_for_long():
