Remember the end of a process, not of its address

Found by reading again: for a second after a target had ended, each answer that the next process at its address lost counted as an end too. The new test is red with the address as the key (the process that accepts connections counts as ended).

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.quarantine import TargetProcess
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import BodyDigest, TargetName
 
@@ -66,31 +67,33 @@
     waiting : list of tuple
         Lost calls for which nothing is shown yet, with the time of the loss.
     ended_at : dict
-        When each address last refused a connection.
+        When each process was found to have ended, of late.
     """
 
     def __init__(self, clock: Clock, addresses: Callable[[], Collection[str]]) -> None:
         self.clock = clock
         self.addresses = addresses
         self.waiting: list[tuple[float, LostCall]] = []
-        self.ended_at: dict[str, float] = {}
+        self.ended_at: dict[TargetProcess, float] = {}
         self.lock = threading.Lock()
 
-    def has_ended(self, address: str) -> bool:
-        """Return whether the process at ``address`` has just ended.
+    def has_ended(self, call: LostCall) -> bool:
+        """Return whether the target's process has just ended under a call.
 
         A host that has lost its paths is refused everywhere. A refusal therefore
         counts only if another target accepts a connection.
         """
         now = self.clock.monotonic()
-        if now - self.ended_at.get(address, float("-inf")) < MEMORY_S:
+        process = TargetProcess(call.target, call.generation)
+        if now - self.ended_at.get(process, float("-inf")) < MEMORY_S:
             return True
+        address = call.address
         if not refuses_connections(address) or not self.reaches_another(address):
             return False
         self.ended_at = {
             row: at for row, at in self.ended_at.items() if now - at < MEMORY_S
         }
-        self.ended_at[address] = now
+        self.ended_at[process] = now
         return True
 
     def reaches_another(self, address: str) -> bool:
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -139,7 +139,7 @@
 
     def record_loss(self, call: LostCall) -> bool:
         """Record a call whose connection broke; return whether its target has ended."""
-        if self.evidence.has_ended(call.address):
+        if self.evidence.has_ended(call):
             log_loss("The target refuses connections", call)
             self.publish_crash(call)
             return True
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -1,6 +1,7 @@
 """What shows that a target has ended under a call."""
 
 import contextlib
+import dataclasses
 import socket
 
 import pytest
@@ -36,18 +37,29 @@
 
 def test_a_target_that_refuses_connections_has_ended(live):
     ended = closed_address()
-    assert make_evidence(ended, live).has_ended(ended)
+    assert make_evidence(ended, live).has_ended(lost_call(ended))
+
+
+def test_a_process_that_took_over_an_address_has_not_ended(live):
+    """Guards against an end that counts for the next process at the address too."""
+    ended = closed_address()
+    evidence = make_evidence(ended, live)
+    assert evidence.has_ended(lost_call(ended))
+    port = int(ended.rpartition(":")[2])
+    with contextlib.closing(socket.create_server(("127.0.0.1", port))):
+        again = dataclasses.replace(lost_call(ended), generation="2")
+        assert not evidence.has_ended(again)
 
 
 def test_a_target_that_accepts_connections_has_only_lost_an_answer(live):
     """Guards against lost answers of live targets that count as crashes."""
-    assert not make_evidence(live, closed_address()).has_ended(live)
+    assert not make_evidence(live, closed_address()).has_ended(lost_call(live))
 
 
 def test_a_host_that_reaches_no_target_sees_no_crash():
     """Guards against a host without paths that takes all its calls for poison."""
     ended, other = closed_address(), closed_address()
-    assert not make_evidence(ended, other).has_ended(ended)
+    assert not make_evidence(ended, other).has_ended(lost_call(ended))
 
 
 @pytest.mark.parametrize(
--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -19,7 +19,7 @@
         self.ended = ended
         self.waiting = []
 
-    def has_ended(self, address):
+    def has_ended(self, call):
         return self.ended
 
     def wait_for_entry(self, call):
