--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -1,9 +1,11 @@
 """Proxying of routed calls: what callers get when targets fail or misbehave."""
 
 import contextlib
+import dataclasses
 import io
 import json
 import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -16,6 +18,7 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector
+from godwitladder.paths.splicing import StreamEnd
 from godwitladder.platform.documents import decode_document
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.quarantine.evidence import CrashEvidence
@@ -575,6 +578,61 @@
     )
 
 
+def crashed_bodies(bench):
+    """Return the targets of the crashes that were published."""
+    return [row.target for row in bench.published if isinstance(row, Crash)]
+
+
+def test_a_target_that_ended_in_silence_is_seen_by_its_entry(stack, monkeypatch):
+    """Guards against targets that end one by one without a sign."""
+    monkeypatch.setattr("godwitladder.serving.proxying.MIN_SILENCE_S", 0.2)
+    bench = Bench(stack)
+    engine = bench.engines[0].standin
+    engine.knobs.pause_s = 30.0
+    disconnected = threading.Event()
+    threading.Timer(0.5, disconnected.set).start()
+    bench.call("/charge/x", body=b"bad", gone=disconnected.is_set)
+    assert crashed_bodies(bench) == []
+    bench.quarantine.update_targets({})
+    assert crashed_bodies(bench) == [f"t-{bench.addresses[0]}"]
+
+
+def test_a_caller_that_leaves_at_once_says_nothing_of_the_target(stack, monkeypatch):
+    """Guards against calls that count only because their callers left."""
+    monkeypatch.setattr("godwitladder.serving.proxying.MIN_SILENCE_S", 60.0)
+    bench = Bench(stack)
+    bench.engines[0].standin.knobs.pause_s = 30.0
+    bench.call("/charge/x", body=b"good", gone=lambda: True)
+    bench.quarantine.update_targets({})
+    assert crashed_bodies(bench) == []
+
+
+def test_a_target_that_is_lost_while_a_stream_is_resumed_counts(stack):
+    """Guards against ends that are seen at the first target of a stream only."""
+    bench = Bench(stack, engines=4)
+    end_on(bench.engines[0], b"bad", Ending.MID_STREAM)
+    end_on(bench.engines[1], b"bad", Ending.BEFORE_HEAD)
+    bench.call("/resume/stream/x", body=b"bad")
+    assert crashed_bodies(bench) == [f"t-{row}" for row in bench.addresses[:2]]
+
+
+def test_a_way_through_another_host_that_breaks_is_no_end_of_the_target(stack):
+    """Guards against a gateway that is killed and takes all its calls for crashes."""
+    bench = Bench(stack)
+    end_on(bench.engines[0], b"bad")
+    connect = bench.app.proxy.connector.connect
+
+    def connect_through_gateway(*args):
+        connection = connect(*args)
+        tunnel = SimpleNamespace(gateway="h9", end=StreamEnd.BROKEN)
+        return dataclasses.replace(connection, tunnel=tunnel)
+
+    bench.app.proxy.connector.connect = connect_through_gateway
+    assert bench.call("/charge/x", body=b"bad").status == 502
+    bench.quarantine.update_targets({})
+    assert crashed_bodies(bench) == []
+
+
 def test_a_stopping_host_refuses_calls(stack):
     bench = Bench(stack)
     bench.app.refusing = True
