Log the parts of a prompt as a call is sent and as its target is lost

No line told what the requests under which targets ended have in common. Now "A call is sent" and each line on a lost target name the first eight parts. No decision changes.

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -35,6 +35,8 @@
         Generation of the target's process.
     trial : bool
         Whether the call ran on trial.
+    parts : tuple of str
+        Names of the parts of its prompt, in order.
     """
 
     digest: BodyDigest
@@ -42,6 +44,7 @@
     address: str
     generation: str
     trial: bool
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -6,7 +6,7 @@
 """
 
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.quarantine import QuarantinePolicy, QuarantineStatus
@@ -34,6 +34,8 @@
 """A crash takes a dozen requests with it, most of them innocent. If each had to wait
 for a trial, all of them would be late; few are part of two crashes in a row."""
 TRIAL_RETRY_S = 1.0
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_CHARS = 24
 QUARANTINED_TEXT = (
     "Targets crashed one after the other while they ran this request ({}). It is not "
     "sent to any more of them."
@@ -179,10 +181,16 @@
         "target": call.target,
         "address": call.address,
         "trial": call.trial,
+        "parts": loggable_parts(call.parts),
     }
     log.info(text, extra=extra)
 
 
+def loggable_parts(parts: Sequence[str]) -> list[str]:
+    """Return the names of a prompt's first parts as they are logged."""
+    return [part[:MAX_LOGGED_CHARS] for part in parts[:MAX_LOGGED_PARTS]]
+
+
 def make_event_id() -> str:
     """Return a unique id of an event."""
     return secrets.token_hex(8)
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -70,6 +70,11 @@
     resumes: str = ""
 
 
+def part_names(metadata: CallMetadata) -> tuple[str, ...]:
+    """Return the names of the parts of a call's prompt, in order."""
+    return tuple(part.name for part in metadata.parts)
+
+
 @dataclass(frozen=True)
 class DispatchMetadata:
     """Data that is added to the headers of a call sent to a target.
