--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -26,6 +26,8 @@
 FALL_S = 2.0
 """Seconds after which an engine that has fallen over is back."""
 EVENTS_BEFORE_ENDING = 2
+RESET_DELAY_S = 0.1
+"""A reset discards what the reader has not read yet."""
 
 
 @dataclass
@@ -257,8 +259,16 @@
         answer states; 0 for none.
     ends_on : bytes
         Body of the requests that end the engine; empty for none.
+    ends_on_part : str
+        Name of the prompt part whose requests end the engine, unless it is the last
+        part; empty for none.
     ending : Ending
         When it ends under them.
+    framed : bool
+        Whether answers have a length or chunks; others end with their connection.
+    resets_after : int
+        Number of bytes of an answer without chunks, or of events of a stream, after
+        which the connection is reset; -1 for never.
     version : str
         Version of its software, which it writes into each event; empty for none.
     cut_probability : float
@@ -278,7 +288,10 @@
     room: int = -1
     brittle: float = 0.0
     ends_on: bytes = b""
+    ends_on_part: str = ""
     ending: Ending = Ending.BEFORE_HEAD
+    framed: bool = True
+    resets_after: int = -1
     version: str = ""
     cut_probability: float = 0.0
 
@@ -455,7 +468,7 @@
 
     def run(self, knobs: EngineKnobs, request_body: bytes) -> None:
         """Answer an accepted request, or end under it."""
-        if knobs.ends_on and request_body == knobs.ends_on:
+        if self.ends_engine(knobs, request_body):
             self.end_under_request(knobs)
         if "/stream/" in self.path:
             self.stream(knobs, knobs.events)
@@ -463,9 +476,38 @@
             return
         time.sleep(knobs.pause_s)
         body = b"answer of " + self.headers.get(names.ATTEMPT, "").encode()
-        self.send_head(knobs.status, [("Content-Length", str(len(body)))])
+        length = [("Content-Length", str(len(body)))] if knobs.framed else []
+        self.send_head(knobs.status, length)
+        if knobs.resets_after >= 0:
+            self.wfile.write(body[: knobs.resets_after])
+            self.reset_connection()
         self.wfile.write(body)
 
+    def ends_engine(self, knobs: EngineKnobs, request_body: bytes) -> bool:
+        """Return whether the request ends the engine."""
+        if knobs.ends_on and request_body == knobs.ends_on:
+            return True
+        if not knobs.ends_on_part:
+            return False
+        parts = self.headers.get(names.PREFIX, "").split(",")[:-1]
+        return knobs.ends_on_part in [part.partition(":")[0] for part in parts]
+
+    def reset_connection(self) -> None:
+        """Reset the connection, after the reader had time to read what was sent.
+
+        Raises
+        ------
+        ConnectionResetError
+            Always.
+        """
+        time.sleep(RESET_DELAY_S)
+        self.close_connection = True
+        self.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self.connection.close()
+        raise ConnectionResetError("connection reset by a knob")
+
     def end_under_request(self, knobs: EngineKnobs) -> None:
         """Answer as far as the knob ``ending`` says, then end the engine.
 
@@ -493,13 +535,17 @@
         events : int
             Number of the last event to send.
         """
-        content_type = ("Content-Type", "text/event-stream")
-        self.send_head(200, [content_type, ("Transfer-Encoding", "chunked")])
+        headers = [("Content-Type", "text/event-stream")]
+        if knobs.framed:
+            headers.append(("Transfer-Encoding", "chunked"))
+        self.send_head(200, headers)
         start = int(self.headers.get(names.LAST_EVENT) or 0)
         for number in range(start + 1, events + 1):
             time.sleep(knobs.pause_s)
             version = f" of {knobs.version}".encode() if knobs.version else b""
             event = b"id: %d\ndata: piece %d%b\n\n" % (number, number, version)
+            if number - start - 1 == knobs.resets_after:
+                self.reset_connection()
             is_cut = number > start + 1 and random.random() < knobs.cut_probability
             if is_cut or 0 <= knobs.cut_after < number:
                 self.send_chunk(event[:7])
@@ -526,12 +572,20 @@
             self.send_header(names.BRITTLE, str(knobs.brittle))
         if knobs.leaving:
             self.send_header(names.LEAVING, "1")
+        if not knobs.framed:
+            self.send_header("Connection", "close")
         for name, value in headers:
             self.send_header(name, value)
         self.end_headers()
 
     def send_chunk(self, data: bytes) -> None:
-        """Send one chunk; an empty one ends the answer."""
+        """Send one chunk; an empty one ends the answer.
+
+        Without chunks, the end of the connection ends it.
+        """
+        if not self.server.standin.knobs.framed:
+            self.wfile.write(data)
+            return
         self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
         self.wfile.flush()
 
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -1,4 +1,4 @@
-"""Plays a request that ends each target that runs it, beside requests that don't.
+"""Plays requests that end each target that runs them, beside requests that don't.
 
 Hosts are real processes, and may be killed, started anew or cut off from their peers
 meanwhile. What the targets got and what callers were answered is checked.
@@ -7,7 +7,6 @@
 """
 
 import contextlib
-import enum
 import http.client
 import json
 import random
@@ -23,6 +22,15 @@
 
 from godwitladder.platform import names
 from godwitladder.standins.routed import Ending
+from soak.crash_requests import (
+    BAD_PART,
+    POISON_BODY,
+    Group,
+    Request,
+    Trigger,
+    make_bad_request,
+    make_sound_request,
+)
 from soak.fleet import Fleet, Host
 from soak.host_faults import (
     CONTACT_S,
@@ -33,46 +41,75 @@
 )
 
 POISON_INTERVAL_S = 0.35
-POISON_BODY = b"a request that ends its target"
-SHARED_BODY = b"a request that many callers send"
 CALL_TIMEOUT_S = 5.0
 MAX_TRIES = 3
 MAX_RETRY_DELAY_S = 1.0
 PAUSE_S = 0.05
 """Pause of the targets before each event, so that requests run side by side."""
-ENDINGS_BEFORE = 3
-"""Number of targets that a request may end before its further sends count."""
+ENDINGS_BEFORE = {Trigger.BODY: 3, Trigger.PART: 5, Trigger.FIRST_PART: 5}
+"""Number of targets that such requests may end before further sends count."""
+GROUPS = {
+    Trigger.BODY: (Group.OWN, Group.SHARED),
+    Trigger.PART: (Group.SAME_PARTS, Group.SAME_KEY),
+    Trigger.FIRST_PART: (Group.SAME_PARTS, Group.SAME_KEY),
+}
+"""Sound callers beside them."""
 MAX_LATE_SENDS = 3
 MIN_SERVED_FRACTION = 0.9
-
-
-class Group(enum.Enum):
-    """Callers whose requests end no target: bodies of their own, or a shared one."""
-
-    OWN = "own"
-    SHARED = "shared"
+MIN_FIRST_TRY_RATIO = 0.5
+"""Share of the sound requests served at the first try, against the time before."""
+MIN_COUNTED = 20
+"""Number of requests from which such a share counts."""
 
 
 @dataclass(frozen=True)
 class CrashRunSize:
-    """Size of a run: numbers of its parts, its faults, its duration in seconds."""
+    """Size of a run: numbers of its parts, its faults, its durations in seconds.
+
+    Attributes
+    ----------
+    callers : tuple of int
+        Number of callers of each group of sound ones.
+    before_s, seconds : float
+        Time without bad requests, and then with them.
+    trigger : Trigger
+        What of the bad requests ends the targets.
+    workspaces : int
+        Number of workspaces that send them, 1 or 2.
+    """
 
     hosts: int = 6
     targets: int = 8
-    own_callers: int = 8
-    shared_callers: int = 4
+    callers: tuple[int, int] = (8, 4)
+    before_s: float = 0.0
     seconds: float = 20.0
+    trigger: Trigger = Trigger.BODY
+    workspaces: int = 1
     path: str = "/stream/stream/x"
     ending: Ending = Ending.AFTER_HEAD
     fault: HostFault = HostFault.NONE
 
 
+@dataclass(frozen=True)
+class FirstTry:
+    """The first try of a sound request."""
+
+    at: float
+    host: str
+    group: Group
+    is_served: bool
+
+
 @dataclass
 class CrashHistory:
     """What was observed in one run; times are monotonic seconds.
 
     Attributes
     ----------
+    trigger : Trigger
+        What of the bad requests ends the targets.
+    begin : float
+        When the first bad request was sent.
     sent_by : dict
         Host that each attempt of the poison request was sent to.
     statuses : list of int
@@ -85,8 +122,12 @@
         Returns whether a host was in touch at some time.
     asked, served : dict
         Number of requests of each group of callers, and of those that were served.
+    first_tries : list of FirstTry
+        The first try of each of them.
     """
 
+    trigger: Trigger = Trigger.BODY
+    begin: float = 0.0
     sent_by: dict[str, str] = field(default_factory=dict)
     statuses: list[int] = field(default_factory=list)
     endings: list[float] = field(default_factory=list)
@@ -94,12 +135,14 @@
     was_in_touch: Callable[[str, float], bool] = lambda host, at: True
     asked: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
     served: dict[Group, int] = field(default_factory=lambda: dict.fromkeys(Group, 0))
+    first_tries: list[FirstTry] = field(default_factory=list)
 
     def late_arrivals(self) -> list[tuple[float, str]]:
         """Return the arrivals that hosts in touch sent when they had to know."""
-        if len(self.endings) < ENDINGS_BEFORE:
+        allowed = ENDINGS_BEFORE[self.trigger]
+        if len(self.endings) < allowed:
             return []
-        from_s = sorted(self.endings)[ENDINGS_BEFORE - 1] + CONTACT_S
+        from_s = sorted(self.endings)[allowed - 1] + CONTACT_S
         return [
             (at, attempt)
             for at, attempt in self.arrivals
@@ -110,22 +153,51 @@
         """Return the fraction of a group's requests that were served."""
         return self.served[group] / max(1, self.asked[group])
 
+    def settled_at(self) -> float:
+        """Return the time from which sound requests must be served again."""
+        endings = sorted(self.endings)[: ENDINGS_BEFORE[self.trigger]]
+        return (endings[-1] if endings else self.begin) + 2 * CONTACT_S
+
+    def first_try_ratio(self, group: Group) -> float | None:
+        """Return how often first tries are served in the end, against the beginning.
+
+        None if too few of either count. Tries at hosts that were not in touch don't.
+        """
+        rows = [
+            row
+            for row in self.first_tries
+            if row.group is group and self.was_in_touch(row.host, row.at)
+        ]
+        before = [row.is_served for row in rows if row.at < self.begin]
+        after = [row.is_served for row in rows if row.at > self.settled_at()]
+        if min(len(before), len(after)) < MIN_COUNTED or not any(before):
+            return None
+        return (sum(after) / len(after)) / (sum(before) / len(before))
+
     def check(self) -> list[str]:
         """Return a line for each violation of a guarantee."""
         late = len(self.late_arrivals())
         rows = []
         if late > MAX_LATE_SENDS:
-            rows.append(f"the request reached {late} targets after it was known")
-        for group in Group:
+            rows.append(f"the requests reached {late} targets after they were known")
+        for group in GROUPS[self.trigger]:
             fraction = self.served_fraction(group)
             if fraction < MIN_SERVED_FRACTION:
                 rows.append(f"{fraction:.2f} of the {group.value} requests were served")
+            ratio = self.first_try_ratio(group)
+            if ratio is not None and ratio < MIN_FIRST_TRY_RATIO:
+                text = f"{ratio:.2f} times as many {group.value} requests as before"
+                rows.append(f"{text} were served at the first try")
         return rows
 
 
 @dataclass(frozen=True)
 class CrashOutcome:
-    """Result of a run: numbers of endings, arrivals, late ones; served fractions."""
+    """Result of a run: numbers of endings, arrivals, late ones; served fractions.
+
+    ``first_tries`` compares those served at the first try with the time before; None
+    if too few count.
+    """
 
     seed: int
     endings: int
@@ -134,6 +206,7 @@
     statuses: dict[int, int]
     asked: dict[str, int]
     served: dict[str, float]
+    first_tries: dict[str, float | None]
     violations: list[str]
 
 
@@ -148,13 +221,15 @@
         self.lock = threading.Lock()
         self.stop_event = threading.Event()
         self.faults = HostFaults(fleet, size.fault, self.rng, self.stop_event)
-        self.history = CrashHistory(was_in_touch=self.faults.was_in_touch)
+        self.history = CrashHistory(
+            trigger=size.trigger, was_in_touch=self.faults.was_in_touch
+        )
 
     def run(self) -> CrashOutcome:
         """Send all requests and inject the faults, then check what happened."""
         self.prepare_targets()
-        groups = [Group.OWN] * self.size.own_callers
-        groups += [Group.SHARED] * self.size.shared_callers
+        rows = zip(GROUPS[self.size.trigger], self.size.callers, strict=True)
+        groups = [group for group, count in rows for _ in range(count)]
         threads = [
             threading.Thread(target=self.call_until_stopped, args=(number, group))
             for number, group in enumerate(groups)
@@ -162,6 +237,7 @@
         threads.append(threading.Thread(target=self.faults.run))
         for thread in threads:
             thread.start()
+        time.sleep(self.size.before_s)
         self.send_poison_requests()
         self.stop_event.set()
         for thread in threads:
@@ -170,15 +246,19 @@
         return self.outcome()
 
     def prepare_targets(self) -> None:
-        """Let the poison request end the targets."""
+        """Let the bad requests end the targets."""
         for target in self.fleet.targets:
-            target.knobs.ends_on = POISON_BODY
+            if self.size.trigger is Trigger.BODY:
+                target.knobs.ends_on = POISON_BODY
+            else:
+                target.knobs.ends_on_part = BAD_PART
             target.knobs.ending = self.size.ending
             target.knobs.pause_s = PAUSE_S
 
     def send_poison_requests(self) -> None:
-        """Send the poison request again and again, to any host."""
-        end = time.monotonic() + self.size.seconds
+        """Send bad requests again and again, to any host."""
+        self.history.begin = time.monotonic()
+        end = self.history.begin + self.size.seconds
         number = 0
         with ThreadPoolExecutor(32) as pool:
             while time.monotonic() < end:
@@ -186,12 +266,15 @@
                 host = self.rng.choice(self.fleet.hosts)
                 attempt = f"g{number}"
                 self.history.sent_by[attempt] = host.name
-                pool.submit(self.send_poison_request, host, attempt)
+                request = make_bad_request(
+                    self.size.trigger, number, self.size.workspaces, self.rng
+                )
+                pool.submit(self.send_poison_request, host, attempt, request)
                 time.sleep(POISON_INTERVAL_S)
 
-    def send_poison_request(self, host: Host, attempt: str) -> None:
-        """Send the poison request once."""
-        status, _ = self.call(host, self.size.path, POISON_BODY, attempt)
+    def send_poison_request(self, host: Host, attempt: str, request: Request) -> None:
+        """Send a bad request once."""
+        status, _ = self.call(host, self.size.path, request, attempt)
         with self.lock:
             self.history.statuses.append(status)
 
@@ -202,18 +285,24 @@
         while not self.stop_event.wait(0.02):
             count += 1
             name = f"c{number}-{count}"
-            body = SHARED_BODY if group is Group.SHARED else name.encode()
-            is_served = self.request(rng, name, body)
+            is_served = self.request(rng, name, group)
             with self.lock:
                 self.history.asked[group] += 1
                 self.history.served[group] += is_served
 
-    def request(self, rng: random.Random, name: str, body: bytes) -> bool:
+    def request(self, rng: random.Random, name: str, group: Group) -> bool:
         """Send one request until it is served; return whether it was."""
-        path = rng.choice(("/lookup/x", "/resume/stream/x"))
+        path = self.size.path
+        if self.size.trigger is Trigger.BODY:
+            path = rng.choice(("/lookup/x", "/resume/stream/x"))
+        request = make_sound_request(group, name, rng)
         for number in range(MAX_TRIES):
             host = rng.choice(self.fleet.hosts)
-            status, retry_after_s = self.call(host, path, body, f"{name}-{number}")
+            at = time.monotonic()
+            status, retry_after_s = self.call(host, path, request, f"{name}-{number}")
+            if number == 0:
+                row = FirstTry(at, host.name, group, status == 200)
+                self.history.first_tries.append(row)
             if status == 200:
                 return True
             if number + 1 < MAX_TRIES:
@@ -221,21 +310,21 @@
         return False
 
     def call(
-        self, host: Host, path: str, body: bytes, attempt: str
+        self, host: Host, path: str, request: Request, attempt: str
     ) -> tuple[int, float]:
         """Send one call; return its status and Retry-After, 0 if it failed."""
         headers = {
             "Host": "shop.example",
             names.ATTEMPT: attempt,
             names.DEADLINE_MS: str(int(CALL_TIMEOUT_S * 1000)),
-            "Authorization": "Bearer k1",
+            **request.headers(),
         }
         connection = http.client.HTTPConnection(
             host.caller_address, timeout=CALL_TIMEOUT_S
         )
         with contextlib.closing(connection):
             try:
-                connection.request("POST", path, body, headers)
+                connection.request("POST", path, request.body, headers)
                 answer = connection.getresponse()
                 answer.read()
             except (OSError, http.client.HTTPException):
@@ -257,14 +346,16 @@
         """Check the history and return the outcome."""
         history = self.history
         statuses = history.statuses
+        groups = GROUPS[history.trigger]
         return CrashOutcome(
             self.seed,
             len(history.endings),
             len(history.arrivals),
             len(history.late_arrivals()),
             {status: statuses.count(status) for status in sorted(set(statuses))},
-            {group.value: history.asked[group] for group in Group},
-            {group.value: round(history.served_fraction(group), 3) for group in Group},
+            {group.value: history.asked[group] for group in groups},
+            {group.value: round(history.served_fraction(group), 3) for group in groups},
+            {group.value: history.first_try_ratio(group) for group in groups},
             history.check(),
         )
 
@@ -292,7 +383,10 @@
 def main(
     *,
     seed: int = 1,
+    before: float = 0.0,
     seconds: float = 20.0,
+    trigger: str = Trigger.BODY.value,
+    workspaces: int = 1,
     path: str = "/stream/stream/x",
     ending: str = Ending.AFTER_HEAD.value,
     fault: str = HostFault.NONE.value,
@@ -305,10 +399,16 @@
     ----------
     seed : int
         Seed of all that is drawn.
+    before : float
+        Duration without bad requests, in seconds.
     seconds : float
-        Duration of the run in seconds.
+        Duration with them, in seconds.
+    trigger : str
+        What of a request ends targets: body, part or first_part.
+    workspaces : int
+        Number of workspaces that send such requests, 1 or 2.
     path : str
-        Path of the poison request.
+        Path of the bad requests.
     ending : str
         When targets end under it: before_head, after_head, mid_stream or silent.
     fault : str
@@ -320,7 +420,10 @@
     """
     size = CrashRunSize(
         hosts=hosts,
+        before_s=before,
         seconds=seconds,
+        trigger=Trigger(trigger),
+        workspaces=workspaces,
         path=path,
         ending=Ending(ending),
         fault=HostFault(fault),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -63,6 +63,8 @@
 UTIME_FIELD, STIME_FIELD = 13, 14
 """Zero-based fields of /proc/PID/stat, if the process name contains no space."""
 TARGET_SLOTS = 4
+OTHER_KEY = "other"
+"""Key of a second workspace."""
 EXPIRY_S = 1.0
 """Seconds after which the entry of a target that has ended is removed."""
 DRAIN_S = 3.0
@@ -91,7 +93,10 @@
         "version": version,
         "routes": routes,
         "services": [{"name": SERVICE}],
-        "tenants": [{"name": "w1", "apiKeys": keys}],
+        "tenants": [
+            {"name": "w1", "apiKeys": keys},
+            {"name": "w2", "apiKeys": [OTHER_KEY]},
+        ],
     }
 
 
