Failing test: a part of prompts goes on to end targets

Real hosts, targets that end under one part, callers who share the other parts; calm, with hosts cut off from their peers, and killed while two workspaces send such requests.

--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -5,8 +5,8 @@
 import pytest
 
 from godwitladder.standins.routed import Ending
+from soak.crash_requests import POISON_BODY, Request, Trigger
 from soak.crashes import (
-    POISON_BODY,
     CrashRun,
     CrashRunSize,
     run_crash_seed,
@@ -21,6 +21,12 @@
     "mid_stream_and_cuts": ("/stream/stream/x", Ending.MID_STREAM, HostFault.CUT),
     "before_head_and_kills": ("/charge/x", Ending.BEFORE_HEAD, HostFault.KILL),
 }
+RUNS_OF_PARTS = {
+    "after_head": ("/stream/stream/x", Ending.AFTER_HEAD, HostFault.NONE, 1),
+    "mid_stream_and_cuts": ("/resume/stream/x", Ending.MID_STREAM, HostFault.CUT, 1),
+    "before_head_and_kills": ("/charge/x", Ending.BEFORE_HEAD, HostFault.KILL, 2),
+}
+"""Path, ending, fault, and number of workspaces that send the bad requests."""
 HELD_BACK = 503
 TRIES = 12
 
@@ -35,6 +41,25 @@
     assert run_crash_seed(1, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("kind", RUNS_OF_PARTS)
+def test_a_part_of_prompts_that_ends_targets_reaches_no_more(kind, tmp_path):
+    """Guards against targets that end under requests of which no two are alike."""
+    path, ending, fault, workspaces = RUNS_OF_PARTS[kind]
+    size = CrashRunSize(
+        hosts=4,
+        targets=6,
+        callers=(4, 4),
+        before_s=4.0,
+        seconds=13.0,
+        trigger=Trigger.PART,
+        workspaces=workspaces,
+        path=path,
+        ending=ending,
+        fault=fault,
+    )
+    assert run_crash_seed(1, size, tmp_path).violations == []
+
+
 @pytest.fixture
 def run(tmp_path):
     """A run whose requests the test sends by itself."""
@@ -53,7 +78,7 @@
 
 def send_poison_request(run, host, number):
     """Send the poison request to a host and return the status."""
-    return run.call(host, "/charge/x", POISON_BODY, f"g{number}")[0]
+    return run.call(host, "/charge/x", Request(POISON_BODY), f"g{number}")[0]
 
 
 def send_until_held_back(run, host):
