Make room in a full table of suspects

Found by reading: with 10,000 suspects known, the next one was left out, so a caller who names many could keep the one that crashes targets from being known. The oldest that is not quarantined goes. The new test is red before (poison is clear).

--- a/godwitladder/decisions/quarantine.py
+++ b/godwitladder/decisions/quarantine.py
@@ -164,8 +164,6 @@
             # the target only ran beside it.
             return
         history = self._history(digest, now)
-        if history is None:
-            return
         self._add_crash(digest, history, crash, now)
         if trial or history.quarantined_until:
             self._quarantine(digest, history, now)
@@ -245,8 +243,6 @@
         if self.cleared.get(digest, float("-inf")) >= last_at:
             return False
         history = self._history(digest, last_at)
-        if history is None:
-            return False
         before = len(history.crashes), history.quarantined_until, history.retrials
         for process in processes:
             crash = self.crashes.get(process)
@@ -282,13 +278,30 @@
                 if now - at >= self.policy.suspicion_s:
                     del table[key]
 
-    def _history(self, digest: BodyDigest, now: float) -> CrashHistory | None:
-        """Return the history of a request, a new one if needed; None if it is full."""
+    def _history(self, digest: BodyDigest, now: float) -> CrashHistory:
+        """Return the history of a request, a new one if needed."""
         history = self.histories.get(digest)
-        if history is None and len(self.histories) < MAX_SUSPECTS:
+        if history is None:
+            self._make_room()
             history = self.histories[digest] = CrashHistory(now)
         return history
 
+    def _make_room(self) -> None:
+        """Forget the history that had no crash for longest, if there are too many.
+
+        If new ones were left out instead, a caller could fill the table with requests
+        of its own, and keep the next one that crashes targets from being known.
+        """
+        if len(self.histories) < MAX_SUSPECTS:
+            return
+        oldest = next(iter(self.histories))
+        for digest, history in self.histories.items():
+            if not history.quarantined_until:
+                oldest = digest
+                break
+        for crash in self.histories.pop(oldest).crashes:
+            crash.digests.discard(oldest)
+
     def _crash_record(self, process: TargetProcess, now: float) -> CrashRecord:
         """Return the record of the process's current crash, or create one."""
         crash = self.crashes.get(process)
@@ -303,8 +316,9 @@
         crash: CrashRecord,
         now: float,
     ) -> None:
-        """Add a crash to a request's history."""
+        """Add a crash to a request's history, which becomes the newest."""
         history.last_at = max(history.last_at, now)
+        self.histories[digest] = self.histories.pop(digest)
         if crash not in history.crashes:
             history.crashes.append(crash)
             crash.digests.add(digest)
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -177,3 +177,15 @@
     assert len(table.histories) == 10
     table.record_crash("t1", "late", False, 1.0 + HOLD_S)
     assert list(table.histories) == ["late"]
+
+
+def test_a_full_table_makes_room_for_the_next_suspect(monkeypatch):
+    """Guards against a caller that fills the table, so that the next one goes on."""
+    monkeypatch.setattr(quarantine, "MAX_SUSPECTS", 10)
+    table = Quarantine(PATIENT)
+    table.record_crash("t0", "held", True, 1.0)
+    for number in range(20):
+        table.record_crash(f"t{number}", f"r{number}", False, 2.0)
+    make_suspect(table, "poison", 3.0)
+    assert table.status("poison", 4.0) is QuarantineStatus.SUSPECT
+    assert table.status("held", 4.0) is QuarantineStatus.QUARANTINED
