Clear no request by an answer that turns it down

Found by reading: a 4xx of a target counted as a run to the end, and cleared the request and its crashes, though a target may turn a request down before it works on it. With parts of prompts it would clear them for all who share them. The new test is red before (a fifth target ends).

--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -314,7 +314,8 @@
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
-        if response.status < 500:
+        if response.status < 400:
+            # A target may turn a request down before it works on it.
             self.record_completion()
         self.finish(RequestState.COMPLETED)
         return answer.start(start_response)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -449,6 +449,17 @@
     assert bench.call("/charge/good", body=b"good").status == 200
 
 
+def test_a_request_that_a_target_turns_down_has_not_shown_that_it_is_sound(stack):
+    """Guards against a 404 that clears a request under which targets end."""
+    bench = Bench(stack, engines=5)
+    for number in (0, 2, 3, 4):
+        end_on(bench.engines[number], b"bad")
+    bench.engines[1].standin.knobs.status = 404
+    for _ in range(6):
+        bench.call("/charge/x", body=b"bad")
+    assert [len(engine.standin.runs) for engine in bench.engines] == [1, 1, 1, 1, 0]
+
+
 def test_a_call_that_ran_before_it_was_held_back_is_not_reported_as_not_run(stack):
     """Guards against a refusal as not run of a call that ended a target before.
 
