--- a/godwitladder/claims/records.py
+++ b/godwitladder/claims/records.py
@@ -6,7 +6,7 @@
 a host keeps every claim of the retention window.
 """
 
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, fields
 
 import cbor2
 
@@ -86,13 +86,15 @@
 def encode_record(record: StreamRecord) -> bytes:
     """Encode ``record`` as CBOR.
 
-    The generation in a crash is left out if it is empty, so that hosts of an older
-    version can read the record.
+    Fields at the end of a crash event that have their defaults are left out, so that
+    hosts of an older version can read the record.
     """
-    fields = list(astuple(record))
-    if isinstance(record, Crash) and not record.generation:
-        del fields[-1]
-    return cbor2.dumps([KINDS[type(record)], *fields])
+    values = list(astuple(record))
+    if isinstance(record, CrashEvent):
+        defaults = [field.default for field in fields(record)]
+        while values[-1] == defaults[len(values) - 1]:
+            del values[-1]
+    return cbor2.dumps([KINDS[type(record)], *values])
 
 
 def decode_record(data: bytes) -> StreamRecord:
--- a/godwitladder/decisions/quarantine.py
+++ b/godwitladder/decisions/quarantine.py
@@ -1,27 +1,32 @@
 """Quarantines requests that crash the targets that run them.
 
 A request may crash every target that runs it, while its caller retries it under a new
-key each time. Without a quarantine it takes down the pool target by target, together
-with everything else that runs there.
-
-After a crash nothing shows which of the requests that ran on the target was the cause.
-A request that has been part of some crashes in a row is a suspect, and runs only on
-trial. One that runs to its end, on trial or not, is cleared: it does not crash what
-runs it. A request whose target crashes during its trial is quarantined, and the
-crashes that it was part of are explained by it, so that those that ran beside it are
-no longer suspected for them.
-
-A trial may end with a crash that something else caused. A quarantined request may
+key each time. Or one part of prompts does so, in requests of which no two are alike.
+Without a quarantine they take down the pool target by target, together with everything
+else that runs there.
+
+What may be the cause is a *trait*: a request as a whole, or a part of its prompt. After
+a crash nothing shows which trait of which request on the target was the cause. A trait
+that has been part of some crashes in a row is a suspect, and requests with it run only
+on trial. One that runs to its end, on trial or not, clears all its traits: they do not
+crash what runs them. A request whose target crashes during its trial has its suspects
+quarantined.
+
+If these are several, not all are to blame: bad and sound requests may share parts. A
+request with only some of them is tried at once. It clears what it has, or shows that
+the others were not the cause.
+
+A trial may end with a crash that something else caused. A quarantined trait may
 therefore be tried again, a few times and ever later.
 
 Pure: times are passed in, in seconds.
 """
 
 import enum
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.ids import TargetName, TraitId
 
 # Hosts notice the same crash at different times. The last one does so when its
 # attempts to resume a stream have failed, some seconds later.
@@ -30,15 +35,16 @@
 # fixed in the engine, an operator lifts the quarantine, or it expires.
 HOLD_S = 600.0
 MAX_SUSPECTS = 10_000
+EXPIRY_INTERVAL_S = 1.0
 
 
 class QuarantineStatus(enum.Enum):
-    """Quarantine status of a request.
+    """Quarantine status of a trait, or of a request with it.
 
     Attributes
     ----------
     CLEAR
-        It may run.
+        The request may run.
     SUSPECT
         It may run only on trial.
     QUARANTINED
@@ -52,20 +58,31 @@
 
 @dataclass(frozen=True)
 class QuarantinePolicy:
-    """How much a request may crash, and for how long that is remembered.
+    """How much a trait may crash, and for how long that is remembered.
 
     Attributes
     ----------
     free_crashes : int
-        Number of crashes in a row that a request may be part of before it is a suspect.
+        Number of crashes in a row that a trait may be part of before it is a suspect.
+    trusted_crashes : int
+        The same for a trait that has completed in the last ``trust_s`` seconds. A
+        popular one runs on each target that crashes, and may be part of several
+        crashes between two completed runs.
+    explains_crashes : bool
+        Whether a quarantined trait explains its crashes, so that the others are no
+        longer suspected for them. Where several requests that crash targets may run at
+        once, one of them would take the blame for the others.
     suspicion_s, quarantine_s : float
-        Seconds from a request's last crash, and from its last refusal if it is
+        Seconds from a trait's last crash, and from its last refusal if it is
         quarantined, after which it is forgotten.
     retrial_delays_s : tuple of float
-        Seconds from the last crash of a quarantined request to each further trial.
+        Seconds from the last crash of a quarantined trait to each further trial.
     """
 
     free_crashes: int = 0
+    trusted_crashes: int = 0
+    trust_s: float = 0.0
+    explains_crashes: bool = True
     suspicion_s: float = HOLD_S
     quarantine_s: float = HOLD_S
     retrial_delays_s: tuple[float, ...] = ()
@@ -87,103 +104,173 @@
     ----------
     at : float
         Time of the first report.
-    digests : set
-        Suspects of this crash.
-    cause : BodyDigest or None
-        The request on trial that was found to be the cause.
+    traits : set
+        Those of the requests that ran on the target.
+    cause : TraitId or None
+        The trait that explains it.
     """
 
     process: TargetProcess
     at: float
-    digests: set[BodyDigest] = field(default_factory=set)
-    cause: BodyDigest | None = None
+    traits: set[TraitId] = field(default_factory=set)
+    cause: TraitId | None = None
 
 
 @dataclass
 class CrashHistory:
-    """The crashes of one request since it was last cleared.
+    """The crashes of one trait since it was last cleared.
 
     Attributes
     ----------
     last_at : float
         Time of the last crash.
     crashes : list of CrashRecord
-        Those that no other request explains.
+        Those that no other trait explains.
     quarantined_until : float
         End of its quarantine; 0 if it is not quarantined.
     retrials : int
         Number of trials since it was quarantined.
+    blamed : frozenset
+        Traits that were quarantined in the same trial, itself among them. At least one
+        of them was the cause.
     """
 
     last_at: float
     crashes: list[CrashRecord] = field(default_factory=list)
     quarantined_until: float = 0.0
     retrials: int = 0
+    blamed: frozenset[TraitId] = frozenset()
 
 
 @dataclass
 class Quarantine:
-    """Suspects and quarantined requests.
+    """Suspects and quarantined traits.
 
     Attributes
     ----------
     crashes : dict
         Last crash of each process of a target.
     histories : dict
-        The crashes of each request that has been part of any.
+        The crashes of each trait that has been part of any, by its last crash.
     cleared : dict
-        Time at which each request was last cleared.
+        Time at which each trait was last cleared.
+    expire_at : float
+        Time from which expired entries are removed again.
     """
 
     policy: QuarantinePolicy = field(default_factory=QuarantinePolicy)
     crashes: dict[TargetProcess, CrashRecord] = field(default_factory=dict)
-    histories: dict[BodyDigest, CrashHistory] = field(default_factory=dict)
-    cleared: dict[BodyDigest, float] = field(default_factory=dict)
+    histories: dict[TraitId, CrashHistory] = field(default_factory=dict)
+    cleared: dict[TraitId, float] = field(default_factory=dict)
+    expire_at: float = 0.0
 
     def record_crash(
         self,
         target: TargetName,
-        digest: BodyDigest,
+        trait: TraitId,
         trial: bool,
         now: float,
         generation: str = "",
+        others: Collection[TraitId] = (),
+        blamed: Collection[TraitId] = (),
     ) -> None:
-        """Record that ``target`` crashed while it ran ``digest``.
+        """Record that ``target`` crashed while it ran a request.
 
         Parameters
         ----------
+        trait : TraitId
+            The request as a whole.
         trial : bool
             Whether the request ran on trial.
         generation : str
             Generation of the target's process; empty if it is not known.
+        others : collection of TraitId
+            The request's other traits.
+        blamed : collection of TraitId
+            Those to quarantine for a crash on trial; by default ``trait``.
         """
-        self.remove_expired(now)
+        if now >= self.expire_at:
+            self.remove_expired(now)
         crash = self._crash_record(TargetProcess(target, generation), now)
         if crash.cause:
             # A request on trial is known to have caused this crash. The others on
             # the target only ran beside it.
             return
-        history = self._history(digest, now)
-        self._add_crash(digest, history, crash, now)
-        if trial or history.quarantined_until:
-            self._quarantine(digest, history, now)
-
-    def clear(self, digest: BodyDigest, now: float = 0.0) -> None:
-        """Clear a request that has run to completion."""
-        history = self.histories.pop(digest, None)
+        for row in (trait, *others):
+            self._add_crash(row, self._history(row, now), crash, now)
+        if trial:
+            self._quarantine(blamed or (trait,), now)
+            return
+        for row in (trait, *others):
+            history = self.histories.get(row)
+            if history is not None and history.quarantined_until:
+                self._hold(row, history, now)
+
+    def to_blame(
+        self,
+        traits: Sequence[TraitId],
+        target: TargetName,
+        generation: str,
+        now: float,
+    ) -> tuple[TraitId, ...]:
+        """Return which of a request's traits may have crashed the target of its trial.
+
+        That is those that are quarantined, or else the suspects, this crash included.
+
+        Parameters
+        ----------
+        traits : sequence of TraitId
+            The traits of the request, first the request as a whole.
+        target, generation : str
+            The target's process.
+        """
+        quarantined = self.with_status(traits, QuarantineStatus.QUARANTINED, now)
+        if quarantined:
+            return quarantined
+        process = TargetProcess(target, generation)
+        suspects = tuple(
+            trait
+            for trait in traits
+            if self._count_crashes(trait, process) > self._max_crashes(trait, now)
+        )
+        return suspects or tuple(traits[:1])
+
+    def clear(self, trait: TraitId, now: float = 0.0) -> None:
+        """Clear a trait of a request that has run to completion."""
+        history = self.histories.pop(trait, None)
         if history is None:
             return
-        self.cleared[digest] = now
+        self.cleared[trait] = now
         for crash in history.crashes:
-            crash.digests.discard(digest)
+            crash.traits.discard(trait)
+        # The cause is one of the others that were blamed with it.
+        for other in history.blamed & self.histories.keys():
+            self.histories[other].blamed -= {trait}
 
-    def lift(self, digest: BodyDigest, now: float = 0.0) -> None:
+    def record_completion(self, trait: TraitId, at: float) -> None:
+        """Record that a request with ``trait`` completed at ``at``.
+
+        That may be longer ago than the last crash, which then still counts.
+        """
+        history = self.histories.get(trait)
+        if history is None or history.last_at <= at:
+            self.clear(trait, at)
+            return
+        self.cleared[trait] = max(at, self.cleared.get(trait, float("-inf")))
+
+    def lift(self, trait: TraitId, now: float = 0.0) -> None:
         """End a quarantine or a suspicion."""
-        self.clear(digest, now)
+        self.clear(trait, now)
+
+    def with_status(
+        self, traits: Iterable[TraitId], status: QuarantineStatus, now: float
+    ) -> tuple[TraitId, ...]:
+        """Return those of ``traits`` that have a status."""
+        return tuple(row for row in traits if self.status(row, now) is status)
 
-    def status(self, digest: BodyDigest, now: float) -> QuarantineStatus:
-        """Return the quarantine status of ``digest``."""
-        history = self.histories.get(digest)
+    def status(self, trait: TraitId, now: float) -> QuarantineStatus:
+        """Return the quarantine status of ``trait``."""
+        history = self.histories.get(trait)
         if history is None:
             return QuarantineStatus.CLEAR
         if history.quarantined_until > now:
@@ -191,83 +278,101 @@
         if history.quarantined_until:
             return QuarantineStatus.CLEAR
         is_recent = now - history.last_at < self.policy.suspicion_s
-        if is_recent and len(history.crashes) > self.policy.free_crashes:
+        if is_recent and len(history.crashes) > self._max_crashes(trait, now):
             return QuarantineStatus.SUSPECT
         return QuarantineStatus.CLEAR
 
-    def is_known(self, digest: BodyDigest) -> bool:
-        """Return whether ``digest`` has been part of any crash; any thread may call."""
-        return digest in self.histories
+    def is_known(self, trait: TraitId) -> bool:
+        """Return whether ``trait`` has been part of any crash; any thread may call."""
+        return trait in self.histories
 
-    def is_retrial_due(self, digest: BodyDigest, now: float) -> bool:
-        """Return whether a quarantined request may be tried once more."""
-        history = self.histories[digest]
+    def is_trusted(self, trait: TraitId, now: float) -> bool:
+        """Return whether ``trait`` is known to have completed of late."""
+        return now - self.cleared.get(trait, float("-inf")) < self.policy.trust_s
+
+    def is_retrial_due(
+        self, trait: TraitId, now: float, beside: frozenset[TraitId] = frozenset()
+    ) -> bool:
+        """Return whether a quarantined trait may be tried once more.
+
+        Parameters
+        ----------
+        beside : frozenset of TraitId
+            All quarantined traits of the request to try. If they are fewer than were
+            blamed together, the trial shows more than the last one did.
+        """
+        history = self.histories[trait]
+        if beside and beside < history.blamed:
+            return True
         delays = self.policy.retrial_delays_s
         if history.retrials >= len(delays):
             return False
         return now - history.last_at >= delays[history.retrials]
 
-    def count_retrial(self, digest: BodyDigest) -> None:
-        """Count a trial of a request if it is quarantined."""
-        history = self.histories.get(digest)
+    def count_retrial(self, trait: TraitId) -> None:
+        """Count a trial of a trait if it is quarantined."""
+        history = self.histories.get(trait)
         if history is not None and history.quarantined_until:
             history.retrials += 1
 
-    def renew(self, digest: BodyDigest, now: float) -> None:
-        """Prolong the quarantine of a request that was refused for it.
+    def renew(self, trait: TraitId, now: float) -> None:
+        """Prolong the quarantine of a trait for which a request was refused.
 
         A caller who repeats it forever would otherwise get through each time that the
         quarantine ends.
         """
-        history = self.histories.get(digest)
+        history = self.histories.get(trait)
         if history is not None and history.quarantined_until:
             history.quarantined_until = now + self.policy.quarantine_s
 
-    def remaining_quarantines(self, now: float) -> dict[BodyDigest, float]:
+    def remaining_quarantines(self, now: float) -> dict[TraitId, float]:
         """Return the remaining time of each quarantine in seconds."""
         return {
-            digest: history.quarantined_until - now
-            for digest, history in self.histories.items()
+            trait: history.quarantined_until - now
+            for trait, history in self.histories.items()
             if history.quarantined_until > now
         }
 
     def restore(
         self,
-        digest: BodyDigest,
+        trait: TraitId,
         processes: Iterable[TargetProcess],
         last_at: float,
         quarantined_until: float,
         retrials: int,
+        blamed: Collection[TraitId] = (),
     ) -> bool:
-        """Add what another host knows of a request; return whether any of it is new."""
-        if self.cleared.get(digest, float("-inf")) >= last_at:
+        """Add what another host knows of a trait; return whether any of it is new."""
+        if self.cleared.get(trait, float("-inf")) >= last_at:
             return False
-        history = self._history(digest, last_at)
+        history = self._history(trait, last_at)
         before = len(history.crashes), history.quarantined_until, history.retrials
         for process in processes:
             crash = self.crashes.get(process)
             if crash is None:
                 crash = self.crashes[process] = CrashRecord(process, last_at)
             if not crash.cause:
-                self._add_crash(digest, history, crash, last_at)
+                self._add_crash(trait, history, crash, last_at)
         if quarantined_until:
             history.retrials = max(history.retrials, retrials)
             if not history.quarantined_until:
-                self._quarantine(digest, history, last_at)
+                self._quarantine((trait,), last_at)
+                history.blamed = frozenset(blamed) or history.blamed
             history.quarantined_until = max(
                 history.quarantined_until, quarantined_until
             )
         elif not history.crashes and not history.quarantined_until:
-            del self.histories[digest]
+            del self.histories[trait]
             return False
         is_new = len(history.crashes) != before[0] or history.retrials != before[2]
         return is_new or bool(history.quarantined_until) != bool(before[1])
 
     def remove_expired(self, now: float) -> None:
         """Remove expired entries, which bounds the size of the tables."""
+        self.expire_at = now + EXPIRY_INTERVAL_S
         self.histories = {
-            digest: history
-            for digest, history in self.histories.items()
+            trait: history
+            for trait, history in self.histories.items()
             if max(history.last_at + self.policy.suspicion_s, history.quarantined_until)
             > now
         }
@@ -278,29 +383,29 @@
                 if now - at >= self.policy.suspicion_s:
                     del table[key]
 
-    def _history(self, digest: BodyDigest, now: float) -> CrashHistory:
-        """Return the history of a request, a new one if needed."""
-        history = self.histories.get(digest)
+    def _history(self, trait: TraitId, now: float) -> CrashHistory:
+        """Return the history of a trait, a new one if needed."""
+        history = self.histories.get(trait)
         if history is None:
             self._make_room()
-            history = self.histories[digest] = CrashHistory(now)
+            history = self.histories[trait] = CrashHistory(now)
         return history
 
     def _make_room(self) -> None:
         """Forget the history that had no crash for longest, if there are too many.
 
-        If new ones were left out instead, a caller could fill the table with requests
+        If new ones were left out instead, a caller could fill the table with traits
         of its own, and keep the next one that crashes targets from being known.
         """
         if len(self.histories) < MAX_SUSPECTS:
             return
         oldest = next(iter(self.histories))
-        for digest, history in self.histories.items():
+        for trait, history in self.histories.items():
             if not history.quarantined_until:
-                oldest = digest
+                oldest = trait
                 break
         for crash in self.histories.pop(oldest).crashes:
-            crash.digests.discard(oldest)
+            crash.traits.discard(oldest)
 
     def _crash_record(self, process: TargetProcess, now: float) -> CrashRecord:
         """Return the record of the process's current crash, or create one."""
@@ -311,37 +416,60 @@
 
     def _add_crash(
         self,
-        digest: BodyDigest,
+        trait: TraitId,
         history: CrashHistory,
         crash: CrashRecord,
         now: float,
     ) -> None:
-        """Add a crash to a request's history, which becomes the newest."""
+        """Add a crash to a trait's history, which becomes the newest."""
         history.last_at = max(history.last_at, now)
-        self.histories[digest] = self.histories.pop(digest)
+        self.histories[trait] = self.histories.pop(trait)
         if crash not in history.crashes:
             history.crashes.append(crash)
-            crash.digests.add(digest)
+            crash.traits.add(trait)
 
-    def _quarantine(
-        self, digest: BodyDigest, history: CrashHistory, now: float
-    ) -> None:
-        """Quarantine ``digest``, and clear the others of the crashes it explains."""
+    def _count_crashes(self, trait: TraitId, process: TargetProcess) -> int:
+        """Return the number of a trait's crashes, that of ``process`` included."""
+        history = self.histories.get(trait)
+        crashes = history.crashes if history else []
+        return len({process, *(crash.process for crash in crashes)})
+
+    def _max_crashes(self, trait: TraitId, now: float) -> int:
+        """Return the number of crashes that a trait may be part of."""
+        if self.is_trusted(trait, now):
+            return self.policy.trusted_crashes
+        return self.policy.free_crashes
+
+    def _quarantine(self, traits: Collection[TraitId], now: float) -> None:
+        """Quarantine ``traits``, one of which has crashed the target of its trial.
+
+        With each such trial, fewer others may be to blame instead.
+        """
+        for trait in traits:
+            history = self._history(trait, now)
+            both = history.blamed.intersection(traits)
+            history.blamed = both or frozenset(traits)
+            self._hold(trait, history, now)
+
+    def _hold(self, trait: TraitId, history: CrashHistory, now: float) -> None:
+        """Begin or prolong a quarantine; clear others of the crashes it explains."""
         history.quarantined_until = now + self.policy.quarantine_s
+        if not self.policy.explains_crashes:
+            return
         for crash in history.crashes:
-            crash.cause = digest
-            for other in crash.digests - {digest}:
+            crash.cause = trait
+            for other in crash.traits - {trait}:
                 self._remove_crash(other, crash)
-            crash.digests = {digest}
+            crash.traits = {trait}
 
-    def _remove_crash(self, digest: BodyDigest, crash: CrashRecord) -> None:
-        """Remove a crash that another request explains from a request's history."""
-        history = self.histories.get(digest)
+    def _remove_crash(self, trait: TraitId, crash: CrashRecord) -> None:
+        """Remove a crash that another trait explains from a trait's history."""
+        history = self.histories.get(trait)
         if history is None or crash not in history.crashes:
             return
         history.crashes.remove(crash)
         if not history.crashes and not history.quarantined_until:
-            del self.histories[digest]
+            del self.histories[trait]
 
 
 @dataclass
@@ -360,25 +488,25 @@
 
 @dataclass
 class Trials:
-    """Trials of suspects, at most one for each request and each target.
+    """Trials of suspects, at most one for each trait and each target.
 
     With two on one target, a crash would not show which of them was the cause.
     """
 
     max_trial_s: float
-    rows: dict[BodyDigest, Trial] = field(default_factory=dict)
+    rows: dict[TraitId, Trial] = field(default_factory=dict)
 
-    def begin(self, digest: BodyDigest, target: TargetName, now: float) -> None:
+    def begin(self, trait: TraitId, target: TargetName, now: float) -> None:
         """Record that a trial begins."""
-        self.rows[digest] = Trial(target, now + self.max_trial_s)
+        self.rows[trait] = Trial(target, now + self.max_trial_s)
 
-    def end(self, digest: BodyDigest) -> None:
+    def end(self, trait: TraitId) -> None:
         """Record that a trial has ended."""
-        self.rows.pop(digest, None)
+        self.rows.pop(trait, None)
 
-    def is_running(self, digest: BodyDigest, now: float) -> bool:
-        """Return whether a request is on trial."""
-        trial = self.rows.get(digest)
+    def is_running(self, trait: TraitId, now: float) -> bool:
+        """Return whether a request with ``trait`` is on trial."""
+        trial = self.rows.get(trait)
         return trial is not None and trial.until > now
 
     def is_used(self, target: TargetName, now: float) -> bool:
--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -14,7 +14,8 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.quarantine import TargetProcess
 from godwitladder.engines.wire import NoConnection, connect
-from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.ids import TargetName
+from godwitladder.quarantine.traits import RequestTraits
 
 PROBE_TIMEOUT_S = 0.1
 MAX_OTHERS_TRIED = 4
@@ -39,7 +40,7 @@
         Names of the parts of its prompt, in order.
     """
 
-    digest: BodyDigest
+    traits: RequestTraits
     target: TargetName
     address: str
     generation: str
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.quarantine import QuarantinePolicy, QuarantineStatus
+from godwitladder.decisions.quarantine import QuarantinePolicy
 from godwitladder.findings import GodwitladderError
-from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.ids import TargetName
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import Reason, Refusal, refuse
 from godwitladder.quarantine.evidence import CrashEvidence, LostCall, TargetPresence
@@ -23,11 +23,14 @@
     TrialEnded,
 )
 from godwitladder.quarantine.registry import QuarantineRegistry
+from godwitladder.quarantine.traits import RequestTraits
 
 log = component_logger("quarantine")
 
 ROUTED_POLICY = QuarantinePolicy(
     free_crashes=1,
+    trusted_crashes=3,
+    trust_s=60.0,
     quarantine_s=3_600.0,
     retrial_delays_s=(5.0, 30.0),
 )
@@ -37,12 +40,12 @@
 MAX_LOGGED_PARTS = 8
 MAX_LOGGED_CHARS = 24
 QUARANTINED_TEXT = (
-    "Targets crashed one after the other while they ran this request ({}). It is not "
-    "sent to any more of them."
+    "Targets crashed one after the other while they ran this request, or others with "
+    "the same part of a prompt ({}). It is not sent to any more of them."
 )
 ON_TRIAL_TEXT = (
-    "Targets crashed while they ran this request ({}). It is tried once at a time, "
-    "and another try is running."
+    "Targets crashed while they ran this request, or others with the same part of a "
+    "prompt ({}). One is tried at a time, and another try is running."
 )
 
 
@@ -90,27 +93,27 @@
         self.evidence = evidence
 
     def refusal(
-        self, digest: BodyDigest, target: TargetName | None = None
+        self, traits: RequestTraits, target: TargetName | None = None
     ) -> Refusal | None:
         """Return why a call must not be sent, at all or to ``target``; None if it may.
 
         A quarantined request is refused without a time to come back: it would be
         refused again. A suspect may come back as soon as the trial has ended.
         """
-        if not self.registry.is_known(digest):
+        if not self.registry.is_known(traits.ids):
             return None
-        status = self.registry.status(digest)
-        if status is QuarantineStatus.CLEAR:
+        held = self.registry.held_traits(traits.ids)
+        if not held:
             return None
-        if self.registry.refuses(digest):
-            text = QUARANTINED_TEXT.format(digest[:8])
-            return refuse(Reason.CRASHED_TARGETS, text)
-        if self.registry.may_try(digest, target):
+        name = held[0][:MAX_LOGGED_CHARS]
+        if self.registry.refuses(traits.ids):
+            return refuse(Reason.CRASHED_TARGETS, QUARANTINED_TEXT.format(name))
+        if self.registry.may_try(traits.ids, target):
             return None
-        text = ON_TRIAL_TEXT.format(digest[:8])
+        text = ON_TRIAL_TEXT.format(name)
         return refuse(Reason.CRASHED_TARGETS, text, TRIAL_RETRY_S)
 
-    def begin(self, digest: BodyDigest, target: TargetName) -> bool:
+    def begin(self, traits: RequestTraits, target: TargetName) -> bool:
         """Check a call again right before its first byte; return if it is a trial.
 
         Copies that were admitted before the first crash was known wait in the queue.
@@ -120,24 +123,26 @@
         HeldBack
             The call must not be sent.
         """
-        if not self.registry.is_known(digest):
+        if not self.registry.is_known(traits.ids):
             return False
-        refusal = self.refusal(digest, target)
+        refusal = self.refusal(traits, target)
         if refusal is not None:
             raise HeldBack(refusal)
-        if self.registry.status(digest) is QuarantineStatus.CLEAR:
+        held = self.registry.held_traits(traits.ids)
+        if not held:
             return False
-        self.publish(TrialBegan(make_event_id(), digest, target))
+        self.publish(TrialBegan(make_event_id(), traits.digest, target, held))
         return True
 
-    def end_trial(self, digest: BodyDigest) -> None:
+    def end_trial(self, traits: RequestTraits) -> None:
         """Report that a trial has ended without a verdict."""
-        self.publish(TrialEnded(make_event_id(), digest))
+        self.publish(TrialEnded(make_event_id(), traits.digest, traits.ids))
 
-    def record_completion(self, digest: BodyDigest) -> None:
-        """Record that a request has run to its end."""
-        if self.registry.is_known(digest):
-            self.publish(Cleared(make_event_id(), digest))
+    def record_completion(self, traits: RequestTraits) -> None:
+        """Record that a request has run to its end, which clears all its traits."""
+        news = self.registry.record_completion(traits.ids)
+        if news:
+            self.publish(Cleared(make_event_id(), traits.digest, news))
 
     def record_loss(self, call: LostCall) -> bool:
         """Record a call whose connection broke; return whether its target has ended."""
@@ -162,9 +167,20 @@
 
     def publish_crash(self, call: LostCall) -> None:
         """Report that a target has ended under a call."""
+        blamed = ()
+        if call.trial:
+            blamed = self.registry.to_blame(
+                call.traits.ids, call.target, call.generation
+            )
         self.publish(
             Crash(
-                make_event_id(), call.target, call.digest, call.trial, call.generation
+                make_event_id(),
+                call.target,
+                call.traits.digest,
+                call.trial,
+                call.generation,
+                call.traits.parts,
+                blamed,
             )
         )
 
@@ -172,12 +188,33 @@
         """Apply an event of this host and send it to all peers."""
         self.registry.apply(event)
         self.broadcast(event)
+        self.speak_for(event)
+
+    def receive(self, event: QuarantineEvent, source: str) -> bool:
+        """Apply an event of a peer; return whether it is new."""
+        is_new = self.registry.apply(event, source=source)
+        if is_new:
+            self.speak_for(event)
+        return is_new
+
+    def speak_for(self, event: QuarantineEvent) -> None:
+        """Tell all of suspects of a crash that have completed here before.
+
+        A trait that few requests share may be part of two crashes before one of them
+        completes again. No peer knows that others have completed.
+        """
+        if not isinstance(event, Crash):
+            return
+        traits = RequestTraits(event.digest, event.parts)
+        found, age_s = self.registry.past_completions(traits.ids)
+        if found:
+            self.publish(Cleared(make_event_id(), event.digest, found, age_s))
 
 
 def log_loss(text: str, call: LostCall) -> None:
     """Log what shows, or doesn't, that a target has ended under a call."""
     extra = {
-        "body": call.digest[:8],
+        "body": call.traits.digest[:8],
         "target": call.target,
         "address": call.address,
         "trial": call.trial,
--- a/godwitladder/quarantine/records.py
+++ b/godwitladder/quarantine/records.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from godwitladder.decisions.quarantine import TargetProcess
-from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.ids import BodyDigest, TargetName, TraitId
 from godwitladder.membership.codec import peer_message
 
 
@@ -21,6 +21,10 @@
         Whether the request ran on trial.
     generation : str
         Generation of the target's process; empty if it is not known.
+    parts : tuple of TraitId
+        The request's traits beside its digest.
+    blamed : tuple of TraitId
+        Traits to quarantine for a crash on trial; the digest alone if empty.
     """
 
     report: str
@@ -28,15 +32,27 @@
     digest: BodyDigest
     trial: bool
     generation: str = ""
+    parts: tuple[TraitId, ...] = ()
+    blamed: tuple[TraitId, ...] = ()
 
 
 @peer_message
 @dataclass(frozen=True)
 class Cleared:
-    """A request that was part of crashes has completed."""
+    """A request that was part of crashes has completed.
+
+    Attributes
+    ----------
+    traits : tuple of TraitId
+        Those of its traits that are cleared; the digest alone if empty.
+    age_s : float
+        Seconds since it completed.
+    """
 
     report: str
     digest: BodyDigest
+    traits: tuple[TraitId, ...] = ()
+    age_s: float = 0.0
 
 
 @peer_message
@@ -52,20 +68,28 @@
 @peer_message
 @dataclass(frozen=True)
 class TrialBegan:
-    """A suspect is about to be sent to a target, on trial."""
+    """A suspect is about to be sent to a target, on trial.
+
+    Attributes
+    ----------
+    traits : tuple of TraitId
+        Those for which it is on trial; the digest alone if empty.
+    """
 
     report: str
     digest: BodyDigest
     target: TargetName
+    traits: tuple[TraitId, ...] = ()
 
 
 @peer_message
 @dataclass(frozen=True)
 class TrialEnded:
-    """A trial has ended without a verdict."""
+    """A trial has ended without a verdict; ``traits`` as in `TrialBegan`."""
 
     report: str
     digest: BodyDigest
+    traits: tuple[TraitId, ...] = ()
 
 
 CrashEvent = Crash | Cleared | Lifted
@@ -74,32 +98,35 @@
 
 @dataclass(frozen=True)
 class KnownHistory:
-    """What a host knows of a request that was part of crashes.
+    """What a host knows of a trait that was part of crashes.
 
     Attributes
     ----------
     processes : tuple of TargetProcess
-        Processes that ended under it and that no other request explains.
+        Processes that ended under it and that no other trait explains.
     age_s : float
         Seconds since the last of these crashes.
     quarantined_s : float
         Seconds for which it is still quarantined; 0 if it is not.
     retrials : int
         Number of trials since it was quarantined.
+    blamed : tuple of TraitId
+        Traits that were quarantined in the same trial.
     """
 
-    digest: BodyDigest
+    trait: TraitId
     processes: tuple[TargetProcess, ...]
     age_s: float
     quarantined_s: float = 0.0
     retrials: int = 0
+    blamed: tuple[TraitId, ...] = ()
 
 
 @dataclass(frozen=True)
 class KnownClearing:
-    """A request that has completed, and the seconds since then."""
+    """A trait of a request that has completed, and the seconds since then."""
 
-    digest: BodyDigest
+    trait: TraitId
     age_s: float
 
 
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -2,6 +2,7 @@
 
 import functools
 import threading
+from collections.abc import Iterable, Sequence
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.quarantine import (
@@ -10,8 +11,9 @@
     QuarantineStatus,
     Trials,
 )
-from godwitladder.ids import BodyDigest, TargetName
+from godwitladder.ids import TargetName, TraitId
 from godwitladder.logs import component_logger
+from godwitladder.quarantine.completions import CompletionMemory
 from godwitladder.quarantine.records import (
     Cleared,
     Crash,
@@ -38,14 +40,14 @@
 
 
 class QuarantineRegistry:
-    """Table of suspects and quarantined requests, which any thread may use.
+    """Table of suspects and quarantined traits, which any thread may use.
 
     Parameters
     ----------
     clock : Clock
         The host's clock.
     policy : QuarantinePolicy
-        When a request is suspected, and for how long.
+        When a trait is suspected, and for how long.
 
     Attributes
     ----------
@@ -53,6 +55,8 @@
         Ids of the latest events that were applied, in order of arrival.
     trials : Trials
         Trials that run, on any host.
+    completions : CompletionMemory
+        What has completed on this host.
     source : str
         Where the event that is being applied came from.
     """
@@ -61,45 +65,122 @@
         self.clock = clock
         self.table = Quarantine(policy)
         self.trials = Trials(MAX_TRIAL_S)
+        self.completions = CompletionMemory()
         self.seen: dict[str, None] = {}
         self.source = ""
         self.lock = threading.Lock()
 
-    def status(self, digest: BodyDigest) -> QuarantineStatus:
-        """Return the quarantine status of the request with ``digest``."""
+    def status(self, traits: Iterable[TraitId]) -> QuarantineStatus:
+        """Return the quarantine status of a request with ``traits``."""
+        now = self.clock.monotonic()
+        with self.lock:
+            found = {self.table.status(trait, now) for trait in traits}
+        for status in (QuarantineStatus.QUARANTINED, QuarantineStatus.SUSPECT):
+            if status in found:
+                return status
+        return QuarantineStatus.CLEAR
+
+    def is_known(self, traits: Iterable[TraitId]) -> bool:
+        """Return whether a request's traits have been part of any crash."""
+        return any(self.table.is_known(trait) for trait in traits)
+
+    def held_traits(self, traits: Iterable[TraitId]) -> tuple[TraitId, ...]:
+        """Return the traits for which a request is held back, or runs on trial only."""
+        now = self.clock.monotonic()
         with self.lock:
-            return self.table.status(digest, self.clock.monotonic())
+            return self._held_traits(traits, now)
+
+    def _held_traits(self, traits: Iterable[TraitId], now: float) -> tuple:
+        clear = QuarantineStatus.CLEAR
+        return tuple(row for row in traits if self.table.status(row, now) is not clear)
 
-    def is_known(self, digest: BodyDigest) -> bool:
-        """Return whether a request has been part of any crash."""
-        return self.table.is_known(digest)
+    def to_blame(
+        self, traits: Sequence[TraitId], target: TargetName, generation: str
+    ) -> tuple[TraitId, ...]:
+        """Return which traits may have crashed the target of a trial."""
+        now = self.clock.monotonic()
+        with self.lock:
+            return self.table.to_blame(traits, target, generation, now)
 
-    def remaining_quarantines(self) -> dict[BodyDigest, float]:
-        """Return the remaining time of each quarantine in seconds, by digest."""
+    def remaining_quarantines(self) -> dict[TraitId, float]:
+        """Return the remaining time of each quarantine in seconds, by trait."""
         with self.lock:
             return self.table.remaining_quarantines(self.clock.monotonic())
 
-    def refuses(self, digest: BodyDigest) -> bool:
+    def refuses(self, traits: Iterable[TraitId]) -> bool:
         """Return whether a request must not run now, and prolong its quarantine."""
         now = self.clock.monotonic()
         with self.lock:
-            status = self.table.status(digest, now)
-            if status is not QuarantineStatus.QUARANTINED:
+            held = self.table.with_status(traits, QuarantineStatus.QUARANTINED, now)
+            if not held:
                 return False
-            is_due = self.table.is_retrial_due(digest, now)
-            if is_due and not self.trials.is_running(digest, now):
+            beside = frozenset(held)
+            is_due = all(self.table.is_retrial_due(row, now, beside) for row in held)
+            if is_due and not self._is_on_trial(held, now):
                 return False
-            self.table.renew(digest, now)
+            for trait in held:
+                self.table.renew(trait, now)
             return True
 
-    def may_try(self, digest: BodyDigest, target: TargetName | None = None) -> bool:
+    def may_try(
+        self, traits: Iterable[TraitId], target: TargetName | None = None
+    ) -> bool:
         """Return whether a suspect may be tried now, at ``target`` if that is given."""
         now = self.clock.monotonic()
         with self.lock:
-            if self.trials.is_running(digest, now):
+            if self._is_on_trial(self._held_traits(traits, now), now):
                 return False
             return target is None or not self.trials.is_used(target, now)
 
+    def _is_on_trial(self, traits: Iterable[TraitId], now: float) -> bool:
+        return any(self.trials.is_running(trait, now) for trait in traits)
+
+    def record_completion(self, traits: Sequence[TraitId]) -> tuple[TraitId, ...]:
+        """Record that a request has completed here; return what peers should know.
+
+        That is each trait that is held or on trial, or that has crashed and was not
+        cleared of late. If peers were told of each run, a popular one would cost a
+        message each time.
+        """
+        now = self.clock.monotonic()
+        with self.lock:
+            self.completions.record(traits, now)
+            if not self.table.histories and not self.trials.rows:
+                return ()
+            return tuple(trait for trait in traits if self._is_news(trait, now))
+
+    def _is_news(self, trait: TraitId, now: float) -> bool:
+        if trait in self.trials.rows:
+            return True
+        history = self.table.histories.get(trait)
+        if history is None:
+            return False
+        is_recent = self.table.is_trusted(trait, now + self.table.policy.trust_s / 2)
+        return bool(
+            history.quarantined_until
+            or len(history.crashes) > self.table.policy.free_crashes
+            or not is_recent
+        )
+
+    def past_completions(
+        self, traits: Iterable[TraitId]
+    ) -> tuple[tuple[TraitId, ...], float]:
+        """Return which suspects have completed here of late, and their greatest age.
+
+        Only those that are not known to have done so anywhere.
+        """
+        now = self.clock.monotonic()
+        trust_s = self.table.policy.trust_s
+        with self.lock:
+            suspects = self.table.with_status(traits, QuarantineStatus.SUSPECT, now)
+            ages = {
+                trait: now - self.completions.last(trait)
+                for trait in suspects
+                if not self.table.is_trusted(trait, now)
+            }
+        found = {trait: age_s for trait, age_s in ages.items() if age_s < trust_s}
+        return tuple(found), max(found.values(), default=0.0)
+
     def apply(
         self, event: QuarantineEvent, age_s: float = 0.0, source: str = ""
     ) -> bool:
@@ -128,78 +209,109 @@
 
     @_apply.register
     def _(self, event: Crash, at: float) -> None:
-        before = self.table.status(event.digest, at)
+        traits = (TraitId(event.digest), *event.parts)
+        before = self._held_traits(traits, at)
         self.table.record_crash(
-            event.target, event.digest, event.trial, at, event.generation
+            event.target,
+            event.digest,
+            event.trial,
+            at,
+            event.generation,
+            event.parts,
+            event.blamed,
         )
-        self.trials.end(event.digest)
-        history = self.table.histories.get(event.digest)
-        after = self.table.status(event.digest, at)
+        if event.trial:
+            self._end_trials(traits)
+        histories = [self.table.histories.get(trait) for trait in traits]
+        quarantined = self.table.with_status(traits, QuarantineStatus.QUARANTINED, at)
         extra = {
             "body": event.digest[:8],
             "target": event.target,
             "trial": event.trial,
             "from": self.source,
-            "crashes": len(history.crashes) if history else 0,
-            "status": after.value,
+            "crashes": max(len(row.crashes) if row else 0 for row in histories),
+            "held": self._held_traits(traits, at)[:MAX_LOGGED_ROWS],
+            "quarantined": quarantined[:MAX_LOGGED_ROWS],
         }
         log.info("A target crashed under a request", extra=extra)
-        if after is not before and after is QuarantineStatus.QUARANTINED:
-            log.warning("A request is quarantined", extra=extra)
+        if event.trial and quarantined:
+            extra["held_before"] = before[:MAX_LOGGED_ROWS]
+            log.warning("Traits of a request are quarantined", extra=extra)
 
     @_apply.register
     def _(self, event: Cleared, at: float) -> None:
-        self.table.clear(event.digest, at)
-        self.trials.end(event.digest)
-        extra = {"body": event.digest[:8], "from": self.source}
+        traits = event.traits or (TraitId(event.digest),)
+        known = [trait for trait in traits if self.table.is_known(trait)]
+        for trait in traits:
+            if event.age_s:
+                self.table.record_completion(trait, at - event.age_s)
+            else:
+                self.table.clear(trait, at)
+        self._end_trials(traits)
+        extra = {
+            "body": event.digest[:8],
+            "from": self.source,
+            "cleared": known[:MAX_LOGGED_ROWS],
+            "age_s": round(event.age_s, 3),
+        }
         log.info("A request is cleared", extra=extra)
 
     @_apply.register
     def _(self, event: Lifted, at: float) -> None:
-        self.table.lift(event.digest, at)
+        self.table.lift(TraitId(event.digest), at)
         extra = {"body": event.digest[:8], "operator": event.operator}
         log.info("A quarantine was lifted", extra=extra)
 
     @_apply.register
     def _(self, event: TrialBegan, at: float) -> None:
-        self.table.count_retrial(event.digest)
-        self.trials.begin(event.digest, event.target, at)
+        traits = event.traits or (TraitId(event.digest),)
+        for trait in traits:
+            self.table.count_retrial(trait)
+            self.trials.begin(trait, event.target, at)
         extra = {
             "body": event.digest[:8],
             "target": event.target,
             "from": self.source,
+            "held": traits[:MAX_LOGGED_ROWS],
         }
         log.info("A request is on trial", extra=extra)
 
     @_apply.register
     def _(self, event: TrialEnded, at: float) -> None:
-        self.trials.end(event.digest)
+        self._end_trials(event.traits or (TraitId(event.digest),))
         extra = {"body": event.digest[:8], "from": self.source}
         log.info("A trial has ended without a verdict", extra=extra)
 
+    def _end_trials(self, traits: Iterable[TraitId]) -> None:
+        for trait in traits:
+            self.trials.end(trait)
+
     def known_crashes(self) -> KnownCrashes:
         """Return all that this host knows, for a peer."""
         now = self.clock.monotonic()
         with self.lock:
             self.table.remove_expired(now)
+            # The quarantined ones first: a host that starts has to know them.
             histories = sorted(
-                self.table.histories.items(), key=lambda row: -row[1].last_at
+                self.table.histories.items(),
+                key=lambda row: (not row[1].quarantined_until, -row[1].last_at),
             )
             cleared = sorted(self.table.cleared.items(), key=lambda row: -row[1])
             return KnownCrashes(
                 tuple(
                     KnownHistory(
-                        digest,
+                        trait,
                         tuple(crash.process for crash in row.crashes),
                         now - row.last_at,
                         max(0.0, row.quarantined_until - now),
                         row.retrials,
+                        tuple(row.blamed),
                     )
-                    for digest, row in histories[:MAX_KNOWN_ROWS]
+                    for trait, row in histories[:MAX_KNOWN_ROWS]
                 ),
                 tuple(
-                    KnownClearing(digest, now - at)
-                    for digest, at in cleared[:MAX_KNOWN_ROWS]
+                    KnownClearing(trait, now - at)
+                    for trait, at in cleared[:MAX_KNOWN_ROWS]
                 ),
             )
 
@@ -216,28 +328,29 @@
         if new != NOTHING_KNOWN:
             extra = {
                 "from": source,
-                "crashed": [row.digest[:8] for row in rows[:MAX_LOGGED_ROWS]],
-                "cleared": [row.digest[:8] for row in cleared[:MAX_LOGGED_ROWS]],
+                "crashed": [row.trait[:8] for row in rows[:MAX_LOGGED_ROWS]],
+                "cleared": [row.trait[:8] for row in cleared[:MAX_LOGGED_ROWS]],
             }
             log.info("Learned of crashes from a peer", extra=extra)
         return new
 
     def _merge_clearing(self, row: KnownClearing, now: float) -> bool:
         at = now - row.age_s
-        if self.table.cleared.get(row.digest, float("-inf")) >= at:
+        if self.table.cleared.get(row.trait, float("-inf")) >= at:
             return False
-        history = self.table.histories.get(row.digest)
+        history = self.table.histories.get(row.trait)
         if history is None or history.last_at > at:
             return False
-        self.table.clear(row.digest, at)
+        self.table.clear(row.trait, at)
         return True
 
     def _merge_history(self, row: KnownHistory, now: float) -> bool:
         quarantined_until = now + row.quarantined_s if row.quarantined_s else 0.0
         return self.table.restore(
-            row.digest,
+            row.trait,
             row.processes,
             now - row.age_s,
             quarantined_until,
             row.retrials,
+            row.blamed,
         )
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -18,7 +18,7 @@
 from godwitladder.decisions.quarantine import HOLD_S, QuarantineStatus
 from godwitladder.engines.engine import resume_stream
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
-from godwitladder.ids import BodyDigest
+from godwitladder.ids import BodyDigest, TraitId
 from godwitladder.logs import component_logger
 from godwitladder.membership.links import Link
 from godwitladder.membership.mesh import Mesh
@@ -143,7 +143,7 @@
 
     def status(self, digest: BodyDigest) -> QuarantineStatus:
         """Return the quarantine status of the request with ``digest``."""
-        return self.registry.status(digest)
+        return self.registry.status((TraitId(digest),))
 
     def handle_message(self, link: Link, message: CrashEvent) -> None:
         """Apply a peer's event, and forward it if it is new."""
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -21,12 +21,14 @@
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
+from godwitladder.quarantine.traits import RequestTraits, make_traits
 from godwitladder.routing.calls import (
     CallMetadata,
     HeaderCodec,
     Headers,
     PromptPart,
     RoutedCall,
+    part_names,
 )
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.routing.matching import RouteTable, choose_split, parse_host_header
@@ -210,7 +212,9 @@
         origin = self.find_origin(route, metadata, digest)
         service = origin.service
         self.check_admission((service, workspace.name), metadata)
-        refusal = self.proxy.quarantine.refusal(digest)
+        parts = part_names(metadata)
+        traits = make_traits(digest, workspace.name, service, parts)
+        refusal = self.proxy.quarantine.refusal(traits)
         if refusal is not None:
             raise CallRefused(refusal)
         return self.make_call(
@@ -222,7 +226,7 @@
             service,
             workspace,
             body,
-            digest,
+            traits,
             origin.release,
         )
 
@@ -311,7 +315,7 @@
         service: ServiceName,
         workspace: RoutedWorkspace,
         body: bytes,
-        digest: BodyDigest,
+        traits: RequestTraits,
         release: Release,
     ) -> RoutedCall:
         """Return the call with its row for the scheduler's table."""
@@ -330,7 +334,7 @@
             arrived=now,
             deadline=now + wait_s,
             idempotent=may_rerun(route),
-            body=digest,
+            body=traits.digest,
             prefix=shared_prefix_name(metadata.parts),
         )
         row.start_by = now + start_within_s(route, wait_s)
@@ -349,6 +353,7 @@
             body=body,
             workspace=workspace.name,
             deadline=row.deadline,
+            traits=traits,
             event_tokens=routed_service.event_tokens,
         )
 
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from godwitladder.outcomes import RequestState
+from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.routing.model import Route
 from godwitladder.scheduler.rows import RequestRow
 
@@ -163,6 +164,8 @@
     deadline : float
         Monotonic time in seconds by which the answer must be complete: the end
         of the route's timeout or of the caller's waiting time.
+    traits : RequestTraits
+        What of the request may crash targets.
     event_tokens : int
         Output tokens in one event of a stream.
     on_end : callable
@@ -178,5 +181,6 @@
     body: bytes
     workspace: str
     deadline: float
+    traits: RequestTraits
     event_tokens: int = 1
     on_end: Callable[[RequestState], None] = lambda state: None
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -273,7 +273,7 @@
         The host that sent it is linked to the hubs only. The hub that is that host's
         publisher forwards the event to the hosts that are no hubs.
         """
-        if not self.quarantine.registry.apply(event, source=link.peer):
+        if not self.quarantine.receive(event, link.peer):
             return
         hubs = self.hubs
         if link.peer in hubs or choose_publisher(link.peer, hubs) != self.host:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -251,8 +251,7 @@
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
         self.proxy.statements.check(dispatch)
-        body = self.call.row.body
-        self.on_trial = self.proxy.quarantine.begin(body, dispatch.target)
+        self.on_trial = self.proxy.quarantine.begin(self.call.traits, dispatch.target)
         self.heard_at = self.clock.monotonic()
         self.open_call.attach(connection.sock)
         self.sends += 1
@@ -488,7 +487,7 @@
         if isinstance(error, ForeignAnswer) or self.connection.is_broken:
             return
         lost_call = LostCall(
-            self.call.row.body,
+            self.call.traits,
             self.target,
             self.dispatch.address,
             self.dispatch.generation,
@@ -503,7 +502,7 @@
 
     def record_completion(self) -> None:
         """Record that the call has run to its end."""
-        self.proxy.quarantine.record_completion(self.call.row.body)
+        self.proxy.quarantine.record_completion(self.call.traits)
         self.on_trial = False
 
     def record_origin(self) -> None:
@@ -523,7 +522,7 @@
         """End the trial, if the call is one and has shown nothing."""
         if self.on_trial:
             self.on_trial = False
-            self.proxy.quarantine.end_trial(self.call.row.body)
+            self.proxy.quarantine.end_trial(self.call.traits)
 
     def record_send(self, dispatch: Dispatch, left_s: float) -> None:
         """Log a send and record its queueing time."""
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -13,6 +13,7 @@
     LostCall,
     TargetPresence,
 )
+from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.standins.ports import free_ports
 
 
@@ -32,7 +33,7 @@
 
 
 def lost_call(address="127.0.0.1:1"):
-    return LostCall("letter", "t1", address, "1", False)
+    return LostCall(RequestTraits("letter"), "t1", address, "1", False)
 
 
 def test_a_target_that_refuses_connections_has_ended(live):
--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -9,6 +9,7 @@
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.quarantine.records import Cleared, Crash, TrialBegan
 from godwitladder.quarantine.registry import NOTHING_KNOWN
+from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.serving.problems import refusal_status
 
 
@@ -45,7 +46,7 @@
     def broadcast(self, sender, event):
         for number, gate in enumerate(self.gates):
             if number != sender and not {number, sender} & self.cut:
-                gate.registry.apply(decode(encode(event)))
+                gate.receive(decode(encode(event)), f"h{sender}")
 
     def link_up(self, one, two):
         pair = self.gates[one].registry, self.gates[two].registry
@@ -54,10 +55,15 @@
             registry.merge(other)
 
 
+def whole(digest):
+    """Return the traits of a request whose prompt has no parts."""
+    return RequestTraits(digest)
+
+
 def crash(gate, number, digest="poison"):
     """Send a request to a target that crashes under it; return if that was a trial."""
-    trial = gate.begin(digest, f"t{number}")
-    gate.record_loss(LostCall(digest, f"t{number}", "address", "1", trial))
+    trial = gate.begin(whole(digest), f"t{number}")
+    gate.record_loss(LostCall(whole(digest), f"t{number}", "address", "1", trial))
     return trial
 
 
@@ -69,7 +75,7 @@
     net = Net(3)
     assert [crash(net.gates[n], n) for n in range(3)] == [False, False, True]
     for gate in net.gates:
-        refusal = gate.refusal("poison")
+        refusal = gate.refusal(whole("poison"))
         assert refusal.outcome is RequestState.NOT_RUN
         assert refusal_status(refusal) == 503
 
@@ -78,7 +84,7 @@
     """Guards against a refusal that tells the caller to repeat what is never run."""
     net = Net(1)
     quarantine(net)
-    assert net.gates[0].refusal("poison").retry_after_s is None
+    assert net.gates[0].refusal(whole("poison")).retry_after_s is None
 
 
 def test_copies_of_a_suspect_wait_for_its_trial():
@@ -86,19 +92,19 @@
     net = Net(2)
     crash(net.gates[0], 0)
     crash(net.gates[0], 1)
-    assert net.gates[0].begin("poison", "t2")
-    assert net.gates[1].refusal("poison").retry_after_s
-    net.gates[0].end_trial("poison")
-    assert net.gates[1].refusal("poison") is None
+    assert net.gates[0].begin(whole("poison"), "t2")
+    assert net.gates[1].refusal(whole("poison")).retry_after_s
+    net.gates[0].end_trial(whole("poison"))
+    assert net.gates[1].refusal(whole("poison")) is None
 
 
 def test_copies_that_were_queued_are_held_back_before_they_are_sent():
     """Guards against copies that were admitted before the first crash was known."""
     net = Net(1)
-    assert net.gates[0].refusal("poison") is None
+    assert net.gates[0].refusal(whole("poison")) is None
     quarantine(net)
     with pytest.raises(HeldBack):
-        net.gates[0].begin("poison", "t9")
+        net.gates[0].begin(whole("poison"), "t9")
 
 
 def test_two_suspects_are_not_tried_on_one_target():
@@ -107,10 +113,10 @@
     for number in range(2):
         crash(net.gates[0], number)
         crash(net.gates[0], number, "letter")
-    assert net.gates[0].begin("poison", "t5")
+    assert net.gates[0].begin(whole("poison"), "t5")
     with pytest.raises(HeldBack):
-        net.gates[1].begin("letter", "t5")
-    assert net.gates[1].begin("letter", "t6")
+        net.gates[1].begin(whole("letter"), "t5")
+    assert net.gates[1].begin(whole("letter"), "t6")
 
 
 def test_those_beside_a_quarantined_request_are_cleared_everywhere():
@@ -120,22 +126,22 @@
         crash(net.gates[0], number)
         crash(net.gates[0], number, "letter")
     crash(net.gates[0], 2)
-    assert not net.gates[1].begin("letter", "t7")
+    assert not net.gates[1].begin(whole("letter"), "t7")
 
 
 def test_a_completed_run_clears_on_all_hosts():
     net = Net(2)
     crash(net.gates[0], 0, "letter")
     crash(net.gates[0], 1, "letter")
-    net.gates[1].record_completion("letter")
-    assert not net.gates[0].begin("letter", "t2")
+    net.gates[1].record_completion(whole("letter"))
+    assert not net.gates[0].begin(whole("letter"), "t2")
 
 
 def test_a_completed_run_of_an_unknown_request_tells_nobody():
     """Guards against a message for each request that is served."""
     sent = []
     gate = QuarantineGate(ManualClock(), sent.append, FakeEvidence())
-    gate.record_completion("letter")
+    gate.record_completion(whole("letter"))
     assert sent == []
 
 
@@ -153,7 +159,7 @@
     quarantine(net)
     net.gates.append(net.make_gate(2))
     net.link_up(1, 2)
-    assert net.gates[2].refusal("poison").retry_after_s is None
+    assert net.gates[2].refusal(whole("poison")).retry_after_s is None
 
 
 def test_a_host_that_was_cut_off_learns_both_crashes_and_clearings():
@@ -163,13 +169,13 @@
     crash(net.gates[0], 8, "letter")
     net.clock.advance(1.0)
     net.cut = {1}
-    net.gates[0].record_completion("letter")
+    net.gates[0].record_completion(whole("letter"))
     quarantine(net)
     net.cut = set()
     net.link_up(0, 1)
-    assert not net.gates[1].begin("letter", "t5")
-    assert not net.gates[0].begin("letter", "t6")
-    assert net.gates[1].refusal("poison")
+    assert not net.gates[1].begin(whole("letter"), "t5")
+    assert not net.gates[0].begin(whole("letter"), "t6")
+    assert net.gates[1].refusal(whole("poison"))
 
 
 def test_what_two_parts_saw_counts_together():
@@ -180,8 +186,8 @@
     crash(net.gates[1], 1)
     net.link_up(0, 1)
     net.cut = set()
-    assert net.gates[0].begin("poison", "t2")
-    assert net.gates[1].refusal("poison").retry_after_s
+    assert net.gates[0].begin(whole("poison"), "t2")
+    assert net.gates[1].refusal(whole("poison")).retry_after_s
 
 
 def test_what_is_known_already_is_not_news():
@@ -200,7 +206,7 @@
     crash(net.gates[0], 7, "letter")
     known = net.gates[0].registry.known_crashes()
     new = net.gates[1].registry.merge(known)
-    assert [row.digest for row in new.histories] == ["letter"]
+    assert [row.trait for row in new.histories] == ["letter"]
 
 
 def test_a_host_whose_trial_is_never_ended_holds_nobody_back_for_long():
@@ -208,9 +214,9 @@
     net = Net(2)
     crash(net.gates[0], 0)
     crash(net.gates[0], 1)
-    net.gates[0].begin("poison", "t2")
+    net.gates[0].begin(whole("poison"), "t2")
     net.clock.advance(11.0)
-    assert net.gates[1].refusal("poison") is None
+    assert net.gates[1].refusal(whole("poison")) is None
 
 
 def test_events_pass_between_hosts_unchanged():
