Let a quarantined trait explain no crash of routed calls

Several causes may crash targets at once. As one was quarantined, all crashes that it had been part of counted as explained, also those that another cause had made: that one began anew. A request beside a quarantined one runs on trial once, and clears itself for all; few are part of two crashes in a row.

The product's own interface keeps its policy: there the log lets one trial run at a time.

--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -31,6 +31,7 @@
     free_crashes=1,
     trusted_crashes=3,
     trust_s=60.0,
+    explains_crashes=False,
     quarantine_s=3_600.0,
     retrial_delays_s=(5.0, 30.0),
 )
--- a/tests/quarantine/test_storms.py
+++ b/tests/quarantine/test_storms.py
@@ -184,6 +184,8 @@
     "of two workspaces": [Kind("bad1", workspaces=("w1", "w2"))],
     "of many workspaces": [Kind("bad1", workspaces=tuple(f"w{n}" for n in range(9)))],
     "a whole request": [Kind("bad1", "body")],
+    "a part and a request": [Kind("bad1"), Kind("bad2", "body")],
+    "four parts": [Kind(f"bad{number}") for number in range(4)],
 }
 
 
