Test that an old suspicion does not return after a link was down

The mutation of that safeguard turned no test red any longer, as a request that has completed is trusted for a minute. The new test waits that minute; the mutation is red.

--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -193,6 +193,21 @@
     assert net.gates[1].refusal(whole("poison"))
 
 
+def test_a_peer_that_missed_a_clearing_brings_no_old_suspicion_back():
+    """Guards against a suspicion that returns when the trust in the run has ended."""
+    net = Net(2)
+    crash(net.gates[0], 7, "letter")
+    crash(net.gates[0], 8, "letter")
+    net.clock.advance(1.0)
+    net.cut = {1}
+    net.gates[0].record_completion(whole("letter"))
+    net.clock.advance(61.0)
+    net.cut = set()
+    net.link_up(0, 1)
+    for gate in net.gates:
+        assert not gate.begin(whole("letter"), "t5")
+
+
 def test_what_two_parts_saw_counts_together():
     """Guards against crashes on both sides of a cut that are not added up."""
     net = Net(2)
