Test that a part that crashes again is not told of each time

The mutation of that safeguard turned no test red: the test had one crash alone, after which the part is not known any more. Now it crashes three times; the mutation is red.

--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -201,16 +201,21 @@
     assert gate.refusal(request(BAD))
 
 
-def test_completed_runs_of_a_known_part_are_told_once():
-    """Guards against a message for each run of a part that all requests share."""
+def test_completed_runs_of_a_known_part_are_told_if_they_change_something():
+    """Guards against a message for each run, or crash, of a part that all share.
+
+    The first run makes the part trusted; the next to be told is the one after a second
+    crash in a row.
+    """
     net = Net(1)
     sent = []
     gate = net.gates[0]
-    crash(gate, request(FIRST))
     gate.broadcast = sent.append
-    for _ in range(50):
-        run(gate, request(FIRST))
-    assert len(sent) == 1
+    for _ in range(3):
+        crash(gate, request(FIRST))
+        for _ in range(50):
+            run(gate, request(FIRST))
+    assert [type(event) for event in sent].count(Cleared) == 2
 
 
 def test_a_prompt_of_many_parts_is_bounded():
