Leave new connections unread on a full host

What callers see: while the load balancer hands most new connections to one host, that host reads each request and answers 503 "This host is full", though others are idle.

Cause: the host learned that it was full after it had read the request, and could only refuse it. Class: a decision on a request that is taken where it can no longer be undone.

Now it leaves a new connection unread for .3 s, reads it if there is room by then, and closes it otherwise: the caller goes to another host at once. Requests on kept connections are read as before, and a part of the threads is kept for them. A line a second tells how many were closed.

Tried and dropped: the limit taken from the calls that run. Also without a wake-up: the loop waits for a second, so that a connection was closed though the host had room.

Not changed: readiness; a host that takes itself out gives the same flood to the next one. In an overload of all hosts a caller's tries last .3 s each instead of a Retry-After of .5 s.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -81,6 +81,8 @@
 EXIT_RESERVE_S = 0.5
 """Seconds of the grace period that are reserved for the exit of the process."""
 ADMIN_THREADS = 2
+NEW_CONNECTION_FRACTION = 0.85
+"""Part of the threads for new connections; the rest is for those that are open."""
 MAX_LOGGED_HOSTS = 12
 """Limit on the allocators listed in a log line."""
 MAX_TARGETS_AGE_S = 2.0
@@ -344,6 +346,7 @@
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
+        self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
         self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
         log.info(
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -18,12 +18,15 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
+from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
 from godwitladder.serving.problems import PROBLEM_TYPE
 from godwitladder.serving.threads import ElasticDispatcher
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.tls import server_context
 
+log = component_logger("listener")
+
 # Response bytes that may be buffered for a caller that reads slowly. Above this
 # limit the thread that writes the response blocks, and stops reading from the
 # engine's stream.
@@ -37,6 +40,54 @@
 RESERVED_THREADS = 16
 RESERVED_CONNECTIONS = 64
 NO_OVERFLOW_BYTES = 1 << 40
+NO_LIMIT = 1 << 30
+MAX_UNREAD_S = 0.3
+"""Time for which a full host leaves a new connection unread before it closes it."""
+UNREAD_CHECK_INTERVAL_S = 0.02
+UNREAD_LOG_INTERVAL_S = 1.0
+
+
+class UnreadConnections:
+    """New connections that a full host leaves unread for now.
+
+    Parameters
+    ----------
+    wake : callable
+        Wakes the server's loop.
+
+    Attributes
+    ----------
+    closed : int
+        Number of them that were closed since the last line in the log.
+    logged_at : float
+        Monotonic time of that line.
+    timer : threading.Timer or None
+        Wakes the loop to look at them again.
+    """
+
+    def __init__(self, wake: Callable[[], None]) -> None:
+        self.wake = wake
+        self.closed = 0
+        self.logged_at = float("-inf")
+        self.timer: threading.Timer | None = None
+
+    def wake_soon(self) -> None:
+        """Wake the loop soon; it may wait for a second where nothing else happens."""
+        if self.timer is not None and self.timer.is_alive():
+            return
+        self.timer = threading.Timer(UNREAD_CHECK_INTERVAL_S, self.wake)
+        self.timer.daemon = True
+        self.timer.start()
+
+    def record_closed(self, now: float) -> None:
+        """Count one that is closed; ``now`` is the monotonic time in seconds."""
+        self.closed += 1
+        if now - self.logged_at < UNREAD_LOG_INTERVAL_S:
+            return
+        extra = {"count": self.closed, "unread_s": MAX_UNREAD_S}
+        log.info("The host is full and closed connections unread", extra=extra)
+        self.closed = 0
+        self.logged_at = now
 
 
 class ProblemTask(ErrorTask):
@@ -71,12 +122,30 @@
 
 
 class BoundedChannel(HTTPChannel):
-    """A caller's connection, counted against the connection limit."""
+    """A caller's connection, counted against the connection limit.
+
+    A full host does not read new connections, and closes them if it stays full. Their
+    callers try another host at once. If it read their requests it could only refuse
+    them, and while the load balancer sends most connections to this host, most callers
+    would be refused though other hosts are idle.
+
+    Attributes
+    ----------
+    is_new : bool
+        Whether nothing has been read from it.
+    held_since : float or None
+        Monotonic time at which it was first left unread.
+    check_at : float
+        Monotonic time at which to look again whether the host is full.
+    """
 
     error_task_class = ProblemTask
     task_class = ClosingTask
 
     def __init__(self, server, sock, addr, adj, map=None) -> None:
+        self.is_new = True
+        self.held_since: float | None = None
+        self.check_at = 0.0
         super().__init__(server, sock, addr, adj, map=map)
         if len(server.active_channels) > server.max_connections:
             self.refuse_connection()
@@ -96,11 +165,36 @@
             self.total_outbufs_len += len(head) + len(body)
         self.close_when_flushed = True
 
+    def readable(self) -> bool:
+        """Return whether to read, and give up a connection that was held too long."""
+        if self.held_since is None:
+            return super().readable()
+        now = time.monotonic()
+        if now - self.held_since >= MAX_UNREAD_S and not self.will_close:
+            self.server.unread.record_closed(now)
+            self.will_close = True
+        if now < self.check_at:
+            self.server.unread.wake_soon()
+            return False
+        return super().readable()
+
+    def hold(self) -> None:
+        """Leave the connection unread for a moment."""
+        now = time.monotonic()
+        self.check_at = now + UNREAD_CHECK_INTERVAL_S
+        if self.held_since is None:
+            self.held_since = now
+
     def handle_read(self) -> None:
         """Read all available data, including what TLS has already decrypted.
 
         Polling the socket does not report data in OpenSSL's buffer.
         """
+        if self.is_new and is_full(self.server):
+            self.hold()
+            return
+        self.is_new = False
+        self.held_since = None
         while True:
             try:
                 data = self.recv(self.adj.recv_bytes)
@@ -118,6 +212,12 @@
                 return
 
 
+def is_full(server: TcpWSGIServer) -> bool:
+    """Return whether as many requests are in progress as new connections may bring."""
+    busy = sum(bool(row.requests) for row in list(server.active_channels.values()))
+    return busy >= server.max_busy
+
+
 class TlsSocket(ssl.SSLSocket):
     """A TLS socket that the server loop and worker threads can share.
 
@@ -193,6 +293,9 @@
 ) -> TcpWSGIServer:
     """Return a server for ``app``, whose ``run`` serves until it is closed.
 
+    Its attribute ``max_busy`` is the number of requests in progress from which new
+    connections are left unread.
+
     Parameters
     ----------
     app : callable
@@ -232,4 +335,6 @@
     server.channel_class = BoundedChannel
     server.max_connections = limits.connections
     server.closing = False
+    server.max_busy = NO_LIMIT
+    server.unread = UnreadConnections(server.pull_trigger)
     return server
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,12 +38,13 @@
 secret = "known to the hosts of one run"
 seeds = {seeds}
 [limits]
-threads = 32
+threads = {threads}
 """
 QUOTA_TEMPLATE = """
 [bounds]
 quota_slack = {quota_slack}
 """
+THREADS = 32
 SERVICE = "core"
 ROUTES = (
     ("charge", "non_idempotent", {"maxAttempts": 1}),
@@ -113,6 +114,8 @@
         Proxies that lead from the host alone to peers, by the peer's address.
     quota_slack : float
         Tokens that a workspace may run beyond its quota in a window.
+    threads : int
+        Number of requests that it serves at once.
     """
 
     def __init__(self, folder: Path, name: str, zone: str, store: str) -> None:
@@ -124,6 +127,7 @@
         self.paths: dict[str, Proxy] = {}
         self.peer_paths: dict[str, Proxy] = {}
         self.quota_slack = 0.0
+        self.threads = THREADS
         self.settings_path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         self.process: subprocess.Popen | None = None
@@ -163,6 +167,7 @@
             ports=self.ports,
             store=self.store_proxy.address,
             seeds=json.dumps(seeds),
+            threads=self.threads,
         )
         text += QUOTA_TEMPLATE.format(quota_slack=self.quota_slack)
         self.settings_path.write_text(text)
@@ -388,6 +393,8 @@
         Services that the targets serve in turn.
     quota_slack : float, default=0.0
         Tokens that a workspace may run beyond its quota in a window.
+    threads : int
+        Number of requests that each host serves at once.
     """
 
     def __init__(
@@ -401,6 +408,7 @@
         has_peer_paths: bool = False,
         services: tuple[str, ...] = (SERVICE,),
         quota_slack: float = 0.0,
+        threads: int = THREADS,
     ) -> None:
         self.store = start_store()
         stack.callback(self.store.server_close)
@@ -419,6 +427,7 @@
             zone = zones[number % len(zones)]
             host = Host(folder, f"h{number}", zone, self.store.address)
             host.quota_slack = quota_slack
+            host.threads = threads
             if has_own_paths:
                 host.make_paths(self.targets)
             self.hosts.append(host)
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from soak.fleet import Fleet, Host
+from soak.fleet import THREADS, Fleet, Host
 from soak.proxy import CutMode
 
 START_TIMEOUT_S = 40.0
@@ -93,6 +93,7 @@
     hosts: int,
     targets: int,
     fault: HostFault,
+    threads: int = THREADS,
 ) -> Fleet:
     """Return a fleet in three availability zones whose hosts can be disturbed.
 
@@ -103,7 +104,13 @@
     folder.mkdir(parents=True, exist_ok=True)
     has_peer_paths = fault is HostFault.CUT
     return Fleet(
-        stack, folder, hosts, targets, zones="abc", has_peer_paths=has_peer_paths
+        stack,
+        folder,
+        hosts,
+        targets,
+        zones="abc",
+        has_peer_paths=has_peer_paths,
+        threads=threads,
     )
 
 
