--- a/soak/versions.py
+++ b/soak/versions.py
@@ -45,7 +45,10 @@
 
 @dataclass(frozen=True)
 class VersionRunSize:
-    """Size of a run: numbers of its parts, its faults, its duration in seconds."""
+    """Size of a run: numbers of its parts, its faults, its duration in seconds.
+
+    ``framed`` tells whether streams come in chunks; others end with their connection.
+    """
 
     hosts: int = 6
     targets: int = 8
@@ -53,6 +56,7 @@
     seconds: float = 20.0
     fault: HostFault = HostFault.NONE
     rolls: bool = False
+    framed: bool = True
 
 
 @dataclass
@@ -275,6 +279,7 @@
         target.version = target.knobs.version = VERSIONS[number % len(VERSIONS)]
         target.knobs.pause_s = PAUSE_S
         target.knobs.events = EVENTS
+        target.knobs.framed = size.framed
         target.knobs.cut_probability = CUT_PROBABILITY
         fleet.write_entry(target, "ready")
     return await_fleet(fleet)
@@ -295,6 +300,7 @@
     seconds: float = 20.0,
     fault: str = HostFault.NONE.value,
     rolls: bool = False,
+    framed: bool = True,
     hosts: int = 6,
     logs: str = "",
 ) -> None:
@@ -310,13 +316,19 @@
         What disturbs the hosts: none, kill or cut.
     rolls : bool
         Whether targets are replaced by others of a third version.
+    framed : bool
+        Whether streams come in chunks.
     hosts : int
         Number of host processes.
     logs : str
         Directory for the logs of the hosts.
     """
     size = VersionRunSize(
-        hosts=hosts, seconds=seconds, fault=HostFault(fault), rolls=rolls
+        hosts=hosts,
+        seconds=seconds,
+        fault=HostFault(fault),
+        rolls=rolls,
+        framed=framed,
     )
     outcome = run_version_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -13,6 +13,7 @@
     "hosts_are_killed": dataclasses.replace(SIZE, fault=HostFault.KILL),
     "hosts_are_cut_off": dataclasses.replace(SIZE, fault=HostFault.CUT),
     "targets_are_replaced": dataclasses.replace(SIZE, rolls=True),
+    "without_chunks": dataclasses.replace(SIZE, framed=False, fault=HostFault.KILL),
 }
 
 
