Let only a request's own end, or a run now, end its trial

Read again: a trial that was given up freed all traits of its request, also those of another request's trial; a message on a former run freed the traits it named; and two threads of a host that checked at the same moment both began one. Each costs a target more. A trial names its request now, a former run leaves trials alone, and the check and the begin are one step. Four tests, three of them red before (the crash of a copy was right already and had no test). The parts that a line names are those of the request's traits; the second list of them is gone.

--- a/godwitladder/decisions/quarantine.py
+++ b/godwitladder/decisions/quarantine.py
@@ -36,6 +36,7 @@
 HOLD_S = 600.0
 MAX_SUSPECTS = 10_000
 EXPIRY_INTERVAL_S = 1.0
+NO_REQUEST = TraitId("")
 
 
 class QuarantineStatus(enum.Enum):
@@ -480,10 +481,13 @@
     ----------
     until : float
         Time after which the trial counts as ended, as its host may be gone.
+    request : TraitId
+        The request on trial as a whole; empty if not known.
     """
 
     target: TargetName
     until: float
+    request: TraitId = NO_REQUEST
 
 
 @dataclass
@@ -496,13 +500,21 @@
     max_trial_s: float
     rows: dict[TraitId, Trial] = field(default_factory=dict)
 
-    def begin(self, trait: TraitId, target: TargetName, now: float) -> None:
-        """Record that a trial begins."""
-        self.rows[trait] = Trial(target, now + self.max_trial_s)
+    def begin(
+        self,
+        trait: TraitId,
+        target: TargetName,
+        now: float,
+        request: TraitId = NO_REQUEST,
+    ) -> None:
+        """Record that a trial of ``trait`` begins, of a ``request`` that has it."""
+        self.rows[trait] = Trial(target, now + self.max_trial_s, request)
 
-    def end(self, trait: TraitId) -> None:
-        """Record that a trial has ended."""
-        self.rows.pop(trait, None)
+    def end(self, trait: TraitId, request: TraitId = NO_REQUEST) -> None:
+        """Record that a trial has ended; of another request's nothing is known."""
+        trial = self.rows.get(trait)
+        if trial is not None and request in (NO_REQUEST, trial.request):
+            del self.rows[trait]
 
     def is_running(self, trait: TraitId, now: float) -> bool:
         """Return whether a request with ``trait`` is on trial."""
--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -36,8 +36,6 @@
         Generation of the target's process.
     trial : bool
         Whether the call ran on trial.
-    parts : tuple of str
-        Names of the parts of its prompt, in order.
     """
 
     traits: RequestTraits
@@ -45,7 +43,6 @@
     address: str
     generation: str
     trial: bool
-    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -6,6 +6,7 @@
 """
 
 import secrets
+import threading
 from collections.abc import Callable, Mapping, Sequence
 
 from godwitladder.clock import Clock
@@ -92,6 +93,7 @@
         self.registry = QuarantineRegistry(clock, ROUTED_POLICY)
         self.broadcast = broadcast
         self.evidence = evidence
+        self.trial_lock = threading.Lock()
 
     def refusal(
         self, traits: RequestTraits, target: TargetName | None = None
@@ -126,14 +128,16 @@
         """
         if not self.registry.is_known(traits.ids):
             return False
-        refusal = self.refusal(traits, target)
-        if refusal is not None:
-            raise HeldBack(refusal)
-        held = self.registry.held_traits(traits.ids)
-        if not held:
-            return False
-        self.publish(TrialBegan(make_event_id(), traits.digest, target, held))
-        return True
+        # Two threads that check at the same time would both begin a trial.
+        with self.trial_lock:
+            refusal = self.refusal(traits, target)
+            if refusal is not None:
+                raise HeldBack(refusal)
+            held = self.registry.held_traits(traits.ids)
+            if not held:
+                return False
+            self.publish(TrialBegan(make_event_id(), traits.digest, target, held))
+            return True
 
     def end_trial(self, traits: RequestTraits) -> None:
         """Report that a trial has ended without a verdict."""
@@ -219,7 +223,7 @@
         "target": call.target,
         "address": call.address,
         "trial": call.trial,
-        "parts": loggable_parts(call.parts),
+        "parts": loggable_parts(call.traits.parts),
     }
     log.info(text, extra=extra)
 
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -221,7 +221,7 @@
             event.blamed,
         )
         if event.trial:
-            self._end_trials(traits)
+            self._end_trials(traits, TraitId(event.digest))
         histories = [self.table.histories.get(trait) for trait in traits]
         quarantined = self.table.with_status(traits, QuarantineStatus.QUARANTINED, at)
         extra = {
@@ -245,9 +245,9 @@
         for trait in traits:
             if event.age_s:
                 self.table.record_completion(trait, at - event.age_s)
-            else:
-                self.table.clear(trait, at)
-        self._end_trials(traits)
+                continue
+            self.table.clear(trait, at)
+            self.trials.end(trait)
         extra = {
             "body": event.digest[:8],
             "from": self.source,
@@ -267,7 +267,7 @@
         traits = event.traits or (TraitId(event.digest),)
         for trait in traits:
             self.table.count_retrial(trait)
-            self.trials.begin(trait, event.target, at)
+            self.trials.begin(trait, event.target, at, TraitId(event.digest))
         extra = {
             "body": event.digest[:8],
             "target": event.target,
@@ -278,13 +278,14 @@
 
     @_apply.register
     def _(self, event: TrialEnded, at: float) -> None:
-        self._end_trials(event.traits or (TraitId(event.digest),))
+        request = TraitId(event.digest)
+        self._end_trials(event.traits or (request,), request)
         extra = {"body": event.digest[:8], "from": self.source}
         log.info("A trial has ended without a verdict", extra=extra)
 
-    def _end_trials(self, traits: Iterable[TraitId]) -> None:
+    def _end_trials(self, traits: Iterable[TraitId], request: TraitId) -> None:
         for trait in traits:
-            self.trials.end(trait)
+            self.trials.end(trait, request)
 
     def known_crashes(self) -> KnownCrashes:
         """Return all that this host knows, for a peer."""
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -23,12 +23,7 @@
 from godwitladder.paths.connector import Connector, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
-from godwitladder.routing.calls import (
-    DispatchMetadata,
-    HeaderCodec,
-    RoutedCall,
-    part_names,
-)
+from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answers import internal_fault
@@ -492,7 +487,6 @@
             self.dispatch.address,
             self.dispatch.generation,
             self.on_trial,
-            part_names(self.call.metadata),
         )
         if self.open_call.cause is None:
             has_ended = self.proxy.quarantine.record_loss(lost_call)
@@ -541,6 +535,6 @@
             "release": dispatch.release,
             "last_event": self.resume_from or self.call.metadata.last_event,
             "resumes": self.call.metadata.resumes,
-            "parts": loggable_parts(part_names(self.call.metadata)),
+            "parts": loggable_parts(self.call.traits.parts),
         }
         log.info("A call is sent", extra=extra)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -1,12 +1,15 @@
 """Parts of prompts that crash targets, in requests of which no two are alike."""
 
+import contextlib
 import itertools
+import threading
 
 import pytest
 
 from godwitladder.membership.codec import decode, encode
 from godwitladder.quarantine import registry, traits
 from godwitladder.quarantine.evidence import LostCall
+from godwitladder.quarantine.gate import HeldBack
 from godwitladder.quarantine.records import Cleared, Crash, TrialBegan, TrialEnded
 from godwitladder.quarantine.traits import make_traits
 from tests.quarantine.test_gate import Net
@@ -201,6 +204,67 @@
     assert gate.refusal(request(BAD))
 
 
+def test_the_crash_of_a_copy_sent_before_ends_no_trial():
+    """Guards against a second trial, as a copy ends that was under way before."""
+    net = Net(1)
+    gate = net.gates[0]
+    for _ in range(2):
+        crash(gate, request(BAD))
+    row = request(BAD)
+    gate.begin(row, "t1")
+    gate.record_loss(LostCall(row, "t2", "address", "1", False))
+    assert gate.refusal(request(BAD))
+
+
+def test_a_request_ends_its_own_trial_alone():
+    """Guards against a second trial of a part, as another request's one is given up."""
+    net = Net(1)
+    gate = net.gates[0]
+    for _ in range(2):
+        crash(gate, request(BAD))
+    gate.begin(request(BAD), "t1")
+    gate.end_trial(request(BAD))
+    assert gate.refusal(request(BAD))
+
+
+def test_a_former_run_ends_no_trial():
+    """Guards against a second trial of a part, as a host tells of a run before it."""
+    net = Net(1)
+    gate = net.gates[0]
+    for _ in range(2):
+        crash(gate, request(BAD))
+    gate.begin(request(BAD), "t1")
+    gate.receive(Cleared("e1", "d", (BAD,), 70.0), "h2")
+    assert gate.refusal(request(BAD))
+
+
+def test_two_threads_of_a_host_begin_one_trial():
+    """Guards against a target for each thread that checks at the same moment."""
+    net = Net(1)
+    gate = net.gates[0]
+    for _ in range(2):
+        crash(gate, request(BAD))
+    both = threading.Barrier(2, timeout=5.0)
+    is_held, trials = gate.registry.held_traits, []
+
+    def meet(traits):
+        with contextlib.suppress(threading.BrokenBarrierError):
+            both.wait(0.2)
+        return is_held(traits)
+
+    def begin(row):
+        with contextlib.suppress(HeldBack):
+            trials.append(gate.begin(row, f"t{row.digest}"))
+
+    gate.registry.held_traits = meet
+    threads = [threading.Thread(target=begin, args=(request(BAD),)) for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert trials == [True]
+
+
 def test_completed_runs_of_a_known_part_are_told_if_they_change_something():
     """Guards against a message for each run, or crash, of a part that all share.
 
