Read a new connection now and then on a full host

And if all calls of a host hang for seconds, it would read no new connection at all and seem to have stopped though it says it is ready. Now it reads one a second at least.

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -44,6 +44,9 @@
 MAX_UNREAD_S = 0.3
 """Time for which a full host leaves a new connection unread before it closes it."""
 UNREAD_CHECK_INTERVAL_S = 0.02
+MAX_READ_INTERVAL_S = 1.0
+"""Time after which a full host reads a new connection all the same, and refuses its
+request if need be: to callers it would seem to have stopped."""
 UNREAD_LOG_INTERVAL_S = 1.0
 
 
@@ -63,10 +66,13 @@
         Monotonic time of that line.
     timer : threading.Timer or None
         Wakes the loop to look at them again.
+    last_read_at : float
+        Monotonic time at which a new connection was last read.
     """
 
     def __init__(self, wake: Callable[[], None]) -> None:
         self.wake = wake
+        self.last_read_at = time.monotonic()
         self.closed = 0
         self.logged_at = float("-inf")
         self.timer: threading.Timer | None = None
@@ -178,6 +184,15 @@
             return False
         return super().readable()
 
+    def may_be_read(self) -> bool:
+        """Return whether to read a new connection now."""
+        now = time.monotonic()
+        unread = self.server.unread
+        if is_full(self.server) and now - unread.last_read_at < MAX_READ_INTERVAL_S:
+            return False
+        unread.last_read_at = now
+        return True
+
     def hold(self) -> None:
         """Leave the connection unread for a moment."""
         now = time.monotonic()
@@ -190,7 +205,7 @@
 
         Polling the socket does not report data in OpenSSL's buffer.
         """
-        if self.is_new and is_full(self.server):
+        if self.is_new and not self.may_be_read():
             self.hold()
             return
         self.is_new = False
