Start a stand-in target once when two requests end it at the same moment

Traced by the hosts' lines: the bad part was quarantined at the third crash, and nothing sound was held back; but two bad requests had ended the target e4 within 2 ms, each started a process in its place, and the entry of the first, e4-1, stayed: 126 calls to it were answered 421. Its entry would run out on a real platform. The soak's target ends once now; the new test is red before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -301,6 +301,8 @@
     def __init__(self, name: str, service: str = SERVICE) -> None:
         self.name = self.first_name = name
         self.incarnation = 0
+        self.is_ending = False
+        self.lock = threading.Lock()
         self.version = "v1"
         self.service = service
         self.started_ms = 1_700_000_000_000
@@ -330,7 +332,15 @@
         return json.dumps(row).encode()
 
     def end(self, ending: Ending, write_entry: Callable[["Target", str], None]) -> None:
-        """End the process of the target, and start another one in its place."""
+        """End the process of the target, and start another one in its place.
+
+        Two requests may end it at the same moment. If each started a process, the entry
+        of the first would stay, and all that is sent to it be turned away.
+        """
+        with self.lock:
+            if self.is_ending:
+                return
+            self.is_ending = True
         is_silent = ending is Ending.SILENT
         self.proxy.cut(CutMode.HANG if is_silent else CutMode.RESET)
         threading.Thread(target=self.restart, args=(write_entry,), daemon=True).start()
@@ -342,6 +352,8 @@
         time.sleep(RESTART_S - EXPIRY_S)
         self.renew()
         self.proxy.reset()
+        with self.lock:
+            self.is_ending = False
         self.proxy.restore()
         write_entry(self, "ready")
 
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -1,11 +1,13 @@
 """Signals to the host processes of the soak test."""
 
+import contextlib
 import signal
 
 import pytest
 
-from godwitladder.standins.routed import start_store
-from soak.fleet import Host
+from godwitladder.standins.routed import Ending, start_store
+from soak.fleet import Host, Target
+from tests.fleet import wait_until
 
 
 @pytest.fixture
@@ -36,3 +38,15 @@
     for _ in range(3):
         host.start()
         assert host.terminate() == 0
+
+
+def test_a_target_that_two_requests_end_at_once_starts_once():
+    """Guards against the entry of a process that another one has replaced."""
+    with contextlib.closing(Target("e0")) as target:
+        entries = []
+        for _ in range(2):
+            target.end(
+                Ending.AFTER_HEAD, lambda row, state: entries.append((row.name, state))
+            )
+        wait_until(lambda: ("e0-1", "ready") in entries, "the target to be back")
+        assert entries == [("e0", ""), ("e0-1", "ready")]
