Log what becomes of new connections, and a late loop of the listener

No line or metric told how many new connections a listener had accepted, held, read, closed unread or refused, nor why, so the hypotheses on a ready host that takes no new connection could not be told apart. Now one line a second at most, none in calm, counts each of them with the connections that are open, the requests in progress and the longest turn of the loop; metric connections_total, open_connections in the status. The server is a class of its own in place of attributes set on waitress's.

--- a/godwitladder/base_host.py
+++ b/godwitladder/base_host.py
@@ -10,13 +10,12 @@
 from typing import Any
 
 import pykka
-from waitress.server import TcpWSGIServer
 
 from godwitladder.clock import Clock
 from godwitladder.drain import close_idle, stop_accepting
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
-from godwitladder.serving.listener import make_listener
+from godwitladder.serving.listener import BoundedServer, make_listener
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.supervision import supervised
 
@@ -74,7 +73,7 @@
         address: str,
         threads: int,
         tls: TlsSettings | None = None,
-    ) -> TcpWSGIServer:
+    ) -> BoundedServer:
         """Serve the WSGI application ``app`` with waitress at ``address``.
 
         Parameters
@@ -90,7 +89,7 @@
 
         Returns
         -------
-        server : TcpWSGIServer
+        server : BoundedServer
             The running server, to be closed with the host.
         """
         server = make_listener(app, address, self.limits, threads, tls)
@@ -137,7 +136,7 @@
 
     def close_connections(
         self,
-        server: TcpWSGIServer,
+        server: BoundedServer,
         is_busy: Callable[[], bool],
         until: float = float("inf"),
     ) -> None:
@@ -145,7 +144,7 @@
 
         Parameters
         ----------
-        server : TcpWSGIServer
+        server : BoundedServer
             The server to close.
         is_busy : callable
             Returns whether a request is in flight.
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -5,7 +5,6 @@
 import threading
 
 from aioprometheus import Gauge
-from waitress.server import TcpWSGIServer
 
 from godwitladder.base_host import BaseHost
 from godwitladder.clients.hosts import HostListClient, HostListUnavailable
@@ -50,6 +49,7 @@
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.callers import CallerApp
 from godwitladder.serving.keys import KeyComponents
+from godwitladder.serving.listener import BoundedServer
 from godwitladder.serving.operators import HostStatus, OperatorApp
 from godwitladder.settings import Settings
 from godwitladder.supervision import watch_threads
@@ -154,7 +154,7 @@
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.router.add(self.exchange, Heartbeat, ConfigRequest, ConfigSnapshot)
         self.keys = self.make_keys()
-        self.caller_server: TcpWSGIServer | None = None
+        self.caller_server: BoundedServer | None = None
 
     def make_order_issuer(self) -> OrderIssuer:
         """Return the component that brings targets to their configured state."""
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -75,6 +75,9 @@
         self.gateway_tunnels = self._gauge(
             "gateway_tunnels", "Tunnels of other hosts through this one"
         )
+        self.connections = self._counter(
+            "connections_total", "New connections of callers by what became of them"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -8,8 +8,6 @@
 from pathlib import Path
 from typing import get_args
 
-from waitress.server import TcpWSGIServer
-
 from godwitladder.base_host import BaseHost
 from godwitladder.clock import Clock
 from godwitladder.decisions.quotas import TokenQuotas
@@ -59,6 +57,8 @@
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
 from godwitladder.serving.call_watcher import CallWatcher
+from godwitladder.serving.connections import ConnectionEvent
+from godwitladder.serving.listener import BoundedServer
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import (
@@ -244,7 +244,7 @@
             settings.limits.threads,
             tables.gate,
         )
-        self.caller_server: TcpWSGIServer | None = None
+        self.caller_server: BoundedServer | None = None
 
     def ask_peer(self, wanted: FeedWanted) -> bool:
         """Send ``wanted`` to a random peer; return False if there is no peer."""
@@ -346,6 +346,7 @@
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
+        self.caller_server.connections.count = self.count_connection
         self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
         self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
@@ -354,6 +355,10 @@
             extra={"host": settings.host, "incarnation": self.incarnation},
         )
 
+    def count_connection(self, event: ConnectionEvent) -> None:
+        """Count what became of a caller's new connection."""
+        self.metrics.connections.inc({"event": event.value})
+
     def ready(self) -> bool:
         """Return whether the load balancer should send callers to this host."""
         known = self.app.in_force.document.version >= 0
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -47,4 +47,5 @@
                 for row in host.feed.table.entries.values()
             },
             "open_calls": host.app.open_calls,
+            "open_connections": len(host.caller_server.active_channels),
         }
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -13,20 +13,18 @@
 import time
 from collections.abc import Callable
 
-import waitress
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
-from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
+from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
 from godwitladder.serving.threads import ElasticDispatcher
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.tls import server_context
 
-log = component_logger("listener")
-
 # Response bytes that may be buffered for a caller that reads slowly. Above this
 # limit the thread that writes the response blocks, and stops reading from the
 # engine's stream.
@@ -47,7 +45,6 @@
 MAX_READ_INTERVAL_S = 1.0
 """Time after which a full host reads a new connection all the same, and refuses its
 request if need be: to callers it would seem to have stopped."""
-UNREAD_LOG_INTERVAL_S = 1.0
 
 
 class UnreadConnections:
@@ -60,10 +57,6 @@
 
     Attributes
     ----------
-    closed : int
-        Number of them that were closed since the last line in the log.
-    logged_at : float
-        Monotonic time of that line.
     timer : threading.Timer or None
         Wakes the loop to look at them again.
     last_read_at : float
@@ -73,8 +66,6 @@
     def __init__(self, wake: Callable[[], None]) -> None:
         self.wake = wake
         self.last_read_at = time.monotonic()
-        self.closed = 0
-        self.logged_at = float("-inf")
         self.timer: threading.Timer | None = None
 
     def wake_soon(self) -> None:
@@ -85,16 +76,6 @@
         self.timer.daemon = True
         self.timer.start()
 
-    def record_closed(self, now: float) -> None:
-        """Count one that is closed; ``now`` is the monotonic time in seconds."""
-        self.closed += 1
-        if now - self.logged_at < UNREAD_LOG_INTERVAL_S:
-            return
-        extra = {"count": self.closed, "unread_s": MAX_UNREAD_S}
-        log.info("The host is full and closed connections unread", extra=extra)
-        self.closed = 0
-        self.logged_at = now
-
 
 class ProblemTask(ErrorTask):
     """Sends a problem document for a request that waitress itself rejects.
@@ -139,6 +120,8 @@
     ----------
     is_new : bool
         Whether nothing has been read from it.
+    brought_request : bool
+        Whether a whole request has been read from it.
     held_since : float or None
         Monotonic time at which it was first left unread.
     check_at : float
@@ -150,9 +133,11 @@
 
     def __init__(self, server, sock, addr, adj, map=None) -> None:
         self.is_new = True
+        self.brought_request = False
         self.held_since: float | None = None
         self.check_at = 0.0
         super().__init__(server, sock, addr, adj, map=map)
+        server.connections.record(ConnectionEvent.ACCEPTED)
         if len(server.active_channels) > server.max_connections:
             self.refuse_connection()
 
@@ -170,6 +155,7 @@
             self.outbufs[-1].append(head.encode() + body)
             self.total_outbufs_len += len(head) + len(body)
         self.close_when_flushed = True
+        self.server.connections.record(ConnectionEvent.REFUSED)
 
     def readable(self) -> bool:
         """Return whether to read, and give up a connection that was held too long."""
@@ -177,7 +163,7 @@
             return super().readable()
         now = time.monotonic()
         if now - self.held_since >= MAX_UNREAD_S and not self.will_close:
-            self.server.unread.record_closed(now)
+            self.server.connections.record(ConnectionEvent.CLOSED_UNREAD)
             self.will_close = True
         if now < self.check_at:
             self.server.unread.wake_soon()
@@ -199,6 +185,21 @@
         self.check_at = now + UNREAD_CHECK_INTERVAL_S
         if self.held_since is None:
             self.held_since = now
+            self.server.connections.record(ConnectionEvent.HELD)
+
+    def received(self, data: bytes) -> bool:
+        """Pass ``data`` to the parser, and count the connection's first request."""
+        result = super().received(data)
+        if not self.brought_request and (self.requests or self.request is None):
+            self.brought_request = True
+            self.server.connections.record(ConnectionEvent.READ)
+        return result
+
+    def handle_close(self) -> None:
+        """Close the connection, and count it if its client had sent no request."""
+        if not (self.brought_request or self.will_close or self.close_when_flushed):
+            self.server.connections.record(ConnectionEvent.LEFT)
+        super().handle_close()
 
     def handle_read(self) -> None:
         """Read all available data, including what TLS has already decrypted.
@@ -227,10 +228,73 @@
                 return
 
 
-def is_full(server: TcpWSGIServer) -> bool:
+class BoundedServer(TcpWSGIServer):
+    """A server with a limit on its connections, whose loop counts them.
+
+    Parameters
+    ----------
+    app : callable
+        WSGI application.
+    sock : socket.socket
+        Listening socket.
+    adjustments : Adjustments
+        Settings of waitress.
+    dispatcher : ElasticDispatcher
+        Runs the application.
+    max_connections : int
+        Number of open connections beyond which new ones are refused.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether responses announce that their connection closes.
+    max_busy : int
+        Number of requests in progress from which new connections are left unread.
+    """
+
+    channel_class = BoundedChannel
+
+    def __init__(
+        self,
+        app: Callable,
+        sock: socket.socket,
+        adjustments: Adjustments,
+        dispatcher: ElasticDispatcher,
+        max_connections: int,
+    ) -> None:
+        self.closing = False
+        self.max_busy = NO_LIMIT
+        self.max_connections = max_connections
+        self.connections = ConnectionLog(time.monotonic())
+        self.unread = UnreadConnections(self.pull_trigger)
+        super().__init__(
+            app,
+            {},
+            _sock=sock,
+            dispatcher=dispatcher,
+            adj=adjustments,
+            sockinfo=(sock.family, sock.type, sock.proto, sock.getsockname()),
+            bind_socket=False,
+        )
+
+    def readable(self) -> bool:
+        """Return whether to accept; the loop calls this once a turn."""
+        self.connections.end_turn(time.monotonic(), self.describe)
+        return super().readable()
+
+    def describe(self) -> dict[str, int]:
+        """Return the numbers of open connections and of requests in progress."""
+        return {"open": len(self.active_channels), "busy": count_busy(self)}
+
+
+def count_busy(server: BoundedServer) -> int:
+    """Return the number of connections with a request in progress."""
+    return sum(bool(row.requests) for row in list(server.active_channels.values()))
+
+
+def is_full(server: BoundedServer) -> bool:
     """Return whether as many requests are in progress as new connections may bring."""
-    busy = sum(bool(row.requests) for row in list(server.active_channels.values()))
-    return busy >= server.max_busy
+    return count_busy(server) >= server.max_busy
 
 
 class TlsSocket(ssl.SSLSocket):
@@ -305,12 +369,9 @@
     limits: LimitSettings,
     threads: int,
     tls: TlsSettings | None = None,
-) -> TcpWSGIServer:
+) -> BoundedServer:
     """Return a server for ``app``, whose ``run`` serves until it is closed.
 
-    Its attribute ``max_busy`` is the number of requests in progress from which new
-    connections are left unread.
-
     Parameters
     ----------
     app : callable
@@ -324,10 +385,7 @@
     tls : TlsSettings or None
         Certificate and key; None for plain HTTP.
     """
-    server = waitress.create_server(
-        app,
-        _dispatcher=ElasticDispatcher(threads + RESERVED_THREADS),
-        sockets=[listen(address, tls)],
+    adjustments = Adjustments(
         threads=threads + RESERVED_THREADS,
         connection_limit=limits.connections + RESERVED_CONNECTIONS,
         # Waitress rejects a body whose size equals the limit.
@@ -343,13 +401,11 @@
         asyncore_use_poll=True,
         ident="godwitladder",
     )
-    server.adj.socket_options = [
+    adjustments.socket_options = [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_S * 1000),
     ]
-    server.channel_class = BoundedChannel
-    server.max_connections = limits.connections
-    server.closing = False
-    server.max_busy = NO_LIMIT
-    server.unread = UnreadConnections(server.pull_trigger)
-    return server
+    dispatcher = ElasticDispatcher(threads + RESERVED_THREADS)
+    return BoundedServer(
+        app, listen(address, tls), adjustments, dispatcher, limits.connections
+    )
