Failing tests: a ready host takes no new connection

- A full host reads one new connection a second.
It spends that on one that its client has left or that brings half a head, and a caller that comes next is closed unread.
- A host refuses new connections beyond its limit on open ones, though all of these may be idle: 429, with the request unread, so that most callers see a reset.
It says ready meanwhile.

soak.floods now counts from outside which new connections each ready host takes, in any four seconds.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from pathlib import Path
 
 from godwitladder.platform import names
@@ -39,12 +40,12 @@
 seeds = {seeds}
 [limits]
 threads = {threads}
+connections = {connections}
 """
 QUOTA_TEMPLATE = """
 [bounds]
 quota_slack = {quota_slack}
 """
-THREADS = 32
 SERVICE = "core"
 ROUTES = (
     ("charge", "non_idempotent", {"maxAttempts": 1}),
@@ -73,6 +74,14 @@
 """Seconds after which a new process of it has started, under a new name."""
 
 
+@dataclass(frozen=True)
+class HostLimits:
+    """Requests that a host serves at once, and connections that it keeps open."""
+
+    threads: int = 32
+    connections: int = 1000
+
+
 def make_config(version: int, keys: list[str]) -> dict:
     """Return the configuration document that an operator would publish."""
     routes = [
@@ -114,8 +123,8 @@
         Proxies that lead from the host alone to peers, by the peer's address.
     quota_slack : float
         Tokens that a workspace may run beyond its quota in a window.
-    threads : int
-        Number of requests that it serves at once.
+    limits : HostLimits
+        What it serves at most.
     """
 
     def __init__(self, folder: Path, name: str, zone: str, store: str) -> None:
@@ -127,7 +136,7 @@
         self.paths: dict[str, Proxy] = {}
         self.peer_paths: dict[str, Proxy] = {}
         self.quota_slack = 0.0
-        self.threads = THREADS
+        self.limits = HostLimits()
         self.settings_path = folder / f"{name}.toml"
         self.log = (folder / f"{name}.log").open("ab")
         self.process: subprocess.Popen | None = None
@@ -167,7 +176,8 @@
             ports=self.ports,
             store=self.store_proxy.address,
             seeds=json.dumps(seeds),
-            threads=self.threads,
+            threads=self.limits.threads,
+            connections=self.limits.connections,
         )
         text += QUOTA_TEMPLATE.format(quota_slack=self.quota_slack)
         self.settings_path.write_text(text)
@@ -405,8 +415,8 @@
         Services that the targets serve in turn.
     quota_slack : float, default=0.0
         Tokens that a workspace may run beyond its quota in a window.
-    threads : int
-        Number of requests that each host serves at once.
+    limits : HostLimits or None
+        What each host serves at most.
     """
 
     def __init__(
@@ -420,7 +430,7 @@
         has_peer_paths: bool = False,
         services: tuple[str, ...] = (SERVICE,),
         quota_slack: float = 0.0,
-        threads: int = THREADS,
+        limits: HostLimits | None = None,
     ) -> None:
         self.store = start_store()
         stack.callback(self.store.server_close)
@@ -439,7 +449,7 @@
             zone = zones[number % len(zones)]
             host = Host(folder, f"h{number}", zone, self.store.address)
             host.quota_slack = quota_slack
-            host.threads = threads
+            host.limits = limits or HostLimits()
             if has_own_paths:
                 host.make_paths(self.targets)
             self.hosts.append(host)
--- a/soak/floods.py
+++ b/soak/floods.py
@@ -3,6 +3,7 @@
 Each request comes on a new connection, and twice as many come while it lasts. Hosts
 are real processes. A connection that is refused, or closed with its request unread, is
 tried again at any host; what counts is the first answer of a host that has read it.
+Each host that says it is ready has to take new connections all the time.
 
 ``python -m soak.floods`` plays one run and prints its outcome.
 """
@@ -12,6 +13,7 @@
 import http.client
 import json
 import random
+import socket
 import sys
 import threading
 import time
@@ -22,13 +24,13 @@
 import defopt
 
 from godwitladder.platform import names
-from soak.fleet import Fleet, Host
+from soak.fleet import Fleet, Host, HostLimits
 from soak.host_faults import CONTACT_S, HostFault, await_fleet, make_fleet
+from soak.intake import Intake, Try
 
 CALL_TIMEOUT_S = 5.0
 UNREAD_PAUSE_S = 0.05
-PAUSE_S = 0.1
-"""Pause of the targets before each event, so that a small host is full."""
+PROBE_INTERVAL_S = 0.5
 FLOOD_SHARE = 0.9
 """Share of the new connections that go to one host."""
 FLOOD_FACTOR = 2.0
@@ -55,8 +57,16 @@
     ----------
     threads : int
         Number of requests that each host serves at once.
+    connections : int
+        Number of connections that each host keeps open.
     moves : bool
         Whether a second host takes the place of the first one halfway.
+    keeps : bool
+        Whether callers keep their connections open, idle, to the end of the run.
+    empty_rate : float
+        Connections per second to the flooded host that send no request and are left.
+    pause_s : float
+        Pause of the targets before each event, so that a small host is full.
     """
 
     hosts: int = 6
@@ -67,6 +77,10 @@
     flood_s: float = 10.0
     after_s: float = 3.0
     moves: bool = False
+    connections: int = 1000
+    keeps: bool = False
+    empty_rate: float = 0.0
+    pause_s: float = 0.1
 
 
 @dataclass(frozen=True)
@@ -94,6 +108,7 @@
 
     size: FloodRunSize
     readings: list[Reading] = field(default_factory=list)
+    intake: Intake = field(default_factory=Intake)
 
     def phase(self, since_s: float) -> Phase:
         """Return the part of the run at ``since_s`` from the flood's begin."""
@@ -120,13 +135,14 @@
 
     def check(self) -> list[str]:
         """Return a line for each violation of a guarantee."""
+        lines = self.intake.find_stretches()
         before = self.served_fraction(Phase.BEFORE)
         flood = self.served_fraction(Phase.FLOOD)
         if before is None or flood is None:
-            return ["too few requests were read"]
+            return [*lines, "too few requests were read"]
         if flood < MIN_SERVED_RATIO * before:
-            return [f"{flood:.2f} served at the first try, {before:.2f} before"]
-        return []
+            lines.append(f"{flood:.2f} served at the first try, {before:.2f} before")
+        return lines
 
 
 @dataclass(frozen=True)
@@ -153,6 +169,8 @@
         self.lock = threading.Lock()
         self.flooded = self.rng.sample(fleet.hosts, 2)
         self.begin = 0.0
+        self.kept = contextlib.ExitStack()
+        self.ended = threading.Event()
 
     def run(self) -> FloodOutcome:
         """Send all requests, then check what callers saw."""
@@ -161,7 +179,10 @@
         end = self.begin + size.flood_s + size.after_s
         number = 0
         next_at = time.monotonic()
-        with ThreadPoolExecutor(400) as pool:
+        with self.kept, ThreadPoolExecutor(400) as pool:
+            for host in self.fleet.hosts:
+                pool.submit(self.probe, host)
+            pool.submit(self.send_empty)
             while next_at < end:
                 time.sleep(max(0.0, next_at - time.monotonic()))
                 number += 1
@@ -170,8 +191,23 @@
                 is_flood = 0 <= since_s < size.flood_s
                 rate = size.rate * (FLOOD_FACTOR if is_flood else 1.0)
                 next_at += self.rng.expovariate(rate)
+            self.ended.set()
         return self.outcome(number)
 
+    def probe(self, host: Host) -> None:
+        """Ask a host now and then whether it is ready."""
+        while not self.ended.wait(PROBE_INTERVAL_S):
+            if not host.is_ready():
+                at = time.monotonic() - self.begin
+                self.history.intake.unready[host.name].append(at)
+
+    def send_empty(self) -> None:
+        """Open connections to the flooded host that send nothing, and leave them."""
+        while self.size.empty_rate and not self.ended.wait(1 / self.size.empty_rate):
+            address = ("127.0.0.1", self.flooded[0].ports[0])
+            with contextlib.suppress(OSError):
+                socket.create_connection(address, CALL_TIMEOUT_S).close()
+
     def choose(self, since_s: float) -> Host:
         """Return the host that gets a new connection."""
         size = self.size
@@ -188,7 +224,11 @@
         unread = 0
         while time.monotonic() < deadline:
             attempt = f"{name}-{unread}"
+            at = time.monotonic() - self.begin
             status = self.call(host, path, attempt)
+            taken = status not in (None, TOO_MANY_REQUESTS)
+            with self.lock:
+                self.history.intake.tries[host.name].append(Try(at, taken))
             if status is not None or self.has_reached_target(attempt):
                 reading = Reading(since_s, status or 0, unread)
                 with self.lock:
@@ -209,7 +249,8 @@
         connection = http.client.HTTPConnection(
             host.caller_address, timeout=CALL_TIMEOUT_S
         )
-        with contextlib.closing(connection):
+        with contextlib.ExitStack() as stack:
+            (self.kept if self.size.keeps else stack).callback(connection.close)
             try:
                 connection.request("POST", path, attempt.encode(), headers)
                 answer = connection.getresponse()
@@ -253,11 +294,12 @@
 ) -> FloodOutcome:
     """Run one seed and return its outcome; settings and logs go to ``folder``."""
     with contextlib.ExitStack() as stack:
+        limits = HostLimits(size.threads, size.connections)
         fleet = make_fleet(
-            stack, folder, size.hosts, size.targets, HostFault.NONE, size.threads
+            stack, folder, size.hosts, size.targets, HostFault.NONE, limits
         )
         for target in fleet.targets:
-            target.knobs.pause_s = PAUSE_S
+            target.knobs.pause_s = size.pause_s
         return FloodRun(seed, size, await_fleet(fleet)).run()
 
 
@@ -269,6 +311,11 @@
     flood: float = 10.0,
     moves: bool = False,
     hosts: int = 6,
+    connections: int = 1000,
+    keeps: bool = False,
+    empty_rate: float = 0.0,
+    pause: float = 0.1,
+    after: float = 3.0,
     logs: str = "",
 ) -> None:
     """Play one run, and exit with status 1 if a guarantee was violated.
@@ -287,11 +334,30 @@
         Whether a second host takes the place of the first one halfway.
     hosts : int
         Number of host processes.
+    connections : int
+        Number of connections that each host keeps open.
+    keeps : bool
+        Whether callers keep their connections open, idle.
+    empty_rate : float
+        Connections per second to the flooded host that send no request and are left.
+    pause : float
+        Pause of the targets before each event in seconds.
+    after : float
+        Duration of the run after the flood in seconds.
     logs : str
         Directory for the logs of the hosts.
     """
     size = FloodRunSize(
-        hosts=hosts, threads=threads, rate=rate, flood_s=flood, moves=moves
+        hosts=hosts,
+        threads=threads,
+        rate=rate,
+        flood_s=flood,
+        moves=moves,
+        connections=connections,
+        keeps=keeps,
+        empty_rate=empty_rate,
+        pause_s=pause,
+        after_s=after,
     )
     outcome = run_flood_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from soak.fleet import THREADS, Fleet, Host
+from soak.fleet import Fleet, Host, HostLimits
 from soak.proxy import CutMode
 
 START_TIMEOUT_S = 40.0
@@ -93,7 +93,7 @@
     hosts: int,
     targets: int,
     fault: HostFault,
-    threads: int = THREADS,
+    limits: HostLimits | None = None,
 ) -> Fleet:
     """Return a fleet in three availability zones whose hosts can be disturbed.
 
@@ -110,7 +110,7 @@
         targets,
         zones="abc",
         has_peer_paths=has_peer_paths,
-        threads=threads,
+        limits=limits,
     )
 
 
--- a/tests/serving/test_full_host.py
+++ b/tests/serving/test_full_host.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from godwitladder.serving import listener
+from godwitladder.serving import connections, listener
+from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import make_listener
 from godwitladder.settings import LimitSettings
 from tests.fleet import wait_until
@@ -20,10 +21,12 @@
 class Host:
     """A listener that takes two requests at once from new connections."""
 
-    def __init__(self):
+    def __init__(self, limits=None):
         self.done = threading.Event()
         self.requests = 0
-        self.server = make_listener(self.answer, "127.0.0.1:0", LimitSettings(), 4)
+        self.server = make_listener(
+            self.answer, "127.0.0.1:0", limits or LimitSettings(), 4
+        )
         self.server.max_busy = 2
         threading.Thread(target=self.server.run, daemon=True).start()
 
@@ -38,6 +41,11 @@
         address = self.server.socket.getsockname()
         return contextlib.closing(socket.create_connection(address, TIMEOUT_S))
 
+    def wait_for(self, event):
+        """Wait until the listener has counted an event."""
+        events = self.server.connections.events
+        wait_until(lambda: events[event] > 0, f"{event.value} to be counted")
+
     def fill(self, stack):
         """Send two requests that last until the event is set."""
         for _ in range(2):
@@ -55,6 +63,7 @@
 @pytest.fixture
 def host(monkeypatch):
     monkeypatch.setattr(listener, "MAX_READ_INTERVAL_S", LONG_S)
+    monkeypatch.setattr(connections, "PERIOD_S", LONG_S)
     host = Host()
     yield host
     host.done.set()
@@ -99,3 +108,30 @@
     caller = stack.enter_context(host.connect())
     caller.sendall(REQUEST)
     assert caller.recv(1000).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("sent", [b"", REQUEST[:-2]], ids=["nothing", "half-a-head"])
+def test_a_client_that_sends_no_request_takes_no_callers_place(host, stack, sent):
+    """Guards against a full host that seems to have stopped beside such clients."""
+    host.fill(stack)
+    host.server.unread.last_read_at = float("-inf")
+    with host.connect() as client:
+        client.sendall(sent)
+    host.wait_for(ConnectionEvent.LEFT)
+    caller = stack.enter_context(host.connect())
+    caller.sendall(REQUEST)
+    assert caller.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_connections_kept_idle_do_not_shut_new_ones_out(stack):
+    """Guards against a ready host that takes nobody until idle connections end."""
+    host = Host(LimitSettings(connections=3))
+    stack.callback(host.server.close)
+    for _ in range(3):
+        kept = stack.enter_context(host.connect())
+        kept.sendall(REQUEST)
+        assert kept.recv(1000).startswith(b"HTTP/1.1 200")
+    for _ in range(3):
+        caller = stack.enter_context(host.connect())
+        caller.sendall(REQUEST)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 200")
