Close the longest idle connection for a new one when the limit is reached

What callers saw: a ready host that answers every new connection with 429, its request unread, so that most see a reset; seconds after most new connections had gone to it, and until idle ones time out (15 to 45 s). Cause: the limit on open connections counts those that callers keep and don't use, and readiness knows nothing of it. Class: two answers to one question, whether a caller can be taken here.

Now the connection that has been idle for longest is closed for the new one; the new one is refused only if none is idle. A connection with a request, an answer or unread bytes is never closed. The loop alone reads, so what it finds idle is idle.

Ruled out: a higher limit (the same at another number); readiness that heeds room (it moves the flood to the next host and is missed for seconds after).

--- a/godwitladder/serving/connections.py
+++ b/godwitladder/serving/connections.py
@@ -23,7 +23,8 @@
     """What becomes of a new connection.
 
     Of those that are accepted, each is then read, closed unread, refused, or left by
-    its client before it has sent a whole request.
+    its client before it has sent a whole request. One that has been idle is closed to
+    make room for a new one.
     """
 
     ACCEPTED = "accepted"
@@ -32,10 +33,16 @@
     CLOSED_UNREAD = "closed_unread"
     REFUSED = "refused"
     LEFT = "left"
+    IDLE_CLOSED = "idle_closed"
 
 
 UNUSUAL_EVENTS = frozenset(
-    {ConnectionEvent.HELD, ConnectionEvent.CLOSED_UNREAD, ConnectionEvent.REFUSED}
+    {
+        ConnectionEvent.HELD,
+        ConnectionEvent.CLOSED_UNREAD,
+        ConnectionEvent.REFUSED,
+        ConnectionEvent.IDLE_CLOSED,
+    }
 )
 
 
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -18,6 +18,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
+from godwitladder.drain import is_busy, is_readable
 from godwitladder.outcomes import RequestState
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
@@ -42,6 +43,8 @@
 MAX_UNREAD_S = 0.3
 """Time for which a full host leaves a new connection unread before it closes it."""
 UNREAD_CHECK_INTERVAL_S = 0.02
+MIN_SILENCE_S = 1.0
+"""Time after which a new connection that has sent nothing may be closed for another."""
 MAX_READ_INTERVAL_S = 1.0
 """Time after which a full host reads a new connection all the same, and refuses its
 request if need be: to callers it would seem to have stopped."""
@@ -139,7 +142,8 @@
         super().__init__(server, sock, addr, adj, map=map)
         server.connections.record(ConnectionEvent.ACCEPTED)
         if len(server.active_channels) > server.max_connections:
-            self.refuse_connection()
+            if not close_longest_idle(server):
+                self.refuse_connection()
 
     def refuse_connection(self) -> None:
         """Respond with status 429 (too many connections) and close."""
@@ -287,6 +291,27 @@
         return {"open": len(self.active_channels), "busy": count_busy(self)}
 
 
+def close_longest_idle(server: BoundedServer) -> bool:
+    """Close the connection that has been idle for longest; return whether there is one.
+
+    Callers may keep connections open that they don't use. These would shut all new
+    ones out until they time out, while the host says that it is ready. Only the loop
+    reads requests, so that a connection found idle here has none.
+    """
+    cutoff = time.time() - MIN_SILENCE_S
+    idle = [
+        row
+        for row in server.active_channels.values()
+        if not is_busy(row) and (row.brought_request or row.last_activity < cutoff)
+    ]
+    for row in sorted(idle, key=lambda row: row.last_activity):
+        if not is_readable(row):
+            server.connections.record(ConnectionEvent.IDLE_CLOSED)
+            row.handle_close()
+            return True
+    return False
+
+
 def count_busy(server: BoundedServer) -> int:
     """Return the number of connections with a request in progress."""
     return sum(bool(row.requests) for row in list(server.active_channels.values()))
--- a/tests/serving/test_full_host.py
+++ b/tests/serving/test_full_host.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitladder.drain import is_readable, run_in_loop
 from godwitladder.serving import connections, listener
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import make_listener
@@ -123,15 +124,49 @@
     assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
 
-def test_connections_kept_idle_do_not_shut_new_ones_out(stack):
-    """Guards against a ready host that takes nobody until idle connections end."""
+@pytest.fixture
+def small_host(stack):
+    """A host that keeps three connections."""
     host = Host(LimitSettings(connections=3))
     stack.callback(host.server.close)
-    for _ in range(3):
-        kept = stack.enter_context(host.connect())
-        kept.sendall(REQUEST)
-        assert kept.recv(1000).startswith(b"HTTP/1.1 200")
-    for _ in range(3):
-        caller = stack.enter_context(host.connect())
+    stack.callback(host.done.set)
+    return host
+
+
+def test_connections_kept_idle_do_not_shut_new_ones_out(small_host, stack):
+    """Guards against a ready host that takes nobody until idle connections end."""
+    for _ in range(6):
+        caller = stack.enter_context(small_host.connect())
         caller.sendall(REQUEST)
         assert caller.recv(1000).startswith(b"HTTP/1.1 200")
+
+
+def test_no_connection_with_a_request_is_closed_to_make_room(small_host, stack):
+    """Guards against a call that runs and whose caller gets no answer."""
+    small_host.server.max_busy = 100
+    callers = [stack.enter_context(small_host.connect()) for _ in range(3)]
+    for caller in callers:
+        caller.sendall(SLOW_REQUEST)
+    wait_until(lambda: small_host.requests == 3, "the requests to run")
+    late = stack.enter_context(small_host.connect())
+    assert late.recv(100).startswith(b"HTTP/1.1 429")
+    small_host.done.set()
+    assert all(row.recv(100).startswith(b"HTTP/1.1 200") for row in callers)
+
+
+def test_no_connection_with_unread_bytes_is_closed_to_make_room(small_host, stack):
+    """Guards against a request that is reset as it arrives."""
+    callers = [stack.enter_context(small_host.connect()) for _ in range(3)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+        assert caller.recv(1000).startswith(b"HTTP/1.1 200")
+
+    def send_and_close(server):
+        for caller in callers:
+            caller.sendall(REQUEST)
+        channels = list(server.active_channels.values())
+        wait_until(lambda: all(map(is_readable, channels)), "the bytes to arrive")
+        return listener.close_longest_idle(server)
+
+    assert run_in_loop(small_host.server, send_and_close) is False
+    assert all(row.recv(1000).startswith(b"HTTP/1.1 200") for row in callers)
--- a/tests/soak/test_floods.py
+++ b/tests/soak/test_floods.py
@@ -13,7 +13,7 @@
 
 
 def test_a_host_takes_new_connections_when_many_are_kept_idle(tmp_path):
-    """Guards against a ready host whose open connections, all idle, shut callers out."""
+    """Guards against a ready host whose idle connections shut callers out."""
     size = FloodRunSize(
         hosts=4, before_s=2.0, flood_s=5.0, after_s=7.0, connections=40, keeps=True
     )
