Let only a request use up the one read a second of a full host

What callers see: closed unread, all of them for seconds, by a host that is full and says ready. Cause: a full host reads one new connection a second, and took any readable one for it: one whose client has left (its end is readable too), one that brings half a head. Class: counted as served before it is known that there is anything to serve. Now the time of the last request that a new connection brought decides. Two tests red before; a mutation puts the fault back.

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -62,13 +62,14 @@
     ----------
     timer : threading.Timer or None
         Wakes the loop to look at them again.
-    last_read_at : float
-        Monotonic time at which a new connection was last read.
+    last_request_at : float
+        Monotonic time at which a new connection last brought a request. Those that
+        bring none don't count, as they would keep callers out.
     """
 
     def __init__(self, wake: Callable[[], None]) -> None:
         self.wake = wake
-        self.last_read_at = time.monotonic()
+        self.last_request_at = time.monotonic()
         self.timer: threading.Timer | None = None
 
     def wake_soon(self) -> None:
@@ -176,12 +177,8 @@
 
     def may_be_read(self) -> bool:
         """Return whether to read a new connection now."""
-        now = time.monotonic()
-        unread = self.server.unread
-        if is_full(self.server) and now - unread.last_read_at < MAX_READ_INTERVAL_S:
-            return False
-        unread.last_read_at = now
-        return True
+        since_request_s = time.monotonic() - self.server.unread.last_request_at
+        return since_request_s >= MAX_READ_INTERVAL_S or not is_full(self.server)
 
     def hold(self) -> None:
         """Leave the connection unread for a moment."""
@@ -196,6 +193,7 @@
         result = super().received(data)
         if not self.brought_request and (self.requests or self.request is None):
             self.brought_request = True
+            self.server.unread.last_request_at = time.monotonic()
             self.server.connections.record(ConnectionEvent.READ)
         return result
 
--- a/tests/serving/test_full_host.py
+++ b/tests/serving/test_full_host.py
@@ -115,7 +115,7 @@
 def test_a_client_that_sends_no_request_takes_no_callers_place(host, stack, sent):
     """Guards against a full host that seems to have stopped beside such clients."""
     host.fill(stack)
-    host.server.unread.last_read_at = float("-inf")
+    host.server.unread.last_request_at = float("-inf")
     with host.connect() as client:
         client.sendall(sent)
     host.wait_for(ConnectionEvent.LEFT)
