Let connections left unread wake the listener's loop once, not all the time

What callers see, on a small host: everything is late, new connections and readiness too, as most new connections go to it. Cause: each connection that a full host holds woke the loop every 20 ms, each turn looks at all open connections, and each look counted all requests in progress: the cost grew as held times open.

Now a held connection wakes the loop as its time is over, together with others that end then; a request that ends wakes it anyhow, and requests in progress are counted once a turn. What is left is the loop's own: each turn looks at each open connection. The test was red before (its mutation).

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -19,6 +19,7 @@
 from waitress.task import ErrorTask, WSGITask
 
 from godwitladder.drain import is_busy, is_readable
+from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
@@ -26,6 +27,8 @@
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.tls import server_context
 
+log = component_logger("listener")
+
 # Response bytes that may be buffered for a caller that reads slowly. Above this
 # limit the thread that writes the response blocks, and stops reading from the
 # engine's stream.
@@ -42,7 +45,9 @@
 NO_LIMIT = 1 << 30
 MAX_UNREAD_S = 0.3
 """Time for which a full host leaves a new connection unread before it closes it."""
-UNREAD_CHECK_INTERVAL_S = 0.02
+WAKE_INTERVAL_S = 0.05
+"""Interval at which the loop is woken for connections left unread; each turn of the
+loop looks at all open connections."""
 MIN_SILENCE_S = 1.0
 """Time after which a new connection that has sent nothing may be closed for another."""
 MAX_READ_INTERVAL_S = 1.0
@@ -53,6 +58,8 @@
 class UnreadConnections:
     """New connections that a full host leaves unread for now.
 
+    Times are in seconds of the monotonic clock.
+
     Parameters
     ----------
     wake : callable
@@ -60,25 +67,30 @@
 
     Attributes
     ----------
-    timer : threading.Timer or None
-        Wakes the loop to look at them again.
     last_request_at : float
-        Monotonic time at which a new connection last brought a request. Those that
-        bring none don't count, as they would keep callers out.
+        Time at which a new connection last brought a request. Those that bring none
+        don't count, as they would keep callers out.
+    wakes_at : float
+        Time of the next wake-up; in the past if there is none.
     """
 
     def __init__(self, wake: Callable[[], None]) -> None:
         self.wake = wake
         self.last_request_at = time.monotonic()
-        self.timer: threading.Timer | None = None
+        self.wakes_at = float("-inf")
+
+    def wake_by(self, deadline: float, now: float) -> None:
+        """Wake the loop shortly after ``deadline``; it may wait for longer by itself.
 
-    def wake_soon(self) -> None:
-        """Wake the loop soon; it may wait for a second where nothing else happens."""
-        if self.timer is not None and self.timer.is_alive():
+        One wake-up serves all connections whose deadlines are close together.
+        """
+        wakes_at = (deadline // WAKE_INTERVAL_S + 1) * WAKE_INTERVAL_S
+        if now < self.wakes_at <= wakes_at:
             return
-        self.timer = threading.Timer(UNREAD_CHECK_INTERVAL_S, self.wake)
-        self.timer.daemon = True
-        self.timer.start()
+        self.wakes_at = wakes_at
+        timer = threading.Timer(wakes_at - now, self.wake)
+        timer.daemon = True
+        timer.start()
 
 
 class ProblemTask(ErrorTask):
@@ -128,8 +140,6 @@
         Whether a whole request has been read from it.
     held_since : float or None
         Monotonic time at which it was first left unread.
-    check_at : float
-        Monotonic time at which to look again whether the host is full.
     """
 
     error_task_class = ProblemTask
@@ -139,7 +149,6 @@
         self.is_new = True
         self.brought_request = False
         self.held_since: float | None = None
-        self.check_at = 0.0
         super().__init__(server, sock, addr, adj, map=map)
         server.connections.record(ConnectionEvent.ACCEPTED)
         if len(server.active_channels) > server.max_connections:
@@ -164,33 +173,41 @@
 
     def readable(self) -> bool:
         """Return whether to read, and give up a connection that was held too long."""
-        if self.held_since is None:
-            return super().readable()
         now = time.monotonic()
-        if now - self.held_since >= MAX_UNREAD_S and not self.will_close:
-            self.server.connections.record(ConnectionEvent.CLOSED_UNREAD)
-            self.will_close = True
-        if now < self.check_at:
-            self.server.unread.wake_soon()
+        if self.is_new and not self.may_be_read(now):
+            self.hold(now)
             return False
         return super().readable()
 
-    def may_be_read(self) -> bool:
+    def may_be_read(self, now: float) -> bool:
         """Return whether to read a new connection now."""
-        since_request_s = time.monotonic() - self.server.unread.last_request_at
-        return since_request_s >= MAX_READ_INTERVAL_S or not is_full(self.server)
+        since_request_s = now - self.server.unread.last_request_at
+        return since_request_s >= MAX_READ_INTERVAL_S or not self.server.is_full()
 
-    def hold(self) -> None:
-        """Leave the connection unread for a moment."""
-        now = time.monotonic()
-        self.check_at = now + UNREAD_CHECK_INTERVAL_S
+    def hold(self, now: float) -> None:
+        """Leave the connection unread, and give it up after a while.
+
+        The loop turns as a request ends, and looks then whether there is room.
+        """
         if self.held_since is None:
             self.held_since = now
             self.server.connections.record(ConnectionEvent.HELD)
+        unread = self.server.unread
+        closes_at = self.held_since + MAX_UNREAD_S
+        if now < closes_at:
+            unread.wake_by(
+                min(closes_at, unread.last_request_at + MAX_READ_INTERVAL_S), now
+            )
+        elif not self.will_close:
+            self.server.connections.record(ConnectionEvent.CLOSED_UNREAD)
+            self.will_close = True
 
     def received(self, data: bytes) -> bool:
         """Pass ``data`` to the parser, and count the connection's first request."""
+        was_busy = bool(self.requests)
         result = super().received(data)
+        if self.requests and not was_busy:
+            self.server.add_busy()
         if not self.brought_request and (self.requests or self.request is None):
             self.brought_request = True
             self.server.unread.last_request_at = time.monotonic()
@@ -208,11 +225,10 @@
 
         Polling the socket does not report data in OpenSSL's buffer.
         """
-        if self.is_new and not self.may_be_read():
-            self.hold()
+        # Others may have been read since this turn of the loop began.
+        if self.is_new and not self.may_be_read(time.monotonic()):
             return
         self.is_new = False
-        self.held_since = None
         while True:
             try:
                 data = self.recv(self.adj.recv_bytes)
@@ -252,6 +268,9 @@
         Whether responses announce that their connection closes.
     max_busy : int
         Number of requests in progress from which new connections are left unread.
+    busy : int or None
+        Connections with a request in progress as this turn of the loop began, and
+        those that brought one since; None if not counted yet.
     """
 
     channel_class = BoundedChannel
@@ -266,9 +285,10 @@
     ) -> None:
         self.closing = False
         self.max_busy = NO_LIMIT
+        self.busy: int | None = None
         self.max_connections = max_connections
         self.connections = ConnectionLog(time.monotonic())
-        self.unread = UnreadConnections(self.pull_trigger)
+        self.unread = UnreadConnections(self.wake)
         super().__init__(
             app,
             {},
@@ -282,8 +302,31 @@
     def readable(self) -> bool:
         """Return whether to accept; the loop calls this once a turn."""
         self.connections.end_turn(time.monotonic(), self.describe)
+        self.busy = None
         return super().readable()
 
+    def wake(self) -> None:
+        """Wake the loop."""
+        try:
+            self.pull_trigger()
+        except OSError as error:
+            # The server has closed since the wake-up was planned.
+            log.info("The loop has ended", extra={"error": str(error)})
+
+    def is_full(self) -> bool:
+        """Return whether new connections may bring no more requests for now."""
+        if self.busy is None:
+            self.busy = count_busy(self)
+        return self.busy >= self.max_busy
+
+    def add_busy(self) -> None:
+        """Record that one more connection has a request in progress.
+
+        Many are read in one turn before any of them runs.
+        """
+        if self.busy is not None:
+            self.busy += 1
+
     def describe(self) -> dict[str, int]:
         """Return the numbers of open connections and of requests in progress."""
         return {"open": len(self.active_channels), "busy": count_busy(self)}
@@ -315,11 +358,6 @@
     return sum(bool(row.requests) for row in list(server.active_channels.values()))
 
 
-def is_full(server: BoundedServer) -> bool:
-    """Return whether as many requests are in progress as new connections may bring."""
-    return count_busy(server) >= server.max_busy
-
-
 class TlsSocket(ssl.SSLSocket):
     """A TLS socket that the server loop and worker threads can share.
 
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -14,7 +14,7 @@
 
 from godwitladder.standins.ports import free_ports
 from godwitladder.standins.routed import start_engine, start_store
-from soak.fleet import SETTINGS_TEMPLATE, THREADS
+from soak.fleet import SETTINGS_TEMPLATE, HostLimits
 from tests.fleet import wait_until
 from tests.platform.test_adapter import ENTRY
 from tests.serving.test_passing import ROUTES
@@ -41,7 +41,7 @@
             ports=self.ports,
             store=store.address,
             seeds=json.dumps(seeds),
-            threads=THREADS,
+            **vars(HostLimits()),
         )
         path.write_text(text)
         self.process = subprocess.Popen(
--- a/tests/serving/test_full_host.py
+++ b/tests/serving/test_full_host.py
@@ -29,6 +29,8 @@
             self.answer, "127.0.0.1:0", limits or LimitSettings(), 4
         )
         self.server.max_busy = 2
+        # Nothing but the listener itself wakes its loop.
+        self.server.adj.asyncore_loop_timeout = LONG_S
         threading.Thread(target=self.server.run, daemon=True).start()
 
     def answer(self, environ, start_response):
@@ -86,7 +88,7 @@
     host.fill(stack)
     caller = stack.enter_context(host.connect())
     caller.sendall(REQUEST)
-    wait_until(lambda: host.server.unread.timer is not None, "the connection to wait")
+    host.wait_for(ConnectionEvent.HELD)
     host.done.set()
     assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
@@ -124,6 +126,32 @@
     assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
 
+def test_a_connection_left_unread_is_closed_though_nothing_else_happens(host, stack):
+    """Guards against callers that wait until something else wakes the loop."""
+    host.fill(stack)
+    caller = stack.enter_context(host.connect())
+    caller.sendall(REQUEST)
+    with pytest.raises(ConnectionResetError):
+        caller.recv(100)
+
+
+def test_connections_left_unread_do_not_keep_the_loop_busy(host, stack, monkeypatch):
+    """Guards against a loop that looks at all connections all the time."""
+    host.fill(stack)
+    turns = []
+    monkeypatch.setattr(
+        host.server.connections, "end_turn", lambda now, describe: turns.append(now)
+    )
+    callers = [stack.enter_context(host.connect()) for _ in range(10)]
+    for caller in callers:
+        caller.sendall(REQUEST)
+    for caller in callers:
+        with pytest.raises(ConnectionResetError):
+            caller.recv(100)
+    # One turn to accept, one to close; some wake-ups for all of them.
+    assert len(turns) <= 2 * len(callers) + 10
+
+
 @pytest.fixture
 def small_host(stack):
     """A host that keeps three connections."""
