Log the store's era and what is not applied of it; stand-in store that comes back from a copy

No line told the era, the place in the store, what was thrown away and why, so that the hypotheses on changes that are never in force could not be told apart. Reads now carry the era of their offsets (an answer without one is of the era before, pages of two eras are refused), batches between hosts too, with a default for hosts of the former version; nothing decides by it yet. One line a second at most tells what was not applied. The stand-in store sends Store-Era, loses what was appended in the last seconds or the last records of a topic, gives offsets out again and answers 410 to a read from beyond its end, which was an empty 200 before.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -17,7 +17,7 @@
     if batch.is_snapshot or offset <= batch.start:
         return batch
     kept = tuple(record for record in batch.records if record.offset >= offset)
-    return Batch(min(offset, batch.next), batch.next, kept)
+    return Batch(min(offset, batch.next), batch.next, kept, batch.era)
 
 
 def apply_batch(newest: dict[str, Record], batch: Batch) -> None:
@@ -45,10 +45,10 @@
 def encode_batch(batch: Batch) -> RawBatch:
     """Convert ``batch`` to the form sent to other hosts."""
     rows = (RawRecord(row.offset, row.key, row.value) for row in batch.records)
-    return RawBatch(batch.start, batch.next, tuple(rows))
+    return RawBatch(batch.start, batch.next, tuple(rows), batch.era)
 
 
 def decode_batch(raw: RawBatch) -> Batch:
     """Convert a batch received from another host."""
     rows = (Record(row.offset, row.key, row.value) for row in raw.records)
-    return Batch(raw.start, raw.next, tuple(rows))
+    return Batch(raw.start, raw.next, tuple(rows), raw.era)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -23,7 +23,7 @@
     encode_batch,
     is_contiguous,
 )
-from godwitladder.discovery.messages import FeedNews, FeedWanted
+from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch
 from godwitladder.discovery.rollout_tracker import RolloutTracker
 from godwitladder.discovery.rollouts import held_back
 from godwitladder.discovery.source import (
@@ -73,6 +73,7 @@
 READER_LOSS_TIMEOUT_S = 3.0
 """Time without news after which a host outside the reading order broadcasts its own
 reads: by then every host in the order has failed to read the store."""
+IGNORED_LOG_INTERVAL_S = 1.0
 OUTAGE_THRESHOLD_S = 1.5
 """Time without a successful read that counts as a store outage, during which entries of
 live targets may have expired."""
@@ -168,6 +169,7 @@
         self.store_answered_at = clock.boottime()
         self.reachable = False
         self.version = 0
+        self.ignored_at = float("-inf")
         self.lock = threading.RLock()
         self.stopping = threading.Event()
 
@@ -421,9 +423,12 @@
         """
         began = self.clock.boottime() - news.age_s
         with self.lock:
-            if is_contiguous(
-                news.documents, self.next_document_offset
-            ) and is_contiguous(news.entries, self.next_entry_offset):
+            if not (
+                is_contiguous(news.documents, self.next_document_offset)
+                and is_contiguous(news.entries, self.next_entry_offset)
+            ):
+                self.log_ignored("the news leaves a gap", news.documents, news.entries)
+            else:
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
                 self.record_read_duration(news.age_s)
@@ -434,6 +439,11 @@
     def apply(self, documents: Batch, entries: Batch, began: float) -> None:
         """Apply a read that started at ``began``."""
         changed = False
+        if (
+            documents.next < self.next_document_offset
+            or entries.next < self.next_entry_offset
+        ):
+            self.log_ignored("the offsets are lower", documents, entries)
         if documents.next >= self.next_document_offset:
             self.next_document_offset = documents.next
             apply_batch(self.newest_documents, documents)
@@ -449,6 +459,27 @@
         if self.pending_replies:
             self.answer_pending()
 
+    def log_ignored(
+        self, reason: str, documents: Batch | RawBatch, entries: Batch | RawBatch
+    ) -> None:
+        """Log what is not applied and why, at most one line a second."""
+        now = self.clock.boottime()
+        if now - self.ignored_at < IGNORED_LOG_INTERVAL_S:
+            return
+        self.ignored_at = now
+        log.info(
+            "Records not applied",
+            extra={
+                "reason": reason,
+                "era": documents.era,
+                "documents": [documents.start, documents.next],
+                "entries": [entries.start, entries.next],
+                "place": [self.next_document_offset, self.next_entry_offset],
+                "version": self.document.version,
+                "age_s": self.age_s(),
+            },
+        )
+
     def apply_documents(self, batch: Batch) -> bool:
         """Adopt the newest document, if it is newer than the current one.
 
--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from godwitladder.ids import HostId
+from godwitladder.discovery.source import NO_ERA
+from godwitladder.ids import Era, HostId
 from godwitladder.membership.codec import peer_message
 
 
@@ -22,6 +23,7 @@
     start: int
     next: int
     records: tuple[RawRecord, ...] = ()
+    era: Era = NO_ERA
 
 
 @peer_message
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -10,16 +10,20 @@
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.findings import GodwitladderError
+from godwitladder.ids import Era
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.routing.model import RoutingDocument
 
+NO_ERA = Era(0)
+"""Era of a store, or of a host of an earlier version, that tells none."""
+
 
 class StoreUnavailable(GodwitladderError):
     """The store failed or sent an invalid answer; an append may have been applied."""
 
 
 class StoreTrimmed(GodwitladderError):
-    """The store no longer retains the requested records."""
+    """The store does not have the requested records, or no longer."""
 
 
 @dataclass(frozen=True)
@@ -41,11 +45,15 @@
         Offset at which the read started; -1 for a snapshot of all keys.
     next : int
         Offset at which the next read starts.
+    era : Era
+        Era of the store in which the offsets count. A store that comes back from a
+        copy begins a new one, and gives offsets out again.
     """
 
     start: int
     next: int
     records: tuple[Record, ...]
+    era: Era = NO_ERA
 
     @property
     def is_snapshot(self) -> bool:
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -42,6 +42,9 @@
 NEWEST = "/api/log-newest"
 APPEND = "/api/log-append"
 
+STORE_ERA = "Store-Era"
+"""Header of all answers of the store."""
+
 # Topics of the store.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -47,9 +47,9 @@
     def _read(self, topic: str, offset: int) -> Batch:
         if offset < 0:
             newest = self.store.newest(topic)
-            return Batch(-1, newest.next, newest.records)
-        records = self.store.read(topic, offset)
-        return Batch(offset, offset + len(records), records)
+            return Batch(-1, newest.next, newest.records, newest.era)
+        read = self.store.read(topic, offset)
+        return Batch(offset, read.next, read.records, read.era)
 
     def read_hosts(self) -> tuple[ListedHost, ...]:
         """Return the hosts that have registered themselves in the store."""
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -14,7 +14,13 @@
 
 import urllib3
 
-from godwitladder.discovery.source import Record, StoreTrimmed, StoreUnavailable
+from godwitladder.discovery.source import (
+    NO_ERA,
+    Record,
+    StoreTrimmed,
+    StoreUnavailable,
+)
+from godwitladder.ids import Era
 from godwitladder.platform import names
 
 TIMEOUT_S = 1.0
@@ -25,11 +31,20 @@
 
 
 @dataclass(frozen=True)
-class Newest:
-    """The newest record of each key, and the offset of the next read."""
+class StoreRecords:
+    """Records of one topic, the offset of the next read, and the era of both."""
 
     records: tuple[Record, ...]
     next: int
+    era: Era
+
+
+@dataclass(frozen=True)
+class StoreAnswer:
+    """Body of an answer, and the era that it was given in."""
+
+    data: bytes
+    era: Era
 
 
 class StoreClient:
@@ -39,6 +54,11 @@
     ----------
     address : str
         ``address:port`` of the store.
+
+    Attributes
+    ----------
+    era : Era
+        Era of the last answer that named one; it holds for those that name none.
     """
 
     def __init__(self, address: str) -> None:
@@ -46,12 +66,13 @@
         self.pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=2, retries=False, timeout=TIMEOUT_S
         )
+        self.era = NO_ERA
 
     def close(self) -> None:
         """Close the pooled connections."""
         self.pool.close()
 
-    def newest(self, topic: str) -> Newest:
+    def newest(self, topic: str) -> StoreRecords:
         """Return the newest record of each key of ``topic``.
 
         The pages are not a consistent snapshot. The next read starts at the end
@@ -61,37 +82,43 @@
         Raises
         ------
         StoreUnavailable
-            The store did not return valid pages.
+            The store did not return valid pages of one era.
         """
         records: list[Record] = []
         end: int | None = None
+        eras = set()
         after = ""
         while True:
             query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
-            page = self._request_json("GET", names.NEWEST, query)
+            page, era = self._request_json("GET", names.NEWEST, query)
+            eras.add(era)
+            if len(eras) > 1:
+                raise StoreUnavailable(f"the pages are of the eras {sorted(eras)}")
             try:
                 end = page["endOffset"] if end is None else end
                 rows = page["entries"]
                 records += [_parse_newest_record(row) for row in rows]
                 if not page.get("hasMore") or not rows:
-                    return Newest(tuple(records), int(end))
+                    return StoreRecords(tuple(records), int(end), era)
                 after = rows[-1]["key"]
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreUnavailable(f"invalid page of records: {error!r}") from error
 
-    def read(self, topic: str, offset: int) -> tuple[Record, ...]:
+    def read(self, topic: str, offset: int) -> StoreRecords:
         """Return the records of ``topic`` from ``offset`` on.
 
         Raises
         ------
         StoreTrimmed
-            The store no longer keeps the records at ``offset``; `newest` still
+            The store does not have the records at ``offset``; `newest` still
             returns the newest record of each key.
         StoreUnavailable
             The store did not return a valid body.
         """
         query = {"topic": topic, "part": 0, "from": offset}
-        return parse_records(self._request("GET", names.READ, query), offset)
+        answer = self._request("GET", names.READ, query)
+        records = parse_records(answer.data, offset)
+        return StoreRecords(records, offset + len(records), answer.era)
 
     def append(self, topic: str, key: str, value: bytes) -> None:
         """Append one record; an empty value removes the key.
@@ -105,30 +132,37 @@
         body = RECORD_LENGTH.pack(len(content)) + content
         self._request("POST", names.APPEND, {"topic": topic, "part": 0}, body)
 
-    def _request_json(self, method: str, path: str, query: dict) -> dict:
-        data = self._request(method, path, query)
+    def _request_json(self, method: str, path: str, query: dict) -> tuple[dict, Era]:
+        answer = self._request(method, path, query)
         try:
-            answer = json.loads(data)
+            body = json.loads(answer.data)
         except ValueError as error:
             raise StoreUnavailable(f"{path} returned invalid JSON: {error}") from error
-        if not isinstance(answer, dict):
+        if not isinstance(body, dict):
             raise StoreUnavailable(
-                f"{path} returned a JSON {type(answer).__name__}, not an object"
+                f"{path} returned a JSON {type(body).__name__}, not an object"
             )
-        return answer
+        return body, answer.era
 
     def _request(
         self, method: str, path: str, query: dict, body: bytes | None = None
-    ) -> bytes:
+    ) -> StoreAnswer:
         try:
             answer = self.pool.request(method, f"{path}?{urlencode(query)}", body=body)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise StoreUnavailable(f"{path} did not answer: {error}") from error
         if answer.status == 410:
-            raise StoreTrimmed(f"{path}: the records are no longer kept")
+            raise StoreTrimmed(f"{path}: the store does not have the records")
         if answer.status != 200:
             raise StoreUnavailable(f"{path} returned HTTP status {answer.status}")
-        return answer.data
+        self.era = _parse_era(answer.headers.get(names.STORE_ERA), self.era)
+        return StoreAnswer(answer.data, self.era)
+
+
+def _parse_era(text: str | None, default: Era) -> Era:
+    if text is None or not (text.isascii() and text.isdigit()):
+        return default
+    return Era(int(text))
 
 
 def parse_records(data: bytes, offset: int) -> tuple[Record, ...]:
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import bisect
 import enum
 import json
 import random
@@ -41,10 +42,24 @@
         deletes the key.
     first_offset : int
         Oldest offset that can be read.
+    appended_at : list of float
+        When each record was appended, in monotonic seconds.
     """
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
     first_offset: int = 0
+    appended_at: list[float] = field(default_factory=list)
+
+    def append(self, key: str, value: bytes) -> None:
+        """Append a record."""
+        self.records.append((key, value))
+        self.appended_at.append(time.monotonic())
+
+    def cut_back(self, end: int) -> None:
+        """Lose all records from the offset ``end`` on."""
+        del self.records[end:]
+        del self.appended_at[end:]
+        self.first_offset = min(self.first_offset, len(self.records))
 
     def newest(self) -> dict[str, tuple[int, bytes]]:
         """Return offset and value of the newest record of each live key."""
@@ -67,11 +82,14 @@
     lose : bool
         Whether requests are carried out, but their connections closed without
         an answer.
+    tells_era : bool
+        Whether answers name the era.
     """
 
     status: int = 0
     mute_s: float = 0.0
     lose: bool = False
+    tells_era: bool = True
 
 
 class Store:
@@ -85,18 +103,21 @@
         Faults of the store.
     reads : int
         Number of read requests handled.
+    era : int
+        Number of times that the store has come back from a copy, and one.
     """
 
     def __init__(self) -> None:
         self.topics: dict[str, Partition] = defaultdict(Partition)
         self.knobs = StoreKnobs()
         self.reads = 0
+        self.era = 1
         self.lock = threading.Lock()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record and return the end offset; no value deletes the key."""
         with self.lock:
-            self.topics[topic].records.append((key, value))
+            self.topics[topic].append(key, value)
             return len(self.topics[topic].records)
 
     def put_config(self, config: dict) -> None:
@@ -112,6 +133,21 @@
             partition = self.topics[topic]
             partition.first_offset = len(partition.records)
 
+    def come_back_from_copy(self, age_s: float) -> None:
+        """Lose all that was appended in the last ``age_s`` seconds, in a new era."""
+        oldest = time.monotonic() - age_s
+        with self.lock:
+            for partition in self.topics.values():
+                partition.cut_back(bisect.bisect_right(partition.appended_at, oldest))
+            self.era += 1
+
+    def lose_newest(self, topic: str, count: int) -> None:
+        """Lose the last ``count`` records of one topic, in a new era."""
+        with self.lock:
+            partition = self.topics[topic]
+            partition.cut_back(max(0, len(partition.records) - count))
+            self.era += 1
+
 
 class StoreHandler(BaseHTTPRequestHandler):
     """Answers requests to the store."""
@@ -164,6 +200,9 @@
             self.close_connection = True
             return
         self.send_response(status)
+        store = self.server.standin
+        if store.knobs.tells_era:
+            self.send_header(names.STORE_ERA, str(store.era))
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -190,7 +229,7 @@
 
 def read_page(partition: Partition, start: int) -> tuple[int, bytes]:
     """Return the status and body of a read from offset ``start`` on."""
-    if start < partition.first_offset:
+    if not partition.first_offset <= start <= len(partition.records):
         return 410, json.dumps({"firstOffset": partition.first_offset}).encode()
     body = READ_HEADER.pack(len(partition.records), partition.first_offset)
     for key, value in partition.records[start:]:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -177,7 +177,8 @@
     A target whose leaving is among the skipped records would stay in use.
     """
     store.standin.put("keyed.t", "a", b"1")
-    data = client._request("GET", "/api/log-read", {"topic": "keyed.t", "from": 0})
+    query = {"topic": "keyed.t", "from": 0}
+    data = client._request("GET", "/api/log-read", query).data
     assert len(parse_records(data, 0)) == 1
     with pytest.raises(StoreUnavailable):
         parse_records(data[:-1], 0)
@@ -195,9 +196,9 @@
 def test_records_are_read_from_an_offset(store, client):
     client.append("keyed.t", "a", b"1")
     client.append("keyed.t", "b", b"2")
-    (record,) = client.read("keyed.t", 1)
+    (record,) = client.read("keyed.t", 1).records
     assert (record.offset, record.key, record.value) == (1, "b", b"2")
-    assert client.read("keyed.t", 2) == ()
+    assert client.read("keyed.t", 2).records == ()
 
 
 def test_a_read_of_trimmed_records_raises(store, client):
@@ -207,6 +208,46 @@
         client.read("keyed.t", 0)
 
 
+def test_each_read_tells_the_era_of_its_offsets(store, client):
+    """Guards against offsets that are taken for those of another history."""
+    store.standin.put("keyed.t", "a", b"1")
+    before = client.read("keyed.t", 0).era, client.newest("keyed.t").era
+    store.standin.lose_newest("keyed.t", 1)
+    after = client.read("keyed.t", 0).era, client.newest("keyed.t").era
+    assert (before, after) == ((1, 1), (2, 2))
+
+
+def test_an_answer_without_an_era_is_of_the_one_before(store, client):
+    """Guards against a history that is taken for a new one as a header is missing."""
+    store.standin.era = 3
+    client.read("keyed.t", 0)
+    store.standin.knobs.tells_era = False
+    assert client.read("keyed.t", 0).era == 3
+
+
+def test_a_read_beyond_the_end_of_a_copy_raises(store, client):
+    store.standin.put("keyed.t", "a", b"1")
+    store.standin.lose_newest("keyed.t", 1)
+    with pytest.raises(StoreTrimmed):
+        client.read("keyed.t", 1)
+
+
+def test_pages_of_two_eras_are_refused(store, client, monkeypatch):
+    """Guards against a mixture of the records before and after a copy."""
+    for key in "abcd":
+        store.standin.put("keyed.t", key, b"1")
+    request = client._request
+
+    def request_and_lose(*args):
+        answer = request(*args)
+        store.standin.era += 1
+        return answer
+
+    monkeypatch.setattr(client, "_request", request_and_lose)
+    with pytest.raises(StoreUnavailable):
+        client.newest("keyed.t")
+
+
 @pytest.mark.parametrize("status", [429, 500, 503])
 def test_a_store_that_refuses_is_unavailable(store, client, status):
     store.standin.knobs.status = status
