Take a place in the store for its era and its offset

What callers saw: 404 on a route that was added and acknowledged two seconds before, an older version's answers after a change, and for two to three seconds 503 from all hosts at once. Cause: a host knew its place in the store by an offset alone.

Class: a position taken as if the history that it counts in could only grow.

Versions, not places, decide which document is in force: a later one is taken from anywhere, an older never. A read of the new era confirms the document though the copy is older: after its return nobody but the store can say what holds, and what it lost unseen is known to no one until it is written again. To refuse all callers until then would help none of them, and the wait has no bound. Hosts of the former version tell no era; theirs moves no place of hosts that know one, which read by themselves then. A store that goes back without a new era, or counts eras anew, is read anew.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -5,19 +5,21 @@
 """
 
 from godwitladder.discovery.messages import RawBatch, RawRecord
+from godwitladder.discovery.places import Place
 from godwitladder.discovery.source import Batch, Record
 
 
-def drop_known(batch: Batch, offset: int) -> Batch:
-    """Return ``batch`` without the records below ``offset``.
+def drop_known(batch: Batch, place: Place) -> Batch:
+    """Return ``batch`` without the records before ``place``.
 
     Those arrived from another host while the batch was being read, and that host
-    broadcast them to every host. A snapshot is returned unchanged.
+    broadcast them to every host. A snapshot is returned unchanged, and so is a batch of
+    another era, in which the offset of ``place`` says nothing.
     """
-    if batch.is_snapshot or offset <= batch.start:
+    if batch.is_snapshot or batch.era != place.era or place.offset <= batch.start:
         return batch
-    kept = tuple(record for record in batch.records if record.offset >= offset)
-    return Batch(min(offset, batch.next), batch.next, kept, batch.era)
+    kept = tuple(record for record in batch.records if record.offset >= place.offset)
+    return Batch(min(place.offset, batch.next), batch.next, kept, batch.era)
 
 
 def apply_batch(newest: dict[str, Record], batch: Batch) -> None:
@@ -31,17 +33,6 @@
             newest.pop(record.key, None)
 
 
-def is_contiguous(batch: RawBatch, next_offset: int) -> bool:
-    """Return whether ``batch`` can be applied without skipping a record.
-
-    Parameters
-    ----------
-    next_offset : int
-        Offset of the first record that the receiving host does not have.
-    """
-    return batch.start < 0 or 0 <= batch.start <= next_offset
-
-
 def encode_batch(batch: Batch) -> RawBatch:
     """Convert ``batch`` to the form sent to other hosts."""
     rows = (RawRecord(row.offset, row.key, row.value) for row in batch.records)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -12,7 +12,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from godwitladder.clock import Clock
@@ -21,12 +21,13 @@
     decode_batch,
     drop_known,
     encode_batch,
-    is_contiguous,
 )
 from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch
+from godwitladder.discovery.places import Fit, Place
 from godwitladder.discovery.rollout_tracker import RolloutTracker
 from godwitladder.discovery.rollouts import held_back
 from godwitladder.discovery.source import (
+    NO_ERA,
     Batch,
     Record,
     Source,
@@ -74,6 +75,8 @@
 """Time without news after which a host outside the reading order broadcasts its own
 reads: by then every host in the order has failed to read the store."""
 IGNORED_LOG_INTERVAL_S = 1.0
+MAX_READS_FOR_ERA = 3
+"""Reads of both topics until both are of one era."""
 OUTAGE_THRESHOLD_S = 1.5
 """Time without a successful read that counts as a store outage, during which entries of
 live targets may have expired."""
@@ -97,6 +100,17 @@
     held_back: frozenset[TargetName] = frozenset()
 
 
+def snapshot_at(place: Place, records: tuple[Record, ...]) -> Batch:
+    """Return the records of all keys as known at ``place``."""
+    return Batch(-1, place.offset, records, place.era)
+
+
+def is_other_history(place: Place, batch: Batch) -> bool:
+    """Return whether the store no longer has ``place``, by a read from there."""
+    is_shorter = batch.is_snapshot and batch.next < place.offset
+    return batch.era < place.era or (batch.era == place.era and is_shorter)
+
+
 class Feed:
     """Keeps the newest document and the targets.
 
@@ -122,8 +136,10 @@
         reader.
     linked : bool
         Whether the latest request to any peer could be sent.
-    next_document_offset, next_entry_offset : int
-        Offset of the next document or target record to read; -1 before the first read.
+    document_place, entry_place : Place
+        Place of the next document or target record to read.
+    document_record : Record or None
+        Record of the document in force. The store may have lost it.
     last_news_at : float
         Time at which news from another host was last applied.
     read_s : float
@@ -161,8 +177,9 @@
         self.newest_entries: dict[str, Record] = {}
         self.document = RoutingDocument()
         self.rollouts = RolloutTracker(source)
-        self.next_document_offset = -1
-        self.next_entry_offset = -1
+        self.document_record: Record | None = None
+        self.document_place = Place()
+        self.entry_place = Place()
         self.read_at = float("-inf")
         self.last_news_at = clock.boottime()
         self.read_s = 0.0
@@ -231,7 +248,7 @@
 
     def has_state(self) -> bool:
         """Return whether this host has any state from the store."""
-        return self.next_document_offset >= 0
+        return self.document_place.offset >= 0
 
     def answer_request(self, reply: Callable[[FeedNews], None]) -> None:
         """Call ``reply`` with the full state, now or once this host has any."""
@@ -281,17 +298,13 @@
             return FeedNews(
                 self.host,
                 self.freshness.age_s(self.clock.boottime()),
-                encode_batch(Batch(-1, self.next_document_offset, documents)),
-                encode_batch(Batch(-1, self.next_entry_offset, entries)),
+                encode_batch(snapshot_at(self.document_place, documents)),
+                encode_batch(snapshot_at(self.entry_place, entries)),
             )
 
     def should_read(self, now: float) -> bool:
         """Return whether this host should read the store now."""
-        if (
-            not self.hosts
-            or self.hosts[0] == self.host
-            or self.next_document_offset < 0
-        ):
+        if not self.hosts or self.hosts[0] == self.host or not self.has_state():
             return True
         return self.freshness.age_s(now) > self.patience_s()
 
@@ -313,16 +326,50 @@
     def read(self) -> None:
         """Read the new records and broadcast them."""
         began = self.read_at = self.clock.boottime()
+        asked = self.document_place, self.entry_place
         try:
-            documents = self.fetch(
-                self.source.read_documents, self.next_document_offset
-            )
-            entries = self.fetch(self.source.read_entries, self.next_entry_offset)
+            documents, entries = self.fetch_both()
         except StoreUnavailable as error:
             self.record_store_failure(error)
             return
+        with self.lock:
+            self.leave_lost_history(asked, documents, entries)
         self.finish_read(documents, entries, began)
 
+    def fetch_both(self) -> tuple[Batch, Batch]:
+        """Read both topics in one era.
+
+        Raises
+        ------
+        StoreUnavailable
+            The store failed, or came back from a copy again and again meanwhile.
+        """
+        for _ in range(MAX_READS_FOR_ERA):
+            documents = self.fetch(self.source.read_documents, self.document_place)
+            entries = self.fetch(self.source.read_entries, self.entry_place)
+            if documents.era == entries.era:
+                return documents, entries
+        raise StoreUnavailable("the era of the store changed during the read")
+
+    def leave_lost_history(
+        self, asked: tuple[Place, Place], documents: Batch, entries: Batch
+    ) -> None:
+        """Give up the places of this host if the store lost them without a new era.
+
+        A store that tells no era, or counts eras anew, would else be taken for one
+        that answers late, for ever.
+        """
+        if asked != (self.document_place, self.entry_place):
+            return
+        batches = documents, entries
+        if any(map(is_other_history, asked, batches)):
+            log.warning(
+                "The store lost this host's place without a new era",
+                extra={"era": documents.era, "places": [vars(row) for row in asked]},
+            )
+            self.document_place = self.entry_place = Place(documents.era)
+            self.record_copy(documents)
+
     def finish_read(self, documents: Batch, entries: Batch, began: float) -> None:
         """Apply a read that started at ``began``, and broadcast it."""
         with self.lock:
@@ -343,12 +390,18 @@
         """Record the duration of a read, in seconds."""
         self.read_s = min(seconds, MAX_READ_S)
 
-    def fetch(self, read: Callable[[int], Batch], offset: int) -> Batch:
-        """Read from ``offset``; read a snapshot if those records are gone."""
+    def fetch(self, read: Callable[[int], Batch], place: Place) -> Batch:
+        """Read from ``place``; read a snapshot if it is gone or of another era.
+
+        In another era, records before the place may have changed too.
+        """
         try:
-            return read(offset)
+            batch = read(place.offset)
         except StoreTrimmed:
             return read(-1)
+        if batch.is_snapshot or batch.era == place.era:
+            return batch
+        return read(-1)
 
     def record_store_failure(self, error: StoreUnavailable) -> None:
         """Record that the store did not answer."""
@@ -385,8 +438,8 @@
             return None
         if self.reads_at_start and not self.has_state() and not self.is_reader():
             return None
-        documents = drop_known(documents, self.next_document_offset)
-        entries = drop_known(self.drop_unchanged(entries), self.next_entry_offset)
+        documents = drop_known(documents, self.document_place)
+        entries = drop_known(self.drop_unchanged(entries), self.entry_place)
         return FeedNews(self.host, 0.0, encode_batch(documents), encode_batch(entries))
 
     def drop_unchanged(self, entries: Batch) -> Batch:
@@ -423,11 +476,12 @@
         """
         began = self.clock.boottime() - news.age_s
         with self.lock:
-            if not (
-                is_contiguous(news.documents, self.next_document_offset)
-                and is_contiguous(news.entries, self.next_entry_offset)
-            ):
-                self.log_ignored("the news leaves a gap", news.documents, news.entries)
+            fits = (
+                self.document_place.fit(news.documents),
+                self.entry_place.fit(news.entries),
+            )
+            if Fit.GAP in fits or Fit.OLD_ERA in fits:
+                self.ignore_news(news, fits)
             else:
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
@@ -436,22 +490,32 @@
                     decode_batch(news.documents), decode_batch(news.entries), began
                 )
 
+    def ignore_news(self, news: FeedNews, fits: Iterable[Fit]) -> None:
+        """Take no more than a newer document from news of another place."""
+        reasons = [row.value for row in fits if row is not Fit.APPLIES]
+        self.log_ignored(reasons, news.documents, news.entries)
+        if self.apply_documents(decode_batch(news.documents)):
+            self.publish_view()
+
     def apply(self, documents: Batch, entries: Batch, began: float) -> None:
-        """Apply a read that started at ``began``."""
-        changed = False
-        if (
-            documents.next < self.next_document_offset
-            or entries.next < self.next_entry_offset
-        ):
-            self.log_ignored("the offsets are lower", documents, entries)
-        if documents.next >= self.next_document_offset:
-            self.next_document_offset = documents.next
+        """Apply a read that started at ``began``.
+
+        Versions decide which document is in force, places what is read next.
+        """
+        fits = self.document_place.fit(documents), self.entry_place.fit(entries)
+        if any(row is not Fit.APPLIES for row in fits):
+            self.log_ignored([row.value for row in fits], documents, entries)
+        if self.is_from_copy(documents):
+            self.record_copy(documents)
+        changed = self.apply_documents(documents)
+        if fits[0] is Fit.APPLIES:
+            self.document_place = self.document_place.after(documents)
             apply_batch(self.newest_documents, documents)
-            changed |= self.apply_documents(documents)
+            self.keep_document_in_force()
             changed |= self.rollouts.apply(documents, self.clock.boottime())
             self.freshness.confirm(began)
-        if entries.next >= self.next_entry_offset:
-            self.next_entry_offset = entries.next
+        if fits[1] is Fit.APPLIES:
+            self.entry_place = self.entry_place.after(entries)
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
         if changed:
@@ -459,8 +523,39 @@
         if self.pending_replies:
             self.answer_pending()
 
+    def is_from_copy(self, batch: Batch) -> bool:
+        """Return whether the store has come back from a copy since this host read."""
+        return batch.era > self.document_place.era != NO_ERA and self.has_state()
+
+    def record_copy(self, documents: Batch) -> None:
+        """Record that the store has come back from a copy, which is ``documents``."""
+        versions = [
+            row.version
+            for row in map(self.source.decode_document, documents.records)
+            if row
+        ]
+        log.info(
+            "The store came back from a copy",
+            extra={
+                "era": documents.era,
+                "before": vars(self.document_place),
+                "next": documents.next,
+                "version": self.document.version,
+                "copied_version": max(versions, default=-1),
+            },
+        )
+
+    def keep_document_in_force(self) -> None:
+        """Keep the document in force for hosts that start, if the store lost it."""
+        record = self.document_record
+        if record is not None:
+            self.newest_documents[record.key] = record
+
     def log_ignored(
-        self, reason: str, documents: Batch | RawBatch, entries: Batch | RawBatch
+        self,
+        reasons: Iterable[str],
+        documents: Batch | RawBatch,
+        entries: Batch | RawBatch,
     ) -> None:
         """Log what is not applied and why, at most one line a second."""
         now = self.clock.boottime()
@@ -470,11 +565,11 @@
         log.info(
             "Records not applied",
             extra={
-                "reason": reason,
+                "reasons": sorted(set(reasons)),
                 "era": documents.era,
                 "documents": [documents.start, documents.next],
                 "entries": [entries.start, entries.next],
-                "place": [self.next_document_offset, self.next_entry_offset],
+                "places": [vars(self.document_place), vars(self.entry_place)],
                 "version": self.document.version,
                 "age_s": self.age_s(),
             },
@@ -483,8 +578,8 @@
     def apply_documents(self, batch: Batch) -> bool:
         """Adopt the newest document, if it is newer than the current one.
 
-        The version must never decrease: a snapshot or a peer that lags behind must
-        not restore an older document.
+        The version must never decrease: a snapshot, a peer that lags behind or a store
+        that came back from a copy must not restore an older document.
         """
         changed = False
         for record in batch.records:
@@ -501,6 +596,7 @@
                 }
                 log.info("Routing document changed", extra=extra)
                 self.document = document
+                self.document_record = record
                 changed = True
         return changed
 
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -14,8 +14,8 @@
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.routing.model import RoutingDocument
 
-NO_ERA = Era(0)
-"""Era of a store, or of a host of an earlier version, that tells none."""
+NO_ERA = Era(-1)
+"""Era where none is told: by some stores, and by hosts of an earlier version."""
 
 
 class StoreUnavailable(GodwitladderError):
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -346,7 +346,7 @@
     reader, _ = make_feed(source, clock)
     feed, _ = make_new_feed(source, clock, [reader])
     feed.step()
-    assert feed.next_document_offset < 0
+    assert not feed.has_state()
     reader.step()
     clock.advance(0.3)
     feed.step()
--- a/tests/discovery/test_slow_store.py
+++ b/tests/discovery/test_slow_store.py
@@ -72,10 +72,7 @@
                 feed.finish_read(documents, entries, began)
         elif now - feed.read_at >= READ_INTERVAL_S and feed.should_read(now):
             feed.read_at = now
-            documents = feed.fetch(
-                self.source.read_documents, feed.next_document_offset
-            )
-            entries = feed.fetch(self.source.read_entries, feed.next_entry_offset)
+            documents, entries = feed.fetch_both()
             self.reads_in_progress[feed.host] = (
                 now,
                 now + self.read_s,
