Keep targets as they are known while the store's copy is older

What callers would see: calls to a target that has left in the lost seconds, since it stands in the copy again, or as ready again though it has said that it leaves; refusals, as live targets that the copy lacks are removed at once (an outage of less than 1.5 s did not count as one). Now, at a new era, what this host knows better stays: removed targets (remembered for a minute), departures, newer processes, until the target writes again. A departure or a new process that only the copy tells is taken. Targets that the copy lacks are kept for two seconds. What is passed on to hosts that start is the same.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -4,6 +4,9 @@
 only by a host that has all earlier records; a snapshot can be applied by any host.
 """
 
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
 from godwitladder.discovery.messages import RawBatch, RawRecord
 from godwitladder.discovery.places import Place
 from godwitladder.discovery.source import Batch, Record
@@ -33,6 +36,28 @@
             newest.pop(record.key, None)
 
 
+def merge_copy(
+    copy: Batch, newest: Mapping[str, Record], is_known: Callable[[Record], bool]
+) -> Batch:
+    """Return the snapshot of an older copy, with what is known better in place of it.
+
+    Parameters
+    ----------
+    copy : Batch
+        All records of a store that has come back from a copy.
+    newest : mapping
+        Records of which this host knows, by key.
+    is_known : callable
+        Whether a record of the copy tells nothing new. If its key is not in ``newest``,
+        it has been deleted since.
+    """
+    kept = (
+        newest.get(record.key) if is_known(record) else record
+        for record in copy.records
+    )
+    return replace(copy, records=tuple(row for row in kept if row is not None))
+
+
 def encode_batch(batch: Batch) -> RawBatch:
     """Convert ``batch`` to the form sent to other hosts."""
     rows = (RawRecord(row.offset, row.key, row.value) for row in batch.records)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -21,6 +21,7 @@
     decode_batch,
     drop_known,
     encode_batch,
+    merge_copy,
 )
 from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch
 from godwitladder.discovery.places import Fit, Place
@@ -515,6 +516,8 @@
             changed |= self.rollouts.apply(documents, self.clock.boottime())
             self.freshness.confirm(began)
         if fits[1] is Fit.APPLIES:
+            if entries.is_snapshot and self.is_other_era(entries):
+                entries = merge_copy(entries, self.newest_entries, self.knows_better)
             self.entry_place = self.entry_place.after(entries)
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
@@ -523,12 +526,25 @@
         if self.pending_replies:
             self.answer_pending()
 
+    def is_other_era(self, entries: Batch) -> bool:
+        """Return whether the offsets of ``entries`` don't count on from this place."""
+        return self.entry_place.offset < 0 or entries.era > self.entry_place.era
+
+    def knows_better(self, record: Record) -> bool:
+        """Return whether a target's record in a copy tells nothing new."""
+        entry = self.source.decode_entry(record)
+        return entry is not None and self.table.knows_better(entry)
+
     def is_from_copy(self, batch: Batch) -> bool:
         """Return whether the store has come back from a copy since this host read."""
         return batch.era > self.document_place.era != NO_ERA and self.has_state()
 
     def record_copy(self, documents: Batch) -> None:
-        """Record that the store has come back from a copy, which is ``documents``."""
+        """Record that the store has come back from a copy, which is ``documents``.
+
+        Targets that it lacks are kept for the time in which they write again.
+        """
+        self.table.record_store_return(self.clock.boottime())
         versions = [
             row.version
             for row in map(self.source.decode_document, documents.records)
--- a/tests/discovery/copied_store.py
+++ b/tests/discovery/copied_store.py
@@ -1,10 +1,19 @@
 """An in-memory store that may come back from a copy, and hosts that read it."""
 
+from dataclasses import replace
+
 from godwitladder.clock import ManualClock
 from godwitladder.discovery.source import Batch, StoreTrimmed
-from tests.discovery.test_discovery import MemorySource, make_feed, make_new_feed
+from tests.discovery.test_discovery import (
+    KNOWN,
+    ONE,
+    MemorySource,
+    make_feed,
+    make_new_feed,
+)
 
 STEP_S = 0.1
+ENTRIES = KNOWN | {b"one again": replace(ONE, started_ms=1)}
 
 
 class CopiedSource(MemorySource):
@@ -21,6 +30,9 @@
             raise StoreTrimmed("beyond the end")
         return Batch(batch.start, batch.next, batch.records, self.era)
 
+    def decode_entry(self, record):
+        return ENTRIES.get(record.value)
+
     def come_back(self, documents=0, entries=0):
         """Come back from a copy that lacks the newest records of each topic."""
         del self.documents[len(self.documents) - documents :]
@@ -63,6 +75,13 @@
             now = self.clock.boottime()
             self.unready += sum(not row.freshness.is_fresh(now) for row in self.feeds)
 
+    def targets(self):
+        """Return the targets that each host uses, and whether each leaves."""
+        return [
+            {row.name: row.leaving for row in self.views[feed.host][-1].targets}
+            for feed in self.feeds
+        ]
+
     def versions(self):
         """Return the versions that hosts have in force."""
         return [
