Let a host that starts ask its peers before it uses what it reads of the store

What callers would see: a key that was taken away is let in by a host that has just started, as the store is back from a copy in which the key still stands. Cause: such a host used what it read at once, though its peers have a later document in force; and a peer passed on what the copy says. Now it reads as before, and uses it once a peer has sent its state, or none has for 1.2 s; a peer that has read no more than it sends that at once, so that hosts that start together don't wait. The document in force is what peers are told, though the store lost it. Readiness already waited for a first link.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -62,8 +62,8 @@
 It is short because after a failure of all hosts no caller is served before one of
 them has read."""
 PEER_ANSWER_TIMEOUT_S = 1.2
-"""Time after its start at which a host that has peers, but has received nothing from
-them, reads the store itself."""
+"""Time after its start at which a host that has received nothing from a peer reads the
+store itself, and uses what it has read."""
 REQUEST_INTERVAL_S = 0.25
 """Interval between the requests of a host that has no state yet. An answer can contain
 a whole document, which occupies a slow host's link while it is sent."""
@@ -146,6 +146,10 @@
     read_s : float
         Duration of the latest read, by this host or by the sender of the latest news,
         in seconds.
+    heard_peer : bool
+        Whether a peer has sent its full state.
+    is_unpublished : bool
+        Whether a view waits until what was read of the store may be used.
     pending_replies : list of callable
         Replies to requests that arrived before this host had any state; called with
         the full state once there is one.
@@ -172,6 +176,8 @@
         self.started = clock.boottime()
         self.requested_at = float("-inf")
         self.linked = False
+        self.heard_peer = False
+        self.is_unpublished = False
         self.hosts: tuple[HostId, ...] = (host,)
         self.table = TargetTable()
         self.newest_documents: dict[str, Record] = {}
@@ -212,7 +218,12 @@
         old.
         """
         reads = not self.hosts or self.hosts[0] == self.host
-        if reads or not self.has_state() or self.table.pending_removals:
+        if (
+            reads
+            or self.is_unpublished
+            or not self.has_state()
+            or self.table.pending_removals
+        ):
             return STEP_INTERVAL_S
         return max(
             STEP_INTERVAL_S,
@@ -222,8 +233,7 @@
     def step(self) -> None:
         """Read the store if this host should, and remove expired targets and orders."""
         now = self.clock.boottime()
-        if not self.has_state():
-            self.request_state()
+        self.request_state()
         if (
             not self.waits_for_peer(now)
             and now - self.read_at >= READ_INTERVAL_S
@@ -232,7 +242,8 @@
             self.read()
         with self.lock:
             now = self.clock.boottime()
-            if self.table.expire(now) | self.rollouts.expire(now):
+            changed = self.table.expire(now) | self.rollouts.expire(now)
+            if changed or self.is_unpublished:
                 self.publish_view()
 
     def waits_for_peer(self, now: float) -> bool:
@@ -281,7 +292,7 @@
             for any peer.
         """
         now = self.clock.boottime()
-        if self.has_state() or now - self.requested_at < REQUEST_INTERVAL_S:
+        if not self.needs_peer(now) or now - self.requested_at < REQUEST_INTERVAL_S:
             return
         sent = (send_request or self.send_request)(FeedWanted(self.host))
         if send_request is None:
@@ -289,6 +300,18 @@
         if sent:
             self.requested_at = now
 
+    def needs_peer(self, now: float) -> bool:
+        """Return whether this host needs the state of a peer."""
+        return not (self.has_state() and self.trusts_store(now))
+
+    def trusts_store(self, now: float) -> bool:
+        """Return whether what was read of the store may be used.
+
+        The store may have come back from a copy just before this host started. It would
+        let in callers whose keys its peers know to be revoked.
+        """
+        return self.heard_peer or now - self.started >= PEER_ANSWER_TIMEOUT_S
+
     def make_full_news(self) -> FeedNews | None:
         """Return the full state of this host; None if it has none."""
         with self.lock:
@@ -484,6 +507,7 @@
             if Fit.GAP in fits or Fit.OLD_ERA in fits:
                 self.ignore_news(news, fits)
             else:
+                self.heard_peer |= news.documents.start < 0
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
                 self.record_read_duration(news.age_s)
@@ -632,7 +656,10 @@
         return changed
 
     def publish_view(self) -> None:
-        """Publish a new view of the current state."""
+        """Publish a new view of the current state, as soon as it may be used."""
+        self.is_unpublished = not self.trusts_store(self.clock.boottime())
+        if self.is_unpublished:
+            return
         self.version += 1
         targets = tuple(self.table.entries.values())
         unproved = held_back(self.rollouts.orders, targets)
--- a/tests/discovery/copied_store.py
+++ b/tests/discovery/copied_store.py
@@ -58,10 +58,10 @@
             row.apply_news(news) for row in self.feeds if row is not feed
         ]
 
-    def add_new(self):
+    def add_new(self, name="new"):
         """Start one more host, which asks the others for their state."""
         peers = list(self.feeds)
-        feed, views = make_new_feed(self.source, self.clock, peers, host="new")
+        feed, views = make_new_feed(self.source, self.clock, peers, host=name)
         feed.reads_at_start = True
         self.add(feed, views)
         return feed
