Tell all hosts of a document that the store has lost and one host knows

What callers would see: a key that one host refuses and the others let in until the change is written again, where that host alone had read it before the store went back. Cause: the news of a copy held what the copy says. Now the reader sends the document in force in place of an older one; a host that knows a later one tells the others after a second, unless somebody does before. So that not all hosts send whole documents in the second in which all notice the copy, those that are not the reader send none of what they read of it; a host whom the store turns away asks a peer for its state if news does not follow on what it knows, which it would else wait for until it is unready.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -72,6 +72,9 @@
 MAX_NEWS_TIMEOUT_S = 2.5
 """Age of the state at which any host reads the store itself, however slow the store is.
 It is half the time for which keys are accepted without a new confirmation."""
+TELL_DELAY_S = 1.0
+"""Time after which a host tells of a document that the store has lost; the reader does
+so with its next read, within an interval."""
 READER_LOSS_TIMEOUT_S = 3.0
 """Time without news after which a host outside the reading order broadcasts its own
 reads: by then every host in the order has failed to read the store."""
@@ -150,6 +153,9 @@
         Whether a peer has sent its full state.
     is_unpublished : bool
         Whether a view waits until what was read of the store may be used.
+    tells_at : float or None
+        Time at which this host tells others of a document that the store has lost,
+        unless one of them does so before.
     pending_replies : list of callable
         Replies to requests that arrived before this host had any state; called with
         the full state once there is one.
@@ -178,6 +184,7 @@
         self.linked = False
         self.heard_peer = False
         self.is_unpublished = False
+        self.tells_at: float | None = None
         self.hosts: tuple[HostId, ...] = (host,)
         self.table = TargetTable()
         self.newest_documents: dict[str, Record] = {}
@@ -218,12 +225,8 @@
         old.
         """
         reads = not self.hosts or self.hosts[0] == self.host
-        if (
-            reads
-            or self.is_unpublished
-            or not self.has_state()
-            or self.table.pending_removals
-        ):
+        waits = self.is_unpublished or self.tells_at is not None
+        if reads or waits or not self.has_state() or self.table.pending_removals:
             return STEP_INTERVAL_S
         return max(
             STEP_INTERVAL_S,
@@ -245,6 +248,8 @@
             changed = self.table.expire(now) | self.rollouts.expire(now)
             if changed or self.is_unpublished:
                 self.publish_view()
+        if self.tells_at is not None and now >= self.tells_at:
+            self.tell_document()
 
     def waits_for_peer(self, now: float) -> bool:
         """Return whether this host has no state yet and waits for a peer to send it."""
@@ -312,6 +317,17 @@
         """
         return self.heard_peer or now - self.started >= PEER_ANSWER_TIMEOUT_S
 
+    def request_missing(self) -> None:
+        """Request the full state from a peer, since its news can't be applied.
+
+        A host that the store turns away depends on it.
+        """
+        now = self.clock.boottime()
+        is_asked = now - self.requested_at < REQUEST_INTERVAL_S
+        if self.freshness.age_s(now) > NEWS_TIMEOUT_S and not is_asked:
+            self.requested_at = now
+            self.send_request(FeedWanted(self.host))
+
     def make_full_news(self) -> FeedNews | None:
         """Return the full state of this host; None if it has none."""
         with self.lock:
@@ -462,7 +478,12 @@
             return None
         if self.reads_at_start and not self.has_state() and not self.is_reader():
             return None
-        documents = drop_known(documents, self.document_place)
+        # Each of the others reads the copy by itself if there is no reader.
+        if self.is_from_copy(documents) and not self.is_reader():
+            return None
+        documents = drop_known(
+            self.with_document_in_force(documents), self.document_place
+        )
         entries = drop_known(self.drop_unchanged(entries), self.entry_place)
         return FeedNews(self.host, 0.0, encode_batch(documents), encode_batch(entries))
 
@@ -517,6 +538,8 @@
 
     def ignore_news(self, news: FeedNews, fits: Iterable[Fit]) -> None:
         """Take no more than a newer document from news of another place."""
+        if Fit.GAP in fits:
+            self.request_missing()
         reasons = [row.value for row in fits if row is not Fit.APPLIES]
         self.log_ignored(reasons, news.documents, news.entries)
         if self.apply_documents(decode_batch(news.documents)):
@@ -584,6 +607,44 @@
                 "copied_version": max(versions, default=-1),
             },
         )
+        if max(versions, default=-1) < self.document.version and not self.is_reader():
+            rank = (
+                self.hosts.index(self.host)
+                if self.host in self.hosts
+                else MAX_TAKEOVER_RANK
+            )
+            delay_s = TELL_DELAY_S + TAKEOVER_DELAY_S * min(rank, MAX_TAKEOVER_RANK)
+            self.tells_at = self.clock.boottime() + delay_s
+
+    def tell_document(self) -> None:
+        """Tell all others of the document in force, which the store has lost."""
+        with self.lock:
+            self.tells_at = None
+            place = self.document_place.offset
+            batches = [
+                encode_batch(Batch(row.offset, row.offset, records, row.era))
+                for row, records in (
+                    (self.document_place, (self.document_record,)),
+                    (self.entry_place, ()),
+                )
+            ]
+            news = FeedNews(self.host, self.age_s(), *batches)
+        log.info(
+            "Told the others of a document that the store has lost",
+            extra={"version": self.document.version, "place": place},
+        )
+        self.broadcast(news)
+
+    def with_document_in_force(self, documents: Batch) -> Batch:
+        """Return a snapshot with the document in force in place of an older one."""
+        record = self.document_record
+        if record is None or not documents.is_snapshot:
+            return documents
+        decoded = map(self.source.decode_document, documents.records)
+        if any(row and row.version >= self.document.version for row in decoded):
+            return documents
+        others = tuple(row for row in documents.records if row.key != record.key)
+        return replace(documents, records=(*others, record))
 
     def keep_document_in_force(self) -> None:
         """Keep the document in force for hosts that start, if the store lost it."""
@@ -624,6 +685,8 @@
         changed = False
         for record in batch.records:
             document = self.source.decode_document(record)
+            if document is not None and document.version >= self.document.version:
+                self.tells_at = None
             if document is not None and document.version > self.document.version:
                 extra = {
                     "version": document.version,
--- a/tests/discovery/test_copies_and_new_hosts.py
+++ b/tests/discovery/test_copies_and_new_hosts.py
@@ -1,7 +1,11 @@
 """What a host believes of an older copy while others know better."""
 
+import functools
+
+import pytest
+
 from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S
-from tests.discovery.copied_store import make_region
+from tests.discovery.copied_store import CopiedSource, make_region
 
 
 def test_a_host_that_starts_asks_its_peers_before_it_believes_a_copy():
@@ -40,3 +44,90 @@
     assert region.views["one"] == []
     two.step()
     assert region.views["two"][-1].document.version == 1
+
+
+@pytest.mark.parametrize("knower", [0, 2], ids=["the reader", "another"])
+def test_a_document_that_one_host_alone_has_read_reaches_all(knower):
+    """Guards against a key that one host refuses and the others let in for good."""
+    region = make_region(1, 2)
+    region.source.put_document(3)
+    feed = region.feeds[knower]
+    tell, feed.broadcast = feed.broadcast, lambda news: None
+    feed.read()
+    feed.broadcast = tell
+    region.source.come_back(documents=1)
+    region.run(2)
+    assert region.versions() == [3] * 3
+
+
+def count_documents(region):
+    """Return a list to which each document is added that a host tells the others."""
+    told = []
+
+    def tell(news, send):
+        told.extend(news.documents.records)
+        send(news)
+
+    for feed in region.feeds:
+        feed.broadcast = functools.partial(tell, send=feed.broadcast)
+    return told
+
+
+@pytest.mark.parametrize("away_s", [0, 4])
+def test_the_reader_alone_tells_what_a_copy_lacks(away_s):
+    """Guards against whole documents over all links, from all hosts at once."""
+    region = make_region(1, 2, 3, count=12)
+    told = count_documents(region)
+    region.source.unavailable = True
+    region.run(away_s)
+    region.source.unavailable = False
+    region.source.come_back(documents=2)
+    region.run(3)
+    assert [record.value for record in told] == [b"3"]
+
+
+def test_hosts_that_read_a_copy_at_once_do_not_all_send_it():
+    """Guards against the same, where all had lost the store and read by themselves."""
+    region = make_region(1, 2, 3, count=12)
+    told = count_documents(region)
+    region.source.come_back(documents=2)
+    began = region.clock.boottime()
+    reads = [(feed, feed.fetch_both()) for feed in reversed(region.feeds)]
+    for feed, batches in reads:
+        feed.finish_read(*batches, began)
+    region.run(3)
+    assert [record.value for record in told] == [b"3"]
+
+
+def test_one_host_tells_what_the_reader_does_not_know():
+    """Guards against the same, where all but the reader know a lost document."""
+    region = make_region(1, 2, 3, count=12)
+    reader, second, *others = region.feeds
+    region.source.put_document(4)
+    tell = second.broadcast
+    second.broadcast = lambda news: [row.apply_news(news) for row in others]
+    second.read()
+    second.broadcast = tell
+    told = count_documents(region)
+    region.source.come_back(documents=2)
+    region.run(4)
+    assert region.versions() == [4] * 12
+    assert [record.value for record in told] == [b"3", b"4"]
+
+
+def test_a_host_that_the_store_turns_away_follows_into_the_new_era():
+    """Guards against a host that goes unready though its peers read the store."""
+    region = make_region(1, 2, 3)
+    reader, away, _ = region.feeds
+    down = CopiedSource()
+    down.unavailable = True
+    region.feeds[0].source = away.source = down
+    for feed in (reader, away):
+        feed.send_request = lambda wanted, feed=feed: (
+            feed.apply_news(region.feeds[2].make_full_news()) is None
+        )
+    region.source.come_back(documents=1)
+    region.source.put_document(4)
+    region.run(6)
+    assert region.versions() == [4] * 3
+    assert region.unready == 0
