Answer orders of roll-outs again after a copy of the store

What the operator would see: no answer to an order whose status the store has lost, or to a new order at the offset of one that was answered. Cause: an order was known by its offset. Now those that this host answered are compared as a whole, and answered again once they are read in the new era; versions that are held back stay so.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -592,6 +592,7 @@
         Targets that it lacks are kept for the time in which they write again.
         """
         self.table.record_store_return(self.clock.boottime())
+        self.rollouts.begin_era()
         versions = [
             row.version
             for row in map(self.source.decode_document, documents.records)
--- a/godwitladder/discovery/rollout_tracker.py
+++ b/godwitladder/discovery/rollout_tracker.py
@@ -1,6 +1,6 @@
 """Tracks the rollout orders read from the store, and answers them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.source import Batch, Record, Source, StoreUnavailable
@@ -18,11 +18,18 @@
 
 @dataclass(frozen=True)
 class LatestOrder:
-    """An order, and the time until which its version is held back."""
+    """An order, and the time until which its version is held back.
+
+    Attributes
+    ----------
+    is_stored : bool
+        Whether it has been read in the store's current era.
+    """
 
     record: Record
     order: RolloutOrder
     expires_at: float
+    is_stored: bool = True
 
 
 class RolloutTracker:
@@ -39,26 +46,42 @@
         Orders whose version is held back, by service.
     latest : dict
         Last order of each service, kept also when its version is no longer held back.
-    answered_offsets : dict
-        Offset of the last order that this host has answered, by service.
+    answered : dict
+        Last order that this host has answered in the store's current era, by service.
     """
 
     def __init__(self, source: Source) -> None:
         self.source = source
         self.orders: dict[ServiceName, RolloutOrder] = {}
         self.latest: dict[ServiceName, LatestOrder] = {}
-        self.answered_offsets: dict[ServiceName, int] = {}
+        self.answered: dict[ServiceName, RolloutOrder] = {}
+
+    def begin_era(self) -> None:
+        """Answer all orders again once they are read in the store's new era.
+
+        The store may have lost the answers, and the operator would wait for them. What
+        is held back stays so.
+        """
+        self.answered.clear()
+        for service, row in self.latest.items():
+            self.latest[service] = replace(row, is_stored=False)
 
     def apply(self, batch: Batch, now: float) -> bool:
         """Apply the records of a read; return whether the orders in force changed."""
         for record in batch.records:
             order = self.source.decode_rollout(record)
-            previous = self.latest.get(order.service) if order is not None else None
-            if order is not None and (previous is None or previous.order != order):
-                expires_at = now + order.duration_s + EXTRA_HOLD_S
-                self.latest[order.service] = LatestOrder(record, order, expires_at)
+            if order is not None:
+                self.put(record, order, now)
         return self.expire(now)
 
+    def put(self, record: Record, order: RolloutOrder, now: float) -> None:
+        """Add an order; one that is known keeps its time."""
+        known = self.latest.get(order.service)
+        expires_at = now + order.duration_s + EXTRA_HOLD_S
+        if known is not None and known.order == order:
+            expires_at = known.expires_at
+        self.latest[order.service] = LatestOrder(record, order, expires_at)
+
     def expire(self, now: float) -> bool:
         """Remove expired orders; return whether the orders in force changed."""
         before = self.orders
@@ -76,7 +99,7 @@
         is the same.
         """
         for row in list(self.latest.values()):
-            if self.answered_offsets.get(row.order.service) != row.order.offset:
+            if row.is_stored and self.answered.get(row.order.service) != row.order:
                 self.report_rolled_back(row.record, row.order)
 
     def report_rolled_back(self, record: Record, order: RolloutOrder) -> None:
@@ -95,5 +118,5 @@
                 "Could not answer a rollout order", extra=extra | {"error": str(error)}
             )
             return
-        self.answered_offsets[order.service] = order.offset
+        self.answered[order.service] = order
         log.info("Rollout rolled back without evaluation", extra=extra)
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -82,6 +82,33 @@
     assert len(store.appended) == 2
 
 
+def test_an_order_is_answered_again_after_a_copy_of_the_store():
+    """Guards against an operator who waits for an answer that the store has lost."""
+    store = FakeStore()
+    tracker = RolloutTracker(PlatformSource(store))
+    tracker.apply(Batch(0, 8, (make_record(),)), now=100.0)
+    tracker.answer_orders()
+    tracker.begin_era()
+    tracker.answer_orders()
+    assert len(store.appended) == 1
+    assert not tracker.apply(Batch(-1, 8, (make_record(),)), now=101.0)
+    tracker.answer_orders()
+    tracker.answer_orders()
+    assert len(store.appended) == 2
+
+
+def test_an_order_at_the_offset_of_a_lost_one_is_answered():
+    """Guards against an order that is taken for one that was answered before."""
+    store = FakeStore()
+    tracker = RolloutTracker(PlatformSource(store))
+    tracker.apply(Batch(0, 8, (make_record(),)), now=100.0)
+    tracker.answer_orders()
+    tracker.begin_era()
+    assert tracker.apply(Batch(-1, 8, (make_record(target=4),)), now=101.0)
+    tracker.answer_orders()
+    assert [row["target"] for _, _, row in store.appended] == [3, 4]
+
+
 def test_a_version_is_held_back_until_its_rollout_is_over():
     """Guards against targets that stay idle because of an expired order."""
     tracker = RolloutTracker(PlatformSource(FakeStore()))
