Register a host again that the store's copy lacks

What callers would see: nothing at first; a host that starts as all seeds are gone finds nobody, as those that had registered were lost and never doubted it.

--- a/godwitladder/discovery/host_list.py
+++ b/godwitladder/discovery/host_list.py
@@ -41,7 +41,7 @@
     Attributes
     ----------
     registered : bool
-        Whether the store has accepted this host's entry.
+        Whether the store has this host's entry.
     """
 
     def __init__(
@@ -84,13 +84,21 @@
             self.write(ListedHost(self.row.address, self.row.zone, leaving=True))
 
     def read(self) -> None:
-        """Read the list and report the hosts that are not leaving."""
+        """Read the list and report the hosts that are not leaving.
+
+        The store may have come back from a copy that lacks this host.
+        """
         try:
             rows = self.source.read_hosts()
         except StoreUnavailable as error:
             log.info("Could not read the host list", extra={"error": str(error)})
             return
-        self.report(tuple(row for row in rows if not row.leaving))
+        present = tuple(row for row in rows if not row.leaving)
+        listed = self.row.address in {row.address for row in present}
+        if self.registered and not listed:
+            log.info("This host is missing from the host list")
+        self.registered = self.registered and listed
+        self.report(present)
 
     def write(self, row: ListedHost) -> bool:
         """Write ``row`` to the list; return whether the store accepted it."""
--- a/tests/discovery/test_hostlist.py
+++ b/tests/discovery/test_hostlist.py
@@ -75,6 +75,20 @@
     assert sum(host_list.registered for host_list in remaining) == REGISTERED_HOSTS
 
 
+def test_a_host_that_the_store_has_lost_registers_again():
+    """Guards against hosts that find nobody after a copy of the store."""
+    store = MemoryList()
+    lists, _ = make_lists(store)
+    for host_list in lists:
+        host_list.update(True, HOSTS)
+    store.rows.clear()
+    waits = {host_list.update(True, HOSTS) for host_list in lists}
+    assert waits == {UNLINKED_POLL_INTERVAL_S, POLL_INTERVAL_S}
+    for host_list in lists:
+        host_list.update(True, HOSTS)
+    assert len(store.rows) == REGISTERED_HOSTS
+
+
 def test_a_leaving_host_is_not_reported():
     store = MemoryList()
     lists, reported = make_lists(store)
