--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -35,7 +35,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
-from godwitladder.discovery.targets import TargetTable
+from godwitladder.discovery.targets import REMEMBERED_S, TargetTable
 from godwitladder.ids import HostId, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.routing.freshness import DocumentFreshness
@@ -156,6 +156,11 @@
     tells_at : float or None
         Time at which this host tells others of a document that the store has lost,
         unless one of them does so before.
+    rewritten : set of str or None
+        Keys of targets whose entries were written since an era began; None if hosts
+        need not be told of each.
+    era_began : float
+        Time at which this host learned of that era.
     pending_replies : list of callable
         Replies to requests that arrived before this host had any state; called with
         the full state once there is one.
@@ -185,6 +190,8 @@
         self.heard_peer = False
         self.is_unpublished = False
         self.tells_at: float | None = None
+        self.rewritten: set[str] | None = None
+        self.era_began = clock.boottime()
         self.hosts: tuple[HostId, ...] = (host,)
         self.table = TargetTable()
         self.newest_documents: dict[str, Record] = {}
@@ -496,12 +503,16 @@
         A target that was removed and added again within the batch is included,
         although its entry equals the one that this host has. While this host was
         paused, another one may have read the removal alone, and would otherwise never
-        learn of the target again.
+        learn of the target again. For the same reason the first entry of each target
+        in an era is included: other hosts may know better than the store's copy, and
+        wait for it.
         """
         if entries.is_snapshot:
             return entries
         newest = {record.key: record for record in entries.records}
         changed = {record.key for record in entries.records if self.is_change(record)}
+        if self.rewritten is not None:
+            changed |= newest.keys() - self.rewritten
         kept = tuple(record for key, record in newest.items() if key in changed)
         return replace(entries, records=kept)
 
@@ -540,6 +551,8 @@
         """Take no more than a newer document from news of another place."""
         if Fit.GAP in fits:
             self.request_missing()
+        if Fit.OLD_ERA in fits and self.rewritten is None:
+            self.begin_rewriting()
         reasons = [row.value for row in fits if row is not Fit.APPLIES]
         self.log_ignored(reasons, news.documents, news.entries)
         if self.apply_documents(decode_batch(news.documents)):
@@ -566,6 +579,7 @@
             if entries.is_snapshot and self.is_other_era(entries):
                 entries = merge_copy(entries, self.newest_entries, self.knows_better)
             self.entry_place = self.entry_place.after(entries)
+            self.record_rewritten(entries)
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
         if changed:
@@ -573,6 +587,18 @@
         if self.pending_replies:
             self.answer_pending()
 
+    def begin_rewriting(self) -> None:
+        """Begin to note whose entries are written, as other hosts know them better."""
+        self.rewritten = set()
+        self.era_began = self.clock.boottime()
+
+    def record_rewritten(self, entries: Batch) -> None:
+        """Record whose entries have been written since the era began."""
+        if self.clock.boottime() - self.era_began > REMEMBERED_S:
+            self.rewritten = None
+        if self.rewritten is not None and not entries.is_snapshot:
+            self.rewritten.update(record.key for record in entries.records)
+
     def is_other_era(self, entries: Batch) -> bool:
         """Return whether the offsets of ``entries`` don't count on from this place."""
         return self.entry_place.offset < 0 or entries.era > self.entry_place.era
@@ -593,6 +619,7 @@
         """
         self.table.record_store_return(self.clock.boottime())
         self.rollouts.begin_era()
+        self.begin_rewriting()
         versions = [
             row.version
             for row in map(self.source.decode_document, documents.records)
--- a/tests/discovery/copied_store.py
+++ b/tests/discovery/copied_store.py
@@ -66,6 +66,23 @@
         self.add(feed, views)
         return feed
 
+    def restart(self, number):
+        """End a host, and start one of its name that knows nothing."""
+        names = tuple(feed.host for feed in self.feeds)
+        feed, views = make_feed(self.source, self.clock, names[number], names)
+        feed.started = self.clock.boottime()
+        feed.reads_at_start = True
+        others = [row for row in self.feeds if row.host != feed.host]
+
+        def ask(wanted):
+            others[0].answer_request(feed.apply_news)
+            return True
+
+        feed.send_request = ask
+        del self.feeds[number]
+        self.add(feed, views)
+        self.feeds.insert(number, self.feeds.pop())
+
     def run(self, seconds):
         """Let all hosts take their steps, and count those that are not ready."""
         for _ in range(round(seconds / STEP_S)):
--- a/tests/discovery/test_copied_targets.py
+++ b/tests/discovery/test_copied_targets.py
@@ -55,6 +55,22 @@
     assert region.targets() == [{"e1": False, "e2": False}] * 3
 
 
+def test_a_removed_target_that_the_reader_never_missed_is_used_by_all_again(region):
+    """Guards against a heartbeat that the reader takes for one that changes nothing.
+
+    The reader starts anew after the copy, in which a target stands that all others have
+    seen go; it does not know that they wait for the target to write again.
+    """
+    region.source.put(b"", "e2")
+    region.run(1)
+    region.source.come_back(entries=1)
+    region.restart(0)
+    region.run(2)
+    region.source.put(b"two", "e2")
+    region.run(1)
+    assert region.targets() == [{"e1": False, "e2": False}] * 3
+
+
 def test_a_leaving_target_goes_on_to_leave(region):
     """Guards against calls to a target that has said that it leaves."""
     region.source.put(b"one leaves", "e1")
