Let the soak's store come back from a copy

--copies draws, apart from the other faults, moments in which two configurations are written and read, the store is away for up to a second and comes back without what was written in the last three, and what it lost is written again, and one more.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
     faults: int = 8,
     statements: int = 3,
     cuts: int = 0,
+    copies: int = 0,
     seconds: float = 12.0,
     hosts: int = 4,
     logs: str = "",
@@ -38,6 +39,8 @@
         How often targets state something about themselves, per seed.
     cuts : int
         How often a host loses its paths to all targets, per seed.
+    copies : int
+        How often the store comes back from a copy of some seconds ago, per seed.
     seconds : float
         Duration of each run in seconds, without startup and final checks.
     hosts : int
@@ -47,7 +50,12 @@
     """
     first_seed = int(time.time()) if first < 0 else first
     size = RunSize(
-        hosts=hosts, faults=faults, statements=statements, cuts=cuts, seconds=seconds
+        hosts=hosts,
+        faults=faults,
+        statements=statements,
+        cuts=cuts,
+        copies=copies,
+        seconds=seconds,
     )
 
     def run_one_seed(seed: int) -> Outcome:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -437,6 +437,8 @@
         stack.callback(self.store.shutdown)
         self.version = 1
         self.keys = ["k1", "k2"]
+        self.written: dict[str, bytes] = {}
+        self.write_lock = threading.Lock()
         self.put_config()
         self.targets = [
             Target(f"e{n}", services[n % len(services)]) for n in range(targets)
@@ -492,7 +494,18 @@
     def write_entry(self, target: Target, state: str) -> None:
         """Write the entry of a target; an empty ``state`` deletes it."""
         value = target.make_entry(state) if state else b""
-        self.store.standin.put(names.ENTRIES_TOPIC, target.name, value)
+        with self.write_lock:
+            self.written[target.name] = value
+            self.store.standin.put(names.ENTRIES_TOPIC, target.name, value)
+
+    def write_again(self) -> None:
+        """Write what the store has lost, as the operator and the targets do."""
+        self.put_config()
+        with self.write_lock:
+            newest = self.store.standin.topics[names.ENTRIES_TOPIC].newest()
+            for name, value in self.written.items():
+                if newest.get(name, (0, b""))[1] != value:
+                    self.store.standin.put(names.ENTRIES_TOPIC, name, value)
 
     def is_converged(self) -> bool:
         """Return whether every host is ready and up to date.
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -14,6 +14,12 @@
 SLOW_DELAY_S = 0.4
 RATE_LIMIT = 1.5
 COOLDOWN_S = 2.5
+COPY_AGE_S = 3.0
+MAX_AWAY_S = 1.0
+READ_S = 0.8
+"""Time in which hosts read what is written."""
+REWRITE_DELAY_S = 0.3
+"""Time after which what the store's copy lacks is written again."""
 
 
 class Injector:
@@ -80,6 +86,7 @@
             FaultKind.PEER_RESET: lambda f: self.host(f).peer_proxy.reset(),
             FaultKind.PEER_SILENT: lambda f: self.host(f).peer_proxy.blackhole(),
             FaultKind.PATHS_CUT: self.cut_paths,
+            FaultKind.STORE_COPIED: self.copy_store,
             FaultKind.CONFIG: lambda f: self.change_config(),
             FaultKind.REVOKE: self.revoke,
         }
@@ -172,6 +179,25 @@
         for topic in list(store.topics):
             store.compact(topic)
 
+    def copy_store(self, fault: Fault) -> None:
+        """Let the store be away for a moment, and come back from a copy.
+
+        Two configurations that hosts have read are lost; the newer one is written
+        again, and a third one after it.
+        """
+        store = self.fleet.store.standin
+        for _ in range(2):
+            self.change_config()
+            time.sleep(READ_S)
+        store.knobs.status = 503
+        time.sleep(min(fault.duration_s, MAX_AWAY_S))
+        store.come_back_from_copy(COPY_AGE_S)
+        store.knobs.status = 0
+        time.sleep(REWRITE_DELAY_S)
+        with self.lock:
+            self.fleet.write_again()
+        self.change_config()
+
     def hold_directions(
         self, proxy: Proxy, fault: Fault, *directions: Direction
     ) -> None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -38,6 +38,7 @@
     TARGET_SAYS_LEAVING = "target_says_leaving"
     TARGET_RESTS = "target_rests"
     PATHS_CUT = "paths_cut"
+    STORE_COPIED = "store_copied"
 
 
 PLANNED_KINDS = frozenset(
@@ -63,6 +64,9 @@
 CUT_KINDS = frozenset({FaultKind.PATHS_CUT})
 """Cuts of all paths of a host to the targets. They are drawn apart too."""
 
+COPY_KINDS = frozenset({FaultKind.STORE_COPIED})
+"""The store comes back from a copy of some seconds ago. They are drawn apart too."""
+
 STORE_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 
 PLANNED_ONLY_INTERVAL = 4
@@ -148,17 +152,27 @@
     count : int
         Number of cuts.
     """
-    rng = random.Random(f"{seed}-cuts")
-    cuts = [
+    return draw_of_kind(f"{seed}-cuts", FaultKind.PATHS_CUT, seconds, count)
+
+
+def draw_copies(seed: int, seconds: float, count: int) -> list[Fault]:
+    """Return when the store comes back from a copy in a run, as `draw_cuts` does."""
+    return draw_of_kind(f"{seed}-copies", FaultKind.STORE_COPIED, seconds, count)
+
+
+def draw_of_kind(seed: str, kind: FaultKind, seconds: float, count: int) -> list[Fault]:
+    """Return faults of one kind in order of their start."""
+    rng = random.Random(seed)
+    faults = [
         Fault(
             rng.uniform(0.5, seconds * LAST_START_FRACTION),
-            FaultKind.PATHS_CUT,
+            kind,
             rng.randrange(100),
             rng.uniform(0.3, MAX_FAULT_DURATION_S),
         )
         for _ in range(count)
     ]
-    return sorted(cuts, key=lambda fault: fault.start_s)
+    return sorted(faults, key=lambda fault: fault.start_s)
 
 
 def draw_faults(seed: int, seconds: float, count: int) -> list[Fault]:
@@ -180,7 +194,7 @@
     kinds = sorted(
         PLANNED_KINDS
         if seed % PLANNED_ONLY_INTERVAL == 0
-        else set(FaultKind) - STATEMENT_KINDS - CUT_KINDS,
+        else set(FaultKind) - STATEMENT_KINDS - CUT_KINDS - COPY_KINDS,
         key=lambda k: k.value,
     )
     faults = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,7 @@
 from soak.callers import Balancer, Caller
 from soak.fleet import Fleet
 from soak.inject import Injector
-from soak.plan import draw_cuts, draw_faults, draw_statements
+from soak.plan import draw_copies, draw_cuts, draw_faults, draw_statements
 from soak.records import Attempt, History, TargetArrival, TargetRun
 
 START_TIMEOUT_S = 40.0
@@ -26,7 +26,8 @@
     """Size of a run: numbers of its parts, and its duration in seconds.
 
     ``statements`` is how often targets state something about themselves, ``cuts`` how
-    often a host loses its paths to all targets.
+    often a host loses its paths to all targets, ``copies`` how often the store comes
+    back from a copy.
     """
 
     hosts: int = 4
@@ -35,6 +36,7 @@
     faults: int = 8
     statements: int = 0
     cuts: int = 0
+    copies: int = 0
     seconds: float = 12.0
 
 
@@ -89,6 +91,7 @@
         faults = draw_faults(seed, size.seconds, size.faults)
         faults += draw_statements(seed, size.seconds, size.statements)
         faults += draw_cuts(seed, size.seconds, size.cuts)
+        faults += draw_copies(seed, size.seconds, size.copies)
         faults.sort(key=lambda fault: fault.start_s)
         self.history = History(faults, hosts=size.hosts)
         self.stop_event = threading.Event()
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -30,6 +30,12 @@
 }
 """Seeds in which hosts lose their paths to the targets -> what they cover."""
 
+COPIES = {
+    800: "the store comes back from a copy beside planned work",
+    803: "the same beside faults of hosts and of the store",
+}
+"""Seeds in which the store comes back from a copy -> what they cover."""
+
 FAILED = {
     1796269771: "a target that came back while the reader was paused stayed unknown",
     344: "SIGTERM while the host was loading ended it as a crash (-15)",
@@ -68,6 +74,13 @@
     assert run_seed(seed, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", COPIES)
+def test_copies_of_the_store_violate_no_guarantee(seed, tmp_path):
+    """All guarantees hold while the store loses what it has acknowledged."""
+    size = dataclasses.replace(SHORT, faults=3, copies=3, seconds=9.0)
+    assert run_seed(seed, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("seed", FAILED)
 def test_a_failed_seed_violates_no_guarantee(seed, tmp_path):
     """The seed gives the same faults at the same times as in the run that failed."""
