Ask a peer also after a late link, take one in the older era for an answer; split off what was rewritten

A host whose first link comes later than it waits for an answer never asked a peer, and used an older copy until the change was written again; one whose peers had not noticed the copy yet waited the whole time, and asked them for whole documents four times a second.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -25,6 +25,11 @@
     return Batch(min(place.offset, batch.next), batch.next, kept, batch.era)
 
 
+def snapshot_at(place: Place, records: tuple[Record, ...]) -> Batch:
+    """Return the records of all keys as known at ``place``."""
+    return Batch(-1, place.offset, records, place.era)
+
+
 def apply_batch(newest: dict[str, Record], batch: Batch) -> None:
     """Apply ``batch`` to ``newest``, the current records by key, in place."""
     if batch.is_snapshot:
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -22,9 +22,11 @@
     drop_known,
     encode_batch,
     merge_copy,
+    snapshot_at,
 )
 from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch
-from godwitladder.discovery.places import Fit, Place
+from godwitladder.discovery.places import Fit, Place, is_other_history
+from godwitladder.discovery.rewritten import RewrittenEntries
 from godwitladder.discovery.rollout_tracker import RolloutTracker
 from godwitladder.discovery.rollouts import held_back
 from godwitladder.discovery.source import (
@@ -35,7 +37,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
-from godwitladder.discovery.targets import REMEMBERED_S, TargetTable
+from godwitladder.discovery.targets import TargetTable
 from godwitladder.ids import HostId, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.routing.freshness import DocumentFreshness
@@ -104,17 +106,6 @@
     held_back: frozenset[TargetName] = frozenset()
 
 
-def snapshot_at(place: Place, records: tuple[Record, ...]) -> Batch:
-    """Return the records of all keys as known at ``place``."""
-    return Batch(-1, place.offset, records, place.era)
-
-
-def is_other_history(place: Place, batch: Batch) -> bool:
-    """Return whether the store no longer has ``place``, by a read from there."""
-    is_shorter = batch.is_snapshot and batch.next < place.offset
-    return batch.era < place.era or (batch.era == place.era and is_shorter)
-
-
 class Feed:
     """Keeps the newest document and the targets.
 
@@ -156,11 +147,6 @@
     tells_at : float or None
         Time at which this host tells others of a document that the store has lost,
         unless one of them does so before.
-    rewritten : set of str or None
-        Keys of targets whose entries were written since an era began; None if hosts
-        need not be told of each.
-    era_began : float
-        Time at which this host learned of that era.
     pending_replies : list of callable
         Replies to requests that arrived before this host had any state; called with
         the full state once there is one.
@@ -190,8 +176,7 @@
         self.heard_peer = False
         self.is_unpublished = False
         self.tells_at: float | None = None
-        self.rewritten: set[str] | None = None
-        self.era_began = clock.boottime()
+        self.rewritten = RewrittenEntries()
         self.hosts: tuple[HostId, ...] = (host,)
         self.table = TargetTable()
         self.newest_documents: dict[str, Record] = {}
@@ -292,7 +277,9 @@
     def request_state(
         self, send_request: Callable[[FeedWanted], bool] | None = None
     ) -> None:
-        """Request the full state from one peer, unless a request was sent just before.
+        """Request the full state from one peer, if this host has none of a peer.
+
+        Nothing is requested if a request was sent just before.
 
         Each peer answers with whole documents. If all peers were asked at once, their
         answers would fill the link of a newly started host for seconds.
@@ -301,10 +288,13 @@
         ----------
         send_request : callable or None
             Sends the request to a certain peer and returns whether it was sent; None
-            for any peer.
+            for any peer, if that is urgent.
         """
         now = self.clock.boottime()
-        if not self.needs_peer(now) or now - self.requested_at < REQUEST_INTERVAL_S:
+        is_needed = (
+            self.needs_peer(now) if send_request is None else not self.heard_peer
+        )
+        if not is_needed or now - self.requested_at < REQUEST_INTERVAL_S:
             return
         sent = (send_request or self.send_request)(FeedWanted(self.host))
         if send_request is None:
@@ -511,8 +501,7 @@
             return entries
         newest = {record.key: record for record in entries.records}
         changed = {record.key for record in entries.records if self.is_change(record)}
-        if self.rewritten is not None:
-            changed |= newest.keys() - self.rewritten
+        changed |= self.rewritten.first_of(newest.keys())
         kept = tuple(record for key, record in newest.items() if key in changed)
         return replace(entries, records=kept)
 
@@ -532,6 +521,7 @@
         """
         began = self.clock.boottime() - news.age_s
         with self.lock:
+            self.heard_peer |= news.documents.start < 0
             fits = (
                 self.document_place.fit(news.documents),
                 self.entry_place.fit(news.entries),
@@ -539,7 +529,6 @@
             if Fit.GAP in fits or Fit.OLD_ERA in fits:
                 self.ignore_news(news, fits)
             else:
-                self.heard_peer |= news.documents.start < 0
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
                 self.record_read_duration(news.age_s)
@@ -551,8 +540,8 @@
         """Take no more than a newer document from news of another place."""
         if Fit.GAP in fits:
             self.request_missing()
-        if Fit.OLD_ERA in fits and self.rewritten is None:
-            self.begin_rewriting()
+        if Fit.OLD_ERA in fits and self.rewritten.keys is None:
+            self.rewritten.begin(self.clock.boottime())
         reasons = [row.value for row in fits if row is not Fit.APPLIES]
         self.log_ignored(reasons, news.documents, news.entries)
         if self.apply_documents(decode_batch(news.documents)):
@@ -579,7 +568,7 @@
             if entries.is_snapshot and self.is_other_era(entries):
                 entries = merge_copy(entries, self.newest_entries, self.knows_better)
             self.entry_place = self.entry_place.after(entries)
-            self.record_rewritten(entries)
+            self.rewritten.record(entries, self.clock.boottime())
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
         if changed:
@@ -587,18 +576,6 @@
         if self.pending_replies:
             self.answer_pending()
 
-    def begin_rewriting(self) -> None:
-        """Begin to note whose entries are written, as other hosts know them better."""
-        self.rewritten = set()
-        self.era_began = self.clock.boottime()
-
-    def record_rewritten(self, entries: Batch) -> None:
-        """Record whose entries have been written since the era began."""
-        if self.clock.boottime() - self.era_began > REMEMBERED_S:
-            self.rewritten = None
-        if self.rewritten is not None and not entries.is_snapshot:
-            self.rewritten.update(record.key for record in entries.records)
-
     def is_other_era(self, entries: Batch) -> bool:
         """Return whether the offsets of ``entries`` don't count on from this place."""
         return self.entry_place.offset < 0 or entries.era > self.entry_place.era
@@ -619,7 +596,7 @@
         """
         self.table.record_store_return(self.clock.boottime())
         self.rollouts.begin_era()
-        self.begin_rewriting()
+        self.rewritten.begin(self.clock.boottime())
         versions = [
             row.version
             for row in map(self.source.decode_document, documents.records)
--- a/godwitladder/discovery/places.py
+++ b/godwitladder/discovery/places.py
@@ -45,3 +45,9 @@
     def after(self, batch: Batch) -> "Place":
         """Return the place behind ``batch``."""
         return Place(batch.era, batch.next)
+
+
+def is_other_history(place: Place, batch: Batch) -> bool:
+    """Return whether the store no longer has ``place``, by a read from there."""
+    is_shorter = batch.is_snapshot and batch.next < place.offset
+    return batch.era < place.era or (batch.era == place.era and is_shorter)
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -41,6 +41,10 @@
             "version": host.app.in_force.document.version,
             "age_s": host.feed.age_s(),
             "store_reachable": host.feed.reachable,
+            "store_places": {
+                "documents": vars(host.feed.document_place),
+                "entries": vars(host.feed.entry_place),
+            },
             "hosts": list(host.hosts),
             "targets": {
                 row.name: "leaving" if row.leaving else "active"
--- a/tests/discovery/test_copies_and_new_hosts.py
+++ b/tests/discovery/test_copies_and_new_hosts.py
@@ -4,22 +4,24 @@
 
 import pytest
 
-from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S
+from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S, REQUEST_INTERVAL_S
 from tests.discovery.copied_store import CopiedSource, make_region
 
 
-def test_a_host_that_starts_asks_its_peers_before_it_believes_a_copy():
+@pytest.mark.parametrize("noticed_s", [0, 1])
+def test_a_host_that_starts_asks_its_peers_before_it_believes_a_copy(noticed_s):
     """Guards against a key that was taken away and is let in by a new host."""
     region = make_region(1, 2, 3)
     region.source.come_back(documents=2)
-    region.run(1)
+    region.run(noticed_s)
     new = region.add_new()
     answer, new.send_request = new.send_request, lambda wanted: True
     new.step()
     assert new.has_state()
     assert region.views["new"] == []
     new.send_request = answer
-    region.run(1)
+    region.clock.advance(REQUEST_INTERVAL_S)
+    new.step()
     assert [view.document.version for view in region.views["new"]] == [3]
 
 
@@ -35,6 +37,19 @@
     assert region.views["new"][-1].document.version == 1
 
 
+def test_a_host_that_links_late_still_asks_a_peer():
+    """Guards against the same, where links take longer than the host waits."""
+    region = make_region(1, 2, 3)
+    region.source.come_back(documents=2)
+    region.run(1)
+    new = region.add_new()
+    answer, new.send_request = new.send_request, lambda wanted: False
+    region.run(PEER_ANSWER_TIMEOUT_S + 1)
+    assert region.views["new"][-1].document.version == 1
+    new.request_state(answer)
+    assert region.views["new"][-1].document.version == 3
+
+
 def test_hosts_that_start_together_believe_the_store_at_once():
     """Guards against a second without service after all hosts were killed."""
     region = make_region(1)
