--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -352,14 +352,15 @@
         then read the store and broadcast the same records, a changed document would
         fill every link for seconds.
         """
-        rank = (
-            self.hosts.index(self.host)
-            if self.host in self.hosts
-            else MAX_TAKEOVER_RANK
-        )
-        takeover_s = max(TAKEOVER_DELAY_S, self.read_s) * min(rank, MAX_TAKEOVER_RANK)
+        takeover_s = max(TAKEOVER_DELAY_S, self.read_s) * self.takeover_rank()
         return min(NEWS_TIMEOUT_S + 2 * self.read_s + takeover_s, MAX_NEWS_TIMEOUT_S)
 
+    def takeover_rank(self) -> int:
+        """Return how many hosts precede this one in the reading order, up to a limit."""
+        if self.host not in self.hosts:
+            return MAX_TAKEOVER_RANK
+        return min(self.hosts.index(self.host), MAX_TAKEOVER_RANK)
+
     def read(self) -> None:
         """Read the new records and broadcast them."""
         began = self.read_at = self.clock.boottime()
@@ -597,11 +598,7 @@
         self.table.record_store_return(self.clock.boottime())
         self.rollouts.begin_era()
         self.rewritten.begin(self.clock.boottime())
-        versions = [
-            row.version
-            for row in map(self.source.decode_document, documents.records)
-            if row
-        ]
+        copied_version = self.newest_version(documents)
         log.info(
             "The store came back from a copy",
             extra={
@@ -609,18 +606,18 @@
                 "before": vars(self.document_place),
                 "next": documents.next,
                 "version": self.document.version,
-                "copied_version": max(versions, default=-1),
+                "copied_version": copied_version,
             },
         )
-        if max(versions, default=-1) < self.document.version and not self.is_reader():
-            rank = (
-                self.hosts.index(self.host)
-                if self.host in self.hosts
-                else MAX_TAKEOVER_RANK
-            )
-            delay_s = TELL_DELAY_S + TAKEOVER_DELAY_S * min(rank, MAX_TAKEOVER_RANK)
+        if copied_version < self.document.version and not self.is_reader():
+            delay_s = TELL_DELAY_S + TAKEOVER_DELAY_S * self.takeover_rank()
             self.tells_at = self.clock.boottime() + delay_s
 
+    def newest_version(self, documents: Batch) -> int:
+        """Return the highest version in a batch; -1 if it has no document."""
+        decoded = map(self.source.decode_document, documents.records)
+        return max((row.version for row in decoded if row is not None), default=-1)
+
     def tell_document(self) -> None:
         """Tell all others of the document in force, which the store has lost."""
         with self.lock:
@@ -645,8 +642,7 @@
         record = self.document_record
         if record is None or not documents.is_snapshot:
             return documents
-        decoded = map(self.source.decode_document, documents.records)
-        if any(row and row.version >= self.document.version for row in decoded):
+        if self.newest_version(documents) >= self.document.version:
             return documents
         others = tuple(row for row in documents.records if row.key != record.key)
         return replace(documents, records=(*others, record))
