--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -356,7 +356,7 @@
         return min(NEWS_TIMEOUT_S + 2 * self.read_s + takeover_s, MAX_NEWS_TIMEOUT_S)
 
     def takeover_rank(self) -> int:
-        """Return how many hosts precede this one in the reading order, up to a limit."""
+        """Return how many hosts precede this one in the reading order, limited."""
         if self.host not in self.hosts:
             return MAX_TAKEOVER_RANK
         return min(self.hosts.index(self.host), MAX_TAKEOVER_RANK)
