--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -288,13 +288,10 @@
         ----------
         send_request : callable or None
             Sends the request to a certain peer and returns whether it was sent; None
-            for any peer, if that is urgent.
+            for any peer.
         """
         now = self.clock.boottime()
-        is_needed = (
-            self.needs_peer(now) if send_request is None else not self.heard_peer
-        )
-        if not is_needed or now - self.requested_at < REQUEST_INTERVAL_S:
+        if not self.needs_peer(now) or now - self.requested_at < REQUEST_INTERVAL_S:
             return
         sent = (send_request or self.send_request)(FeedWanted(self.host))
         if send_request is None:
