Sort the decision modules into packages by subject

decisions/ held forty modules on one floor, and the load of targets, rollouts and bounded answers add more. The modules move into placing, waiting, limits, health and prompts; types, policy, allocation, allocator_state and rendezvous stay on top.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -15,11 +15,13 @@
 
 from bench.region import MIXES, Load, RegionSimulation, tally
 from bench.report import table
-from godwitladder.decisions import allocation, backlog, capacity, speeds
-from godwitladder.decisions.precedence import Size
-from godwitladder.decisions.returning_callers import RefusedCallers
-from godwitladder.decisions.shedding import refuse_early
-from godwitladder.decisions.sizes import CallSizes
+from godwitladder.decisions import allocation
+from godwitladder.decisions.placing import capacity, speeds
+from godwitladder.decisions.placing.precedence import Size
+from godwitladder.decisions.prompts.sizes import CallSizes
+from godwitladder.decisions.waiting import backlog
+from godwitladder.decisions.waiting.returning_callers import RefusedCallers
+from godwitladder.decisions.waiting.shedding import refuse_early
 from godwitladder.scheduler import role
 
 BASELINE = "nothing"
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -5,13 +5,12 @@
 
 from bench.queues import PolicyRefusal, Stream, TargetModel
 from bench.traces import SERVICE, Arrival, Engine
-from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.early_retries import RefusedRequests
-from godwitladder.decisions.load_reports import LoadReports
-from godwitladder.decisions.prediction import OutputPredictor, grow_reservation
-from godwitladder.decisions.speeds import TargetSpeeds
-from godwitladder.decisions.throttling import TargetThrottles
+from godwitladder.decisions.health.throttling import TargetThrottles
+from godwitladder.decisions.placing.load_reports import LoadReports
+from godwitladder.decisions.placing.speeds import TargetSpeeds
+from godwitladder.decisions.prompts.affinity import PrefixHints
+from godwitladder.decisions.prompts.prediction import OutputPredictor, grow_reservation
 from godwitladder.decisions.types import (
     Allocation,
     Placement,
@@ -22,6 +21,7 @@
     WaitingRequest,
     WorkspaceView,
 )
+from godwitladder.decisions.waiting.early_retries import RefusedRequests
 from godwitladder.ids import (
     BodyDigest,
     HostId,
--- a/bench/statements.py
+++ b/bench/statements.py
@@ -9,9 +9,9 @@
 from dataclasses import replace
 
 from bench.processes import print_table
-from godwitladder.decisions.cooldowns import RemainingCooldown
-from godwitladder.decisions.departures import Departure
-from godwitladder.decisions.rate_limits import RateLimits, StatedLimit
+from godwitladder.decisions.health.departures import Departure
+from godwitladder.decisions.limits.cooldowns import RemainingCooldown
+from godwitladder.decisions.limits.rate_limits import RateLimits, StatedLimit
 from godwitladder.decisions.types import PoolName
 from godwitladder.membership.codec import encode
 from godwitladder.scheduler.exchange import PoolReport
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -22,18 +22,16 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 
-from godwitladder.decisions.admission import Flow
-from godwitladder.decisions.backlog import Backlog, Group
-from godwitladder.decisions.capacity import PoolCapacity, TargetCapacity, is_long
-from godwitladder.decisions.fairness import TierQueue
-from godwitladder.decisions.late_refusal import refuse_late_starts
-from godwitladder.decisions.precedence import Precedence, Timeliness, serving_order
-from godwitladder.decisions.shedding import (
-    make_shed_decision,
-    refuse_early,
-    select_spill,
-    shed_below_rank,
-    was_feasible,
+from godwitladder.decisions.placing.capacity import (
+    PoolCapacity,
+    TargetCapacity,
+    is_long,
+)
+from godwitladder.decisions.placing.fairness import TierQueue
+from godwitladder.decisions.placing.precedence import (
+    Precedence,
+    Timeliness,
+    serving_order,
 )
 from godwitladder.decisions.types import (
     Allocation,
@@ -45,6 +43,16 @@
     ShedReason,
     WorkspaceView,
 )
+from godwitladder.decisions.waiting.admission import Flow
+from godwitladder.decisions.waiting.backlog import Backlog, Group
+from godwitladder.decisions.waiting.late_refusal import refuse_late_starts
+from godwitladder.decisions.waiting.shedding import (
+    make_shed_decision,
+    refuse_early,
+    select_spill,
+    shed_below_rank,
+    was_feasible,
+)
 from godwitladder.ids import RequestId, ServiceName, TargetName, WorkspaceName
 
 MAX_MISSES = 32
--- a/godwitladder/decisions/allocator_state.py
+++ b/godwitladder/decisions/allocator_state.py
@@ -26,11 +26,11 @@
 import math
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.admission import AdmissionController
-from godwitladder.decisions.entitlement import Entitlements
-from godwitladder.decisions.precedence import Precedence
-from godwitladder.decisions.returning_callers import RefusedCallers
-from godwitladder.decisions.sizes import CallSizes
+from godwitladder.decisions.placing.precedence import Precedence
+from godwitladder.decisions.prompts.sizes import CallSizes
+from godwitladder.decisions.waiting.admission import AdmissionController
+from godwitladder.decisions.waiting.entitlement import Entitlements
+from godwitladder.decisions.waiting.returning_callers import RefusedCallers
 from godwitladder.ids import TargetName, WorkspaceName
 
 PRECEDENCE_HALF_LIFE_S = 10.0
--- /dev/null
+++ b/godwitladder/decisions/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets are sound, slow, leaving or crash."""
--- a/godwitladder/decisions/departures.py
+++ b/godwitladder/decisions/health/departures.py
@@ -18,7 +18,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.target_processes import ProcessRow, drop_ended
+from godwitladder.decisions.health.target_processes import ProcessRow, drop_ended
 from godwitladder.ids import TargetName
 
 
--- /dev/null
+++ b/godwitladder/decisions/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas, rate limits, retry budgets and cooldowns."""
--- a/godwitladder/decisions/cooldowns.py
+++ b/godwitladder/decisions/limits/cooldowns.py
@@ -24,7 +24,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.target_processes import ProcessRow, drop_ended
+from godwitladder.decisions.health.target_processes import ProcessRow, drop_ended
 from godwitladder.ids import TargetName
 
 MAX_COOLDOWN_S = 600.0
--- a/godwitladder/decisions/quotas.py
+++ b/godwitladder/decisions/limits/quotas.py
@@ -33,7 +33,7 @@
 from dataclasses import dataclass, field
 from operator import attrgetter
 
-from godwitladder.decisions.spending import (
+from godwitladder.decisions.limits.spending import (
     HISTORY_S,
     Issuer,
     Process,
--- a/godwitladder/decisions/rate_limits.py
+++ b/godwitladder/decisions/limits/rate_limits.py
@@ -50,8 +50,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.health.target_processes import ProcessRow, drop_ended
 from godwitladder.decisions.rendezvous import rank_hosts
-from godwitladder.decisions.target_processes import ProcessRow, drop_ended
 from godwitladder.ids import HostId, TargetName
 
 NO_LIMIT = math.inf
--- /dev/null
+++ b/godwitladder/decisions/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests go, and in which order."""
--- a/godwitladder/decisions/speeds.py
+++ b/godwitladder/decisions/placing/speeds.py
@@ -7,12 +7,12 @@
 
 from dataclasses import dataclass
 
-from godwitladder.decisions.prefill_fit import PrefillFit
+from godwitladder.decisions.prompts.prefill_fit import PrefillFit
 from godwitladder.ids import TargetName
 
 # Weight of the newest request: the average covers about the last ten requests, and
 # half of a lasting change is absorbed after seven. Sudden slowdowns are handled by
-# `godwitladder.decisions.throttling` within seconds.
+# `godwitladder.decisions.health.throttling` within seconds.
 GAIN = 0.1
 # The first ten observations have equal weight, and the configured speed, which is a
 # guess, counts as this many of them. With `GAIN` from the start, a new allocator gave
--- /dev/null
+++ b/godwitladder/decisions/prompts/__init__.py
@@ -0,0 +1,1 @@
+"""What prompts cost, and which targets keep them."""
--- a/godwitladder/decisions/sizes.py
+++ b/godwitladder/decisions/prompts/sizes.py
@@ -8,8 +8,8 @@
 import math
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.precedence import Size
-from godwitladder.decisions.prediction import quantile_step
+from godwitladder.decisions.placing.precedence import Size
+from godwitladder.decisions.prompts.prediction import quantile_step
 
 # Users ask how often the largest tenth of the calls, and the fifth below it, are
 # served.
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -11,9 +11,9 @@
 from typing import NamedTuple
 
 from godwitladder.decisions.allocator_state import AllocatorState
+from godwitladder.decisions.limits.quotas import TokenQuotas
+from godwitladder.decisions.placing.precedence import Precedence
 from godwitladder.decisions.policy import Policy
-from godwitladder.decisions.precedence import Precedence
-from godwitladder.decisions.quotas import TokenQuotas
 from godwitladder.ids import (
     BodyDigest,
     HostId,
--- /dev/null
+++ b/godwitladder/decisions/waiting/__init__.py
@@ -0,0 +1,1 @@
+"""What is let in, how long it waits, and what is turned away."""
--- a/godwitladder/decisions/backlog.py
+++ b/godwitladder/decisions/waiting/backlog.py
@@ -17,9 +17,9 @@
 
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.capacity import PoolCapacity, ServiceCapacity
-from godwitladder.decisions.precedence import Precedence, Timeliness
-from godwitladder.decisions.sizes import CallSizes
+from godwitladder.decisions.placing.capacity import PoolCapacity, ServiceCapacity
+from godwitladder.decisions.placing.precedence import Precedence, Timeliness
+from godwitladder.decisions.prompts.sizes import CallSizes
 from godwitladder.decisions.types import QueueEntry, TokenTimes, WaitingRequest
 from godwitladder.ids import ServiceName
 
--- a/godwitladder/decisions/entitlement.py
+++ b/godwitladder/decisions/waiting/entitlement.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.quotas import TokenBucket, TokenRate
+from godwitladder.decisions.limits.quotas import TokenBucket, TokenRate
 from godwitladder.ids import WorkspaceName
 
 
--- a/godwitladder/decisions/late_refusal.py
+++ b/godwitladder/decisions/waiting/late_refusal.py
@@ -21,11 +21,11 @@
     of a queue is kept even where no calls start.
 """
 
-from godwitladder.decisions.backlog import Backlog, Group
-from godwitladder.decisions.fairness import TierQueue
-from godwitladder.decisions.precedence import Timeliness
-from godwitladder.decisions.shedding import is_refusal_scan_due
+from godwitladder.decisions.placing.fairness import TierQueue
+from godwitladder.decisions.placing.precedence import Timeliness
 from godwitladder.decisions.types import PoolView, QueueEntry
+from godwitladder.decisions.waiting.backlog import Backlog, Group
+from godwitladder.decisions.waiting.shedding import is_refusal_scan_due
 
 MAX_LATE_FACTOR = 2.0
 MIN_RATE = 0.01
--- a/godwitladder/decisions/shedding.py
+++ b/godwitladder/decisions/waiting/shedding.py
@@ -39,15 +39,15 @@
 import heapq
 from collections.abc import Iterable
 
-from godwitladder.decisions.backlog import Backlog, Group
-from godwitladder.decisions.backoff import retry_after_s
-from godwitladder.decisions.fairness import TierQueue
+from godwitladder.decisions.placing.fairness import TierQueue
 from godwitladder.decisions.types import (
     PoolView,
     QueueEntry,
     ShedDecision,
     ShedReason,
 )
+from godwitladder.decisions.waiting.backlog import Backlog, Group
+from godwitladder.decisions.waiting.backoff import retry_after_s
 from godwitladder.ids import RequestId, ServiceName
 
 REFUSAL_SCAN_INTERVAL_S = 0.1
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -16,7 +16,7 @@
 from urllib3.connection import HTTPConnection
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.paths import Gateways, PathTable, order_gateways
+from godwitladder.decisions.placing.paths import Gateways, PathTable, order_gateways
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.quarantine import TargetProcess
+from godwitladder.decisions.health.quarantine import TargetProcess
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import TargetName
 from godwitladder.quarantine.traits import RequestTraits
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.quarantine import QuarantinePolicy
+from godwitladder.decisions.health.quarantine import QuarantinePolicy
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import TargetName
 from godwitladder.logs import component_logger
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.quarantine import (
+from godwitladder.decisions.health.quarantine import (
     Quarantine,
     QuarantinePolicy,
     QuarantineStatus,
--- a/godwitladder/quarantine/watch.py
+++ b/godwitladder/quarantine/watch.py
@@ -15,7 +15,7 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quarantine import HOLD_S, QuarantineStatus
+from godwitladder.decisions.health.quarantine import HOLD_S, QuarantineStatus
 from godwitladder.engines.engine import resume_stream
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.ids import BodyDigest, TraitId
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.admission import Flow
-from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.waiting.admission import Flow
 from godwitladder.ids import (
     AttemptId,
     BodyDigest,
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -10,9 +10,9 @@
 
 from godwitladder.base_host import BaseHost
 from godwitladder.clock import Clock
-from godwitladder.decisions.quotas import TokenQuotas
-from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
-from godwitladder.decisions.stream_origins import StreamOrigin
+from godwitladder.decisions.limits.quotas import TokenQuotas
+from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
+from godwitladder.decisions.placing.stream_origins import StreamOrigin
 from godwitladder.discovery.feed import Feed, StoreView
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-from godwitladder.decisions.spending import Issuer
+from godwitladder.decisions.limits.spending import Issuer
 from godwitladder.decisions.types import Grant
 from godwitladder.ids import HostId, RequestId, TargetName
 from godwitladder.scheduler.exchange import (
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -19,12 +19,12 @@
 
 from dataclasses import dataclass
 
-from godwitladder.decisions.admission import AdmissionShare
-from godwitladder.decisions.cooldowns import RemainingCooldown
-from godwitladder.decisions.departures import Departure
-from godwitladder.decisions.rate_limits import StatedLimit
-from godwitladder.decisions.spending import WorkspaceSpending
+from godwitladder.decisions.health.departures import Departure
+from godwitladder.decisions.limits.cooldowns import RemainingCooldown
+from godwitladder.decisions.limits.rate_limits import StatedLimit
+from godwitladder.decisions.limits.spending import WorkspaceSpending
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
+from godwitladder.decisions.waiting.admission import AdmissionShare
 from godwitladder.ids import (
     HostId,
     Incarnation,
--- a/godwitladder/scheduler/gate.py
+++ b/godwitladder/scheduler/gate.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from godwitladder.decisions.admission import AdmissionShare, Flow
-from godwitladder.decisions.backoff import retry_after_s
 from godwitladder.decisions.types import PoolName
+from godwitladder.decisions.waiting.admission import AdmissionShare, Flow
+from godwitladder.decisions.waiting.backoff import retry_after_s
 from godwitladder.ids import RequestId
 from godwitladder.outcomes import Reason, Refusal, refuse
 
--- a/godwitladder/scheduler/quotas.py
+++ b/godwitladder/scheduler/quotas.py
@@ -6,7 +6,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quotas import TokenRate
+from godwitladder.decisions.limits.quotas import TokenRate
 from godwitladder.ids import HostId, WorkspaceName
 
 HOST_EXPIRY_S = 30.0
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 from dataclasses import replace
 
-from godwitladder.decisions.rate_limits import RESTATED_S
+from godwitladder.decisions.limits.rate_limits import RESTATED_S
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import RequestDemand, Shed, ShedReason, TargetUse
 from godwitladder.ids import BodyDigest, HostId, TargetName
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -10,21 +10,20 @@
 from operator import attrgetter
 
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.admission import AdmissionShare
-from godwitladder.decisions.affinity import PrefixHints
 from godwitladder.decisions.allocation import MAX_CONTENTION_S, allocate
 from godwitladder.decisions.allocator_state import AllocatorState
-from godwitladder.decisions.brittleness import BrittleTargets
-from godwitladder.decisions.departures import Departures
-from godwitladder.decisions.forecast import PrefillForecast
-from godwitladder.decisions.load_reports import LoadReports
+from godwitladder.decisions.health.brittleness import BrittleTargets
+from godwitladder.decisions.health.departures import Departures
+from godwitladder.decisions.health.throttling import TargetThrottles
+from godwitladder.decisions.limits.quotas import TokenQuotas
+from godwitladder.decisions.limits.rate_limits import RateLimits, StatedLimit
+from godwitladder.decisions.limits.spending import Issuer
+from godwitladder.decisions.placing.load_reports import LoadReports
+from godwitladder.decisions.placing.speeds import TargetSpeeds
+from godwitladder.decisions.placing.standing import standing_grants
 from godwitladder.decisions.policy import ROUTED, STRICT
-from godwitladder.decisions.quotas import TokenQuotas
-from godwitladder.decisions.rate_limits import RateLimits, StatedLimit
-from godwitladder.decisions.speeds import TargetSpeeds
-from godwitladder.decisions.spending import Issuer
-from godwitladder.decisions.standing import standing_grants
-from godwitladder.decisions.throttling import TargetThrottles
+from godwitladder.decisions.prompts.affinity import PrefixHints
+from godwitladder.decisions.prompts.forecast import PrefillForecast
 from godwitladder.decisions.types import (
     Allocation,
     Grant,
@@ -34,6 +33,7 @@
     TargetView,
     WaitingRequest,
 )
+from godwitladder.decisions.waiting.admission import AdmissionShare
 from godwitladder.ids import (
     HostId,
     Incarnation,
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -8,13 +8,13 @@
 
 from godwitladder.configuration.model import Target
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.brittleness import BrittleStatements
-from godwitladder.decisions.cooldowns import Cooldowns
-from godwitladder.decisions.departures import Departures
-from godwitladder.decisions.prediction import OutputPredictor
-from godwitladder.decisions.quotas import TokenQuotas
-from godwitladder.decisions.rate_limits import RateLimits
-from godwitladder.decisions.spending import SpendingHistory
+from godwitladder.decisions.health.brittleness import BrittleStatements
+from godwitladder.decisions.health.departures import Departures
+from godwitladder.decisions.limits.cooldowns import Cooldowns
+from godwitladder.decisions.limits.quotas import TokenQuotas
+from godwitladder.decisions.limits.rate_limits import RateLimits
+from godwitladder.decisions.limits.spending import SpendingHistory
+from godwitladder.decisions.prompts.prediction import OutputPredictor
 from godwitladder.decisions.types import PoolName
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import (
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -3,7 +3,7 @@
 Pure: times are passed as arguments.
 """
 
-from godwitladder.decisions.rate_limits import NO_LIMIT
+from godwitladder.decisions.limits.rate_limits import NO_LIMIT
 from godwitladder.ids import ServiceName, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.scheduler.messages import (
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -10,9 +10,9 @@
 from zlib import crc32
 
 from godwitladder.configuration.model import TargetState
-from godwitladder.decisions.prediction import grow_reservation
-from godwitladder.decisions.spending import NO_ISSUER, Issuer
-from godwitladder.decisions.standing import fixed_share
+from godwitladder.decisions.limits.spending import NO_ISSUER, Issuer
+from godwitladder.decisions.placing.standing import fixed_share
+from godwitladder.decisions.prompts.prediction import grow_reservation
 from godwitladder.decisions.types import TargetView
 from godwitladder.ids import HostId, WorkspaceName
 from godwitladder.logs import component_logger
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from godwitladder.configuration.model import TargetState
-from godwitladder.decisions.forecast import PendingPrefill
+from godwitladder.decisions.prompts.forecast import PendingPrefill
 from godwitladder.decisions.types import (
     PoolView,
     RequestDemand,
--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -7,7 +7,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
-from godwitladder.decisions.cancel import DisconnectAction, disconnect_action
+from godwitladder.decisions.waiting.cancel import DisconnectAction, disconnect_action
 from godwitladder.engines.engine import cancel_stream
 from godwitladder.engines.service import call_service
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -13,8 +13,8 @@
 import urllib3
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.retry_budget import RetryBudget
-from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.limits.retry_budget import RetryBudget
+from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
 from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
 from godwitladder.ids import AttemptId
 from godwitladder.logs import component_logger
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -5,10 +5,10 @@
 import pykka
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.brittleness import BrittleStatements
-from godwitladder.decisions.cooldowns import Cooldowns
-from godwitladder.decisions.departures import Departures
-from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
+from godwitladder.decisions.health.brittleness import BrittleStatements
+from godwitladder.decisions.health.departures import Departures
+from godwitladder.decisions.limits.cooldowns import Cooldowns
+from godwitladder.decisions.limits.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.engines.wire import COOLDOWN_STATUSES, NotSent
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.stream_origins import (
+from godwitladder.decisions.placing.stream_origins import (
     ReleaseHistory,
     StreamName,
     StreamOrigin,
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -2,14 +2,14 @@
 
 import random
 
-from godwitladder.decisions.admission import (
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.policy import ROUTED
+from godwitladder.decisions.waiting.admission import (
     MAX_STALENESS_S,
     MIN_SHARE,
     UPDATE_INTERVAL_S,
     AdmissionController,
 )
-from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.policy import ROUTED
 from tests.decisions.pools import add, make_pool, make_target
 
 STALENESS_S = 2 * MAX_STALENESS_S
--- a/tests/decisions/test_allocation.py
+++ b/tests/decisions/test_allocation.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.capacity import LONG_SHARE, MEMORY_SHARE
+from godwitladder.decisions.placing.capacity import LONG_SHARE, MEMORY_SHARE
 from godwitladder.decisions.types import ShedReason, WorkspaceView
 from tests.decisions.pools import add, make_pool, make_target, shed_reasons, take
 
--- a/tests/decisions/test_brittleness.py
+++ b/tests/decisions/test_brittleness.py
@@ -1,6 +1,6 @@
 """How many requests targets get that fall over when they refuse too many."""
 
-from godwitladder.decisions.brittleness import (
+from godwitladder.decisions.health.brittleness import (
     GROWTH_INTERVAL_S,
     SETTLING_S,
     STATEMENT_MEMORY_S,
--- a/tests/decisions/test_learning.py
+++ b/tests/decisions/test_learning.py
@@ -5,21 +5,21 @@
 
 import pytest
 
-from godwitladder.decisions.affinity import HINT_TTL_S, PrefixHints
-from godwitladder.decisions.backoff import retry_after_s
-from godwitladder.decisions.cancel import DisconnectAction, disconnect_action
-from godwitladder.decisions.early_retries import RefusedRequests
-from godwitladder.decisions.load_reports import LoadReports
-from godwitladder.decisions.prediction import OutputPredictor, grow_reservation
+from godwitladder.decisions.health.throttling import TargetThrottles
+from godwitladder.decisions.placing.load_reports import LoadReports
+from godwitladder.decisions.placing.speeds import TargetSpeeds
+from godwitladder.decisions.placing.standing import fixed_share, standing_grants
+from godwitladder.decisions.prompts.affinity import HINT_TTL_S, PrefixHints
+from godwitladder.decisions.prompts.prediction import OutputPredictor, grow_reservation
 from godwitladder.decisions.rendezvous import choose_host
-from godwitladder.decisions.returning_callers import (
+from godwitladder.decisions.waiting.backoff import retry_after_s
+from godwitladder.decisions.waiting.cancel import DisconnectAction, disconnect_action
+from godwitladder.decisions.waiting.early_retries import RefusedRequests
+from godwitladder.decisions.waiting.returning_callers import (
     MAX_CALLERS,
     RETENTION_S,
     RefusedCallers,
 )
-from godwitladder.decisions.speeds import TargetSpeeds
-from godwitladder.decisions.standing import fixed_share, standing_grants
-from godwitladder.decisions.throttling import TargetThrottles
 from tests.decisions.pools import add, make_pool, make_target
 
 HOSTS = [f"host-{n}" for n in range(14)]
--- a/tests/decisions/test_paths.py
+++ b/tests/decisions/test_paths.py
@@ -1,6 +1,10 @@
 """Which targets a host reaches directly."""
 
-from godwitladder.decisions.paths import PROBE_INTERVAL_S, PathTable, order_gateways
+from godwitladder.decisions.placing.paths import (
+    PROBE_INTERVAL_S,
+    PathTable,
+    order_gateways,
+)
 from godwitladder.membership.messages import Peer
 
 
--- a/tests/decisions/test_region.py
+++ b/tests/decisions/test_region.py
@@ -4,19 +4,23 @@
 from collections import Counter
 
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.entitlement import Entitlements
-from godwitladder.decisions.policy import ROUTED
-from godwitladder.decisions.precedence import (
+from godwitladder.decisions.limits.quotas import LOWERED_AFTER_S, TokenQuotas, TokenRate
+from godwitladder.decisions.limits.retry_budget import (
+    USED_SHARE,
+    RetryBudget,
+    RetryLimits,
+)
+from godwitladder.decisions.placing.precedence import (
     Precedence,
     Size,
     Timeliness,
     serving_order,
 )
-from godwitladder.decisions.prefill_fit import PrefillFit
-from godwitladder.decisions.quotas import LOWERED_AFTER_S, TokenQuotas, TokenRate
-from godwitladder.decisions.retry_budget import USED_SHARE, RetryBudget, RetryLimits
-from godwitladder.decisions.sizes import CallSizes
+from godwitladder.decisions.policy import ROUTED
+from godwitladder.decisions.prompts.prefill_fit import PrefillFit
+from godwitladder.decisions.prompts.sizes import CallSizes
 from godwitladder.decisions.types import ShedReason
+from godwitladder.decisions.waiting.entitlement import Entitlements
 from tests.decisions.pools import add, make_pool, make_target, shed_reasons, take
 from tests.scheduler.harness import add_history
 
--- a/tests/decisions/test_spending.py
+++ b/tests/decisions/test_spending.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitladder.decisions.spending import (
+from godwitladder.decisions.limits.spending import (
     HISTORY_S,
     RECORDED_S,
     Issuer,
--- a/tests/decisions/test_stream_origins.py
+++ b/tests/decisions/test_stream_origins.py
@@ -1,8 +1,8 @@
 """Where streams began: what is kept, and what a service's history tells."""
 
-from godwitladder.decisions import stream_origins
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.stream_origins import (
+from godwitladder.decisions.placing import stream_origins
+from godwitladder.decisions.placing.stream_origins import (
     KEEP_S,
     ReleaseHistory,
     StreamName,
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -12,7 +12,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.daemon import CONNECT_TIMEOUTS
-from godwitladder.decisions.paths import Gateways
+from godwitladder.decisions.placing.paths import Gateways
 from godwitladder.engines.wire import MayHaveRun, NotSent, send
 from godwitladder.ids import HostId, Zone
 from godwitladder.membership.mesh import Mesh
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from godwitladder.decisions import quarantine
-from godwitladder.decisions.quarantine import (
+from godwitladder.decisions.health import quarantine
+from godwitladder.decisions.health.quarantine import (
     HOLD_S,
     MERGE_S,
     Quarantine,
--- a/tests/quarantine/test_watch.py
+++ b/tests/quarantine/test_watch.py
@@ -12,7 +12,7 @@
 from godwitladder.clock import ManualClock
 from godwitladder.configuration.model import Service, ServiceKind, Target
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quarantine import HOLD_S, QuarantineStatus
+from godwitladder.decisions.health.quarantine import HOLD_S, QuarantineStatus
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.quarantine.records import Cleared, Crash
 from godwitladder.quarantine.watch import ACK_TIMEOUT_S, CrashWatch, crash_digest
--- a/tests/scheduler/quota_fleet.py
+++ b/tests/scheduler/quota_fleet.py
@@ -21,7 +21,7 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quotas import TokenRate
+from godwitladder.decisions.limits.quotas import TokenRate
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.ids import HostId
 from godwitladder.metrics import Metrics
--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitladder.clock import ManualClock
-from godwitladder.decisions.rate_limits import StatedLimit
+from godwitladder.decisions.limits.rate_limits import StatedLimit
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import RequestDemand
 from godwitladder.membership.router import Router
--- a/tests/scheduler/test_cooldowns.py
+++ b/tests/scheduler/test_cooldowns.py
@@ -3,13 +3,13 @@
 import pytest
 
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.cooldowns import (
+from godwitladder.decisions.health.target_processes import KEEP_ABSENT_S
+from godwitladder.decisions.limits.cooldowns import (
     MAX_COOLDOWN_S,
     Cooldowns,
     RemainingCooldown,
 )
 from godwitladder.decisions.policy import ROUTED
-from godwitladder.decisions.target_processes import KEEP_ABSENT_S
 from godwitladder.scheduler.messages import CooldownStated
 from godwitladder.scheduler.reports import TARGETS_REFUSE_TEXT, make_report
 from godwitladder.scheduler.statements import take_cooldown
--- a/tests/scheduler/test_departures.py
+++ b/tests/scheduler/test_departures.py
@@ -3,8 +3,8 @@
 import pytest
 
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.departures import Departure, Departures
-from godwitladder.decisions.target_processes import KEEP_ABSENT_S
+from godwitladder.decisions.health.departures import Departure, Departures
+from godwitladder.decisions.health.target_processes import KEEP_ABSENT_S
 from godwitladder.scheduler.messages import LeavingStated
 from godwitladder.scheduler.reports import make_report, update_targets
 from godwitladder.scheduler.statements import forget_ended_processes, take_leaving
--- a/tests/scheduler/test_flood.py
+++ b/tests/scheduler/test_flood.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitladder.decisions.admission import MIN_SHARE
+from godwitladder.decisions.waiting.admission import MIN_SHARE
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.reports import due_reports
 from godwitladder.scheduler.systems import run_systems
--- a/tests/scheduler/test_gate.py
+++ b/tests/scheduler/test_gate.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from godwitladder.decisions.admission import AdmissionShare
 from godwitladder.decisions.types import PoolName
+from godwitladder.decisions.waiting.admission import AdmissionShare
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler.gate import SHARES_LIFETIME_S, AdmissionGate
 
--- a/tests/scheduler/test_quota_accounts.py
+++ b/tests/scheduler/test_quota_accounts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from godwitladder.decisions.quotas import TokenRate
+from godwitladder.decisions.limits.quotas import TokenRate
 from tests.scheduler.quota_fleet import Load, QuotaFleet
 
 HOSTS = 15
--- a/tests/scheduler/test_quota_faults.py
+++ b/tests/scheduler/test_quota_faults.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from godwitladder.decisions.quotas import TokenRate
+from godwitladder.decisions.limits.quotas import TokenRate
 from tests.scheduler.quota_fleet import (
     LETTERS,
     ORDERS,
--- a/tests/scheduler/test_quotas.py
+++ b/tests/scheduler/test_quotas.py
@@ -11,13 +11,13 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.quotas import (
+from godwitladder.decisions.limits.quotas import (
     FRESH_SHARE,
     LOWERED_AFTER_S,
     TokenQuotas,
     TokenRate,
 )
-from godwitladder.decisions.spending import (
+from godwitladder.decisions.limits.spending import (
     HISTORY_S,
     RECORDED_S,
     Issuer,
--- a/tests/scheduler/test_rate_limits.py
+++ b/tests/scheduler/test_rate_limits.py
@@ -7,15 +7,15 @@
 from godwitladder.clock import ManualClock
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.allocation import allocate
-from godwitladder.decisions.policy import ROUTED
-from godwitladder.decisions.rate_limits import (
+from godwitladder.decisions.health.target_processes import KEEP_ABSENT_S
+from godwitladder.decisions.limits.rate_limits import (
     FALLBACK_SHARE,
     MIN_RATE,
     NO_LIMIT,
     RESTATED_S,
     RateLimits,
 )
-from godwitladder.decisions.target_processes import KEEP_ABSENT_S
+from godwitladder.decisions.policy import ROUTED
 from godwitladder.metrics import Metrics
 from godwitladder.scheduler.access import FULL_REPORT_INTERVAL_S
 from godwitladder.scheduler.actor import Scheduler
--- a/tests/scheduler/test_sharing_hosts.py
+++ b/tests/scheduler/test_sharing_hosts.py
@@ -1,7 +1,7 @@
 """Limits that all hosts share, on hosts that no longer see each other."""
 
 from godwitladder.clock import ManualClock
-from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
+from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
 from godwitladder.scheduler.quotas import HOST_EXPIRY_S, SeenHosts, SharingHosts
 
 HOSTS = ("h0", "h1", "h2", "h3", "h4")
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitladder.decisions.speeds import MIN_OBSERVATIONS
+from godwitladder.decisions.placing.speeds import MIN_OBSERVATIONS
 from godwitladder.decisions.types import Shed, ShedReason
 from godwitladder.ids import RequestId
 from godwitladder.outcomes import Reason, RequestState
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -10,11 +10,11 @@
 import pytest
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.cooldowns import Cooldowns
-from godwitladder.decisions.departures import Departures
-from godwitladder.decisions.rate_limits import RateLimits
-from godwitladder.decisions.retry_budget import RetryBudget, RetryLimits
-from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.health.departures import Departures
+from godwitladder.decisions.limits.cooldowns import Cooldowns
+from godwitladder.decisions.limits.rate_limits import RateLimits
+from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
+from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -3,9 +3,9 @@
 import pytest
 
 from godwitladder.clock import ManualClock
-from godwitladder.decisions.cooldowns import Cooldowns
-from godwitladder.decisions.departures import Departures
-from godwitladder.decisions.rate_limits import NO_LIMIT, RateLimits
+from godwitladder.decisions.health.departures import Departures
+from godwitladder.decisions.limits.cooldowns import Cooldowns
+from godwitladder.decisions.limits.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
     CooldownStated,
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
 from godwitladder.membership.codec import decode, encode
 from godwitladder.serving.stream_origins import (
     OriginKnown,
