--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -1,5 +1,6 @@
 """HTTP connections to targets that tell failures before the first byte from later."""
 
+import enum
 import math
 from collections.abc import Callable, Mapping
 
@@ -32,6 +33,39 @@
     """The request may have reached the target, but no complete answer arrived."""
 
 
+class AbortedByHost(MayHaveRun):
+    """The host itself ended the answer before it was complete."""
+
+
+class AnswerShape(enum.Enum):
+    """Part of an answer that exceeds its limit or is not HTTP."""
+
+    HEAD = "head"
+    INTERIM = "interim"
+    FRAMING = "framing"
+    EVENT = "event"
+    BODY = "body"
+
+
+class MalformedAnswer(MayHaveRun):
+    """The target sent bytes that are no answer, or more than the limits allow.
+
+    Parameters
+    ----------
+    shape : AnswerShape
+        The part at fault.
+    size : int
+        Bytes of that part that were read.
+    detail : str
+        What is wrong with it.
+    """
+
+    def __init__(self, shape: AnswerShape, size: int, detail: str) -> None:
+        super().__init__(f"malformed {shape.value} after {size} bytes: {detail}")
+        self.shape = shape
+        self.size = size
+
+
 class TargetRefused(GodwitladderError):
     """The target answered that it has not started the request.
 
