Name the version in force in news of the store; ask one peer after a late link

A host whose first link came later than 1.2 s after its start used an older copy of the store until the change was written again: it asked peers only in that time, and its place in the store equals theirs afterwards, so nothing between hosts told that it lacks a document. FeedNews names the version in force at its sender now (default -1). A host that has applied news of a later version asks one peer, and so does one that no news reach within 2.5 s of its first link.

Ruled out: a version in the request, which a peer without better knowledge would answer briefly. It leaves one request and answer for each host that starts, which news make needless.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -25,6 +25,7 @@
     snapshot_at,
 )
 from godwitladder.discovery.messages import FeedNews, FeedWanted, RawBatch
+from godwitladder.discovery.peer_requests import REQUEST_INTERVAL_S, PeerRequests
 from godwitladder.discovery.places import Fit, Place, is_other_history
 from godwitladder.discovery.rewritten import RewrittenEntries
 from godwitladder.discovery.rollout_tracker import RolloutTracker
@@ -66,9 +67,6 @@
 PEER_ANSWER_TIMEOUT_S = 1.2
 """Time after its start at which a host that has received nothing from a peer reads the
 store itself, and uses what it has read."""
-REQUEST_INTERVAL_S = 0.25
-"""Interval between the requests of a host that has no state yet. An answer can contain
-a whole document, which occupies a slow host's link while it is sent."""
 MAX_READ_S = 1.0
 """Upper bound on the read duration that hosts allow for when they wait for news."""
 MAX_NEWS_TIMEOUT_S = 2.5
@@ -129,8 +127,7 @@
     hosts : tuple of HostId
         Hosts that may read the store for others, in reading order; the first is the
         reader.
-    linked : bool
-        Whether the latest request to any peer could be sent.
+    requests : PeerRequests
     document_place, entry_place : Place
         Place of the next document or target record to read.
     document_record : Record or None
@@ -140,8 +137,6 @@
     read_s : float
         Duration of the latest read, by this host or by the sender of the latest news,
         in seconds.
-    heard_peer : bool
-        Whether a peer has sent its full state.
     is_unpublished : bool
         Whether a view waits until what was read of the store may be used.
     tells_at : float or None
@@ -171,10 +166,7 @@
         self.reads_at_start = reads_at_start
         self.pending_replies: list[Callable[[FeedNews], None]] = []
         self.started = clock.boottime()
-        self.requested_at = float("-inf")
-        self.linked = False
-        self.heard_peer = False
-        self.is_unpublished = False
+        self.requests, self.is_unpublished = PeerRequests(), False
         self.tells_at: float | None = None
         self.rewritten = RewrittenEntries()
         self.hosts: tuple[HostId, ...] = (host,)
@@ -247,9 +239,9 @@
         """Return whether this host has no state yet and waits for a peer to send it."""
         if self.has_state() or self.reads_at_start or self.is_reader():
             return False
-        return now - self.started < (
-            PEER_ANSWER_TIMEOUT_S if self.linked else UNLINKED_START_TIMEOUT_S
-        )
+        linked = self.requests.is_linked
+        limit_s = PEER_ANSWER_TIMEOUT_S if linked else UNLINKED_START_TIMEOUT_S
+        return now - self.started < limit_s
 
     def is_reader(self) -> bool:
         """Return whether this host reads the store for other hosts."""
@@ -277,9 +269,7 @@
     def request_state(
         self, send_request: Callable[[FeedWanted], bool] | None = None
     ) -> None:
-        """Request the full state from one peer, if this host has none of a peer.
-
-        Nothing is requested if a request was sent just before.
+        """Request the full state from one peer, if that is due.
 
         Each peer answers with whole documents. If all peers were asked at once, their
         answers would fill the link of a newly started host for seconds.
@@ -291,16 +281,19 @@
             for any peer.
         """
         now = self.clock.boottime()
-        if not self.needs_peer(now) or now - self.requested_at < REQUEST_INTERVAL_S:
+        if send_request is not None:
+            self.requests.record_link(now)
+        is_new = self.needs_peer(now)
+        if not self.requests.is_due(now, is_new, self.document.version):
             return
         sent = (send_request or self.send_request)(FeedWanted(self.host))
         if send_request is None:
-            self.linked = sent
+            self.requests.is_linked = sent
         if sent:
-            self.requested_at = now
+            self.requests.record_request(now, is_new, self.document.version)
 
     def needs_peer(self, now: float) -> bool:
-        """Return whether this host needs the state of a peer."""
+        """Return whether this host waits for the state of a peer."""
         return not (self.has_state() and self.trusts_store(now))
 
     def trusts_store(self, now: float) -> bool:
@@ -309,7 +302,7 @@
         The store may have come back from a copy just before this host started. It would
         let in callers whose keys its peers know to be revoked.
         """
-        return self.heard_peer or now - self.started >= PEER_ANSWER_TIMEOUT_S
+        return self.requests.is_heard or now - self.started >= PEER_ANSWER_TIMEOUT_S
 
     def request_missing(self) -> None:
         """Request the full state from a peer, since its news can't be applied.
@@ -317,10 +310,11 @@
         A host that the store turns away depends on it.
         """
         now = self.clock.boottime()
-        is_asked = now - self.requested_at < REQUEST_INTERVAL_S
-        if self.freshness.age_s(now) > NEWS_TIMEOUT_S and not is_asked:
-            self.requested_at = now
-            self.send_request(FeedWanted(self.host))
+        is_asked = now - self.requests.requested_at < REQUEST_INTERVAL_S
+        if self.freshness.age_s(now) <= NEWS_TIMEOUT_S or is_asked:
+            return
+        if self.send_request(FeedWanted(self.host)):
+            self.requests.requested_at = now
 
     def make_full_news(self) -> FeedNews | None:
         """Return the full state of this host; None if it has none."""
@@ -334,6 +328,7 @@
                 self.freshness.age_s(self.clock.boottime()),
                 encode_batch(snapshot_at(self.document_place, documents)),
                 encode_batch(snapshot_at(self.entry_place, entries)),
+                self.document.version,
             )
 
     def should_read(self, now: float) -> bool:
@@ -413,7 +408,8 @@
             self.apply(documents, entries, began)
             self.record_read_duration(self.clock.boottime() - began)
         if news is not None:
-            self.broadcast(replace(news, age_s=self.clock.boottime() - began))
+            age_s, version = self.clock.boottime() - began, self.document.version
+            self.broadcast(replace(news, age_s=age_s, version=version))
         if self.answers_orders():
             self.rollouts.answer_orders()
 
@@ -518,8 +514,9 @@
         ignored, and the host reads the store itself when its state is too old.
         """
         began = self.clock.boottime() - news.age_s
+        is_full = news.documents.start < 0
         with self.lock:
-            self.heard_peer |= news.documents.start < 0
+            self.requests.is_heard |= is_full
             fits = (
                 self.document_place.fit(news.documents),
                 self.entry_place.fit(news.entries),
@@ -533,6 +530,9 @@
                 self.apply(
                     decode_batch(news.documents), decode_batch(news.entries), began
                 )
+                self.requests.record_news(news.version)
+        if not is_full and self.requests.named_version > self.document.version:
+            self.request_state()
 
     def ignore_news(self, news: FeedNews, fits: Iterable[Fit]) -> None:
         """Take no more than a newer document from news of another place."""
@@ -627,7 +627,7 @@
                     (self.entry_place, ()),
                 )
             ]
-            news = FeedNews(self.host, self.age_s(), *batches)
+            news = FeedNews(self.host, self.age_s(), *batches, self.document.version)
         log.info(
             "Told the others of a document that the store has lost",
             extra={"version": self.document.version, "place": place},
--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -29,7 +29,7 @@
 @peer_message
 @dataclass(frozen=True)
 class FeedWanted:
-    """Request of a newly started host for a peer's full state."""
+    """Request for a peer's full state."""
 
     host: HostId
 
@@ -44,9 +44,12 @@
     age_s : float
         Time from the start of the last read to the sending of this message, in
         seconds. It is a duration because hosts share no clock.
+    version : int
+        Version of the document in force at the sender; -1 from hosts that name none.
     """
 
     host: HostId
     age_s: float
     documents: RawBatch
     entries: RawBatch
+    version: int = -1
