A tunnel that breaks does not make its target avoided

Each loss of a call that may be repeated returns it with the target to avoid; .01 s later both targets are logged as accepting no requests, though they answered all others. New calls wait then until the avoidance ends, 1.0 s later; five of six are shed by the allocator .03 s after that, the sixth is sent. So the one causes the other: a host that avoids all targets gets no grants, and its calls are shed as overload.

A loss through a broken tunnel no longer makes the target avoided, and its gateway is not asked for a second. Ruled out: a slow target (it answered through others in .23 s), a lost grant (the allocator's answers came in time).

test_a_way_that_breaks_does_not_make_its_target_avoided was red through a gateway before. test_requests_wait_while_their_ host_avoids_all_targets shows the mechanism on hosts and an allocator. The safeguard for crashes through a gateway keeps its mutation in the new form.

--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -18,7 +18,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.placing.paths import Gateways, PathTable, order_gateways
 from godwitladder.engines.wire import NoConnection, connect
-from godwitladder.ids import Zone
+from godwitladder.ids import HostId, Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
@@ -82,9 +82,9 @@
     tunnel: TunnelSocket | None = None
 
     @property
-    def gateway(self) -> str:
+    def gateway(self) -> HostId:
         """The host through which the connection leads; empty for none."""
-        return self.tunnel.gateway if self.tunnel else ""
+        return self.tunnel.gateway if self.tunnel else HostId("")
 
     @property
     def is_broken(self) -> bool:
@@ -250,6 +250,12 @@
                 self.gateways.record_failed(gateway.host, self.clock.monotonic())
             return None
 
+    def record_broken(self, gateway: HostId) -> None:
+        """Record that a tunnel through ``gateway`` broke; others are asked first."""
+        log.info("A gateway was lost with a call", extra={"gateway": gateway})
+        with self.lock:
+            self.gateways.record_failed(gateway, self.clock.monotonic())
+
     def record_round(self, address: str, is_reached: bool) -> None:
         """Record whether any of the gateways that were asked reaches a target."""
         with self.lock:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -394,7 +394,9 @@
         """Put an idempotent call back into the queue; return whether that was done."""
         if not self.call.row.idempotent or not self.can_retry():
             return False
-        self.requeue(ReturnProof.IDEMPOTENT)
+        # A tunnel that breaks is no sign that its target refuses requests.
+        way_broke = self.connection is not None and self.connection.is_broken
+        self.requeue(ReturnProof.IDEMPOTENT, avoid=not way_broke)
         return True
 
     def can_retry(self) -> bool:
@@ -479,7 +481,10 @@
         A tunnel that breaks says nothing of the target, nor does the answer to
         another call.
         """
-        if isinstance(error, ForeignAnswer) or self.connection.is_broken:
+        if self.connection.is_broken:
+            self.proxy.connector.record_broken(self.connection.gateway)
+            return
+        if isinstance(error, ForeignAnswer):
             return
         lost_call = LostCall(
             self.call.traits,
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -203,6 +203,22 @@
     assert (row.state, row.target) == (RequestState.DISPATCHED, "e1")
 
 
+@pytest.mark.parametrize("avoid", [True, False])
+def test_requests_wait_while_their_host_avoids_all_targets(avoid):
+    """Guards against avoidance without a sign of the target: it costs later calls."""
+    harness, now = make_settled_harness({"e0": 4, "e1": 4}, hosts=("h0", "h1"))
+    host = harness.hosts["h1"]
+    for number, name in enumerate(("e0", "e1")):
+        row = submit(host, make_request(f"lost{number}", now))
+        row.idempotent = True
+        dispatch_request(host, row, host.targets[name], now)
+        return_request(host, row, now, may_have_run=True, avoid=avoid)
+    row = submit(host, make_request("next", now, timeout_s=0.9))
+    run_for(harness, now, 0.5, lambda now: None)
+    state = RequestState.WAITING if avoid else RequestState.DISPATCHED
+    assert row.state is state
+
+
 @pytest.mark.parametrize("reason", [ShedReason.OVERLOAD, ShedReason.DEADLINE])
 def test_a_host_that_reaches_no_target_says_so_in_its_refusals(reason):
     """Guards against naming a lack of capacity where only the path is missing."""
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -72,7 +72,7 @@
     def __init__(self, addresses):
         self.addresses = list(addresses)
         self.returned, self.finished, self.others = [], [], []
-        self.unreached = []
+        self.unreached, self.avoided = [], []
         self.rows = {}
         self.release = ""
 
@@ -83,6 +83,7 @@
         elif isinstance(message, Returned):
             self.returned.append(message.proof)
             self.unreached.append(message.unreached)
+            self.avoided.append(message.avoid)
             self.decide(self.rows[message.request])
         elif isinstance(message, Finished):
             self.finished.append(message.state)
@@ -631,6 +632,14 @@
     """Guards against a gateway that is killed and takes all its calls for crashes."""
     bench = Bench(stack)
     end_on(bench.engines[0], b"bad")
+    break_tunnels(bench)
+    assert bench.call("/charge/x", body=b"bad").status == 502
+    bench.quarantine.update_targets({})
+    assert crashed_bodies(bench) == []
+
+
+def break_tunnels(bench):
+    """Let all connections lead through a gateway, and each loss be its own."""
     connect = bench.app.proxy.connector.connect
 
     def connect_through_gateway(*args):
@@ -639,9 +648,23 @@
         return dataclasses.replace(connection, tunnel=tunnel)
 
     bench.app.proxy.connector.connect = connect_through_gateway
-    assert bench.call("/charge/x", body=b"bad").status == 502
-    bench.quarantine.update_targets({})
-    assert crashed_bodies(bench) == []
+
+
+@pytest.mark.parametrize("path", ["/lookup/x", "/resume/stream/x"])
+@pytest.mark.parametrize("is_through_gateway", [True, False])
+def test_a_way_that_breaks_does_not_make_its_target_avoided(
+    stack, path, is_through_gateway
+):
+    """Guards against idle targets that get no calls since a gateway froze."""
+    bench = Bench(stack, engines=2)
+    end_on(bench.engines[0], b"bad")
+    if is_through_gateway:
+        break_tunnels(bench)
+    assert bench.call(path, body=b"bad").status == 200
+    assert bench.scheduler.avoided == [not is_through_gateway]
+    gateways = bench.app.proxy.connector.gateways
+    now = bench.clock.monotonic()
+    assert gateways.may_help("h9", "any", now) is not is_through_gateway
 
 
 def test_a_stopping_host_refuses_calls(stack):
