Gateways that fail do not make their target avoided while others are left

Both targets counted as accepting nothing and as not reached, and twelve calls of six callers were refused with no_target for a second. A round without a verdict of any gateway says nothing about the target.

A round that fails while other gateways may be asked returns its call without that; the next send asks the others, as the one that failed is left out for a second, so this ends after at most one round for each gateway. Tried and taken back: a second gateway in the same round, whatever its time; it breaks the bound that test_no_gateway_is_asked_after_the_time_of_a_round keeps.

Tests red before: test_gateways_that_fail_do_not_make_their_target_avoided, test_a_round_that_failed_says_whether_other_ gateways_are_left.

--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -40,6 +40,13 @@
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
 
 
+class GatewaysLeft(NoConnection):
+    """The gateways that were asked opened no tunnel, but others may do so now.
+
+    It says nothing about the target.
+    """
+
+
 @dataclass(frozen=True)
 class ConnectTimeouts:
     """How long to wait for a connection to a target, in seconds.
@@ -153,6 +160,8 @@
 
         Raises
         ------
+        GatewaysLeft
+            Gateways were asked and failed; others may lead to the target.
         NoConnection
             The connection could not be established.
         """
@@ -175,7 +184,9 @@
         if tunnel is None:
             with self.lock:
                 cause = self.paths.last_error(address)
-            raise NoConnection(f"no path to {address}") from cause
+            is_open = bool(self.choose_gateways(address))
+            kind = GatewaysLeft if is_open else NoConnection
+            raise kind(f"no path to {address}") from cause
         return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
 
     def dial(self, address: str, read_timeout_s: float) -> HTTPConnection:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -20,7 +20,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.paths.connector import Connector, TargetConnection
+from godwitladder.paths.connector import Connector, GatewaysLeft, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
@@ -196,7 +196,13 @@
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
                 unreached = isinstance(error, NoConnection) and not aborted
-                self.requeue(ReturnProof.NOTHING_SENT, not aborted, unreached)
+                # The next send asks other gateways than those that failed.
+                says_nothing = aborted or isinstance(error, GatewaysLeft)
+                self.requeue(
+                    ReturnProof.NOTHING_SENT,
+                    not says_nothing,
+                    unreached and not says_nothing,
+                )
             except NotRun as error:
                 self.log_failed_send("The target did not run the call", decision, error)
                 refusal = self.requeue_or_refuse(error)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -13,13 +13,17 @@
 from godwitladder.clock import Clock
 from godwitladder.daemon import CONNECT_TIMEOUTS
 from godwitladder.decisions.placing.paths import Gateways
-from godwitladder.engines.wire import MayHaveRun, NotSent, send
+from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
 from godwitladder.ids import HostId, Zone
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
 from godwitladder.paths import gateway as gateway_module
-from godwitladder.paths.connector import Connector, ConnectTimeouts
+from godwitladder.paths.connector import (
+    Connector,
+    ConnectTimeouts,
+    GatewaysLeft,
+)
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
 from godwitladder.paths.tunnels import TunnelRefused, Tunnels
@@ -427,6 +431,31 @@
     assert len(asked) == 1
 
 
+def test_a_round_that_failed_says_whether_other_gateways_are_left(stack):
+    """Guards against taking gateways that fail for a target that is not reached."""
+    engine = start_target(stack)
+    near, far = make_pair(stack, engine.address)
+    asked = []
+
+    def ask_slowly(gateway, request):
+        asked.append(gateway.host)
+        time.sleep(near.connector.timeouts.round_s + 0.1)
+        near.connector.record_broken(gateway.host)
+
+    ask, near.connector.ask_gateway = near.connector.ask_gateway, ask_slowly
+    near.connector.set_peers([Peer(HostId("h1"), "")])
+    with pytest.raises(NoConnection) as alone:
+        near.connect(engine.address)
+    assert alone.type is NoConnection
+    near.connector.gateways = Gateways()
+    near.connector.set_peers([Peer(HostId("h1"), ""), Peer(HostId("h2"), "")])
+    with pytest.raises(GatewaysLeft):
+        near.connect(engine.address)
+    near.connector.ask_gateway = ask
+    near.connector.set_peers([Peer(HostId(asked[-1]), ""), far.as_peer()])
+    assert near.connect(engine.address).gateway == "far"
+
+
 def test_a_host_without_descriptors_reports_that_nothing_was_sent(stack, monkeypatch):
     """Guards against a call that fails as lost because its host had no descriptor."""
     engine = start_target(stack)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -15,9 +15,10 @@
 from godwitladder.decisions.limits.rate_limits import RateLimits
 from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
 from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
+from godwitladder.engines.wire import NoConnection
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
-from godwitladder.paths.connector import Connector
+from godwitladder.paths.connector import Connector, GatewaysLeft
 from godwitladder.paths.splicing import StreamEnd
 from godwitladder.platform.documents import decode_document
 from godwitladder.platform.headers import PlatformHeaders
@@ -650,6 +651,25 @@
     bench.app.proxy.connector.connect = connect_through_gateway
 
 
+@pytest.mark.parametrize("kind", [NoConnection, GatewaysLeft])
+def test_gateways_that_fail_do_not_make_their_target_avoided(stack, kind):
+    """Guards against refusals for a lost path while other gateways are not asked."""
+    bench = Bench(stack, engines=2)
+    connect = bench.app.proxy.connector.connect
+
+    def fail_once(*args):
+        bench.app.proxy.connector.connect = connect
+        raise kind("no path")
+
+    bench.app.proxy.connector.connect = fail_once
+    assert bench.call("/charge/x").status == 200
+    is_lost = kind is NoConnection
+    assert (bench.scheduler.avoided, bench.scheduler.unreached) == (
+        [is_lost],
+        [is_lost],
+    )
+
+
 @pytest.mark.parametrize("path", ["/lookup/x", "/resume/stream/x"])
 @pytest.mark.parametrize("is_through_gateway", [True, False])
 def test_a_way_that_breaks_does_not_make_its_target_avoided(
