--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -18,7 +18,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.placing.paths import Gateways, PathTable, order_gateways
 from godwitladder.engines.wire import NoConnection, connect
-from godwitladder.ids import Zone
+from godwitladder.ids import HostId, Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.messages import Peer
 from godwitladder.metrics import Metrics
@@ -40,6 +40,13 @@
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
 
 
+class GatewaysLeft(NoConnection):
+    """The gateways that were asked opened no tunnel, but others may do so now.
+
+    It says nothing about the target.
+    """
+
+
 @dataclass(frozen=True)
 class ConnectTimeouts:
     """How long to wait for a connection to a target, in seconds.
@@ -82,9 +89,9 @@
     tunnel: TunnelSocket | None = None
 
     @property
-    def gateway(self) -> str:
+    def gateway(self) -> HostId:
         """The host through which the connection leads; empty for none."""
-        return self.tunnel.gateway if self.tunnel else ""
+        return self.tunnel.gateway if self.tunnel else HostId("")
 
     @property
     def is_broken(self) -> bool:
@@ -153,6 +160,8 @@
 
         Raises
         ------
+        GatewaysLeft
+            Gateways were asked and failed; others may lead to the target.
         NoConnection
             The connection could not be established.
         """
@@ -175,7 +184,9 @@
         if tunnel is None:
             with self.lock:
                 cause = self.paths.last_error(address)
-            raise NoConnection(f"no path to {address}") from cause
+            is_open = bool(self.choose_gateways(address))
+            kind = GatewaysLeft if is_open else NoConnection
+            raise kind(f"no path to {address}") from cause
         return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
 
     def dial(self, address: str, read_timeout_s: float) -> HTTPConnection:
@@ -250,6 +261,12 @@
                 self.gateways.record_failed(gateway.host, self.clock.monotonic())
             return None
 
+    def record_broken(self, gateway: HostId) -> None:
+        """Record that a tunnel through ``gateway`` broke; others are asked first."""
+        log.info("A gateway was lost with a call", extra={"gateway": gateway})
+        with self.lock:
+            self.gateways.record_failed(gateway, self.clock.monotonic())
+
     def record_round(self, address: str, is_reached: bool) -> None:
         """Record whether any of the gateways that were asked reaches a target."""
         with self.lock:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -20,7 +20,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.paths.connector import Connector, TargetConnection
+from godwitladder.paths.connector import Connector, GatewaysLeft, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
@@ -196,7 +196,13 @@
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
                 unreached = isinstance(error, NoConnection) and not aborted
-                self.requeue(ReturnProof.NOTHING_SENT, not aborted, unreached)
+                # The next send asks other gateways than those that failed.
+                says_nothing = aborted or isinstance(error, GatewaysLeft)
+                self.requeue(
+                    ReturnProof.NOTHING_SENT,
+                    not says_nothing,
+                    unreached and not says_nothing,
+                )
             except NotRun as error:
                 self.log_failed_send("The target did not run the call", decision, error)
                 refusal = self.requeue_or_refuse(error)
@@ -394,7 +400,9 @@
         """Put an idempotent call back into the queue; return whether that was done."""
         if not self.call.row.idempotent or not self.can_retry():
             return False
-        self.requeue(ReturnProof.IDEMPOTENT)
+        # A tunnel that breaks is no sign that its target refuses requests.
+        way_broke = self.connection is not None and self.connection.is_broken
+        self.requeue(ReturnProof.IDEMPOTENT, avoid=not way_broke)
         return True
 
     def can_retry(self) -> bool:
@@ -479,7 +487,10 @@
         A tunnel that breaks says nothing of the target, nor does the answer to
         another call.
         """
-        if isinstance(error, ForeignAnswer) or self.connection.is_broken:
+        if self.connection.is_broken:
+            self.proxy.connector.record_broken(self.connection.gateway)
+            return
+        if isinstance(error, ForeignAnswer):
             return
         lost_call = LostCall(
             self.call.traits,
