--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -17,8 +17,20 @@
 
 
 class RolloutState(enum.Enum):
-    """State of a rollout."""
+    """State of a rollout.
 
+    Attributes
+    ----------
+    RUNNING
+        The version is on trial.
+    COMPLETED
+        The service uses the new version; targets of the old one stop at once.
+    ROLLED_BACK
+        The service stays with the old version.
+    """
+
+    RUNNING = "running"
+    COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
 
 
