Rollouts: bounds in the settings, conditional appends of a status

The status of a rollout is appended only where its topic ends at the offset that the writer has read (`at`, 412 otherwise), so that an outcome that is written late or by two hosts fails. A status names its order by offset, since the same version may be ordered again.

--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -9,8 +9,9 @@
 """
 
 import enum
+import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.ids import ServiceName, TargetName
@@ -46,12 +47,30 @@
         Time allowed for the rollout, in seconds.
     offset : int
         Offset of the order in the store; a later order replaces it.
+    raw : bytes
+        The order as stored.
     """
 
     service: ServiceName
     release: str
     duration_s: float
     offset: int
+    raw: bytes = field(default=b"", compare=False, repr=False)
+
+
+@dataclass(frozen=True)
+class OrderInForce:
+    """An order, and when it was given.
+
+    Attributes
+    ----------
+    ordered_at : float
+        Earliest time in seconds at which it may have been given; minus infinity if
+        this host does not know.
+    """
+
+    order: RolloutOrder
+    ordered_at: float = -math.inf
 
 
 def held_back(
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -4,13 +4,14 @@
 names or record formats.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.findings import GodwitladderError
-from godwitladder.ids import Era
+from godwitladder.ids import Era, ServiceName
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.routing.model import RoutingDocument
 
@@ -26,6 +27,10 @@
     """The store does not have the requested records, or no longer."""
 
 
+class StoreMoved(GodwitladderError):
+    """A conditional append was not applied, as the topic ends elsewhere."""
+
+
 @dataclass(frozen=True)
 class Record:
     """One record of a keyed stream; an empty value deletes the key."""
@@ -61,6 +66,36 @@
         return self.start < 0
 
 
+@dataclass(frozen=True)
+class RolloutStatus:
+    """Status of a rollout in the store.
+
+    Attributes
+    ----------
+    order_offset : int
+        Offset of the order that it answers; -1 if the status does not tell.
+    """
+
+    release: str
+    state: RolloutState
+    order_offset: int = -1
+
+    def answers(self, order: RolloutOrder) -> bool:
+        """Return whether it is a status of ``order``.
+
+        The same version may be ordered again after it was rolled back.
+        """
+        return (self.release, self.order_offset) == (order.release, order.offset)
+
+
+@dataclass(frozen=True)
+class RolloutStatuses:
+    """Newest status of each service, and the end of their topic before the read."""
+
+    end: int
+    rows: Mapping[ServiceName, RolloutStatus]
+
+
 class Source(Protocol):
     """Reads, writes and decodes the store's documents, targets and host list."""
 
@@ -87,5 +122,19 @@
     ) -> None:
         """Write the state of the rollout that ``record`` orders."""
 
+    def read_rollout_statuses(self) -> RolloutStatuses:
+        """Return the newest status of each service."""
+
+    def append_rollout_status(
+        self, order: RolloutOrder, state: RolloutState, at: int
+    ) -> None:
+        """Append a status of ``order`` if the topic of statuses ends at ``at``.
+
+        Raises
+        ------
+        StoreMoved
+            The topic ends elsewhere; nothing was appended.
+        """
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if there is no usable one."""
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -52,5 +52,8 @@
 HOSTS_TOPIC = "keyed.hosts"
 STATUS_TOPIC = "keyed.status"
 ROLLOUT_PREFIX = "rollout/"
+STATUS_ORDER = "order"
+"""Field of a status with the offset of the order that it answers. The same version may
+be ordered again after it was rolled back."""
 
 SETTINGS_VARIABLE = "GODWITLADDER_NODE_FILE"
--- a/godwitladder/platform/rollouts.py
+++ b/godwitladder/platform/rollouts.py
@@ -5,10 +5,13 @@
 from returns.result import Failure, Result, Success
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
-from godwitladder.discovery.source import Record
+from godwitladder.discovery.source import Record, RolloutStatus
 from godwitladder.ids import ServiceName
+from godwitladder.logs import component_logger
 from godwitladder.platform import names
 
+log = component_logger("platform")
+
 
 def is_rollout(record: Record) -> bool:
     """Return whether ``record`` holds a rollout order."""
@@ -30,7 +33,9 @@
     if not 0 < duration_s < float("inf"):
         return Failure("has no duration")
     return Success(
-        RolloutOrder(ServiceName(service), str(release), duration_s, record.offset)
+        RolloutOrder(
+            ServiceName(service), str(release), duration_s, record.offset, record.value
+        )
     )
 
 
@@ -45,3 +50,22 @@
     target = json.loads(raw)["target"]
     row = {"service": order.service, "target": target, "state": state.value}
     return json.dumps(row).encode()
+
+
+def encode_order_status(order: RolloutOrder, state: RolloutState) -> bytes:
+    """Return the value of a status record that names the order it answers."""
+    row = json.loads(encode_status(order, state, order.raw))
+    return json.dumps(row | {names.STATUS_ORDER: order.offset}).encode()
+
+
+def decode_status(record: Record) -> tuple[ServiceName, RolloutStatus] | None:
+    """Return the service and the status in ``record``; None if it is invalid."""
+    try:
+        row = json.loads(record.value)
+        offset = row.get(names.STATUS_ORDER, -1)
+        status = RolloutStatus(str(row["target"]), RolloutState(row["state"]), offset)
+        return ServiceName(row["service"]), status
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        extra = {"key": record.key[:64], "error": repr(error)}
+        log.warning("A status of a rollout is invalid", extra=extra)
+        return None
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -5,7 +5,7 @@
 from returns.result import Failure
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
-from godwitladder.discovery.source import Batch, Record
+from godwitladder.discovery.source import Batch, Record, RolloutStatuses
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
@@ -15,6 +15,8 @@
 from godwitladder.platform.entries import decode_entry
 from godwitladder.platform.rollouts import (
     decode_rollout,
+    decode_status,
+    encode_order_status,
     encode_status,
     is_rollout,
 )
@@ -96,6 +98,20 @@
         key = names.ROLLOUT_PREFIX + order.service
         self.store.append(names.STATUS_TOPIC, key, value)
 
+    def read_rollout_statuses(self) -> RolloutStatuses:
+        """Return the newest status of each service."""
+        newest = self.store.newest(names.STATUS_TOPIC)
+        rows = map(decode_status, filter(is_rollout, newest.records))
+        return RolloutStatuses(newest.next, dict(row for row in rows if row))
+
+    def append_rollout_status(
+        self, order: RolloutOrder, state: RolloutState, at: int
+    ) -> None:
+        """Append a status of ``order`` if the topic of statuses ends at ``at``."""
+        value = encode_order_status(order, state)
+        key = names.ROLLOUT_PREFIX + order.service
+        self.store.append(names.STATUS_TOPIC, key, value, at)
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if the entry is invalid."""
         result = decode_entry(record.key, record.value)
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -17,6 +17,7 @@
 from godwitladder.discovery.source import (
     NO_ERA,
     Record,
+    StoreMoved,
     StoreTrimmed,
     StoreUnavailable,
 )
@@ -26,6 +27,8 @@
 TIMEOUT_S = 1.0
 """Timeout in seconds, since a connection may stay silent forever. The store
 answers within 4 ms, and within 250 ms while it is slow; this is four times that."""
+MAX_QUOTED_BYTES = 64
+"""Part of an answer that an error message quotes."""
 HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 
@@ -120,17 +123,26 @@
         records = parse_records(answer.data, offset)
         return StoreRecords(records, offset + len(records), answer.era)
 
-    def append(self, topic: str, key: str, value: bytes) -> None:
+    def append(self, topic: str, key: str, value: bytes, at: int | None = None) -> None:
         """Append one record; an empty value removes the key.
 
+        Parameters
+        ----------
+        at : int or None
+            Offset that the topic must end at when the record is appended, however
+            late that is; None to append it anywhere.
+
         Raises
         ------
+        StoreMoved
+            The topic does not end at ``at``; nothing was appended.
         StoreUnavailable
             The record may have been appended, or may be appended later.
         """
         content = bytes([len(key.encode())]) + key.encode() + value
         body = RECORD_LENGTH.pack(len(content)) + content
-        self._request("POST", names.APPEND, {"topic": topic, "part": 0}, body)
+        query = {"topic": topic, "part": 0} | ({} if at is None else {"at": at})
+        self._request("POST", names.APPEND, query, body)
 
     def _request_json(self, method: str, path: str, query: dict) -> tuple[dict, Era]:
         answer = self._request(method, path, query)
@@ -153,6 +165,8 @@
             raise StoreUnavailable(f"{path} did not answer: {error}") from error
         if answer.status == 410:
             raise StoreTrimmed(f"{path}: the store does not have the records")
+        if answer.status == 412:
+            raise StoreMoved(f"{path}: {answer.data[:MAX_QUOTED_BYTES]!r}")
         if answer.status != 200:
             raise StoreUnavailable(f"{path} returned HTTP status {answer.status}")
         self.era = _parse_era(answer.headers.get(names.STORE_ERA), self.era)
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from godwitladder.decisions.rollouts.progress import RolloutLimits
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
 from godwitladder.settings import LimitSettings, read_toml_file
@@ -14,6 +15,7 @@
     not_negative,
     positive,
     read_table,
+    share,
 )
 
 
@@ -73,6 +75,13 @@
     quota_window_s, quota_slack : float
         Window in seconds in which a workspace's tokens are counted, and the
         tokens that it may use beyond its quota.
+    exposure_share : float or None
+        Share of its service's requests that a version on trial may get. None where
+        versions are not tried: orders are then answered at once as rolled back.
+    exposure_slack : int
+        Requests that it may get beyond the share.
+    rollback_s : float
+        Seconds from the 50th bad answer of a version to the last request sent to it.
     """
 
     revoke_s: float = checked(positive, default=5.0)
@@ -82,6 +91,16 @@
     repeat_window_s: float = checked(positive, default=10.0)
     quota_window_s: float = checked(positive, default=8.0)
     quota_slack: float = checked(not_negative, default=0.0)
+    exposure_share: float | None = checked(share, default=None)
+    exposure_slack: int = checked(not_negative, default=50)
+    rollback_s: float = checked(positive, default=5.0)
+
+    @property
+    def rollouts(self) -> RolloutLimits | None:
+        """Bounds of rollouts; None where versions are not tried."""
+        if self.exposure_share is None:
+            return None
+        return RolloutLimits(self.exposure_share, self.exposure_slack, self.rollback_s)
 
 
 @dataclass(frozen=True)
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -84,12 +84,16 @@
         an answer.
     tells_era : bool
         Whether answers name the era.
+    late_s : float
+        Delay in seconds after which appends are carried out, without an answer; 0 to
+        carry them out at once.
     """
 
     status: int = 0
     mute_s: float = 0.0
     lose: bool = False
     tells_era: bool = True
+    late_s: float = 0.0
 
 
 class Store:
@@ -120,6 +124,18 @@
             self.topics[topic].append(key, value)
             return len(self.topics[topic].records)
 
+    def append(
+        self, topic: str, key: str, value: bytes, at: str | None
+    ) -> tuple[int, bytes]:
+        """Append a record if its topic ends at ``at``; return status and body."""
+        with self.lock:
+            partition = self.topics[topic]
+            end = len(partition.records)
+            if at is not None and int(at) != end:
+                return 412, json.dumps({"endOffset": end}).encode()
+            partition.append(key, value)
+            return 200, json.dumps({"offset": end, "endOffset": end + 1}).encode()
+
     def put_config(self, config: dict) -> None:
         """Publish a configuration, as the operator does."""
         self.put(names.CONFIG_TOPIC, names.CONFIG_KEY, json.dumps(config).encode())
@@ -177,8 +193,13 @@
         query = dict(parse_qsl(urlsplit(self.path).query))
         content = body[RECORD_LENGTH.size :]
         key = content[1 : 1 + content[0]].decode()
-        end = self.server.standin.put(query["topic"], key, content[1 + content[0] :])
-        self.answer(200, json.dumps({"offset": end - 1, "endOffset": end}).encode())
+        record = query["topic"], key, content[1 + content[0] :]
+        store, at = self.server.standin, query.get("at")
+        if store.knobs.late_s:
+            threading.Timer(store.knobs.late_s, store.append, (*record, at)).start()
+            self.close_connection = True
+            return
+        self.answer(*store.append(*record, at))
 
     def send_failure(self) -> bool:
         """Delay the answer and send the status that a knob sets, if any.
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -41,6 +41,11 @@
     )
 
 
+def share(value: float) -> str | None:
+    """Accept numbers from 0 to 1, without 0."""
+    return None if 0 < value <= 1 else f"{value!r} must be above 0 and at most 1"
+
+
 def sha256_digest(value: str) -> str | None:
     """Accept a SHA-256 digest in lower-case hexadecimal."""
     if SHA256_PATTERN.fullmatch(value):
