--- a/godwitladder/configuration/state.py
+++ b/godwitladder/configuration/state.py
@@ -9,7 +9,8 @@
     Tier,
     Workspace,
 )
-from godwitladder.ids import Offset
+from godwitladder.discovery.rollouts import OrderInForce
+from godwitladder.ids import Offset, ServiceName
 
 
 @dataclass(frozen=True)
@@ -27,6 +28,9 @@
     target_ticket_numbers : mapping
         Number of the ticket that last wrote each target, by the target's name;
         removed targets are included.
+    rollouts : mapping
+        Orders whose versions are to be tried, by service, with times of
+        `Clock.monotonic`.
     """
 
     offset: Offset = Offset(0)
@@ -36,6 +40,7 @@
     targets: Mapping[str, Target] = field(default_factory=dict)
     keys: Mapping[str, str] = field(default_factory=dict)
     target_ticket_numbers: Mapping[str, int] = field(default_factory=dict)
+    rollouts: Mapping[ServiceName, OrderInForce] = field(default_factory=dict)
 
     def rank(self, workspace: Workspace) -> int:
         """Return the rank of the workspace's tier."""
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -224,7 +224,7 @@
         excluded = entry.waiting.excluded_targets(self.now)
         demand = entry.waiting.demand
         if not demand.release:
-            return excluded
+            return self.pool.barred.union(excluded) if self.pool.barred else excluded
         capacity = self.capacity.of(demand.service)
         return capacity.names_of(demand.release, others=True) | set(excluded)
 
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -19,6 +19,7 @@
     HostId,
     Release,
     RequestId,
+    RouteName,
     ServiceName,
     TargetName,
     WorkspaceName,
@@ -74,6 +75,8 @@
         Output tokens in each event of its stream.
     release : Release
         Software version of the only targets that may run it; empty if any may.
+    route : RouteName
+        Its route, if a rollout of its service is under way.
     body : BodyDigest
         Digest by which a retry of the same caller is recognized; empty where
         different callers send equal bodies.
@@ -98,6 +101,7 @@
     gap_s: float = 0.0
     event_tokens: int = 1
     release: Release = Release("")
+    route: RouteName = RouteName("")
 
 
 @dataclass(frozen=True)
@@ -363,6 +367,10 @@
         Token quotas of the workspaces; pass the same object in.
     staleness_s : float
         Age in seconds of what is known about hosts' requests and targets.
+    trial_targets : dict
+        Targets of versions on trial. `allocate` does not use them.
+    barred : frozenset of TargetName
+        Targets for requests that can run at no other version only.
     """
 
     waiting: dict[RequestId, WaitingRequest] = field(default_factory=dict)
@@ -374,6 +382,8 @@
     quotas: TokenQuotas = field(default_factory=TokenQuotas)
     policy: Policy = Policy()
     staleness_s: float = 0.0
+    trial_targets: dict[TargetName, TargetView] = field(default_factory=dict)
+    barred: frozenset[TargetName] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -13,7 +13,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from godwitladder.clock import Clock
 from godwitladder.discovery.batches import (
@@ -37,8 +37,9 @@
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetTable
-from godwitladder.ids import HostId, TargetName
+from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.routing.model import RoutingDocument
@@ -88,24 +89,6 @@
 live targets may have expired."""
 
 
-@dataclass(frozen=True)
-class StoreView:
-    """Immutable view of the state read from the store.
-
-    Attributes
-    ----------
-    version : int
-        Number of changes so far on this host.
-    held_back : frozenset of TargetName
-        Targets that receive no calls because their version is unproved.
-    """
-
-    version: int
-    document: RoutingDocument
-    targets: tuple
-    held_back: frozenset[TargetName] = frozenset()
-
-
 class Feed:
     """Keeps the newest document and the targets.
 
@@ -560,7 +543,10 @@
             self.document_place = self.document_place.after(documents)
             apply_batch(self.newest_documents, documents)
             self.keep_document_in_force()
-            changed |= self.rollouts.apply(documents, self.clock.boottime())
+            confirmed_at = self.freshness.confirmed_at
+            changed |= self.rollouts.apply(
+                documents, self.clock.boottime(), confirmed_at
+            )
             self.freshness.confirm(began)
         if fits[1] is Fit.APPLIES:
             if entries.is_snapshot and self.is_other_era(entries):
@@ -734,4 +720,7 @@
                 "age_s": self.age_s(),
             },
         )
-        self.publish(StoreView(self.version, self.document, targets, unproved))
+        rollouts = self.rollouts.orders_to_try()
+        self.publish(
+            StoreView(self.version, self.document, targets, unproved, rollouts)
+        )
--- a/godwitladder/discovery/rollout_tracker.py
+++ b/godwitladder/discovery/rollout_tracker.py
@@ -1,11 +1,13 @@
 """Tracks the rollout orders read from the store, and answers them."""
 
+import math
 from dataclasses import dataclass, replace
 
-from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
+from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
 from godwitladder.discovery.source import Batch, Record, Source, StoreUnavailable
 from godwitladder.ids import ServiceName
 from godwitladder.logs import component_logger
+from godwitladder.routing.freshness import DocumentFreshness
 
 log = component_logger("rollouts")
 
@@ -14,6 +16,8 @@
 version that is rolled back are drained within seconds; holding the version back for
 much longer would leave idle the targets of that version that are started later for
 another reason."""
+OUTAGE_S = 2.0
+"""Age of the documents from which an outage of the store is assumed."""
 
 
 @dataclass(frozen=True)
@@ -24,12 +28,15 @@
     ----------
     is_stored : bool
         Whether it has been read in the store's current era.
+    ordered_at : float
+        Earliest time at which it may have been given: of the last read without it.
     """
 
     record: Record
     order: RolloutOrder
     expires_at: float
     is_stored: bool = True
+    ordered_at: float = -math.inf
 
 
 class RolloutTracker:
@@ -48,6 +55,9 @@
         Last order of each service, kept also when its version is no longer held back.
     answered : dict
         Last order that this host has answered in the store's current era, by service.
+    freshness : DocumentFreshness or None
+        Age of the documents. None where versions are not tried: orders are then
+        answered at once.
     """
 
     def __init__(self, source: Source) -> None:
@@ -55,6 +65,7 @@
         self.orders: dict[ServiceName, RolloutOrder] = {}
         self.latest: dict[ServiceName, LatestOrder] = {}
         self.answered: dict[ServiceName, RolloutOrder] = {}
+        self.freshness: DocumentFreshness | None = None
 
     def begin_era(self) -> None:
         """Answer all orders again once they are read in the store's new era.
@@ -66,24 +77,69 @@
         for service, row in self.latest.items():
             self.latest[service] = replace(row, is_stored=False)
 
-    def apply(self, batch: Batch, now: float) -> bool:
-        """Apply the records of a read; return whether the orders in force changed."""
+    def apply(self, batch: Batch, now: float, confirmed_at: float = -math.inf) -> bool:
+        """Apply the records of a read; return whether the orders in force changed.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Time up to which all records before this read are known.
+        """
         for record in batch.records:
             order = self.source.decode_rollout(record)
             if order is not None:
-                self.put(record, order, now)
+                self.put(record, order, now, confirmed_at)
         return self.expire(now)
 
-    def put(self, record: Record, order: RolloutOrder, now: float) -> None:
-        """Add an order; one that is known keeps its time."""
+    def put(
+        self, record: Record, order: RolloutOrder, now: float, confirmed_at: float
+    ) -> None:
+        """Add an order; one that is known keeps its times."""
         known = self.latest.get(order.service)
-        expires_at = now + order.duration_s + EXTRA_HOLD_S
         if known is not None and known.order == order:
-            expires_at = known.expires_at
-        self.latest[order.service] = LatestOrder(record, order, expires_at)
+            self.latest[order.service] = replace(known, record=record, is_stored=True)
+            return
+        expires_at = now + order.duration_s + EXTRA_HOLD_S
+        row = LatestOrder(record, order, expires_at, ordered_at=confirmed_at)
+        self.latest[order.service] = row
+        if self.freshness is not None:
+            self.log_order(order, self.orders.get(order.service))
+
+    def log_order(self, order: RolloutOrder, before: RolloutOrder | None) -> None:
+        """Log an order, and which one it replaces that may be under way."""
+        extra = {
+            "service": order.service,
+            "release": order.release,
+            "duration_s": order.duration_s,
+            "offset": order.offset,
+            "replaces": before.release if before else "",
+        }
+        log.info("A rollout was ordered", extra=extra)
+
+    def orders_to_try(self) -> tuple[OrderInForce, ...]:
+        """Return the orders whose versions are to be tried."""
+        if self.freshness is None:
+            return ()
+        return tuple(
+            OrderInForce(order, self.latest[service].ordered_at)
+            for service, order in sorted(self.orders.items())
+        )
+
+    def hold_during_outage(self, now: float) -> None:
+        """Keep orders in force while the store can't tell of an outcome.
+
+        Their targets are drained only after one is written.
+        """
+        if self.freshness is None or self.freshness.age_s(now) < OUTAGE_S:
+            return
+        for service in self.orders:
+            row = self.latest[service]
+            expires_at = max(row.expires_at, now + EXTRA_HOLD_S)
+            self.latest[service] = replace(row, expires_at=expires_at)
 
     def expire(self, now: float) -> bool:
         """Remove expired orders; return whether the orders in force changed."""
+        self.hold_during_outage(now)
         before = self.orders
         self.orders = {
             service: row.order
@@ -98,6 +154,8 @@
         Another host may have answered an order before it failed; the second answer
         is the same.
         """
+        if self.freshness is not None:
+            return
         for row in list(self.latest.values()):
             if row.is_stored and self.answered.get(row.order.service) != row.order:
                 self.report_rolled_back(row.record, row.order)
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -78,6 +78,12 @@
         self.connections = self._counter(
             "connections_total", "New connections of callers by what became of them"
         )
+        self.rollout_answers = self._counter(
+            "rollout_answers_total", "Answers during rollouts by service and version"
+        )
+        self.rollout_grants = self._counter(
+            "rollout_grants_total", "Requests sent to versions on trial"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -25,12 +25,22 @@
 
 log = component_logger("platform")
 
+MAX_INVALID_ORDERS = 64
+"""Invalid orders that are remembered to log each once."""
+
 
 class PlatformSource:
-    """Reads, decodes and appends the records of the platform's topics."""
+    """Reads, decodes and appends the records of the platform's topics.
+
+    Attributes
+    ----------
+    invalid_orders : dict
+        Offset of the last invalid order that was logged, by key.
+    """
 
     def __init__(self, store: StoreClient) -> None:
         self.store = store
+        self.invalid_orders: dict[str, int] = {}
 
     def read_documents(self, offset: int) -> Batch:
         """Return the configuration records from ``offset`` on.
@@ -85,11 +95,20 @@
             return None
         result = decode_rollout(record)
         if isinstance(result, Failure):
-            extra = {"key": record.key[:64], "error": result.failure()}
-            log.warning("A rollout order is invalid", extra=extra)
+            self.log_invalid_order(record, result.failure())
             return None
         return result.unwrap()
 
+    def log_invalid_order(self, record: Record, error: str) -> None:
+        """Log an invalid order once; each snapshot contains it again."""
+        if self.invalid_orders.get(record.key) == record.offset:
+            return
+        if len(self.invalid_orders) >= MAX_INVALID_ORDERS:
+            self.invalid_orders.clear()
+        self.invalid_orders[record.key] = record.offset
+        extra = {"key": record.key[:64], "offset": record.offset, "error": error}
+        log.warning("A rollout order is invalid", extra=extra)
+
     def write_rollout_state(
         self, record: Record, order: RolloutOrder, state: RolloutState
     ) -> None:
--- /dev/null
+++ b/godwitladder/rollouts/desk.py
@@ -0,0 +1,198 @@
+"""Connects the trials of an allocator to the store, the log and the hosts."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
+
+from godwitladder.configuration.state import ConfigState
+from godwitladder.decisions.rollouts.progress import RolloutLimits
+from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
+from godwitladder.ids import Release, ServiceName
+from godwitladder.logs import component_logger
+from godwitladder.rollouts.messages import ProvedVersion
+from godwitladder.rollouts.settling import settle
+from godwitladder.rollouts.status import OUTCOMES, StatusKnown, WantedStatus
+from godwitladder.rollouts.trials import Trial, Trials
+from godwitladder.scheduler.exchange import GrantOffer, PoolReport
+
+log = component_logger("rollouts")
+
+MAX_LOGGED_ROWS = 24
+"""Versions and routes in one log line."""
+
+
+class RolloutDesk:
+    """Rollouts of all pools of one allocator's host.
+
+    Only the allocator's actor uses it, except for `request`, which never blocks.
+
+    Parameters
+    ----------
+    limits : RolloutLimits or None
+        Bounds of rollouts; None where versions are not tried.
+    is_fresh : callable
+        Returns whether the documents are young enough to grant anything.
+
+    Attributes
+    ----------
+    request : callable
+        Called with each `WantedStatus`.
+    outcomes : dict
+        Outcome that the store holds, by service, with the offset of its order.
+    noted : set of int
+        Offsets of the orders that can't be tried, which were logged.
+    """
+
+    def __init__(
+        self,
+        limits: RolloutLimits | None = None,
+        is_fresh: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.limits = limits
+        self.is_fresh = is_fresh
+        self.request: Callable[[WantedStatus], None] = lambda wanted: None
+        self.outcomes: dict[ServiceName, tuple[int, RolloutState]] = {}
+        self.noted: set[int] = set()
+
+    def settle(self, config: ConfigState) -> ConfigState:
+        """Return the configuration after the rollouts that are completed."""
+        proved = [
+            ProvedVersion(service, Release(row.order.release), row.order.offset)
+            for service, row in config.rollouts.items()
+            if self.outcomes.get(service) == (row.order.offset, RolloutState.COMPLETED)
+        ]
+        return settle(config, proved)
+
+    def configure(
+        self,
+        trials: Trials,
+        services: Iterable[ServiceName],
+        orders: Mapping[ServiceName, OrderInForce],
+        now: float,
+    ) -> None:
+        """Set what the trials of one pool depend on."""
+        if self.limits is None:
+            return
+        trials.limits, trials.is_fresh = self.limits, self.is_fresh
+        trials.set_orders(
+            [orders[name] for name in sorted(services & orders.keys())], now
+        )
+        for service, trial in trials.rows.items():
+            offset, state = self.outcomes.get(service, (-1, RolloutState.RUNNING))
+            if offset == trial.order.offset and not trial.is_stored:
+                trials.record_outcome(trial, state)
+
+    def take_report(self, trials: Trials, report: PoolReport, now: float) -> bool:
+        """Take in a host's report; return whether it tells of a new outcome."""
+        if not trials.rows:
+            return False
+        before = trials.proved()
+        trials.take_report(
+            (report.host, report.incarnation),
+            report.version_counts,
+            report.order_ages,
+            report.condemned,
+            report.proved,
+            now,
+        )
+        for row in set(trials.proved()) - set(before):
+            self.outcomes[row.service] = row.offset, RolloutState.COMPLETED
+        return trials.proved() != before
+
+    def take_status(self, trials: Trials, known: StatusKnown, term: int) -> bool:
+        """Take in what the store holds; return whether it is a new outcome.
+
+        The slack of an order belongs to the term that appended its first status, and
+        to no later one.
+        """
+        known = replace(known, is_first=known.is_first and known.term == term)
+        service = known.order.service
+        trial = trials.rows.get(service)
+        if trial is None or trial.order != known.order:
+            return False
+        trials.take_status(known)
+        outcome = known.order.offset, known.state
+        if known.state not in OUTCOMES or self.outcomes.get(service) == outcome:
+            return False
+        self.outcomes[service] = outcome
+        extra = order_fields(known.order) | {"state": known.state.value}
+        log.info("A rollout is over", extra=extra | evidence_fields(trial))
+        return True
+
+    def run_steps(
+        self, trials: Trials, config: ConfigState, term: int, now: float
+    ) -> None:
+        """Lead the trials of one pool on, and ask for the statuses that they need."""
+        for trial in trials.run_steps(now):
+            extra = order_fields(trial.order) | {
+                "phase": trial.step.phase.value,
+                "share": round(trial.step.share, 3),
+                "term": term,
+                "age_s": round(now - trial.ordered_at, 2),
+                "statistic": getattr(trial.progress, "statistic", None),
+            }
+            log.info("A rollout has changed", extra=extra | evidence_fields(trial))
+        for trial in trials.rows.values():
+            if trial.is_stored or trial.progress is None:
+                continue
+            state = trial.step.outcome or RolloutState.RUNNING
+            if is_in_force(config, trial.order):
+                self.note_once(trial.order, "A rollout orders the version in force")
+                state = RolloutState.COMPLETED
+            deadline = trial.progress.deadline
+            self.request_once(trial, WantedStatus(trial.order, state, term, deadline))
+
+    def request_once(self, trial: Trial, wanted: WantedStatus) -> None:
+        """Ask for a status, unless it was asked for last."""
+        if trial.wanted != wanted:
+            trial.wanted = wanted
+            self.request(wanted)
+
+    def note_once(self, order: RolloutOrder, text: str) -> None:
+        """Log something about an order once."""
+        if order.offset not in self.noted:
+            self.noted.add(order.offset)
+            log.info(text, extra=order_fields(order))
+
+    def note_unknown_services(self, config: ConfigState) -> None:
+        """Log each order for a service without targets; nothing can be tried there."""
+        known = {name for row in config.targets.values() for name in row.services}
+        for service in config.rollouts.keys() - known:
+            order = config.rollouts[service].order
+            self.note_once(order, "A rollout orders a service without targets")
+
+    def notify(self, trials: Trials, offer: GrantOffer) -> GrantOffer:
+        """Return an offer that tells which versions are condemned or proved."""
+        if not trials.rows:
+            return offer
+        return replace(offer, condemned=trials.condemned(), proved=trials.proved())
+
+
+def is_in_force(config: ConfigState, order: RolloutOrder) -> bool:
+    """Return whether all targets of a service are of the version that is ordered."""
+    targets = [row for row in config.targets.values() if order.service in row.services]
+    return bool(targets) and all(row.release == order.release for row in targets)
+
+
+def order_fields(order: RolloutOrder) -> dict:
+    """Return the log fields that identify an order."""
+    return {
+        "service": order.service,
+        "release": order.release,
+        "offset": order.offset,
+        "duration_s": order.duration_s,
+    }
+
+
+def evidence_fields(trial: Trial) -> dict:
+    """Return the log fields with what a trial is decided by."""
+    evidence, budget = trial.evidence, trial.budget
+    rows = {}
+    for release, route in sorted(evidence.rows)[:MAX_LOGGED_ROWS]:
+        counts = evidence.total([release], route)
+        rows[f"{release}/{route}"] = [counts.good, counts.failed]
+    return {
+        "requests": budget.requests,
+        "exposed": budget.exposed,
+        "slack": budget.slack,
+        "answers": rows,
+    }
--- /dev/null
+++ b/godwitladder/rollouts/trials.py
@@ -0,0 +1,350 @@
+"""Trials of new versions, as one term of an allocator leads them.
+
+A target of a version on trial is used only with a grant for that one request. The
+allocator chooses these requests before it allocates the pool, so that new targets do
+not count as capacity of their service before they are proved.
+
+Pure: times are passed in.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from godwitladder.decisions.allocation import allocate
+from godwitladder.decisions.placing.capacity import PoolCapacity, ServiceCapacity
+from godwitladder.decisions.rollouts.evidence import AnswerCounts, Evidence, Source
+from godwitladder.decisions.rollouts.exposure import ExposureBudget
+from godwitladder.decisions.rollouts.progress import (
+    Phase,
+    RolloutLimits,
+    RolloutProgress,
+    Step,
+)
+from godwitladder.decisions.types import (
+    Allocation,
+    Placement,
+    PoolView,
+    WaitingRequest,
+)
+from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
+from godwitladder.ids import RequestId, ServiceName
+from godwitladder.rollouts.messages import (
+    CondemnedVersion,
+    OrderAge,
+    ProvedVersion,
+    VersionCounts,
+)
+from godwitladder.rollouts.status import StatusKnown, WantedStatus
+
+UNKNOWN_AGE_S = 2.0
+"""Time for which a term waits for a host that knows when an order was given. Without
+one the version is rolled back."""
+WAITING = Step(Phase.TRIAL)
+
+
+@dataclass
+class Trial:
+    """One order, as one term of an allocator sees it.
+
+    Attributes
+    ----------
+    ordered_at : float
+        Earliest time at which the order may have been given, as far as known.
+    known_since : float
+        Time at which this term learned of the order.
+    progress : RolloutProgress or None
+        None until the time of the order is known.
+    granted : set of RequestId
+        Requests that this term has granted.
+    told : tuple
+        Phase, share and outcome that were logged last.
+    wanted : WantedStatus or None
+        Status that was asked for last.
+    """
+
+    order: RolloutOrder
+    ordered_at: float
+    known_since: float
+    budget: ExposureBudget
+    evidence: Evidence = field(default_factory=Evidence)
+    progress: RolloutProgress | None = None
+    step: Step = WAITING
+    is_condemned: bool = False
+    is_stored: bool = False
+    granted: set[RequestId] = field(default_factory=set)
+    told: tuple = ()
+    wanted: WantedStatus | None = None
+
+    def start(self, limits: RolloutLimits, now: float) -> None:
+        """Begin the trial once the time of the order is known."""
+        is_known = self.ordered_at > -math.inf
+        if self.progress is not None or (
+            not is_known and now - self.known_since < UNKNOWN_AGE_S
+        ):
+            return
+        self.progress = RolloutProgress(self.order, limits, self.ordered_at)
+        if self.is_condemned:
+            self.progress.condemn()
+
+    def condemn(self) -> None:
+        """Grant nothing more to the version."""
+        self.is_condemned = True
+        self.step = replace(self.step, share=0.0, new_only=False)
+        if self.progress is not None:
+            self.progress.condemn()
+
+    def may_expose(self, waiting: WaitingRequest, is_fresh: bool, now: float) -> bool:
+        """Return whether a request may be granted for the new version."""
+        if not is_fresh or self.is_condemned or self.step.share <= 0:
+            return False
+        demand = waiting.demand
+        # A stream that began at the new version can go on only there.
+        if demand.release == self.order.release:
+            return self.budget.may_expose(now)
+        if demand.release:
+            return False
+        if self.step.new_only:
+            return self.budget.may_expose(now)
+        # A failed call is repeated at the old version, for its caller's sake.
+        if demand.request in self.granted:
+            return False
+        return self.budget.may_expose(now, self.step.share, demand.route)
+
+    def record_granted(
+        self, waiting: WaitingRequest, exposed: bool, now: float
+    ) -> None:
+        """Record the grant of a request of the service."""
+        request = waiting.demand.request
+        is_repeated = request in self.granted
+        self.granted.add(request)
+        self.budget.record_granted(exposed, now, waiting.demand.route, is_repeated)
+
+
+class Trials:
+    """Rollouts of the services of one pool, for one term of its allocator.
+
+    Attributes
+    ----------
+    limits : RolloutLimits or None
+        Bounds of rollouts; None where versions are not tried.
+    is_fresh : callable
+        Returns whether the documents are young enough to grant anything.
+    rows : dict
+        The trials by service.
+    """
+
+    def __init__(self) -> None:
+        self.limits: RolloutLimits | None = None
+        self.is_fresh: Callable[[], bool] = lambda: True
+        self.rows: dict[ServiceName, Trial] = {}
+
+    def set_orders(self, orders: Iterable[OrderInForce], now: float) -> None:
+        """Set the orders in force for the services of the pool."""
+        before, self.rows = self.rows, {}
+        for row in orders:
+            known = before.get(row.order.service)
+            if known is None or known.order != row.order:
+                budget = ExposureBudget(self.limits.exposure_share)
+                known = Trial(row.order, row.ordered_at, now, budget)
+            known.ordered_at = max(known.ordered_at, row.ordered_at)
+            self.rows[row.order.service] = known
+
+    def take_report(
+        self,
+        source: Source,
+        counts: Iterable[VersionCounts],
+        ages: Iterable[OrderAge],
+        condemned: Iterable[CondemnedVersion],
+        proved: Iterable[ProvedVersion],
+        sent_at: float,
+    ) -> None:
+        """Take in what a host reports; what belongs to another order is ignored."""
+        for row in self.of_order(counts):
+            times = tuple((item.bucket, item.count) for item in row.times)
+            answers = AnswerCounts(row.good, row.failed, times)
+            trial = self.rows[row.service]
+            trial.evidence.record(source, row.release, row.route, answers)
+        for row in self.of_order(ages):
+            trial = self.rows[row.service]
+            trial.ordered_at = max(trial.ordered_at, sent_at - row.age_s)
+        for row in self.of_order(condemned):
+            self.rows[row.service].condemn()
+        for row in self.of_order(proved):
+            self.record_outcome(self.rows[row.service], RolloutState.COMPLETED)
+
+    def of_order(self, rows: Iterable) -> list:
+        """Return those of ``rows`` that belong to an order in force."""
+        return [
+            row
+            for row in rows
+            if row.service in self.rows
+            and self.rows[row.service].order.offset == row.offset
+        ]
+
+    def take_status(self, known: StatusKnown) -> None:
+        """Take in what the store holds of an order."""
+        trial = self.rows.get(known.order.service)
+        if trial is None or trial.order != known.order:
+            return
+        if known.state is not RolloutState.RUNNING:
+            self.record_outcome(trial, known.state)
+        elif known.is_first:
+            trial.budget.slack = self.limits.exposure_slack
+
+    def record_outcome(self, trial: Trial, state: RolloutState) -> None:
+        """Record the outcome that the store holds, which is final."""
+        trial.is_stored = True
+        if trial.progress is None:
+            trial.progress = RolloutProgress(trial.order, self.limits, trial.ordered_at)
+        trial.is_condemned = state is RolloutState.ROLLED_BACK
+        trial.progress.record_outcome(state)
+
+    def run_steps(self, now: float) -> list[Trial]:
+        """Lead all trials on; return those whose phase, share or outcome is new."""
+        changed = []
+        for trial in self.rows.values():
+            trial.start(self.limits, now)
+            if trial.progress is None:
+                continue
+            trial.step = trial.progress.step(trial.evidence, trial.budget, now)
+            trial.is_condemned |= trial.step.phase is Phase.ROLLED_BACK
+            told = trial.step.phase, round(trial.step.share, 3), trial.step.outcome
+            if told != trial.told:
+                trial.told = told
+                changed.append(trial)
+        return changed
+
+    def condemned(self) -> tuple[CondemnedVersion, ...]:
+        """Return the versions that get nothing more."""
+        return tuple(
+            CondemnedVersion(service, row.order.release, row.order.offset)
+            for service, row in self.rows.items()
+            if row.is_condemned
+        )
+
+    def proved(self) -> tuple[ProvedVersion, ...]:
+        """Return the versions whose rollout the store holds as completed."""
+        return tuple(
+            ProvedVersion(service, row.order.release, row.order.offset)
+            for service, row in self.rows.items()
+            if row.is_stored and not row.is_condemned
+        )
+
+    def allocate(self, view: PoolView, now: float) -> Allocation:
+        """Choose requests for versions on trial, and allocate the rest of the pool."""
+        if not self.rows:
+            return allocate(view, now)
+        is_fresh = self.is_fresh()
+        placements: list[Placement] = []
+        barred: set[str] = set()
+        for trial in self.rows.values():
+            capacity = trial_capacity(view, trial.order)
+            placements += self.place(trial, capacity, view, is_fresh, now)
+            if is_cutover(trial, capacity, is_fresh, now):
+                barred |= old_targets(view, trial.order)
+        placed = {row.request for row in placements}
+        waiting = {
+            request: row
+            for request, row in view.waiting.items()
+            if request not in placed
+        }
+        rest = replace(view, waiting=waiting, barred=frozenset(barred))
+        allocation = allocate(rest, now)
+        for row in allocation.placements:
+            trial = self.rows.get(view.waiting[row.request].demand.service)
+            if trial is not None:
+                trial.record_granted(view.waiting[row.request], False, now)
+        allocation.placements[:0] = placements
+        return allocation
+
+    def place(
+        self,
+        trial: Trial,
+        capacity: ServiceCapacity,
+        view: PoolView,
+        is_fresh: bool,
+        now: float,
+    ) -> list[Placement]:
+        """Return placements on the targets of a version on trial."""
+        placements = []
+        if not capacity.targets:
+            return placements
+        rows = [
+            row
+            for row in view.waiting.values()
+            if row.demand.service == trial.order.service
+        ]
+        for row in sorted(rows, key=lambda row: row.first_arrived):
+            if not trial.may_expose(row, is_fresh, now) or not within_limits(
+                view, row, now
+            ):
+                continue
+            placement = choose(capacity, row, now)
+            if placement is None:
+                continue
+            view.quotas.take(row.demand.workspace, row.demand.charge, now)
+            trial.record_granted(row, True, now)
+            placements.append(placement)
+        return placements
+
+
+def trial_capacity(view: PoolView, order: RolloutOrder) -> ServiceCapacity:
+    """Return the capacity of the targets of the version on trial."""
+    targets = {
+        name: target
+        for name, target in view.trial_targets.items()
+        if target.release == order.release and order.service in target.services
+    }
+    pool = PoolView(targets=targets, state=view.state)
+    return PoolCapacity(pool).of(order.service)
+
+
+def old_targets(view: PoolView, order: RolloutOrder) -> set[str]:
+    """Return the targets of the service that are not of the version on trial."""
+    return {
+        name
+        for name, target in view.targets.items()
+        if order.service in target.services and target.release != order.release
+    }
+
+
+def is_cutover(
+    trial: Trial, capacity: ServiceCapacity, is_fresh: bool, now: float
+) -> bool:
+    """Return whether new calls wait for the new version alone."""
+    return (
+        trial.step.phase is Phase.CUTOVER
+        and trial.step.new_only
+        and is_fresh
+        and bool(capacity.targets)
+        and trial.budget.may_expose(now)
+    )
+
+
+def within_limits(view: PoolView, row: WaitingRequest, now: float) -> bool:
+    """Return whether the workspace of a request may use a target now."""
+    demand = row.demand
+    workspace = view.workspaces.get(demand.workspace)
+    if workspace is not None and 0 < workspace.quota <= workspace.running:
+        return False
+    return view.quotas.wait_s(demand.workspace, demand.charge, now, 0) <= 0
+
+
+def choose(
+    capacity: ServiceCapacity, row: WaitingRequest, now: float
+) -> Placement | None:
+    """Return the placement of a request on one of some targets, if one fits."""
+    demand = row.demand
+    first_s = row.ttft_deadline - now
+    target = capacity.choose(
+        demand,
+        row.deadline - now,
+        row.excluded_targets(now),
+        first_s if first_s > 0 else math.inf,
+    )
+    if target is None:
+        return None
+    tokens = demand.prompt_tokens + demand.predicted_tokens
+    target.take(tokens, False, demand.prompt_tokens)
+    return Placement(demand.request, target.view.name, tokens)
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -342,7 +342,7 @@
             row.ttft_deadline = now + route.ttft_budget_s
         row.gap_s, row.event_tokens = route.gap_s, routed_service.event_tokens
         row.charge = quota_charge(metadata, workspace.quota)
-        row.release = release
+        row.release, row.route = release, route.name
         return RoutedCall(
             row=row,
             route=route,
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -13,10 +13,11 @@
 from godwitladder.decisions.limits.quotas import TokenQuotas
 from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
 from godwitladder.decisions.placing.stream_origins import StreamOrigin
-from godwitladder.discovery.feed import Feed, StoreView
+from godwitladder.discovery.feed import Feed
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
+from godwitladder.discovery.store_view import StoreView
 from godwitladder.drain import count_unfinished
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
@@ -44,6 +45,10 @@
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.records import KnownCrashes, QuarantineEvent
 from godwitladder.quarantine.registry import NOTHING_KNOWN
+from godwitladder.rollouts.counts import HostRollouts
+from godwitladder.rollouts.desk import RolloutDesk
+from godwitladder.rollouts.sent_parts import SentParts
+from godwitladder.rollouts.status import StatusWriter
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
@@ -133,6 +138,7 @@
         self.freshness = DocumentFreshness(settings.bounds.revoke_s)
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
+        limits = settings.bounds.rollouts
         tables = Tables(
             settings.host,
             self.span,
@@ -142,7 +148,9 @@
             has_standing_grants=False,
             early_fallback=True,
             quotas=TokenQuotas(slack=settings.bounds.quota_slack),
+            rollouts=HostRollouts(self.metrics, SentParts() if limits else None),
         )
+        self.rollouts = tables.rollouts
         self.scheduler = self.start_actor(
             Scheduler,
             tables,
@@ -151,6 +159,9 @@
             self.ticker,
             self.router.send,
         )
+        self.desk = RolloutDesk(
+            limits, lambda: self.freshness.is_fresh(clock.boottime())
+        )
         self.allocator = self.start_actor(
             Allocator,
             AllocatorTables(
@@ -158,6 +169,7 @@
                 self.span,
                 has_standing_grants=False,
                 quota_slack=settings.bounds.quota_slack,
+                rollouts=self.desk,
             ),
             clock,
             self.router.send,
@@ -171,6 +183,11 @@
             self.publish_view,
             reads_at_start=not settings.first_start or settings.listen.peers in seeds,
         )
+        self.status_writer: StatusWriter | None = None
+        if limits is not None:
+            self.feed.rollouts.freshness = self.freshness
+            self.status_writer = StatusWriter(source, clock, self.allocator.tell)
+            self.desk.request = self.status_writer.request
         self.mesh = Mesh(
             settings.host,
             settings.listen.peers,
@@ -330,6 +347,7 @@
             self.sharing_hosts.count,
             self.connector,
             self.origins,
+            self.rollouts,
         )
 
     def start(self) -> None:
@@ -343,6 +361,8 @@
         self.start_component(Ticker(self.clock, heartbeat_s), self.membership)
         self.start_component(self.watch)
         self.start_component(self.feed)
+        if self.status_writer is not None:
+            self.start_component(self.status_writer)
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
@@ -437,7 +457,8 @@
 
     def publish_view(self, view: StoreView) -> None:
         """Apply the current state of the store on this host."""
-        state = make_config_state(view, self.span)
+        clock_offset_s = self.clock.monotonic() - self.clock.boottime()
+        state = make_config_state(view, self.span, clock_offset_s)
         # Targets first: calls on a new route may arrive as soon as it is active.
         self.scheduler.tell(NewConfig(state))
         self.allocator.tell(NewConfig(state))
--- a/godwitladder/routing/state.py
+++ b/godwitladder/routing/state.py
@@ -12,7 +12,8 @@
     Workspace,
 )
 from godwitladder.configuration.state import ConfigState
-from godwitladder.discovery.feed import StoreView
+from godwitladder.discovery.rollouts import OrderInForce
+from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.ids import Offset, TierName, Zone
 from godwitladder.routing.model import RoutedService, RoutingDocument
@@ -26,8 +27,16 @@
 NO_SERVICE = RoutedService("")
 
 
-def make_config_state(view: StoreView, span: Zone) -> ConfigState:
-    """Return the scheduler's configuration, with all targets in ``span``."""
+def make_config_state(
+    view: StoreView, span: Zone, clock_offset_s: float = 0.0
+) -> ConfigState:
+    """Return the scheduler's configuration, with all targets in ``span``.
+
+    Parameters
+    ----------
+    clock_offset_s : float
+        Seconds to add to times of `Clock.boottime` to get those of `Clock.monotonic`.
+    """
     document = view.document
     return ConfigState(
         offset=Offset(view.version),
@@ -48,6 +57,10 @@
             row.name: make_target(row, document, span, row.name in view.held_back)
             for row in view.targets
         },
+        rollouts={
+            row.order.service: OrderInForce(row.order, row.ordered_at + clock_offset_s)
+            for row in view.rollouts
+        },
     )
 
 
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -35,8 +35,8 @@
     choose_allocators,
     due_reports,
     next_due_s,
+    settle_targets,
     take_offer,
-    update_targets,
 )
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.statements import (
@@ -223,7 +223,8 @@
             return
         self.tables.config = message.config
         self.tables.quotas.rates = token_rates(message.config)
-        update_targets(self.tables)
+        self.tables.rollouts.set_orders(message.config.rollouts)
+        settle_targets(self.tables)
         now = self.clock.monotonic()
         forget_ended_processes(self.tables, now)
         choose_allocators(self.tables, now)
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -12,6 +12,8 @@
 from godwitladder.decisions.types import PoolName
 from godwitladder.ids import HostId, TargetName, Zone
 from godwitladder.logs import component_logger
+from godwitladder.rollouts.desk import RolloutDesk
+from godwitladder.rollouts.status import StatusKnown
 from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
 from godwitladder.scheduler.messages import (
     HostsChanged,
@@ -69,6 +71,8 @@
         Tokens that a workspace may use beyond its quota in a window.
     seen_hosts : SeenHosts
         Times at which each host was last seen alive.
+    rollouts : RolloutDesk
+        Rollouts of the services of all pools.
     """
 
     host: HostId
@@ -83,6 +87,7 @@
     has_standing_grants: bool = True
     quota_slack: float = 0.0
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
+    rollouts: RolloutDesk = field(default_factory=RolloutDesk)
 
     @property
     def allocators(self) -> tuple[HostId, ...]:
@@ -156,10 +161,14 @@
 
     def run(self, now: float) -> None:
         """Run the roles that are due, and send their offers."""
-        for name in self.due & set(self.tables.roles):
-            role = self.tables.roles[name]
-            for offer in role.run(self.tables.hosts, now):
+        tables = self.tables
+        for name in self.due & set(tables.roles):
+            role = tables.roles[name]
+            if role.is_warmed_up(tables.hosts, now):
+                tables.rollouts.run_steps(role.trials, tables.config, role.term, now)
+            for offer in role.run(tables.hosts, now):
                 account = role.account(offer.host, now)
+                offer = tables.rollouts.notify(role.trials, offer)
                 self.send(account.via or offer.host, offer)
         self.due.clear()
 
@@ -190,8 +199,12 @@
         role = self.tables.roles.get(message.pool)
         if role is None:
             self.forward(message, message.pool)
-        elif role.take_report(message, self.clock.monotonic()):
+            return
+        now = self.clock.monotonic()
+        if role.take_report(message, now):
             self.due.add(message.pool)
+        if self.tables.rollouts.take_report(role.trials, message, now):
+            self.update_roles()
 
     @take.register
     def _(self, message: FloorReport) -> None:
@@ -212,8 +225,17 @@
         if message.config.offset >= self.tables.config.offset:
             self.tables.config = message.config
             self.tables.pools = make_pools(message.config.targets)
+            self.tables.rollouts.note_unknown_services(message.config)
             self.update_roles()
 
+    @take.register
+    def _(self, message: StatusKnown) -> None:
+        rollouts = self.tables.rollouts
+        for role in self.tables.roles.values():
+            if rollouts.take_status(role.trials, message, role.term):
+                self.update_roles()
+                break
+
     @take.register
     def _(self, message: HostsChanged) -> None:
         self.tables.hosts = message.hosts
@@ -227,7 +249,8 @@
         self.update_roles()
 
     def update_roles(self) -> None:
-        """Start and end roles to match the live hosts and the pools."""
+        """Start and end roles to match the live hosts, pools and rollouts."""
+        self.tables.config = self.tables.rollouts.settle(self.tables.config)
         tables, now = self.tables, self.clock.monotonic()
         mine = {
             name: pool
@@ -252,6 +275,9 @@
                 log.info("Allocator role started", extra=extra)
             role = tables.roles[name]
             role.configure(pool, tables.config, tables.leaving)
+            tables.rollouts.configure(
+                role.trials, pool.services, tables.config.rollouts, now
+            )
             role.rate_limits.keep_generations(generations, now)
             role.departures.keep_generations(generations, now)
             role.rate_limits.share = self.visible_share(now)
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -34,6 +34,12 @@
     WorkspaceName,
 )
 from godwitladder.membership.codec import peer_message
+from godwitladder.rollouts.messages import (
+    CondemnedVersion,
+    OrderAge,
+    ProvedVersion,
+    VersionCounts,
+)
 
 NO_RANK = -1
 NO_TERM = 0
@@ -183,6 +189,14 @@
         Whether ``spent`` is the whole list, which replaces earlier ones. It is in full
         reports, in those before the first answer of an allocator, in others a few
         times per second, and in the next one after spending without a grant.
+    version_counts : tuple of VersionCounts
+        Answers of the versions of services with a rollout: all in a full report, and
+        otherwise those that have changed.
+    order_ages : tuple of OrderAge
+        Ages of rollouts, in full reports.
+    condemned : tuple of CondemnedVersion
+    proved : tuple of ProvedVersion
+        Outcomes of rollouts that the host knows, in full reports.
     """
 
     host: HostId
@@ -209,6 +223,10 @@
     cooldowns: tuple[RemainingCooldown, ...] = ()
     brittle_refusals: tuple[TargetName, ...] = ()
     lists_spending: bool = False
+    version_counts: tuple[VersionCounts, ...] = ()
+    order_ages: tuple[OrderAge, ...] = ()
+    condemned: tuple[CondemnedVersion, ...] = ()
+    proved: tuple[ProvedVersion, ...] = ()
 
 
 @peer_message
@@ -245,6 +263,10 @@
     rate_limits : tuple of StatedLimit
         All rate limits that the allocator knows, if they have changed since the
         last offer to this host.
+    condemned : tuple of CondemnedVersion
+        Versions that get nothing more.
+    proved : tuple of ProvedVersion
+        Versions that have replaced the old one.
     """
 
     host: HostId
@@ -263,6 +285,8 @@
     via: HostId = HostId("")
     shares: tuple[AdmissionShare, ...] = ()
     rate_limits: tuple[StatedLimit, ...] = ()
+    condemned: tuple[CondemnedVersion, ...] = ()
+    proved: tuple[ProvedVersion, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -11,8 +11,11 @@
 from godwitladder.decisions.limits.rate_limits import RESTATED_S
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.decisions.types import RequestDemand, Shed, ShedReason, TargetUse
-from godwitladder.ids import BodyDigest, HostId, TargetName
+from godwitladder.ids import BodyDigest, HostId, RouteName, TargetName
 from godwitladder.outcomes import Reason, RequestState, refuse
+from godwitladder.rollouts.counts import HostRollouts
+from godwitladder.rollouts.messages import CondemnedVersion, ProvedVersion
+from godwitladder.rollouts.settling import settle
 from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.exchange import (
     GrantOffer,
@@ -266,9 +269,27 @@
         cooldowns=tables.cooldowns.statements(stating, now),
         brittle_refusals=tuple(refusals),
         lists_spending=lists_spending,
+        **report_rollouts(tables.rollouts, access, update.incremental, now),
     )
 
 
+def report_rollouts(
+    rollouts: HostRollouts, access: PoolAccess, incremental: bool, now: float
+) -> dict[str, tuple]:
+    """Return the fields of a report that tell of rollouts; none without an order."""
+    services = access.pool.services
+    if not services & rollouts.orders.keys():
+        return {}
+    fields = {"version_counts": rollouts.take_counts(services, incremental)}
+    if incremental:
+        return fields
+    return fields | {
+        "order_ages": rollouts.order_ages(services, now),
+        "condemned": rollouts.notices_of(services, CondemnedVersion),
+        "proved": rollouts.notices_of(services, ProvedVersion),
+    }
+
+
 def needs_spending(access: PoolAccess, now: float) -> bool:
     """Return whether a report that lists only changes must list spending.
 
@@ -380,6 +401,7 @@
         gap_s=row.gap_s,
         event_tokens=row.event_tokens,
         release=row.release,
+        route=row.route if row.service in tables.rollouts.orders else RouteName(""),
     )
 
 
@@ -404,6 +426,7 @@
     if offer.rate_limits:
         generations = target_generations(tables.config.targets)
         tables.rate_limits.observe_all(offer.rate_limits, generations, now)
+    take_notices(tables, offer)
     for request in offer.spill:
         row = tables.waiting.get(request)
         if row and not row.spilled:
@@ -414,6 +437,22 @@
             apply_shed(tables, access, row, shed, now)
 
 
+def take_notices(tables: Tables, offer: GrantOffer) -> None:
+    """Apply what an allocator tells of rollouts."""
+    rollouts = tables.rollouts
+    is_new = [rollouts.take_notice(row) for row in (*offer.condemned, *offer.proved)]
+    if any(is_new):
+        settle_targets(tables)
+
+
+def settle_targets(tables: Tables) -> None:
+    """Update targets to match the configuration and the completed rollouts."""
+    services = tables.rollouts.orders
+    proved = tables.rollouts.notices_of(services, ProvedVersion)
+    tables.config = settle(tables.config, proved)
+    update_targets(tables)
+
+
 def apply_shed(
     tables: Tables, access: PoolAccess, row: RequestRow, shed: Shed, now: float
 ) -> None:
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -10,7 +10,7 @@
 from operator import attrgetter
 
 from godwitladder.configuration.state import ConfigState
-from godwitladder.decisions.allocation import MAX_CONTENTION_S, allocate
+from godwitladder.decisions.allocation import MAX_CONTENTION_S
 from godwitladder.decisions.allocator_state import AllocatorState
 from godwitladder.decisions.health.brittleness import BrittleTargets
 from godwitladder.decisions.health.departures import Departures
@@ -40,6 +40,7 @@
     RequestId,
     TargetName,
 )
+from godwitladder.rollouts.trials import Trials
 from godwitladder.scheduler.accounts import (
     NO_USAGE,
     HostAccount,
@@ -172,6 +173,7 @@
         self.waiting: dict[RequestId, WaitingRequest] = {}
         self.loads = LoadReports()
         self.delays = ReportDelays()
+        self.trials = Trials()
         self.shed_rank = NO_RANK
         self.shed_at = now
 
@@ -269,10 +271,6 @@
             output = 0
         self.speeds.observe(row.target, prompt, output, row.first_token_s, row.total_s)
 
-    def has_answered(self, target: TargetName, since: float) -> bool:
-        """Return whether a target has completed a request after ``since``."""
-        return self.answered_at.get(target, float("-inf")) > since
-
     def take_floor(self, report: FloorReport, now: float) -> None:
         """Store the floor report of another allocator."""
         self.floors[report.pool] = Floor(report.floor, report.shed_rank, now)
@@ -328,7 +326,7 @@
             return []
         self.quotas.expected_hosts = len(expected)
         view = pool_view(self, now)
-        allocation = allocate(view, now)
+        allocation = self.trials.allocate(view, now)
         pending = self.group_by_host(allocation, view, now)
         for host, offer in pending.items():
             self.record_grants(self.account(host, now), offer)
--- a/godwitladder/scheduler/rows.py
+++ b/godwitladder/scheduler/rows.py
@@ -24,6 +24,7 @@
     KeyDigest,
     Release,
     RequestId,
+    RouteName,
     ServiceName,
     StreamId,
     TargetName,
@@ -31,6 +32,7 @@
     Zone,
 )
 from godwitladder.outcomes import TRANSITIONS, Refusal, RequestState
+from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.gate import AdmissionGate
 from godwitladder.scheduler.quotas import SeenHosts
@@ -104,6 +106,8 @@
     release : Release
         Software version of the only targets that may run it, as its stream began
         there; empty if any may.
+    route : RouteName
+        Route of the call; empty if it has none.
     order : tuple
         Sort key of the queue: tier, then deadline.
     spilled : bool
@@ -141,6 +145,7 @@
     event_tokens: int = 1
     charge: int = 0
     release: Release = Release("")
+    route: RouteName = RouteName("")
     predicted_tokens: int = 0
     likely_tokens: int = 0
     produced_tokens: int = 0
@@ -267,6 +272,8 @@
         Whether this host uses its fixed share of targets in its availability zone
         as soon as an answer of its allocator is overdue, in addition to what the
         allocator may have given to others.
+    rollouts : HostRollouts
+        Versions on trial and their answers. May be called by any thread.
     """
 
     host: HostId = HostId("")
@@ -298,6 +305,7 @@
     gate: AdmissionGate = field(default_factory=AdmissionGate)
     has_standing_grants: bool = True
     early_fallback: bool = False
+    rollouts: HostRollouts = field(default_factory=HostRollouts)
 
     @property
     def allocators(self) -> tuple[HostId, ...]:
--- a/godwitladder/scheduler/systems.py
+++ b/godwitladder/scheduler/systems.py
@@ -82,7 +82,7 @@
     if any(
         row.service in target.target.services
         and target.target.release == row.release
-        and target.target.state is TargetState.ACTIVE
+        and may_receive(tables, target, row, granted=True)
         and not tables.departures.includes(target.name, target.target.generation)
         for target in tables.targets.values()
     ):
@@ -138,9 +138,11 @@
             del access.grants[request]
             access.dirty = True
             target = tables.targets.get(held.grant.target)
-            used = row and target and is_usable(tables, target, row, now)
+            used = row and target and is_usable(tables, target, row, now, granted=True)
             access.fates[GrantFate.USED if used else GrantFate.GIVEN_BACK] += 1
             if used:
+                if target.target.state is TargetState.UNPROVED:
+                    tables.rollouts.record_grant(row.service, target.target.release)
                 dispatch_request(tables, row, target, now, access.issuer)
 
 
@@ -247,7 +249,27 @@
     return crc32(f"{host}/{workspace}".encode()) / MAX_CRC32
 
 
-def is_usable(tables: Tables, target: TargetRow, row: RequestRow, now: float) -> bool:
+def may_receive(
+    tables: Tables, target: TargetRow, row: RequestRow, granted: bool
+) -> bool:
+    """Return whether the state of ``target`` allows a request of a service.
+
+    A target of a version on trial is used only with a grant for that one request: the
+    allocator alone knows how many requests the version may get.
+    """
+    if target.target.state is TargetState.UNPROVED:
+        release = target.target.release
+        return granted and tables.rollouts.is_on_trial(row.service, release)
+    return target.target.state is TargetState.ACTIVE
+
+
+def is_usable(
+    tables: Tables,
+    target: TargetRow,
+    row: RequestRow,
+    now: float,
+    granted: bool = False,
+) -> bool:
     """Return whether ``target`` may receive ``row``, with or without a grant.
 
     The allocator grants nothing on a leaving target, but grants that it gave before
@@ -260,7 +282,7 @@
     return (
         row.service in target.target.services
         and row.release in ("", target.target.release)
-        and target.target.state is TargetState.ACTIVE
+        and may_receive(tables, target, row, granted)
         and target.target.address not in tables.leaving
         and not tables.departures.includes(target.name, generation)
         and not tables.cooldowns.remaining_s(target.name, generation, now)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -3,6 +3,7 @@
 Pure: views are computed from a role and a time.
 """
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -29,8 +30,10 @@
 
 def pool_view(role: "PoolRole", now: float) -> PoolView:
     """Return the input of `allocate`."""
+    on_trial = target_views(role, now, TargetState.UNPROVED) if role.trials.rows else {}
     view = PoolView(
         targets=target_views(role, now),
+        trial_targets=on_trial,
         workspaces=workspace_views(role, now),
         state=role.state,
         quotas=role.quotas,
@@ -99,15 +102,17 @@
     )
 
 
-def target_views(role: "PoolRole", now: float) -> dict[TargetName, TargetView]:
-    """Return a view of each target that may be given requests."""
+def target_views(
+    role: "PoolRole", now: float, state: TargetState = TargetState.ACTIVE
+) -> dict[TargetName, TargetView]:
+    """Return a view of each target in ``state`` that may be given requests."""
     views = {}
     max_usage, usage = role.max_usage(), role.current_usage()
     unreachable = unreachable_targets(role, now)
     refusing = refusing_targets(role, now)
     for name in sorted(role.pool.targets):
         target = role.config.targets.get(name)
-        if target is None or target.state is not TargetState.ACTIVE:
+        if target is None or target.state is not state:
             continue
         if target.address in role.leaving or name in unreachable:
             continue
@@ -173,7 +178,8 @@
     return {
         name
         for name, count in avoiding.items()
-        if count * 2 >= hosts and not role.has_answered(name, now - ANSWER_MEMORY_S)
+        if count * 2 >= hosts
+        and role.answered_at.get(name, -math.inf) <= now - ANSWER_MEMORY_S
     }
 
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -7,7 +7,7 @@
 
 import queue
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pykka
 import urllib3
@@ -23,6 +23,7 @@
 from godwitladder.paths.connector import Connector, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
+from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -86,6 +87,8 @@
         Connects calls to their targets.
     origins : StreamOriginRegistry
         At which version streams began.
+    rollouts : HostRollouts
+        Counts the answers of versions during rollouts.
     """
 
     header_codec: HeaderCodec
@@ -99,6 +102,7 @@
     count_hosts: Callable[[], int]
     connector: Connector
     origins: StreamOriginRegistry
+    rollouts: HostRollouts = field(default_factory=HostRollouts)
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
@@ -143,6 +147,10 @@
         Whether the call runs as the trial of a request that targets crashed under.
     heard_at : float
         Monotonic time of the last sign of the target, or of the send.
+    sent_at, first_output_at : float
+        Monotonic times of the last send, and of the first output after it; 0 before.
+    read_tokens : int
+        Prompt tokens that the target has to read for the last send.
     """
 
     def __init__(self, proxy: RoutedProxy, call: RoutedCall, gone) -> None:
@@ -164,6 +172,8 @@
         self.dispatch: Dispatch | None = None
         self.on_trial = False
         self.heard_at = 0.0
+        self.sent_at = self.first_output_at = 0.0
+        self.read_tokens = 0
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -247,7 +257,11 @@
             raise NotSent("the call was aborted or its deadline is too close")
         self.proxy.statements.check(dispatch)
         self.on_trial = self.proxy.quarantine.begin(self.call.traits, dispatch.target)
-        self.heard_at = self.clock.monotonic()
+        self.heard_at = self.sent_at = self.clock.monotonic()
+        self.first_output_at = 0.0
+        self.read_tokens = self.proxy.rollouts.tokens_to_read(
+            dispatch.target, self.call.metadata.parts
+        )
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
@@ -305,6 +319,7 @@
         answer = BufferedAnswer(
             f"{response.status} {response.reason or ''}", headers, body
         )
+        self.count_answer(is_good=response.status < 500)
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
@@ -479,6 +494,7 @@
         A tunnel that breaks says nothing of the target, nor does the answer to
         another call.
         """
+        self.count_loss(error)
         if isinstance(error, ForeignAnswer) or self.connection.is_broken:
             return
         lost_call = LostCall(
@@ -494,6 +510,28 @@
         elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
             self.proxy.quarantine.record_silence(lost_call)
 
+    def count_answer(self, is_good: bool) -> None:
+        """Count an answer for the rollout of the service, if there is one."""
+        row = self.call.row
+        until = self.first_output_at or self.clock.monotonic()
+        first_s = until - self.sent_at if is_good else None
+        self.proxy.rollouts.record_answer(
+            row.service, self.dispatch.release, row.route, first_s, self.read_tokens
+        )
+
+    def count_loss(self, error: MayHaveRun) -> None:
+        """Count a lost answer as failed if the target may be to blame.
+
+        A caller that disconnects and a link between hosts that breaks tell nothing of
+        the target; its silence up to the deadline does.
+        """
+        if self.connection.is_broken:
+            return
+        is_silent = self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S
+        cause = self.open_call.cause
+        if cause is None or (cause is AbortCause.TIMEOUT and is_silent):
+            self.count_answer(is_good=False)
+
     def record_completion(self) -> None:
         """Record that the call has run to its end."""
         self.proxy.quarantine.record_completion(self.call.traits)
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -109,6 +109,8 @@
         Number of read requests handled.
     era : int
         Number of times that the store has come back from a copy, and one.
+    late_results : list
+        Status and body of each append that was carried out late.
     """
 
     def __init__(self) -> None:
@@ -116,6 +118,7 @@
         self.knobs = StoreKnobs()
         self.reads = 0
         self.era = 1
+        self.late_results: list[tuple[int, bytes]] = []
         self.lock = threading.Lock()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
@@ -136,6 +139,14 @@
             partition.append(key, value)
             return 200, json.dumps({"offset": end, "endOffset": end + 1}).encode()
 
+    def append_late(self, *args) -> None:
+        """Append a record after the delay that a knob sets."""
+        timer = threading.Timer(
+            self.knobs.late_s, lambda: self.late_results.append(self.append(*args))
+        )
+        timer.daemon = True
+        timer.start()
+
     def put_config(self, config: dict) -> None:
         """Publish a configuration, as the operator does."""
         self.put(names.CONFIG_TOPIC, names.CONFIG_KEY, json.dumps(config).encode())
@@ -196,7 +207,7 @@
         record = query["topic"], key, content[1 + content[0] :]
         store, at = self.server.standin, query.get("at")
         if store.knobs.late_s:
-            threading.Timer(store.knobs.late_s, store.append, (*record, at)).start()
+            store.append_late(*record, at)
             self.close_connection = True
             return
         self.answer(*store.append(*record, at))
--- /dev/null
+++ b/tests/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the trial of new versions."""
