--- /dev/null
+++ b/bench/rollouts.py
@@ -0,0 +1,493 @@
+"""Measures rollouts of good and bad versions: ``python -m bench.rollouts``.
+
+Plays seeded rollouts against a model that knows requests, versions and answers only,
+and prints a Markdown table for each way of cutover. There are no network, hosts or
+queues: each request arrives, is granted for one of both versions, and its answer is
+counted by one of two sources, which report in turn. Time passes in steps of 0.1 s.
+"""
+
+import argparse
+import math
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from multiprocessing import Pool
+
+import numpy as np
+
+from bench.report import table
+from godwitladder.decisions.rollouts.evidence import (
+    LAST_BUCKET,
+    AnswerCounts,
+    Evidence,
+)
+from godwitladder.decisions.rollouts.exposure import ExposureBudget
+from godwitladder.decisions.rollouts.progress import (
+    CutoverMode,
+    Phase,
+    RolloutLimits,
+    RolloutProgress,
+    Step,
+)
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
+from godwitladder.ids import (
+    HostId,
+    Incarnation,
+    Release,
+    RouteName,
+    ServiceName,
+)
+
+STEP_S = 0.1
+KNOWN_AFTER_S = 0.3
+WRITE_STEPS = 1
+REPORT_S = 0.2
+TARGETS = 6
+SPEEDS = np.array([0.55, 1.0, 2.8] * 2)
+NOISE_PERIOD_STEPS = 6
+NOISE_SHARE = 0.15
+NOISE_FACTOR = 2.5
+TIME_S = 0.1
+TIME_SPREAD = 0.4
+ROUTES = tuple(RouteName(name) for name in ("letter", "question", "lookup"))
+ROUTE_SHARES = np.array([0.5, 0.3, 0.2])
+BAD_ROUTE = 2
+CHUNK = 5
+SHARE = 0.1
+SLACK = 50
+BAD_ANSWERS = 50
+ROLLBACK_S = 5.0
+LATE_FRACTION = 0.6
+LOADED_SHARE = 0.5
+NEW, OLD = Release("2"), Release("1")
+SOURCES = tuple((HostId(f"h{index}"), Incarnation(1)) for index in range(2))
+BUCKETS = np.array(
+    [2.0 ** (index / 2) * 0.001 for index in range(LAST_BUCKET)], dtype=float
+)
+
+
+@dataclass(frozen=True)
+class Version:
+    """How a new version answers.
+
+    Attributes
+    ----------
+    failing : float
+        Share of its answers that fail while it is bad, beyond those that fail with the
+        old version as well.
+    slower : float
+        Factor by which its answers take longer.
+    hanging : float
+        Share of its requests that never get an answer.
+    late, loaded, one_route : bool
+        Whether it is bad only after `LATE_FRACTION` of the duration, only with more
+        than `LOADED_SHARE` of all requests, only on one route.
+    is_good : bool
+        Whether it is to be completed.
+    """
+
+    name: str
+    failing: float = 0.0
+    slower: float = 1.0
+    hanging: float = 0.0
+    late: bool = False
+    loaded: bool = False
+    one_route: bool = False
+    is_good: bool = False
+
+
+@dataclass(frozen=True)
+class Setting:
+    """Conditions of a run.
+
+    Attributes
+    ----------
+    old_failing : float
+        Share of the old version's answers that fail.
+    is_noisy : bool
+        Whether targets are slow at times.
+    stream_s : float
+        Seconds from the first output to the end of an answer.
+    takeover : bool
+        Whether another allocator takes over after half of the duration.
+    has_slack : bool
+        Whether the first term holds the slack.
+    """
+
+    name: str
+    old_failing: float = 0.0
+    is_noisy: bool = False
+    stream_s: float = 0.0
+    takeover: bool = False
+    has_slack: bool = True
+
+
+VERSIONS = (
+    Version("good", is_good=True),
+    Version("30% fail", failing=0.3),
+    Version("10% fail", failing=0.1),
+    Version("3% fail", failing=0.03),
+    Version("3 times as slow", slower=3.0),
+    Version("30% hang", hanging=0.3),
+    Version("30% fail late", failing=0.3, late=True),
+    Version("10% fail late", failing=0.1, late=True),
+    Version("30% fail under load", failing=0.3, loaded=True),
+    Version("10% fail under load", failing=0.1, loaded=True),
+    Version("30% fail on one route", failing=0.3, one_route=True),
+    Version("10% fail on one route", failing=0.1, one_route=True),
+)
+QUIET = Setting("quiet")
+ROUGH = Setting("old 0.5%, noise", old_failing=0.005, is_noisy=True)
+SETTINGS = (QUIET, ROUGH)
+LOADS = ((100, 12.0), (100, 30.0), (1000, 12.0), (1000, 30.0))
+
+
+@dataclass
+class Result:
+    """One run.
+
+    Attributes
+    ----------
+    outcome : RolloutState or None
+        What the store held at the deadline.
+    exposed : int
+        Requests sent to the new version until then.
+    bound : float
+        Most that it may get.
+    bad : int
+        Bad answers until the deadline.
+    is_late : bool
+        Whether a request was sent more than `ROLLBACK_S` after the 50th bad answer.
+    """
+
+    outcome: RolloutState | None
+    exposed: int
+    bound: float
+    bad: int
+    is_late: bool
+
+
+class Load:
+    """All requests of a run, drawn beforehand, with the answers of both versions."""
+
+    def __init__(
+        self, version: Version, setting: Setting, rate: float, steps: int, seed: int
+    ) -> None:
+        rng = np.random.default_rng(seed)
+        counts = rng.poisson(rate * STEP_S * ROUTE_SHARES, size=(steps, len(ROUTES)))
+        self.counts = counts
+        self.first = np.concatenate([[0], np.cumsum(counts.ravel())])
+        cells = np.repeat(np.arange(steps * len(ROUTES)), counts.ravel())
+        self.step, self.route = np.divmod(cells, len(ROUTES))
+        size = len(cells)
+        self.source = rng.integers(0, len(SOURCES), size)
+        fails = rng.random(size) < setting.old_failing
+        spread = np.exp(TIME_SPREAD * rng.standard_normal(size))
+        self.arrived, self.bucket, self.outcome = {}, {}, {}
+        for release, slower in ((OLD, 1.0), (NEW, version.slower)):
+            taken = self.times(rng, setting, steps) * spread * slower
+            self.bucket[release] = np.searchsorted(BUCKETS, taken)
+            reported = taken + REPORT_S * rng.random(size)
+            self.arrived[release] = (
+                self.step + np.ceil(reported / STEP_S).astype(int),
+                self.step + np.ceil((reported + setting.stream_s) / STEP_S).astype(int),
+            )
+            self.outcome[release] = fails
+        self.bad = rng.random(size) < version.failing
+        self.hangs = rng.random(size) < version.hanging
+
+    def times(
+        self, rng: np.random.Generator, setting: Setting, steps: int
+    ) -> np.ndarray:
+        """Return the time that each request takes on some target of a version."""
+        target = rng.integers(0, TARGETS, len(self.step))
+        times = TIME_S / SPEEDS[target]
+        if setting.is_noisy:
+            periods = steps // NOISE_PERIOD_STEPS + 1
+            slow = rng.random((periods, TARGETS)) < NOISE_SHARE
+            times = times * np.where(
+                slow[self.step // NOISE_PERIOD_STEPS, target], NOISE_FACTOR, 1.0
+            )
+        return times
+
+
+class Counts:
+    """What the sources have counted and will count, by version."""
+
+    def __init__(self, steps: int) -> None:
+        size = (steps, len(SOURCES), len(ROUTES))
+        self.steps = steps
+        self.good, self.failed, self.sent = (np.zeros(size, int) for _ in range(3))
+        self.times = np.zeros((*size, LAST_BUCKET + 1), int)
+        self.sums = [
+            np.zeros(size[1:], int),
+            np.zeros(size[1:], int),
+            np.zeros(size[1:], int),
+            np.zeros((*size[1:], LAST_BUCKET + 1), int),
+        ]
+
+    def pass_step(self, step: int) -> None:
+        """Add what is counted in a step."""
+        rows = (self.sent, self.good, self.failed, self.times)
+        for total, row in zip(self.sums, rows, strict=True):
+            total += row[step]
+
+    def report(self, source: int, route: int) -> AnswerCounts:
+        """Return the sums of a source."""
+        sent, good, failed, times = (total[source, route] for total in self.sums)
+        buckets = np.nonzero(times)[0]
+        return AnswerCounts(
+            int(sent),
+            int(good),
+            int(failed),
+            tuple(zip(buckets.tolist(), times[buckets].tolist(), strict=True)),
+        )
+
+
+class Player:
+    """One rollout."""
+
+    def __init__(
+        self,
+        version: Version,
+        setting: Setting,
+        mode: CutoverMode,
+        rate: float,
+        duration_s: float,
+        seed: int,
+    ) -> None:
+        self.version, self.setting, self.duration_s = version, setting, duration_s
+        self.steps = math.ceil(duration_s / STEP_S)
+        self.load = Load(version, setting, rate, self.steps, seed)
+        self.counts = {release: Counts(self.steps) for release in (NEW, OLD)}
+        self.order = RolloutOrder(ServiceName("service"), NEW, duration_s, 1)
+        self.limits = RolloutLimits(SHARE, SLACK, ROLLBACK_S, mode=mode)
+        self.evidence = Evidence()
+        self.begin_term(SLACK if setting.has_slack else 0)
+        self.bad_answers = np.zeros(self.steps + 1, int)
+        self.exposed_by_step = np.zeros(self.steps, int)
+        self.writes: list[tuple[int, RolloutState]] = []
+        self.stored: RolloutState | None = None
+
+    def begin_term(self, slack: int) -> None:
+        """Let an allocator begin."""
+        self.exposure = ExposureBudget(SHARE, slack)
+        self.progress = RolloutProgress(self.order, self.limits, 0.0)
+
+    def play(self) -> Result:
+        """Play the rollout until its deadline."""
+        for index in range(self.steps):
+            now = index * STEP_S
+            if self.setting.takeover and index == self.steps // 2:
+                self.begin_term(0)
+            for counts in self.counts.values():
+                counts.pass_step(index)
+            self.report(index % len(SOURCES))
+            step = Step(Phase.TRIAL)
+            if now >= KNOWN_AFTER_S:
+                step = self.progress.step(self.evidence, self.exposure, now)
+            self.write(step, index)
+            self.send(step, index, now)
+        for _, state in self.writes:
+            self.stored = self.stored or state
+        return self.result()
+
+    def report(self, source: int) -> None:
+        """Record the counts of a source."""
+        for release, counts in self.counts.items():
+            for index, route in enumerate(ROUTES):
+                row = counts.report(source, index)
+                self.evidence.record(SOURCES[source], release, route, row)
+
+    def write(self, step: Step, index: int) -> None:
+        """Write an outcome, which the store holds some steps later."""
+        if step.outcome is not None and not self.writes:
+            self.writes.append((index + WRITE_STEPS, step.outcome))
+        for at, state in self.writes:
+            if at <= index and self.stored is None:
+                self.stored = state
+                self.progress.record_outcome(state)
+
+    def send(self, step: Step, index: int, now: float) -> None:
+        """Send the requests of a step to either version."""
+        exposed = []
+        for route in range(len(ROUTES)):
+            cell = index * len(ROUTES) + route
+            first, last = self.load.first[cell], self.load.first[cell + 1]
+            exposed += self.choose(step, route, int(first), int(last), now)
+        begin = self.load.first[index * len(ROUTES)]
+        end = self.load.first[(index + 1) * len(ROUTES)]
+        chosen = np.zeros(end - begin, bool)
+        chosen[np.array(exposed, int) - begin] = True
+        rows = np.arange(begin, end)
+        self.count(OLD, rows[~chosen], index, False)
+        rate = len(exposed) / max(1, end - begin)
+        self.count(NEW, rows[chosen], index, self.is_bad(rate, now))
+        self.exposed_by_step[index] = len(exposed)
+
+    def choose(
+        self, step: Step, route: int, first: int, last: int, now: float
+    ) -> list[int]:
+        """Return the requests of a route that are granted for the new version."""
+        name, exposed = ROUTES[route], []
+        if step.phase is Phase.COMPLETED:
+            return list(range(first, last))
+        chunk = 1 if step.share >= 1.0 else CHUNK
+        for index in range(first, last, chunk):
+            size = min(chunk, last - index)
+            is_exposed = step.share > 0 and self.exposure.may_expose(
+                now, step.share, name
+            )
+            if is_exposed:
+                exposed.append(index)
+                self.exposure.record_granted(True, now, name)
+                size -= 1
+            if size:
+                self.exposure.record_granted(False, now, name, count=size)
+        return exposed
+
+    def is_bad(self, rate: float, now: float) -> bool:
+        """Return whether the new version is bad at present."""
+        if self.version.late and now < LATE_FRACTION * self.duration_s:
+            return False
+        return not self.version.loaded or rate > LOADED_SHARE
+
+    def count(self, release: Release, rows: np.ndarray, index: int, bad: bool) -> None:
+        """Count the answers of some requests at the time at which they are reported."""
+        load, counts = self.load, self.counts[release]
+        source, route = load.source[rows], load.route[rows]
+        failed = load.outcome[release][rows].copy()
+        hangs = np.zeros(len(rows), bool)
+        if bad:
+            hits = np.ones(len(rows), bool)
+            if self.version.one_route:
+                hits = route == BAD_ROUTE
+            failed |= load.bad[rows] & hits
+            hangs = load.hangs[rows] & hits
+        started, ended = (times[rows] for times in load.arrived[release])
+        if index + 1 < self.steps:
+            np.add.at(counts.sent[index + 1], (source, route), 1)
+        self.add(
+            counts.times,
+            started,
+            ~hangs & ~failed,
+            source,
+            route,
+            load.bucket[release][rows],
+        )
+        self.add(counts.good, ended, ~hangs & ~failed, source, route)
+        self.add(counts.failed, ended, ~hangs & failed, source, route)
+        if release == NEW and not self.version.is_good:
+            is_slow = self.version.slower > 1.0
+            seen = np.minimum(ended[~hangs & (failed | is_slow)], self.steps)
+            np.add.at(self.bad_answers, seen, 1)
+
+    def add(self, counted, at, chosen, *where) -> None:
+        """Count the chosen answers that are reported before the deadline."""
+        kept = chosen & (at < self.steps)
+        np.add.at(counted, tuple(part[kept] for part in (at, *where)), 1)
+
+    def result(self) -> Result:
+        """Return what the run gave."""
+        bad = np.cumsum(self.bad_answers[: self.steps])
+        limit = int(np.searchsorted(bad, BAD_ANSWERS))
+        late = limit + math.ceil(ROLLBACK_S / STEP_S) + 1
+        return Result(
+            self.stored,
+            int(self.exposed_by_step.sum()),
+            SHARE * len(self.load.step) + SLACK,
+            int(bad[-1]),
+            bool(self.exposed_by_step[late:].any()),
+        )
+
+
+@dataclass(frozen=True)
+class Row:
+    """A row of the table: the same case with several seeds."""
+
+    version: Version
+    setting: Setting
+    mode: CutoverMode
+    rate: float
+    duration_s: float
+    seeds: int
+
+    def run(self) -> tuple[str, ...]:
+        """Return the cells of the row."""
+        results = [
+            Player(
+                self.version, self.setting, self.mode, self.rate, self.duration_s, seed
+            ).play()
+            for seed in range(self.seeds)
+        ]
+        wanted = (
+            RolloutState.COMPLETED if self.version.is_good else RolloutState.ROLLED_BACK
+        )
+        right = sum(row.outcome is wanted for row in results)
+        return (
+            self.version.name,
+            self.setting.name,
+            f"{self.rate:.0f}/s, {self.duration_s:.0f} s",
+            f"{right / len(results):.1%}",
+            f"{max(row.exposed / row.bound for row in results):.0%}",
+            str(sum(row.exposed > row.bound for row in results)),
+            f"{np.mean([row.bad for row in results]):.0f}",
+            str(max(row.bad for row in results)),
+            str(sum(row.is_late for row in results)),
+        )
+
+
+HEAD = (
+    "version",
+    "setting",
+    "load",
+    "right outcome",
+    "most exposed",
+    "over the bound",
+    "bad answers, mean",
+    "most",
+    "sent too late",
+)
+
+
+def run_row(row: Row) -> tuple[str, ...]:
+    """Return the cells of a row; for worker processes."""
+    return row.run()
+
+
+def make_rows(args: argparse.Namespace) -> list[Row]:
+    """Return the rows that the arguments ask for."""
+    settings: Sequence[Setting] = SETTINGS
+    if args.settings == "special":
+        settings = (
+            Setting("streams of 2 s", stream_s=2.0),
+            replace(ROUGH, name="rough, takeover", takeover=True),
+            replace(ROUGH, name="rough, no slack", has_slack=False),
+        )
+    return [
+        Row(version, setting, CutoverMode(args.mode), rate, duration, args.seeds)
+        for version in VERSIONS
+        if args.version in version.name
+        for setting in settings
+        for rate, duration in LOADS
+        if not args.load or args.load == f"{rate}x{duration:.0f}"
+    ]
+
+
+def main() -> int:
+    """Print the table and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--mode", default=CutoverMode.RESERVED.value)
+    parser.add_argument("--settings", default="usual", help="usual or special")
+    parser.add_argument("--version", default="", help="part of a version's name")
+    parser.add_argument("--load", default="", help="such as 100x12")
+    args = parser.parse_args()
+    with Pool(args.jobs) as pool:
+        print(table(HEAD, pool.map(run_row, make_rows(args), chunksize=1)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/godwitladder/decisions/rollouts/evidence.py
+++ b/godwitladder/decisions/rollouts/evidence.py
@@ -24,7 +24,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from godwitladder.ids import HostId, Incarnation, Release, RouteName
@@ -62,19 +61,84 @@
 
     Attributes
     ----------
+    sent : int
+        Requests sent to targets of the version, also those still without an answer.
     good, failed : int
         Answers that were complete, and those that failed in a way for which the target
         may be to blame. Requests that ended for another reason, such as the caller's
-        disconnect or a link between hosts, are not counted.
+        disconnect or a link between hosts, are not counted, also not as sent.
     times : tuple of (int, int)
-        Number of good answers in each bucket of `time_bucket`, by bucket; buckets
-        without any are left out.
+        Number of first outputs in each bucket of `time_bucket`, by bucket; buckets
+        without any are left out. They are counted as they arrive, before it is known
+        how the answer ends.
     """
 
+    sent: int = 0
     good: int = 0
     failed: int = 0
     times: tuple[tuple[int, int], ...] = ()
 
+    @property
+    def events(self) -> int:
+        """Number of events counted; of two reports of a source the later has more."""
+        return self.good + self.failed + sum(count for _, count in self.times)
+
+
+@dataclass
+class AnswerTotals:
+    """Sum of the counts of all sources.
+
+    Attributes
+    ----------
+    sent, good, failed : int
+        As in `AnswerCounts`.
+    times : list of int
+        Number of first outputs in each bucket.
+    """
+
+    sent: int = 0
+    good: int = 0
+    failed: int = 0
+    times: list[int] = field(default_factory=lambda: [0] * (LAST_BUCKET + 1))
+
+    @property
+    def answered(self) -> int:
+        """Number of answers."""
+        return self.good + self.failed
+
+    @property
+    def pending(self) -> int:
+        """Number of requests without an answer; 0 if sent requests are not counted."""
+        return max(0, self.sent - self.answered)
+
+    def add(self, counts: AnswerCounts, sign: int = 1) -> None:
+        """Add the counts of a source, or subtract them."""
+        self.sent += sign * counts.sent
+        self.good += sign * counts.good
+        self.failed += sign * counts.failed
+        for bucket, count in counts.times:
+            self.times[min(max(bucket, 0), LAST_BUCKET)] += sign * count
+
+    def add_totals(self, other: "AnswerTotals") -> None:
+        """Add other totals."""
+        self.sent += other.sent
+        self.good += other.good
+        self.failed += other.failed
+        self.times = [a + b for a, b in zip(self.times, other.times, strict=True)]
+
+    def since(self, earlier: "AnswerTotals") -> "AnswerTotals":
+        """Return what has been added since ``earlier``."""
+        return AnswerTotals(
+            self.sent - earlier.sent,
+            self.good - earlier.good,
+            self.failed - earlier.failed,
+            [a - b for a, b in zip(self.times, earlier.times, strict=True)],
+        )
+
+    def copy(self) -> "AnswerTotals":
+        """Return a copy."""
+        return AnswerTotals(self.sent, self.good, self.failed, self.times[:])
+
 
 @dataclass
 class Evidence:
@@ -84,41 +148,47 @@
     ----------
     rows : dict
         Last counts of each source.
+    totals : dict
+        Their sums, kept up to date as reports arrive: a service may have some hundred
+        sources, of which few report between two steps.
     """
 
     rows: dict[tuple[Release, RouteName], dict[Source, AnswerCounts]] = field(
         default_factory=dict
     )
+    totals: dict[tuple[Release, RouteName], AnswerTotals] = field(default_factory=dict)
 
     def record(
         self, source: Source, release: Release, route: RouteName, counts: AnswerCounts
     ) -> None:
         """Record a source's counts in place of its earlier ones.
 
-        Reports may arrive late and out of order: one with fewer answers than are known
+        Reports may arrive late and out of order: one with fewer events than are known
         of the source is older, and changes nothing.
         """
         by_source = self.rows.setdefault((release, route), {})
+        totals = self.totals.setdefault((release, route), AnswerTotals())
         known = by_source.get(source, AnswerCounts())
-        if counts.good + counts.failed >= known.good + known.failed:
-            by_source[source] = counts
-
-    def total(self, releases: Iterable[Release], route: RouteName) -> AnswerCounts:
-        """Return the sum over all sources of the counts of some versions."""
-        good = failed = 0
-        times: dict[int, int] = {}
-        for release in releases:
-            for counts in self.rows.get((release, route), {}).values():
-                good += counts.good
-                failed += counts.failed
-                for bucket, count in counts.times:
-                    times[bucket] = times.get(bucket, 0) + count
-        return AnswerCounts(good, failed, tuple(sorted(times.items())))
-
-    def releases(self) -> set[Release]:
-        """Return the versions of which there are answers."""
-        return {release for release, _ in self.rows}
+        if counts == known:
+            return
+        if (counts.events, counts.sent) < (known.events, known.sent):
+            return
+        by_source[source] = counts
+        totals.add(known, -1)
+        totals.add(counts)
+
+    def new_version(self, release: Release, route: RouteName) -> AnswerTotals:
+        """Return the totals of the new version on a route."""
+        return self.totals.get((release, route), AnswerTotals())
+
+    def old_versions(self, release: Release, route: RouteName) -> AnswerTotals:
+        """Return the totals of all versions but ``release`` on a route."""
+        found = AnswerTotals()
+        for (other, its_route), totals in self.totals.items():
+            if other != release and its_route == route:
+                found.add_totals(totals)
+        return found
 
     def routes(self) -> set[RouteName]:
         """Return the routes on which there are answers."""
-        return {route for _, route in self.rows}
+        return {route for _, route in self.totals}
--- a/godwitladder/decisions/rollouts/exposure.py
+++ b/godwitladder/decisions/rollouts/exposure.py
@@ -20,16 +20,22 @@
 SPENT_FRACTION : fraction of the share that is spent. Some requests are granted and
     never sent, as their callers disconnect. They count towards the requests of the
     service, but do not reach it.
+LEAST_REQUESTS : requests of all routes from which the traffic of each is known, and
+    after which it is looked at again.
+MAX_WEIGHT : factor by which the share of a small route may exceed that of all.
 RATE_WINDOW_S : seconds over which the rate of requests is observed. Bursts of the load
     last some seconds.
 """
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from godwitladder.ids import RouteName
 
 SPENT_FRACTION = 0.95
+LEAST_REQUESTS = 50
+MAX_WEIGHT = 3.0
 RATE_WINDOW_S = 1.0
 NO_ROUTE = RouteName("")
 
@@ -50,8 +56,14 @@
         with repetitions.
     requests_by_route, exposed_by_route : Counter
         The same by route.
-    recent : deque of float
-        Times of the requests of the last `RATE_WINDOW_S` seconds.
+    reserved : float
+        Requests of the budget kept for the time after ``completed`` is written.
+    weights : dict
+        Factor of each route; see `route_weight`.
+    weights_end_at : int
+        Number of requests from which the weights are computed anew.
+    recent : deque of (float, int)
+        Times and numbers of the requests of the last `RATE_WINDOW_S` seconds.
     """
 
     share: float
@@ -60,7 +72,10 @@
     exposed: int = 0
     requests_by_route: Counter[RouteName] = field(default_factory=Counter)
     exposed_by_route: Counter[RouteName] = field(default_factory=Counter)
-    recent: deque[float] = field(default_factory=deque)
+    reserved: float = 0.0
+    weights: dict[RouteName, float] = field(default_factory=dict)
+    weights_end_at: int = LEAST_REQUESTS
+    recent: deque[tuple[float, int]] = field(default_factory=deque)
 
     def record_granted(
         self,
@@ -68,8 +83,9 @@
         now: float,
         route: RouteName = NO_ROUTE,
         is_repeated: bool = False,
+        count: int = 1,
     ) -> None:
-        """Record the grant of one request of the service.
+        """Record the grant of one request of the service, or of several alike.
 
         Parameters
         ----------
@@ -81,17 +97,17 @@
             counts as exposed.
         """
         if not is_repeated:
-            self.requests += 1
-            self.requests_by_route[route] += 1
-            self.recent.append(now)
+            self.requests += count
+            self.requests_by_route[route] += count
+            self.recent.append((now, count))
         if exposed:
-            self.exposed += 1
-            self.exposed_by_route[route] += 1
+            self.exposed += count
+            self.exposed_by_route[route] += count
         self.forget_before(now - RATE_WINDOW_S)
 
     def forget_before(self, earliest: float) -> None:
         """Forget the times of requests before ``earliest``."""
-        while self.recent and self.recent[0] < earliest:
+        while self.recent and self.recent[0][0] < earliest:
             self.recent.popleft()
 
     def available(self) -> float:
@@ -110,14 +126,37 @@
             Share of the requests of the route that the new version is to get at this
             stage; see `Step.share`. Below 1 the requests are spread evenly.
         """
-        if self.available() < 1.0:
+        if self.available() - self.reserved < 1.0:
             return False
         if share >= 1.0:
             return True
-        due = share * (self.requests_by_route[route] + 1)
+        due = share * self.route_weight(route) * (self.requests_by_route[route] + 1)
         return self.exposed_by_route[route] + 1 <= due + 0.5
 
+    def route_weight(self, route: RouteName) -> float:
+        """Return the factor by which a route's share differs from that of all.
+
+        Routes get a part of the exposure in proportion to the square root of their
+        traffic. In proportion to the traffic itself, the answers of a small route
+        would not suffice to see that the version fails there.
+        """
+        if self.requests >= self.weights_end_at:
+            self.update_weights()
+        return self.weights.get(route, 1.0)
+
+    def update_weights(self) -> None:
+        """Compute the weights of all routes anew."""
+        self.weights_end_at = self.requests + LEAST_REQUESTS
+        if self.requests < LEAST_REQUESTS:
+            return
+        roots = sum(math.sqrt(count) for count in self.requests_by_route.values())
+        self.weights = {
+            route: min(MAX_WEIGHT, self.requests / (math.sqrt(count) * roots))
+            for route, count in self.requests_by_route.items()
+            if count
+        }
+
     def request_rate(self, now: float) -> float:
         """Return the requests per second over the last `RATE_WINDOW_S` seconds."""
         self.forget_before(now - RATE_WINDOW_S)
-        return len(self.recent) / RATE_WINDOW_S
+        return sum(count for _, count in self.recent) / RATE_WINDOW_S
--- a/godwitladder/decisions/rollouts/progress.py
+++ b/godwitladder/decisions/rollouts/progress.py
@@ -1,14 +1,56 @@
 """Leads a rollout from its order to its outcome.
 
+Load pattern: the new version may turn bad at any time until its outcome is written,
+also under the full load that it gets only at the end. All that it gets until the
+deadline counts as exposed, also what it gets after ``completed`` is written.
+
+The exposure is therefore spent in two parts. On trial the version gets a constant share
+of each route. In the cutover it gets all new calls. The cutover begins as soon as the
+rest of the exposure lasts until the deadline at the current rate of requests, if the
+evidence speaks for the version. ``completed`` is written shortly before the deadline,
+if the version is proved; a version that completes earlier and is bad after all would
+exceed its exposure.
+
+A term that takes over begins with an empty budget. Its cutover is shorter, or the
+version is rolled back without proof.
+
 Pure: times are passed in, in seconds.
+
+Thresholds
+----------
+TRIAL_FRACTION : fraction of the exposure that the trial gets; the cutover needs the
+    rest, so that a version that fails under load is seen.
+DEVIATIONS : standard deviations by which more requests may arrive until the deadline
+    than at the current rate; the arrivals of independent callers vary as in a Poisson
+    process.
+RATE_KNOWN_S : seconds of a term after which its mean rate of requests is used.
+LAST_WRITE_S : seconds before the deadline after which ``completed`` is no longer
+    written for the first time, as it would come late.
+FIRST_STEP, STEP_FACTOR, STEP_EVIDENCE : first share of `CutoverMode.STEPPED` as a
+    fraction of the exposure, the factor between steps, and the evidence for each as
+    the logarithm of a likelihood ratio.
+LAST_STEP_S : seconds for which `CutoverMode.STEPPED` gives the new version all calls
+    before ``completed`` is written.
 """
 
 import enum
+import math
 from dataclasses import dataclass
 
 from godwitladder.decisions.rollouts.evidence import Evidence
-from godwitladder.decisions.rollouts.exposure import ExposureBudget
+from godwitladder.decisions.rollouts.exposure import SPENT_FRACTION, ExposureBudget
+from godwitladder.decisions.rollouts.ratio_test import RatioTest, Verdict
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
+from godwitladder.ids import Release
+
+TRIAL_FRACTION = 0.45
+DEVIATIONS = 3.5
+RATE_KNOWN_S = 1.0
+LAST_WRITE_S = 0.1
+FIRST_STEP = 0.1
+STEP_FACTOR = 2.0
+STEP_EVIDENCE = 1.0
+LAST_STEP_S = 0.2
 
 
 class Phase(enum.Enum):
@@ -111,6 +153,12 @@
     deadline : float
         Time by which an outcome must be written.
     phase : Phase
+    test : RatioTest
+        The evidence that decides, also for log lines.
+    is_completing : bool
+        Whether ``completed`` is to be written, and may have been.
+    began_at : float or None
+        Time of the first step of this term.
     """
 
     def __init__(
@@ -120,18 +168,108 @@
         self.limits = limits
         self.deadline = ordered_at + order.duration_s
         self.phase = Phase.TRIAL
+        self.test = RatioTest(Release(order.release))
+        self.is_completing = False
+        self.began_at: float | None = None
 
     def step(self, evidence: Evidence, exposure: ExposureBudget, now: float) -> Step:
-        """Take the evidence in and return what to do until the next step."""
+        """Take the evidence in and return what to do until the next step.
+
+        A step per run of the allocator is enough; `ExposureBudget.may_expose` holds
+        the bound between steps.
+        """
+        if self.began_at is None:
+            self.began_at = now
         if self.phase is Phase.COMPLETED:
             return Step(self.phase, 1.0, True)
-        if self.phase is Phase.ROLLED_BACK or now >= self.deadline:
-            self.phase = Phase.ROLLED_BACK
+        if self.phase is not Phase.ROLLED_BACK:
+            self.advance(self.test.update(evidence, now), exposure, now)
+        if self.phase is Phase.ROLLED_BACK:
             return Step(self.phase, outcome=RolloutState.ROLLED_BACK)
-        return Step(self.phase, self.limits.exposure_share / 2)
+        if self.phase is Phase.CUTOVER:
+            exposure.reserved = self.needed(exposure, now, self.limits.write_s)
+            return Step(self.phase, 1.0, True, self.outcome(exposure, now))
+        return Step(self.phase, self.trial_share(exposure, now))
+
+    def advance(self, verdict: Verdict, exposure: ExposureBudget, now: float) -> None:
+        """Change the phase according to the verdict and the time."""
+        if verdict is Verdict.CONDEMNED or now >= self.last_chance():
+            self.phase = Phase.ROLLED_BACK
+        elif self.phase is Phase.TRIAL and self.may_cut_over(exposure, now):
+            self.phase = Phase.CUTOVER
+            self.test.is_at_full_load = True
+
+    def last_chance(self) -> float:
+        """Return the time from which the version is rolled back without proof.
+
+        It leaves time to write that before the deadline. A ``completed`` whose result
+        is not known is repeated until the deadline.
+        """
+        if self.phase is Phase.TRIAL:
+            return self.deadline - self.limits.write_s
+        return self.deadline - (0.0 if self.is_completing else LAST_WRITE_S)
+
+    def may_cut_over(self, exposure: ExposureBudget, now: float) -> bool:
+        """Return whether all calls may go to the new version until the deadline."""
+        remaining = self.deadline - now
+        in_cutover = self.mean_need(exposure, now, remaining - self.limits.write_s)
+        needed = in_cutover + self.needed(exposure, now, self.limits.write_s)
+        return (
+            exposure.request_rate(now) > 0
+            and needed <= exposure.available()
+            and self.test.is_likely_good()
+        )
+
+    def mean_need(self, exposure: ExposureBudget, now: float, seconds: float) -> float:
+        """Return the budget that all calls of some seconds need in the mean."""
+        requests = exposure.request_rate(now) * seconds
+        return requests * (1.0 - SPENT_FRACTION * exposure.share)
+
+    def needed(self, exposure: ExposureBudget, now: float, seconds: float) -> float:
+        """Return the budget that all calls of some seconds need at most."""
+        requests = exposure.request_rate(now) * seconds
+        deviation = DEVIATIONS * math.sqrt(requests)
+        return self.mean_need(exposure, now, seconds) + deviation
+
+    def outcome(self, exposure: ExposureBudget, now: float) -> RolloutState | None:
+        """Return the outcome to write during the cutover, if any."""
+        remaining = self.deadline - now
+        if self.is_completing:
+            return RolloutState.COMPLETED
+        self.is_completing = (
+            remaining <= self.limits.write_s
+            and self.needed(exposure, now, remaining) <= exposure.available()
+            and self.test.verdict() is Verdict.PROVED
+        )
+        return RolloutState.COMPLETED if self.is_completing else None
+
+    def trial_share(self, exposure: ExposureBudget, now: float) -> float:
+        """Return the share of the calls that the trial gets."""
+        expected = self.expected_requests(exposure, now)
+        whole = SPENT_FRACTION * exposure.share
+        if expected:
+            whole += exposure.slack / expected
+        if self.limits.mode is CutoverMode.RESERVED:
+            return TRIAL_FRACTION * whole
+        steps = max(0.0, -self.test.proof_ratio()) // STEP_EVIDENCE
+        share = FIRST_STEP * whole * STEP_FACTOR**steps
+        if not expected:
+            return min(share, whole)
+        final_s = self.limits.write_s + LAST_STEP_S
+        final = self.needed(exposure, now, final_s)
+        return max(0.0, min(share, whole - final / expected))
+
+    def expected_requests(self, exposure: ExposureBudget, now: float) -> float:
+        """Return the requests of this term until the deadline; 0 if not yet known."""
+        began_at = now if self.began_at is None else self.began_at
+        if now - began_at < RATE_KNOWN_S:
+            return 0.0
+        rate = exposure.requests / (now - began_at)
+        return exposure.requests + rate * max(0.0, self.deadline - now)
 
     def condemn(self) -> None:
         """Record that another allocator has condemned the version."""
+        self.test.is_condemned = True
         if self.phase is not Phase.COMPLETED:
             self.phase = Phase.ROLLED_BACK
 
