--- a/godwitladder/decisions/rollouts/evidence.py
+++ b/godwitladder/decisions/rollouts/evidence.py
@@ -111,13 +111,15 @@
         """Number of requests without an answer; 0 if sent requests are not counted."""
         return max(0, self.sent - self.answered)
 
-    def add(self, counts: AnswerCounts, sign: int = 1) -> None:
-        """Add the counts of a source, or subtract them."""
-        self.sent += sign * counts.sent
-        self.good += sign * counts.good
-        self.failed += sign * counts.failed
-        for bucket, count in counts.times:
-            self.times[min(max(bucket, 0), LAST_BUCKET)] += sign * count
+    def replace(self, before: AnswerCounts, after: AnswerCounts) -> None:
+        """Replace the counts of a source by later ones."""
+        self.sent += after.sent - before.sent
+        self.good += after.good - before.good
+        self.failed += after.failed - before.failed
+        for bucket, count in before.times:
+            self.times[min(max(bucket, 0), LAST_BUCKET)] -= count
+        for bucket, count in after.times:
+            self.times[min(max(bucket, 0), LAST_BUCKET)] += count
 
     def add_totals(self, other: "AnswerTotals") -> None:
         """Add other totals."""
@@ -151,12 +153,15 @@
     totals : dict
         Their sums, kept up to date as reports arrive: a service may have some hundred
         sources, of which few report between two steps.
+    changes : int
+        Number of reports that changed something.
     """
 
     rows: dict[tuple[Release, RouteName], dict[Source, AnswerCounts]] = field(
         default_factory=dict
     )
     totals: dict[tuple[Release, RouteName], AnswerTotals] = field(default_factory=dict)
+    changes: int = 0
 
     def record(
         self, source: Source, release: Release, route: RouteName, counts: AnswerCounts
@@ -174,8 +179,8 @@
         if (counts.events, counts.sent) < (known.events, known.sent):
             return
         by_source[source] = counts
-        totals.add(known, -1)
-        totals.add(counts)
+        self.changes += 1
+        totals.replace(known, counts)
 
     def new_version(self, release: Release, route: RouteName) -> AnswerTotals:
         """Return the totals of the new version on a route."""
--- a/godwitladder/decisions/rollouts/exposure.py
+++ b/godwitladder/decisions/rollouts/exposure.py
@@ -64,6 +64,8 @@
         Number of requests from which the weights are computed anew.
     recent : deque of (float, int)
         Times and numbers of the requests of the last `RATE_WINDOW_S` seconds.
+    recent_count : int
+        Their sum.
     """
 
     share: float
@@ -76,6 +78,7 @@
     weights: dict[RouteName, float] = field(default_factory=dict)
     weights_end_at: int = LEAST_REQUESTS
     recent: deque[tuple[float, int]] = field(default_factory=deque)
+    recent_count: int = 0
 
     def record_granted(
         self,
@@ -100,6 +103,7 @@
             self.requests += count
             self.requests_by_route[route] += count
             self.recent.append((now, count))
+            self.recent_count += count
         if exposed:
             self.exposed += count
             self.exposed_by_route[route] += count
@@ -108,7 +112,7 @@
     def forget_before(self, earliest: float) -> None:
         """Forget the times of requests before ``earliest``."""
         while self.recent and self.recent[0][0] < earliest:
-            self.recent.popleft()
+            self.recent_count -= self.recent.popleft()[1]
 
     def available(self) -> float:
         """Return the number of requests that the new version may get now."""
@@ -159,4 +163,4 @@
     def request_rate(self, now: float) -> float:
         """Return the requests per second over the last `RATE_WINDOW_S` seconds."""
         self.forget_before(now - RATE_WINDOW_S)
-        return sum(count for _, count in self.recent) / RATE_WINDOW_S
+        return self.recent_count / RATE_WINDOW_S
--- a/godwitladder/decisions/rollouts/progress.py
+++ b/godwitladder/decisions/rollouts/progress.py
@@ -6,10 +6,10 @@
 
 The exposure is therefore spent in two parts. On trial the version gets a constant share
 of each route. In the cutover it gets all new calls. The cutover begins as soon as the
-rest of the exposure lasts until the deadline at the current rate of requests, if the
-evidence speaks for the version. ``completed`` is written shortly before the deadline,
-if the version is proved; a version that completes earlier and is bad after all would
-exceed its exposure.
+rest of the exposure lasts until the deadline at the current rate of requests, unless
+the evidence speaks against the version. ``completed`` is written shortly before the
+deadline, if the version is proved; a version that completes earlier and is bad after
+all would exceed its exposure.
 
 A term that takes over begins with an empty budget. Its cutover is shorter, or the
 version is rolled back without proof.
@@ -20,10 +20,12 @@
 ----------
 TRIAL_FRACTION : fraction of the exposure that the trial gets; the cutover needs the
     rest, so that a version that fails under load is seen.
+MOST_TRIAL_FRACTION, TRIAL_REQUESTS : fraction that the trial gets if it does not reach
+    this number of requests otherwise. A proof needs about a hundred answers.
 DEVIATIONS : standard deviations by which more requests may arrive until the deadline
     than at the current rate; the arrivals of independent callers vary as in a Poisson
-    process.
-RATE_KNOWN_S : seconds of a term after which its mean rate of requests is used.
+    process. What `SPENT_FRACTION` leaves adds to this.
+RATE_KNOWN_S : seconds of a term after which its rate of requests is known.
 LAST_WRITE_S : seconds before the deadline after which ``completed`` is no longer
     written for the first time, as it would come late.
 FIRST_STEP, STEP_FACTOR, STEP_EVIDENCE : first share of `CutoverMode.STEPPED` as a
@@ -43,8 +45,10 @@
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.ids import Release
 
-TRIAL_FRACTION = 0.45
-DEVIATIONS = 3.5
+TRIAL_FRACTION = 0.3
+MOST_TRIAL_FRACTION = 0.4
+TRIAL_REQUESTS = 150
+DEVIATIONS = 2.5
 RATE_KNOWN_S = 1.0
 LAST_WRITE_S = 0.1
 FIRST_STEP = 0.1
@@ -214,10 +218,12 @@
         remaining = self.deadline - now
         in_cutover = self.mean_need(exposure, now, remaining - self.limits.write_s)
         needed = in_cutover + self.needed(exposure, now, self.limits.write_s)
+        began_at = now if self.began_at is None else self.began_at
         return (
-            exposure.request_rate(now) > 0
+            now - began_at >= RATE_KNOWN_S
+            and exposure.request_rate(now) > 0
             and needed <= exposure.available()
-            and self.test.is_likely_good()
+            and self.test.may_be_good()
         )
 
     def mean_need(self, exposure: ExposureBudget, now: float, seconds: float) -> float:
@@ -250,7 +256,9 @@
         if expected:
             whole += exposure.slack / expected
         if self.limits.mode is CutoverMode.RESERVED:
-            return TRIAL_FRACTION * whole
+            enough = TRIAL_REQUESTS / expected if expected else 0.0
+            most = MOST_TRIAL_FRACTION * whole
+            return max(TRIAL_FRACTION * whole, min(most, enough))
         steps = max(0.0, -self.test.proof_ratio()) // STEP_EVIDENCE
         share = FIRST_STEP * whole * STEP_FACTOR**steps
         if not expected:
