Rollouts: count requests that are sent, first outputs and ends of answers

A version that never answers would be judged by its good answers alone if sent requests were not counted.

--- a/godwitladder/rollouts/counts.py
+++ b/godwitladder/rollouts/counts.py
@@ -4,6 +4,7 @@
 cumulative since the order, so that a lost report or a new allocator loses nothing.
 """
 
+import enum
 import threading
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
@@ -36,11 +37,78 @@
 class Row:
     """Answers of one version on one route."""
 
+    sent: int = 0
     good: int = 0
     failed: int = 0
     times: Counter[int] = field(default_factory=Counter)
 
 
+class AnswerResult(enum.Enum):
+    """What an answer tells of the target.
+
+    Attributes
+    ----------
+    VOID
+        Nothing: the request did not run, or ended for a reason beyond the target.
+    """
+
+    GOOD = "good"
+    FAILED = "failed"
+    VOID = "void"
+
+
+class CountedAnswer:
+    """One request that was sent, up to the end of its answer.
+
+    Parameters
+    ----------
+    rollouts : HostRollouts
+    key : tuple
+        Service, version and route.
+    row : Row
+        Counts of the order under which the request was sent.
+    sent_at : float
+        Time of sending.
+    """
+
+    def __init__(
+        self, rollouts: "HostRollouts", key: RowKey, row: Row, sent_at: float
+    ) -> None:
+        self.rollouts = rollouts
+        self.key = key
+        self.row = row
+        self.sent_at = sent_at
+        self.has_output = False
+        self.ended = False
+
+    def record_output(self, now: float, tokens: int = 0) -> None:
+        """Count the time to the first output; later calls do nothing.
+
+        Parameters
+        ----------
+        tokens : int
+            Prompt tokens that the target had to read.
+        """
+        if self.has_output or self.ended:
+            return
+        self.has_output = True
+        with self.rollouts.lock:
+            self.row.times[time_bucket(now - self.sent_at, tokens)] += 1
+            self.rollouts.changed.add(self.key)
+
+    def end(self, result: AnswerResult) -> None:
+        """Count the end of the answer; later calls do nothing."""
+        if self.ended:
+            return
+        self.ended = True
+        with self.rollouts.lock:
+            self.row.good += result is AnswerResult.GOOD
+            self.row.failed += result is AnswerResult.FAILED
+            self.row.sent -= result is AnswerResult.VOID
+            self.rollouts.changed.add(self.key)
+        self.rollouts.count_end(self.key, result)
+
+
 class HostRollouts:
     """Orders in force, outcomes and counts of answers on one host; thread-safe.
 
@@ -98,42 +166,27 @@
             return False
         return not isinstance(self.notices.get(service), CondemnedVersion)
 
-    def record_answer(
-        self,
-        service: ServiceName,
-        release: Release,
-        route: RouteName,
-        first_s: float | None,
-        tokens: int = 0,
-    ) -> None:
-        """Count an answer of a service with an order.
-
-        Parameters
-        ----------
-        first_s : float or None
-            Seconds from sending the request to the first output of a good answer; None
-            for an answer that failed.
-        tokens : int
-            Prompt tokens that the target had to read.
-        """
-        if service not in self.orders:
-            return
+    def begin(
+        self, service: ServiceName, release: Release, route: RouteName, now: float
+    ) -> "CountedAnswer | None":
+        """Count a request that is sent now; None if its service has no order."""
+        order = self.orders.get(service)
+        if order is None:
+            return None
         key = service, release, route
         with self.lock:
             if key not in self.rows and len(self.rows) >= MAX_ROWS:
-                return
+                return None
             row = self.rows.setdefault(key, Row())
+            row.sent += 1
             self.changed.add(key)
-            if first_s is None:
-                row.failed += 1
-            else:
-                row.good += 1
-                row.times[time_bucket(first_s, tokens)] += 1
+        return CountedAnswer(self, key, row, now)
+
+    def count_end(self, key: RowKey, result: AnswerResult) -> None:
+        """Count the end of an answer in the metrics."""
         if self.metrics is not None:
-            result = "failed" if first_s is None else "good"
-            self.metrics.rollout_answers.inc(
-                {"service": service, "release": release, "result": result}
-            )
+            labels = {"service": key[0], "release": key[1], "result": result.value}
+            self.metrics.rollout_answers.inc(labels)
 
     def tokens_to_read(self, target: TargetName, parts: Iterable[PromptPart]) -> int:
         """Return the prompt tokens that a target has to read, and record its parts.
@@ -154,7 +207,7 @@
         """Return the counts to report for some services."""
         with self.lock:
             keys = self.changed if only_changed else self.rows.keys()
-            keys = sorted(key for key in keys if key[0] in services)
+            keys = sorted(key for key in keys & self.rows.keys() if key[0] in services)
             self.changed.difference_update(keys)
             return tuple(self.make_counts(key) for key in keys)
 
@@ -163,7 +216,7 @@
         row = self.rows[key]
         times = tuple(TimeCount(*item) for item in sorted(row.times.items()))
         offset = self.orders[key[0]].order.offset
-        return VersionCounts(*key, row.good, row.failed, times, offset)
+        return VersionCounts(*key, row.sent, row.good, row.failed, times, offset)
 
     def order_ages(
         self, services: Collection[ServiceName], now: float
--- a/godwitladder/rollouts/desk.py
+++ b/godwitladder/rollouts/desk.py
@@ -16,6 +16,9 @@
 
 log = component_logger("rollouts")
 
+STEP_INTERVAL_S = 0.05
+"""Interval of the steps of a trial. It is a quarter of the time that is left to decide
+on ``completed`` and write it before the deadline."""
 MAX_LOGGED_ROWS = 24
 """Versions and routes in one log line."""
 
@@ -36,6 +39,8 @@
     ----------
     request : callable
         Called with each `WantedStatus`.
+    wake : callable
+        Called with the seconds after which the trials are to be led on.
     outcomes : dict
         Outcome that the store holds, by service, with the offset of its order.
     noted : set of int
@@ -50,6 +55,7 @@
         self.limits = limits
         self.is_fresh = is_fresh
         self.request: Callable[[WantedStatus], None] = lambda wanted: None
+        self.wake: Callable[[float], None] = lambda seconds: None
         self.outcomes: dict[ServiceName, tuple[int, RolloutState]] = {}
         self.noted: set[int] = set()
 
@@ -128,12 +134,15 @@
                 "share": round(trial.step.share, 3),
                 "term": term,
                 "age_s": round(now - trial.ordered_at, 2),
-                "statistic": getattr(trial.progress, "statistic", None),
+                "statistic": round(trial.progress.test.highest(), 2),
+                "bound": round(trial.progress.test.bound(), 2),
+                "proof_ratio": round(trial.progress.test.proof_ratio(), 2),
             }
             log.info("A rollout has changed", extra=extra | evidence_fields(trial))
         for trial in trials.rows.values():
             if trial.is_stored or trial.progress is None:
                 continue
+            self.wake(STEP_INTERVAL_S)
             state = trial.step.outcome or RolloutState.RUNNING
             if is_in_force(config, trial.order):
                 self.note_once(trial.order, "A rollout orders the version in force")
@@ -187,9 +196,9 @@
     """Return the log fields with what a trial is decided by."""
     evidence, budget = trial.evidence, trial.budget
     rows = {}
-    for release, route in sorted(evidence.rows)[:MAX_LOGGED_ROWS]:
-        counts = evidence.total([release], route)
-        rows[f"{release}/{route}"] = [counts.good, counts.failed]
+    for release, route in sorted(evidence.totals)[:MAX_LOGGED_ROWS]:
+        counts = evidence.totals[release, route]
+        rows[f"{release}/{route}"] = [counts.sent, counts.good, counts.failed]
     return {
         "requests": budget.requests,
         "exposed": budget.exposed,
--- a/godwitladder/rollouts/messages.py
+++ b/godwitladder/rollouts/messages.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True)
 class TimeCount:
-    """Number of good answers in one bucket of `evidence.time_bucket`."""
+    """Number of first outputs in one bucket of `evidence.time_bucket`."""
 
     bucket: int
     count: int
@@ -22,11 +22,10 @@
 
     Attributes
     ----------
-    good, failed : int
-        Answers that were complete, and those that failed in a way for which the target
-        may be to blame.
+    sent, good, failed : int
+        As in `evidence.AnswerCounts`.
     times : tuple of TimeCount
-        Good answers by the time to their first output.
+        First outputs by their time.
     offset : int
         Offset of the order.
     """
@@ -34,6 +33,7 @@
     service: ServiceName
     release: Release
     route: RouteName
+    sent: int
     good: int
     failed: int
     times: tuple[TimeCount, ...] = ()
--- a/godwitladder/rollouts/status.py
+++ b/godwitladder/rollouts/status.py
@@ -13,6 +13,7 @@
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.source import (
     RolloutStatus,
+    RolloutStatuses,
     Source,
     StoreMoved,
     StoreUnavailable,
@@ -81,6 +82,9 @@
     ----------
     wanted : dict
         Statuses to write, by service; the last one of a service counts.
+    known : RolloutStatuses or None
+        The statuses after the last append; if others have written since, the next
+        append fails, and they are read.
     is_failing : bool
         Whether the last attempt failed, which is logged once.
     """
@@ -92,6 +96,7 @@
         self.clock = clock
         self.report = report
         self.wanted: dict[ServiceName, WantedStatus] = {}
+        self.known: RolloutStatuses | None = None
         self.is_failing = False
         self.lock = threading.Lock()
         self.changed = threading.Event()
@@ -153,7 +158,7 @@
         return None
 
     def try_once(self, wanted: WantedStatus) -> StatusKnown | None:
-        """Read the newest status and append to it; None if another came between.
+        """Append to the newest status, or find the outcome; None to read it again.
 
         Raises
         ------
@@ -161,7 +166,8 @@
             The status may have been appended, or may be later.
         """
         order = wanted.order
-        statuses = self.source.read_rollout_statuses()
+        statuses = self.known or self.source.read_rollout_statuses()
+        self.known = None
         row = statuses.rows.get(order.service)
         if row is not None and is_answered(row, wanted):
             return StatusKnown(order, row.state, wanted.term)
@@ -179,6 +185,9 @@
         }
         log.info("Wrote the status of a rollout", extra=extra)
         is_first = row is None or not row.answers(order)
+        status = RolloutStatus(order.release, wanted.state, order.offset)
+        rows = {**statuses.rows, order.service: status}
+        self.known = RolloutStatuses(statuses.end + 1, rows)
         return StatusKnown(order, wanted.state, wanted.term, is_first)
 
     def in_time(self, wanted: WantedStatus) -> WantedStatus:
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -162,7 +162,7 @@
         """Take in what a host reports; what belongs to another order is ignored."""
         for row in self.of_order(counts):
             times = tuple((item.bucket, item.count) for item in row.times)
-            answers = AnswerCounts(row.good, row.failed, times)
+            answers = AnswerCounts(row.sent, row.good, row.failed, times)
             trial = self.rows[row.service]
             trial.evidence.record(source, row.release, row.route, answers)
         for row in self.of_order(ages):
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -188,6 +188,8 @@
             self.feed.rollouts.freshness = self.freshness
             self.status_writer = StatusWriter(source, clock, self.allocator.tell)
             self.desk.request = self.status_writer.request
+        self.allocator_ticker = Ticker(clock, IDLE_TICK_S)
+        self.desk.wake = self.allocator_ticker.tick_in
         self.mesh = Mesh(
             settings.host,
             settings.listen.peers,
@@ -356,7 +358,7 @@
         self.mesh.start()
         self.stack.callback(self.mesh.close)
         self.start_component(self.ticker, self.scheduler)
-        self.start_component(Ticker(self.clock, IDLE_TICK_S), self.allocator)
+        self.start_component(self.allocator_ticker, self.allocator)
         heartbeat_s = settings.peers.heartbeat_s
         self.start_component(Ticker(self.clock, heartbeat_s), self.membership)
         self.start_component(self.watch)
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -201,7 +201,7 @@
             self.forward(message, message.pool)
             return
         now = self.clock.monotonic()
-        if role.take_report(message, now):
+        if role.take_report(message, now) or role.trials.rows:
             self.due.add(message.pool)
         if self.tables.rollouts.take_report(role.trials, message, now):
             self.update_roles()
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -23,7 +23,7 @@
 from godwitladder.paths.connector import Connector, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
-from godwitladder.rollouts.counts import HostRollouts
+from godwitladder.rollouts.counts import AnswerResult, CountedAnswer, HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -147,10 +147,10 @@
         Whether the call runs as the trial of a request that targets crashed under.
     heard_at : float
         Monotonic time of the last sign of the target, or of the send.
-    sent_at, first_output_at : float
-        Monotonic times of the last send, and of the first output after it; 0 before.
+    counted : CountedAnswer or None
+        The answer to the last send, if a rollout of the service is under way.
     read_tokens : int
-        Prompt tokens that the target has to read for the last send.
+        Prompt tokens that the target has to read for it.
     """
 
     def __init__(self, proxy: RoutedProxy, call: RoutedCall, gone) -> None:
@@ -172,7 +172,7 @@
         self.dispatch: Dispatch | None = None
         self.on_trial = False
         self.heard_at = 0.0
-        self.sent_at = self.first_output_at = 0.0
+        self.counted: CountedAnswer | None = None
         self.read_tokens = 0
         proxy.watcher.add(self.open_call)
 
@@ -257,11 +257,8 @@
             raise NotSent("the call was aborted or its deadline is too close")
         self.proxy.statements.check(dispatch)
         self.on_trial = self.proxy.quarantine.begin(self.call.traits, dispatch.target)
-        self.heard_at = self.sent_at = self.clock.monotonic()
-        self.first_output_at = 0.0
-        self.read_tokens = self.proxy.rollouts.tokens_to_read(
-            dispatch.target, self.call.metadata.parts
-        )
+        self.heard_at = self.clock.monotonic()
+        self.begin_count(dispatch)
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
@@ -319,7 +316,9 @@
         answer = BufferedAnswer(
             f"{response.status} {response.reason or ''}", headers, body
         )
-        self.count_answer(is_good=response.status < 500)
+        self.count_output()
+        failed = response.status >= 500
+        self.count_end(AnswerResult.FAILED if failed else AnswerResult.GOOD)
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
@@ -460,6 +459,7 @@
     def disconnect(self) -> None:
         """Close the connection to the target, if there is one."""
         self.end_trial()
+        self.count_end(AnswerResult.VOID)
         self.open_call.detach()
         if self.connection is not None:
             self.connection.http.close()
@@ -510,15 +510,25 @@
         elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
             self.proxy.quarantine.record_silence(lost_call)
 
-    def count_answer(self, is_good: bool) -> None:
-        """Count an answer for the rollout of the service, if there is one."""
-        row = self.call.row
-        until = self.first_output_at or self.clock.monotonic()
-        first_s = until - self.sent_at if is_good else None
-        self.proxy.rollouts.record_answer(
-            row.service, self.dispatch.release, row.route, first_s, self.read_tokens
+    def begin_count(self, dispatch: Dispatch) -> None:
+        """Count the send for the rollout of the service, if there is one."""
+        rollouts, row = self.proxy.rollouts, self.call.row
+        parts = self.call.metadata.parts
+        self.read_tokens = rollouts.tokens_to_read(dispatch.target, parts)
+        self.counted = rollouts.begin(
+            row.service, dispatch.release, row.route, self.heard_at
         )
 
+    def count_output(self) -> None:
+        """Count the time to the first output of the last send."""
+        if self.counted is not None:
+            self.counted.record_output(self.clock.monotonic(), self.read_tokens)
+
+    def count_end(self, result: AnswerResult) -> None:
+        """Count the end of the answer to the last send, once."""
+        if self.counted is not None:
+            self.counted.end(result)
+
     def count_loss(self, error: MayHaveRun) -> None:
         """Count a lost answer as failed if the target may be to blame.
 
@@ -530,7 +540,7 @@
         is_silent = self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S
         cause = self.open_call.cause
         if cause is None or (cause is AbortCause.TIMEOUT and is_silent):
-            self.count_answer(is_good=False)
+            self.count_end(AnswerResult.FAILED)
 
     def record_completion(self) -> None:
         """Record that the call has run to its end."""
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -9,6 +9,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import Refusal, RequestState
 from godwitladder.quarantine.gate import HeldBack
+from godwitladder.rollouts.counts import AnswerResult
 from godwitladder.serving.events import EventReader
 from godwitladder.serving.upstream import NotRun, StreamTruncated, is_stream
 
@@ -68,7 +69,7 @@
                 self.complete = True
             except MayHaveRun as error:
                 self.resume(error)
-        self.proxied_call.count_answer(is_good=True)
+        self.proxied_call.count_end(AnswerResult.GOOD)
         self.proxied_call.record_completion()
         self.proxied_call.finish(RequestState.COMPLETED, self.count_tokens())
 
@@ -84,7 +85,7 @@
                 self.proxied_call.pause_s, now - self.last_received_at
             )
         self.last_received_at = self.proxied_call.heard_at = now
-        self.proxied_call.first_output_at = self.proxied_call.first_output_at or now
+        self.proxied_call.count_output()
         self.proxied_call.reporter.report_progress(self.count_tokens())
 
     def count_tokens(self) -> int:
