--- a/godwitladder/rollouts/desk.py
+++ b/godwitladder/rollouts/desk.py
@@ -1,11 +1,11 @@
 """Connects the trials of an allocator to the store, the log and the hosts."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.rollouts.progress import RolloutLimits
-from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
+from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.ids import Release, ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.rollouts.messages import ProvedVersion
@@ -19,6 +19,9 @@
 STEP_INTERVAL_S = 0.05
 """Interval of the steps of a trial. It is a quarter of the time that is left to decide
 on ``completed`` and write it before the deadline."""
+NEW_ORDER_S = 3.0
+"""Age up to which an order is new to the first allocator that sees it. Later, the only
+version left may be one whose trial is under way, after the old targets were lost."""
 MAX_LOGGED_ROWS = 24
 """Versions and routes in one log line."""
 
@@ -72,16 +75,20 @@
         self,
         trials: Trials,
         services: Iterable[ServiceName],
-        orders: Mapping[ServiceName, OrderInForce],
+        config: ConfigState,
         now: float,
     ) -> None:
         """Set what the trials of one pool depend on."""
         if self.limits is None:
             return
         trials.limits, trials.is_fresh = self.limits, self.is_fresh
-        trials.set_orders(
-            [orders[name] for name in sorted(services & orders.keys())], now
-        )
+        orders = config.rollouts
+        names = sorted(services & orders.keys())
+        known = set(trials.rows.values())
+        trials.set_orders([orders[name] for name in names], now)
+        for trial in trials.rows.values():
+            if trial not in known and now - trial.ordered_at < NEW_ORDER_S:
+                trial.is_in_force = is_in_force(config, trial.order)
         for service, trial in trials.rows.items():
             offset, state = self.outcomes.get(service, (-1, RolloutState.RUNNING))
             if offset == trial.order.offset and not trial.is_stored:
@@ -124,9 +131,7 @@
         log.info("A rollout is over", extra=extra | evidence_fields(trial))
         return True
 
-    def run_steps(
-        self, trials: Trials, config: ConfigState, term: int, now: float
-    ) -> None:
+    def run_steps(self, trials: Trials, term: int, now: float) -> None:
         """Lead the trials of one pool on, and ask for the statuses that they need."""
         for trial in trials.run_steps(now):
             extra = order_fields(trial.order) | {
@@ -144,7 +149,7 @@
                 continue
             self.wake(STEP_INTERVAL_S)
             state = trial.step.outcome or RolloutState.RUNNING
-            if is_in_force(config, trial.order):
+            if trial.is_in_force:
                 self.note_once(trial.order, "A rollout orders the version in force")
                 state = RolloutState.COMPLETED
             deadline = trial.progress.deadline
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -40,10 +40,12 @@
 UNKNOWN_AGE_S = 2.0
 """Time for which a term waits for a host that knows when an order was given. Without
 one the version is rolled back."""
+SHARE_STEP = 1.5
+"""Factor by which a share must differ from the last one that was logged."""
 WAITING = Step(Phase.TRIAL)
 
 
-@dataclass
+@dataclass(eq=False)
 class Trial:
     """One order, as one term of an allocator sees it.
 
@@ -57,8 +59,10 @@
         None until the time of the order is known.
     granted : set of RequestId
         Requests that this term has granted.
-    told : tuple
-        Phase, share and outcome that were logged last.
+    told : Step or None
+        Step that was logged last.
+    is_in_force : bool
+        Whether all targets of the service were of the version when it was ordered.
     wanted : WantedStatus or None
         Status that was asked for last.
     """
@@ -73,7 +77,8 @@
     is_condemned: bool = False
     is_stored: bool = False
     granted: set[RequestId] = field(default_factory=set)
-    told: tuple = ()
+    told: Step | None = None
+    is_in_force: bool = False
     wanted: WantedStatus | None = None
 
     def start(self, limits: RolloutLimits, now: float) -> None:
@@ -87,6 +92,16 @@
         if self.is_condemned:
             self.progress.condemn()
 
+    def has_news(self) -> bool:
+        """Return whether the phase, the outcome or the share is worth a log line.
+
+        On trial the share follows the rate of requests a little with each step.
+        """
+        told, step = self.told, self.step
+        if told is None or (told.phase, told.outcome) != (step.phase, step.outcome):
+            return True
+        return not told.share / SHARE_STEP <= step.share <= told.share * SHARE_STEP
+
     def condemn(self) -> None:
         """Grant nothing more to the version."""
         self.is_condemned = True
@@ -209,9 +224,8 @@
                 continue
             trial.step = trial.progress.step(trial.evidence, trial.budget, now)
             trial.is_condemned |= trial.step.phase is Phase.ROLLED_BACK
-            told = trial.step.phase, round(trial.step.share, 3), trial.step.outcome
-            if told != trial.told:
-                trial.told = told
+            if trial.has_news():
+                trial.told = trial.step
                 changed.append(trial)
         return changed
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -165,7 +165,7 @@
         for name in self.due & set(tables.roles):
             role = tables.roles[name]
             if role.is_warmed_up(tables.hosts, now):
-                tables.rollouts.run_steps(role.trials, tables.config, role.term, now)
+                tables.rollouts.run_steps(role.trials, role.term, now)
             for offer in role.run(tables.hosts, now):
                 account = role.account(offer.host, now)
                 offer = tables.rollouts.notify(role.trials, offer)
@@ -275,9 +275,7 @@
                 log.info("Allocator role started", extra=extra)
             role = tables.roles[name]
             role.configure(pool, tables.config, tables.leaving)
-            tables.rollouts.configure(
-                role.trials, pool.services, tables.config.rollouts, now
-            )
+            tables.rollouts.configure(role.trials, pool.services, tables.config, now)
             role.rate_limits.keep_generations(generations, now)
             role.departures.keep_generations(generations, now)
             role.rate_limits.share = self.visible_share(now)
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -32,7 +32,7 @@
 class Host:
     """The process of one host."""
 
-    def __init__(self, stack, folder, name, store, seeds):
+    def __init__(self, stack, folder, name, store, seeds, more_settings=""):
         self.ports = free_ports(4)
         path = folder / f"{name}.toml"
         text = SETTINGS_TEMPLATE.format(
@@ -43,12 +43,14 @@
             seeds=json.dumps(seeds),
             **vars(HostLimits()),
         )
-        path.write_text(text)
+        path.write_text(text + more_settings)
+        self.log_path = folder / f"{name}.log"
+        log = stack.enter_context(self.log_path.open("wb"))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "godwitladder.platform"],
             env=os.environ | {"GODWITLADDER_NODE_FILE": str(path)},
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
         )
         stack.callback(self.process.wait)
         stack.callback(self.process.kill)
