Rollouts: tests of the decisions; no proof of speed without times compared

The tests found that an allocator that takes over held a version for proved before it had compared any times, and that a version without any answer got a cutover. Both need a least number of answers now.

--- a/godwitladder/decisions/rollouts/ratio_test.py
+++ b/godwitladder/decisions/rollouts/ratio_test.py
@@ -34,6 +34,7 @@
 FALSE_PROOF : likelihood of the answers from a version that fails in `PROOF_EXCESS` of
     them, against a good one, at which the version is proved. All answers until the end
     decide, so that fewer than 1% of such versions are proved.
+LEAST_ANSWERS : number of answers that the bound assumes at least.
 ALARM_FACTOR : the false alarms of a cumulative sum test are fewer than one for each
     exp(bound) answers, as most answers find the statistic at 0.
 FAILURE_EXCESSES : failure rates beyond that of the old version that are tested.
@@ -51,6 +52,8 @@
     periods with few of them and for a cutover without any.
 RATE_KEPT : the same for its failures, which are fewer.
 REFERENCE_SIZE : number of the old version's first outputs that are needed.
+LEAST_TRIED : answers without which a version gets no cutover.
+LEAST_COMPARED : first outputs that must have been compared for a proof.
 FAILURE_SUSPICION, RANK_SUSPICION : fractions of the bound at which a version is no
     longer proved. Failures are rare, so that a few in a short time are suspect.
 ROUTE_FRACTION : fraction of its proportional part of the evidence that a route needs,
@@ -87,6 +90,8 @@
 REFERENCE_KEPT = 0.5
 RATE_KEPT = 0.8
 REFERENCE_SIZE = 10.0
+LEAST_TRIED = 20
+LEAST_COMPARED = 20
 FAILURE_SUSPICION = 0.6
 RANK_SUSPICION = 0.8
 ROUTE_FRACTION = 0.3
@@ -269,6 +274,8 @@
         Those of all routes together.
     rank_sum : float
         Ratio of all first outputs for the steepest tilt, without a cut.
+    compared : int
+        Number of first outputs in that sum.
     usual_pending : int
         Most requests that waited for an answer of the old version.
     is_at_full_load : bool
@@ -286,6 +293,7 @@
     by_route: dict[RouteName, Statistics] = field(default_factory=dict)
     overall: Statistics = field(default_factory=Statistics)
     rank_sum: float = 0.0
+    compared: int = 0
     usual_pending: int = 0
     is_at_full_load: bool = False
     changes: int = 0
@@ -357,6 +365,7 @@
         weight = min(1.0, WINDOW_WEIGHT / compared) if compared else 0.0
         self.overall.add_ranks([weight * ratio for ratio in sums])
         self.rank_sum += weight * sums[-1]
+        self.compared += compared
 
     def highest(self) -> float:
         """Return the highest statistic of all tests."""
@@ -378,9 +387,8 @@
 
     def bound(self) -> float:
         """Return the statistic from which the version is condemned."""
-        answers = sum(row.new.answered for row in self.routes.values())
         tests = (1 + len(self.by_route)) * (len(FAILURE_EXCESSES) + len(TILTS))
-        size = max(LEAST_ANSWERS, answers) * tests
+        size = max(LEAST_ANSWERS, self.answered()) * tests
         return math.log(size * ALARM_FACTOR / FALSE_ALARM)
 
     def proof_ratio(self) -> float:
@@ -407,7 +415,15 @@
         More answers may still prove it: two failures among sixty answers of a version
         that fails as rarely as the old one are no rare chance.
         """
-        return not self.is_condemned and self.leans_below(-math.log(FALSE_PROOF))
+        return (
+            not self.is_condemned
+            and self.answered() >= LEAST_TRIED
+            and self.leans_below(-math.log(FALSE_PROOF))
+        )
+
+    def answered(self) -> int:
+        """Return the number of answers of the new version."""
+        return sum(row.new.answered for row in self.routes.values())
 
     def leans_below(self, bound: float) -> bool:
         """Return whether all evidence is in favour of the version.
@@ -417,15 +433,23 @@
         """
         return (
             self.proof_ratio() <= bound
-            and (not self.has_times() or self.rank_sum <= max(0.0, bound))
+            and self.is_fast(bound)
             and not self.is_suspect()
             and self.covers_routes()
             and not self.holds_back()
         )
 
-    def has_times(self) -> bool:
-        """Return whether there are times of the old version to compare with."""
-        return any(any(row.old.times) for row in self.routes.values())
+    def is_fast(self, bound: float) -> bool:
+        """Return whether the first outputs are as early as those of the old version.
+
+        Without any times of the old version there is nothing to compare with. Ranks
+        are all alike where both versions always take the same time, so that their sum
+        of 0 is a proof only if there were any.
+        """
+        if not any(any(row.old.times) for row in self.routes.values()):
+            return True
+        least = LEAST_COMPARED if bound <= 0.0 else 0
+        return self.rank_sum <= max(0.0, bound) and self.compared >= least
 
     def is_suspect(self) -> bool:
         """Return whether a statistic is near the bound."""
