--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -52,7 +52,7 @@
 ROUTES = tuple(RouteName(name) for name in ("letter", "question", "lookup"))
 ROUTE_SHARES = np.array([0.5, 0.3, 0.2])
 BAD_ROUTE = 2
-CHUNK = 5
+MOST_AT_ONCE = 50
 SHARE = 0.1
 SLACK = 50
 BAD_ANSWERS = 50
@@ -411,7 +411,7 @@
         name, exposed = ROUTES[route], []
         if step.phase is Phase.COMPLETED:
             return list(range(first, last))
-        chunk = 1 if step.share >= 1.0 else CHUNK
+        chunk = self.chunk(step, name)
         for index in range(first, last, chunk):
             size = min(chunk, last - index)
             is_exposed = step.share > 0 and self.exposure.may_expose(
@@ -425,6 +425,13 @@
                 self.exposure.record_granted(False, now, name, count=size)
         return exposed
 
+    def chunk(self, step: Step, route: RouteName) -> int:
+        """Return how many requests are granted at once, at most one of them exposed."""
+        if step.share >= 1.0:
+            return 1
+        share = step.share * self.exposure.route_weight(route)
+        return max(1, min(MOST_AT_ONCE, int(0.5 / share))) if share else MOST_AT_ONCE
+
     def is_bad(self, rate: float, now: float) -> bool:
         """Return whether the new version is bad at present."""
         if self.version.is_good:
--- a/godwitladder/decisions/rollouts/evidence.py
+++ b/godwitladder/decisions/rollouts/evidence.py
@@ -23,6 +23,7 @@
     without any.
 """
 
+import functools
 import math
 from dataclasses import dataclass, field
 
@@ -78,7 +79,7 @@
     failed: int = 0
     times: tuple[tuple[int, int], ...] = ()
 
-    @property
+    @functools.cached_property
     def events(self) -> int:
         """Number of events counted; of two reports of a source the later has more."""
         return self.good + self.failed + sum(count for _, count in self.times)
@@ -116,10 +117,11 @@
         self.sent += after.sent - before.sent
         self.good += after.good - before.good
         self.failed += after.failed - before.failed
-        for bucket, count in before.times:
-            self.times[min(max(bucket, 0), LAST_BUCKET)] -= count
-        for bucket, count in after.times:
-            self.times[min(max(bucket, 0), LAST_BUCKET)] += count
+        for rows, sign in ((before.times, -1), (after.times, 1)):
+            for bucket, count in rows:
+                if not 0 <= bucket <= LAST_BUCKET:
+                    bucket = 0 if bucket < 0 else LAST_BUCKET
+                self.times[bucket] += sign * count
 
     def add_totals(self, other: "AnswerTotals") -> None:
         """Add other totals."""
--- a/godwitladder/decisions/rollouts/progress.py
+++ b/godwitladder/decisions/rollouts/progress.py
@@ -187,7 +187,8 @@
         if self.phase is Phase.COMPLETED:
             return Step(self.phase, 1.0, True)
         if self.phase is not Phase.ROLLED_BACK:
-            self.advance(self.test.update(evidence, now), exposure, now)
+            self.test.update(evidence, now)
+            self.advance(exposure, now)
         if self.phase is Phase.ROLLED_BACK:
             return Step(self.phase, outcome=RolloutState.ROLLED_BACK)
         if self.phase is Phase.CUTOVER:
@@ -195,9 +196,9 @@
             return Step(self.phase, 1.0, True, self.outcome(exposure, now))
         return Step(self.phase, self.trial_share(exposure, now))
 
-    def advance(self, verdict: Verdict, exposure: ExposureBudget, now: float) -> None:
-        """Change the phase according to the verdict and the time."""
-        if verdict is Verdict.CONDEMNED or now >= self.last_chance():
+    def advance(self, exposure: ExposureBudget, now: float) -> None:
+        """Change the phase according to the evidence and the time."""
+        if self.test.is_condemned or now >= self.last_chance():
             self.phase = Phase.ROLLED_BACK
         elif self.phase is Phase.TRIAL and self.may_cut_over(exposure, now):
             self.phase = Phase.CUTOVER
--- a/godwitladder/decisions/rollouts/ratio_test.py
+++ b/godwitladder/decisions/rollouts/ratio_test.py
@@ -300,9 +300,10 @@
     window_ends_at: float | None = None
     is_condemned: bool = False
 
-    def update(self, evidence: Evidence, now: float) -> Verdict:
+    def update(self, evidence: Evidence, now: float) -> None:
         """Take in what has been counted since the last update."""
-        if evidence.changes != self.changes:
+        has_news = evidence.changes != self.changes
+        if has_news:
             self.changes = evidence.changes
             self.add_failures(self.take_in(evidence))
         if self.window_ends_at is None:
@@ -310,9 +311,9 @@
         elif now >= self.window_ends_at:
             self.window_ends_at = now + WINDOW_S
             self.close_windows()
-        if self.highest() >= self.bound() or self.has_excess():
+            has_news = True
+        if has_news and (self.highest() >= self.bound() or self.has_excess()):
             self.is_condemned = True
-        return self.verdict()
 
     def take_in(self, evidence: Evidence) -> dict[RouteName, AnswerTotals]:
         """Copy the totals; return the new version's new answers by route."""
--- a/tests/decisions/test_rollout_test.py
+++ b/tests/decisions/test_rollout_test.py
@@ -36,7 +36,8 @@
     def tick(self):
         """Let the test take in what was counted."""
         self.now += TICK_S
-        return self.test.update(self.evidence, self.now)
+        self.test.update(self.evidence, self.now)
+        return self.test.verdict()
 
     def play(self, ticks, new, old=(), route=LETTER):
         """Let both versions answer for some ticks; return the verdict."""
@@ -151,8 +152,7 @@
     """Guards against a new allocator that begins without evidence."""
     trial = Trial()
     trial.play(50, dict(good=2))
-    assert RatioTest(NEW).update(trial.evidence, 0.0) is Verdict.UNDECIDED
-    successor = RatioTest(NEW)
-    successor.update(trial.evidence, 0.0)
-    trial.test = successor
+    trial.test = RatioTest(NEW)
+    trial.test.update(trial.evidence, 0.0)
+    assert trial.test.verdict() is Verdict.UNDECIDED
     assert trial.play(4, dict(good=2)) is Verdict.PROVED
