--- a/tests/decisions/test_rollout_test.py
+++ b/tests/decisions/test_rollout_test.py
@@ -107,6 +107,15 @@
     assert trial.play(30, dict(good=2)) is Verdict.PROVED
 
 
+def test_targets_that_are_slow_for_a_moment_condemn_nothing():
+    """Guards against many answers of one slow target that count as independent."""
+    trial = Trial()
+    trial.play(30, dict(good=40), dict(good=100))
+    trial.play(3, dict(good=40, seconds=0.25), dict(good=100))
+    verdict = trial.play(30, dict(good=40), dict(good=100))
+    assert verdict is not Verdict.CONDEMNED
+
+
 def test_a_version_that_fails_on_one_route_is_condemned():
     """Guards against a fault that the good answers of other routes hide."""
     trial = Trial()
