--- a/godwitladder/platform/rollouts.py
+++ b/godwitladder/platform/rollouts.py
@@ -22,10 +22,15 @@
     """Return the rollout order in ``record``, or why it is invalid."""
     try:
         raw = json.loads(record.value)
-        service, release = raw["service"], raw["target"]
-        duration_s = float(raw["durationS"])
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        return Failure(f"is no order: {error!r}")
+    except (ValueError, RecursionError) as error:
+        return Failure(f"is no JSON: {error!r}")
+    if not isinstance(raw, dict):
+        return Failure("is no JSON object")
+    service, release = raw.get("service"), raw.get("target")
+    try:
+        duration_s = float(raw.get("durationS"))
+    except (ValueError, TypeError):
+        return Failure("has no duration")
     if not isinstance(service, str) or not service:
         return Failure("names no service")
     if not isinstance(release, str | int) or isinstance(release, bool):
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -34,13 +34,13 @@
 
     Attributes
     ----------
-    invalid_orders : dict
-        Offset of the last invalid order that was logged, by key.
+    invalid_orders : set of (str, int)
+        Keys and offsets of the invalid orders that were logged.
     """
 
     def __init__(self, store: StoreClient) -> None:
         self.store = store
-        self.invalid_orders: dict[str, int] = {}
+        self.invalid_orders: set[tuple[str, int]] = set()
 
     def read_documents(self, offset: int) -> Batch:
         """Return the configuration records from ``offset`` on.
@@ -101,11 +101,11 @@
 
     def log_invalid_order(self, record: Record, error: str) -> None:
         """Log an invalid order once; each snapshot contains it again."""
-        if self.invalid_orders.get(record.key) == record.offset:
+        if (record.key, record.offset) in self.invalid_orders:
             return
         if len(self.invalid_orders) >= MAX_INVALID_ORDERS:
             self.invalid_orders.clear()
-        self.invalid_orders[record.key] = record.offset
+        self.invalid_orders.add((record.key, record.offset))
         extra = {"key": record.key[:64], "offset": record.offset, "error": error}
         log.warning("A rollout order is invalid", extra=extra)
 
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -15,6 +15,7 @@
 from godwitladder.platform.entries import decode_entry
 from godwitladder.platform.rollouts import decode_rollout, encode_status
 from godwitladder.platform.source import PlatformSource
+from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.routing.model import RoutingDocument
 from godwitladder.routing.state import make_config_state
 
@@ -137,6 +138,65 @@
     assert isinstance(decode_rollout(make_record(**changes)), Failure)
 
 
+@pytest.mark.parametrize(
+    ("value", "error"),
+    [
+        (b'{"target": 3, "durationS": 5}', "names no service"),
+        (b'{"service": "letters", "durationS": 5}', "names no version"),
+        (b'{"service": "letters", "target": 3}', "has no duration"),
+        (b"[]", "is no JSON object"),
+        (b"{", "is no JSON: "),
+    ],
+)
+def test_an_invalid_order_is_logged_once_with_its_fault(value, error, caplog):
+    """Guards against a line for each read of an order that no one understands."""
+    caplog.set_level("INFO", "godwitladder.platform")
+    source = PlatformSource(FakeStore())
+    for _ in range(3):
+        assert source.decode_rollout(Record(4, "rollout/letters", value)) is None
+    (line,) = caplog.records
+    assert line.error.startswith(error)
+
+
+def make_tracker(max_age_s=5.0):
+    """Return a tracker of a system that tries versions."""
+    tracker = RolloutTracker(PlatformSource(FakeStore()))
+    tracker.freshness = DocumentFreshness(max_age_s)
+    tracker.freshness.confirm(99.5)
+    return tracker
+
+
+def test_an_order_to_try_is_not_answered_and_tells_when_it_was_given():
+    """Guards against a deadline that begins again with each host that reads it."""
+    tracker = make_tracker()
+    assert tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
+    tracker.answer_orders()
+    assert not tracker.source.store.appended
+    (row,) = tracker.orders_to_try()
+    assert (row.order.release, row.ordered_at) == ("3", 99.5)
+    assert not tracker.apply(Batch(-1, 8, (make_record(),)), 105.0, 104.0)
+    assert tracker.orders_to_try() == (row,)
+
+
+def test_an_order_stays_in_force_while_the_store_is_away():
+    """Guards against a condemned version that gets calls before its outcome is read."""
+    tracker = make_tracker()
+    tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
+    for second in range(100, 200):
+        tracker.expire(float(second))
+    assert tracker.orders
+    back_at = 199.0 + EXTRA_HOLD_S
+    tracker.freshness.confirm(back_at)
+    assert tracker.expire(back_at)
+    assert not tracker.orders_to_try()
+
+
+def test_without_bounds_no_order_is_to_be_tried():
+    tracker = RolloutTracker(PlatformSource(FakeStore()))
+    tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
+    assert tracker.orders and not tracker.orders_to_try()
+
+
 def test_a_status_contains_the_version_as_it_was_written():
     record = make_record(target="v3")
     order = decode_rollout(record).unwrap()
--- a/tests/rollouts/test_hosts.py
+++ b/tests/rollouts/test_hosts.py
@@ -122,9 +122,10 @@
 
 def test_orders_that_are_invalid_are_logged_once_and_change_nothing(fleet):
     """Guards against an order that no one understands and that stops the hosts."""
-    for row in ({"target": 2, "durationS": 5}, {"service": "core", "target": 2}):
+    rows = {"one": {"target": 2, "durationS": 5}, "two": {"service": "core"}}
+    for key, row in rows.items():
         value = json.dumps(row).encode()
-        fleet.store.standin.put(names.CONFIG_TOPIC, "rollout/core", value)
+        fleet.store.standin.put(names.CONFIG_TOPIC, f"rollout/{key}", value)
     line = b"A rollout order is invalid"
     wait_until(
         lambda: all(row.log_path.read_bytes().count(line) == 2 for row in fleet.hosts),
