Rollouts: count grants from before the order was read; report counts every 0.2 s

A target of the new version may be there before its order is read, and gets calls like all others then. They count towards the exposure of the order.

--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
@@ -28,7 +29,7 @@
     WaitingRequest,
 )
 from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
-from godwitladder.ids import RequestId, ServiceName
+from godwitladder.ids import Release, RequestId, ServiceName
 from godwitladder.rollouts.messages import (
     CondemnedVersion,
     OrderAge,
@@ -40,6 +41,9 @@
 UNKNOWN_AGE_S = 2.0
 """Time for which a term waits for a host that knows when an order was given. Without
 one the version is rolled back."""
+RECENT_S = 5.0
+"""Time for which grants are remembered. An order is read within two intervals of the
+reads of the store, or later after an outage."""
 SHARE_STEP = 1.5
 """Factor by which a share must differ from the last one that was logged."""
 WAITING = Step(Phase.TRIAL)
@@ -136,6 +140,37 @@
         self.budget.record_granted(exposed, now, waiting.demand.route, is_repeated)
 
 
+class RecentGrants:
+    """Grants of the last seconds by service and version.
+
+    Targets may be there before their order is read, and get calls like all others.
+
+    Attributes
+    ----------
+    rows : deque of (float, ServiceName, Release)
+    """
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[float, ServiceName, Release]] = deque()
+
+    def record(
+        self, view: PoolView, placements: Iterable[Placement], now: float
+    ) -> None:
+        """Record the placements of one run."""
+        for row in placements:
+            service = view.waiting[row.request].demand.service
+            self.rows.append((now, service, view.targets[row.target].release))
+        while self.rows and self.rows[0][0] < now - RECENT_S:
+            self.rows.popleft()
+
+    def charge(self, trial: Trial) -> None:
+        """Count the grants since an order that was not known then."""
+        for granted_at, service, release in self.rows:
+            if service == trial.order.service and granted_at >= trial.ordered_at:
+                exposed = release == trial.order.release
+                trial.budget.record_granted(exposed, granted_at)
+
+
 class Trials:
     """Rollouts of the services of one pool, for one term of its allocator.
 
@@ -147,12 +182,16 @@
         Returns whether the documents are young enough to grant anything.
     rows : dict
         The trials by service.
+    recent : RecentGrants
+        Grants of the last seconds, of which some came after an order that was not
+        known yet.
     """
 
     def __init__(self) -> None:
         self.limits: RolloutLimits | None = None
         self.is_fresh: Callable[[], bool] = lambda: True
         self.rows: dict[ServiceName, Trial] = {}
+        self.recent = RecentGrants()
 
     def set_orders(self, orders: Iterable[OrderInForce], now: float) -> None:
         """Set the orders in force for the services of the pool."""
@@ -162,6 +201,7 @@
             if known is None or known.order != row.order:
                 budget = ExposureBudget(self.limits.exposure_share)
                 known = Trial(row.order, row.ordered_at, now, budget)
+                self.recent.charge(known)
             known.ordered_at = max(known.ordered_at, row.ordered_at)
             self.rows[row.order.service] = known
 
@@ -248,7 +288,10 @@
     def allocate(self, view: PoolView, now: float) -> Allocation:
         """Choose requests for versions on trial, and allocate the rest of the pool."""
         if not self.rows:
-            return allocate(view, now)
+            allocation = allocate(view, now)
+            if self.limits is not None:
+                self.recent.record(view, allocation.placements, now)
+            return allocation
         is_fresh = self.is_fresh()
         placements: list[Placement] = []
         barred: set[str] = set()
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -147,6 +147,8 @@
         Targets that have stated something new to this host since the last report.
     brittle_refusals : set of TargetName
         Brittle targets that have refused a request since the last report.
+    counts_listed_at : float
+        Time of the last report that listed the answers of versions.
     spent_alone : bool
         Whether this host has spent tokens without a grant since it last listed them.
     spending_listed_at : float
@@ -187,6 +189,7 @@
     fates: Counter[GrantFate] = field(default_factory=Counter)
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
+    counts_listed_at: float = float("-inf")
     spent_alone: bool = False
     spending_listed_at: float = float("-inf")
     own_tokens: int = 0
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -40,6 +40,10 @@
 """Minimum time between two reports that list what workspaces have spent by the grants
 of other allocators, if they are sent anyway."""
 
+COUNTS_INTERVAL_S = 0.2
+"""Minimum time between two reports that list the answers of versions, in seconds. With
+ten routes a list takes about two kilobytes."""
+
 MAX_FIRST_DEMANDS = 24
 MAX_LAST_DEMANDS = 8
 """Number of requests from the start and from the end of the queue that a report lists
@@ -178,6 +182,8 @@
         return True
     if tables.spending.has_grants_of_others(now, access.issuer):
         return True
+    if tables.rollouts.changed:
+        return True
     return any(tables.targets[name].running for name in access.pool.targets)
 
 
@@ -280,6 +286,9 @@
     services = access.pool.services
     if not services & rollouts.orders.keys():
         return {}
+    if incremental and now - access.counts_listed_at < COUNTS_INTERVAL_S:
+        return {}
+    access.counts_listed_at = now
     fields = {"version_counts": rollouts.take_counts(services, incremental)}
     if incremental:
         return fields
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -280,8 +280,9 @@
     region.step()
     region.trial.budget.slack = 50
     region.serve(100)
-    region.step()
+    region.step(30)
     before = region.trial.evidence.totals
+    assert sum(row.sent for row in before.values()) == 100
     region.take_over("a1", 2)
     region.step()
     after = region.trial.evidence.totals
@@ -291,6 +292,22 @@
     assert region.trial.progress.deadline == pytest.approx(START + 30.0, abs=0.1)
 
 
+def test_what_a_version_got_before_its_order_was_read_counts():
+    """Guards against targets that come before their order and use its bound twice."""
+    config = make_rollout_config()
+    active = replace(config.targets["n0"], state=TargetState.ACTIVE)
+    before = replace(config, targets=config.targets | {"n0": active}, rollouts={})
+    region = Region(before)
+    for tables in region.hosts.values():
+        tables.config = before
+    targets = region.serve(20)
+    assert 0 < sum(is_new(targets))
+    ordered = replace(config, rollouts={LETTERS: OrderInForce(ORDER, START + 0.1)})
+    region.configure(ordered)
+    assert 0 < region.trial.budget.exposed <= sum(is_new(targets))
+    assert region.trial.budget.exposed <= region.trial.budget.requests < 20
+
+
 def test_evidence_is_kept_by_route():
     """Guards against a route that fails behind the good answers of others."""
     region = Region()
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -24,6 +24,7 @@
 from godwitladder.quarantine.evidence import CrashEvidence
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.records import Crash
+from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.routing.app import RoutedApp, digest_call, index_document
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.scheduler.messages import Finished, Returned, ReturnProof, Submit
@@ -161,6 +162,7 @@
             CrashEvidence(self.clock, lambda: self.addresses),
         )
         self.origins = StreamOriginRegistry("h1", FakePeers(), self.clock)
+        self.rollouts = HostRollouts()
         proxy = RoutedProxy(
             form,
             self.scheduler,
@@ -173,6 +175,7 @@
             lambda: 1,
             Connector(self.clock, Metrics()),
             self.origins,
+            self.rollouts,
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
         document = decode_document(json.dumps(CONFIG | {"routes": ROUTES}).encode())
