--- a/godwitladder/rollouts/counts.py
+++ b/godwitladder/rollouts/counts.py
@@ -27,6 +27,8 @@
 
 log = component_logger("rollouts")
 
+MAX_LOGGED_FAILURES = 20
+"""Failures of a version on a route that a host logs. Fewer than 50 condemn it."""
 MAX_ROWS = 512
 """Versions and routes that a host counts. It limits the size of a report."""
 
@@ -94,19 +96,27 @@
         self.has_output = True
         with self.rollouts.lock:
             self.row.times[time_bucket(now - self.sent_at, tokens)] += 1
-            self.rollouts.changed.add(self.key)
+            self.rollouts.mark_changed(self.key, self.row)
 
-    def end(self, result: AnswerResult) -> None:
-        """Count the end of the answer; later calls do nothing."""
+    def end(self, result: AnswerResult) -> bool:
+        """Count the end of the answer; later calls do nothing.
+
+        Returns
+        -------
+        bool
+            Whether it is one of the first failures, of which each gets a log line.
+        """
         if self.ended:
-            return
+            return False
         self.ended = True
         with self.rollouts.lock:
             self.row.good += result is AnswerResult.GOOD
             self.row.failed += result is AnswerResult.FAILED
             self.row.sent -= result is AnswerResult.VOID
-            self.rollouts.changed.add(self.key)
+            self.rollouts.mark_changed(self.key, self.row)
         self.rollouts.count_end(self.key, result)
+        is_first = self.row.failed <= MAX_LOGGED_FAILURES
+        return result is AnswerResult.FAILED and is_first
 
 
 class HostRollouts:
@@ -170,18 +180,23 @@
         self, service: ServiceName, release: Release, route: RouteName, now: float
     ) -> "CountedAnswer | None":
         """Count a request that is sent now; None if its service has no order."""
-        order = self.orders.get(service)
-        if order is None:
+        if service not in self.orders:
             return None
         key = service, release, route
         with self.lock:
-            if key not in self.rows and len(self.rows) >= MAX_ROWS:
+            is_full = key not in self.rows and len(self.rows) >= MAX_ROWS
+            if is_full or service not in self.orders:
                 return None
             row = self.rows.setdefault(key, Row())
             row.sent += 1
             self.changed.add(key)
         return CountedAnswer(self, key, row, now)
 
+    def mark_changed(self, key: RowKey, row: Row) -> None:
+        """Report a row soon, unless its order is over; the lock is held."""
+        if self.rows.get(key) is row:
+            self.changed.add(key)
+
     def count_end(self, key: RowKey, result: AnswerResult) -> None:
         """Count the end of an answer in the metrics."""
         if self.metrics is not None:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -318,7 +318,8 @@
         )
         self.count_output()
         failed = response.status >= 500
-        self.count_end(AnswerResult.FAILED if failed else AnswerResult.GOOD)
+        result = AnswerResult.FAILED if failed else AnswerResult.GOOD
+        self.count_end(result, str(response.status))
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
@@ -524,10 +525,14 @@
         if self.counted is not None:
             self.counted.record_output(self.clock.monotonic(), self.read_tokens)
 
-    def count_end(self, result: AnswerResult) -> None:
+    def count_end(self, result: AnswerResult, detail: str = "") -> None:
         """Count the end of the answer to the last send, once."""
-        if self.counted is not None:
-            self.counted.end(result)
+        if self.counted is not None and self.counted.end(result):
+            extra = self.log_fields() | {
+                "release": self.dispatch.release,
+                "detail": detail,
+            }
+            log.info("An answer has failed during a rollout", extra=extra)
 
     def count_loss(self, error: MayHaveRun) -> None:
         """Count a lost answer as failed if the target may be to blame.
@@ -540,7 +545,7 @@
         is_silent = self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S
         cause = self.open_call.cause
         if cause is None or (cause is AbortCause.TIMEOUT and is_silent):
-            self.count_end(AnswerResult.FAILED)
+            self.count_end(AnswerResult.FAILED, str(error))
 
     def record_completion(self) -> None:
         """Record that the call has run to its end."""
--- a/tests/serving/test_rollout_counts.py
+++ b/tests/serving/test_rollout_counts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder
-from godwitladder.rollouts.counts import HostRollouts
+from godwitladder.rollouts.counts import AnswerResult, HostRollouts
 from godwitladder.rollouts.sent_parts import SentParts
 from godwitladder.routing.calls import PromptPart
 from tests.serving.test_passing import Bench, stack  # noqa: F401
@@ -96,6 +96,29 @@
     assert len(counts(bench)) == 2
 
 
+def test_an_answer_after_the_end_of_its_order_is_not_reported():
+    """Guards against reports without end of a count that no longer exists."""
+    rollouts = HostRollouts()
+    rollouts.set_orders({"core": OrderInForce(ORDER, 0.0)})
+    answer = rollouts.begin("core", "v2", "charge", 0.0)
+    rollouts.set_orders({})
+    answer.record_output(0.1)
+    answer.end(AnswerResult.GOOD)
+    assert not rollouts.changed
+    assert rollouts.begin("core", "v2", "charge", 0.0) is None
+
+
+def test_the_first_failures_of_a_version_are_logged(stack, caplog):  # noqa: F811
+    """Guards against a version that is rolled back without a trace of its calls."""
+    caplog.set_level("INFO", "godwitladder.passing")
+    bench = make_bench(stack, status=500)
+    bench.call("/charge/x")
+    lines = [row for row in caplog.records if "during a rollout" in row.message]
+    assert [(row.request, row.release, row.detail) for row in lines] == [
+        ("a1", "v2", "500")
+    ]
+
+
 def test_a_part_that_a_target_holds_is_not_read_again():
     """Guards against a new version that looks slow because it holds no prompts."""
     rollouts = HostRollouts(parts=SentParts())
