--- a/tests/decisions/test_rollout_test.py
+++ b/tests/decisions/test_rollout_test.py
@@ -163,3 +163,17 @@
     trial.test.update(trial.evidence, 0.0)
     assert trial.test.verdict() is Verdict.UNDECIDED
     assert trial.play(4, dict(good=2)) is Verdict.PROVED
+
+
+def test_a_fault_of_the_machines_of_one_version_looks_like_the_version():
+    """States what cannot be told apart: it condemns, which harms no caller."""
+    trial = Trial()
+    trial.play(30, dict(good=2))
+    assert trial.play(5, dict(good=0, failed=2)) is Verdict.CONDEMNED
+
+
+def test_slower_machines_of_one_version_look_like_the_version():
+    """States what cannot be told apart: it condemns, which harms no caller."""
+    trial = Trial()
+    trial.play(30, dict(good=2))
+    assert trial.play(30, dict(good=2, seconds=0.25)) is Verdict.CONDEMNED
