Rollouts: outcomes belong to a whole order, and ages to the sending of a report

After a copy of the store an order may have the offset of a lost one; an outcome that was kept by the offset alone would have completed another version.

--- a/godwitladder/rollouts/counts.py
+++ b/godwitladder/rollouts/counts.py
@@ -163,9 +163,7 @@
             self.orders = orders
             self.rows = {key: row for key, row in self.rows.items() if key[0] in same}
             self.notices = {
-                service: row
-                for service, row in self.notices.items()
-                if service in orders and row.offset == orders[service].order.offset
+                service: row for service, row in self.notices.items() if service in same
             }
             self.changed.intersection_update(self.rows)
 
--- a/godwitladder/rollouts/desk.py
+++ b/godwitladder/rollouts/desk.py
@@ -45,7 +45,7 @@
     wake : callable
         Called with the seconds after which the trials are to be led on.
     outcomes : dict
-        Outcome that the store holds, by service, with the offset of its order.
+        Order and outcome that the store holds, by service.
     noted : set of int
         Offsets of the orders that can't be tried, which were logged.
     """
@@ -59,7 +59,7 @@
         self.is_fresh = is_fresh
         self.request: Callable[[WantedStatus], None] = lambda wanted: None
         self.wake: Callable[[float], None] = lambda seconds: None
-        self.outcomes: dict[ServiceName, tuple[int, RolloutState]] = {}
+        self.outcomes: dict[ServiceName, tuple[RolloutOrder, RolloutState]] = {}
         self.noted: set[int] = set()
 
     def settle(self, config: ConfigState) -> ConfigState:
@@ -67,7 +67,7 @@
         proved = [
             ProvedVersion(service, Release(row.order.release), row.order.offset)
             for service, row in config.rollouts.items()
-            if self.outcomes.get(service) == (row.order.offset, RolloutState.COMPLETED)
+            if self.outcomes.get(service) == (row.order, RolloutState.COMPLETED)
         ]
         return settle(config, proved)
 
@@ -90,12 +90,18 @@
             if trial not in known and now - trial.ordered_at < NEW_ORDER_S:
                 trial.is_in_force = is_in_force(config, trial.order)
         for service, trial in trials.rows.items():
-            offset, state = self.outcomes.get(service, (-1, RolloutState.RUNNING))
-            if offset == trial.order.offset and not trial.is_stored:
+            order, state = self.outcomes.get(service, (None, RolloutState.RUNNING))
+            if order == trial.order and not trial.is_stored:
                 trials.record_outcome(trial, state)
 
-    def take_report(self, trials: Trials, report: PoolReport, now: float) -> bool:
-        """Take in a host's report; return whether it tells of a new outcome."""
+    def take_report(self, trials: Trials, report: PoolReport, sent_at: float) -> bool:
+        """Take in a host's report; return whether it tells of a new outcome.
+
+        Parameters
+        ----------
+        sent_at : float
+            Earliest time at which it may have been sent.
+        """
         if not trials.rows:
             return False
         before = trials.proved()
@@ -105,10 +111,11 @@
             report.order_ages,
             report.condemned,
             report.proved,
-            now,
+            sent_at,
         )
         for row in set(trials.proved()) - set(before):
-            self.outcomes[row.service] = row.offset, RolloutState.COMPLETED
+            order = trials.rows[row.service].order
+            self.outcomes[row.service] = order, RolloutState.COMPLETED
         return trials.proved() != before
 
     def take_status(self, trials: Trials, known: StatusKnown, term: int) -> bool:
@@ -123,7 +130,7 @@
         if trial is None or trial.order != known.order:
             return False
         trials.take_status(known)
-        outcome = known.order.offset, known.state
+        outcome = known.order, known.state
         if known.state not in OUTCOMES or self.outcomes.get(service) == outcome:
             return False
         self.outcomes[service] = outcome
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -308,10 +308,14 @@
         }
         rest = replace(view, waiting=waiting, barred=frozenset(barred))
         allocation = allocate(rest, now)
+        others = []
         for row in allocation.placements:
             trial = self.rows.get(view.waiting[row.request].demand.service)
-            if trial is not None:
+            if trial is None:
+                others.append(row)
+            else:
                 trial.record_granted(view.waiting[row.request], False, now)
+        self.recent.record(view, others, now)
         allocation.placements[:0] = placements
         return allocation
 
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -203,7 +203,8 @@
         now = self.clock.monotonic()
         if role.take_report(message, now) or role.trials.rows:
             self.due.add(message.pool)
-        if self.tables.rollouts.take_report(role.trials, message, now):
+        sent_at = now - role.delays.recent_peak_s(now)
+        if self.tables.rollouts.take_report(role.trials, message, sent_at):
             self.update_roles()
 
     @take.register
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -390,6 +390,24 @@
     assert region.trial.progress.deadline == pytest.approx(region.now + 30, abs=1.0)
 
 
+def test_an_order_at_the_offset_of_a_lost_one_begins_anew():
+    """Guards against an outcome of an order that a copy of the store has lost."""
+    region = Region()
+    region.step()
+    known = StatusKnown(ORDER, RolloutState.COMPLETED, 1)
+    region.desk.take_status(region.role.trials, known, 1)
+    region.serve(4)
+    assert region.hosts["h0"].rollouts.notices
+    config = make_rollout_config(replace(ORDER, release="v3"), region.now)
+    for tables in region.hosts.values():
+        tables.rollouts.set_orders(config.rollouts)
+    region.configure(config)
+    region.step()
+    assert not region.hosts["h0"].rollouts.notices
+    assert region.trial.step.phase is Phase.TRIAL
+    assert region.config.targets["n0"].state is TargetState.UNPROVED
+
+
 def test_the_version_in_force_is_completed_at_once(caplog):
     caplog.set_level("INFO", "godwitladder.rollouts")
     region = Region(make_rollout_config(old=()))
