--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -78,7 +78,7 @@
     exposure_share : float or None
         Share of its service's requests that a version on trial may get. None where
         versions are not tried: orders are then answered at once as rolled back.
-    exposure_slack : int
+    exposure_slack : float
         Requests that it may get beyond the share.
     rollback_s : float
         Seconds from the 50th bad answer of a version to the last request sent to it.
@@ -92,7 +92,7 @@
     quota_window_s: float = checked(positive, default=8.0)
     quota_slack: float = checked(not_negative, default=0.0)
     exposure_share: float | None = checked(share, default=None)
-    exposure_slack: int = checked(not_negative, default=50)
+    exposure_slack: float = checked(not_negative, default=50.0)
     rollback_s: float = checked(positive, default=5.0)
 
     @property
@@ -100,7 +100,8 @@
         """Bounds of rollouts; None where versions are not tried."""
         if self.exposure_share is None:
             return None
-        return RolloutLimits(self.exposure_share, self.exposure_slack, self.rollback_s)
+        slack = int(self.exposure_slack)
+        return RolloutLimits(self.exposure_share, slack, self.rollback_s)
 
 
 @dataclass(frozen=True)
--- a/tests/rollouts/test_hosts.py
+++ b/tests/rollouts/test_hosts.py
@@ -38,6 +38,18 @@
     return states[-1] if states and states[-1] != "running" else ""
 
 
+def first_writer(fleet):
+    """Return the host that wrote the first status."""
+    line = b"Wrote the status of a rollout"
+
+    def writers():
+        return [row for row in fleet.hosts if line in row.log_path.read_bytes()]
+
+    wait_until(writers, "the first status")
+    (writer,) = writers()
+    return writer
+
+
 def complete(fleet):
     """Order a good version until it is completed, at most `MAX_ORDERS` times.
 
@@ -81,13 +93,7 @@
 def test_another_host_takes_the_trial_over(fleet):
     """Guards against an outcome that depends on one host, in spite of the store."""
     begin(fleet)
-    line = b"Wrote the status of a rollout"
-
-    def writers():
-        return [row for row in fleet.hosts if line in row.log_path.read_bytes()]
-
-    wait_until(writers, "the first status")
-    (writer,) = writers()
+    writer = first_writer(fleet)
     writer.process.send_signal(signal.SIGKILL)
     wait_until(lambda: outcome(fleet), "an outcome")
     assert len(fleet.states()) == 2
@@ -96,6 +102,22 @@
         assert len(fleet.runs("n")) <= 0.2 * requests + 50
 
 
+def test_a_host_that_stood_still_writes_no_second_outcome(fleet):
+    """Guards against an allocator that goes on with a rollout that is over."""
+    begin(fleet, status=500, pause_s=0.2)
+    writer = first_writer(fleet)
+    writer.process.send_signal(signal.SIGSTOP)
+    try:
+        wait_until(lambda: outcome(fleet), "an outcome")
+        exposed = len(fleet.runs("n"))
+    finally:
+        writer.process.send_signal(signal.SIGCONT)
+    served = fleet.statuses[200]
+    wait_until(lambda: fleet.statuses[200] > served + 150, "calls")
+    assert fleet.states() == ["running", "rolled_back"]
+    assert len(fleet.runs("n")) == exposed <= 50
+
+
 def test_a_document_changes_in_the_middle_of_a_rollout(fleet):
     """Guards against a trial that ends or begins anew with a change of the document."""
     begin(fleet)
