--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -7,12 +7,12 @@
 0.1 s.
 """
 
-import argparse
 import math
 import sys
 from dataclasses import dataclass, replace
 from multiprocessing import Pool
 
+import defopt
 import numpy as np
 
 from bench.report import table
@@ -513,35 +513,54 @@
     return row.run()
 
 
-def make_rows(args: argparse.Namespace) -> list[Row]:
-    """Return the rows that the arguments ask for."""
+def make_rows(
+    seeds: int, mode: CutoverMode, version: str, setting: str, load: str
+) -> list[Row]:
+    """Return the rows that match the words given."""
     return [
-        Row(version, setting, CutoverMode(args.mode), rate, duration, args.seeds)
-        for version in VERSIONS
-        if args.version in version.name
-        for setting in SETTINGS
-        if args.settings in setting.name
-        for rate, duration in LOADS
-        if not args.load or args.load == f"{rate}x{duration:.0f}"
+        Row(row, conditions, mode, rate, duration_s, seeds)
+        for row in VERSIONS
+        if version in row.name
+        for conditions in SETTINGS
+        if setting in conditions.name
+        for rate, duration_s in LOADS
+        if not load or load == f"{rate}x{duration_s:.0f}"
     ]
 
 
-def main() -> int:
-    """Print the table and return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("--seeds", type=int, default=200)
-    parser.add_argument("--jobs", type=int, default=2)
-    parser.add_argument("--mode", default=CutoverMode.RESERVED.value)
-    parser.add_argument("--settings", default="", help="part of a setting's name")
-    parser.add_argument("--version", default="", help="part of a version's name")
-    parser.add_argument("--load", default="", help="such as 100x12")
-    args = parser.parse_args()
+def main(
+    *,
+    seeds: int = 200,
+    jobs: int = 2,
+    mode: CutoverMode = CutoverMode.RESERVED,
+    version: str = "",
+    setting: str = "",
+    load: str = "",
+) -> int:
+    """Print the table and return the exit code.
+
+    Parameters
+    ----------
+    seeds : int
+        Number of runs of each row, with seeds from 0 on.
+    jobs : int
+        Number of processes.
+    mode : CutoverMode
+        Way of cutover.
+    version : str
+        Part of the names of the versions to play.
+    setting : str
+        Part of the names of the settings to play.
+    load : str
+        Requests per second and duration to play, such as 100x12; by default all.
+    """
+    rows = make_rows(seeds, mode, version, setting, load)
     print(table(HEAD, []), flush=True)
-    with Pool(args.jobs) as pool:
-        for cells in pool.imap(run_row, make_rows(args)):
+    with Pool(jobs) as pool:
+        for cells in pool.imap(run_row, rows):
             print(f"| {' | '.join(cells)} |", flush=True)
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(defopt.run(main))
--- a/godwitladder/decisions/rollouts/progress.py
+++ b/godwitladder/decisions/rollouts/progress.py
@@ -31,6 +31,7 @@
 FIRST_STEP, STEP_FACTOR, STEP_EVIDENCE : first share of `CutoverMode.STEPPED` as a
     fraction of the exposure, the factor between steps, and the evidence for each as
     the logarithm of a likelihood ratio.
+MOST_STEPS : number of steps after which the share is certainly the whole exposure.
 LAST_STEP_S : seconds for which `CutoverMode.STEPPED` gives the new version all calls
     before ``completed`` is written.
 """
@@ -55,6 +56,7 @@
 STEP_FACTOR = 2.0
 STEP_EVIDENCE = 1.0
 LAST_STEP_S = 0.2
+MOST_STEPS = 10
 
 
 class Phase(enum.Enum):
@@ -105,7 +107,9 @@
     exposure_slack : int
         Number of requests that it may get beyond the share.
     rollback_s : float
-        Seconds from a version's 50th bad answer to the last request sent to it.
+        Most seconds from a version's 50th bad answer to the last request sent to it.
+        The test condemns a version that fails before its 50th, and a slow one within
+        seconds; no decision waits for this bound.
     write_s : float
         Seconds before the deadline at which ``completed`` is to be written.
     mode : CutoverMode
@@ -261,6 +265,7 @@
             most = MOST_TRIAL_FRACTION * whole
             return max(TRIAL_FRACTION * whole, min(most, enough))
         steps = max(0.0, -self.test.proof_ratio()) // STEP_EVIDENCE
+        steps = min(MOST_STEPS, steps)
         share = FIRST_STEP * whole * STEP_FACTOR**steps
         if not expected:
             return min(share, whole)
