--- a/tests/rollouts/test_hosts.py
+++ b/tests/platform/test_rollouts.py
@@ -9,8 +9,8 @@
 
 from godwitladder.platform import names
 from tests.fleet import wait_until
+from tests.platform.rollout_fleet import RolloutFleet
 from tests.platform.test_hosts import make_config
-from tests.rollouts.fleet import RolloutFleet
 
 DURATION_S = 8.0
 MAX_ORDERS = 3
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -233,6 +233,20 @@
     assert "n0" not in targets[12:20]
 
 
+def test_in_the_cutover_calls_wait_while_the_new_version_is_busy():
+    """Guards against calls at old targets that are about to stop at once."""
+    region = Region(make_rollout_config(slots=1))
+    region.fix_step(Step(Phase.CUTOVER, 1.0, True))
+    region.trial.budget.slack = 10
+    rows = [
+        submit(region.hosts["h0"], make_request(f"c{n}", region.now, route=ROUTE))
+        for n in range(3)
+    ]
+    region.step(6)
+    made = [decision(row) for row in rows]
+    assert [row.target for row in made if row is not None] == ["n0"]
+
+
 def test_bad_answers_condemn_a_version_and_it_gets_nothing_more():
     """Guards against calls that go to a version that is known to be bad."""
     region = Region()
