--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -709,7 +709,8 @@
             return
         self.version += 1
         targets = tuple(self.table.entries.values())
-        unproved = held_back(self.rollouts.orders, targets)
+        orders, superseded = self.rollouts.orders, self.rollouts.superseded
+        unproved = held_back(orders, targets, superseded)
         log.info(
             "Store view published",
             extra={
--- a/godwitladder/discovery/rollout_tracker.py
+++ b/godwitladder/discovery/rollout_tracker.py
@@ -1,6 +1,7 @@
 """Tracks the rollout orders read from the store, and answers them."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
@@ -55,6 +56,11 @@
         Last order of each service, kept also when its version is no longer held back.
     answered : dict
         Last order that this host has answered in the store's current era, by service.
+    superseded : dict
+        Versions whose rollout another order has replaced before it was completed, by
+        service, each with the time until which it is held back.
+    is_completed : callable
+        Returns whether the rollout of an order is known to be completed.
     freshness : DocumentFreshness or None
         Age of the documents. None where versions are not tried: orders are then
         answered at once.
@@ -65,7 +71,9 @@
         self.orders: dict[ServiceName, RolloutOrder] = {}
         self.latest: dict[ServiceName, LatestOrder] = {}
         self.answered: dict[ServiceName, RolloutOrder] = {}
+        self.superseded: dict[ServiceName, dict[str, float]] = {}
         self.freshness: DocumentFreshness | None = None
+        self.is_completed: Callable[[RolloutOrder], bool] = lambda order: False
 
     def begin_era(self) -> None:
         """Answer all orders again once they are read in the store's new era.
@@ -103,8 +111,22 @@
         row = LatestOrder(record, order, expires_at, ordered_at=confirmed_at)
         self.latest[order.service] = row
         if self.freshness is not None:
+            self.supersede(order, known, now)
             self.log_order(order, self.orders.get(order.service))
 
+    def supersede(
+        self, order: RolloutOrder, before: LatestOrder | None, now: float
+    ) -> None:
+        """Hold the version of an order back that another one replaces.
+
+        Its targets may be bad, and are still there for some seconds.
+        """
+        releases = self.superseded.setdefault(order.service, {})
+        is_under_way = before is not None and before.expires_at > now
+        if is_under_way and not self.is_completed(before.order):
+            releases[before.order.release] = before.expires_at
+        releases.pop(order.release, None)
+
     def log_order(self, order: RolloutOrder, before: RolloutOrder | None) -> None:
         """Log an order, and which one it replaces that may be under way."""
         extra = {
@@ -140,6 +162,9 @@
     def expire(self, now: float) -> bool:
         """Remove expired orders; return whether the orders in force changed."""
         self.hold_during_outage(now)
+        for service, releases in self.superseded.items():
+            kept = {name: until for name, until in releases.items() if until > now}
+            self.superseded[service] = kept
         before = self.orders
         self.orders = {
             service: row.order
--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -10,7 +10,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from godwitladder.discovery.targets import TargetEntry
@@ -58,6 +58,9 @@
     raw: bytes = field(default=b"", compare=False, repr=False)
 
 
+NOTHING_SUPERSEDED: Mapping[ServiceName, Collection[str]] = {}
+
+
 @dataclass(frozen=True)
 class OrderInForce:
     """An order, and when it was given.
@@ -74,7 +77,9 @@
 
 
 def held_back(
-    orders: Mapping[ServiceName, RolloutOrder], entries: Iterable[TargetEntry]
+    orders: Mapping[ServiceName, RolloutOrder],
+    entries: Iterable[TargetEntry],
+    superseded: Mapping[ServiceName, Collection[str]] = NOTHING_SUPERSEDED,
 ) -> frozenset[TargetName]:
     """Return the targets that receive no calls because their version is unproved.
 
@@ -85,7 +90,8 @@
     proved: set[ServiceName] = set()
     for entry in entries:
         order = orders.get(entry.service)
-        if order is not None and entry.release == order.release:
+        is_superseded = entry.release in superseded.get(entry.service, ())
+        if is_superseded or (order is not None and entry.release == order.release):
             unproved.setdefault(entry.service, []).append(entry.name)
         elif not entry.leaving:
             proved.add(entry.service)
--- a/godwitladder/rollouts/counts.py
+++ b/godwitladder/rollouts/counts.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from godwitladder.decisions.rollouts.evidence import time_bucket
-from godwitladder.discovery.rollouts import OrderInForce
+from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder
 from godwitladder.ids import Release, RouteName, ServiceName, TargetName
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
@@ -168,11 +168,21 @@
             self.changed.intersection_update(self.rows)
 
     def is_on_trial(self, service: ServiceName, release: Release) -> bool:
-        """Return whether a version may get requests that were granted for it."""
-        row = self.orders.get(service)
-        if row is None or row.order.release != release:
+        """Return whether a version may get requests that were granted for it.
+
+        The grant decides; this host may know less of an order than the allocator.
+        """
+        if service not in self.orders:
             return False
-        return not isinstance(self.notices.get(service), CondemnedVersion)
+        notice = self.notices.get(service)
+        is_condemned = isinstance(notice, CondemnedVersion)
+        return not (is_condemned and notice.release == release)
+
+    def is_completed(self, order: RolloutOrder) -> bool:
+        """Return whether this host knows that the rollout of an order is completed."""
+        release = Release(order.release)
+        proved = ProvedVersion(order.service, release, order.offset)
+        return self.notices.get(order.service) == proved
 
     def begin(
         self, service: ServiceName, release: Release, route: RouteName, now: float
--- a/godwitladder/rollouts/desk.py
+++ b/godwitladder/rollouts/desk.py
@@ -62,12 +62,17 @@
         self.outcomes: dict[ServiceName, tuple[RolloutOrder, RolloutState]] = {}
         self.noted: set[int] = set()
 
+    def is_completed(self, order: RolloutOrder) -> bool:
+        """Return whether the store holds a rollout as completed."""
+        known = self.outcomes.get(order.service)
+        return known == (order, RolloutState.COMPLETED)
+
     def settle(self, config: ConfigState) -> ConfigState:
         """Return the configuration after the rollouts that are completed."""
         proved = [
             ProvedVersion(service, Release(row.order.release), row.order.offset)
             for service, row in config.rollouts.items()
-            if self.outcomes.get(service) == (row.order, RolloutState.COMPLETED)
+            if self.is_completed(row.order)
         ]
         return settle(config, proved)
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -186,6 +186,9 @@
         self.status_writer: StatusWriter | None = None
         if limits is not None:
             self.feed.rollouts.freshness = self.freshness
+            self.feed.rollouts.is_completed = lambda order: (
+                self.rollouts.is_completed(order) or self.desk.is_completed(order)
+            )
             self.status_writer = StatusWriter(source, clock, self.allocator.tell)
             self.desk.request = self.status_writer.request
         self.allocator_ticker = Ticker(clock, IDLE_TICK_S)
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -191,6 +191,29 @@
     assert not tracker.orders_to_try()
 
 
+def test_a_version_whose_order_is_replaced_is_held_back():
+    """Guards against a bad version that gets calls once another one is ordered."""
+    tracker = make_tracker()
+    tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
+    tracker.apply(Batch(8, 10, (make_record(offset=9, target=4),)), 101.0, 100.5)
+    newer = replace(NEW, name="e4", release="4")
+    held = held_back(tracker.orders, [OLD, NEW, newer], tracker.superseded)
+    assert held == {"e2", "e4"}
+    tracker.freshness.confirm(100.0 + 12.0 + EXTRA_HOLD_S)
+    tracker.expire(100.0 + 12.0 + EXTRA_HOLD_S)
+    assert held_back(tracker.orders, [OLD, NEW, newer], tracker.superseded) == {"e4"}
+
+
+def test_a_completed_version_serves_while_the_next_one_is_ordered():
+    """Guards against a service whose only version in force is held back."""
+    tracker = make_tracker()
+    tracker.is_completed = lambda order: order.release == "3"
+    tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
+    tracker.apply(Batch(8, 10, (make_record(offset=9, target=4),)), 101.0, 100.5)
+    newer = replace(NEW, name="e4", release="4")
+    assert held_back(tracker.orders, [NEW, newer], tracker.superseded) == {"e4"}
+
+
 def test_without_bounds_no_order_is_to_be_tried():
     tracker = RolloutTracker(PlatformSource(FakeStore()))
     tracker.apply(Batch(0, 8, (make_record(),)), 100.0, 99.5)
