--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -2,10 +2,11 @@
 
 The functions do no I/O. A few calls cannot distinguish a good version from one that
 fails in some of its answers, only later, or on one route only, and the share of the
-service's calls that a new version may get is bounded. Versions are not evaluated yet:
-targets of a version being rolled out receive no calls while the service has other
-targets, and the order is answered at once as rolled back, so that the operator does
-not wait for an evaluation that never happens.
+service's calls that a new version may get is bounded. Targets of a version being rolled
+out receive no calls without a grant while the service has other targets. Where the
+settings do not bound the exposure, versions are not tried: the order is answered at
+once as rolled back, so that the operator does not wait for an evaluation that never
+happens.
 """
 
 import enum
@@ -81,10 +82,16 @@
     entries: Iterable[TargetEntry],
     superseded: Mapping[ServiceName, Collection[str]] = NOTHING_SUPERSEDED,
 ) -> frozenset[TargetName]:
-    """Return the targets that receive no calls because their version is unproved.
+    """Return the targets that get no calls without a grant, as they are unproved.
 
     Targets of a service are not held back if it has no others that stay: no older
     version is left to serve its calls.
+
+    Parameters
+    ----------
+    superseded : mapping
+        Versions by service whose order another one has replaced before their rollout
+        was completed.
     """
     unproved: dict[ServiceName, list[TargetName]] = {}
     proved: set[ServiceName] = set()
