Rollouts: no record of others ends the writer of the status

A status whose service is no text, or a store that answers 410, ended the thread of the writer without a sign; the test was red. An exception in it ends the process now, as in other threads that a host needs. tests/rollouts/test_status.py, tests/discovery/test_rollouts.py: 39 passed.

--- a/godwitladder/platform/rollouts.py
+++ b/godwitladder/platform/rollouts.py
@@ -69,6 +69,8 @@
         row = json.loads(record.value)
         offset = row.get(names.STATUS_ORDER, -1)
         status = RolloutStatus(str(row["target"]), RolloutState(row["state"]), offset)
+        if not isinstance(row["service"], str):
+            raise TypeError("the service is no text")
         return ServiceName(row["service"]), status
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
         extra = {"key": record.key[:64], "error": repr(error)}
--- a/godwitladder/rollouts/status.py
+++ b/godwitladder/rollouts/status.py
@@ -16,6 +16,7 @@
     RolloutStatuses,
     Source,
     StoreMoved,
+    StoreTrimmed,
     StoreUnavailable,
 )
 from godwitladder.ids import ServiceName
@@ -151,7 +152,7 @@
                 if known is not None:
                     self.is_failing = False
                     return known
-        except StoreUnavailable as error:
+        except (StoreUnavailable, StoreTrimmed) as error:
             self.log_failure(wanted, str(error))
             return None
         self.log_failure(wanted, "others write at the same time")
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -337,6 +337,8 @@
             if row.demand.service == trial.order.service
         ]
         for row in sorted(rows, key=lambda row: row.first_arrived):
+            if not capacity.has_free():
+                break
             if not trial.may_expose(row, is_fresh, now) or not within_limits(
                 view, row, now
             ):
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -92,7 +92,7 @@
 """Limit on the allocators listed in a log line."""
 MAX_TARGETS_AGE_S = 2.0
 """Age of the list of targets up to which a version that has just come is known."""
-CRITICAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers"})
+CRITICAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers", "rollouts"})
 FAILURE_EXIT_CODE = 70
 
 
--- a/tests/rollouts/test_status.py
+++ b/tests/rollouts/test_status.py
@@ -166,10 +166,20 @@
 
 
 def test_an_invalid_status_is_ignored(store):
-    for value in (b"{", b"[]", b'{"service": "core", "state": "odd"}'):
-        store.standin.put(names.STATUS_TOPIC, "rollout/core", value)
+    """Guards against a record of others that ends the thread of the writer."""
+    values = [
+        b"{",
+        b"[]",
+        b'{"service": "core", "target": 3, "state": "odd"}',
+        b'{"service": ["core"], "target": 3, "state": "running"}',
+    ]
+    for number, value in enumerate(values):
+        store.standin.put(names.STATUS_TOPIC, f"rollout/{number}", value)
     host = Host(store)
     assert host.want(RUNNING)
+    store.standin.knobs.status = 410
+    host.writer.known = None
+    assert not host.want(COMPLETED)
 
 
 def test_a_conditional_append_fails_where_the_topic_has_moved(store):
