--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -517,14 +517,17 @@
     seeds: int, mode: CutoverMode, version: str, setting: str, load: str
 ) -> list[Row]:
     """Return the rows that match the words given."""
+    loads = LOADS
+    if load:
+        rate, duration_s = load.split("x")
+        loads = ((int(rate), float(duration_s)),)
     return [
         Row(row, conditions, mode, rate, duration_s, seeds)
         for row in VERSIONS
         if version in row.name
         for conditions in SETTINGS
         if setting in conditions.name
-        for rate, duration_s in LOADS
-        if not load or load == f"{rate}x{duration_s:.0f}"
+        for rate, duration_s in loads
     ]
 
 
