--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -5,7 +5,7 @@
 from returns.result import Failure
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
-from godwitladder.discovery.source import Batch, Record
+from godwitladder.discovery.source import Batch, Record, RolloutStatuses
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
@@ -15,6 +15,8 @@
 from godwitladder.platform.entries import decode_entry
 from godwitladder.platform.rollouts import (
     decode_rollout,
+    decode_status,
+    encode_order_status,
     encode_status,
     is_rollout,
 )
@@ -23,12 +25,22 @@
 
 log = component_logger("platform")
 
+MAX_INVALID_ORDERS = 64
+"""Invalid orders that are remembered to log each once."""
+
 
 class PlatformSource:
-    """Reads, decodes and appends the records of the platform's topics."""
+    """Reads, decodes and appends the records of the platform's topics.
+
+    Attributes
+    ----------
+    invalid_orders : set of (str, int)
+        Keys and offsets of the invalid orders that were logged.
+    """
 
     def __init__(self, store: StoreClient) -> None:
         self.store = store
+        self.invalid_orders: set[tuple[str, int]] = set()
 
     def read_documents(self, offset: int) -> Batch:
         """Return the configuration records from ``offset`` on.
@@ -83,11 +95,20 @@
             return None
         result = decode_rollout(record)
         if isinstance(result, Failure):
-            extra = {"key": record.key[:64], "error": result.failure()}
-            log.warning("A rollout order is invalid", extra=extra)
+            self.log_invalid_order(record, result.failure())
             return None
         return result.unwrap()
 
+    def log_invalid_order(self, record: Record, error: str) -> None:
+        """Log an invalid order once; each snapshot contains it again."""
+        if (record.key, record.offset) in self.invalid_orders:
+            return
+        if len(self.invalid_orders) >= MAX_INVALID_ORDERS:
+            self.invalid_orders.clear()
+        self.invalid_orders.add((record.key, record.offset))
+        extra = {"key": record.key[:64], "offset": record.offset, "error": error}
+        log.warning("A rollout order is invalid", extra=extra)
+
     def write_rollout_state(
         self, record: Record, order: RolloutOrder, state: RolloutState
     ) -> None:
@@ -96,6 +117,20 @@
         key = names.ROLLOUT_PREFIX + order.service
         self.store.append(names.STATUS_TOPIC, key, value)
 
+    def read_rollout_statuses(self) -> RolloutStatuses:
+        """Return the newest status of each service."""
+        newest = self.store.newest(names.STATUS_TOPIC)
+        rows = map(decode_status, filter(is_rollout, newest.records))
+        return RolloutStatuses(newest.next, dict(row for row in rows if row))
+
+    def append_rollout_status(
+        self, order: RolloutOrder, state: RolloutState, at: int
+    ) -> None:
+        """Append a status of ``order`` if the topic of statuses ends at ``at``."""
+        value = encode_order_status(order, state)
+        key = names.ROLLOUT_PREFIX + order.service
+        self.store.append(names.STATUS_TOPIC, key, value, at)
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if the entry is invalid."""
         result = decode_entry(record.key, record.value)
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -7,7 +7,7 @@
 
 import queue
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pykka
 import urllib3
@@ -23,6 +23,7 @@
 from godwitladder.paths.connector import Connector, GatewaysLeft, TargetConnection
 from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
+from godwitladder.rollouts.counts import AnswerResult, CountedAnswer, HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
@@ -86,6 +87,8 @@
         Connects calls to their targets.
     origins : StreamOriginRegistry
         At which version streams began.
+    rollouts : HostRollouts
+        Counts the answers of versions during rollouts.
     """
 
     header_codec: HeaderCodec
@@ -99,6 +102,7 @@
     count_hosts: Callable[[], int]
     connector: Connector
     origins: StreamOriginRegistry
+    rollouts: HostRollouts = field(default_factory=HostRollouts)
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
@@ -143,6 +147,10 @@
         Whether the call runs as the trial of a request that targets crashed under.
     heard_at : float
         Monotonic time of the last sign of the target, or of the send.
+    counted : CountedAnswer or None
+        The answer to the last send, if a rollout of the service is under way.
+    read_tokens : int
+        Prompt tokens that the target has to read for it.
     """
 
     def __init__(self, proxy: RoutedProxy, call: RoutedCall, gone) -> None:
@@ -164,6 +172,8 @@
         self.dispatch: Dispatch | None = None
         self.on_trial = False
         self.heard_at = 0.0
+        self.counted: CountedAnswer | None = None
+        self.read_tokens = 0
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -254,6 +264,7 @@
         self.proxy.statements.check(dispatch)
         self.on_trial = self.proxy.quarantine.begin(self.call.traits, dispatch.target)
         self.heard_at = self.clock.monotonic()
+        self.begin_count(dispatch)
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
@@ -311,6 +322,10 @@
         answer = BufferedAnswer(
             f"{response.status} {response.reason or ''}", headers, body
         )
+        self.count_output()
+        failed = response.status >= 500
+        result = AnswerResult.FAILED if failed else AnswerResult.GOOD
+        self.count_end(result, str(response.status))
         if response.status >= 500 and self.retry():
             self.error_answer = answer
             return None
@@ -453,6 +468,7 @@
     def disconnect(self) -> None:
         """Close the connection to the target, if there is one."""
         self.end_trial()
+        self.count_end(AnswerResult.VOID)
         self.open_call.detach()
         if self.connection is not None:
             self.connection.http.close()
@@ -487,6 +503,7 @@
         A tunnel that breaks says nothing of the target, nor does the answer to
         another call.
         """
+        self.count_loss(error)
         if self.connection.is_broken:
             self.proxy.connector.record_broken(self.connection.gateway)
             return
@@ -505,6 +522,42 @@
         elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
             self.proxy.quarantine.record_silence(lost_call)
 
+    def begin_count(self, dispatch: Dispatch) -> None:
+        """Count the send for the rollout of the service, if there is one."""
+        rollouts, row = self.proxy.rollouts, self.call.row
+        parts = self.call.metadata.parts
+        self.read_tokens = rollouts.tokens_to_read(dispatch.target, parts)
+        self.counted = rollouts.begin(
+            row.service, dispatch.release, row.route, self.heard_at
+        )
+
+    def count_output(self) -> None:
+        """Count the time to the first output of the last send."""
+        if self.counted is not None:
+            self.counted.record_output(self.clock.monotonic(), self.read_tokens)
+
+    def count_end(self, result: AnswerResult, detail: str = "") -> None:
+        """Count the end of the answer to the last send, once."""
+        if self.counted is not None and self.counted.end(result):
+            extra = self.log_fields() | {
+                "release": self.dispatch.release,
+                "detail": detail,
+            }
+            log.info("An answer has failed during a rollout", extra=extra)
+
+    def count_loss(self, error: MayHaveRun) -> None:
+        """Count a lost answer as failed if the target may be to blame.
+
+        A caller that disconnects and a link between hosts that breaks tell nothing of
+        the target; its silence up to the deadline does.
+        """
+        if self.connection.is_broken:
+            return
+        is_silent = self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S
+        cause = self.open_call.cause
+        if cause is None or (cause is AbortCause.TIMEOUT and is_silent):
+            self.count_end(AnswerResult.FAILED, str(error))
+
     def record_completion(self) -> None:
         """Record that the call has run to its end."""
         self.proxy.quarantine.record_completion(self.call.traits)
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -84,12 +84,16 @@
         an answer.
     tells_era : bool
         Whether answers name the era.
+    late_s : float
+        Delay in seconds after which appends are carried out, without an answer; 0 to
+        carry them out at once.
     """
 
     status: int = 0
     mute_s: float = 0.0
     lose: bool = False
     tells_era: bool = True
+    late_s: float = 0.0
 
 
 class Store:
@@ -105,6 +109,8 @@
         Number of read requests handled.
     era : int
         Number of times that the store has come back from a copy, and one.
+    late_results : list
+        Status and body of each append that was carried out late.
     """
 
     def __init__(self) -> None:
@@ -112,6 +118,7 @@
         self.knobs = StoreKnobs()
         self.reads = 0
         self.era = 1
+        self.late_results: list[tuple[int, bytes]] = []
         self.lock = threading.Lock()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
@@ -120,6 +127,26 @@
             self.topics[topic].append(key, value)
             return len(self.topics[topic].records)
 
+    def append(
+        self, topic: str, key: str, value: bytes, at: str | None
+    ) -> tuple[int, bytes]:
+        """Append a record if its topic ends at ``at``; return status and body."""
+        with self.lock:
+            partition = self.topics[topic]
+            end = len(partition.records)
+            if at is not None and int(at) != end:
+                return 412, json.dumps({"endOffset": end}).encode()
+            partition.append(key, value)
+            return 200, json.dumps({"offset": end, "endOffset": end + 1}).encode()
+
+    def append_late(self, *args) -> None:
+        """Append a record after the delay that a knob sets."""
+        timer = threading.Timer(
+            self.knobs.late_s, lambda: self.late_results.append(self.append(*args))
+        )
+        timer.daemon = True
+        timer.start()
+
     def put_config(self, config: dict) -> None:
         """Publish a configuration, as the operator does."""
         self.put(names.CONFIG_TOPIC, names.CONFIG_KEY, json.dumps(config).encode())
@@ -177,8 +204,13 @@
         query = dict(parse_qsl(urlsplit(self.path).query))
         content = body[RECORD_LENGTH.size :]
         key = content[1 : 1 + content[0]].decode()
-        end = self.server.standin.put(query["topic"], key, content[1 + content[0] :])
-        self.answer(200, json.dumps({"offset": end - 1, "endOffset": end}).encode())
+        record = query["topic"], key, content[1 + content[0] :]
+        store, at = self.server.standin, query.get("at")
+        if store.knobs.late_s:
+            store.append_late(*record, at)
+            self.close_connection = True
+            return
+        self.answer(*store.append(*record, at))
 
     def send_failure(self) -> bool:
         """Delay the answer and send the status that a knob sets, if any.
