--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
+from godwitladder.decisions.placing.stated_load import StatedLoad
 from godwitladder.logs import component_logger
 from godwitladder.platform import names
 from godwitladder.routing.calls import (
@@ -33,10 +34,26 @@
 BEARER = "bearer "
 IS_LEAVING = "1"
 MAX_LOGGED_CHARS = 64
+USUAL_SLOWDOWN = 100
+"""The fourth figure of a load report of a target on which work takes as long as usual.
+"""
+MAX_SLOWDOWN = 100.0
+"""Work that takes longer than this multiple of the usual time is not believed."""
+MAX_LOAD_CHARS = 48
+MAX_LOAD_COUNT = 1_000_000
 
 
 class PlatformHeaders:
-    """Implements `HeaderCodec` with the names of the platform's headers."""
+    """Implements `HeaderCodec` with the names of the platform's headers.
+
+    Attributes
+    ----------
+    invalid_loads : int
+        Number of invalid load reports so far.
+    """
+
+    def __init__(self) -> None:
+        self.invalid_loads = 0
 
     def read_call(self, headers: Headers) -> CallMetadata:
         """Return the data in a caller's headers; invalid values count as not sent."""
@@ -88,8 +105,29 @@
             leaving=headers.get(names.LEAVING) == IS_LEAVING,
             retry_after_s=_parse_number(headers, names.RETRY_AFTER),
             max_refusals_per_s=_parse_number(headers, names.BRITTLE),
+            load=self.read_load(headers.get(names.LOAD)),
         )
 
+    def read_load(self, text: str | None) -> StatedLoad | None:
+        """Return a target's report of its load; None if there is none or it is invalid.
+
+        Every answer may hold one, so only the first, second, fourth, eighth and so on
+        of the invalid reports are logged.
+        """
+        if text is None:
+            return None
+        load = _parse_load(text)
+        if load is None:
+            self.invalid_loads += 1
+            if self.invalid_loads.bit_count() == 1:
+                extra = {
+                    "header": names.LOAD,
+                    "value": text[:MAX_LOGGED_CHARS],
+                    "invalid_reports": self.invalid_loads,
+                }
+                log.info("A load report of a target is invalid", extra=extra)
+        return load
+
     def for_caller(self, headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
         """Return the end-to-end headers of a target's answer."""
         return [row for row in headers if row[0].lower() not in HOP_BY_HOP]
@@ -119,6 +157,24 @@
     return None
 
 
+def _parse_load(text: str) -> StatedLoad | None:
+    figures = text.split(",") if len(text) <= MAX_LOAD_CHARS else ()
+    if not 3 <= len(figures) <= 4:
+        return None
+    try:
+        running, waiting, slots = map(int, figures[:3])
+        slowdown = float(figures[3]) / USUAL_SLOWDOWN if figures[3:] else None
+    except ValueError:
+        return None
+    if not (0 <= min(running, waiting) and max(running, waiting) <= MAX_LOAD_COUNT):
+        return None
+    if not 1 <= slots <= MAX_LOAD_COUNT:
+        return None
+    if slowdown is not None and not 0 < slowdown <= MAX_SLOWDOWN:
+        return None
+    return StatedLoad(running, waiting, slots, slowdown)
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     if not (first.strip().isdecimal() and second.strip().isdecimal()):
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -17,6 +17,7 @@
 RATE_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
 BRITTLE = "Server-Brittle"
+LOAD = "Godwitladder-Engine-Load"
 RETRY_AFTER = "Retry-After"
 
 SYSTEM_HEADERS = frozenset(
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from godwitladder.decisions.placing.stated_load import StatedLoad
 from godwitladder.outcomes import RequestState
 from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.routing.model import Route
@@ -122,6 +123,8 @@
     max_refusals_per_s : float or None
         Refusals in a second beyond which the target falls over; None if it is not
         brittle.
+    load : StatedLoad or None
+        The target's own report of its load; None if not stated.
     """
 
     attempt: str
@@ -131,6 +134,7 @@
     leaving: bool = False
     retry_after_s: float | None = None
     max_refusals_per_s: float | None = None
+    load: StatedLoad | None = None
 
 
 class HeaderCodec(Protocol):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,6 +1,7 @@
 """Formats and calls of the adapter to the users' platform."""
 
 import json
+import logging
 import re
 from pathlib import Path
 
@@ -9,6 +10,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure
 
+from godwitladder.decisions.placing.stated_load import StatedLoad
 from godwitladder.discovery.source import StoreTrimmed, StoreUnavailable
 from godwitladder.platform.documents import InvalidDocument, decode_document
 from godwitladder.platform.entries import decode_entry
@@ -331,3 +333,52 @@
 def test_the_rest_that_a_target_asks_for_is_read(value, seconds):
     answer = PlatformHeaders().read_answer({"Retry-After": value})
     assert answer.retry_after_s == seconds
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,1,8", StatedLoad(3, 1, 8)),
+        ("3, 1, 8, 250", StatedLoad(3, 1, 8, 2.5)),
+        ("0,0,1,62.5", StatedLoad(0, 0, 1, 0.625)),
+    ],
+)
+def test_the_load_of_a_target_is_read(value, load):
+    headers = {"Godwitladder-Engine-Load": value}
+    assert PlatformHeaders().read_answer(headers).load == load
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "",
+        "3",
+        "3,1",
+        "3,1,8,",
+        "3,1,8,100,1",
+        "3,1,0,100",
+        "-1,1,8,100",
+        "3,1.5,8,100",
+        "3,1,8,0",
+        "3,1,8,-100",
+        "3,1,8,nan",
+        "3,1,8,inf",
+        "3,1,8,10001",
+        "1000001,1,8",
+        "9" * 5000 + ",1,8",
+    ],
+)
+def test_an_invalid_load_counts_as_not_stated(value):
+    """Guards against decisions by the nonsense that a faulty target reports."""
+    headers = {"Godwitladder-Engine-Load": value}
+    assert PlatformHeaders().read_answer(headers).load is None
+
+
+def test_invalid_loads_in_every_answer_are_logged_a_few_times(caplog):
+    """Guards against a log line in each answer of a faulty target."""
+    caplog.set_level(logging.INFO, "godwitladder")
+    codec = PlatformHeaders()
+    for _ in range(1000):
+        codec.read_answer({"Godwitladder-Engine-Load": "busy"})
+    lines = [row for row in caplog.records if "load report" in row.getMessage()]
+    assert [row.invalid_reports for row in lines] == [2**n for n in range(10)]
