Use the slowdown that targets state, weighed by its age

Targets on shared machines take a multiple of the usual time for some tenths of a second at a time. Learned speeds show the average of that. A host now passes on the slowdown in an answer at most once in 100 ms for each target, with its age in the next report that is sent anyway (PoolReport.slowdowns, empty where no target states a fourth figure). The allocator applies it to the expected time of a prompt, in the choice of a target and in the prefill forecast. What the role learns of speeds moves to scheduler/learning.py.

--- a/bench/stated_load.py
+++ b/bench/stated_load.py
@@ -25,6 +25,7 @@
 SLOW_SHARE = 0.15
 SLOWDOWN = 2.5
 CHANGE_S = 0.6
+MIN_DELAY_S, MAX_DELAY_S = 0.1, 1.0
 MODES = ("ignored", "as received", "by age", "true")
 
 
@@ -49,13 +50,16 @@
         How the allocator uses stated slowdowns, one of `MODES`. ``true`` uses the
         present slowdown, as no allocator can know it.
     delay_s : float
-        Delay of each statement on its way to the allocator, in seconds.
+        Delay of each statement on its way to the allocator, in seconds; 0 draws each
+        one between `MIN_DELAY_S` and `MAX_DELAY_S`.
     path_delay_s : float
         Delay of reports and of offers, in seconds each way.
     scales_choice : bool
         Whether the choice among the targets in time uses the figure as well.
     stated : StatedSlowdowns
         What the allocator knows.
+    delays : random.Random
+        Source of the drawn delays.
     """
 
     mode: str = "ignored"
@@ -63,6 +67,7 @@
     path_delay_s: float = 0.0
     scales_choice: bool = False
     stated: StatedSlowdowns = field(default_factory=StatedSlowdowns)
+    delays: random.Random = field(default_factory=lambda: random.Random(1))
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -93,7 +98,7 @@
     def factor(self, target: str) -> float:
         """Return the time of a prompt as a multiple of the learned time."""
         if self.mode == "by age":
-            return self.stated.factor(target, self.now)
+            return self.stated.factor(target, "", self.now)
         row = self.stated.rows.get(target)
         if self.mode == "ignored" or row is None:
             return 1.0
@@ -114,8 +119,9 @@
         super().record_first_token(name)
         target, now = self.rows[name].target, self.now
         slowdown = noise(self.load.seed, target, now)
+        delay_s = self.delay_s or self.delays.uniform(MIN_DELAY_S, MAX_DELAY_S)
         self.schedule(
-            now + self.delay_s, lambda: self.stated.observe(target, slowdown, now)
+            now + delay_s, lambda: self.stated.observe(target, "", slowdown, now)
         )
 
     def exchange(self) -> None:
@@ -186,7 +192,7 @@
     mix : str
         Mix of calls: letters or quotes.
     delays : list[float]
-        Delays of statements in seconds.
+        Delays of statements in seconds; 0 draws each one.
     path_delay : float
         Delay of reports and of offers in seconds, each way.
     modes : list[str]
--- a/godwitladder/decisions/placing/stated_load.py
+++ b/godwitladder/decisions/placing/stated_load.py
@@ -26,6 +26,7 @@
     in reports neither closes a target nor makes it look idle.
 """
 
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from godwitladder.ids import TargetName
@@ -56,12 +57,34 @@
     slowdown: float | None = None
 
 
+@dataclass(frozen=True)
+class TargetSlowdown:
+    """The slowdown that a target has stated, as a host tells it to its allocator.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the process that stated it.
+    slowdown : float
+        As in `StatedLoad`.
+    age_s : float
+        Seconds since the host received it.
+    """
+
+    target: TargetName
+    generation: str
+    slowdown: float
+    age_s: float
+
+
 @dataclass
 class SlowdownRow:
     """What one target has stated.
 
     Attributes
     ----------
+    generation : str
+        Generation of the process that stated it.
     slowdown : float
         The newest figure.
     stated_at : float
@@ -70,6 +93,7 @@
         Average of the figures that the target stated.
     """
 
+    generation: str
     slowdown: float
     stated_at: float
     mean: float
@@ -92,24 +116,56 @@
 
     rows: dict[TargetName, SlowdownRow] = field(default_factory=dict)
 
-    def observe(self, target: TargetName, slowdown: float, stated_at: float) -> None:
+    def observe_all(
+        self,
+        reports: Iterable[TargetSlowdown],
+        generations: Mapping[TargetName, str],
+        sent_at: float,
+    ) -> bool:
+        """Record what a host lists, except of processes that have ended.
+
+        Parameters
+        ----------
+        reports : iterable of TargetSlowdown
+            What the host lists.
+        generations : mapping
+            Generation of the present process of each target.
+        sent_at : float
+            Time at which the host listed it, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether a target is new among those that state a slowdown.
+        """
+        known = len(self.rows)
+        for row in reports:
+            if generations.get(row.target) == row.generation:
+                stated_at = sent_at - row.age_s
+                self.observe(row.target, row.generation, row.slowdown, stated_at)
+        return len(self.rows) > known
+
+    def observe(
+        self, target: TargetName, generation: str, slowdown: float, stated_at: float
+    ) -> None:
         """Record a slowdown, unless a newer one of the target is known."""
         row = self.rows.get(target)
-        if row is None:
-            self.rows[target] = SlowdownRow(slowdown, stated_at, max(1.0, slowdown))
+        if row is None or row.generation != generation:
+            mean = max(1.0, slowdown)
+            self.rows[target] = SlowdownRow(generation, slowdown, stated_at, mean)
             return
         if stated_at <= row.stated_at:
             return
         row.mean += MEAN_GAIN * (slowdown - row.mean)
         row.slowdown, row.stated_at = slowdown, stated_at
 
-    def factor(self, target: TargetName, now: float) -> float:
+    def factor(self, target: TargetName, generation: str, now: float) -> float:
         """Return the present time of a prompt as a multiple of the learned time.
 
-        1 if the target has stated nothing within the trust period.
+        1 if the process has stated nothing within the trust period.
         """
         row = self.rows.get(target)
-        if row is None:
+        if row is None or row.generation != generation:
             return 1.0
         difference = row.slowdown / row.mean - 1.0
         factor = 1.0 + trust(now - row.stated_at) * difference
--- a/godwitladder/scheduler/access.py
+++ b/godwitladder/scheduler/access.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 from collections.abc import Collection
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from godwitladder.decisions.limits.spending import Issuer
 from godwitladder.decisions.types import Grant
@@ -20,6 +21,9 @@
 )
 from godwitladder.scheduler.pools import Pool
 
+if TYPE_CHECKING:
+    from godwitladder.scheduler.messages import SlowdownStated
+
 ALLOCATOR_TIMEOUT_S = 3.0
 """Time without an answer after which a host falls back to its fixed share. It is
 longer than the lifetime of a grant: the allocator has then reclaimed the host's
@@ -147,6 +151,8 @@
         Targets that have stated something new to this host since the last report.
     brittle_refusals : set of TargetName
         Brittle targets that have refused a request since the last report.
+    slowdowns : dict
+        What targets have stated since the last report of how long work takes.
     spent_alone : bool
         Whether this host has spent tokens without a grant since it last listed them.
     spending_listed_at : float
@@ -187,6 +193,7 @@
     fates: Counter[GrantFate] = field(default_factory=Counter)
     changed_targets: set[TargetName] = field(default_factory=set)
     brittle_refusals: set[TargetName] = field(default_factory=set)
+    slowdowns: dict[TargetName, "SlowdownStated"] = field(default_factory=dict)
     spent_alone: bool = False
     spending_listed_at: float = float("-inf")
     own_tokens: int = 0
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -24,6 +24,7 @@
     RateLimitStated,
     Returned,
     ReturnProof,
+    SlowdownStated,
     Stop,
     Submit,
     TargetsLeaving,
@@ -45,6 +46,7 @@
     take_cooldown,
     take_leaving,
     take_rate_limit,
+    take_slowdown,
 )
 from godwitladder.scheduler.systems import (
     add_request,
@@ -206,6 +208,10 @@
     def _(self, message: CooldownStated) -> None:
         take_cooldown(self.tables, message, self.clock.monotonic())
 
+    @take.register
+    def _(self, message: SlowdownStated) -> None:
+        take_slowdown(self.tables, message)
+
     @take.register
     def _(self, message: Withdrawn) -> None:
         row = self.tables.waiting.get(message.request)
--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -23,6 +23,7 @@
 from godwitladder.decisions.limits.cooldowns import RemainingCooldown
 from godwitladder.decisions.limits.rate_limits import StatedLimit
 from godwitladder.decisions.limits.spending import WorkspaceSpending
+from godwitladder.decisions.placing.stated_load import TargetSlowdown
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
 from godwitladder.decisions.waiting.admission import AdmissionShare
 from godwitladder.ids import (
@@ -183,6 +184,8 @@
         Whether ``spent`` is the whole list, which replaces earlier ones. It is in full
         reports, in those before the first answer of an allocator, in others a few
         times per second, and in the next one after spending without a grant.
+    slowdowns : tuple of TargetSlowdown
+        How long work takes on targets that have stated it since the last report.
     """
 
     host: HostId
@@ -209,6 +212,7 @@
     cooldowns: tuple[RemainingCooldown, ...] = ()
     brittle_refusals: tuple[TargetName, ...] = ()
     lists_spending: bool = False
+    slowdowns: tuple[TargetSlowdown, ...] = ()
 
 
 @peer_message
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -155,6 +155,26 @@
     cooldown_s: float
 
 
+@dataclass(frozen=True)
+class SlowdownStated:
+    """A target's answer states how long work takes there at this moment.
+
+    Attributes
+    ----------
+    generation : str
+        Generation of the target to which the request was dispatched.
+    slowdown : float
+        Multiple of the usual time.
+    stated_at : float
+        Time of the answer, on the clock of this host.
+    """
+
+    target: TargetName
+    generation: str
+    slowdown: float
+    stated_at: float
+
+
 @dataclass(frozen=True)
 class Withdrawn:
     """The caller of a waiting request has disconnected."""
--- a/godwitladder/scheduler/reports.py
+++ b/godwitladder/scheduler/reports.py
@@ -22,7 +22,11 @@
 )
 from godwitladder.scheduler.pools import make_pools, pool_key, target_generations
 from godwitladder.scheduler.rows import RequestRow, Tables, TargetRow
-from godwitladder.scheduler.statements import is_cooling_down, is_rate_limited
+from godwitladder.scheduler.statements import (
+    is_cooling_down,
+    is_rate_limited,
+    report_slowdowns,
+)
 from godwitladder.scheduler.systems import (
     no_path_refusal,
     refuse_request,
@@ -266,6 +270,7 @@
         cooldowns=tables.cooldowns.statements(stating, now),
         brittle_refusals=tuple(refusals),
         lists_spending=lists_spending,
+        slowdowns=report_slowdowns(access, now),
     )
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -21,6 +21,7 @@
 from godwitladder.decisions.placing.load_reports import LoadReports
 from godwitladder.decisions.placing.speeds import TargetSpeeds
 from godwitladder.decisions.placing.standing import standing_grants
+from godwitladder.decisions.placing.stated_load import StatedSlowdowns
 from godwitladder.decisions.policy import ROUTED, STRICT
 from godwitladder.decisions.prompts.affinity import PrefixHints
 from godwitladder.decisions.prompts.forecast import PrefillForecast
@@ -53,11 +54,15 @@
     NO_RANK,
     NO_TERM,
     Allowance,
-    Completion,
     FloorReport,
     GrantOffer,
     PoolReport,
-    ThroughputSample,
+)
+from godwitladder.scheduler.learning import (
+    observe_completion,
+    observe_slowdowns,
+    observe_throughput,
+    present_prefill_cost,
 )
 from godwitladder.scheduler.pools import Pool, target_generations
 from godwitladder.scheduler.quotas import token_rates
@@ -171,6 +176,7 @@
         self.answered_at: dict[TargetName, float] = {}
         self.waiting: dict[RequestId, WaitingRequest] = {}
         self.loads = LoadReports()
+        self.slowdowns = StatedSlowdowns()
         self.delays = ReportDelays()
         self.shed_rank = NO_RANK
         self.shed_at = now
@@ -186,6 +192,7 @@
                 self.throttles,
                 self.brittle,
                 self.loads,
+                self.slowdowns,
                 self.hints,
                 self.forecast,
             ):
@@ -229,9 +236,11 @@
         for row in report.completions:
             if row.target in self.pool.targets:
                 self.answered_at[row.target] = now
-            self.observe_completion(row)
+            observe_completion(self, row)
         for sample in report.throughput_samples:
-            self.observe_throughput(sample, now)
+            observe_throughput(self, sample, now)
+        if report.slowdowns:
+            observe_slowdowns(self, report.slowdowns, now - delay_s)
         wanted = any(row.demands or row.more_waiting for row in self.accounts.values())
         return wanted or account.offered_at == float("-inf")
 
@@ -250,25 +259,6 @@
                 row = make_waiting(self, account.host, demand, sent_at, before)
                 self.waiting[demand.request] = row
 
-    def observe_throughput(self, sample: ThroughputSample, now: float) -> None:
-        """Update the throttle of a target by a throughput sample."""
-        if not self.speeds.is_calibrated(sample.target):
-            return
-        expected_s = self.speeds.expected_s(
-            sample.target, sample.prompt_tokens, sample.output_tokens
-        )
-        if not sample.in_progress or sample.taken_s > expected_s:
-            self.throttles.observe(sample.target, expected_s, sample.taken_s, now)
-
-    def observe_completion(self, row: Completion) -> None:
-        """Update the learned speed of a target by a completed request."""
-        if row.target not in self.speeds.learned:
-            return
-        prompt, output = row.prompt_tokens, row.output_tokens
-        if prompt and not row.first_token_s:
-            output = 0
-        self.speeds.observe(row.target, prompt, output, row.first_token_s, row.total_s)
-
     def has_answered(self, target: TargetName, since: float) -> bool:
         """Return whether a target has completed a request after ``since``."""
         return self.answered_at.get(target, float("-inf")) > since
@@ -421,7 +411,7 @@
 
     def record_prompt(self, target: TargetName, tokens: int, now: float) -> None:
         """Record a granted prompt in the forecast of its target's prefill."""
-        _, read_s = self.speeds.prefill_cost(target)
+        _, read_s = present_prefill_cost(self, target, now)
         self.forecast.record_grant(target, tokens, tokens * read_s, now)
 
     def record_shed(self, rank: int, now: float) -> None:
--- a/godwitladder/scheduler/statements.py
+++ b/godwitladder/scheduler/statements.py
@@ -4,20 +4,29 @@
 """
 
 from godwitladder.decisions.limits.rate_limits import NO_LIMIT
+from godwitladder.decisions.placing.stated_load import TRUST_S, TargetSlowdown
 from godwitladder.ids import ServiceName, TargetName
 from godwitladder.logs import component_logger
+from godwitladder.scheduler.access import PoolAccess
 from godwitladder.scheduler.messages import (
     BrittlenessStated,
     CooldownStated,
     LeavingStated,
     RateLimitStated,
+    SlowdownStated,
 )
 from godwitladder.scheduler.pools import target_generations
 from godwitladder.scheduler.rows import Tables, TargetRow
 
 log = component_logger("scheduler")
 
-Statement = LeavingStated | RateLimitStated | CooldownStated | BrittlenessStated
+Statement = (
+    LeavingStated
+    | RateLimitStated
+    | CooldownStated
+    | BrittlenessStated
+    | SlowdownStated
+)
 
 
 def forget_ended_processes(tables: Tables, now: float) -> None:
@@ -90,6 +99,25 @@
         access.dirty = True
 
 
+def take_slowdown(tables: Tables, message: SlowdownStated) -> None:
+    """Keep a slowdown for the next report, which it doesn't cause."""
+    access = tables.pool_of.get(message.target)
+    if access is not None and is_current(tables, message):
+        access.slowdowns[message.target] = message
+
+
+def report_slowdowns(access: PoolAccess, now: float) -> tuple[TargetSlowdown, ...]:
+    """Return the slowdowns that targets have stated since the last report."""
+    if not access.slowdowns:
+        return ()
+    stated, access.slowdowns = access.slowdowns, {}
+    return tuple(
+        TargetSlowdown(row.target, row.generation, row.slowdown, now - row.stated_at)
+        for row in stated.values()
+        if now - row.stated_at < TRUST_S
+    )
+
+
 def report_soon(tables: Tables, target: TargetName) -> None:
     """Include what a target has stated in the next report, which is sent at once."""
     access = tables.pool_of.get(target)
--- a/godwitladder/scheduler/views.py
+++ b/godwitladder/scheduler/views.py
@@ -18,6 +18,7 @@
 from godwitladder.ids import HostId, TargetName, WorkspaceName
 from godwitladder.scheduler.accounts import NO_USAGE
 from godwitladder.scheduler.exchange import NO_RANK
+from godwitladder.scheduler.learning import present_factor, present_prefill_cost
 
 if TYPE_CHECKING:
     from godwitladder.scheduler.role import PoolRole
@@ -120,13 +121,13 @@
             count.pending_prefill_tokens, count.pending_prefill_requests
         )
         pending = role.forecast.pending(name, reported, now)
-        first_s, read_s = role.speeds.prefill_cost(name)
+        first_s, read_s = present_prefill_cost(role, name, now)
         views[name] = TargetView(
             name=name,
             services=frozenset(target.services),
             slots=target.slots,
             memory_tokens=target.memory_tokens,
-            prefill_tps=speed.prefill_tps,
+            prefill_tps=speed.prefill_tps / present_factor(role, name, now),
             decode_tps=speed.decode_tps,
             used=count.running + role.loads.external(name),
             reserved_tokens=count.tokens,
--- a/godwitladder/serving/statements.py
+++ b/godwitladder/serving/statements.py
@@ -1,5 +1,6 @@
 """Passes on to the scheduler what targets state about themselves in their answers."""
 
+import math
 from dataclasses import dataclass, field
 
 import pykka
@@ -10,15 +11,22 @@
 from godwitladder.decisions.limits.cooldowns import Cooldowns
 from godwitladder.decisions.limits.rate_limits import NO_LIMIT, RateLimits
 from godwitladder.engines.wire import COOLDOWN_STATUSES, NotSent
+from godwitladder.ids import TargetName
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
     BrittlenessStated,
     CooldownStated,
     LeavingStated,
     RateLimitStated,
+    SlowdownStated,
 )
 from godwitladder.scheduler.rows import Dispatch
 
+SLOWDOWN_INTERVAL_S = 0.1
+"""Minimum time between two slowdowns of one target that a host passes on."""
+MAX_SLOWDOWN_TIMES = 4_096
+"""Processes for which the time of the last slowdown is kept."""
+
 
 @dataclass(frozen=True)
 class TargetStatements:
@@ -41,6 +49,9 @@
         The cooldowns that the scheduler knows.
     brittle : BrittleStatements
         The brittle targets that the scheduler knows.
+    slowdowns_at : dict
+        When a slowdown of each process was last passed on. Threads share it without a
+        lock: two that pass one on at once cost a message.
     """
 
     scheduler: pykka.ActorRef
@@ -49,6 +60,7 @@
     departures: Departures
     cooldowns: Cooldowns
     brittle: BrittleStatements = field(default_factory=BrittleStatements)
+    slowdowns_at: dict[tuple[TargetName, str], float] = field(default_factory=dict)
 
     def check(self, dispatch: Dispatch) -> None:
         """Check again that a request may be sent, right before its first byte.
@@ -82,10 +94,25 @@
         for message in read_statements(dispatch, status, metadata):
             self.scheduler.tell(message)
         self.record_brittleness(dispatch, metadata)
+        if metadata.load is not None and metadata.load.slowdown is not None:
+            self.record_slowdown(dispatch, metadata.load.slowdown)
         if metadata.rate_limit is None and dispatch.target in self.rate_limits.limited:
             ended = RateLimitStated(dispatch.target, dispatch.generation, NO_LIMIT)
             self.scheduler.tell(ended)
 
+    def record_slowdown(self, dispatch: Dispatch, slowdown: float) -> None:
+        """Pass on how long work takes on a target, unless another answer just did.
+
+        Each answer may state it, and the scheduler handles messages one by one.
+        """
+        process, now = (dispatch.target, dispatch.generation), self.clock.monotonic()
+        if now - self.slowdowns_at.get(process, -math.inf) < SLOWDOWN_INTERVAL_S:
+            return
+        if len(self.slowdowns_at) >= MAX_SLOWDOWN_TIMES:
+            self.slowdowns_at.clear()
+        self.slowdowns_at[process] = now
+        self.scheduler.tell(SlowdownStated(*process, slowdown, now))
+
     def record_brittleness(self, dispatch: Dispatch, metadata: AnswerMetadata) -> None:
         """Record that a target is brittle, if it has just refused or that is new."""
         if metadata.max_refusals_per_s is None:
--- a/tests/scheduler/test_targets.py
+++ b/tests/scheduler/test_targets.py
@@ -10,6 +10,7 @@
 from godwitladder.outcomes import Reason, RequestState
 from godwitladder.scheduler import systems
 from godwitladder.scheduler.exchange import Completion, ThroughputSample
+from godwitladder.scheduler.learning import observe_completion, observe_throughput
 from godwitladder.scheduler.reports import apply_shed
 from godwitladder.scheduler.systems import (
     NO_PATH_RETRY_S,
@@ -156,8 +157,8 @@
     harness, now = make_settled_harness({"e0": 8})
     role = harness.roles["h0"]
     for _ in range(MIN_OBSERVATIONS - 1):
-        role.observe_completion(Completion("e0", "w", "chat", 10, 10, 5.0, 50.0))
-        role.observe_throughput(ThroughputSample("e0", 0, 64, 60.0), now)
+        observe_completion(role, Completion("e0", "w", "chat", 10, 10, 5.0, 50.0))
+        observe_throughput(role, ThroughputSample("e0", 0, 64, 60.0), now)
     assert role.throttles.limit("e0", 8, now) == 8
 
 
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -1,16 +1,20 @@
 """What targets state in their answers is passed on to the scheduler."""
 
+from dataclasses import replace
+
 import pytest
 
 from godwitladder.clock import ManualClock
 from godwitladder.decisions.health.departures import Departures
 from godwitladder.decisions.limits.cooldowns import Cooldowns
 from godwitladder.decisions.limits.rate_limits import NO_LIMIT, RateLimits
+from godwitladder.decisions.placing.stated_load import StatedLoad
 from godwitladder.routing.calls import AnswerMetadata
 from godwitladder.scheduler.messages import (
     CooldownStated,
     LeavingStated,
     RateLimitStated,
+    SlowdownStated,
 )
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.statements import TargetStatements
@@ -161,3 +165,34 @@
         CooldownStated(f"t-{bench.engines[0].address}", "", 3.0)
         in bench.scheduler.others
     )
+
+
+def loaded(slowdown):
+    """Return an answer that states a load."""
+    return answer(load=StatedLoad(3, 0, 8, slowdown))
+
+
+def test_a_slowdown_is_passed_on_at_most_once_in_the_interval(inbox):
+    """Guards against a message to the scheduler for each answer of a busy target."""
+    statements = make_statements(inbox)
+    stated_at = statements.clock.monotonic()
+    for _ in range(100):
+        statements.record(DISPATCH, 200, loaded(2.5))
+        statements.clock.advance(0.01)
+    assert 9 <= len(inbox.messages) <= 10
+    assert inbox.messages[0] == SlowdownStated("e0", "7", 2.5, stated_at)
+
+
+def test_the_slowdown_of_another_process_is_passed_on_at_once(inbox):
+    statements = make_statements(inbox)
+    statements.record(DISPATCH, 200, loaded(2.5))
+    statements.record(replace(DISPATCH, generation="8"), 200, loaded(1.0))
+    assert [row.generation for row in inbox.messages] == ["7", "8"]
+
+
+def test_a_load_without_a_slowdown_costs_nothing(inbox):
+    """Guards against new messages where no target states the fourth figure."""
+    statements = make_statements(inbox)
+    statements.record(DISPATCH, 200, loaded(None))
+    assert inbox.messages == []
+    assert not statements.slowdowns_at
