Log the effect of stated slowdowns every ten seconds at most

The line has the targets that state one, the largest factors on the time of a prompt and the age of the newest report.

--- a/godwitladder/decisions/placing/stated_load.py
+++ b/godwitladder/decisions/placing/stated_load.py
@@ -26,6 +26,7 @@
     in reports neither closes a target nor makes it look idle.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -112,16 +113,19 @@
     ----------
     rows : dict
         What each target has stated; targets that state no slowdown have no row.
+    logged_at : float
+        Time of the last log line on them, in seconds.
     """
 
     rows: dict[TargetName, SlowdownRow] = field(default_factory=dict)
+    logged_at: float = -math.inf
 
     def observe_all(
         self,
         reports: Iterable[TargetSlowdown],
         generations: Mapping[TargetName, str],
         sent_at: float,
-    ) -> bool:
+    ) -> None:
         """Record what a host lists, except of processes that have ended.
 
         Parameters
@@ -132,18 +136,11 @@
             Generation of the present process of each target.
         sent_at : float
             Time at which the host listed it, in seconds.
-
-        Returns
-        -------
-        bool
-            Whether a target is new among those that state a slowdown.
         """
-        known = len(self.rows)
         for row in reports:
             if generations.get(row.target) == row.generation:
                 stated_at = sent_at - row.age_s
                 self.observe(row.target, row.generation, row.slowdown, stated_at)
-        return len(self.rows) > known
 
     def observe(
         self, target: TargetName, generation: str, slowdown: float, stated_at: float
--- a/godwitladder/scheduler/learning.py
+++ b/godwitladder/scheduler/learning.py
@@ -3,7 +3,9 @@
 Pure: times are passed as arguments.
 """
 
+import heapq
 from collections.abc import Iterable
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from godwitladder.decisions.placing.stated_load import TargetSlowdown
@@ -15,7 +17,11 @@
 if TYPE_CHECKING:
     from godwitladder.scheduler.role import PoolRole
 
-log = component_logger("scheduler")
+log = component_logger("allocator")
+
+LOG_INTERVAL_S = 10.0
+"""Minimum time between two log lines on the slowdowns of a pool's targets."""
+MAX_LOGGED_TARGETS = 5
 
 
 def observe_throughput(role: "PoolRole", sample: ThroughputSample, now: float) -> None:
@@ -40,13 +46,27 @@
 
 
 def observe_slowdowns(
-    role: "PoolRole", reports: Iterable[TargetSlowdown], sent_at: float
+    role: "PoolRole", reports: Iterable[TargetSlowdown], sent_at: float, now: float
 ) -> None:
-    """Record what targets of the pool state, and log when more targets state it."""
+    """Record what targets of the pool state, and log the effect now and then."""
     generations = target_generations(role.config.targets)
     reports = [row for row in reports if row.target in role.pool.targets]
-    if role.slowdowns.observe_all(reports, generations, sent_at):
-        extra = {"pool": str(role.pool.name), "targets": len(role.slowdowns.rows)}
+    slowdowns = role.slowdowns
+    slowdowns.observe_all(reports, generations, sent_at)
+    if slowdowns.rows and now - slowdowns.logged_at >= LOG_INTERVAL_S:
+        slowdowns.logged_at = now
+        factors = {
+            name: round(present_factor(role, name, now), 2) for name in slowdowns.rows
+        }
+        slowest = heapq.nlargest(MAX_LOGGED_TARGETS, factors.items(), itemgetter(1))
+        extra = {
+            "pool": str(role.pool.name),
+            "targets": len(factors),
+            "factors": dict(slowest),
+            "age_s": round(
+                now - max(row.stated_at for row in slowdowns.rows.values()), 3
+            ),
+        }
         log.info("Targets state how long work takes on them", extra=extra)
 
 
--- a/godwitladder/scheduler/role.py
+++ b/godwitladder/scheduler/role.py
@@ -240,7 +240,7 @@
         for sample in report.throughput_samples:
             observe_throughput(self, sample, now)
         if report.slowdowns:
-            observe_slowdowns(self, report.slowdowns, now - delay_s)
+            observe_slowdowns(self, report.slowdowns, now - delay_s, now)
         wanted = any(row.demands or row.more_waiting for row in self.accounts.values())
         return wanted or account.offered_at == float("-inf")
 
--- a/tests/decisions/test_stated_load.py
+++ b/tests/decisions/test_stated_load.py
@@ -65,7 +65,8 @@
     assert slowdowns.factor("t0", "2", 0.1) == 1.0
     late = [TargetSlowdown("t0", "1", SLOW, 0.0), TargetSlowdown("t1", "1", SLOW, 0.0)]
     slowdowns.observe("t0", "2", 1.0, 0.2)
-    assert not slowdowns.observe_all(late, {"t0": "2"}, 0.3)
+    slowdowns.observe_all(late, {"t0": "2"}, 0.3)
+    assert list(slowdowns.rows) == ["t0"]
     assert slowdowns.factor("t0", "2", 0.3) == 1.0
 
 
@@ -73,7 +74,7 @@
     """Guards against a report that an allocator takes for newer than it is."""
     slowdowns = make_slowdowns(1.0)
     late = [TargetSlowdown("t0", "1", SLOW, 0.3)]
-    assert not slowdowns.observe_all(late, {"t0": "1"}, 1.0)
+    slowdowns.observe_all(late, {"t0": "1"}, 1.0)
     assert slowdowns.rows["t0"].stated_at == pytest.approx(0.7)
 
 
--- a/tests/scheduler/test_stated_load.py
+++ b/tests/scheduler/test_stated_load.py
@@ -109,11 +109,14 @@
         assert view.prefill_tps == role.speeds.learned[name].prefill_tps
 
 
-def test_the_first_statements_are_logged_once(caplog):
+def test_an_operator_sees_the_effect_in_few_lines(caplog):
+    """Guards against a log line for each report of a host."""
     caplog.set_level(logging.INFO, "godwitladder")
     pool = settled_pool()
-    for _ in range(5):
+    for _ in range(150):
         state_slowdown(pool, SLOW)
         pool.run(2 * STEP_S)
     lines = [row for row in caplog.records if "how long work" in row.getMessage()]
     assert 1 <= len(lines) <= 2
+    assert lines[-1].targets == 2
+    assert lines[-1].factors["e0"] > 1.0
