--- a/bench/stated_load.py
+++ b/bench/stated_load.py
@@ -19,14 +19,16 @@
 from bench.report import table
 from godwitladder.decisions.placing.stated_load import MAX_FACTOR, StatedSlowdowns
 from godwitladder.scheduler import views
+from godwitladder.scheduler.messages import SlowdownStated
 from godwitladder.scheduler.reports import due_reports, next_due_s, take_offer
+from godwitladder.scheduler.statements import take_slowdown
 from godwitladder.scheduler.systems import run_systems
 
 SLOW_SHARE = 0.15
 SLOWDOWN = 2.5
 CHANGE_S = 0.6
 MIN_DELAY_S, MAX_DELAY_S = 0.1, 1.0
-MODES = ("ignored", "as received", "by age", "true")
+MODES = ("ignored", "as received", "by age", "product", "true")
 
 
 def noise(seed: int, target: str, now: float) -> float:
@@ -47,8 +49,9 @@
     Attributes
     ----------
     mode : str
-        How the allocator uses stated slowdowns, one of `MODES`. ``true`` uses the
-        present slowdown, as no allocator can know it.
+        How the allocator uses stated slowdowns, one of `MODES`. ``product`` sends them
+        through the host's report, ``true`` uses the present slowdown, as no allocator
+        can know it.
     delay_s : float
         Delay of each statement on its way to the allocator, in seconds; 0 draws each
         one between `MIN_DELAY_S` and `MAX_DELAY_S`.
@@ -100,7 +103,7 @@
         if self.mode == "by age":
             return self.stated.factor(target, "", self.now)
         row = self.stated.rows.get(target)
-        if self.mode == "ignored" or row is None:
+        if self.mode in ("ignored", "product") or row is None:
             return 1.0
         if self.mode == "true":
             return noise(self.load.seed, target, self.now) / row.mean
@@ -120,6 +123,10 @@
         target, now = self.rows[name].target, self.now
         slowdown = noise(self.load.seed, target, now)
         delay_s = self.delay_s or self.delays.uniform(MIN_DELAY_S, MAX_DELAY_S)
+        if self.mode == "product":
+            stated = SlowdownStated(target, "", slowdown, now)
+            self.schedule(now + delay_s, lambda: take_slowdown(self.tables, stated))
+            return
         self.schedule(
             now + delay_s, lambda: self.stated.observe(target, "", slowdown, now)
         )
@@ -203,7 +210,7 @@
     load = Load(seconds=seconds, factor=factor, burst=1.0, mix=MIXES[mix])
     rows = []
     for mode in modes:
-        for delay_s in delays if mode in ("as received", "by age") else (0.0,):
+        for delay_s in delays if mode not in ("ignored", "true") else (0.0,):
             shares, completed = [], []
             for seed in range(first_seed, first_seed + seeds):
                 run = NoisySimulation(
