--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -285,6 +285,8 @@
         Status of answers that are no streams.
     events : int
         Number of the last event of a stream.
+    load : str
+        Load that answers state; empty for none.
     rate_limit : float
         Requests per second that every answer states as the limit; 0 for none.
     leaving : bool
@@ -322,6 +324,7 @@
     status: int = 200
     events: int = 5
     rate_limit: float = 0.0
+    load: str = ""
     leaving: bool = False
     cooldown_s: float = 0.0
     room: int = -1
@@ -611,6 +614,8 @@
             self.send_header(names.BRITTLE, str(knobs.brittle))
         if knobs.leaving:
             self.send_header(names.LEAVING, "1")
+        if knobs.load:
+            self.send_header(names.LOAD, knobs.load)
         if not knobs.framed:
             self.send_header("Connection", "close")
         for name, value in headers:
--- a/tests/serving/test_statements.py
+++ b/tests/serving/test_statements.py
@@ -196,3 +196,22 @@
     statements.record(DISPATCH, 200, loaded(None))
     assert inbox.messages == []
     assert not statements.slowdowns_at
+
+
+@pytest.mark.parametrize("path", ["/charge/x", "/stream/stream/x"])
+def test_a_slowdown_in_an_answer_reaches_the_scheduler(stack, path):
+    """Guards against a way to a dispatch whose answers are not looked at."""
+    bench = Bench(stack)
+    bench.engines[0].standin.knobs.load = "3,0,8,250"
+    bench.call(path)
+    stated = [r for r in bench.scheduler.others if isinstance(r, SlowdownStated)]
+    assert [row.slowdown for row in stated] == [2.5]
+
+
+@pytest.mark.parametrize("load", ["3,0,8", "3,0,8,much", ""])
+def test_an_answer_without_a_valid_slowdown_sends_no_message(stack, load):
+    """Guards against new messages where no target states the fourth figure."""
+    bench = Bench(stack)
+    bench.engines[0].standin.knobs.load = load
+    assert bench.call("/charge/x").status == 200
+    assert bench.scheduler.others == []
