--- a/godwitladder/scheduler/learning.py
+++ b/godwitladder/scheduler/learning.py
@@ -12,7 +12,6 @@
 from godwitladder.ids import TargetName
 from godwitladder.logs import component_logger
 from godwitladder.scheduler.exchange import Completion, ThroughputSample
-from godwitladder.scheduler.pools import target_generations
 
 if TYPE_CHECKING:
     from godwitladder.scheduler.role import PoolRole
@@ -49,8 +48,12 @@
     role: "PoolRole", reports: Iterable[TargetSlowdown], sent_at: float, now: float
 ) -> None:
     """Record what targets of the pool state, and log the effect now and then."""
-    generations = target_generations(role.config.targets)
-    reports = [row for row in reports if row.target in role.pool.targets]
+    # Many reports list a few targets each, of all that the configuration has.
+    generations = {
+        row.target: role.config.targets[row.target].generation
+        for row in reports
+        if row.target in role.pool.targets
+    }
     slowdowns = role.slowdowns
     slowdowns.observe_all(reports, generations, sent_at)
     if slowdowns.rows and now - slowdowns.logged_at >= LOG_INTERVAL_S:
