--- a/godwitladder/scheduler/exchange.py
+++ b/godwitladder/scheduler/exchange.py
@@ -23,6 +23,7 @@
 from godwitladder.decisions.limits.cooldowns import RemainingCooldown
 from godwitladder.decisions.limits.rate_limits import StatedLimit
 from godwitladder.decisions.limits.spending import WorkspaceSpending
+from godwitladder.decisions.placing.stated_load import TargetSlowdown
 from godwitladder.decisions.types import Grant, PoolName, RequestDemand, Shed, TargetUse
 from godwitladder.decisions.waiting.admission import AdmissionShare
 from godwitladder.ids import (
@@ -197,6 +198,8 @@
     condemned : tuple of CondemnedVersion
     proved : tuple of ProvedVersion
         Outcomes of rollouts that the host knows, in full reports.
+    slowdowns : tuple of TargetSlowdown
+        How long work takes on targets that have stated it since the last report.
     """
 
     host: HostId
@@ -227,6 +230,7 @@
     order_ages: tuple[OrderAge, ...] = ()
     condemned: tuple[CondemnedVersion, ...] = ()
     proved: tuple[ProvedVersion, ...] = ()
+    slowdowns: tuple[TargetSlowdown, ...] = ()
 
 
 @peer_message
