Read answers of targets within limits

Cause: http.client skips interim answers without a limit, awaits trailers, takes the end of a connection for the end of a head, an unreadable length for none, and a negative chunk size for all that comes; its HTTPException is neither an HTTPError of urllib3 nor an OSError, so that a garbled head ended as a 500 of the host.

Change: connections of engines/wire.py read through engines/bounded_http.py, which gives http.client heads that were read within AnswerLimits and checks lengths, chunk sizes and bodies. The errors move to engines/errors.py; wire.py names them as before.

--- /dev/null
+++ b/godwitladder/engines/bounded_http.py
@@ -0,0 +1,392 @@
+"""HTTP connections that read answers within limits, whatever the other end sends.
+
+The standard library parses heads and chunks, but its limits don't suffice: it skips
+any number of interim answers, reads trailers and chunks without an end, takes the end
+of a connection for the end of a head, and a length that it can't read for none.
+"""
+
+import functools
+import http.client
+import io
+import re
+import socket
+
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+from godwitladder.clock import Clock
+from godwitladder.engines.answer_limits import AnswerLimits
+from godwitladder.engines.errors import AnswerShape, MalformedAnswer
+
+CLOCK = Clock()
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9][ \t]+([0-9]{3})(?:[ \t][^\n]*|\r)?\n")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*|\r)?\n")
+LENGTH = re.compile(r"[0-9]{1,18}")
+BLANK_LINES = (b"\r\n", b"\n")
+FOLDED_STARTS = (b" ", b"\t")
+SWITCHING_PROTOCOLS = 101
+CHUNK_END_BYTES = 2
+SMALL_CHUNK_BYTES = 512
+"""Chunks below this size cost more processor time than the bytes in them."""
+FREE_SMALL_CHUNKS = 4_096
+"""Small chunks of an answer that are read without a rest."""
+MAX_SMALL_CHUNKS_PER_S = 1_000
+"""Pace of further ones. No engine generates as many tokens per second for one
+request, and reading them takes a few hundredths of a core."""
+PACED_CHUNKS = 64
+"""Small chunks between two rests."""
+
+
+class HeadLines:
+    """The lines of a head that was read, as a file to parse it from.
+
+    The header lines are returned at once, as the parser has a limit of its own on
+    their number.
+    """
+
+    def __init__(self, status_line: bytes, header_lines: bytes) -> None:
+        self.parts = iter((status_line, header_lines, b"\r\n"))
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line or lines; nothing at the end."""
+        return next(self.parts, b"")
+
+    def close(self) -> None:
+        """Close the file."""
+
+
+class UnframedBody:
+    """The body of an answer without length or chunks, as a file to read it from.
+
+    Parameters
+    ----------
+    stream : BufferedReader
+        Reads from the connection.
+    limit : int
+        Largest size in bytes.
+
+    Attributes
+    ----------
+    size : int
+        Number of bytes that were read.
+    """
+
+    def __init__(self, stream: io.BufferedReader, limit: int) -> None:
+        self.stream = stream
+        self.limit = limit
+        self.size = 0
+
+    def read(self, size: int = -1) -> bytes:
+        """Return ``size`` bytes, or all there are."""
+        return self.count(self.stream.read(self.limit + 1 if size < 0 else size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return what has arrived, or wait for it if there is none."""
+        return self.count(self.stream.read1(size))
+
+    def count(self, block: bytes) -> bytes:
+        """Count the bytes of ``block`` and return it.
+
+        Raises
+        ------
+        MalformedAnswer
+            The body exceeds its limit.
+        """
+        self.size += len(block)
+        if self.size > self.limit:
+            raise too_large(self.size, self.limit)
+        return block
+
+    def flush(self) -> None:
+        """Flush the stream, which does nothing."""
+        self.stream.flush()
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection."""
+        return self.stream.fileno()
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.stream.close()
+
+
+class TimedReader(io.RawIOBase):
+    """Reads from a socket until a time has passed.
+
+    The timeout of a socket limits its silence only: an answer that trickles in could
+    take for ever.
+
+    Parameters
+    ----------
+    sock : socket
+        The socket, with its timeout set.
+    clock : Clock
+        Tells the time.
+    duration_s : float
+        Seconds from now until reading ends.
+    """
+
+    def __init__(self, sock: socket.socket, clock: Clock, duration_s: float) -> None:
+        super().__init__()
+        self.sock = sock
+        self.silence_s = sock.gettimeout() or duration_s
+        self.clock = clock
+        self.ends_at = clock.monotonic() + duration_s
+        self.stream = sock.makefile("rb", buffering=0)
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer) -> int:
+        """Read into ``buffer`` and return the number of bytes.
+
+        Raises
+        ------
+        TimeoutError
+            The time has passed, or the socket's timeout.
+        """
+        left_s = self.ends_at - self.clock.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the answer did not end in time")
+        self.sock.settimeout(min(left_s, self.silence_s))
+        return self.stream.readinto(buffer)
+
+    def close(self) -> None:
+        """Close the socket's file."""
+        self.stream.close()
+        super().close()
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """An answer whose head, framing and body are read within limits.
+
+    Parameters
+    ----------
+    sock : socket
+        The connection.
+    limits : AnswerLimits
+        The limits.
+    duration_s : float or None
+        Seconds that the whole answer may take; None for no limit.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Bytes of the head that were read, without interim answers.
+    body_bytes : int
+        Bytes of all chunks that have begun.
+    framing_bytes : int
+        Bytes of chunk-size lines and of the line ends after chunks.
+    small_chunks : int
+        Number of chunks of less than `SMALL_CHUNK_BYTES`.
+    paced_until : float
+        Monotonic time in seconds before which no further `PACED_CHUNKS` are read.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        *args,
+        limits: AnswerLimits,
+        duration_s: float | None = None,
+        **kwargs,
+    ) -> None:
+        super().__init__(sock, *args, **kwargs)
+        if duration_s is not None:
+            self.fp.close()
+            self.fp = io.BufferedReader(TimedReader(sock, CLOCK, duration_s))
+        self.limits = limits
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.framing_bytes = 0
+        self.small_chunks = 0
+        self.paced_until = 0.0
+
+    def begin(self) -> None:
+        """Read and parse the head.
+
+        Raises
+        ------
+        MalformedAnswer
+            The head exceeds the limits, is not HTTP, or states no valid length.
+        RemoteDisconnected
+            The connection ended within the head.
+        """
+        if self.headers is not None:
+            return
+        stream = self.fp
+        self.fp = HeadLines(*self._read_final_head())
+        try:
+            super().begin()
+        except http.client.HTTPException as error:
+            raise self._malformed_head(repr(error)) from error
+        finally:
+            self.fp = stream
+        self._check_framing()
+        if self.chunked:
+            # Its trailers are left unread.
+            self.will_close = True
+        elif self.length is None:
+            self.fp = UnframedBody(stream, self.limits.body_bytes)
+
+    def _read_final_head(self) -> tuple[bytes, bytes]:
+        """Return the status line and the header lines of the final answer."""
+        for _ in range(self.limits.interim_answers + 1):
+            self.head_bytes = 0
+            status_line = self._read_head_line()
+            match = STATUS_LINE.fullmatch(status_line)
+            if match is None:
+                raise self._malformed_head(f"no status line: {status_line[:80]!r}")
+            header_lines = self._read_header_lines()
+            status = int(match[1])
+            if status >= http.client.OK:
+                return status_line, header_lines
+            if status == SWITCHING_PROTOCOLS or status < http.client.CONTINUE:
+                break
+        raise MalformedAnswer(
+            AnswerShape.INTERIM, self.head_bytes, f"too many, or {status_line[:80]!r}"
+        )
+
+    def _read_header_lines(self) -> bytes:
+        """Return the header lines up to the blank line, which is left out."""
+        lines = []
+        header_bytes = self.limits.header_bytes
+        while (line := self._read_head_line()) not in BLANK_LINES:
+            if b":" not in line and not line.startswith(FOLDED_STARTS):
+                raise self._malformed_head(f"no header: {line[:80]!r}")
+            lines.append(line)
+            if self.head_bytes > header_bytes or len(lines) > self.limits.header_count:
+                raise self._malformed_head(f"{len(lines)} header lines")
+        return b"".join(lines)
+
+    def _read_head_line(self) -> bytes:
+        line = self.fp.readline(self.limits.line_bytes + 1)
+        self.head_bytes += len(line)
+        if len(line) > self.limits.line_bytes:
+            raise self._malformed_head(f"a line of over {self.limits.line_bytes} bytes")
+        if not line.endswith(b"\n"):
+            raise http.client.RemoteDisconnected("the connection ended within the head")
+        return line
+
+    def _malformed_head(self, detail: str) -> MalformedAnswer:
+        return MalformedAnswer(AnswerShape.HEAD, self.head_bytes, detail)
+
+    def _check_framing(self) -> None:
+        """Check that the head tells how the body ends.
+
+        An answer whose length can't be read would end with its connection, and a
+        part of it would look complete.
+        """
+        encoding = self.headers.get("Transfer-Encoding")
+        if self.chunked:
+            return
+        if encoding is not None:
+            raise self._malformed_framing(f"encoding {encoding[:80]!r}")
+        stated = self.headers.get_all("Content-Length")
+        if stated is None:
+            return
+        lengths = {part.strip() for value in stated for part in value.split(",")}
+        length = lengths.pop()
+        if lengths or not LENGTH.fullmatch(length):
+            raise self._malformed_framing(f"length {', '.join(stated)[:80]!r}")
+        if self.length != 0:
+            self.length = int(length)
+            if self.length > self.limits.body_bytes:
+                raise too_large(self.length, self.limits.body_bytes)
+
+    def _malformed_framing(self, detail: str, size: int = 0) -> MalformedAnswer:
+        return MalformedAnswer(AnswerShape.FRAMING, size or self.head_bytes, detail)
+
+    def _read_next_chunk_size(self) -> int:
+        """Return the size of the next chunk.
+
+        Raises
+        ------
+        MalformedAnswer
+            The line is no chunk size, the lines exceed their limits, or the body does.
+        ValueError
+            The connection has ended.
+        """
+        line = self.fp.readline(self.limits.line_bytes + 1)
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None or len(line) > self.limits.line_bytes:
+            if len(line) <= self.limits.line_bytes and not line.endswith(b"\n"):
+                raise ValueError("the connection ended within a chunk size")
+            detail = f"chunk size {line[:80]!r}"
+            raise self._malformed_framing(detail, self.framing_bytes + len(line))
+        size = int(match[1], 16)
+        self._count_chunk(len(line) + CHUNK_END_BYTES, size)
+        return size
+
+    def _count_chunk(self, framing_bytes: int, size: int) -> None:
+        """Count a chunk and check the sizes of all so far.
+
+        The limit on the size of headers holds for the framing too, so far as it
+        exceeds the body.
+        """
+        self.framing_bytes += framing_bytes
+        self.body_bytes += size
+        if self.body_bytes > self.limits.body_bytes:
+            raise too_large(self.body_bytes, self.limits.body_bytes)
+        if self.framing_bytes > self.limits.header_bytes + self.body_bytes:
+            detail = f"for {self.body_bytes} bytes of body"
+            raise self._malformed_framing(detail, self.framing_bytes)
+        if size < SMALL_CHUNK_BYTES:
+            self.small_chunks += 1
+            if self.small_chunks > FREE_SMALL_CHUNKS:
+                self._pace()
+
+    def _pace(self) -> None:
+        """Rest if small chunks arrive too fast.
+
+        A target that sends them without end would use a core until the deadline. The
+        rest is short, so that the call notices soon that it was aborted.
+        """
+        if self.small_chunks % PACED_CHUNKS:
+            return
+        now = CLOCK.monotonic()
+        if self.paced_until > now:
+            CLOCK.sleep(self.paced_until - now)
+        step_s = PACED_CHUNKS / MAX_SMALL_CHUNKS_PER_S
+        self.paced_until = max(self.paced_until, now) + step_s
+
+    def _read_and_discard_trailer(self) -> None:
+        """Leave the trailers unread: the body is complete, and they may never end."""
+
+
+def too_large(size: int, limit: int) -> MalformedAnswer:
+    """Return the error of a body of ``size`` bytes, of which ``limit`` are allowed."""
+    return MalformedAnswer(AnswerShape.BODY, size, f"more than {limit} bytes")
+
+
+class BoundedAnswers:
+    """Mixin of connections whose answers are read within limits.
+
+    Parameters
+    ----------
+    limits : AnswerLimits
+        Limits on an answer.
+    duration_s : float or None
+        Seconds that a whole answer may take, from the end of the request; None for no
+        limit beside the timeout of the socket.
+    """
+
+    def __init__(
+        self,
+        *args,
+        limits: AnswerLimits = AnswerLimits(),
+        duration_s: float | None = None,
+        **kwargs,
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self.response_class = functools.partial(
+            BoundedResponse, limits=limits, duration_s=duration_s
+        )
+
+
+class BoundedConnection(BoundedAnswers, HTTPConnection):
+    """HTTP connection whose answers are read within limits."""
+
+
+class BoundedTlsConnection(BoundedAnswers, HTTPSConnection):
+    """HTTPS connection whose answers are read within limits."""
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -1,17 +1,49 @@
 """HTTP connections to targets that tell failures before the first byte from later."""
 
-import enum
+import http.client
 import math
 from collections.abc import Callable, Mapping
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from godwitladder.findings import GodwitladderError
+from godwitladder.engines.answer_limits import AnswerLimits
+from godwitladder.engines.bounded_http import BoundedConnection
+from godwitladder.engines.errors import (
+    AbortedByHost,
+    AnswerShape,
+    MalformedAnswer,
+    MayHaveRun,
+    NoConnection,
+    NotSent,
+    TargetRefused,
+)
+
+__all__ = [
+    "AbortedByHost",
+    "AnswerShape",
+    "Dial",
+    "MalformedAnswer",
+    "MayHaveRun",
+    "NoConnection",
+    "NotSent",
+    "TargetRefused",
+    "connect",
+    "read_cooldown",
+    "send",
+]
 
 CONNECT_TIMEOUT_S = 2.0
 COOLDOWN_STATUSES = frozenset({429, 503})
 """Statuses with which a target refuses a request for the time being."""
+BROKEN = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
+"""Errors of sending a request and receiving a head. An HTTPException of the standard
+library is neither an HTTPError of urllib3 nor an OSError."""
 
 
 Dial = Callable[[str, float], HTTPConnection]
@@ -21,70 +53,6 @@
 """
 
 
-class NotSent(GodwitladderError):
-    """The request was not dispatched: no byte of it was sent to the target."""
-
-
-class NoConnection(NotSent):
-    """No connection to the target could be established, on any way."""
-
-
-class MayHaveRun(GodwitladderError):
-    """The request may have reached the target, but no complete answer arrived."""
-
-
-class AbortedByHost(MayHaveRun):
-    """The host itself ended the answer before it was complete."""
-
-
-class AnswerShape(enum.Enum):
-    """Part of an answer that exceeds its limit or is not HTTP."""
-
-    HEAD = "head"
-    INTERIM = "interim"
-    FRAMING = "framing"
-    EVENT = "event"
-    BODY = "body"
-
-
-class MalformedAnswer(MayHaveRun):
-    """The target sent bytes that are no answer, or more than the limits allow.
-
-    Parameters
-    ----------
-    shape : AnswerShape
-        The part at fault.
-    size : int
-        Bytes of that part that were read.
-    detail : str
-        What is wrong with it.
-    """
-
-    def __init__(self, shape: AnswerShape, size: int, detail: str) -> None:
-        super().__init__(f"malformed {shape.value} after {size} bytes: {detail}")
-        self.shape = shape
-        self.size = size
-
-
-class TargetRefused(GodwitladderError):
-    """The target answered that it has not started the request.
-
-    Parameters
-    ----------
-    status : int
-        The target's HTTP status.
-    text : str
-        The beginning of its answer.
-    cooldown_s : float
-        Seconds until this host may retry; 0 if not stated.
-    """
-
-    def __init__(self, status: int, text: str, cooldown_s: float = 0.0) -> None:
-        super().__init__(f"target answered {status}: {text}")
-        self.status = status
-        self.cooldown_s = cooldown_s
-
-
 def read_cooldown(response: urllib3.BaseHTTPResponse) -> float:
     """Return the seconds until this host may retry a target that refuses.
 
@@ -100,9 +68,12 @@
 
 
 def connect(
-    address: str, read_timeout_s: float, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    address: str,
+    read_timeout_s: float,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    limits: AnswerLimits = AnswerLimits(),
 ) -> HTTPConnection:
-    """Return a new open connection to ``address``.
+    """Return a new open connection to ``address``, which reads within ``limits``.
 
     Each dispatch has its own connection. The target may just have closed a pooled
     connection, and a request written to it would look sent although it never runs.
@@ -113,7 +84,9 @@
         The connection could not be established.
     """
     host, _, port = address.rpartition(":")
-    connection = HTTPConnection(host, int(port), timeout=connect_timeout_s)
+    connection = BoundedConnection(
+        host, int(port), timeout=connect_timeout_s, limits=limits
+    )
     try:
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as error:
@@ -137,6 +110,8 @@
     ------
     MayHaveRun
         Sending the request or receiving the status and headers failed.
+    MalformedAnswer
+        The status and headers exceed the limits of the connection, or are not HTTP.
     """
     try:
         try:
@@ -148,6 +123,9 @@
             # answer can still be read.
             pass
         return connection.getresponse()
-    except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+    except MalformedAnswer:
+        connection.close()
+        raise
+    except BROKEN as error:
         connection.close()
         raise MayHaveRun(f"{connection.host} gave no answer: {error}") from error
