--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -5,11 +5,13 @@
 of a connection for the end of a head, and a length that it can't read for none.
 """
 
+import email.errors
 import functools
 import http.client
 import io
 import re
 import socket
+from collections.abc import Iterable
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
@@ -18,13 +20,21 @@
 from godwitladder.engines.errors import AnswerShape, MalformedAnswer
 
 CLOCK = Clock()
+DEFAULT_LIMITS = AnswerLimits()
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9][ \t]+([0-9]{3})(?:[ \t][^\n]*|\r)?\n")
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*|\r)?\n")
 LENGTH = re.compile(r"[0-9]{1,18}")
 BLANK_LINES = (b"\r\n", b"\n")
-FOLDED_STARTS = (b" ", b"\t")
+HEAD_END = b"\r\n\r\n"
+HEAD_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.InvalidHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
+"""What the parser notes of lines that are no headers. It takes none of those after."""
 SWITCHING_PROTOCOLS = 101
 CHUNK_END_BYTES = 2
+READ_BYTES = 65_536
 SMALL_CHUNK_BYTES = 512
 """Chunks below this size cost more processor time than the bytes in them."""
 FREE_SMALL_CHUNKS = 4_096
@@ -77,7 +87,9 @@
 
     def read(self, size: int = -1) -> bytes:
         """Return ``size`` bytes, or all there are."""
-        return self.count(self.stream.read(self.limit + 1 if size < 0 else size))
+        if size < 0:
+            return b"".join(iter(lambda: self.read1(READ_BYTES), b""))
+        return self.count(self.stream.read(size))
 
     def read1(self, size: int = -1) -> bytes:
         """Return what has arrived, or wait for it if there is none."""
@@ -215,84 +227,110 @@
         if self.headers is not None:
             return
         stream = self.fp
-        self.fp = HeadLines(*self._read_final_head())
+        head = self._take_whole_head() or self._read_final_head()
+        self.fp = HeadLines(*head)
         try:
             super().begin()
         except http.client.HTTPException as error:
             raise self._malformed_head(repr(error)) from error
         finally:
             self.fp = stream
-        self._check_framing()
+        self._check_headers(head[1])
         if self.chunked:
             # Its trailers are left unread.
             self.will_close = True
         elif self.length is None:
             self.fp = UnframedBody(stream, self.limits.body_bytes)
+        elif self.length > self.limits.body_bytes:
+            raise too_large(self.length, self.limits.body_bytes)
+
+    def _take_whole_head(self) -> tuple[bytes, bytes] | None:
+        """Return the lines of a final head that has arrived as a whole; None if not.
+
+        Nearly all heads are such, and reading each line would take most of the time.
+        """
+        limits, buffered = self.limits, self.fp.peek()
+        status_line = STATUS_LINE.match(buffered)
+        end = buffered.find(HEAD_END) + len(HEAD_END)
+        if (
+            status_line is None
+            or not status_line.end()
+            < end
+            <= min(limits.line_bytes, limits.header_bytes)
+            or int(status_line[1]) < http.client.OK
+            or buffered.count(b"\n", 0, end) > limits.header_count
+        ):
+            return None
+        self.head_bytes = end
+        head = self.fp.read(end)
+        return status_line[0], head[status_line.end() : -len(b"\r\n")]
 
     def _read_final_head(self) -> tuple[bytes, bytes]:
         """Return the status line and the header lines of the final answer."""
         for _ in range(self.limits.interim_answers + 1):
-            self.head_bytes = 0
-            status_line = self._read_head_line()
-            match = STATUS_LINE.fullmatch(status_line)
-            if match is None:
-                raise self._malformed_head(f"no status line: {status_line[:80]!r}")
-            header_lines = self._read_header_lines()
-            status = int(match[1])
+            status_line, *header_lines = self._read_head_lines()
+            status = int(STATUS_LINE.fullmatch(status_line)[1])
             if status >= http.client.OK:
-                return status_line, header_lines
+                return status_line, b"".join(header_lines)
             if status == SWITCHING_PROTOCOLS or status < http.client.CONTINUE:
                 break
         raise MalformedAnswer(
             AnswerShape.INTERIM, self.head_bytes, f"too many, or {status_line[:80]!r}"
         )
 
-    def _read_header_lines(self) -> bytes:
-        """Return the header lines up to the blank line, which is left out."""
-        lines = []
-        header_bytes = self.limits.header_bytes
-        while (line := self._read_head_line()) not in BLANK_LINES:
-            if b":" not in line and not line.startswith(FOLDED_STARTS):
-                raise self._malformed_head(f"no header: {line[:80]!r}")
+    def _read_head_lines(self) -> list[bytes]:
+        """Return the lines of a head up to the blank line, which is left out."""
+        readline, line_bytes = self.fp.readline, self.limits.line_bytes
+        lines: list[bytes] = []
+        self.head_bytes = 0
+        while (line := readline(line_bytes + 1)) not in BLANK_LINES or not lines:
+            self.head_bytes += len(line)
+            if len(line) > line_bytes:
+                raise self._malformed_head(f"a line of over {line_bytes} bytes")
+            if not line.endswith(b"\n"):
+                raise http.client.RemoteDisconnected("the connection ended in a head")
+            if not lines and not STATUS_LINE.fullmatch(line):
+                raise self._malformed_head(f"no status line: {line[:80]!r}")
+            if self.head_bytes > self.limits.header_bytes:
+                raise self._malformed_head(f"over {self.limits.header_bytes} bytes")
+            if len(lines) > self.limits.header_count:
+                raise self._malformed_head(f"over {len(lines) - 1} header lines")
             lines.append(line)
-            if self.head_bytes > header_bytes or len(lines) > self.limits.header_count:
-                raise self._malformed_head(f"{len(lines)} header lines")
-        return b"".join(lines)
-
-    def _read_head_line(self) -> bytes:
-        line = self.fp.readline(self.limits.line_bytes + 1)
-        self.head_bytes += len(line)
-        if len(line) > self.limits.line_bytes:
-            raise self._malformed_head(f"a line of over {self.limits.line_bytes} bytes")
-        if not line.endswith(b"\n"):
-            raise http.client.RemoteDisconnected("the connection ended within the head")
-        return line
+        return lines
 
     def _malformed_head(self, detail: str) -> MalformedAnswer:
         return MalformedAnswer(AnswerShape.HEAD, self.head_bytes, detail)
 
-    def _check_framing(self) -> None:
-        """Check that the head tells how the body ends.
+    def _check_headers(self, header_lines: bytes) -> None:
+        """Check that all lines are headers, and tell how the body ends.
 
         An answer whose length can't be read would end with its connection, and a
         part of it would look complete.
         """
-        encoding = self.headers.get("Transfer-Encoding")
+        defects = self.headers.defects
+        if defects and isinstance(defects[0], HEAD_DEFECTS):
+            raise self._malformed_head(repr(defects[0])[:80])
         if self.chunked:
             return
-        if encoding is not None:
-            raise self._malformed_framing(f"encoding {encoding[:80]!r}")
-        stated = self.headers.get_all("Content-Length")
-        if stated is None:
-            return
+        names = header_lines.lower()
+        if b"transfer-encoding" in names and "Transfer-Encoding" in self.headers:
+            encoding = self.headers["Transfer-Encoding"][:80]
+            raise self._malformed_framing(f"encoding {encoding!r}")
+        stated = names.count(b"content-length")
+        is_odd = self.length is None or self.length > self.limits.body_bytes
+        if stated > 1 or (stated and is_odd):
+            self._check_lengths(self.headers.get_all("Content-Length", ()))
+
+    def _check_lengths(self, stated: Iterable[str]) -> None:
+        """Set the length that an answer states more than once, or in an odd form."""
         lengths = {part.strip() for value in stated for part in value.split(",")}
+        if not lengths:
+            return
         length = lengths.pop()
         if lengths or not LENGTH.fullmatch(length):
-            raise self._malformed_framing(f"length {', '.join(stated)[:80]!r}")
+            raise self._malformed_framing(f"lengths {length[:80]!r}, {lengths!r:.80}")
         if self.length != 0:
             self.length = int(length)
-            if self.length > self.limits.body_bytes:
-                raise too_large(self.length, self.limits.body_bytes)
 
     def _malformed_framing(self, detail: str, size: int = 0) -> MalformedAnswer:
         return MalformedAnswer(AnswerShape.FRAMING, size or self.head_bytes, detail)
@@ -307,34 +345,39 @@
         ValueError
             The connection has ended.
         """
-        line = self.fp.readline(self.limits.line_bytes + 1)
-        match = CHUNK_SIZE_LINE.fullmatch(line)
-        if match is None or len(line) > self.limits.line_bytes:
-            if len(line) <= self.limits.line_bytes and not line.endswith(b"\n"):
-                raise ValueError("the connection ended within a chunk size")
-            detail = f"chunk size {line[:80]!r}"
-            raise self._malformed_framing(detail, self.framing_bytes + len(line))
-        size = int(match[1], 16)
-        self._count_chunk(len(line) + CHUNK_END_BYTES, size)
-        return size
-
-    def _count_chunk(self, framing_bytes: int, size: int) -> None:
-        """Count a chunk and check the sizes of all so far.
-
-        The limit on the size of headers holds for the framing too, so far as it
-        exceeds the body.
-        """
-        self.framing_bytes += framing_bytes
+        limits = self.limits
+        line = self.fp.readline(limits.line_bytes + 1)
+        try:
+            size = int(line, 16) if line.endswith(b"\n") else -1
+        except ValueError:
+            size = -1
+        if size < 0:
+            size = self._parse_chunk_size(line)
         self.body_bytes += size
-        if self.body_bytes > self.limits.body_bytes:
-            raise too_large(self.body_bytes, self.limits.body_bytes)
-        if self.framing_bytes > self.limits.header_bytes + self.body_bytes:
+        self.framing_bytes += len(line) + CHUNK_END_BYTES
+        if self.body_bytes > limits.body_bytes:
+            raise too_large(self.body_bytes, limits.body_bytes)
+        # The limit on the size of headers holds for the framing too, so far as it
+        # exceeds the body.
+        if self.framing_bytes > limits.header_bytes + self.body_bytes:
             detail = f"for {self.body_bytes} bytes of body"
             raise self._malformed_framing(detail, self.framing_bytes)
         if size < SMALL_CHUNK_BYTES:
             self.small_chunks += 1
             if self.small_chunks > FREE_SMALL_CHUNKS:
                 self._pace()
+        return size
+
+    def _parse_chunk_size(self, line: bytes) -> int:
+        """Return the size in a line that has more than a size, or none."""
+        is_too_long = len(line) > self.limits.line_bytes
+        if not is_too_long and not line.endswith(b"\n"):
+            raise ValueError("the connection ended within a chunk size")
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if is_too_long or match is None:
+            detail = f"chunk size {line[:80]!r}"
+            raise self._malformed_framing(detail, self.framing_bytes + len(line))
+        return int(match[1], 16)
 
     def _pace(self) -> None:
         """Rest if small chunks arrive too fast.
@@ -374,7 +417,7 @@
     def __init__(
         self,
         *args,
-        limits: AnswerLimits = AnswerLimits(),
+        limits: AnswerLimits = DEFAULT_LIMITS,
         duration_s: float | None = None,
         **kwargs,
     ) -> None:
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -8,7 +8,7 @@
 from urllib3.connection import HTTPConnection
 
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.engines.bounded_http import BoundedConnection
+from godwitladder.engines.bounded_http import DEFAULT_LIMITS, BoundedConnection
 from godwitladder.engines.errors import (
     AbortedByHost,
     AnswerShape,
@@ -71,7 +71,7 @@
     address: str,
     read_timeout_s: float,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
-    limits: AnswerLimits = AnswerLimits(),
+    limits: AnswerLimits = DEFAULT_LIMITS,
 ) -> HTTPConnection:
     """Return a new open connection to ``address``, which reads within ``limits``.
 
