--- a/godwitladder/clients/log.py
+++ b/godwitladder/clients/log.py
@@ -12,11 +12,14 @@
 
 import urllib3
 
+from godwitladder.clients.pools import FAILED_REQUEST, BoundedPools
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import Offset, Zone
 
 CONFIG_STREAM = "config"
 CLAIM_STREAM = "claims"
+ANSWER_LIMITS = AnswerLimits()
 CONNECT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -65,9 +68,7 @@
     def __init__(self, url: str, zone: Zone, timeout_s: float = 2.0) -> None:
         self.url = url.rstrip("/")
         self.timeout_s = timeout_s
-        self.pool = urllib3.PoolManager(
-            maxsize=8, retries=False, headers={"X-Zone": zone}
-        )
+        self.pool = BoundedPools(ANSWER_LIMITS, maxsize=8, headers={"X-Zone": zone})
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -108,15 +109,13 @@
 
     def _request(self, method: str, path: str, body: str | None, timeout: float):
         try:
-            answer = self.pool.request(
-                method, self.url + path, body=body, timeout=timeout
-            )
+            answer = self.pool.ask(method, self.url + path, timeout, body)
             if answer.status != 200:
                 raise LogUnavailable(f"log answered {answer.status} to {path}")
             return json.loads(answer.data)
         except CONNECT_ERRORS as error:
             raise LogNotReached(f"no connection for {path}: {error}") from error
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+        except (*FAILED_REQUEST, ValueError, RecursionError) as error:
             raise LogUnavailable(f"log did not answer {path}: {error}") from error
 
 
--- /dev/null
+++ b/godwitladder/clients/pools.py
@@ -0,0 +1,69 @@
+"""Pools of HTTP connections to outside services, whose answers are read within limits.
+
+A service in trouble may send an answer without end. Without a limit it grows until the
+host runs out of memory, or holds the thread that reads it for ever. Answers are not
+decompressed, as a small one may become a large one by that.
+"""
+
+import functools
+
+import urllib3
+
+from godwitladder.engines.answer_limits import AnswerLimits
+from godwitladder.engines.bounded_http import BoundedConnection, BoundedTlsConnection
+from godwitladder.engines.errors import MalformedAnswer
+
+MAX_TIMEOUTS = 3.0
+"""Time of a whole answer, in timeouts of the request, each of which limits a silence
+only."""
+FAILED_REQUEST = (urllib3.exceptions.HTTPError, OSError, MalformedAnswer)
+"""Errors of a request: no connection, a broken one, or a malformed answer."""
+
+
+class BoundedPool(urllib3.HTTPConnectionPool):
+    """Pool of connections that read answers within limits.
+
+    Takes the parameters of `BoundedAnswers` and those of urllib3's pool.
+    """
+
+    ConnectionCls = BoundedConnection
+
+
+class BoundedTlsPool(urllib3.HTTPSConnectionPool):
+    """Pool of TLS connections that read answers within limits."""
+
+    ConnectionCls = BoundedTlsConnection
+
+
+class BoundedPools(urllib3.PoolManager):
+    """The pools of all addresses of a service; nothing is tried again.
+
+    Parameters
+    ----------
+    limits : AnswerLimits
+        Limits on an answer.
+    **options
+        Parameters of urllib3's `PoolManager`.
+    """
+
+    def __init__(self, limits: AnswerLimits, **options) -> None:
+        super().__init__(retries=False, **options)
+        bounds = {"limits": limits, "max_timeouts": MAX_TIMEOUTS}
+        self.pool_classes_by_scheme = {
+            "http": functools.partial(BoundedPool, **bounds),
+            "https": functools.partial(BoundedTlsPool, **bounds),
+        }
+
+    def ask(
+        self, method: str, url: str, timeout_s: float, body: str | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request and return its whole answer.
+
+        Raises
+        ------
+        urllib3.exceptions.HTTPError, OSError, MalformedAnswer
+            See `FAILED_REQUEST`.
+        """
+        return self.request(
+            method, url, body=body, timeout=timeout_s, decode_content=False
+        )
--- a/godwitladder/clients/weights.py
+++ b/godwitladder/clients/weights.py
@@ -2,11 +2,14 @@
 
 from urllib.parse import quote
 
-import urllib3
-
+from godwitladder.clients.pools import FAILED_REQUEST, BoundedPools
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import Zone
 
+ANSWER_LIMITS = AnswerLimits(body_bytes=1_048_576)
+"""Only the status of an answer is used."""
+
 
 class WeightsUnavailable(GodwitladderError):
     """The store did not answer, or does not have the weights."""
@@ -22,7 +25,7 @@
     def __init__(self, url: str, zone: Zone, timeout_s: float = 2.0) -> None:
         self.url = url.rstrip("/")
         self.timeout_s = timeout_s
-        self.pool = urllib3.PoolManager(retries=False, headers={"X-Zone": zone})
+        self.pool = BoundedPools(ANSWER_LIMITS, headers={"X-Zone": zone})
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -40,8 +43,8 @@
         """
         url = f"{self.url}/weights/{quote(name)}"
         try:
-            answer = self.pool.request("GET", url, timeout=self.timeout_s)
-        except urllib3.exceptions.HTTPError as error:
+            answer = self.pool.ask("GET", url, self.timeout_s)
+        except FAILED_REQUEST as error:
             raise WeightsUnavailable(f"weight store did not answer: {error}") from error
         if answer.status == 429:
             raise WeightsBusy("the weight store reached its read limit")
--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -133,16 +133,16 @@
         The socket, with its timeout set.
     clock : Clock
         Tells the time.
-    duration_s : float
-        Seconds from now until reading ends.
+    max_timeouts : float
+        Time from now until reading ends, in timeouts of the socket.
     """
 
-    def __init__(self, sock: socket.socket, clock: Clock, duration_s: float) -> None:
+    def __init__(self, sock: socket.socket, clock: Clock, max_timeouts: float) -> None:
         super().__init__()
         self.sock = sock
-        self.silence_s = sock.gettimeout() or duration_s
+        self.silence_s = sock.gettimeout()
         self.clock = clock
-        self.ends_at = clock.monotonic() + duration_s
+        self.ends_at = clock.monotonic() + max_timeouts * self.silence_s
         self.stream = sock.makefile("rb", buffering=0)
 
     def readable(self) -> bool:
@@ -178,8 +178,8 @@
         The connection.
     limits : AnswerLimits
         The limits.
-    duration_s : float or None
-        Seconds that the whole answer may take; None for no limit.
+    max_timeouts : float or None
+        Time of the whole answer, in timeouts of the socket; None for no limit.
 
     Attributes
     ----------
@@ -200,13 +200,13 @@
         sock: socket.socket,
         *args,
         limits: AnswerLimits,
-        duration_s: float | None = None,
+        max_timeouts: float | None = None,
         **kwargs,
     ) -> None:
         super().__init__(sock, *args, **kwargs)
-        if duration_s is not None:
+        if max_timeouts is not None and sock.gettimeout() is not None:
             self.fp.close()
-            self.fp = io.BufferedReader(TimedReader(sock, CLOCK, duration_s))
+            self.fp = io.BufferedReader(TimedReader(sock, CLOCK, max_timeouts))
         self.limits = limits
         self.head_bytes = 0
         self.body_bytes = 0
@@ -409,21 +409,21 @@
     ----------
     limits : AnswerLimits
         Limits on an answer.
-    duration_s : float or None
-        Seconds that a whole answer may take, from the end of the request; None for no
-        limit beside the timeout of the socket.
+    max_timeouts : float or None
+        Time of a whole answer from the end of the request, in timeouts of the
+        connection, each of which limits a silence only; None for no limit.
     """
 
     def __init__(
         self,
         *args,
         limits: AnswerLimits = DEFAULT_LIMITS,
-        duration_s: float | None = None,
+        max_timeouts: float | None = None,
         **kwargs,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.response_class = functools.partial(
-            BoundedResponse, limits=limits, duration_s=duration_s
+            BoundedResponse, limits=limits, max_timeouts=max_timeouts
         )
 
 
--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -12,6 +12,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.wire import (
     Dial,
     MayHaveRun,
@@ -30,6 +31,9 @@
 DONE = b"[DONE]"
 MAX_READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1_048_576
+MAX_TEXT_BYTES = 200
+LOAD_LIMITS = AnswerLimits(body_bytes=65_536)
+"""A load report has three numbers."""
 STREAM_HEADER = "X-Stream-Id"
 
 
@@ -161,10 +165,21 @@
 
 
 def read_load(address: str) -> LoadReport:
-    """Return the load that the engine reports, which lags behind its real load."""
-    connection = connect(address, 2.0)
+    """Return the load that the engine reports, which lags behind its real load.
+
+    Raises
+    ------
+    NotSent, MayHaveRun
+        The engine was not reached, or its answer broke or is malformed.
+    ValueError, KeyError
+        The answer is no load report.
+    """
+    connection = connect(address, 2.0, limits=LOAD_LIMITS)
     try:
-        answer = json.loads(send(connection, "GET", "/load", None, {}).data)
+        response = send(connection, "GET", "/load", None, {})
+        answer = json.loads(response.read(decode_content=False))
+    except (urllib3.exceptions.HTTPError, OSError, RecursionError) as error:
+        raise MayHaveRun(f"the load report broke: {error}") from error
     finally:
         connection.close()
     return LoadReport(answer["running"], answer["queued"], answer["memory_tokens"])
@@ -179,9 +194,10 @@
         connection.close()
         raise MayHaveRun(f"target answered {response.status}")
     try:
-        text = response.data[:200].decode(errors="replace")
+        text = response.read1(MAX_TEXT_BYTES, decode_content=False)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise MayHaveRun(f"answer broke: {error}") from error
     finally:
         connection.close()
-    raise TargetRefused(response.status, text, read_cooldown(response))
+    cooldown_s = read_cooldown(response)
+    raise TargetRefused(response.status, text.decode(errors="replace"), cooldown_s)
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -17,6 +17,8 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.placing.paths import Gateways, PathTable, order_gateways
+from godwitladder.engines.answer_limits import AnswerLimits
+from godwitladder.engines.bounded_http import DEFAULT_LIMITS, BoundedConnection
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import Zone
 from godwitladder.logs import component_logger
@@ -107,6 +109,8 @@
         Opens tunnels; None if all connections are direct.
     timeouts : ConnectTimeouts
         Limits of the time to connect.
+    limits : AnswerLimits
+        Limits on the answers that connections read.
 
     Attributes
     ----------
@@ -127,8 +131,10 @@
         availability_zone: Zone = NO_ZONE,
         tunnels: Tunnels | None = None,
         timeouts: ConnectTimeouts = ConnectTimeouts(),
+        limits: AnswerLimits = DEFAULT_LIMITS,
     ) -> None:
         self.timeouts = timeouts
+        self.limits = limits
         self.clock = clock
         self.metrics = metrics
         self.availability_zone = availability_zone
@@ -171,12 +177,14 @@
         if direct is not None:
             if tunnel is not None:
                 tunnel.close()
-            return TargetConnection(_wrap(direct, address, read_timeout_s))
+            http = _wrap(direct, address, read_timeout_s, self.limits)
+            return TargetConnection(http)
         if tunnel is None:
             with self.lock:
                 cause = self.paths.last_error(address)
             raise NoConnection(f"no path to {address}") from cause
-        return TargetConnection(_wrap(tunnel, address, read_timeout_s), tunnel)
+        http = _wrap(tunnel, address, read_timeout_s, self.limits)
+        return TargetConnection(http, tunnel)
 
     def dial(self, address: str, read_timeout_s: float) -> HTTPConnection:
         """Return a new open connection to the target at ``address``.
@@ -199,7 +207,7 @@
             The connection could not be established within ``timeout_s``.
         """
         try:
-            connection = connect(address, read_timeout_s, timeout_s)
+            connection = connect(address, read_timeout_s, timeout_s, self.limits)
         except NoConnection as error:
             self.record_failed(address, error)
             raise
@@ -367,10 +375,14 @@
         self.metrics.lost_paths.set({}, len(self.paths.lost))
 
 
-def _wrap(sock: socket.socket, address: str, read_timeout_s: float) -> HTTPConnection:
+def _wrap(
+    sock: socket.socket, address: str, read_timeout_s: float, limits: AnswerLimits
+) -> HTTPConnection:
     """Return an HTTP connection over a connected socket."""
     host, _, port = address.rpartition(":")
-    connection = HTTPConnection(host, int(port), timeout=read_timeout_s)
+    connection = BoundedConnection(
+        host, int(port), timeout=read_timeout_s, limits=limits
+    )
     sock.settimeout(read_timeout_s)
     connection.sock = sock
     return connection
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -12,20 +12,27 @@
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
-import urllib3
-
+from godwitladder.clients.pools import FAILED_REQUEST, MAX_TIMEOUTS, BoundedPool
 from godwitladder.discovery.source import (
     NO_ERA,
     Record,
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.ids import Era
 from godwitladder.platform import names
 
 TIMEOUT_S = 1.0
 """Timeout in seconds, since a connection may stay silent forever. The store
 answers within 4 ms, and within 250 ms while it is slow; this is four times that."""
+MAX_ANSWER_BYTES = 4_194_304
+"""A page has up to 1 MB, and a read up to 2 MB of records."""
+MAX_PAGES = 4_096
+MAX_TOPIC_BYTES = 33_554_432
+"""Size of all pages of a topic. A fleet of a thousand hosts and targets has less than
+1 MB of entries, and a document of all its workspaces less than that."""
+ANSWER_LIMITS = AnswerLimits(body_bytes=MAX_ANSWER_BYTES)
 HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 
@@ -63,8 +70,14 @@
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        self.pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=2, retries=False, timeout=TIMEOUT_S
+        self.pool = BoundedPool(
+            host,
+            int(port),
+            maxsize=2,
+            retries=False,
+            timeout=TIMEOUT_S,
+            limits=ANSWER_LIMITS,
+            max_timeouts=MAX_TIMEOUTS,
         )
         self.era = NO_ERA
 
@@ -82,15 +95,21 @@
         Raises
         ------
         StoreUnavailable
-            The store did not return valid pages of one era.
+            The store did not return valid pages of one era, or has more than a topic
+            may hold.
         """
         records: list[Record] = []
         end: int | None = None
         eras = set()
         after = ""
-        while True:
+        size = 0
+        for _ in range(MAX_PAGES):
             query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
-            page, era = self._request_json("GET", names.NEWEST, query)
+            answer = self._request("GET", names.NEWEST, query)
+            page, era = _parse_json(names.NEWEST, answer.data), answer.era
+            size += len(answer.data)
+            if size > MAX_TOPIC_BYTES:
+                raise StoreUnavailable(f"{topic} has more than {MAX_TOPIC_BYTES} bytes")
             eras.add(era)
             if len(eras) > 1:
                 raise StoreUnavailable(f"the pages are of the eras {sorted(eras)}")
@@ -103,6 +122,7 @@
                 after = rows[-1]["key"]
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreUnavailable(f"invalid page of records: {error!r}") from error
+        raise StoreUnavailable(f"{topic} has more than {MAX_PAGES} pages")
 
     def read(self, topic: str, offset: int) -> StoreRecords:
         """Return the records of ``topic`` from ``offset`` on.
@@ -132,24 +152,14 @@
         body = RECORD_LENGTH.pack(len(content)) + content
         self._request("POST", names.APPEND, {"topic": topic, "part": 0}, body)
 
-    def _request_json(self, method: str, path: str, query: dict) -> tuple[dict, Era]:
-        answer = self._request(method, path, query)
-        try:
-            body = json.loads(answer.data)
-        except ValueError as error:
-            raise StoreUnavailable(f"{path} returned invalid JSON: {error}") from error
-        if not isinstance(body, dict):
-            raise StoreUnavailable(
-                f"{path} returned a JSON {type(body).__name__}, not an object"
-            )
-        return body, answer.era
-
     def _request(
         self, method: str, path: str, query: dict, body: bytes | None = None
     ) -> StoreAnswer:
         try:
-            answer = self.pool.request(method, f"{path}?{urlencode(query)}", body=body)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer = self.pool.request(
+                method, f"{path}?{urlencode(query)}", body=body, decode_content=False
+            )
+        except FAILED_REQUEST as error:
             raise StoreUnavailable(f"{path} did not answer: {error}") from error
         if answer.status == 410:
             raise StoreTrimmed(f"{path}: the store does not have the records")
@@ -159,6 +169,18 @@
         return StoreAnswer(answer.data, self.era)
 
 
+def _parse_json(path: str, data: bytes) -> dict:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise StoreUnavailable(f"{path} returned invalid JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise StoreUnavailable(
+            f"{path} returned a JSON {type(body).__name__}, not an object"
+        )
+    return body
+
+
 def _parse_era(text: str | None, default: Era) -> Era:
     if text is None or not (text.isascii() and text.isdigit()):
         return default
--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of outside services."""
