Bound what a tunnel may make another host hold

Cause: a gateway kept a tunnel for as long as its host asked, also for ever, and each end of a tunnel took messages of 4 MB, of which it holds several, though no end sends more than 32 KB in one. A list of orders was unpacked if it came compressed.

Change: a tunnel lives for an hour at most, as the longest that is asked for, and takes messages of 64 KB.

--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -50,6 +50,8 @@
 """A gateway that is frozen doesn't answer the closing handshake either."""
 TUNNEL_QUEUE_MESSAGES = 4
 """Messages of a tunnel that wait to be written, beyond which its reading stops."""
+TUNNEL_MESSAGE_BYTES = 65_536
+"""Longest message of a tunnel, twice what an end forwards in one."""
 JOIN_TIMEOUT_S = 2.0
 """Longest wait for the event loop's thread, which otherwise ends with the process."""
 
@@ -381,6 +383,7 @@
             TUNNEL_PATH,
             close_timeout=TUNNEL_CLOSE_TIMEOUT_S,
             max_queue=TUNNEL_QUEUE_MESSAGES,
+            max_size=TUNNEL_MESSAGE_BYTES,
         )
         try:
             await perform_handshake(
@@ -392,6 +395,8 @@
         return connection
 
     async def _accept_tunnel(self, connection: Any) -> None:
+        # Messages of links may be far longer, and a host holds several of each tunnel.
+        connection.protocol.max_message_size = TUNNEL_MESSAGE_BYTES
         try:
             hello = await perform_handshake(
                 connection, self.host, self.address, self.secret, accepted=True
--- a/godwitladder/orders/wire.py
+++ b/godwitladder/orders/wire.py
@@ -16,6 +16,14 @@
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import Offset
 
+INVALID_ANSWER = (
+    ValueError,
+    KeyError,
+    TypeError,
+    RecursionError,
+    urllib3.exceptions.HTTPError,
+)
+
 
 @dataclass(frozen=True)
 class TargetOrder:
@@ -53,12 +61,13 @@
     """
     connection = connect(address, timeout_s)
     try:
-        rows = json.loads(send(connection, "GET", "/orders", None, {}).data)
+        response = send(connection, "GET", "/orders", None, {})
+        rows = json.loads(response.read(decode_content=False))
         if not rows:
             return None
         last = rows[-1]
         return TargetOrder(last["model"], tuple(last["adapters"]), last["role"])
-    except (ValueError, KeyError, TypeError, urllib3.exceptions.HTTPError) as error:
+    except INVALID_ANSWER as error:
         raise OrderFailed(
             f"invalid list of orders from {address}: {error!r}"
         ) from error
--- a/godwitladder/paths/gateway.py
+++ b/godwitladder/paths/gateway.py
@@ -13,7 +13,7 @@
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
-from godwitladder.paths.connector import Connector
+from godwitladder.paths.connector import MAX_TUNNEL_S, Connector
 from godwitladder.paths.messages import TunnelAnswer, TunnelOutcome, TunnelRequest
 from godwitladder.paths.splicing import READ_BYTES, Splice
 
@@ -105,7 +105,7 @@
             if streams:
                 connection.close_timeout = CLOSE_TIMEOUT_S
                 # The deadline of the call, which its own host also keeps.
-                async with asyncio.timeout(request.timeout_s):
+                async with asyncio.timeout(tunnel_life_s(request)):
                     await Splice(connection, *streams).run()
         except TimeoutError:
             log.info("A tunnel outlived its call", extra=extra)
@@ -140,3 +140,12 @@
             return None
         self.connector.record_connected(address)
         return streams
+
+
+def tunnel_life_s(request: TunnelRequest) -> float:
+    """Return the longest life in seconds of the tunnel that is requested.
+
+    A time that is no number, or too long, would keep a place of this host for ever.
+    """
+    is_short = request.timeout_s <= MAX_TUNNEL_S
+    return request.timeout_s if is_short else MAX_TUNNEL_S
