Soak: targets that answer without end, beside other faults

--endless draws targets that send a body, chunks or interim answers without end, apart from the other faults, so that old seeds stay what they were. A 500 without the target's signature, which a host made itself, is a violation now.

--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -259,6 +259,35 @@
     SILENT = "silent"
 
 
+class Endless(enum.Enum):
+    """What an engine sends without end in place of an answer.
+
+    Attributes
+    ----------
+    NOTHING
+        It answers.
+    BODY
+        A body without length or chunks.
+    CHUNKS
+        Chunks.
+    INTERIM
+        Interim answers.
+    """
+
+    NOTHING = "nothing"
+    BODY = "body"
+    CHUNKS = "chunks"
+    INTERIM = "interim"
+
+
+ENDLESS_BLOCK = b"a" * 65_536
+ENDLESS_BLOCKS = {
+    Endless.BODY: ENDLESS_BLOCK,
+    Endless.CHUNKS: b"%x\r\n%b\r\n" % (len(ENDLESS_BLOCK), ENDLESS_BLOCK),
+    Endless.INTERIM: b"HTTP/1.1 100 Continue\r\n\r\n" * 100,
+}
+
+
 class EngineEnded(Exception):
     """Raised in the thread of a request under which the engine has ended."""
 
@@ -312,6 +341,8 @@
         Version of its software, which it writes into each event; empty for none.
     cut_probability : float
         Probability with which a stream is cut before each event but the first.
+    endless : Endless
+        What it sends without end in place of an answer.
     """
 
     refuse: bool = False
@@ -333,6 +364,7 @@
     resets_after: int = -1
     version: str = ""
     cut_probability: float = 0.0
+    endless: Endless = Endless.NOTHING
 
 
 @dataclass(frozen=True)
@@ -509,6 +541,8 @@
         """Answer an accepted request, or end under it."""
         if self.ends_engine(knobs, request_body):
             self.end_under_request(knobs)
+        if knobs.endless is not Endless.NOTHING:
+            self.send_endless(knobs.endless)
         if "/stream/" in self.path:
             self.stream(knobs, knobs.events)
             self.send_chunk(b"")
@@ -522,6 +556,25 @@
             self.reset_connection()
         self.wfile.write(body)
 
+    def send_endless(self, endless: Endless) -> None:
+        """Send the same bytes until the connection ends.
+
+        Raises
+        ------
+        OSError
+            Always, as the reader closes the connection.
+        """
+        self.close_connection = True
+        if endless is not Endless.INTERIM:
+            is_stream = "/stream/" in self.path
+            kind = "text/event-stream" if is_stream else "text/plain"
+            headers = [("Content-Type", kind)]
+            if endless is Endless.CHUNKS:
+                headers.append(("Transfer-Encoding", "chunked"))
+            self.send_head(200, headers)
+        while True:
+            self.wfile.write(ENDLESS_BLOCKS[endless])
+
     def ends_engine(self, knobs: EngineKnobs, request_body: bytes) -> bool:
         """Return whether the request ends the engine."""
         if knobs.ends_on and request_body == knobs.ends_on:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
     statements: int = 3,
     cuts: int = 0,
     copies: int = 0,
+    endless: int = 0,
     seconds: float = 12.0,
     hosts: int = 4,
     logs: str = "",
@@ -41,6 +42,8 @@
         How often a host loses its paths to all targets, per seed.
     copies : int
         How often the store comes back from a copy of some seconds ago, per seed.
+    endless : int
+        How often a target answers without end, per seed.
     seconds : float
         Duration of each run in seconds, without startup and final checks.
     hosts : int
@@ -55,6 +58,7 @@
         statements=statements,
         cuts=cuts,
         copies=copies,
+        endless=endless,
         seconds=seconds,
     )
 
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from godwitladder.standins.routed import EngineKnobs
+from godwitladder.standins.routed import Endless, EngineKnobs
 from soak.fleet import Fleet, Host, Target
 from soak.plan import Fault, FaultKind
 from soak.proxy import CutMode, Direction, Proxy
@@ -87,6 +87,13 @@
             FaultKind.PEER_SILENT: lambda f: self.host(f).peer_proxy.blackhole(),
             FaultKind.PATHS_CUT: self.cut_paths,
             FaultKind.STORE_COPIED: self.copy_store,
+            FaultKind.TARGET_ENDLESS_BODY: lambda f: self.send_endless(f, Endless.BODY),
+            FaultKind.TARGET_ENDLESS_CHUNKS: lambda f: self.send_endless(
+                f, Endless.CHUNKS
+            ),
+            FaultKind.TARGET_ENDLESS_INTERIM: lambda f: self.send_endless(
+                f, Endless.INTERIM
+            ),
             FaultKind.CONFIG: lambda f: self.change_config(),
             FaultKind.REVOKE: self.revoke,
         }
@@ -232,6 +239,10 @@
         time.sleep(fault.duration_s)
         setattr(knobs, knob, normal_value)
 
+    def send_endless(self, fault: Fault, endless: Endless) -> None:
+        """Let a target answer without end for the duration of the fault."""
+        self.set_target_fault(fault, "endless", endless, Endless.NOTHING)
+
     def state(self, fault: Fault, **statement) -> None:
         """Let a target state something for the duration of the fault.
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,5 +1,6 @@
 """Draws the faults of a run from its seed. This module has no side effects."""
 
+import dataclasses
 import enum
 import random
 from dataclasses import dataclass
@@ -39,6 +40,9 @@
     TARGET_RESTS = "target_rests"
     PATHS_CUT = "paths_cut"
     STORE_COPIED = "store_copied"
+    TARGET_ENDLESS_BODY = "target_endless_body"
+    TARGET_ENDLESS_CHUNKS = "target_endless_chunks"
+    TARGET_ENDLESS_INTERIM = "target_endless_interim"
 
 
 PLANNED_KINDS = frozenset(
@@ -67,6 +71,17 @@
 COPY_KINDS = frozenset({FaultKind.STORE_COPIED})
 """The store comes back from a copy of some seconds ago. They are drawn apart too."""
 
+ENDLESS_KINDS = frozenset(
+    {
+        FaultKind.TARGET_ENDLESS_BODY,
+        FaultKind.TARGET_ENDLESS_CHUNKS,
+        FaultKind.TARGET_ENDLESS_INTERIM,
+    }
+)
+"""Targets that answer without end. They are drawn apart too."""
+
+APART_KINDS = STATEMENT_KINDS | CUT_KINDS | COPY_KINDS | ENDLESS_KINDS
+
 STORE_KINDS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 
 PLANNED_ONLY_INTERVAL = 4
@@ -160,6 +175,19 @@
     return draw_of_kind(f"{seed}-copies", FaultKind.STORE_COPIED, seconds, count)
 
 
+def draw_endless(seed: int, seconds: float, count: int) -> list[Fault]:
+    """Return the answers without end of a run, as `draw_cuts` does.
+
+    Their kinds come in turn, so that a run of three or more has all of them.
+    """
+    kinds = sorted(ENDLESS_KINDS, key=lambda kind: kind.value)
+    faults = draw_of_kind(f"{seed}-endless", kinds[0], seconds, count)
+    return [
+        dataclasses.replace(fault, kind=kinds[(seed + number) % len(kinds)])
+        for number, fault in enumerate(faults)
+    ]
+
+
 def draw_of_kind(seed: str, kind: FaultKind, seconds: float, count: int) -> list[Fault]:
     """Return faults of one kind in order of their start."""
     rng = random.Random(seed)
@@ -194,7 +222,7 @@
     kinds = sorted(
         PLANNED_KINDS
         if seed % PLANNED_ONLY_INTERVAL == 0
-        else set(FaultKind) - STATEMENT_KINDS - CUT_KINDS - COPY_KINDS,
+        else set(FaultKind) - APART_KINDS,
         key=lambda k: k.value,
     )
     faults = []
--- a/soak/records.py
+++ b/soak/records.py
@@ -176,6 +176,7 @@
             self.duplicate_runs(),
             self.runs_after_refusal(),
             self.wrong_answers(),
+            self.errors_of_hosts(),
             self.unexpected_runs(),
             self.runs_with_revoked_keys(),
             self.wrongly_denied(),
@@ -218,6 +219,14 @@
                 rows.append(f"{row.name} ({row.route}) got {row.body[:60]!r}")
         return rows
 
+    def errors_of_hosts(self) -> list[str]:
+        """Return calls with an internal error of a host, which bears no signature."""
+        return [
+            f"{row.name} ({row.route}) got an internal error of {row.host}"
+            for row in self.attempts.values()
+            if row.status == 500 and not row.signature
+        ]
+
     def unexpected_runs(self) -> list[str]:
         """Return runs without a call, for a wrong workspace, or with a caller's key."""
         return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,7 +11,13 @@
 from soak.callers import Balancer, Caller
 from soak.fleet import Fleet
 from soak.inject import Injector
-from soak.plan import draw_copies, draw_cuts, draw_faults, draw_statements
+from soak.plan import (
+    draw_copies,
+    draw_cuts,
+    draw_endless,
+    draw_faults,
+    draw_statements,
+)
 from soak.records import Attempt, History, TargetArrival, TargetRun
 
 START_TIMEOUT_S = 40.0
@@ -29,7 +35,7 @@
 
     ``statements`` is how often targets state something about themselves, ``cuts`` how
     often a host loses its paths to all targets, ``copies`` how often the store comes
-    back from a copy.
+    back from a copy, ``endless`` how often a target answers without end.
     """
 
     hosts: int = 4
@@ -39,6 +45,7 @@
     statements: int = 0
     cuts: int = 0
     copies: int = 0
+    endless: int = 0
     seconds: float = 12.0
 
 
@@ -94,6 +101,7 @@
         faults += draw_statements(seed, size.seconds, size.statements)
         faults += draw_cuts(seed, size.seconds, size.cuts)
         faults += draw_copies(seed, size.seconds, size.copies)
+        faults += draw_endless(seed, size.seconds, size.endless)
         faults.sort(key=lambda fault: fault.start_s)
         self.history = History(faults, hosts=size.hosts)
         self.stop_event = threading.Event()
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -36,6 +36,12 @@
 }
 """Seeds in which the store comes back from a copy -> what they cover."""
 
+ENDLESS = {
+    1000: "targets answer without end beside planned work",
+    1001: "the same beside faults of hosts, of the store and of targets",
+}
+"""Seeds in which targets answer without end -> what they cover."""
+
 FAILED = {
     1796269771: "a target that came back while the reader was paused stayed unknown",
     344: "SIGTERM while the host was loading ended it as a crash (-15)",
@@ -85,6 +91,13 @@
     assert run_seed(seed, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", ENDLESS)
+def test_answers_without_end_violate_no_guarantee(seed, tmp_path):
+    """All guarantees hold while targets send bodies, chunks and heads without end."""
+    size = dataclasses.replace(SHORT, faults=3, endless=3, seconds=9.0)
+    assert run_seed(seed, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("seed", FAILED)
 def test_a_failed_seed_violates_no_guarantee(seed, tmp_path):
     """The seed gives the same faults at the same times as in the run that failed."""
