--- a/tests/clients/test_endless_answers.py
+++ b/tests/clients/test_endless_answers.py
@@ -105,6 +105,15 @@
             read(target.address)
 
 
+@pytest.mark.parametrize("read", [read_store, read_newest])
+def test_an_answer_larger_than_the_store_sends_is_an_error(read):
+    """Guards against answers that take a large part of the memory of a host."""
+    head = b"Content-Length: %d\r\n\r\n" % (store_module.MAX_ANSWER_BYTES + 1)
+    with RawTarget(OK + head, b"a") as target:
+        with pytest.raises(StoreUnavailable, match="more than"):
+            read(target.address)
+
+
 def page(key, more):
     """Return a page of the newest records as an answer."""
     rows = [{"key": key, "value": "", "offset": 0}]
@@ -138,7 +147,7 @@
         assert len(StoreClient(target.address).read("keyed.x", 0).records) == 20
 
 
-def test_a_connection_to_the_store_is_used_again(monkeypatch):
+def test_a_connection_to_the_store_is_used_again():
     """Guards against a connection for each request, which the bounds don't need."""
     with RawTarget(page("k", False)) as target:
         client = StoreClient(target.address)
--- a/tests/engines/test_bounded_http.py
+++ b/tests/engines/test_bounded_http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import itertools
 import socket
 import threading
 
@@ -20,6 +21,7 @@
 from tests.engines.raw_target import RawTarget
 
 IDLE_S = 5.0
+MAX_BLOCKS = 200_000
 LIMITS = AnswerLimits(
     line_bytes=1_000,
     header_count=20,
@@ -32,69 +34,69 @@
 UNFRAMED = OK + b"Connection: close\r\n\r\n"
 CHUNK = b"1000\r\n" + b"a" * 0x1000 + b"\r\n"
 ENDLESS_HEADS = {
-    "status line": (b"HTTP/1.1 200 ", b"a", AnswerShape.HEAD),
-    "header line": (OK + b"X-Long: ", b"a", AnswerShape.HEAD),
-    "short header lines": (OK, b"a: 1\r\n", AnswerShape.HEAD),
-    "long header lines": (OK, b"a: " + b"1" * 900 + b"\r\n", AnswerShape.HEAD),
-    "garbage in one line": (b"", b"\x00\xff\x07", AnswerShape.HEAD),
-    "garbage in lines": (b"", b"no status\r\n", AnswerShape.HEAD),
-    "garbage after the status": (OK, b"no header\r\n", AnswerShape.HEAD),
-    "100 Continue": (b"", b"HTTP/1.1 100 Continue\r\n\r\n", AnswerShape.INTERIM),
-    "103 Early Hints": (
+    "status_line": (b"HTTP/1.1 200 ", b"a", AnswerShape.HEAD),
+    "header_line": (OK + b"X-Long: ", b"a", AnswerShape.HEAD),
+    "short_header_lines": (OK, b"a: 1\r\n", AnswerShape.HEAD),
+    "long_header_lines": (OK, b"a: " + b"1" * 900 + b"\r\n", AnswerShape.HEAD),
+    "garbage_in_one_line": (b"", b"\x00\xff\x07", AnswerShape.HEAD),
+    "garbage_in_lines": (b"", b"no status\r\n", AnswerShape.HEAD),
+    "garbage_after_the_status": (OK, b"no header\r\n", AnswerShape.HEAD),
+    "100_Continue": (b"", b"HTTP/1.1 100 Continue\r\n\r\n", AnswerShape.INTERIM),
+    "103_Early_Hints": (
         b"",
         b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
         AnswerShape.INTERIM,
     ),
 }
 ENDLESS_FRAMES = {
-    "chunk extension": (CHUNKED + b"5;", b"a=b;", AnswerShape.FRAMING),
-    "chunk size": (CHUNKED, b"0", AnswerShape.FRAMING),
-    "extension of each chunk": (
+    "chunk_extension": (CHUNKED + b"5;", b"a=b;", AnswerShape.FRAMING),
+    "chunk_size": (CHUNKED, b"0", AnswerShape.FRAMING),
+    "extension_of_each_chunk": (
         CHUNKED,
         b"1;" + b"x" * 900 + b"\r\na\r\n",
         AnswerShape.FRAMING,
     ),
-    "tiny chunks": (CHUNKED, b"1\r\na\r\n", AnswerShape.FRAMING),
-    "garbage for chunks": (CHUNKED, b"no chunk\r\n", AnswerShape.FRAMING),
+    "tiny_chunks": (CHUNKED, b"1\r\na\r\n", AnswerShape.FRAMING),
+    "garbage_for_chunks": (CHUNKED, b"no chunk\r\n", AnswerShape.FRAMING),
     "chunks": (CHUNKED, CHUNK, AnswerShape.BODY),
-    "unframed body": (UNFRAMED, b"a" * 100, AnswerShape.BODY),
+    "unframed_body": (UNFRAMED, b"a" * 100, AnswerShape.BODY),
 }
 MALFORMED = {
-    "another protocol": (b"SSH-2.0-OpenSSH\r\n", AnswerShape.HEAD),
-    "another version": (b"HTTP/2 200\r\n\r\n", AnswerShape.HEAD),
-    "no status code": (b"HTTP/1.1 fine\r\n\r\n", AnswerShape.HEAD),
-    "no colon": (OK + b"Content-Length\r\n\r\nbody", AnswerShape.HEAD),
+    "another_protocol": (b"SSH-2.0-OpenSSH\r\n", AnswerShape.HEAD),
+    "another_version": (b"HTTP/2 200\r\n\r\n", AnswerShape.HEAD),
+    "no_status_code": (b"HTTP/1.1 fine\r\n\r\n", AnswerShape.HEAD),
+    "no_colon": (OK + b"Content-Length\r\n\r\nbody", AnswerShape.HEAD),
     "switching": (b"HTTP/1.1 101 Switching\r\n\r\n", AnswerShape.INTERIM),
-    "negative length": (OK + b"Content-Length: -5\r\n\r\nbody", AnswerShape.FRAMING),
-    "garbled length": (OK + b"Content-Length: ten\r\n\r\nbody", AnswerShape.FRAMING),
-    "two lengths": (
+    "negative_length": (OK + b"Content-Length: -5\r\n\r\nbody", AnswerShape.FRAMING),
+    "garbled_length": (OK + b"Content-Length: ten\r\n\r\nbody", AnswerShape.FRAMING),
+    "two_lengths": (
         OK + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
         AnswerShape.FRAMING,
     ),
-    "long length": (
+    "long_length": (
         OK + b"Content-Length: " + b"9" * 900 + b"\r\n\r\nbody",
         AnswerShape.FRAMING,
     ),
-    "other encoding": (
+    "other_encoding": (
         OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         AnswerShape.FRAMING,
     ),
-    "large length": (OK + b"Content-Length: 100001\r\n\r\n", AnswerShape.BODY),
-    "large chunk": (CHUNKED + b"fffffffffffffff0\r\nbody", AnswerShape.BODY),
-    "negative chunk": (CHUNKED + b"-4\r\nbody\r\n0\r\n\r\n", AnswerShape.FRAMING),
-    "chunk without an end": (CHUNKED + b"4\r\nbody and more\r\n", AnswerShape.FRAMING),
+    "large_length": (OK + b"Content-Length: 100001\r\n\r\n", AnswerShape.BODY),
+    "large_chunk": (CHUNKED + b"fffffffffffffff0\r\nbody", AnswerShape.BODY),
+    "negative_chunk": (CHUNKED + b"-4\r\nbody\r\n0\r\n\r\n", AnswerShape.FRAMING),
+    "chunk_without_an_end": (CHUNKED + b"4\r\nbody and more\r\n", AnswerShape.FRAMING),
 }
 CUT = {
     "nothing": b"",
-    "status line": b"HTTP/1.1 200 O",
-    "header line": OK + b"Content-Le",
+    "status_line": b"HTTP/1.1 200 O",
+    "header_line": OK + b"Content-Le",
     "headers": OK + b"Content-Length: 4\r\n",
     "interim": b"HTTP/1.1 100 Continue\r\n",
     "length": OK + b"Content-Length: 40\r\n\r\nbody",
-    "chunk size": CHUNKED + b"4\r\nbody\r\n1",
-    "no last chunk": CHUNKED + b"4\r\nbody\r\n",
+    "chunk_size": CHUNKED + b"4\r\nbody\r\n1",
+    "no_last_chunk": CHUNKED + b"4\r\nbody\r\n",
     "chunk": CHUNKED + b"40\r\nbody",
-    "after a chunk": CHUNKED + b"4\r\nbody",
+    "after_a_chunk": CHUNKED + b"4\r\nbody",
 }
 READERS = {
     "whole": lambda response: response.read(decode_content=False),
@@ -104,8 +106,9 @@
 
 
 def read_blocks(read):
-    """Return what ``read`` yields until its end."""
-    return b"".join(iter(lambda: read(1_000, decode_content=False), b""))
+    """Return what ``read`` yields until its end, or until it is far too much."""
+    blocks = iter(lambda: read(1_000, decode_content=False), b"")
+    return b"".join(itertools.islice(blocks, MAX_BLOCKS))
 
 
 def ask(target, read=READERS["whole"], limits=LIMITS, method="GET"):
@@ -167,7 +170,7 @@
 ENDLESS = ENDLESS_HEADS | ENDLESS_FRAMES
 # The end of an unframed body is that of its connection; who shut it down is checked
 # by the caller.
-SLOW = sorted(ENDLESS.keys() - {"unframed body"})
+SLOW = sorted(ENDLESS.keys() - {"unframed_body"})
 
 
 @pytest.mark.parametrize("name", SLOW)
@@ -257,6 +260,16 @@
     assert sum(rests) > 2.0
 
 
+def test_an_error_of_the_http_library_is_none_of_the_host():
+    """Guards against an error that is no error of the call, and a 500 for it."""
+    with RawTarget(OK) as target:
+        connection = connect(target.address, IDLE_S)
+        connection.request("GET", "/x")
+        # The library refuses a second request before the first answer.
+        with pytest.raises(MayHaveRun):
+            send(connection, "GET", "/x", None, {})
+
+
 def test_few_small_chunks_are_not_paced(monkeypatch):
     monkeypatch.setattr(bounded_http.CLOCK, "sleep", None)
     chunks = (b"14\r\n" + b"a" * 20 + b"\r\n") * 2_000
--- a/tests/paths/test_tunnel_bounds.py
+++ b/tests/paths/test_tunnel_bounds.py
@@ -7,6 +7,7 @@
 import pytest
 from websockets.exceptions import ConnectionClosed
 
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.wire import AnswerShape, MalformedAnswer, send
 from godwitladder.membership.codec import decode, encode
 from godwitladder.paths import gateway as gateway_module
@@ -25,6 +26,20 @@
         yield owned
 
 
+@pytest.mark.parametrize("is_direct", [True, False])
+def test_a_connector_reads_within_its_limits(stack, is_direct):
+    """Guards against settings that only some of the connections keep to."""
+    body = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" + b"a" * 100
+    target = stack.enter_context(RawTarget(body))
+    near, far = make_pair(stack, target.address)
+    host = far if is_direct else near
+    host.connector.limits = AnswerLimits(body_bytes=99)
+    connection = host.connect(target.address)
+    assert connection.gateway == ("" if is_direct else "far")
+    with pytest.raises(MalformedAnswer, match="more than 99"):
+        send(connection.http, "GET", "/x", None, {"Host": "t"})
+
+
 @pytest.mark.parametrize("asked_s", [math.inf, math.nan, -1.0, 1e12])
 def test_a_tunnel_ends_whatever_life_its_host_asks_for(stack, monkeypatch, asked_s):
     """Guards against tunnels that hold places of a gateway for ever."""
