--- a/godwitladder/engines/answer_limits.py
+++ b/godwitladder/engines/answer_limits.py
@@ -20,7 +20,8 @@
     line_bytes : int
         Longest status line, header line or chunk-size line.
     header_count, header_bytes : int
-        Header lines in a head, and their size together.
+        Header lines in a head, and the size of the head. Of the size no more than
+        65,536 takes effect. Chunk-size lines may exceed their body by as much.
     interim_answers : int
         Interim answers (1xx) before the final one.
     event_bytes : int
