The test of unread trailers does not depend on when they arrive

The mutation of its safeguard passed in one of two runs: where the first byte of the trailers had arrived, urllib3 dropped the connection by itself.

--- a/tests/clients/test_endless_answers.py
+++ b/tests/clients/test_endless_answers.py
@@ -169,7 +169,7 @@
     """Guards against trailers that are read as the head of the next answer."""
     body = json.dumps({"entries": [], "endOffset": 1}).encode()
     answer = CHUNKED + b"%x\r\n%b\r\n0\r\n" % (len(body), body)
-    with RawTarget(answer, b"x: 1\r\n", 0.01) as target:
+    with RawTarget(answer) as target:
         client = StoreClient(target.address)
         for _ in range(3):
             assert client.newest("keyed.x").next == 1
