--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -31,10 +31,10 @@
 DONE = b"[DONE]"
 MAX_READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1_048_576
-MAX_TEXT_BYTES = 200
+MAX_REFUSAL_BYTES = 200
+STREAM_HEADER = "X-Stream-Id"
 LOAD_LIMITS = AnswerLimits(body_bytes=65_536)
 """A load report has three numbers."""
-STREAM_HEADER = "X-Stream-Id"
 
 
 @dataclass(frozen=True)
@@ -194,10 +194,9 @@
         connection.close()
         raise MayHaveRun(f"target answered {response.status}")
     try:
-        text = response.read1(MAX_TEXT_BYTES, decode_content=False)
+        text = response.read1(MAX_REFUSAL_BYTES).decode(errors="replace")
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise MayHaveRun(f"answer broke: {error}") from error
     finally:
         connection.close()
-    cooldown_s = read_cooldown(response)
-    raise TargetRefused(response.status, text.decode(errors="replace"), cooldown_s)
+    raise TargetRefused(response.status, text, read_cooldown(response))
