--- a/tests/clients/test_endless_answers.py
+++ b/tests/clients/test_endless_answers.py
@@ -104,7 +104,9 @@
 @pytest.mark.parametrize("read", CLIENTS)
 def test_a_compressed_answer_is_not_decompressed(read):
     """Guards against a small answer that becomes a large one."""
-    body = gzip.compress(json.dumps({"offset": 1, "entries": []}).encode())
+    body = gzip.compress(
+        json.dumps({"offset": 1, "entries": [], "endOffset": 1}).encode()
+    )
     head = b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
     with RawTarget(OK + head + body) as target:
         if CLIENTS[read] is WeightsUnavailable or read is append_to_store:
