--- /dev/null
+++ b/godwitladder/engines/bounded_http.py
@@ -0,0 +1,459 @@
+"""HTTP connections that read answers within limits, whatever the other end sends.
+
+The standard library parses heads and chunks, but its limits don't suffice: it skips
+any number of interim answers, reads trailers and chunks without an end, takes the end
+of a connection for the end of a head, and a length that it can't read for none.
+"""
+
+import email.errors
+import http.client
+import io
+import re
+import socket
+from collections.abc import Iterable
+
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+from godwitladder.clock import Clock
+from godwitladder.engines.answer_limits import AnswerLimits
+from godwitladder.engines.errors import AnswerShape, MalformedAnswer
+
+CLOCK = Clock()
+DEFAULT_LIMITS = AnswerLimits()
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9][ \t]+([0-9]{3})(?:[ \t][^\n]*|\r)?\n")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*|\r)?\n")
+LENGTH = re.compile(r"[0-9]{1,18}")
+BLANK_LINES = (b"\r\n", b"\n")
+HEAD_END = b"\r\n\r\n"
+HEAD_DEFECTS = (
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.InvalidHeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+)
+"""What the parser notes of lines that are no headers. It takes none of those after."""
+SWITCHING_PROTOCOLS = 101
+MAX_PARSED_LINES = 100
+"""Header lines that the standard library parses, with the blank one."""
+CHUNK_END_BYTES = 2
+READ_BYTES = 65_536
+SMALL_CHUNK_BYTES = 512
+"""Chunks below this size cost more processor time than the bytes in them."""
+FREE_SMALL_CHUNKS = 4_096
+"""Small chunks of an answer that are read without a rest."""
+MAX_SMALL_CHUNKS_PER_S = 1_000
+"""Pace of further ones. No engine generates as many tokens per second for one
+request, and reading them takes a few hundredths of a core."""
+PACED_CHUNKS = 64
+"""Small chunks between two rests."""
+
+
+class HeadLines:
+    """The lines of a head that was read, as a file to parse it from.
+
+    The header lines are returned at once, as the parser takes `MAX_PARSED_LINES`.
+    """
+
+    def __init__(self, status_line: bytes, header_lines: bytes) -> None:
+        self.header_lines = header_lines
+        self.parts = iter((status_line, header_lines, b"\r\n"))
+
+    def readline(self, limit: int) -> bytes:
+        """Return the next line or lines; nothing at the end."""
+        return next(self.parts, b"")
+
+    def close(self) -> None:
+        """Close the file."""
+
+
+class UnframedBody:
+    """The body of an answer without length or chunks, as a file to read it from.
+
+    Parameters
+    ----------
+    stream : BufferedReader
+        Reads from the connection.
+    limit : int
+        Largest size in bytes.
+
+    Attributes
+    ----------
+    size : int
+        Number of bytes that were read.
+    """
+
+    def __init__(self, stream: io.BufferedReader, limit: int) -> None:
+        self.stream = stream
+        self.limit = limit
+        self.size = 0
+
+    def read(self, size: int = -1) -> bytes:
+        """Return ``size`` bytes, or all there are."""
+        if size < 0:
+            return b"".join(iter(lambda: self.read1(READ_BYTES), b""))
+        return self.count(self.stream.read(size))
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return what has arrived, or wait for it if there is none."""
+        return self.count(self.stream.read1(size))
+
+    def count(self, block: bytes) -> bytes:
+        """Count the bytes of ``block`` and return it.
+
+        Raises
+        ------
+        MalformedAnswer
+            The body exceeds its limit.
+        """
+        self.size += len(block)
+        if self.size > self.limit:
+            raise too_large(self.size, self.limit)
+        return block
+
+    def flush(self) -> None:
+        """Flush the stream, which does nothing."""
+        self.stream.flush()
+
+    def fileno(self) -> int:
+        """Return the descriptor of the connection."""
+        return self.stream.fileno()
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.stream.close()
+
+
+class TimedReader(io.RawIOBase):
+    """Reads from a socket until a time has passed.
+
+    The timeout of a socket limits its silence only: an answer that trickles in could
+    take for ever.
+
+    Parameters
+    ----------
+    sock : socket
+        The socket, with its timeout set.
+    clock : Clock
+        Tells the time.
+    max_timeouts : float
+        Time from now until reading ends, in timeouts of the socket.
+    """
+
+    def __init__(self, sock: socket.socket, clock: Clock, max_timeouts: float) -> None:
+        super().__init__()
+        self.sock = sock
+        self.silence_s = sock.gettimeout()
+        self.clock = clock
+        self.ends_at = clock.monotonic() + max_timeouts * self.silence_s
+        self.stream = sock.makefile("rb", buffering=0)
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer) -> int:
+        """Read into ``buffer`` and return the number of bytes.
+
+        Raises
+        ------
+        TimeoutError
+            The time has passed, or the socket's timeout.
+        """
+        left_s = self.ends_at - self.clock.monotonic()
+        if left_s <= 0:
+            raise TimeoutError("the answer did not end in time")
+        self.sock.settimeout(min(left_s, self.silence_s))
+        return self.stream.readinto(buffer)
+
+    def close(self) -> None:
+        """Close the socket's file."""
+        self.stream.close()
+        super().close()
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """An answer whose head, framing and body are read within limits.
+
+    Parameters
+    ----------
+    sock : socket
+        The connection.
+    limits : AnswerLimits
+        The limits.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Bytes of the head that were read, without interim answers.
+    body_bytes : int
+        Bytes of all chunks that have begun.
+    framing_bytes : int
+        Bytes of chunk-size lines and of the line ends after chunks.
+    small_chunks : int
+        Number of chunks of less than `SMALL_CHUNK_BYTES`.
+    paced_until : float
+        Monotonic time in seconds before which no further `PACED_CHUNKS` are read.
+    """
+
+    head_bytes = 0
+    body_bytes = 0
+    framing_bytes = 0
+    small_chunks = 0
+    paced_until = 0.0
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+        limits: AnswerLimits = DEFAULT_LIMITS,
+    ) -> None:
+        super().__init__(sock, debuglevel, method, url)
+        self.limits = limits
+
+    def limit_time(self, sock: socket.socket, max_timeouts: float) -> None:
+        """Limit the time of the whole answer, in timeouts of the socket."""
+        self.fp.close()
+        self.fp = io.BufferedReader(TimedReader(sock, CLOCK, max_timeouts))
+
+    def begin(self) -> None:
+        """Read and parse the head.
+
+        Raises
+        ------
+        MalformedAnswer
+            The head exceeds the limits, is not HTTP, or states no valid length.
+        RemoteDisconnected
+            The connection ended within the head.
+        """
+        if self.headers is not None:
+            return
+        stream = self.fp
+        head = self._take_whole_head()
+        if head is None:
+            self.fp = lines = HeadLines(*self._read_final_head())
+            head = lines.header_lines
+        else:
+            self.fp = io.BytesIO(head)
+        try:
+            super().begin()
+        except http.client.HTTPException as error:
+            raise self._malformed_head(repr(error)) from error
+        finally:
+            self.fp = stream
+        if self.headers.defects:
+            self._check_defects()
+        if self.chunked:
+            # Its trailers are left unread.
+            self.will_close = True
+            return
+        self._check_framing(head.lower())
+        if self.length is None:
+            self.fp = UnframedBody(stream, self.limits.body_bytes)
+
+    def _take_whole_head(self) -> bytes | None:
+        """Return a final head that has arrived as a whole; None if it has not.
+
+        Nearly all heads are such, and reading each line would take most of the time.
+        """
+        limits, buffered = self.limits, self.fp.peek()
+        end = buffered.find(HEAD_END) + len(HEAD_END)
+        match = STATUS_LINE.match(buffered)
+        if (
+            match is None
+            or not match.end() < end <= limits.line_bytes
+            or end > limits.header_bytes
+            or match[1] < b"200"
+            or not buffered.count(b"\n", 0, end) <= limits.header_count
+            or not buffered.count(b"\n", 0, end) <= MAX_PARSED_LINES
+        ):
+            return None
+        self.head_bytes = end
+        return self.fp.read(end)
+
+    def _read_final_head(self) -> tuple[bytes, bytes]:
+        """Return the status line and the header lines of the final answer."""
+        for _ in range(self.limits.interim_answers + 1):
+            status_line, *header_lines = self._read_head_lines()
+            status = int(STATUS_LINE.fullmatch(status_line)[1])
+            if status >= http.client.OK:
+                return status_line, b"".join(header_lines)
+            if status == SWITCHING_PROTOCOLS or status < http.client.CONTINUE:
+                break
+        raise MalformedAnswer(
+            AnswerShape.INTERIM, self.head_bytes, f"too many, or {status_line[:80]!r}"
+        )
+
+    def _read_head_lines(self) -> list[bytes]:
+        """Return the lines of a head up to the blank line, which is left out."""
+        readline, line_bytes = self.fp.readline, self.limits.line_bytes
+        lines: list[bytes] = []
+        self.head_bytes = 0
+        while (line := readline(line_bytes + 1)) not in BLANK_LINES or not lines:
+            self.head_bytes += len(line)
+            if len(line) > line_bytes:
+                raise self._malformed_head(f"a line of over {line_bytes} bytes")
+            if not line.endswith(b"\n"):
+                raise http.client.RemoteDisconnected("the connection ended in a head")
+            if not lines and not STATUS_LINE.fullmatch(line):
+                raise self._malformed_head(f"no status line: {line[:80]!r}")
+            if self.head_bytes > self.limits.header_bytes:
+                raise self._malformed_head(f"over {self.limits.header_bytes} bytes")
+            if len(lines) > self.limits.header_count:
+                raise self._malformed_head(f"over {len(lines) - 1} header lines")
+            lines.append(line)
+        return lines
+
+    def _malformed_head(self, detail: str) -> MalformedAnswer:
+        return MalformedAnswer(AnswerShape.HEAD, self.head_bytes, detail)
+
+    def _check_defects(self) -> None:
+        """Check that all lines are headers."""
+        for defect in self.headers.defects:
+            if isinstance(defect, HEAD_DEFECTS):
+                raise self._malformed_head(repr(defect)[:80])
+
+    def _check_framing(self, head: bytes) -> None:
+        """Check that a head, in lower case, tells how a body without chunks ends.
+
+        An answer whose length can't be read would end with its connection, and a
+        part of it would look complete.
+        """
+        if b"transfer-encoding" in head and "Transfer-Encoding" in self.headers:
+            encoding = self.headers["Transfer-Encoding"][:80]
+            raise self._malformed_framing(f"encoding {encoding!r}")
+        stated = head.count(b"content-length")
+        is_odd = self.length is None or self.length > self.limits.body_bytes
+        if stated > 1 or (stated and is_odd):
+            self._check_lengths(self.headers.get_all("Content-Length", ()))
+
+    def _check_lengths(self, stated: Iterable[str]) -> None:
+        """Set the length that an answer states more than once, or in an odd form."""
+        lengths = {part.strip() for value in stated for part in value.split(",")}
+        if not lengths:
+            return
+        length = lengths.pop()
+        if lengths or not LENGTH.fullmatch(length):
+            raise self._malformed_framing(f"lengths {length[:80]!r}, {lengths!r:.80}")
+        if self.length != 0:
+            self.length = int(length)
+            if self.length > self.limits.body_bytes:
+                raise too_large(self.length, self.limits.body_bytes)
+
+    def _malformed_framing(self, detail: str, size: int = 0) -> MalformedAnswer:
+        return MalformedAnswer(AnswerShape.FRAMING, size or self.head_bytes, detail)
+
+    def _read_next_chunk_size(self) -> int:
+        """Return the size of the next chunk.
+
+        Raises
+        ------
+        MalformedAnswer
+            The line is no chunk size, the lines exceed their limits, or the body does.
+        ValueError
+            The connection has ended.
+        """
+        limits = self.limits
+        line = self.fp.readline(limits.line_bytes + 1)
+        try:
+            size = int(line, 16) if line.endswith(b"\n") else -1
+        except ValueError:
+            size = -1
+        if size < 0:
+            size = self._parse_chunk_size(line)
+        self.body_bytes += size
+        self.framing_bytes += len(line) + CHUNK_END_BYTES
+        if self.body_bytes > limits.body_bytes:
+            raise too_large(self.body_bytes, limits.body_bytes)
+        # The limit on the size of headers holds for the framing too, so far as it
+        # exceeds the body.
+        if self.framing_bytes > limits.header_bytes + self.body_bytes:
+            detail = f"for {self.body_bytes} bytes of body"
+            raise self._malformed_framing(detail, self.framing_bytes)
+        if size < SMALL_CHUNK_BYTES:
+            self.small_chunks += 1
+            if self.small_chunks > FREE_SMALL_CHUNKS:
+                self._pace()
+        return size
+
+    def _parse_chunk_size(self, line: bytes) -> int:
+        """Return the size in a line that has more than a size, or none."""
+        is_too_long = len(line) > self.limits.line_bytes
+        if not is_too_long and not line.endswith(b"\n"):
+            raise ValueError("the connection ended within a chunk size")
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if is_too_long or match is None:
+            detail = f"chunk size {line[:80]!r}"
+            raise self._malformed_framing(detail, self.framing_bytes + len(line))
+        return int(match[1], 16)
+
+    def _pace(self) -> None:
+        """Rest if small chunks arrive too fast.
+
+        A target that sends them without end would use a core until the deadline. The
+        rest is short, so that the call notices soon that it was aborted.
+        """
+        if self.small_chunks % PACED_CHUNKS:
+            return
+        now = CLOCK.monotonic()
+        if self.paced_until > now:
+            CLOCK.sleep(self.paced_until - now)
+        step_s = PACED_CHUNKS / MAX_SMALL_CHUNKS_PER_S
+        self.paced_until = max(self.paced_until, now) + step_s
+
+    def _read_and_discard_trailer(self) -> None:
+        """Leave the trailers unread: the body is complete, and they may never end."""
+
+
+def too_large(size: int, limit: int) -> MalformedAnswer:
+    """Return the error of a body of ``size`` bytes, of which ``limit`` are allowed."""
+    return MalformedAnswer(AnswerShape.BODY, size, f"more than {limit} bytes")
+
+
+class BoundedAnswers:
+    """Mixin of connections whose answers are read within limits.
+
+    Attributes
+    ----------
+    limits : AnswerLimits
+        Limits on an answer.
+    max_timeouts : float or None
+        Time of a whole answer from the end of the request, in timeouts of the
+        connection, each of which limits a silence only; None for no limit.
+    """
+
+    limits = DEFAULT_LIMITS
+    max_timeouts: float | None = None
+
+    def response_class(self, sock, *args, **kwargs) -> BoundedResponse:
+        """Return the answer that is about to arrive, with its head unread."""
+        response = BoundedResponse(sock, *args, limits=self.limits, **kwargs)
+        if self.max_timeouts is not None:
+            response.limit_time(sock, self.max_timeouts)
+        return response
+
+
+class BoundedConnection(BoundedAnswers, HTTPConnection):
+    """HTTP connection whose answers are read within limits."""
+
+
+class BoundedTlsConnection(BoundedAnswers, HTTPSConnection):
+    """HTTPS connection whose answers are read within limits."""
+
+
+def bounded_connection(
+    address: str, timeout_s: float, limits: AnswerLimits
+) -> BoundedConnection:
+    """Return a connection to ``address``, ``address:port``, that is not open yet."""
+    host, _, port = address.rpartition(":")
+    connection = BoundedConnection(host, int(port), timeout=timeout_s)
+    connection.limits = limits
+    return connection
+
+
+def with_limits(
+    kind: type[BoundedAnswers], limits: AnswerLimits, max_timeouts: float
+) -> type[BoundedAnswers]:
+    """Return a class of connections like ``kind`` that have these limits."""
+    attributes = {"limits": limits, "max_timeouts": max_timeouts}
+    return type(kind.__name__, (kind,), attributes)
