Bounded answers: no answer that the host ends is complete

A reader that the watcher wakes sees the end of the connection. Where an answer has neither length nor chunks, that is also how it ends, so part of an answer reached the caller as a complete 200. Each end of a body or stream now checks the call's cause first (AbortedByHost).

Plain bodies were read without a bound. They are held up to held_bytes and passed on beyond that, headers first; body_bytes breaks them visibly. Streams are bounded by the length of an event and by what comes between two events. All bytes held are accounted for in AnswerMemory; a call for which none are left is refused before it is sent, and an answer that can't be held is passed on.

A stream that breaks before its first event gets a status of its own: the server answered with 500, as it writes headers with the first bytes only.

--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -78,6 +78,9 @@
         self.connections = self._counter(
             "connections_total", "New connections of callers by what became of them"
         )
+        self.malformed_answers = self._counter(
+            "malformed_answers_total", "Malformed answers of targets by shape"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -24,6 +24,7 @@
         "proxy-connection",
         "te",
         "trailer",
+        "trailers",
         "transfer-encoding",
         "upgrade",
         "content-length",
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -56,6 +56,7 @@
 from godwitladder.scheduler.quotas import SharingHosts
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
+from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import BoundedServer
@@ -235,6 +236,7 @@
             tables.brittle,
         )
         self.watch = CallWatcher(clock)
+        self.answer_memory = AnswerMemory(settings.answers)
         self.app = RoutedApp(
             codec,
             self.make_proxy(codec),
@@ -330,6 +332,7 @@
             self.sharing_hosts.count,
             self.connector,
             self.origins,
+            self.answer_memory,
         )
 
     def start(self) -> None:
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
 from godwitladder.settings import LimitSettings, read_toml_file
@@ -127,6 +128,7 @@
     bounds: BoundSettings = field(default_factory=BoundSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
     processor: ProcessorSettings = field(default_factory=ProcessorSettings)
+    answers: AnswerLimits = field(default_factory=AnswerLimits)
     first_start: bool = False
 
 
--- a/godwitladder/serving/call_watcher.py
+++ b/godwitladder/serving/call_watcher.py
@@ -3,7 +3,8 @@
 A thread that blocks on a target's next byte can't check its caller. One watcher
 thread checks all open calls several times a second and shuts down the
 connection to the target. The blocked thread wakes and finds the cause in
-`OpenCall.cause`.
+`OpenCall.cause`. To that thread, the connection seems to have been closed by the
+target; where that is the end of an answer, it must look for a cause first.
 """
 
 import enum
@@ -13,6 +14,7 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
+from godwitladder.engines.wire import AbortedByHost
 
 CHECK_INTERVAL_S = 0.05
 """Interval between checks in seconds. A disconnected caller must be noticed within
@@ -61,6 +63,17 @@
         """Clear the connection, so that the watcher no longer shuts it down."""
         self.sock = None
 
+    def raise_if_aborted(self) -> None:
+        """Check that what has ended was not ended by this host.
+
+        Raises
+        ------
+        AbortedByHost
+            The call was aborted.
+        """
+        if self.cause is not None:
+            raise AbortedByHost(f"this host ended the call: {self.cause.value}")
+
     def shut_down(self) -> None:
         """Shut down the connection, which wakes a thread that reads from it."""
         sock = self.sock
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -21,26 +21,23 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.paths.connector import Connector, TargetConnection
-from godwitladder.quarantine.evidence import LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
+from godwitladder.serving.answer_memory import AnswerMemory, AnswerShare
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.call_watcher import AbortCause, CallWatcher, OpenCall
+from godwitladder.serving.counting import CountedAnswer
 from godwitladder.serving.dispatch_reporter import DispatchReporter
 from godwitladder.serving.lateness import classify_lateness
+from godwitladder.serving.plain_answers import PlainAnswer
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.streaming import ProxiedStream
-from godwitladder.serving.upstream import (
-    BufferedAnswer,
-    ForeignAnswer,
-    NotRun,
-    is_stream,
-    read_response_body,
-)
+from godwitladder.serving.target_evidence import TargetEvidence
+from godwitladder.serving.upstream import ForeignAnswer, NotRun, is_stream
 
 log = component_logger("passing")
 
@@ -53,8 +50,9 @@
 REFUSED_RETRY_S = 0.5
 DECISION_POLL_INTERVAL_S = 1.0
 HTTP_MISDIRECTED = 421
-MIN_SILENCE_S = 1.0
-"""Silence of a target, in seconds, from which it may have ended without a sign."""
+NO_MEMORY_RETRY_S = 0.5
+"""Retry-After of a host without memory for an answer; another one may have some."""
+NO_MEMORY_DETAIL = "This host has no memory left for an answer."
 DEADLINE_DETAIL = "The target gave no whole answer in time; it may have run."
 
 
@@ -86,6 +84,8 @@
         Connects calls to their targets.
     origins : StreamOriginRegistry
         At which version streams began.
+    memory : AnswerMemory
+        Memory for the answers under way.
     """
 
     header_codec: HeaderCodec
@@ -99,6 +99,7 @@
     count_hosts: Callable[[], int]
     connector: Connector
     origins: StreamOriginRegistry
+    memory: AnswerMemory
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
@@ -131,18 +132,18 @@
     resume_from : str
         Id of the last event sent to the caller, from which another target
         resumes the stream.
-    error_answer : BufferedAnswer or None
+    error_answer : PlainAnswer or None
         A target's error answer (status 500 or above), returned if no retry succeeds.
     pause_s : float
         Longest time between two events of the stream, in seconds.
     loss_error : MayHaveRun or None
         The error of the last send whose answer was lost.
-    dispatch : Dispatch or None
-        The dispatch of the last send.
-    on_trial : bool
-        Whether the call runs as the trial of a request that targets crashed under.
-    heard_at : float
-        Monotonic time of the last sign of the target, or of the send.
+    evidence : TargetEvidence
+        What the call has shown of its targets.
+    share : AnswerShare
+        Memory for its answer.
+    response : BaseHTTPResponse or None
+        The response of the last send.
     """
 
     def __init__(self, proxy: RoutedProxy, call: RoutedCall, gone) -> None:
@@ -158,12 +159,14 @@
         self.connection: TargetConnection | None = None
         self.running = False
         self.resume_from = ""
-        self.error_answer: BufferedAnswer | None = None
+        self.error_answer: PlainAnswer | None = None
         self.pause_s = 0.0
         self.loss_error: MayHaveRun | None = None
-        self.dispatch: Dispatch | None = None
-        self.on_trial = False
-        self.heard_at = 0.0
+        self.evidence = TargetEvidence(
+            call.traits, proxy.quarantine, proxy.clock, proxy.metrics
+        )
+        self.share = AnswerShare(proxy.memory)
+        self.response: urllib3.BaseHTTPResponse | None = None
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -173,10 +176,12 @@
     def run(self, start_response) -> Iterable[bytes]:
         """Return the body of the answer; release all resources if that fails."""
         try:
-            return self.answer(start_response)
+            body = self.answer(start_response)
         except BaseException:
             self.close()
+            self.share.close()
             raise
+        return CountedAnswer(body, self.share.close)
 
     def answer(self, start_response) -> Iterable[bytes]:
         """Send the call until a target answers or no further send is allowed."""
@@ -184,6 +189,8 @@
             decision = self.await_decision()
             if isinstance(decision, Refusal):
                 return self.refuse(start_response, decision)
+            if not self.share.open():
+                return self.refuse_sent(start_response, self.memory_refusal())
             try:
                 response = self.send(decision)
                 answer = self.handle_answer(response, start_response)
@@ -237,7 +244,6 @@
             Targets crashed under the request.
         """
         self.target = dispatch.target
-        self.dispatch = dispatch
         self.connection = self.proxy.connector.connect(
             dispatch.address, IDLE_TIMEOUT_S, self.left_s()
         )
@@ -246,8 +252,7 @@
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
         self.proxy.statements.check(dispatch)
-        self.on_trial = self.proxy.quarantine.begin(self.call.traits, dispatch.target)
-        self.heard_at = self.clock.monotonic()
+        self.evidence.begin(dispatch)
         self.open_call.attach(connection.sock)
         self.sends += 1
         metadata = DispatchMetadata(
@@ -255,11 +260,13 @@
         )
         headers = self.proxy.header_codec.for_target(self.call.headers, metadata)
         self.record_send(dispatch, left_s)
-        response = send(
+        self.response = send(
             connection, self.call.method, self.call.path, self.call.body, headers
         )
-        self.heard_at = self.clock.monotonic()
-        return self.check_headers(dispatch, response)
+        self.evidence.record_sign()
+        # A head that ends with the connection looks complete.
+        self.open_call.raise_if_aborted()
+        return self.check_headers(dispatch, self.response)
 
     def check_headers(
         self, dispatch: Dispatch, response: urllib3.BaseHTTPResponse
@@ -299,21 +306,24 @@
         """Return the body for the caller, or None if the call is retried instead."""
         if is_stream(response):
             return ProxiedStream(self, response).start(start_response)
-        body = read_response_body(response)
-        headers = self.proxy.header_codec.for_caller(response.headers.items())
-        headers.append(("Content-Length", str(len(body))))
-        answer = BufferedAnswer(
-            f"{response.status} {response.reason or ''}", headers, body
-        )
+        answer = PlainAnswer(self, response)
+        answer.read()
         if response.status >= 500 and self.retry():
-            self.error_answer = answer
+            self.keep_error(answer)
             return None
-        if response.status < 400:
-            # A target may turn a request down before it works on it.
-            self.record_completion()
-        self.finish(RequestState.COMPLETED)
+        if answer.complete:
+            answer.finish()
         return answer.start(start_response)
 
+    def keep_error(self, answer: PlainAnswer) -> None:
+        """Keep an error answer, for a caller whose call no other target answers."""
+        answer.is_closed = True
+        if answer.complete:
+            self.error_answer = answer
+        else:
+            text = f"a long answer with status {answer.response.status}"
+            self.loss_error = MayHaveRun(text)
+
     def finish(self, state: RequestState, tokens: int = 0) -> None:
         """Report the end of the call to the scheduler and release the target."""
         self.close()
@@ -344,7 +354,7 @@
         send instead of a refusal that says that nothing ran.
         """
         self.close()
-        if self.error_answer:
+        if self.error_answer is not None:
             return self.error_answer.start(start_response)
         refusal = self.true_refusal(refusal)
         self.proxy.metrics.count_refused_request(
@@ -375,7 +385,7 @@
         The last target may state that it ran nothing, after another one ran the call.
         """
         if refusal.outcome is RequestState.NOT_RUN:
-            if self.error_answer:
+            if self.error_answer is not None:
                 self.finish(RequestState.FAILED)
                 return self.error_answer.start(start_response)
             refusal = self.true_refusal(refusal)
@@ -438,14 +448,25 @@
         text = f"The target was lost with the request: {error}."
         return Refusal(RequestState.MAY_HAVE_RUN, Reason.TARGET_LOST, text)
 
+    def memory_refusal(self) -> Refusal:
+        """Return the refusal for a call whose answer no memory is left for."""
+        memory = self.proxy.memory
+        extra = {"used": memory.used, "max": memory.max_bytes, "peak": memory.peak}
+        log.warning("No memory is left for an answer", extra=extra)
+        return refuse(Reason.SHED, NO_MEMORY_DETAIL, NO_MEMORY_RETRY_S)
+
     def left_s(self) -> float:
         """Return the time until the call's deadline in seconds."""
         return self.call.deadline - self.clock.monotonic()
 
     def disconnect(self) -> None:
         """Close the connection to the target, if there is one."""
-        self.end_trial()
+        self.evidence.end_trial()
         self.open_call.detach()
+        if self.response is not None:
+            # The response keeps the socket open, and a target may send without end.
+            self.response.close()
+            self.response = None
         if self.connection is not None:
             self.connection.http.close()
             self.connection = None
@@ -474,30 +495,9 @@
         log.info(text, extra=extra)
 
     def record_loss(self, error: MayHaveRun) -> None:
-        """Record that the answer was lost, unless this host aborted the call.
-
-        A tunnel that breaks says nothing of the target, nor does the answer to
-        another call.
-        """
-        if isinstance(error, ForeignAnswer) or self.connection.is_broken:
-            return
-        lost_call = LostCall(
-            self.call.traits,
-            self.target,
-            self.dispatch.address,
-            self.dispatch.generation,
-            self.on_trial,
-        )
-        if self.open_call.cause is None:
-            has_ended = self.proxy.quarantine.record_loss(lost_call)
-            self.on_trial = self.on_trial and not has_ended
-        elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
-            self.proxy.quarantine.record_silence(lost_call)
-
-    def record_completion(self) -> None:
-        """Record that the call has run to its end."""
-        self.proxy.quarantine.record_completion(self.call.traits)
-        self.on_trial = False
+        """Record that the answer of the last send was lost."""
+        is_aborted = self.open_call.cause is not None
+        self.evidence.record_loss(error, is_aborted, self.connection.is_broken)
 
     def record_origin(self) -> None:
         """Record that the stream has begun; it goes on at this version only.
@@ -507,17 +507,11 @@
         row = self.call.row
         if not self.call.route.resumable:
             return
-        row.release = row.release or self.dispatch.release
+        row.release = row.release or self.evidence.dispatch.release
         origin = StreamOrigin(row.service, row.release)
         stream = StreamName(AttemptId(self.call.metadata.attempt), row.body)
         self.proxy.origins.record(stream, origin)
 
-    def end_trial(self) -> None:
-        """End the trial, if the call is one and has shown nothing."""
-        if self.on_trial:
-            self.on_trial = False
-            self.proxy.quarantine.end_trial(self.call.traits)
-
     def record_send(self, dispatch: Dispatch, left_s: float) -> None:
         """Log a send and record its queueing time."""
         waited_s = self.clock.monotonic() - self.call.row.arrived
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -1,5 +1,6 @@
 """Proxies the event stream of a routed call and resumes it at another target."""
 
+import itertools
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,12 @@
 from godwitladder.outcomes import Refusal, RequestState
 from godwitladder.quarantine.gate import HeldBack
 from godwitladder.serving.events import EventReader
-from godwitladder.serving.upstream import NotRun, StreamTruncated, is_stream
+from godwitladder.serving.upstream import (
+    NotRun,
+    StreamTruncated,
+    caller_headers,
+    is_stream,
+)
 
 if TYPE_CHECKING:
     from godwitladder.serving.proxying import ProxiedCall
@@ -23,6 +29,8 @@
 
     Attributes
     ----------
+    blocks : iterator of bytes
+        Blocks of events of the current target.
     events : int
         Number of events passed on.
     complete : bool
@@ -37,18 +45,35 @@
         self, proxied_call: "ProxiedCall", response: urllib3.BaseHTTPResponse
     ) -> None:
         self.proxied_call = proxied_call
-        self.reader = EventReader(response)
+        self.read_from(response)
         self.events = 0
         self.complete = False
         self.last_id = ""
         self.last_received_at = 0.0
 
+    def read_from(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Read the events of ``response`` from now on."""
+        call = self.proxied_call
+        self.reader = EventReader(
+            response, call.open_call, call.proxy.memory.limits, call.share.hold
+        )
+        self.blocks = iter(self.reader)
+
     def start(self, start_response) -> "ProxiedStream":
-        """Send the status and headers to the caller."""
+        """Send the status and headers to the caller, once something has arrived.
+
+        The server writes them with the first bytes. If the target fails before those,
+        the caller gets a status that tells it.
+
+        Raises
+        ------
+        MayHaveRun
+            The stream broke before its first event.
+        """
         response = self.reader.response
-        headers = self.proxied_call.proxy.header_codec.for_caller(
-            response.headers.items()
-        )
+        headers = caller_headers(self.proxied_call.proxy.header_codec, response)
+        first = list(itertools.islice(self.blocks, 1))
+        self.blocks = itertools.chain(first, self.blocks)
         start_response(f"{response.status} {response.reason or ''}", headers)
         return self
 
@@ -62,13 +87,13 @@
         """
         while not self.complete:
             try:
-                for block in self.reader:
+                for block in self.blocks:
                     self.record_events()
                     yield block
                 self.complete = True
             except MayHaveRun as error:
                 self.resume(error)
-        self.proxied_call.record_completion()
+        self.proxied_call.evidence.record_completion()
         self.proxied_call.finish(RequestState.COMPLETED, self.count_tokens())
 
     def record_events(self) -> None:
@@ -82,7 +107,8 @@
             self.proxied_call.pause_s = max(
                 self.proxied_call.pause_s, now - self.last_received_at
             )
-        self.last_received_at = self.proxied_call.heard_at = now
+        self.last_received_at = now
+        self.proxied_call.evidence.record_sign()
         self.proxied_call.reporter.report_progress(self.count_tokens())
 
     def count_tokens(self) -> int:
@@ -112,7 +138,7 @@
         response = self.reopen()
         if response is None:
             raise StreamTruncated(str(error))
-        self.reader = EventReader(response)
+        self.read_from(response)
 
     def reopen(self) -> urllib3.BaseHTTPResponse | None:
         """Return a response that continues the stream; None if no target gives one."""
--- /dev/null
+++ b/godwitladder/serving/target_evidence.py
@@ -0,0 +1,125 @@
+"""What a call shows of the target it was sent to: lost, silent, malformed or done."""
+
+from godwitladder.clock import Clock
+from godwitladder.engines.wire import MalformedAnswer, MayHaveRun
+from godwitladder.logs import component_logger
+from godwitladder.metrics import Metrics
+from godwitladder.quarantine.evidence import LostCall
+from godwitladder.quarantine.gate import QuarantineGate
+from godwitladder.quarantine.traits import RequestTraits
+from godwitladder.scheduler.rows import Dispatch
+from godwitladder.serving.upstream import ForeignAnswer
+
+log = component_logger("passing")
+
+MIN_SILENCE_S = 1.0
+"""Silence of a target, in seconds, from which it may have ended without a sign."""
+
+
+class TargetEvidence:
+    """Records what one call shows of its targets.
+
+    Parameters
+    ----------
+    traits : RequestTraits
+        What the request has in common with others.
+    quarantine : QuarantineGate
+        Holds back calls that crash targets.
+    clock : Clock
+        The host's clock.
+    metrics : Metrics
+        Counts malformed answers.
+
+    Attributes
+    ----------
+    dispatch : Dispatch or None
+        The dispatch of the last send.
+    on_trial : bool
+        Whether the call runs as the trial of a request that targets crashed under.
+    heard_at : float
+        Monotonic time of the last sign of the target, or of the send.
+    """
+
+    def __init__(
+        self,
+        traits: RequestTraits,
+        quarantine: QuarantineGate,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.traits = traits
+        self.quarantine = quarantine
+        self.clock = clock
+        self.metrics = metrics
+        self.dispatch: Dispatch | None = None
+        self.on_trial = False
+        self.heard_at = 0.0
+
+    def begin(self, dispatch: Dispatch) -> None:
+        """Record that the call is about to be sent.
+
+        Raises
+        ------
+        HeldBack
+            Targets crashed under the request.
+        """
+        self.dispatch = dispatch
+        self.on_trial = self.quarantine.begin(self.traits, dispatch.target)
+        self.record_sign()
+
+    def record_sign(self) -> None:
+        """Record that something of the target has arrived."""
+        self.heard_at = self.clock.monotonic()
+
+    def record_loss(
+        self, error: MayHaveRun, is_aborted: bool, is_path_broken: bool
+    ) -> None:
+        """Record that the answer was lost.
+
+        Parameters
+        ----------
+        is_aborted : bool
+            Whether this host ended the call; only a silence then shows anything.
+        is_path_broken : bool
+            Whether the way through another host broke, which says nothing of the
+            target. Nor does the answer to another call.
+        """
+        if isinstance(error, MalformedAnswer):
+            self.report_malformed(error)
+        if isinstance(error, ForeignAnswer) or is_path_broken:
+            return
+        lost_call = LostCall(
+            self.traits,
+            self.dispatch.target,
+            self.dispatch.address,
+            self.dispatch.generation,
+            self.on_trial,
+        )
+        if not is_aborted:
+            has_ended = self.quarantine.record_loss(lost_call)
+            self.on_trial = self.on_trial and not has_ended
+        elif self.clock.monotonic() - self.heard_at >= MIN_SILENCE_S:
+            self.quarantine.record_silence(lost_call)
+
+    def report_malformed(self, error: MalformedAnswer) -> None:
+        """Log and count an answer that is none, or exceeds a limit."""
+        self.metrics.malformed_answers.inc({"shape": error.shape.value})
+        extra = {
+            "target": self.dispatch.target,
+            "address": self.dispatch.address,
+            "shape": error.shape.value,
+            "bytes": error.size,
+            "error": str(error),
+        }
+        log.warning("The answer of a target is malformed", extra=extra)
+
+    def record_completion(self) -> None:
+        """Record that the call has run to its end."""
+        self.quarantine.record_completion(self.traits)
+        self.on_trial = False
+
+    def end_trial(self) -> None:
+        """End the trial, if the call is one and has shown nothing."""
+        if self.on_trial:
+            self.on_trial = False
+            self.quarantine.end_trial(self.traits)
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -23,7 +23,7 @@
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
 from godwitladder.paths.tunnels import TunnelRefused, Tunnels
-from godwitladder.serving.upstream import read_response_body
+from godwitladder.serving.upstream import read_block
 from godwitladder.standins.ports import free_ports
 from godwitladder.standins.routed import start_engine
 from tests.fleet import SECRET, wait_until
@@ -95,6 +95,11 @@
         yield owned
 
 
+def read_body(response):
+    """Return a body that is read to its end."""
+    return b"".join(iter(lambda: read_block(response), b""))
+
+
 def make_pair(stack, address):
     """Return an entry host without a path to a target, and one that has it."""
     far = PathHost(stack, "far")
@@ -124,7 +129,7 @@
     response = send(
         connection.http, "POST", "/a?b=%41", body, {"godwitladder-attempt-id": "a1"}
     )
-    assert read_response_body(response) == b"answer of a1"
+    assert read_body(response) == b"answer of a1"
     (run,) = engine.standin.runs
     assert (run.path, run.body) == ("/a?b=%41", body)
     assert connection.gateway == "far"
@@ -153,7 +158,7 @@
 def test_an_answer_without_a_length_ends_with_the_target_s_connection(stack):
     target = RawTarget(stack, lambda target, sock: sock.sendall(HEAD + b"whole"))
     near, _ = make_pair(stack, target.address)
-    assert read_response_body(ask(near.connect(target.address))) == b"whole"
+    assert read_body(ask(near.connect(target.address))) == b"whole"
 
 
 def test_an_answer_that_is_reset_behind_the_gateway_does_not_look_whole(stack):
@@ -172,7 +177,7 @@
     assert response.read1() == b"a part"
     target.arrived.set()
     with pytest.raises(MayHaveRun):
-        read_response_body(response)
+        read_body(response)
 
 
 def test_an_answer_does_not_look_whole_when_the_gateway_goes_away(stack):
@@ -194,7 +199,7 @@
     assert response.read1() == b"a part"
     far.mesh.post(far.mesh.listener.close)
     with pytest.raises(MayHaveRun):
-        read_response_body(response)
+        read_body(response)
     assert connection.is_broken
     waiting.set()
 
@@ -256,7 +261,7 @@
     near, _ = make_pair(stack, target.address)
     response = ask(near.connect(target.address))
     time.sleep(PAUSE_S)
-    assert len(read_response_body(response)) == len(whole)
+    assert len(read_body(response)) == len(whole)
 
 
 def test_a_reset_of_the_target_counts_against_the_target_not_the_tunnel(stack):
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -15,6 +15,7 @@
 from godwitladder.decisions.limits.rate_limits import RateLimits
 from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
 from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector
@@ -28,6 +29,7 @@
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.scheduler.messages import Finished, Returned, ReturnProof, Submit
 from godwitladder.scheduler.rows import Dispatch
+from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
@@ -37,6 +39,7 @@
 from tests.fleet import wait_until
 from tests.platform.test_adapter import CONFIG
 
+DEFAULT_LIMITS = AnswerLimits()
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
 
 
@@ -116,13 +119,13 @@
 class Answer:
     """The answer that a caller received."""
 
-    def __init__(self, app, environ):
+    def __init__(self, app, environ, keeps=True):
         body = app(environ, self.start)
         self.pieces, self.truncated = [], False
         try:
             self.pieces = []
             for piece in body:
-                self.pieces.append(piece)
+                self.pieces.extend([piece] if keeps else [])
         except StreamTruncated:
             self.truncated = True
         finally:
@@ -137,7 +140,7 @@
 class Bench:
     """An application with its engines and a fake scheduler."""
 
-    def __init__(self, stack, engines=1):
+    def __init__(self, stack, engines=1, limits=DEFAULT_LIMITS):
         self.engines = [start_engine() for _ in range(engines)]
         for engine in self.engines:
             stack.callback(engine.server_close)
@@ -161,11 +164,13 @@
             CrashEvidence(self.clock, lambda: self.addresses),
         )
         self.origins = StreamOriginRegistry("h1", FakePeers(), self.clock)
+        self.metrics = Metrics()
+        self.memory = AnswerMemory(limits)
         proxy = RoutedProxy(
             form,
             self.scheduler,
             self.clock,
-            Metrics(),
+            self.metrics,
             self.watcher,
             RetryBudget(RetryLimits()),
             self.quarantine,
@@ -173,12 +178,21 @@
             lambda: 1,
             Connector(self.clock, Metrics()),
             self.origins,
+            self.memory,
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
         document = decode_document(json.dumps(CONFIG | {"routes": ROUTES}).encode())
         self.app.in_force = index_document(document)
 
-    def call(self, path, method="POST", body=b"", gone=lambda: False, **headers):
+    def call(
+        self,
+        path,
+        method="POST",
+        body=b"",
+        gone=lambda: False,
+        keeps=True,
+        **headers,
+    ):
         environ = {
             "REQUEST_METHOD": method,
             "PATH_INFO": path,
@@ -191,7 +205,7 @@
             "wsgi.input": io.BytesIO(body),
             "waitress.client_disconnected": gone,
         }
-        return Answer(self.app, environ | headers)
+        return Answer(self.app, environ | headers, keeps)
 
     def runs(self):
         return [run for engine in self.engines for run in engine.standin.runs]
@@ -596,7 +610,7 @@
 
 def test_a_target_that_ended_in_silence_is_seen_by_its_entry(stack, monkeypatch):
     """Guards against targets that end one by one without a sign."""
-    monkeypatch.setattr("godwitladder.serving.proxying.MIN_SILENCE_S", 0.2)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 0.2)
     bench = Bench(stack)
     engine = bench.engines[0].standin
     engine.knobs.pause_s = 30.0
@@ -610,7 +624,7 @@
 
 def test_a_caller_that_leaves_at_once_says_nothing_of_the_target(stack, monkeypatch):
     """Guards against calls that count only because their callers left."""
-    monkeypatch.setattr("godwitladder.serving.proxying.MIN_SILENCE_S", 60.0)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 60.0)
     bench = Bench(stack)
     bench.engines[0].standin.knobs.pause_s = 30.0
     bench.call("/charge/x", body=b"good", gone=lambda: True)
