Plain services: a read waits for what is left of the call's time only

A target that sent one byte shortly before the deadline and then nothing held its call for up to twice the time, as the time-out of a read began anew. The text of an engine's refusal was read without a bound.

--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -30,6 +30,7 @@
 DONE = b"[DONE]"
 MAX_READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1_048_576
+MAX_REFUSAL_BYTES = 200
 STREAM_HEADER = "X-Stream-Id"
 
 
@@ -179,7 +180,7 @@
         connection.close()
         raise MayHaveRun(f"target answered {response.status}")
     try:
-        text = response.data[:200].decode(errors="replace")
+        text = response.read1(MAX_REFUSAL_BYTES).decode(errors="replace")
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise MayHaveRun(f"answer broke: {error}") from error
     finally:
--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -1,5 +1,6 @@
 """Client of a plain service: sends a call with its body and content type as is."""
 
+import socket
 from dataclasses import dataclass
 
 import urllib3
@@ -10,6 +11,7 @@
 
 MAX_READ_BYTES = 65_536
 MAX_ANSWER_BYTES = 16_777_216
+MIN_READ_S = 0.1
 CALL_HEADER = "X-Call-Id"
 NO_BODY = (204, 304)
 
@@ -56,12 +58,14 @@
         See `godwitladder.engines.wire`. An answer that ends before its stated
         length raises `MayHaveRun` and is never returned truncated.
     """
-    connection = dial(address, max(0.1, deadline - clock.monotonic()))
+    connection = dial(address, max(MIN_READ_S, deadline - clock.monotonic()))
+    # The connection gives its socket up once an answer that ends with it has begun.
+    sock = connection.sock
     headers = {"Content-Type": content_type, CALL_HEADER: call}
     response = send(connection, "POST", f"/call/{service}", body, headers)
     try:
         _check_headers(response, call)
-        data = _read_body(response, clock, deadline)
+        data = _read_body(response, sock, clock, deadline)
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise MayHaveRun(f"{address} cut its answer short: {error}") from error
     finally:
@@ -91,10 +95,15 @@
 
 
 def _read_body(
-    response: urllib3.BaseHTTPResponse, clock: Clock, deadline: float
+    response: urllib3.BaseHTTPResponse,
+    sock: socket.socket,
+    clock: Clock,
+    deadline: float,
 ) -> bytes:
     """Return the body; the deadline also ends a slow, trickling answer.
 
+    A read waits for what is left of the time, not for all of it again.
+
     Raises
     ------
     MayHaveRun
@@ -106,7 +115,9 @@
         size += len(block)
         if size > MAX_ANSWER_BYTES:
             raise MayHaveRun(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
-        if clock.monotonic() >= deadline:
+        left_s = deadline - clock.monotonic()
+        if left_s <= 0:
             raise MayHaveRun("the deadline passed within the answer")
+        sock.settimeout(max(MIN_READ_S, left_s))
         blocks.append(block)
     return b"".join(blocks)
--- a/tests/serving/odd_targets.py
+++ b/tests/serving/odd_targets.py
@@ -2,7 +2,10 @@
 
 import contextlib
 import itertools
+import json
+import selectors
 import socket
+import sys
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -131,3 +134,62 @@
 LAST_CHUNK = b"0\r\n\r\n"
 CHUNKED = "Transfer-Encoding: chunked"
 STREAM = "Content-Type: text/event-stream"
+UNFRAMED = head("Content-Type: text/plain")
+BLOCK = b"x" * 16_384
+EVENT = b"id: 1\ndata: one\n\n"
+BIG_EVENT = b"id: 1\ndata: " + b"x" * 50_000 + b"\n\n"
+COMMENT = b": still here\n\n"
+ENDLESS: dict[str, Script] = {
+    "no length": lambda: repeat(UNFRAMED, BLOCK),
+    "length": lambda: repeat(head(f"Content-Length: {1 << 25}"), BLOCK),
+    "chunks": lambda: repeat(head(CHUNKED), chunk(BLOCK)),
+    "stream": lambda: repeat(head(STREAM), BIG_EVENT),
+    "comments": lambda: repeat(head(STREAM) + EVENT, 50 * COMMENT),
+    "long event": lambda: repeat(head(STREAM) + EVENT, BLOCK),
+}
+"""Answers that never end, by their shape."""
+STREAMS = frozenset({"stream", "comments", "long event"})
+
+
+def read_and_discard(address: str, request: bytes, count: int, reads: bool) -> None:
+    """Send a request on many connections, and discard the answers until they end."""
+    host, _, port = address.rpartition(":")
+    selector = selectors.DefaultSelector()
+    callers = []
+    for _ in range(count):
+        caller = socket.create_connection((host, int(port)))
+        caller.sendall(request)
+        callers.append(caller)
+        if reads:
+            selector.register(caller, selectors.EVENT_READ)
+    while not reads or selector.get_map():
+        for key, _ in selector.select(1.0):
+            if not discard_some(key.fileobj):
+                selector.unregister(key.fileobj)
+
+
+def discard_some(caller: socket.socket) -> bool:
+    """Read from ``caller``, and return whether it is still open."""
+    try:
+        return bool(caller.recv(1 << 18))
+    except OSError:
+        return False
+
+
+def main() -> None:
+    """Run a target or many callers, as told on standard input, for a test.
+
+    They have processes of their own, so that the test's process is a host only.
+    """
+    order = json.loads(sys.stdin.readline())
+    if "shape" in order:
+        target = OddTarget(ENDLESS[order["shape"]], order["pause_s"])
+        print(target.address, flush=True)
+        sys.stdin.readline()
+    else:
+        request = order["request"].encode()
+        read_and_discard(order["host"], request, order["count"], order["reads"])
+
+
+if __name__ == "__main__":
+    main()
