Slow readers: no thread and no slot beyond the deadline; memory in common

A thread that writes waited for its caller for as long as that liked, with the target's slot. It waits until the call's deadline now, and the connection is reset. Output that waits for callers counts as held; less may wait where memory is short, and the kernel takes 64 KiB unsent. A broken answer that ends with its connection (HTTP/1.0) is reset.

--- a/godwitladder/platform/__main__.py
+++ b/godwitladder/platform/__main__.py
@@ -19,8 +19,10 @@
 def main() -> None:
     """Install the signal handlers before importing and running the host."""
     install_early_signal_handlers()
+    from godwitladder.arenas import limit_arenas
     from godwitladder.platform.host import run_host
 
+    limit_arenas()
     run_host()
 
 
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -47,6 +47,7 @@
 from godwitladder.serving.auth import key_digest
 from godwitladder.serving.calls import CallRefused
 from godwitladder.serving.counting import CountedApp
+from godwitladder.serving.listener import limit_writes
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.proxying import RoutedProxy
 
@@ -154,6 +155,7 @@
                 "A call could not be parsed", extra={"request": metadata.attempt}
             )
             return answer_problem(start_response, internal_fault())
+        limit_writes(environ, call.deadline)
         gone = environ.get("waitress.client_disconnected", lambda: False)
         return self.proxy.serve(call, gone, start_response)
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -60,6 +60,7 @@
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import BoundedServer
+from godwitladder.serving.pacing import Pace
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import (
@@ -333,6 +334,7 @@
             self.connector,
             self.origins,
             self.answer_memory,
+            Pace(self.clock),
         )
 
     def start(self) -> None:
@@ -349,6 +351,7 @@
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
+        self.caller_server.memory = self.answer_memory
         self.caller_server.connections.count = self.count_connection
         self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -6,6 +6,11 @@
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
+from godwitladder.serving.answer_memory import (
+    BLOCK_BYTES,
+    GROWTH_SHARE,
+    RESERVED_BYTES,
+)
 from godwitladder.settings import LimitSettings, read_toml_file
 from godwitladder.tables import (
     checked,
@@ -114,6 +119,8 @@
     ----------
     region : str
         Region of the host. The hosts of a region share their view of its targets.
+    answers : AnswerLimits
+        Limits on answers of targets.
     first_start : bool
         Whether the whole system starts for the first time. No caller is waiting
         then, so the host may start more slowly to save calls to the store.
@@ -132,6 +139,23 @@
     first_start: bool = False
 
 
+def check_answers(settings: RoutedSettings, place: str, findings: Findings) -> None:
+    """Check that the limits on answers agree with each other and with the threads."""
+    answers, threads = settings.answers, settings.limits.threads
+    if answers.memory_share >= 1:
+        findings.add(f"{place}.memory_share", "must be below 1")
+    if answers.held_bytes > answers.body_bytes:
+        findings.add(f"{place}.held_bytes", "must not be above body_bytes")
+    needed = threads * (RESERVED_BYTES + BLOCK_BYTES)
+    allowed = int(answers.memory_bytes * GROWTH_SHARE)
+    if needed > allowed:
+        text = (
+            f"{threads} threads need {needed} bytes for their answers, and half of the "
+            f"share is {allowed}"
+        )
+        findings.add(f"{place}.memory_share", text)
+
+
 def read_routed_settings(path: Path) -> RoutedSettings:
     """Return the settings in ``path``.
 
@@ -145,5 +169,7 @@
     settings = None
     if raw is not None:
         settings = read_table(raw, RoutedSettings, f"{path}: ", findings)
+    if settings is not None:
+        check_answers(settings, f"{path}: answers", findings)
     findings.raise_if_any()
     return settings
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -7,11 +7,13 @@
 
 import errno
 import json
+import math
 import socket
 import ssl
+import struct
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
@@ -21,6 +23,7 @@
 from godwitladder.drain import is_busy, is_readable
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
+from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
 from godwitladder.serving.threads import ElasticDispatcher
@@ -33,6 +36,16 @@
 # limit the thread that writes the response blocks, and stops reading from the
 # engine's stream.
 OUTPUT_WATERMARK_BYTES = 65_536
+MAX_UNSENT_BYTES = 65_536
+"""Bytes that the kernel takes for a caller and has not sent. By itself it takes some
+megabytes for each that doesn't read, which no accounting of the host sees."""
+CHANNEL_KEY = "godwitladder.channel"
+"""Key of the caller's connection in the WSGI environment."""
+WRITE_POLL_S = 0.5
+"""Longest time between two looks at whether a caller has taken its output; the loop
+wakes a waiting thread when it has."""
+ABORTING_LINGER = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a socket is reset as it closes."""
 # Seconds that sent data may stay unacknowledged before the connection is closed:
 # the caller is then gone or will never read. Without this timeout, a caller that
 # stops reading would occupy a thread, and through it a slot of a target, for as
@@ -113,6 +126,26 @@
 class ClosingTask(WSGITask):
     """Serves a request, and closes the connection after it on a stopping host."""
 
+    def get_environment(self) -> dict:
+        """Return the WSGI environment, with the caller's connection in it."""
+        environ = super().get_environment()
+        environ[CHANNEL_KEY] = self.channel
+        return environ
+
+    def execute(self) -> None:
+        """Serve the request; reset the connection if that alone shows a broken answer.
+
+        An answer with neither a length nor chunks, which callers of HTTP/1.0 get, ends
+        with its connection. If it broke, an orderly end would make it look complete.
+        """
+        self.channel.write_deadline = math.inf
+        try:
+            super().execute()
+        except Exception:
+            has_end = self.chunked_response or self.content_length is not None
+            self.channel.resets = self.wrote_header and not has_end
+            raise
+
     def build_response_header(self) -> bytes:
         """Announce that the connection closes if the server is closing.
 
@@ -140,6 +173,12 @@
         Whether a whole request has been read from it.
     held_since : float or None
         Monotonic time at which it was first left unread.
+    write_deadline : float
+        Monotonic time until which a thread waits for the caller to read.
+    resets : bool
+        Whether the connection is reset as it closes.
+    pending_bytes : int
+        Bytes that wait for the caller to read, accounted for in the server's memory.
     """
 
     error_task_class = ProblemTask
@@ -149,6 +188,9 @@
         self.is_new = True
         self.brought_request = False
         self.held_since: float | None = None
+        self.write_deadline = math.inf
+        self.resets = False
+        self.pending_bytes = 0
         super().__init__(server, sock, addr, adj, map=map)
         server.connections.record(ConnectionEvent.ACCEPTED)
         if len(server.active_channels) > server.max_connections:
@@ -214,8 +256,57 @@
             self.server.connections.record(ConnectionEvent.READ)
         return result
 
+    @property
+    def total_outbufs_len(self) -> int:
+        """Number of bytes that wait for the caller; waitress changes it."""
+        return self.pending_bytes
+
+    @total_outbufs_len.setter
+    def total_outbufs_len(self, value: int) -> None:
+        self.server.memory.add(value - self.pending_bytes)
+        self.pending_bytes = value
+
+    def max_pending_bytes(self) -> int:
+        """Return how much may wait for the caller before more is written."""
+        return 0 if self.server.memory.is_short() else OUTPUT_WATERMARK_BYTES
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Wait until the caller has read most of its output, or give it up.
+
+        Waitress waits for as long as the caller likes. Meanwhile the thread can't serve
+        others, and the call holds a slot of its target.
+        """
+        with self.outbuf_lock:
+            while self.connected and self.pending_bytes > self.max_pending_bytes():
+                left_s = self.write_deadline - time.monotonic()
+                if left_s <= 0:
+                    self.give_up()
+                    return
+                # The loop sends what waits, and notifies.
+                self.server.pull_trigger()
+                self.outbuf_lock.wait(min(left_s, WRITE_POLL_S))
+
+    def give_up(self) -> None:
+        """Close the connection of a caller that doesn't read; waiting output is lost.
+
+        The answer is not complete, so the thread finds the caller disconnected.
+        """
+        extra = {"pending_bytes": self.pending_bytes}
+        log.info("A caller did not read its answer in time", extra=extra)
+        self.connected = False
+        self.resets = True
+        # The loop would wait until the socket takes data, which it may never do.
+        self.server.trigger.pull_trigger(self.close_unread)
+
+    def close_unread(self) -> None:
+        """Close the connection if it is still open; runs in the server's loop."""
+        if self.server.active_channels.get(self._fileno) is self:
+            self.handle_close()
+
     def handle_close(self) -> None:
         """Close the connection, and count it if its client had sent no request."""
+        if self.resets:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTING_LINGER)
         if not (self.brought_request or self.will_close or self.close_when_flushed):
             self.server.connections.record(ConnectionEvent.LEFT)
         super().handle_close()
@@ -266,6 +357,8 @@
     ----------
     closing : bool
         Whether responses announce that their connection closes.
+    memory : AnswerMemory
+        Accounts for the output that waits for callers.
     max_busy : int
         Number of requests in progress from which new connections are left unread.
     busy : int or None
@@ -284,6 +377,7 @@
         max_connections: int,
     ) -> None:
         self.closing = False
+        self.memory = AnswerMemory()
         self.max_busy = NO_LIMIT
         self.busy: int | None = None
         self.max_connections = max_connections
@@ -358,6 +452,21 @@
     return sum(bool(row.requests) for row in list(server.active_channels.values()))
 
 
+def limit_writes(environ: Mapping, deadline: float) -> None:
+    """Set the time until which the answer to a request may wait for its caller.
+
+    Parameters
+    ----------
+    environ : mapping
+        The WSGI environment of the request.
+    deadline : float
+        Deadline in seconds of the monotonic clock.
+    """
+    channel = environ.get(CHANNEL_KEY)
+    if channel is not None:
+        channel.write_deadline = deadline
+
+
 class TlsSocket(ssl.SSLSocket):
     """A TLS socket that the server loop and worker threads can share.
 
@@ -465,6 +574,7 @@
     adjustments.socket_options = [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_S * 1000),
+        (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES),
     ]
     dispatcher = ElasticDispatcher(threads + RESERVED_THREADS)
     return BoundedServer(
--- a/godwitladder/serving/plain_answers.py
+++ b/godwitladder/serving/plain_answers.py
@@ -133,6 +133,7 @@
         try:
             while block := self.read_block():
                 yield block
+                self.proxied_call.proxy.pace.keep(len(block))
         except MayHaveRun as error:
             self.record_loss(error)
             raise StreamTruncated(str(error)) from error
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -31,6 +31,7 @@
 from godwitladder.serving.counting import CountedAnswer
 from godwitladder.serving.dispatch_reporter import DispatchReporter
 from godwitladder.serving.lateness import classify_lateness
+from godwitladder.serving.pacing import Pace
 from godwitladder.serving.plain_answers import PlainAnswer
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.statements import TargetStatements
@@ -86,6 +87,8 @@
         At which version streams began.
     memory : AnswerMemory
         Memory for the answers under way.
+    pace : Pace
+        Paces the answers that are passed on.
     """
 
     header_codec: HeaderCodec
@@ -100,6 +103,7 @@
     connector: Connector
     origins: StreamOriginRegistry
     memory: AnswerMemory
+    pace: Pace
 
     def serve(self, call: RoutedCall, gone, start_response) -> Iterable[bytes]:
         """Proxy one call and return the body of its answer.
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -90,6 +90,7 @@
                 for block in self.blocks:
                     self.record_events()
                     yield block
+                    self.proxied_call.proxy.pace.keep(len(block))
                 self.complete = True
             except MayHaveRun as error:
                 self.resume(error)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -31,6 +31,7 @@
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
+from godwitladder.serving.pacing import Pace
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
@@ -179,6 +180,7 @@
             Connector(self.clock, Metrics()),
             self.origins,
             self.memory,
+            Pace(self.clock),
         )
         self.app = RoutedApp(form, proxy, self.freshness, self.clock, Metrics())
         document = decode_document(json.dumps(CONFIG | {"routes": ROUTES}).encode())
