--- a/tests/serving/odd_targets.py
+++ b/tests/serving/odd_targets.py
@@ -140,15 +140,15 @@
 BIG_EVENT = b"id: 1\ndata: " + b"x" * 50_000 + b"\n\n"
 COMMENT = b": still here\n\n"
 ENDLESS: dict[str, Script] = {
-    "no length": lambda: repeat(UNFRAMED, BLOCK),
+    "no_length": lambda: repeat(UNFRAMED, BLOCK),
     "length": lambda: repeat(head(f"Content-Length: {1 << 25}"), BLOCK),
     "chunks": lambda: repeat(head(CHUNKED), chunk(BLOCK)),
     "stream": lambda: repeat(head(STREAM), BIG_EVENT),
     "comments": lambda: repeat(head(STREAM) + EVENT, 50 * COMMENT),
-    "long event": lambda: repeat(head(STREAM) + EVENT, BLOCK),
+    "long_event": lambda: repeat(head(STREAM) + EVENT, BLOCK),
 }
 """Answers that never end, by their shape."""
-STREAMS = frozenset({"stream", "comments", "long event"})
+STREAMS = frozenset({"stream", "comments", "long_event"})
 
 
 def read_and_discard(address: str, request: bytes, count: int, reads: bool) -> None:
--- a/tests/serving/test_slow_readers.py
+++ b/tests/serving/test_slow_readers.py
@@ -45,10 +45,10 @@
 RECEIVE_BYTES = 4096
 PAGE_BYTES = resource.getpagesize()
 CROWDS = [(shape, 0.001 if shape == "comments" else 0.0) for shape in ENDLESS] + [
-    ("no length", 0.1),
+    ("no_length", 0.1),
     ("chunks", 0.1),
     ("comments", 0.1),
-    ("long event", 0.05),
+    ("long_event", 0.05),
 ]
 """Shapes of endless answers, with the pause before each piece in seconds."""
 
@@ -117,7 +117,7 @@
         yield stack
 
 
-@pytest.mark.parametrize("shape", ["no length", "length", "chunks", "stream"])
+@pytest.mark.parametrize("shape", ["no_length", "length", "chunks", "stream"])
 def test_a_caller_that_reads_nothing_holds_nothing_after_its_deadline(stack, shape):
     """Guards against slots and threads that are held for as long as a caller likes."""
     target = OddTarget(ENDLESS[shape])
@@ -135,7 +135,7 @@
 
 def test_a_caller_that_reads_nothing_holds_little_memory(stack):
     """Guards against output that is buffered for callers without a bound."""
-    listener = Listener(stack, OddTarget(ENDLESS["no length"]))
+    listener = Listener(stack, OddTarget(ENDLESS["no_length"]))
     listener.ask("/charge/x")
     listener.wait_until_done(1)
     held = HOST_LIMITS.held_bytes + OUTPUT_WATERMARK_BYTES
@@ -144,7 +144,7 @@
 
 def test_output_that_waits_for_a_caller_is_accounted_for(stack):
     """Guards against memory that callers take by not reading, unseen by the host."""
-    listener = Listener(stack, OddTarget(ENDLESS["no length"]))
+    listener = Listener(stack, OddTarget(ENDLESS["no_length"]))
     listener.ask("/charge/x", deadline_s=4.0)
     wait_until(
         lambda: count_pending(listener.server) > OUTPUT_WATERMARK_BYTES,
@@ -155,7 +155,7 @@
 
 def test_less_output_waits_for_a_caller_where_memory_is_short(stack):
     """Guards against callers that don't read and use up the memory of all others."""
-    listener = Listener(stack, OddTarget(ENDLESS["no length"]))
+    listener = Listener(stack, OddTarget(ENDLESS["no_length"]))
     memory = listener.bench.memory
     assert memory.take(memory.max_growth_bytes + 1)
     listener.ask("/charge/x")
@@ -217,7 +217,7 @@
 
 def test_callers_that_read_nothing_delay_no_others(stack):
     """Guards against a host that serves nobody while some callers don't read."""
-    slow = OddTarget(ENDLESS["no length"])
+    slow = OddTarget(ENDLESS["no_length"])
     good = OddTarget(lambda: iter([head("Content-Length: 2") + b"ok"]))
     listener = Listener(stack, slow, good)
     scheduler = listener.bench.scheduler
