--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -84,6 +84,9 @@
         self.rollout_grants = self._counter(
             "rollout_grants_total", "Requests sent to versions on trial"
         )
+        self.malformed_answers = self._counter(
+            "malformed_answers_total", "Malformed answers of targets by shape"
+        )
         self.waiting = self._gauge("requests_waiting", "Requests waiting")
         self.running = self._gauge("requests_running", "Requests running")
         self.queue_wait = self._histogram("queue_wait_seconds", "Wait for a target")
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -61,9 +61,11 @@
 from godwitladder.scheduler.quotas import SharingHosts
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
+from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import BoundedServer
+from godwitladder.serving.pacing import Pace
 from godwitladder.serving.proxying import RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import (
@@ -257,6 +259,7 @@
             tables.brittle,
         )
         self.watch = CallWatcher(clock)
+        self.answer_memory = AnswerMemory(settings.answers)
         self.app = RoutedApp(
             codec,
             self.make_proxy(codec),
@@ -352,6 +355,8 @@
             self.sharing_hosts.count,
             self.connector,
             self.origins,
+            self.answer_memory,
+            Pace(self.clock),
             self.rollouts,
         )
 
@@ -371,6 +376,7 @@
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
+        self.caller_server.memory = self.answer_memory
         self.caller_server.connections.count = self.count_connection
         self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
