--- a/godwitladder/rollouts/desk.py
+++ b/godwitladder/rollouts/coordinator.py
@@ -26,7 +26,7 @@
 """Versions and routes in one log line."""
 
 
-class RolloutDesk:
+class RolloutCoordinator:
     """Rollouts of all pools of one allocator's host.
 
     Only the allocator's actor uses it, except for `request`, which never blocks.
--- a/godwitladder/rollouts/counts.py
+++ b/godwitladder/rollouts/counts.py
@@ -59,7 +59,7 @@
     VOID = "void"
 
 
-class CountedAnswer:
+class TrackedAnswer:
     """One request that was sent, up to the end of its answer.
 
     Parameters
@@ -186,7 +186,7 @@
 
     def begin(
         self, service: ServiceName, release: Release, route: RouteName, now: float
-    ) -> "CountedAnswer | None":
+    ) -> "TrackedAnswer | None":
         """Count a request that is sent now; None if its service has no order."""
         if service not in self.orders:
             return None
@@ -198,7 +198,7 @@
             row = self.rows.setdefault(key, Row())
             row.sent += 1
             self.changed.add(key)
-        return CountedAnswer(self, key, row, now)
+        return TrackedAnswer(self, key, row, now)
 
     def mark_changed(self, key: RowKey, row: Row) -> None:
         """Report a row soon, unless its order is over; the lock is held."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -45,8 +45,8 @@
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.records import KnownCrashes, QuarantineEvent
 from godwitladder.quarantine.registry import NOTHING_KNOWN
+from godwitladder.rollouts.coordinator import RolloutCoordinator
 from godwitladder.rollouts.counts import HostRollouts
-from godwitladder.rollouts.desk import RolloutDesk
 from godwitladder.rollouts.sent_parts import SentParts
 from godwitladder.rollouts.status import StatusWriter
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
@@ -161,7 +161,7 @@
             self.ticker,
             self.router.send,
         )
-        self.desk = RolloutDesk(
+        self.coordinator = RolloutCoordinator(
             limits, lambda: self.freshness.is_fresh(clock.boottime())
         )
         self.allocator = self.start_actor(
@@ -171,7 +171,7 @@
                 self.span,
                 has_standing_grants=False,
                 quota_slack=settings.bounds.quota_slack,
-                rollouts=self.desk,
+                rollouts=self.coordinator,
             ),
             clock,
             self.router.send,
@@ -189,12 +189,13 @@
         if limits is not None:
             self.feed.rollouts.freshness = self.freshness
             self.feed.rollouts.is_completed = lambda order: (
-                self.rollouts.is_completed(order) or self.desk.is_completed(order)
+                self.rollouts.is_completed(order)
+                or self.coordinator.is_completed(order)
             )
             self.status_writer = StatusWriter(source, clock, self.allocator.tell)
-            self.desk.request = self.status_writer.request
+            self.coordinator.request = self.status_writer.request
         self.allocator_ticker = Ticker(clock, IDLE_TICK_S)
-        self.desk.wake = self.allocator_ticker.tick_in
+        self.coordinator.wake = self.allocator_ticker.tick_in
         self.mesh = Mesh(
             settings.host,
             settings.listen.peers,
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -12,7 +12,7 @@
 from godwitladder.decisions.types import PoolName
 from godwitladder.ids import HostId, TargetName, Zone
 from godwitladder.logs import component_logger
-from godwitladder.rollouts.desk import RolloutDesk
+from godwitladder.rollouts.coordinator import RolloutCoordinator
 from godwitladder.rollouts.status import StatusKnown
 from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
 from godwitladder.scheduler.messages import (
@@ -71,7 +71,7 @@
         Tokens that a workspace may use beyond its quota in a window.
     seen_hosts : SeenHosts
         Times at which each host was last seen alive.
-    rollouts : RolloutDesk
+    rollouts : RolloutCoordinator
         Rollouts of the services of all pools.
     """
 
@@ -87,7 +87,7 @@
     has_standing_grants: bool = True
     quota_slack: float = 0.0
     seen_hosts: SeenHosts = field(default_factory=SeenHosts)
-    rollouts: RolloutDesk = field(default_factory=RolloutDesk)
+    rollouts: RolloutCoordinator = field(default_factory=RolloutCoordinator)
 
     @property
     def allocators(self) -> tuple[HostId, ...]:
--- a/godwitladder/serving/plain_answers.py
+++ b/godwitladder/serving/plain_answers.py
@@ -152,7 +152,7 @@
 
     def record_loss(self, error: MayHaveRun) -> None:
         """Log and record that the answer broke while it was passed on."""
-        extra = self.proxied_call.log_fields() | {
+        extra = self.proxied_call.log.fields() | {
             "error": str(error),
             "bytes": self.size,
         }
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -21,17 +21,17 @@
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
 from godwitladder.paths.connector import Connector, GatewaysLeft, TargetConnection
-from godwitladder.quarantine.gate import HeldBack, QuarantineGate, loggable_parts
+from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.rollouts.counts import AnswerResult, HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
 from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answer_memory import AnswerMemory, AnswerShare
 from godwitladder.serving.answers import internal_fault
+from godwitladder.serving.call_log import CallLog
 from godwitladder.serving.call_watcher import AbortCause, CallWatcher, OpenCall
 from godwitladder.serving.counting import CountedAnswer
 from godwitladder.serving.dispatch_reporter import DispatchReporter
-from godwitladder.serving.lateness import classify_lateness
 from godwitladder.serving.pacing import Pace
 from godwitladder.serving.plain_answers import PlainAnswer
 from godwitladder.serving.problems import answer_problem
@@ -134,6 +134,8 @@
 
     Attributes
     ----------
+    log : CallLog
+        Writes the log lines of the call.
     sends : int
         Number of times the call was written to a target.
     running : bool
@@ -162,7 +164,7 @@
         self.call = call
         self.clock = proxy.clock
         self.sends = 0
-        self.target = ""
+        self.log = CallLog(call, proxy.clock)
         self.open_call = OpenCall(gone, call.deadline, self.withdraw)
         self.reporter = DispatchReporter(
             call, proxy.scheduler, proxy.clock, proxy.metrics
@@ -178,7 +180,7 @@
         )
         self.share = AnswerShare(proxy.memory)
         self.response: urllib3.BaseHTTPResponse | None = None
-        self.counts = VersionCounts(call, proxy.rollouts, proxy.clock)
+        self.counts = VersionCounts(call, proxy.rollouts, proxy.clock, self.log)
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -234,7 +236,7 @@
                 if not self.retry():
                     return self.refuse_sent(start_response, self.lost_refusal(error))
             except Exception:
-                log.exception("A call failed", extra=self.log_fields())
+                log.exception("A call failed", extra=self.log.fields())
                 return self.refuse_sent(start_response, internal_fault())
 
     def await_decision(self) -> Dispatch | Refusal:
@@ -261,7 +263,7 @@
         HeldBack
             Targets crashed under the request.
         """
-        self.target = dispatch.target
+        self.log.target = dispatch.target
         self.connection = self.proxy.connector.connect(
             dispatch.address, IDLE_TIMEOUT_S, self.left_s()
         )
@@ -278,7 +280,9 @@
             left_s, dispatch.target, self.call.workspace, self.resume_from
         )
         headers = self.proxy.header_codec.for_target(self.call.headers, metadata)
-        self.record_send(dispatch, left_s)
+        self.proxy.metrics.queue_wait.observe({}, self.log.age_s())
+        gateway = self.connection.gateway
+        self.log.record_send(dispatch, left_s, self.sends, gateway, self.resume_from)
         self.response = send(
             connection, self.call.method, self.call.path, self.call.body, headers
         )
@@ -352,22 +356,8 @@
         if self.running:
             # A call that was queued, or refused while queued, holds no target.
             self.reporter.report_end(state, tokens)
-        row = self.call.row
-        took_s = self.clock.monotonic() - row.arrived
-        first_s = self.reporter.first_s or took_s
-        lateness = classify_lateness(
-            row, row.arrived + first_s, self.pause_s, self.call.route.gap_s
-        )
-        extra = self.log_fields() | {
-            "outcome": state.value,
-            "lateness": lateness.value,
-            "tokens": tokens,
-            "prompt": row.prompt_tokens,
-            "first_s": round(self.reporter.first_s, 3),
-            "pause_s": round(self.pause_s, 3),
-            "took_s": round(took_s, 3),
-        }
-        log.info("A call has ended", extra=extra)
+        first_s = self.reporter.first_s
+        self.log.record_end(state, tokens, first_s, self.pause_s)
 
     def refuse(self, start_response, refusal: Refusal) -> Iterable[bytes]:
         """Answer a call that the scheduler refused.
@@ -382,19 +372,7 @@
         self.proxy.metrics.count_refused_request(
             self.call.row.tier_rank, refusal.reason
         )
-        extra = self.log_fields() | {
-            "reason": refusal.reason.value,
-            "detail": refusal.detail,
-            "decided_by": refusal.decided_by,
-            "workspace": self.call.workspace,
-            "rank": self.call.row.tier_rank,
-            "charge": self.call.row.charge,
-            "retry_after_s": refusal.retry_after_s,
-            "body": self.call.row.body[:8],
-            "wait_s": round(self.call.row.deadline - self.call.row.arrived, 3),
-            "waited_s": round(self.clock.monotonic() - self.call.row.arrived, 3),
-        }
-        log.info("A call was refused", extra=extra)
+        self.log.record_refusal(refusal)
         return answer_problem(start_response, refusal, exact=True)
 
     def true_refusal(self, refusal: Refusal) -> Refusal:
@@ -501,23 +479,9 @@
         self.disconnect()
         self.proxy.watcher.remove(self.open_call)
 
-    def log_fields(self) -> dict[str, str]:
-        """Return the log fields that identify the call and its target."""
-        return {
-            "request": self.call.metadata.attempt,
-            "route": self.call.route.name,
-            "target": self.target,
-        }
-
     def log_failed_send(self, text: str, dispatch: Dispatch, error: Exception) -> None:
         """Log why a send failed."""
-        cause = self.open_call.cause
-        extra = self.log_fields() | {
-            "address": dispatch.address,
-            "error": str(error),
-            "cause": cause.value if cause else "",
-        }
-        log.info(text, extra=extra)
+        self.log.record_failed_send(text, dispatch, error, self.open_call.cause)
 
     def record_loss(self, error: MayHaveRun) -> None:
         """Record that the answer of the last send was lost.
@@ -543,24 +507,3 @@
         origin = StreamOrigin(row.service, row.release)
         stream = StreamName(AttemptId(self.call.metadata.attempt), row.body)
         self.proxy.origins.record(stream, origin)
-
-    def record_send(self, dispatch: Dispatch, left_s: float) -> None:
-        """Log a send and record its queueing time."""
-        waited_s = self.clock.monotonic() - self.call.row.arrived
-        self.proxy.metrics.queue_wait.observe({}, waited_s)
-        extra = self.log_fields() | {
-            "waited_s": round(waited_s, 3),
-            "left_s": round(left_s, 3),
-            "body": self.call.row.body[:8],
-            "workspace": self.call.workspace,
-            "rank": self.call.row.tier_rank,
-            "charge": self.call.row.charge,
-            "send": self.sends,
-            "granted_by": dispatch.granted_by,
-            "gateway": self.connection.gateway,
-            "release": dispatch.release,
-            "last_event": self.resume_from or self.call.metadata.last_event,
-            "resumes": self.call.metadata.resumes,
-            "parts": loggable_parts(self.call.traits.parts),
-        }
-        log.info("A call is sent", extra=extra)
--- a/godwitladder/serving/streaming.py
+++ b/godwitladder/serving/streaming.py
@@ -128,7 +128,7 @@
             The route does not allow it, or no target continues the stream.
         """
         proxied_call = self.proxied_call
-        extra = proxied_call.log_fields() | {
+        extra = proxied_call.log.fields() | {
             "error": str(error),
             "events": self.events,
             "body": proxied_call.call.row.body[:8],
--- a/godwitladder/serving/version_counts.py
+++ b/godwitladder/serving/version_counts.py
@@ -1,13 +1,12 @@
 """Counts the answers to one call for the rollout of its service, if there is one."""
 
-from collections.abc import Mapping
-
 from godwitladder.clock import Clock
 from godwitladder.engines.wire import MayHaveRun
 from godwitladder.logs import component_logger
-from godwitladder.rollouts.counts import AnswerResult, CountedAnswer, HostRollouts
+from godwitladder.rollouts.counts import AnswerResult, HostRollouts, TrackedAnswer
 from godwitladder.routing.calls import RoutedCall
 from godwitladder.scheduler.rows import Dispatch
+from godwitladder.serving.call_log import CallLog
 from godwitladder.serving.call_watcher import AbortCause
 from godwitladder.serving.target_evidence import MIN_SILENCE_S
 
@@ -24,10 +23,12 @@
         Counts the answers of versions during rollouts.
     clock : Clock
         The host's clock.
+    call_log : CallLog
+        Has the log fields of the call.
 
     Attributes
     ----------
-    counted : CountedAnswer or None
+    counted : TrackedAnswer or None
         The answer to the last send, if a rollout of the service is under way.
     dispatch : Dispatch or None
         The dispatch of the last send.
@@ -35,11 +36,18 @@
         Prompt tokens that the target has to read for it.
     """
 
-    def __init__(self, call: RoutedCall, rollouts: HostRollouts, clock: Clock) -> None:
+    def __init__(
+        self,
+        call: RoutedCall,
+        rollouts: HostRollouts,
+        clock: Clock,
+        call_log: CallLog,
+    ) -> None:
         self.call = call
         self.rollouts = rollouts
+        self.log = call_log
         self.clock = clock
-        self.counted: CountedAnswer | None = None
+        self.counted: TrackedAnswer | None = None
         self.dispatch: Dispatch | None = None
         self.read_tokens = 0
 
@@ -67,7 +75,10 @@
     def record_end(self, result: AnswerResult, detail: str = "") -> None:
         """Count the end of the answer to the last send, once."""
         if self.counted is not None and self.counted.end(result):
-            extra = self.log_fields() | {"detail": detail}
+            extra = self.log.fields() | {
+                "release": self.dispatch.release,
+                "detail": detail,
+            }
             log.info("An answer has failed during a rollout", extra=extra)
 
     def record_loss(
@@ -88,12 +99,3 @@
         is_silent = silence_s >= MIN_SILENCE_S
         if cause is None or (cause is AbortCause.TIMEOUT and is_silent):
             self.record_end(AnswerResult.FAILED, str(error))
-
-    def log_fields(self) -> Mapping[str, str]:
-        """Return the log fields that identify the call, its target and version."""
-        return {
-            "request": self.call.metadata.attempt,
-            "route": self.call.route.name,
-            "target": self.dispatch.target,
-            "release": self.dispatch.release,
-        }
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -10,8 +10,8 @@
 from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
 from godwitladder.membership.codec import decode, encode
 from godwitladder.outcomes import Reason, Refusal, RequestState
+from godwitladder.rollouts.coordinator import RolloutCoordinator
 from godwitladder.rollouts.counts import AnswerResult
-from godwitladder.rollouts.desk import RolloutDesk
 from godwitladder.rollouts.messages import CondemnedVersion
 from godwitladder.rollouts.status import StatusKnown
 from godwitladder.scheduler.reports import (
@@ -76,18 +76,18 @@
         """Let a new allocator take over, which knows nothing."""
         self.name = name
         self.role = make_role(name, self.config, self.now, term, False)
-        self.desk = RolloutDesk(self.limits, lambda: self.fresh)
-        self.desk.request = self.wanted.append
+        self.coordinator = RolloutCoordinator(self.limits, lambda: self.fresh)
+        self.coordinator.request = self.wanted.append
         self.configure()
         for tables in self.hosts.values():
             for access in tables.pools.values():
                 access.set_allocator(name, self.now)
 
     def configure(self, config=None):
-        self.config = self.desk.settle(config or self.config)
+        self.config = self.coordinator.settle(config or self.config)
         self.role.configure(self.role.pool, self.config, frozenset())
         services = frozenset({LETTERS})
-        self.desk.configure(self.role.trials, services, self.config, self.now)
+        self.coordinator.configure(self.role.trials, services, self.config, self.now)
 
     @property
     def trial(self):
@@ -103,16 +103,16 @@
                     if to == self.name:
                         self.deliver(decode(encode(report)))
             if self.role.is_warmed_up(tuple(self.hosts), self.now):
-                self.desk.run_steps(self.role.trials, self.role.term, self.now)
+                self.coordinator.run_steps(self.role.trials, self.role.term, self.now)
             for offer in self.role.run(tuple(self.hosts), self.now):
-                offer = self.desk.notify(self.role.trials, offer)
+                offer = self.coordinator.notify(self.role.trials, offer)
                 take_offer(self.hosts[offer.host], decode(encode(offer)), self.now)
             for tables in self.hosts.values():
                 run_systems(tables, self.now)
 
     def deliver(self, report):
         self.role.take_report(report, self.now)
-        if self.desk.take_report(self.role.trials, report, self.now):
+        if self.coordinator.take_report(self.role.trials, report, self.now):
             self.configure()
 
     def call(self, host, fails=False, route=ROUTE, first_s=0.01, **fields):
@@ -336,12 +336,12 @@
     region = Region()
     region.step()
     running = StatusKnown(ORDER, RolloutState.RUNNING, 1, is_first=True)
-    region.desk.take_status(region.role.trials, running, region.role.term)
+    region.coordinator.take_status(region.role.trials, running, region.role.term)
     assert region.trial.budget.slack == 50
     region.take_over("a1", 2)
-    region.desk.take_status(region.role.trials, running, region.role.term)
+    region.coordinator.take_status(region.role.trials, running, region.role.term)
     found = replace(running, term=2, is_first=False)
-    region.desk.take_status(region.role.trials, found, region.role.term)
+    region.coordinator.take_status(region.role.trials, found, region.role.term)
     assert region.trial.budget.slack == 0
 
 
@@ -373,7 +373,7 @@
     region = Region()
     region.step()
     known = StatusKnown(ORDER, RolloutState.COMPLETED, 1)
-    assert region.desk.take_status(region.role.trials, known, 1)
+    assert region.coordinator.take_status(region.role.trials, known, 1)
     region.configure()
     assert set(region.serve(20)) == {"n0"}
     tables = region.hosts["h0"]
@@ -409,7 +409,7 @@
     region = Region()
     region.step()
     known = StatusKnown(ORDER, RolloutState.COMPLETED, 1)
-    region.desk.take_status(region.role.trials, known, 1)
+    region.coordinator.take_status(region.role.trials, known, 1)
     region.serve(4)
     assert region.hosts["h0"].rollouts.notices
     config = make_rollout_config(replace(ORDER, release="v3"), region.now)
@@ -441,10 +441,10 @@
 
 def test_an_order_for_an_unknown_service_is_logged_once(caplog):
     caplog.set_level("INFO", "godwitladder.rollouts")
-    desk = RolloutDesk(LIMITS)
+    coordinator = RolloutCoordinator(LIMITS)
     config = make_rollout_config(replace(ORDER, service="nowhere"))
-    desk.note_unknown_services(config)
-    desk.note_unknown_services(config)
+    coordinator.note_unknown_services(config)
+    coordinator.note_unknown_services(config)
     lines = [row for row in caplog.records if "without targets" in row.message]
     assert len(lines) == 1
 
