Give connections the limits in the settings; plainer names where a newcomer stumbled

The connector read answers within the default limits whatever [answers] held, as it was not given the settings; found by reading. Names: is_already_deployed, cutover_excluded, UntriedGateways, VersionRecorder, TOTAL_TIMEOUT_FACTOR. A line on a slow caller names it.

--- a/godwitladder/arenas.py
+++ b/godwitladder/arenas.py
@@ -1,8 +1,8 @@
 """Limits the memory that the C library keeps for each thread.
 
 By default it keeps up to eight arenas for each core. What one thread has freed there
-stays with the process and is not used by others: two hundred threads that each hold an
-answer for a moment make a host grow by more than a hundred megabytes.
+stays with the process and is not used by other threads, so that a host whose many
+threads each hold an answer for a moment grows far beyond what is held at once.
 """
 
 import ctypes
@@ -12,6 +12,7 @@
 log = component_logger("daemon")
 
 M_ARENA_MAX = -8
+"""Parameter of ``mallopt`` in the GNU C library."""
 MAX_ARENAS = 2
 """Threads of one interpreter run in turn, and hardly wait for each other's arena."""
 
--- a/godwitladder/clients/pools.py
+++ b/godwitladder/clients/pools.py
@@ -17,9 +17,9 @@
 )
 from godwitladder.engines.errors import MalformedAnswer
 
-MAX_TIMEOUTS = 3.0
-"""Time of a whole answer, in timeouts of the request, each of which limits a silence
-only."""
+TOTAL_TIMEOUT_FACTOR = 3.0
+"""Limit on the time of a whole answer, as a multiple of the read timeout, which limits
+a silence only."""
 FAILED_REQUEST = (urllib3.exceptions.HTTPError, OSError, MalformedAnswer)
 """Errors of a request: no connection, a broken one, or a malformed answer."""
 
@@ -30,7 +30,7 @@
     Parameters
     ----------
     limits : AnswerLimits
-        Limits on an answer, which may take `MAX_TIMEOUTS`.
+        Limits on an answer, which may take `TOTAL_TIMEOUT_FACTOR`.
     *args, **options
         Parameters of urllib3's pool.
     """
@@ -38,7 +38,9 @@
     ConnectionCls = BoundedConnection
 
     def __init__(self, *args, limits: AnswerLimits, **options) -> None:
-        self.ConnectionCls = with_limits(self.ConnectionCls, limits, MAX_TIMEOUTS)
+        self.ConnectionCls = with_limits(
+            self.ConnectionCls, limits, TOTAL_TIMEOUT_FACTOR
+        )
         super().__init__(*args, **options)
 
 
@@ -48,7 +50,9 @@
     ConnectionCls = BoundedTlsConnection
 
     def __init__(self, *args, limits: AnswerLimits, **options) -> None:
-        self.ConnectionCls = with_limits(self.ConnectionCls, limits, MAX_TIMEOUTS)
+        self.ConnectionCls = with_limits(
+            self.ConnectionCls, limits, TOTAL_TIMEOUT_FACTOR
+        )
         super().__init__(*args, **options)
 
 
--- a/godwitladder/decisions/allocation.py
+++ b/godwitladder/decisions/allocation.py
@@ -224,7 +224,8 @@
         excluded = entry.waiting.excluded_targets(self.now)
         demand = entry.waiting.demand
         if not demand.release:
-            return self.pool.barred.union(excluded) if self.pool.barred else excluded
+            cutover = self.pool.cutover_excluded
+            return cutover.union(excluded) if cutover else excluded
         capacity = self.capacity.of(demand.service)
         return capacity.names_of(demand.release, others=True) | set(excluded)
 
--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -369,8 +369,9 @@
         Age in seconds of what is known about hosts' requests and targets.
     trial_targets : dict
         Targets of versions on trial. `allocate` does not use them.
-    barred : frozenset of TargetName
-        Targets for requests that can run at no other version only.
+    cutover_excluded : frozenset of TargetName
+        Targets of the old version during a cutover. Only requests that can run at
+        no other version use them.
     """
 
     waiting: dict[RequestId, WaitingRequest] = field(default_factory=dict)
@@ -383,7 +384,7 @@
     policy: Policy = Policy()
     staleness_s: float = 0.0
     trial_targets: dict[TargetName, TargetView] = field(default_factory=dict)
-    barred: frozenset[TargetName] = frozenset()
+    cutover_excluded: frozenset[TargetName] = frozenset()
 
 
 @dataclass(frozen=True)
--- a/godwitladder/discovery/store_view.py
+++ b/godwitladder/discovery/store_view.py
@@ -17,7 +17,8 @@
     version : int
         Number of changes so far on this host.
     held_back : frozenset of TargetName
-        Targets that receive no calls because their version is unproved.
+        Targets that receive no calls without a grant, because their version is
+        unproved.
     rollouts : tuple of OrderInForce
         Orders whose versions are to be tried, with times of `Clock.boottime`.
     """
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -42,7 +42,7 @@
 """Longest life of a tunnel for a call whose deadline is kept by its host alone."""
 
 
-class GatewaysLeft(NoConnection):
+class UntriedGateways(NoConnection):
     """The gateways that were asked opened no tunnel, but others may do so now.
 
     It says nothing about the target.
@@ -166,7 +166,7 @@
 
         Raises
         ------
-        GatewaysLeft
+        UntriedGateways
             Gateways were asked and failed; others may lead to the target.
         NoConnection
             The connection could not be established.
@@ -192,7 +192,7 @@
             with self.lock:
                 cause = self.paths.last_error(address)
             is_open = bool(self.choose_gateways(address))
-            kind = GatewaysLeft if is_open else NoConnection
+            kind = UntriedGateways if is_open else NoConnection
             raise kind(f"no path to {address}") from cause
         http = _wrap(tunnel, address, read_timeout_s, self.limits)
         return TargetConnection(http, tunnel)
@@ -271,7 +271,7 @@
 
     def record_broken(self, gateway: HostId) -> None:
         """Record that a tunnel through ``gateway`` broke; others are asked first."""
-        log.info("A gateway was lost with a call", extra={"gateway": gateway})
+        log.info("A tunnel broke during a call", extra={"gateway": gateway})
         with self.lock:
             self.gateways.record_failed(gateway, self.clock.monotonic())
 
--- a/godwitladder/rollouts/coordinator.py
+++ b/godwitladder/rollouts/coordinator.py
@@ -93,7 +93,7 @@
         trials.set_orders([orders[name] for name in names], now)
         for trial in trials.rows.values():
             if trial not in known and now - trial.ordered_at < NEW_ORDER_S:
-                trial.is_in_force = is_in_force(config, trial.order)
+                trial.is_already_deployed = is_already_deployed(config, trial.order)
         for service, trial in trials.rows.items():
             order, state = self.outcomes.get(service, (None, RolloutState.RUNNING))
             if order == trial.order and not trial.is_stored:
@@ -161,8 +161,8 @@
                 continue
             self.wake(STEP_INTERVAL_S)
             state = trial.step.outcome or RolloutState.RUNNING
-            if trial.is_in_force:
-                self.note_once(trial.order, "A rollout orders the version in force")
+            if trial.is_already_deployed:
+                self.note_once(trial.order, "A rollout orders the deployed version")
                 state = RolloutState.COMPLETED
             deadline = trial.progress.deadline
             self.request_once(trial, WantedStatus(trial.order, state, term, deadline))
@@ -193,7 +193,7 @@
         return replace(offer, condemned=trials.condemned(), proved=trials.proved())
 
 
-def is_in_force(config: ConfigState, order: RolloutOrder) -> bool:
+def is_already_deployed(config: ConfigState, order: RolloutOrder) -> bool:
     """Return whether all targets of a service are of the version that is ordered."""
     targets = [row for row in config.targets.values() if order.service in row.services]
     return bool(targets) and all(row.release == order.release for row in targets)
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -4,7 +4,7 @@
 allocator chooses these requests before it allocates the pool, so that new targets do
 not count as capacity of their service before they are proved.
 
-Pure: times are passed in.
+No I/O; times are passed in.
 """
 
 import math
@@ -61,11 +61,17 @@
         Time at which this term learned of the order.
     progress : RolloutProgress or None
         None until the time of the order is known.
+    step : Step
+        What holds until the next step.
+    is_condemned : bool
+        Whether the version gets nothing more.
+    is_stored : bool
+        Whether the store holds an outcome, which is final.
     granted : set of RequestId
         Requests that this term has granted.
     told : Step or None
         Step that was logged last.
-    is_in_force : bool
+    is_already_deployed : bool
         Whether all targets of the service were of the version when it was ordered.
     wanted : WantedStatus or None
         Status that was asked for last.
@@ -82,7 +88,7 @@
     is_stored: bool = False
     granted: set[RequestId] = field(default_factory=set)
     told: Step | None = None
-    is_in_force: bool = False
+    is_already_deployed: bool = False
     wanted: WantedStatus | None = None
 
     def start(self, limits: RolloutLimits, now: float) -> None:
@@ -294,19 +300,21 @@
             return allocation
         is_fresh = self.is_fresh()
         placements: list[Placement] = []
-        barred: set[str] = set()
+        cutover_excluded: set[str] = set()
         for trial in self.rows.values():
             capacity = trial_capacity(view, trial.order)
             placements += self.place(trial, capacity, view, is_fresh, now)
             if is_cutover(trial, capacity, is_fresh, now):
-                barred |= old_targets(view, trial.order)
+                cutover_excluded |= old_targets(view, trial.order)
         placed = {row.request for row in placements}
         waiting = {
             request: row
             for request, row in view.waiting.items()
             if request not in placed
         }
-        rest = replace(view, waiting=waiting, barred=frozenset(barred))
+        rest = replace(
+            view, waiting=waiting, cutover_excluded=frozenset(cutover_excluded)
+        )
         allocation = allocate(rest, now)
         others = []
         for row in allocation.placements:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -210,7 +210,11 @@
             settings.host, self.mesh, clock, self.knows_targets
         )
         self.connector = Connector(
-            clock, self.metrics, settings.zone, Tunnels(self.mesh)
+            clock,
+            self.metrics,
+            settings.zone,
+            Tunnels(self.mesh),
+            limits=settings.answers,
         )
         self.gateway = Gateway(
             self.connector,
--- a/godwitladder/scheduler/learning.py
+++ b/godwitladder/scheduler/learning.py
@@ -1,6 +1,6 @@
 """What an allocator learns of its targets' speeds from the reports of hosts.
 
-Pure: times are passed as arguments.
+Updates the learned speeds of a `PoolRole`; reads no clock.
 """
 
 import heapq
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -291,7 +291,7 @@
 
         The answer is not complete, so the thread finds the caller disconnected.
         """
-        extra = {"pending_bytes": self.pending_bytes}
+        extra = {"caller": self.addr[0], "pending_bytes": self.pending_bytes}
         log.info("A caller did not read its answer in time", extra=extra)
         self.connected = False
         self.resets = True
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -20,7 +20,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, Refusal, RequestState, refuse
-from godwitladder.paths.connector import Connector, GatewaysLeft, TargetConnection
+from godwitladder.paths.connector import Connector, TargetConnection, UntriedGateways
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.rollouts.counts import AnswerResult, HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
@@ -40,7 +40,7 @@
 from godwitladder.serving.streaming import ProxiedStream
 from godwitladder.serving.target_evidence import TargetEvidence
 from godwitladder.serving.upstream import ForeignAnswer, NotRun, is_stream
-from godwitladder.serving.version_counts import VersionCounts
+from godwitladder.serving.version_recorder import VersionRecorder
 
 log = component_logger("passing")
 
@@ -155,7 +155,7 @@
         Memory for its answer.
     response : BaseHTTPResponse or None
         The response of the last send.
-    counts : VersionCounts
+    counts : VersionRecorder
         What the call has shown of the versions that it was sent to.
     """
 
@@ -180,7 +180,7 @@
         )
         self.share = AnswerShare(proxy.memory)
         self.response: urllib3.BaseHTTPResponse | None = None
-        self.counts = VersionCounts(call, proxy.rollouts, proxy.clock, self.log)
+        self.counts = VersionRecorder(call, proxy.rollouts, proxy.clock, self.log)
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
@@ -218,7 +218,7 @@
                 aborted = self.open_call.cause is not None
                 unreached = isinstance(error, NoConnection) and not aborted
                 # The next send asks other gateways than those that failed.
-                says_nothing = aborted or isinstance(error, GatewaysLeft)
+                says_nothing = aborted or isinstance(error, UntriedGateways)
                 self.requeue(
                     ReturnProof.NOTHING_SENT,
                     not says_nothing,
--- a/godwitladder/serving/version_counts.py
+++ b/godwitladder/serving/version_recorder.py
@@ -13,7 +13,7 @@
 log = component_logger("passing")
 
 
-class VersionCounts:
+class VersionRecorder:
     """What one call shows of the versions that it is sent to.
 
     Parameters
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -22,7 +22,7 @@
 from godwitladder.paths.connector import (
     Connector,
     ConnectTimeouts,
-    GatewaysLeft,
+    UntriedGateways,
 )
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.messages import TunnelOutcome, TunnelRequest
@@ -454,7 +454,7 @@
     assert alone.type is NoConnection
     near.connector.gateways = Gateways()
     near.connector.set_peers([Peer(HostId("h1"), ""), Peer(HostId("h2"), "")])
-    with pytest.raises(GatewaysLeft):
+    with pytest.raises(UntriedGateways):
         near.connect(engine.address)
     near.connector.ask_gateway = ask
     near.connector.set_peers([Peer(HostId(asked[-1]), ""), far.as_peer()])
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -427,7 +427,7 @@
     region = Region(make_rollout_config(old=()))
     region.step(4)
     assert [row.state for row in region.wanted] == [RolloutState.COMPLETED]
-    lines = [row for row in caplog.records if "version in force" in row.message]
+    lines = [row for row in caplog.records if "the deployed version" in row.message]
     assert len(lines) == 1
 
 
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -19,7 +19,7 @@
 from godwitladder.engines.wire import NoConnection
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
-from godwitladder.paths.connector import Connector, GatewaysLeft
+from godwitladder.paths.connector import Connector, UntriedGateways
 from godwitladder.paths.splicing import StreamEnd
 from godwitladder.platform.documents import decode_document
 from godwitladder.platform.headers import PlatformHeaders
@@ -670,7 +670,7 @@
     bench.app.proxy.connector.connect = connect_through_gateway
 
 
-@pytest.mark.parametrize("kind", [NoConnection, GatewaysLeft])
+@pytest.mark.parametrize("kind", [NoConnection, UntriedGateways])
 def test_gateways_that_fail_do_not_make_their_target_avoided(stack, kind):
     """Guards against refusals for a lost path while other gateways are not asked."""
     bench = Bench(stack, engines=2)
