Pass on answers without a body

An answer of a target without a body (204, a length of 0) became a 500 of the host's own that said the call had not run, with its connection closed: a step of 0 in range(), after the call had been reported as completed. A caller could have repeated a charge.

--- a/godwitladder/serving/plain_answers.py
+++ b/godwitladder/serving/plain_answers.py
@@ -146,7 +146,8 @@
         share = self.proxied_call.share
         held, self.held = self.held, bytearray()
         size = len(held) if share.hold(2 * len(held)) else BLOCK_BYTES
-        for start in range(0, len(held), size):
+        # A body may be empty, and a step of `range` must not be 0.
+        for start in range(0, len(held), max(1, size)):
             yield bytes(held[start : start + size])
         share.hold(0)
 
