Take whole answers of plain services that close their connection

A plain service that answers with Connection: close gave "may have run" for a whole 200 on the product's own interface: the timeout of the next read was set on a socket that the last block had closed, and the error counted as an answer cut short. The mend of calls held for twice their time had brought it. The test was red before.

--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -118,6 +118,8 @@
         left_s = deadline - clock.monotonic()
         if left_s <= 0:
             raise MayHaveRun("the deadline passed within the answer")
-        sock.settimeout(max(MIN_READ_S, left_s))
         blocks.append(block)
+        if sock.fileno() >= 0:
+            # The socket is closed with the last block of a target that closes it.
+            sock.settimeout(max(MIN_READ_S, left_s))
     return b"".join(blocks)
--- a/tests/serving/test_service_deadline.py
+++ b/tests/serving/test_service_deadline.py
@@ -42,3 +42,16 @@
         open_stream(target.address, "s1", b"{}", LONG_S)
     assert len(str(caught.value)) < 300
     target.close()
+
+
+def test_a_whole_answer_that_closes_its_connection_is_complete():
+    """Guards against a lost answer where the target keeps no connection open."""
+    answer = head("Content-Length: 2", "Connection: close") + b"ok"
+    target = OddTarget(lambda: iter([answer]))
+    clock = Clock()
+    deadline = clock.monotonic() + DEADLINE_S
+    answer = call_service(
+        target.address, "charge", "c1", b"", "text/plain", clock, deadline
+    )
+    assert (answer.status, answer.body) == (200, b"ok")
+    target.close()
