Rollouts: hold replaced versions back, keep a stored outcome, ask the store again

Five faults found by a review of the merge, none seen on a deployment; each test was red: - An order for the old version, which calls a rollout off, released the one on trial on all hosts, as no proved version seemed left: it got a full share without a bound. - A host told that a version is condemned repeated that after the store held completed; the new targets got nothing while the old ones had stopped. - A completed version whose targets are gone left the service without targets. - A second allocator did not learn of an outcome until its own: it went on with a version that was rolled back. It asks every 1.5 s now, a read each while a rollout lasts. - The end of the hold of a replaced version changed nothing until the next record, and an outage of the store did not extend it.

--- a/godwitladder/discovery/rollout_tracker.py
+++ b/godwitladder/discovery/rollout_tracker.py
@@ -154,24 +154,32 @@
         """
         if self.freshness is None or self.freshness.age_s(now) < OUTAGE_S:
             return
+        least = now + EXTRA_HOLD_S
         for service in self.orders:
             row = self.latest[service]
-            expires_at = max(row.expires_at, now + EXTRA_HOLD_S)
+            expires_at = max(row.expires_at, least)
             self.latest[service] = replace(row, expires_at=expires_at)
+        for releases in self.superseded.values():
+            releases.update({name: max(at, least) for name, at in releases.items()})
 
     def expire(self, now: float) -> bool:
         """Remove expired orders; return whether the orders in force changed."""
         self.hold_during_outage(now)
-        for service, releases in self.superseded.items():
-            kept = {name: until for name, until in releases.items() if until > now}
-            self.superseded[service] = kept
-        before = self.orders
+        before = self.orders, self.superseded
+        self.superseded = {
+            service: {name: until for name, until in releases.items() if until > now}
+            for service, releases in self.superseded.items()
+        }
         self.orders = {
             service: row.order
             for service, row in self.latest.items()
             if row.expires_at > now
         }
-        return self.orders != before
+        is_released = any(
+            row.keys() != self.superseded[service].keys()
+            for service, row in before[1].items()
+        )
+        return self.orders != before[0] or is_released
 
     def answer_orders(self) -> None:
         """Answer the orders that this host has not answered.
--- a/godwitladder/discovery/rollouts.py
+++ b/godwitladder/discovery/rollouts.py
@@ -93,18 +93,19 @@
         Versions by service whose order another one has replaced before their rollout
         was completed.
     """
-    unproved: dict[ServiceName, list[TargetName]] = {}
+    unproved: list[TargetEntry] = []
+    replaced: list[TargetEntry] = []
     proved: set[ServiceName] = set()
     for entry in entries:
         order = orders.get(entry.service)
-        is_superseded = entry.release in superseded.get(entry.service, ())
-        if is_superseded or (order is not None and entry.release == order.release):
-            unproved.setdefault(entry.service, []).append(entry.name)
+        if entry.release in superseded.get(entry.service, ()):
+            replaced.append(entry)
+        elif order is not None and entry.release == order.release:
+            unproved.append(entry)
         elif not entry.leaving:
             proved.add(entry.service)
-    return frozenset(
-        name
-        for service, names in unproved.items()
-        if service in proved
-        for name in names
-    )
+    # An order for the old version calls the rollout of the new one off.
+    ordered = {entry.service for entry in unproved if not entry.leaving}
+    held = [entry for entry in unproved if entry.service in proved]
+    held += [entry for entry in replaced if entry.service in proved | ordered]
+    return frozenset(entry.name for entry in held)
--- a/godwitladder/rollouts/coordinator.py
+++ b/godwitladder/rollouts/coordinator.py
@@ -22,6 +22,9 @@
 NEW_ORDER_S = 3.0
 """Age up to which an order is new to the first allocator that sees it. Later, the only
 version left may be one whose trial is under way, after the old targets were lost."""
+STATUS_INTERVAL_S = 1.5
+"""Interval at which the status of a rollout is asked for again, in seconds. Another
+allocator may have written an outcome, of which this one learns only from the store."""
 MAX_LOGGED_ROWS = 24
 """Versions and routes in one log line."""
 
@@ -165,13 +168,16 @@
                 self.note_once(trial.order, "A rollout orders the deployed version")
                 state = RolloutState.COMPLETED
             deadline = trial.progress.deadline
-            self.request_once(trial, WantedStatus(trial.order, state, term, deadline))
+            self.request_due(
+                trial, WantedStatus(trial.order, state, term, deadline), now
+            )
 
-    def request_once(self, trial: Trial, wanted: WantedStatus) -> None:
-        """Ask for a status, unless it was asked for last."""
-        if trial.wanted != wanted:
-            trial.wanted = wanted
-            self.request(wanted)
+    def request_due(self, trial: Trial, wanted: WantedStatus, now: float) -> None:
+        """Ask for a status, unless it was asked for just before."""
+        if trial.wanted == wanted and now - trial.asked_at < STATUS_INTERVAL_S:
+            return
+        trial.wanted, trial.asked_at = wanted, now
+        self.request(wanted)
 
     def note_once(self, order: RolloutOrder, text: str) -> None:
         """Log something about an order once."""
--- a/godwitladder/rollouts/settling.py
+++ b/godwitladder/rollouts/settling.py
@@ -17,7 +17,18 @@
     The targets of the old version stop as soon as the store holds ``completed``; their
     entries tell so only later.
     """
-    releases = {row.service: row.release for row in proved}
+    there = {
+        (service, target.release)
+        for target in config.targets.values()
+        if target.state is not TargetState.LEAVING
+        for service in target.services
+    }
+    # A version without targets can't replace those that are there.
+    releases = {
+        row.service: row.release
+        for row in proved
+        if (row.service, row.release) in there
+    }
     if not releases:
         return config
     targets = {
--- a/godwitladder/rollouts/trials.py
+++ b/godwitladder/rollouts/trials.py
@@ -74,7 +74,7 @@
     is_already_deployed : bool
         Whether all targets of the service were of the version when it was ordered.
     wanted : WantedStatus or None
-        Status that was asked for last.
+        Status that was asked for last, and ``asked_at`` when.
     """
 
     order: RolloutOrder
@@ -90,6 +90,7 @@
     told: Step | None = None
     is_already_deployed: bool = False
     wanted: WantedStatus | None = None
+    asked_at: float = -math.inf
 
     def start(self, limits: RolloutLimits, now: float) -> None:
         """Begin the trial once the time of the order is known."""
@@ -230,7 +231,9 @@
             trial = self.rows[row.service]
             trial.ordered_at = max(trial.ordered_at, sent_at - row.age_s)
         for row in self.of_order(condemned):
-            self.rows[row.service].condemn()
+            # What the store holds is final; a host may not know of it yet.
+            if not self.rows[row.service].is_stored:
+                self.rows[row.service].condemn()
         for row in self.of_order(proved):
             self.record_outcome(self.rows[row.service], RolloutState.COMPLETED)
 
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -61,6 +61,14 @@
     assert held_back(make_orders(), [replace(OLD, leaving=True), NEW]) == frozenset()
 
 
+def test_an_order_for_the_old_version_does_not_release_the_one_on_trial():
+    """Guards against a bad version without a bound once its rollout is called off."""
+    orders = {"letters": RolloutOrder("letters", "2", 12.0, 9)}
+    superseded = {"letters": {"3": 120.0}}
+    assert held_back(orders, [OLD, NEW], superseded) == {"e2"}
+    assert held_back(orders, [NEW], superseded) == frozenset()
+
+
 def test_targets_without_a_version_or_an_order_receive_calls():
     assert held_back({}, [OLD, NEW]) == frozenset()
     assert held_back(make_orders(), [replace(OLD, release="")]) == frozenset()
@@ -239,3 +247,19 @@
     }
     entry = decode_entry("e1", json.dumps(raw).encode()).unwrap()
     assert entry.release == release
+
+
+def test_the_end_of_a_superseded_hold_is_a_change():
+    """Guards against targets that stay held back until something else changes."""
+    tracker = RolloutTracker(PlatformSource(FakeStore()))
+    tracker.freshness = DocumentFreshness(5.0)
+    now = 100.0
+    tracker.freshness.confirm(now)
+    long = make_record(target=4, durationS=300.0)
+    tracker.apply(Batch(0, 8, (long,)), now)
+    tracker.apply(Batch(8, 10, (make_record(offset=9, durationS=10.0),)), now + 1.0)
+    ends_at = now + 300.0 + EXTRA_HOLD_S
+    tracker.freshness.confirm(ends_at)
+    tracker.expire(ends_at - 1.0)
+    assert tracker.expire(ends_at)
+    assert not tracker.expire(ends_at + 1.0)
--- a/tests/rollouts/test_trials.py
+++ b/tests/rollouts/test_trials.py
@@ -10,9 +10,10 @@
 from godwitladder.discovery.rollouts import OrderInForce, RolloutOrder, RolloutState
 from godwitladder.membership.codec import decode, encode
 from godwitladder.outcomes import Reason, Refusal, RequestState
-from godwitladder.rollouts.coordinator import RolloutCoordinator
+from godwitladder.rollouts.coordinator import STATUS_INTERVAL_S, RolloutCoordinator
 from godwitladder.rollouts.counts import AnswerResult
-from godwitladder.rollouts.messages import CondemnedVersion
+from godwitladder.rollouts.messages import CondemnedVersion, ProvedVersion
+from godwitladder.rollouts.settling import settle
 from godwitladder.rollouts.status import StatusKnown
 from godwitladder.scheduler.reports import (
     due_reports,
@@ -385,6 +386,41 @@
     assert set(region.serve(20)) == {"n0"}
 
 
+def test_a_version_that_was_condemned_before_it_completed_stays_completed():
+    """Guards against a service whose old targets have stopped and whose new ones wait.
+
+    One allocator condemned the version while the store held ``completed`` already.
+    Hosts repeat what they were told in full reports.
+    """
+    region = Region()
+    region.step()
+    known = StatusKnown(ORDER, RolloutState.COMPLETED, 1)
+    assert region.coordinator.take_status(region.role.trials, known, 1)
+    trials = region.role.trials
+    notice = CondemnedVersion(ORDER.service, ORDER.release, ORDER.offset)
+    trials.take_report(("h0", 1), (), (), (notice,), (), region.now)
+    assert not trials.condemned()
+    assert [row.release for row in trials.proved()] == [ORDER.release]
+
+
+def test_a_version_without_targets_replaces_nothing():
+    """Guards against a service without targets after its new ones are gone."""
+    config = make_rollout_config()
+    proved = [ProvedVersion(ORDER.service, "v9", ORDER.offset)]
+    assert settle(config, proved).targets == config.targets
+
+
+def test_an_allocator_asks_again_what_the_store_holds():
+    """Guards against a second allocator that goes on with a version rolled back."""
+    region = Region()
+    region.step()
+    asked = len(region.wanted)
+    for _ in range(int(2 * STATUS_INTERVAL_S / 0.1)):
+        region.step()
+    assert len(region.wanted) > asked
+    assert {row.state for row in region.wanted} == {RolloutState.RUNNING}
+
+
 def test_an_order_that_replaces_one_under_way_begins_anew():
     """Guards against counts and a condemnation of the order before."""
     region = Region()
