Limit the rounds of gateways of a call; read an answer shortly after its deadline

After two rounds the target is avoided as before the mend of the frozen gateway; the test was red before.

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -41,6 +41,8 @@
 megabytes for each that doesn't read, which no accounting of the host sees."""
 CHANNEL_KEY = "godwitladder.channel"
 """Key of the caller's connection in the WSGI environment."""
+WRITE_GRACE_S = 0.3
+"""Time after the deadline of a call in which its caller may still read its answer."""
 WRITE_POLL_S = 0.5
 """Longest time between two looks at whether a caller has taken its output; the loop
 wakes a waiting thread when it has."""
@@ -464,7 +466,7 @@
     """
     channel = environ.get(CHANNEL_KEY)
     if channel is not None:
-        channel.write_deadline = deadline
+        channel.write_deadline = deadline + WRITE_GRACE_S
 
 
 class TlsSocket(ssl.SSLSocket):
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -50,6 +50,9 @@
 MIN_SEND_TIME_S = 0.02
 """Minimum remaining time for a send, in seconds. With less, no target can answer
 in time."""
+MAX_UNTRIED_ROUNDS = 2
+"""Rounds of gateways that fail before the target of a call is avoided all the same. A
+round may take half a second, and other targets may be idle."""
 REFUSED_RETRY_S = 0.5
 DECISION_POLL_INTERVAL_S = 1.0
 HTTP_MISDIRECTED = 421
@@ -138,6 +141,8 @@
         Writes the log lines of the call.
     sends : int
         Number of times the call was written to a target.
+    untried_rounds : int
+        Rounds of gateways that opened no tunnel while others were left to ask.
     running : bool
         Whether the scheduler counts the call as running at a target.
     resume_from : str
@@ -164,6 +169,7 @@
         self.call = call
         self.clock = proxy.clock
         self.sends = 0
+        self.untried_rounds = 0
         self.log = CallLog(call, proxy.clock)
         self.open_call = OpenCall(gone, call.deadline, self.withdraw)
         self.reporter = DispatchReporter(
@@ -218,7 +224,11 @@
                 aborted = self.open_call.cause is not None
                 unreached = isinstance(error, NoConnection) and not aborted
                 # The next send asks other gateways than those that failed.
-                says_nothing = aborted or isinstance(error, UntriedGateways)
+                is_untried = isinstance(error, UntriedGateways)
+                self.untried_rounds += is_untried
+                says_nothing = aborted or (
+                    is_untried and self.untried_rounds <= MAX_UNTRIED_ROUNDS
+                )
                 self.requeue(
                     ReturnProof.NOTHING_SENT,
                     not says_nothing,
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -34,7 +34,7 @@
 from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.pacing import Pace
-from godwitladder.serving.proxying import RoutedProxy
+from godwitladder.serving.proxying import MAX_UNTRIED_ROUNDS, RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.upstream import StreamTruncated
@@ -689,6 +689,24 @@
     )
 
 
+def test_a_target_that_no_gateway_reaches_is_avoided_in_the_end(stack):
+    """Guards against a call that spends its whole time on rounds of gateways."""
+    bench = Bench(stack, engines=1)
+    bench.scheduler.addresses *= MAX_UNTRIED_ROUNDS + 2
+    connect = bench.app.proxy.connector.connect
+    rounds = []
+
+    def fail_often(*args):
+        rounds.append(args)
+        if len(rounds) > MAX_UNTRIED_ROUNDS:
+            bench.app.proxy.connector.connect = connect
+        raise UntriedGateways("no path")
+
+    bench.app.proxy.connector.connect = fail_often
+    assert bench.call("/charge/x").status == 200
+    assert bench.scheduler.avoided == [False] * MAX_UNTRIED_ROUNDS + [True]
+
+
 @pytest.mark.parametrize("path", ["/lookup/x", "/resume/stream/x"])
 @pytest.mark.parametrize("is_through_gateway", [True, False])
 def test_a_way_that_breaks_does_not_make_its_target_avoided(
