--- a/godwitladder/engines/answer_limits.py
+++ b/godwitladder/engines/answer_limits.py
@@ -45,7 +45,7 @@
     held_bytes: int = checked(positive, default=262_144)
     body_bytes: int = checked(positive, default=67_108_864)
     memory_mb: float = checked(positive, default=256.0)
-    memory_share: float = checked(positive, default=0.2)
+    memory_share: float = checked(positive, default=0.15)
 
     @property
     def memory_bytes(self) -> int:
--- a/tests/routing/test_answer_settings.py
+++ b/tests/routing/test_answer_settings.py
@@ -15,7 +15,7 @@
 
 def test_the_memory_of_the_host_is_read(tmp_path):
     settings = read(tmp_path, "memory_mb = 400")
-    assert settings.answers.memory_bytes == 80_000_000
+    assert settings.answers.memory_bytes == 60_000_000
 
 
 @pytest.mark.parametrize(
