Say what became of the connection when nothing shows that a target has ended

A line said that nothing shows yet that a target has ended. It did not say whether the address accepted a connection, refused one while no other target accepts one either, or gave no answer.

Lines only; what is decided is unchanged.

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -6,6 +6,7 @@
 ended goes, or that of another process takes its place.
 """
 
+import enum
 import random
 import threading
 from collections.abc import Callable, Collection, Mapping
@@ -15,8 +16,11 @@
 from godwitladder.decisions.health.quarantine import TargetProcess
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import TargetName
+from godwitladder.logs import component_logger
 from godwitladder.quarantine.traits import RequestTraits
 
+log = component_logger("quarantine")
+
 PROBE_TIMEOUT_S = 0.1
 MAX_OTHERS_TRIED = 4
 MEMORY_S = 1.0
@@ -26,6 +30,24 @@
 MAX_WAITING = 1_000
 
 
+class ConnectResult(enum.Enum):
+    """What became of an attempt to connect to a target.
+
+    Attributes
+    ----------
+    ACCEPTED
+        The connection was established.
+    REFUSED
+        It was refused at once.
+    NO_ANSWER
+        Neither happened in time.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
 @dataclass(frozen=True)
 class LostCall:
     """A call whose answer was lost.
@@ -89,7 +111,9 @@
         if now - self.ended_at.get(process, float("-inf")) < MEMORY_S:
             return True
         address = call.address
-        if not refuses_connections(address) or not self.reaches_another(address):
+        result = try_to_connect(address)
+        if result is not ConnectResult.REFUSED or not self.reaches_another(address):
+            self.log_unknown(call, result)
             return False
         self.ended_at = {
             row: at for row, at in self.ended_at.items() if now - at < MEMORY_S
@@ -97,6 +121,18 @@
         self.ended_at[process] = now
         return True
 
+    def log_unknown(self, call: LostCall, result: ConnectResult) -> None:
+        """Log why a connection does not show whether a target has ended.
+
+        A refusal shows it unless all other targets refuse connections too.
+        """
+        extra = {
+            "target": call.target,
+            "address": call.address,
+            "connection": result.value,
+        }
+        log.info("A connection does not show that the target has ended", extra=extra)
+
     def reaches_another(self, address: str) -> bool:
         """Return whether this host can connect to any target but ``address``."""
         others = [row for row in self.addresses() if row != address]
@@ -140,13 +176,14 @@
         return ended
 
 
-def refuses_connections(address: str) -> bool:
-    """Return whether connections to ``address`` are refused."""
+def try_to_connect(address: str) -> ConnectResult:
+    """Connect to ``address`` and close the connection; return what became of it."""
     try:
         connect(address, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S).close()
     except NoConnection as error:
-        return is_connection_refused(error)
-    return False
+        is_refused = is_connection_refused(error)
+        return ConnectResult.REFUSED if is_refused else ConnectResult.NO_ANSWER
+    return ConnectResult.ACCEPTED
 
 
 def is_connection_refused(error: BaseException | None) -> bool:
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -57,6 +57,15 @@
     assert not make_evidence(live, closed_address()).has_ended(lost_call(live))
 
 
+def test_the_line_tells_what_became_of_the_connection(live, caplog):
+    """Guards against losses whose lines don't tell why no end was seen."""
+    caplog.set_level("INFO")
+    ended = closed_address()
+    assert not make_evidence(live, ended).has_ended(lost_call(live))
+    assert not make_evidence(ended).has_ended(lost_call(ended))
+    assert [row.connection for row in caplog.records] == ["accepted", "refused"]
+
+
 def test_a_host_that_reaches_no_target_sees_no_crash():
     """Guards against a host without paths that takes all its calls for poison."""
     ended, other = closed_address(), closed_address()
