--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -31,7 +31,7 @@
     make_bad_request,
     make_sound_request,
 )
-from soak.fleet import Fleet, Host
+from soak.fleet import RESTART_S, AddressAfterEnd, Aftermath, Fleet, Host
 from soak.host_faults import (
     CONTACT_S,
     HostFault,
@@ -76,6 +76,8 @@
         What of the bad requests ends the targets.
     workspaces : int
         Number of workspaces that send them, 1 or 2.
+    aftermath : Aftermath
+        What follows when a target has ended.
     """
 
     hosts: int = 6
@@ -88,6 +90,7 @@
     path: str = "/stream/stream/x"
     ending: Ending = Ending.AFTER_HEAD
     fault: HostFault = HostFault.NONE
+    aftermath: Aftermath = Aftermath()
 
 
 @dataclass(frozen=True)
@@ -254,6 +257,7 @@
                 target.knobs.ends_on_part = BAD_PART
             target.knobs.ending = self.size.ending
             target.knobs.pause_s = PAUSE_S
+            target.aftermath = self.size.aftermath
 
     def send_poison_requests(self) -> None:
         """Send bad requests again and again, to any host."""
@@ -391,6 +395,10 @@
     ending: str = Ending.AFTER_HEAD.value,
     fault: str = HostFault.NONE.value,
     hosts: int = 6,
+    targets: int = 8,
+    address: str = AddressAfterEnd.REFUSES.value,
+    restart: float = RESTART_S,
+    keep_entry: bool = False,
     logs: str = "",
 ) -> None:
     """Play one run, and exit with status 1 if a guarantee was violated.
@@ -415,11 +423,22 @@
         What disturbs the hosts: none, kill or cut.
     hosts : int
         Number of host processes.
+    targets : int
+        Number of targets.
+    address : str
+        How the address of a target that has ended behaves: refuses, closes, holds
+        or taken.
+    restart : float
+        Seconds until a new process of it has started.
+    keep_entry : bool
+        Whether its entry stays until then.
     logs : str
         Directory for the logs of the hosts.
     """
     size = CrashRunSize(
         hosts=hosts,
+        targets=targets,
+        aftermath=Aftermath(AddressAfterEnd(address), restart, not keep_entry),
         before_s=before,
         seconds=seconds,
         trigger=Trigger(trigger),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """The host processes, store and targets of one run, and the proxies between them."""
 
 import contextlib
+import enum
 import http.client
 import json
 import os
@@ -72,6 +73,55 @@
 DRAIN_S = 3.0
 RESTART_S = 2.0
 """Seconds after which a new process of it has started, under a new name."""
+OTHER_PROCESS = "another"
+
+
+class AddressAfterEnd(enum.Enum):
+    """How the address of a target behaves once its process has ended.
+
+    Attributes
+    ----------
+    REFUSES
+        It refuses connections.
+    CLOSES
+        It accepts connections and closes them unread.
+    HOLDS
+        It accepts connections and holds them without a word.
+    TAKEN
+        Another process has it at once, which turns all requests away.
+    """
+
+    REFUSES = "refuses"
+    CLOSES = "closes"
+    HOLDS = "holds"
+    TAKEN = "taken"
+
+
+CUTS_AFTER_END = {
+    AddressAfterEnd.REFUSES: CutMode.RESET,
+    AddressAfterEnd.CLOSES: CutMode.CLOSE,
+    AddressAfterEnd.HOLDS: CutMode.HOLD,
+}
+
+
+@dataclass(frozen=True)
+class Aftermath:
+    """What follows when the process of a target has ended.
+
+    Attributes
+    ----------
+    address : AddressAfterEnd
+        How its address behaves until it is back.
+    restart_s : float
+        Seconds after which a new process has started, under a new name.
+    has_expiry : bool
+        Whether its entry is removed after `EXPIRY_S`; otherwise it stays until the
+        new process replaces it.
+    """
+
+    address: AddressAfterEnd = AddressAfterEnd.REFUSES
+    restart_s: float = RESTART_S
+    has_expiry: bool = True
 
 
 @dataclass(frozen=True)
@@ -312,6 +362,7 @@
         self.name = self.first_name = name
         self.incarnation = 0
         self.is_ending = False
+        self.aftermath = Aftermath()
         self.lock = threading.Lock()
         self.version = "v1"
         self.service = service
@@ -351,15 +402,27 @@
             if self.is_ending:
                 return
             self.is_ending = True
-        is_silent = ending is Ending.SILENT
-        self.proxy.cut(CutMode.HANG if is_silent else CutMode.RESET)
+        self.close_address(ending)
         threading.Thread(target=self.restart, args=(write_entry,), daemon=True).start()
 
+    def close_address(self, ending: Ending) -> None:
+        """Let the address behave as it does once the process has ended."""
+        address = self.aftermath.address
+        if ending is Ending.SILENT:
+            self.proxy.cut(CutMode.HANG)
+        elif address is AddressAfterEnd.TAKEN:
+            self.knobs.name = OTHER_PROCESS
+            self.proxy.reset()
+        else:
+            self.proxy.cut(CUTS_AFTER_END[address])
+
     def restart(self, write_entry: Callable[["Target", str], None]) -> None:
         """Remove the entry of a process that has ended, and start another one."""
-        time.sleep(EXPIRY_S)
+        ended = self.aftermath
+        waited_s = EXPIRY_S if ended.has_expiry else ended.restart_s
+        time.sleep(waited_s)
         write_entry(self, "")
-        time.sleep(RESTART_S - EXPIRY_S)
+        time.sleep(ended.restart_s - waited_s)
         self.renew()
         self.proxy.reset()
         with self.lock:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -26,11 +26,27 @@
 
 
 class CutMode(enum.Enum):
-    """What becomes of connections while a path is cut."""
+    """What becomes of connections while a path is cut.
+
+    Attributes
+    ----------
+    HANG
+        They hang, and new ones are not established.
+    RESET
+        They are reset, and new ones refused.
+    LIVE_ON
+        They live on, and new ones are refused.
+    CLOSE
+        They are reset, and new ones accepted and closed unread.
+    HOLD
+        They are reset, and new ones accepted and held without a word.
+    """
 
     HANG = "hang"
     RESET = "reset"
     LIVE_ON = "live_on"
+    CLOSE = "close"
+    HOLD = "hold"
 
 
 class Connection:
@@ -175,19 +191,24 @@
                 connection.discards_data = True
 
     def cut(self, mode: CutMode) -> None:
-        """Cut the path until `restore`: no new connection is established.
-
-        Connections hang, are reset, or live on while new ones are refused, as
-        ``mode`` says.
-        """
+        """Cut the path until `restore`: nothing gets through, as ``mode`` says."""
         self.stop_listening()
         if mode is CutMode.HANG:
             self.held.update(Direction)
             # The kernel drops the opening packets of a listener with a full queue.
             self.server = self.listen(backlog=0)
             self.blockers = [_start_connection(self.port) for _ in range(QUEUE_FILL)]
-        elif mode is CutMode.RESET:
+            return
+        if mode is not CutMode.LIVE_ON:
             self.reset()
+        if mode is CutMode.HOLD:
+            # The kernel establishes connections that nobody accepts.
+            self.server = self.listen()
+        elif mode is CutMode.CLOSE:
+            self.server = self.listen()
+            threading.Thread(
+                target=close_connections, args=(self.server,), daemon=True
+            ).start()
 
     def restore(self) -> None:
         """Restore the path."""
@@ -225,6 +246,13 @@
             connection.close()
 
 
+def close_connections(server: socket.socket) -> None:
+    """Accept connections and close them unread, until ``server`` is closed."""
+    with contextlib.suppress(OSError):
+        while True:
+            server.accept()[0].close()
+
+
 def _start_connection(port: int) -> socket.socket:
     """Return a socket that has begun to connect to ``port``."""
     blocker = socket.socket()
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -12,6 +12,7 @@
     run_crash_seed,
     start_crash_fleet,
 )
+from soak.fleet import AddressAfterEnd, Aftermath
 from soak.host_faults import HostFault
 from soak.proxy import CutMode
 from tests.fleet import wait_until
@@ -27,6 +28,7 @@
     "before_head_and_kills": ("/charge/x", Ending.BEFORE_HEAD, HostFault.KILL, 2),
 }
 """Path, ending, fault, and number of workspaces that send the bad requests."""
+RESTART_S = 3.0
 HELD_BACK = 503
 TRIES = 12
 
@@ -41,6 +43,25 @@
     assert run_crash_seed(1, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("path", ["/stream/stream/x", "/charge/x"])
+@pytest.mark.parametrize(
+    "address",
+    [AddressAfterEnd.CLOSES, AddressAfterEnd.HOLDS, AddressAfterEnd.TAKEN],
+    ids=lambda address: address.value,
+)
+def test_targets_that_end_without_refusing_connections_are_few(address, path, tmp_path):
+    """Guards against sends to further targets until the entries tell of the ends."""
+    size = CrashRunSize(
+        hosts=4,
+        targets=10,
+        callers=(4, 2),
+        seconds=14.0,
+        path=path,
+        aftermath=Aftermath(address, RESTART_S, has_expiry=False),
+    )
+    assert run_crash_seed(1, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("kind", RUNS_OF_PARTS)
 def test_a_part_of_prompts_that_ends_targets_reaches_no_more(kind, tmp_path):
     """Guards against targets that end under requests of which no two are alike."""
