Don't blame what two failed trials have in common

What callers saw: nearly all requests refused for a minute, where several parts crash targets at once and a first part stands in all requests.

Cause: each failed trial narrowed the traits blamed together to those that both trials had. Two causes at once, each on trial beside the shared part, left the shared part alone to blame, and no request with fewer traits was left to clear it. Delayed verdicts made it more frequent: two trials may wait for theirs at the same time.

Change: a trial narrows what is to blame only if its traits are among those that were blamed together before, which is a trial of fewer.

Both tests red before.

--- a/godwitladder/decisions/health/quarantine.py
+++ b/godwitladder/decisions/health/quarantine.py
@@ -495,12 +495,14 @@
     def _quarantine(self, traits: Collection[TraitId], now: float) -> None:
         """Quarantine ``traits``, one of which has crashed the target of its trial.
 
-        With each such trial, fewer others may be to blame instead.
+        A trial of fewer traits than were blamed together shows more than the last one
+        did. One of others may have had another cause: what both have in common need
+        not be to blame.
         """
         for trait in traits:
             history = self._history(trait, now)
-            both = history.blamed.intersection(traits)
-            history.blamed = both or frozenset(traits)
+            if not history.blamed or history.blamed.issuperset(traits):
+                history.blamed = frozenset(traits)
             self._hold(trait, history, now)
 
     def _hold(self, trait: TraitId, history: CrashHistory, now: float) -> None:
--- a/tests/quarantine/test_storms.py
+++ b/tests/quarantine/test_storms.py
@@ -248,6 +248,13 @@
     assert storm.served_ratio() >= MIN_SERVED_RATIO
 
 
+def test_a_shared_part_is_not_blamed_for_several_causes():
+    """Guards against a part in all requests that is held for what two others did."""
+    storm = Storm(28, STORMS["four parts"], shows_ends=False)
+    storm.play()
+    assert storm.served_ratio() >= MIN_SERVED_RATIO
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_sound_requests_whose_answers_are_lost_are_not_held_back(seed):
     """Guards against suspects made by lost answers alone."""
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -189,3 +189,14 @@
     make_suspect(table, "poison", 3.0)
     assert table.status("poison", 4.0) is QuarantineStatus.SUSPECT
     assert table.status("held", 4.0) is QuarantineStatus.QUARANTINED
+
+
+def test_trials_of_two_causes_do_not_blame_what_they_share():
+    """Guards against a shared part that is held although each trial had a cause."""
+    table = Quarantine(QuarantinePolicy(explains_crashes=False))
+    for number, cause in enumerate(("bad1", "bad2")):
+        blamed = ("shared", cause)
+        table.record_crash(
+            f"t{number}", f"d{number}", True, 1.0, others=blamed, blamed=blamed
+        )
+    assert table.is_retrial_due("shared", 1.0, frozenset({"shared"}))
