Count silent calls at targets whose entries are gone

What callers saw: a request that turns each target dark that runs it went on to reach targets for as long as the first calls waited for their deadlines; their callers got no answer.

Cause: a silent target was recorded when its call ended, at the deadline, though its entry had gone seconds before. Until then nothing was held.

Change: as an entry goes or is replaced, the calls under way at that process that heard nothing for half a second count as crashes that nothing confirms yet, over all hosts; a trial among them lasts until its verdict. A target that had said that it leaves, and one that sends, don't count.

Why the soak did not show it: its silent end was none. The proxy held back bytes but passed on the end of a connection, and connections were reset as the target came back. Now the end of a connection is held back too, and the connections of a target that went dark stay open.

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -183,6 +183,11 @@
             return True
         return False
 
+    def has_entry(self, call: LostCall) -> bool:
+        """Return whether the process that got a call has an entry."""
+        entry = self.present.get(call.target)
+        return entry is not None and entry.generation == call.generation
+
     def wait_for_entry(self, call: LostCall) -> None:
         """Wait until the target's entry shows whether its process has ended."""
         with self.lock:
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -32,6 +32,7 @@
 )
 from godwitladder.quarantine.registry import QuarantineRegistry
 from godwitladder.quarantine.traits import RequestTraits
+from godwitladder.quarantine.under_way import CallsUnderWay
 
 log = component_logger("quarantine")
 
@@ -97,6 +98,8 @@
     ----------
     registry : QuarantineRegistry
         What this host knows of such requests.
+    under_way : CallsUnderWay
+        The calls of this host that wait for targets.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         self.registry = QuarantineRegistry(clock, ROUTED_POLICY)
         self.broadcast = broadcast
         self.evidence = evidence
+        self.under_way = CallsUnderWay()
         self.trial_lock = threading.Lock()
 
     def refusal(
@@ -178,16 +182,7 @@
         self.evidence.wait_for_entry(call)
         if verdict is not Verdict.UNKNOWN:
             return False
-        self.publish(
-            PossibleCrash(
-                make_event_id(),
-                call.target,
-                call.traits.digest,
-                call.trial,
-                call.generation,
-                call.traits.parts,
-            )
-        )
+        self.publish_possible_crash(call)
         return True
 
     def with_blame(self, call: LostCall) -> LostCall:
@@ -201,17 +196,37 @@
         blamed = self.registry.to_blame(call.traits.ids, call.target, call.generation)
         return dataclasses.replace(call, blamed=blamed)
 
-    def record_silence(self, call: LostCall) -> None:
-        """Record a call that was given up as its target had fallen silent."""
+    def record_silence(self, call: LostCall) -> bool:
+        """Record a call that was given up as its target had fallen silent.
+
+        Returns whether the target may have ended, as its entry is gone.
+        """
         log_loss("A target fell silent under a call", call)
         self.evidence.wait_for_entry(self.with_blame(call))
+        return not self.evidence.has_entry(call)
 
     def update_targets(self, present: Mapping[TargetName, TargetPresence]) -> None:
         """Report the crashes that the entries of targets now show."""
+        for call in self.under_way.take_silent(present):
+            log_loss("A target without an entry is silent under a call", call)
+            self.publish_possible_crash(call)
         for call in self.evidence.take_ended(present):
             log_loss("The target's entry shows that it has ended", call)
             self.publish_crash(call)
 
+    def publish_possible_crash(self, call: LostCall) -> None:
+        """Report that a target may have ended under a call."""
+        self.publish(
+            PossibleCrash(
+                make_event_id(),
+                call.target,
+                call.traits.digest,
+                call.trial,
+                call.generation,
+                call.traits.parts,
+            )
+        )
+
     def publish_crash(self, call: LostCall) -> None:
         """Report that a target has ended under a call."""
         self.publish(
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -473,7 +473,7 @@
 
     def disconnect(self) -> None:
         """Close the connection to the target, if there is one."""
-        self.evidence.end_trial()
+        self.evidence.end()
         self.counts.record_end(AnswerResult.VOID)
         self.open_call.detach()
         if self.response is not None:
--- a/godwitladder/serving/target_evidence.py
+++ b/godwitladder/serving/target_evidence.py
@@ -66,6 +66,7 @@
         self.dispatch = dispatch
         self.on_trial = self.quarantine.begin(self.traits, dispatch.target)
         self.record_sign()
+        self.quarantine.under_way.begin(self)
 
     def record_sign(self) -> None:
         """Record that something of the target has arrived."""
@@ -92,18 +93,23 @@
             self.report_malformed(error)
         if isinstance(error, ForeignAnswer) or is_path_broken:
             return
-        lost_call = LostCall(
+        if not is_aborted:
+            may_have_ended = self.quarantine.record_loss(self.lost_call())
+        elif self.silence_s() >= MIN_SILENCE_S:
+            may_have_ended = self.quarantine.record_silence(self.lost_call())
+        else:
+            return
+        self.on_trial = self.on_trial and not may_have_ended
+
+    def lost_call(self) -> LostCall:
+        """Return what to record if the answer to the last send is lost."""
+        return LostCall(
             self.traits,
             self.dispatch.target,
             self.dispatch.address,
             self.dispatch.generation,
             self.on_trial,
         )
-        if not is_aborted:
-            may_have_ended = self.quarantine.record_loss(lost_call)
-            self.on_trial = self.on_trial and not may_have_ended
-        elif self.silence_s() >= MIN_SILENCE_S:
-            self.quarantine.record_silence(lost_call)
 
     def report_malformed(self, error: MalformedAnswer) -> None:
         """Log and count an answer that is none, or exceeds a limit."""
@@ -122,8 +128,9 @@
         self.quarantine.record_completion(self.traits)
         self.on_trial = False
 
-    def end_trial(self) -> None:
-        """End the trial, if the call is one and has shown nothing."""
+    def end(self) -> None:
+        """Wait for the target no longer; end a trial that has shown nothing."""
+        self.quarantine.under_way.end(self)
         if self.on_trial:
             self.on_trial = False
             self.quarantine.end_trial(self.traits)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -404,20 +404,25 @@
                 return
             self.is_ending = True
         self.close_address(ending)
-        threading.Thread(target=self.restart, args=(write_entry,), daemon=True).start()
+        threading.Thread(
+            target=self.restart, args=(ending, write_entry), daemon=True
+        ).start()
 
     def close_address(self, ending: Ending) -> None:
         """Let the address behave as it does once the process has ended."""
         address = self.aftermath.address
         if ending is Ending.SILENT:
             self.proxy.cut(CutMode.HANG)
+            self.proxy.blackhole()
         elif address is AddressAfterEnd.TAKEN:
             self.knobs.name = OTHER_PROCESS
             self.proxy.reset()
         else:
             self.proxy.cut(CUTS_AFTER_END[address])
 
-    def restart(self, write_entry: Callable[["Target", str], None]) -> None:
+    def restart(
+        self, ending: Ending, write_entry: Callable[["Target", str], None]
+    ) -> None:
         """Remove the entry of a process that has ended, and start another one."""
         ended = self.aftermath
         waited_s = EXPIRY_S if ended.has_expiry else ended.restart_s
@@ -425,7 +430,8 @@
         write_entry(self, "")
         time.sleep(ended.restart_s - waited_s)
         self.renew()
-        self.proxy.reset()
+        if ending is not Ending.SILENT:
+            self.proxy.reset()
         with self.lock:
             self.is_ending = False
         self.proxy.restore()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -171,6 +171,9 @@
                     time.sleep(self.delay_s)
                 if not connection.discards_data:
                     sink.sendall(data)
+        # The end of a connection is held back like its bytes.
+        while direction in self.held:
+            time.sleep(POLL_INTERVAL_S)
         if connection.discards_data:
             return
         with self.lock:
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -27,6 +27,7 @@
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.probing import TargetProbe
 from godwitladder.quarantine.records import Crash, PossibleCrash, TrialBegan
+from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.routing.app import RoutedApp, digest_call, index_document
 from godwitladder.routing.freshness import DocumentFreshness
@@ -630,6 +631,30 @@
     assert crashed_bodies(bench) == [f"t-{bench.addresses[0]}"]
 
 
+def test_a_target_that_goes_dark_is_seen_before_its_call_ends(stack, monkeypatch):
+    """Guards against targets that go dark one by one until deadlines pass."""
+    monkeypatch.setattr("godwitladder.quarantine.under_way.MIN_SILENCE_S", 0.05)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 0.05)
+    bench = Bench(stack)
+    bench.engines[0].standin.knobs.pause_s = 30.0
+    digest = digest_call("w1", "/charge/x", b"bad")
+    for number in range(2):
+        crash = Crash(f"e{number}", f"t{number}", digest, False)
+        bench.quarantine.registry.apply(crash)
+    disconnected = threading.Event()
+
+    def lose_entry():
+        bench.quarantine.update_targets({})
+        disconnected.set()
+
+    threading.Timer(0.5, lose_entry).start()
+    bench.call("/charge/x", body=b"bad", gone=disconnected.is_set)
+    assert [type(row) for row in bench.published] == [TrialBegan, PossibleCrash]
+    assert bench.quarantine.refusal(RequestTraits(digest)).retry_after_s
+    bench.quarantine.update_targets({})
+    assert crashed_bodies(bench) == [f"t-{bench.addresses[0]}"]
+
+
 def break_connections(engine, body):
     """Let an engine break its connections under requests with ``body``."""
     engine.standin.knobs.ends_on = body
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -21,6 +21,7 @@
     "after_head": ("/stream/stream/x", Ending.AFTER_HEAD, HostFault.NONE),
     "mid_stream_and_cuts": ("/stream/stream/x", Ending.MID_STREAM, HostFault.CUT),
     "before_head_and_kills": ("/charge/x", Ending.BEFORE_HEAD, HostFault.KILL),
+    "silent": ("/stream/stream/x", Ending.SILENT, HostFault.NONE),
 }
 RUNS_OF_PARTS = {
     "after_head": ("/stream/stream/x", Ending.AFTER_HEAD, HostFault.NONE, 1),
