Give crashes and trials of suspects modules of their own

Records of crashes stand in crashes.py, trials in suspect_trials.py; what both kinds of crash do to the table stands once.

--- a/godwitladder/decisions/health/quarantine.py
+++ b/godwitladder/decisions/health/quarantine.py
@@ -26,6 +26,11 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
+from godwitladder.decisions.health.crashes import (
+    CrashHistory,
+    CrashRecord,
+    TargetProcess,
+)
 from godwitladder.ids import TargetName, TraitId
 
 # Hosts notice the same crash at different times. The last one does so when its
@@ -36,7 +41,6 @@
 HOLD_S = 600.0
 MAX_SUSPECTS = 10_000
 EXPIRY_INTERVAL_S = 1.0
-NO_REQUEST = TraitId("")
 
 
 class QuarantineStatus(enum.Enum):
@@ -93,64 +97,6 @@
     retrial_delays_s: tuple[float, ...] = ()
 
 
-@dataclass(frozen=True)
-class TargetProcess:
-    """A process of a target; the generation is empty if it is not known."""
-
-    target: TargetName
-    generation: str = ""
-
-
-@dataclass(eq=False)
-class CrashRecord:
-    """One crash of one target, as reported by any number of hosts.
-
-    Attributes
-    ----------
-    at : float
-        Time of the first report.
-    traits : set
-        Those of the requests that ran on the target.
-    cause : TraitId or None
-        The trait that explains it.
-    is_confirmed : bool
-        Whether it is known that the process has ended. Otherwise answers were lost,
-        and nothing shows yet that it runs on.
-    """
-
-    process: TargetProcess
-    at: float
-    traits: set[TraitId] = field(default_factory=set)
-    cause: TraitId | None = None
-    is_confirmed: bool = True
-
-
-@dataclass
-class CrashHistory:
-    """The crashes of one trait since it was last cleared.
-
-    Attributes
-    ----------
-    last_at : float
-        Time of the last crash.
-    crashes : list of CrashRecord
-        Those that no other trait explains.
-    quarantined_until : float
-        End of its quarantine; 0 if it is not quarantined.
-    retrials : int
-        Number of trials since it was quarantined.
-    blamed : frozenset
-        Traits that were quarantined in the same trial, itself among them. At least one
-        of them was the cause.
-    """
-
-    last_at: float
-    crashes: list[CrashRecord] = field(default_factory=list)
-    quarantined_until: float = 0.0
-    retrials: int = 0
-    blamed: frozenset[TraitId] = frozenset()
-
-
 @dataclass
 class Quarantine:
     """Suspects and quarantined traits.
@@ -198,16 +144,9 @@
         blamed : collection of TraitId
             Those to quarantine for a crash on trial; by default ``trait``.
         """
-        if now >= self.expire_at:
-            self.remove_expired(now)
-        crash = self._crash_record(TargetProcess(target, generation), now)
-        crash.is_confirmed = True
-        if crash.cause:
-            # A request on trial is known to have caused this crash. The others on
-            # the target only ran beside it.
+        process = TargetProcess(target, generation)
+        if not self._record((trait, *others), process, now, is_confirmed=True):
             return
-        for row in (trait, *others):
-            self._add_crash(row, self._history(row, now), crash, now)
         if trial:
             self._quarantine(blamed or (trait,), now)
             return
@@ -225,13 +164,7 @@
         nothing counted until then, a request could crash a target each time that it
         is sent.
         """
-        if now >= self.expire_at:
-            self.remove_expired(now)
-        crash = self._crash_record(process, now, is_confirmed=False)
-        if crash.cause:
-            return
-        for trait in traits:
-            self._add_crash(trait, self._history(trait, now), crash, now)
+        self._record(traits, process, now, is_confirmed=False)
 
     def to_blame(
         self,
@@ -305,7 +238,7 @@
         if history.quarantined_until:
             return QuarantineStatus.CLEAR
         is_recent = now - history.last_at < self.policy.suspicion_s
-        crashes = self._counted_crashes(history, now)
+        crashes = history.counted_crashes(now, self.policy.unconfirmed_s)
         if is_recent and len(crashes) > self._max_crashes(trait, now):
             return QuarantineStatus.SUSPECT
         return QuarantineStatus.CLEAR
@@ -421,6 +354,28 @@
                 if now - at >= self.policy.suspicion_s:
                     del table[key]
 
+    def _record(
+        self,
+        traits: Iterable[TraitId],
+        process: TargetProcess,
+        now: float,
+        is_confirmed: bool,
+    ) -> bool:
+        """Add a crash to ``traits``; return False if it is explained already.
+
+        A request on trial is then known to have caused it. The others on the target
+        only ran beside it.
+        """
+        if now >= self.expire_at:
+            self.remove_expired(now)
+        crash = self._crash_record(process, now, is_confirmed)
+        crash.is_confirmed |= is_confirmed
+        if crash.cause:
+            return False
+        for trait in traits:
+            self._add_crash(trait, self._history(trait, now), crash, now)
+        return True
+
     def _history(self, trait: TraitId, now: float) -> CrashHistory:
         """Return the history of a trait, a new one if needed."""
         history = self.histories.get(trait)
@@ -446,7 +401,7 @@
             crash.traits.discard(oldest)
 
     def _crash_record(
-        self, process: TargetProcess, now: float, is_confirmed: bool = True
+        self, process: TargetProcess, now: float, is_confirmed: bool
     ) -> CrashRecord:
         """Return the record of the process's current crash, or create one.
 
@@ -472,18 +427,12 @@
             history.crashes.append(crash)
             crash.traits.add(trait)
 
-    def _counted_crashes(self, history: CrashHistory, now: float) -> list[CrashRecord]:
-        """Return the crashes that count, which those without proof do for a time."""
-        return [
-            crash
-            for crash in history.crashes
-            if crash.is_confirmed or now - crash.at < self.policy.unconfirmed_s
-        ]
-
     def _count_crashes(self, trait: TraitId, process: TargetProcess, now: float) -> int:
         """Return the number of a trait's crashes, that of ``process`` included."""
         history = self.histories.get(trait)
-        crashes = self._counted_crashes(history, now) if history else []
+        crashes = (
+            history.counted_crashes(now, self.policy.unconfirmed_s) if history else []
+        )
         return len({process, *(crash.process for crash in crashes)})
 
     def _max_crashes(self, trait: TraitId, now: float) -> int:
@@ -524,96 +473,3 @@
         history.crashes.remove(crash)
         if not history.crashes and not history.quarantined_until:
             del self.histories[trait]
-
-
-@dataclass
-class Trial:
-    """A suspect that runs.
-
-    Attributes
-    ----------
-    until : float
-        Time after which the trial counts as ended, as its host may be gone.
-    request : TraitId
-        The request on trial as a whole; empty if not known.
-    held : frozenset of TraitId
-        The traits for which it is on trial.
-    is_lost : bool
-        Whether its answer was lost, and nothing shows yet whether its target crashed.
-    """
-
-    target: TargetName
-    until: float
-    request: TraitId = NO_REQUEST
-    held: frozenset[TraitId] = frozenset()
-    is_lost: bool = False
-
-
-@dataclass
-class Trials:
-    """Trials of suspects, at most one for each trait and each target.
-
-    With two on one target, a crash would not show which of them was the cause.
-    """
-
-    max_trial_s: float
-    rows: dict[TraitId, Trial] = field(default_factory=dict)
-
-    def begin(
-        self,
-        trait: TraitId,
-        target: TargetName,
-        now: float,
-        request: TraitId = NO_REQUEST,
-        held: Collection[TraitId] = (),
-    ) -> None:
-        """Record that a trial of ``trait`` begins, of a ``request`` that has it.
-
-        ``held`` are all traits for which the request is on trial.
-        """
-        until = now + self.max_trial_s
-        self.rows[trait] = Trial(target, until, request, frozenset(held))
-
-    def lose(self, trait: TraitId, now: float, request: TraitId) -> None:
-        """Record that the answer to a trial of ``request`` was lost.
-
-        The trial lasts on, until more is known of its target.
-        """
-        trial = self.rows.get(trait)
-        if trial is not None and trial.request == request:
-            trial.until = now + self.max_trial_s
-            trial.is_lost = True
-
-    def end(self, trait: TraitId, request: TraitId = NO_REQUEST) -> None:
-        """Record that a trial has ended; of another request's nothing is known."""
-        trial = self.rows.get(trait)
-        if trial is not None and request in (NO_REQUEST, trial.request):
-            del self.rows[trait]
-
-    def is_running(self, trait: TraitId, now: float) -> bool:
-        """Return whether a request with ``trait`` is on trial."""
-        trial = self.rows.get(trait)
-        return trial is not None and trial.until > now
-
-    def hold_back(self, held: Collection[TraitId], now: float) -> bool:
-        """Return whether a request that may run on trial only has to wait for others.
-
-        If the answer to another trial was lost, the verdict may take seconds. A
-        request with only some of its traits does not wait: to know of them is of use
-        whatever the verdict. Otherwise a part that most requests share would hold
-        them all back for the part beside it.
-        """
-        traits = frozenset(held)
-        for trait in traits:
-            if self.is_running(trait, now):
-                trial = self.rows[trait]
-                if not (trial.is_lost and traits < trial.held):
-                    return True
-        return False
-
-    def is_used(self, target: TargetName, now: float) -> bool:
-        """Return whether any request is on trial at a target."""
-        return any(row.target == target and row.until > now for row in self._rows())
-
-    def _rows(self) -> Sequence[Trial]:
-        return tuple(self.rows.values())
--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.health.quarantine import TargetProcess
+from godwitladder.decisions.health.crashes import TargetProcess
 from godwitladder.engines.wire import NoConnection, connect
 from godwitladder.ids import TargetName, TraitId
 from godwitladder.logs import component_logger
--- a/godwitladder/quarantine/records.py
+++ b/godwitladder/quarantine/records.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from godwitladder.decisions.health.quarantine import TargetProcess
+from godwitladder.decisions.health.crashes import TargetProcess
 from godwitladder.ids import BodyDigest, TargetName, TraitId
 from godwitladder.membership.codec import peer_message
 
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -5,14 +5,13 @@
 from collections.abc import Iterable, Sequence
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.health.crashes import CrashHistory, TargetProcess
 from godwitladder.decisions.health.quarantine import (
-    CrashHistory,
     Quarantine,
     QuarantinePolicy,
     QuarantineStatus,
-    TargetProcess,
-    Trials,
 )
+from godwitladder.decisions.health.suspect_trials import Trials
 from godwitladder.ids import TargetName, TraitId
 from godwitladder.logs import component_logger
 from godwitladder.quarantine.completions import CompletionMemory
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -10,8 +10,8 @@
     Quarantine,
     QuarantinePolicy,
     QuarantineStatus,
-    Trials,
 )
+from godwitladder.decisions.health.suspect_trials import Trials
 
 
 def test_second_crash_on_trial_quarantines_and_clears_bystanders():
