Avoid a target that lost an answer and does not show that it runs

What callers saw: half of the plain calls and four in five of the streams were lost while one of four targets broke connections without refusing any.

Cause: a host avoided a target only for a call that it could send again. A call that may have run, and a stream, ended without a word to the scheduler. A target that fails calls at once has free slots all the time, so it got most of them until its entry went, three seconds later. The same class as the quarantine's: a lost target waited for proof.

Change: a loss after which the target may have ended tells the scheduler, which avoids that target for a second, as it does for calls that are sent again. A target that answers its health check has lost an answer alone and is not avoided.

The new test allows the target's share, a quarter; red before in both cases.

--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -27,6 +27,7 @@
     SlowdownStated,
     Stop,
     Submit,
+    TargetLost,
     TargetsLeaving,
     Tick,
     Withdrawn,
@@ -50,6 +51,7 @@
 )
 from godwitladder.scheduler.systems import (
     add_request,
+    avoid_target,
     finish_request,
     grow_request,
     record_first_output,
@@ -192,6 +194,13 @@
         row.produced_tokens = message.output_tokens
         finish_request(self.tables, row, message.state, self.clock.monotonic())
 
+    @take.register
+    def _(self, message: TargetLost) -> None:
+        target = self.tables.targets.get(message.target)
+        if target:
+            # It may fail calls faster than others serve them, and look idle for it.
+            avoid_target(target, self.clock.monotonic())
+
     @take.register
     def _(self, message: RateLimitStated) -> None:
         take_rate_limit(self.tables, message, self.clock.monotonic())
--- a/godwitladder/scheduler/messages.py
+++ b/godwitladder/scheduler/messages.py
@@ -56,6 +56,13 @@
     unreached: bool = False
 
 
+@dataclass(frozen=True)
+class TargetLost:
+    """A target has lost an answer, and nothing shows that it runs on."""
+
+    target: TargetName
+
+
 @dataclass(frozen=True)
 class NothingSent:
     """The connection failed before the first byte of the request."""
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -24,7 +24,13 @@
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.rollouts.counts import AnswerResult, HostRollouts
 from godwitladder.routing.calls import DispatchMetadata, HeaderCodec, RoutedCall
-from godwitladder.scheduler.messages import Returned, ReturnProof, Submit, Withdrawn
+from godwitladder.scheduler.messages import (
+    Returned,
+    ReturnProof,
+    Submit,
+    TargetLost,
+    Withdrawn,
+)
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answer_memory import AnswerMemory, AnswerShare
 from godwitladder.serving.answers import internal_fault
@@ -503,7 +509,8 @@
             self.proxy.connector.record_broken(self.connection.gateway)
         else:
             self.counts.record_loss(error, cause, self.evidence.silence_s())
-        self.evidence.record_loss(error, cause is not None, is_broken)
+        if self.evidence.record_loss(error, cause is not None, is_broken):
+            self.proxy.scheduler.tell(TargetLost(self.evidence.dispatch.target))
 
     def record_origin(self) -> None:
         """Record that the stream has begun; it goes on at this version only.
--- a/godwitladder/serving/target_evidence.py
+++ b/godwitladder/serving/target_evidence.py
@@ -78,8 +78,8 @@
 
     def record_loss(
         self, error: MayHaveRun, is_aborted: bool, is_path_broken: bool
-    ) -> None:
-        """Record that the answer was lost.
+    ) -> bool:
+        """Record that the answer was lost; return whether its target may have ended.
 
         Parameters
         ----------
@@ -92,14 +92,15 @@
         if isinstance(error, MalformedAnswer):
             self.report_malformed(error)
         if isinstance(error, ForeignAnswer) or is_path_broken:
-            return
+            return False
         if not is_aborted:
             may_have_ended = self.quarantine.record_loss(self.lost_call())
         elif self.silence_s() >= MIN_SILENCE_S:
             may_have_ended = self.quarantine.record_silence(self.lost_call())
         else:
-            return
+            return False
         self.on_trial = self.on_trial and not may_have_ended
+        return may_have_ended
 
     def lost_call(self) -> LostCall:
         """Return what to record if the answer to the last send is lost."""
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -23,7 +23,7 @@
 from godwitladder.paths.splicing import StreamEnd
 from godwitladder.platform.documents import decode_document
 from godwitladder.platform.headers import PlatformHeaders
-from godwitladder.quarantine.evidence import CrashEvidence
+from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.probing import TargetProbe
 from godwitladder.quarantine.records import Crash, PossibleCrash, TrialBegan
@@ -31,7 +31,13 @@
 from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.routing.app import RoutedApp, digest_call, index_document
 from godwitladder.routing.freshness import DocumentFreshness
-from godwitladder.scheduler.messages import Finished, Returned, ReturnProof, Submit
+from godwitladder.scheduler.messages import (
+    Finished,
+    Returned,
+    ReturnProof,
+    Submit,
+    TargetLost,
+)
 from godwitladder.scheduler.rows import Dispatch
 from godwitladder.serving.answer_memory import AnswerMemory
 from godwitladder.serving.call_watcher import CallWatcher
@@ -40,7 +46,7 @@
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.upstream import StreamTruncated
-from godwitladder.standins.routed import Ending, start_engine
+from godwitladder.standins.routed import HEALTH_PATH, Ending, start_engine
 from tests.fleet import wait_until
 from tests.platform.test_adapter import CONFIG
 
@@ -677,6 +683,20 @@
     assert (refused.status, refused.headers.get("Retry-After")) == (503, None)
 
 
+@pytest.mark.parametrize("path", ["/charge/x", "/stream/stream/x"])
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_a_target_that_loses_answers_is_avoided_unless_it_runs(stack, path, is_alive):
+    """Guards against a target that breaks calls at once and looks idle for it."""
+    bench = Bench(stack)
+    break_connections(bench.engines[0], b"bad")
+    name = f"t-{bench.addresses[0]}"
+    health_path = HEALTH_PATH if is_alive else ""
+    bench.quarantine.update_targets({name: TargetPresence("", False, health_path)})
+    assert bench.call(path, body=b"bad").status == 502
+    lost = [row for row in bench.scheduler.others if isinstance(row, TargetLost)]
+    assert lost == ([] if is_alive else [TargetLost(name)])
+
+
 def test_a_caller_that_leaves_at_once_says_nothing_of_the_target(stack, monkeypatch):
     """Guards against calls that count only because their callers left."""
     monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 60.0)
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -1,6 +1,8 @@
 """A request that ends its targets is stopped, and those beside it are served."""
 
 import contextlib
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -32,6 +34,7 @@
 RESTART_S = 3.0
 HELD_BACK = 503
 TRIES = 12
+CALLERS = 8
 
 
 @pytest.mark.parametrize("kind", RUNS)
@@ -119,6 +122,43 @@
     return sum(len(row.server.standin.endings) for row in run.fleet.targets)
 
 
+@pytest.mark.parametrize("path", ["/charge/x", "/stream/stream/x"])
+def test_a_target_that_breaks_calls_gets_no_more_than_its_share(path, tmp_path):
+    """Guards against a target that fails calls faster than others serve them."""
+    size = CrashRunSize(
+        hosts=3,
+        targets=4,
+        path=path,
+        ending=Ending.BEFORE_HEAD,
+        aftermath=Aftermath(AddressAfterEnd.CLOSES, RESTART_S, has_expiry=False),
+    )
+    with contextlib.ExitStack() as stack:
+        run = CrashRun(1, size, start_crash_fleet(stack, tmp_path, size))
+        run.prepare_targets()
+        run.fleet.targets[0].end(size.ending, run.fleet.write_entry)
+        statuses = call_for(run, 0.8 * RESTART_S)
+    lost = sum(status not in (200, HELD_BACK) for status in statuses)
+    assert len(statuses) > CALLERS
+    assert lost / len(statuses) <= 1 / size.targets
+
+
+def call_for(run, seconds):
+    """Return the statuses of calls to any host, as callers get them one by one."""
+    until = time.monotonic() + seconds
+
+    def call(caller):
+        statuses = []
+        while time.monotonic() < until:
+            name = f"c{caller}-{len(statuses)}"
+            host = run.fleet.hosts[len(statuses) % len(run.fleet.hosts)]
+            request = Request(name.encode())
+            statuses.append(run.call(host, run.size.path, request, name)[0])
+        return statuses
+
+    with ThreadPoolExecutor(CALLERS) as pool:
+        return [status for rows in pool.map(call, range(CALLERS)) for status in rows]
+
+
 def test_a_host_that_starts_knows_which_requests_end_targets(run):
     """Guards against hosts that start with no memory of what ended the targets."""
     first, second, newcomer = run.fleet.hosts
