Don't bring forgotten losses back over a new link; plainer names

What callers saw: nothing yet. A host that starts was told all lost answers that nothing had confirmed, also those older than 30 s, with the age of the newest: two of them made a suspect of a request that has neither crashed anything nor lost two answers of late.

Change: only those that still count are told.

Read as a newcomer would: the verdict on a loss has a name of its own beside that of claims, what makes a suspect wait says so, the status of a misdirected request stands once, and the quarantine names what it needs of the headers instead of importing the routing, which imports the quarantine.

--- a/godwitladder/decisions/health/crashes.py
+++ b/godwitladder/decisions/health/crashes.py
@@ -65,10 +65,14 @@
     retrials: int = 0
     blamed: frozenset[TraitId] = frozenset()
 
-    def counted_crashes(self, now: float, unconfirmed_s: float) -> list[CrashRecord]:
-        """Return the crashes that count; unconfirmed ones do for ``unconfirmed_s``."""
+    def confirmed_crashes(self) -> list[CrashRecord]:
+        """Return the crashes that are known to be such."""
+        return [crash for crash in self.crashes if crash.is_confirmed]
+
+    def possible_crashes(self, now: float, unconfirmed_s: float) -> list[CrashRecord]:
+        """Return those that nothing has confirmed, for ``unconfirmed_s`` each."""
         return [
             crash
             for crash in self.crashes
-            if crash.is_confirmed or now - crash.at < unconfirmed_s
+            if not crash.is_confirmed and now - crash.at < unconfirmed_s
         ]
--- a/godwitladder/decisions/health/quarantine.py
+++ b/godwitladder/decisions/health/quarantine.py
@@ -238,7 +238,7 @@
         if history.quarantined_until:
             return QuarantineStatus.CLEAR
         is_recent = now - history.last_at < self.policy.suspicion_s
-        crashes = history.counted_crashes(now, self.policy.unconfirmed_s)
+        crashes = self._counted_crashes(history, now)
         if is_recent and len(crashes) > self._max_crashes(trait, now):
             return QuarantineStatus.SUSPECT
         return QuarantineStatus.CLEAR
@@ -427,12 +427,15 @@
             history.crashes.append(crash)
             crash.traits.add(trait)
 
+    def _counted_crashes(self, history: CrashHistory, now: float) -> list[CrashRecord]:
+        """Return the crashes that count, some of which nothing has confirmed yet."""
+        possible = history.possible_crashes(now, self.policy.unconfirmed_s)
+        return history.confirmed_crashes() + possible
+
     def _count_crashes(self, trait: TraitId, process: TargetProcess, now: float) -> int:
         """Return the number of a trait's crashes, that of ``process`` included."""
         history = self.histories.get(trait)
-        crashes = (
-            history.counted_crashes(now, self.policy.unconfirmed_s) if history else []
-        )
+        crashes = self._counted_crashes(history, now) if history else []
         return len({process, *(crash.process for crash in crashes)})
 
     def _max_crashes(self, trait: TraitId, now: float) -> int:
--- a/godwitladder/decisions/health/suspect_trials.py
+++ b/godwitladder/decisions/health/suspect_trials.py
@@ -80,7 +80,7 @@
         trial = self.rows.get(trait)
         return trial is not None and trial.until > now
 
-    def hold_back(self, held: Collection[TraitId], now: float) -> bool:
+    def must_wait(self, held: Collection[TraitId], now: float) -> bool:
         """Return whether a request that may run on trial only has to wait for others.
 
         If the answer to another trial was lost, the verdict may take seconds. A
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -20,6 +20,7 @@
 )
 
 __all__ = [
+    "HTTP_MISDIRECTED",
     "AbortedByHost",
     "AnswerShape",
     "Dial",
@@ -34,6 +35,8 @@
 ]
 
 CONNECT_TIMEOUT_S = 2.0
+HTTP_MISDIRECTED = 421
+"""Status with which another target than the expected one turns a request away."""
 COOLDOWN_STATUSES = frozenset({429, 503})
 """Statuses with which a target refuses a request for the time being."""
 BROKEN = (
--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -101,6 +101,10 @@
         """Return the headers of a health check that no other target may answer."""
         return ((names.EXPECT_INSTANCE, target),)
 
+    def read_instance(self, headers: Mapping[str, str]) -> str:
+        """Return the name of the target that answers one; empty if not stated."""
+        return headers.get(names.INSTANCE, "")
+
     def read_answer(self, headers: Mapping[str, str]) -> AnswerMetadata:
         """Return the data in a target's headers."""
         return AnswerMetadata(
@@ -112,7 +116,6 @@
             retry_after_s=_parse_number(headers, names.RETRY_AFTER),
             max_refusals_per_s=_parse_number(headers, names.BRITTLE),
             load=self.read_load(headers.get(names.LOAD)),
-            instance=headers.get(names.INSTANCE, ""),
         )
 
     def read_load(self, text: str | None) -> StatedLoad | None:
--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -30,7 +30,7 @@
 MAX_WAITING = 1_000
 
 
-class Verdict(enum.Enum):
+class LossVerdict(enum.Enum):
     """What a lost answer shows of its target's process.
 
     Attributes
@@ -128,12 +128,12 @@
         self.ended_at: dict[TargetProcess, float] = {}
         self.lock = threading.Lock()
 
-    def examine(self, call: LostCall) -> Verdict:
+    def examine(self, call: LostCall) -> LossVerdict:
         """Return what shows by now of the target's process after a loss."""
         now = self.clock.monotonic()
         process = TargetProcess(call.target, call.generation)
         if now - self.ended_at.get(process, float("-inf")) < MEMORY_S:
-            return Verdict.ENDED
+            return LossVerdict.ENDED
         entry = self.present.get(call.target, NOT_PRESENT)
         result = self.probe(call.target, call.address, entry.health_path)
         verdict = self.judge(result, call.address, entry)
@@ -144,7 +144,7 @@
             "verdict": verdict.value,
         }
         log.info("A target was probed after a loss", extra=extra)
-        if verdict is Verdict.ENDED:
+        if verdict is LossVerdict.ENDED:
             self.ended_at = {
                 row: at for row, at in self.ended_at.items() if now - at < MEMORY_S
             }
@@ -153,7 +153,7 @@
 
     def judge(
         self, result: ProbeResult, address: str, entry: TargetPresence
-    ) -> Verdict:
+    ) -> LossVerdict:
         """Return what the result of a probe shows.
 
         A host that has lost its paths is refused everywhere. A refusal, or silence,
@@ -161,15 +161,15 @@
         a target that leaves is taken by others in time.
         """
         if result is ProbeResult.SAME_PROCESS:
-            return Verdict.ALIVE
+            return LossVerdict.ALIVE
         if result is ProbeResult.OTHER_PROCESS:
-            return Verdict.UNKNOWN if entry.leaving else Verdict.ENDED
+            return LossVerdict.UNKNOWN if entry.leaving else LossVerdict.ENDED
         if result is ProbeResult.NO_ANSWER:
-            return Verdict.UNKNOWN
+            return LossVerdict.UNKNOWN
         if not self.reaches_another(address):
-            return Verdict.UNREACHED
+            return LossVerdict.UNREACHED
         is_refused = result is ProbeResult.REFUSED
-        return Verdict.ENDED if is_refused else Verdict.UNKNOWN
+        return LossVerdict.ENDED if is_refused else LossVerdict.UNKNOWN
 
     def reaches_another(self, address: str) -> bool:
         """Return whether this host can connect to any target but ``address``."""
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -18,9 +18,9 @@
 from godwitladder.outcomes import Reason, Refusal, refuse
 from godwitladder.quarantine.evidence import (
     CrashEvidence,
+    LossVerdict,
     LostCall,
     TargetPresence,
-    Verdict,
 )
 from godwitladder.quarantine.records import (
     Cleared,
@@ -60,10 +60,10 @@
 )
 
 LOSS_TEXTS = {
-    Verdict.ENDED: "The target has ended",
-    Verdict.ALIVE: "The target runs, and has lost an answer alone",
-    Verdict.UNKNOWN: "Nothing shows yet whether the target has ended",
-    Verdict.UNREACHED: "This host reaches no target",
+    LossVerdict.ENDED: "The target has ended",
+    LossVerdict.ALIVE: "The target runs, and has lost an answer alone",
+    LossVerdict.UNKNOWN: "Nothing shows yet whether the target has ended",
+    LossVerdict.UNREACHED: "This host reaches no target",
 }
 
 
@@ -176,11 +176,11 @@
         verdict = self.evidence.examine(call)
         log_loss(LOSS_TEXTS[verdict], call)
         call = self.with_blame(call)
-        if verdict is Verdict.ENDED:
+        if verdict is LossVerdict.ENDED:
             self.publish_crash(call)
             return True
         self.evidence.wait_for_entry(call)
-        if verdict is not Verdict.UNKNOWN:
+        if verdict is not LossVerdict.UNKNOWN:
             return False
         self.publish_possible_crash(call)
         return True
--- a/godwitladder/quarantine/probing.py
+++ b/godwitladder/quarantine/probing.py
@@ -1,16 +1,21 @@
 """Asks a target, after it has lost an answer, whether its process still runs."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
-
-from godwitladder.engines.wire import MayHaveRun, NoConnection, connect, send
+from typing import Protocol
+
+from godwitladder.engines.wire import (
+    HTTP_MISDIRECTED,
+    MayHaveRun,
+    NoConnection,
+    connect,
+    send,
+)
 from godwitladder.ids import TargetName
-from godwitladder.routing.calls import HeaderCodec
 
 PROBE_TIMEOUT_S = 0.1
 """Time for a connection, and then for its answer: the call that was lost waits."""
-HTTP_MISDIRECTED = 421
 
 
 class ProbeResult(enum.Enum):
@@ -42,17 +47,27 @@
 """Probes a target, at an address, with the path of its health check if it has one."""
 
 
+class ProbeHeaders(Protocol):
+    """Reads and writes the headers of health checks on a platform."""
+
+    def for_probe(self, target: TargetName) -> Iterable[tuple[str, str]]:
+        """Return the headers of a health check that no other target may answer."""
+
+    def read_instance(self, headers: Mapping[str, str]) -> str:
+        """Return the name of the target that answers; empty if it is not stated."""
+
+
 @dataclass(frozen=True)
 class TargetProbe:
     """Probes targets by a connection and a health check.
 
     Attributes
     ----------
-    header_codec : HeaderCodec
+    headers : ProbeHeaders
         Reads and writes the headers of this platform.
     """
 
-    header_codec: HeaderCodec
+    headers: ProbeHeaders
 
     def __call__(
         self, target: TargetName, address: str, health_path: str
@@ -66,14 +81,14 @@
         try:
             if not health_path:
                 return ProbeResult.NO_ANSWER
-            headers = dict(self.header_codec.for_probe(target))
+            headers = dict(self.headers.for_probe(target))
             response = send(connection, "GET", health_path, None, headers)
             response.close()
         except MayHaveRun:
             return ProbeResult.NO_ANSWER
         finally:
             connection.close()
-        instance = self.header_codec.read_answer(response.headers).instance
+        instance = self.headers.read_instance(response.headers)
         if response.status == HTTP_MISDIRECTED or instance not in ("", target):
             return ProbeResult.OTHER_PROCESS
         return ProbeResult.SAME_PROCESS
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.health.crashes import CrashHistory, TargetProcess
+from godwitladder.decisions.health.crashes import CrashRecord, TargetProcess
 from godwitladder.decisions.health.quarantine import (
     Quarantine,
     QuarantinePolicy,
@@ -118,7 +118,7 @@
                 return False
             beside = frozenset(held)
             is_due = all(self.table.is_retrial_due(row, now, beside) for row in held)
-            if is_due and not self.trials.hold_back(held, now):
+            if is_due and not self.trials.must_wait(held, now):
                 return False
             for trait in held:
                 self.table.renew(trait, now)
@@ -130,7 +130,7 @@
         """Return whether a suspect may be tried now, at ``target`` if that is given."""
         now = self.clock.monotonic()
         with self.lock:
-            if self.trials.hold_back(self._held_traits(traits, now), now):
+            if self.trials.must_wait(self._held_traits(traits, now), now):
                 return False
             return target is None or not self.trials.is_used(target, now)
 
@@ -281,9 +281,9 @@
     @_apply.register
     def _(self, event: TrialBegan, at: float) -> None:
         traits = event.traits or (TraitId(event.digest),)
+        request = TraitId(event.digest)
         for trait in traits:
             self.table.count_retrial(trait)
-            request = TraitId(event.digest)
             self.trials.begin(trait, event.target, at, request, traits)
         extra = {
             "body": event.digest[:8],
@@ -314,17 +314,18 @@
                 self.table.histories.items(),
                 key=lambda row: (not row[1].quarantined_until, -row[1].last_at),
             )
+            unconfirmed_s = self.table.policy.unconfirmed_s
             cleared = sorted(self.table.cleared.items(), key=lambda row: -row[1])
             return KnownCrashes(
                 tuple(
                     KnownHistory(
                         trait,
-                        processes_of(row, is_confirmed=True),
+                        processes_of(row.confirmed_crashes()),
                         now - row.last_at,
                         max(0.0, row.quarantined_until - now),
                         row.retrials,
                         tuple(row.blamed),
-                        processes_of(row, is_confirmed=False),
+                        processes_of(row.possible_crashes(now, unconfirmed_s)),
                     )
                     for trait, row in histories[:MAX_KNOWN_ROWS]
                 ),
@@ -376,10 +377,6 @@
         )
 
 
-def processes_of(
-    history: CrashHistory, is_confirmed: bool
-) -> tuple[TargetProcess, ...]:
-    """Return the processes that have ended under a trait, or that may have."""
-    return tuple(
-        crash.process for crash in history.crashes if crash.is_confirmed is is_confirmed
-    )
+def processes_of(crashes: Iterable[CrashRecord]) -> tuple[TargetProcess, ...]:
+    """Return the processes that crashed."""
+    return tuple(crash.process for crash in crashes)
--- a/godwitladder/routing/calls.py
+++ b/godwitladder/routing/calls.py
@@ -126,8 +126,6 @@
         brittle.
     load : StatedLoad or None
         The target's own report of its load; None if not stated.
-    instance : str
-        Name of the target that answers a health check; empty if not stated.
     """
 
     attempt: str
@@ -138,7 +136,6 @@
     retry_after_s: float | None = None
     max_refusals_per_s: float | None = None
     load: StatedLoad | None = None
-    instance: str = ""
 
 
 class HeaderCodec(Protocol):
@@ -155,6 +152,9 @@
     def for_probe(self, target: TargetName) -> Headers:
         """Return the headers of a health check that no other target may answer."""
 
+    def read_instance(self, headers: Mapping[str, str]) -> str:
+        """Return the name of the target that answers one; empty if not stated."""
+
     def read_answer(self, headers: Mapping[str, str]) -> AnswerMetadata:
         """Return the data in a target's headers."""
 
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -15,7 +15,13 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.limits.retry_budget import RetryBudget
 from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
-from godwitladder.engines.wire import MayHaveRun, NoConnection, NotSent, send
+from godwitladder.engines.wire import (
+    HTTP_MISDIRECTED,
+    MayHaveRun,
+    NoConnection,
+    NotSent,
+    send,
+)
 from godwitladder.ids import AttemptId
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
@@ -61,7 +67,6 @@
 round may take half a second, and other targets may be idle."""
 REFUSED_RETRY_S = 0.5
 DECISION_POLL_INTERVAL_S = 1.0
-HTTP_MISDIRECTED = 421
 NO_MEMORY_RETRY_S = 0.5
 """Retry-After of a host without memory for an answer; another one may have some."""
 NO_MEMORY_DETAIL = "This host has no memory left for an answer."
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -12,9 +12,9 @@
 from godwitladder.quarantine.evidence import (
     MAX_WAIT_S,
     CrashEvidence,
+    LossVerdict,
     LostCall,
     TargetPresence,
-    Verdict,
 )
 from godwitladder.quarantine.probing import ProbeResult, TargetProbe
 from godwitladder.quarantine.traits import RequestTraits
@@ -72,24 +72,24 @@
 def test_a_target_that_refuses_connections_has_ended(silent):
     ended = closed_address()
     verdict = make_evidence(ended, silent).examine(lost_call(ended))
-    assert verdict is Verdict.ENDED
+    assert verdict is LossVerdict.ENDED
 
 
 def test_a_process_that_took_over_an_address_has_not_ended(silent):
     """Guards against an end that counts for the next process at the address too."""
     ended = closed_address()
     evidence = make_evidence(ended, silent)
-    assert evidence.examine(lost_call(ended)) is Verdict.ENDED
+    assert evidence.examine(lost_call(ended)) is LossVerdict.ENDED
     port = int(ended.rpartition(":")[2])
     with contextlib.closing(socket.create_server(("127.0.0.1", port))):
         again = dataclasses.replace(lost_call(ended), generation="2")
-        assert evidence.examine(again) is Verdict.UNKNOWN
+        assert evidence.examine(again) is LossVerdict.UNKNOWN
 
 
 def test_a_target_that_answers_has_only_lost_an_answer(engine):
     """Guards against lost answers of live targets that count as crashes."""
     evidence = make_evidence(engine.address, closed_address())
-    assert evidence.examine(lost_call(engine.address)) is Verdict.ALIVE
+    assert evidence.examine(lost_call(engine.address)) is LossVerdict.ALIVE
     assert engine.standin.runs == []
 
 
@@ -97,14 +97,14 @@
     """Guards against an end that nothing shows, as the address is in use at once."""
     engine.standin.knobs.name = "t2"
     call = lost_call(engine.address)
-    assert make_evidence(engine.address).examine(call) is Verdict.ENDED
+    assert make_evidence(engine.address).examine(call) is LossVerdict.ENDED
 
 
 def test_a_target_that_leaves_gives_its_address_away(engine):
     """Guards against calls that count as poison when a target is replaced."""
     engine.standin.knobs.name = "t2"
     evidence = make_evidence(engine.address, leaving=True)
-    assert evidence.examine(lost_call(engine.address)) is Verdict.UNKNOWN
+    assert evidence.examine(lost_call(engine.address)) is LossVerdict.UNKNOWN
 
 
 @pytest.mark.parametrize("address", ["silent", "closing"])
@@ -113,14 +113,14 @@
 ):
     """Guards against targets that end without refusing connections and pass as live."""
     address = request.getfixturevalue(address)
-    assert make_evidence(address).examine(lost_call(address)) is Verdict.UNKNOWN
+    assert make_evidence(address).examine(lost_call(address)) is LossVerdict.UNKNOWN
 
 
 def test_a_service_without_a_health_check_is_not_asked(engine):
     """Guards against a request that nobody sent."""
     evidence = make_evidence(engine.address)
     evidence.take_ended({"t1": TargetPresence("1", False)})
-    assert evidence.examine(lost_call(engine.address)) is Verdict.UNKNOWN
+    assert evidence.examine(lost_call(engine.address)) is LossVerdict.UNKNOWN
     assert engine.standin.runs == []
 
 
@@ -131,8 +131,8 @@
     make_evidence(silent, ended).examine(lost_call(silent))
     make_evidence(ended).examine(lost_call(ended))
     assert [(row.probe, row.verdict) for row in caplog.records] == [
-        (ProbeResult.NO_ANSWER.value, Verdict.UNKNOWN.value),
-        (ProbeResult.REFUSED.value, Verdict.UNREACHED.value),
+        (ProbeResult.NO_ANSWER.value, LossVerdict.UNKNOWN.value),
+        (ProbeResult.REFUSED.value, LossVerdict.UNREACHED.value),
     ]
 
 
@@ -140,7 +140,7 @@
     """Guards against a host without paths that takes all its calls for poison."""
     ended, other = closed_address(), closed_address()
     verdict = make_evidence(ended, other).examine(lost_call(ended))
-    assert verdict is Verdict.UNREACHED
+    assert verdict is LossVerdict.UNREACHED
 
 
 @pytest.mark.parametrize(
--- a/tests/quarantine/test_gate.py
+++ b/tests/quarantine/test_gate.py
@@ -5,7 +5,7 @@
 from godwitladder.clock import ManualClock
 from godwitladder.membership.codec import decode, encode
 from godwitladder.outcomes import RequestState
-from godwitladder.quarantine.evidence import LostCall, Verdict
+from godwitladder.quarantine.evidence import LossVerdict, LostCall
 from godwitladder.quarantine.gate import HeldBack, QuarantineGate
 from godwitladder.quarantine.records import (
     Cleared,
@@ -21,7 +21,7 @@
 class FakeEvidence:
     """Evidence whose verdict a test sets; entries show the rest."""
 
-    def __init__(self, verdict=Verdict.ENDED):
+    def __init__(self, verdict=LossVerdict.ENDED):
         self.verdict = verdict
         self.waiting = []
 
@@ -172,7 +172,7 @@
 
 def test_a_lost_answer_of_a_live_target_is_no_crash():
     net = Net(1)
-    net.evidence.verdict = Verdict.ALIVE
+    net.evidence.verdict = LossVerdict.ALIVE
     for number in range(5):
         assert not crash(net.gates[0], number)
     assert len(net.evidence.waiting) == 5
@@ -181,7 +181,7 @@
 def unclear_net(count):
     """Return hosts on which nothing shows for seconds whether a target has ended."""
     net = Net(count)
-    net.evidence.verdict = Verdict.UNKNOWN
+    net.evidence.verdict = LossVerdict.UNKNOWN
     return net
 
 
@@ -213,7 +213,7 @@
     net = unclear_net(2)
     crash(net.gates[0], 0)
     crash(net.gates[0], 1)
-    net.evidence.verdict = Verdict.ALIVE
+    net.evidence.verdict = LossVerdict.ALIVE
     call = LostCall(whole("poison"), "t2", "address", "1", True)
     assert net.gates[0].begin(whole("poison"), "t2")
     assert not net.gates[0].record_loss(call)
@@ -257,6 +257,17 @@
     assert not net.gates[0].begin(whole("letter"), "t2")
 
 
+def test_a_new_link_does_not_bring_back_losses_that_are_forgotten():
+    """Guards against old lost answers that count again as a host starts."""
+    net = unclear_net(2)
+    crash(net.gates[0], 0, "letter")
+    net.clock.advance(31.0)
+    crash(net.gates[0], 1, "letter")
+    net.gates.append(net.make_gate(2))
+    net.link_up(1, 2)
+    assert not net.gates[2].begin(whole("letter"), "t5")
+
+
 def test_a_crash_that_is_confirmed_counts_once():
     """Guards against one end that counts as two, and makes suspects too early."""
     net = unclear_net(1)
--- a/tests/quarantine/test_storms.py
+++ b/tests/quarantine/test_storms.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from godwitladder.quarantine.evidence import LostCall, TargetPresence, Verdict
+from godwitladder.quarantine.evidence import LossVerdict, LostCall, TargetPresence
 from godwitladder.quarantine.gate import HeldBack
 from godwitladder.quarantine.traits import RequestTraits, make_traits
 from tests.quarantine.test_gate import Net
@@ -83,7 +83,7 @@
         self.rng = random.Random(seed)
         self.net = Net(HOSTS)
         if not shows_ends:
-            self.net.evidence.verdict = Verdict.UNKNOWN
+            self.net.evidence.verdict = LossVerdict.UNKNOWN
         self.lost_share = lost_share
         self.now = 0.0
         self.numbers = itertools.count()
