--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,6 +24,9 @@
 AFTER_S = 16.0
 RESTART_S = 0.5
 MAX_LOST = 3
+NOTED_S = 2.0
+"""Time after the entry for which the record lists each answer; later ones are counted.
+"""
 UNREADABLE = b"\xed\xa0\x80"
 """Three bytes that are not valid in UTF-8."""
 
@@ -52,7 +55,7 @@
         self.host = host
         self.record = record
         self.connection: http.client.HTTPConnection | None = None
-        self.answers: list[tuple[float, int]] = []
+        self.answers: list[tuple[str, float, int]] = []
         self.closed: list[str] = []
         self.stopping = threading.Event()
 
@@ -87,7 +90,7 @@
         except (OSError, http.client.HTTPException):
             self.closed.append(attempt)
             raise
-        self.answers.append((self.record.now(), answer.status))
+        self.answers.append((attempt, self.record.now(), answer.status))
 
     def drop(self) -> None:
         """Give the connection up."""
@@ -150,10 +153,15 @@
     lost = [row for client in clients for row in client.closed if row in ran]
     for attempt in lost:
         record.note(f"{attempt} ran at an engine, its connection closed unanswered")
+    record.note("requests answered, and whether an engine ran them:")
     before, after = Counter(), Counter()
     for client in clients:
-        for at, status in client.answers:
+        for attempt, at, status in client.answers:
             (before if at < written_at else after)[status] += 1
+            if at < written_at + NOTED_S:
+                record.note(
+                    f"{attempt} answered {status} at {at:.3f}, {attempt in ran}"
+                )
     record.note(f"answers before: {dict(before)}, after: {dict(after)}")
     record.note(f"processes that ended by themselves: {dict(ends)}")
     record.note(f"lost: {len(lost)}, allowed: {MAX_LOST}")
