Begin an allocator's role anew where it fails

A value in one host's report that the allocator can't compute with ended its process, and then that of each host that took the role over.

The state of a role is soft: a new term, which the next reports fill, is what hosts meet when another host takes over. So a role that fails as it takes a report or runs is replaced; other pools go on. The restart is logged with its exception and counted (allocator_restarts_total). Errors in a host's own table still end the process, as its state is in doubt.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -104,6 +104,7 @@
             AllocatorTables(settings.host, settings.zone),
             clock,
             self.router.send,
+            lambda: self.metrics.allocator_restarts.inc({}),
         )
         self.log = LogClient(settings.platform.log, settings.zone)
         self.stack.callback(self.log.close)
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -52,6 +52,9 @@
         self.sheds = self._counter("sheds_total", "Requests shed under overload")
         self.claims = self._counter("claims_total", "Claims by verdict")
         self.grants = self._counter("grants_total", "Grants by fate")
+        self.allocator_restarts = self._counter(
+            "allocator_restarts_total", "Allocator roles that failed and began anew"
+        )
         self.wasted_prefill = self._counter(
             "wasted_prefill_tokens_total", "Prompt tokens processed for nothing"
         )
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -176,6 +176,7 @@
             ),
             clock,
             self.router.send,
+            lambda: self.metrics.allocator_restarts.inc({}),
         )
         seeds = settings.peers.seeds
         self.feed = Feed(
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -110,6 +110,13 @@
         The host's clock.
     send : callable
         Called with a host and the message to send to it.
+    count_restart : callable
+        Called when a role has failed and begins anew.
+
+    Attributes
+    ----------
+    restarts : int
+        Number of roles that have failed.
     """
 
     def __init__(
@@ -117,8 +124,10 @@
         tables: AllocatorTables,
         clock: Clock,
         send: Callable[[HostId, PoolReport | GrantOffer | FloorReport], None],
+        count_restart: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__()
+        self.count_restart = count_restart
         self.tables = tables
         self.clock = clock
         self.send = send
@@ -126,6 +135,7 @@
         self.last_run_at = float("-inf")
         self.active_at = float("inf")
         self.last_term = 0
+        self.restarts = 0
         self.floors_sent_at = float("-inf")
         self.logged_shares: dict[PoolName, tuple[float, bool]] = {}
         self.logged_limits: dict[PoolName, int] = {}
@@ -163,15 +173,42 @@
         """Run the roles that are due, and send their offers."""
         tables = self.tables
         for name in self.due & set(tables.roles):
-            role = tables.roles[name]
-            if role.is_warmed_up(tables.hosts, now):
-                tables.rollouts.run_steps(role.trials, role.term, now)
-            for offer in role.run(tables.hosts, now):
-                account = role.account(offer.host, now)
-                offer = tables.rollouts.notify(role.trials, offer)
-                self.send(account.via or offer.host, offer)
+            try:
+                self.run_role(tables.roles[name], now)
+            except Exception:
+                log.exception("A pool could not be allocated")
+                self.restart_role(name)
         self.due.clear()
 
+    def run_role(self, role: PoolRole, now: float) -> None:
+        """Run one role and send its offers."""
+        tables = self.tables
+        if role.is_warmed_up(tables.hosts, now):
+            tables.rollouts.run_steps(role.trials, role.term, now)
+        for offer in role.run(tables.hosts, now):
+            account = role.account(offer.host, now)
+            offer = tables.rollouts.notify(role.trials, offer)
+            self.send(account.via or offer.host, offer)
+
+    def restart_role(self, name: PoolName) -> None:
+        """Replace a role that failed by a new one, which the next reports fill.
+
+        Its state is in doubt. Hosts take the new term for that of another allocator,
+        and all other pools go on.
+        """
+        role = self.tables.roles.pop(name)
+        self.logged_limits.pop(name, None)
+        self.logged_quotas.pop(name, None)
+        self.restarts += 1
+        extra = {
+            "pool": pool_key(name),
+            "term": role.term,
+            "restarts": self.restarts,
+        }
+        log.error("Allocator role restarts", extra=extra)
+        self.count_restart()
+        self.update_roles()
+
     @functools.singledispatchmethod
     def take(self, message) -> None:
         """Process one message."""
@@ -200,11 +237,20 @@
         if role is None:
             self.forward(message, message.pool)
             return
+        try:
+            self.take_report(role, message)
+        except Exception:
+            extra = {"host": message.host, "number": message.number}
+            log.exception("A report could not be applied", extra=extra)
+            self.restart_role(message.pool)
+
+    def take_report(self, role: PoolRole, report: PoolReport) -> None:
+        """Apply a host's report to the role of its pool."""
         now = self.clock.monotonic()
-        if role.take_report(message, now) or role.trials.rows:
-            self.due.add(message.pool)
+        if role.take_report(report, now) or role.trials.rows:
+            self.due.add(report.pool)
         sent_at = now - role.delays.recent_peak_s(now)
-        if self.tables.rollouts.take_report(role.trials, message, sent_at):
+        if self.tables.rollouts.take_report(role.trials, report, sent_at):
             self.update_roles()
 
     @take.register
--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -1,5 +1,7 @@
 """Tests of the allocator actor, run without its thread."""
 
+from dataclasses import replace
+
 import pytest
 
 from godwitladder.clock import ManualClock
@@ -8,7 +10,12 @@
 from godwitladder.decisions.types import RequestDemand
 from godwitladder.membership.router import Router
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
-from godwitladder.scheduler.exchange import FloorReport, GrantOffer, PoolReport
+from godwitladder.scheduler.exchange import (
+    Completion,
+    FloorReport,
+    GrantOffer,
+    PoolReport,
+)
 from godwitladder.scheduler.messages import (
     HostsChanged,
     NewConfig,
@@ -22,6 +29,8 @@
 from tests.scheduler.harness import make_config
 
 HOSTS = ("h0", "h1", "h2")
+HUGE = 10**400
+"""An integer that can't be converted to a float."""
 DEMAND = RequestDemand("r", "advisers", "letters", 0, 10, 10, 60.0, 0.0)
 
 
@@ -220,3 +229,29 @@
     """Guards against grants of one pool that count as those of the other."""
     actor, _, _ = make_allocator("h0", ("h0",))
     assert actor.next_term() < actor.next_term()
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"demands": (replace(DEMAND, prompt_tokens=HUGE),)},
+        {"completions": (Completion("e0", "w", "letters", HUGE, HUGE, 0.1, 0.2),)},
+    ],
+    ids=["as it runs", "as it takes the report"],
+)
+def test_a_role_that_fails_begins_anew_and_its_pool_is_served(odd):
+    """Guards against a report that ends the allocator, and the process with it."""
+    actor, clock, sent = make_allocator(holder_of(make_allocator("h0")[0]))
+    clock.advance(WARM_UP_S)
+    (role,) = actor.tables.roles.values()
+    actor.on_receive(replace(report(actor, "h0"), **odd))
+    actor.on_receive(Tick())
+    assert actor.restarts == 1
+    (successor,) = actor.tables.roles.values()
+    assert successor.term > role.term
+    clock.advance(WARM_UP_S)
+    sent.clear()
+    actor.on_receive(replace(report(actor, "h0"), number=2))
+    actor.on_receive(Tick())
+    offers = [message for _, message in sent if isinstance(message, GrantOffer)]
+    assert [grant.request for grant in offers[0].grants] == ["r"]
