Refuse numbers of peers that are out of range, and drop that message alone

A peer of another version may pass on a number that this one bounds. An integer beyond 64 bits ended the allocator; a message that could not be read closed the link, and all other messages on it were lost, again after each redial.

The codec refuses integers beyond 64 bits and not-a-number. A message that can't be read is dropped, counted and logged at powers of two; the link stays. A load report of a target on the product's own interface is checked too: a text in place of a count ended the allocator.

--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -22,6 +22,7 @@
     send,
 )
 from godwitladder.ids import StreamId
+from godwitladder.untrusted import MAX_COUNT, is_integer
 
 # Statuses that mean that an engine has not started the request. Any other error
 # (500, 502, 504) may occur after the work has begun.
@@ -31,7 +32,9 @@
 DONE = b"[DONE]"
 MAX_READ_BYTES = 65_536
 MAX_EVENT_BYTES = 1_048_576
+MAX_SEQUENCE_DIGITS = 18
 MAX_REFUSAL_BYTES = 200
+MAX_LOGGED_CHARS = 200
 STREAM_HEADER = "X-Stream-Id"
 LOAD_LIMITS = AnswerLimits(body_bytes=65_536)
 """A load report has three numbers."""
@@ -115,7 +118,7 @@
     if event_id is None or data is None:
         return None
     stream, _, sequence = event_id.rpartition(b":")
-    if not sequence.isdigit():
+    if not sequence.isdigit() or len(sequence) > MAX_SEQUENCE_DIGITS:
         return None
     return Chunk(StreamId(stream.decode(errors="replace")), int(sequence), data)
 
@@ -182,7 +185,12 @@
         raise MayHaveRun(f"the load report broke: {error}") from error
     finally:
         connection.close()
-    return LoadReport(answer["running"], answer["queued"], answer["memory_tokens"])
+    counts = [answer[name] for name in ("running", "queued", "memory_tokens")]
+    if not all(is_integer(count, 0, MAX_COUNT) for count in counts):
+        raise ValueError(
+            f"a load report has the counts {str(counts)[:MAX_LOGGED_CHARS]}"
+        )
+    return LoadReport(*counts)
 
 
 def _open_or_raise(
--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -8,14 +8,16 @@
 Long messages, which list many requests or contain whole documents, are compressed:
 on a slow link they would delay all messages behind them.
 
-The type of every field is checked, since a peer may have another version or be
-faulty. The checks are built once for each dataclass: decoding messages is most of
-the processor time that a host spends on coordination.
+The type of every field is checked, and that a number is one and has 64 bits at most,
+since a peer may have another version or be faulty. The checks are built once for each
+dataclass: decoding messages is most of the processor time that a host spends on
+coordination.
 """
 
 import dataclasses
 import enum
 import functools
+import math
 import typing
 import zlib
 from collections.abc import Callable
@@ -26,6 +28,7 @@
 
 from godwitladder.findings import GodwitladderError
 from godwitladder.tables import plain_type
+from godwitladder.untrusted import MAX_INTEGER
 
 COMPRESSED = "Compressed"
 """Replaces the class name in the encoding of a compressed message."""
@@ -41,6 +44,15 @@
 Writer = Callable[[Any], Any]
 
 SCALARS = frozenset({int, float, str, bool, bytes})
+INVALID_BYTES = (
+    cbor2.CBORDecodeError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+    zlib.error,
+)
+"""What is raised for bytes that are no message."""
 
 
 class InvalidMessage(GodwitladderError):
@@ -76,7 +88,7 @@
             name, fields = cbor2.loads(_decompress(fields))
         kind = MESSAGE_TYPES.get(name)
         return make_reader(kind)(fields) if kind else None
-    except (cbor2.CBORDecodeError, ValueError, TypeError, zlib.error) as error:
+    except INVALID_BYTES as error:
         raise InvalidMessage(f"invalid message: {error}") from error
 
 
@@ -151,6 +163,9 @@
     readers = [make_reader(hints[field.name]) for field in fields]
     plain = [plain_type(hints[field.name]) for field in fields]
     scalars = [(index, hint) for index, hint in enumerate(plain) if hint in SCALARS]
+    names = [field.name for field in fields]
+    integers = [index for index, hint in enumerate(plain) if hint is int]
+    floats = [index for index, hint in enumerate(plain) if hint is float]
     others = [
         (index, readers[index])
         for index, hint in enumerate(plain)
@@ -165,6 +180,12 @@
         if len(value) == len(fields) and all(
             [type(value[index]) is hint for index, hint in scalars]
         ):
+            for index in integers:
+                if not -MAX_INTEGER <= value[index] <= MAX_INTEGER:
+                    raise ValueError(f"{names[index]} has more than 64 bits")
+            for index in floats:
+                if math.isnan(value[index]):
+                    raise ValueError(f"{names[index]} is not a number")
             for index, reader in others:
                 value[index] = reader(value[index])
             return kind(*value)
@@ -189,10 +210,14 @@
 
 def _scalar_reader(kind: type) -> Reader:
     def read(value: Any) -> Any:
-        if type(value) is kind:
-            return value
         if kind is float and type(value) is int:
-            return float(value)
-        raise TypeError(f"expected {kind.__name__}, found {value!r}")
+            value = float(value)
+        if type(value) is not kind:
+            raise TypeError(f"expected {kind.__name__}, found {value!r}")
+        if kind is int and abs(value) > MAX_INTEGER:
+            raise ValueError("an integer has more than 64 bits")
+        if kind is float and math.isnan(value):
+            raise ValueError("a float is not a number")
+        return value
 
     return read
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -27,6 +27,7 @@
 
 HANDSHAKE_TIMEOUT_S = 2.0
 MAX_QUEUED_MESSAGES = 1000
+MAX_LOGGED_CHARS = 200
 
 
 class HandshakeFailed(GodwitladderError):
@@ -58,6 +59,8 @@
         Monotonic time at which the last message arrived, in seconds.
     sent, received : int
         Bytes of messages queued for sending, and received.
+    invalid : int
+        Number of invalid messages received, which were dropped.
     wake_scheduled : bool
         Whether the writer has been scheduled to run.
     dialled : bool
@@ -80,6 +83,7 @@
         self.last_heard = clock.monotonic()
         self.sent = 0
         self.received = 0
+        self.invalid = 0
         self.outgoing: collections.deque[bytes] = collections.deque()
         self.ready = asyncio.Event()
         self.wake_scheduled = False
@@ -123,23 +127,41 @@
             async for data in self.connection:
                 self.last_heard = self.clock.monotonic()
                 self.received += len(data)
-                message = decode(data)
-                if message is not None:
-                    deliver(self, message)
+                self.take(data, deliver)
         except (WebSocketException, OSError) as error:
             log.info(
                 "Connection to a peer lost",
                 extra={"peer": self.peer, "error": str(error)},
             )
-        except InvalidMessage as error:
-            log.warning(
-                "Invalid message from a peer",
-                extra={"peer": self.peer, "error": str(error)},
-            )
         finally:
             writer.cancel()
             self.abort()
 
+    def take(self, data: bytes, deliver: Callable[["Link", Any], None]) -> None:
+        """Deliver one message, or drop it if it is invalid.
+
+        A peer of another version may send such a message again and again. If the link
+        were closed, all other messages would be lost with it.
+        """
+        try:
+            message = decode(data)
+        except InvalidMessage as error:
+            self.count_invalid(error)
+            return
+        if message is not None:
+            deliver(self, message)
+
+    def count_invalid(self, error: InvalidMessage) -> None:
+        """Count an invalid message; log the first, second, fourth, eighth and so on."""
+        self.invalid += 1
+        if self.invalid.bit_count() == 1:
+            extra = {
+                "peer": self.peer,
+                "error": str(error)[:MAX_LOGGED_CHARS],
+                "invalid_messages": self.invalid,
+            }
+            log.warning("Invalid message from a peer", extra=extra)
+
     def close(self) -> None:
         """Close the connection at once."""
         self.post(self.abort)
--- a/godwitladder/scheduler/load.py
+++ b/godwitladder/scheduler/load.py
@@ -56,7 +56,7 @@
         """Read the load report of one target and send it to the allocator."""
         try:
             load = read_load(address)
-        except (NotSent, MayHaveRun, ValueError, KeyError) as error:
+        except (NotSent, MayHaveRun, ValueError, KeyError, TypeError) as error:
             log.info(
                 "Load report could not be read",
                 extra={"target": target, "error": str(error)},
--- a/tests/membership/test_codec.py
+++ b/tests/membership/test_codec.py
@@ -1,7 +1,7 @@
 """Tests of the encoding of peer messages."""
 
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import cbor2
 import pytest
@@ -80,6 +80,22 @@
         decode(cbor2.dumps(["Sample", fields]))
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        cbor2.dumps(["Sample", ["a", float("nan")]]),
+        cbor2.dumps(["Sample", ["a", 10**400]]),
+        encode(replace(HEARTBEAT, incarnation=2**63)),
+        encode(replace(REPORT, sent_s=float("nan"))),
+        encode(replace(REPORT, unlisted=(TierCount(1, 10**400),))),
+    ],
+)
+def test_numbers_out_of_range_are_rejected(data):
+    """Guards against a peer whose numbers end the actor that computes with them."""
+    with pytest.raises(InvalidMessage):
+        decode(data)
+
+
 ROUTE = b'{"name": "r-%d", "pathPrefix": "/huno/le%d/", "kind": "streaming"}'
 
 
--- a/tests/membership/test_links.py
+++ b/tests/membership/test_links.py
@@ -1,6 +1,7 @@
 """Tests of links between hosts: silence, closing, and pauses of a process."""
 
 import contextlib
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -64,6 +65,20 @@
     )
 
 
+def test_an_invalid_message_of_a_peer_costs_that_message_alone(stack):
+    """Guards against a value of one peer that takes its link, and all on it, away."""
+    far, received = start_mesh(stack, "h1")
+    near, _ = start_mesh(stack, "h2", [far.address])
+    wait_until(lambda: near.current() and far.current(), "the link")
+    link = near.current()[0]
+    link.send(encode(replace(make_heartbeat(), incarnation=2**64)))
+    link.send(b"no message")
+    near.send("h1", make_heartbeat())
+    wait_until(lambda: received == ["h2"], "the message after it")
+    assert near.current() == [link]
+    assert far.current()[0].invalid == 2
+
+
 def test_a_peer_that_left_the_list_is_not_dialled_again(stack):
     """Addresses of hosts that have left are not dialled forever."""
     near, _ = start_mesh(stack, "h1")
