Bound the counts in a caller's headers

One request of one caller, with a valid key and a Godwitladder-Token-Usage of 400 digits, ended three of three real hosts within 1.5 s (status 70): the count had no bound, was put into the table and the reports to other hosts, and raised an OverflowError where it was divided. With 5,000 digits int() itself raised, and the caller got 500.

A decimal count is read with a bound of 10^9 and without converting more digits than that has; a larger one counts as the bound, or its caller would be charged less than for a smaller one. Numbers in answers of targets have the same bound.

--- a/godwitladder/platform/headers.py
+++ b/godwitladder/platform/headers.py
@@ -14,6 +14,7 @@
     Headers,
     PromptPart,
 )
+from godwitladder.untrusted import MAX_COUNT, parse_count
 
 log = component_logger("platform")
 
@@ -148,11 +149,11 @@
         value = float(text)
     except ValueError:
         return None
-    return value if 0 < value < 1e9 else None
+    return value if 0 < value < MAX_COUNT else None
 
 
 def _parse_number(headers: Mapping[str, str], name: str) -> float | None:
-    """Return a number that is not negative; None if there is none or it is invalid."""
+    """Return a number from 0 to `MAX_COUNT`; None if there is none or it is invalid."""
     text = headers.get(name)
     if text is None:
         return None
@@ -160,7 +161,7 @@
         value = float(text)
     except ValueError:
         value = math.nan
-    if 0 <= value < math.inf:
+    if 0 <= value <= MAX_COUNT:
         return value
     extra = {"header": name, "value": text[:MAX_LOGGED_CHARS]}
     log.info("A header of a target is invalid", extra=extra)
@@ -187,16 +188,18 @@
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    if not (first.strip().isdecimal() and second.strip().isdecimal()):
+    prompt, output = parse_count(first.strip()), parse_count(second.strip())
+    if prompt is None or output is None:
         return 0, 0
-    return int(first), int(second)
+    return prompt, output
 
 
 def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else ():
-        name, _, tokens = item.strip().partition(":")
-        if not tokens.isdecimal():
+        name, _, text = item.strip().partition(":")
+        tokens = parse_count(text)
+        if tokens is None:
             return ()
-        parts.append(PromptPart(name, int(tokens)))
+        parts.append(PromptPart(name, tokens))
     return tuple(parts)
--- a/tests/platform/test_foreign_values.py
+++ b/tests/platform/test_foreign_values.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 
 import pytest
 
@@ -10,6 +11,7 @@
 from tests.platform.test_adapter import ENTRY
 from tests.platform.test_hosts import Fleet, make_config
 
+HUGE = "9" * 400
 UNREADABLE = b"\xed\xa0\x80"
 LONG_PORT = f"127.0.0.1:{'9' * 5_000}"
 
@@ -65,3 +67,24 @@
     wait_until_read(fleet, 2)
     assert call_all(fleet, "after") == [200, 200]
     assert all_live(fleet)
+
+
+@pytest.mark.parametrize("value", [f"{HUGE},8", f"8,{HUGE}", f"{'9' * 5_000},8"])
+def test_token_counts_of_a_caller_end_no_host(fleet, value):
+    """Guards against one header of one caller that ends the whole fleet."""
+    odd = {names.TOKENS: value, names.PREFIX: f"a:{HUGE},b:{HUGE}"}
+    assert set(call_all(fleet, "odd", odd)) <= {200, 429, 503}
+    assert call_all(fleet, "after") == [200, 200]
+    assert all_live(fleet)
+
+
+def test_a_length_that_is_no_number_of_bytes_ends_no_host(fleet):
+    """Guards against a length of thousands of digits that ends the listener."""
+    for host in fleet.hosts:
+        with socket.create_connection(("127.0.0.1", host.ports[0]), 5) as connection:
+            head = f"POST /charge/x HTTP/1.1\r\nContent-Length: {'9' * 5_000}\r\n\r\n"
+            connection.sendall(head.encode())
+            with contextlib.suppress(ConnectionResetError):
+                connection.recv(64)
+    assert call_all(fleet, "after") == [200, 200]
+    assert all_live(fleet)
--- a/tests/scheduler/test_foreign_values.py
+++ b/tests/scheduler/test_foreign_values.py
@@ -17,17 +17,22 @@
 from godwitladder.ids import Incarnation
 from godwitladder.membership.codec import decode, encode
 from godwitladder.metrics import Metrics
+from godwitladder.platform import names
 from godwitladder.platform.documents import InvalidDocument, decode_document
 from godwitladder.platform.entries import decode_entry
+from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.platform.host_records import decode_host
 from godwitladder.platform.rollouts import decode_rollout, decode_status
+from godwitladder.routing.app import quota_charge, shared_prefix_name
 from godwitladder.routing.state import make_config_state
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.exchange import GrantOffer
 from godwitladder.scheduler.messages import (
+    CooldownStated,
     HostsChanged,
     NewConfig,
+    RateLimitStated,
     Submit,
     Tick,
 )
@@ -37,6 +42,7 @@
 from tests.scheduler.harness import make_request
 
 HOST, REGION = "h0", "region"
+PROCESS = str(ENTRY["born"])
 TICK_S = 0.3
 ODD_TEXTS = st.sampled_from(
     ["", "\ud800", "a\udfff", "x" * 300, "\r\n", "\0", "\ufffd", "nan", "9" * 5_000]
@@ -56,6 +62,12 @@
 )
 
 
+DIGITS = st.one_of(
+    st.integers(min_value=0).map(str),
+    st.sampled_from(["9" * 400, "9" * 5_000, "00", "-1", "1e400", "nan", "inf", "²"]),
+)
+
+
 class Region:
     """One host and its allocator, whose messages pass through the codec."""
 
@@ -228,6 +240,53 @@
         f"{order.service}{order.release}".encode()
 
 
+@given(
+    st.tuples(DIGITS, DIGITS),
+    st.lists(st.tuples(st.text("abc:, ", max_size=4), DIGITS), max_size=3),
+    DIGITS,
+    DIGITS,
+)
+def test_any_headers_of_a_caller_are_borne(tokens, parts, hint, deadline):
+    """Guards against one header of one caller that ends the whole fleet."""
+    metadata = PlatformHeaders().read_call(
+        (
+            (names.TOKENS, ",".join(tokens)),
+            (names.PREFIX, ",".join(f"{name}:{count}" for name, count in parts)),
+            (names.LENGTH_HINT, hint),
+            (names.DEADLINE_MS, deadline),
+        )
+    )
+    region = make_region()
+    quota = decode_document(json.dumps(CONFIG).encode()).workspaces["w1"].quota
+    submit(
+        region,
+        timeout_s=metadata.wait_s or 15.0,
+        prompt_tokens=metadata.prompt_tokens,
+        declared_tokens=metadata.output_tokens,
+        charge=quota_charge(metadata, quota),
+        prefix=shared_prefix_name(metadata.parts),
+    )
+    region.run()
+
+
+@given(DIGITS, DIGITS, st.text(st.characters(max_codepoint=255), max_size=9))
+def test_any_headers_of_a_target_are_borne(limit, rest, load):
+    """Guards against an answer of one target that ends the hosts it is sent to."""
+    answer = PlatformHeaders().read_answer(
+        {names.RATE_LIMIT: limit, names.RETRY_AFTER: rest, names.LOAD: load}
+    )
+    region = make_region()
+    if answer.rate_limit is not None:
+        region.scheduler.on_receive(
+            RateLimitStated("sound", PROCESS, answer.rate_limit)
+        )
+    if answer.retry_after_s is not None:
+        stated = CooldownStated("sound", PROCESS, answer.retry_after_s)
+        region.scheduler.on_receive(stated)
+    submit(region)
+    region.run()
+
+
 def test_a_service_that_no_document_names_has_no_pool():
     """Guards against entries of other writers that each add a pool to every host."""
     other = decode_entry("e1", json.dumps(ENTRY | {"service": "other"}).encode())
