Date the news of peers by their clock, not by their arrival

Cause: news told the age of their read as they were sent, and the receiver counted it from the moment at which it took them out of its socket. News from before the revocation waited there, and seemed new at the wake-up; the store was silent, so nothing else was read.

Change: hosts ask the peers they link to for their clocks. What the answer shows was shown after the question was sent, so the age of any later message has a bound that needs no assumption on the way it took (membership/peer_clocks.py). News of unknown age are used and confirm nothing.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -11,6 +11,7 @@
 if no peer answers.
 """
 
+import math
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -79,7 +80,10 @@
 READER_LOSS_TIMEOUT_S = 3.0
 """Time without news after which a host outside the reading order broadcasts its own
 reads: by then every host in the order has failed to read the store."""
-IGNORED_LOG_INTERVAL_S = 1.0
+LOG_INTERVAL_S = 1.0
+"""Shortest interval between two lines about what is not applied, or was late."""
+LATE_NEWS_S = 1.0
+"""Time on the way from which news is logged as late."""
 MAX_READS_FOR_ERA = 3
 """Reads of both topics until both are of one era."""
 OUTAGE_THRESHOLD_S = 1.5
@@ -167,7 +171,7 @@
         self.store_answered_at = clock.boottime()
         self.reachable = False
         self.version = 0
-        self.ignored_at = float("-inf")
+        self.ignored_at = self.late_logged_at = float("-inf")
         self.lock = threading.RLock()
         self.stopping = threading.Event()
 
@@ -306,12 +310,14 @@
                 return None
             documents = tuple(self.newest_documents.values())
             entries = tuple(self.newest_entries.values())
+            now = self.clock.boottime()
             return FeedNews(
                 self.host,
-                self.freshness.age_s(self.clock.boottime()),
+                self.freshness.age_s(now),
                 encode_batch(snapshot_at(self.document_place, documents)),
                 encode_batch(snapshot_at(self.entry_place, entries)),
                 self.document.version,
+                sent_s=now,
             )
 
     def should_read(self, now: float) -> bool:
@@ -391,8 +397,9 @@
             self.apply(documents, entries, began)
             self.record_read_duration(self.clock.boottime() - began)
         if news is not None:
-            age_s, version = self.clock.boottime() - began, self.document.version
-            self.broadcast(replace(news, age_s=age_s, version=version))
+            now, version = self.clock.boottime(), self.document.version
+            age_s = now - began
+            self.broadcast(replace(news, age_s=age_s, version=version, sent_s=now))
         if self.answers_orders():
             self.rollouts.answer_orders()
 
@@ -490,13 +497,22 @@
             entry is None or entry != held or record.key in self.table.pending_removals
         )
 
-    def apply_news(self, news: FeedNews) -> None:
+    def apply_news(self, news: FeedNews, late_s: float = 0.0) -> None:
         """Apply what another host has read.
 
         News that starts beyond the last record of this host leaves a gap. It is
         ignored, and the host reads the store itself when its state is too old.
+
+        Parameters
+        ----------
+        late_s : float
+            Longest time that the news may have been on the way, in seconds. It confirms
+            nothing if that is infinite.
         """
-        began = self.clock.boottime() - news.age_s
+        age_s = news.age_s + late_s
+        began = self.clock.boottime() - age_s
+        if late_s > LATE_NEWS_S:
+            self.log_late(news, late_s)
         is_full = news.documents.start < 0
         with self.lock:
             self.requests.is_heard |= is_full
@@ -509,7 +525,8 @@
             else:
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
-                self.record_read_duration(news.age_s)
+                if math.isfinite(age_s):
+                    self.record_read_duration(age_s)
                 self.apply(
                     decode_batch(news.documents), decode_batch(news.entries), began
                 )
@@ -517,6 +534,20 @@
         if not is_full and self.requests.named_version > self.document.version:
             self.request_state()
 
+    def log_late(self, news: FeedNews, late_s: float) -> None:
+        """Log news that was long on the way, at most one line a second."""
+        now = self.clock.boottime()
+        if now - self.late_logged_at < LOG_INTERVAL_S:
+            return
+        self.late_logged_at = now
+        extra = {
+            "sender": news.host,
+            "late_s": round(late_s, 3) if math.isfinite(late_s) else None,
+            "read_before_s": round(news.age_s, 3),
+            "age_s": self.age_s(),
+        }
+        log.info("News of a peer was late", extra=extra)
+
     def ignore_news(self, news: FeedNews, fits: Iterable[Fit]) -> None:
         """Take no more than a newer document from news of another place."""
         if Fit.GAP in fits:
@@ -613,7 +644,14 @@
                     (self.entry_place, ()),
                 )
             ]
-            news = FeedNews(self.host, self.age_s(), *batches, self.document.version)
+            now = self.clock.boottime()
+            news = FeedNews(
+                self.host,
+                self.freshness.age_s(now),
+                *batches,
+                self.document.version,
+                sent_s=now,
+            )
         log.info(
             "Told the others of a document that the store has lost",
             extra={"version": self.document.version, "place": place},
@@ -644,7 +682,7 @@
     ) -> None:
         """Log what is not applied and why, at most one line a second."""
         now = self.clock.boottime()
-        if now - self.ignored_at < IGNORED_LOG_INTERVAL_S:
+        if now - self.ignored_at < LOG_INTERVAL_S:
             return
         self.ignored_at = now
         log.info(
--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -46,6 +46,8 @@
         seconds. It is a duration because hosts share no clock.
     version : int
         Version of the document in force at the sender; -1 from hosts that name none.
+    sent_s : float or None
+        Clock of the sender at the sending, in seconds; None from hosts that don't tell.
     """
 
     host: HostId
@@ -53,3 +55,4 @@
     documents: RawBatch
     entries: RawBatch
     version: int = -1
+    sent_s: float | None = None
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -22,6 +22,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
 from godwitladder.membership.messages import Hello, Proof
+from godwitladder.membership.peer_clocks import PeerClock
 
 log = component_logger("peers")
 
@@ -65,6 +66,8 @@
         Whether the writer has been scheduled to run.
     dialled : bool
         Whether this host opened the connection.
+    peer_clock : PeerClock
+        The peer's clock, by which the age of its messages is known.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.ready = asyncio.Event()
         self.wake_scheduled = False
         self.dialled = False
+        self.peer_clock = PeerClock()
 
     def send(self, data: bytes) -> bool:
         """Queue an encoded message; return False if the queue is full."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -36,6 +36,7 @@
 from godwitladder.membership.members import Members
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
+from godwitladder.membership.peer_clocks import ClockTold, ClockWanted, PeerClocks
 from godwitladder.membership.router import Router
 from godwitladder.metrics import Metrics
 from godwitladder.paths.connector import Connector
@@ -198,6 +199,7 @@
             self.coordinator.request = self.status_writer.request
         self.allocator_ticker = Ticker(clock, IDLE_TICK_S)
         self.coordinator.wake = self.allocator_ticker.tick_in
+        self.peer_clocks = PeerClocks(clock)
         self.mesh = Mesh(
             settings.host,
             settings.listen.peers,
@@ -242,7 +244,7 @@
         self.feed.broadcast = self.mesh.broadcast
         self.feed.send_request = self.ask_peer
         self.router.message_handlers[FeedNews] = lambda link, news: (
-            self.feed.apply_news(news)
+            self.feed.apply_news(news, self.peer_clocks.age_s(link, news.sent_s))
         )
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
         self.quarantine = QuarantineGate(
@@ -254,6 +256,8 @@
             self.router.message_handlers[kind] = self.receive_quarantine_event
         self.router.message_handlers[KnownCrashes] = self.receive_known_crashes
         handlers = self.router.message_handlers
+        handlers[ClockWanted] = self.peer_clocks.receive_wanted
+        handlers[ClockTold] = self.peer_clocks.receive_told
         handlers[StreamBegan] = self.origins.receive_began
         handlers[OriginWanted] = self.origins.receive_wanted
         handlers[OriginKnown] = self.origins.receive_known
@@ -290,6 +294,8 @@
     def link_up(self, link: Link) -> None:
         """Report a new link to the membership, and ask the peer for missing data."""
         self.membership.tell(LinkUp(link))
+        # Before the request for data, whose age is known only after the answer.
+        self.peer_clocks.ask(link)
         self.feed.request_state(lambda wanted: link.send(encode(wanted)))
         # A host that starts or was cut off would send requests that crash targets to
         # further ones.
