Read the store to the end before a document is confirmed

Cause: a read returns 1,024 KB of records at most and names the end of the topic; the client dropped that end, so a part of the changes confirmed the document that a later one replaces.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -25,6 +25,12 @@
     return Batch(min(place.offset, batch.next), batch.next, kept, batch.era)
 
 
+def join(first: Batch, second: Batch) -> Batch:
+    """Return a batch and the one that continues it as one."""
+    records = (*first.records, *second.records)
+    return replace(second, start=first.start, records=records)
+
+
 def snapshot_at(place: Place, records: tuple[Record, ...]) -> Batch:
     """Return the records of all keys as known at ``place``."""
     return Batch(-1, place.offset, records, place.era)
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -22,6 +22,7 @@
     decode_batch,
     drop_known,
     encode_batch,
+    join,
     merge_copy,
     snapshot_at,
 )
@@ -84,6 +85,9 @@
 """Shortest interval between two lines about what is not applied, or was late."""
 LATE_NEWS_S = 1.0
 """Time on the way from which news is logged as late."""
+MAX_FURTHER_READS = 4
+"""Reads of one topic in a row, after the first; a snapshot is shorter than so many
+changes."""
 MAX_READS_FOR_ERA = 3
 """Reads of both topics until both are of one era."""
 OUTAGE_THRESHOLD_S = 1.5
@@ -412,15 +416,22 @@
         self.read_s = min(seconds, MAX_READ_S)
 
     def fetch(self, read: Callable[[int], Batch], place: Place) -> Batch:
-        """Read from ``place``; read a snapshot if it is gone or of another era.
+        """Read all records from ``place`` on; a snapshot if it is of another era.
 
-        In another era, records before the place may have changed too.
+        In another era, records before the place may have changed too. A snapshot is
+        also read if the place is gone, or too many records follow it. What is returned
+        is never a part of the records: it would confirm a document that a later record
+        replaces.
         """
         try:
             batch = read(place.offset)
+            for _ in range(MAX_FURTHER_READS):
+                if batch.is_whole or batch.era != place.era:
+                    break
+                batch = join(batch, read(batch.next))
         except StoreTrimmed:
             return read(-1)
-        if batch.is_snapshot or batch.era == place.era:
+        if batch.is_snapshot or (batch.is_whole and batch.era == place.era):
             return batch
         return read(-1)
 
@@ -442,9 +453,16 @@
             log.info("Store available", extra={"away_s": round(away_s, 3)})
         self.reachable = True
 
-    def age_s(self) -> float:
-        """Return the time since the state was last confirmed, in seconds."""
-        return round(self.freshness.age_s(self.clock.boottime()), 3)
+    def age_s(self, confirmed_at: float = -math.inf) -> float:
+        """Return the time since the state was last confirmed, in seconds.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            A confirmation that is not recorded yet.
+        """
+        now = self.clock.boottime()
+        return round(min(self.freshness.age_s(now), now - confirmed_at), 3)
 
     def make_news(self, documents: Batch, entries: Batch) -> FeedNews | None:
         """Return the news to broadcast after a read, or None for none.
@@ -578,7 +596,6 @@
             changed |= self.rollouts.apply(
                 documents, self.clock.boottime(), confirmed_at
             )
-            self.freshness.confirm(began)
         if fits[1] is Fit.APPLIES:
             if entries.is_snapshot and self.is_other_era(entries):
                 entries = merge_copy(entries, self.newest_entries, self.knows_better)
@@ -587,7 +604,10 @@
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
         if changed:
-            self.publish_view()
+            self.publish_view(began)
+        # Only now: until the view is in force, keys are looked up in the one before.
+        if fits[0] is Fit.APPLIES:
+            self.freshness.confirm(began)
         if self.pending_replies:
             self.answer_pending()
 
@@ -740,8 +760,14 @@
             changed |= self.table.keep_only(keys, now)
         return changed
 
-    def publish_view(self) -> None:
-        """Publish a new view of the current state, as soon as it may be used."""
+    def publish_view(self, confirmed_at: float = -math.inf) -> None:
+        """Publish a new view of the current state, as soon as it may be used.
+
+        Parameters
+        ----------
+        confirmed_at : float
+            Time at which the state was the newest, if that is not recorded yet.
+        """
         self.is_unpublished = not self.trusts_store(self.clock.boottime())
         if self.is_unpublished:
             return
@@ -756,7 +782,7 @@
                 "targets": len(targets),
                 "leaving": [row.name for row in targets if row.leaving],
                 "held_back": sorted(unproved),
-                "age_s": self.age_s(),
+                "age_s": self.age_s(confirmed_at),
             },
         )
         rollouts = self.rollouts.orders_to_try()
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -53,18 +53,27 @@
     era : Era
         Era of the store in which the offsets count. A store that comes back from a
         copy begins a new one, and gives offsets out again.
+    end : int
+        Offset at which the stream ended as it was read; -1 if that is ``next``. One
+        read returns a limited part of the records.
     """
 
     start: int
     next: int
     records: tuple[Record, ...]
     era: Era = NO_ERA
+    end: int = -1
 
     @property
     def is_snapshot(self) -> bool:
         """Whether this is a snapshot: keys that it lacks have been deleted."""
         return self.start < 0
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether there were no further records as this was read."""
+        return self.next >= self.end
+
 
 @dataclass(frozen=True)
 class RolloutStatus:
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -59,7 +59,7 @@
             newest = self.store.newest(topic)
             return Batch(-1, newest.next, newest.records, newest.era)
         read = self.store.read(topic, offset)
-        return Batch(offset, read.next, read.records, read.era)
+        return Batch(offset, read.next, read.records, read.era, read.end)
 
     def read_hosts(self) -> tuple[ListedHost, ...]:
         """Return the hosts that have registered themselves in the store."""
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -47,11 +47,22 @@
 
 @dataclass(frozen=True)
 class StoreRecords:
-    """Records of one topic, the offset of the next read, and the era of both."""
+    """Records of one topic.
+
+    Attributes
+    ----------
+    next : int
+        Offset of the next read.
+    era : Era
+        Era in which the offsets count.
+    end : int
+        Offset at which the topic ended; beyond ``next`` if there are more records.
+    """
 
     records: tuple[Record, ...]
     next: int
     era: Era
+    end: int
 
 
 @dataclass(frozen=True)
@@ -125,14 +136,14 @@
                 rows = page["entries"]
                 records += [_parse_newest_record(row) for row in rows]
                 if not page.get("hasMore") or not rows:
-                    return StoreRecords(tuple(records), end, era)
+                    return StoreRecords(tuple(records), end, era, end)
                 after = str(rows[-1]["key"])
             except INVALID_PAGE as error:
                 raise StoreUnavailable(f"invalid page of records: {error!r}") from error
         raise StoreUnavailable(f"{topic} has more than {MAX_PAGES} pages")
 
     def read(self, topic: str, offset: int) -> StoreRecords:
-        """Return the records of ``topic`` from ``offset`` on.
+        """Return the records of ``topic`` from ``offset`` on, as many as one read has.
 
         Raises
         ------
@@ -145,7 +156,8 @@
         query = {"topic": topic, "part": 0, "from": offset}
         answer = self._request("GET", names.READ, query)
         records = parse_records(answer.data, offset)
-        return StoreRecords(records, offset + len(records), answer.era)
+        end, _ = HEADER.unpack_from(answer.data)
+        return StoreRecords(records, offset + len(records), answer.era, end)
 
     def append(self, topic: str, key: str, value: bytes, at: int | None = None) -> None:
         """Append one record; an empty value removes the key.
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -189,6 +189,9 @@
             the host is stopping or at its limit, or the document is missing or too
             old.
         """
+        # Before the document is looked up: a confirmation that comes between the two
+        # would hold for a later document.
+        current = self.freshness.is_fresh(self.clock.boottime())
         in_force = self.in_force
         document = in_force.document
         if self.refusing:
@@ -203,7 +206,6 @@
         route = in_force.routes.find(
             parse_host_header(environ.get("HTTP_HOST", "")), path.partition("?")[0]
         )
-        current = self.freshness.is_fresh(self.clock.boottime())
         if route is None:
             # An outdated document may lack a route that has been added since.
             self.require_current(current)
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -23,6 +23,7 @@
 from godwitladder.platform import names
 
 RECORD_LENGTH = struct.Struct(">I")
+MAX_READ_BYTES = 1_048_576
 READ_HEADER = struct.Struct(">QQ")
 FALL_S = 2.0
 """Seconds after which an engine that has fallen over is back."""
@@ -260,13 +261,19 @@
 
 
 def read_page(partition: Partition, start: int) -> tuple[int, bytes]:
-    """Return the status and body of a read from offset ``start`` on."""
+    """Return the status and body of a read from offset ``start`` on.
+
+    The body has one record at least, and else no more than `MAX_READ_BYTES`.
+    """
     if not partition.first_offset <= start <= len(partition.records):
         return 410, json.dumps({"firstOffset": partition.first_offset}).encode()
     body = READ_HEADER.pack(len(partition.records), partition.first_offset)
     for key, value in partition.records[start:]:
         content = bytes([len(key.encode())]) + key.encode() + value
-        body += RECORD_LENGTH.pack(len(content)) + content
+        row = RECORD_LENGTH.pack(len(content)) + content
+        if len(body) + len(row) > MAX_READ_BYTES and len(body) > READ_HEADER.size:
+            break
+        body += row
     return 200, body
 
 
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -283,6 +283,23 @@
     assert len(bench.runs()) == 1
 
 
+def test_a_confirmation_of_a_later_document_accepts_no_key_of_this_one(stack):
+    """Guards against a revoked key that runs as its revocation becomes known."""
+    bench = Bench(stack)
+    bench.freshness.confirmed_at -= 10
+    before = bench.app.in_force
+
+    class ConfirmingRoutes:
+        def find(self, host, path):
+            bench.app.in_force = index_document(type(before.document)())
+            bench.freshness.confirm(bench.clock.boottime())
+            return before.routes.find(host, path)
+
+    bench.app.in_force = dataclasses.replace(before, routes=ConfirmingRoutes())
+    assert bench.call("/charge/x").status == 503
+    assert not bench.runs()
+
+
 def test_a_host_without_a_document_refuses_calls(stack):
     bench = Bench(stack)
     bench.app.in_force = index_document(type(bench.app.in_force.document)())
