--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -63,7 +63,7 @@
 from godwitladder.scheduler.quotas import SharingHosts
 from godwitladder.scheduler.rows import Tables
 from godwitladder.scheduler.ticker import Ticker
-from godwitladder.serving.answer_memory import AnswerMemory
+from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import BoundedServer
@@ -270,7 +270,7 @@
             tables.brittle,
         )
         self.watch = CallWatcher(clock)
-        self.answer_memory = AnswerMemory(settings.answers)
+        self.call_memory = CallMemory(settings.answers)
         self.app = RoutedApp(
             codec,
             self.make_proxy(codec),
@@ -368,7 +368,7 @@
             self.sharing_hosts.count,
             self.connector,
             self.origins,
-            self.answer_memory,
+            self.call_memory,
             Pace(self.clock),
             self.rollouts,
         )
@@ -389,7 +389,7 @@
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
         listen, threads = settings.listen, settings.limits.threads
         self.caller_server = self.serve(self.app, listen.callers, threads)
-        self.caller_server.memory = self.answer_memory
+        self.caller_server.memory = self.call_memory
         self.caller_server.connections.count = self.count_connection
         self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -7,7 +7,7 @@
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
-from godwitladder.serving.answer_memory import (
+from godwitladder.serving.call_memory import (
     BLOCK_BYTES,
     GROWTH_SHARE,
     RESERVED_BYTES,
--- a/godwitladder/serving/answer_memory.py
+++ b/godwitladder/serving/call_memory.py
@@ -24,7 +24,7 @@
 for the block that each call may still write."""
 
 
-class AnswerMemory:
+class CallMemory:
     """Memory for all answers under way in this host.
 
     Parameters
@@ -84,7 +84,7 @@
 
     Parameters
     ----------
-    memory : AnswerMemory
+    memory : CallMemory
         The memory of the host.
 
     Attributes
@@ -93,7 +93,7 @@
         Bytes taken beyond the reservation.
     """
 
-    def __init__(self, memory: AnswerMemory) -> None:
+    def __init__(self, memory: CallMemory) -> None:
         self.memory = memory
         self.is_open = False
         self.extra = 0
--- a/godwitladder/serving/events.py
+++ b/godwitladder/serving/events.py
@@ -11,7 +11,7 @@
 
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.wire import AnswerShape, MalformedAnswer, MayHaveRun
-from godwitladder.serving.answer_memory import DEFAULT_LIMITS
+from godwitladder.serving.call_memory import DEFAULT_LIMITS
 from godwitladder.serving.call_watcher import OpenCall
 from godwitladder.serving.upstream import read_block
 
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -23,7 +23,7 @@
 from godwitladder.drain import is_busy, is_readable
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
-from godwitladder.serving.answer_memory import AnswerMemory
+from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
 from godwitladder.serving.threads import ElasticDispatcher
@@ -359,7 +359,7 @@
     ----------
     closing : bool
         Whether responses announce that their connection closes.
-    memory : AnswerMemory
+    memory : CallMemory
         Accounts for the output that waits for callers.
     max_busy : int
         Number of requests in progress from which new connections are left unread.
@@ -379,7 +379,7 @@
         max_connections: int,
     ) -> None:
         self.closing = False
-        self.memory = AnswerMemory()
+        self.memory = CallMemory()
         self.max_busy = NO_LIMIT
         self.busy: int | None = None
         self.max_connections = max_connections
--- a/godwitladder/serving/plain_answers.py
+++ b/godwitladder/serving/plain_answers.py
@@ -13,7 +13,7 @@
 from godwitladder.engines.wire import AnswerShape, MalformedAnswer, MayHaveRun
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
-from godwitladder.serving.answer_memory import BLOCK_BYTES
+from godwitladder.serving.call_memory import BLOCK_BYTES
 from godwitladder.serving.upstream import StreamTruncated, caller_headers, read_block
 
 if TYPE_CHECKING:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -38,9 +38,9 @@
     Withdrawn,
 )
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.serving.answer_memory import AnswerMemory, AnswerShare
 from godwitladder.serving.answers import internal_fault
 from godwitladder.serving.call_log import CallLog
+from godwitladder.serving.call_memory import AnswerShare, CallMemory
 from godwitladder.serving.call_watcher import AbortCause, CallWatcher, OpenCall
 from godwitladder.serving.counting import CountedAnswer
 from godwitladder.serving.dispatch_reporter import DispatchReporter
@@ -101,7 +101,7 @@
         Connects calls to their targets.
     origins : StreamOriginRegistry
         At which version streams began.
-    memory : AnswerMemory
+    memory : CallMemory
         Memory for the answers under way.
     pace : Pace
         Paces the answers that are passed on.
@@ -120,7 +120,7 @@
     count_hosts: Callable[[], int]
     connector: Connector
     origins: StreamOriginRegistry
-    memory: AnswerMemory
+    memory: CallMemory
     pace: Pace
     rollouts: HostRollouts = field(default_factory=HostRollouts)
 
--- a/godwitladder/serving/upstream.py
+++ b/godwitladder/serving/upstream.py
@@ -12,7 +12,7 @@
 )
 from godwitladder.findings import GodwitladderError
 from godwitladder.routing.calls import HeaderCodec
-from godwitladder.serving.answer_memory import BLOCK_BYTES
+from godwitladder.serving.call_memory import BLOCK_BYTES
 from godwitladder.serving.call_watcher import OpenCall
 
 MIN_FINAL_STATUS = 200
--- a/tests/serving/test_answer_memory.py
+++ b/tests/serving/test_call_memory.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies as st
 
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.serving.answer_memory import (
+from godwitladder.serving.call_memory import (
     BLOCK_BYTES,
     RESERVED_BYTES,
-    AnswerMemory,
     AnswerShare,
+    CallMemory,
 )
 
 LIMITS = AnswerLimits(memory_mb=10.0, memory_share=0.1)
@@ -17,7 +17,7 @@
 
 def test_what_is_held_leaves_room_for_calls_to_begin():
     """Guards against large answers that keep all other calls out."""
-    memory = AnswerMemory(LIMITS)
+    memory = CallMemory(LIMITS)
     first, second = AnswerShare(memory), AnswerShare(memory)
     assert first.open() and first.hold(LARGE)
     assert second.open()
@@ -27,7 +27,7 @@
 
 def test_a_call_beyond_the_memory_is_not_begun():
     """Guards against calls that begin without memory for their answers."""
-    memory = AnswerMemory(LIMITS)
+    memory = CallMemory(LIMITS)
     shares = [AnswerShare(memory) for _ in range(100)]
     opened = [share for share in shares if share.open()]
     assert len(opened) == memory.max_bytes // RESERVED_BYTES
@@ -35,7 +35,7 @@
 
 def test_one_block_needs_no_more_than_the_reservation():
     """Guards against small answers that can't be held where memory is short."""
-    memory = AnswerMemory(LIMITS)
+    memory = CallMemory(LIMITS)
     share = AnswerShare(memory)
     assert share.open()
     assert memory.take(memory.max_bytes - memory.used)
@@ -46,7 +46,7 @@
 @given(st.lists(st.tuples(st.integers(0, 4), st.integers(-1, 600_000)), max_size=60))
 def test_the_bytes_in_use_are_those_of_the_open_shares(steps):
     """Guards against memory that is lost, or given back twice."""
-    memory = AnswerMemory(LIMITS)
+    memory = CallMemory(LIMITS)
     shares = [AnswerShare(memory) for _ in range(5)]
     for number, count in steps:
         share = shares[number]
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -39,7 +39,7 @@
     TargetLost,
 )
 from godwitladder.scheduler.rows import Dispatch
-from godwitladder.serving.answer_memory import AnswerMemory
+from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.pacing import Pace
 from godwitladder.serving.proxying import MAX_UNTRIED_ROUNDS, RoutedProxy
@@ -178,7 +178,7 @@
         self.origins = StreamOriginRegistry("h1", FakePeers(), self.clock)
         self.rollouts = HostRollouts()
         self.metrics = Metrics()
-        self.memory = AnswerMemory(limits)
+        self.memory = CallMemory(limits)
         proxy = RoutedProxy(
             form,
             self.scheduler,
