Take the memory of long bodies before they are read

Cause: nothing accounted for bodies, up to 176 were read at once, and each was held by the listener, copied for its call and again for its digest.

Change: bodies take their memory from the account of calls before they are read; a request without room is left unread for 0.3 s, the first that waits first, and is then refused as not run. A body is held once. The listener of the product's own interface does the same.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -50,6 +50,7 @@
 from godwitladder.serving.listener import limit_writes
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.proxying import RoutedProxy
+from godwitladder.serving.request_bodies import read_whole_body
 
 log = component_logger("routing")
 
@@ -411,8 +412,9 @@
 
 def digest_call(workspace: str, path: str, body: bytes) -> BodyDigest:
     """Return the digest by which a repeated call is recognized."""
-    text = f"{workspace}\n{path}\n".encode() + body
-    return BodyDigest(hashlib.blake2b(text, digest_size=12).hexdigest())
+    digest = hashlib.blake2b(f"{workspace}\n{path}\n".encode(), digest_size=12)
+    digest.update(body)
+    return BodyDigest(digest.hexdigest())
 
 
 def read_headers(environ: Mapping) -> Headers:
@@ -438,7 +440,7 @@
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > max_bytes:
         raise _refused(Reason.TOO_LARGE, f"A body of {length} bytes is too large.")
-    return environ["wsgi.input"].read(length) if length else b""
+    return read_whole_body(environ)
 
 
 def _refused(
--- a/godwitladder/serving/call_memory.py
+++ b/godwitladder/serving/call_memory.py
@@ -1,9 +1,10 @@
-"""Accounts for the bytes that a host holds of the answers under way.
+"""Accounts for the bytes that a host holds of the calls under way.
 
-Answers are held until they are complete, parts of events until the rest has come, and
-what callers read slowly until they have read it. A host has little memory, and hundreds
-of answers at once; without a common bound, targets that send without end or callers
-that read slowly end the host and all its calls.
+Bodies of requests are held until their calls end, answers until they are complete,
+parts of events until the rest has come, and what callers read slowly until they have
+read it. A host has little memory, and hundreds of calls at once; without a common
+bound, callers that send long bodies or read slowly, and targets that send without end,
+end the host and all its calls.
 
 A call reserves what it needs to pass an answer on block by block before it is sent. All
 else is taken from a part of the memory that never reaches into these reservations, so
@@ -11,6 +12,7 @@
 """
 
 import threading
+from collections.abc import Hashable
 
 from godwitladder.engines.answer_limits import AnswerLimits
 
@@ -22,10 +24,15 @@
 GROWTH_SHARE = 0.5
 """Part of the memory up to which answers may be held. The rest is for reservations and
 for the block that each call may still write."""
+BODY_SHARE = 0.8
+"""Part of the memory up to which long bodies are taken in."""
+SHORT_BODY_SHARE = 0.9
+"""The same for short ones, so that a few long ones don't keep all others out."""
+SHORT_BODY_BYTES = 131_072
 
 
 class CallMemory:
-    """Memory for all answers under way in this host.
+    """Memory for all calls under way in this host.
 
     Parameters
     ----------
@@ -35,11 +42,13 @@
     Attributes
     ----------
     max_bytes : int
-        Bytes that all answers may hold.
+        Bytes that all calls may hold.
     max_growth_bytes : int
         Bytes in use up to which a call may hold more than it has reserved.
     used, peak : int
         Bytes in use now, and the most since the start.
+    waiting : dict
+        Requests that wait for memory for their bodies, the first one first.
     """
 
     def __init__(self, limits: AnswerLimits = DEFAULT_LIMITS) -> None:
@@ -48,6 +57,7 @@
         self.max_growth_bytes = int(self.max_bytes * GROWTH_SHARE)
         self.used = 0
         self.peak = 0
+        self.waiting: dict[Hashable, None] = {}
         self.lock = threading.Lock()
 
     def take(self, count: int) -> bool:
@@ -58,6 +68,35 @@
         """Take ``count`` bytes beyond a reservation, and return whether that worked."""
         return self._take(count, self.max_growth_bytes)
 
+    def take_body(self, request: Hashable, count: int, is_begun: bool) -> bool:
+        """Take ``count`` bytes for the body of a request; return whether that worked.
+
+        If not, the request waits, and none with a long body that comes later goes
+        before it.
+
+        Parameters
+        ----------
+        is_begun : bool
+            Whether the request has some memory. It must go on, as others wait for that.
+        """
+        is_short = count <= SHORT_BODY_BYTES
+        share = SHORT_BODY_SHARE if is_short else BODY_SHARE
+        with self.lock:
+            first = next(iter(self.waiting), request)
+            is_next = is_short or is_begun or first is request
+            if not is_next or self.used + count > int(self.max_bytes * share):
+                self.waiting[request] = None
+                return False
+            self.waiting.pop(request, None)
+            self._add(count)
+            return True
+
+    def release_body(self, request: Hashable, count: int) -> None:
+        """Give back what a request has taken; it waits no longer."""
+        with self.lock:
+            self.waiting.pop(request, None)
+            self._add(-count)
+
     def add(self, change: int) -> None:
         """Add to the bytes in use, without a check; ``change`` may be negative."""
         with self.lock:
--- a/godwitladder/serving/callers.py
+++ b/godwitladder/serving/callers.py
@@ -26,6 +26,7 @@
 from godwitladder.serving.keyed import BODY_KEY, KeyedCalls
 from godwitladder.serving.keys import KEYS_PATH, issue_key
 from godwitladder.serving.problems import answer_problem
+from godwitladder.serving.request_bodies import read_whole_body
 from godwitladder.serving.resuming import resume_request
 from godwitladder.settings import Settings
 
@@ -155,7 +156,7 @@
         length = int(environ.get("CONTENT_LENGTH") or 0)
         if length > self.settings.limits.body_bytes:
             raise deny(Reason.TOO_LARGE, f"A body of {length} bytes is too large.")
-        return environ["wsgi.input"].read(length)
+        return read_whole_body(environ)
 
 
 def authenticate(environ: Mapping, config: ConfigState) -> Caller:
--- a/godwitladder/serving/connections.py
+++ b/godwitladder/serving/connections.py
@@ -24,7 +24,8 @@
 
     Of those that are accepted, each is then read, closed unread, refused, or left by
     its client before it has sent a whole request. One that has been idle is closed to
-    make room for a new one.
+    make room for a new one. The body of a request is dropped if there is no memory for
+    it; the caller is told so.
     """
 
     ACCEPTED = "accepted"
@@ -34,6 +35,7 @@
     REFUSED = "refused"
     LEFT = "left"
     IDLE_CLOSED = "idle_closed"
+    BODY_DROPPED = "body_dropped"
 
 
 UNUSUAL_EVENTS = frozenset(
@@ -42,6 +44,7 @@
         ConnectionEvent.CLOSED_UNREAD,
         ConnectionEvent.REFUSED,
         ConnectionEvent.IDLE_CLOSED,
+        ConnectionEvent.BODY_DROPPED,
     }
 )
 
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -26,6 +26,11 @@
 from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
+from godwitladder.serving.request_bodies import (
+    MAX_STARVED_S,
+    BoundedRequest,
+    NoMemory,
+)
 from godwitladder.serving.threads import ElasticDispatcher
 from godwitladder.settings import LimitSettings, TlsSettings
 from godwitladder.tls import server_context
@@ -56,6 +61,9 @@
 # Threads kept free to send refusals while all others serve requests.
 RESERVED_THREADS = 16
 RESERVED_CONNECTIONS = 64
+NO_MEMORY_RETRY_S = "0.5"
+"""Retry-After, in seconds, where a host has no memory for a body. Another host probably
+has some at once; this one has when a call ends."""
 NO_OVERFLOW_BYTES = 1 << 40
 NO_LIMIT = 1 << 30
 MAX_UNREAD_S = 0.3
@@ -117,6 +125,8 @@
     def execute(self) -> None:
         """Write the response and close the connection."""
         error = self.request.error
+        if isinstance(error, NoMemory):
+            self.response_headers.append(("Retry-After", NO_MEMORY_RETRY_S))
         self.status = f"{error.code} {error.reason}"
         body = encode_problem(error.code, error.reason, str(error.body))
         self.response_headers.append(("Content-Type", PROBLEM_TYPE))
@@ -221,7 +231,40 @@
         if self.is_new and not self.may_be_read(now):
             self.hold(now)
             return False
-        return super().readable()
+        return self.has_memory(now) and super().readable()
+
+    def parser_class(self, adjustments: Adjustments) -> BoundedRequest:
+        """Return a new request, which waitress fills with what it reads."""
+        return BoundedRequest(adjustments, self.server.memory)
+
+    def has_memory(self, now: float) -> bool:
+        """Return whether the request may be read on.
+
+        One that has waited too long is refused: its body is dropped as it comes, since
+        a caller that still sends would not see an answer before the connection closes.
+        """
+        request = self.request
+        if request is None or request.starved_since is None or request.reserve():
+            return True
+        drops_at = request.starved_since + MAX_STARVED_S
+        if now < drops_at:
+            self.server.unread.wake_by(drops_at, now)
+            return False
+        self.server.connections.record(ConnectionEvent.BODY_DROPPED)
+        memory = self.server.memory
+        extra = {
+            "caller": self.addr[0],
+            "needed_bytes": request.needed_bytes(),
+            "used_bytes": memory.used,
+            "max_bytes": memory.max_bytes,
+            "waiting": len(memory.waiting),
+        }
+        log.info("A body is dropped for lack of memory", extra=extra)
+        if not request.headers_finished:
+            self.will_close = True
+            return False
+        request.drop_rest()
+        return True
 
     def may_be_read(self, now: float) -> bool:
         """Return whether to read a new connection now."""
@@ -311,6 +354,8 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTING_LINGER)
         if not (self.brought_request or self.will_close or self.close_when_flushed):
             self.server.connections.record(ConnectionEvent.LEFT)
+        if self.request is not None:
+            self.request.close()
         super().handle_close()
 
     def handle_read(self) -> None:
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -59,10 +59,10 @@
     def peer(self):
         return f"127.0.0.1:{self.ports[3]}"
 
-    def get(self, port, path, method="GET", headers=None):
+    def get(self, port, path, method="GET", headers=None, body=None):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
         with contextlib.closing(connection):
-            connection.request(method, path, headers=headers or {})
+            connection.request(method, path, body, headers=headers or {})
             answer = connection.getresponse()
             return answer.status, dict(answer.getheaders()), answer.read()
 
@@ -75,20 +75,20 @@
     def status(self):
         return json.loads(self.get(self.ports[2], "/v1/status")[2])
 
-    def call(self, path, key="k1", attempt="a1", more_headers=None):
+    def call(self, path, key="k1", attempt="a1", more_headers=None, body=None):
         headers = {
             "Host": "shop.example",
             "Godwitladder-Attempt-Id": attempt,
             "Godwitladder-Deadline-Ms": "5000",
             "Authorization": f"Bearer {key}",
         } | (more_headers or {})
-        return self.get(self.ports[0], path, "POST", headers)
+        return self.get(self.ports[0], path, "POST", headers, body)
 
 
 class Fleet:
     """A store, two engines and two hosts."""
 
-    def __init__(self, stack, folder):
+    def __init__(self, stack, folder, more_settings=""):
         self.store = self.register_cleanup(stack, start_store())
         self.engines = {
             f"e{n}": self.register_cleanup(stack, start_engine()) for n in range(2)
@@ -96,8 +96,9 @@
         self.store.standin.put_config(make_config(1))
         for name in self.engines:
             self.register_engine(name)
-        first = Host(stack, folder, "h1", self.store, [])
-        self.hosts = [first, Host(stack, folder, "h2", self.store, [first.peer])]
+        first = Host(stack, folder, "h1", self.store, [], more_settings)
+        second = Host(stack, folder, "h2", self.store, [first.peer], more_settings)
+        self.hosts = [first, second]
         wait_until(lambda: all(host.ready() for host in self.hosts), "hosts")
         wait_until(self.joined, "one mesh")
 
