A request tells of a stream only to hosts that were there before it

Cause: after the loss the only record of a request is that of a newer, equal one, which the lookup took for the stream's. That each peer answered proved nothing, as each was as young as the question.

Change: an answer tells for how long its host has recorded streams. What is known of a request counts only if all that may know have recorded for as long as a stream can be taken up, and no host was lost meanwhile; else the stream is refused.

Two tests of unnamed streams had hosts that had just started; they are there for long now, as what they ask for holds for those alone.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -515,6 +515,7 @@
             new = set(message.hosts) - set(self.hosts)
             self.hosts = message.hosts
             self.sharing_hosts.update(message.hosts)
+            self.origins.update_hosts(message.hosts)
             self.hubs = self.origins.hubs = message.hubs
             self.feed.hosts = message.allocators
             self.connector.set_peers(message.peers)
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -1,6 +1,7 @@
 """Tells other hosts at which version streams began, and asks them."""
 
 import itertools
+import math
 import queue
 import threading
 from collections.abc import Callable, Collection
@@ -9,6 +10,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.placing.stream_origins import (
+    KEEP_S,
     ReleaseHistory,
     StreamName,
     StreamOrigin,
@@ -53,11 +55,15 @@
     ----------
     is_ambiguous : bool
         Whether equal requests are known to have begun at different versions.
+    watched_s : float
+        Time since the answering host began to record streams, in seconds; 0 from hosts
+        that don't tell.
     """
 
     question: int
     origin: StreamOrigin | None
     is_ambiguous: bool = False
+    watched_s: float = 0.0
 
 
 class Peers(Protocol):
@@ -95,6 +101,12 @@
         Services and versions that targets have now.
     questions : dict
         Queue of the answers to each open question of this host.
+    started : float
+        Monotonic time since which this host records streams, in seconds.
+    hosts : frozenset of HostId
+        Live hosts.
+    lost_at : float
+        Monotonic time at which a host was last lost, in seconds.
     """
 
     def __init__(
@@ -114,6 +126,9 @@
         self.history = ReleaseHistory()
         self.questions: dict[int, queue.SimpleQueue[OriginKnown]] = {}
         self.numbers = itertools.count(1)
+        self.started = clock.monotonic()
+        self.hosts: frozenset[HostId] = frozenset()
+        self.lost_at = -math.inf
         self.lock = threading.Lock()
 
     def update_targets(self, present: frozenset[StreamOrigin]) -> None:
@@ -123,6 +138,12 @@
             self.present = present
             self.history.observe(present, self.clock.monotonic())
 
+    def update_hosts(self, hosts: Collection[HostId]) -> None:
+        """Set the live hosts; what a lost one knew may be lost with it."""
+        if not self.hosts <= set(hosts):
+            self.lost_at = self.clock.monotonic()
+        self.hosts = frozenset(hosts)
+
     def record(self, stream: StreamName, origin: StreamOrigin) -> None:
         """Record that a stream has begun, before its first event is passed on.
 
@@ -176,7 +197,8 @@
         """Return the origin of all streams of equal requests, if they have one.
 
         Any host may have begun another such stream at another version. All have to
-        answer, and to agree.
+        answer, to agree, and to have been there since before the stream can have begun:
+        what a younger one knows is of newer streams alone.
         """
         count = len(self.candidate_links())
         answers = self.ask(stream, lambda answer: answer.is_ambiguous)
@@ -186,7 +208,23 @@
         is_ambiguous = any(row.is_ambiguous for row in answers)
         if is_ambiguous or len(answers) < count or len(known) != 1:
             return None
-        return known.pop()
+        return known.pop() if self.have_watched_s(answers) >= KEEP_S else None
+
+    def have_watched_s(self, answers: Collection[OriginKnown]) -> float:
+        """Return for how long all hosts have recorded streams, in seconds.
+
+        Parameters
+        ----------
+        answers : collection of OriginKnown
+            The answers of all peers that may know a stream.
+        """
+        since_loss_s = self.clock.monotonic() - self.lost_at
+        watched = [row.watched_s for row in answers]
+        return min(self.watched_s(), since_loss_s, *watched)
+
+    def watched_s(self) -> float:
+        """Return for how long this host has recorded streams, in seconds."""
+        return self.clock.monotonic() - self.started
 
     def is_ambiguous(self, stream: StreamName) -> bool:
         """Return whether this host knows equal requests of different versions."""
@@ -256,7 +294,10 @@
         with self.lock:
             origin = self.origins.find(message.stream)
             is_ambiguous = self.origins.is_ambiguous(message.stream)
-        link.send(encode(OriginKnown(message.question, origin, is_ambiguous)))
+        answer = OriginKnown(
+            message.question, origin, is_ambiguous, watched_s=self.watched_s()
+        )
+        link.send(encode(answer))
 
     def receive_known(self, link: Link, message: OriginKnown) -> None:
         """Take a peer's answer; it may be too late."""
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -14,6 +14,9 @@
 START_TIMEOUT_S = 40.0
 FAULT_INTERVAL_S = 2.0
 CUT_DURATION_S = 1.5
+LOSS_INTERVAL_S = 6.0
+LOSS_DURATION_S = 1.0
+"""Time for which no host runs after all were killed together."""
 CONTACT_S = 3.0
 """Seconds within which hosts in touch have learned of something, and after which a
 disturbed host is in touch again."""
@@ -25,6 +28,7 @@
     NONE = "none"
     KILL = "kill"
     CUT = "cut"
+    LOSE_ALL = "lose_all"
 
 
 class HostFaults:
@@ -34,6 +38,8 @@
     ----------
     disturbed : dict
         Begin and end of the faults of each host, in monotonic seconds.
+    losses : list
+        Begin and end of the times without any host, in monotonic seconds.
     """
 
     def __init__(
@@ -48,11 +54,15 @@
         self.rng = rng
         self.stop_event = stop_event
         self.disturbed: dict[str, list[tuple[float, float]]] = {}
+        self.losses: list[tuple[float, float]] = []
 
     def run(self) -> None:
         """Disturb hosts until the run ends."""
         if self.kind is HostFault.NONE:
             return
+        if self.kind is HostFault.LOSE_ALL:
+            self.lose_all_again_and_again()
+            return
         while not self.stop_event.wait(FAULT_INTERVAL_S):
             host = self.rng.choice(self.fleet.hosts)
             begin = time.monotonic()
@@ -63,10 +73,30 @@
             rows = self.disturbed.setdefault(host.name, [])
             rows.append((begin, time.monotonic()))
 
+    def lose_all_again_and_again(self) -> None:
+        """Kill all hosts together and start them again, until the run ends."""
+        while not self.stop_event.wait(LOSS_INTERVAL_S):
+            begin = time.monotonic()
+            for host in self.fleet.hosts:
+                host.kill()
+            self.stop_event.wait(LOSS_DURATION_S)
+            for host in self.fleet.hosts:
+                host.start()
+            for host in self.fleet.hosts:
+                self.await_ready(host)
+            end = time.monotonic()
+            self.losses.append((begin, end))
+            for host in self.fleet.hosts:
+                self.disturbed.setdefault(host.name, []).append((begin, end))
+
     def restart(self, host: Host) -> None:
         """Kill a host, start it, and wait until it serves or the run ends."""
         host.kill()
         host.start()
+        self.await_ready(host)
+
+    def await_ready(self, host: Host) -> None:
+        """Wait until a host serves or the run ends."""
         while not host.is_ready() and not self.stop_event.wait(0.05):
             pass
 
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import random
 import re
@@ -47,7 +48,9 @@
 class VersionRunSize:
     """Size of a run: numbers of its parts, its faults, its duration in seconds.
 
-    ``framed`` tells whether streams come in chunks; others end with their connection.
+    ``framed`` tells whether streams come in chunks; others end with their connection,
+    ``names_attempt`` whether callers name the attempt that they take up, and ``bodies``
+    how many different requests there are, 0 for one of its own for each stream.
     """
 
     hosts: int = 6
@@ -57,6 +60,8 @@
     fault: HostFault = HostFault.NONE
     rolls: bool = False
     framed: bool = True
+    names_attempt: bool = True
+    bodies: int = 1
 
 
 @dataclass
@@ -65,6 +70,8 @@
 
     Attributes
     ----------
+    body : bytes
+        Body of its request.
     first_attempt : str
         Attempt that brought the first event; empty before it.
     events : list of tuple
@@ -73,6 +80,7 @@
         Whether one answer held events of two versions.
     """
 
+    body: bytes = b"x"
     first_attempt: str = ""
     events: list[tuple[int, str]] = field(default_factory=list)
     within_answer: bool = False
@@ -178,18 +186,53 @@
         count = 0
         while not self.stop_event.wait(PAUSE_S):
             count += 1
-            stream = Stream()
+            stream = Stream(self.make_body(rng, f"{number}-{count}"))
             self.read_stream(rng, stream, f"s{number}-{count}")
             with self.lock:
                 self.history.streams.append(stream)
 
+    def make_body(self, rng: random.Random, name: str) -> bytes:
+        """Return the body of a new stream."""
+        if not self.size.bodies:
+            return name.encode()
+        return b"x%d" % rng.randrange(self.size.bodies)
+
     def read_stream(self, rng: random.Random, stream: Stream, name: str) -> None:
         """Read one stream, and take it up again when it breaks."""
-        for number in range(MAX_TRIES):
+        deadline = time.monotonic() + CALL_TIMEOUT_S
+        broken: list[tuple[float, int]] = []
+        for number in itertools.count():
             self.read_part(rng.choice(self.fleet.hosts), stream, f"{name}-{number}")
             if stream.is_complete or self.stop_event.is_set():
-                return
+                break
+            broken.append((time.monotonic(), len(stream.events)))
+            if number + 1 >= MAX_TRIES and not self.may_try_on(deadline):
+                break
             time.sleep(RETRY_PAUSE_S)
+        self.count_loss(stream, broken)
+
+    def may_try_on(self, deadline: float) -> bool:
+        """Return whether a caller goes on until its deadline."""
+        is_loss = self.size.fault is HostFault.LOSE_ALL
+        return is_loss and time.monotonic() < deadline
+
+    def count_loss(self, stream: Stream, broken: list[tuple[float, int]]) -> None:
+        """Count a stream that broke as all hosts were lost, and whether it went on.
+
+        Parameters
+        ----------
+        broken : list of tuple
+            Time and number of events at each break.
+        """
+        held = [
+            events
+            for at, events in broken
+            if events and any(begin <= at <= end for begin, end in self.faults.losses)
+        ]
+        if held and not self.stop_event.is_set():
+            with self.lock:
+                self.history.taken_up += 1
+                self.history.went_on += len(stream.events) > held[0]
 
     def read_part(self, host: Host, stream: Stream, attempt: str) -> None:
         """Send one attempt and read what it brings."""
@@ -206,7 +249,7 @@
             if is_new:
                 self.history.asked += 1
                 self.history.begun += bool(events)
-            else:
+            elif self.size.fault is not HostFault.LOSE_ALL:
                 self.history.taken_up += 1
                 self.history.went_on += bool(events)
 
@@ -224,14 +267,15 @@
         }
         if stream.events:
             headers[names.LAST_EVENT] = str(stream.events[-1][0])
-            headers[names.RESUMES] = stream.first_attempt
+            if self.size.names_attempt:
+                headers[names.RESUMES] = stream.first_attempt
         connection = http.client.HTTPConnection(
             host.caller_address, timeout=CALL_TIMEOUT_S
         )
         content = b""
         with contextlib.closing(connection):
             try:
-                connection.request("POST", "/resume/stream/x", b"x", headers)
+                connection.request("POST", "/resume/stream/x", stream.body, headers)
                 answer = connection.getresponse()
                 if answer.status != 200:
                     return []
@@ -302,6 +346,8 @@
     rolls: bool = False,
     framed: bool = True,
     hosts: int = 6,
+    unnamed: bool = False,
+    bodies: int = 1,
     logs: str = "",
 ) -> None:
     """Play one run, and exit with status 1 if a guarantee was violated.
@@ -313,13 +359,17 @@
     seconds : float
         Duration of the run in seconds.
     fault : str
-        What disturbs the hosts: none, kill or cut.
+        What disturbs the hosts: none, kill, cut or lose_all.
     rolls : bool
         Whether targets are replaced by others of a third version.
     framed : bool
         Whether streams come in chunks.
     hosts : int
         Number of host processes.
+    unnamed : bool
+        Whether callers don't name the attempt that they take up.
+    bodies : int
+        Number of different requests; 0 for one of its own for each stream.
     logs : str
         Directory for the logs of the hosts.
     """
@@ -329,6 +379,8 @@
         fault=HostFault(fault),
         rolls=rolls,
         framed=framed,
+        names_attempt=not unnamed,
+        bodies=bodies,
     )
     outcome = run_version_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -14,7 +14,11 @@
 from godwitladder.decisions.limits.cooldowns import Cooldowns
 from godwitladder.decisions.limits.rate_limits import RateLimits
 from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
-from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.placing.stream_origins import (
+    KEEP_S,
+    StreamName,
+    StreamOrigin,
+)
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.wire import NoConnection
 from godwitladder.metrics import Metrics
@@ -584,6 +588,7 @@
     """Guards against refusing each caller that doesn't say which stream it takes up."""
     bench = Bench(stack, engines=2)
     bench.scheduler.release = "v7"
+    bench.origins.started -= KEEP_S
     bench.call("/resume/stream/x", body=b"prompt")
     answer = bench.call("/resume/stream/x", body=b"prompt", HTTP_LAST_EVENT_ID="2")
     assert answer.status == 200
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -2,10 +2,15 @@
 
 import threading
 
+import cbor2
 import pytest
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.placing.stream_origins import StreamName, StreamOrigin
+from godwitladder.decisions.placing.stream_origins import (
+    KEEP_S,
+    StreamName,
+    StreamOrigin,
+)
 from godwitladder.membership.codec import decode, encode
 from godwitladder.serving.stream_origins import (
     OriginKnown,
@@ -63,6 +68,8 @@
         }
         for registry in self.registries.values():
             registry.update_targets(frozenset({V1, V2}))
+            # As if started long ago.
+            registry.started -= KEEP_S
 
     def up(self):
         return [host for host in self.registries if host not in self.gone]
@@ -117,6 +124,40 @@
         assert registry.find("core", UNNAMED) == V1
 
 
+def test_a_newer_equal_request_tells_nothing_after_all_hosts_were_lost():
+    """Guards against a stream that goes on at the version of another, newer one."""
+    net = Net(*HOSTS)
+    for registry in net.registries.values():
+        registry.started = registry.clock.monotonic()
+    net.registries["h0"].record(StreamName("a2", "b1"), V2)
+    for registry in net.registries.values():
+        assert registry.find("core", UNNAMED) is None
+
+
+def test_a_newer_equal_request_tells_nothing_beside_one_young_host():
+    net = Net(*HOSTS)
+    net.registries["h3"].started = net.registries["h3"].clock.monotonic()
+    net.registries["h0"].record(StreamName("a2", "b1"), V2)
+    for registry in net.registries.values():
+        assert registry.find("core", UNNAMED) is None
+
+
+def test_an_equal_request_tells_nothing_after_a_host_was_lost():
+    """Guards against a stream that the lost host alone knew."""
+    net = Net(*HOSTS)
+    net.registries["h0"].record(StreamName("a2", "b1"), V2)
+    registry = net.registries["h1"]
+    registry.update_hosts(HOSTS)
+    assert registry.find("core", UNNAMED) == V2
+    registry.update_hosts(HOSTS[:-1])
+    assert registry.find("core", UNNAMED) is None
+
+
+def test_a_host_of_an_earlier_version_tells_not_for_how_long_it_knows():
+    answer = decode(cbor2.dumps(["OriginKnown", [1, None, False]]))
+    assert answer.watched_s == 0.0
+
+
 def test_equal_requests_at_two_versions_tell_nothing():
     """Guards against a stream that goes on where another caller's equal one began."""
     net = Net("h0")
