Record in the store at which version streams begin, for the loss of all hosts

Cause: where a stream began was known to three hosts alone.

A stream that no host knows is looked for there. A caller that names no attempt is recognized by its request only if just one stream of that request has begun and no live host knows of another.

--- a/godwitladder/decisions/placing/stream_origins.py
+++ b/godwitladder/decisions/placing/stream_origins.py
@@ -149,12 +149,18 @@
         """
         if self.watched_since is None or now - self.watched_since < KEEP_S:
             return None
+        releases = self.recent_releases(service, present, now)
+        return releases.pop() if len(releases) == 1 else None
+
+    def recent_releases(
+        self, service: ServiceName, present: Collection[StreamOrigin], now: float
+    ) -> set[Release]:
+        """Return the versions that a service is known to have had for `KEEP_S`."""
         self.observe(present, now)
         self.present_at = {
             row: at for row, at in self.present_at.items() if now - at < KEEP_S
         }
-        releases = {row.release for row in self.present_at if row.service == service}
-        return releases.pop() if len(releases) == 1 else None
+        return {row.release for row in self.present_at if row.service == service}
 
 
 def choose_replica_hosts(
--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -1,7 +1,8 @@
-"""Peer messages that carry the contents of the store."""
+"""Messages that carry the contents of the store, or are stored in it."""
 
 from dataclasses import dataclass
 
+from godwitladder.decisions.placing.stream_records import StreamRecord
 from godwitladder.discovery.source import NO_ERA
 from godwitladder.ids import Era, HostId
 from godwitladder.membership.codec import peer_message
@@ -56,3 +57,11 @@
     entries: RawBatch
     version: int = -1
     sent_s: float | None = None
+
+
+@peer_message
+@dataclass(frozen=True)
+class StreamBatch:
+    """Streams that one host has begun lately, as a record of the store."""
+
+    records: tuple[StreamRecord, ...] = ()
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -24,7 +24,17 @@
 
 
 class StoreTrimmed(GodwitladderError):
-    """The store does not have the requested records, or no longer."""
+    """The store does not have the requested records, or no longer.
+
+    Parameters
+    ----------
+    first_offset : int
+        Offset of the first record that it has; 0 if it does not tell.
+    """
+
+    def __init__(self, text: str, first_offset: int = 0) -> None:
+        super().__init__(text)
+        self.first_offset = first_offset
 
 
 class StoreMoved(GodwitladderError):
@@ -147,3 +157,15 @@
 
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if there is no usable one."""
+
+    def append_streams(self, value: bytes) -> None:
+        """Append a record of streams that have begun."""
+
+    def read_streams(self, offset: int) -> Batch:
+        """Return the records of streams from ``offset`` on, as many as one read has.
+
+        Raises
+        ------
+        StoreTrimmed
+            The store does not have the records at ``offset``.
+        """
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -53,6 +53,9 @@
 ENTRIES_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
 STATUS_TOPIC = "keyed.status"
+STREAMS_TOPIC = "streams"
+"""Not keyed, so that its records expire; each has the form of a keyed one all the same,
+with an empty key."""
 ROLLOUT_PREFIX = "rollout/"
 STATUS_ORDER = "order"
 """Field of a status with the offset of the order that it answers. The same version may
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -129,6 +129,15 @@
         key = names.ROLLOUT_PREFIX + order.service
         self.store.append(names.STATUS_TOPIC, key, value, at)
 
+    def append_streams(self, value: bytes) -> None:
+        """Append a record of streams that have begun."""
+        self.store.append(names.STREAMS_TOPIC, "", value)
+
+    def read_streams(self, offset: int) -> Batch:
+        """Return the records of streams from ``offset`` on."""
+        read = self.store.read(names.STREAMS_TOPIC, offset)
+        return Batch(offset, read.next, read.records, read.era, read.end)
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if the entry is invalid."""
         result = decode_entry(record.key, record.value)
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -193,7 +193,8 @@
         except FAILED_REQUEST as error:
             raise StoreUnavailable(f"{path} did not answer: {error}") from error
         if answer.status == 410:
-            raise StoreTrimmed(f"{path}: the store does not have the records")
+            text = f"{path}: the store does not have the records"
+            raise StoreTrimmed(text, _parse_first_offset(answer.data))
         if answer.status == 412:
             raise StoreMoved(f"{path}: {answer.data[:MAX_QUOTED_BYTES]!r}")
         if answer.status != 200:
@@ -214,6 +215,15 @@
     return body
 
 
+def _parse_first_offset(data: bytes) -> int:
+    """Return the first offset that the store has; 0 if it does not tell."""
+    try:
+        first = _parse_json(names.READ, data).get("firstOffset", 0)
+    except StoreUnavailable:
+        return 0
+    return first if is_integer(first, 0) else 0
+
+
 def _parse_era(text: str | None, default: Era) -> Era:
     if text is None or not (text.isascii() and text.isdigit()):
         return default
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -76,6 +76,7 @@
     StreamBegan,
     StreamOriginRegistry,
 )
+from godwitladder.serving.stream_recorder import StreamRecorder
 from godwitladder.supervision import watch_threads
 
 log = component_logger("daemon")
@@ -213,6 +214,9 @@
         self.origins = StreamOriginRegistry(
             settings.host, self.mesh, clock, self.knows_targets
         )
+        self.origins.recorder = StreamRecorder(
+            source, clock, self.origins.has_versions, lambda: len(self.hosts)
+        )
         self.connector = Connector(
             clock,
             self.metrics,
@@ -384,6 +388,7 @@
         self.start_component(Ticker(self.clock, heartbeat_s), self.membership)
         self.start_component(self.watch)
         self.start_component(self.feed)
+        self.start_component(self.origins.recorder)
         if self.status_writer is not None:
             self.start_component(self.status_writer)
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -525,7 +525,8 @@
         row = self.call.row
         if not self.call.route.resumable:
             return
+        goes_on = bool(row.release)
         row.release = row.release or self.evidence.dispatch.release
         origin = StreamOrigin(row.service, row.release)
         stream = StreamName(AttemptId(self.call.metadata.attempt), row.body)
-        self.proxy.origins.record(stream, origin)
+        self.proxy.origins.record(stream, origin, goes_on)
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -17,10 +17,12 @@
     StreamOrigins,
     choose_replica_hosts,
 )
+from godwitladder.decisions.placing.stream_records import StreamRecord
 from godwitladder.ids import HostId, ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode, peer_message
 from godwitladder.membership.links import Link
+from godwitladder.serving.stream_recorder import StreamRecorder
 
 log = component_logger("streams")
 
@@ -107,6 +109,8 @@
         Live hosts.
     lost_at : float
         Monotonic time at which a host was last lost, in seconds.
+    recorder : StreamRecorder or None
+        Writes streams to the store and finds them there; None without a store.
     """
 
     def __init__(
@@ -129,6 +133,7 @@
         self.started = clock.monotonic()
         self.hosts: frozenset[HostId] = frozenset()
         self.lost_at = -math.inf
+        self.recorder: StreamRecorder | None = None
         self.lock = threading.Lock()
 
     def update_targets(self, present: frozenset[StreamOrigin]) -> None:
@@ -144,12 +149,21 @@
             self.lost_at = self.clock.monotonic()
         self.hosts = frozenset(hosts)
 
-    def record(self, stream: StreamName, origin: StreamOrigin) -> None:
+    def record(
+        self, stream: StreamName, origin: StreamOrigin, goes_on: bool = False
+    ) -> None:
         """Record that a stream has begun, before its first event is passed on.
 
         Other hosts are told unless they can tell by themselves.
+
+        Parameters
+        ----------
+        goes_on : bool
+            Whether an earlier attempt had brought its first event.
         """
         now = self.clock.monotonic()
+        if self.recorder is not None:
+            self.recorder.record(StreamRecord(stream, origin, goes_on))
         with self.lock:
             self.origins.record(stream, origin, now)
         if self.find_only(origin.service) is not None:
@@ -171,9 +185,11 @@
             origin = self.find_named(stream)
         else:
             origin = self.find_unnamed(stream)
-        source = "record"
+        source = "hosts"
         if origin is None and not self.is_ambiguous(stream):
             origin, source = self.find_only(service), "only version"
+        if origin is None and self.may_be_recorded(stream):
+            origin, source = self.recorder.find(stream), "store"
         extra = {
             "resumes": stream.attempt,
             "body": stream.body[:8],
@@ -193,6 +209,32 @@
         answers = self.ask(stream, lambda answer: answer.origin is not None)
         return next((row.origin for row in answers if row.origin is not None), None)
 
+    def may_be_recorded(self, stream: StreamName) -> bool:
+        """Return whether the store may tell of a stream that no host knows.
+
+        What hosts know of a request without a named attempt is of newer streams, or of
+        several.
+        """
+        if self.recorder is None:
+            return False
+        if stream.attempt:
+            return True
+        links = self.candidate_links()
+        answers = self.ask(stream, knows_request)
+        with self.lock:
+            own = OriginKnown(
+                0, self.origins.find(stream), self.origins.is_ambiguous(stream)
+            )
+        is_unknown = not any(map(knows_request, (own, *answers)))
+        return is_unknown and len(answers) == len(links)
+
+    def has_versions(self, service: ServiceName) -> bool:
+        """Return whether a service has had targets of several versions of late."""
+        with self.lock:
+            now = self.clock.monotonic()
+            releases = self.history.recent_releases(service, self.present, now)
+        return len(releases) > 1
+
     def find_unnamed(self, stream: StreamName) -> StreamOrigin | None:
         """Return the origin of all streams of equal requests, if they have one.
 
@@ -304,3 +346,8 @@
         answers = self.questions.get(message.question)
         if answers is not None:
             answers.put(message)
+
+
+def knows_request(answer: OriginKnown) -> bool:
+    """Return whether a host knows a stream of the request that it was asked for."""
+    return answer.is_ambiguous or answer.origin is not None
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -48,9 +48,10 @@
 class VersionRunSize:
     """Size of a run: numbers of its parts, its faults, its duration in seconds.
 
-    ``framed`` tells whether streams come in chunks; others end with their connection,
-    ``names_attempt`` whether callers name the attempt that they take up, and ``bodies``
-    how many different requests there are, 0 for one of its own for each stream.
+    ``pause_s`` is the time between two events of a stream in seconds; ``framed`` tells
+    whether streams come in chunks, and others end with their connection;
+    ``names_attempt`` tells whether callers name the attempt that they take up; and
+    ``bodies`` is the number of different requests, 0 for one of its own a stream.
     """
 
     hosts: int = 6
@@ -60,6 +61,7 @@
     fault: HostFault = HostFault.NONE
     rolls: bool = False
     framed: bool = True
+    pause_s: float = PAUSE_S
     names_attempt: bool = True
     bodies: int = 1
 
@@ -70,20 +72,20 @@
 
     Attributes
     ----------
-    body : bytes
-        Body of its request.
     first_attempt : str
         Attempt that brought the first event; empty before it.
     events : list of tuple
         Number and version of each event, in order.
     within_answer : bool
         Whether one answer held events of two versions.
+    body : bytes
+        Body of its request.
     """
 
-    body: bytes = b"x"
     first_attempt: str = ""
     events: list[tuple[int, str]] = field(default_factory=list)
     within_answer: bool = False
+    body: bytes = b"x"
 
     @property
     def is_complete(self) -> bool:
@@ -186,7 +188,7 @@
         count = 0
         while not self.stop_event.wait(PAUSE_S):
             count += 1
-            stream = Stream(self.make_body(rng, f"{number}-{count}"))
+            stream = Stream(body=self.make_body(rng, f"{number}-{count}"))
             self.read_stream(rng, stream, f"s{number}-{count}")
             with self.lock:
                 self.history.streams.append(stream)
@@ -321,7 +323,7 @@
     fleet = make_fleet(stack, folder, size.hosts, size.targets, size.fault)
     for number, target in enumerate(fleet.targets):
         target.version = target.knobs.version = VERSIONS[number % len(VERSIONS)]
-        target.knobs.pause_s = PAUSE_S
+        target.knobs.pause_s = size.pause_s
         target.knobs.events = EVENTS
         target.knobs.framed = size.framed
         target.knobs.cut_probability = CUT_PROBABILITY
