Use slower answers of a peer's clock once the best one expires

Only the best answer of the last minute was kept. Where later ones were slower by a millisecond, news of that peer confirmed nothing for a moment each minute, and the peer was asked with all its news from 20 s on. Answers that may still be of use are kept in order now, and questions go out each 20 s. Found on reading; the test of slower answers fails on the code before.

--- a/godwitladder/membership/peer_clocks.py
+++ b/godwitladder/membership/peer_clocks.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -69,39 +70,38 @@
 
     Attributes
     ----------
-    offset_s : float
-        Least difference between this host's clock and the peer's at the same moment.
-    measured_at : float
-        Time of the question whose answer tells so.
+    answers : deque of (float, float)
+        Time of each question whose answer may be used, the oldest first, and the least
+        difference between both clocks that the answer tells. It falls from one to the
+        next: an answer that tells no more than a later one is not kept.
     asked_at : float
         Time of the last question.
     """
 
     def __init__(self) -> None:
-        self.offset_s = -math.inf
-        self.measured_at = -math.inf
+        self.answers: deque[tuple[float, float]] = deque()
         self.asked_at = -math.inf
 
     def record(self, told: ClockTold, now: float) -> None:
-        """Record an answer; the tightest one of late is used."""
+        """Record an answer."""
         if told.asked_s > now:
             return
         offset_s = told.asked_s - told.clock_s
-        if offset_s >= self.offset_s or not self.is_known(now):
-            self.offset_s, self.measured_at = offset_s, told.asked_s
-
-    def is_known(self, now: float) -> bool:
-        """Return whether an answer is recent enough to be used."""
-        return now - self.measured_at <= MAX_MEASUREMENT_AGE_S
+        while self.answers and self.answers[-1][1] <= offset_s:
+            self.answers.pop()
+        self.answers.append((told.asked_s, offset_s))
 
     def longest_since(self, peer_time: float, now: float) -> float:
         """Return the longest time that may have passed since ``peer_time``.
 
         Infinite if the peer's clock is not known.
         """
-        if not self.is_known(now):
+        while self.answers and now - self.answers[0][0] > MAX_MEASUREMENT_AGE_S:
+            self.answers.popleft()
+        if not self.answers:
             return math.inf
-        return max(0.0, now - self.offset_s - peer_time)
+        _, offset_s = self.answers[0]
+        return max(0.0, now - offset_s - peer_time)
 
     def is_due(self, late_s: float, now: float) -> bool:
         """Return whether to ask again.
@@ -113,7 +113,7 @@
         """
         if now - self.asked_at < MIN_INTERVAL_S:
             return False
-        return late_s > LATE_S or now - self.measured_at >= REFRESH_INTERVAL_S
+        return late_s > LATE_S or now - self.asked_at >= REFRESH_INTERVAL_S
 
 
 class PeerClocks:
--- a/tests/membership/test_peer_clocks.py
+++ b/tests/membership/test_peer_clocks.py
@@ -121,6 +121,20 @@
             pair.carry()
 
 
+def test_slower_answers_bridge_the_end_of_the_best_one(pair):
+    """Guards against news that confirm nothing each time that an answer expires."""
+    pair.near.clocks.ask(pair.near)
+    pair.carry()
+    for count in range(1, 100):
+        pair.advance(REFRESH_INTERVAL_S / 2)
+        assert pair.age_s(pair.far_clock.boottime()) <= 0.05
+        if pair.near.sent:
+            # Each answer is slower than the one before for a while.
+            pair.advance(0.01 * (count % 4))
+            pair.carry()
+    assert len(pair.near.peer_clock.answers) <= 5
+
+
 def test_an_answer_to_a_question_of_the_future_is_dropped(pair):
     """Guards against a faulty peer that makes its messages look new for ever."""
     now = pair.near_clock.boottime()
