--- a/soak/versions.py
+++ b/soak/versions.py
@@ -51,7 +51,8 @@
     ``pause_s`` is the time between two events of a stream in seconds; ``framed`` tells
     whether streams come in chunks, and others end with their connection;
     ``names_attempt`` tells whether callers name the attempt that they take up; and
-    ``bodies`` is the number of different requests, 0 for one of its own a stream.
+    ``bodies`` is the number of different requests, 0 for one of its own a stream;
+    ``versions`` is the number of versions that targets have at the start.
     """
 
     hosts: int = 6
@@ -64,6 +65,7 @@
     pause_s: float = PAUSE_S
     names_attempt: bool = True
     bodies: int = 1
+    versions: int = 2
 
 
 @dataclass
@@ -322,7 +324,7 @@
     """Return a fleet that has started, whose targets are of two versions in turn."""
     fleet = make_fleet(stack, folder, size.hosts, size.targets, size.fault)
     for number, target in enumerate(fleet.targets):
-        target.version = target.knobs.version = VERSIONS[number % len(VERSIONS)]
+        target.version = target.knobs.version = VERSIONS[number % size.versions]
         target.knobs.pause_s = size.pause_s
         target.knobs.events = EVENTS
         target.knobs.framed = size.framed
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -21,6 +21,7 @@
     "all_hosts_are_lost_and_no_attempt_is_named": dataclasses.replace(
         LOST, names_attempt=False
     ),
+    "all_hosts_are_lost_at_one_version": dataclasses.replace(LOST, versions=1),
     "without_chunks": dataclasses.replace(SIZE, framed=False, fault=HostFault.KILL),
 }
 
