Restart an allocator's role for its own errors alone

Only what a role alone holds is given up now; an error of rollouts ends the process as before. test_an_error_of_what_roles_share: red on the code before.

--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -173,19 +173,24 @@
         """Run the roles that are due, and send their offers."""
         tables = self.tables
         for name in self.due & set(tables.roles):
-            try:
-                self.run_role(tables.roles[name], now)
-            except Exception:
-                log.exception("A pool could not be allocated")
-                self.restart_role(name)
+            self.run_role(name, now)
         self.due.clear()
 
-    def run_role(self, role: PoolRole, now: float) -> None:
-        """Run one role and send its offers."""
-        tables = self.tables
+    def run_role(self, name: PoolName, now: float) -> None:
+        """Run one role and send its offers; a role that fails begins anew.
+
+        Errors of what roles share are not handled: they would leave it in doubt.
+        """
+        tables, role = self.tables, self.tables.roles[name]
         if role.is_warmed_up(tables.hosts, now):
             tables.rollouts.run_steps(role.trials, role.term, now)
-        for offer in role.run(tables.hosts, now):
+        try:
+            offers = role.run(tables.hosts, now)
+        except Exception:
+            log.exception("A pool could not be allocated")
+            self.restart_role(name)
+            return
+        for offer in offers:
             account = role.account(offer.host, now)
             offer = tables.rollouts.notify(role.trials, offer)
             self.send(account.via or offer.host, offer)
@@ -237,20 +242,18 @@
         if role is None:
             self.forward(message, message.pool)
             return
+        now = self.clock.monotonic()
         try:
-            self.take_report(role, message)
+            is_due = role.take_report(message, now)
         except Exception:
             extra = {"host": message.host, "number": message.number}
             log.exception("A report could not be applied", extra=extra)
             self.restart_role(message.pool)
-
-    def take_report(self, role: PoolRole, report: PoolReport) -> None:
-        """Apply a host's report to the role of its pool."""
-        now = self.clock.monotonic()
-        if role.take_report(report, now) or role.trials.rows:
-            self.due.add(report.pool)
+            return
+        if is_due or role.trials.rows:
+            self.due.add(message.pool)
         sent_at = now - role.delays.recent_peak_s(now)
-        if self.tables.rollouts.take_report(role.trials, report, sent_at):
+        if self.tables.rollouts.take_report(role.trials, message, sent_at):
             self.update_roles()
 
     @take.register
--- a/tests/scheduler/test_allocator.py
+++ b/tests/scheduler/test_allocator.py
@@ -255,3 +255,17 @@
     actor.on_receive(Tick())
     offers = [message for _, message in sent if isinstance(message, GrantOffer)]
     assert [grant.request for grant in offers[0].grants] == ["r"]
+
+
+def test_an_error_of_what_roles_share_is_not_passed_over(monkeypatch):
+    """Guards against rollouts that go on in a state that nobody knows."""
+    actor, clock, _ = make_allocator(holder_of(make_allocator("h0")[0]))
+    clock.advance(WARM_UP_S)
+
+    def fail(*args):
+        raise ValueError("rollouts")
+
+    monkeypatch.setattr(actor.tables.rollouts, "take_report", fail)
+    with pytest.raises(ValueError, match="rollouts"):
+        actor.on_receive(report(actor, "h0"))
+    assert actor.restarts == 0
