Let a request that has ended wait for memory no longer

It kept the first place of those that wait until its call had ended, and all other long bodies behind it. Its test is red without the change (mutation).

--- a/godwitladder/serving/request_bodies.py
+++ b/godwitladder/serving/request_bodies.py
@@ -104,7 +104,10 @@
             self.body_rcv.buf = BodyBuffer()
         if not self.completed:
             self.reserve()
-        elif self.is_dropped and self.error is None:
+            return consumed
+        # Its end may have come with bytes that had been decrypted before it waited.
+        self.memory.release_body(self, 0)
+        if self.is_dropped and self.error is None:
             self.error = NoMemory("This host has no room for the body now.")
         return consumed
 
--- a/tests/serving/test_request_bodies.py
+++ b/tests/serving/test_request_bodies.py
@@ -120,6 +120,18 @@
     assert memory.used == memory.max_bytes
 
 
+def test_a_request_that_ends_while_it_waits_holds_no_place_before_others():
+    """Guards against a whole request that keeps all long bodies waiting."""
+    memory = CallMemory(LIMITS)
+    memory.add(memory.max_bytes)
+    request = make_request(memory)
+    data = frame(bytes(4 * FREE_BYTES), 9_000)
+    # A connection with TLS is read on while it has decrypted bytes.
+    assert feed(request, data, 8_192) == b""
+    assert request.completed
+    assert not memory.waiting
+
+
 def test_long_bodies_leave_room_for_short_ones():
     """Guards against a few long bodies that keep all other callers out."""
     memory = CallMemory(LIMITS)
