--- a/godwitladder/serving/stream_recorder.py
+++ b/godwitladder/serving/stream_recorder.py
@@ -31,8 +31,8 @@
 """Time for which streams that began at an only version are kept. They are written if
 another version comes meanwhile, and last for some seconds."""
 MAX_KEPT = 5_000
-MAX_BATCH = 1_000
-"""Records in one write; a record of the store has 256 KiB at most."""
+MAX_BATCH = 400
+"""Streams in one write, each below 600 bytes; the store takes 256 KiB at most."""
 READ_INTERVAL_S = 1.0
 RETRY_S = 3.0
 """Time after a read that failed before the next one: calls wait for a read, and a store
