--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -23,6 +23,7 @@
 from godwitladder.membership.codec import encode, peer_message
 from godwitladder.membership.links import Link
 from godwitladder.serving.stream_recorder import StreamRecorder
+from godwitladder.untrusted import MAX_NAME_CHARS
 
 log = component_logger("streams")
 
@@ -161,6 +162,9 @@
         goes_on : bool
             Whether an earlier attempt had brought its first event.
         """
+        # It would be sent to other hosts, and fill what one write may hold.
+        if len(stream.attempt) > MAX_NAME_CHARS:
+            return
         now = self.clock.monotonic()
         if self.recorder is not None:
             self.recorder.record(StreamRecord(stream, origin, goes_on))
@@ -181,6 +185,8 @@
         stream : StreamName
             What the caller says of the stream.
         """
+        if len(stream.attempt) > MAX_NAME_CHARS:
+            return None
         if stream.attempt:
             origin = self.find_named(stream)
         else:
--- a/tests/serving/test_stream_recorder.py
+++ b/tests/serving/test_stream_recorder.py
@@ -241,6 +241,17 @@
     assert fleet.find(name(1)) == {V1}
 
 
+def test_a_long_name_of_an_attempt_is_not_passed_on(setup):
+    """Guards against one caller whose name of an attempt fills links and records."""
+    fleet = LostFleet(setup)
+    long = StreamName("a" * 60_000, "b1")
+    registry = fleet.net.registries["h0"]
+    registry.record(long, V1)
+    assert registry.find("core", long) is None
+    assert fleet.net.messages == []
+    assert not registry.recorder.kept
+
+
 def test_a_registry_knows_which_services_have_several_versions():
     registry = StreamOriginRegistry("h0", None, ManualClock())
     registry.update_targets(frozenset({V1, StreamOrigin("other", "v1")}))
