Say in one last line why a process ends by itself

What callers saw: processes that did not start or ended by themselves, and nothing that says why.

Cause: a failed start left a traceback alone; a component that failed left the name of its thread, and the exit did not wait for the log's queue, so that even this could be lost. Neither says how long the process ran nor what it used against its limits, so that the hypotheses can't be told apart.

Change: the entry point and the host's exit write one structured line at once: status, part, error, seconds since the start, memory, addresses, descriptors and threads with their limits. It is written past the log's queue, and dropped where nobody reads. The queue is waited for, 0.3 s at most. The modules about the life of a process are one package, godwitladder/process. The test of supervision asks for the failed part and its error too.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -1,12 +1,10 @@
 """The entry host: creates its components, connects them and runs until stopped."""
 
-import os
 import signal
 import threading
 
 from aioprometheus import Gauge
 
-from godwitladder.base_host import BaseHost
 from godwitladder.clients.hosts import HostListClient, HostListUnavailable
 from godwitladder.clients.log import LogClient
 from godwitladder.clients.weights import WeightClient
@@ -16,7 +14,6 @@
 from godwitladder.configuration.ledger import Ledger, make_state
 from godwitladder.configuration.messages import ConfigRequest, ConfigSnapshot
 from godwitladder.configuration.replica import Phase
-from godwitladder.drain import count_unfinished
 from godwitladder.ids import Incarnation, Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.actor import (
@@ -36,6 +33,9 @@
 from godwitladder.paths.connector import Connector, ConnectTimeouts
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
+from godwitladder.process.base_host import BaseHost
+from godwitladder.process.drain import count_unfinished
+from godwitladder.process.supervision import watch_threads
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.load import LoadReader
@@ -52,7 +52,6 @@
 from godwitladder.serving.listener import BoundedServer
 from godwitladder.serving.operators import HostStatus, OperatorApp
 from godwitladder.settings import Settings
-from godwitladder.supervision import watch_threads
 
 log = component_logger("daemon")
 
@@ -69,7 +68,6 @@
     only_way_s=2.0, before_tunnel_s=0.5, tunnel_s=1.25, round_s=2.5
 )
 """Targets may be in another region, and a connection there takes some round trips."""
-FAILURE_EXIT_CODE = 70
 
 
 class EntryHost(BaseHost):
@@ -376,6 +374,4 @@
     watch_threads(CRITICAL_THREADS, host.fail)
     host.run()
     if host.failed:
-        # Skip the graceful exit, which waits for the threads of callers: they may
-        # wait for the failed component and would never end.
-        os._exit(FAILURE_EXIT_CODE)
+        host.exit()
--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -21,6 +21,10 @@
 BURST_LINES = 400.0
 """Capacity of the rate limiter's token bucket, in lines."""
 
+WRITTEN_CHECK_INTERVAL_S = 0.01
+EXIT_TIMEOUT_S = 0.3
+"""Longest wait of a process that ends for its queued lines, in seconds."""
+
 
 class ComponentLogger(logging.LoggerAdapter):
     """Logger that prefixes each message with the name of its component."""
@@ -44,6 +48,8 @@
     ----------
     dropped : int
         Number of lines dropped since the last one written.
+    queued, written : int
+        Number of lines that were queued, and written, since the start.
     """
 
     def __init__(self, target: logging.Handler, clock: Clock) -> None:
@@ -52,6 +58,8 @@
         self.target = target
         self.lines: queue.SimpleQueue[logging.LogRecord] = queue.SimpleQueue()
         self.dropped = 0
+        self.queued = 0
+        self.written = 0
         self.tokens = BURST_LINES
         self.refilled_at = self.clock.monotonic()
 
@@ -64,6 +72,7 @@
         if not self.take_token() or self.lines.qsize() >= MAX_QUEUED_LINES:
             self.dropped += 1
             return
+        self.queued += 1
         self.lines.put(record)
 
     def take_token(self) -> bool:
@@ -84,11 +93,27 @@
             if self.dropped:
                 record.dropped_lines, self.dropped = self.dropped, 0
             self.target.handle(record)
+            self.written += 1
 
     def drain(self) -> None:
         """Write the queued records before the process ends."""
         while not self.lines.empty():
             self.target.handle(self.lines.get())
+            self.written += 1
+
+    def wait_until_written(self, timeout_s: float) -> None:
+        """Wait until the writer thread has written all queued records.
+
+        The wait ends early, as a reader of the log may have stopped reading.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait in seconds.
+        """
+        until = self.clock.monotonic() + timeout_s
+        while self.written < self.queued and self.clock.monotonic() < until:
+            self.clock.sleep(WRITTEN_CHECK_INTERVAL_S)
 
 
 def component_logger(component: str) -> ComponentLogger:
@@ -117,6 +142,13 @@
     return handler
 
 
+def flush_logs(timeout_s: float = EXIT_TIMEOUT_S) -> None:
+    """Wait for the queued lines of this process, for ``timeout_s`` seconds at most."""
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedHandler):
+            handler.wait_until_written(timeout_s)
+
+
 def is_first_report(record: logging.LogRecord) -> bool:
     """Return whether a record's error has not been logged before.
 
--- a/godwitladder/platform/__main__.py
+++ b/godwitladder/platform/__main__.py
@@ -16,15 +16,26 @@
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
 
 
-def main() -> None:
-    """Install the signal handlers before importing and running the host."""
-    install_early_signal_handlers()
-    from godwitladder.arenas import limit_arenas
+def start_host() -> None:
+    """Import the host and run it until it is stopped."""
     from godwitladder.platform.host import run_host
+    from godwitladder.process.arenas import limit_arenas
 
     limit_arenas()
     run_host()
 
 
+def main() -> None:
+    """Install the signal handlers, and run the host or report its failed start."""
+    install_early_signal_handlers()
+    # The signal handlers have to come before any other import of the package.
+    from godwitladder.process.exits import end_failed_start
+
+    try:
+        start_host()
+    except Exception as error:
+        end_failed_start(error)
+
+
 if __name__ == "__main__":
     main()
--- a/godwitladder/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import os
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -12,18 +13,21 @@
 import pykka
 
 from godwitladder.clock import Clock
-from godwitladder.drain import close_idle, stop_accepting
 from godwitladder.ids import HostId
-from godwitladder.logs import component_logger
+from godwitladder.logs import component_logger, flush_logs
+from godwitladder.process.drain import close_idle, stop_accepting
+from godwitladder.process.exits import Failure, report_exit
+from godwitladder.process.supervision import supervised
 from godwitladder.serving.listener import BoundedServer, make_listener
 from godwitladder.settings import LimitSettings, TlsSettings
-from godwitladder.supervision import supervised
 
 log = component_logger("daemon")
 
 IDLE_CHECK_INTERVAL_S = 0.1
 IDLE_CHECKS = 3
 SIGNAL_CHECK_INTERVAL_S = 0.5
+FAILURE_EXIT_CODE = 70
+"""Exit status of a host whose component has failed."""
 
 
 class BaseHost:
@@ -44,8 +48,8 @@
         Stops the components in the reverse order of their start.
     stopping : threading.Event
         Set when the host is to stop.
-    failed : bool
-        Whether the host stops because one of its components has failed.
+    failure : Failure or None
+        Why the host stops by itself; None if it does not.
     """
 
     def __init__(self, host: HostId, clock: Clock, limits: LimitSettings) -> None:
@@ -54,7 +58,12 @@
         self.limits = limits
         self.stack = contextlib.ExitStack()
         self.stopping = threading.Event()
-        self.failed = False
+        self.failure: Failure | None = None
+
+    @property
+    def failed(self) -> bool:
+        """Whether the host stops because one of its components has failed."""
+        return self.failure is not None
 
     def start_actor(self, kind: type[pykka.ThreadingActor], *args: Any) -> Any:
         """Start an actor, to be stopped with the host, and return its reference."""
@@ -129,11 +138,27 @@
         """Request a graceful stop."""
         self.stopping.set()
 
-    def fail(self) -> None:
-        """Stop without draining because a component has failed."""
-        self.failed = True
+    def fail(self, failure: Failure) -> None:
+        """Stop without draining because a component has failed.
+
+        The first failure is kept: others may follow from it.
+        """
+        if self.failure is None:
+            self.failure = failure
         self.stopping.set()
 
+    def exit(self) -> None:
+        """End the process, and report why if a component has failed.
+
+        The graceful exit of the interpreter would wait for the threads of callers.
+        They may wait for the failed component and would never end.
+        """
+        flush_logs()
+        if self.failure is None:
+            os._exit(0)
+        report_exit(FAILURE_EXIT_CODE, self.failure)
+        os._exit(FAILURE_EXIT_CODE)
+
     def close_connections(
         self,
         server: BoundedServer,
--- a/godwitladder/supervision.py
+++ b/godwitladder/process/supervision.py
@@ -12,12 +12,16 @@
 import pykka
 
 from godwitladder.logs import component_logger
+from godwitladder.process.exits import Failure
 
 log = component_logger("supervision")
 
+Fail = Callable[[Failure], None]
+"""Ends a host because a part of it has failed."""
+
 
 def supervised(
-    kind: type[pykka.ThreadingActor], fail: Callable[[], None]
+    kind: type[pykka.ThreadingActor], fail: Fail
 ) -> type[pykka.ThreadingActor]:
     """Return a subclass of ``kind`` that calls ``fail`` when an actor of it fails.
 
@@ -26,18 +30,18 @@
     kind : type
         The class of the actor.
     fail : callable
-        Called without arguments, in the thread of the actor, after an exception
-        that the actor did not handle.
+        Called in the thread of the actor, after an exception that the actor did not
+        handle.
     """
 
-    def on_failure(self, *args) -> None:
+    def on_failure(self, _kind, error, _traceback) -> None:
         log.critical("An actor failed", extra={"actor": kind.__name__})
-        fail()
+        fail(Failure(kind.__name__, error))
 
     return type(kind.__name__, (kind,), {"on_failure": on_failure})
 
 
-def watch_threads(names: Collection[str], fail: Callable[[], None]) -> None:
+def watch_threads(names: Collection[str], fail: Fail) -> None:
     """Call ``fail`` when a thread with one of ``names`` ends with an exception.
 
     Any other thread serves one caller or one peer, whose connection closes when
@@ -48,7 +52,7 @@
     names : collection of str
         Names of the threads without which the host can't work.
     fail : callable
-        Called without arguments, in the failed thread.
+        Called in the failed thread.
     """
 
     def excepthook(args) -> None:
@@ -59,6 +63,6 @@
             exc_info=(args.exc_type, args.exc_value, args.exc_traceback),
         )
         if name in names:
-            fail()
+            fail(Failure(name, args.exc_value))
 
     threading.excepthook = excepthook
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -1,6 +1,5 @@
 """A host that serves routed calls: connects its components and runs them."""
 
-import os
 import random
 import signal
 import threading
@@ -8,7 +7,6 @@
 from pathlib import Path
 from typing import get_args
 
-from godwitladder.base_host import BaseHost
 from godwitladder.clock import Clock
 from godwitladder.decisions.limits.quotas import TokenQuotas
 from godwitladder.decisions.limits.retry_budget import RetryBudget, RetryLimits
@@ -18,7 +16,6 @@
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
 from godwitladder.discovery.store_view import StoreView
-from godwitladder.drain import count_unfinished
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
 from godwitladder.logs import component_logger
@@ -42,6 +39,9 @@
 from godwitladder.paths.connector import Connector
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
+from godwitladder.process.base_host import BaseHost
+from godwitladder.process.drain import count_unfinished
+from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.probing import TargetProbe
@@ -77,7 +77,6 @@
     StreamOriginRegistry,
 )
 from godwitladder.serving.stream_recorder import StreamRecorder
-from godwitladder.supervision import watch_threads
 
 log = component_logger("daemon")
 
@@ -98,7 +97,6 @@
 MAX_TARGETS_AGE_S = 2.0
 """Age of the list of targets up to which a version that has just come is known."""
 CRITICAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers", "rollouts"})
-FAILURE_EXIT_CODE = 70
 
 
 class RoutingHost(BaseHost):
@@ -564,5 +562,4 @@
     signal.signal(signal.SIGHUP, lambda *_: host.reload())
     watch_threads(CRITICAL_THREADS, host.fail)
     host.run()
-    # Threads of calls may still run; their results are no longer needed.
-    os._exit(FAILURE_EXIT_CODE if host.failed else 0)
+    host.exit()
--- a/godwitladder/serving/keys.py
+++ b/godwitladder/serving/keys.py
@@ -23,6 +23,7 @@
 from godwitladder.membership.mesh import Mesh
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, refuse
+from godwitladder.process.supervision import Fail, supervised
 from godwitladder.quarantine.records import Cleared, Crash, Lifted
 from godwitladder.quarantine.watch import CrashWatch
 from godwitladder.scheduler.ticker import Ticker
@@ -31,7 +32,6 @@
 from godwitladder.serving.keyed import STOPPING_RETRY_S, KeyedCalls
 from godwitladder.serving.request_ids import RequestLocator, sign_request_id
 from godwitladder.settings import Settings
-from godwitladder.supervision import supervised
 
 if TYPE_CHECKING:
     from godwitladder.serving.callers import CallerApp
@@ -106,7 +106,7 @@
         client: LogClient,
         clock: Clock,
         metrics: Metrics,
-        fail: Callable[[], None],
+        fail: Fail,
     ) -> None:
         self.clock = clock
         self.callers = callers
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -20,9 +20,9 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
 
-from godwitladder.drain import is_busy, is_readable
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
+from godwitladder.process.drain import is_busy, is_readable
 from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
 from godwitladder.serving.problems import PROBLEM_TYPE
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the life of a host's process."""
--- a/tests/test_base_host.py
+++ b/tests/process/test_base_host.py
@@ -5,7 +5,7 @@
 
 SIGNAL_TO_ANOTHER_THREAD = """
 import signal, threading, time
-from godwitladder.base_host import BaseHost
+from godwitladder.process.base_host import BaseHost
 from godwitladder.clock import Clock
 from godwitladder.settings import LimitSettings
 
--- a/tests/test_drain.py
+++ b/tests/process/test_drain.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from godwitladder.drain import (
+from godwitladder.process.drain import (
     accept_all_and_close,
     close_idle_channels,
     count_unfinished,
--- a/tests/test_supervision.py
+++ b/tests/process/test_supervision.py
@@ -1,10 +1,10 @@
 """A component that fails ends its host."""
 
-import threading
+import queue
 
 import pykka
 
-from godwitladder.supervision import supervised
+from godwitladder.process.supervision import supervised
 
 WAIT_S = 10.0
 
@@ -20,7 +20,9 @@
     pykka ends an actor that raises an unhandled exception, and no other component
     would notice.
     """
-    failed = threading.Event()
-    actor = supervised(Faulty, failed.set).start()
+    failures = queue.SimpleQueue()
+    actor = supervised(Faulty, failures.put).start()
     actor.tell("boom")
-    assert failed.wait(WAIT_S)
+    failure = failures.get(timeout=WAIT_S)
+    assert failure.part == "Faulty"
+    assert isinstance(failure.error, TypeError)
--- a/tests/serving/test_full_host.py
+++ b/tests/serving/test_full_host.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitladder.drain import is_readable, run_in_loop
+from godwitladder.process.drain import is_readable, run_in_loop
 from godwitladder.serving import connections, listener
 from godwitladder.serving.connections import ConnectionEvent
 from godwitladder.serving.listener import make_listener
--- a/tests/serving/test_slow_readers.py
+++ b/tests/serving/test_slow_readers.py
@@ -13,11 +13,11 @@
 
 import pytest
 
-from godwitladder.arenas import limit_arenas
-from godwitladder.drain import count_unfinished
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.outcomes import RequestState
 from godwitladder.platform import names
+from godwitladder.process.arenas import limit_arenas
+from godwitladder.process.drain import count_unfinished
 from godwitladder.serving.listener import OUTPUT_WATERMARK_BYTES, make_listener
 from godwitladder.settings import LimitSettings
 from tests.fleet import WAIT_S, wait_until
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from godwitladder.clock import ManualClock
+from godwitladder.clock import Clock, ManualClock
 from godwitladder.logs import BURST_LINES, LINES_PER_S, BoundedHandler, is_first_report
 from godwitladder.serving.upstream import StreamTruncated
 
@@ -42,3 +42,22 @@
     assert not is_first_report(make_record((StreamTruncated, error, None)))
     assert is_first_report(make_record((ValueError, ValueError("x"), None)))
     assert is_first_report(make_record())
+
+
+def test_lines_before_the_end_of_a_process_are_written():
+    """Guards against an exit that loses the lines which explain it."""
+    target = RecordingHandler()
+    handler = BoundedHandler(target, Clock())
+    for _ in range(50):
+        handler.emit(make_record())
+    handler.start()
+    handler.wait_until_written(10.0)
+    assert len(target.records) == 50
+
+
+def test_a_reader_of_the_log_that_has_stopped_holds_up_no_exit():
+    """Guards against a process that does not end because nobody reads its log."""
+    handler = BoundedHandler(RecordingHandler(), Clock())
+    handler.emit(make_record())
+    handler.wait_until_written(0.1)
+    assert handler.written == 0
