Let streams of an only version go on after all hosts are lost

Cause: with one version nothing is recorded in the store, and a host that has just started can't tell whether another version served before.

Change: such a host reads the records in which targets described themselves, once, and only as a stream is taken up that nobody knows. How far they reach back follows from the number of records of most targets and their interval, less the time in which an entry expires; it has to cover the route's timeout. Ruled out: a row in the store that says since when there is one version, as streams of a new version would wait until it is withdrawn.

--- a/godwitladder/decisions/placing/stream_origins.py
+++ b/godwitladder/decisions/placing/stream_origins.py
@@ -137,17 +137,35 @@
             self.watched_since = now
         self.present_at |= dict.fromkeys(present, now)
 
+    def extend(
+        self, past: Iterable[StreamOrigin], covered_s: float, now: float
+    ) -> None:
+        """Add which versions targets had in the last ``covered_s`` seconds.
+
+        When one of them was last present is not known: not after this watch began.
+        """
+        began = now if self.watched_since is None else self.watched_since
+        for row in past:
+            self.present_at[row] = max(self.present_at.get(row, began), began)
+        self.watched_since = min(began, now - covered_s)
+
     def only_release(
-        self, service: ServiceName, present: Collection[StreamOrigin], now: float
+        self,
+        service: ServiceName,
+        present: Collection[StreamOrigin],
+        now: float,
+        for_s: float = KEEP_S,
     ) -> Release | None:
-        """Return the only version of a service for `KEEP_S`; None if there were others.
+        """Return the only version that a service has had; None if there were others.
 
         Parameters
         ----------
         present : collection of StreamOrigin
             The versions that targets have now.
+        for_s : float
+            Seconds up to now for which it has to be known to be the only one.
         """
-        if self.watched_since is None or now - self.watched_since < KEEP_S:
+        if self.watched_since is None or now - self.watched_since < for_s:
             return None
         releases = self.recent_releases(service, present, now)
         return releases.pop() if len(releases) == 1 else None
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -252,7 +252,7 @@
         if not (route.resumable and metadata.last_event):
             return StreamOrigin(service, ANY_RELEASE)
         stream = StreamName(AttemptId(metadata.resumes), digest)
-        origin = self.proxy.origins.find(service, stream)
+        origin = self.proxy.origins.find(service, stream, route.timeout_s)
         if origin is None:
             raise _refused(Reason.ORIGIN_UNKNOWN, ORIGIN_UNKNOWN_TEXT, ORIGIN_RETRY_S)
         if origin.service not in {split.service for split in route.splits}:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -66,6 +66,7 @@
 from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.call_watcher import CallWatcher
 from godwitladder.serving.connections import ConnectionEvent
+from godwitladder.serving.entry_history import EntryHistory
 from godwitladder.serving.listener import BoundedServer
 from godwitladder.serving.pacing import Pace
 from godwitladder.serving.proxying import RoutedProxy
@@ -215,6 +216,12 @@
         self.origins.recorder = StreamRecorder(
             source, clock, self.origins.has_versions, lambda: len(self.hosts)
         )
+        self.origins.entry_history = EntryHistory(
+            source,
+            clock,
+            settings.store.entry_interval_s,
+            lambda: self.feed.entry_place.offset,
+        )
         self.connector = Connector(
             clock,
             self.metrics,
@@ -493,7 +500,7 @@
         self.connector.set_places(places)
         self.gateway.set_targets(places)
         self.origins.update_targets(
-            frozenset(StreamOrigin(row.service, row.release) for row in view.targets)
+            [StreamOrigin(row.service, row.release) for row in view.targets]
         )
         self.quarantine.update_targets(
             {
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -1,5 +1,6 @@
 """Settings of a host that serves routed calls, read from a TOML file."""
 
+import math
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -37,9 +38,16 @@
 
 @dataclass(frozen=True)
 class StoreSettings:
-    """Address of the platform's store."""
+    """Address of the platform's store, and what is known of its records.
+
+    Attributes
+    ----------
+    entry_interval_s : float
+        Time between two writes of a target's entry, in seconds; infinite if not known.
+    """
 
     address: str = checked(ip_port)
+    entry_interval_s: float = checked(positive, default=math.inf)
 
 
 @dataclass(frozen=True)
--- a/godwitladder/serving/stream_origins.py
+++ b/godwitladder/serving/stream_origins.py
@@ -22,6 +22,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode, peer_message
 from godwitladder.membership.links import Link
+from godwitladder.serving.entry_history import EntryHistory
 from godwitladder.serving.stream_recorder import StreamRecorder
 from godwitladder.untrusted import MAX_NAME_CHARS
 
@@ -102,6 +103,8 @@
         Hosts to which all others are linked; empty in a full mesh.
     present : frozenset of StreamOrigin
         Services and versions that targets have now.
+    target_count : int
+        Number of targets now.
     questions : dict
         Queue of the answers to each open question of this host.
     started : float
@@ -112,6 +115,8 @@
         Monotonic time at which a host was last lost, in seconds.
     recorder : StreamRecorder or None
         Writes streams to the store and finds them there; None without a store.
+    entry_history : EntryHistory or None
+        Tells which versions targets had before this host started; None without a store.
     """
 
     def __init__(
@@ -127,6 +132,7 @@
         self.clock = clock
         self.hubs: frozenset[HostId] = frozenset()
         self.present: frozenset[StreamOrigin] = frozenset()
+        self.target_count = 0
         self.origins = StreamOrigins()
         self.history = ReleaseHistory()
         self.questions: dict[int, queue.SimpleQueue[OriginKnown]] = {}
@@ -135,10 +141,13 @@
         self.hosts: frozenset[HostId] = frozenset()
         self.lost_at = -math.inf
         self.recorder: StreamRecorder | None = None
+        self.entry_history: EntryHistory | None = None
         self.lock = threading.Lock()
 
-    def update_targets(self, present: frozenset[StreamOrigin]) -> None:
-        """Set which versions the targets have, leaving ones included."""
+    def update_targets(self, targets: Collection[StreamOrigin]) -> None:
+        """Set which version each target has, leaving ones included."""
+        present = frozenset(targets)
+        self.target_count = len(targets)
         with self.lock:
             self.history.observe(self.present, self.clock.monotonic())
             self.present = present
@@ -175,7 +184,9 @@
         for host in choose_replica_hosts(self.candidates(), self.host, stream.attempt):
             self.peers.send(host, StreamBegan(stream, origin))
 
-    def find(self, service: ServiceName, stream: StreamName) -> StreamOrigin | None:
+    def find(
+        self, service: ServiceName, stream: StreamName, lasts_s: float = KEEP_S
+    ) -> StreamOrigin | None:
         """Return where a stream that is taken up began; None if nobody knows.
 
         Parameters
@@ -184,6 +195,8 @@
             The service that it has if it has had one version alone.
         stream : StreamName
             What the caller says of the stream.
+        lasts_s : float
+            Longest time that such a stream may have lasted, in seconds.
         """
         if len(stream.attempt) > MAX_NAME_CHARS:
             return None
@@ -194,6 +207,8 @@
         source = "hosts"
         if origin is None and not self.is_ambiguous(stream):
             origin, source = self.find_only(service), "only version"
+            if origin is None:
+                origin, source = self.find_only_before(service, lasts_s), "entries"
         if origin is None and self.may_be_recorded(stream):
             origin, source = self.recorder.find(stream), "store"
         extra = {
@@ -279,8 +294,10 @@
         with self.lock:
             return self.origins.is_ambiguous(stream)
 
-    def find_only(self, service: ServiceName) -> StreamOrigin | None:
-        """Return the only version that a service has had for long enough, if any.
+    def find_only(
+        self, service: ServiceName, for_s: float = KEEP_S
+    ) -> StreamOrigin | None:
+        """Return the only version that a service has had for ``for_s`` seconds, if any.
 
         A host that has lost the store does not see a version that is new.
         """
@@ -288,9 +305,28 @@
             return None
         with self.lock:
             now = self.clock.monotonic()
-            release = self.history.only_release(service, self.present, now)
+            release = self.history.only_release(service, self.present, now, for_s)
         return None if release is None else StreamOrigin(service, release)
 
+    def find_only_before(
+        self, service: ServiceName, lasts_s: float
+    ) -> StreamOrigin | None:
+        """Do what `find_only` does on a host that has just started.
+
+        Parameters
+        ----------
+        lasts_s : float
+            Longest time that a stream may have lasted, in seconds: it began within.
+        """
+        needed_s = min(lasts_s, KEEP_S)
+        if self.entry_history is None or self.watched_s() >= KEEP_S:
+            return None
+        past = self.entry_history.read_once(self.target_count, needed_s)
+        if past is not None:
+            with self.lock:
+                self.history.extend(past.origins, past.covered_s, past.read_at)
+        return self.find_only(service, needed_s)
+
     def ask(
         self, stream: StreamName, is_enough: Callable[[OriginKnown], bool]
     ) -> list[OriginKnown]:
--- a/tests/serving/test_stream_origins.py
+++ b/tests/serving/test_stream_origins.py
@@ -1,13 +1,17 @@
 """Hosts tell each other at which version streams began."""
 
+import math
 import threading
+import time
 
 import cbor2
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.placing.past_releases import PastReleases
 from godwitladder.decisions.placing.stream_origins import (
     KEEP_S,
+    ReleaseHistory,
     StreamName,
     StreamOrigin,
 )
@@ -209,7 +213,7 @@
     net = Net(*HOSTS)
     registry = net.registries["h0"]
     monkeypatch.setattr(
-        registry.history, "only_release", lambda service, present, now: "v1"
+        registry.history, "only_release", lambda service, present, now, for_s: "v1"
     )
     registry.record(A1, V1)
     assert net.messages == []
@@ -221,7 +225,7 @@
     net = Net(*HOSTS)
     registry = net.registries["h0"]
     monkeypatch.setattr(
-        registry.history, "only_release", lambda service, present, now: "v1"
+        registry.history, "only_release", lambda service, present, now, for_s: "v1"
     )
     registry.is_current = lambda: False
     assert registry.find("core", A9) is None
@@ -246,3 +250,53 @@
 )
 def test_messages_pass_between_hosts_unchanged(message):
     assert decode(encode(message)) == message
+
+
+class FakeEntryHistory:
+    """What records of entries tell, once."""
+
+    def __init__(self, *origins, covered_s=math.inf):
+        self.past = PastReleases(frozenset(origins), covered_s, time.monotonic())
+        self.reads = 0
+
+    def read_once(self, targets, for_s):
+        self.reads += 1
+        return self.past if self.reads == 1 else None
+
+
+def make_started(history):
+    """Return the registry of a host that has just started, alone, at one version."""
+    registry = Net("h0").registries["h0"]
+    registry.started = registry.clock.monotonic()
+    registry.history, registry.present = ReleaseHistory(), frozenset()
+    registry.update_targets([V1, V1])
+    registry.entry_history = history
+    return registry
+
+
+def test_a_stream_of_the_only_version_goes_on_after_all_hosts_are_lost():
+    """Guards against streams that are refused for a minute where one version serves."""
+    registry = make_started(FakeEntryHistory(V1))
+    assert registry.find("core", A9, lasts_s=15.0) == V1
+    assert registry.find("core", UNNAMED, lasts_s=15.0) == V1
+
+
+def test_a_stream_is_refused_if_another_version_has_served_before_the_loss():
+    """Guards against a stream of two versions."""
+    registry = make_started(FakeEntryHistory(V1, V2))
+    assert registry.find("core", A9, lasts_s=15.0) is None
+
+
+def test_a_stream_is_refused_if_the_records_do_not_reach_back_to_its_begin():
+    """Guards against a stream of two versions, one of which has no record left."""
+    registry = make_started(FakeEntryHistory(V1, covered_s=14.0))
+    assert registry.find("core", A9, lasts_s=15.0) is None
+
+
+def test_a_host_that_was_there_for_long_reads_no_history():
+    """Guards against reads of the store that tell nothing new."""
+    history = FakeEntryHistory(V1)
+    registry = make_started(history)
+    registry.started -= KEEP_S
+    registry.find("core", A9, lasts_s=15.0)
+    assert history.reads == 0
