--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -19,7 +19,9 @@
     "tests",
     "bench",
     "demo",
+    "deploy",
     "examples",
+    "review",
     "soak",
     "pyproject.toml",
 )
--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the files with which a host is built and started."""
