Start with the defaults where settings are missing or odd

What callers saw: no process of a deployment starts, and each ends again at each start (status 1, "is not TOML").

Cause: the template wrote "name = " for a field without a value, which made the whole file invalid. One odd figure (a share of 0, memory of 0, a text) was a finding, which ends a start. So was too little memory for the template's 160 threads. All processes get their settings from one source, so all end alike. A file that was being replaced ended a start too; cut between two lines it was taken for a whole one without its last tables.

At a start an invalid value gives way to its default with a line, and invalid items of lists are left out; a reload refuses the file as before. The region defaults to that of the zone. Threads are lowered to what the memory allows.

Changed test: the bounds of a deployment are read from the whole template, filled in, where they were one section with texts replaced; the values asserted are the same.

Not mended: a list or table in the place of a figure still ends the start, with a last line that says so.

--- a/godwitladder/platform/host.py
+++ b/godwitladder/platform/host.py
@@ -3,13 +3,14 @@
 import os
 from pathlib import Path
 
+from godwitladder.clock import Clock
 from godwitladder.logs import configure_bounded_logs
 from godwitladder.platform import names
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.platform.source import PlatformSource
 from godwitladder.platform.store import StoreClient
 from godwitladder.routing.daemon import run_routing_host
-from godwitladder.routing.settings import RoutedSettings, read_routed_settings
+from godwitladder.routing.settings import RoutedSettings, wait_for_settings
 
 
 def make_source(settings: RoutedSettings) -> PlatformSource:
@@ -21,4 +22,5 @@
     """Run a host with the settings file that the platform names."""
     configure_bounded_logs()
     path = Path(os.environ[names.SETTINGS_VARIABLE])
-    run_routing_host(path, read_routed_settings(path), make_source, PlatformHeaders())
+    settings = wait_for_settings(path, Clock())
+    run_routing_host(path, settings, make_source, PlatformHeaders())
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -403,7 +403,8 @@
         self.caller_server.connections.count = self.count_connection
         self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
-        self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
+        if listen.operators:
+            self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
         log.info(
             "The host serves",
             extra={"host": settings.host, "incarnation": self.incarnation},
@@ -550,10 +551,13 @@
 def read_settings_text(path: Path) -> str:
     """Return the content of ``path``; empty if it can't be read."""
     try:
-        return path.read_text(encoding="utf-8")
+        text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         log.warning("The settings file could not be read", extra={"error": str(error)})
         return ""
+    if not text:
+        log.warning("The settings file is empty", extra={"path": str(path)})
+    return text
 
 
 def run_routing_host(
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -1,13 +1,17 @@
 """Settings of a host that serves routed calls, read from a TOML file."""
 
+import json
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
+from typing import Any
 
+from godwitladder.clock import Clock
 from godwitladder.decisions.rollouts.progress import RolloutLimits
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.findings import Findings
+from godwitladder.findings import Findings, InvalidInput
 from godwitladder.ids import HostId, Zone
+from godwitladder.logs import component_logger
 from godwitladder.serving.call_memory import (
     BLOCK_BYTES,
     GROWTH_SHARE,
@@ -16,24 +20,47 @@
 from godwitladder.settings import LimitSettings, read_toml_file
 from godwitladder.tables import (
     checked,
+    drop_invalid,
     ip_port,
     ip_ports,
     not_empty,
     not_negative,
+    partial_ip_port,
     positive,
     read_table,
     share,
 )
 
+log = component_logger("settings")
+
+UNKNOWN_PLACE = "unknown"
+"""Zone of a host that is told none."""
+MILLISECONDS = "_ms"
+SECONDS = "_s"
+MILLISECONDS_PER_S = 1_000
+TABLES_WITH_TIMES = ("bounds", "store")
+START_WAIT_S = 2.0
+"""Longest wait at a start for a settings file that is being written."""
+START_RETRY_S = 0.05
+
 
 @dataclass(frozen=True)
 class RoutedListen:
-    """Addresses that a host listens on, each ``address:port``."""
+    """Addresses that a host listens on, each ``address:port``.
+
+    Attributes
+    ----------
+    callers, readiness, peers : str
+        Where callers, the load balancer and other hosts connect.
+    operators : str
+        Where operators connect. Without an address that of ``peers`` is taken;
+        without a port nothing is served.
+    """
 
     callers: str = checked(ip_port)
     readiness: str = checked(ip_port)
-    operators: str = checked(ip_port)
     peers: str = checked(ip_port)
+    operators: str = checked(partial_ip_port, default="")
 
 
 @dataclass(frozen=True)
@@ -145,8 +172,15 @@
 
     Attributes
     ----------
+    host : HostId
+        Name of the host; by default its address for peers.
+    zone : Zone
+        Availability zone of the host; by default its region.
     region : str
-        Region of the host. The hosts of a region share their view of its targets.
+        Region of the host; by default that of its zone. The hosts of a region share
+        their view of its targets.
+    regions : dict
+        The region of each zone.
     answers : AnswerLimits
         Limits on answers of targets.
     first_start : bool
@@ -154,12 +188,13 @@
         then, so the host may start more slowly to save calls to the store.
     """
 
-    host: HostId = checked(not_empty)
-    zone: Zone = checked(not_empty)
-    region: str = checked(not_empty)
     listen: RoutedListen
     store: StoreSettings
     peers: RoutedPeers
+    host: HostId = checked(not_empty, default=HostId(""))
+    zone: Zone = checked(not_empty, default=Zone(""))
+    region: str = checked(not_empty, default="")
+    regions: dict = field(default_factory=dict)
     bounds: BoundSettings = field(default_factory=BoundSettings)
     limits: LimitSettings = field(default_factory=LimitSettings)
     processor: ProcessorSettings = field(default_factory=ProcessorSettings)
@@ -193,11 +228,149 @@
         The file is invalid; the error lists every finding.
     """
     findings = Findings()
-    raw = read_toml_file(path, findings)
+    raw = read_raw_settings(path, findings)
     settings = None
     if raw is not None:
         settings = read_table(raw, RoutedSettings, f"{path}: ", findings)
     if settings is not None:
         check_answers(settings, f"{path}: answers", findings)
     findings.raise_if_any()
+    return name_places(settings)
+
+
+def wait_for_settings(path: Path, clock: Clock) -> RoutedSettings:
+    """Return the settings for a start, once their file is there as a whole.
+
+    Raises
+    ------
+    InvalidInput
+        The host can't start with what is in the file after `START_WAIT_S`.
+    """
+    until = clock.monotonic() + START_WAIT_S
+    while True:
+        try:
+            return read_start_settings(path)
+        except InvalidInput:
+            if clock.monotonic() >= until:
+                raise
+        clock.sleep(START_RETRY_S)
+
+
+def read_start_settings(path: Path) -> RoutedSettings:
+    """Return the settings in ``path`` with which a host can start.
+
+    For an invalid value its default is used, with a line in the log. All hosts get
+    their settings from one source: if one odd value ended a start, no host would run.
+
+    Raises
+    ------
+    InvalidInput
+        The file can't be read, or lacks an address that the host needs.
+    """
+    findings, ignored = Findings(), Findings()
+    raw = read_raw_settings(path, findings)
+    findings.raise_if_any()
+    place = f"{path}: "
+    kept = drop_invalid(raw, RoutedSettings, place, ignored)
+    settings = read_table(kept, RoutedSettings, place, findings)
+    if settings is None:
+        raise InvalidInput((*findings.items, *ignored.items))
+    settings = fit_threads(name_places(settings), f"{place}answers", ignored)
+    for finding in ignored.items:
+        log.warning(
+            "An invalid setting is not used",
+            extra={"place": finding.place, "error": finding.text},
+        )
     return settings
+
+
+def read_raw_settings(path: Path, findings: Findings) -> dict | None:
+    """Return the parsed file with times in seconds and seeds as a list."""
+    raw = read_toml_file(path, findings)
+    if raw is None:
+        return None
+    for table in TABLES_WITH_TIMES:
+        if isinstance(raw.get(table), dict):
+            rows = raw[table].items()
+            raw[table] = dict(in_seconds(name, value) for name, value in rows)
+    if isinstance(raw.get("peers"), dict):
+        decode_seeds(raw["peers"])
+    return raw
+
+
+def in_seconds(name: str, value: Any) -> tuple[str, Any]:
+    """Return a setting in milliseconds as one in seconds, and any other as it is."""
+    if not name.endswith(MILLISECONDS):
+        return name, value
+    name = name.removesuffix(MILLISECONDS) + SECONDS
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    try:
+        return name, value / MILLISECONDS_PER_S if is_number else value
+    except OverflowError:
+        # No number of seconds: the check of the setting refuses it.
+        return name, value
+
+
+def decode_seeds(peers: dict) -> None:
+    """Replace seeds that are given as a JSON text, of which nothing means none."""
+    text = peers.get("seeds")
+    if not isinstance(text, str):
+        return
+    try:
+        peers["seeds"] = json.loads(text or "null")
+    except (ValueError, RecursionError):
+        # The text stays, and is reported as no list.
+        return
+    if peers["seeds"] is None:
+        del peers["seeds"]
+
+
+def name_places(settings: RoutedSettings) -> RoutedSettings:
+    """Return the settings with the defaults of names, places and addresses."""
+    listen = settings.listen
+    region = settings.region
+    if not region:
+        found = settings.regions.get(settings.zone)
+        region = found if isinstance(found, str) else ""
+    zone = settings.zone or Zone(region or UNKNOWN_PLACE)
+    operators = complete_address(listen.operators, listen.peers)
+    return replace(
+        settings,
+        host=settings.host or HostId(listen.peers),
+        zone=zone,
+        region=region or str(zone),
+        listen=replace(listen, operators=operators),
+    )
+
+
+def complete_address(partial: str, own: str) -> str:
+    """Return ``partial`` with the IP of ``own`` if it has none; empty without a port.
+
+    Parameters
+    ----------
+    partial : str
+        An ``address:port`` of which either may be left out.
+    own : str
+        Another address of this host.
+    """
+    address, _, port = partial.rpartition(":")
+    return f"{address or own.rpartition(':')[0]}:{port}" if port else ""
+
+
+def fit_threads(
+    settings: RoutedSettings, place: str, ignored: Findings
+) -> RoutedSettings:
+    """Return settings whose limits on answers agree with each other and the memory."""
+    before = len(ignored.items)
+    check_answers(settings, place, ignored)
+    if len(ignored.items) == before:
+        return settings
+    answers, default = settings.answers, AnswerLimits()
+    if answers.memory_share >= 1:
+        answers = replace(answers, memory_share=default.memory_share)
+    if answers.held_bytes > answers.body_bytes:
+        answers = replace(answers, held_bytes=answers.body_bytes)
+    held = int(answers.memory_bytes * GROWTH_SHARE) // (RESERVED_BYTES + BLOCK_BYTES)
+    threads = max(1, min(settings.limits.threads, held))
+    limits = replace(settings.limits, threads=threads)
+    return replace(settings, answers=answers, limits=limits)
--- a/godwitladder/tables.py
+++ b/godwitladder/tables.py
@@ -108,6 +108,12 @@
     return _first_error(ip_port, values)
 
 
+def partial_ip_port(value: str) -> str | None:
+    """Accept ``address:port`` of which the address, the port or both are left out."""
+    address, _, port = value.rpartition(":")
+    return ip_port(f"{address or '127.0.0.1'}:{port or 0}")
+
+
 def read_table(raw: Any, kind: type[T], place: str, findings: Findings) -> T | None:
     """Return ``raw`` as an instance of ``kind``, or None if it is invalid.
 
@@ -149,6 +155,63 @@
     return kind(**values)
 
 
+def drop_invalid(
+    raw: Mapping[str, Any], kind: type, place: str, findings: Findings
+) -> dict[str, Any]:
+    """Return ``raw`` without invalid values in the place of which a default can stand.
+
+    Unknown names and invalid items of lists are left out too. An invalid value of a
+    field without a default is kept, so that `read_table` reports it.
+
+    Parameters
+    ----------
+    raw : Mapping
+        The table as parsed from TOML.
+    kind : type
+        The dataclass that is the schema of the table.
+    place : str
+        Location of the table in the input, for the findings.
+    findings : Findings
+        Receives a finding for all that is left out.
+    """
+    hints, fields = _hints(kind), _fields(kind)
+    kept = {}
+    for name, value in raw.items():
+        field_place = _join_place(place, name)
+        if name not in fields:
+            findings.add_unknown(field_place, name, fields)
+            continue
+        hint, field = plain_type(hints[name]), fields[name]
+        if dataclasses.is_dataclass(hint) and isinstance(value, Mapping):
+            kept[name] = drop_invalid(value, hint, field_place, findings)
+            continue
+        if typing.get_origin(hint) is tuple and isinstance(value, list):
+            value = _drop_items(value, hints[name], field, field_place, findings)
+        if _required(field) or _is_valid(
+            value, hints[name], field, field_place, findings
+        ):
+            kept[name] = value
+    return kept
+
+
+def _drop_items(
+    items: list, hint: Any, field: Any, place: str, findings: Findings
+) -> list:
+    return [
+        item
+        for index, item in enumerate(items)
+        if _is_valid([item], hint, field, f"{place}[{index}]", findings)
+    ]
+
+
+def _is_valid(raw: Any, hint: Any, field: Any, place: str, findings: Findings) -> bool:
+    before = len(findings.items)
+    value = _read_value(raw, hint, place, findings)
+    if len(findings.items) == before:
+        _run_check(field, value, place, findings)
+    return len(findings.items) == before
+
+
 # Peer messages are read by this module too, many per second. Type hints are
 # therefore resolved once per dataclass.
 @functools.cache
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -3,6 +3,7 @@
 A test says what surrounds their processes: limits, ports that are held, signals.
 """
 
+import copy
 import json
 import os
 import resource
@@ -17,6 +18,8 @@
 from godwitladder.platform import names
 from review.common import fleet
 from tests.process.exit_lines import read_exit_line
+from tests.process.platform_fields import FIELDS
+from tests.process.template import render
 
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 MB = 1 << 20
@@ -81,6 +84,31 @@
         )
 
 
+def host_fields(host: fleet.HostProcess, ip: str = "127.0.0.1") -> dict:
+    """Return the fields from which the platform fills in the settings of ``host``."""
+    callers, readiness, last, peers = host.ports
+    return copy.deepcopy(FIELDS) | {
+        "nodeName": host.name,
+        "ip": ip,
+        "zone": host.zone,
+        "zones": {host.zone: FIELDS["region"]},
+        "listen": {
+            "front": f"{ip}:{callers}",
+            "ready": f"{ip}:{readiness}",
+            "control": f"{ip}:{peers}",
+        },
+        "portRange": [last, last],
+        "seedNodes": [host.control],
+        "platform": {"address": host.store.address},
+    }
+
+
+def fill_in(fields: dict) -> str:
+    """Return the settings that the platform makes from ``fields``."""
+    template = fleet.ROOT / "deploy/settings.toml.in"
+    return render(template.read_text(encoding="utf-8"), fields)
+
+
 def limit(kind: int, value: int) -> Callable[[], None]:
     """Return a function that sets one limit of the process that calls it."""
     return lambda: resource.setrlimit(kind, (value, value))
