Serve the metrics at the port that the deploy file names

What callers saw: connections to the metrics' address refused on each host, so that nobody who examined an incident got a figure.

Cause: the deploy file names port 7601, and the template put the interface that serves metrics at the last port of the free range (7615, 7415 or 7575). The field of the deploy file takes no placeholders. No test compared the two.

Change: listen.metrics is a second address for what operators get, in a thread of its own; what keeps it from being served is logged and tried again, and never ends the host. What may stand in the deploy file where ranges differ is noted as an open question.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -41,6 +41,7 @@
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
 from godwitladder.process.drain import count_unfinished
+from godwitladder.process.metrics_listener import MetricsListener
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
@@ -405,6 +406,10 @@
         self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
         if listen.operators:
             self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
+        if listen.metrics not in ("", listen.operators):
+            app, limits = StatusApp(self), settings.limits
+            listener = MetricsListener(app, listen.metrics, limits, self.clock)
+            self.start_component(listener)
         log.info(
             "The host serves",
             extra={"host": settings.host, "incarnation": self.incarnation},
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -52,15 +52,17 @@
     ----------
     callers, readiness, peers : str
         Where callers, the load balancer and other hosts connect.
-    operators : str
-        Where operators connect. Without an address that of ``peers`` is taken;
-        without a port nothing is served.
+    operators, metrics : str
+        Where operators connect, and where the same is served besides if that is
+        possible. Without an address that of ``peers`` is taken; without a port
+        nothing is served.
     """
 
     callers: str = checked(ip_port)
     readiness: str = checked(ip_port)
     peers: str = checked(ip_port)
     operators: str = checked(partial_ip_port, default="")
+    metrics: str = checked(partial_ip_port, default="")
 
 
 @dataclass(frozen=True)
@@ -334,12 +336,13 @@
         region = found if isinstance(found, str) else ""
     zone = settings.zone or Zone(region or UNKNOWN_PLACE)
     operators = complete_address(listen.operators, listen.peers)
+    metrics = complete_address(listen.metrics, listen.peers)
     return replace(
         settings,
         host=settings.host or HostId(listen.peers),
         zone=zone,
         region=region or str(zone),
-        listen=replace(listen, operators=operators),
+        listen=replace(listen, operators=operators, metrics=metrics),
     )
 
 
