Let a host's threads fit into its memory by addresses

Hosts whose address space (RLIMIT_AS) is limited to the memory that their settings name, 222 or 136 MB, ended at each start with status 1, `can't start new thread`; with data (RLIMIT_DATA) limited to 136 MB too. With 512 and 262 MB they started, and 300 calls at once (targets that take 1 s) ended them: none was answered.

Cause: not memory in use (37 MB resident at rest, 44 MB after the burst) but addresses that are reserved: 8 MB for each thread's stack, and 64 MB for the second arena of the C library. Measured by part: 13 MB bare interpreter, 46 MB with all imports, 240 MB at rest with 16 threads, 1,341 MB at 153 threads.

Threads get stacks of 384 KiB, set before the first one starts, and the C library keeps one arena. Least stack that each kind of nested value needs at the interpreter's limit on recursion (arm64, least possible size 128 KiB): json 160 to 176, orjson and cbor2 decoding 128, comparing 192, repr 176 (224 on Debian's Python 3.11.2). cbor2 encoding of nested lists needs 1,280 and sorts whose key functions sort again over 2,048; both are out of reach of outside data: messages are encoded from typed dataclasses, and no key function recurses.

--- a/godwitladder/platform/__main__.py
+++ b/godwitladder/platform/__main__.py
@@ -20,8 +20,10 @@
     """Import the host and run it until it is stopped."""
     from godwitladder.platform.host import run_host
     from godwitladder.process.arenas import limit_arenas
+    from godwitladder.process.threads import limit_stacks
 
     limit_arenas()
+    limit_stacks()
     run_host()
 
 
--- a/godwitladder/process/arenas.py
+++ b/godwitladder/process/arenas.py
@@ -2,7 +2,9 @@
 
 By default it keeps up to eight arenas for each core. What one thread has freed there
 stays with the process and is not used by other threads, so that a host whose many
-threads each hold an answer for a moment grows far beyond what is held at once.
+threads each hold an answer for a moment grows far beyond what is held at once. Each
+arena but the first also reserves 64 MB of addresses, which count towards a limit on the
+address space.
 """
 
 import ctypes
@@ -13,7 +15,7 @@
 
 M_ARENA_MAX = -8
 """Parameter of ``mallopt`` in the GNU C library."""
-MAX_ARENAS = 2
+MAX_ARENAS = 1
 """Threads of one interpreter run in turn, and hardly wait for each other's arena."""
 
 
