Wait for a port that is held instead of ending the process

What operators saw: processes that ended by themselves, again at each start. A port that another process held for 2 s (callers, readiness, operators, peers; each) ended the host with status 1, `Address already in use`. So did a start while the former process still drained.

Cause: each listener was bound once, in the start, and any error of it was an error of the start.

Change: `process/binding.py` binds at once or, where the error passes by itself (EADDRINUSE, EADDRNOTAVAIL: an interface that comes up late), in a thread every 0.1 s while all else starts. The line names listener, address and time, at once and then after 5, 10, 20 s... The host is not ready before its callers' port is bound. A stop meanwhile ends it with 0; the waits end before the drain begins. The operators' port of a routed host is awaited for ever: to end a host that serves callers since nobody can ask for its status would cost more than the port. EACCES and a port out of range end the start at once, with a line that names listener and address. The mesh dials before its port is bound. IPv6 addresses in brackets, which the settings allow, can be bound.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -34,7 +34,6 @@
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
-from godwitladder.process.drain import count_unfinished
 from godwitladder.process.supervision import watch_threads
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
@@ -153,7 +152,6 @@
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.router.add(self.exchange, Heartbeat, ConfigRequest, ConfigSnapshot)
         self.keys = self.make_keys()
-        self.caller_server: BoundedServer | None = None
 
     def make_order_issuer(self) -> OrderIssuer:
         """Return the component that brings targets to their configured state."""
@@ -197,8 +195,10 @@
 
     def start(self) -> None:
         """Start all components."""
-        self.mesh.start()
+        listen, threads = self.settings.listen, self.settings.limits.threads
+        self.mesh.start_dialling()
         self.stack.callback(self.mesh.close)
+        self.binder.bind(self.vital_listener("peers", listen.peers), self.mesh.listen)
         idle_tick_s = self.settings.scheduler.idle_tick_s
         self.start_component(self.ticker, self.scheduler)
         self.start_component(Ticker(self.clock, idle_tick_s), self.allocator)
@@ -210,15 +210,23 @@
         self.follower.start()
         self.stack.callback(self.follower.stop)
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
-        listen, threads = self.settings.listen, self.settings.limits.threads
-        self.caller_server = self.serve(
-            self.callers, listen.callers, threads, listen.callers_tls
-        )
+        callers = self.vital_listener("callers", listen.callers)
         self.serve(
-            self.operators, listen.operators, OPERATOR_THREADS, listen.operators_tls
+            self.callers,
+            callers,
+            threads,
+            listen.callers_tls,
+            self.prepare_caller_server,
         )
+        # Load balancers ask there whether the host is ready.
+        operators = self.vital_listener("operators", listen.operators)
+        self.serve(self.operators, operators, OPERATOR_THREADS, listen.operators_tls)
         log.info("The host serves", extra={"host": self.settings.host})
 
+    def prepare_caller_server(self, server: BoundedServer) -> None:
+        """Keep the server of callers before it runs."""
+        self.caller_server = server
+
     def drain(self) -> None:
         """Accept no more requests and wait for those in flight.
 
@@ -230,12 +238,14 @@
         self.membership.ask(Leave())
         self.scheduler.ask(Stop())
         self.keys.keyed.stopping = True
-        self.caller_server.closing = True
+        if self.caller_server is not None:
+            self.caller_server.closing = True
         self.gateway.is_stopping = True
         log.info("The host is leaving", extra={"host": self.settings.host})
         self.clock.sleep(LEAVE_DELAY_S)
         self.wait_until_idle(self.has_open_calls)
-        self.close_connections(self.caller_server, self.has_open_calls)
+        if self.caller_server is not None:
+            self.close_connections(self.caller_server, self.has_open_calls)
         self.keys.flush()
 
     def has_open_calls(self) -> bool:
@@ -246,13 +256,18 @@
         return (
             self.callers.open_calls > 0
             or self.gateway.open_tunnels > 0
-            or count_unfinished(self.caller_server) > 0
+            or self.count_unfinished_calls() > 0
         )
 
     def ready(self) -> bool:
         """Return whether load balancers should send callers to this host."""
         caught_up = self.follower.caught_up.is_set()
-        return caught_up and self.peer_discovery_done() and not self.stopping.is_set()
+        return (
+            caught_up
+            and self.peer_discovery_done()
+            and self.caller_server is not None
+            and not self.stopping.is_set()
+        )
 
     def peer_discovery_done(self) -> bool:
         """Return whether a peer was found or the search for one has ended.
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -26,6 +26,7 @@
     Link,
     perform_handshake,
 )
+from godwitladder.process.binding import open_listener
 from godwitladder.settings import TlsSettings
 from godwitladder.tls import client_context, server_context
 
@@ -146,9 +147,13 @@
         OSError
             The address is not available to listen on.
         """
-        host, _, port = self.address.rpartition(":")
+        sock = open_listener(self.address)
+        self.start_dialling()
+        self.listen(sock)
+
+    def start_dialling(self) -> None:
+        """Dial the seeds; peers are accepted once `listen` is called."""
         self.context = server_context(self.tls) if self.tls else None
-        self.server = socket.create_server((host, int(port)), backlog=BACKLOG)
         self.loop = asyncio.new_event_loop()
         self.loop.set_exception_handler(_log_failure)
         self.thread = threading.Thread(target=self.run, name="peers", daemon=True)
@@ -156,16 +161,25 @@
         for seed in self.seeds:
             self._dial(seed)
 
+    def listen(self, sock: socket.socket) -> None:
+        """Accept peers on ``sock``, which listens at the address of the mesh."""
+        sock.listen(BACKLOG)
+        self.server = sock
+        self.post(self._start_listening)
+
     def run(self) -> None:
         """Run the event loop until the mesh is closed."""
         try:
-            self.loop.create_task(self._listen()).add_done_callback(_raise_failure)
             self.loop.run_forever()
             self.loop.run_until_complete(self._end_tasks())
         finally:
-            self.server.close()
+            if self.server is not None:
+                self.server.close()
             self.loop.close()
 
+    def _start_listening(self) -> None:
+        self.loop.create_task(self._listen()).add_done_callback(_raise_failure)
+
     async def _listen(self) -> None:
         self.listener = await serve(
             self._accept,
--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -5,7 +5,9 @@
 """
 
 import contextlib
+import math
 import os
+import socket
 import threading
 from collections.abc import Callable
 from typing import Any
@@ -15,10 +17,11 @@
 from godwitladder.clock import Clock
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger, flush_logs
-from godwitladder.process.drain import close_idle, stop_accepting
+from godwitladder.process.binding import Binder, Listener
+from godwitladder.process.drain import close_idle, count_unfinished, stop_accepting
 from godwitladder.process.exits import Failure, report_exit
 from godwitladder.process.supervision import supervised
-from godwitladder.serving.listener import BoundedServer, make_listener
+from godwitladder.serving.listener import BoundedServer, make_server
 from godwitladder.settings import LimitSettings, TlsSettings
 
 log = component_logger("daemon")
@@ -41,24 +44,37 @@
         Clock of the host.
     limits : LimitSettings
         Limits of the listeners.
+    grace_s : float, default=0
+        Time in seconds after which a former process of the host has ended.
 
     Attributes
     ----------
+    port_wait_s : float
+        Time in seconds for which a port that is held is tried again.
+    binder : Binder
+        Binds the listeners.
     stack : contextlib.ExitStack
         Stops the components in the reverse order of their start.
     stopping : threading.Event
         Set when the host is to stop.
     failure : Failure or None
         Why the host stops by itself; None if it does not.
+    caller_server : BoundedServer or None
+        Serves callers; None until its port is bound.
     """
 
-    def __init__(self, host: HostId, clock: Clock, limits: LimitSettings) -> None:
+    def __init__(
+        self, host: HostId, clock: Clock, limits: LimitSettings, grace_s: float = 0.0
+    ) -> None:
         self.host = host
         self.clock = clock
         self.limits = limits
+        self.port_wait_s = grace_s + limits.port_wait_s
+        self.binder = Binder(clock, self.fail)
         self.stack = contextlib.ExitStack()
         self.stopping = threading.Event()
         self.failure: Failure | None = None
+        self.caller_server: BoundedServer | None = None
 
     @property
     def failed(self) -> bool:
@@ -76,46 +92,69 @@
         component.start(*args)
         self.stack.callback(component.stop)
 
+    def vital_listener(self, name: str, address: str) -> Listener:
+        """Return a listener without which the host can't work."""
+        return Listener(name, address, self.port_wait_s)
+
+    def spare_listener(self, name: str, address: str) -> Listener:
+        """Return a listener without which the host serves its callers as well."""
+        return Listener(name, address, math.inf)
+
     def serve(
         self,
         app: Callable,
-        address: str,
+        listener: Listener,
         threads: int,
         tls: TlsSettings | None = None,
-    ) -> BoundedServer:
-        """Serve the WSGI application ``app`` with waitress at ``address``.
+        prepare: Callable[[BoundedServer], None] = lambda server: None,
+    ) -> None:
+        """Serve the WSGI application ``app`` with waitress until the host stops.
+
+        Returns at once, though the port may have to be waited for.
 
         Parameters
         ----------
         app : callable
             The WSGI application.
-        address : str
-            Where to listen, as ``address:port``.
+        listener : Listener
+            Where to listen.
         threads : int
             Number of threads that run the application.
         tls : TlsSettings or None, default=None
             Certificate and key of the listener; None for plain HTTP.
-
-        Returns
-        -------
-        server : BoundedServer
-            The running server, to be closed with the host.
+        prepare : callable, optional
+            Called with the server before it runs.
         """
-        server = make_listener(app, address, self.limits, threads, tls)
-        threading.Thread(target=server.run, name="http", daemon=True).start()
-        self.stack.callback(server.close)
-        return server
+
+        def use(sock: socket.socket) -> None:
+            server = make_server(app, sock, self.limits, threads, tls)
+            prepare(server)
+            threading.Thread(target=server.run, name="http", daemon=True).start()
+            self.stack.callback(server.close)
+
+        self.binder.bind(listener, use)
 
     def run(self) -> None:
         """Serve until a stop is requested, then drain unless the host has failed."""
         with self.stack:
             self.start()
             self.wait_for_stop()
+            self.binder.end()
             if self.failed:
                 return
             self.drain()
         log.info("The host has stopped", extra={"host": self.host})
 
+    def count_unfinished_calls(self) -> int:
+        """Return the number of callers whose request or answer is in progress."""
+        server = self.caller_server
+        return 0 if server is None else count_unfinished(server)
+
+    def count_connections(self) -> int:
+        """Return the number of open connections of callers."""
+        server = self.caller_server
+        return 0 if server is None else len(server.active_channels)
+
     def wait_for_stop(self) -> None:
         """Wait until a stop is requested, and let handlers of signals run.
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -40,7 +40,6 @@
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
-from godwitladder.process.drain import count_unfinished
 from godwitladder.process.metrics_listener import MetricsListener
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
@@ -126,7 +125,7 @@
         codec: HeaderCodec,
         clock: Clock,
     ) -> None:
-        super().__init__(settings.host, clock, settings.limits)
+        super().__init__(settings.host, clock, settings.limits, settings.bounds.grace_s)
         self.path = path
         self.settings = settings
         self.file_text = read_settings_text(path)
@@ -290,7 +289,6 @@
             settings.limits.threads,
             tables.gate,
         )
-        self.caller_server: BoundedServer | None = None
 
     def ask_peer(self, wanted: FeedWanted) -> bool:
         """Send ``wanted`` to a random peer; return False if there is no peer."""
@@ -386,8 +384,10 @@
     def start(self) -> None:
         """Start all components."""
         settings = self.settings
-        self.mesh.start()
+        listen, threads = settings.listen, settings.limits.threads
+        self.mesh.start_dialling()
         self.stack.callback(self.mesh.close)
+        self.binder.bind(self.vital_listener("peers", listen.peers), self.mesh.listen)
         self.start_component(self.ticker, self.scheduler)
         self.start_component(self.allocator_ticker, self.allocator)
         heartbeat_s = settings.peers.heartbeat_s
@@ -398,23 +398,35 @@
         if self.status_writer is not None:
             self.start_component(self.status_writer)
         threading.Thread(target=self.poll_host_list, name="hosts", daemon=True).start()
-        listen, threads = settings.listen, settings.limits.threads
-        self.caller_server = self.serve(self.app, listen.callers, threads)
-        self.caller_server.memory = self.call_memory
-        self.caller_server.connections.count = self.count_connection
-        self.caller_server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
-        self.serve(ReadinessApp(self.ready), listen.readiness, ADMIN_THREADS)
-        if listen.operators:
-            self.serve(StatusApp(self), listen.operators, ADMIN_THREADS)
-        if listen.metrics not in ("", listen.operators):
-            app, limits = StatusApp(self), settings.limits
-            listener = MetricsListener(app, listen.metrics, limits, self.clock)
-            self.start_component(listener)
+        callers = self.vital_listener("callers", listen.callers)
+        self.serve(self.app, callers, threads, prepare=self.prepare_caller_server)
+        readiness = self.vital_listener("readiness", listen.readiness)
+        self.serve(ReadinessApp(self.ready), readiness, ADMIN_THREADS)
+        self.serve_status()
         log.info(
             "The host serves",
             extra={"host": settings.host, "incarnation": self.incarnation},
         )
 
+    def serve_status(self) -> None:
+        """Serve status and metrics, where the settings name addresses for them."""
+        listen = self.settings.listen
+        if listen.operators:
+            operators = self.spare_listener("operators", listen.operators)
+            self.serve(StatusApp(self), operators, ADMIN_THREADS)
+        if listen.metrics not in ("", listen.operators):
+            app, limits = StatusApp(self), self.settings.limits
+            listener = MetricsListener(app, listen.metrics, limits, self.clock)
+            self.start_component(listener)
+
+    def prepare_caller_server(self, server: BoundedServer) -> None:
+        """Set up the server of callers before it runs."""
+        threads = self.settings.limits.threads
+        server.memory = self.call_memory
+        server.connections.count = self.count_connection
+        server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
+        self.caller_server = server
+
     def count_connection(self, event: ConnectionEvent) -> None:
         """Count what became of a caller's new connection."""
         self.metrics.connections.inc({"event": event.value})
@@ -427,6 +439,7 @@
             known
             and current
             and self.peer_discovery_done()
+            and self.caller_server is not None
             and not self.stopping.is_set()
         )
 
@@ -451,13 +464,15 @@
         log.info("The host is draining", extra={"open_calls": self.app.open_calls})
         self.membership.ask(Leave())
         self.host_list.leave()
-        self.caller_server.closing = True
-        self.clock.sleep(DRAIN_NOTICE_S)
+        if self.caller_server is not None:
+            self.caller_server.closing = True
+            self.clock.sleep(DRAIN_NOTICE_S)
         self.app.refusing = True
         self.gateway.is_stopping = True
         until = began + self.settings.bounds.grace_s - EXIT_RESERVE_S
         self.wait_until_idle(self.has_open_calls, until)
-        self.close_connections(self.caller_server, self.has_open_calls, until)
+        if self.caller_server is not None:
+            self.close_connections(self.caller_server, self.has_open_calls, until)
 
     def has_open_calls(self) -> bool:
         """Return whether any call is waiting, running or being answered.
@@ -467,7 +482,7 @@
         return (
             self.app.open_calls > 0
             or self.gateway.open_tunnels > 0
-            or count_unfinished(self.caller_server) > 0
+            or self.count_unfinished_calls() > 0
         )
 
     def reload(self) -> None:
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -51,5 +51,5 @@
                 for row in host.feed.table.entries.values()
             },
             "open_calls": host.app.open_calls,
-            "open_connections": len(host.caller_server.active_channels),
+            "open_connections": host.count_connections(),
         }
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -22,6 +22,7 @@
 
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
+from godwitladder.process.binding import open_listener
 from godwitladder.process.drain import is_busy, is_readable
 from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
@@ -569,10 +570,8 @@
     return json.dumps(members).encode()
 
 
-def listen(address: str, tls: TlsSettings | None) -> socket.socket:
-    """Return a listening socket; it accepts TLS connections if ``tls`` is given."""
-    host, _, port = address.rpartition(":")
-    sock = socket.create_server((host, int(port)), reuse_port=False)
+def secure(sock: socket.socket, tls: TlsSettings | None) -> socket.socket:
+    """Return a listening socket that accepts TLS connections if ``tls`` is given."""
     if tls is None:
         return sock
     context = server_context(tls)
@@ -586,6 +585,23 @@
     limits: LimitSettings,
     threads: int,
     tls: TlsSettings | None = None,
+) -> BoundedServer:
+    """Return a server for ``app`` at ``address``, as `make_server` does.
+
+    Parameters
+    ----------
+    address : str
+        Address to listen on, as ``address:port``.
+    """
+    return make_server(app, open_listener(address), limits, threads, tls)
+
+
+def make_server(
+    app: Callable,
+    sock: socket.socket,
+    limits: LimitSettings,
+    threads: int,
+    tls: TlsSettings | None = None,
 ) -> BoundedServer:
     """Return a server for ``app``, whose ``run`` serves until it is closed.
 
@@ -593,8 +609,8 @@
     ----------
     app : callable
         WSGI application.
-    address : str
-        Address to listen on, as ``address:port``.
+    sock : socket.socket
+        Listening socket.
     limits : LimitSettings
         Limits on connections, body and header sizes, and idle time.
     threads : int
@@ -625,5 +641,5 @@
     ]
     dispatcher = ElasticDispatcher(threads + RESERVED_THREADS)
     return BoundedServer(
-        app, listen(address, tls), adjustments, dispatcher, limits.connections
+        app, secure(sock, tls), adjustments, dispatcher, limits.connections
     )
--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -133,6 +133,9 @@
         Maximum length of an idempotency key, in bytes.
     idle_s : float
         Time after which an idle connection is closed, in seconds.
+    port_wait_s : float
+        Time for which a port that is held is tried again, in seconds. The kernel keeps
+        the port of a closed connection for 60 s.
     """
 
     threads: int = checked(positive, default=256)
@@ -141,6 +144,7 @@
     header_bytes: int = checked(positive, default=32_768)
     key_bytes: int = checked(positive, default=200)
     idle_s: float = checked(positive, default=120.0)
+    port_wait_s: float = checked(positive, default=70.0)
 
 
 @dataclass(frozen=True)
