Wait for the port of metrics as for any other port

Two modules waited for held ports: one for metrics, one for all others. The second serves both now. A listener without which the host can work never ends it: its port is tried again every 2 s whatever the error, and if it can't be served (no thread) the host goes on with a line.

--- a/godwitladder/process/binding.py
+++ b/godwitladder/process/binding.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import math
 import socket
 import threading
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 log = component_logger("daemon")
 
 RETRY_INTERVAL_S = 0.1
+SPARE_RETRY_INTERVAL_S = 2.0
+"""The same for a port without which the host can work, and which may never be free."""
 FIRST_REPORT_S = 5.0
 """Time after which a port that is still awaited is reported again; then twice that."""
 JOIN_TIMEOUT_S = 1.0
@@ -47,6 +50,16 @@
     address: str
     wait_s: float
 
+    @property
+    def is_vital(self) -> bool:
+        """Whether the host can't work without it."""
+        return math.isfinite(self.wait_s)
+
+    @property
+    def interval_s(self) -> float:
+        """Time in seconds between two tries to bind it."""
+        return RETRY_INTERVAL_S if self.is_vital else SPARE_RETRY_INTERVAL_S
+
 
 class PortUnavailable(Exception):
     """The port of a listener could not be bound.
@@ -119,10 +132,19 @@
         PortUnavailable
             The port can't be bound, and waiting doesn't help.
         """
+        try:
+            self.bind_or_wait(listener, use)
+        except Exception as error:
+            if listener.is_vital:
+                raise
+            report_missing(listener, error)
+
+    def bind_or_wait(self, listener: Listener, use: Use) -> None:
+        """Do what `bind` does, whether the host can work without or not."""
         try:
             sock = open_listener(listener.address)
         except (OSError, OverflowError) as error:
-            if not is_passing(error):
+            if listener.is_vital and not is_passing(error):
                 raise PortUnavailable(listener, error, 0.0) from error
             self.report(listener, error, 0.0)
             self.start_wait(listener, use)
@@ -145,7 +167,10 @@
             if sock is not None:
                 use(sock)
         except Exception as error:
-            self.fail(Failure(f"listener {listener.name}", error))
+            if listener.is_vital:
+                self.fail(Failure(f"listener {listener.name}", error))
+            else:
+                report_missing(listener, error)
 
     def wait(self, listener: Listener) -> socket.socket | None:
         """Return the listening socket; None if the host stops before.
@@ -157,12 +182,13 @@
         """
         began = self.clock.monotonic()
         report_s = FIRST_REPORT_S
-        while not self.clock.wait(self.ending, RETRY_INTERVAL_S):
+        while not self.clock.wait(self.ending, listener.interval_s):
             waited_s = self.clock.monotonic() - began
             try:
                 sock = open_listener(listener.address)
-            except OSError as error:
-                if not is_passing(error) or waited_s >= listener.wait_s:
+            except (OSError, OverflowError) as error:
+                is_over = waited_s >= listener.wait_s or not is_passing(error)
+                if listener.is_vital and is_over:
                     raise PortUnavailable(listener, error, waited_s) from error
                 if waited_s >= report_s:
                     self.report(listener, error, waited_s)
@@ -182,7 +208,7 @@
             "address": listener.address,
             "error": str(error),
             "waited_s": round(waited_s, 1),
-            "max_wait_s": listener.wait_s,
+            "max_wait_s": listener.wait_s if listener.is_vital else None,
         }
         log.warning("A port can't be bound yet; it is tried again", extra=extra)
 
@@ -193,6 +219,12 @@
             thread.join(JOIN_TIMEOUT_S)
 
 
+def report_missing(listener: Listener, error: Exception) -> None:
+    """Log that the host goes on without a listener."""
+    extra = {"listener": listener.name, "error": repr(error)}
+    log.warning("The host works without a listener", extra=extra)
+
+
 def is_passing(error: Exception) -> bool:
     """Return whether an address that can't be bound may be bound later."""
     return isinstance(error, OSError) and error.errno in PASSING_ERRORS
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -40,7 +40,6 @@
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
-from godwitladder.process.metrics_listener import MetricsListener
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
@@ -411,13 +410,13 @@
     def serve_status(self) -> None:
         """Serve status and metrics, where the settings name addresses for them."""
         listen = self.settings.listen
-        if listen.operators:
-            operators = self.spare_listener("operators", listen.operators)
-            self.serve(StatusApp(self), operators, ADMIN_THREADS)
-        if listen.metrics not in ("", listen.operators):
-            app, limits = StatusApp(self), self.settings.limits
-            listener = MetricsListener(app, listen.metrics, limits, self.clock)
-            self.start_component(listener)
+        addresses = {"operators": listen.operators, "metrics": listen.metrics}
+        if listen.metrics == listen.operators:
+            del addresses["metrics"]
+        for name, address in addresses.items():
+            if address:
+                listener = self.spare_listener(name, address)
+                self.serve(StatusApp(self), listener, ADMIN_THREADS)
 
     def prepare_caller_server(self, server: BoundedServer) -> None:
         """Set up the server of callers before it runs."""
--- a/tests/process/test_binding.py
+++ b/tests/process/test_binding.py
@@ -165,3 +165,60 @@
         return
     with sock:
         assert sock.getsockname()[0] == "::1"
+
+
+def test_a_port_that_can_never_be_bound_is_tried_again_where_it_is_not_vital(
+    address, failures, sockets, monkeypatch
+):
+    """Guards against calls that are lost for the sake of metrics."""
+    tries = []
+
+    def refuse(address):
+        tries.append(address)
+        raise OSError(errno.EACCES, "no")
+
+    monkeypatch.setattr(binding, "open_listener", refuse)
+    monkeypatch.setattr(binding, "SPARE_RETRY_INTERVAL_S", 0.01)
+    binder = Binder(Clock(), failures.append)
+    binder.bind(Listener("a", address, math.inf), sockets.append)
+    wait_until(lambda: len(tries) > 2, "further tries")
+    binder.end()
+    assert (failures, sockets) == ([], [])
+
+
+@pytest.mark.parametrize("is_held", [False, True], ids=["now", "later"])
+def test_a_port_that_can_t_be_served_stops_no_host_that_can_work_without(
+    address, failures, is_held, monkeypatch
+):
+    """Guards against a host that ends because its metrics need one more thread."""
+    tried = threading.Event()
+
+    def use(sock):
+        sock.close()
+        tried.set()
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(binding, "SPARE_RETRY_INTERVAL_S", 0.05)
+    binder = Binder(Clock(), failures.append)
+    with contextlib.ExitStack() as stack:
+        if is_held:
+            stack.enter_context(contextlib.closing(open_listener(address)))
+        binder.bind(Listener("a", address, math.inf), use)
+    assert tried.wait(10)
+    binder.end()
+    assert failures == []
+
+
+def test_metrics_that_find_no_thread_to_wait_stop_no_host(
+    address, failures, sockets, monkeypatch
+):
+    """Guards against a start that fails over a port of no use to calls."""
+
+    def refuse(thread):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", refuse)
+    with contextlib.closing(open_listener(address)):
+        binder = Binder(Clock(), failures.append)
+        binder.bind(Listener("a", address, math.inf), sockets.append)
+    assert (failures, sockets) == ([], [])
--- a/tests/process/test_metrics_address.py
+++ b/tests/process/test_metrics_address.py
@@ -3,20 +3,16 @@
 import http.client
 import os
 import socket
-import threading
 import tomllib
 
 import pytest
 
-from godwitladder.clock import Clock
-from godwitladder.process.metrics_listener import MetricsListener
-from godwitladder.settings import LimitSettings
 from review.common.fleet import ROOT
 from tests.process.deployment import Deployment, fill_in, host_fields, wait_until
 
 READY_S = 20.0
 RANGES = ((7600, 7615), (7400, 7415), (7560, 7575))
-HELD = "The metrics are not served"
+HELD = "A port can't be bound yet; it is tried again"
 
 
 def deployed_metrics():
@@ -87,16 +83,3 @@
     assert wait_until(lambda: fetch(ip, port, path) is not None, 20)
     assert host.log_path.read_text().count(HELD) == 1
     assert host.process.poll() is None
-
-
-def test_a_thread_for_metrics_that_can_t_start_does_not_stop_the_host(monkeypatch):
-    """Guards against a host that ends because its metrics need one more thread."""
-
-    def refuse(thread):
-        raise RuntimeError("can't start new thread")
-
-    app, limits = None, LimitSettings()
-    listener = MetricsListener(app, "127.0.0.1:0", limits, Clock())
-    monkeypatch.setattr(threading.Thread, "start", refuse)
-    listener.start()
-    listener.stop()
