Let an unexpected error cost one turn of a loop

Seen by callers: nothing at first. An unexpected error in the loops "hosts", "streams", "load" or "orders", in the dialling of a peer or in the writer of a link ended that thread or task alone, and the host went on without following what it read. In "feed", "ticker", "watch" or "rollouts" it ended the process (status 70), and again after each restart as long as the value that causes it stands: all hosts of a fleet together. A line whose fields can't be written ended the thread of the log.

Cause: each loop had its own list of expected errors, and whatever is not on it left the loop.

Change: process/loops.py runs turns. A turn that fails is logged (bounded, a line in 5 s a part), counted in failed_turns_total by part, and the loop goes on; `recover` discards what may be applied in part. The feed forgets its places, so that all is read anew, confirms nothing and tells peers nothing until its view is published; a host that fails again and again gets old and is then not ready. News of peers run as turns of the feed, so that they don't close the link.

Ruled out: going on in scheduler, membership, claims and the follower of tickets, whose state is that of calls in progress or has to be the same on all hosts. A message of a peer that can't be handled closes its link, as before (test_mesh.py asks for that).

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -27,13 +27,13 @@
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.router import Router
-from godwitladder.metrics import Metrics
 from godwitladder.orders.issuer import OrderIssuer
 from godwitladder.orders.stream import OrderStream
 from godwitladder.paths.connector import Connector, ConnectTimeouts
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
+from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import watch_threads
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
@@ -61,7 +61,17 @@
 """Time for load balancers and peers to notice that this host is leaving."""
 OPERATOR_THREADS = 8
 CRITICAL_THREADS = frozenset(
-    {"config", "hosts", "ticker", "http", "claim-read", "claim-write"}
+    {
+        "config",
+        "hosts",
+        "ticker",
+        "http",
+        "peers",
+        "load",
+        "orders",
+        "claim-read",
+        "claim-write",
+    }
 )
 CONNECT_TIMEOUTS = ConnectTimeouts(
     only_way_s=2.0, before_tunnel_s=0.5, tunnel_s=1.25, round_s=2.5
@@ -83,7 +93,6 @@
     def __init__(self, settings: Settings, clock: Clock) -> None:
         super().__init__(settings.host, clock, settings.limits)
         self.settings = settings
-        self.metrics = Metrics()
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         self.router = Router(settings.host)
@@ -196,6 +205,7 @@
     def start(self) -> None:
         """Start all components."""
         listen, threads = self.settings.listen, self.settings.limits.threads
+        self.supervise(self.mesh.turns)
         self.mesh.start_dialling()
         self.stack.callback(self.mesh.close)
         self.binder.bind(self.vital_listener("peers", listen.peers), self.mesh.listen)
@@ -358,15 +368,19 @@
         continues without it.
         """
         client = HostListClient(self.settings.platform.hosts, self.settings.zone)
-        while not self.stopping.is_set():
-            try:
-                self.membership.tell(HostListRead(client.read()))
-            except HostListUnavailable as error:
-                log.info("The host list is unavailable", extra={"error": str(error)})
-            self.update_metrics()
-            self.clock.wait(self.stopping, HOST_LIST_PERIOD_S)
+        turns = self.supervise(Turns("hosts", self.clock))
+        turns.loop(self.stopping, lambda: self.read_host_list(client))
         client.close()
 
+    def read_host_list(self, client: HostListClient) -> float:
+        """Read the list once; return the seconds until the next turn."""
+        self.update_metrics()
+        try:
+            self.membership.tell(HostListRead(client.read()))
+        except HostListUnavailable as error:
+            log.info("The host list is unavailable", extra={"error": str(error)})
+        return HOST_LIST_PERIOD_S
+
     def update_metrics(self) -> None:
         """Update the metrics of links between hosts and of access to the log."""
         sent, received = self.mesh.traffic()
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -44,6 +44,7 @@
 from godwitladder.discovery.targets import TargetTable
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
+from godwitladder.process.loops import Turns
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.routing.model import RoutingDocument
 
@@ -88,6 +89,8 @@
 MAX_FURTHER_READS = 4
 """Reads of one topic in a row, after the first; a snapshot is shorter than so many
 changes."""
+MAX_PENDING_REPLIES = 1_000
+"""Requests that a host without any state keeps; hosts repeat theirs."""
 MAX_READS_FOR_ERA = 3
 """Reads of both topics until both are of one era."""
 OUTAGE_THRESHOLD_S = 1.5
@@ -130,6 +133,8 @@
         in seconds.
     is_unpublished : bool
         Whether a view waits until what was read of the store may be used.
+    is_doubtful : bool
+        Whether a turn failed since the last view, which may lack what it applied.
     tells_at : float or None
         Time at which this host tells others of a document that the store has lost,
         unless one of them does so before.
@@ -178,6 +183,8 @@
         self.ignored_at = self.late_logged_at = float("-inf")
         self.lock = threading.RLock()
         self.stopping = threading.Event()
+        self.is_doubtful = False
+        self.turns = Turns("feed", clock, self.doubt_copy)
 
     def start(self) -> None:
         """Start the update loop in a thread."""
@@ -189,9 +196,23 @@
 
     def run(self) -> None:
         """Run the update loop until stopped."""
-        while not self.stopping.is_set():
-            self.step()
-            self.clock.wait(self.stopping, self.pause_s())
+        self.turns.loop(self.stopping, self.step_in_turn)
+
+    def step_in_turn(self) -> float:
+        """Run one step, and return the seconds until the next one."""
+        self.step()
+        return self.pause_s()
+
+    def doubt_copy(self) -> None:
+        """Have all records read anew: some may have been applied in part.
+
+        Until they are and their view is published, nothing is confirmed, and no other
+        host is told of this copy. The document in force stays.
+        """
+        with self.lock:
+            self.is_doubtful = True
+            self.document_place = Place(self.document_place.era)
+            self.entry_place = Place(self.entry_place.era)
 
     def pause_s(self) -> float:
         """Return the seconds until the next step.
@@ -246,7 +267,7 @@
         """Call ``reply`` with the full state, now or once this host has any."""
         with self.lock:
             news = self.make_full_news()
-            if news is None:
+            if news is None and len(self.pending_replies) < MAX_PENDING_REPLIES:
                 self.pending_replies.append(reply)
         if news is not None:
             reply(news)
@@ -515,6 +536,10 @@
             entry is None or entry != held or record.key in self.table.pending_removals
         )
 
+    def receive_news(self, news: FeedNews, late_s: float = 0.0) -> None:
+        """Apply what another host has read, in a turn of this part."""
+        self.turns.run(self.apply_news, news, late_s)
+
     def apply_news(self, news: FeedNews, late_s: float = 0.0) -> None:
         """Apply what another host has read.
 
@@ -603,7 +628,7 @@
             self.rewritten.record(entries, self.clock.boottime())
             apply_batch(self.newest_entries, entries)
             changed |= self.apply_entries(entries)
-        if changed:
+        if changed or self.is_doubtful:
             self.publish_view(began)
         # Only now: until the view is in force, keys are looked up in the one before.
         if fits[0] is Fit.APPLIES:
@@ -789,3 +814,4 @@
         self.publish(
             StoreView(self.version, self.document, targets, unproved, rollouts)
         )
+        self.is_doubtful = False
--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -92,14 +92,24 @@
             record = self.lines.get()
             if self.dropped:
                 record.dropped_lines, self.dropped = self.dropped, 0
+            self.write(record)
+
+    def write(self, record: logging.LogRecord) -> None:
+        """Write one record; count it as dropped if that fails.
+
+        A field may be nested too deep to be written. All later lines would be lost
+        with it.
+        """
+        try:
             self.target.handle(record)
-            self.written += 1
+        except Exception:
+            self.dropped += 1
+        self.written += 1
 
     def drain(self) -> None:
         """Write the queued records before the process ends."""
         while not self.lines.empty():
-            self.target.handle(self.lines.get())
-            self.written += 1
+            self.write(self.lines.get())
 
     def wait_until_written(self, timeout_s: float) -> None:
         """Wait until the writer thread has written all queued records.
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -23,6 +23,7 @@
 from godwitladder.membership.codec import InvalidMessage, decode, encode
 from godwitladder.membership.messages import Hello, Proof
 from godwitladder.membership.peer_clocks import PeerClock
+from godwitladder.process.loops import Turns
 
 log = component_logger("peers")
 
@@ -92,6 +93,7 @@
         self.wake_scheduled = False
         self.dialled = False
         self.peer_clock = PeerClock()
+        self.turns = Turns("peers", clock)
 
     def send(self, data: bytes) -> bool:
         """Queue an encoded message; return False if the queue is full."""
@@ -122,11 +124,15 @@
                 while self.outgoing:
                     await self.connection.send(self.outgoing.popleft())
         except (WebSocketException, OSError):
+            # The reader logs why the connection closed.
+            return
+        finally:
+            # Also after an unexpected error: the end that dialled it connects again.
             self.abort()
 
     async def read(self, deliver: Callable[["Link", Any], None]) -> None:
         """Deliver incoming messages until the connection closes."""
-        writer = asyncio.ensure_future(self.write())
+        writer = asyncio.ensure_future(self.turns.run_async(self.write))
         try:
             async for data in self.connection:
                 self.last_heard = self.clock.monotonic()
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -27,6 +27,7 @@
     perform_handshake,
 )
 from godwitladder.process.binding import open_listener
+from godwitladder.process.loops import Turns
 from godwitladder.settings import TlsSettings
 from godwitladder.tls import client_context, server_context
 
@@ -134,10 +135,12 @@
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.server: socket.socket | None = None
+        self.listening: asyncio.Task | None = None
         self.loop: asyncio.AbstractEventLoop | None = None
         self.thread: threading.Thread | None = None
         self.context: ssl.SSLContext | None = None
         self.listener: Server | None = None
+        self.turns = Turns("peers", clock)
 
     def start(self) -> None:
         """Start to listen for peers, and dial the seeds.
@@ -172,13 +175,16 @@
         try:
             self.loop.run_forever()
             self.loop.run_until_complete(self._end_tasks())
+            if self.listening is not None:
+                _raise_failure(self.listening)
         finally:
             if self.server is not None:
                 self.server.close()
             self.loop.close()
 
     def _start_listening(self) -> None:
-        self.loop.create_task(self._listen()).add_done_callback(_raise_failure)
+        self.listening = self.loop.create_task(self._listen())
+        self.listening.add_done_callback(self._stop_if_failed)
 
     async def _listen(self) -> None:
         self.listener = await serve(
@@ -193,6 +199,11 @@
             ssl=self.context,
         )
 
+    def _stop_if_failed(self, listening: asyncio.Task) -> None:
+        """End the event loop if this host can't listen for peers."""
+        if not listening.cancelled() and listening.exception() is not None:
+            self.loop.stop()
+
     async def _end_tasks(self) -> None:
         for link in self.current():
             link.abort()
@@ -335,7 +346,7 @@
         )
         pause_s = first_pause_s
         while address in self.dial_addresses:
-            if await self._run_dialled_link(address):
+            if await self.turns.run_async(self._run_dialled_link, address):
                 pause_s = first_pause_s
             await self.clock.async_sleep(pause_s)
             pause_s = min(2 * pause_s, MAX_REDIAL_INTERVAL_S)
@@ -352,7 +363,7 @@
         # lower address dials first.
         if address < self.address:
             await self.clock.async_sleep(SINGLE_DIAL_DELAY_S)
-        await self._run_dialled_link(address)
+        await self.turns.run_async(self._run_dialled_link, address)
 
     def _is_linked(self, address: str) -> bool:
         return any(link.address == address for link in self.current())
@@ -442,6 +453,7 @@
             return None
         link = Link(hello.host, hello.address, connection, self.clock, self.post)
         link.dialled = not accepted
+        link.turns = self.turns
         self._add(link)
         return link
 
@@ -450,9 +462,10 @@
         try:
             self.on_link_up(link)
             await link.read(self.deliver)
-        except Exception:
+        except Exception as error:
             # The dialling end reconnects: only this message may cause the error.
-            log.exception("Unexpected error on a link", extra={"peer": link.peer})
+            log.warning("Unexpected error on a link", extra={"peer": link.peer})
+            self.turns.record(error)
         finally:
             self._remove(link)
         return True
@@ -486,7 +499,7 @@
 
 
 def _raise_failure(task: asyncio.Task) -> None:
-    """Raise the exception of ``task``, if any, for the event loop to log."""
+    """Raise the exception of ``task``, if any."""
     if not task.cancelled():
         task.result()
 
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -55,6 +55,9 @@
         self.allocator_restarts = self._counter(
             "allocator_restarts_total", "Allocator roles that failed and began anew"
         )
+        self.failed_turns = self._counter(
+            "failed_turns_total", "Turns of loops that failed unexpectedly, by part"
+        )
         self.wasted_prefill = self._counter(
             "wasted_prefill_tokens_total", "Prompt tokens processed for nothing"
         )
--- a/godwitladder/orders/issuer.py
+++ b/godwitladder/orders/issuer.py
@@ -39,6 +39,7 @@
     read_order,
     write_order,
 )
+from godwitladder.process.loops import Turns
 
 log = component_logger("orders")
 
@@ -108,6 +109,7 @@
         self.in_progress: set[TargetName] = set()
         self.lock = threading.Lock()
         self.stopping = threading.Event()
+        self.turns = Turns("orders", clock)
         self.workers = ThreadPoolExecutor(
             MAX_CONCURRENT_ORDERS, thread_name_prefix="order"
         )
@@ -123,13 +125,17 @@
 
     def run(self) -> None:
         """Check targets periodically until stopped."""
-        while not self.clock.wait(self.stopping, POLL_INTERVAL_S):
-            for name in self.due_targets():
-                with self.lock:
-                    if name in self.in_progress:
-                        continue
-                    self.in_progress.add(name)
-                self.workers.submit(self.reconcile, name)
+        self.turns.loop(self.stopping, self.check_targets)
+
+    def check_targets(self) -> float:
+        """Check the targets that are due; return the seconds until the next turn."""
+        for name in self.due_targets():
+            with self.lock:
+                if name in self.in_progress:
+                    continue
+                self.in_progress.add(name)
+            self.workers.submit(self.turns.run, self.reconcile, name)
+        return POLL_INTERVAL_S
 
     def due_targets(self) -> list[TargetName]:
         """Return the targets that this host is responsible for and must check now."""
--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -17,9 +17,11 @@
 from godwitladder.clock import Clock
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger, flush_logs
+from godwitladder.metrics import Metrics
 from godwitladder.process.binding import Binder, Listener
 from godwitladder.process.drain import close_idle, count_unfinished, stop_accepting
 from godwitladder.process.exits import Failure, report_exit
+from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import supervised
 from godwitladder.serving.listener import BoundedServer, make_server
 from godwitladder.settings import LimitSettings, TlsSettings
@@ -53,6 +55,8 @@
         Time in seconds for which a port that is held is tried again.
     binder : Binder
         Binds the listeners.
+    metrics : Metrics
+        All metrics of the host.
     stack : contextlib.ExitStack
         Stops the components in the reverse order of their start.
     stopping : threading.Event
@@ -71,6 +75,7 @@
         self.limits = limits
         self.port_wait_s = grace_s + limits.port_wait_s
         self.binder = Binder(clock, self.fail)
+        self.metrics = Metrics()
         self.stack = contextlib.ExitStack()
         self.stopping = threading.Event()
         self.failure: Failure | None = None
@@ -89,6 +94,7 @@
 
     def start_component(self, component: Any, *args: Any) -> None:
         """Start a component with a thread of its own, to be stopped with the host."""
+        self.supervise(component.turns)
         component.start(*args)
         self.stack.callback(component.stop)
 
@@ -100,6 +106,11 @@
         """Return a listener without which the host serves its callers as well."""
         return Listener(name, address, math.inf)
 
+    def supervise(self, turns: Turns) -> Turns:
+        """Count the turns that fail in the metrics, and return ``turns``."""
+        turns.count = lambda part: self.metrics.failed_turns.inc({"part": part})
+        return turns
+
     def serve(
         self,
         app: Callable,
--- a/godwitladder/rollouts/status.py
+++ b/godwitladder/rollouts/status.py
@@ -21,6 +21,7 @@
 )
 from godwitladder.ids import ServiceName
 from godwitladder.logs import component_logger
+from godwitladder.process.loops import Turns
 
 log = component_logger("rollouts")
 
@@ -102,6 +103,7 @@
         self.lock = threading.Lock()
         self.changed = threading.Event()
         self.stopping = False
+        self.turns = Turns("rollouts", clock, self.forget)
 
     def start(self) -> None:
         """Start writing in a thread."""
@@ -123,7 +125,7 @@
         """Write until stopped."""
         while not self.stopping:
             self.changed.clear()
-            is_done = self.write_all()
+            is_done = self.turns.run(self.write_all, otherwise=False)
             self.clock.wait(self.changed, IDLE_S if is_done else RETRY_S)
 
     def write_all(self) -> bool:
@@ -131,12 +133,16 @@
         with self.lock:
             rows = list(self.wanted.values())
         for wanted in rows:
-            known = self.write(wanted)
+            known = self.turns.run(self.write, wanted)
             if known is not None:
                 self.finish(wanted, known)
         with self.lock:
             return not self.wanted
 
+    def forget(self) -> None:
+        """Forget what was read, so that the next attempt reads it again."""
+        self.known = None
+
     def finish(self, wanted: WantedStatus, known: StatusKnown) -> None:
         """Report what the store holds, and forget what was wanted."""
         with self.lock:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -35,11 +35,11 @@
 from godwitladder.membership.messages import Heartbeat
 from godwitladder.membership.peer_clocks import ClockTold, ClockWanted, PeerClocks
 from godwitladder.membership.router import Router
-from godwitladder.metrics import Metrics
 from godwitladder.paths.connector import Connector
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
+from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
@@ -96,7 +96,9 @@
 """Limit on the allocators listed in a log line."""
 MAX_TARGETS_AGE_S = 2.0
 """Age of the list of targets up to which a version that has just come is known."""
-CRITICAL_THREADS = frozenset({"feed", "ticker", "http", "watch", "peers", "rollouts"})
+CRITICAL_THREADS = frozenset(
+    {"feed", "hosts", "ticker", "http", "watch", "peers", "rollouts", "streams"}
+)
 
 
 class RoutingHost(BaseHost):
@@ -129,7 +131,6 @@
         self.settings = settings
         self.file_text = read_settings_text(path)
         self.source = source
-        self.metrics = Metrics()
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         # One queue and one pool for the whole region: with a pool per availability
@@ -252,7 +253,7 @@
         self.feed.broadcast = self.mesh.broadcast
         self.feed.send_request = self.ask_peer
         self.router.message_handlers[FeedNews] = lambda link, news: (
-            self.feed.apply_news(news, self.peer_clocks.age_s(link, news.sent_s))
+            self.feed.receive_news(news, self.peer_clocks.age_s(link, news.sent_s))
         )
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
         self.quarantine = QuarantineGate(
@@ -384,6 +385,7 @@
         """Start all components."""
         settings = self.settings
         listen, threads = settings.listen, settings.limits.threads
+        self.supervise(self.mesh.turns)
         self.mesh.start_dialling()
         self.stack.callback(self.mesh.close)
         self.binder.bind(self.vital_listener("peers", listen.peers), self.mesh.listen)
@@ -560,11 +562,14 @@
     def poll_host_list(self) -> None:
         """Maintain this host's entry in the host list, and reload changed settings."""
         # Most peers are found through the seeds within this time.
-        period_s = FIRST_POLL_S
-        while not self.clock.wait(self.stopping, period_s):
-            linked = bool(self.mesh.current())
-            period_s = self.host_list.update(linked, self.feed.hosts)
-            self.reload_if_changed()
+        self.clock.wait(self.stopping, FIRST_POLL_S)
+        turns = self.supervise(Turns("hosts", self.clock))
+        turns.loop(self.stopping, lambda: self.update_host_list(turns))
+
+    def update_host_list(self, turns: Turns) -> float:
+        """Run one turn; return the seconds until the next one."""
+        turns.run(self.reload_if_changed)
+        return self.host_list.update(bool(self.mesh.current()), self.feed.hosts)
 
 
 def read_settings_text(path: Path) -> str:
--- a/godwitladder/scheduler/load.py
+++ b/godwitladder/scheduler/load.py
@@ -1,5 +1,6 @@
 """Polling of the targets' load reports, for the allocators on this host."""
 
+import functools
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
@@ -10,6 +11,7 @@
 from godwitladder.engines.wire import MayHaveRun, NotSent
 from godwitladder.ids import TargetName
 from godwitladder.logs import component_logger
+from godwitladder.process.loops import Turns
 from godwitladder.scheduler.allocator import Allocator
 from godwitladder.scheduler.messages import TargetLoad
 
@@ -36,6 +38,7 @@
         self.allocator = allocator
         self.clock = clock
         self.stopping = threading.Event()
+        self.turns = Turns("load", clock)
 
     def start(self) -> None:
         """Start reading in a background thread."""
@@ -48,9 +51,14 @@
     def run(self) -> None:
         """Read until stopped."""
         with ThreadPoolExecutor(READER_THREADS, "load") as pool:
-            while not self.clock.wait(self.stopping, READ_INTERVAL_S):
-                watched = self.allocator.proxy().targets_to_watch().get()
-                list(pool.map(self.read, watched, watched.values()))
+            self.turns.loop(self.stopping, lambda: self.read_all(pool))
+
+    def read_all(self, pool: ThreadPoolExecutor) -> float:
+        """Read all targets, and return the seconds until the next read."""
+        watched = self.allocator.proxy().targets_to_watch().get()
+        read = functools.partial(self.turns.run, self.read)
+        list(pool.map(read, watched, watched.values()))
+        return READ_INTERVAL_S
 
     def read(self, target: TargetName, address: str) -> None:
         """Read the load report of one target and send it to the allocator."""
--- a/godwitladder/scheduler/ticker.py
+++ b/godwitladder/scheduler/ticker.py
@@ -5,6 +5,7 @@
 import pykka
 
 from godwitladder.clock import Clock
+from godwitladder.process.loops import Turns
 from godwitladder.scheduler.messages import Tick
 
 
@@ -25,6 +26,7 @@
         self.requested_s = period_s
         self.woken = threading.Event()
         self.stopping = threading.Event()
+        self.turns = Turns("ticker", clock)
 
     def start(self, actor: pykka.ActorRef) -> None:
         """Start sending ticks to ``actor``."""
@@ -49,4 +51,4 @@
                 self.woken.clear()
                 self.clock.wait(self.stopping, min(self.requested_s, self.period_s))
             if not self.stopping.is_set():
-                actor.tell(Tick())
+                self.turns.run(actor.tell, Tick())
--- a/godwitladder/serving/call_watcher.py
+++ b/godwitladder/serving/call_watcher.py
@@ -15,6 +15,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.engines.wire import AbortedByHost
+from godwitladder.process.loops import Turns
 
 CHECK_INTERVAL_S = 0.05
 """Interval between checks in seconds. A disconnected caller must be noticed within
@@ -108,6 +109,7 @@
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.has_calls = threading.Event()
+        self.turns = Turns("watch", clock)
 
     def start(self) -> None:
         """Start the thread."""
@@ -144,4 +146,4 @@
         with self.lock:
             calls = list(self.calls.values())
         for call in calls:
-            call.check(now)
+            self.turns.run(call.check, now)
--- a/godwitladder/serving/stream_recorder.py
+++ b/godwitladder/serving/stream_recorder.py
@@ -19,6 +19,7 @@
 from godwitladder.ids import ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
+from godwitladder.process.loops import Turns
 
 log = component_logger("streams")
 
@@ -90,6 +91,7 @@
         self.lock = threading.Lock()
         self.read_lock = threading.Lock()
         self.stopping = threading.Event()
+        self.turns = Turns("streams", clock)
 
     def start(self) -> None:
         """Start to write in a thread."""
@@ -101,9 +103,13 @@
 
     def run(self) -> None:
         """Write until stopped, and once more."""
-        while not self.clock.wait(self.stopping, self.interval_s()):
-            self.write()
+        self.turns.loop(self.stopping, self.write_in_turn)
+        self.turns.run(self.write)
+
+    def write_in_turn(self) -> float:
+        """Write once, and return the seconds until the next write."""
         self.write()
+        return self.interval_s()
 
     def interval_s(self) -> float:
         """Return the seconds between two writes of this host."""
