Find the end of an answer's head where its lines end otherwise than with CRLF

Callers got a 200 that looked whole with a part of the answer only.

Cause: a head that has arrived as a whole was taken up to the first CRLF CRLF. Where the lines of a head end with LF, its blank line comes before, and a CRLF CRLF in the body took the first part of the body with the head: an answer without a length was passed on from there. And the parser behind http.client takes a bare CR for the end of a line, so that 'X: 1 CR CR LF' ended the head: Content-Length and Transfer-Encoding after it were lost, a body that was cut short looked like one that ends with its connection, and chunk sizes became a part of the body. 'X: 1 CR Content-Length: 2' made a length out of a value.

Change: only a head whose lines all end with CRLF, and which has no other CR, is taken at once. Others are read by line, up to the first blank line, and a line with a bare CR makes them malformed.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -255,17 +255,21 @@
         """Return a final head that has arrived as a whole; None if it has not.
 
         Nearly all heads are such, and reading each line would take most of the time.
+        If a line ends otherwise than with CRLF, the blank line may be an earlier one.
         """
         limits, buffered = self.limits, self.fp.peek()
         end = buffered.find(HEAD_END) + len(HEAD_END)
         match = STATUS_LINE.match(buffered)
+        lines = buffered.count(b"\n", 0, end)
         if (
             match is None
             or not match.end() < end <= limits.line_bytes
             or end > limits.header_bytes
             or match[1] < b"200"
-            or not buffered.count(b"\n", 0, end) <= limits.header_count
-            or not buffered.count(b"\n", 0, end) <= MAX_PARSED_LINES
+            or lines > limits.header_count
+            or lines > MAX_PARSED_LINES
+            or not buffered.count(b"\r\n", 0, end) == lines
+            or not buffered.count(b"\r", 0, end) == lines
         ):
             return None
         self.head_bytes = end
@@ -295,6 +299,9 @@
                 raise self._malformed_head(f"a line of over {line_bytes} bytes")
             if not line.endswith(b"\n"):
                 raise http.client.RemoteDisconnected("the connection ended in a head")
+            if line.count(b"\r") > line.endswith(b"\r\n"):
+                # The parser takes it for the end of a line, and of the head.
+                raise self._malformed_head(f"a bare CR in {line[:80]!r}")
             if not lines and not STATUS_LINE.fullmatch(line):
                 raise self._malformed_head(f"no status line: {line[:80]!r}")
             if self.head_bytes > self.limits.header_bytes:
--- a/tests/engines/test_bounded_http.py
+++ b/tests/engines/test_bounded_http.py
@@ -66,6 +66,26 @@
     "another_version": (b"HTTP/2 200\r\n\r\n", AnswerShape.HEAD),
     "no_status_code": (b"HTTP/1.1 fine\r\n\r\n", AnswerShape.HEAD),
     "no_colon": (OK + b"Content-Length\r\n\r\nbody", AnswerShape.HEAD),
+    "bare_cr_before_a_length": (
+        OK + b"X: 1\r\r\nContent-Length: 40\r\n\r\nbody",
+        AnswerShape.HEAD,
+    ),
+    "bare_cr_after_a_line": (
+        OK + b"X: 1\r\n\rContent-Length: 40\r\n\r\nbody",
+        AnswerShape.HEAD,
+    ),
+    "bare_cr_before_chunks": (
+        OK + b"X: 1\n\r\rTransfer-Encoding: chunked\n\n40\r\nbody",
+        AnswerShape.HEAD,
+    ),
+    "bare_cr_and_bare_lf": (
+        OK + b"X: \rContent-Length: 2\n\r\nbody\r\n\r\n",
+        AnswerShape.HEAD,
+    ),
+    "length_within_a_value": (
+        OK + b"X: 1\rContent-Length: 2\r\n\r\nbody",
+        AnswerShape.HEAD,
+    ),
     "switching": (b"HTTP/1.1 101 Switching\r\n\r\n", AnswerShape.INTERIM),
     "negative_length": (OK + b"Content-Length: -5\r\n\r\nbody", AnswerShape.FRAMING),
     "garbled_length": (OK + b"Content-Length: ten\r\n\r\nbody", AnswerShape.FRAMING),
@@ -228,6 +248,16 @@
         assert ask(target, READERS[reader]) == (200, b"body")
 
 
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("blank", [b"\n\n", b"\n\r\n", b"\r\n\n"])
+def test_a_body_begins_after_the_first_blank_line(blank, reader):
+    """Guards against a body that looks complete without its first part."""
+    body = b"first part\r\n\r\nsecond part"
+    answer = b"HTTP/1.1 200 OK\r\nConnection: close" + blank + body
+    with RawTarget(answer, closes=True) as target:
+        assert ask(target, READERS[reader]) == (200, body)
+
+
 @pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
 def test_an_answer_without_a_body_is_complete(status):
     with RawTarget(b"HTTP/1.1 " + status + b"\r\n\r\n") as target:
