Read the answers to operators' commands and of the load tool up to their ends

The operators' commands took an answer in chunks whose last chunk was cut for whole.

Cause: both read through urllib3's own pools, whose parser takes an end within a head for the end of the head; an answer without a length then ends with its connection.

Change: both read through the pools of all other clients.

--- a/godwitladder/client.py
+++ b/godwitladder/client.py
@@ -3,14 +3,15 @@
 import json
 import os
 
-import urllib3
-
+from godwitladder.clients.pools import FAILED_REQUEST, BoundedPools
+from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import GodwitladderError
 
 TOKEN_VARIABLE = "GODWITLADDER_TOKEN"
 AUTHORITY_VARIABLE = "GODWITLADDER_AUTHORITY"
 # Longer than the maximum wait for a verdict and the timeout of the log.
 TIMEOUT_S = 20.0
+ANSWER_LIMITS = AnswerLimits()
 EXIT_REFUSED = 1
 EXIT_UNAVAILABLE = 3
 
@@ -51,9 +52,10 @@
     ) -> None:
         self.host = host
         self.base_url = host if "://" in host else f"http://{host}"
-        self.token = os.environ.get(TOKEN_VARIABLE, "") if token is None else token
+        token = os.environ.get(TOKEN_VARIABLE, "") if token is None else token
+        headers = {"Authorization": f"Bearer {token}"}
         authority = authority or os.environ.get(AUTHORITY_VARIABLE)
-        self.pool = urllib3.PoolManager(retries=False, ca_certs=authority)
+        self.pool = BoundedPools(ANSWER_LIMITS, headers=headers, ca_certs=authority)
 
     def get(self, path: str) -> dict:
         """Return the JSON object that the host returns for ``path``.
@@ -102,15 +104,9 @@
 
     def _request(self, method: str, path: str, body: bytes | None) -> dict:
         try:
-            answer = self.pool.request(
-                method,
-                self.base_url + path,
-                body=body,
-                headers={"Authorization": f"Bearer {self.token}"},
-                timeout=TIMEOUT_S,
-            )
+            answer = self.pool.ask(method, self.base_url + path, TIMEOUT_S, body)
             value = json.loads(answer.data)
-        except (urllib3.exceptions.HTTPError, ValueError, OSError) as error:
+        except (*FAILED_REQUEST, ValueError) as error:
             text = f"{self.host} did not answer: {error}"
             if method == "POST":
                 text += "\nThe outcome is unknown; it is safe to repeat the request."
--- a/godwitladder/clients/pools.py
+++ b/godwitladder/clients/pools.py
@@ -1,4 +1,4 @@
-"""Pools of HTTP connections to outside services, whose answers are read within limits.
+"""Pools of HTTP connections to services, whose answers are read within limits.
 
 A service in trouble may send an answer without end. Without a limit it grows until the
 host runs out of memory, or holds the thread that reads it for ever. Answers are not
@@ -64,7 +64,7 @@
     limits : AnswerLimits
         Limits on an answer.
     **options
-        Parameters of urllib3's `PoolManager`.
+        Parameters of urllib3's `PoolManager`. Headers are sent with each request.
     """
 
     def __init__(self, limits: AnswerLimits, **options) -> None:
@@ -75,7 +75,7 @@
         }
 
     def ask(
-        self, method: str, url: str, timeout_s: float, body: str | None = None
+        self, method: str, url: str, timeout_s: float, body: str | bytes | None = None
     ) -> urllib3.BaseHTTPResponse:
         """Send a request and return its whole answer.
 
--- a/godwitladder/loadtool.py
+++ b/godwitladder/loadtool.py
@@ -16,9 +16,12 @@
 import defopt
 import urllib3
 
+from godwitladder.clients.pools import FAILED_REQUEST, BoundedPools
 from godwitladder.clock import Clock
+from godwitladder.engines.answer_limits import AnswerLimits
 
 MAX_OPEN_CALLS = 500
+ANSWER_LIMITS = AnswerLimits()
 RESPONSE_MARGIN_S = 5.0
 
 
@@ -104,7 +107,7 @@
         self.max_tokens = max_tokens
         self.timeout_s = timeout_s
         self.clock = clock
-        self.http = urllib3.PoolManager(retries=False, maxsize=MAX_OPEN_CALLS)
+        self.http = BoundedPools(ANSWER_LIMITS, maxsize=MAX_OPEN_CALLS)
         self.results = {caller.name: Result() for caller in callers}
 
     def run(self, rate: float, duration_s: float, seed: int = 0) -> None:
@@ -148,9 +151,10 @@
                 body=json.dumps(body),
                 headers=headers,
                 timeout=self.timeout_s + RESPONSE_MARGIN_S,
+                decode_content=False,
             )
             outcome = read_outcome(answer)
-        except urllib3.exceptions.HTTPError:
+        except FAILED_REQUEST:
             outcome = "unanswered"
         seconds = self.clock.monotonic() - start
         result = self.results[caller.name]
