Take no answer of a service that doesn't state its end

An answer of the store, the log, the host list, the weight store or a host's operators' interface that stated neither a length nor chunks was taken for whole as its connection ended: an append of which the head alone had come was acknowledged, and a read of which the records had come in part, up to the end of one, was read.

Cause: only the client of plain services asked for a length or chunks, in a check of its own. Targets may answer without either, so the reader of answers allows it.

Change: 'needs_framing' of a connection makes such an answer malformed as its head is read. All pools set it, and the client of plain services in place of its check; 204, 304 and answers to HEAD have no body and stay right.

--- a/godwitladder/clients/pools.py
+++ b/godwitladder/clients/pools.py
@@ -2,7 +2,8 @@
 
 A service in trouble may send an answer without end. Without a limit it grows until the
 host runs out of memory, or holds the thread that reads it for ever. Answers are not
-decompressed, as a small one may become a large one by that.
+decompressed, as a small one may become a large one by that. An answer that states
+neither a length nor chunks is malformed: one that was cut short would look like it.
 """
 
 import functools
--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -179,6 +179,8 @@
         The connection.
     limits : AnswerLimits
         The limits.
+    needs_framing : bool, default=False
+        As in `BoundedAnswers`.
 
     Attributes
     ----------
@@ -207,9 +209,11 @@
         method: str | None = None,
         url: str | None = None,
         limits: AnswerLimits = DEFAULT_LIMITS,
+        needs_framing: bool = False,
     ) -> None:
         super().__init__(sock, debuglevel, method, url)
         self.limits = limits
+        self.needs_framing = needs_framing
 
     def limit_time(self, sock: socket.socket, max_timeouts: float) -> None:
         """Limit the time of the whole answer, in timeouts of the socket."""
@@ -222,7 +226,8 @@
         Raises
         ------
         MalformedAnswer
-            The head exceeds the limits, is not HTTP, or states no valid length.
+            The head exceeds the limits, is not HTTP, or states no valid length, or none
+            where one is needed.
         RemoteDisconnected
             The connection ended within the head.
         """
@@ -248,6 +253,8 @@
             self.will_close = True
             return
         self._check_framing(head.lower())
+        if self.length is None and self.needs_framing:
+            raise self._malformed_framing("neither a length nor chunks")
         if self.length is None:
             self.fp = UnframedBody(stream, self.limits.body_bytes)
 
@@ -427,14 +434,24 @@
     max_timeouts : float or None
         Time of a whole answer from the end of the request, in timeouts of the
         connection, each of which limits a silence only; None for no limit.
+    needs_framing : bool
+        Whether an answer whose end only its connection tells is malformed. Where that
+        may be, an answer that was cut short looks complete.
     """
 
     limits = DEFAULT_LIMITS
     max_timeouts: float | None = None
+    needs_framing = False
 
     def response_class(self, sock, *args, **kwargs) -> BoundedResponse:
         """Return the answer that is about to arrive, with its head unread."""
-        response = BoundedResponse(sock, *args, limits=self.limits, **kwargs)
+        response = BoundedResponse(
+            sock,
+            *args,
+            limits=self.limits,
+            needs_framing=self.needs_framing,
+            **kwargs,
+        )
         if self.max_timeouts is not None:
             response.limit_time(sock, self.max_timeouts)
         return response
@@ -461,6 +478,13 @@
 def with_limits(
     kind: type[BoundedAnswers], limits: AnswerLimits, max_timeouts: float
 ) -> type[BoundedAnswers]:
-    """Return a class of connections like ``kind`` that have these limits."""
-    attributes = {"limits": limits, "max_timeouts": max_timeouts}
+    """Return a class of connections like ``kind`` with these limits.
+
+    Their answers need a length or chunks.
+    """
+    attributes = {
+        "limits": limits,
+        "max_timeouts": max_timeouts,
+        "needs_framing": True,
+    }
     return type(kind.__name__, (kind,), attributes)
--- a/godwitladder/engines/service.py
+++ b/godwitladder/engines/service.py
@@ -13,7 +13,6 @@
 MAX_ANSWER_BYTES = 16_777_216
 MIN_READ_S = 0.1
 CALL_HEADER = "X-Call-Id"
-NO_BODY = (204, 304)
 
 
 @dataclass(frozen=True)
@@ -56,9 +55,10 @@
     ------
     NotSent, MayHaveRun
         See `godwitladder.engines.wire`. An answer that ends before its stated
-        length raises `MayHaveRun` and is never returned truncated.
+        length, or states none, raises `MayHaveRun` and is never returned truncated.
     """
     connection = dial(address, max(MIN_READ_S, deadline - clock.monotonic()))
+    connection.needs_framing = True
     # The connection gives its socket up once an answer that ends with it has begun.
     sock = connection.sock
     headers = {"Content-Type": content_type, CALL_HEADER: call}
@@ -76,22 +76,15 @@
 
 
 def _check_headers(response: urllib3.BaseHTTPResponse, call: StreamId) -> None:
-    """Reject an answer to another call, or one whose end can't be detected.
-
-    An answer with neither a length nor chunked encoding ends when the connection
-    closes, so that a truncated one would look complete.
+    """Reject an answer to another call.
 
     Raises
     ------
     MayHaveRun
         The answer is rejected.
     """
-    headers = response.headers
-    if headers.get(CALL_HEADER, call) != call:
+    if response.headers.get(CALL_HEADER, call) != call:
         raise MayHaveRun("the target sent the answer of another call")
-    chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-    if not (chunked or "Content-Length" in headers or response.status in NO_BODY):
-        raise MayHaveRun("the target did not tell how long its answer is")
 
 
 def _read_body(
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -8,7 +8,11 @@
 from urllib3.connection import HTTPConnection
 
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.engines.bounded_http import DEFAULT_LIMITS, bounded_connection
+from godwitladder.engines.bounded_http import (
+    DEFAULT_LIMITS,
+    BoundedConnection,
+    bounded_connection,
+)
 from godwitladder.engines.errors import (
     AbortedByHost,
     AnswerShape,
@@ -49,7 +53,7 @@
 library is neither an HTTPError of urllib3 nor an OSError."""
 
 
-Dial = Callable[[str, float], HTTPConnection]
+Dial = Callable[[str, float], BoundedConnection]
 """Returns an open connection to an address, with a timeout of reads in seconds.
 
 Raises `NotSent` if the connection could not be established.
--- a/tests/clients/test_cut_answers.py
+++ b/tests/clients/test_cut_answers.py
@@ -25,6 +25,7 @@
 from godwitladder.platform.store import StoreClient
 from godwitladder.quarantine.probing import ProbeResult, TargetProbe
 from tests.engines.cut_target import (
+    Cut,
     CutTarget,
     Framing,
     draw_cuts,
@@ -192,6 +193,28 @@
             )
 
 
+@pytest.mark.parametrize("name", POOLED)
+def test_an_answer_of_a_service_that_states_no_end_is_an_error(name):
+    """Guards against a cut answer that looks like one that ends with its connection."""
+    make, read, body, error = POOLED[name]
+    answer = make_answer(Framing.CLOSE, body)
+    head_size = answer.index(b"\r\n\r\n") + 4
+    for size in (head_size, len(answer) - 1, len(answer)):
+        with CutTarget(answer, Cut(size, False, False)) as target:
+            with pytest.raises(error):
+                read(make(target.address))
+
+
+def test_an_answer_of_a_target_that_states_no_end_is_no_answer_of_a_service():
+    """Guards against a cut answer that is told whole to the caller of a service."""
+    read, body, error = AT_TARGETS["service"]
+    answer = make_answer(Framing.CLOSE, body)
+    for cut in draw_cuts(answer, seed="service"):
+        with CutTarget(answer, cut) as target:
+            with pytest.raises(error):
+                read(target.address)
+
+
 @pytest.mark.parametrize("framing", STATED)
 @pytest.mark.parametrize("name", AT_TARGETS)
 def test_a_cut_answer_of_a_target_is_an_error(name, framing):
