Refuse the call for which the system starts no thread

300 calls at once to one host whose targets take 1 s: where the system denied a thread (addresses limited to 512, 262 or, with small stacks, 110 MB) none of the calls was answered and the process ended by itself, `RuntimeError: can't start new thread` in the thread `http`. The same holds for any limit on tasks.

Cause: the listener's loop starts threads for calls and one more for each wake-up (`threading.Timer` in `wake_by`). An error in either ends the loop, and with it the host. Where some thread ran, the call was queued behind calls of a second and more.

- A call for which no thread can be started is refused by the loop itself, at once, with 503, Retry-After and `not_run`.
Its count is `connections_total{event="no_thread"}`, and the line of the second tells it.
- The listeners for readiness and operators queue instead, as their requests are short.
Each listener keeps one thread, so that probes are answered while threads are denied.
- The loop computes its timeout from the next wake-up, and needs no thread for it.

The queue of a dispatcher without `refuse` is as it was, and so is its test.

--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -23,6 +23,7 @@
 from godwitladder.process.exits import Failure, report_exit
 from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import supervised
+from godwitladder.process.threads import start_thread
 from godwitladder.serving.listener import BoundedServer, make_server
 from godwitladder.settings import LimitSettings, TlsSettings
 
@@ -118,6 +119,7 @@
         threads: int,
         tls: TlsSettings | None = None,
         prepare: Callable[[BoundedServer], None] = lambda server: None,
+        is_brief: bool = False,
     ) -> None:
         """Serve the WSGI application ``app`` with waitress until the host stops.
 
@@ -135,12 +137,14 @@
             Certificate and key of the listener; None for plain HTTP.
         prepare : callable, optional
             Called with the server before it runs.
+        is_brief : bool, default=False
+            Whether its requests end soon; see `make_server`.
         """
 
         def use(sock: socket.socket) -> None:
-            server = make_server(app, sock, self.limits, threads, tls)
+            server = make_server(app, sock, self.limits, threads, tls, is_brief)
             prepare(server)
-            threading.Thread(target=server.run, name="http", daemon=True).start()
+            start_thread(server.run, "http")
             self.stack.callback(server.close)
 
         self.binder.bind(listener, use)
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -402,7 +402,8 @@
         callers = self.vital_listener("callers", listen.callers)
         self.serve(self.app, callers, threads, prepare=self.prepare_caller_server)
         readiness = self.vital_listener("readiness", listen.readiness)
-        self.serve(ReadinessApp(self.ready), readiness, ADMIN_THREADS)
+        readiness_app = ReadinessApp(self.ready)
+        self.serve(readiness_app, readiness, ADMIN_THREADS, is_brief=True)
         self.serve_status()
         log.info(
             "The host serves",
@@ -418,7 +419,7 @@
         for name, address in addresses.items():
             if address:
                 listener = self.spare_listener(name, address)
-                self.serve(StatusApp(self), listener, ADMIN_THREADS)
+                self.serve(StatusApp(self), listener, ADMIN_THREADS, is_brief=True)
 
     def prepare_caller_server(self, server: BoundedServer) -> None:
         """Set up the server of callers before it runs."""
--- a/godwitladder/serving/connections.py
+++ b/godwitladder/serving/connections.py
@@ -25,7 +25,7 @@
     Of those that are accepted, each is then read, closed unread, refused, or left by
     its client before it has sent a whole request. One that has been idle is closed to
     make room for a new one. The body of a request is dropped if there is no memory for
-    it; the caller is told so.
+    it; the caller is told so. A request for which no thread can be started is refused.
     """
 
     ACCEPTED = "accepted"
@@ -36,6 +36,7 @@
     LEFT = "left"
     IDLE_CLOSED = "idle_closed"
     BODY_DROPPED = "body_dropped"
+    NO_THREAD = "no_thread"
 
 
 UNUSUAL_EVENTS = frozenset(
@@ -45,6 +46,7 @@
         ConnectionEvent.REFUSED,
         ConnectionEvent.IDLE_CLOSED,
         ConnectionEvent.BODY_DROPPED,
+        ConnectionEvent.NO_THREAD,
     }
 )
 
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -31,6 +31,7 @@
     MAX_STARVED_S,
     BoundedRequest,
     NoMemory,
+    NoThread,
 )
 from godwitladder.serving.threads import ElasticDispatcher
 from godwitladder.settings import LimitSettings, TlsSettings
@@ -63,8 +64,12 @@
 RESERVED_THREADS = 16
 RESERVED_CONNECTIONS = 64
 NO_MEMORY_RETRY_S = "0.5"
-"""Retry-After, in seconds, where a host has no memory for a body. Another host probably
-has some at once; this one has when a call ends."""
+"""Retry-After, in seconds, where a host has no memory for a body, or no thread. Another
+host probably has some at once; this one has when a call ends."""
+NO_THREAD_TEXT = "This host can start no thread for the request now."
+KEPT_THREADS = 1
+"""Threads that a listener keeps when idle, so that it can answer where the system
+starts no further one."""
 NO_OVERFLOW_BYTES = 1 << 40
 NO_LIMIT = 1 << 30
 MAX_UNREAD_S = 0.3
@@ -72,6 +77,8 @@
 WAKE_INTERVAL_S = 0.05
 """Interval at which the loop is woken for connections left unread; each turn of the
 loop looks at all open connections."""
+POLL_RESOLUTION_S = 0.001
+"""Resolution of the loop's timeout, by which it could end too early."""
 MIN_SILENCE_S = 1.0
 """Time after which a new connection that has sent nothing may be closed for another."""
 MAX_READ_INTERVAL_S = 1.0
@@ -87,7 +94,7 @@
     Parameters
     ----------
     wake : callable
-        Wakes the server's loop.
+        Ends the wait of the server's loop, which then asks for its next timeout.
 
     Attributes
     ----------
@@ -112,9 +119,12 @@
         if now < self.wakes_at <= wakes_at:
             return
         self.wakes_at = wakes_at
-        timer = threading.Timer(wakes_at - now, self.wake)
-        timer.daemon = True
-        timer.start()
+        self.wake()
+
+    def timeout_s(self, now: float, longest_s: float) -> float:
+        """Return how long the loop may wait in its next turn, at most ``longest_s``."""
+        left_s = self.wakes_at - now
+        return min(left_s + POLL_RESOLUTION_S, longest_s) if left_s > 0 else longest_s
 
 
 class ProblemTask(ErrorTask):
@@ -344,6 +354,19 @@
         # The loop would wait until the socket takes data, which it may never do.
         self.server.trigger.pull_trigger(self.close_unread)
 
+    def refuse_unstarted(self) -> None:
+        """Refuse the request, which no thread serves; runs in the server's loop.
+
+        The loop can write the refusal: no output waits on a connection whose request
+        has just been read.
+        """
+        if not self.requests:
+            return
+        self.server.connections.record(ConnectionEvent.NO_THREAD)
+        request = self.requests[0]
+        request.error = request.error or NoThread(NO_THREAD_TEXT)
+        self.service()
+
     def close_unread(self) -> None:
         """Close the connection if it is still open; runs in the server's loop."""
         if self.server.active_channels.get(self._fileno) is self:
@@ -441,6 +464,22 @@
             bind_socket=False,
         )
 
+    def run(self) -> None:
+        """Serve until the server is closed."""
+        longest_s = self.adj.asyncore_loop_timeout
+        while self._map:
+            timeout_s = self.unread.timeout_s(time.monotonic(), longest_s)
+            self.asyncore.loop(timeout_s, use_poll=True, map=self._map, count=1)
+
+    def close(self) -> None:
+        """Close the listener, and let its threads end."""
+        self.task_dispatcher.release_kept()
+        super().close()
+
+    def refuse_unstarted(self, channel: BoundedChannel) -> None:
+        """Let the loop refuse a request for which no thread can be started."""
+        self.trigger.pull_trigger(channel.refuse_unstarted)
+
     def readable(self) -> bool:
         """Return whether to accept; the loop calls this once a turn."""
         self.connections.end_turn(time.monotonic(), self.describe)
@@ -602,6 +641,7 @@
     limits: LimitSettings,
     threads: int,
     tls: TlsSettings | None = None,
+    is_brief: bool = False,
 ) -> BoundedServer:
     """Return a server for ``app``, whose ``run`` serves until it is closed.
 
@@ -617,6 +657,9 @@
         Maximum number of requests served at once. Threads are started on demand.
     tls : TlsSettings or None
         Certificate and key; None for plain HTTP.
+    is_brief : bool
+        Whether requests end soon, so that they may wait for a running thread where no
+        further one can be started. Other requests are then refused.
     """
     adjustments = Adjustments(
         threads=threads + RESERVED_THREADS,
@@ -639,7 +682,11 @@
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_S * 1000),
         (socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES),
     ]
-    dispatcher = ElasticDispatcher(threads + RESERVED_THREADS)
-    return BoundedServer(
+    dispatcher = ElasticDispatcher(threads + RESERVED_THREADS, kept=KEPT_THREADS)
+    server = BoundedServer(
         app, secure(sock, tls), adjustments, dispatcher, limits.connections
     )
+    if not is_brief:
+        dispatcher.refuse = server.refuse_unstarted
+    dispatcher.start_kept()
+    return server
--- a/godwitladder/serving/request_bodies.py
+++ b/godwitladder/serving/request_bodies.py
@@ -34,6 +34,10 @@
     reason = "Service Unavailable"
 
 
+class NoThread(NoMemory):
+    """Response to a request for which this host could start no thread."""
+
+
 class BodyBuffer:
     """Bytes of one body, held once: they are handed out without a copy."""
 
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -44,13 +44,20 @@
         self.store.put(names.CONFIG_TOPIC, names.CONFIG_KEY, config.encode())
         self.add_engines("core", 2)
 
-    def start_processes(self, prepare: Callable[[], None] | None = None) -> None:
-        """Start all, with ``prepare`` called in each process before its program."""
+    def start_processes(
+        self,
+        prepare: Callable[[], None] | None = None,
+        arguments: list[str] | None = None,
+    ) -> None:
+        """Start all, with ``prepare`` called in each process before its program.
+
+        The interpreter gets ``arguments``, or by default those of the deploy file.
+        """
         for engine in self.engines:
             engine.write()
         threading.Thread(target=self.beat, daemon=True).start()
         for host in self.hosts:
-            start_process(host, prepare)
+            start_process(host, prepare, arguments)
 
     def exit_lines(self) -> list[dict]:
         """Return the last line of each host that has written one."""
@@ -64,18 +71,20 @@
 
 
 def start_process(
-    host: fleet.HostProcess, prepare: Callable[[], None] | None = None
+    host: fleet.HostProcess,
+    prepare: Callable[[], None] | None = None,
+    arguments: list[str] | None = None,
 ) -> None:
     """Start a host with the arguments of the deploy file and this interpreter.
 
     The environment is the one that the platform's pages state.
     """
     deploy = tomllib.loads((fleet.ROOT / "deploy/system.toml").read_text())
-    _, *arguments = deploy["roles"]["entry"]["run"].split()
+    _, *stated = deploy["roles"]["entry"]["run"].split()
     kept = {name: os.environ[name] for name in KEPT_VARIABLES if name in os.environ}
     with host.log_path.open("ab") as log:
         host.process = subprocess.Popen(
-            [sys.executable, *arguments],
+            [sys.executable, *(arguments or stated)],
             cwd=fleet.ROOT,
             env=kept | {names.SETTINGS_VARIABLE: str(host.path)},
             stdout=log,
--- a/tests/process/test_memory_limits.py
+++ b/tests/process/test_memory_limits.py
@@ -102,7 +102,8 @@
     assert counts[200] >= 100, counts
     assert counts["open"] == 0, counts
     assert host.is_ready()
-    assert Burst(("127.0.0.1", host.ports[0]), 5, name="after").wait(10)[200] == 5
+    after = Burst(("127.0.0.1", host.ports[0]), 5, name="after").wait(10)
+    assert after[200] == 5, after
 
 
 @pytest.mark.parametrize("name", NESTED_VALUES)
--- a/tests/serving/test_threads.py
+++ b/tests/serving/test_threads.py
@@ -134,3 +134,78 @@
     wait_until(failing.started.is_set, "the failing call")
     (task,) = add_tasks(stack, dispatcher, 1)
     wait_until(task.started.is_set, "the next call")
+
+
+class Refused:
+    """Tasks that a dispatcher has refused."""
+
+    def __init__(self) -> None:
+        self.tasks = []
+
+    def __call__(self, task) -> None:
+        self.tasks.append(task)
+
+
+def test_if_no_thread_can_be_started_the_call_is_refused_at_once(stack):
+    """Guards against a call that waits for the end of another one for its refusal."""
+    dispatcher = make_dispatcher(stack, 4)
+    dispatcher.refuse = refused = Refused()
+    (first,) = add_tasks(stack, dispatcher, 1)
+    wait_until(first.started.is_set, "the first call")
+    start = dispatcher.start_new_thread
+    dispatcher.start_new_thread = fail_to_start_thread
+    (second,) = add_tasks(stack, dispatcher, 1)
+    assert refused.tasks == [second]
+    dispatcher.start_new_thread = start
+    (third,) = add_tasks(stack, dispatcher, 1)
+    wait_until(third.started.is_set, "a later call")
+    first.end.set()
+    third.end.set()
+    wait_until(lambda: not dispatcher.threads, "the threads to end")
+    assert not second.started.is_set()
+
+
+def test_without_any_thread_a_call_is_refused(stack):
+    """Guards against a listener that fails because its first thread is denied."""
+    dispatcher = make_dispatcher(stack, 4)
+    dispatcher.refuse = refused = Refused()
+    dispatcher.start_new_thread = fail_to_start_thread
+    (task,) = add_tasks(stack, dispatcher, 1)
+    assert refused.tasks == [task]
+    assert (dispatcher.active_count, len(dispatcher.threads)) == (0, 0)
+
+
+def test_a_call_added_by_a_thread_that_ends_its_own_is_queued(stack):
+    """Guards against a refusal of a connection's next call, which its thread takes."""
+    dispatcher = make_dispatcher(stack, 1)
+    dispatcher.refuse = refused = Refused()
+    following = Task()
+    following.end.set()
+
+    class Pipelined(Task):
+        def service(self):
+            dispatcher.start_new_thread = fail_to_start_thread
+            dispatcher.max_threads = 4
+            dispatcher.add_task(following)
+
+    dispatcher.add_task(Pipelined())
+    wait_until(following.started.is_set, "the next call")
+    assert refused.tasks == []
+
+
+def test_a_kept_thread_serves_while_no_other_can_be_started(stack):
+    """Guards against a readiness probe that fails since idle threads have ended."""
+    dispatcher = ElasticDispatcher(4, IDLE_TIMEOUT_S, kept=1)
+    stack.callback(dispatcher.shutdown)
+    dispatcher.start_kept()
+    for task in add_tasks(stack, dispatcher, 3):
+        task.end.set()
+    wait_until(lambda: len(dispatcher.threads) == 1, "all but one thread to end")
+    dispatcher.start_new_thread = fail_to_start_thread
+    threading.Event().wait(3 * IDLE_TIMEOUT_S)
+    for _ in range(2):
+        (task,) = add_tasks(stack, dispatcher, 1)
+        wait_until(task.started.is_set, "a call")
+        task.end.set()
+    dispatcher.release_kept()
+    wait_until(lambda: not dispatcher.threads, "the last thread to end")
