Go on without a thread where one is denied later

Of those that start later than a host's own start, four ended something for good when the system denied the thread:

- A call that another host forwards: the error was raised on the event loop of all links, and the call kept its place for ever.
Its host is told now that nothing was served.
- A stream whose caller has left: nobody followed it, its slot at the target stayed taken and its end unreported.
It is followed by the thread of its call now.
- Checks of targets for orders: the thread `orders` ended, and no target was checked again.
A check runs in that thread now.
A semaphore takes the executor's place, whose queue keeps what it could not start.
- Reads of the targets' load: the thread `load` ended.
It goes on at its next round.

Threads that are started with the host stay as they are: a start without them fails with its last line. In `paths/`, `quarantine/`, `rollouts/`, `membership/` nothing starts a thread later; asyncio starts one only to look a name up, and targets have IP numbers.

--- a/godwitladder/orders/issuer.py
+++ b/godwitladder/orders/issuer.py
@@ -17,7 +17,6 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from concurrent.futures import ThreadPoolExecutor
 
 from godwitladder.clients.weights import (
     WeightClient,
@@ -40,6 +39,7 @@
     write_order,
 )
 from godwitladder.process.loops import Turns
+from godwitladder.process.threads import ThreadDenied, start_call_thread, start_thread
 
 log = component_logger("orders")
 
@@ -110,18 +110,15 @@
         self.lock = threading.Lock()
         self.stopping = threading.Event()
         self.turns = Turns("orders", clock)
-        self.workers = ThreadPoolExecutor(
-            MAX_CONCURRENT_ORDERS, thread_name_prefix="order"
-        )
+        self.slots = threading.BoundedSemaphore(MAX_CONCURRENT_ORDERS)
 
     def start(self) -> None:
         """Start the thread that checks targets."""
-        threading.Thread(target=self.run, name="orders", daemon=True).start()
+        start_thread(self.run, "orders")
 
     def stop(self) -> None:
         """Start no further orders."""
         self.stopping.set()
-        self.workers.shutdown(wait=False, cancel_futures=True)
 
     def run(self) -> None:
         """Check targets periodically until stopped."""
@@ -134,9 +131,28 @@
                 if name in self.in_progress:
                     continue
                 self.in_progress.add(name)
-            self.workers.submit(self.turns.run, self.reconcile, name)
+            self.start_reconciling(name)
         return POLL_INTERVAL_S
 
+    def start_reconciling(self, name: TargetName) -> None:
+        """Check one target in a thread, or in this one if the system starts none."""
+        self.slots.acquire()
+        if self.stopping.is_set():
+            return
+        try:
+            start_call_thread(self.reconcile_in_slot, "order", (name,))
+        except ThreadDenied as error:
+            extra = {"target": name, "error": str(error)}
+            log.warning("A check of a target has no thread of its own", extra=extra)
+            self.reconcile_in_slot(name)
+
+    def reconcile_in_slot(self, name: TargetName) -> None:
+        """Check one target, and let another check begin."""
+        try:
+            self.turns.run(self.reconcile, name)
+        finally:
+            self.slots.release()
+
     def due_targets(self) -> list[TargetName]:
         """Return the targets that this host is responsible for and must check now."""
         now = self.clock.monotonic()
--- a/godwitladder/scheduler/load.py
+++ b/godwitladder/scheduler/load.py
@@ -57,7 +57,11 @@
         """Read all targets, and return the seconds until the next read."""
         watched = self.allocator.proxy().targets_to_watch().get()
         read = functools.partial(self.turns.run, self.read)
-        list(pool.map(read, watched, watched.values()))
+        try:
+            list(pool.map(read, watched, watched.values()))
+        except RuntimeError as error:
+            # The pool has kept the reads, and starts a thread with the next ones.
+            log.warning("Load reports wait for a thread", extra={"error": str(error)})
         return READ_INTERVAL_S
 
     def read(self, target: TargetName, address: str) -> None:
--- a/godwitladder/serving/answers.py
+++ b/godwitladder/serving/answers.py
@@ -3,11 +3,11 @@
 import http
 import json
 import re
-import threading
 from collections.abc import Callable, Iterable, Iterator
 
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import Reason, Refusal, RequestState
+from godwitladder.process.threads import ThreadDenied, start_call_thread
 from godwitladder.serving.dispatch_reporter import DispatchReporter
 from godwitladder.serving.problems import problem_body
 from godwitladder.serving.relay import AnswerTruncated, StreamFollower
@@ -56,7 +56,16 @@
                 "A caller disconnected from its stream",
                 extra={"request": self.identity},
             )
-            threading.Thread(target=self.read_to_end, name="left", daemon=True).start()
+            self.follow_to_end()
+
+    def follow_to_end(self) -> None:
+        """Read the stream to its end in a thread, or in this one if none is left."""
+        try:
+            start_call_thread(self.read_to_end, "left")
+        except ThreadDenied as error:
+            extra = {"request": self.identity, "error": str(error)}
+            log.info("A stream that was left has no thread of its own", extra=extra)
+            self.read_to_end()
 
     def read_to_end(self) -> None:
         """Read the stream to its end to report its progress, and discard the chunks."""
--- a/godwitladder/serving/forwarding.py
+++ b/godwitladder/serving/forwarding.py
@@ -21,6 +21,7 @@
 from godwitladder.membership.codec import peer_message
 from godwitladder.membership.links import Link
 from godwitladder.membership.mesh import Mesh
+from godwitladder.process.threads import ThreadDenied, start_call_thread
 
 log = component_logger("forwarding")
 
@@ -168,9 +169,7 @@
             log.warning("Too many forwarded calls", extra={"peer": link.peer})
             self._answer(link, _no_answer(message))
         else:
-            threading.Thread(
-                target=self._serve, args=(link, message), name="forwarded", daemon=True
-            ).start()
+            self._start(link, message)
 
     def _make_call(
         self,
@@ -236,6 +235,16 @@
         if not message.direct or not self.mesh.send(message.host, relayed):
             self.mesh.send(message.origin, _no_answer(message))
 
+    def _start(self, link: Link, message: ForwardedCall) -> None:
+        """Serve a call in a thread, or tell its host that it was not served."""
+        try:
+            start_call_thread(self._serve, "forwarded", (link, message))
+        except ThreadDenied as error:
+            self.slots.release()
+            extra = {"peer": link.peer, "error": str(error)}
+            log.warning("A forwarded call has no thread", extra=extra)
+            self._answer(link, _no_answer(message))
+
     def _serve(self, link: Link, message: ForwardedCall) -> None:
         try:
             if message.incarnation == self.incarnation:
--- a/tests/claims/test_forwarding.py
+++ b/tests/claims/test_forwarding.py
@@ -1,12 +1,17 @@
 """Forwarding of calls between hosts, with in-process links."""
 
+import threading
 from dataclasses import dataclass, field
 
 import pytest
 
 from godwitladder.clock import Clock
 from godwitladder.serving.counting import CountedAnswer
-from godwitladder.serving.forwarding import MAX_ANSWER_BYTES, Forwarder
+from godwitladder.serving.forwarding import (
+    MAX_ANSWER_BYTES,
+    MAX_FORWARDED_CALLS,
+    Forwarder,
+)
 
 ENVIRON = {"PATH_INFO": "/v1/services/charge", "HTTP_IDEMPOTENCY_KEY": "order-7"}
 
@@ -115,3 +120,18 @@
     hosts = make_hosts(a=["c"], c=["a"])
     hosts["c"].app.body = bytes(MAX_ANSWER_BYTES + 1)
     assert forward_call(hosts["a"], "c") is None
+
+
+def test_a_call_whose_thread_is_denied_is_not_served(monkeypatch):
+    """Guards against a denied thread that ends the links, or holds a place for ever."""
+    hosts = make_hosts(a=["c"], c=["a"])
+    with monkeypatch.context() as denied:
+        denied.setattr(threading.Thread, "start", deny_thread)
+        for _ in range(MAX_FORWARDED_CALLS + 1):
+            assert forward_call(hosts["a"], "c") is None
+    assert not hosts["c"].app.calls
+    assert forward_call(hosts["a"], "c").body == b"charged"
+
+
+def deny_thread(thread):
+    raise RuntimeError("can't start new thread")
--- a/tests/orders/test_issuer.py
+++ b/tests/orders/test_issuer.py
@@ -11,6 +11,7 @@
 from godwitladder.orders.issuer import RECHECK_INTERVAL_S, OrderIssuer
 from godwitladder.orders.stream import LEASE_S, NotGranted, OrderStream
 from godwitladder.orders.wire import StaleFence, TargetOrder, write_order
+from godwitladder.process.threads import ThreadDenied
 from godwitladder.standins.engine import start_engine
 from tests.configuration.fakes import FakeClient, FakeLog
 from tests.fleet import wait_until
@@ -213,3 +214,16 @@
     assert orders == [("m-1", "both")]
     appends = fleet.http.request("GET", f"http://{fleet.platform.address}/appends")
     assert appends.json()["orders"] >= 2
+
+
+def test_orders_are_sent_though_no_thread_can_be_started(harness, monkeypatch):
+    """Guards against a denied thread that ends the checks of all targets."""
+
+    def deny(target, name, args=()):
+        raise ThreadDenied(name)
+
+    monkeypatch.setattr(issuer_module, "start_call_thread", deny)
+    issuer = harness.issuers["one"]
+    issuer.start_reconciling("t")
+    assert harness.accepted_models() == ["letters-2"]
+    assert not issuer.in_progress
