Keep streams that are taken up through an overload

A stream that is taken up was queued by the time of its first output, though its caller has had that: it counted as late at once, after each new call of its rank, and was refused as one that is. Ruled out: that the version was not known.

Change: it counts as in time until its deadline. Ranks are unchanged.

--- a/godwitladder/decisions/types.py
+++ b/godwitladder/decisions/types.py
@@ -103,6 +103,11 @@
     release: Release = Release("")
     route: RouteName = RouteName("")
 
+    @property
+    def continues_stream(self) -> bool:
+        """Whether it takes up a stream, of which its caller has a part already."""
+        return bool(self.release)
+
 
 @dataclass(frozen=True)
 class TargetUse:
--- a/godwitladder/decisions/waiting/backlog.py
+++ b/godwitladder/decisions/waiting/backlog.py
@@ -153,6 +153,9 @@
     """Return the entry for ``waiting``.
 
     Its duration is that on a target with ``token_times``.
+
+    A request that continues a stream counts as in time until its deadline. Its first
+    output is not a new one, and all that its caller has read would be of no use.
     """
     demand = waiting.demand
     prefill_s, decode_s = token_times
@@ -169,6 +172,9 @@
     late = Timeliness.RETRIED if waiting.is_retry else Timeliness.LATE
     if not waiting.within_quota:
         in_time = late = Timeliness.OVER_QUOTA
+    ttft_latest_start = waiting.ttft_deadline - demand.prompt_tokens * prefill_s
+    if demand.continues_stream:
+        ttft_latest_start = max(ttft_latest_start, latest_start)
     return QueueEntry(
         waiting,
         slot_s,
@@ -177,5 +183,5 @@
         Precedence(in_time, demand.tier_rank),
         Precedence(late, demand.tier_rank),
         token_times,
-        waiting.ttft_deadline - demand.prompt_tokens * prefill_s,
+        ttft_latest_start,
     )
