Report a log that can't be written once

What callers saw: nothing of this itself; an exit's last line on standard error was hidden among tracebacks.

Cause: the logging module prints a traceback of 15 lines for each line that it can't write, at most 200 a second, where standard output is closed or its disk is full.

Evidence: a real host with standard output closed, or full: 7 tracebacks by the time that it is ready before, 1 after.

Change: the first line that can't be written is reported, others are dropped.

Also tested, and green before any change: hosts without variables, with odd locales and variables of Python, without standard streams, without a temporary folder, with clocks in 1900, 2407 and jumping by hours, and a host that restarts with an earlier clock.

--- a/godwitladder/logs.py
+++ b/godwitladder/logs.py
@@ -34,6 +34,24 @@
         return f"{self.extra['part']}: {msg}", kwargs
 
 
+class LineHandler(logging.StreamHandler):
+    """Handler that writes lines, and drops those that can't be written.
+
+    Attributes
+    ----------
+    is_broken : bool
+        Whether a line could not be written.
+    """
+
+    is_broken = False
+
+    def handleError(self, record: logging.LogRecord) -> None:
+        """Report the first line that could not be written; others likely follow."""
+        was_broken, self.is_broken = self.is_broken, True
+        if not was_broken or not isinstance(sys.exc_info()[1], OSError):
+            super().handleError(record)
+
+
 class BoundedHandler(logging.Handler):
     """Handler that passes records to a writer thread and never blocks.
 
@@ -171,7 +189,7 @@
 
 
 def _json_handler(stream) -> logging.Handler:
-    handler = logging.StreamHandler(stream)
+    handler = LineHandler(stream)
     handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s"))
     handler.addFilter(is_first_report)
     return handler
