Keep closed standard streams from becoming connections

What callers saw: suspected, not seen: bytes that are no answer on a connection, as a process ends.

Cause: a process that is started without standard streams gave their numbers to the next files that it opened. The last line of a process is written to descriptor 2.

Evidence: a real host started with the three streams closed: descriptors 0 to 2 were an event poll and two sockets before; all are the null device now.

Change: the entry point opens the null device for each stream that is closed, before anything else is opened.

--- a/godwitladder/platform/__main__.py
+++ b/godwitladder/platform/__main__.py
@@ -28,11 +28,13 @@
 
 
 def main() -> None:
-    """Install the signal handlers, and run the host or report its failed start."""
+    """Prepare the process, and run the host or report its failed start."""
     install_early_signal_handlers()
     # The signal handlers have to come before any other import of the package.
     from godwitladder.process.exits import end_failed_start
+    from godwitladder.process.standard_streams import reserve_standard_streams
 
+    reserve_standard_streams()
     try:
         start_host()
     except Exception as error:
--- a/tests/process/test_surroundings.py
+++ b/tests/process/test_surroundings.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -86,6 +87,18 @@
     check_ready(deployment)
 
 
+def test_closed_standard_streams_become_no_sockets(deploy):
+    """Guards against a last line that is written to a caller's connection."""
+    deployment = deploy(1)
+    (host,) = deployment.hosts
+    start(host, prepare=close_standard_streams)
+    check_ready(deployment)
+    descriptors = Path(f"/proc/{host.process.pid}/fd")
+    assert {os.readlink(descriptors / str(number)) for number in range(3)} == {
+        os.devnull
+    }
+
+
 def test_hosts_start_with_odd_clocks_and_without_a_temporary_folder(deploy):
     """Guards against a host that relies on a plausible time of day."""
     deployment = deploy(4)
