Record signals in handlers, and let the main thread react

What operators saw: processes that ended by themselves, or reacted to no stop. A stray SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO or SIGSTKFLT ended a host at once. A stop could be lost for ever, or end the process with a traceback.

Cause: those signals had their default action. The handler of a stop set an event, which takes a lock; the main thread waits for that event, and a handler runs between any two of its steps. Where it held the lock, or a second stop came while the first handler did, the handler waited for its own thread for ever; each further signal then ran a handler within that wait, until the stack was full. An error in a reload that is not InvalidInput ended the host, as the handler's exception came out of the wait.

Change: handlers only record (`process/signals.py`, a reentrant queue, each signal once); the main thread takes them up while it waits, none during the drain. XCPU and PWR are planned stops like TERM. Stray signals are ignored with a line. An unforeseen error in a reload is logged. The former early handlers are in `process/early_signals.py`, with faulthandler: a crash in C code and SIGQUIT leave the stacks of all threads. `godwitladder serve` uses the same, so SIGHUP after its start no longer ends it. Real-time signals and SIGSYS are left alone.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -1,6 +1,5 @@
 """The entry host: creates its components, connects them and runs until stopped."""
 
-import signal
 import threading
 
 from aioprometheus import Gauge
@@ -398,8 +397,7 @@
     If a component fails, the process exits with `FAILURE_EXIT_CODE`.
     """
     host = EntryHost(settings, Clock())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: host.stop())
+    host.handle_signals()
     watch_threads(CRITICAL_THREADS, host.fail)
     host.run()
     if host.failed:
--- a/godwitladder/platform/__main__.py
+++ b/godwitladder/platform/__main__.py
@@ -1,19 +1,6 @@
 """Starts one host on the users' platform."""
 
-import os
-import signal
-
-
-def install_early_signal_handlers() -> None:
-    """Install signal handlers for the time until the host installs its own.
-
-    Importing the host takes half a second. Without handlers, SIGHUP in that time
-    would kill a host that should only reload its settings, and SIGTERM would look
-    like a crash. SIGHUP can be ignored because the settings are read later, and
-    SIGTERM can exit at once because no call has been accepted yet.
-    """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+from godwitladder.process.early_signals import install_early_handlers
 
 
 def start_host() -> None:
@@ -29,7 +16,7 @@
 
 def main() -> None:
     """Prepare the process, and run the host or report its failed start."""
-    install_early_signal_handlers()
+    install_early_handlers()
     # The signal handlers have to come before any other import of the package.
     from godwitladder.process.exits import end_failed_start
     from godwitladder.process.standard_streams import reserve_standard_streams
--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -7,6 +7,7 @@
 import contextlib
 import math
 import os
+import signal
 import socket
 import threading
 from collections.abc import Callable
@@ -20,8 +21,14 @@
 from godwitladder.metrics import Metrics
 from godwitladder.process.binding import Binder, Listener
 from godwitladder.process.drain import close_idle, count_unfinished, stop_accepting
+from godwitladder.process.early_signals import (
+    RELOAD_SIGNAL,
+    STOP_SIGNALS,
+    STRAY_SIGNALS,
+)
 from godwitladder.process.exits import Failure, report_exit
 from godwitladder.process.loops import Turns
+from godwitladder.process.signals import SignalQueue
 from godwitladder.process.supervision import supervised
 from godwitladder.process.threads import start_thread
 from godwitladder.serving.listener import BoundedServer, make_server
@@ -62,6 +69,8 @@
         Stops the components in the reverse order of their start.
     stopping : threading.Event
         Set when the host is to stop.
+    signals : SignalQueue
+        Signals that were received while the host runs.
     failure : Failure or None
         Why the host stops by itself; None if it does not.
     caller_server : BoundedServer or None
@@ -79,6 +88,7 @@
         self.metrics = Metrics()
         self.stack = contextlib.ExitStack()
         self.stopping = threading.Event()
+        self.signals = SignalQueue()
         self.failure: Failure | None = None
         self.caller_server: BoundedServer | None = None
 
@@ -171,14 +181,39 @@
         return 0 if server is None else len(server.active_channels)
 
     def wait_for_stop(self) -> None:
-        """Wait until a stop is requested, and let handlers of signals run.
+        """Wait until a stop is requested, and react to signals.
 
-        The interpreter runs them in the main thread alone. If another thread took
-        the signal, an endless wait would not be interrupted, and the host would
+        The interpreter runs their handlers in the main thread alone. If another thread
+        took the signal, an endless wait would not be interrupted, and the host would
         react to no signal until it is killed.
         """
-        while not self.stopping.wait(SIGNAL_CHECK_INTERVAL_S):
-            pass
+        while not self.stopping.is_set():
+            number = self.signals.take(SIGNAL_CHECK_INTERVAL_S)
+            if number is not None:
+                self.react(number)
+
+    def handle_signals(self) -> None:
+        """React to signals from now on; those that come meanwhile wait for `run`."""
+        self.signals.record_all((*STOP_SIGNALS, RELOAD_SIGNAL, *STRAY_SIGNALS))
+
+    def react(self, number: signal.Signals) -> None:
+        """React to a signal; an error in this doesn't end the host."""
+        extra = {"signal": number.name}
+        if number in STOP_SIGNALS:
+            log.info("A stop is requested", extra=extra)
+            self.stop()
+            return
+        if number != RELOAD_SIGNAL:
+            log.warning("A signal without a meaning is ignored", extra=extra)
+            return
+        try:
+            self.reload()
+        except Exception:
+            log.exception("The settings could not be reloaded; the former ones stay")
+
+    def reload(self) -> None:
+        """React to a change of the settings; subclasses may override this."""
+        log.info("The settings are read at a start only", extra={"host": self.host})
 
     def start(self) -> None:
         """Start all components; subclasses override this."""
@@ -191,6 +226,7 @@
     def stop(self) -> None:
         """Request a graceful stop."""
         self.stopping.set()
+        self.signals.wake()
 
     def fail(self, failure: Failure) -> None:
         """Stop without draining because a component has failed.
@@ -200,6 +236,7 @@
         if self.failure is None:
             self.failure = failure
         self.stopping.set()
+        self.signals.wake()
 
     def exit(self) -> None:
         """End the process, and report why if a component has failed.
--- /dev/null
+++ b/godwitladder/process/early_signals.py
@@ -0,0 +1,44 @@
+"""Signal handlers for the time until a host has been made.
+
+Imports as little as possible: a signal that comes before these handlers has its
+default action, which mostly ends the process.
+"""
+
+import faulthandler
+import os
+import signal
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGXCPU, signal.SIGPWR)
+"""Ask the process to end: the last two as it has used up its processor time, and as
+power fails."""
+RELOAD_SIGNAL = signal.SIGHUP
+STRAY_SIGNALS = (
+    signal.SIGUSR1,
+    signal.SIGUSR2,
+    signal.SIGALRM,
+    signal.SIGVTALRM,
+    signal.SIGPROF,
+    signal.SIGIO,
+    signal.SIGSTKFLT,
+)
+"""Have no meaning here; their default action would end the process."""
+STANDARD_ERROR = 2
+
+
+def install_early_handlers() -> None:
+    """Install handlers that need nothing but the interpreter.
+
+    A stop exits at once, since no call has been accepted yet. A change of the settings
+    needs nothing: they are read later, and the host compares them once it has started.
+    """
+    for number in (RELOAD_SIGNAL, *STRAY_SIGNALS):
+        signal.signal(number, signal.SIG_IGN)
+    for number in STOP_SIGNALS:
+        signal.signal(number, exit_at_once)
+    faulthandler.enable(STANDARD_ERROR)
+    faulthandler.register(signal.SIGQUIT, STANDARD_ERROR, chain=True)
+
+
+def exit_at_once(number: int, frame: object) -> None:
+    """End the process as planned."""
+    os._exit(0)
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -1,7 +1,6 @@
 """A host that serves routed calls: connects its components and runs them."""
 
 import random
-import signal
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -593,9 +592,7 @@
 ) -> None:
     """Run one host until SIGTERM or SIGINT, then drain and exit."""
     host = RoutingHost(path, settings, make_source(settings), codec, Clock())
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: host.stop())
-    signal.signal(signal.SIGHUP, lambda *_: host.reload())
+    host.handle_signals()
     watch_threads(CRITICAL_THREADS, host.fail)
     host.run()
     host.exit()
