Notice settings that change while a host starts

What operators saw: a host that kept the settings from before its start. A SIGHUP that comes while the host loads is ignored, since the settings "are read later"; but if the file changed after that read, the text kept for comparing was read later still, so that the change was never found by the comparison that follows each few seconds either.

Evidence: test_a_change_of_the_settings_while_a_host_starts_is_noticed, red before (no reload in 20 s), green after.

Change: the text is read before the settings, and compared once the host has started. The mutation that swaps the two reads is red.

--- a/godwitladder/platform/host.py
+++ b/godwitladder/platform/host.py
@@ -9,7 +9,7 @@
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.platform.source import PlatformSource
 from godwitladder.platform.store import StoreClient
-from godwitladder.routing.daemon import run_routing_host
+from godwitladder.routing.daemon import read_settings_text, run_routing_host
 from godwitladder.routing.settings import RoutedSettings, wait_for_settings
 
 
@@ -22,5 +22,7 @@
     """Run a host with the settings file that the platform names."""
     configure_bounded_logs()
     path = Path(os.environ[names.SETTINGS_VARIABLE])
+    # Read first, so that a change between the two is found by comparing.
+    text = read_settings_text(path)
     settings = wait_for_settings(path, Clock())
-    run_routing_host(path, settings, make_source, PlatformHeaders())
+    run_routing_host(path, text, settings, make_source, PlatformHeaders())
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -107,6 +107,8 @@
     ----------
     path : Path
         The settings file, reloaded on SIGHUP.
+    file_text : str
+        Its content before the settings were read from it.
     settings : RoutedSettings
         The settings read from it.
     source : Source
@@ -120,6 +122,7 @@
     def __init__(
         self,
         path: Path,
+        file_text: str,
         settings: RoutedSettings,
         source: Source,
         codec: HeaderCodec,
@@ -128,7 +131,7 @@
         super().__init__(settings.host, clock, settings.limits, settings.bounds.grace_s)
         self.path = path
         self.settings = settings
-        self.file_text = read_settings_text(path)
+        self.file_text = file_text
         self.source = source
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
@@ -404,6 +407,8 @@
         readiness_app = ReadinessApp(self.ready)
         self.serve(readiness_app, readiness, ADMIN_THREADS, is_brief=True)
         self.serve_status()
+        # A signal that told of a change during the start has been ignored.
+        self.reload_if_changed()
         log.info(
             "The host serves",
             extra={"host": settings.host, "incarnation": self.incarnation},
@@ -586,12 +591,14 @@
 
 def run_routing_host(
     path: Path,
+    file_text: str,
     settings: RoutedSettings,
     make_source: Callable[[RoutedSettings], Source],
     codec: HeaderCodec,
 ) -> None:
     """Run one host until SIGTERM or SIGINT, then drain and exit."""
-    host = RoutingHost(path, settings, make_source(settings), codec, Clock())
+    source = make_source(settings)
+    host = RoutingHost(path, file_text, settings, source, codec, Clock())
     host.handle_signals()
     watch_threads(CRITICAL_THREADS, host.fail)
     host.run()
--- a/tests/process/test_starting.py
+++ b/tests/process/test_starting.py
@@ -1,5 +1,6 @@
-"""Signals that arrive while a host is still importing its modules."""
+"""Signals and changes that meet a host while it starts."""
 
+import contextlib
 import os
 import signal
 import subprocess
@@ -7,6 +8,9 @@
 
 import pytest
 
+from godwitladder.platform import names
+from tests.process.deployment import Deployment, wait_until
+
 SEND_WHILE_LOADING = """
 import os, runpy, sys
 
@@ -46,3 +50,40 @@
 def test_sigterm_while_loading_exits_with_success(number):
     """Guards against a SIGTERM during loading that looks like a crash."""
     assert signal_while_loading(number)[0] == 0
+
+
+CHANGE_AFTER_READ = """
+import runpy, sys
+from pathlib import Path
+from godwitladder.platform import host
+
+read = host.read_routed_settings
+
+def read_and_change(path):
+    settings = read(path)
+    text = path.read_text()
+    path.write_text(text.replace("revoke_s = 5000e-3", "revoke_s = 4000e-3"))
+    return settings
+
+host.read_routed_settings = read_and_change
+runpy.run_module("godwitladder.platform", run_name="__main__")
+"""
+
+
+def test_a_change_of_the_settings_while_a_host_starts_is_noticed(tmp_path):
+    """Guards against a host that keeps the settings from before its start for ever.
+
+    The signal that tells of the change comes before the host can react to it.
+    """
+    with contextlib.closing(Deployment(tmp_path, 1)) as fleet:
+        (host,) = fleet.hosts
+        with host.log_path.open("ab") as log:
+            host.process = subprocess.Popen(
+                [sys.executable, "-c", CHANGE_AFTER_READ],
+                env=os.environ | {names.SETTINGS_VARIABLE: str(host.path)},
+                stdout=log,
+                stderr=log,
+            )
+        text = "The settings were reloaded"
+        assert wait_until(lambda: text in host.log_path.read_text(), 20.0)
+        assert "4000e-3" in host.path.read_text()
