--- a/godwitladder/cli.py
+++ b/godwitladder/cli.py
@@ -30,6 +30,7 @@
 from godwitladder.explain import find_request_lines
 from godwitladder.findings import Finding, Findings, InvalidInput
 from godwitladder.logs import configure_logs
+from godwitladder.process.exits import end_failed_start
 from godwitladder.routing.settings import read_routed_settings
 from godwitladder.settings import read_settings
 from godwitladder.spending import find_spending_windows, format_windows
@@ -52,7 +53,11 @@
         TOML file with the host's settings.
     """
     configure_logs()
-    run_entry_host(read_settings(settings))
+    checked = read_settings(settings)
+    try:
+        run_entry_host(checked)
+    except Exception as error:
+        end_failed_start(error)
 
 
 def check_settings(*, settings: Path) -> None:
