Install the first signal handlers in half the time

What operators saw: processes killed by a SIGHUP within the first tens of milliseconds of their start.

Cause: until a handler is there, the signal's default action ends the process. `-m` imports runpy, pkgutil and more before our first line, `site` reads all packages' path files, and `signal` imports enum.

The test of the order of imports was red with the former command; the mutation without `-S` is red. The tests' rig names its interpreter's libraries in PYTHONPATH as the platform does those of the build.

--- a/godwitladder/process/early_signals.py
+++ b/godwitladder/process/early_signals.py
@@ -1,12 +1,13 @@
 """Signal handlers for the time until a host has been made.
 
-Imports as little as possible: a signal that comes before these handlers has its
-default action, which mostly ends the process.
+Imports nothing but modules within the interpreter: `signal` and `os` take milliseconds,
+and a signal that comes before these handlers has its default action, which mostly ends
+the process.
 """
 
+import _signal as signal
 import faulthandler
-import os
-import signal
+import posix
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGXCPU, signal.SIGPWR)
 """Ask the process to end: the last two as it has used up its processor time, and as
@@ -41,4 +42,4 @@
 
 def exit_at_once(number: int, frame: object) -> None:
     """End the process as planned."""
-    os._exit(0)
+    posix._exit(0)
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -9,6 +9,7 @@
 import resource
 import subprocess
 import sys
+import sysconfig
 import threading
 import time
 import tomllib
@@ -77,11 +78,13 @@
 ) -> None:
     """Start a host with the arguments of the deploy file and this interpreter.
 
-    The environment is the one that the platform's pages state.
+    The environment is the one that the platform's pages state, with this interpreter's
+    libraries on its path in the place of those of the build.
     """
     deploy = tomllib.loads((fleet.ROOT / "deploy/system.toml").read_text())
     _, *stated = deploy["roles"]["entry"]["run"].split()
     kept = {name: os.environ[name] for name in KEPT_VARIABLES if name in os.environ}
+    kept["PYTHONPATH"] = sysconfig.get_path("purelib")
     with host.log_path.open("ab") as log:
         host.process = subprocess.Popen(
             [sys.executable, *(arguments or stated)],
--- a/tests/process/test_starting.py
+++ b/tests/process/test_starting.py
@@ -5,10 +5,13 @@
 import signal
 import subprocess
 import sys
+import sysconfig
+import tomllib
 
 import pytest
 
 from godwitladder.platform import names
+from review.common.fleet import ROOT
 from tests.process.deployment import Deployment, wait_until
 
 SEND_WHILE_LOADING = """
@@ -87,3 +90,22 @@
         text = "The settings were reloaded"
         assert wait_until(lambda: text in host.log_path.read_text(), 20.0)
         assert "4000e-3" in host.path.read_text()
+
+
+SLOW_MODULES = {"site", "runpy", "enum", "os", "signal", "threading"}
+
+
+def test_the_first_handlers_come_before_all_slow_imports(tmp_path):
+    """Guards against a longer time in which a signal ends a host that starts."""
+    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    _, *arguments = deploy["roles"]["entry"]["run"].split()
+    done = subprocess.run(
+        [sys.executable, "-X", "importtime", *arguments],
+        cwd=ROOT,
+        env={"PYTHONPATH": sysconfig.get_path("purelib")},
+        capture_output=True,
+        timeout=60,
+    )
+    rows = [row.rpartition("|")[2].strip() for row in done.stderr.decode().split("\n")]
+    first = rows[: rows.index("godwitladder.process.early_signals")]
+    assert SLOW_MODULES & set(first) == set()
