Refuse news of live hosts that lack their sender

Seen by callers: one message of a peer, LiveNews whose lists have different lengths or are empty, ended the process of each host that received it (status 70, Membership, IndexError), with all its calls; and again after each restart, as news are sent several times a second. A heartbeat whose address is none ended the task that dials it.

Cause: the codec checks the type of each field, and not that parallel tuples are parallel or that an address can be dialled; the membership's actor then took the first host.

Nine new cases of tests/membership/test_codec.py, red before.

Change: both messages check it where they are made, so also where they are decoded, as tickets do. An empty address stays allowed: such a host is not dialled.

--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -4,6 +4,7 @@
 
 from godwitladder.ids import HostId, Incarnation, Zone
 from godwitladder.membership.codec import peer_message
+from godwitladder.tables import host_port
 
 
 @peer_message
@@ -65,6 +66,12 @@
     cores: float = 0.0
     is_gateway: bool = False
 
+    def __post_init__(self) -> None:
+        # A host that names no address is not dialled.
+        problem = self.address and host_port(self.address)
+        if problem:
+            raise ValueError(problem)
+
 
 @dataclass(frozen=True)
 class Peer:
@@ -88,7 +95,7 @@
 class LiveNews:
     """Heartbeat counts of the sender and of hosts that it considers live.
 
-    The tuples are parallel.
+    The tuples are parallel, and begin with the sender.
 
     Attributes
     ----------
@@ -103,6 +110,11 @@
     counts: tuple[int, ...]
     view: int = 0
 
+    def __post_init__(self) -> None:
+        lengths = len(self.hosts), len(self.incarnations), len(self.counts)
+        if not self.hosts or len(set(lengths)) > 1:
+            raise ValueError(f"the tuples are not parallel: {lengths}")
+
 
 @peer_message
 @dataclass(frozen=True)
--- a/tests/membership/test_codec.py
+++ b/tests/membership/test_codec.py
@@ -124,3 +124,26 @@
     """Guards against a faulty peer that exhausts a host's memory or ends its thread."""
     with pytest.raises(InvalidMessage):
         decode(cbor2.dumps([COMPRESSED, data]))
+
+
+@pytest.mark.parametrize(
+    "lists",
+    [([], [], []), (["h1"], [], []), (["h1"], [1, 2], [1]), ([], [1], [1])],
+    ids=["empty", "short", "long", "nameless"],
+)
+def test_news_of_live_hosts_without_its_sender_is_refused(lists):
+    """Guards against one message of a peer that ends the process of each receiver."""
+    with pytest.raises(InvalidMessage):
+        decode(cbor2.dumps(["LiveNews", [*lists, 0]]))
+
+
+@pytest.mark.parametrize(
+    "address", ["h1", "127.0.0.1:", "127.0.0.1:65536", "h1:\u0661", "h1:-1"]
+)
+def test_a_heartbeat_without_an_address_is_refused(address):
+    """Guards against a host that dials again and again what is no address."""
+    fields = ["host-a1", "a", address, 7, False, 3, 9]
+    with pytest.raises(InvalidMessage):
+        decode(cbor2.dumps(["Heartbeat", fields]))
+    with pytest.raises(InvalidMessage):
+        decode(cbor2.dumps(["Roster", [[fields]]]))
