Bound what decoding a record of streams takes

Seen by callers: a stream is taken up, the host reads the store's records of streams, and one record of another writer makes it take 1,085 MB and 5 s a record (three records of 14,639 bytes: 15.1 s). A host with 222 MB is killed, and so is the next one that the caller tries.

Cause: the records are decoded as messages between hosts are, up to 16 MB decompressed; empty lists take seventy times their bytes. Messages come from hosts that have the shared secret, records from any writer of the store.

Evidence: tests/serving/test_stream_recorder.py (two such records before a good one), red before: tracemalloc's peak beyond 32 MB.

Change: the codec takes a limit, and records are decoded within 256 KiB, which is more than hosts write in one. Good records beside them are found.

A megabyte of such records would still hold up a reader for minutes: open.

--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -74,29 +74,38 @@
     return cbor2.dumps([COMPRESSED, zlib.compress(data, zlib.Z_BEST_SPEED)])
 
 
-def decode(data: bytes) -> Any | None:
+def decode(data: bytes, max_bytes: int = MAX_DECOMPRESSED_BYTES) -> Any | None:
     """Return the message encoded in ``data``; None if its name is unknown.
 
+    Parameters
+    ----------
+    max_bytes : int
+        Maximum size of the message, also decompressed. Decoding takes up to a hundred
+        times as much memory.
+
     Raises
     ------
     InvalidMessage
-        The bytes are not a message, or a field is missing or has the wrong type.
+        The bytes are not a message or too many, or a field is missing or has the wrong
+        type.
     """
+    if len(data) > max_bytes:
+        raise InvalidMessage(f"invalid message: longer than {max_bytes} bytes")
     try:
         name, fields = cbor2.loads(data)
         if name == COMPRESSED:
-            name, fields = cbor2.loads(_decompress(fields))
+            name, fields = cbor2.loads(_decompress(fields, max_bytes))
         kind = MESSAGE_TYPES.get(name)
         return make_reader(kind)(fields) if kind else None
     except INVALID_BYTES as error:
         raise InvalidMessage(f"invalid message: {error}") from error
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes, max_bytes: int) -> bytes:
     decompressor = zlib.decompressobj()
-    decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    decompressed = decompressor.decompress(data, max_bytes)
     if not decompressor.eof:
-        raise ValueError(f"truncated, or longer than {MAX_DECOMPRESSED_BYTES} bytes")
+        raise ValueError(f"truncated, or longer than {max_bytes} bytes")
     return decompressed
 
 
--- a/godwitladder/serving/stream_recorder.py
+++ b/godwitladder/serving/stream_recorder.py
@@ -34,6 +34,8 @@
 MAX_KEPT = 5_000
 MAX_BATCH = 400
 """Streams in one write, each below 600 bytes; the store takes 256 KiB at most."""
+MAX_RECORD_BYTES = 262_144
+"""What hosts write in one record is shorter, also before it is compressed."""
 READ_INTERVAL_S = 1.0
 RETRY_S = 3.0
 """Time after a read that failed before the next one: calls wait for a read, and a store
@@ -205,7 +207,7 @@
     def add(self, data: bytes) -> None:
         """Add the streams of one record; any other program may have written it."""
         try:
-            batch = decode(data)
+            batch = decode(data, MAX_RECORD_BYTES)
         except InvalidMessage as error:
             extra = {"error": str(error)[:MAX_LOGGED_CHARS]}
             log.info("A record of streams is invalid", extra=extra)
--- a/tests/serving/test_stream_recorder.py
+++ b/tests/serving/test_stream_recorder.py
@@ -1,5 +1,9 @@
 """Streams that are recorded in the store, and found there after all hosts are lost."""
 
+import tracemalloc
+import zlib
+
+import cbor2
 import pytest
 
 from godwitladder.clock import ManualClock
@@ -12,7 +16,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
-from godwitladder.membership.codec import decode, encode
+from godwitladder.membership.codec import COMPRESSED, decode, encode
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.stream_recorder import (
     KEPT_S,
@@ -25,6 +29,8 @@
 )
 from tests.serving.test_stream_origins import HOSTS, Net
 
+MAX_DECODED_BYTES = 32 * 1_048_576
+"""A fifth of the memory that the smallest hosts have."""
 V1, V2 = StreamOrigin("core", "v1"), StreamOrigin("core", "v2")
 
 
@@ -259,3 +265,20 @@
     registry.update_targets(frozenset({V1, V2, StreamOrigin("other", "v1")}))
     assert registry.has_versions("core")
     assert not registry.has_versions("other")
+
+
+def test_a_record_that_grows_when_it_is_decoded_is_left_out():
+    """Guards against a short record of the store that takes all memory of each host."""
+    store = StreamStore()
+    grown = cbor2.dumps(["StreamBatch", [[]] * 2_000_000])
+    store.values.append(cbor2.dumps([COMPRESSED, zlib.compress(grown)]))
+    store.values.append(cbor2.dumps(["StreamBatch", [[]] * 2_000_000]))
+    store.values.append(encode(StreamBatch((StreamRecord(name(1), V1),))))
+    recorder = StreamRecorder(store, ManualClock(), lambda service: True)
+    tracemalloc.start()
+    try:
+        assert recorder.find(name(1)) == V1
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_DECODED_BYTES
