Take no text for a number of a configuration or an order

Seen by callers: one configuration whose version is the text "\u0661\u0662" (the digits of another alphabet), "12" or true became the configuration in force with that version, and all hosts stopped following: none of the configurations with lower versions that came after it was ever applied, also not after a restart while it stands.

Cause: the adapter read numbers with int() and float(), which take texts of all alphabets, underscores and spaces, and true; versions never go back.

Change: numbers are numbers; fractions are cut off as before. Durations of orders likewise. Errors about such values are quoted in part: one line of the log had 200 KB.

Ruled out: a limit on versions below 64 bits; a number too large that the store accepts still keeps out all later ones, since a configuration must never go back: open.

--- a/godwitladder/platform/documents.py
+++ b/godwitladder/platform/documents.py
@@ -28,6 +28,9 @@
     "streaming": RouteKind.STREAM,
 }
 DEFAULT_TIMEOUT_S = 3_600.0
+MAX_QUOTED_CHARS = 100
+"""Part of a value that an error message quotes."""
+MAX_ERROR_CHARS = 300
 INVALID_VALUE = (
     ValueError,
     KeyError,
@@ -63,7 +66,8 @@
             limits=_limits(raw.get("limits") or {}),
         )
     except INVALID_VALUE as error:
-        raise InvalidDocument(f"invalid configuration: {error!r}") from error
+        text = repr(error)[:MAX_ERROR_CHARS]
+        raise InvalidDocument(f"invalid configuration: {text}") from error
 
 
 def _route(raw: dict[str, Any]) -> Route:
@@ -131,19 +135,20 @@
 def _text(value: Any) -> str:
     text = str(value)
     if not is_encodable(text):
-        raise ValueError(f"{text!r} can't be encoded")
+        raise ValueError(f"{text[:MAX_QUOTED_CHARS]!r} can't be encoded")
     return text
 
 
 def _number(value: Any) -> float:
-    number = float(value)
-    if not is_finite(number):
-        raise ValueError(f"{value!r} is not finite")
-    return number
+    # float() would take the digits of any alphabet in a text for a number.
+    if not is_finite(value):
+        raise ValueError(f"{str(value)[:MAX_QUOTED_CHARS]!r} is no finite number")
+    return float(value)
 
 
 def _whole(value: Any) -> int:
-    number = int(value)
+    # A version that is read from a text would keep out all later ones.
+    number = int(value) if type(value) is float else value
     if not is_integer(number, -MAX_INTEGER):
-        raise ValueError("an integer has more than 64 bits")
+        raise ValueError("a value is no integer of 64 bits")
     return number
--- a/godwitladder/platform/rollouts.py
+++ b/godwitladder/platform/rollouts.py
@@ -9,10 +9,12 @@
 from godwitladder.ids import ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.platform import names
-from godwitladder.untrusted import MAX_INTEGER, is_integer, is_name
+from godwitladder.untrusted import MAX_INTEGER, is_finite, is_integer, is_name
 
 log = component_logger("platform")
 
+MAX_ERROR_CHARS = 300
+
 
 def is_rollout(record: Record) -> bool:
     """Return whether ``record`` holds a rollout order."""
@@ -28,19 +30,20 @@
     if not isinstance(raw, dict):
         return Failure("is no JSON object")
     service, release = raw.get("service"), raw.get("target")
-    try:
-        duration_s = float(raw.get("durationS"))
-    except (ValueError, TypeError, OverflowError):
-        return Failure("has no duration")
+    duration_s = raw.get("durationS")
     if not is_name(service):
         return Failure("names no service")
     if not (is_name(release) or is_integer(release, -MAX_INTEGER)):
         return Failure("names no version")
-    if not 0 < duration_s < float("inf"):
+    if not is_finite(duration_s) or duration_s <= 0:
         return Failure("has no duration")
     return Success(
         RolloutOrder(
-            ServiceName(service), str(release), duration_s, record.offset, record.value
+            ServiceName(service),
+            str(release),
+            float(duration_s),
+            record.offset,
+            record.value,
         )
     )
 
@@ -74,6 +77,6 @@
             raise TypeError("the service is no text")
         return ServiceName(row["service"]), status
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        extra = {"key": record.key[:64], "error": repr(error)}
+        extra = {"key": record.key[:64], "error": repr(error)[:MAX_ERROR_CHARS]}
         log.warning("A status of a rollout is invalid", extra=extra)
         return None
