Answer requests that expect to continue and have nothing to send

A request with 'Expect: 100-continue' and no body, or an empty one, was told to continue and never answered; the next request on its connection was read into it, so that a target got the headers of both. One that was refused for its head (too long a body, a length that is no number) was told to continue too, and got no refusal. And a caller that left as it was told to continue made its thread fail, and 25 bytes of the host's memory for calls were accounted for ever.

Cause: waitress tells every request with that header to continue, takes it for not complete then, and does so in the thread that served the request before, while the loop may close the connection.

Change: the connection tells only a request whose body is still to come, while it is open, and leaves the sending to the loop.

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -46,6 +46,7 @@
 MAX_UNSENT_BYTES = 65_536
 """Bytes that the kernel takes for a caller and has not sent. By itself it takes some
 megabytes for each that doesn't read, which no accounting of the host sees."""
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 CHANNEL_KEY = "godwitladder.channel"
 """Key of the caller's connection in the WSGI environment."""
 WRITE_GRACE_S = 0.3
@@ -312,6 +313,22 @@
             self.server.connections.record(ConnectionEvent.READ)
         return result
 
+    def send_continue(self) -> None:
+        """Tell the caller to send the body, if there is one and it is not refused.
+
+        Waitress reads on after it in any case: a request without a body would get no
+        answer, and the next one would become a part of it. The loop sends it, since it
+        may close the connection while another thread is here.
+        """
+        self.request.expect_continue = False
+        with self.outbuf_lock:
+            if self.request.completed or not self.connected:
+                return
+            self.outbufs[-1].append(CONTINUE)
+            self.current_outbuf_count += len(CONTINUE)
+            self.total_outbufs_len += len(CONTINUE)
+            self.sent_continue = True
+
     @property
     def total_outbufs_len(self) -> int:
         """Number of bytes that wait for the caller; waitress changes it."""
