Bound the waits of a build, and test builds beside each other

Cause: found by a test of builds beside each other: a build whose shell is killed goes on with its installer, and the next one waited for its lock without an end (60 s in the test, while the installer hung).

Change: a build waits 240 s for another and 480 s for its installer, and then fails with a line; both end before the time that a build has. Tests: an installer that outlives its killed build while the next one runs, three builds at once, a lock that is held.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,8 +18,10 @@
 import sys
 import sysconfig
 import tempfile
+import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import TextIO
 
 ROOT = Path(__file__).resolve().parents[1]
 TARGET = ROOT / "target"
@@ -40,6 +42,10 @@
 )
 IMPORT_ENTRY = f"import sys; sys.path[:0] = sys.argv[1:]; import {ENTRY_MODULE}"
 IMPORT_TIMEOUT_S = 120
+INSTALL_TIMEOUT_S = 480
+LOCK_WAIT_S = 240
+"""Longest wait for another build. All waits together end before a build must have."""
+LOCK_RETRY_S = 0.1
 
 
 class BuildError(Exception):
@@ -78,12 +84,27 @@
 
 @contextlib.contextmanager
 def lock_target() -> Iterator[None]:
-    """Wait for other builds of this checkout; the lock ends with the process."""
+    """Wait for another build of this checkout; the lock ends with the process."""
+    until = time.monotonic() + LOCK_WAIT_S
     with (TARGET / "build.lock").open("w") as lock:
-        fcntl.flock(lock, fcntl.LOCK_EX)
+        while not take_lock(lock):
+            if time.monotonic() >= until:
+                raise BuildError(
+                    f"another build of {ROOT} still runs after {LOCK_WAIT_S} s"
+                )
+            time.sleep(LOCK_RETRY_S)
         yield
 
 
+def take_lock(lock: TextIO) -> bool:
+    """Lock the open file; return False if another build has locked it."""
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return False
+    return True
+
+
 def make_stamp() -> dict:
     """Return all that the installed libraries depend on."""
     return {
@@ -156,6 +177,7 @@
     done = subprocess.run(
         [sys.executable, "-m", "pip", *INSTALL, "--target", str(folder)],
         env=os.environ | {"TMPDIR": str(temporary)},
+        timeout=INSTALL_TIMEOUT_S,
     )
     if done.returncode != 0:
         raise BuildError(f"the installer ended with status {done.returncode}")
--- a/tests/deploy/checkout.py
+++ b/tests/deploy/checkout.py
@@ -130,3 +130,10 @@
     """Kill a build and the processes that it has started."""
     os.killpg(process.pid, signal.SIGKILL)
     process.communicate()
+
+
+def kill_children(process: subprocess.Popen) -> None:
+    """Kill the builder that the shell has started, and none of its children."""
+    children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+    for child in children.read_text().split():
+        os.kill(int(child), signal.SIGKILL)
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -1,5 +1,7 @@
 """The build leaves all libraries of a host behind, or fails and says why."""
 
+import fcntl
+import importlib.util
 import shutil
 import subprocess
 import sys
@@ -9,7 +11,7 @@
 
 import pytest
 
-from tests.deploy.checkout import ROOT, TIMEOUT_S, Checkout, kill_session
+from tests.deploy.checkout import ROOT, TIMEOUT_S, Checkout, kill_children, kill_session
 
 WHOLE = ["1.0", "1.0"]
 NO_PIP = "raise SystemExit('pip was run')"
@@ -148,6 +150,43 @@
     assert not list(checkout.target.glob("build-*"))
 
 
+def test_a_build_beside_an_installer_that_still_runs_is_whole(checkout, tmp_path):
+    """Guards against an installer that outlives its build and writes into the next."""
+    started = tmp_path / "started"
+    checkout.replace_pip(tmp_path / "pip", STOPPED_PIP.format(started=str(started)))
+    process = checkout.start()
+    wait_for(started)
+    kill_children(process)
+    process.wait()
+    checkout.python_path = []
+    try:
+        assert (checkout.build()[0], checkout.versions()) == (0, WHOLE)
+    finally:
+        kill_session(process)
+
+
+def test_builds_at_once_leave_one_whole_build(checkout):
+    """Guards against two builds that remove each other's files."""
+    builds = [checkout.start() for _ in range(3)]
+    outputs = [row.communicate(timeout=TIMEOUT_S)[0] for row in builds]
+    assert [row.returncode for row in builds] == [0, 0, 0], outputs
+    assert checkout.versions() == WHOLE
+    assert not list(checkout.target.glob("build-*"))
+
+
+def test_a_build_waits_for_another_for_a_limited_time(monkeypatch, tmp_path):
+    """Guards against a build that waits for ever for one that hangs."""
+    spec = importlib.util.spec_from_file_location("build", ROOT / "deploy/build.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    monkeypatch.setattr(module, "TARGET", tmp_path)
+    monkeypatch.setattr(module, "LOCK_WAIT_S", 0.2)
+    with (tmp_path / "build.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        with pytest.raises(module.BuildError, match="another build"):
+            module.build()
+
+
 def wait_for(path: Path) -> None:
     until = time.monotonic() + TIMEOUT_S
     while not path.exists():
