Leave descriptors for targets and probes, and pause when none is left

With 64, 100 and 256 descriptors and 300 calls at once, callers took them all. The host could then not connect to its targets and held that against them (`The direct path to a target is lost`, 3 to 5 times a burst; 22 calls answered with 504 of 300), and with connections that callers only hold it answered no probe: not ready. Its loop span on accept: 1.02 s of processor and about 1,000 lines with a traceback each second.

Cause: the limits on connections and calls come from the settings alone; an error of accept leaves the listener readable; a connection that can't be opened for want of a descriptor looks like a target out of reach. Beside it, an error while a new connection is set up (no memory) made waitress close the listener for good, in a host that went on saying that it is ready.

- Callers share what the process may open beside 96 descriptors, two for a call.
- A listener without descriptors closes a connection that is not used and accepts nothing for 0.1 s; `connections_total{event="no_descriptor"}` and the line of the second tell.
- `NoDescriptor` ends a call at once with 503 and `not_run`, and counts neither against the target nor its path.
- An error of a new connection leaves the listener open.

--- a/godwitladder/engines/errors.py
+++ b/godwitladder/engines/errors.py
@@ -13,6 +13,10 @@
     """No connection to the target could be established, on any way."""
 
 
+class NoDescriptor(NoConnection):
+    """No descriptor is left on this host, which says nothing of the target."""
+
+
 class MayHaveRun(GodwitladderError):
     """The request may have reached the target, but no complete answer arrived."""
 
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -19,9 +19,11 @@
     MalformedAnswer,
     MayHaveRun,
     NoConnection,
+    NoDescriptor,
     NotSent,
     TargetRefused,
 )
+from godwitladder.process.descriptors import is_shortage
 
 __all__ = [
     "HTTP_MISDIRECTED",
@@ -31,6 +33,7 @@
     "MalformedAnswer",
     "MayHaveRun",
     "NoConnection",
+    "NoDescriptor",
     "NotSent",
     "TargetRefused",
     "connect",
@@ -89,13 +92,16 @@
     ------
     NoConnection
         The connection could not be established.
+    NoDescriptor
+        This host has no descriptor for it.
     """
     connection = bounded_connection(address, connect_timeout_s, limits)
     try:
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as error:
         connection.close()
-        raise NoConnection(f"no connection to {address}: {error}") from error
+        kind = NoDescriptor if is_shortage(error) else NoConnection
+        raise kind(f"no connection to {address}: {error}") from error
     connection.timeout = read_timeout_s
     connection.sock.settimeout(read_timeout_s)
     return connection
--- a/godwitladder/paths/connector.py
+++ b/godwitladder/paths/connector.py
@@ -19,7 +19,7 @@
 from godwitladder.decisions.placing.paths import Gateways, PathTable, order_gateways
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.bounded_http import DEFAULT_LIMITS, bounded_connection
-from godwitladder.engines.wire import NoConnection, connect
+from godwitladder.engines.wire import NoConnection, NoDescriptor, connect
 from godwitladder.ids import HostId, Zone
 from godwitladder.logs import component_logger
 from godwitladder.membership.messages import Peer
@@ -170,6 +170,8 @@
             Gateways were asked and failed; others may lead to the target.
         NoConnection
             The connection could not be established.
+        NoDescriptor
+            This host has no descriptor for it, and none for a tunnel either.
         """
         has_gateways = self.tunnels is not None and bool(self.peers)
         if not has_gateways or not self.is_lost(address):
@@ -177,6 +179,8 @@
             timeout_s = times.before_tunnel_s if has_gateways else times.only_way_s
             try:
                 return self.connect_directly(address, read_timeout_s, timeout_s)
+            except NoDescriptor:
+                raise
             except NoConnection:
                 if not has_gateways:
                     raise
@@ -219,6 +223,9 @@
         """
         try:
             connection = connect(address, read_timeout_s, timeout_s, self.limits)
+        except NoDescriptor:
+            # This says nothing of the path.
+            raise
         except NoConnection as error:
             self.record_failed(address, error)
             raise
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -38,6 +38,7 @@
 from godwitladder.paths.gateway import Gateway
 from godwitladder.paths.tunnels import Tunnels
 from godwitladder.process.base_host import BaseHost
+from godwitladder.process.descriptors import share_descriptors
 from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
@@ -427,10 +428,12 @@
 
     def prepare_caller_server(self, server: BoundedServer) -> None:
         """Set up the server of callers before it runs."""
-        threads = self.settings.limits.threads
+        limits = self.settings.limits
         server.memory = self.call_memory
         server.connections.count = self.count_connection
-        server.max_busy = max(1, int(threads * NEW_CONNECTION_FRACTION))
+        connections, calls = share_descriptors(limits.connections, limits.threads)
+        server.max_connections = connections
+        server.max_busy = max(1, int(calls * NEW_CONNECTION_FRACTION))
         self.caller_server = server
 
     def count_connection(self, event: ConnectionEvent) -> None:
--- a/godwitladder/serving/connections.py
+++ b/godwitladder/serving/connections.py
@@ -26,6 +26,7 @@
     its client before it has sent a whole request. One that has been idle is closed to
     make room for a new one. The body of a request is dropped if there is no memory for
     it; the caller is told so. A request for which no thread can be started is refused.
+    Where no descriptor is left, new connections wait in the system's queue.
     """
 
     ACCEPTED = "accepted"
@@ -37,6 +38,7 @@
     IDLE_CLOSED = "idle_closed"
     BODY_DROPPED = "body_dropped"
     NO_THREAD = "no_thread"
+    NO_DESCRIPTOR = "no_descriptor"
 
 
 UNUSUAL_EVENTS = frozenset(
@@ -47,6 +49,7 @@
         ConnectionEvent.IDLE_CLOSED,
         ConnectionEvent.BODY_DROPPED,
         ConnectionEvent.NO_THREAD,
+        ConnectionEvent.NO_DESCRIPTOR,
     }
 )
 
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -14,6 +14,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
@@ -23,6 +24,7 @@
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
 from godwitladder.process.binding import open_listener
+from godwitladder.process.descriptors import is_shortage
 from godwitladder.process.drain import is_busy, is_readable
 from godwitladder.serving.call_memory import CallMemory
 from godwitladder.serving.connections import ConnectionEvent, ConnectionLog
@@ -78,6 +80,9 @@
 WAKE_INTERVAL_S = 0.05
 """Interval at which the loop is woken for connections left unread; each turn of the
 loop looks at all open connections."""
+ACCEPT_PAUSE_S = 0.1
+"""Time for which a listener accepts nothing after a lack of descriptors or memory. The
+loop would else turn without a pause, as connections wait."""
 POLL_RESOLUTION_S = 0.001
 """Resolution of the loop's timeout, by which it could end too early."""
 MIN_SILENCE_S = 1.0
@@ -452,6 +457,8 @@
     busy : int or None
         Connections with a request in progress as this turn of the loop began, and
         those that brought one since; None if not counted yet.
+    accepts_at : float
+        Monotonic time until which no connection is accepted.
     """
 
     channel_class = BoundedChannel
@@ -468,6 +475,7 @@
         self.memory = CallMemory()
         self.max_busy = NO_LIMIT
         self.busy: int | None = None
+        self.accepts_at = float("-inf")
         self.max_connections = max_connections
         self.connections = ConnectionLog(time.monotonic())
         self.unread = UnreadConnections(self.wake)
@@ -499,10 +507,38 @@
 
     def readable(self) -> bool:
         """Return whether to accept; the loop calls this once a turn."""
-        self.connections.end_turn(time.monotonic(), self.describe)
+        now = time.monotonic()
+        self.connections.end_turn(now, self.describe)
         self.busy = None
+        if now < self.accepts_at:
+            self.unread.wake_by(self.accepts_at, now)
+            return False
         return super().readable()
 
+    def accept(self) -> tuple[socket.socket, Any] | None:
+        """Return a new connection and its address; None if there is none for now."""
+        try:
+            return super().accept()
+        except OSError as error:
+            if not is_shortage(error):
+                raise
+            self.pause_accepting()
+            return None
+
+    def pause_accepting(self) -> None:
+        """Accept nothing for a while, and close a connection that is not used."""
+        self.connections.record(ConnectionEvent.NO_DESCRIPTOR)
+        self.accepts_at = time.monotonic() + ACCEPT_PAUSE_S
+        close_longest_idle(self)
+
+    def handle_error(self) -> None:
+        """Log an error of a new connection, and keep the listener open.
+
+        Waitress would close it: the host would stay ready and accept no caller again.
+        """
+        log.exception("A connection could not be accepted")
+        self.accepts_at = time.monotonic() + ACCEPT_PAUSE_S
+
     def wake(self) -> None:
         """Wake the loop."""
         try:
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -19,6 +19,7 @@
     HTTP_MISDIRECTED,
     MayHaveRun,
     NoConnection,
+    NoDescriptor,
     NotSent,
     send,
 )
@@ -67,6 +68,9 @@
 round may take half a second, and other targets may be idle."""
 REFUSED_RETRY_S = 0.5
 DECISION_POLL_INTERVAL_S = 1.0
+NO_DESCRIPTOR_DETAIL = "This host has no descriptor for a connection now."
+NO_DESCRIPTOR_RETRY_S = 0.5
+"""Retry-After, in seconds; another host probably has some at once."""
 NO_MEMORY_RETRY_S = 0.5
 """Retry-After of a host without memory for an answer; another one may have some."""
 NO_MEMORY_DETAIL = "This host has no memory left for an answer."
@@ -230,6 +234,12 @@
             except HeldBack as error:
                 self.log_failed_send("A call was held back", decision, error)
                 return self.refuse_sent(start_response, error.refusal)
+            except NoDescriptor as error:
+                self.log_failed_send("No descriptor is left", decision, error)
+                refusal = refuse(
+                    Reason.SHED, NO_DESCRIPTOR_DETAIL, NO_DESCRIPTOR_RETRY_S
+                )
+                return self.refuse_sent(start_response, refusal)
             except NotSent as error:
                 self.log_failed_send("Nothing was sent", decision, error)
                 aborted = self.open_call.cause is not None
