Unblock the signals that a host reacts to

What operators would see: a host that reacts to no stop until it is killed, with all calls it has. A parent that takes signals by waiting for them blocks them first, and its children inherit that.

Evidence: test_signals_that_the_parent_had_blocked_reach_a_host, red before (no end 20 s after SIGTERM), green after; the mutation is red.

Change: the early handlers unblock what they handle, after they are installed.

--- a/godwitladder/process/early_signals.py
+++ b/godwitladder/process/early_signals.py
@@ -36,6 +36,9 @@
         signal.signal(number, signal.SIG_IGN)
     for number in STOP_SIGNALS:
         signal.signal(number, exit_at_once)
+    # A parent that waits for signals has blocked them, and its children inherit that.
+    handled = (RELOAD_SIGNAL, *STRAY_SIGNALS, *STOP_SIGNALS)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
     faulthandler.enable(STANDARD_ERROR)
     faulthandler.register(signal.SIGQUIT, STANDARD_ERROR, chain=True)
 
--- a/tests/process/test_signals.py
+++ b/tests/process/test_signals.py
@@ -182,3 +182,14 @@
     assert taken == [signal.SIGHUP, signal.SIGTERM, None]
     signals.record(signal.SIGHUP, None)
     assert signals.take(0.01) is signal.SIGHUP
+
+
+def test_signals_that_the_parent_had_blocked_reach_a_host(tmp_path):
+    """Guards against a host that reacts to no stop, as its parent blocks signals."""
+    blocked = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+    with contextlib.closing(Deployment(tmp_path, 1)) as fleet:
+        fleet.start_processes(lambda: signal.pthread_sigmask(signal.SIG_BLOCK, blocked))
+        (host,) = fleet.hosts
+        assert wait_until(host.is_ready, READY_S)
+        host.signal(signal.SIGTERM)
+        assert host.process.wait(EXIT_S) == 0
