Answer a call whose path or length can't be parsed

Seen by callers: a request for "http://[::1" or "http://[bad]:1/", or with a length of 5,000 digits, got no answer; its connection was closed (at all three interfaces).

Cause: waitress lets ValueError of urlsplit and int() pass its parser, and its loop then closes the channel.

Change: the parser turns them into its error for an invalid head: 400.

--- a/godwitladder/serving/request_bodies.py
+++ b/godwitladder/serving/request_bodies.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 
 from waitress.adjustments import Adjustments
-from waitress.parser import HTTPRequestParser
+from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.utilities import Error
 
 from godwitladder.serving.call_memory import CallMemory
@@ -115,6 +115,20 @@
             self.error = NoMemory("This host has no room for the body now.")
         return consumed
 
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parse the head.
+
+        Raises
+        ------
+        ParsingError
+            The head is invalid; waitress lets errors of its path and length pass, and
+            the caller would get no answer.
+        """
+        try:
+            super().parse_header(header_plus)
+        except ValueError as error:
+            raise ParsingError("The path or the length is invalid") from error
+
     def reserve(self) -> bool:
         """Take what is needed to read on, and return whether that worked."""
         wanted = self.needed_bytes() - self.taken
