--- a/tests/engines/cut_target.py
+++ b/tests/engines/cut_target.py
@@ -44,9 +44,9 @@
     in_parts: bool
 
 
-def make_answer(framing, body, headers=b"", status=b"200 OK"):
+def make_answer(framing, body, headers=b"Content-Type: a/b\r\n"):
     """Return a whole answer; a body in chunks has three of them."""
-    head = b"HTTP/1.1 " + status + b"\r\nContent-Type: a/b\r\n" + headers
+    head = b"HTTP/1.1 200 OK\r\n" + headers
     if framing is Framing.LENGTH:
         return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
     if framing is Framing.CLOSE:
@@ -90,11 +90,17 @@
         Where later answers are cut.
     sound : int, default=0
         Number of requests that are answered whole, on connections that stay open.
+
+    Attributes
+    ----------
+    requests : int
+        Number of requests that were read.
     """
 
     def __init__(self, answer, cut, sound=0):
         self.answer = answer
         self.cut = cut
+        self.requests = 0
         self.left = itertools.chain([True] * sound, itertools.repeat(False))
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
@@ -118,6 +124,7 @@
         with sock, contextlib.suppress(OSError):
             sock.settimeout(CONNECTION_S)
             while read_request(sock):
+                self.requests += 1
                 if next(self.left):
                     sock.sendall(self.answer)
                     continue
