--- a/tests/process/test_starting.py
+++ b/tests/process/test_starting.py
@@ -60,15 +60,15 @@
 from pathlib import Path
 from godwitladder.platform import host
 
-read = host.read_routed_settings
+read = host.wait_for_settings
 
-def read_and_change(path):
-    settings = read(path)
+def read_and_change(path, clock):
+    settings = read(path, clock)
     text = path.read_text()
-    path.write_text(text.replace("revoke_s = 5000e-3", "revoke_s = 4000e-3"))
+    path.write_text(text.replace("revoke_ms = 5000", "revoke_ms = 4000"))
     return settings
 
-host.read_routed_settings = read_and_change
+host.wait_for_settings = read_and_change
 runpy.run_module("godwitladder.platform", run_name="__main__")
 """
 
@@ -89,7 +89,7 @@
             )
         text = "The settings were reloaded"
         assert wait_until(lambda: text in host.log_path.read_text(), 20.0)
-        assert "4000e-3" in host.path.read_text()
+        assert "revoke_ms = 4000" in host.path.read_text()
 
 
 SLOW_MODULES = {"site", "runpy", "enum", "os", "signal", "threading"}
