Follow changed settings that are invalid only as at the start

What callers saw: nothing yet; a host that starts with the default for an odd value would have refused each later change of its file, with seeds and bounds in it.

Change: the host remembers what was invalid at its start. The stub of the reload's tests has this attribute too; no assertion is changed.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -53,7 +53,11 @@
 from godwitladder.routing.app import ReadinessApp, RoutedApp, index_document
 from godwitladder.routing.calls import HeaderCodec
 from godwitladder.routing.freshness import DocumentFreshness
-from godwitladder.routing.settings import RoutedSettings, read_routed_settings
+from godwitladder.routing.settings import (
+    RoutedSettings,
+    find_ignored,
+    read_changed_settings,
+)
 from godwitladder.routing.state import make_config_state
 from godwitladder.routing.status import StatusApp
 from godwitladder.scheduler.actor import Scheduler
@@ -133,6 +137,7 @@
         self.path = path
         self.settings = settings
         self.file_text = file_text
+        self.ignored = find_ignored(path)
         self.source = source
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
@@ -498,7 +503,7 @@
         """Reload the settings file, and apply what can change without a restart."""
         self.file_text = read_settings_text(self.path)
         try:
-            settings = read_routed_settings(self.path)
+            settings = read_changed_settings(self.path, self.ignored)
         except InvalidInput as error:
             log.warning(
                 "The settings file is invalid; the previous settings stay",
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -9,7 +10,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.rollouts.progress import RolloutLimits
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.findings import Findings, InvalidInput
+from godwitladder.findings import Finding, Findings, InvalidInput
 from godwitladder.ids import HostId, Zone
 from godwitladder.logs import component_logger
 from godwitladder.serving.call_memory import (
@@ -264,6 +265,59 @@
     For an invalid value its default is used, with a line in the log. All hosts get
     their settings from one source: if one odd value ended a start, no host would run.
 
+    Raises
+    ------
+    InvalidInput
+        The file can't be read, or lacks an address that the host needs.
+    """
+    settings, ignored = read_usable_settings(path)
+    log_ignored(ignored)
+    return settings
+
+
+def read_changed_settings(path: Path, accepted: Collection[Finding]) -> RoutedSettings:
+    """Return the settings of a running host whose file has changed.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+    accepted : collection of Finding
+        What was invalid when the host started. A default is used for it already.
+
+    Raises
+    ------
+    InvalidInput
+        The file is invalid beyond what was accepted; the error lists every finding.
+    """
+    settings, ignored = read_usable_settings(path)
+    new = tuple(row for row in ignored if row not in accepted)
+    if new:
+        raise InvalidInput(new)
+    return settings
+
+
+def find_ignored(path: Path) -> tuple[Finding, ...]:
+    """Return the invalid values in ``path`` for which a start uses the default."""
+    try:
+        return read_usable_settings(path)[1]
+    except InvalidInput:
+        # The file has changed since the start, and will be refused as a whole.
+        return ()
+
+
+def log_ignored(ignored: Iterable[Finding]) -> None:
+    """Log each value that is not used."""
+    for finding in ignored:
+        log.warning(
+            "An invalid setting is not used",
+            extra={"place": finding.place, "error": finding.text},
+        )
+
+
+def read_usable_settings(path: Path) -> tuple[RoutedSettings, tuple[Finding, ...]]:
+    """Return the settings in ``path``, and the invalid values that were left out.
+
     Raises
     ------
     InvalidInput
@@ -278,12 +332,7 @@
     if settings is None:
         raise InvalidInput((*findings.items, *ignored.items))
     settings = fit_threads(name_places(settings), f"{place}answers", ignored)
-    for finding in ignored.items:
-        log.warning(
-            "An invalid setting is not used",
-            extra={"place": finding.place, "error": finding.text},
-        )
-    return settings
+    return settings, tuple(ignored.items)
 
 
 def read_raw_settings(path: Path, findings: Findings) -> dict | None:
--- a/tests/routing/test_reload.py
+++ b/tests/routing/test_reload.py
@@ -6,6 +6,7 @@
 import pytest
 
 from godwitladder.routing.daemon import RoutingHost, read_settings_text
+from godwitladder.routing.settings import find_ignored
 
 TEXT = """
 host = "h1"
@@ -33,6 +34,7 @@
     host = SimpleNamespace(
         path=path,
         file_text=read_settings_text(path),
+        ignored=(),
         mesh=SimpleNamespace(seeds=frozenset(), address="127.0.0.1:4"),
         freshness=SimpleNamespace(max_age_s=5.0),
     )
@@ -65,6 +67,26 @@
     assert host.freshness.max_age_s == 2.0
 
 
+@pytest.mark.parametrize("value", ["-1", '"much"', "0", "[2]"])
+def test_an_invalid_value_changes_nothing(host, value):
+    """Guards against an odd value that replaces a bound in force by its default."""
+    host.path.write_text(TEXT.format(revoke_s=2))
+    RoutingHost.reload_if_changed(host)
+    host.path.write_text(TEXT.format(revoke_s=value))
+    RoutingHost.reload_if_changed(host)
+    assert host.freshness.max_age_s == 2.0
+
+
+def test_a_value_that_was_invalid_at_the_start_does_not_stop_reloads(host):
+    """Guards against a host that starts with an odd value and follows no change."""
+    odd = TEXT.replace('region = "r"', 'region = ""')
+    host.path.write_text(odd.format(revoke_s=5))
+    host.ignored = find_ignored(host.path)
+    host.path.write_text(odd.format(revoke_s=2))
+    RoutingHost.reload_if_changed(host)
+    assert host.freshness.max_age_s == 2.0
+
+
 def test_a_missing_file_changes_nothing(host):
     """Guards against a failure while the file is missing, as during a replacement."""
     host.path.unlink()
