Show what a process uses of its limits among its metrics

Operators could not see that a host was near a limit of its process: the addresses, descriptors and threads that end or hold back its calls were known to the last line of a process alone. A resource without a limit has none to show.

--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from godwitladder.outcomes import Reason, RequestState
+from godwitladder.process.resources import LimitedResource, read_resource_use
 
 # The collectors of aioprometheus are not thread-safe: they update a value by
 # reading and writing it, and iterate over label sets while rendering. Without a
@@ -84,6 +85,12 @@
         self.connections = self._counter(
             "connections_total", "New connections of callers by what became of them"
         )
+        self.process_use = self._gauge(
+            "process_use", "What the process uses of a resource that may be limited"
+        )
+        self.process_limit = self._gauge(
+            "process_limit", "Limits of the process; none for what is not limited"
+        )
         self.rollout_answers = self._counter(
             "rollout_answers_total", "Answers during rollouts by service and version"
         )
@@ -123,7 +130,19 @@
         """Count a call that was refused before it was queued as a request."""
         self.refusals.inc({"reason": reason.value})
 
+    def read_process(self) -> None:
+        """Read what the process uses, and its limits, which may have been changed."""
+        use = read_resource_use()
+        for resource in LimitedResource:
+            labels = {"resource": resource.value}
+            used, limit = use.pair(resource)
+            if used is not None:
+                self.process_use.set(labels, used)
+            if limit is not None:
+                self.process_limit.set(labels, limit)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the Prometheus text format, and its HTTP headers."""
+        self.read_process()
         with LOCK:
             return render(self.registry, ["text/plain"])
--- a/godwitladder/process/resources.py
+++ b/godwitladder/process/resources.py
@@ -1,5 +1,6 @@
 """What a process uses of its memory, descriptors and threads, and their limits."""
 
+import enum
 import os
 import resource
 from dataclasses import dataclass
@@ -10,6 +11,16 @@
 KIB = 1024
 
 
+class LimitedResource(enum.Enum):
+    """A resource of which a process may use no more than a limit."""
+
+    RESIDENT_BYTES = "resident_bytes"
+    ADDRESS_BYTES = "address_bytes"
+    DATA_BYTES = "data_bytes"
+    DESCRIPTORS = "descriptors"
+    THREADS = "threads"
+
+
 @dataclass(frozen=True)
 class ResourceUse:
     """Use and limits of one process; None where a value is unknown or unlimited.
@@ -36,6 +47,16 @@
     threads: int | None
     max_tasks: int | None
 
+    def pair(self, resource: LimitedResource) -> tuple[int | None, int | None]:
+        """Return what is used of a resource, and its limit."""
+        return {
+            LimitedResource.RESIDENT_BYTES: (self.resident_bytes, None),
+            LimitedResource.ADDRESS_BYTES: (self.address_bytes, self.max_address_bytes),
+            LimitedResource.DATA_BYTES: (self.data_bytes, self.max_data_bytes),
+            LimitedResource.DESCRIPTORS: (self.descriptors, self.max_descriptors),
+            LimitedResource.THREADS: (self.threads, self.max_tasks),
+        }[resource]
+
 
 def read_resource_use() -> ResourceUse:
     """Return what this process uses now; never raises."""
