Refuse a body for which the system has no memory

What the accounting of memory allows may still be denied by the system. Such a body is dropped as one is that waits too long for the host's own memory: its caller gets 503 with Retry-After and `not_run`, and the next one its chance. Now all get 503 or are served, the host stays ready and serves again when there is memory.

--- a/godwitladder/serving/request_bodies.py
+++ b/godwitladder/serving/request_bodies.py
@@ -47,10 +47,15 @@
         self.drops = False
 
     def append(self, data: bytes) -> None:
-        """Add ``data``, or drop it."""
+        """Add ``data``, or drop it; without memory for it, all is dropped."""
         self.size += len(data)
-        if not self.drops:
+        if self.drops:
+            return
+        try:
             self.file.write(data)
+        except MemoryError:
+            # The caller is refused when it has sent the rest.
+            self.drop()
 
     def drop(self) -> None:
         """Forget all bytes, and those that are still to come."""
@@ -106,6 +111,8 @@
         if self.body_rcv is not None and not had_body:
             # Nothing of the body is parsed together with the head.
             self.body_rcv.buf = BodyBuffer()
+        if self.is_dropped:
+            self.release()
         if not self.completed:
             self.reserve()
             return consumed
--- /dev/null
+++ b/tests/process/test_memory_shortage.py
@@ -0,0 +1,75 @@
+"""Hosts whose address space is used up while they serve."""
+
+import concurrent.futures
+import contextlib
+import http.client
+import resource
+from collections import Counter
+
+import pytest
+
+from tests.process.burst import Burst
+from tests.process.deployment import MB, Deployment, wait_until
+
+BODY_BYTES = 3_500_000
+CALLS = 24
+READY_TIMEOUT_S = 20
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    with contextlib.closing(Deployment(tmp_path, 1)) as started:
+        started.start_processes()
+        (host,) = started.hosts
+        assert wait_until(lambda: host.is_ready(), READY_TIMEOUT_S)
+        yield started
+
+
+@contextlib.contextmanager
+def no_more_addresses(process):
+    """Let a process take no more addresses than it has."""
+    before = resource.prlimit(process.pid, resource.RLIMIT_AS)
+    with open(f"/proc/{process.pid}/statm", encoding="ascii") as sizes:
+        size = int(sizes.read().split()[0]) * resource.getpagesize()
+    limit = size // MB * MB
+    resource.prlimit(process.pid, resource.RLIMIT_AS, (limit, before[1]))
+    try:
+        yield
+    finally:
+        resource.prlimit(process.pid, resource.RLIMIT_AS, before)
+
+
+def send_body(host, number):
+    """Send a long body; return the status, or the name of the error."""
+    connection = http.client.HTTPConnection("127.0.0.1", host.ports[0], timeout=10)
+    headers = {
+        "Host": "shop.example",
+        "Godwitladder-Attempt-Id": f"body-{number}",
+        "Godwitladder-Deadline-Ms": "9000",
+        "Authorization": "Bearer left-key",
+    }
+    with contextlib.closing(connection):
+        try:
+            connection.request("POST", "/lookup/x", b"x" * BODY_BYTES, headers)
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException) as error:
+            return type(error).__name__
+
+
+def check_serving(deployment, name):
+    (host,) = deployment.hosts
+    assert deployment.ended() == [], deployment.exit_lines()
+    assert wait_until(lambda: host.is_ready(), READY_TIMEOUT_S)
+    counts = Burst(("127.0.0.1", host.ports[0]), 5, name=name).wait(10)
+    assert counts[200] == 5, counts
+
+
+def test_a_body_that_no_memory_is_left_for_is_refused(deployment):
+    """Guards against a caller whose connection is reset in place of a refusal."""
+    (host,) = deployment.hosts
+    with no_more_addresses(host.process):
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            counts = Counter(pool.map(lambda n: send_body(host, n), range(CALLS)))
+    assert counts[503] + counts[200] == CALLS, counts
+    assert counts[503]
+    check_serving(deployment, "after")
