Check the offsets and times of the log's pages

Seen by callers: a page of the platform's log whose "first" or "next" is a text, null, a fraction or too large, or a record whose offset or time is, ended the process (status 70, thread "config" or "claim-read"), on each host that read it and again after each restart.

Cause: offsets were passed on as decoded; the follower compares and adds them.

Evidence: tests/clients/test_odd_pages.py, 16 of 16 red before.

Change: checked where a page is decoded; it then counts as an answer that never came, as any invalid page does.

--- a/godwitladder/clients/log.py
+++ b/godwitladder/clients/log.py
@@ -16,6 +16,7 @@
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import Offset, Zone
+from godwitladder.untrusted import is_finite, is_integer
 
 CONFIG_STREAM = "config"
 CLAIM_STREAM = "claims"
@@ -88,8 +89,8 @@
         body = json.dumps([base64.b64encode(data).decode() for data in records])
         answer = self._request("POST", f"/log/{stream}", body, self.timeout_s)
         try:
-            return Offset(answer["offset"])
-        except (KeyError, TypeError) as error:
+            return _read_offset(answer["offset"])
+        except (KeyError, TypeError, ValueError) as error:
             raise LogUnavailable(f"log answered no offset: {error!r}") from error
 
     def read(self, stream: str, start: Offset, wait_s: float = 0.0) -> Page:
@@ -121,7 +122,23 @@
 
 def _read_page(answer: Any) -> Page:
     records = tuple(
-        Record(row["offset"], row["time"], base64.b64decode(row["data"]))
+        Record(
+            _read_offset(row["offset"]),
+            _read_time(row["time"]),
+            base64.b64decode(row["data"]),
+        )
         for row in answer["records"]
     )
-    return Page(Offset(answer["first"]), Offset(answer["next"]), records)
+    return Page(_read_offset(answer["first"]), _read_offset(answer["next"]), records)
+
+
+def _read_offset(value: Any) -> Offset:
+    if not is_integer(value, 0):
+        raise ValueError("an offset is no integer")
+    return Offset(value)
+
+
+def _read_time(value: Any) -> float:
+    if not is_finite(value):
+        raise ValueError("a time is no number")
+    return value
