Refuse a target's events whose members can't be joined

Seen by callers of the product's own interface: an answer that is joined of events with a content or index of another type, or one nested very deep, failed as an error of the host ("internal") in place of one of the target.

Cause: types were not checked where an event is decoded, and a RecursionError was not expected; likewise in the body of an operator's request to lift a quarantine.

Change: checked when the event is added; the error is quoted in part.

--- a/godwitladder/serving/joining.py
+++ b/godwitladder/serving/joining.py
@@ -6,8 +6,12 @@
 from godwitladder.engines.engine import DONE, Chunk
 from godwitladder.outcomes import Reason, Refusal, RequestState
 from godwitladder.serving.relay import AnswerTruncated, StreamFollower
+from godwitladder.untrusted import is_integer
 
 JOINED_MEMBERS = ("role", "content")
+MAX_ERROR_CHARS = 200
+INVALID_EVENT = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+"""What is raised for an event that is no JSON, or whose members have other types."""
 
 
 def join_chunks(
@@ -66,19 +70,24 @@
             for choice in event["choices"]:
                 self._add_choice(choice)
             self.usage = event.get("usage") or self.usage
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            text = f"The target's answer can't be joined: {error!r}."
+        except INVALID_EVENT as error:
+            problem = repr(error)[:MAX_ERROR_CHARS]
+            text = f"The target's answer can't be joined: {problem}."
             refusal = Refusal(RequestState.FAILED, Reason.TARGET_LOST, text)
             raise AnswerTruncated(refusal) from error
 
     def _add_choice(self, choice: dict) -> None:
-        index, delta = choice["index"], choice["delta"]
+        index, delta = choice["index"], dict(choice["delta"])
         extra = [name for name in delta if delta[name] and name not in JOINED_MEMBERS]
         if extra:
             raise ValueError(f"{extra} can only be had streamed")
-        self.texts.setdefault(index, []).append(delta.get("content") or "")
-        if choice.get("finish_reason"):
-            self.finishes[index] = choice["finish_reason"]
+        text, finish = delta.get("content") or "", choice.get("finish_reason") or ""
+        is_sound = isinstance(text, str) and isinstance(finish, str)
+        if not (is_sound and is_integer(index, 0)):
+            raise ValueError("a choice has values of other types")
+        self.texts.setdefault(index, []).append(text)
+        if finish:
+            self.finishes[index] = finish
 
     def to_json(self) -> bytes:
         """Return the completion as JSON."""
--- a/godwitladder/serving/quarantine.py
+++ b/godwitladder/serving/quarantine.py
@@ -42,7 +42,7 @@
     try:
         raw = json.loads(environ["wsgi.input"].read(length))
         return BodyDigest(str(raw["digest"])), str(raw["operator"])
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         text = f"The body must name digest and operator: {error!r}."
         raise deny(Reason.MALFORMED, text) from error
 
