--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -8,6 +8,7 @@
 import base64
 import bisect
 import enum
+import io
 import json
 import random
 import socket
@@ -88,6 +89,8 @@
     late_s : float
         Delay in seconds after which appends are carried out, without an answer; 0 to
         carry them out at once.
+    cuts : bool
+        Whether requests are carried out, but their answers cut at a random byte.
     """
 
     status: int = 0
@@ -95,6 +98,7 @@
     lose: bool = False
     tells_era: bool = True
     late_s: float = 0.0
+    cuts: bool = False
 
 
 class Store:
@@ -112,6 +116,10 @@
         Number of times that the store has come back from a copy, and one.
     late_results : list
         Status and body of each append that was carried out late.
+    random : Random
+        Draws where answers are cut.
+    cut_answers : int
+        Number of answers that were cut.
     """
 
     def __init__(self) -> None:
@@ -120,6 +128,8 @@
         self.reads = 0
         self.era = 1
         self.late_results: list[tuple[int, bytes]] = []
+        self.random = random.Random(1)
+        self.cut_answers = 0
         self.lock = threading.Lock()
 
     def put(self, topic: str, key: str, value: bytes) -> int:
@@ -232,6 +242,23 @@
         if self.server.standin.knobs.lose:
             self.close_connection = True
             return
+        if self.server.standin.knobs.cuts:
+            self.cut_answer(status, body)
+        else:
+            self.send_answer(status, body)
+
+    def cut_answer(self, status: int, body: bytes) -> None:
+        """Send a part of an answer, and close the connection."""
+        store, sock_file = self.server.standin, self.wfile
+        self.wfile = io.BytesIO()
+        self.send_answer(status, body)
+        whole, self.wfile = self.wfile.getvalue(), sock_file
+        self.wfile.write(whole[: store.random.randrange(len(whole))])
+        store.cut_answers += 1
+        self.close_connection = True
+
+    def send_answer(self, status: int, body: bytes) -> None:
+        """Send a whole answer."""
         self.send_response(status)
         store = self.server.standin
         if store.knobs.tells_era:
