Test that a call cut on the way to its gateway is forgotten

Calls with a body cut at every eleventh byte between the hosts: none runs but those of which all had passed, and no tunnel stays open. No fault found.

--- a/tests/paths/test_cut_tunnels.py
+++ b/tests/paths/test_cut_tunnels.py
@@ -20,11 +20,15 @@
     first_whole_size,
     make_answer,
 )
+from tests.fleet import wait_until
 from tests.paths.test_tunnels import PathHost, ask, make_pair, read_body
 
 BODY = b"the answer of a target"
 STEP = 3
 """Every third place is tried, since each needs a tunnel of its own."""
+NO_CUT = 1 << 30
+MAX_UNSURE = 3
+"""Calls that were cut after their last byte and before their answer."""
 WAY_BYTES = 1_200
 """More than a gateway sends for the opening of a tunnel, an answer and its end."""
 
@@ -35,12 +39,12 @@
         yield owned
 
 
-def read_answer(host, address):
+def read_answer(host, address, sent=None):
     """Return the body of an answer; None if the host finds that it is not whole."""
     try:
         connection = host.connect(address)
         with contextlib.closing(connection.http):
-            return read_body(ask(connection))
+            return read_body(ask(connection, "POST", sent))
     except (NotSent, MayHaveRun, urllib3.exceptions.HTTPError):
         return None
 
@@ -64,11 +68,11 @@
 
 
 class CutWay:
-    """Passes bytes to a host, and a number of bytes back; then the connection ends."""
+    """Passes a number of bytes to a host, or back; then the connection ends."""
 
     def __init__(self, stack, address):
         self.address_behind = address
-        self.left = 0
+        self.left_on = self.left_back = NO_CUT
         self.resets = False
         self.server = socket.create_server(("127.0.0.1", 0))
         stack.callback(self.server.close)
@@ -86,20 +90,20 @@
                 threading.Thread(target=self.pass_back, args=args, daemon=True).start()
 
     def pass_on(self, near, far):
-        with contextlib.suppress(OSError):
-            while block := near.recv(65_536):
-                far.sendall(block)
-            far.shutdown(socket.SHUT_RDWR)
+        self.copy(near, far, self.left_on)
 
     def pass_back(self, near, far):
-        left = self.left
-        with contextlib.suppress(OSError), near, far:
-            while left and (block := far.recv(min(left, 65_536))):
-                near.sendall(block)
+        self.copy(far, near, self.left_back)
+
+    def copy(self, source, sink, left):
+        with contextlib.suppress(OSError), sink, source:
+            while left and (block := source.recv(min(left, 65_536))):
+                sink.sendall(block)
                 left -= len(block)
             if self.resets:
-                near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTING_LINGER)
-            near.shutdown(socket.SHUT_RDWR)
+                sink.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORTING_LINGER)
+            for sock in (sink, source):
+                sock.shutdown(socket.SHUT_RDWR)
 
 
 def test_an_answer_is_not_whole_where_the_way_to_the_gateway_is_cut(stack):
@@ -112,8 +116,8 @@
     far.know(target.address)
     way = CutWay(stack, far.mesh.address)
     bodies = []
-    for size in [*range(0, WAY_BYTES, 7), 1 << 20]:
-        way.left, way.resets = size, rng.random() < 0.5
+    for size in [*range(0, WAY_BYTES, 7), NO_CUT]:
+        way.left_back, way.resets = size, rng.random() < 0.5
         with contextlib.ExitStack() as hosts:
             near = PathHost(hosts, "near")
             near.connector.set_peers([Peer(HostId("far"), way.address, Zone("a"))])
@@ -124,3 +128,30 @@
     first_whole = bodies.index(BODY)
     assert first_whole > 0
     assert target.requests > len(bodies) - first_whole
+
+
+def test_a_call_of_which_a_part_reached_the_gateway_is_forgotten(stack):
+    """Guards against a part of a call that runs, and a tunnel that stays open."""
+    rng = random.Random(2)
+    answer = make_answer(Framing.LENGTH, BODY)
+    target = stack.enter_context(CutTarget(answer, None, sound=1_000))
+    far = PathHost(stack, "far")
+    far.know(target.address)
+    way = CutWay(stack, far.mesh.address)
+    bodies = []
+    for size in [*range(0, WAY_BYTES, 11), NO_CUT]:
+        way.left_on, way.resets = size, rng.random() < 0.5
+        with contextlib.ExitStack() as hosts:
+            near = PathHost(hosts, "near")
+            near.connector.set_peers([Peer(HostId("far"), way.address, Zone("a"))])
+            near.know(target.address)
+            near.lose_path(target.address)
+            bodies.append(read_answer(near, target.address, bytes(range(100))))
+    wait_until(lambda: far.gateway.open_tunnels == 0, "the ends of all tunnels")
+    assert set(bodies) == {None, BODY}
+    # A call of which all but the answer has passed may have run.
+    first_whole = bodies.index(BODY)
+    assert first_whole > 0
+    assert all(body == BODY for body in bodies[first_whole + MAX_UNSURE :])
+    assert len(bodies) - first_whole <= target.requests
+    assert target.requests <= len(bodies) - first_whole + MAX_UNSURE
