Read the store again where memory was lacking, and encode nothing without it

A host whose address space was used up ended by itself when the store held a long record (a configuration with 9,000 tenants): status 70, `feed`, `MemoryError()`; all hosts read the same record, so all end, and again after each start that gets so far. With 2 MB of addresses left it ended by SIGABRT without its last line: `memory allocation of 1472894 bytes failed`. That is the CBOR library (cbor2 6.3, in Rust), which aborts where it gets no memory, and no handler can see that.

- A read that lacks memory is a failed turn of the feed: all is read anew, and nothing is confirmed until its view is published.
- News of 64 KiB and more is encoded, and messages of that length decoded, only if five times as much fits into the limits of the process; else `MemoryError` is raised.
On a link that ends the link, on a read of the store see above.
Shorter messages pay for a comparison of lengths.

Open: a short value that is encoded when no address at all is left could still abort. The 12 MB that threads of calls leave are there for this.

--- a/godwitladder/discovery/batches.py
+++ b/godwitladder/discovery/batches.py
@@ -4,7 +4,7 @@
 only by a host that has all earlier records; a snapshot can be applied by any host.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from godwitladder.discovery.messages import RawBatch, RawRecord
@@ -36,6 +36,11 @@
     return Batch(-1, place.offset, records, place.era)
 
 
+def count_bytes(records: Iterable[Record]) -> int:
+    """Return the length of all keys and values, in characters and bytes."""
+    return sum(len(row.key) + len(row.value or b"") for row in records)
+
+
 def apply_batch(newest: dict[str, Record], batch: Batch) -> None:
     """Apply ``batch`` to ``newest``, the current records by key, in place."""
     if batch.is_snapshot:
--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -19,6 +19,7 @@
 from godwitladder.clock import Clock
 from godwitladder.discovery.batches import (
     apply_batch,
+    count_bytes,
     decode_batch,
     drop_known,
     encode_batch,
@@ -45,6 +46,7 @@
 from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
 from godwitladder.process.loops import Turns
+from godwitladder.process.memory import require_room
 from godwitladder.routing.freshness import DocumentFreshness
 from godwitladder.routing.model import RoutingDocument
 
@@ -335,6 +337,7 @@
                 return None
             documents = tuple(self.newest_documents.values())
             entries = tuple(self.newest_entries.values())
+            require_room(count_bytes(documents) + count_bytes(entries))
             now = self.clock.boottime()
             return FeedNews(
                 self.host,
@@ -505,6 +508,7 @@
             self.with_document_in_force(documents), self.document_place
         )
         entries = drop_known(self.drop_unchanged(entries), self.entry_place)
+        require_room(count_bytes(documents.records) + count_bytes(entries.records))
         return FeedNews(self.host, 0.0, encode_batch(documents), encode_batch(entries))
 
     def drop_unchanged(self, entries: Batch) -> Batch:
--- a/godwitladder/membership/codec.py
+++ b/godwitladder/membership/codec.py
@@ -27,6 +27,7 @@
 import cbor2
 
 from godwitladder.findings import GodwitladderError
+from godwitladder.process.memory import require_room
 from godwitladder.tables import plain_type
 from godwitladder.untrusted import MAX_INTEGER
 
@@ -91,10 +92,13 @@
     """
     if len(data) > max_bytes:
         raise InvalidMessage(f"invalid message: longer than {max_bytes} bytes")
+    require_room(len(data))
     try:
         name, fields = cbor2.loads(data)
         if name == COMPRESSED:
-            name, fields = cbor2.loads(_decompress(fields, max_bytes))
+            data = _decompress(fields, max_bytes)
+            require_room(len(data))
+            name, fields = cbor2.loads(data)
         kind = MESSAGE_TYPES.get(name)
         return make_reader(kind)(fields) if kind else None
     except INVALID_BYTES as error:
