--- a/tests/process/test_denied_threads.py
+++ b/tests/process/test_denied_threads.py
@@ -108,8 +108,8 @@
     assert deployment.hosts[0].is_ready()
     assert 'connections_total{event="no_thread"}' in read_metrics(deployment)
     denied.unlink()
-    counts, _ = call_many(deployment, 20, "after")
-    assert counts[200] == 20, counts
+    counts, refusals = call_many(deployment, 20, "after")
+    assert counts[200] == 20, (counts, refusals)
 
 
 def test_a_thread_that_is_denied_raises_a_typed_error(monkeypatch):
--- a/tests/process/test_memory_limits.py
+++ b/tests/process/test_memory_limits.py
@@ -107,8 +107,8 @@
     assert counts[200] > 0, counts
     assert counts["open"] == 0, counts
     assert host.is_ready()
-    after = Burst(("127.0.0.1", host.ports[0]), 5, name="after").wait(10)
-    assert after[200] == 5, after
+    after = Burst(("127.0.0.1", host.ports[0]), 5, name="after")
+    assert after.wait(10)[200] == 5, after.answers
 
 
 @pytest.mark.parametrize("name", NESTED_VALUES)
