Ignore stray signals, so that handlers don't overwrite memory

Cause, from the hung processes: the main thread ran in user space within the C handler of a signal, with up to six other signals blocked, so nested that deep. `faulthandler` gives the main thread a small stack for signals, all of Python's handlers run on it (SA_ONSTACK), and eleven signals had handlers: a burst of many at once wrote beyond it. Suspected first, and ruled out: `SimpleQueue.get` (0 of 10,023 waits stuck under a timer without faulthandler; a pipe in its place hung as well). The pipe stays, as it takes no lock.

Change: stray signals, XCPU and PWR among them, are ignored from the early handlers on; three signals have handlers, each blocked in its own.

--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -24,7 +24,6 @@
 from godwitladder.process.early_signals import (
     RELOAD_SIGNAL,
     STOP_SIGNALS,
-    STRAY_SIGNALS,
 )
 from godwitladder.process.exits import Failure, report_exit
 from godwitladder.process.loops import Turns
@@ -194,7 +193,7 @@
 
     def handle_signals(self) -> None:
         """React to signals from now on; those that come meanwhile wait for `run`."""
-        self.signals.record_all((*STOP_SIGNALS, RELOAD_SIGNAL, *STRAY_SIGNALS))
+        self.signals.record_all((*STOP_SIGNALS, RELOAD_SIGNAL))
 
     def react(self, number: signal.Signals) -> None:
         """React to a signal; an error in this doesn't end the host."""
@@ -203,9 +202,6 @@
             log.info("A stop is requested", extra=extra)
             self.stop()
             return
-        if number != RELOAD_SIGNAL:
-            log.warning("A signal without a meaning is ignored", extra=extra)
-            return
         try:
             self.reload()
         except Exception:
--- a/godwitladder/process/early_signals.py
+++ b/godwitladder/process/early_signals.py
@@ -9,9 +9,8 @@
 import faulthandler
 import posix
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGXCPU, signal.SIGPWR)
-"""Ask the process to end: the last two as it has used up its processor time, and as
-power fails."""
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Ask the process to end."""
 RELOAD_SIGNAL = signal.SIGHUP
 STRAY_SIGNALS = (
     signal.SIGUSR1,
@@ -21,8 +20,14 @@
     signal.SIGPROF,
     signal.SIGIO,
     signal.SIGSTKFLT,
+    signal.SIGXCPU,
+    signal.SIGPWR,
 )
-"""Have no meaning here; their default action would end the process."""
+"""Have no meaning here; their default action would end the process.
+
+They stay ignored. All handlers of Python run on the small stack that `faulthandler`
+sets up; if many interrupted each other, they would write beyond it.
+"""
 STANDARD_ERROR = 2
 
 
