Stop reading pages of the store that repeat

Seen: nothing by callers of one host at once; a store (or what stands before it) that answers each page with "more" makes a host ask 4,096 times in a row, in each read, and all hosts at that, since none gets a state.

Cause: only the number of pages was bounded, not that they go on.

Change: a page that ends where the one before it ended is a failure of the store.

--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -137,9 +137,11 @@
                 records += [_parse_newest_record(row) for row in rows]
                 if not page.get("hasMore") or not rows:
                     return StoreRecords(tuple(records), end, era, end)
-                after = str(rows[-1]["key"])
+                before, after = after, str(rows[-1]["key"])
             except INVALID_PAGE as error:
                 raise StoreUnavailable(f"invalid page of records: {error!r}") from error
+            if after == before:
+                raise StoreUnavailable(f"the pages of {topic} repeat")
         raise StoreUnavailable(f"{topic} has more than {MAX_PAGES} pages")
 
     def read(self, topic: str, offset: int) -> StoreRecords:
