Let no record of streams stop the reading of the next ones

Seen by callers: a call that takes up a stream failed, and so did each such call from then on, if one record of the store raised an error that nobody expects: the place of the next read was set only after all records of a page had been added.

Evidence: two tests of tests/serving/test_stream_recorder.py with an injected error, red before. No value that raises one is known: 1,500 odd values and tags of CBOR, with each message type, raised nothing but InvalidMessage.

Change: the place is set first, and each record and each read is a turn of this part.

After: green; mutation red.

--- a/godwitladder/serving/stream_recorder.py
+++ b/godwitladder/serving/stream_recorder.py
@@ -166,7 +166,7 @@
         """Return the recorded origin of a stream, read at most once a second."""
         with self.read_lock:
             if self.clock.monotonic() >= self.reads_at:
-                is_read = self.read()
+                is_read = self.turns.run(self.read, otherwise=False)
                 pause_s = READ_INTERVAL_S if is_read else RETRY_S
                 self.reads_at = self.clock.monotonic() + pause_s
             return self.recorded.find(stream)
@@ -199,9 +199,10 @@
             # The oldest have expired, or the store came back from a copy.
             self.next_offset = error.first_offset
             return False
-        for record in batch.records:
-            self.add(record.value)
+        # Before the records: one that can't be added would else be read for ever.
         self.next_offset = batch.next
+        for record in batch.records:
+            self.turns.run(self.add, record.value)
         return batch.is_whole
 
     def add(self, data: bytes) -> None:
--- a/tests/serving/test_stream_recorder.py
+++ b/tests/serving/test_stream_recorder.py
@@ -282,3 +282,35 @@
     finally:
         tracemalloc.stop()
     assert peak < MAX_DECODED_BYTES
+
+
+def test_an_unexpected_error_in_one_record_leaves_the_others():
+    """Guards against calls that fail for ever by one record in the store."""
+    store = StreamStore()
+    recorder = StreamRecorder(store, ManualClock(), lambda service: True)
+    for number in range(3):
+        record = StreamRecord(name(number), V1)
+        store.values.append(encode(StreamBatch((record,))))
+    add = recorder.recorded.add
+
+    def fail_once(record):
+        if record.stream == name(0):
+            raise ZeroDivisionError("unexpected")
+        add(record)
+
+    recorder.recorded.add = fail_once
+    assert recorder.find(name(2)) == V1
+    assert recorder.find(name(0)) is None
+    assert recorder.turns.failed == 1
+
+
+def test_an_unexpected_error_in_a_read_fails_no_call():
+    """Guards against a call that fails as its host can't read recorded streams."""
+    store, clock = StreamStore(), ManualClock()
+    recorder = StreamRecorder(store, clock, lambda service: True)
+    store.values.append(encode(StreamBatch((StreamRecord(name(1), V1),))))
+    read, store.read_streams = store.read_streams, None
+    assert recorder.find(name(1)) is None
+    store.read_streams = read
+    clock.advance(RETRY_S)
+    assert recorder.find(name(1)) == V1
