--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -34,6 +34,8 @@
 MAX_ANSWER_BYTES = 4_194_304
 """A page has up to 1 MB, and a read up to 2 MB of records."""
 MAX_PAGES = 4_096
+MAX_REPEATED_PAGES = 64
+"""Pages that end where the page before them ended; a sound store has none."""
 MAX_ERA_DIGITS = 18
 MAX_TOPIC_BYTES = 33_554_432
 """Size of all pages of a topic. A fleet of a thousand hosts and targets has less than
@@ -120,7 +122,7 @@
         end: int | None = None
         eras = set()
         after = ""
-        size = 0
+        size = repeated = 0
         for _ in range(MAX_PAGES):
             query = {"topic": topic, "part": 0} | ({"after": after} if after else {})
             answer = self._request("GET", names.NEWEST, query)
@@ -140,7 +142,8 @@
                 before, after = after, str(rows[-1]["key"])
             except INVALID_PAGE as error:
                 raise StoreUnavailable(f"invalid page of records: {error!r}") from error
-            if after == before:
+            repeated += after == before
+            if repeated >= MAX_REPEATED_PAGES:
                 raise StoreUnavailable(f"the pages of {topic} repeat")
         raise StoreUnavailable(f"{topic} has more than {MAX_PAGES} pages")
 
