Ask for threads and addresses of a burst apart from how many calls are served

The product's own hosts keep closed standard streams from becoming connections too, as those of the users' platform do.

--- a/godwitladder/__main__.py
+++ b/godwitladder/__main__.py
@@ -12,6 +12,9 @@
         from godwitladder.process.early_signals import install_early_handlers
 
         install_early_handlers()
+        from godwitladder.process.standard_streams import reserve_standard_streams
+
+        reserve_standard_streams()
     from godwitladder import cli
 
     cli.main()
--- a/tests/process/test_memory_limits.py
+++ b/tests/process/test_memory_limits.py
@@ -11,9 +11,11 @@
 from godwitladder.routing.daemon import NEW_CONNECTION_FRACTION
 from tests.process.burst import Burst
 from tests.process.deployment import MB, Deployment, limit, wait_until
+from tests.process.test_denied_threads import read_metrics
 
 SERVICE_S = 1.0
 BURST = 300
+NO_THREAD = 'connections_total{event="no_thread"}'
 READ_CALLS = int(160 * NEW_CONNECTION_FRACTION)
 """Calls that a host reads at once with the threads of the template; it leaves the
 others unread."""
@@ -106,6 +108,7 @@
     assert counts[200] + counts[503] >= READ_CALLS, counts
     assert counts[200] > 0, counts
     assert counts["open"] == 0, counts
+    assert NO_THREAD not in read_metrics(deployment)
     assert host.is_ready()
     after = Burst(("127.0.0.1", host.ports[0]), 5, name="after")
     assert after.wait(10)[200] == 5, after.answers
