--- a/deploy/build.py
+++ b/deploy/build.py
@@ -184,8 +184,7 @@
 
 
 def write_stamp(folder: Path, stamp: dict) -> None:
-    """Write the stamp once all that it vouches for is on the disk."""
-    os.sync()
+    """Write the stamp, as the last file; each build imports what it vouches for."""
     (folder / STAMP_NAME).write_text(json.dumps(stamp), encoding="utf-8")
 
 
