Limit what the threads of an entry host reserve, as those of the users' platform

The same cause elsewhere: godwitladder serve set neither stacks nor arenas. Both entry points prepare their process by one function. The test asks for less than the smallest hosts' memory at rest; it is red without the change.

--- a/godwitladder/__main__.py
+++ b/godwitladder/__main__.py
@@ -12,9 +12,9 @@
         from godwitladder.process.early_signals import install_early_handlers
 
         install_early_handlers()
-        from godwitladder.process.standard_streams import reserve_standard_streams
+        from godwitladder.process.preparing import prepare_process
 
-        reserve_standard_streams()
+        prepare_process()
     from godwitladder import cli
 
     cli.main()
--- a/tests/process/test_entry_host.py
+++ b/tests/process/test_entry_host.py
@@ -1,10 +1,12 @@
 """The life of an entry host's process: its signals, and the line with which it ends."""
 
 import os
+import re
 import signal
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -13,6 +15,8 @@
 from tests.process.test_signals import HARMLESS
 
 EXIT_S = 20.0
+MEMORY_MB = 136
+"""Memory of the smallest hosts."""
 MISSING_IP = "192.0.2.1"
 """Address reserved for documentation, which no machine has."""
 
@@ -98,3 +102,12 @@
     line = read_exit_line((fleet.folder / "host-a1.log").read_bytes())
     assert line["failed_part"] == "listener callers"
     assert missing in line["error"]
+
+
+def test_threads_of_an_entry_host_reserve_little(fleet):
+    """Guards against stacks and arenas that reserve more than a small host's memory."""
+    host = fleet.add_host("host-a1", "a")
+    fleet.wait_ready()
+    status = Path(f"/proc/{host.process.pid}/status").read_text()
+    (size_kb,) = re.findall(r"VmSize:\s+(\d+) kB", status)
+    assert int(size_kb) < MEMORY_MB * 1_024
