Let the soak's proxies wait for a port that is held

The rig trusted a port that it had let go to be free. Such a port is tried again for 20 s; the test is red without.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+import errno
 import socket
 import struct
 import threading
@@ -10,6 +11,8 @@
 CHUNK_BYTES = 65_536
 POLL_INTERVAL_S = 0.02
 """Interval at which a held direction checks whether it has been released."""
+HELD_PORT_TIMEOUT_S = 20.0
+HELD_PORT_RETRY_S = 0.05
 LINGER_RESET = struct.pack("ii", 1, 0)
 """Value of SO_LINGER: a linger time of zero makes ``close`` send a reset."""
 
@@ -230,8 +233,18 @@
         self.server.close()
 
     def listen(self, backlog: int | None = None) -> socket.socket:
-        """Return a listener at the address of this proxy."""
-        return socket.create_server(("127.0.0.1", self.port), backlog=backlog)
+        """Return a listener at the address of this proxy.
+
+        While it did not listen, a connection of another process may have got its port.
+        """
+        until = time.monotonic() + HELD_PORT_TIMEOUT_S
+        while True:
+            try:
+                return socket.create_server(("127.0.0.1", self.port), backlog=backlog)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or time.monotonic() > until:
+                    raise
+            time.sleep(HELD_PORT_RETRY_S)
 
     def heal(self) -> None:
         """End all faults, except that blackholed connections stay so."""
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -90,3 +90,15 @@
     proxy.refusing = True
     with pytest.raises(OSError, match="reset"):
         connect().recv(100)
+
+
+def test_a_proxy_whose_port_is_held_for_a_while_is_restored(echo_proxy):
+    """Guards against a fault of the rig that never ends and passes for one of hosts."""
+    proxy, connect = echo_proxy
+    proxy.stop_listening()
+    holder = socket.create_server(("127.0.0.1", proxy.port))
+    threading.Timer(0.3, holder.close).start()
+    proxy.restore()
+    client = connect()
+    client.sendall(b"one")
+    assert client.recv(100) == b"one"
