End by SIGQUIT whatever the parent ignores

The handler wrote the stacks and passed the signal on to what was there before: nothing.

Change: the default action is set before that handler. A test starts a host from a parent that ignores the signal; red before (the host had not ended after 20 s), green after.

--- a/godwitladder/process/early_signals.py
+++ b/godwitladder/process/early_signals.py
@@ -44,6 +44,9 @@
     # A parent that waits for signals has blocked them, and its children inherit that.
     handled = (RELOAD_SIGNAL, *STRAY_SIGNALS, *STOP_SIGNALS)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
+    # A parent may have ignored it, and the process would not end by it.
+    if signal.getsignal(signal.SIGQUIT) == signal.SIG_IGN:
+        signal.signal(signal.SIGQUIT, signal.SIG_DFL)
     faulthandler.enable(STANDARD_ERROR)
     faulthandler.register(signal.SIGQUIT, STANDARD_ERROR, chain=True)
 
--- a/tests/process/test_signals.py
+++ b/tests/process/test_signals.py
@@ -207,3 +207,21 @@
         assert wait_until(host.is_ready, READY_S)
         host.signal(signal.SIGTERM)
         assert host.process.wait(EXIT_S) == 0
+
+
+def ignore_quit():
+    signal.signal(signal.SIGQUIT, signal.SIG_IGN)
+
+
+def test_a_host_ends_by_sigquit_though_its_parent_ignores_it(tmp_path):
+    """Guards against a host that is asked for its stacks and does not end, as a child.
+
+    A shell without job control lets its background jobs ignore this signal.
+    """
+    with contextlib.closing(Deployment(tmp_path, 1)) as fleet:
+        fleet.start_processes(ignore_quit)
+        (host,) = fleet.hosts
+        assert wait_until(host.is_ready, READY_S)
+        host.signal(signal.SIGQUIT)
+        assert host.process.wait(EXIT_S) == -signal.SIGQUIT
+        assert 'File "' in host.log_path.read_text()
