Write the stack of the thread that crashes, not those of all threads

To read the stacks of threads that go on meanwhile may crash, or hang; the thread that takes the signal stands still.

Change: faulthandler writes that thread's stack alone.

--- a/godwitladder/process/early_signals.py
+++ b/godwitladder/process/early_signals.py
@@ -47,8 +47,9 @@
     # A parent may have ignored it, and the process would not end by it.
     if signal.getsignal(signal.SIGQUIT) == signal.SIG_IGN:
         signal.signal(signal.SIGQUIT, signal.SIG_DFL)
-    faulthandler.enable(STANDARD_ERROR)
-    faulthandler.register(signal.SIGQUIT, STANDARD_ERROR, chain=True)
+    # To read the stacks of other threads, which go on meanwhile, may crash or hang.
+    faulthandler.enable(STANDARD_ERROR, all_threads=False)
+    faulthandler.register(signal.SIGQUIT, STANDARD_ERROR, all_threads=False, chain=True)
 
 
 def exit_at_once(number: int, frame: object) -> None:
