Keep live targets that a copy of the store lacks after a failed turn

What callers would see: after an unexpected error in a turn of the feed, just before the store came back from a copy, live targets were dropped at once.

Cause: a failed turn forgets the place of this host, by which it recognized that the store came back from a copy; the delay for live targets was passed over.

Evidence: two of four cases red before, the two without an error green; four green now. Found by a review of the failed turns.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -651,7 +651,8 @@
 
     def is_from_copy(self, batch: Batch) -> bool:
         """Return whether the store has come back from a copy since this host read."""
-        return batch.era > self.document_place.era != NO_ERA and self.has_state()
+        knows_any = self.has_state() or self.is_doubtful
+        return batch.era > self.document_place.era != NO_ERA and knows_any
 
     def record_copy(self, documents: Batch) -> None:
         """Record that the store has come back from a copy, which is ``documents``.
