Refuse news from the future, and bound the pause of a loop

What callers would see: one message of a peer with an age below zero ended the other hosts (age -inf: status 70, feed, OverflowError, on three real hosts), or kept a configuration confirmed for good (age -1e9).

Cause: the age was not checked where it is decoded, and the pause of a loop is waited for outside of the turn.

Change: such news is refused as it is decoded; a pause is 60 s at most.

--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -58,6 +58,11 @@
     version: int = -1
     sent_s: float | None = None
 
+    def __post_init__(self) -> None:
+        # A time ahead would confirm the records until then.
+        if not self.age_s >= 0:
+            raise ValueError(f"age_s is below zero: {self.age_s}")
+
 
 @peer_message
 @dataclass(frozen=True)
--- a/godwitladder/process/loops.py
+++ b/godwitladder/process/loops.py
@@ -17,6 +17,8 @@
 
 RETRY_S = 0.5
 """Pause after a turn that failed, in seconds."""
+MAX_PAUSE_S = 60.0
+"""Longest pause between two turns; no clock can wait for ever."""
 LOG_INTERVAL_S = 5.0
 """Shortest interval between two lines about failed turns of one part."""
 MAX_ERROR_CHARS = 300
@@ -72,7 +74,8 @@
             Returns the seconds until the next turn.
         """
         while not stopping.is_set():
-            self.clock.wait(stopping, self.run(turn, otherwise=RETRY_S))
+            pause_s = self.run(turn, otherwise=RETRY_S)
+            self.clock.wait(stopping, min(pause_s, MAX_PAUSE_S))
 
     def run(self, turn: Callable[..., T], *args: object, otherwise: D = None) -> T | D:
         """Run one turn; return its result, or ``otherwise`` if it failed."""
