Take no record of claims whose fields have other types

What callers saw: one odd record in the log's stream of claims ended all entry hosts (status 70, actor Claims, unhashable type), and again after each start.

Cause: decoded fields were put into records unchecked.

Change: records are read as the messages of peers are, by the types of their fields.

--- a/godwitladder/claims/records.py
+++ b/godwitladder/claims/records.py
@@ -12,6 +12,7 @@
 
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import BodyDigest, HostId, Incarnation, KeyDigest, StreamId
+from godwitladder.membership.codec import INVALID_BYTES, make_reader
 from godwitladder.quarantine.records import Cleared, Crash, CrashEvent, Lifted
 
 # With 16 bytes, a digest collision of two keys is less likely than a memory
@@ -80,7 +81,7 @@
     Cleared: 5,
     Lifted: 6,
 }
-FLAT_KINDS = {number: kind for kind, number in KINDS.items() if kind is not Snapshot}
+READERS = {number: make_reader(kind) for kind, number in KINDS.items()}
 
 
 def encode_record(record: StreamRecord) -> bytes:
@@ -106,15 +107,12 @@
         If ``data`` is not a record of a known kind.
     """
     try:
-        kind, *fields = cbor2.loads(data)
-        if kind in FLAT_KINDS:
-            return FLAT_KINDS[kind](*fields)
-        if kind == KINDS[Snapshot]:
-            claim, offset, time = fields
-            return Snapshot(Claim(*claim), offset, time)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        kind, *values = cbor2.loads(data)
+        if kind in READERS:
+            return READERS[kind](values)
+    except INVALID_BYTES as error:
         raise BadRecord(f"invalid claim record: {error}") from error
-    raise BadRecord(f"unknown claim record kind {kind!r}")
+    raise BadRecord(f"unknown claim record kind {kind!r:.40}")
 
 
 def key_bytes(key: KeyDigest) -> bytes:
