Take no integer of TOML that can't be written in decimal

What callers saw: one ticket with a hexadecimal number of 5,000 digits ended all entry hosts (thread config, ValueError), and again after each start.

Cause: TOML reads such a number, and writing it in decimal raises an error, also in a line of the log.

Change: integers of more than 64 bits are refused as the text is parsed, in settings and tickets.

--- a/godwitladder/settings.py
+++ b/godwitladder/settings.py
@@ -3,6 +3,7 @@
 import tomllib
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 from godwitladder.findings import Findings
 from godwitladder.ids import HostId, Zone
@@ -17,6 +18,7 @@
     sha256_digest,
     sha256_digests,
 )
+from godwitladder.untrusted import MAX_INTEGER
 
 MIN_SECRET_CHARS = 16
 
@@ -309,10 +311,32 @@
 def parse_toml(data: bytes, name: str, findings: Findings) -> dict | None:
     """Return ``data`` parsed as TOML, or add a finding and return None."""
     try:
-        return tomllib.loads(data.decode())
+        table = tomllib.loads(data.decode())
+        check_integers(table)
+        return table
     # Deep nesting raises RecursionError, and a number with thousands of digits
     # raises a plain ValueError. If either were not caught, one such record in
     # the log would permanently stop the replay on every host.
     except (ValueError, RecursionError) as error:
         findings.add(name, f"is not TOML: {error}")
         return None
+
+
+def check_integers(value: Any) -> None:
+    """Check that all integers in a parsed value have at most 64 bits.
+
+    A longer one may be read in another base and can't be written in decimal, not even
+    for an error message.
+
+    Raises
+    ------
+    ValueError
+        One of them is longer.
+    """
+    if isinstance(value, dict):
+        value = list(value.values())
+    if isinstance(value, list):
+        for item in value:
+            check_integers(item)
+    elif isinstance(value, int) and abs(value) > MAX_INTEGER:
+        raise ValueError("an integer has more than 64 bits")
