End a failed start whatever the reader of its log does, with a whole last line

What was seen: a start that had failed did not end (10 s) where the reader of its log had stopped reading, and so was not started again; the last line of an error of 1,000 letters beyond ASCII was cut at 4,096 bytes, which no reader can parse.

Cause: the traceback was printed with a wait; the limit counted letters, and the line was cut as a whole.

Change: the traceback is written line by line, as far as that needs no wait; the error's text is halved until the line fits; an error that can't be shown is named by its class.

--- a/godwitladder/process/exits.py
+++ b/godwitladder/process/exits.py
@@ -47,16 +47,26 @@
 
     The interpreter's own exit would wait for threads that were started already.
     """
-    traceback.print_exception(error)
+    report_trace(error)
     report_exit(FAILED_START, Failure("start", error))
     os._exit(FAILED_START)
 
 
+def report_trace(error: Exception) -> None:
+    """Write the traceback of ``error``, in as many lines as its reader takes now."""
+    try:
+        for line in traceback.format_exception(error):
+            write_at_once(line.encode(errors="replace")[:MAX_LINE_BYTES])
+    except (OSError, MemoryError):
+        # There is nobody left to report this to.
+        return
+
+
 def report_exit(status: int, failure: Failure) -> None:
     """Write the last line of a process that ends by itself; never raises."""
     try:
         write_at_once(exit_line(status, failure))
-    except (OSError, ValueError, MemoryError):
+    except Exception:
         # There is nobody left to report this to.
         return
 
@@ -71,22 +81,38 @@
     failure : Failure
         Why it ends.
     """
-    error = "" if failure.error is None else repr(failure.error)
+    error = "" if failure.error is None else describe(failure.error)
     row = {
         "asctime": datetime.datetime.now().strftime("%Y-%m-%d %H:%M:%S,%f")[:-3],
         "levelname": "CRITICAL",
         "message": "process: The process ends by itself",
         "status": status,
         "failed_part": failure.part,
-        "error": error[:MAX_ERROR_CHARS],
+        "error": error,
         "ran_s": round(time.monotonic() - STARTED, 3),
     }
-    return json.dumps(row | asdict(read_resource_use())).encode() + b"\n"
+    row |= asdict(read_resource_use())
+    line = json.dumps(row)
+    while len(line) >= MAX_LINE_BYTES:
+        row["error"] = row["error"][: len(row["error"]) // 2]
+        line = json.dumps(row)
+    return line.encode() + b"\n"
+
+
+def describe(error: BaseException) -> str:
+    """Return the beginning of an error's text, whatever its class does."""
+    try:
+        return repr(error)[:MAX_ERROR_CHARS]
+    except Exception:
+        return type(error).__name__
 
 
 def write_at_once(line: bytes) -> None:
-    """Write ``line`` to standard error, or drop it where that would have to wait."""
+    """Write ``line`` to standard error, or drop it where that would have to wait.
+
+    It has `MAX_LINE_BYTES` at most.
+    """
     poll = select.poll()
     poll.register(STANDARD_ERROR, select.POLLOUT)
     if any(events & select.POLLOUT for _, events in poll.poll(0)):
-        os.write(STANDARD_ERROR, line[:MAX_LINE_BYTES])
+        os.write(STANDARD_ERROR, line)
