Keep the bounds in force that a changed settings file no longer states

What callers would see: a field that lost its value while hosts run let revoked keys in for longer (a bound of 1 s became the default of 5 s), with the line that the settings were reloaded.

Cause: a missing value leaves its line out of the file since a start may use the default; a reload used it too. Before, such a file was invalid as a whole, and the former settings stayed.

Change: bounds that the file does not state stay as they are in force. The stub of the reload's tests has settings too. Found by a review.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -503,7 +503,9 @@
         """Reload the settings file, and apply what can change without a restart."""
         self.file_text = read_settings_text(self.path)
         try:
-            settings = read_changed_settings(self.path, self.ignored)
+            settings = read_changed_settings(
+                self.path, self.ignored, self.settings.bounds
+            )
         except InvalidInput as error:
             log.warning(
                 "The settings file is invalid; the previous settings stay",
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -3,7 +3,7 @@
 import json
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -275,7 +275,9 @@
     return settings
 
 
-def read_changed_settings(path: Path, accepted: Collection[Finding]) -> RoutedSettings:
+def read_changed_settings(
+    path: Path, accepted: Collection[Finding], bounds: BoundSettings
+) -> RoutedSettings:
     """Return the settings of a running host whose file has changed.
 
     Parameters
@@ -284,6 +286,8 @@
         The settings file.
     accepted : collection of Finding
         What was invalid when the host started. A default is used for it already.
+    bounds : BoundSettings
+        The bounds in force; one that the file no longer states stays.
 
     Raises
     ------
@@ -294,7 +298,24 @@
     new = tuple(row for row in ignored if row not in accepted)
     if new:
         raise InvalidInput(new)
-    return settings
+    return keep_bounds(settings, path, bounds)
+
+
+def keep_bounds(
+    settings: RoutedSettings, path: Path, former: BoundSettings
+) -> RoutedSettings:
+    """Return ``settings`` with the former bounds where ``path`` states none.
+
+    Operators rely on the bounds in force, and a default may be looser.
+    """
+    raw = read_raw_settings(path, Findings()) or {}
+    stated = raw.get("bounds", {})
+    kept = {
+        row.name: getattr(former, row.name)
+        for row in fields(BoundSettings)
+        if row.name not in stated
+    }
+    return replace(settings, bounds=replace(settings.bounds, **kept))
 
 
 def find_ignored(path: Path) -> tuple[Finding, ...]:
--- a/tests/routing/test_reload.py
+++ b/tests/routing/test_reload.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitladder.routing.daemon import RoutingHost, read_settings_text
-from godwitladder.routing.settings import find_ignored
+from godwitladder.routing.settings import find_ignored, read_routed_settings
 
 TEXT = """
 host = "h1"
@@ -35,6 +35,7 @@
         path=path,
         file_text=read_settings_text(path),
         ignored=(),
+        settings=read_routed_settings(path),
         mesh=SimpleNamespace(seeds=frozenset(), address="127.0.0.1:4"),
         freshness=SimpleNamespace(max_age_s=5.0),
     )
@@ -92,3 +93,16 @@
     host.path.unlink()
     RoutingHost.reload_if_changed(host)
     assert host.freshness.max_age_s == 5.0
+
+
+@pytest.mark.parametrize(
+    "removed", ["revoke_s = {revoke_s}\n", "[bounds]\nrevoke_s = {revoke_s}\n"]
+)
+def test_a_missing_bound_does_not_loosen_the_one_in_force(host, removed):
+    """Guards against a field without a value that lets revoked keys in for longer."""
+    host.path.write_text(TEXT.format(revoke_s=1))
+    RoutingHost.reload_if_changed(host)
+    assert host.freshness.max_age_s == 1.0
+    host.path.write_text(TEXT.replace(removed, ""))
+    RoutingHost.reload_if_changed(host)
+    assert host.freshness.max_age_s == 1.0
