--- a/deploy/build.py
+++ b/deploy/build.py
@@ -41,7 +41,7 @@
     str(REQUIREMENTS),
 )
 IMPORT_ENTRY = f"import sys; sys.path[:0] = sys.argv[1:]; import {ENTRY_MODULE}"
-IMPORT_TIMEOUT_S = 120
+IMPORT_TIMEOUT_S = 60
 INSTALL_TIMEOUT_S = 480
 LOCK_WAIT_S = 240
 """Longest wait for another build. All waits together end before a build must have."""
