--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -7,6 +7,7 @@
 
 import base64
 import bisect
+import contextlib
 import enum
 import io
 import json
@@ -777,6 +778,30 @@
         super().__init__(("127.0.0.1", 0), handler)
         self.standin = standin
         self.address = f"127.0.0.1:{self.server_port}"
+        self.connections: set[socket.socket] = set()
+
+    def process_request(self, request, client_address) -> None:
+        """Serve a new connection in a thread of its own."""
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request) -> None:
+        """Close a connection whose thread has ended."""
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def replace(self, standin, breaks: bool = True) -> None:
+        """Put another stand-in at the same address.
+
+        Parameters
+        ----------
+        breaks : bool
+            Whether open connections break; else they lead to the other stand-in.
+        """
+        self.standin = standin
+        for connection in list(self.connections) if breaks else ():
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def verify_request(self, request, client_address) -> bool:
         """Return whether to read from a connection; an engine that is down won't."""
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -34,7 +34,8 @@
 
     def __init__(self, stack, folder, name, store, seeds, more_settings=""):
         self.ports = free_ports(4)
-        path = folder / f"{name}.toml"
+        self.path = path = folder / f"{name}.toml"
+        self.store_address = store.address
         text = SETTINGS_TEMPLATE.format(
             name=name,
             zone="a",
@@ -59,6 +60,13 @@
     def peer(self):
         return f"127.0.0.1:{self.ports[3]}"
 
+    def name_store(self, store):
+        """Name another store in the settings, and tell the process."""
+        text = self.path.read_text()
+        self.path.write_text(text.replace(self.store_address, store.address))
+        self.store_address = store.address
+        self.process.send_signal(signal.SIGHUP)
+
     def get(self, port, path, method="GET", headers=None, body=None):
         connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
         with contextlib.closing(connection):
