--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -575,7 +575,10 @@
                 if math.isfinite(age_s):
                     self.record_read_duration(age_s)
                 self.apply(
-                    decode_batch(news.documents), decode_batch(news.entries), began
+                    decode_batch(news.documents),
+                    decode_batch(news.entries),
+                    began,
+                    news.host,
                 )
                 self.requests.record_news(news.version)
         if not is_full and self.requests.named_version > self.document.version:
@@ -603,20 +606,31 @@
             self.rewritten.begin(self.clock.boottime())
         reasons = [row.value for row in fits if row is not Fit.APPLIES]
         self.log_ignored(reasons, news.documents, news.entries)
-        if self.apply_documents(decode_batch(news.documents)):
+        if self.apply_documents(decode_batch(news.documents), news.host):
             self.publish_view()
 
-    def apply(self, documents: Batch, entries: Batch, began: float) -> None:
+    def apply(
+        self,
+        documents: Batch,
+        entries: Batch,
+        began: float,
+        reader: HostId | None = None,
+    ) -> None:
         """Apply a read that started at ``began``.
 
         Versions decide which document is in force, places what is read next.
+
+        Parameters
+        ----------
+        reader : HostId or None
+            The peer that read it; None for this host.
         """
         fits = self.document_place.fit(documents), self.entry_place.fit(entries)
         if any(row is not Fit.APPLIES for row in fits):
             self.log_ignored([row.value for row in fits], documents, entries)
         if self.is_from_copy(documents):
             self.record_copy(documents)
-        changed = self.apply_documents(documents)
+        changed = self.apply_documents(documents, reader)
         if fits[0] is Fit.APPLIES:
             self.document_place = self.document_place.after(documents)
             apply_batch(self.newest_documents, documents)
@@ -748,7 +762,7 @@
             },
         )
 
-    def apply_documents(self, batch: Batch) -> bool:
+    def apply_documents(self, batch: Batch, reader: HostId | None = None) -> bool:
         """Adopt the newest document, if it is newer than the current one.
 
         The version must never decrease: a snapshot, a peer that lags behind or a store
@@ -763,6 +777,7 @@
                 extra = {
                     "version": document.version,
                     "before": self.document.version,
+                    "read_by": reader or self.host,
                     "routes": len(document.routes),
                     "quotas": {
                         name: [row.quota.rate, row.quota.burst]
