Take state only from hosts of the same fleet, and follow a store that is another one

Callers got 404 on routes that the store had acknowledged, and were served by the configuration of another fleet, on all hosts, for good and without a sign: whoever had the secret of the template, which is public, told a fleet what is in force, and the highest version won. The same after a new store took the place of the former one.

Cause: nothing in a handshake or a message says whose state it is.

A store now keeps an identity of its fleet, which the first host appends on condition. Hosts name it in their greeting; two that name different ones are not linked, so no state, grant, claim, host list or tunnel passes between them. A host that can't read the store yet names none and is let in; it belongs to the fleet whose state it takes, and reads all anew if its store then names another. A host checks the identity at its start, when its connection to the store, the era or the history is another one, when it meets a peer of another fleet, and each 10 s while it reads. A reload follows the store that the settings name. A host of an earlier version is let in where settings, store or members name its address, and its news count only while the store is away.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -41,9 +41,10 @@
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.discovery.store_fleet import StoreFleet
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetTable
-from godwitladder.ids import HostId
+from godwitladder.ids import FleetId, HostId
 from godwitladder.logs import component_logger
 from godwitladder.process.loops import Turns
 from godwitladder.process.memory import require_room
@@ -123,6 +124,10 @@
     hosts : tuple of HostId
         Hosts that may read the store for others, in reading order; the first is the
         reader.
+    fleet : StoreFleet or None
+        Whose store this host reads; None to read it without a check.
+    enter_fleet : callable
+        Called with the identity of the store whenever it has been checked.
     requests : PeerRequests
     document_place, entry_place : Place
         Place of the next document or target record to read.
@@ -161,6 +166,8 @@
         self.publish = publish
         self.broadcast: Callable[[FeedNews], None] = lambda news: None
         self.send_request: Callable[[FeedWanted], bool] = lambda wanted: False
+        self.fleet: StoreFleet | None = None
+        self.enter_fleet: Callable[[FleetId], None] = lambda fleet: None
         self.reads_at_start = reads_at_start
         self.pending_replies: list[Callable[[FeedNews], None]] = []
         self.started = clock.boottime()
@@ -234,6 +241,8 @@
     def step(self) -> None:
         """Read the store if this host should, and remove expired targets and orders."""
         now = self.clock.boottime()
+        if self.fleet is not None and self.fleet.is_due(now, self.should_read(now)):
+            self.check_fleet()
         self.request_state()
         if (
             not self.waits_for_peer(now)
@@ -249,6 +258,52 @@
         if self.tells_at is not None and now >= self.tells_at:
             self.tell_document()
 
+    def check_fleet(self) -> bool:
+        """Check whose store this is; return whether the state here is still its state.
+
+        What is known of another store must not be in force beside this one, however
+        high its versions are.
+        """
+        try:
+            is_other = self.fleet.check(self.document_place.era)
+        except StoreUnavailable as error:
+            self.record_store_failure(error)
+            return False
+        with self.lock:
+            self.record_store_answer()
+            if is_other:
+                self.forget_state()
+        self.enter_fleet(self.fleet.fleet)
+        return not is_other
+
+    def forget_state(self) -> None:
+        """Forget what is known of another store, so that this one is read anew.
+
+        The view that was published stays in force without being confirmed until then,
+        so no key is accepted by it.
+        """
+        extra = {"version": self.document.version, "fleet": self.fleet.fleet}
+        log.warning("The state is of another store, and is forgotten", extra=extra)
+        self.freshness.doubt()
+        self.document, self.document_record = RoutingDocument(), None
+        self.newest_documents, self.newest_entries = {}, {}
+        self.table, self.rewritten = TargetTable(), RewrittenEntries()
+        self.rollouts.forget()
+        self.document_place = self.entry_place = Place()
+        self.requests, self.tells_at = PeerRequests(), None
+        self.read_at = -math.inf
+
+    def is_fleet_in_doubt(self, asked: tuple[Place, Place], *batches: Batch) -> bool:
+        """Return whether a read may be of another store than the reads before."""
+        if self.fleet is None:
+            return False
+        rows = tuple(zip(asked, batches, strict=True))
+        return self.fleet.is_other_connection() or any(
+            place.offset >= 0
+            and (place.era != batch.era or is_other_history(place, batch))
+            for place, batch in rows
+        )
+
     def waits_for_peer(self, now: float) -> bool:
         """Return whether this host has no state yet and waits for a peer to send it."""
         if self.has_state() or self.reads_at_start or self.is_reader():
@@ -379,6 +434,9 @@
         except StoreUnavailable as error:
             self.record_store_failure(error)
             return
+        if self.is_fleet_in_doubt(asked, documents, entries):
+            if not self.check_fleet():
+                return
         with self.lock:
             self.leave_lost_history(asked, documents, entries)
         self.finish_read(documents, entries, began)
@@ -540,9 +598,35 @@
             entry is None or entry != held or record.key in self.table.pending_removals
         )
 
-    def receive_news(self, news: FeedNews, late_s: float = 0.0) -> None:
-        """Apply what another host has read, in a turn of this part."""
-        self.turns.run(self.apply_news, news, late_s)
+    def receive_news(
+        self, news: FeedNews, late_s: float = 0.0, fleet: FleetId | None = None
+    ) -> None:
+        """Apply what another host has read, in a turn of this part.
+
+        Parameters
+        ----------
+        fleet : FleetId or None
+            Fleet of that host; None if it can't tell.
+        """
+        if self.fleet is None:
+            self.turns.run(self.apply_news, news, late_s)
+            return
+        with self.lock:
+            if not self.fleet.accepts(fleet, self.reachable):
+                self.log_refused(news.host, fleet)
+                return
+            self.fleet.record_news(fleet)
+            self.turns.run(self.apply_news, news, late_s)
+        self.enter_fleet(self.fleet.fleet)
+
+    def log_refused(self, sender: HostId, fleet: FleetId | None) -> None:
+        """Log news that may be of another fleet, at most one line a second."""
+        now = self.clock.boottime()
+        if now - self.ignored_at < LOG_INTERVAL_S:
+            return
+        self.ignored_at = now
+        extra = {"sender": sender, "sender_fleet": fleet, "fleet": self.fleet.fleet}
+        log.info("News of a peer not applied", extra=extra)
 
     def apply_news(self, news: FeedNews, late_s: float = 0.0) -> None:
         """Apply what another host has read.
--- a/godwitladder/discovery/rollout_tracker.py
+++ b/godwitladder/discovery/rollout_tracker.py
@@ -75,6 +75,11 @@
         self.freshness: DocumentFreshness | None = None
         self.is_completed: Callable[[RolloutOrder], bool] = lambda order: False
 
+    def forget(self) -> None:
+        """Forget all orders, which were those of another store."""
+        for rows in (self.orders, self.latest, self.answered, self.superseded):
+            rows.clear()
+
     def begin_era(self) -> None:
         """Answer all orders again once they are read in the store's new era.
 
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -115,8 +115,50 @@
     rows: Mapping[ServiceName, RolloutStatus]
 
 
+@dataclass(frozen=True)
+class FleetRecord:
+    """What the store keeps to identify its fleet.
+
+    Attributes
+    ----------
+    value : bytes
+        What determines the identity; empty if there is none.
+    end : int
+        Offset at which its topic ended.
+    era : Era
+        Era of the store.
+    """
+
+    value: bytes
+    end: int
+    era: Era = NO_ERA
+
+
 class Source(Protocol):
-    """Reads, writes and decodes the store's documents, targets and host list."""
+    """Reads, writes and decodes the store's documents, targets and host list.
+
+    Attributes
+    ----------
+    connections : int
+        Number of connections to the store that were opened so far.
+    """
+
+    connections: int
+
+    def use(self, address: str) -> None:
+        """Use the store at ``address`` from now on."""
+
+    def read_fleet(self) -> FleetRecord:
+        """Return what identifies the store's fleet."""
+
+    def write_fleet(self, value: bytes, at: int) -> None:
+        """Append what identifies the fleet if its topic ends at ``at``.
+
+        Raises
+        ------
+        StoreMoved
+            The topic ends elsewhere; nothing was appended.
+        """
 
     def read_documents(self, offset: int) -> Batch:
         """Return the document records from ``offset`` on; -1 reads a snapshot."""
--- a/godwitladder/ids.py
+++ b/godwitladder/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 HostId = NewType("HostId", str)
+FleetId = NewType("FleetId", str)
 Incarnation = NewType("Incarnation", int)
 Zone = NewType("Zone", str)
 TierName = NewType("TierName", str)
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -18,9 +18,10 @@
 
 from godwitladder.clock import Clock
 from godwitladder.findings import GodwitladderError
-from godwitladder.ids import HostId
+from godwitladder.ids import FleetId, HostId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
+from godwitladder.membership.fleet import Admission, Refusal
 from godwitladder.membership.messages import Hello, Proof
 from godwitladder.membership.peer_clocks import PeerClock
 from godwitladder.process.loops import Turns
@@ -36,6 +37,23 @@
     """The other end did not prove that it has the shared secret."""
 
 
+class PeerRefused(HandshakeFailed):
+    """The other end is not to be linked to.
+
+    Parameters
+    ----------
+    hello : Hello
+        Its first message.
+    refusal : Refusal
+        Why it is refused.
+    """
+
+    def __init__(self, hello: Hello, refusal: Refusal) -> None:
+        super().__init__(f"{hello.host}: {refusal.value}")
+        self.hello = hello
+        self.refusal = refusal
+
+
 class Link:
     """One authenticated connection to a peer.
 
@@ -57,6 +75,8 @@
 
     Attributes
     ----------
+    fleet : FleetId or None
+        The peer's fleet, empty if it has not named it; None if it can't.
     last_heard : float
         Monotonic time at which the last message arrived, in seconds.
     sent, received : int
@@ -84,6 +104,7 @@
         self.connection = connection
         self.clock = clock
         self.post = post
+        self.fleet: FleetId | None = None
         self.last_heard = clock.monotonic()
         self.sent = 0
         self.received = 0
@@ -191,6 +212,7 @@
     address: str,
     secret: str,
     accepted: bool,
+    admission: Admission | None = None,
 ) -> Hello:
     """Authenticate both ends of a new connection.
 
@@ -206,6 +228,8 @@
         Secret shared by all hosts.
     accepted : bool
         Whether this host accepted the connection rather than dialled it.
+    admission : Admission or None
+        Decides whether to link to the peer; None to link to any with the secret.
 
     Returns
     -------
@@ -216,10 +240,16 @@
     ------
     HandshakeFailed
         The other end does not prove that it has the secret.
+    PeerRefused
+        It has not been admitted.
     """
     challenge = secrets.token_bytes(16)
-    await connection.send(encode(Hello(host, address, challenge)))
+    fleet = admission.fleet if admission else None
+    await connection.send(encode(Hello(host, address, challenge, fleet)))
     hello = await _receive(connection, Hello)
+    refusal = admission.find_refusal(hello, accepted) if admission else None
+    if refusal is not None:
+        raise PeerRefused(hello, refusal)
     await connection.send(encode(Proof(_digest(secret, hello.challenge, accepted))))
     proof = await _receive(connection, Proof)
     # The digest covers the side of the connection. This prevents a reflection
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -17,15 +17,24 @@
 from websockets.exceptions import WebSocketException
 
 from godwitladder.clock import Clock
-from godwitladder.ids import HostId
+from godwitladder.ids import FleetId, HostId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode
+from godwitladder.membership.fleet import (
+    UNKNOWN_FLEET,
+    Admission,
+    FleetNamed,
+    Refusal,
+    are_apart,
+)
 from godwitladder.membership.links import (
     HANDSHAKE_TIMEOUT_S,
     HandshakeFailed,
     Link,
+    PeerRefused,
     perform_handshake,
 )
+from godwitladder.membership.messages import Hello
 from godwitladder.process.binding import open_listener
 from godwitladder.process.loops import Turns
 from godwitladder.settings import TlsSettings
@@ -91,6 +100,10 @@
     ----------
     serve_tunnel : callable or None
         Serves a tunnel over an authenticated connection of a peer; None for none.
+    admission : Admission
+        Decides which peers this host links to.
+    known_addresses : frozenset of str
+        Addresses of the members that this host knows.
     links : dict
         The open link to each peer.
     dial_addresses : set of str
@@ -125,6 +138,8 @@
         self.deliver = deliver
         self.on_link_up = on_link_up
         self.seeds = frozenset(seeds) - {address}
+        self.admission = Admission(self.is_named)
+        self.known_addresses: frozenset[str] = frozenset()
         self.links: dict[HostId, Link] = {}
         self.dial_addresses: set[str] = set()
         self.dials: dict[str, asyncio.Task] = {}
@@ -280,6 +295,35 @@
                 )
                 link.close()
 
+    def is_named(self, address: str) -> bool:
+        """Return whether the settings, the host list or members name ``address``."""
+        dialled = self.seeds | self.dial_addresses
+        return address in dialled or address in self.known_addresses
+
+    def enter_fleet(self, fleet: FleetId) -> None:
+        """Tell all peers of this host's fleet, and leave those of other fleets."""
+        if fleet == self.admission.fleet:
+            return
+        self.admission.fleet = fleet
+        for link in self.current():
+            if are_apart(fleet, link.fleet):
+                self._leave(link)
+            else:
+                link.send(encode(FleetNamed(fleet)))
+
+    def receive_fleet(self, link: Link, message: FleetNamed) -> None:
+        """Record a peer's fleet, and leave the peer if it is another one."""
+        link.fleet = message.fleet or link.fleet
+        if are_apart(self.admission.fleet, link.fleet):
+            self._leave(link)
+            self.admission.on_refusal(Refusal.OTHER_FLEET)
+
+    def _leave(self, link: Link) -> None:
+        extra = {"peer": link.peer, "fleet": self.admission.fleet}
+        log.warning("Closing a link to a peer of another fleet", extra=extra)
+        self._remove(link)
+        link.close()
+
     def dial_once(self, addresses: set[str]) -> None:
         """Dial each of ``addresses`` once; lower ones than this host's after a delay.
 
@@ -411,9 +455,7 @@
             max_size=TUNNEL_MESSAGE_BYTES,
         )
         try:
-            await perform_handshake(
-                connection, self.host, self.address, self.secret, accepted=False
-            )
+            await self._greet(connection, accepted=False)
         except BaseException:
             connection.transport.abort()
             raise
@@ -423,11 +465,9 @@
         # Messages of links may be far longer, and a host holds several of each tunnel.
         connection.protocol.max_message_size = TUNNEL_MESSAGE_BYTES
         try:
-            hello = await perform_handshake(
-                connection, self.host, self.address, self.secret, accepted=True
-            )
+            hello = await self._greet(connection, accepted=True)
         except (HandshakeFailed, WebSocketException, OSError) as error:
-            log.warning("Peer handshake failed", extra={"error": str(error)})
+            self._record_failure(error)
         else:
             await self.serve_tunnel(connection, hello.host)
         finally:
@@ -443,20 +483,41 @@
 
     async def _perform_handshake(self, connection: Any, accepted: bool) -> Link | None:
         """Return the link over a new connection; None if the handshake fails."""
+        fleet = self.admission.fleet
         try:
-            hello = await perform_handshake(
-                connection, self.host, self.address, self.secret, accepted
-            )
+            hello = await self._greet(connection, accepted)
         except (HandshakeFailed, WebSocketException, OSError) as error:
-            log.warning("Peer handshake failed", extra={"error": str(error)})
+            self._record_failure(error)
             connection.transport.abort()
             return None
         link = Link(hello.host, hello.address, connection, self.clock, self.post)
         link.dialled = not accepted
+        link.fleet = hello.fleet
         link.turns = self.turns
         self._add(link)
+        if self.admission.fleet != fleet:
+            # The greeting named the fleet before.
+            link.send(encode(FleetNamed(self.admission.fleet)))
+            self.receive_fleet(link, FleetNamed(link.fleet or UNKNOWN_FLEET))
         return link
 
+    async def _greet(self, connection: Any, accepted: bool) -> Hello:
+        """Authenticate both ends of a connection, and return the peer's greeting."""
+        return await perform_handshake(
+            connection,
+            self.host,
+            self.address,
+            self.secret,
+            accepted,
+            self.admission,
+        )
+
+    def _record_failure(self, error: Exception) -> None:
+        if isinstance(error, PeerRefused):
+            self.admission.record_refusal(error.hello, error.refusal)
+        else:
+            log.warning("Peer handshake failed", extra={"error": str(error)})
+
     async def _serve(self, link: Link) -> bool:
         """Deliver the messages that arrive on ``link`` until it closes; return True."""
         try:
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from godwitladder.ids import HostId, Incarnation, Zone
+from godwitladder.ids import FleetId, HostId, Incarnation, Zone
 from godwitladder.membership.codec import peer_message
 from godwitladder.tables import host_port
 
@@ -18,11 +18,15 @@
         Where the sender listens for peers, ``address:port``.
     challenge : bytes
         Random bytes that the peer's `Proof` must digest.
+    fleet : FleetId or None
+        The sender's fleet, empty if it does not know it yet; None from hosts that
+        can't tell.
     """
 
     host: HostId
     address: str
     challenge: bytes
+    fleet: FleetId | None = None
 
 
 @peer_message
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -73,6 +73,9 @@
             "control_bytes", "Bytes of messages between hosts so far, by direction"
         )
         self.peer_links = self._gauge("peer_links", "Links to other hosts that are up")
+        self.refused_peers = self._counter(
+            "refused_peers_total", "Links refused, by reason"
+        )
         self.lost_paths = self._gauge(
             "lost_paths", "Targets to which the last direct connection failed"
         )
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -53,6 +53,8 @@
 ENTRIES_TOPIC = "keyed.servers"
 HOSTS_TOPIC = "keyed.hosts"
 STATUS_TOPIC = "keyed.status"
+FLEET_TOPIC = "keyed.fleet"
+FLEET_KEY = "identity"
 STREAMS_TOPIC = "streams"
 """Not keyed, so that its records expire; each has the form of a keyed one all the same,
 with an empty key."""
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -3,7 +3,12 @@
 from returns.result import Failure
 
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
-from godwitladder.discovery.source import Batch, Record, RolloutStatuses
+from godwitladder.discovery.source import (
+    Batch,
+    FleetRecord,
+    Record,
+    RolloutStatuses,
+)
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.logs import component_logger
 from godwitladder.membership.contacts import ListedHost
@@ -40,6 +45,25 @@
         self.store = store
         self.invalid_orders: set[tuple[str, int]] = set()
 
+    @property
+    def connections(self) -> int:
+        """Number of connections to the store that were opened so far."""
+        return self.store.connections
+
+    def use(self, address: str) -> None:
+        """Use the store at ``address`` from now on."""
+        self.store.use(address)
+
+    def read_fleet(self) -> FleetRecord:
+        """Return what identifies the fleet; any value of the key does."""
+        newest = self.store.newest(names.FLEET_TOPIC)
+        values = [row.value for row in newest.records if row.key == names.FLEET_KEY]
+        return FleetRecord(values[-1] if values else b"", newest.next, newest.era)
+
+    def write_fleet(self, value: bytes, at: int) -> None:
+        """Append what identifies the fleet if its topic ends at ``at``."""
+        self.store.append(names.FLEET_TOPIC, names.FLEET_KEY, value, at)
+
     def read_documents(self, offset: int) -> Batch:
         """Return the configuration records from ``offset`` on.
 
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -90,16 +90,25 @@
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self.pool = BoundedPool(
-            host,
-            int(port),
-            maxsize=2,
-            retries=False,
-            timeout=TIMEOUT_S,
-            limits=ANSWER_LIMITS,
-        )
+        self.address = address
+        self.pool = make_pool(address)
+        self.former_connections = 0
+        self.era = NO_ERA
+
+    @property
+    def connections(self) -> int:
+        """Number of connections that were opened so far."""
+        return self.former_connections + self.pool.num_connections
+
+    def use(self, address: str) -> None:
+        """Use the store at ``address`` from now on."""
+        if address == self.address:
+            return
+        former, self.pool = self.pool, make_pool(address)
+        self.address = address
+        self.former_connections += former.num_connections + 1
         self.era = NO_ERA
+        former.close()
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -208,6 +217,19 @@
         return StoreAnswer(answer.data, self.era)
 
 
+def make_pool(address: str) -> BoundedPool:
+    """Return a pool of connections to the store at ``address``."""
+    host, _, port = address.rpartition(":")
+    return BoundedPool(
+        host,
+        int(port),
+        maxsize=2,
+        retries=False,
+        timeout=TIMEOUT_S,
+        limits=ANSWER_LIMITS,
+    )
+
+
 def _parse_json(path: str, data: bytes) -> dict:
     try:
         body = json.loads(data)
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -14,6 +14,7 @@
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
+from godwitladder.discovery.store_fleet import FOUNDING_DELAY_S, StoreFleet
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
@@ -27,6 +28,7 @@
 )
 from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import ListedHost
+from godwitladder.membership.fleet import FleetNamed, Refusal
 from godwitladder.membership.hubs import MAX_MESH_HOSTS, choose_publisher
 from godwitladder.membership.links import Link
 from godwitladder.membership.members import Members
@@ -196,6 +198,8 @@
             self.publish_view,
             reads_at_start=not settings.first_start or settings.listen.peers in seeds,
         )
+        delay_s = 0.0 if self.feed.reads_at_start else FOUNDING_DELAY_S
+        self.feed.fleet = StoreFleet(source, clock, delay_s)
         self.status_writer: StatusWriter | None = None
         if limits is not None:
             self.feed.rollouts.freshness = self.freshness
@@ -218,6 +222,8 @@
             self.link_up,
             on_link_down=lambda peer: self.membership.tell(LinkDown(peer)),
         )
+        self.feed.enter_fleet = self.mesh.enter_fleet
+        self.mesh.admission.on_refusal = self.record_refused_peer
         self.origins = StreamOriginRegistry(
             settings.host, self.mesh, clock, self.knows_targets
         )
@@ -261,8 +267,11 @@
         self.feed.broadcast = self.mesh.broadcast
         self.feed.send_request = self.ask_peer
         self.router.message_handlers[FeedNews] = lambda link, news: (
-            self.feed.receive_news(news, self.peer_clocks.age_s(link, news.sent_s))
+            self.feed.receive_news(
+                news, self.peer_clocks.age_s(link, news.sent_s), link.fleet
+            )
         )
+        self.router.message_handlers[FleetNamed] = self.mesh.receive_fleet
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
         self.quarantine = QuarantineGate(
             clock,
@@ -319,6 +328,12 @@
         if known != NOTHING_KNOWN:
             link.send(encode(known))
 
+    def record_refused_peer(self, refusal: Refusal) -> None:
+        """Count a refused peer; the store may be of its fleet by now."""
+        self.metrics.refused_peers.inc({"reason": refusal.value})
+        if refusal is Refusal.OTHER_FLEET:
+            self.feed.fleet.doubt()
+
     def knows_targets(self) -> bool:
         """Return whether the list of targets is that of the store, or nearly so."""
         return self.feed.age_s() <= MAX_TARGETS_AGE_S
@@ -513,10 +528,19 @@
             )
             return
         self.mesh.seeds = frozenset(settings.peers.seeds) - {self.mesh.address}
+        self.use_store(settings.store.address)
         self.freshness.max_age_s = settings.bounds.revoke_s
         self.settings = settings
         log.info("The settings were reloaded", extra={"host": settings.host})
 
+    def use_store(self, address: str) -> None:
+        """Follow the store at ``address``, which may be that of another fleet."""
+        if address == self.settings.store.address:
+            return
+        log.info("The settings name another store", extra={"address": address})
+        self.source.use(address)
+        self.feed.fleet.doubt()
+
     def reload_if_changed(self) -> None:
         """Reload the settings if the content of the file has changed.
 
@@ -566,6 +590,7 @@
             self.hubs = self.origins.hubs = message.hubs
             self.feed.hosts = message.allocators
             self.connector.set_peers(message.peers)
+            self.mesh.known_addresses = frozenset(row.address for row in message.peers)
             extra = {
                 "hosts": len(message.hosts),
                 "new": sorted(new),
--- a/godwitladder/routing/freshness.py
+++ b/godwitladder/routing/freshness.py
@@ -38,6 +38,10 @@
         """Record a confirmation at time ``at``; an older one has no effect."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def doubt(self) -> None:
+        """Withdraw all confirmations: they were of another document."""
+        self.confirmed_at = float("-inf")
+
     def age_s(self, now: float) -> float:
         """Return the seconds since the document was last confirmed."""
         return now - self.confirmed_at
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -38,6 +38,7 @@
             "host": host.settings.host,
             "ready": host.ready(),
             "stopping": host.stopping.is_set(),
+            "fleet": host.feed.fleet.fleet,
             "version": host.app.in_force.document.version,
             "age_s": host.feed.age_s(),
             "store_reachable": host.feed.reachable,
--- a/tests/platform/test_other_fleets.py
+++ b/tests/platform/test_other_fleets.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitladder.platform import names
 from godwitladder.standins.routed import Store, start_store
 from tests.fleet import wait_until
 from tests.platform.test_hosts import Host, make_config
@@ -152,3 +153,35 @@
     wait_for_fleet([*hosts, *late], OURS)
     write_and_await(store, [*hosts, *late], OURS + 1)
     assert_stays([*hosts, *late], OURS + 1)
+
+
+def test_a_stranger_that_has_not_read_its_store_leaves(fleets):
+    """Guards against a stranger that is let in and stays, with a state of its own."""
+    ours, theirs = fleets.start_store(OURS), fleets.start_store(THEIRS)
+    hosts = fleets.start_hosts(ours, 3)
+    wait_for_fleet(hosts, OURS)
+    theirs.standin.knobs.status = 503
+    stranger = fleets.start_hosts(theirs, 1, seeds=[hosts[0].peer])
+    wait_until(stranger[0].ready, "the state of its peers")
+    assert versions(stranger) == [OURS]
+    theirs.standin.knobs.status = 0
+    wait_until(lambda: versions(stranger) == [THEIRS], "its own store's version")
+    wait_until(lambda: len(stranger[0].status()["hosts"]) == 1, "it to be alone")
+    wait_for_fleet(hosts, OURS)
+    assert_stays(hosts, OURS, 1.0)
+    write_and_await(ours, hosts, OURS + 1)
+    write_and_await(theirs, stranger, THEIRS + 1)
+
+
+def test_a_copy_without_the_identity_is_the_same_store(fleets):
+    """Guards against the loss of versions that hosts know better than a copy."""
+    store = fleets.start_store(OURS)
+    hosts = fleets.start_hosts(store, 3)
+    wait_for_fleet(hosts, OURS)
+    fleet = hosts[0].status()["fleet"]
+    write_and_await(store, hosts, OURS + 1)
+    store.standin.lose_newest(names.FLEET_TOPIC, 1)
+    store.standin.lose_newest(names.CONFIG_TOPIC, 1)
+    assert_stays(hosts, OURS + 1)
+    assert [host.status()["fleet"] for host in hosts] == [fleet] * 3
+    write_and_await(store, hosts, OURS + 2)
