Let entry hosts take no tickets of another log, and follow one that is new

Two entry hosts with one ticket took six of another fleet from a host that had one of them among its seeds and the same secret; after a new log had taken the place of the former one, a host kept the former tickets for good. The same class as in the fleet of the users' platform, for `godwitladder serve`: a peer's state is ahead by its offset, and nothing says in which log the offset counts.

Hosts name it as their fleet in the greeting, so links and state stay within one log. A host that lacks the log's records reads its start, and replays a log with another first record from there; a log that came back from a copy has the same one, and what hosts know better stays, as before. Scheduler and allocator compare offsets within one log.

Open: a log whose first record has expired, and one that is replaced without a failed read by one that is as long.

--- a/godwitladder/configuration/follower.py
+++ b/godwitladder/configuration/follower.py
@@ -28,6 +28,8 @@
 # so that a peer whose answers are unusable, for example one of another version,
 # is not asked every second.
 REQUEST_INTERVAL_S = 1.0
+START_READ_INTERVAL_S = 2.0
+"""Interval between reads of the log's start while it lacks what was replayed."""
 MAX_REQUEST_INTERVAL_S = 60.0
 # Snapshots per retention period of the log. With four, three in a row may fail
 # and the next one is still written before the records expire.
@@ -104,6 +106,7 @@
         self.request_interval_s = REQUEST_INTERVAL_S
         self.request_count = 0
         self.last_snapshot_attempt = float("-inf")
+        self.start_read_at = float("-inf")
         self.cached_snapshot: tuple[Offset, bytes] | None = None
         self.thread = threading.Thread(target=self.run, name="config", daemon=True)
 
@@ -150,6 +153,8 @@
                 self.replica.record_read_failure()
             self.request_peer_state()
             return False
+        if self.replica.phase is Phase.FORKED:
+            self._leave_former_log()
         with self.lock:
             self.reachable = True
             # Discard the page if a peer's state was installed during the read.
@@ -272,6 +277,37 @@
         if self.ledger.next != before or not self.caught_up.is_set():
             self._publish_ledger()
 
+    def _leave_former_log(self) -> None:
+        """Start anew if the log is another one than that which was replayed.
+
+        A log that came back from a copy has the same first record, and its state
+        stays. What another log's tickets have made must not be in force beside it.
+        """
+        now = self.clock.monotonic()
+        if now - self.start_read_at < START_READ_INTERVAL_S:
+            return
+        self.start_read_at = now
+        try:
+            page = self.client.read(self.stream, Offset(0))
+        except LogUnavailable as error:
+            log.info("Could not read the log's start", extra={"error": str(error)})
+            return
+        with self.lock:
+            first = page.records[0] if page.records else None
+            if first is None or first.offset > 0:
+                return
+            if not self.replica.is_other_log(first):
+                return
+            log.warning(
+                "The log is another one, and is replayed from its start",
+                extra={"before": self.ledger.origin, "offset": self.ledger.next},
+            )
+            self.replica = Replica()
+            self.peer_offsets.clear()
+            self.cached_snapshot = None
+            self.behind_since = None
+            self._process_page(page)
+
     def _log_phase_change(self, page: Page) -> None:
         phase, extra = self.replica.phase, {"offset": self.ledger.next}
         if phase is Phase.FORKED:
--- a/godwitladder/configuration/ledger.py
+++ b/godwitladder/configuration/ledger.py
@@ -23,7 +23,8 @@
     validate_ticket,
 )
 from godwitladder.findings import Finding, GodwitladderError, InvalidInput
-from godwitladder.ids import Offset, TicketNumber
+from godwitladder.fleets import UNKNOWN_FLEET, make_fleet_id
+from godwitladder.ids import FleetId, Offset, TicketNumber
 
 # One day of tickets at the largest supported size, so that the audit trail in
 # memory reaches as far back as the records of a log with one day of retention.
@@ -120,6 +121,8 @@
     floor : int
         Highest ticket number among the removals whose rows were deleted. An
         object without a row can only be written by a higher number.
+    origin : FleetId
+        Identity of the log, by its first record; empty if it is not known.
     unique_owners : dict
         Index of ``objects``: the owner of each value that must be unique.
     """
@@ -132,6 +135,7 @@
     next: Offset = Offset(0)
     tail: str = ""
     floor: int = 0
+    origin: FleetId = UNKNOWN_FLEET
     unique_owners: UniqueOwners = field(default_factory=dict, compare=False)
 
     def __post_init__(self) -> None:
@@ -168,6 +172,8 @@
             return None
         if offset > self.next:
             raise MissingRecords(f"record {offset} was read in place of {self.next}")
+        if offset == 0:
+            self.origin = make_origin(time, data)
         self.next = Offset(offset + 1)
         self.tail = record_digest(data)
         if data.startswith(SNAPSHOT_MAGIC):
@@ -295,6 +301,14 @@
     return hashlib.sha256(data).hexdigest()
 
 
+def make_origin(time: float, data: bytes) -> FleetId:
+    """Return the identity of a log whose first record is given.
+
+    The log's timestamp tells two logs apart that begin with the same ticket.
+    """
+    return make_fleet_id(repr(time).encode() + b"\0" + data)
+
+
 def make_state(ledger: Ledger) -> ConfigState:
     """Return an immutable view of the current objects of ``ledger``."""
     workspaces = ledger.table(ObjectKind.WORKSPACE)
@@ -305,6 +319,7 @@
     }
     return ConfigState(
         offset=ledger.next,
+        origin=ledger.origin,
         tiers=ledger.table(ObjectKind.TIER),
         workspaces=workspaces,
         services=ledger.table(ObjectKind.SERVICE),
--- a/godwitladder/configuration/replica.py
+++ b/godwitladder/configuration/replica.py
@@ -12,9 +12,11 @@
     SNAPSHOT_MAGIC,
     AuditEntry,
     Ledger,
+    make_origin,
     record_digest,
 )
 from godwitladder.configuration.snapshots import InvalidSnapshot, decode_snapshot
+from godwitladder.fleets import are_apart
 from godwitladder.ids import Offset
 from godwitladder.logs import component_logger
 
@@ -171,6 +173,8 @@
         # A host that has not caught up also installs a peer's state at offset 0.
         # Otherwise a host that starts during an outage of the log would never
         # become ready while the stream is still empty.
+        if are_apart(ledger.origin, self.ledger.origin):
+            return False
         if self.phase is Phase.FORKED or ledger.next < self.ledger.next:
             return False
         if ledger.next == self.ledger.next and self.caught_up:
@@ -179,6 +183,10 @@
         self.caught_up = True
         return True
 
+    def is_other_log(self, first: Record) -> bool:
+        """Return whether the log's first record is not the one replayed here."""
+        return are_apart(self.ledger.origin, make_origin(first.time, first.data))
+
     def needs_state(self, offset: int) -> bool:
         """Return whether this host needs the state of a peer at ``offset``."""
         if self.phase in (Phase.FOLLOWING, Phase.FORKED):
@@ -246,7 +254,9 @@
         return entries
 
     def _install(self, ledger: Ledger, phase: Phase) -> None:
-        ledger.merge_newer(self.ledger)
+        if not are_apart(ledger.origin, self.ledger.origin):
+            ledger.merge_newer(self.ledger)
+            ledger.origin = ledger.origin or self.ledger.origin
         self.ledger = ledger
         self.search = None
         self.phase = phase
--- a/godwitladder/configuration/snapshots.py
+++ b/godwitladder/configuration/snapshots.py
@@ -28,7 +28,8 @@
     Versioned,
 )
 from godwitladder.findings import Findings, GodwitladderError
-from godwitladder.ids import Offset
+from godwitladder.fleets import UNKNOWN_FLEET
+from godwitladder.ids import FleetId, Offset
 from godwitladder.tables import read_table
 
 # Limits the memory that decompressing a damaged record can take. A state at the
@@ -70,6 +71,8 @@
         "objects": [_encode_object(name, row) for name, row in ledger.objects.items()],
         "accepted": [dataclasses.asdict(row) for row in ledger.accepted.values()],
         "audit": [dataclasses.asdict(row) for row in ledger.audit],
+        # Beside the head, in which earlier versions accept no further field.
+        "origin": ledger.origin,
     }
     return SNAPSHOT_MAGIC + zlib.compress(cbor2.dumps(body, default=_encode_enum))
 
@@ -89,8 +92,17 @@
         objects = [_decode_object(row, findings) for row in body["objects"]]
         accepted = [_read(row, Accepted, findings) for row in body["accepted"]]
         audit = [_read(row, AuditEntry, findings) for row in body["audit"]]
+        origin = body.get("origin", UNKNOWN_FLEET)
+        if not isinstance(origin, str):
+            findings.add("origin", f"is no text: {type(origin).__name__}")
         findings.raise_if_any()
-    except (KeyError, TypeError, ValueError, GodwitladderError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        GodwitladderError,
+    ) as error:
         raise InvalidSnapshot(f"invalid snapshot: {error!r}") from error
     return Ledger(
         objects=dict(objects),
@@ -99,6 +111,7 @@
         next=Offset(head.next),
         tail=head.tail,
         floor=head.floor,
+        origin=FleetId(origin),
     )
 
 
--- a/godwitladder/configuration/state.py
+++ b/godwitladder/configuration/state.py
@@ -10,7 +10,8 @@
     Workspace,
 )
 from godwitladder.discovery.rollouts import OrderInForce
-from godwitladder.ids import Offset, ServiceName
+from godwitladder.fleets import UNKNOWN_FLEET
+from godwitladder.ids import FleetId, Offset, ServiceName
 
 
 @dataclass(frozen=True)
@@ -20,7 +21,9 @@
     Attributes
     ----------
     offset : int
-        Offset of the next record to replay; never decreases.
+        Offset of the next record to replay; never decreases within one log.
+    origin : FleetId
+        Identity of the log; empty if it is not known.
     tiers, workspaces, services, targets : mapping
         The current objects by name.
     keys : mapping
@@ -34,6 +37,7 @@
     """
 
     offset: Offset = Offset(0)
+    origin: FleetId = UNKNOWN_FLEET
     tiers: Mapping[str, Tier] = field(default_factory=dict)
     workspaces: Mapping[str, Workspace] = field(default_factory=dict)
     services: Mapping[str, Service] = field(default_factory=dict)
@@ -42,6 +46,10 @@
     target_ticket_numbers: Mapping[str, int] = field(default_factory=dict)
     rollouts: Mapping[ServiceName, OrderInForce] = field(default_factory=dict)
 
+    def is_older_than(self, other: "ConfigState") -> bool:
+        """Return whether ``other`` is a later state of the same log."""
+        return self.origin == other.origin and self.offset < other.offset
+
     def rank(self, workspace: Workspace) -> int:
         """Return the rank of the workspace's tier."""
         return self.tiers[workspace.tier].rank
--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -22,6 +22,7 @@
     LinkUp,
     Membership,
 )
+from godwitladder.membership.fleet import FleetNamed
 from godwitladder.membership.members import Members
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Heartbeat
@@ -140,6 +141,10 @@
             lambda link: self.membership.tell(LinkUp(link)),
             settings.listen.peers_tls,
         )
+        self.mesh.admission.on_refusal = lambda refusal: self.metrics.refused_peers.inc(
+            {"reason": refusal.value}
+        )
+        self.router.message_handlers[FleetNamed] = self.mesh.receive_fleet
         self.connector.tunnels = Tunnels(self.mesh)
         self.gateway = Gateway(
             self.connector,
@@ -336,6 +341,7 @@
     def publish_config(self, ledger: Ledger) -> None:
         """Apply a new configuration on this host."""
         state = make_state(ledger)
+        self.mesh.enter_fleet(state.origin)
         self.callers.config = state
         self.scheduler.tell(NewConfig(state))
         self.allocator.tell(NewConfig(state))
@@ -359,6 +365,7 @@
         if isinstance(message, HostsChanged):
             self.orders.hosts = message.hosts
             self.connector.set_peers(message.peers)
+            self.mesh.known_addresses = frozenset(row.address for row in message.peers)
 
     def poll_host_list(self) -> None:
         """Read the platform's host list periodically until the host stops.
--- a/godwitladder/discovery/store_fleet.py
+++ b/godwitladder/discovery/store_fleet.py
@@ -13,7 +13,6 @@
 if the store turns out to name another one.
 """
 
-import hashlib
 import secrets
 
 from godwitladder.clock import Clock
@@ -23,14 +22,13 @@
     StoreMoved,
     StoreUnavailable,
 )
+from godwitladder.fleets import ID_CHARS, UNKNOWN_FLEET, are_apart, make_fleet_id
 from godwitladder.ids import Era, FleetId
 from godwitladder.logs import component_logger
-from godwitladder.membership.fleet import UNKNOWN_FLEET, are_apart
 
 log = component_logger("feed")
 
 IDENTITY_BYTES = 16
-ID_CHARS = 32
 RETRY_S = 1.0
 """Interval between attempts to read the identity while the store fails."""
 CHECK_INTERVAL_S = 10.0
@@ -196,8 +194,3 @@
             log.info("Wrote the identity of the fleet", extra=extra)
             return value
         raise StoreUnavailable("the identity of the fleet changes again and again")
-
-
-def make_fleet_id(value: bytes) -> FleetId:
-    """Return the identity that a value of the store determines, whoever wrote it."""
-    return FleetId(hashlib.sha256(value).hexdigest()[:ID_CHARS])
--- a/godwitladder/membership/fleet.py
+++ b/godwitladder/membership/fleet.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from godwitladder.fleets import UNKNOWN_FLEET, are_apart
 from godwitladder.ids import FleetId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import peer_message
@@ -22,8 +23,6 @@
 
 log = component_logger("peers")
 
-UNKNOWN_FLEET = FleetId("")
-"""Fleet of a host that has not learned it yet."""
 MAX_LOGGED_CHARS = 64
 MAX_COUNTED_PEERS = 256
 """Refused addresses that are counted, to log each now and then."""
@@ -52,11 +51,6 @@
     fleet: FleetId
 
 
-def are_apart(one: FleetId | None, other: FleetId | None) -> bool:
-    """Return whether two hosts are known to belong to different fleets."""
-    return bool(one) and bool(other) and one != other
-
-
 class Admission:
     """Decides which peers this host links to.
 
--- a/godwitladder/membership/mesh.py
+++ b/godwitladder/membership/mesh.py
@@ -17,16 +17,11 @@
 from websockets.exceptions import WebSocketException
 
 from godwitladder.clock import Clock
+from godwitladder.fleets import UNKNOWN_FLEET, are_apart
 from godwitladder.ids import FleetId, HostId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import encode
-from godwitladder.membership.fleet import (
-    UNKNOWN_FLEET,
-    Admission,
-    FleetNamed,
-    Refusal,
-    are_apart,
-)
+from godwitladder.membership.fleet import Admission, FleetNamed, Refusal
 from godwitladder.membership.links import (
     HANDSHAKE_TIMEOUT_S,
     HandshakeFailed,
--- a/godwitladder/scheduler/actor.py
+++ b/godwitladder/scheduler/actor.py
@@ -234,7 +234,7 @@
 
     @take.register
     def _(self, message: NewConfig) -> None:
-        if message.config.offset < self.tables.config.offset:
+        if message.config.is_older_than(self.tables.config):
             return
         self.tables.config = message.config
         self.tables.quotas.rates = token_rates(message.config)
--- a/godwitladder/scheduler/allocator.py
+++ b/godwitladder/scheduler/allocator.py
@@ -272,7 +272,7 @@
 
     @take.register
     def _(self, message: NewConfig) -> None:
-        if message.config.offset >= self.tables.config.offset:
+        if not message.config.is_older_than(self.tables.config):
             self.tables.config = message.config
             self.tables.pools = make_pools(message.config.targets)
             self.tables.rollouts.note_unknown_services(message.config)
--- a/tests/discovery/test_store_fleet.py
+++ b/tests/discovery/test_store_fleet.py
@@ -10,8 +10,8 @@
     MAX_DOUBT_INTERVAL_S,
     RETRY_S,
     StoreFleet,
-    make_fleet_id,
 )
+from godwitladder.fleets import make_fleet_id
 
 ERA = 1
 
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -7,8 +7,9 @@
 import pytest
 
 from godwitladder.clock import Clock
+from godwitladder.fleets import are_apart
 from godwitladder.membership import codec, links
-from godwitladder.membership.fleet import Admission, Refusal, are_apart
+from godwitladder.membership.fleet import Admission, Refusal
 from godwitladder.membership.links import HandshakeFailed
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Hello
