Take no document that an operator can't mean

Callers got 404 on all routes, or were let in without a key, and operators' changes were never in force: the decoder filled in defaults for whatever was missing or of another type.

Cause: the store's promise was the only check. The adapter now reads typed fields and collects findings, and routing/validation.py checks what a document means: unique names, keys and prefixes, services that are listed, weights.

A refused document changes nothing and holds up no later one, whatever its version. It is logged and counted once, and the status page shows it. Hosts that all start anew while the newest document is refused use the newest valid one of the store's history. A line and the status tell when the store's document is older than the one in force.

The example document of the adapter's tests named a service that it did not list; it lists it now.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -129,6 +129,8 @@
     enter_fleet : callable
         Called with the identity of the store whenever it has been checked.
     requests : PeerRequests
+    store_version : int or None
+        Version of the newest document that this host has read of the store itself.
     document_place, entry_place : Place
         Place of the next document or target record to read.
     document_record : Record or None
@@ -181,6 +183,7 @@
         self.document = RoutingDocument()
         self.rollouts = RolloutTracker(source)
         self.document_record: Record | None = None
+        self.store_version: int | None = None
         self.document_place = Place()
         self.entry_place = Place()
         self.read_at = float("-inf")
@@ -286,6 +289,7 @@
         log.warning("The state is of another store, and is forgotten", extra=extra)
         self.freshness.doubt()
         self.document, self.document_record = RoutingDocument(), None
+        self.store_version = None
         self.newest_documents, self.newest_entries = {}, {}
         self.table, self.rewritten = TargetTable(), RewrittenEntries()
         self.rollouts.forget()
@@ -480,6 +484,7 @@
         with self.lock:
             self.record_store_answer()
             news = self.make_news(documents, entries)
+            self.record_store_version(documents)
             self.apply(documents, entries, began)
             self.record_read_duration(self.clock.boottime() - began)
         if news is not None:
@@ -489,6 +494,21 @@
         if self.answers_orders():
             self.rollouts.answer_orders()
 
+    def record_store_version(self, documents: Batch) -> None:
+        """Record which version the store has; log if it is older than that in force.
+
+        The one in force stays: the store has lost what it had acknowledged.
+        """
+        version = self.newest_version(documents)
+        if version < 0 or version == self.store_version:
+            return
+        self.store_version = version
+        if version < self.document.version:
+            log.warning(
+                "The store's document is older than the one in force",
+                extra={"version": self.document.version, "store_version": version},
+            )
+
     def answers_orders(self) -> bool:
         """Return whether this host is the one that answers rollout orders."""
         return not self.hosts or self.hosts[0] == self.host
--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from godwitladder.discovery.refused_documents import RefusedDocuments
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.findings import GodwitladderError
@@ -141,9 +142,12 @@
     ----------
     connections : int
         Number of connections to the store that were opened so far.
+    refused : RefusedDocuments
+        Documents that were not valid.
     """
 
     connections: int
+    refused: RefusedDocuments
 
     def use(self, address: str) -> None:
         """Use the store at ``address`` from now on."""
@@ -161,7 +165,11 @@
         """
 
     def read_documents(self, offset: int) -> Batch:
-        """Return the document records from ``offset`` on; -1 reads a snapshot."""
+        """Return the document records from ``offset`` on; -1 reads a snapshot.
+
+        Where the newest document is refused, a snapshot has the newest valid one that
+        the store still has.
+        """
 
     def read_entries(self, offset: int) -> Batch:
         """Return the target records from ``offset`` on; -1 reads a snapshot."""
--- a/godwitladder/metrics.py
+++ b/godwitladder/metrics.py
@@ -63,6 +63,9 @@
             "wasted_prefill_tokens_total", "Prompt tokens processed for nothing"
         )
         self.config_offset = self._gauge("config_offset", "Offset in force")
+        self.refused_documents = self._counter(
+            "refused_documents_total", "Routing documents that were not valid"
+        )
         self.log_reachable = self._gauge(
             "log_reachable", "1 while the log answers this host, else 0"
         )
--- a/godwitladder/platform/documents.py
+++ b/godwitladder/platform/documents.py
@@ -1,14 +1,14 @@
 """Decodes the operator's configuration into a `RoutingDocument`.
 
-The store accepts only valid configurations. Unknown fields, which later versions
-may add, are ignored, and missing fields get the defaults in the platform's
-documentation.
+Unknown fields, which later versions may add, are passed over, and missing ones get the
+defaults in the platform's documentation; `docs/notes/documents.md` has the sentence
+behind each rule. The store accepts only valid configurations, and so does a host: what
+it took for one would be in force on all of them, and, with a high version, stay.
 """
 
-import json
-from typing import Any
-
+from godwitladder.findings import Finding, Findings
 from godwitladder.ids import KeyDigest, RouteName, ServiceName, WorkspaceName
+from godwitladder.platform.fields import FieldReader, load_json
 from godwitladder.routing.model import (
     CallerLimits,
     Route,
@@ -19,31 +19,48 @@
     Split,
     TokenQuota,
 )
+from godwitladder.routing.validation import check_document
 from godwitladder.serving.auth import key_digest
-from godwitladder.untrusted import MAX_INTEGER, is_encodable, is_finite, is_integer
+from godwitladder.untrusted import is_integer
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
     "streaming": RouteKind.STREAM,
 }
+"""Any other kind, which a later version may add, is taken as the strictest."""
+MAX_VERSION = 1 << 62
+"""Half of what the hosts' messages can hold, so that there is always a later version;
+nanoseconds since the epoch are far below."""
 DEFAULT_TIMEOUT_S = 3_600.0
-MAX_QUOTED_CHARS = 100
-"""Part of a value that an error message quotes."""
+MILLISECONDS_PER_S = 1_000
 MAX_ERROR_CHARS = 300
-INVALID_VALUE = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-"""What is raised for a value of another type, a missing one, or one out of range."""
+MAX_ERROR_FINDINGS = 3
+INVALID_JSON = (ValueError, RecursionError)
 
 
 class InvalidDocument(ValueError):
-    """The bytes are not a valid configuration."""
+    """The bytes are not a valid configuration.
+
+    Parameters
+    ----------
+    findings : tuple of Finding
+        What is wrong.
+    version : int or None
+        The version that it names; None if it names none.
+    """
+
+    def __init__(
+        self, findings: tuple[Finding, ...], version: int | None = None
+    ) -> None:
+        rows = [
+            str(row) if row.place else row.text for row in findings[:MAX_ERROR_FINDINGS]
+        ]
+        more = len(findings) - len(rows)
+        text = "; ".join(rows) + (f"; and {more} more" if more else "")
+        super().__init__(f"invalid configuration: {text}"[:MAX_ERROR_CHARS])
+        self.findings = findings
+        self.version = version
 
 
 def decode_document(data: bytes) -> RoutingDocument:
@@ -54,101 +71,96 @@
     InvalidDocument
         ``data`` is not a valid configuration.
     """
+    findings = Findings()
     try:
-        raw = json.loads(data)
-        services = map(_service, raw.get("services") or ())
-        workspaces = map(_workspace, raw.get("tenants") or ())
-        return RoutingDocument(
-            version=_whole(raw["version"]),
-            routes=tuple(map(_route, raw.get("routes") or ())),
-            services={row.name: row for row in services},
-            workspaces={row.name: row for row in workspaces},
-            limits=_limits(raw.get("limits") or {}),
-        )
-    except INVALID_VALUE as error:
-        text = repr(error)[:MAX_ERROR_CHARS]
-        raise InvalidDocument(f"invalid configuration: {text}") from error
-
-
-def _route(raw: dict[str, Any]) -> Route:
-    splits = raw.get("trafficSplit") or [{"service": raw["service"], "weight": 1}]
+        raw = load_json(data)
+    except INVALID_JSON as error:
+        findings.add("", f"is no JSON: {error}")
+        raise InvalidDocument(tuple(findings.items)) from error
+    reader = FieldReader(raw, "", findings)
+    version = reader.required_count("version", MAX_VERSION)
+    routes = tuple(map(_route, reader.objects("routes", required=True)))
+    services = tuple(map(_service, reader.objects("services", required=True)))
+    workspaces = tuple(map(_workspace, reader.objects("tenants")))
+    limits = _limits(reader.object("limits"))
+    if not findings.items:
+        check_document(routes, services, workspaces, findings)
+    if findings.items:
+        named = reader.raw.get("version")
+        known = named if is_integer(named, 0) else None
+        raise InvalidDocument(tuple(findings.items), known)
+    return RoutingDocument(
+        version=version,
+        routes=routes,
+        services={row.name: row for row in services},
+        workspaces={row.name: row for row in workspaces},
+        limits=limits,
+    )
+
+
+def _route(reader: FieldReader) -> Route:
     return Route(
-        name=RouteName(_text(raw["name"])),
-        host=_text(raw["host"]).lower(),
-        prefix=_text(raw["pathPrefix"]),
-        kind=ROUTE_KINDS.get(raw["kind"], RouteKind.NON_IDEMPOTENT),
-        splits=tuple(
-            Split(ServiceName(_text(row["service"])), _number(row["weight"]))
-            for row in splits
-        ),
-        timeout_s=_seconds(raw.get("timeoutMs")) or DEFAULT_TIMEOUT_S,
-        ttft_budget_s=_seconds(raw.get("targetLatencyMs")),
-        max_attempts=max(1, _whole(raw.get("maxAttempts") or 1)),
-        rank=_whole(raw.get("priority") or 0),
-        public=bool(raw.get("public")),
-        resumable=bool(raw.get("resumable")),
-        gap_s=_seconds(raw.get("gapTargetMs")),
+        name=RouteName(reader.text("name")),
+        host=reader.text("host").lower(),
+        prefix=reader.text("pathPrefix"),
+        kind=ROUTE_KINDS.get(reader.text("kind"), RouteKind.NON_IDEMPOTENT),
+        splits=_splits(reader),
+        timeout_s=_seconds(reader, "timeoutMs") or DEFAULT_TIMEOUT_S,
+        ttft_budget_s=_seconds(reader, "targetLatencyMs"),
+        max_attempts=reader.count("maxAttempts") or 1,
+        rank=reader.count("priority"),
+        public=reader.flag("public"),
+        resumable=reader.flag("resumable"),
+        gap_s=_seconds(reader, "gapTargetMs"),
     )
 
 
-def _service(raw: dict[str, Any]) -> RoutedService:
-    engine = raw.get("engine") or {}
+def _splits(reader: FieldReader) -> tuple[Split, ...]:
+    rows = reader.objects("trafficSplit")
+    if not rows:
+        return (Split(ServiceName(reader.text("service")), 1.0),)
+    return tuple(
+        Split(ServiceName(row.text("service")), row.number("weight")) for row in rows
+    )
+
+
+def _service(reader: FieldReader) -> RoutedService:
+    engine = reader.object("engine")
     return RoutedService(
-        name=ServiceName(_text(raw["name"])),
-        slots=_whole(engine.get("slots") or 0),
-        memory_tokens=_whole(engine.get("kvCapacity") or 0),
+        name=ServiceName(reader.text("name")),
+        slots=engine.count("slots"),
+        memory_tokens=engine.count("kvCapacity"),
         # The platform's name for the output tokens in one event of a stream.
-        event_tokens=_whole(engine.get("stride") or 1),
-        health_path=_text(raw.get("healthPath") or ""),
+        event_tokens=engine.count("stride") or 1,
+        health_path=reader.optional_text("healthPath"),
     )
 
 
-def _workspace(raw: dict[str, Any]) -> RoutedWorkspace:
-    rank = raw.get("priority")
+def _workspace(reader: FieldReader) -> RoutedWorkspace:
+    has_rank = reader.raw.get("priority") is not None
+    rank = reader.count("priority")
     return RoutedWorkspace(
-        name=WorkspaceName(_text(raw["name"])),
+        name=WorkspaceName(reader.text("name")),
         key_digests=frozenset(
-            KeyDigest(key_digest(_text(key))) for key in raw.get("apiKeys") or ()
+            KeyDigest(key_digest(key)) for key in reader.texts("apiKeys")
         ),
-        rank=None if rank is None else _whole(rank),
+        rank=rank if has_rank else None,
         quota=TokenQuota(
-            rate=_number(raw.get("ratePerS") or 0),
-            burst=_number(raw.get("burst") or 0),
-            default_tokens=_whole(raw.get("plainTokens") or 1),
+            rate=reader.number("ratePerS"),
+            burst=reader.number("burst"),
+            default_tokens=reader.count("plainTokens") or 1,
         ),
     )
 
 
-def _limits(raw: dict[str, Any]) -> CallerLimits:
+def _limits(reader: FieldReader) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        header_bytes=_whole(raw.get("maxHeaderBytes") or default.header_bytes),
-        body_bytes=_whole(raw.get("maxBodyBytes") or default.body_bytes),
-        idle_s=_seconds(raw.get("idleTimeoutMs")) or default.idle_s,
+        header_bytes=reader.count("maxHeaderBytes") or default.header_bytes,
+        body_bytes=reader.count("maxBodyBytes") or default.body_bytes,
+        idle_s=_seconds(reader, "idleTimeoutMs") or default.idle_s,
     )
 
 
-def _seconds(milliseconds: float | None) -> float:
-    return _number(milliseconds or 0) / 1000
-
-
-def _text(value: Any) -> str:
-    text = str(value)
-    if not is_encodable(text):
-        raise ValueError(f"{text[:MAX_QUOTED_CHARS]!r} can't be encoded")
-    return text
-
-
-def _number(value: Any) -> float:
-    # float() would take the digits of any alphabet in a text for a number.
-    if not is_finite(value):
-        raise ValueError(f"{str(value)[:MAX_QUOTED_CHARS]!r} is no finite number")
-    return float(value)
-
-
-def _whole(value: Any) -> int:
-    # A version that is read from a text would keep out all later ones.
-    number = int(value) if type(value) is float else value
-    if not is_integer(number, -MAX_INTEGER):
-        raise ValueError("a value is no integer of 64 bits")
-    return number
+def _seconds(reader: FieldReader, name: str) -> float:
+    return reader.number(name) / MILLISECONDS_PER_S
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -1,13 +1,21 @@
 """Implements `godwitladder.discovery.source.Source` with the platform's store."""
 
+from dataclasses import replace
+
 from returns.result import Failure
 
+from godwitladder.discovery.refused_documents import (
+    RefusedDocument,
+    RefusedDocuments,
+)
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.source import (
     Batch,
     FleetRecord,
     Record,
     RolloutStatuses,
+    StoreTrimmed,
+    StoreUnavailable,
 )
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.logs import component_logger
@@ -28,6 +36,7 @@
 
 log = component_logger("platform")
 
+MAX_HISTORY_READS = 16
 MAX_INVALID_ORDERS = 64
 """Invalid orders that are remembered to log each once."""
 
@@ -37,12 +46,15 @@
 
     Attributes
     ----------
+    refused : RefusedDocuments
+        Configurations that were not valid.
     invalid_orders : set of (str, int)
         Keys and offsets of the invalid orders that were logged.
     """
 
     def __init__(self, store: StoreClient) -> None:
         self.store = store
+        self.refused = RefusedDocuments()
         self.invalid_orders: set[tuple[str, int]] = set()
 
     @property
@@ -67,9 +79,39 @@
     def read_documents(self, offset: int) -> Batch:
         """Return the configuration records from ``offset`` on.
 
-        If ``offset`` is negative, return the newest record of each key.
+        If ``offset`` is negative, return the newest record of each key, and the newest
+        valid configuration in place of an invalid one.
         """
-        return self._read(names.CONFIG_TOPIC, offset)
+        batch = self._read(names.CONFIG_TOPIC, offset)
+        if not batch.is_snapshot or not any(map(self._is_refused, batch.records)):
+            return batch
+        valid = self._read_valid_document(batch)
+        others = (row for row in batch.records if not self._is_refused(row))
+        return replace(batch, records=(*others, *valid))
+
+    def _is_refused(self, record: Record) -> bool:
+        is_document = record.key == names.CONFIG_KEY and bool(record.value)
+        return is_document and self.decode_document(record) is None
+
+    def _read_valid_document(self, snapshot: Batch) -> tuple[Record, ...]:
+        """Return the newest valid configuration in the history, or nothing."""
+        found: Record | None = None
+        offset = 0
+        for _ in range(MAX_HISTORY_READS):
+            try:
+                read = self.store.read(names.CONFIG_TOPIC, offset)
+            except StoreTrimmed as error:
+                offset = error.first_offset
+                continue
+            if read.era != snapshot.era:
+                raise StoreUnavailable("the era of the store changed during the read")
+            for row in read.records:
+                if self.decode_document(row) is not None:
+                    found = row
+            if read.next == offset or read.next >= snapshot.next:
+                break
+            offset = read.next
+        return () if found is None else (found,)
 
     def read_entries(self, offset: int) -> Batch:
         """Return the records of engines from ``offset`` on.
@@ -106,10 +148,13 @@
         if record.key != names.CONFIG_KEY or not record.value:
             return None
         try:
-            return decode_document(record.value)
+            document = decode_document(record.value)
         except InvalidDocument as error:
-            log.warning("A configuration is invalid", extra={"error": str(error)})
+            refused = RefusedDocument(record.offset, error.version, str(error))
+            self.refused.record(refused, record.value)
             return None
+        self.refused.record_valid(record.offset)
+        return document
 
     def decode_rollout(self, record: Record) -> RolloutOrder | None:
         """Return the rollout order in ``record``; None if it is missing or invalid."""
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -141,6 +141,7 @@
         self.file_text = file_text
         self.ignored = find_ignored(path)
         self.source = source
+        source.refused.on_refusal = lambda: self.metrics.refused_documents.inc({})
         self.started = clock.monotonic()
         self.incarnation = Incarnation(int(clock.wall() * 1000))
         # One queue and one pool for the whole region: with a pool per availability
@@ -528,15 +529,14 @@
             )
             return
         self.mesh.seeds = frozenset(settings.peers.seeds) - {self.mesh.address}
-        self.use_store(settings.store.address)
+        if settings.store.address != self.settings.store.address:
+            self.use_store(settings.store.address)
         self.freshness.max_age_s = settings.bounds.revoke_s
         self.settings = settings
         log.info("The settings were reloaded", extra={"host": settings.host})
 
     def use_store(self, address: str) -> None:
         """Follow the store at ``address``, which may be that of another fleet."""
-        if address == self.settings.store.address:
-            return
         log.info("The settings name another store", extra={"address": address})
         self.source.use(address)
         self.feed.fleet.doubt()
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -34,12 +34,15 @@
     def status(self) -> dict:
         """Return the status of this host as a JSON-serializable dict."""
         host = self.host
+        refused = host.source.refused.newest
         return {
             "host": host.settings.host,
             "ready": host.ready(),
             "stopping": host.stopping.is_set(),
             "fleet": host.feed.fleet.fleet,
             "version": host.app.in_force.document.version,
+            "store_version": host.feed.store_version,
+            "refused_document": None if refused is None else vars(refused),
             "age_s": host.feed.age_s(),
             "store_reachable": host.feed.reachable,
             "store_places": {
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -66,6 +66,7 @@
     ],
     "services": [
         {"name": "letters", "engine": {"slots": 9, "kvCapacity": 600, "stride": 6}},
+        {"name": "drafts"},
         {"name": "core"},
     ],
     "limits": {"maxBodyBytes": 1000, "idleTimeoutMs": 15000},
