--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -14,7 +14,7 @@
 import math
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from godwitladder.clock import Clock
 from godwitladder.discovery.batches import (
@@ -101,6 +101,26 @@
 live targets may have expired."""
 
 
+@dataclass(frozen=True)
+class EarlyNews:
+    """News that wait until this host knows its fleet.
+
+    Attributes
+    ----------
+    late_s : float
+        Longest time that they may have been on the way, in seconds.
+    fleet : FleetId or None
+        Fleet of the sender.
+    received_at : float
+        Time at which they arrived.
+    """
+
+    news: FeedNews
+    late_s: float
+    fleet: FleetId | None
+    received_at: float
+
+
 class Feed:
     """Keeps the newest document and the targets.
 
@@ -128,6 +148,8 @@
         Whose store this host reads; None to read it without a check.
     enter_fleet : callable
         Called with the identity of the store whenever it has been checked.
+    early_news : EarlyNews or None
+        The last news that came before the first check of the fleet.
     requests : PeerRequests
     store_version : int or None
         Version of the newest document that this host has read of the store itself.
@@ -169,6 +191,7 @@
         self.broadcast: Callable[[FeedNews], None] = lambda news: None
         self.send_request: Callable[[FeedWanted], bool] = lambda wanted: False
         self.fleet: StoreFleet | None = None
+        self.early_news: EarlyNews | None = None
         self.enter_fleet: Callable[[FleetId], None] = lambda fleet: None
         self.reads_at_start = reads_at_start
         self.pending_replies: list[Callable[[FeedNews], None]] = []
@@ -271,12 +294,14 @@
             is_other = self.fleet.check(self.document_place.era)
         except StoreUnavailable as error:
             self.record_store_failure(error)
+            self.receive_early_news()
             return False
         with self.lock:
             self.record_store_answer()
             if is_other:
                 self.forget_state()
         self.enter_fleet(self.fleet.fleet)
+        self.receive_early_news()
         return not is_other
 
     def forget_state(self) -> None:
@@ -632,6 +657,9 @@
             self.turns.run(self.apply_news, news, late_s)
             return
         with self.lock:
+            if self.fleet.is_waiting():
+                self.early_news = EarlyNews(news, late_s, fleet, self.clock.boottime())
+                return
             if not self.fleet.accepts(fleet, self.reachable):
                 self.log_refused(news.host, fleet)
                 return
@@ -639,6 +667,13 @@
             self.turns.run(self.apply_news, news, late_s)
         self.enter_fleet(self.fleet.fleet)
 
+    def receive_early_news(self) -> None:
+        """Apply the last news that came before the first check of the fleet."""
+        early, self.early_news = self.early_news, None
+        if early is not None:
+            held_s = self.clock.boottime() - early.received_at
+            self.receive_news(early.news, early.late_s + held_s, early.fleet)
+
     def log_refused(self, sender: HostId, fleet: FleetId | None) -> None:
         """Log news that may be of another fleet, at most one line a second."""
         now = self.clock.boottime()
--- a/godwitladder/discovery/store_fleet.py
+++ b/godwitladder/discovery/store_fleet.py
@@ -129,12 +129,17 @@
             Whether this host can read the store itself.
         """
         if not self.fleet:
-            waits = self.clock.boottime() < self.first_check_until
-            return self.is_failing or not waits
+            return not self.is_waiting()
         if sender:
             return sender == self.fleet
         return not store_answers
 
+    def is_waiting(self) -> bool:
+        """Return whether the first check is still to come, and may be waited for."""
+        if self.fleet or self.is_failing:
+            return False
+        return self.clock.boottime() < self.first_check_until
+
     def record_news(self, sender: FleetId | None) -> None:
         """Record that news of a peer are applied."""
         if sender and not self.fleet:
--- a/tests/discovery/test_store_fleet.py
+++ b/tests/discovery/test_store_fleet.py
@@ -12,6 +12,7 @@
     StoreFleet,
 )
 from godwitladder.fleets import make_fleet_id
+from tests.discovery.test_discovery import MemorySource, make_feed
 
 ERA = 1
 
@@ -179,3 +180,60 @@
         if fleet.is_due(clock.boottime(), False):
             fleet.check(ERA)
     assert 2 <= source.reads - before <= 8 + 100 / MAX_DOUBT_INTERVAL_S
+
+
+def make_fleet_feed(clock, source):
+    feed, views = make_feed(MemorySource(), clock, hosts=("h2", "h1"))
+    feed.fleet = StoreFleet(source, clock)
+    return feed, views
+
+
+def make_news(clock, version):
+    source = MemorySource()
+    source.put_document(version)
+    sender, _ = make_feed(source, clock, "h2")
+    sender.read()
+    return sender.make_full_news()
+
+
+def test_news_that_come_before_the_first_check_are_applied_after_it(source, clock):
+    """Guards against a start that is longer than before, as peers answer at once."""
+    other = StoreFleet(source, clock)
+    other.check(ERA)
+    feed, _ = make_fleet_feed(clock, source)
+    feed.receive_news(make_news(clock, 7), 0.0, other.fleet)
+    assert feed.document.version == -1
+    clock.advance(0.1)
+    assert feed.check_fleet()
+    assert feed.document.version == 7
+    assert feed.freshness.confirmed_at <= clock.boottime() - 0.1
+
+
+def test_news_of_another_fleet_that_come_before_the_check_are_not_applied(
+    source, clock
+):
+    feed, _ = make_fleet_feed(clock, source)
+    feed.receive_news(make_news(clock, 7), 0.0, "y")
+    feed.check_fleet()
+    assert feed.document.version == -1
+
+
+def test_early_news_are_applied_where_the_store_fails(source, clock):
+    """Guards against a host that starts without the store and forgets its peers."""
+    feed, _ = make_fleet_feed(clock, source)
+    source.unavailable = True
+    feed.receive_news(make_news(clock, 7), 0.0, "y")
+    feed.check_fleet()
+    assert feed.document.version == 7
+    source.unavailable = False
+    clock.advance(RETRY_S)
+    feed.check_fleet()
+    assert feed.document.version == -1
+    assert not feed.freshness.is_fresh(clock.boottime())
+
+
+def test_a_silent_store_holds_news_up_for_no_longer_than_the_first_check(source, clock):
+    feed, _ = make_fleet_feed(clock, source)
+    clock.advance(FIRST_CHECK_S)
+    feed.receive_news(make_news(clock, 7), 0.0, "y")
+    assert feed.document.version == 7
