End small requests to targets whose answers trickle on without end

A target in trouble that sends a head or a report byte by byte, without end, held the thread that had asked it for ever: a health check after a lost call (the call waits for it), the reader of loads, orders and cancelled streams. Each byte came within the socket's timeout, which limits a silence only; calls of callers have a deadline that ends them.

Such requests now take three timeouts at most for a whole answer, as the pools of the services do; cancelling a stream likewise.

--- a/godwitladder/engines/engine.py
+++ b/godwitladder/engines/engine.py
@@ -14,10 +14,12 @@
 
 from godwitladder.engines.answer_limits import AnswerLimits
 from godwitladder.engines.wire import (
+    MAX_ANSWER_TIMEOUTS,
     Dial,
     MayHaveRun,
     TargetRefused,
     connect,
+    connect_for_answer,
     read_cooldown,
     send,
 )
@@ -36,6 +38,8 @@
 MAX_REFUSAL_BYTES = 200
 MAX_LOGGED_CHARS = 200
 STREAM_HEADER = "X-Stream-Id"
+CANCEL_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 2.0
 LOAD_LIMITS = AnswerLimits(body_bytes=65_536)
 """A load report has three numbers."""
 
@@ -160,7 +164,8 @@
 
 def cancel_stream(address: str, stream: StreamId, dial: Dial = connect) -> None:
     """Cancel ``stream`` at the engine."""
-    connection = dial(address, 2.0)
+    connection = dial(address, CANCEL_TIMEOUT_S)
+    connection.max_timeouts = MAX_ANSWER_TIMEOUTS
     try:
         send(connection, "DELETE", f"/v1/streams/{stream}", None, {})
     finally:
@@ -177,7 +182,7 @@
     ValueError, KeyError
         The answer is no load report.
     """
-    connection = connect(address, 2.0, limits=LOAD_LIMITS)
+    connection = connect_for_answer(address, LOAD_TIMEOUT_S, limits=LOAD_LIMITS)
     try:
         response = send(connection, "GET", "/load", None, {})
         answer = json.loads(response.read(decode_content=False))
--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -27,6 +27,7 @@
 
 __all__ = [
     "HTTP_MISDIRECTED",
+    "MAX_ANSWER_TIMEOUTS",
     "AbortedByHost",
     "AnswerShape",
     "Dial",
@@ -37,11 +38,14 @@
     "NotSent",
     "TargetRefused",
     "connect",
+    "connect_for_answer",
     "read_cooldown",
     "send",
 ]
 
 CONNECT_TIMEOUT_S = 2.0
+MAX_ANSWER_TIMEOUTS = 3.0
+"""Limit on the time of a whole answer, in timeouts of the connection."""
 HTTP_MISDIRECTED = 421
 """Status with which another target than the expected one turns a request away."""
 COOLDOWN_STATUSES = frozenset({429, 503})
@@ -107,6 +111,27 @@
     return connection
 
 
+def connect_for_answer(
+    address: str,
+    timeout_s: float,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    limits: AnswerLimits = DEFAULT_LIMITS,
+) -> HTTPConnection:
+    """Return a new open connection on which the time of a whole answer is limited.
+
+    Calls of callers have a deadline that ends them; any other request needs this, since
+    an answer that trickles in without end would hold its thread for ever.
+
+    Raises
+    ------
+    NoConnection, NoDescriptor
+        As `connect`.
+    """
+    connection = connect(address, timeout_s, connect_timeout_s, limits)
+    connection.max_timeouts = MAX_ANSWER_TIMEOUTS
+    return connection
+
+
 def send(
     connection: HTTPConnection,
     method: str,
--- a/godwitladder/orders/issuer.py
+++ b/godwitladder/orders/issuer.py
@@ -26,7 +26,7 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.state import ConfigState
 from godwitladder.decisions.rendezvous import choose_host
-from godwitladder.engines.wire import MayHaveRun, NotSent, connect
+from godwitladder.engines.wire import MayHaveRun, NotSent, connect_for_answer
 from godwitladder.ids import HostId, TargetName, Zone
 from godwitladder.logs import component_logger
 from godwitladder.orders.stream import NotGranted, OrderStream
@@ -194,7 +194,7 @@
         self._ensure_weights(order)
         # Connect before requesting the lease, so that nothing blocks between
         # reading the clock and writing.
-        connection = connect(target.address, SEND_TIMEOUT_S)
+        connection = connect_for_answer(target.address, SEND_TIMEOUT_S)
         try:
             lease = self.stream.lease(name, state.target_ticket_numbers.get(name, 0))
             if self.clock.monotonic() >= lease.expires_s:
--- a/godwitladder/orders/wire.py
+++ b/godwitladder/orders/wire.py
@@ -12,7 +12,7 @@
 from urllib3.connection import HTTPConnection
 
 from godwitladder.configuration.model import Target
-from godwitladder.engines.wire import MayHaveRun, connect, send
+from godwitladder.engines.wire import MayHaveRun, connect_for_answer, send
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import Offset
 
@@ -59,7 +59,7 @@
     OrderFailed, NotSent, MayHaveRun
         If the target could not be reached or sent no valid response.
     """
-    connection = connect(address, timeout_s)
+    connection = connect_for_answer(address, timeout_s)
     try:
         response = send(connection, "GET", "/orders", None, {})
         rows = json.loads(response.read(decode_content=False))
--- a/godwitladder/quarantine/probing.py
+++ b/godwitladder/quarantine/probing.py
@@ -9,7 +9,7 @@
     HTTP_MISDIRECTED,
     MayHaveRun,
     NoConnection,
-    connect,
+    connect_for_answer,
     send,
 )
 from godwitladder.ids import TargetName
@@ -74,7 +74,7 @@
     ) -> ProbeResult:
         """Return what answers at ``address``; see `ProbeResult`."""
         try:
-            connection = connect(address, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S)
+            connection = connect_for_answer(address, PROBE_TIMEOUT_S, PROBE_TIMEOUT_S)
         except NoConnection as error:
             is_refused = is_connection_refused(error)
             return ProbeResult.REFUSED if is_refused else ProbeResult.NO_CONNECTION
--- a/tests/clients/test_endless_answers.py
+++ b/tests/clients/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Answers of outside services that are malformed, without end, or trickle in."""
 
+import contextlib
 import gzip
 import json
 import sys
@@ -11,9 +12,14 @@
 from godwitladder.clients.log import LogClient, LogNotReached, LogUnavailable
 from godwitladder.clients.weights import WeightClient, WeightsUnavailable
 from godwitladder.discovery.source import StoreUnavailable
+from godwitladder.engines import engine
+from godwitladder.engines.engine import cancel_stream, read_load
+from godwitladder.engines.wire import MayHaveRun, connect_for_answer
 from godwitladder.ids import Offset, Zone
+from godwitladder.orders.wire import OrderFailed, TargetOrder, read_order, write_order
 from godwitladder.platform import store as store_module
 from godwitladder.platform.store import StoreClient
+from godwitladder.quarantine import probing
 from tests.engines.raw_target import RawTarget
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -28,6 +34,7 @@
     "tiny chunks": (CHUNKED, b"1\r\na\r\n"),
     "chunk extension": (CHUNKED + b"5;", b"a"),
     "100 Continue": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "103 Early Hints": (b"", b"HTTP/1.1 103 Early Hints\r\na: a\r\n\r\n"),
     "header line": (OK + b"a: ", b"a"),
     "header lines": (OK, b"a: a\r\n"),
     "garbage": (b"", b"\x00"),
@@ -101,6 +108,81 @@
     assert not isinstance(caught.value, LogNotReached)
 
 
+class NoProbeHeaders:
+    """Headers of health checks that state nothing."""
+
+    def for_probe(self, target):
+        return ()
+
+    def read_instance(self, headers):
+        return ""
+
+
+HEADS = {name for name, row in ENDLESS.items() if not row[0].endswith(b"\r\n\r\n")}
+
+
+def check_health(address):
+    probe = probing.TargetProbe(NoProbeHeaders())
+    if probe("t1", address, "/health") is probing.ProbeResult.NO_ANSWER:
+        raise MayHaveRun("no answer")
+
+
+def send_order(address):
+    connection = connect_for_answer(address, SHORT_TIMEOUT_S)
+    write_order(connection, TargetOrder("m", (), "both"), Offset(1))
+
+
+SMALL_REQUESTS = {
+    check_health: MayHaveRun,
+    read_load: MayHaveRun,
+    lambda address: read_order(address, SHORT_TIMEOUT_S): (OrderFailed, MayHaveRun),
+    send_order: OrderFailed,
+    lambda address: cancel_stream(address, "s1"): MayHaveRun,
+}
+"""Requests to targets that are no calls of callers."""
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("name", sorted(HEADS - {"chunk extension"}))
+@pytest.mark.parametrize("request_", SMALL_REQUESTS, ids=range(len(SMALL_REQUESTS)))
+def test_a_small_request_ends_with_a_head_without_end(
+    monkeypatch, request_, name, pause_s
+):
+    """Guards against a thread that reads the head of a target in trouble for ever."""
+    monkeypatch.setattr(probing, "PROBE_TIMEOUT_S", SHORT_TIMEOUT_S)
+    monkeypatch.setattr(engine, "LOAD_TIMEOUT_S", SHORT_TIMEOUT_S)
+    monkeypatch.setattr(engine, "CANCEL_TIMEOUT_S", SHORT_TIMEOUT_S)
+    first, repeated = ENDLESS[name]
+    started = time.monotonic()
+    with RawTarget(first, repeated, pause_s) as target:
+        with pytest.raises(SMALL_REQUESTS[request_]):
+            request_(target.address)
+    assert time.monotonic() - started < MAX_ANSWER_S
+
+
+@pytest.mark.parametrize("name", ["tiny chunks", "chunks", "unframed body"])
+def test_a_load_report_ends_with_a_body_without_end(monkeypatch, name):
+    """Guards against a reader of loads that a trickling report holds for ever."""
+    monkeypatch.setattr(engine, "LOAD_TIMEOUT_S", SHORT_TIMEOUT_S)
+    first, repeated = ENDLESS[name]
+    started = time.monotonic()
+    with RawTarget(first, repeated, 0.05) as target:
+        with pytest.raises((MayHaveRun, ValueError)):
+            read_load(target.address)
+    assert time.monotonic() - started < MAX_ANSWER_S
+
+
+@pytest.mark.parametrize("read", CLIENTS)
+def test_trailers_without_end_are_not_waited_for(monkeypatch, read):
+    """Guards against a thread that reads trailers for ever."""
+    set_timeout(monkeypatch, SHORT_TIMEOUT_S)
+    started = time.monotonic()
+    with RawTarget(CHUNKED + b"0\r\n", b"a: a\r\n") as target:
+        with contextlib.suppress(CLIENTS[read]):
+            read(target.address)
+    assert time.monotonic() - started < MAX_ANSWER_S
+
+
 @pytest.mark.parametrize("read", CLIENTS)
 def test_a_compressed_answer_is_not_decompressed(read):
     """Guards against a small answer that becomes a large one."""
