Read a store that keeps no identity of its fleet

Found while reading the change: a store that is full (507 to appends), has no topic left or fails just that call would have stopped all reads of a host that starts, as a read on a new connection waited for the identity. Hosts would have answered 503 for as long.

A check that fails now holds up no read; it is made again, and what was read is forgotten if the store then names another fleet.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -285,10 +285,11 @@
             self.tell_document()
 
     def check_fleet(self) -> bool:
-        """Check whose store this is; return whether the state here is still its state.
+        """Check whose store this is; return whether the state here was another's.
 
         What is known of another store must not be in force beside this one, however
-        high its versions are.
+        high its versions are. A check that fails holds up no read: the identity is a
+        further call, and a store may refuse to keep one.
         """
         try:
             is_other = self.fleet.check(self.document_place.era)
@@ -302,7 +303,7 @@
                 self.forget_state()
         self.enter_fleet(self.fleet.fleet)
         self.receive_early_news()
-        return not is_other
+        return is_other
 
     def forget_state(self) -> None:
         """Forget what is known of another store, so that this one is read anew.
@@ -463,9 +464,9 @@
         except StoreUnavailable as error:
             self.record_store_failure(error)
             return
-        if self.is_fleet_in_doubt(asked, documents, entries):
-            if not self.check_fleet():
-                return
+        is_doubtful = self.is_fleet_in_doubt(asked, documents, entries)
+        if is_doubtful and self.check_fleet():
+            return
         with self.lock:
             self.leave_lost_history(asked, documents, entries)
         self.finish_read(documents, entries, began)
