Bound what a peer names before it has proved anything

A greeting comes before the proof of the secret, so whoever connects may send names of megabytes, of which 256 were kept and logged, and a peer's identity would have been repeated in each greeting. Identities have 64 characters at most, or the message is invalid; addresses and hosts of refused peers are kept and logged in part. The status page shows the refused document that is newest by its offset.

--- a/godwitladder/discovery/refused_documents.py
+++ b/godwitladder/discovery/refused_documents.py
@@ -55,7 +55,8 @@
 
     def record(self, refused: RefusedDocument, value: bytes) -> None:
         """Record a document that is refused."""
-        self.newest = refused
+        if self.newest is None or refused.offset >= self.newest.offset:
+            self.newest = refused
         digest = hashlib.sha256(value).digest()
         if digest in self.digests:
             return
--- a/godwitladder/discovery/store_fleet.py
+++ b/godwitladder/discovery/store_fleet.py
@@ -22,7 +22,7 @@
     StoreMoved,
     StoreUnavailable,
 )
-from godwitladder.fleets import ID_CHARS, UNKNOWN_FLEET, are_apart, make_fleet_id
+from godwitladder.fleets import UNKNOWN_FLEET, are_apart, make_fleet_id
 from godwitladder.ids import Era, FleetId
 from godwitladder.logs import component_logger
 
@@ -143,7 +143,7 @@
     def record_news(self, sender: FleetId | None) -> None:
         """Record that news of a peer are applied."""
         if sender and not self.fleet:
-            log.info("A peer names the fleet", extra={"fleet": sender[:ID_CHARS]})
+            log.info("A peer names the fleet", extra={"fleet": sender})
             self.fleet = sender
         self.is_mixed |= not sender
 
--- a/godwitladder/membership/fleet.py
+++ b/godwitladder/membership/fleet.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from godwitladder.fleets import UNKNOWN_FLEET, are_apart
+from godwitladder.fleets import UNKNOWN_FLEET, are_apart, check_fleet_id
 from godwitladder.ids import FleetId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import peer_message
@@ -50,6 +50,9 @@
 
     fleet: FleetId
 
+    def __post_init__(self) -> None:
+        check_fleet_id(self.fleet)
+
 
 class Admission:
     """Decides which peers this host links to.
@@ -93,14 +96,16 @@
         """Report a refusal; log the first, second, fourth and so on of an address."""
         if len(self.refused) >= MAX_COUNTED_PEERS:
             self.refused.clear()
-        count = self.refused[hello.address] = self.refused.get(hello.address, 0) + 1
+        # Whoever connects may have sent it, and of any length.
+        address = hello.address[:MAX_LOGGED_CHARS]
+        count = self.refused[address] = self.refused.get(address, 0) + 1
         if count.bit_count() == 1:
             extra = {
-                "peer": hello.host,
-                "address": hello.address,
+                "peer": hello.host[:MAX_LOGGED_CHARS],
+                "address": address,
                 "reason": refusal.value,
                 "fleet": self.fleet,
-                "peer_fleet": (hello.fleet or "")[:MAX_LOGGED_CHARS],
+                "peer_fleet": hello.fleet,
                 "refusals": count,
             }
             log.warning("Refused a peer", extra=extra)
--- a/godwitladder/membership/links.py
+++ b/godwitladder/membership/links.py
@@ -49,7 +49,7 @@
     """
 
     def __init__(self, hello: Hello, refusal: Refusal) -> None:
-        super().__init__(f"{hello.host}: {refusal.value}")
+        super().__init__(f"{hello.host[:MAX_LOGGED_CHARS]}: {refusal.value}")
         self.hello = hello
         self.refusal = refusal
 
--- a/godwitladder/membership/messages.py
+++ b/godwitladder/membership/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from godwitladder.fleets import check_fleet_id
 from godwitladder.ids import FleetId, HostId, Incarnation, Zone
 from godwitladder.membership.codec import peer_message
 from godwitladder.tables import host_port
@@ -28,6 +29,9 @@
     challenge: bytes
     fleet: FleetId | None = None
 
+    def __post_init__(self) -> None:
+        check_fleet_id(self.fleet)
+
 
 @peer_message
 @dataclass(frozen=True)
--- a/tests/membership/test_fleet.py
+++ b/tests/membership/test_fleet.py
@@ -9,7 +9,7 @@
 from godwitladder.clock import Clock
 from godwitladder.fleets import are_apart
 from godwitladder.membership import codec, links
-from godwitladder.membership.fleet import Admission, Refusal
+from godwitladder.membership.fleet import Admission, FleetNamed, Refusal
 from godwitladder.membership.links import HandshakeFailed
 from godwitladder.membership.mesh import Mesh
 from godwitladder.membership.messages import Hello
@@ -147,7 +147,7 @@
     """Guards against a stranger that dials each second and fills the log."""
     admission = Admission(lambda address: False)
     admission.fleet = "x"
-    hello = Hello("h9", "127.0.0.1:9", b"", "y" * 1_000)
+    hello = Hello("h9" * 10_000, "127.0.0.1:9" * 10_000, b"", "y")
     with caplog.at_level("WARNING"):
         for _ in range(100):
             admission.record_refusal(hello, Refusal.OTHER_FLEET)
@@ -156,6 +156,19 @@
         hello = Hello("h9", f"127.0.0.1:{number}", b"", "y")
         admission.record_refusal(hello, Refusal.OTHER_FLEET)
     assert len(admission.refused) <= 256
+    assert max(map(len, admission.refused)) <= 64
+    assert max(len(str(vars(row))) for row in caplog.records) < 2_000
+
+
+@pytest.mark.parametrize(
+    "make", [FleetNamed, lambda fleet: Hello("h", "a", b"", fleet)]
+)
+def test_an_identity_has_a_bounded_length(make):
+    """Guards against a name that each greeting of the fleet would repeat."""
+    data = codec.encode(make("y" * 64))
+    assert codec.decode(data).fleet == "y" * 64
+    with pytest.raises(ValueError, match="an identity"):
+        make("y" * 65)
 
 
 def test_only_two_names_that_differ_tell_fleets_apart():
--- a/tests/platform/test_invalid_documents.py
+++ b/tests/platform/test_invalid_documents.py
@@ -372,6 +372,7 @@
     assert platform.refused.newest.version == 9
     good = json.dumps(VALID).encode()
     platform.decode_document(Record(3, names.CONFIG_KEY, good))
-    assert platform.refused.newest is not None
+    platform.decode_document(Record(2, names.CONFIG_KEY, b"{}"))
+    assert platform.refused.newest.offset == 4
     platform.decode_document(Record(5, names.CONFIG_KEY, good))
     assert platform.refused.newest is None
