Play hosts out of step while targets of a new version join

The issue's second list: a host that stands still, or is cut off from its peers and the store, while targets are replaced by others of the next version, and streams that broke are taken up at any host. The soak of versions could cut a host off from its peers only, and not while targets were replaced.

--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -3,6 +3,7 @@
 import contextlib
 import enum
 import random
+import signal
 import tempfile
 import threading
 import time
@@ -14,6 +15,7 @@
 START_TIMEOUT_S = 40.0
 FAULT_INTERVAL_S = 2.0
 CUT_DURATION_S = 1.5
+FREEZE_DURATION_S = 3.0
 LOSS_INTERVAL_S = 6.0
 LOSS_DURATION_S = 1.0
 """Time for which no host runs after all were killed together."""
@@ -28,6 +30,8 @@
     NONE = "none"
     KILL = "kill"
     CUT = "cut"
+    CUT_STORE = "cut_store"
+    FREEZE = "freeze"
     LOSE_ALL = "lose_all"
 
 
@@ -66,13 +70,25 @@
         while not self.stop_event.wait(FAULT_INTERVAL_S):
             host = self.rng.choice(self.fleet.hosts)
             begin = time.monotonic()
-            if self.kind is HostFault.KILL:
-                self.restart(host)
-            else:
-                self.cut_off(host)
+            self.disturb(host)
             rows = self.disturbed.setdefault(host.name, [])
             rows.append((begin, time.monotonic()))
 
+    def disturb(self, host: Host) -> None:
+        """Disturb a host for a while."""
+        if self.kind is HostFault.KILL:
+            self.restart(host)
+        elif self.kind is HostFault.FREEZE:
+            self.freeze(host)
+        else:
+            self.cut_off(host)
+
+    def freeze(self, host: Host) -> None:
+        """Let a host stand still, and go on."""
+        host.send_signal(signal.SIGSTOP)
+        self.stop_event.wait(FREEZE_DURATION_S)
+        host.send_signal(signal.SIGCONT)
+
     def lose_all_again_and_again(self) -> None:
         """Kill all hosts together and start them again, until the run ends."""
         while not self.stop_event.wait(LOSS_INTERVAL_S):
@@ -101,8 +117,13 @@
             pass
 
     def cut_off(self, host: Host) -> None:
-        """Cut a host off from its peers; callers, store and targets reach it."""
-        paths = self.fleet.paths_between_peers(host)
+        """Cut a host off from its peers, and from the store if the kind says so.
+
+        Callers reach it, and it reaches targets.
+        """
+        paths = list(self.fleet.paths_between_peers(host))
+        if self.kind is HostFault.CUT_STORE:
+            paths.append(host.store_proxy)
         for path in paths:
             path.cut(self.rng.choice((CutMode.HANG, CutMode.RESET)))
         self.stop_event.wait(CUT_DURATION_S)
@@ -132,7 +153,7 @@
     if folder is None:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
     folder.mkdir(parents=True, exist_ok=True)
-    has_peer_paths = fault is HostFault.CUT
+    has_peer_paths = fault in (HostFault.CUT, HostFault.CUT_STORE)
     return Fleet(
         stack,
         folder,
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -17,6 +17,12 @@
     "hosts_are_killed": dataclasses.replace(SIZE, fault=HostFault.KILL),
     "hosts_are_cut_off": dataclasses.replace(SIZE, fault=HostFault.CUT),
     "targets_are_replaced": dataclasses.replace(SIZE, rolls=True),
+    "cut_off_from_peers_and_store_in_a_release": dataclasses.replace(
+        SIZE, fault=HostFault.CUT_STORE, rolls=True, seconds=14.0
+    ),
+    "frozen_in_a_release": dataclasses.replace(
+        SIZE, fault=HostFault.FREEZE, rolls=True, seconds=14.0
+    ),
     "all_hosts_are_lost": LOST,
     "all_hosts_are_lost_and_no_attempt_is_named": dataclasses.replace(
         LOST, names_attempt=False
