Serve the state of peers while the store is silent at a start

A host that starts asked the store for its fleet in the thread that would have sent and applied what peers know: each restart waited for a second or two before it served.

State in full is not replaced by changes while it is kept. Two unit tests.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -41,7 +41,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
-from godwitladder.discovery.store_fleet import StoreFleet
+from godwitladder.discovery.store_fleet import FIRST_CHECK_S, StoreFleet
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetTable
 from godwitladder.ids import FleetId, HostId
@@ -146,6 +146,8 @@
         reader.
     fleet : StoreFleet or None
         Whose store this host reads; None to read it without a check.
+    call_later : callable
+        Calls a function in another thread after some seconds.
     enter_fleet : callable
         Called with the identity of the store whenever it has been checked.
     early_news : EarlyNews or None
@@ -192,6 +194,9 @@
         self.send_request: Callable[[FeedWanted], bool] = lambda wanted: False
         self.fleet: StoreFleet | None = None
         self.early_news: EarlyNews | None = None
+        self.call_later: Callable[[float, Callable[[], None]], None] = (
+            lambda delay_s, function: None
+        )
         self.enter_fleet: Callable[[FleetId], None] = lambda fleet: None
         self.reads_at_start = reads_at_start
         self.pending_replies: list[Callable[[FeedNews], None]] = []
@@ -267,9 +272,9 @@
     def step(self) -> None:
         """Read the store if this host should, and remove expired targets and orders."""
         now = self.clock.boottime()
+        self.request_state()
         if self.fleet is not None and self.fleet.is_due(now, self.should_read(now)):
             self.check_fleet()
-        self.request_state()
         if (
             not self.waits_for_peer(now)
             and now - self.read_at >= READ_INTERVAL_S
@@ -659,7 +664,7 @@
             return
         with self.lock:
             if self.fleet.is_waiting():
-                self.early_news = EarlyNews(news, late_s, fleet, self.clock.boottime())
+                self.hold_early_news(news, late_s, fleet)
                 return
             if not self.fleet.accepts(fleet, self.reachable):
                 self.log_refused(news.host, fleet)
@@ -668,6 +673,20 @@
             self.turns.run(self.apply_news, news, late_s)
         self.enter_fleet(self.fleet.fleet)
 
+    def hold_early_news(
+        self, news: FeedNews, late_s: float, fleet: FleetId | None
+    ) -> None:
+        """Keep news until the first check of the fleet, or the end of its time.
+
+        A store that is silent holds this part's own thread for longer than that.
+        """
+        if self.early_news is None:
+            self.call_later(FIRST_CHECK_S, self.receive_early_news)
+        elif news.documents.start >= 0:
+            # It may not follow what the state that is held has.
+            return
+        self.early_news = EarlyNews(news, late_s, fleet, self.clock.boottime())
+
     def receive_early_news(self) -> None:
         """Apply the last news that came before the first check of the fleet."""
         early, self.early_news = self.early_news, None
--- a/godwitladder/discovery/store_fleet.py
+++ b/godwitladder/discovery/store_fleet.py
@@ -29,8 +29,8 @@
 log = component_logger("feed")
 
 IDENTITY_BYTES = 16
-RETRY_S = 1.0
-"""Interval between attempts to read the identity while the store fails."""
+RETRY_S = 3.0
+"""Time from a failed check to the next one. A read that succeeds asks by itself."""
 CHECK_INTERVAL_S = 10.0
 """Interval between checks of a host that reads the store. A balancer may lead kept
 connections to another store without a sign."""
@@ -161,12 +161,12 @@
             The identity could not be read.
         """
         now = self.clock.boottime()
-        self.next_check_at = now + RETRY_S
         connections = self.source.connections
         try:
             value = self.read(era)
         except StoreUnavailable:
             self.is_failing = True
+            self.next_check_at = self.clock.boottime() + RETRY_S
             raise
         self.is_failing = False
         self.checked_at, self.next_check_at = now, now
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -224,6 +224,7 @@
             on_link_down=lambda peer: self.membership.tell(LinkDown(peer)),
         )
         self.feed.enter_fleet = self.mesh.enter_fleet
+        self.feed.call_later = call_later
         self.mesh.admission.on_refusal = self.record_refused_peer
         self.origins = StreamOriginRegistry(
             settings.host, self.mesh, clock, self.knows_targets
@@ -612,6 +613,16 @@
         return self.host_list.update(bool(self.mesh.current()), self.feed.hosts)
 
 
+def call_later(delay_s: float, function: Callable[[], None]) -> None:
+    """Call ``function`` after ``delay_s`` seconds, in a thread of its own."""
+    timer = threading.Timer(delay_s, function)
+    timer.daemon = True
+    try:
+        timer.start()
+    except RuntimeError as error:
+        log.warning("No thread for a delayed call", extra={"error": str(error)})
+
+
 def read_settings_text(path: Path) -> str:
     """Return the content of ``path``; empty if it can't be read."""
     try:
--- a/tests/discovery/test_store_fleet.py
+++ b/tests/discovery/test_store_fleet.py
@@ -1,5 +1,7 @@
 """Tests of how a host learns its fleet, and whose news it applies."""
 
+from dataclasses import replace
+
 import pytest
 
 from godwitladder.clock import ManualClock
@@ -278,3 +280,41 @@
     assert feed.document.version == -1
     feed.step()
     assert feed.document.version == 7
+
+
+def test_a_silent_store_does_not_hold_up_the_state_of_peers(source, clock):
+    """Guards against a start that waits for a store which gives no answer.
+
+    The peer has answered before; the thread that asks the store waits for a second.
+    """
+    feed, _ = make_fleet_feed(clock, source)
+    delayed = []
+    feed.call_later = lambda delay_s, function: delayed.append((delay_s, function))
+    news = make_news(clock, 7)
+    feed.receive_news(news, 0.0, "y")
+    feed.receive_news(replace(news, documents=replace(news.documents, start=1)), 0, "y")
+    (delay_s, function) = delayed[0]
+    assert (len(delayed), delay_s) == (1, FIRST_CHECK_S)
+    clock.advance(delay_s)
+    function()
+    assert feed.document.version == 7
+    function()
+
+
+def test_a_store_that_fails_is_asked_for_the_identity_now_and_then(source, clock):
+    """Guards against a host that spends its time on checks in an outage."""
+    fleet = StoreFleet(source, clock)
+    calls = []
+
+    def fail_after_a_second():
+        calls.append(clock.boottime())
+        clock.advance(1.0)
+        raise StoreUnavailable("silent")
+
+    source.read_fleet = fail_after_a_second
+    for _ in range(100):
+        clock.advance(0.1)
+        if fleet.is_due(clock.boottime(), True):
+            with pytest.raises(StoreUnavailable):
+                fleet.check(ERA)
+    assert len(calls) <= 4
