Log who confirmed a document, how old its read was, and reads for lack of news

A call that was turned away told the version and its age, and not who had confirmed it; a changed document did not tell how old the read was as it took effect; a host that waited for news and then read the store itself told nothing. So the three hypotheses of the postmortem could not be told apart. The status page shows the reading order and who confirmed the document.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -280,6 +280,7 @@
             and now - self.read_at >= READ_INTERVAL_S
             and self.should_read(now)
         ):
+            self.log_lack_of_news(now)
             self.read()
         with self.lock:
             now = self.clock.boottime()
@@ -289,6 +290,19 @@
         if self.tells_at is not None and now >= self.tells_at:
             self.tell_document()
 
+    def log_lack_of_news(self, now: float) -> None:
+        """Log a read of a host that waits for news of others."""
+        if self.hosts[:1] == (self.host,) or not self.has_state():
+            return
+        extra = {
+            "age_s": self.age_s(),
+            "confirmed_by": self.freshness.confirmed_by,
+            "last_news_s": round(now - self.last_news_at, 3),
+            "read_s": round(self.read_s, 3),
+            "rank": self.takeover_rank(),
+        }
+        log.info("The store is read for lack of news", extra=extra)
+
     def check_fleet(self) -> bool:
         """Check whose store this is; return whether the state here was another's.
 
@@ -789,7 +803,7 @@
             self.log_ignored([row.value for row in fits], documents, entries)
         if self.is_from_copy(documents):
             self.record_copy(documents)
-        changed = self.apply_documents(documents, reader)
+        changed = self.apply_documents(documents, reader, began)
         if fits[0] is Fit.APPLIES:
             self.document_place = self.document_place.after(documents)
             apply_batch(self.newest_documents, documents)
@@ -809,7 +823,7 @@
             self.publish_view(began)
         # Only now: until the view is in force, keys are looked up in the one before.
         if fits[0] is Fit.APPLIES:
-            self.freshness.confirm(began)
+            self.freshness.confirm(began, reader or HostId(""))
         if self.pending_replies:
             self.answer_pending()
 
@@ -921,7 +935,12 @@
             },
         )
 
-    def apply_documents(self, batch: Batch, reader: HostId | None = None) -> bool:
+    def apply_documents(
+        self,
+        batch: Batch,
+        reader: HostId | None = None,
+        confirmed_at: float = -math.inf,
+    ) -> bool:
         """Adopt the newest document, if it is newer than the current one.
 
         The version must never decrease: a snapshot, a peer that lags behind or a store
@@ -937,6 +956,7 @@
                     "version": document.version,
                     "before": self.document.version,
                     "read_by": reader or self.host,
+                    "age_s": self.age_s(confirmed_at),
                     "routes": len(document.routes),
                     "quotas": {
                         name: [row.quota.rate, row.quota.burst]
--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -172,6 +172,7 @@
             "detail": refusal.detail,
             "version": self.in_force.document.version,
             "age_s": round(self.freshness.age_s(self.clock.boottime()), 3),
+            "confirmed_by": self.freshness.confirmed_by,
             "retry_after_s": refusal.retry_after_s,
         }
         log.info("A call was turned away", extra=extra)
--- a/godwitladder/routing/freshness.py
+++ b/godwitladder/routing/freshness.py
@@ -12,6 +12,8 @@
 
 from dataclasses import dataclass
 
+from godwitladder.ids import HostId
+
 MARGIN_S = 1.0
 """Seconds between the last use of a key and the limit. It covers the time from
 the check to the dispatch of the request, and the drift between the clocks of two
@@ -29,14 +31,19 @@
     confirmed_at : float
         Start of the last read that confirmed the document, in seconds of this
         host's clock.
+    confirmed_by : HostId
+        Host that told of that read; empty if this host read, or before the first.
     """
 
     max_age_s: float
     confirmed_at: float = float("-inf")
+    confirmed_by: HostId = HostId("")
 
-    def confirm(self, at: float) -> None:
+    def confirm(self, at: float, by: HostId = HostId("")) -> None:
         """Record a confirmation at time ``at``; an older one has no effect."""
-        self.confirmed_at = max(self.confirmed_at, at)
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self.confirmed_by = by
 
     def doubt(self) -> None:
         """Withdraw all confirmations: they were of another document."""
--- a/godwitladder/routing/status.py
+++ b/godwitladder/routing/status.py
@@ -44,12 +44,14 @@
             "store_version": host.feed.store_version,
             "refused_document": None if refused is None else vars(refused),
             "age_s": host.feed.age_s(),
+            "confirmed_by": host.freshness.confirmed_by,
             "store_reachable": host.feed.reachable,
             "store_places": {
                 "documents": vars(host.feed.document_place),
                 "entries": vars(host.feed.entry_place),
             },
             "hosts": list(host.hosts),
+            "reading_order": list(host.feed.hosts),
             "targets": {
                 row.name: "leaving" if row.leaving else "active"
                 for row in host.feed.table.entries.values()
