Ask a peer for news that are late, and read in time for the bound of a change

What callers saw: 404 or 401 for a route or key that an acknowledged version has, or an answer by one that it has dropped, for up to 3 s, at hosts whose link to the host that reads the store hangs while all other links are well.

Cause: each wait for news came on top of the one before, and some grew with what they waited for. A host waited 1 s, twice the last read, and for each host before it in the reading order as long as a read takes; then its own two calls followed. The time of a read was taken from the age of the news, with the way in it, and from the age of a state that was asked for. Nobody passed news on.

The wait is one interval, one read and a fixed slack. A read is of both topics at once, and its duration is told by the host that read. A host whose news are late asks a peer, which sends what is missing and nothing else; after a gap it asks at once. It reads by itself in time for the bound, whatever its rank. The first three of the order broadcast, so that hosts that read at the same time don't each send a changed document to each.

--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -27,12 +27,40 @@
     era: Era = NO_ERA
 
 
+@dataclass(frozen=True)
+class KnownState:
+    """What a host has of the store.
+
+    Attributes
+    ----------
+    era : int
+        Era in which its offsets count.
+    documents, entries : int
+        Offset of the next record of each topic.
+    age_s : float
+        Time since the read that confirmed it, in seconds.
+    """
+
+    era: Era
+    documents: int
+    entries: int
+    age_s: float
+
+
 @peer_message
 @dataclass(frozen=True)
 class FeedWanted:
-    """Request for a peer's full state."""
+    """Request for a peer's state.
+
+    Attributes
+    ----------
+    known : KnownState or None
+        What the sender has; it is sent what it lacks, or nothing if the peer knows
+        nothing newer. None for the full state.
+    """
 
     host: HostId
+    known: KnownState | None = None
 
 
 @peer_message
@@ -49,6 +77,9 @@
         Version of the document in force at the sender; -1 from hosts that name none.
     sent_s : float or None
         Clock of the sender at the sending, in seconds; None from hosts that don't tell.
+    read_s : float or None
+        Duration of the read that the records are of, in seconds; None for a state that
+        is told on request, and from hosts that don't tell.
     """
 
     host: HostId
@@ -57,6 +88,7 @@
     entries: RawBatch
     version: int = -1
     sent_s: float | None = None
+    read_s: float | None = None
 
     def __post_init__(self) -> None:
         # A time ahead would confirm the records until then.
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -40,6 +40,8 @@
 MAX_TOPIC_BYTES = 33_554_432
 """Size of all pages of a topic. A fleet of a thousand hosts and targets has less than
 1 MB of entries, and a document of all its workspaces less than that."""
+MAX_IDLE_CONNECTIONS = 4
+"""Connections that are kept: of two reads at once, and of the parts that write."""
 ANSWER_LIMITS = AnswerLimits(body_bytes=MAX_ANSWER_BYTES)
 INVALID_PAGE = (KeyError, IndexError, TypeError, ValueError, AttributeError)
 """What is raised for a page whose values are missing or of another type."""
@@ -213,8 +215,10 @@
             raise StoreMoved(f"{path}: {answer.data[:MAX_QUOTED_BYTES]!r}")
         if answer.status != 200:
             raise StoreUnavailable(f"{path} returned HTTP status {answer.status}")
-        self.era = _parse_era(answer.headers.get(names.STORE_ERA), self.era)
-        return StoreAnswer(answer.data, self.era)
+        # Two threads may read at once.
+        era = _parse_era(answer.headers.get(names.STORE_ERA), self.era)
+        self.era = era
+        return StoreAnswer(answer.data, era)
 
 
 def make_pool(address: str) -> BoundedPool:
@@ -223,7 +227,7 @@
     return BoundedPool(
         host,
         int(port),
-        maxsize=2,
+        maxsize=MAX_IDLE_CONNECTIONS,
         retries=False,
         timeout=TIMEOUT_S,
         limits=ANSWER_LIMITS,
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -15,6 +15,7 @@
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
 from godwitladder.discovery.store_fleet import FOUNDING_DELAY_S, StoreFleet
+from godwitladder.discovery.store_reads import ReadThread
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.findings import InvalidInput
 from godwitladder.ids import HostId, Incarnation, Zone
@@ -268,6 +269,8 @@
         self.router.connect(self.mesh, self.membership, self.scheduler, self.allocator)
         self.feed.broadcast = self.mesh.broadcast
         self.feed.send_request = self.ask_peer
+        self.read_thread = ReadThread()
+        self.feed.beside = self.read_thread.call
         self.router.message_handlers[FeedNews] = lambda link, news: (
             self.feed.receive_news(
                 news, self.peer_clocks.age_s(link, news.sent_s), link.fleet
@@ -310,13 +313,19 @@
         )
 
     def ask_peer(self, wanted: FeedWanted) -> bool:
-        """Send ``wanted`` to a random peer; return False if there is no peer."""
+        """Send ``wanted`` to a random peer; return False if there is no peer.
+
+        A host that lacks the reader's news asks another one, if there is any.
+        """
         links = self.mesh.current()
+        if wanted.known is not None:
+            readers = self.feed.hosts[:1]
+            links = [row for row in links if row.peer not in readers] or links
         return bool(links) and random.choice(links).send(encode(wanted))
 
     def answer_feed_request(self, link: Link, wanted: FeedWanted) -> None:
-        """Send this host's copy of the store's data to a host that has just started."""
-        self.feed.answer_request(lambda news: link.send(encode(news)))
+        """Send a peer what it lacks of this host's copy of the store's data."""
+        self.feed.answer_request(lambda news: link.send(encode(news)), wanted.known)
 
     def link_up(self, link: Link) -> None:
         """Report a new link to the membership, and ask the peer for missing data."""
@@ -419,6 +428,7 @@
         heartbeat_s = settings.peers.heartbeat_s
         self.start_component(Ticker(self.clock, heartbeat_s), self.membership)
         self.start_component(self.watch)
+        self.read_thread.start()
         self.start_component(self.feed)
         self.start_component(self.origins.recorder)
         if self.status_writer is not None:
--- a/godwitladder/routing/freshness.py
+++ b/godwitladder/routing/freshness.py
@@ -28,18 +28,21 @@
     ----------
     max_age_s : float
         Seconds after which a revoked key must no longer be accepted.
+    change_s : float
+        Seconds within which a change must be in force.
     confirmed_at : float
         Start of the last read that confirmed the document, in seconds of this
         host's clock.
-    confirmed_by : HostId
-        Host that told of that read; empty if this host read, or before the first.
+    confirmed_by : HostId or None
+        Host that told of that read; None if this host read, or before the first.
     """
 
     max_age_s: float
+    change_s: float = 2.0
     confirmed_at: float = float("-inf")
-    confirmed_by: HostId = HostId("")
+    confirmed_by: HostId | None = None
 
-    def confirm(self, at: float, by: HostId = HostId("")) -> None:
+    def confirm(self, at: float, by: HostId | None = None) -> None:
         """Record a confirmation at time ``at``; an older one has no effect."""
         if at > self.confirmed_at:
             self.confirmed_at = at
--- a/tests/discovery/test_failed_turns.py
+++ b/tests/discovery/test_failed_turns.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitladder.clock import ManualClock
-from godwitladder.discovery.feed import READ_INTERVAL_S
+from godwitladder.discovery.read_timing import READ_INTERVAL_S
 from godwitladder.membership.codec import decode, encode
 from tests.discovery.test_discovery import MemorySource, make_feed
 
--- a/tests/discovery/test_partial_reads.py
+++ b/tests/discovery/test_partial_reads.py
@@ -5,8 +5,9 @@
 import pytest
 
 from godwitladder.clock import ManualClock
-from godwitladder.discovery.feed import MAX_FURTHER_READS, READ_INTERVAL_S
+from godwitladder.discovery.read_timing import READ_INTERVAL_S
 from godwitladder.discovery.source import Batch, StoreUnavailable
+from godwitladder.discovery.store_reads import MAX_FURTHER_READS
 from godwitladder.platform.store import StoreClient
 from godwitladder.standins.routed import MAX_READ_BYTES, start_store
 from tests.discovery.test_discovery import MemorySource, make_feed
--- a/tests/discovery/test_rollouts.py
+++ b/tests/discovery/test_rollouts.py
@@ -7,10 +7,10 @@
 from returns.result import Failure
 
 from godwitladder.configuration.model import TargetState
-from godwitladder.discovery.feed import StoreView
 from godwitladder.discovery.rollout_tracker import EXTRA_HOLD_S, RolloutTracker
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState, held_back
 from godwitladder.discovery.source import Batch, Record, StoreUnavailable
+from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.platform.entries import decode_entry
 from godwitladder.platform.rollouts import decode_rollout, encode_status
