Deny no route or key by a document that may lack it

What callers saw: 404 for a route and 401 for a key that an acknowledged configuration has, from a host that had no news for up to 4 s.

Cause: a refusal was answered as long as keys may be accepted (revokeMs less a second). That a key or route is not there can be said only by a document that was confirmed within the bound of a change (configMs, 2 s): a promise about what a document has was taken for one about what it lacks.

In calm a document is at most about a second old, so callers of unknown paths get 404 as before.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -30,7 +30,7 @@
     RoutedCall,
     part_names,
 )
-from godwitladder.routing.freshness import DocumentFreshness
+from godwitladder.routing.freshness import DocumentFreshness, DocumentTrust
 from godwitladder.routing.matching import RouteTable, choose_split, parse_host_header
 from godwitladder.routing.model import (
     Route,
@@ -193,7 +193,7 @@
         """
         # Before the document is looked up: a confirmation that comes between the two
         # would hold for a later document.
-        current = self.freshness.is_fresh(self.clock.boottime())
+        trust = self.freshness.trust(self.clock.boottime())
         in_force = self.in_force
         document = in_force.document
         if self.refusing:
@@ -210,9 +210,9 @@
         )
         if route is None:
             # An outdated document may lack a route that has been added since.
-            self.require_current(current)
+            self.require_current(trust.proves_absence)
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
-        workspace = self.find_workspace(document, route, metadata, current)
+        workspace = self.find_workspace(document, route, metadata, trust)
         body = read_body(environ, document.limits.body_bytes)
         digest = digest_call(workspace.name, path, body)
         origin = self.find_origin(route, metadata, digest)
@@ -291,12 +291,13 @@
         document: RoutingDocument,
         route: Route,
         metadata: CallMetadata,
-        current: bool,
+        trust: DocumentTrust,
     ) -> RoutedWorkspace:
         """Return the workspace that the call's bearer key belongs to.
 
         A key may have been revoked since the document was last confirmed to be
-        the newest, so no key is accepted once that is too long ago.
+        the newest, so no key is accepted once that is too long ago. A key may have been
+        added since, so none is said to be unknown by an outdated document.
 
         Raises
         ------
@@ -305,9 +306,10 @@
         """
         if route.public or not document.requires_keys:
             return NO_WORKSPACE
-        self.require_current(current)
+        self.require_current(trust.accepts_keys)
         workspace = document.workspace_of.get(key_digest(metadata.key))
         if not metadata.key or workspace is None:
+            self.require_current(trust.proves_absence)
             raise _refused(Reason.UNAUTHENTICATED, "The bearer key is not known.")
         return workspace
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -151,7 +151,9 @@
         self.hosts: tuple[HostId, ...] = (settings.host,)
         self.sharing_hosts = SharingHosts(clock, self.hosts)
         self.hubs: frozenset[HostId] = frozenset()
-        self.freshness = DocumentFreshness(settings.bounds.revoke_s)
+        self.freshness = DocumentFreshness(
+            settings.bounds.revoke_s, settings.bounds.change_s
+        )
         self.router = Router(settings.host)
         self.ticker = Ticker(clock, IDLE_TICK_S)
         limits = settings.bounds.rollouts
@@ -543,6 +545,7 @@
         if settings.store.address != self.settings.store.address:
             self.use_store(settings.store.address)
         self.freshness.max_age_s = settings.bounds.revoke_s
+        self.freshness.change_s = settings.bounds.change_s
         self.settings = settings
         log.info("The settings were reloaded", extra={"host": settings.host})
 
--- a/godwitladder/routing/freshness.py
+++ b/godwitladder/routing/freshness.py
@@ -6,6 +6,9 @@
 before it. Past the limit, a request that needs a key is refused before any of it
 runs.
 
+That a route or key is *not* there can be said for a shorter time: a change must be in
+force within seconds, and a document that was confirmed before that may lack it.
+
 The functions read no clock: their callers pass times of a clock that keeps
 counting while the machine is suspended.
 """
@@ -20,6 +23,22 @@
 hosts, which is far smaller."""
 
 
+@dataclass(frozen=True)
+class DocumentTrust:
+    """What may be decided by a document at one moment.
+
+    Attributes
+    ----------
+    accepts_keys : bool
+        Whether keys that it has may be accepted.
+    proves_absence : bool
+        Whether routes and keys that it lacks may be said not to be there.
+    """
+
+    accepts_keys: bool
+    proves_absence: bool
+
+
 @dataclass
 class DocumentFreshness:
     """Tracks when the active document was last confirmed to be the newest.
@@ -59,3 +78,7 @@
     def is_fresh(self, now: float) -> bool:
         """Return whether keys may still be accepted at time ``now``."""
         return self.age_s(now) <= self.max_age_s - MARGIN_S
+
+    def trust(self, now: float) -> DocumentTrust:
+        """Return what may be decided by the document at time ``now``."""
+        return DocumentTrust(self.is_fresh(now), self.age_s(now) <= self.change_s)
--- a/godwitladder/routing/settings.py
+++ b/godwitladder/routing/settings.py
@@ -111,6 +111,8 @@
     ----------
     revoke_s : float
         Seconds after which no host accepts a revoked key.
+    change_s : float
+        Seconds within which a change of the configuration is in force on all hosts.
     grace_s : float
         Seconds between the stop signal and the exit of the process.
     repeat_ratio, repeat_slack, repeat_window_s : float
@@ -129,6 +131,7 @@
     """
 
     revoke_s: float = checked(positive, default=5.0)
+    change_s: float = checked(positive, default=2.0)
     grace_s: float = checked(positive, default=8.0)
     repeat_ratio: float = checked(not_negative, default=0.2)
     repeat_slack: float = checked(not_negative, default=100.0)
--- a/tests/process/test_settings_fields.py
+++ b/tests/process/test_settings_fields.py
@@ -53,6 +53,7 @@
     assert (settings.processor.share, settings.processor.speed) == (0.731, 1)
     assert settings.answers.memory_mb == 222
     assert (bounds.revoke_s, bounds.grace_s, bounds.rollback_s) == (5, 8, 5)
+    assert bounds.change_s == 2
     assert (bounds.repeat_ratio, bounds.repeat_slack) == (0.2, 108)
     assert (bounds.repeat_window_s, bounds.quota_window_s) == (10, 8)
     assert (bounds.quota_slack, bounds.exposure_share) == (140000, 0.1)
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -287,6 +287,20 @@
     assert len(bench.runs()) == 1
 
 
+def test_a_document_older_than_a_change_may_take_denies_no_key_or_route(stack):
+    """Guards against a refusal by a document that may lack what was added since.
+
+    Keys that it has are accepted for longer.
+    """
+    bench = Bench(stack)
+    bench.freshness.confirmed_at -= 3
+    assert bench.call("/charge/x").status == 200
+    for path, key in (("/nowhere/x", "k1"), ("/charge/x", "no"), ("/charge/x", "")):
+        answer = bench.call(path, HTTP_AUTHORIZATION=f"Bearer {key}")
+        assert (answer.status, "Retry-After" in answer.headers) == (503, True)
+    assert len(bench.runs()) == 1
+
+
 def test_a_confirmation_of_a_later_document_accepts_no_key_of_this_one(stack):
     """Guards against a revoked key that runs as its revocation becomes known."""
     bench = Bench(stack)
