Take no answer without a length for whole if its upload was cut

What callers may see: a part of an answer as a complete one. A target answers an upload early with a 200 that has no length, sends part of its body and closes the connection with most of the upload unread, which resets it.

Cause: the error of the reset is reported once. Sending reported it (EPIPE), was passed over so that an early answer can be read, and reading then showed the reset as the end of the connection, which ends an answer without a length.

Evidence: tests/engines/test_resets_during_uploads.py, uploads of 16 MB beyond the sockets' buffers: complete before, an error after.

Change: such an answer counts as lost where the request could not be sent whole. With a length or chunks it is read as before. Proxies of the soak can pass resets on.

--- a/godwitladder/engines/wire.py
+++ b/godwitladder/engines/wire.py
@@ -144,10 +144,12 @@
     Raises
     ------
     MayHaveRun
-        Sending the request or receiving the status and headers failed.
+        Sending the request or receiving the status and headers failed, or the request
+        could not be sent whole and only its connection tells how the answer ends.
     MalformedAnswer
         The status and headers exceed the limits of the connection, or are not HTTP.
     """
+    is_sent = True
     try:
         try:
             connection.request(
@@ -156,11 +158,21 @@
         except BrokenPipeError:
             # A target may answer and close before it has read a long body; its
             # answer can still be read.
-            pass
-        return connection.getresponse()
+            is_sent = False
+        response = connection.getresponse()
     except MalformedAnswer:
         connection.close()
         raise
     except BROKEN as error:
         connection.close()
         raise MayHaveRun(f"{connection.host} gave no answer: {error}") from error
+    # Sending has consumed the error of a reset, which reading would show as an end.
+    if not is_sent and is_unframed(response):
+        connection.close()
+        raise MayHaveRun(f"{connection.host} closed while the request was sent")
+    return response
+
+
+def is_unframed(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether only the end of the connection tells where an answer ends."""
+    return response.length_remaining is None and not response.chunked
--- a/godwitladder/standins/routed.py
+++ b/godwitladder/standins/routed.py
@@ -404,6 +404,8 @@
         part; empty for none.
     ending : Ending
         When it ends under them.
+    early : bool
+        Whether it answers before it has read the body of a request.
     framed : bool
         Whether answers have a length or chunks; others end with their connection.
     resets_after : int
@@ -433,6 +435,7 @@
     ends_on: bytes = b""
     ends_on_part: str = ""
     ending: Ending = Ending.BEFORE_HEAD
+    early: bool = False
     framed: bool = True
     resets_after: int = -1
     version: str = ""
@@ -567,7 +570,8 @@
     def do_POST(self) -> None:
         """Run a request, or refuse it as the knobs say."""
         engine = self.server.standin
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        length = int(self.headers.get("Content-Length") or 0)
+        body = b"" if engine.knobs.early else self.rfile.read(length)
         expected = self.headers.get(names.EXPECT_INSTANCE, "")
         if expected and engine.knobs.name not in ("", expected):
             self.send_head(421, [("Content-Length", "0")])
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -101,6 +101,8 @@
         Directions whose bytes are held back until `heal`.
     refusing : bool
         Whether new connections are reset.
+    passes_resets : bool
+        Whether a connection that one end resets is reset at the other; else it ends.
     address : str
         Address at which the proxy listens, ``address:port``.
     """
@@ -111,6 +113,7 @@
         self.delay_s = 0.0
         self.held: set[Direction] = set()
         self.refusing = False
+        self.passes_resets = False
         self.connections: set[Connection] = set()
         self.lock = threading.Lock()
         self.server = socket.create_server(("127.0.0.1", 0))
@@ -160,7 +163,8 @@
     def pump(self, connection: Connection, direction: Direction) -> None:
         """Forward bytes in one direction until either end closes."""
         source, sink = connection.endpoints(direction)
-        with contextlib.suppress(OSError):
+        is_reset = False
+        try:
             while data := source.recv(CHUNK_BYTES):
                 while direction in self.held:
                     time.sleep(POLL_INTERVAL_S)
@@ -168,6 +172,8 @@
                     time.sleep(self.delay_s)
                 if not connection.discards_data:
                     sink.sendall(data)
+        except OSError:
+            is_reset = self.passes_resets
         # The end of a connection is held back like its bytes.
         while direction in self.held:
             time.sleep(POLL_INTERVAL_S)
@@ -175,7 +181,10 @@
             return
         with self.lock:
             self.connections.discard(connection)
-        connection.close()
+        if is_reset:
+            connection.reset()
+        else:
+            connection.close()
 
     def reset(self) -> None:
         """Reset all open connections."""
