Take a status above 599 for no answer

A target in trouble that answers with status 600 to 999 had its answer passed on, with its signature, to callers who can't read it: HTTP has no such status. 000 and all others below 200 were refused before, in tests now. Red before: six cases of 600, 601 and 999.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -32,6 +32,8 @@
 )
 """What the parser notes of lines that are no headers. It takes none of those after."""
 SWITCHING_PROTOCOLS = 101
+MIN_FINAL_STATUS, MAX_STATUS = b"200", b"599"
+"""Statuses of final answers; HTTP has none above."""
 MAX_PARSED_LINES = 100
 """Header lines that the standard library parses, with the blank one."""
 CHUNK_END_BYTES = 2
@@ -272,7 +274,7 @@
             match is None
             or not match.end() < end <= limits.line_bytes
             or end > limits.header_bytes
-            or match[1] < b"200"
+            or not MIN_FINAL_STATUS <= match[1] <= MAX_STATUS
             or lines > limits.header_count
             or lines > MAX_PARSED_LINES
             or not buffered.count(b"\r\n", 0, end) == lines
@@ -286,7 +288,10 @@
         """Return the status line and the header lines of the final answer."""
         for _ in range(self.limits.interim_answers + 1):
             status_line, *header_lines = self._read_head_lines()
-            status = int(STATUS_LINE.fullmatch(status_line)[1])
+            code = STATUS_LINE.fullmatch(status_line)[1]
+            if code > MAX_STATUS:
+                raise self._malformed_head(f"{status_line[:80]!r}")
+            status = int(code)
             if status >= http.client.OK:
                 return status_line, b"".join(header_lines)
             if status == SWITCHING_PROTOCOLS or status < http.client.CONTINUE:
--- a/tests/engines/test_bounded_http.py
+++ b/tests/engines/test_bounded_http.py
@@ -264,6 +264,36 @@
         assert ask(target)[1] == b""
 
 
+@pytest.mark.parametrize("code", [b"600", b"601", b"999"])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"])
+def test_a_status_above_those_of_the_protocol_is_no_answer(code, line_end):
+    """Guards against an answer of a target in trouble that no caller understands."""
+    head = b"HTTP/1.1 " + code + b" Odd" + line_end + b"Content-Length: 2" + line_end
+    with RawTarget(head + line_end + b"ok") as target:
+        assert fail(target).shape is AnswerShape.HEAD
+
+
+@pytest.mark.parametrize(
+    "code", [b"000", b"020", b"099", b"100", b"199", b"20", b"2000"]
+)
+def test_a_status_below_those_of_final_answers_is_no_answer(code):
+    """Guards against a status such as 000 that a caller gets for an answer."""
+    head = b"HTTP/1.1 " + code + b" Odd\r\nContent-Length: 2\r\n\r\n"
+    with (
+        RawTarget(head + b"ok", closes=True) as target,
+        pytest.raises((MalformedAnswer, MayHaveRun)),
+    ):
+        ask(target)
+
+
+@pytest.mark.parametrize("code", [b"200", b"299", b"404", b"503", b"599"])
+def test_statuses_of_the_protocol_are_passed_on(code):
+    with RawTarget(
+        b"HTTP/1.1 " + code + b" Odd\r\nContent-Length: 2\r\n\r\nok"
+    ) as target:
+        assert ask(target) == (int(code), b"ok")
+
+
 def test_the_length_of_an_answer_to_head_is_no_body():
     with RawTarget(OK + b"Content-Length: 100001\r\n\r\n") as target:
         assert ask(target, method="HEAD") == (200, b"")
