Take fractions of tokens and bytes in a document

A configuration with `kvCapacity` 6.5 was refused as a whole, so an acknowledged change was not in force. Amounts are rounded down, a fraction above 0 to 1, since 0 stands for no limit. Red before: two shapes of documents and two of six values.

--- a/godwitladder/platform/documents.py
+++ b/godwitladder/platform/documents.py
@@ -129,9 +129,9 @@
     return RoutedService(
         name=ServiceName(reader.text("name")),
         slots=engine.count("slots"),
-        memory_tokens=engine.count("kvCapacity"),
+        memory_tokens=engine.amount("kvCapacity"),
         # The platform's name for the output tokens in one event of a stream.
-        event_tokens=engine.count("stride") or 1,
+        event_tokens=engine.amount("stride") or 1,
         health_path=reader.optional_text("healthPath"),
     )
 
@@ -148,7 +148,7 @@
         quota=TokenQuota(
             rate=reader.number("ratePerS"),
             burst=reader.number("burst"),
-            default_tokens=reader.count("plainTokens") or 1,
+            default_tokens=reader.amount("plainTokens") or 1,
         ),
     )
 
@@ -156,8 +156,8 @@
 def _limits(reader: FieldReader) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
-        header_bytes=reader.count("maxHeaderBytes") or default.header_bytes,
-        body_bytes=reader.count("maxBodyBytes") or default.body_bytes,
+        header_bytes=reader.amount("maxHeaderBytes") or default.header_bytes,
+        body_bytes=reader.amount("maxBodyBytes") or default.body_bytes,
         idle_s=_seconds(reader, "idleTimeoutMs") or default.idle_s,
     )
 
--- a/godwitladder/platform/fields.py
+++ b/godwitladder/platform/fields.py
@@ -116,6 +116,19 @@
         value = self.raw.get(name)
         return 0 if value is None else self.required_count(name)
 
+    def amount(self, name: str) -> int:
+        """Return a number that is not negative, rounded down; 0 if it is left out.
+
+        A fraction above 0 counts as 1, as 0 may stand for no limit.
+        """
+        value = self.raw.get(name)
+        if not isinstance(value, float):
+            return self.count(name)
+        if not 0 <= value <= MAX_INTEGER:
+            self.report(name, f"is no number from 0 to {MAX_INTEGER}")
+            return 0
+        return max(int(value), 1) if value else 0
+
     def required_count(self, name: str, maximum: int = MAX_INTEGER) -> int:
         """Return an integer from 0 to ``maximum`` that must be there."""
         value = self.raw.get(name)
--- a/tests/platform/test_invalid_documents.py
+++ b/tests/platform/test_invalid_documents.py
@@ -208,6 +208,8 @@
     ),
     "fractions of a weight": change("routes", 0, "trafficSplit", 1, "weight", to=0.5),
     "a whole number as a float": change("version", to=7.0),
+    "a fraction of a token": change("services", 0, "engine", "kvCapacity", to=6.5),
+    "a fraction of a byte": change("limits", "maxBodyBytes", to=1048576.5),
     "a version of nanoseconds": change("version", to=1_796_565_468_995_000_000),
     **{
         f"no {name}": change("routes", 0, name)
@@ -259,6 +261,21 @@
     assert not plain.public
 
 
+@pytest.mark.parametrize(
+    ("stated", "taken"), [(6, 6), (6.0, 6), (6.5, 6), (0.5, 1), (0, 0), (0.0, 0)]
+)
+def test_an_amount_is_rounded_down_and_never_to_none(stated, taken):
+    """Guards against a fraction that keeps a change out of force, or lifts a limit."""
+    document = decode(change("services", 0, "engine", "kvCapacity", to=stated))
+    assert document.services["letters"].memory_tokens == taken
+
+
+@pytest.mark.parametrize("stated", [-0.5, 1e300, -1, "6", True, [6.5]])
+def test_an_amount_that_is_none_is_refused(stated):
+    with pytest.raises(InvalidDocument):
+        decode(change("services", 0, "engine", "kvCapacity", to=stated))
+
+
 def test_the_findings_name_field_and_version():
     """Guards against a refusal that an operator can't find in the document."""
     with pytest.raises(InvalidDocument) as raised:
