Deny no size of a body by a document that may be outdated

The same cause elsewhere: 413 says that a configuration doesn't allow a body, which an outdated one can't know. Beyond the bound of a change such a call gets 503, as with routes and keys. Red before: the second call of the test, 413.

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -210,10 +210,10 @@
         )
         if route is None:
             # An outdated document may lack a route that has been added since.
-            self.require_current(trust.proves_absence)
+            self.require_current(trust.may_deny)
             raise _refused(Reason.UNKNOWN_PATH, "No route leads there.")
         workspace = self.find_workspace(document, route, metadata, trust)
-        body = read_body(environ, document.limits.body_bytes)
+        body = self.read_body(environ, document.limits.body_bytes, trust)
         digest = digest_call(workspace.name, path, body)
         origin = self.find_origin(route, metadata, digest)
         service = origin.service
@@ -286,6 +286,23 @@
             text = "The document in force is not known to be the newest."
             raise _refused(Reason.NO_CONFIG, text, NO_CONFIG_RETRY_S)
 
+    def read_body(
+        self, environ: Mapping, max_bytes: int, trust: DocumentTrust
+    ) -> bytes:
+        """Return the body of a request.
+
+        Raises
+        ------
+        CallRefused
+            The body has more than ``max_bytes`` bytes, or the document that says so is
+            too old.
+        """
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > max_bytes:
+            self.require_current(trust.may_deny)
+            raise _refused(Reason.TOO_LARGE, f"A body of {length} bytes is too large.")
+        return read_whole_body(environ)
+
     def find_workspace(
         self,
         document: RoutingDocument,
@@ -309,7 +326,7 @@
         self.require_current(trust.accepts_keys)
         workspace = document.workspace_of.get(key_digest(metadata.key))
         if not metadata.key or workspace is None:
-            self.require_current(trust.proves_absence)
+            self.require_current(trust.may_deny)
             raise _refused(Reason.UNAUTHENTICATED, "The bearer key is not known.")
         return workspace
 
@@ -432,20 +449,6 @@
     return tuple(rows)
 
 
-def read_body(environ: Mapping, max_bytes: int) -> bytes:
-    """Return the body of a request.
-
-    Raises
-    ------
-    CallRefused
-        The body has more than ``max_bytes`` bytes.
-    """
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > max_bytes:
-        raise _refused(Reason.TOO_LARGE, f"A body of {length} bytes is too large.")
-    return read_whole_body(environ)
-
-
 def _refused(
     reason: Reason, text: str, retry_after_s: float | None = None
 ) -> CallRefused:
--- a/godwitladder/routing/freshness.py
+++ b/godwitladder/routing/freshness.py
@@ -31,12 +31,12 @@
     ----------
     accepts_keys : bool
         Whether keys that it has may be accepted.
-    proves_absence : bool
-        Whether routes and keys that it lacks may be said not to be there.
+    may_deny : bool
+        Whether routes, keys and sizes that it does not allow may be denied.
     """
 
     accepts_keys: bool
-    proves_absence: bool
+    may_deny: bool
 
 
 @dataclass
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -301,6 +301,19 @@
     assert len(bench.runs()) == 1
 
 
+def test_a_document_older_than_a_change_may_take_denies_no_size(stack):
+    """Guards against a body refused by a limit that has been raised since."""
+    bench = Bench(stack)
+    document = bench.app.in_force.document
+    limits = dataclasses.replace(document.limits, body_bytes=3)
+    limited = dataclasses.replace(document, limits=limits)
+    bench.app.in_force = index_document(limited)
+    assert bench.call("/charge/x", body=b"four").status == 413
+    bench.freshness.confirmed_at -= 3
+    assert bench.call("/charge/x", body=b"four").status == 503
+    assert bench.call("/charge/x", body=b"two").status == 200
+
+
 def test_a_confirmation_of_a_later_document_accepts_no_key_of_this_one(stack):
     """Guards against a revoked key that runs as its revocation becomes known."""
     bench = Bench(stack)
