--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -15,10 +15,11 @@
 import math
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from godwitladder.clock import Clock
 from godwitladder.discovery.batches import decode_batch
+from godwitladder.discovery.fleet_copy import FleetCopy
 from godwitladder.discovery.messages import FeedNews, FeedWanted, KnownState
 from godwitladder.discovery.peer_requests import REQUEST_INTERVAL_S, PeerRequests
 from godwitladder.discovery.places import Fit, Place, is_other_history
@@ -33,8 +34,7 @@
     read_age_s,
 )
 from godwitladder.discovery.source import Batch, Source, StoreUnavailable
-from godwitladder.discovery.store_copy import LOG_INTERVAL_S, StoreCopy
-from godwitladder.discovery.store_fleet import FIRST_CHECK_S, StoreFleet
+from godwitladder.discovery.store_copy import LOG_INTERVAL_S
 from godwitladder.discovery.store_reads import Beside, call_in_turn, read_both
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.telling import (
@@ -45,9 +45,8 @@
     make_missing_news,
     make_read_news,
 )
-from godwitladder.ids import FleetId, HostId
+from godwitladder.ids import HostId
 from godwitladder.logs import component_logger
-from godwitladder.process.loops import Turns
 from godwitladder.routing.freshness import DocumentFreshness
 
 log = component_logger("feed")
@@ -72,32 +71,9 @@
 """Time on the way from which news is logged as late."""
 MAX_PENDING_REPLIES = 1_000
 """Requests that a host without any state keeps; hosts repeat theirs."""
-OUTAGE_THRESHOLD_S = 1.5
-"""Time without a successful read that counts as a store outage, during which entries of
-live targets may have expired."""
 
 
-@dataclass(frozen=True)
-class EarlyNews:
-    """News that wait until this host knows its fleet.
-
-    Attributes
-    ----------
-    late_s : float
-        Longest time that they may have been on the way, in seconds.
-    fleet : FleetId or None
-        Fleet of the sender.
-    received_at : float
-        Time at which they arrived.
-    """
-
-    news: FeedNews
-    late_s: float
-    fleet: FleetId | None
-    received_at: float
-
-
-class Feed(StoreCopy):
+class Feed(FleetCopy):
     """Keeps this host's copy of the store up to date.
 
     Parameters
@@ -126,14 +102,6 @@
         Sends a request to some peer, and returns whether there is one.
     beside : callable
         Starts the read of one topic while the other one is read.
-    fleet : StoreFleet or None
-        Whose store this host reads; None to read it without a check.
-    call_later : callable
-        Calls a function in another thread after some seconds.
-    enter_fleet : callable
-        Called with the identity of the store whenever it has been checked.
-    early_news : EarlyNews or None
-        The last news that came before the first check of the fleet.
     requests : PeerRequests
     store_version : int or None
         Version of the newest document that this host has read of the store itself.
@@ -165,23 +133,15 @@
         self.broadcast: Callable[[FeedNews], None] = lambda news: None
         self.send_request: Callable[[FeedWanted], bool] = lambda wanted: False
         self.beside: Beside = call_in_turn
-        self.fleet: StoreFleet | None = None
-        self.call_later: Callable[[float, Callable[[], None]], None] = (
-            lambda delay_s, function: None
-        )
-        self.enter_fleet: Callable[[FleetId], None] = lambda fleet: None
-        self.early_news: EarlyNews | None = None
         self.pending_replies: list[Callable[[FeedNews], None]] = []
         self.requests = PeerRequests()
         self.hosts: tuple[HostId, ...] = (host,)
         self.store_version: int | None = None
-        self.reachable = False
         self.read_s = 0.0
-        self.started = self.last_news_at = self.store_answered_at = clock.boottime()
+        self.started = self.last_news_at = clock.boottime()
         self.read_at = self.asked_at = self.asks_logged_at = -math.inf
         self.late_logged_at = -math.inf
         self.stopping = threading.Event()
-        self.turns = Turns("feed", clock, self.doubt_copy)
 
     def start(self) -> None:
         """Start the update loop in a thread."""
@@ -207,12 +167,7 @@
         old.
         """
         waits = self.is_unpublished or self.tells_at is not None
-        if (
-            self.reads_always()
-            or waits
-            or not self.has_state()
-            or self.table.pending_removals
-        ):
+        if self.reads_always() or waits or self.table.pending_removals:
             return STEP_INTERVAL_S
         return max(
             STEP_INTERVAL_S,
@@ -258,27 +213,6 @@
             "rank": self.takeover_rank(),
         }
 
-    def check_fleet(self) -> bool:
-        """Check whose store this is; return whether the state here was another's.
-
-        What is known of another store must not be in force beside this one, however
-        high its versions are. A check that fails holds up no read: the identity is a
-        further call, and a store may refuse to keep one.
-        """
-        try:
-            is_other = self.fleet.check(self.document_place.era)
-        except StoreUnavailable as error:
-            self.record_store_failure(error)
-            self.receive_early_news()
-            return False
-        with self.lock:
-            self.record_store_answer()
-            if is_other:
-                self.forget_state()
-        self.enter_fleet(self.fleet.fleet)
-        self.receive_early_news()
-        return is_other
-
     def forget_state(self) -> None:
         """Forget what is known of another store, so that this one is read anew."""
         extra = {"version": self.document.version, "fleet": self.fleet.fleet}
@@ -287,17 +221,6 @@
         self.store_version, self.requests = None, PeerRequests()
         self.read_at = -math.inf
 
-    def is_fleet_in_doubt(self, asked: tuple[Place, Place], *batches: Batch) -> bool:
-        """Return whether a read may be of another store than the reads before."""
-        if self.fleet is None:
-            return False
-        rows = tuple(zip(asked, batches, strict=True))
-        return self.fleet.is_other_connection() or any(
-            place.offset >= 0
-            and (place.era != batch.era or is_other_history(place, batch))
-            for place, batch in rows
-        )
-
     def waits_for_peer(self, now: float) -> bool:
         """Return whether this host has no state yet and waits for a peer to send it."""
         if self.has_state() or self.reads_at_start or self.is_reader():
@@ -310,9 +233,13 @@
         """Return whether this host reads the store for other hosts."""
         return len(self.hosts) > 1 and self.hosts[0] == self.host
 
+    def is_first(self) -> bool:
+        """Return whether no other host reads the store for this one."""
+        return not self.hosts or self.hosts[0] == self.host
+
     def reads_always(self) -> bool:
         """Return whether this host reads the store at each interval."""
-        return not self.hosts or self.hosts[0] == self.host or not self.has_state()
+        return self.is_first() or not self.has_state()
 
     def answer_request(
         self, reply: Callable[[FeedNews], None], known: KnownState | None = None
@@ -483,9 +410,9 @@
             self.record_read_duration(self.clock.boottime() - began)
         if news is not None:
             now, version = self.clock.boottime(), self.document.version
-            age_s = now - began
+            age_s = read_s = now - began
             news = replace(news, age_s=age_s, version=version, sent_s=now)
-            self.broadcast(replace(news, read_s=age_s))
+            self.broadcast(replace(news, read_s=read_s))
         if self.answers_orders():
             self.rollouts.answer_orders()
 
@@ -506,30 +433,12 @@
 
     def answers_orders(self) -> bool:
         """Return whether this host is the one that answers rollout orders."""
-        return not self.hosts or self.hosts[0] == self.host
+        return self.is_first()
 
     def record_read_duration(self, seconds: float) -> None:
         """Record the duration of a read, in seconds."""
         self.read_s = min(seconds, MAX_READ_S)
 
-    def record_store_failure(self, error: StoreUnavailable) -> None:
-        """Record that the store did not answer."""
-        if self.reachable:
-            extra = {"error": str(error), "age_s": self.age_s()}
-            log.warning("Store unavailable", extra=extra)
-        self.reachable = False
-
-    def record_store_answer(self) -> None:
-        """Record that the store answered; after an outage, delay target removals."""
-        now = self.clock.boottime()
-        away_s = now - self.store_answered_at
-        self.store_answered_at = now
-        if away_s > OUTAGE_THRESHOLD_S:
-            self.table.record_store_return(now)
-        if not self.reachable:
-            log.info("Store available", extra={"away_s": round(away_s, 3)})
-        self.reachable = True
-
     def make_news(self, documents: Batch, entries: Batch) -> FeedNews | None:
         """Return the news to broadcast after a read, or None for none.
 
@@ -549,65 +458,11 @@
             return None
         return make_read_news(self, documents, entries)
 
-    def receive_news(
-        self, news: FeedNews, late_s: float = 0.0, fleet: FleetId | None = None
-    ) -> None:
-        """Apply what another host has read, in a turn of this part.
-
-        Parameters
-        ----------
-        fleet : FleetId or None
-            Fleet of that host; None if it can't tell.
-        """
-        if self.fleet is None:
-            self.turns.run(self.apply_news, news, late_s)
-            return
-        with self.lock:
-            if self.fleet.is_waiting():
-                self.hold_early_news(news, late_s, fleet)
-                return
-            if not self.fleet.accepts(fleet, self.reachable):
-                self.log_refused(news.host, fleet)
-                return
-            self.fleet.record_news(fleet)
-            self.turns.run(self.apply_news, news, late_s)
-        self.enter_fleet(self.fleet.fleet)
-
-    def hold_early_news(
-        self, news: FeedNews, late_s: float, fleet: FleetId | None
-    ) -> None:
-        """Keep news until the first check of the fleet, or the end of its time.
-
-        A store that is silent holds this part's own thread for longer than that.
-        """
-        if self.early_news is None:
-            self.call_later(FIRST_CHECK_S, self.receive_early_news)
-        elif news.documents.start >= 0:
-            # It may not follow what the state that is held has.
-            return
-        self.early_news = EarlyNews(news, late_s, fleet, self.clock.boottime())
-
-    def receive_early_news(self) -> None:
-        """Apply the last news that came before the first check of the fleet."""
-        early, self.early_news = self.early_news, None
-        if early is not None:
-            held_s = self.clock.boottime() - early.received_at
-            self.receive_news(early.news, early.late_s + held_s, early.fleet)
-
-    def log_refused(self, sender: HostId, fleet: FleetId | None) -> None:
-        """Log news that may be of another fleet, at most one line a second."""
-        now = self.clock.boottime()
-        if now - self.ignored_at < LOG_INTERVAL_S:
-            return
-        self.ignored_at = now
-        extra = {"sender": sender, "sender_fleet": fleet, "fleet": self.fleet.fleet}
-        log.info("News of a peer not applied", extra=extra)
-
     def apply_news(self, news: FeedNews, late_s: float = 0.0) -> None:
         """Apply what another host has read.
 
         News that starts beyond the last record of this host leaves a gap. It is
-        ignored, and the host reads the store itself when its state is too old.
+        ignored, and a peer is asked for what is missing.
 
         Parameters
         ----------
--- a/godwitladder/discovery/store_copy.py
+++ b/godwitladder/discovery/store_copy.py
@@ -16,7 +16,13 @@
 from godwitladder.discovery.rewritten import RewrittenEntries
 from godwitladder.discovery.rollout_tracker import RolloutTracker
 from godwitladder.discovery.rollouts import held_back
-from godwitladder.discovery.source import NO_ERA, Batch, Record, Source
+from godwitladder.discovery.source import (
+    NO_ERA,
+    Batch,
+    Record,
+    Source,
+    StoreUnavailable,
+)
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.targets import TargetTable
 from godwitladder.ids import HostId
@@ -29,6 +35,10 @@
 LOG_INTERVAL_S = 1.0
 """Shortest interval between two lines about what is not applied."""
 
+OUTAGE_THRESHOLD_S = 1.5
+"""Time without a successful read that counts as a store outage, during which entries of
+live targets may have expired."""
+
 
 class StoreCopy:
     """The newest document and the targets, as far as this host knows.
@@ -58,6 +68,10 @@
         Those that changed lately.
     version : int
         Number of views so far.
+    reachable : bool
+        Whether the store answered when it was last asked.
+    store_answered_at : float
+        Time of its last answer to any host.
     is_unpublished : bool
         Whether a view waits until what was read of the store may be used.
     is_doubtful : bool
@@ -91,6 +105,8 @@
         self.rewritten = RewrittenEntries()
         self.rollouts = RolloutTracker(source)
         self.version = 0
+        self.reachable = False
+        self.store_answered_at = clock.boottime()
         self.is_unpublished = self.is_doubtful = False
         self.tells_at: float | None = None
         self.ignored_at = float("-inf")
@@ -107,6 +123,24 @@
         """
         return None
 
+    def record_store_failure(self, error: StoreUnavailable) -> None:
+        """Record that the store did not answer."""
+        if self.reachable:
+            extra = {"error": str(error), "age_s": self.age_s()}
+            log.warning("Store unavailable", extra=extra)
+        self.reachable = False
+
+    def record_store_answer(self) -> None:
+        """Record that the store answered; after an outage, delay target removals."""
+        now = self.clock.boottime()
+        away_s = now - self.store_answered_at
+        self.store_answered_at = now
+        if away_s > OUTAGE_THRESHOLD_S:
+            self.table.record_store_return(now)
+        if not self.reachable:
+            log.info("Store available", extra={"away_s": round(away_s, 3)})
+        self.reachable = True
+
     def has_state(self) -> bool:
         """Return whether this host has any state from the store."""
         return self.document_place.offset >= 0
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -6,7 +6,6 @@
 
 from godwitladder.clock import ManualClock
 from godwitladder.discovery.feed import (
-    OUTAGE_THRESHOLD_S,
     PEER_ANSWER_TIMEOUT_S,
     UNLINKED_START_TIMEOUT_S,
     Feed,
@@ -22,6 +21,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.discovery.store_copy import OUTAGE_THRESHOLD_S
 from godwitladder.discovery.targets import REMOVAL_DELAY_S, TargetEntry, TargetTable
 from godwitladder.membership.codec import decode, encode
 from godwitladder.routing.freshness import DocumentFreshness
