--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -21,6 +21,8 @@
 from godwitladder.standins.ports import free_ports
 from godwitladder.standins.routed import HEALTH_PATH, start_engine
 from soak.proxy import close_connections
+from tests.engines.cut_target import Cut, CutTarget
+from tests.engines.raw_target import RawTarget
 
 PROBE = TargetProbe(PlatformHeaders())
 
@@ -172,3 +174,19 @@
     evidence.clock.advance(MAX_WAIT_S + 1)
     evidence.take_ended({"t1": TargetPresence("1", False)})
     assert evidence.take_ended({}) == []
+
+
+@pytest.mark.parametrize("code", [b"000", b"099", b"199", b"600", b"999"])
+def test_a_status_outside_the_protocol_is_no_answer_to_a_probe(code):
+    """Guards against a target in trouble that counts as one that answered."""
+    head = b"HTTP/1.1 " + code + b" Odd\r\nContent-Length: 0\r\n\r\n"
+    with RawTarget(head, closes=True) as target:
+        assert PROBE("t1", target.address, HEALTH_PATH) is ProbeResult.NO_ANSWER
+
+
+def test_a_head_cut_by_a_reset_is_no_answer_to_a_probe():
+    """Guards against a part of an answer that shows a target to be alive."""
+    cut = Cut(len(b"HTTP/1.1 200 OK\r\nContent-Le"), resets=True, in_parts=False)
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    with CutTarget(answer, cut) as target:
+        assert PROBE("t1", target.address, HEALTH_PATH) is ProbeResult.NO_ANSWER
