--- a/tests/discovery/copied_store.py
+++ b/tests/discovery/copied_store.py
@@ -41,13 +41,20 @@
 
 
 class Region:
-    """Hosts that are linked to each other, and the store that they read."""
+    """Hosts that are linked to each other, and the store that they read.
+
+    Attributes
+    ----------
+    deaf : set of str
+        Hosts that nothing reaches which others broadcast.
+    """
 
     def __init__(self, count=3):
         self.source, self.clock = CopiedSource(), ManualClock()
         names = [f"h{number}" for number in range(1, count + 1)]
         self.feeds, self.views = [], {}
         self.unready = 0
+        self.deaf = set()
         for name in names:
             self.add(*make_feed(self.source, self.clock, name, tuple(names)))
 
@@ -55,7 +62,9 @@
         self.feeds.append(feed)
         self.views[feed.host] = views
         feed.broadcast = lambda news: [
-            row.apply_news(news) for row in self.feeds if row is not feed
+            row.apply_news(news)
+            for row in self.feeds
+            if row is not feed and row.host not in self.deaf
         ]
 
     def add_new(self, name="new"):
@@ -75,7 +84,7 @@
         others = [row for row in self.feeds if row.host != feed.host]
 
         def ask(wanted):
-            others[0].answer_request(feed.apply_news)
+            others[0].answer_request(feed.apply_news, wanted.known)
             return True
 
         feed.send_request = ask
--- a/tests/discovery/test_copy_machine.py
+++ b/tests/discovery/test_copy_machine.py
@@ -15,6 +15,8 @@
 )
 
 from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S
+from godwitladder.discovery.messages import FeedWanted
+from godwitladder.discovery.telling import describe_state
 from godwitladder.membership.codec import decode, encode
 from tests.discovery.copied_store import STEP_S, Region
 
@@ -86,6 +88,22 @@
         if news is not None and sender != receiver:
             self.region.feeds[receiver].apply_news(decode(encode(news)))
 
+    @rule(number=st.integers(0, HOSTS - 1), seconds=st.sampled_from([0.7, 1.5]))
+    def miss_news(self, number, seconds):
+        """Nothing that is broadcast reaches a host for some time."""
+        self.region.deaf = {self.region.feeds[number].host}
+        self.region.run(seconds)
+        self.region.deaf = set()
+
+    @rule(asking=st.integers(0, HOSTS - 1), asked=st.integers(0, HOSTS - 1))
+    def ask_for_news(self, asking, asked):
+        """A host asks another one for what it lacks."""
+        feed = self.region.feeds[asking]
+        if feed.has_state() and asking != asked:
+            wanted = decode(encode(FeedWanted(feed.host, describe_state(feed))))
+            peer = self.region.feeds[asked]
+            peer.answer_request(feed.apply_news, wanted.known)
+
     @rule(number=st.integers(0, HOSTS - 1))
     def restart(self, number):
         """A host ends, and one of its name starts that knows nothing."""
