Let any host of the reading order tell what it read once those before it had time to

The store turns away one zone's machines, which were the first four of the reading order. The fifth read it 0.8 s after the removal and told nobody, as only the first three broadcast; all others read by themselves 1.7 s after their last news, and took that wait for an outage of the store, after which entries that have gone are kept for 2 s more.

Whoever is further back in the order broadcasts once the first ones had time to. A wait for news is no outage: entries expire two heartbeats after one began at the earliest, and hosts read before that.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -31,6 +31,7 @@
     STEP_INTERVAL_S,
     TAKEOVER_DELAY_S,
     ask_age_s,
+    news_due_s,
     read_age_s,
 )
 from godwitladder.discovery.source import Batch, Source, StoreUnavailable
@@ -63,10 +64,10 @@
 so with its next read, within an interval."""
 TELLERS = 3
 """Hosts at the start of the reading order that broadcast whatever they read. If all
-hosts that read did so, each would send a changed document to each."""
+hosts that read at the same time did so, each would send a changed document to each."""
 READER_LOSS_TIMEOUT_S = 3.0
-"""Time without news after which any other host broadcasts its own reads: by then those
-before it have failed to read the store."""
+"""Time without news after which a host outside the reading order broadcasts its own
+reads: by then every host in the order has failed to read the store."""
 LATE_NEWS_S = 1.0
 """Time on the way from which news is logged as late."""
 MAX_PENDING_REPLIES = 1_000
@@ -442,14 +443,11 @@
     def make_news(self, documents: Batch, entries: Batch) -> FeedNews | None:
         """Return the news to broadcast after a read, or None for none.
 
-        It must be called before the read is applied. Only the first hosts of the
-        reading order broadcast while news come. The first read of a newly started host
-        contains whole documents. Only the reader broadcasts these, and it must, since
-        the document may have changed while there was no reader.
+        It must be called before the read is applied. The first read of a newly started
+        host contains whole documents. Only the reader broadcasts these, and it must,
+        since the document may have changed while there was no reader.
         """
-        since_news_s = self.clock.boottime() - self.last_news_at
-        is_teller = self.host in self.hosts[:TELLERS]
-        if not is_teller and since_news_s <= READER_LOSS_TIMEOUT_S:
+        if self.clock.boottime() - self.last_news_at <= self.silence_s():
             return None
         if self.reads_at_start and not self.has_state() and not self.is_reader():
             return None
@@ -524,6 +522,17 @@
         if self.apply_documents(decode_batch(news.documents), news.host):
             self.publish_view()
 
+    def silence_s(self) -> float:
+        """Return the time without news after which this host broadcasts its reads.
+
+        The store may turn away the first hosts of the reading order.
+        """
+        if self.host in self.hosts[:TELLERS]:
+            return -math.inf
+        if self.host in self.hosts:
+            return news_due_s(self.read_s) + self.read_s
+        return READER_LOSS_TIMEOUT_S
+
     def tell_document(self) -> None:
         """Tell all others of the document in force, which the store has lost."""
         with self.lock:
--- a/godwitladder/discovery/store_copy.py
+++ b/godwitladder/discovery/store_copy.py
@@ -35,9 +35,10 @@
 LOG_INTERVAL_S = 1.0
 """Shortest interval between two lines about what is not applied."""
 
-OUTAGE_THRESHOLD_S = 1.5
+OUTAGE_THRESHOLD_S = 2.2
 """Time without a successful read that counts as a store outage, during which entries of
-live targets may have expired."""
+live targets may have expired: three heartbeats of 1.2 s after the last one, so two of
+them after the outage began. A host that lacks news reads before that."""
 
 
 class StoreCopy:
--- a/tests/discovery/test_time_of_changes.py
+++ b/tests/discovery/test_time_of_changes.py
@@ -1,11 +1,14 @@
 """Tests of the time until any host has a change, with hosts that lack news."""
 
+import contextlib
 import random
 
 import pytest
 
 from godwitladder.discovery.feed import Feed
 from godwitladder.discovery.read_timing import READ_INTERVAL_S
+from godwitladder.discovery.source import StoreUnavailable
+from tests.discovery.test_discovery import MemorySource
 from tests.discovery.test_slow_store import SlowRegion
 
 IN_FORCE_S = 2.0
@@ -66,7 +69,9 @@
         if feed.host in self.stopped:
             return
         feed.request_late_news(now)
-        super().step_feed(feed, now)
+        # Its next read is due after an interval.
+        with contextlib.suppress(StoreUnavailable):
+            super().step_feed(feed, now)
 
     def run(self, seconds):
         until = self.clock.boottime() + seconds
@@ -157,3 +162,34 @@
     region.run(10.0)
     assert region.questions == 0
     assert region.source.reads - reads <= 2 * 10.0 / max(READ_INTERVAL_S, read_s) + 2
+
+
+@pytest.mark.parametrize("count", [15, 213])
+def test_hosts_whose_store_turns_the_first_readers_away_know_who_leaves(count):
+    """Guards against a target that all hosts but one go on to use after it has left.
+
+    The store turns away the reader and the three next in order.
+    """
+    region = make_region(count, 0.0)
+    region.source.put(b"one")
+    region.run(CALM_S)
+    down = MemorySource()
+    down.unavailable = True
+    turned_away = region.feeds[:4]
+    for feed in turned_away:
+        feed.source = down
+    region.source.put(b"")
+    region.run(IN_FORCE_S)
+    assert not any(feed.table.entries for feed in region.feeds)
+
+
+def test_a_host_that_reads_for_lack_of_news_takes_its_wait_for_no_outage():
+    """Guards against a target that stays for seconds after it has left."""
+    region = make_region(15, 0.0)
+    region.source.put(b"one")
+    region.run(CALM_S)
+    last = region.names[-1]
+    region.cut = {(name, last) for name in region.names[:-1]}
+    region.source.put(b"")
+    region.run(IN_FORCE_S)
+    assert not region.feeds[-1].table.entries
