Take no news of a read that took less than no time

What could happen: one message of a faulty peer, whose news state that its read took -10^9 s, makes every host wait for news for less than no time, so that all read the store at each step until the next read tells otherwise.

Cause: the field was taken as it came, beside age_s, which is checked. Likewise the age in a request for missing news, which could lead to an odd answer only. Both are checked where they are decoded.

--- a/godwitladder/discovery/messages.py
+++ b/godwitladder/discovery/messages.py
@@ -46,6 +46,9 @@
     entries: int
     age_s: float
 
+    def __post_init__(self) -> None:
+        require_duration("age_s", self.age_s)
+
 
 @peer_message
 @dataclass(frozen=True)
@@ -92,8 +95,10 @@
 
     def __post_init__(self) -> None:
         # A time ahead would confirm the records until then.
-        if not self.age_s >= 0:
-            raise ValueError(f"age_s is below zero: {self.age_s}")
+        require_duration("age_s", self.age_s)
+        # Hosts would wait for news for less than no time, and all read the store.
+        if self.read_s is not None:
+            require_duration("read_s", self.read_s)
 
 
 @peer_message
@@ -102,3 +107,15 @@
     """Streams that one host has begun lately, as a record of the store."""
 
     records: tuple[StreamRecord, ...] = ()
+
+
+def require_duration(name: str, seconds: float) -> None:
+    """Check that a time that a peer states can have passed.
+
+    Raises
+    ------
+    ValueError
+        It is below zero.
+    """
+    if not seconds >= 0:
+        raise ValueError(f"{name} is below zero: {seconds}")
