Let what counts as an outage of the store follow from the targets' heartbeats

After an outage entries that have gone are kept for 2 s, since live targets may have expired meanwhile. The threshold of 2.2 s suits heartbeats of 1.2 s: an entry goes after three without one, so 2.4 s after an outage began at the earliest. With heartbeats of 0.4 or 0.6 s live targets could all go as an outage of one or two seconds ends. It is at most 0.9 of two heartbeats now, where the settings tell them. Red before (as a mutation): two of four intervals. Found by reading the change again.

The base class of the feed has an abstract method in place of one that raises.

--- a/godwitladder/discovery/fleet_copy.py
+++ b/godwitladder/discovery/fleet_copy.py
@@ -4,6 +4,7 @@
 before this host has checked whose store it reads are held for a moment.
 """
 
+import abc
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -42,7 +43,7 @@
     received_at: float
 
 
-class FleetCopy(StoreCopy):
+class FleetCopy(StoreCopy, abc.ABC):
     """A copy of the store of this host's fleet.
 
     The parameters are those of `StoreCopy`.
@@ -78,9 +79,9 @@
         self.early_news: EarlyNews | None = None
         self.turns = Turns("feed", clock, self.doubt_copy)
 
+    @abc.abstractmethod
     def apply_news(self, news: FeedNews, late_s: float = 0.0) -> None:
         """Apply what another host of this fleet has read."""
-        raise NotImplementedError
 
     def check_fleet(self) -> bool:
         """Check whose store this is; return whether the state here was another's.
--- a/godwitladder/discovery/store_copy.py
+++ b/godwitladder/discovery/store_copy.py
@@ -37,8 +37,24 @@
 
 OUTAGE_THRESHOLD_S = 2.2
 """Time without a successful read that counts as a store outage, during which entries of
-live targets may have expired: three heartbeats of 1.2 s after the last one, so two of
-them after the outage began. A host that lacks news reads before that."""
+live targets may have expired. A host that lacks news reads before that."""
+EXPIRY_HEARTBEATS = 3
+"""Heartbeats without which the store removes an entry."""
+OUTAGE_MARGIN = 0.9
+"""Part of the time in which no entry can expire that is allowed for."""
+
+
+def outage_threshold_s(heartbeat_s: float) -> float:
+    """Return the time without a successful read that counts as a store outage.
+
+    Parameters
+    ----------
+    heartbeat_s : float
+        Interval at which targets write their entries, in seconds. The last one may have
+        been due as the outage began.
+    """
+    safe_s = (EXPIRY_HEARTBEATS - 1) * heartbeat_s
+    return min(OUTAGE_THRESHOLD_S, OUTAGE_MARGIN * safe_s)
 
 
 class StoreCopy:
@@ -73,6 +89,8 @@
         Whether the store answered when it was last asked.
     store_answered_at : float
         Time of its last answer to any host.
+    outage_s : float
+        Time without an answer that counts as an outage.
     is_unpublished : bool
         Whether a view waits until what was read of the store may be used.
     is_doubtful : bool
@@ -108,6 +126,7 @@
         self.version = 0
         self.reachable = False
         self.store_answered_at = clock.boottime()
+        self.outage_s = OUTAGE_THRESHOLD_S
         self.is_unpublished = self.is_doubtful = False
         self.tells_at: float | None = None
         self.ignored_at = float("-inf")
@@ -136,7 +155,7 @@
         now = self.clock.boottime()
         away_s = now - self.store_answered_at
         self.store_answered_at = now
-        if away_s > OUTAGE_THRESHOLD_S:
+        if away_s > self.outage_s:
             self.table.record_store_return(now)
         if not self.reachable:
             log.info("Store available", extra={"away_s": round(away_s, 3)})
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -14,6 +14,7 @@
 from godwitladder.discovery.host_list import HostList
 from godwitladder.discovery.messages import FeedNews, FeedWanted
 from godwitladder.discovery.source import Source
+from godwitladder.discovery.store_copy import outage_threshold_s
 from godwitladder.discovery.store_fleet import FOUNDING_DELAY_S, StoreFleet
 from godwitladder.discovery.store_reads import ReadThread
 from godwitladder.discovery.store_view import StoreView
@@ -202,6 +203,7 @@
             self.publish_view,
             reads_at_start=not settings.first_start or settings.listen.peers in seeds,
         )
+        self.feed.outage_s = outage_threshold_s(settings.store.entry_interval_s)
         delay_s = 0.0 if self.feed.reads_at_start else FOUNDING_DELAY_S
         self.feed.fleet = StoreFleet(source, clock, delay_s)
         self.status_writer: StatusWriter | None = None
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -14,6 +14,7 @@
     NEWS_TIMEOUT_S,
     READ_INTERVAL_S,
     TAKEOVER_DELAY_S,
+    read_age_s,
 )
 from godwitladder.discovery.source import (
     Batch,
@@ -21,7 +22,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
-from godwitladder.discovery.store_copy import OUTAGE_THRESHOLD_S
+from godwitladder.discovery.store_copy import OUTAGE_THRESHOLD_S, outage_threshold_s
 from godwitladder.discovery.targets import REMOVAL_DELAY_S, TargetEntry, TargetTable
 from godwitladder.membership.codec import decode, encode
 from godwitladder.routing.freshness import DocumentFreshness
@@ -134,6 +135,22 @@
     assert set(table.entries) == {"e1"}
 
 
+@pytest.mark.parametrize("heartbeat_s", [0.4, 0.6, 1.2, 3.0])
+def test_no_entry_can_expire_in_what_counts_as_no_outage(heartbeat_s):
+    """Guards against live targets that all go as a short outage of the store ends.
+
+    The last heartbeat may have been due as the outage began, and an entry goes after
+    three without one.
+    """
+    assert outage_threshold_s(heartbeat_s) + heartbeat_s < 3 * heartbeat_s
+
+
+@pytest.mark.parametrize("heartbeat_s", [1.2, 2.0])
+def test_a_wait_for_news_is_no_outage(heartbeat_s):
+    """Guards against targets that stay after they left, as a host read on its own."""
+    assert read_age_s(0.0, 10, bound_s=2.0) < outage_threshold_s(heartbeat_s) - 0.2
+
+
 def test_a_leaving_target_is_removed_without_delay():
     table = TargetTable()
     table.put(replace(ONE, leaving=True))
