Let one long read make no host wait longer for news

What callers may see: 404, 401 or an answer by a configuration that is over, for up to 0.5 s beyond the 2 s of a change, at all hosts, after a host that reads for others has stood still.

A host that stands still in the middle of a read tells, as it wakes, that the read took seconds; all others then allowed for reads of 1 s, and waited 2.4 s for the next news. One read was taken for what the store takes.

Change: the shortest of the last two reads tells how long one takes. If the store is slow, both are long.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -14,6 +14,7 @@
 
 import math
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
@@ -68,6 +69,8 @@
 READER_LOSS_TIMEOUT_S = 3.0
 """Time without news after which a host outside the reading order broadcasts its own
 reads: by then every host in the order has failed to read the store."""
+COMPARED_READS = 2
+"""Reads whose shortest tells how long one takes; all are long if the store is slow."""
 LATE_NEWS_S = 1.0
 """Time on the way from which news is logged as late."""
 MAX_PENDING_REPLIES = 1_000
@@ -112,9 +115,11 @@
         Time at which news from another host was last applied.
     asked_at : float
         Time at which a peer was last asked for news that this host lacks.
+    last_reads_s : deque of float
+        Durations of the latest reads, by this host or by the senders of news, in
+        seconds.
     read_s : float
-        Duration of the latest read, by this host or by the sender of the latest news,
-        in seconds.
+        The shortest of these.
     pending_replies : list of callable
         Replies to requests that arrived before this host had any state; called with
         the full state once there is one.
@@ -139,6 +144,7 @@
         self.hosts: tuple[HostId, ...] = (host,)
         self.store_version: int | None = None
         self.read_s = 0.0
+        self.last_reads_s = deque([self.read_s], maxlen=COMPARED_READS)
         self.started = self.last_news_at = clock.boottime()
         self.read_at = self.asked_at = self.asks_logged_at = -math.inf
         self.late_logged_at = -math.inf
@@ -437,8 +443,12 @@
         return self.is_first()
 
     def record_read_duration(self, seconds: float) -> None:
-        """Record the duration of a read, in seconds."""
-        self.read_s = min(seconds, MAX_READ_S)
+        """Record the duration of a read, in seconds.
+
+        One long read tells nothing of the store: its host may have stood still.
+        """
+        self.last_reads_s.append(min(seconds, MAX_READ_S))
+        self.read_s = min(self.last_reads_s)
 
     def make_news(self, documents: Batch, entries: Batch) -> FeedNews | None:
         """Return the news to broadcast after a read, or None for none.
--- a/tests/discovery/test_time_of_changes.py
+++ b/tests/discovery/test_time_of_changes.py
@@ -193,3 +193,23 @@
     region.source.put(b"")
     region.run(IN_FORCE_S)
     assert not region.feeds[-1].table.entries
+
+
+@pytest.mark.parametrize("read_s", [0.1, 0.25, 0.35])
+@pytest.mark.parametrize("count", [5, 15])
+def test_a_reader_that_stood_still_in_a_read_makes_no_host_wait_longer(count, read_s):
+    """Guards against one long read that is taken for a slow store by all hosts.
+
+    The reader stops again before its next read.
+    """
+    region = make_region(count, read_s)
+    reader = region.names[0]
+    while reader not in region.reads_in_progress:
+        region.run(0.05)
+    region.stopped = {reader}
+    region.run(FAULT_S)
+    region.stopped = set()
+    region.run(0.05)
+    region.stopped = {reader}
+    region.run(FAULT_S)
+    assert not region.late - {reader}
