Play a store that turns the first readers away on real hosts, and refusals in calm

In calm, with a store of 0 and 0.25 s, unknown routes and keys get 404 and 401 and known ones 200, as before this change.

--- a/tests/platform/test_hosts_without_news.py
+++ b/tests/platform/test_hosts_without_news.py
@@ -120,3 +120,28 @@
         if version < operator.due_version(at)
     ]
     assert not late, (len(late), sum(len(row.seen) for row in watchers), late[:20])
+
+
+def turn_away(host):
+    """Have the store refuse all that a host asks."""
+    host.store_proxy.refusing = True
+    host.store_proxy.reset()
+
+
+@pytest.mark.parametrize("turned_away", [1, 4])
+def test_a_target_that_leaves_is_known_while_the_store_turns_readers_away(
+    tmp_path, turned_away
+):
+    """Guards against hosts that go on to use a target which others know to be gone."""
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(stack, tmp_path, HOSTS, targets=2)
+        assert fleet.wait_until_converged(CONVERGED_S)
+        order = fleet.hosts[0].status()["reading_order"]
+        for host in fleet.hosts:
+            if host.name in order[:turned_away]:
+                turn_away(host)
+        gone = fleet.targets[0]
+        fleet.write_entry(gone, "")
+        time.sleep(IN_FORCE_S)
+        known = {host.name: set(host.status()["targets"]) for host in fleet.hosts}
+    assert known == {host.name: {fleet.targets[1].name} for host in fleet.hosts}
--- a/tests/platform/test_refusals_by_old_documents.py
+++ b/tests/platform/test_refusals_by_old_documents.py
@@ -15,6 +15,7 @@
 """Time within which a configuration is in force after its acknowledgement."""
 OBSERVED_S = 3.5
 """Time for which keys are accepted after the last confirmation, nearly."""
+CALM_S = 6.0
 ROUTE = {
     "name": "added",
     "host": "shop.example",
@@ -78,3 +79,22 @@
         assert set(statuses) == {(503, True)}
         release(fleet, host)
         wait_until(lambda: call(host, path, key)[0] == 200, "the change")
+
+
+@pytest.mark.parametrize("store_s", [0.0, 0.25])
+def test_in_calm_unknown_routes_and_keys_are_denied_and_known_ones_served(
+    tmp_path, store_s
+):
+    """Guards against refusals to come again where the document is the newest."""
+    with contextlib.ExitStack() as stack:
+        fleet = Fleet(stack, tmp_path, hosts=3, targets=1)
+        assert fleet.wait_until_converged(CONVERGED_S)
+        fleet.store.standin.knobs.mute_s = store_s
+        statuses = {404: set(), 401: set(), 200: set()}
+        until = time.monotonic() + CALM_S
+        while time.monotonic() < until:
+            for host in fleet.hosts:
+                statuses[404].add(call(host, "/added/x", "k1")[0])
+                statuses[401].add(call(host, "/lookup/x", "k3")[0])
+                statuses[200].add(call(host, "/lookup/x", "k1")[0])
+    assert statuses == {404: {404}, 401: {401}, 200: {200}}
