Let an answer of a peer keep no host from telling what it read

Cause: hosts further back in the reading order tell what they read only if no reader was heard for a while, since the store may turn away the first ones. What counted as hearing a reader was any news, and with them the answer to a question: a peer whose state is older by 0.1 s answers it with an old read. So the fifth host read the change and told nobody, and its next news, later in the log, left a gap.

Change: silence is measured from the start of the newest read of a peer, which an old answer doesn't renew. The threshold grows by one read for that, so what is sent at a slow store stays as it was.

The test of it alone was red before; its mutation is red now.

--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -113,6 +113,8 @@
         Start of the last read.
     last_news_at : float
         Time at which news from another host was last applied.
+    peer_read_at : float
+        Start of the newest read by another host that this one knows of.
     asked_at : float
         Time at which a peer was last asked for news that this host lacks.
     last_reads_s : deque of float
@@ -145,7 +147,7 @@
         self.store_version: int | None = None
         self.read_s = 0.0
         self.last_reads_s = deque([self.read_s], maxlen=COMPARED_READS)
-        self.started = self.last_news_at = clock.boottime()
+        self.started = self.last_news_at = self.peer_read_at = clock.boottime()
         self.read_at = self.asked_at = self.asks_logged_at = -math.inf
         self.late_logged_at = -math.inf
         self.stopping = threading.Event()
@@ -457,7 +459,7 @@
         host contains whole documents. Only the reader broadcasts these, and it must,
         since the document may have changed while there was no reader.
         """
-        if self.clock.boottime() - self.last_news_at <= self.silence_s():
+        if self.clock.boottime() - self.peer_read_at <= self.silence_s():
             return None
         if self.reads_at_start and not self.has_state() and not self.is_reader():
             return None
@@ -494,6 +496,7 @@
             else:
                 self.store_answered_at = max(self.store_answered_at, began)
                 self.last_news_at = self.clock.boottime()
+                self.peer_read_at = max(self.peer_read_at, began)
                 if news.read_s is not None:
                     self.record_read_duration(news.read_s)
                 self.apply(
@@ -533,14 +536,15 @@
             self.publish_view()
 
     def silence_s(self) -> float:
-        """Return the time without news after which this host broadcasts its reads.
+        """Return how old the newest read of a peer is once this host tells its own.
 
-        The store may turn away the first hosts of the reading order.
+        The store may turn away the first hosts of the reading order. A peer that is
+        asked may answer with an old read.
         """
         if self.host in self.hosts[:TELLERS]:
             return -math.inf
         if self.host in self.hosts:
-            return news_due_s(self.read_s) + self.read_s
+            return news_due_s(self.read_s) + 2 * self.read_s
         return READER_LOSS_TIMEOUT_S
 
     def tell_document(self) -> None:
--- a/tests/discovery/test_missing_news.py
+++ b/tests/discovery/test_missing_news.py
@@ -1,6 +1,7 @@
 """Tests of what a host is sent that lacks news of others."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -145,6 +146,26 @@
     assert 2 <= len(asked) <= 4
 
 
+def test_an_answer_of_a_peer_keeps_no_host_from_telling_what_it_read():
+    """Guards against a change that is read and told to nobody.
+
+    The first hosts of the reading order lack news too; one of them answers a question
+    with a state that is hardly newer.
+    """
+    pair = Pair()
+    pair.read(is_heard=True)
+    far = pair.other
+    far.hosts = ("h1", "h3", "h4", "h5", "h2")
+    told = []
+    far.broadcast = told.append
+    pair.clock.advance(LATE_S)
+    answer = pair.reader.make_full_news()
+    far.apply_news(replace(answer, age_s=answer.age_s - 0.06))
+    pair.source.put_document(2)
+    far.step()
+    assert [news.version for news in told] == [2]
+
+
 @pytest.mark.parametrize("way_s", [0.0, 0.9])
 def test_a_long_way_of_news_makes_no_host_wait_longer(way_s):
     """Guards against bad links that make every host more patient."""
