Split the stand-ins of routed mode: a store, an engine, and their server

One module of 830 lines held both stand-ins and the server of either. Whether an engine that is down reads from a connection was asked in the server by the type of its stand-in; the server of engines asks it now. Nothing else has changed but names of modules.

--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from godwitladder.standins.routed import EngineKnobs, StoreKnobs
+from godwitladder.standins.routed_engine import EngineKnobs
+from godwitladder.standins.routed_store import StoreKnobs
 
 
 @pytest.mark.parametrize("knobs", [StoreKnobs(), EngineKnobs()])
