--- a/godwitladder/discovery/feed.py
+++ b/godwitladder/discovery/feed.py
@@ -20,9 +20,7 @@
 
 from godwitladder.clock import Clock
 from godwitladder.discovery.batches import decode_batch
-from godwitladder.discovery.fleet_copy import FleetCopy
-from godwitladder.discovery.messages import FeedNews, FeedWanted, KnownState
-from godwitladder.discovery.peer_requests import REQUEST_INTERVAL_S, PeerRequests
+from godwitladder.discovery.messages import FeedNews
 from godwitladder.discovery.places import Fit, Place, is_other_history
 from godwitladder.discovery.read_timing import (
     ASK_INTERVAL_S,
@@ -36,15 +34,12 @@
     read_age_s,
 )
 from godwitladder.discovery.source import Batch, Source, StoreUnavailable
+from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S, StateExchange
 from godwitladder.discovery.store_copy import LOG_INTERVAL_S
 from godwitladder.discovery.store_reads import Beside, call_in_turn, read_both
 from godwitladder.discovery.store_view import StoreView
 from godwitladder.discovery.telling import (
-    describe_state,
-    knows_more,
     make_document_news,
-    make_full_news,
-    make_missing_news,
     make_read_news,
 )
 from godwitladder.ids import HostId
@@ -57,9 +52,6 @@
 """Time after its start at which a host that has found no peer reads the store itself.
 It is short because after a failure of all hosts no caller is served before one of
 them has read."""
-PEER_ANSWER_TIMEOUT_S = 1.2
-"""Time after its start at which a host that has received nothing from a peer reads the
-store itself, and uses what it has read."""
 TELL_DELAY_S = 1.0
 """Time after which a host tells of a document that the store has lost; the reader does
 so with its next read, within an interval."""
@@ -73,11 +65,9 @@
 """Reads whose shortest tells how long one takes; all are long if the store is slow."""
 LATE_NEWS_S = 1.0
 """Time on the way from which news is logged as late."""
-MAX_PENDING_REPLIES = 1_000
-"""Requests that a host without any state keeps; hosts repeat theirs."""
 
 
-class Feed(FleetCopy):
+class Feed(StateExchange):
     """Keeps this host's copy of the store up to date.
 
     Parameters
@@ -102,11 +92,8 @@
         reader.
     broadcast : callable
         Sends news to all peers.
-    send_request : callable
-        Sends a request to some peer, and returns whether there is one.
     beside : callable
         Starts the read of one topic while the other one is read.
-    requests : PeerRequests
     store_version : int or None
         Version of the newest document that this host has read of the store itself.
     read_at : float
@@ -115,16 +102,11 @@
         Time at which news from another host was last applied.
     peer_read_at : float
         Start of the newest read by another host that this one knows of.
-    asked_at : float
-        Time at which a peer was last asked for news that this host lacks.
     last_reads_s : deque of float
         Durations of the latest reads, by this host or by the senders of news, in
         seconds.
     read_s : float
         The shortest of these.
-    pending_replies : list of callable
-        Replies to requests that arrived before this host had any state; called with
-        the full state once there is one.
     """
 
     def __init__(
@@ -139,16 +121,13 @@
         super().__init__(host, source, clock, freshness, publish)
         self.reads_at_start = reads_at_start
         self.broadcast: Callable[[FeedNews], None] = lambda news: None
-        self.send_request: Callable[[FeedWanted], bool] = lambda wanted: False
         self.beside: Beside = call_in_turn
-        self.pending_replies: list[Callable[[FeedNews], None]] = []
-        self.requests = PeerRequests()
         self.hosts: tuple[HostId, ...] = (host,)
         self.store_version: int | None = None
         self.read_s = 0.0
         self.last_reads_s = deque([self.read_s], maxlen=COMPARED_READS)
-        self.started = self.last_news_at = self.peer_read_at = clock.boottime()
-        self.read_at = self.asked_at = self.asks_logged_at = -math.inf
+        self.last_news_at = self.peer_read_at = clock.boottime()
+        self.read_at = self.asks_logged_at = -math.inf
         self.late_logged_at = -math.inf
         self.stopping = threading.Event()
 
@@ -227,7 +206,7 @@
         extra = {"version": self.document.version, "fleet": self.fleet.fleet}
         log.warning("The state is of another store, and is forgotten", extra=extra)
         super().forget_state()
-        self.store_version, self.requests = None, PeerRequests()
+        self.store_version = None
         self.read_at = -math.inf
 
     def waits_for_peer(self, now: float) -> bool:
@@ -250,83 +229,6 @@
         """Return whether this host reads the store at each interval."""
         return self.is_first() or not self.has_state()
 
-    def answer_request(
-        self, reply: Callable[[FeedNews], None], known: KnownState | None = None
-    ) -> None:
-        """Call ``reply`` with what a peer lacks, or with the full state.
-
-        Parameters
-        ----------
-        known : KnownState or None
-            What the peer has; there is no reply if this host knows nothing newer. None
-            for the full state, now or once this host has any.
-        """
-        with self.lock:
-            if known is not None:
-                is_useful = self.has_state() and knows_more(self, known)
-                news = make_missing_news(self, known) if is_useful else None
-            else:
-                news = self.make_full_news()
-                if news is None and len(self.pending_replies) < MAX_PENDING_REPLIES:
-                    self.pending_replies.append(reply)
-        if news is not None:
-            reply(news)
-
-    def answer_pending(self) -> None:
-        """Answer the requests that arrived before this host had any state."""
-        if not self.has_state():
-            return
-        replies, self.pending_replies = self.pending_replies, []
-        for reply in replies:
-            reply(self.make_full_news())
-
-    def make_full_news(self) -> FeedNews | None:
-        """Return the full state of this host; None if it has none."""
-        with self.lock:
-            return make_full_news(self) if self.has_state() else None
-
-    def request_state(
-        self, send_request: Callable[[FeedWanted], bool] | None = None
-    ) -> None:
-        """Request the full state from one peer, if that is due.
-
-        Each peer answers with whole documents. If all peers were asked at once, their
-        answers would fill the link of a newly started host for seconds.
-
-        Parameters
-        ----------
-        send_request : callable or None
-            Sends the request to a certain peer and returns whether it was sent; None
-            for any peer.
-        """
-        now = self.clock.boottime()
-        if send_request is not None:
-            self.requests.record_link(now)
-        is_new = self.needs_peer(now)
-        if not self.requests.is_due(now, is_new, self.document.version):
-            return
-        sent = (send_request or self.send_request)(FeedWanted(self.host))
-        if send_request is None:
-            self.requests.is_linked = sent
-        if sent:
-            self.requests.record_request(now, is_new, self.document.version)
-
-    def needs_peer(self, now: float) -> bool:
-        """Return whether this host waits for the state of a peer."""
-        return not (self.has_state() and self.trusts_store(now))
-
-    def trusts_store(self, now: float) -> bool:
-        """Return whether what was read of the store may be used.
-
-        The store may have come back from a copy just before this host started. It would
-        let in callers whose keys its peers know to be revoked.
-        """
-        return self.requests.is_heard or now - self.started >= PEER_ANSWER_TIMEOUT_S
-
-    def request_missing(self) -> None:
-        """Request from a peer the records before news that can't be applied."""
-        self.ask_peer(self.clock.boottime(), REQUEST_INTERVAL_S)
-
     def request_late_news(self, now: float) -> None:
         """Ask a peer for news that are late.
 
@@ -338,26 +240,6 @@
         if self.ask_peer(now, ASK_INTERVAL_S):
             self.log_question(now)
 
-    def ask_peer(self, now: float, interval_s: float) -> bool:
-        """Ask a peer for what this host lacks, unless it asked one lately.
-
-        Parameters
-        ----------
-        interval_s : float
-            Shortest time since the last question, in seconds.
-
-        Returns
-        -------
-        bool
-            Whether a peer was asked.
-        """
-        if not self.has_state() or now - self.asked_at < interval_s:
-            return False
-        is_sent = self.send_request(FeedWanted(self.host, describe_state(self)))
-        if is_sent:
-            self.asked_at = now
-        return is_sent
-
     def log_question(self, now: float) -> None:
         """Log that a peer is asked, at most one line a second."""
         if now - self.asks_logged_at < LOG_INTERVAL_S:
--- a/tests/discovery/test_copies_and_new_hosts.py
+++ b/tests/discovery/test_copies_and_new_hosts.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S, REQUEST_INTERVAL_S
+from godwitladder.discovery.peer_requests import REQUEST_INTERVAL_S
+from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S
 from tests.discovery.copied_store import CopiedSource, make_region
 
 
--- a/tests/discovery/test_copy_machine.py
+++ b/tests/discovery/test_copy_machine.py
@@ -14,8 +14,8 @@
     rule,
 )
 
-from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S
 from godwitladder.discovery.messages import FeedWanted
+from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S
 from godwitladder.discovery.telling import describe_state
 from godwitladder.membership.codec import decode, encode
 from tests.discovery.copied_store import STEP_S, Region
--- a/tests/discovery/test_discovery.py
+++ b/tests/discovery/test_discovery.py
@@ -5,11 +5,7 @@
 import pytest
 
 from godwitladder.clock import ManualClock
-from godwitladder.discovery.feed import (
-    PEER_ANSWER_TIMEOUT_S,
-    UNLINKED_START_TIMEOUT_S,
-    Feed,
-)
+from godwitladder.discovery.feed import UNLINKED_START_TIMEOUT_S, Feed
 from godwitladder.discovery.read_timing import (
     NEWS_TIMEOUT_S,
     READ_INTERVAL_S,
@@ -22,6 +18,7 @@
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S
 from godwitladder.discovery.store_copy import OUTAGE_THRESHOLD_S, outage_threshold_s
 from godwitladder.discovery.targets import REMOVAL_DELAY_S, TargetEntry, TargetTable
 from godwitladder.membership.codec import decode, encode
--- a/tests/discovery/test_late_links.py
+++ b/tests/discovery/test_late_links.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from godwitladder.discovery.feed import PEER_ANSWER_TIMEOUT_S
 from godwitladder.discovery.peer_requests import (
     LATE_INTERVAL_S,
     MAX_LATE_INTERVAL_S,
     PeerRequests,
 )
+from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S
 from tests.discovery.copied_store import Region, make_region
 
 FLEET = 213
--- a/tests/discovery/test_slow_store.py
+++ b/tests/discovery/test_slow_store.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass, field
 
 from godwitladder.clock import ManualClock
-from godwitladder.discovery.feed import REQUEST_INTERVAL_S, Feed
+from godwitladder.discovery.feed import Feed
+from godwitladder.discovery.peer_requests import REQUEST_INTERVAL_S
 from godwitladder.discovery.read_timing import READ_INTERVAL_S
 from godwitladder.routing.freshness import DocumentFreshness
 from tests.discovery.test_discovery import MemorySource, make_feed, make_new_feed
