--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -3,9 +3,9 @@
 import contextlib
 import random
 import socket
-import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -102,27 +102,17 @@
 
 def call_all(fleet, count, first=0):
     """Return the path, attempt and answer of calls to all hosts; None if broken."""
-    results = []
-
-    def send(numbers):
-        for number in numbers:
-            path, attempt = PATHS[number % len(PATHS)], f"a{number}"
-            host = fleet.hosts[number % len(fleet.hosts)]
-            answer = None
-            with contextlib.suppress(Exception):
-                answer = host.call(path, attempt=attempt, body=attempt.encode())
-            results.append((path, attempt, answer))
-
-    numbers = range(first, first + count)
-    senders = [
-        threading.Thread(target=send, args=(numbers[start::SENDERS],))
-        for start in range(SENDERS)
-    ]
-    for sender in senders:
-        sender.start()
-    for sender in senders:
-        sender.join()
-    return results
+
+    def send(number):
+        path, attempt = PATHS[number % len(PATHS)], f"a{number}"
+        host = fleet.hosts[number % len(fleet.hosts)]
+        answer = None
+        with contextlib.suppress(Exception):
+            answer = host.call(path, attempt=attempt, body=attempt.encode())
+        return path, attempt, answer
+
+    with ThreadPoolExecutor(SENDERS) as senders:
+        return list(senders.map(send, range(first, first + count)))
 
 
 def test_callers_of_hosts_whose_targets_cut_answers_see_no_short_success(fleet):
--- a/tests/platform/test_resets_during_uploads.py
+++ b/tests/platform/test_resets_during_uploads.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import http.client
-import threading
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -44,26 +44,17 @@
 
 def upload_all(host, calls):
     """Return the results of all uploads, several at a time."""
-    results = []
 
-    def send(rows):
-        for number, (path, size, in_chunks) in rows:
-            try:
-                result = upload(host, path, size, in_chunks, f"{host.name}{number:x}")
-            except (OSError, http.client.HTTPException):
-                result = 0, None
-            results.append((path, size, in_chunks, *result))
+    def send(row):
+        number, (path, size, in_chunks) = row
+        try:
+            result = upload(host, path, size, in_chunks, f"{host.name}{number:x}")
+        except (OSError, http.client.HTTPException):
+            result = 0, None
+        return path, size, in_chunks, *result
 
-    rows = list(enumerate(calls))
-    senders = [
-        threading.Thread(target=send, args=(rows[start::SENDERS],))
-        for start in range(SENDERS)
-    ]
-    for sender in senders:
-        sender.start()
-    for sender in senders:
-        sender.join()
-    return results
+    with ThreadPoolExecutor(SENDERS) as senders:
+        return list(senders.map(send, enumerate(calls)))
 
 
 def make_fleet(stack, folder):
