Let the tunnel of a caller that pauses live longer than the test

The tunnel lived for 5 s, as long as the test's call had, and the caller paused for 4 s, so 1 s was left for 32 MB.

So what ended it was the call's own time. Whether a gateway is taken for silent while its data wait is asked as before, with a life of 60 s.

--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -38,6 +38,8 @@
 UNREAD_BYTES = 1 << 27
 PAUSED_BYTES = 1 << 25
 PAUSE_S = 4.0
+LONG_LIFE_S = 60.0
+"""Time that a tunnel may live, so that only what is tested can end it."""
 SETTLED_S = 0.3
 
 
@@ -263,7 +265,7 @@
     whole = bytes(PAUSED_BYTES)
     target = RawTarget(stack, lambda target, sock: sock.sendall(HEAD + whole))
     near, _ = make_pair(stack, target.address)
-    response = ask(near.connect(target.address))
+    response = ask(near.connect(target.address, LONG_LIFE_S))
     time.sleep(PAUSE_S)
     assert len(read_body(response)) == len(whole)
 
