Wait for the status page of a host that has just said it is ready

Traced: a host starts to listen for callers, then for readiness, then for its status page. h4's log ends with "The host serves", which follows the status page, at 23:19:10.237, 12 ms after it had its peers' state; the test asked in between. Ready means that callers are served, so the order may stay. The version is asserted as before, once the page is there.

--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -84,6 +84,13 @@
     def status(self):
         return json.loads(self.get(self.ports[2], "/v1/status")[2])
 
+    def shows_status(self):
+        """Return whether the status page is there, which starts after readiness."""
+        try:
+            return bool(self.status())
+        except OSError:
+            return False
+
     def call(self, path, key="k1", attempt="a1", more_headers=None, body=None):
         headers = {
             "Host": "shop.example",
--- a/tests/platform/test_other_fleets.py
+++ b/tests/platform/test_other_fleets.py
@@ -163,6 +163,7 @@
     theirs.standin.knobs.status = 503
     stranger = fleets.start_hosts(theirs, 1, seeds=[hosts[0].peer])
     wait_until(stranger[0].ready, "the state of its peers")
+    wait_until(stranger[0].shows_status, "its status page")
     assert versions(stranger) == [OURS]
     theirs.standin.knobs.status = 0
     wait_until(lambda: versions(stranger) == [THEIRS], "its own store's version")
