--- a/godwitladder/standins/routed_engine.py
+++ b/godwitladder/standins/routed/engine.py
@@ -15,7 +15,7 @@
 from http.server import BaseHTTPRequestHandler
 
 from godwitladder.platform import names
-from godwitladder.standins.server import StandinServer, start_server
+from godwitladder.standins.routed.server import StandinServer, start_server
 
 FALL_S = 2.0
 """Seconds after which an engine that has fallen over is back."""
@@ -490,14 +490,6 @@
         """Log no requests."""
 
 
-class EngineServer(StandinServer):
-    """Serves an engine, which may be down."""
-
-    def verify_request(self, request, client_address) -> bool:
-        """Return whether to read from a connection; an engine that is down won't."""
-        return not self.standin.is_down()
-
-
 def start_engine() -> StandinServer:
     """Start an engine; ``shutdown`` and ``server_close`` stop it."""
-    return start_server(EngineServer(EngineHandler, Engine()))
+    return start_server(StandinServer(EngineHandler, Engine()))
--- a/godwitladder/standins/server.py
+++ b/godwitladder/standins/routed/server.py
@@ -43,6 +43,10 @@
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def verify_request(self, request, client_address) -> bool:
+        """Return whether to read from a connection; a stand-in that is down won't."""
+        return not self.standin.is_down()
+
     def handle_error(self, request, client_address) -> None:
         """Print no traceback: tests break connections on purpose."""
 
--- a/godwitladder/standins/routed_store.py
+++ b/godwitladder/standins/routed/store.py
@@ -18,7 +18,7 @@
 from urllib.parse import parse_qsl, urlsplit
 
 from godwitladder.platform import names
-from godwitladder.standins.server import StandinServer, start_server
+from godwitladder.standins.routed.server import StandinServer, start_server
 
 RECORD_LENGTH = struct.Struct(">I")
 MAX_READ_BYTES = 1_048_576
@@ -124,6 +124,10 @@
         self.cut_answers = 0
         self.lock = threading.Lock()
 
+    def is_down(self) -> bool:
+        """Return whether it accepts no connections; its knobs refuse requests."""
+        return False
+
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record and return the end offset; no value deletes the key."""
         with self.lock:
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -20,15 +20,17 @@
 
 from godwitladder.platform import names
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed_engine import HEALTH_PATH, Engine, EngineHandler
-from godwitladder.standins.routed_store import (
+from godwitladder.standins.routed import (
+    HEALTH_PATH,
     READ_HEADER,
     RECORD_LENGTH,
+    Engine,
+    EngineHandler,
+    StandinServer,
     Store,
     StoreHandler,
     read_page,
 )
-from godwitladder.standins.server import StandinServer
 
 ROOT = Path(__file__).resolve().parents[2]
 BEAT_S = 1.2
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -21,7 +21,7 @@
 import defopt
 
 from godwitladder.platform import names
-from godwitladder.standins.routed_engine import Ending
+from godwitladder.standins.routed import Ending
 from soak.crash_requests import (
     BAD_PART,
     POISON_BODY,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,9 +16,13 @@
 
 from godwitladder.platform import names
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed_engine import HEALTH_PATH, Ending, start_engine
-from godwitladder.standins.routed_store import start_store
-from godwitladder.standins.server import StandinServer
+from godwitladder.standins.routed import (
+    HEALTH_PATH,
+    Ending,
+    StandinServer,
+    start_engine,
+    start_store,
+)
 from soak import host_process
 from soak.proxy import CutMode, Proxy
 
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from godwitladder.standins.routed_engine import Endless, EngineKnobs
+from godwitladder.standins.routed import Endless, EngineKnobs
 from soak.fleet import Fleet, Host, Target
 from soak.plan import Fault, FaultKind
 from soak.proxy import CutMode, Direction, Proxy
--- a/tests/discovery/test_partial_reads.py
+++ b/tests/discovery/test_partial_reads.py
@@ -9,7 +9,7 @@
 from godwitladder.discovery.source import Batch, StoreUnavailable
 from godwitladder.discovery.store_reads import MAX_FURTHER_READS
 from godwitladder.platform.store import StoreClient
-from godwitladder.standins.routed_store import MAX_READ_BYTES, start_store
+from godwitladder.standins.routed import MAX_READ_BYTES, start_store
 from tests.discovery.test_discovery import MemorySource, make_feed
 
 PART = 3
--- a/tests/paths/test_tunnels.py
+++ b/tests/paths/test_tunnels.py
@@ -29,7 +29,7 @@
 from godwitladder.paths.tunnels import TunnelRefused, Tunnels
 from godwitladder.serving.upstream import read_block
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed_engine import start_engine
+from godwitladder.standins.routed import start_engine
 from tests.fleet import SECRET, wait_until
 
 TIMEOUT_S = 5.0
--- a/tests/platform/rollout_fleet.py
+++ b/tests/platform/rollout_fleet.py
@@ -9,8 +9,7 @@
 from collections import Counter
 
 from godwitladder.platform import names
-from godwitladder.standins.routed_engine import start_engine
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import start_engine, start_store
 from tests.fleet import wait_until
 from tests.platform.test_adapter import ENTRY
 from tests.platform.test_hosts import Host, make_config
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -19,7 +19,7 @@
 from godwitladder.routing.calls import DispatchMetadata
 from godwitladder.routing.model import RouteKind
 from godwitladder.serving.auth import key_digest
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import start_store
 
 ENTRY = {
     "service": "letters",
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -13,8 +13,7 @@
 import pytest
 
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed_engine import start_engine
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import start_engine, start_store
 from soak.fleet import SETTINGS_TEMPLATE, HostLimits
 from tests.fleet import wait_until
 from tests.platform.test_adapter import ENTRY
--- a/tests/platform/test_invalid_documents.py
+++ b/tests/platform/test_invalid_documents.py
@@ -18,7 +18,7 @@
 from godwitladder.platform.store import StoreClient
 from godwitladder.routing.model import RouteKind
 from godwitladder.serving.auth import key_digest
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import start_store
 from tests.platform.test_adapter import CONFIG
 
 MISSING = object()
--- a/tests/platform/test_other_fleets.py
+++ b/tests/platform/test_other_fleets.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitladder.platform import names
-from godwitladder.standins.routed_store import Store, start_store
+from godwitladder.standins.routed import Store, start_store
 from tests.fleet import wait_until
 from tests.platform.test_hosts import Host, make_config
 
--- a/tests/platform/test_standins.py
+++ b/tests/platform/test_standins.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from godwitladder.standins.routed_engine import EngineKnobs
-from godwitladder.standins.routed_store import StoreKnobs
+from godwitladder.standins.routed import EngineKnobs, StoreKnobs
 
 
 @pytest.mark.parametrize("knobs", [StoreKnobs(), EngineKnobs()])
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -19,7 +19,7 @@
 from godwitladder.quarantine.probing import ProbeResult, TargetProbe
 from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.standins.ports import free_ports
-from godwitladder.standins.routed_engine import HEALTH_PATH, start_engine
+from godwitladder.standins.routed import HEALTH_PATH, start_engine
 from soak.proxy import close_connections
 from tests.engines.cut_target import Cut, CutTarget
 from tests.engines.raw_target import RawTarget
--- a/tests/rollouts/test_status.py
+++ b/tests/rollouts/test_status.py
@@ -12,7 +12,7 @@
 from godwitladder.platform.source import PlatformSource
 from godwitladder.platform.store import StoreClient
 from godwitladder.rollouts.status import StatusWriter, WantedStatus
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import start_store
 from tests.fleet import wait_until
 
 RAW = json.dumps({"service": "core", "target": 3, "durationS": 12}).encode()
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -50,7 +50,7 @@
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.upstream import StreamTruncated
-from godwitladder.standins.routed_engine import HEALTH_PATH, Ending, start_engine
+from godwitladder.standins.routed import HEALTH_PATH, Ending, start_engine
 from tests.fleet import wait_until
 from tests.platform.test_adapter import CONFIG
 
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitladder.standins.routed_engine import Ending
+from godwitladder.standins.routed import Ending
 from soak.crash_requests import POISON_BODY, Request, Trigger
 from soak.crashes import (
     CrashRun,
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from godwitladder.standins.routed_engine import Ending
-from godwitladder.standins.routed_store import start_store
+from godwitladder.standins.routed import Ending, start_store
 from soak.fleet import Host, Target
 from tests.fleet import wait_until
 
