--- a/godwitladder/discovery/store_copy.py
+++ b/godwitladder/discovery/store_copy.py
@@ -157,6 +157,10 @@
         self.store_answered_at = now
         if away_s > self.outage_s:
             self.table.record_store_return(now)
+            log.info(
+                "Removals of targets wait after an outage of the store",
+                extra={"away_s": round(away_s, 3), "outage_s": self.outage_s},
+            )
         if not self.reachable:
             log.info("Store available", extra={"away_s": round(away_s, 3)})
         self.reachable = True
--- a/tests/discovery/test_news_lines.py
+++ b/tests/discovery/test_news_lines.py
@@ -4,9 +4,10 @@
 
 from godwitladder.clock import ManualClock
 from godwitladder.discovery.read_timing import READ_INTERVAL_S
+from godwitladder.discovery.store_copy import OUTAGE_THRESHOLD_S
 from tests.discovery.test_discovery import MemorySource, make_feed
 
-NO_NEWS_S = 3.0
+NO_NEWS_S = OUTAGE_S = 3.0
 
 
 def find(caplog, text):
@@ -44,3 +45,16 @@
     reader.step(), other.step()
     (line,) = find(caplog, "The store is read for lack of news")
     assert (line.age_s, line.last_news_s, line.rank) == (NO_NEWS_S, NO_NEWS_S, 1)
+
+
+def test_a_host_tells_that_it_keeps_targets_after_an_outage(caplog):
+    """Guards against a target that one host goes on to use, which no line explains."""
+    caplog.set_level(logging.INFO)
+    source, clock = MemorySource(), ManualClock()
+    source.put_document(1)
+    feed, _ = make_feed(source, clock, hosts=("h1",))
+    for wait_s in (0.0, OUTAGE_THRESHOLD_S - 0.2, OUTAGE_S):
+        clock.advance(wait_s)
+        feed.step()
+    (line,) = find(caplog, "Removals of targets wait after an outage of the store")
+    assert (line.away_s, line.outage_s) == (OUTAGE_S, OUTAGE_THRESHOLD_S)
