--- a/godwitladder/discovery/read_timing.py
+++ b/godwitladder/discovery/read_timing.py
@@ -19,7 +19,7 @@
 ASK_AHEAD_S = 0.1
 """Time before that at which a peer is asked. A question costs less than a read."""
 ASK_INTERVAL_S = 0.2
-"""Interval between questions, each to another peer: the last one may lack news too."""
+"""Interval between questions. Each goes to any peer: the last may lack news too."""
 TAKEOVER_DELAY_S = 0.1
 """Added for each host that precedes this one in the reading order, so that the hosts
 don't all start to read at once when the reader fails."""
--- a/tests/discovery/test_late_links.py
+++ b/tests/discovery/test_late_links.py
@@ -7,6 +7,7 @@
     MAX_LATE_INTERVAL_S,
     PeerRequests,
 )
+from godwitladder.discovery.read_timing import ASK_INTERVAL_S
 from godwitladder.discovery.state_exchange import PEER_ANSWER_TIMEOUT_S
 from tests.discovery.copied_store import Region, make_region
 
@@ -24,10 +25,15 @@
         The host that sent each request.
     answers : bool
         Whether peers answer.
+    questions : int
+        Requests for just what a host lacks.
+    whole_answers : int
+        Full states that were sent, whatever was asked.
     """
 
     def __init__(self, region, count=1):
         self.region, self.requests, self.answers = region, [], True
+        self.questions = self.whole_answers = 0
         self.olds = list(region.feeds)
         self.news = [region.add_new(f"new{number}") for number in range(count)]
         self.receive = {feed.host: feed.apply_news for feed in self.news}
@@ -49,12 +55,18 @@
             assert wanted.host == feed.host
             if wanted.known is None:
                 self.requests.append(feed.host)
+            else:
+                self.questions += 1
             if self.answers:
-                peer.answer_request(feed.apply_news, wanted.known)
+                peer.answer_request(lambda news: self.deliver(feed, news), wanted.known)
             return True
 
         return send
 
+    def deliver(self, feed, news):
+        self.whole_answers += news.documents.start < 0
+        feed.apply_news(news)
+
     def versions(self):
         return {feed.document.version for feed in self.news}
 
@@ -81,6 +93,7 @@
     late.link(links)
     late.region.run(2 * MAX_LATE_INTERVAL_S)
     assert late.requests == ["new0"]
+    assert (late.questions, late.whole_answers) == (0, 1)
 
 
 def test_a_fleet_that_starts_together_and_links_late_asks_for_nothing():
@@ -94,6 +107,7 @@
     region.run(2 * LATE_INTERVAL_S)
     assert late.versions() == {1}
     assert late.requests == []
+    assert (late.questions, late.whole_answers) == (0, 0)
 
 
 def test_a_first_link_after_minutes_tells_of_a_document_that_the_store_lost():
@@ -156,6 +170,8 @@
     late.region.run(2 * LATE_INTERVAL_S)
     assert late.versions() == {3}
     assert len(late.requests) <= 2
+    assert late.whole_answers <= 2
+    assert late.questions <= 2 * LATE_INTERVAL_S / ASK_INTERVAL_S
 
 
 def test_peers_that_name_no_version_are_asked_once():
