Take no length of an answer that is not digits alone

What callers saw: a complete 200 with an empty body (lengths -0, +0, 0_0), with 5 of 16 bytes (\x1f5, or 5 and a folded line), or with a length such as +16, 1_6, \x0b16 or 16\xa0.

Cause: the length was the one that the library had made with int(), which takes signs, underscores and many blanks; the text was looked at only if none came out or if it stood twice.

Change: the length is read from the bytes of the head by the grammar, and set over the parser's. Digits may have any number of zeros before them; a length that is listed twice with one value stays valid.

Rare valid lengths are served.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -2,15 +2,14 @@
 
 The standard library parses heads and chunks, but its limits don't suffice: it skips
 any number of interim answers, reads trailers and chunks without an end, and takes the
-end of a connection for the end of a head, and a length that it can't read for none. It
-also takes almost any bytes for a field, so `head_grammar` checks them first.
+end of a connection for the end of a head. It also takes almost any bytes for fields and
+lengths, so `head_grammar` checks them first.
 """
 
 import http.client
 import io
 import re
 import socket
-from collections.abc import Iterable
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
@@ -21,16 +20,18 @@
     FIELD_LINE,
     FINAL_HEAD,
     STATUS_LINE,
+    InvalidFraming,
+    read_length,
 )
 
 CLOCK = Clock()
 DEFAULT_LIMITS = AnswerLimits()
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*|\r)?\n")
-LENGTH = re.compile(r"[0-9]{1,18}")
 CRLF = b"\r\n"
 BLANK_LINES = (CRLF, b"\n")
 LINE_ENDS = b"\r\n"
 SWITCHING_PROTOCOLS = 101
+BODILESS_STATUSES = (http.client.NO_CONTENT, http.client.NOT_MODIFIED)
 MAX_STATUS = b"599"
 """Greatest status that HTTP has."""
 CHUNK_END_BYTES = 2
@@ -245,7 +246,7 @@
             # Its trailers are left unread.
             self.will_close = True
             return
-        self._check_framing(head.lower())
+        self._set_length(head)
         if self.length is None and self.needs_framing:
             raise self._malformed_framing("neither a length nor chunks")
         if self.length is None:
@@ -309,32 +310,23 @@
     def _malformed_head(self, detail: str) -> MalformedAnswer:
         return MalformedAnswer(AnswerShape.HEAD, self.head_bytes, detail)
 
-    def _check_framing(self, head: bytes) -> None:
-        """Check that a head, in lower case, tells how a body without chunks ends.
+    def _set_length(self, head: bytes) -> None:
+        """Set the length that ``head`` states, not the one that the parser read.
 
         An answer whose length can't be read would end with its connection, and a
         part of it would look complete.
         """
-        if b"transfer-encoding" in head and "Transfer-Encoding" in self.headers:
+        if "Transfer-Encoding" in self.headers:
             encoding = self.headers["Transfer-Encoding"][:80]
             raise self._malformed_framing(f"encoding {encoding!r}")
-        stated = head.count(b"content-length")
-        is_odd = self.length is None or self.length > self.limits.body_bytes
-        if stated > 1 or (stated and is_odd):
-            self._check_lengths(self.headers.get_all("Content-Length", ()))
-
-    def _check_lengths(self, stated: Iterable[str]) -> None:
-        """Set the length that an answer states more than once, or in an odd form."""
-        lengths = {part.strip() for value in stated for part in value.split(",")}
-        if not lengths:
-            return
-        length = lengths.pop()
-        if lengths or not LENGTH.fullmatch(length):
-            raise self._malformed_framing(f"lengths {length[:80]!r}, {lengths!r:.80}")
-        if self.length != 0:
-            self.length = int(length)
-            if self.length > self.limits.body_bytes:
-                raise too_large(self.length, self.limits.body_bytes)
+        try:
+            length = read_length(head)
+        except InvalidFraming as error:
+            raise self._malformed_framing(str(error)) from error
+        if self._method != "HEAD" and self.status not in BODILESS_STATUSES:
+            self.length = length
+        if self.length is not None and self.length > self.limits.body_bytes:
+            raise too_large(self.length, self.limits.body_bytes)
 
     def _malformed_framing(self, detail: str, size: int = 0) -> MalformedAnswer:
         return MalformedAnswer(AnswerShape.FRAMING, size or self.head_bytes, detail)
--- a/tests/engines/odd_heads.py
+++ b/tests/engines/odd_heads.py
@@ -325,5 +325,7 @@
 BODY = b"id: 1\ndata: ab\n\n"
 """Both a plain body and a whole event."""
 ANSWERS = OddAnswers(BODY)
-BROKEN = ANSWERS.broken_lines() | ANSWERS.broken_status_lines()
+BROKEN = (
+    ANSWERS.broken_lines() | ANSWERS.broken_status_lines() | ANSWERS.broken_lengths()
+)
 VALID = ANSWERS.rare() | ANSWERS.unframed()
