Take no answer whose coding is not that of chunks alone

What callers saw: a complete 200 though a length stood beside the coding (also one that was none), or Transfer-Encoding twice, one of them not chunked; chunks of HTTP/1.0. Refused though valid: "chunked" with a blank after it (502).

Cause: as before, the coding was the one that the library had read, from the first such field, without the blanks after a value taken off, and a length beside it was dropped without a word.

Change: length and coding are read from the bytes in one place and set over the parser's: one coding, chunked, in HTTP/1.1, without a length, or a length, or neither. RFC 9112, 6.1, asks for each of these.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -2,8 +2,8 @@
 
 The standard library parses heads and chunks, but its limits don't suffice: it skips
 any number of interim answers, reads trailers and chunks without an end, and takes the
-end of a connection for the end of a head. It also takes almost any bytes for fields and
-lengths, so `head_grammar` checks them first.
+end of a connection for the end of a head. It also takes almost any bytes for fields,
+lengths and codings, so `head_grammar` checks them first.
 """
 
 import http.client
@@ -20,8 +20,9 @@
     FIELD_LINE,
     FINAL_HEAD,
     STATUS_LINE,
+    Framing,
     InvalidFraming,
-    read_length,
+    read_framing,
 )
 
 CLOCK = Clock()
@@ -235,6 +236,7 @@
             return
         stream = self.fp
         head = self._take_whole_head() or self._read_final_head()
+        framing = self._read_framing(head)
         self.fp = HeadLines(head)
         try:
             super().begin()
@@ -242,15 +244,7 @@
             raise self._malformed_head(repr(error)) from error
         finally:
             self.fp = stream
-        if self.chunked:
-            # Its trailers are left unread.
-            self.will_close = True
-            return
-        self._set_length(head)
-        if self.length is None and self.needs_framing:
-            raise self._malformed_framing("neither a length nor chunks")
-        if self.length is None:
-            self.fp = UnframedBody(stream, self.limits.body_bytes)
+        self._set_framing(framing)
 
     def _take_whole_head(self) -> bytes | None:
         """Return a final head that has arrived as a whole; None if it has not.
@@ -310,22 +304,30 @@
     def _malformed_head(self, detail: str) -> MalformedAnswer:
         return MalformedAnswer(AnswerShape.HEAD, self.head_bytes, detail)
 
-    def _set_length(self, head: bytes) -> None:
-        """Set the length that ``head`` states, not the one that the parser read.
+    def _read_framing(self, head: bytes) -> Framing:
+        """Return how the body after ``head`` ends.
 
         An answer whose length can't be read would end with its connection, and a
         part of it would look complete.
         """
-        if "Transfer-Encoding" in self.headers:
-            encoding = self.headers["Transfer-Encoding"][:80]
-            raise self._malformed_framing(f"encoding {encoding!r}")
         try:
-            length = read_length(head)
+            return read_framing(head)
         except InvalidFraming as error:
             raise self._malformed_framing(str(error)) from error
-        if self._method != "HEAD" and self.status not in BODILESS_STATUSES:
-            self.length = length
-        if self.length is not None and self.length > self.limits.body_bytes:
+
+    def _set_framing(self, framing: Framing) -> None:
+        """Set how the body ends, as the head states it, not as the parser read it."""
+        self.chunked, self.length = framing.is_chunked, framing.length
+        if self.chunked:
+            # Its trailers are left unread.
+            self.chunk_left, self.will_close = None, True
+        elif self._method == "HEAD" or self.status in BODILESS_STATUSES:
+            self.length = 0
+        elif self.length is None and self.needs_framing:
+            raise self._malformed_framing("neither a length nor chunks")
+        elif self.length is None:
+            self.fp = UnframedBody(self.fp, self.limits.body_bytes)
+        elif self.length > self.limits.body_bytes:
             raise too_large(self.length, self.limits.body_bytes)
 
     def _malformed_framing(self, detail: str, size: int = 0) -> MalformedAnswer:
--- a/godwitladder/engines/head_grammar.py
+++ b/godwitladder/engines/head_grammar.py
@@ -10,6 +10,7 @@
 """
 
 import re
+from dataclasses import dataclass
 
 from godwitladder.findings import GodwitladderError
 
@@ -27,10 +28,12 @@
     + rb"(?<![\t ])\r\n)*+\r\n"
 )
 """A final head as nearly all are: its lines end with CRLF, without blanks before."""
-LENGTH_FIELD = re.compile(rb"\ncontent-length:([^\r\n]*)")
+FRAMING_FIELD = re.compile(rb"\n(content-length|transfer-encoding):([^\r\n]*)")
 """Such a field in a head in lower case."""
 LENGTH = re.compile(rb"(?=[0-9])0*+([0-9]{0,18})")
 BLANKS = b" \t"
+CODING = b"transfer-encoding"
+CHUNKED = b"chunked"
 MAX_QUOTED_BYTES = 80
 
 
@@ -38,26 +41,57 @@
     """A head states in no valid way how its body ends."""
 
 
-def read_length(head: bytes) -> int | None:
-    """Return the length that a head of valid lines states; None if it states none.
+@dataclass(frozen=True)
+class Framing:
+    """How an answer states the end of its body.
+
+    Attributes
+    ----------
+    is_chunked : bool
+        Whether it comes in chunks.
+    length : int or None
+        Its size in bytes; None if it comes in chunks or ends with its connection.
+    """
+
+    is_chunked: bool
+    length: int | None
+
+
+UNFRAMED = Framing(False, None)
+
+
+def read_framing(head: bytes) -> Framing:
+    """Return how the body after a head of valid lines ends.
 
     Raises
     ------
     InvalidFraming
-        It is no number, or there are several.
+        The length is no number or there are several, the coding is not that of chunks,
+        or there is a length beside it.
     """
-    stated = [
-        part
-        for value in LENGTH_FIELD.findall(head.lower())
-        for part in value.split(b",")
-    ]
-    lengths = {_read_number(part.strip(BLANKS)) for part in stated}
+    fields = FRAMING_FIELD.findall(head.lower())
+    if not fields:
+        return UNFRAMED
+    if any(name == CODING for name, _ in fields):
+        return _read_coding(head, fields)
+    stated = [part for _, value in fields for part in value.split(b",")]
+    lengths = {_read_length(part.strip(BLANKS)) for part in stated}
     if len(lengths) > 1:
         raise InvalidFraming(f"lengths {stated!r:.{MAX_QUOTED_BYTES}}")
-    return lengths.pop() if lengths else None
+    return Framing(False, lengths.pop())
+
+
+def _read_coding(head: bytes, fields: list[tuple[bytes, bytes]]) -> Framing:
+    """Return the framing of a head whose fields name a coding."""
+    values = [value.strip(BLANKS) for _, value in fields]
+    if values != [CHUNKED]:
+        raise InvalidFraming(f"coding and length {values!r:.{MAX_QUOTED_BYTES}}")
+    if head.startswith(b"HTTP/1.0"):
+        raise InvalidFraming("chunks in HTTP/1.0, which has none")
+    return Framing(True, None)
 
 
-def _read_number(text: bytes) -> int:
+def _read_length(text: bytes) -> int:
     match = LENGTH.fullmatch(text)
     if match is None:
         raise InvalidFraming(f"length {text[:MAX_QUOTED_BYTES]!r}")
--- a/tests/engines/odd_heads.py
+++ b/tests/engines/odd_heads.py
@@ -306,6 +306,9 @@
             + b"HTTP/1.1 103\r\nLink: <a>\r\n\r\n"
             + plain,
             "chunks": with_head(CODING, body=self.chunks),
+            "blanks around a coding": with_head(
+                b"Transfer-Encoding: \t chunked \t\r\n", body=self.chunks
+            ),
             "coding in upper case": with_head(CODING.upper(), body=self.chunks),
             **{
                 name: with_head(row + b"\r\n", body=self.body)
@@ -325,7 +328,5 @@
 BODY = b"id: 1\ndata: ab\n\n"
 """Both a plain body and a whole event."""
 ANSWERS = OddAnswers(BODY)
-BROKEN = (
-    ANSWERS.broken_lines() | ANSWERS.broken_status_lines() | ANSWERS.broken_lengths()
-)
+BROKEN = ANSWERS.broken_heads()
 VALID = ANSWERS.rare() | ANSWERS.unframed()
