Take no chunk size that is not hexadecimal digits alone

What callers saw: a complete 200 that ended at the first chunk whose size was -0, +0 or 0_0 (5 of 16 bytes), or whose sizes were +10, 0x10, 1_0 or \x0b10.

Cause: the size was int(line, 16) first; the strict pattern was used only if that failed.

Change: each size line is held to the grammar: digits, then extensions (a token, with another or a quoted string as its value). Blanks after it are taken, as before; any number of zeros may stand before the digits, where more than 16 digits were refused.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -3,12 +3,11 @@
 The standard library parses heads and chunks, but its limits don't suffice: it skips
 any number of interim answers, reads trailers and chunks without an end, and takes the
 end of a connection for the end of a head. It also takes almost any bytes for fields,
-lengths and codings, so `head_grammar` checks them first.
+lengths and chunk sizes, so `head_grammar` checks them first.
 """
 
 import http.client
 import io
-import re
 import socket
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
@@ -22,12 +21,12 @@
     STATUS_LINE,
     Framing,
     InvalidFraming,
+    read_chunk_size,
     read_framing,
 )
 
 CLOCK = Clock()
 DEFAULT_LIMITS = AnswerLimits()
-CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\n]*|\r)?\n")
 CRLF = b"\r\n"
 BLANK_LINES = (CRLF, b"\n")
 LINE_ENDS = b"\r\n"
@@ -35,7 +34,6 @@
 BODILESS_STATUSES = (http.client.NO_CONTENT, http.client.NOT_MODIFIED)
 MAX_STATUS = b"599"
 """Greatest status that HTTP has."""
-CHUNK_END_BYTES = 2
 READ_BYTES = 65_536
 SMALL_CHUNK_BYTES = 512
 """Chunks below this size cost more processor time than the bytes in them."""
@@ -340,19 +338,16 @@
         ------
         MalformedAnswer
             The line is no chunk size, the lines exceed their limits, or the body does.
-        ValueError
+        IncompleteRead
             The connection has ended.
         """
         limits = self.limits
         line = self.fp.readline(limits.line_bytes + 1)
-        try:
-            size = int(line, 16) if line.endswith(b"\n") else -1
-        except ValueError:
-            size = -1
-        if size < 0:
-            size = self._parse_chunk_size(line)
+        size = read_chunk_size(line)
+        if size is None or len(line) > limits.line_bytes:
+            raise self._chunk_size_error(line)
         self.body_bytes += size
-        self.framing_bytes += len(line) + CHUNK_END_BYTES
+        self.framing_bytes += len(line) + len(CRLF)
         if self.body_bytes > limits.body_bytes:
             raise too_large(self.body_bytes, limits.body_bytes)
         # The limit on the size of headers holds for the framing too, so far as it
@@ -366,16 +361,12 @@
                 self._pace()
         return size
 
-    def _parse_chunk_size(self, line: bytes) -> int:
-        """Return the size in a line that has more than a size, or none."""
-        is_too_long = len(line) > self.limits.line_bytes
-        if not is_too_long and not line.endswith(b"\n"):
-            raise ValueError("the connection ended within a chunk size")
-        match = CHUNK_SIZE_LINE.fullmatch(line)
-        if is_too_long or match is None:
-            detail = f"chunk size {line[:80]!r}"
-            raise self._malformed_framing(detail, self.framing_bytes + len(line))
-        return int(match[1], 16)
+    def _chunk_size_error(self, line: bytes) -> Exception:
+        """Return the error of a line that states no chunk size."""
+        if len(line) <= self.limits.line_bytes and not line.endswith(b"\n"):
+            return http.client.IncompleteRead(b"")
+        detail = f"chunk size {line[:80]!r}"
+        return self._malformed_framing(detail, self.framing_bytes + len(line))
 
     def _pace(self) -> None:
         """Rest if small chunks arrive too fast.
--- a/godwitladder/engines/head_grammar.py
+++ b/godwitladder/engines/head_grammar.py
@@ -5,8 +5,8 @@
 held to the grammar here, before any parser reads them.
 
 Where the standard leaves a choice, a line may end with LF alone, the reason phrase and
-the blank before it may be missing, and a length may be listed more than once. Folded
-lines are refused.
+the blank before it may be missing, a length may be listed more than once, and blanks
+may follow a chunk size. Folded lines are refused.
 """
 
 import re
@@ -17,8 +17,21 @@
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 TEXT = rb"[\t \x21-\x7e\x80-\xff]*+"
 """Blanks, printable bytes, and bytes above 127, whose meaning is not defined."""
+QUOTED_STRING = (
+    rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*+"'
+)
 FIELD = TOKEN + rb":" + TEXT
 STATUS = rb"HTTP/1\.[0-9][ \t]+([0-9]{3})(?:[ \t]" + TEXT + rb")?"
+EXTENSION = (
+    rb"[ \t]*;[ \t]*"
+    + TOKEN
+    + rb"(?:[ \t]*=[ \t]*(?:"
+    + TOKEN
+    + rb"|"
+    + QUOTED_STRING
+    + rb"))?"
+)
+
 STATUS_LINE = re.compile(STATUS + rb"\r?\n")
 FIELD_LINE = re.compile(FIELD + rb"\r?\n")
 FINAL_HEAD = re.compile(
@@ -28,6 +41,10 @@
     + rb"(?<![\t ])\r\n)*+\r\n"
 )
 """A final head as nearly all are: its lines end with CRLF, without blanks before."""
+CHUNK_SIZE_LINE = re.compile(
+    rb"(?=[0-9A-Fa-f])0*+([0-9A-Fa-f]{0,16})(?:" + EXTENSION + rb")*+[ \t]*\r?\n"
+)
+CHUNK_END = b"\r\n"
 FRAMING_FIELD = re.compile(rb"\n(content-length|transfer-encoding):([^\r\n]*)")
 """Such a field in a head in lower case."""
 LENGTH = re.compile(rb"(?=[0-9])0*+([0-9]{0,18})")
@@ -96,3 +113,9 @@
     if match is None:
         raise InvalidFraming(f"length {text[:MAX_QUOTED_BYTES]!r}")
     return int(match[1] or b"0")
+
+
+def read_chunk_size(line: bytes) -> int | None:
+    """Return the size that a line before a chunk states; None if it states none."""
+    match = CHUNK_SIZE_LINE.fullmatch(line)
+    return int(match[1] or b"0", 16) if match else None
