Wait for no chunks of an answer that has no body

What callers saw: an answer 304 or 204 whose head names chunks, which a 304 may, was waited for until the timeout, and refused.

Cause: the library waits for chunks wherever the head names them. A 204 or 304 ends with its head (RFC 9112, 6.3).

Evidence: 6 of 6 cases of the new test ended with a timeout before.

Change: the statuses without a body, and the request HEAD, go before what the head states.

After: 6 of 6 are complete.

--- a/godwitladder/engines/bounded_http.py
+++ b/godwitladder/engines/bounded_http.py
@@ -315,12 +315,14 @@
 
     def _set_framing(self, framing: Framing) -> None:
         """Set how the body ends, as the head states it, not as the parser read it."""
+        if self._method == "HEAD" or self.status in BODILESS_STATUSES:
+            # The head tells of a body that another request would get.
+            self.chunked, self.length = False, 0
+            return
         self.chunked, self.length = framing.is_chunked, framing.length
         if self.chunked:
             # Its trailers are left unread.
             self.chunk_left, self.will_close = None, True
-        elif self._method == "HEAD" or self.status in BODILESS_STATUSES:
-            self.length = 0
         elif self.length is None and self.needs_framing:
             raise self._malformed_framing("neither a length nor chunks")
         elif self.length is None:
--- a/tests/engines/test_bounded_http.py
+++ b/tests/engines/test_bounded_http.py
@@ -267,6 +267,15 @@
         assert ask(target)[1] == b""
 
 
+@pytest.mark.parametrize("reader", READERS)
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+def test_an_answer_without_a_body_is_complete_where_it_names_chunks(status, reader):
+    """Guards against a wait for chunks that never come."""
+    head = b"HTTP/1.1 " + status + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with RawTarget(head) as target:
+        assert ask(target, READERS[reader])[1] == b""
+
+
 @pytest.mark.parametrize("code", [b"600", b"601", b"999"])
 @pytest.mark.parametrize("line_end", [b"\r\n", b"\n"])
 def test_a_status_above_those_of_the_protocol_is_no_answer(code, line_end):
