--- a/tests/engines/odd_heads.py
+++ b/tests/engines/odd_heads.py
@@ -130,7 +130,7 @@
 
 @dataclass(frozen=True)
 class OddAnswers:
-    """Answers with the same body of 10 to 99 bytes; each ends with its connection.
+    """Answers with the same body of 10 bytes or more; each ends with its connection.
 
     Each method returns answers by what is odd about them.
     """
