--- a/tests/serving/test_broken_heads.py
+++ b/tests/serving/test_broken_heads.py
@@ -143,6 +143,12 @@
         assert is_refused(ask(bench, path, number, broken)), name
 
 
+def test_blanks_after_the_id_of_a_call_are_not_a_part_of_it(bench):
+    """Guards against a whole answer that is refused as that of another call."""
+    answer = with_head(SIGNED.replace(b"\r\n", b" \t\r\n"), ANSWERS.length, body=BODY)
+    assert ask(bench, "/charge/x", 0, answer).body == BODY
+
+
 OPENED = {
     "open": lambda address: open_stream(address, StreamId("s1"), b"{}", TIMEOUT_S),
     "resume": lambda address: resume_stream(address, StreamId("s1"), 0, TIMEOUT_S),
