Tell no call whose answer failed before its head as not run

What callers saw: status 500 with the outcome "not_run" where an error ended an answer after its head was made and before a byte of it was written. The call may have been sent: a body of which nothing is held, where memory is short, and that then breaks, comes here.

Cause: waitress answers such an error through the task for requests that it rejects unread, whose document always says "not_run".

Change: the document of an internal error says "may_have_run".

Found on the way to what is written to callers.

--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -20,6 +20,7 @@
 from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
 from waitress.task import ErrorTask, WSGITask
+from waitress.utilities import InternalServerError
 
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
@@ -134,9 +135,10 @@
 
 
 class ProblemTask(ErrorTask):
-    """Sends a problem document for a request that waitress itself rejects.
+    """Sends a problem document where waitress itself ends a request.
 
-    Such a request was never read completely, so no part of it has run.
+    One that it rejects was never read completely, so no part of it has run. One whose
+    application failed before the head of its answer may have been sent to a target.
     """
 
     def execute(self) -> None:
@@ -145,7 +147,9 @@
         if isinstance(error, NoMemory):
             self.response_headers.append(("Retry-After", NO_MEMORY_RETRY_S))
         self.status = f"{error.code} {error.reason}"
-        body = encode_problem(error.code, error.reason, str(error.body))
+        has_failed = isinstance(error, InternalServerError)
+        outcome = RequestState.MAY_HAVE_RUN if has_failed else RequestState.NOT_RUN
+        body = encode_problem(error.code, error.reason, str(error.body), outcome)
         self.response_headers.append(("Content-Type", PROBLEM_TYPE))
         self.set_close_on_finish()
         self.content_length = len(body)
@@ -650,14 +654,19 @@
         return sock.fileno() >= 0 and sock.pending() > 0
 
 
-def encode_problem(status: int, title: str, detail: str) -> bytes:
-    """Return the problem document for a request that was not read completely."""
+def encode_problem(
+    status: int,
+    title: str,
+    detail: str,
+    outcome: RequestState = RequestState.NOT_RUN,
+) -> bytes:
+    """Return the problem document for a request that no application answered."""
     members = {
         "type": "about:blank",
         "title": title,
         "status": status,
         "detail": detail,
-        "outcome": RequestState.NOT_RUN.value,
+        "outcome": outcome.value,
     }
     return json.dumps(members).encode()
 
