Write no head to a caller that is not HTTP

What callers could see: nothing that a target sends any more, as each head is held to the grammar as it is read. But what came from anywhere else was written as it was: of 11 names, values and reasons with control bytes or blanks, 10 reached the caller.

Change: the listener of all interfaces, routed and not, holds the bytes of each head to the same grammar before it writes them, and answers 500 with the outcome "may_have_run" otherwise, with a line in the log.

After: none of the 11 is written; rare heads (empty values, tabs, bytes above 127, no reason) are.

--- a/godwitladder/engines/head_grammar.py
+++ b/godwitladder/engines/head_grammar.py
@@ -41,6 +41,8 @@
     + rb"(?<![\t ])\r\n)*+\r\n"
 )
 """A final head as nearly all are: its lines end with CRLF, without blanks before."""
+HEAD = re.compile(STATUS + rb"\r\n(?:" + FIELD + rb"\r\n)*+\r\n")
+"""A head of which each line ends with CRLF."""
 CHUNK_SIZE_LINE = re.compile(
     rb"(?=[0-9A-Fa-f])0*+([0-9A-Fa-f]{0,16})(?:" + EXTENSION + rb")*+[ \t]*\r?\n"
 )
--- a/godwitladder/serving/listener.py
+++ b/godwitladder/serving/listener.py
@@ -22,6 +22,8 @@
 from waitress.task import ErrorTask, WSGITask
 from waitress.utilities import InternalServerError
 
+from godwitladder.engines.head_grammar import HEAD
+from godwitladder.findings import GodwitladderError
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import RequestState
 from godwitladder.process.binding import open_listener
@@ -84,6 +86,7 @@
 ACCEPT_PAUSE_S = 0.1
 """Time for which a listener accepts nothing after a lack of descriptors or memory. The
 loop would else turn without a pause, as connections wait."""
+MAX_LOGGED_BYTES = 200
 POLL_RESOLUTION_S = 0.001
 """Resolution of the loop's timeout, by which it could end too early."""
 MIN_SILENCE_S = 1.0
@@ -93,6 +96,10 @@
 request if need be: to callers it would seem to have stopped."""
 
 
+class InvalidHead(GodwitladderError):
+    """The head of an answer is not HTTP, and is not written."""
+
+
 class UnreadConnections:
     """New connections that a full host leaves unread for now.
 
@@ -180,14 +187,23 @@
             raise
 
     def build_response_header(self) -> bytes:
-        """Announce that the connection closes if the server is closing.
+        """Return the head, which says that the connection closes on a closing server.
 
         A caller that kept its connection open would send its next request to a
         process that is about to exit, and the request would be lost.
+
+        Raises
+        ------
+        InvalidHead
+            A name or value has bytes that a head may not have. A caller could read
+            them as another answer.
         """
         if self.channel.server.closing:
             self.set_close_on_finish()
-        return super().build_response_header()
+        head = super().build_response_header()
+        if not HEAD.fullmatch(head):
+            raise InvalidHead(f"{head[:MAX_LOGGED_BYTES]!r} is no head")
+        return head
 
 
 class BoundedChannel(HTTPChannel):
--- a/tests/serving/test_answer_heads.py
+++ b/tests/serving/test_answer_heads.py
@@ -58,3 +58,45 @@
     head, body = ask(address)
     assert head.startswith(b"HTTP/1.1 500 ")
     assert json.loads(body)["outcome"] == RequestState.MAY_HAVE_RUN.value
+
+
+ODD_HEADERS = [
+    ("X-Name", "a\x00b"),
+    ("X-Name", "a\x0bb"),
+    ("X-Name", "a\x7f"),
+    ("X Name", "a"),
+    ("{X}", "a"),
+    ("", "a"),
+    ("X\x01Name", "a"),
+    ("X-Name", "\u20ac"),
+]
+
+
+@pytest.mark.parametrize("header", ODD_HEADERS, ids=repr)
+def test_a_header_that_is_none_is_not_written(app, address, header):
+    """Guards against bytes of other systems that a caller reads as its answer."""
+    app.headers = [header]
+    head, body = ask(address)
+    assert head.startswith(b"HTTP/1.1 500 ")
+    assert json.loads(body)["outcome"] == RequestState.MAY_HAVE_RUN.value
+
+
+@pytest.mark.parametrize("reason", ["O\x00K", "O\x0bK", "\x7f"], ids=repr)
+def test_a_reason_that_is_none_is_not_written(app, address, reason):
+    app.status = f"200 {reason}"
+    assert ask(address)[0].startswith(b"HTTP/1.1 500 ")
+
+
+@pytest.mark.parametrize(
+    "header",
+    [("X", ""), ("X", "a\tb c"), ("X", "\xe9\x80"), ("!#$%&'*+.^_`|~9", "1")],
+    ids=repr,
+)
+@pytest.mark.parametrize("status", ["200 OK", "200 ", "404 Not \xe9"])
+def test_a_rare_head_is_written(app, address, status, header):
+    app.status, app.headers = status, [header, ("Content-Length", str(len(BODY)))]
+    head, body = ask(address)
+    assert head.split(b"\r\n")[0] == f"HTTP/1.1 {status}".encode("latin-1")
+    value = header[1].encode("latin-1")
+    assert any(line.endswith(b": " + value) for line in head.split(b"\r\n")[1:])
+    assert body == BODY
