--- a/godwitladder/engines/head_grammar.py
+++ b/godwitladder/engines/head_grammar.py
@@ -22,6 +22,7 @@
 )
 FIELD = TOKEN + rb":" + TEXT
 STATUS = rb"HTTP/1\.[0-9][ \t]+([0-9]{3})(?:[ \t]" + TEXT + rb")?"
+FINAL_STATUS = STATUS.replace(rb"([0-9]{3})", rb"[2-5][0-9]{2}")
 EXTENSION = (
     rb"[ \t]*;[ \t]*"
     + TOKEN
@@ -34,19 +35,13 @@
 
 STATUS_LINE = re.compile(STATUS + rb"\r?\n")
 FIELD_LINE = re.compile(FIELD + rb"\r?\n")
-FINAL_HEAD = re.compile(
-    STATUS.replace(rb"([0-9]{3})", rb"[2-5][0-9]{2}")
-    + rb"\r\n(?:"
-    + FIELD
-    + rb"(?<![\t ])\r\n)*+\r\n"
-)
+FINAL_HEAD = re.compile(FINAL_STATUS + rb"\r\n(?:" + FIELD + rb"(?<![\t ])\r\n)*+\r\n")
 """A final head as nearly all are: its lines end with CRLF, without blanks before."""
 HEAD = re.compile(STATUS + rb"\r\n(?:" + FIELD + rb"\r\n)*+\r\n")
 """A head of which each line ends with CRLF."""
 CHUNK_SIZE_LINE = re.compile(
     rb"(?=[0-9A-Fa-f])0*+([0-9A-Fa-f]{0,16})(?:" + EXTENSION + rb")*+[ \t]*\r?\n"
 )
-CHUNK_END = b"\r\n"
 FRAMING_FIELD = re.compile(rb"\n(content-length|transfer-encoding):([^\r\n]*)")
 """Such a field in a head in lower case."""
 LENGTH = re.compile(rb"(?=[0-9])0*+([0-9]{0,18})")
--- a/tests/paths/test_broken_handshakes.py
+++ b/tests/paths/test_broken_handshakes.py
@@ -5,7 +5,6 @@
 
 import contextlib
 import dataclasses
-import socket
 import threading
 
 import pytest
@@ -14,6 +13,7 @@
 from godwitladder.paths.tunnels import TunnelFailed
 from tests.engines.odd_heads import ODD_LINES, ODD_STATUS_LINES, TOKEN_BYTES
 from tests.fleet import wait_until
+from tests.paths.test_cut_tunnels import NO_CUT, CutWay
 from tests.paths.test_tunnels import PathHost, make_pair, start_target
 
 TIMEOUT_S = 5.0
@@ -32,16 +32,9 @@
 ]
 
 
-class ChangingWay:
+class ChangingWay(CutWay):
     """Leads to a host, and changes the heads with which it answers.
 
-    Parameters
-    ----------
-    stack : ExitStack
-        Closes the listener.
-    address : str
-        The host's address for peers.
-
     Attributes
     ----------
     status_line : bytes
@@ -51,23 +44,10 @@
     """
 
     def __init__(self, stack, address):
-        host, _, port = address.rpartition(":")
-        self.address_behind = host, int(port)
         self.status_line, self.line = SWITCHING, b""
-        self.server = socket.create_server(("127.0.0.1", 0))
-        stack.callback(self.server.close)
-        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
-        threading.Thread(target=self.run, daemon=True).start()
+        super().__init__(stack, address)
 
-    def run(self):
-        with contextlib.suppress(OSError):
-            while True:
-                near, _ = self.server.accept()
-                far = socket.create_connection(self.address_behind)
-                for copy, *ends in (self.copy, near, far), (self.answer, far, near):
-                    threading.Thread(target=copy, args=ends, daemon=True).start()
-
-    def answer(self, far, near):
+    def pass_back(self, near, far):
         head = b""
         with contextlib.suppress(OSError):
             while HEAD_END not in head and (block := far.recv(READ_BYTES)):
@@ -75,12 +55,7 @@
             _, _, rest = head.partition(b"\r\n")
             line = self.line + b"\r\n" if self.line else b""
             near.sendall(self.status_line + b"\r\n" + line + rest)
-        self.copy(far, near)
-
-    def copy(self, source, sink):
-        with contextlib.suppress(OSError), source, sink:
-            while block := source.recv(READ_BYTES):
-                sink.sendall(block)
+        self.copy(far, near, NO_CUT)
 
 
 @pytest.fixture
@@ -125,13 +100,13 @@
     way = ChangingWay(stack, far.mesh.address)
     way.line = ODD_LINES[0]
     dialled = threading.Event()
-    answer = way.answer
+    pass_back = way.pass_back
 
     def note(*ends):
-        answer(*ends)
+        pass_back(*ends)
         dialled.set()
 
-    way.answer = note
+    way.pass_back = note
     near.mesh.set_dial_addresses({way.address})
     assert dialled.wait(TIMEOUT_S)
     assert near.mesh.current() == []
