Part the rare answers of tests by what is rare about them

One method built all rare valid answers, and cut line ends off in order to put them on again. Rare fields and rare heads have a method each now, of whole lines.

--- a/tests/engines/odd_heads.py
+++ b/tests/engines/odd_heads.py
@@ -271,37 +271,49 @@
 
     def rare(self) -> dict[str, bytes]:
         """Return valid answers that are rare."""
-        plain = with_head(self.length, body=self.body)
-        size = b"%d" % len(self.body)
-        heads = {
-            "no blank before a length": b"Content-Length:" + size,
-            "blanks around a length": b"Content-Length: \t " + size + b" \t ",
-            "zeros before a length": b"Content-Length: " + b"0" * 40 + size,
-            "lower case": self.length.lower().rstrip(),
-            "upper case": self.length.upper().rstrip(),
-            "a line that ends with LF": b"X: 1\n" + self.length.rstrip(),
-            "empty values": b"Name:\r\nOther: \r\nThird:\t\r\n" + self.length.rstrip(),
-            "colons and tabs in a value": b"Name: a:\tb: c\r\n" + self.length.rstrip(),
-            "bytes above 127 in a value": b"Name: \x80\x85\xa0\xc3\xa9\xff\r\n"
-            + self.length.rstrip(),
-            "all bytes of names": TOKEN_BYTES + b": 1\r\n" + self.length.rstrip(),
-            "a field twice": b"Name: 1\r\nname: 2\r\n" + self.length.rstrip(),
-            "names that begin as those of framing": b"Content-Length-Hint: -0\r\n"
-            + b"Transfer-Encodings: gzip\r\n"
-            + self.length.rstrip(),
-            "names of framing in values": b"Name: content-length: 5\r\n"
-            + b"Vary: Transfer-Encoding\r\n"
-            + self.length.rstrip(),
+        return self.rare_fields() | self.rare_heads() | self.in_chunks(RARE_CHUNK_SIZES)
+
+    def rare_fields(self) -> dict[str, bytes]:
+        """Return valid answers with rare fields."""
+        size, length = b"%d" % len(self.body), self.length
+        rows = {
+            "no blank before a length": [b"Content-Length:" + size + b"\r\n"],
+            "blanks around a length": [b"Content-Length: \t " + size + b" \t \r\n"],
+            "zeros before a length": [b"Content-Length: " + b"0" * 40 + size + b"\r\n"],
+            "lower case": [length.lower()],
+            "upper case": [length.upper()],
+            "a line that ends with LF": [b"X: 1\n", length],
+            "empty values": [b"Name:\r\n", b"Other: \r\n", b"Third:\t\r\n", length],
+            "colons and tabs in a value": [b"Name: a:\tb: c\r\n", length],
+            "bytes above 127 in a value": [
+                b"Name: \x80\x85\xa0\xc3\xa9\xff\r\n",
+                length,
+            ],
+            "all bytes of names": [TOKEN_BYTES + b": 1\r\n", length],
+            "a field twice": [b"Name: 1\r\n", b"name: 2\r\n", length],
+            "names that begin as those of framing": [
+                b"Content-Length-Hint: -0\r\n",
+                b"Transfer-Encodings: gzip\r\n",
+                length,
+            ],
+            "names of framing in values": [
+                b"Name: content-length: 5\r\n",
+                b"Vary: Transfer-Encoding\r\n",
+                length,
+            ],
         }
+        return {name: with_head(*lines, body=self.body) for name, lines in rows.items()}
+
+    def rare_heads(self) -> dict[str, bytes]:
+        """Return valid answers with rare status lines, line ends and codings."""
+        plain = with_head(self.length, body=self.body)
+        head = with_head(self.length, body=b"")
         return {
             "HTTP/1.0": plain.replace(b"/1.1", b"/1.0"),
             "no reason": plain.replace(b" OK", b" "),
             "no blank after the status": plain.replace(b" OK", b""),
             "odd reason": plain.replace(b"OK", b"O\tK \xe9"),
-            "lines that end with LF": with_head(self.length, body=b"").replace(
-                b"\r\n", b"\n"
-            )
-            + self.body,
+            "lines that end with LF": head.replace(b"\r\n", b"\n") + self.body,
             "interim answers": b"HTTP/1.1 100 Continue\r\n\r\n"
             + b"HTTP/1.1 103\r\nLink: <a>\r\n\r\n"
             + plain,
@@ -310,11 +322,6 @@
                 b"Transfer-Encoding: \t chunked \t\r\n", body=self.chunks
             ),
             "coding in upper case": with_head(CODING.upper(), body=self.chunks),
-            **{
-                name: with_head(row + b"\r\n", body=self.body)
-                for name, row in heads.items()
-            },
-            **self.in_chunks(RARE_CHUNK_SIZES),
         }
 
     def unframed(self) -> dict[str, bytes]:
