Name the target and the cause where an own call loses its answer

What callers saw: 502 and "may_have_run", which is true. What operators saw of it: nothing, where the call was one of "godwitladder serve"; routed calls have two lines for it.

Cause: the error was turned into a refusal, or into a stream that is resumed, without a line, though it is not known then whether the call ran.

Evidence: the new test fails before, for a service and for a model engine; that for a routed call passes before too.

What dispatches a stream stands where the target is known.

After: it passes; the mutation without the line is red.

--- a/godwitladder/serving/dispatching.py
+++ b/godwitladder/serving/dispatching.py
@@ -8,7 +8,7 @@
 from godwitladder.clock import Clock
 from godwitladder.configuration.model import ServiceKind
 from godwitladder.decisions.waiting.cancel import DisconnectAction, disconnect_action
-from godwitladder.engines.engine import cancel_stream
+from godwitladder.engines.engine import EngineStream, cancel_stream, open_stream
 from godwitladder.engines.service import call_service
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.logs import component_logger
@@ -33,9 +33,9 @@
 from godwitladder.serving.joining import join_chunks
 from godwitladder.serving.problems import answer_problem
 from godwitladder.serving.relay import (
+    IDLE_TIMEOUT_S,
     AnswerTruncated,
     StreamFollower,
-    dispatch_stream,
     lost_refusal,
 )
 from godwitladder.serving.request_ids import RequestLocator, sign_request_id
@@ -178,6 +178,7 @@
             self._handle_truncation(error)
             return self._refuse(start_response, error.refusal)
         except MayHaveRun as error:
+            self._log_loss(error)
             return self._refuse(start_response, self._lost_refusal(error))
         except Exception:
             log.exception("A dispatch failed", extra={"request": self.identity})
@@ -227,7 +228,7 @@
         self, gone: Callable[[], bool], start_response
     ) -> Iterable[bytes]:
         address, stream = self.dispatch.address, self.dispatch.stream
-        opened = dispatch_stream(address, stream, self.call.body, self.dial)
+        opened = self._open_stream()
         row = self.call.row
         follower = StreamFollower(
             address, stream, self.clock, row.deadline, opened, self.dial
@@ -252,6 +253,37 @@
             start_response, 200, "application/json", body, self.identity
         )
 
+    def _open_stream(self) -> EngineStream | None:
+        """Dispatch the request; return None if the answer was lost.
+
+        A request that was written is never written a second time. Its stream is
+        resumed instead; resuming a stream id that the engine does not know starts
+        nothing.
+
+        Raises
+        ------
+        NotSent, TargetRefused
+            See `godwitladder.engines.wire`.
+        """
+        address, stream = self.dispatch.address, self.dispatch.stream
+        try:
+            return open_stream(
+                address, stream, self.call.body, IDLE_TIMEOUT_S, self.dial
+            )
+        except MayHaveRun as error:
+            self._log_loss(error)
+            return None
+
+    def _log_loss(self, error: MayHaveRun) -> None:
+        """Log that the target gave no answer, or a broken one."""
+        extra = {
+            "request": self.identity,
+            "target": self.dispatch.target,
+            "address": self.dispatch.address,
+            "error": str(error),
+        }
+        log.info("The answer was lost", extra=extra)
+
     def _should_cancel(self, tokens: int) -> bool:
         """Return whether to cancel the work of a caller that has disconnected.
 
--- a/godwitladder/serving/relay.py
+++ b/godwitladder/serving/relay.py
@@ -14,14 +14,16 @@
     DONE,
     Chunk,
     EngineStream,
-    open_stream,
     resume_stream,
 )
 from godwitladder.engines.wire import Dial, MayHaveRun, NotSent, TargetRefused, connect
 from godwitladder.findings import GodwitladderError
 from godwitladder.ids import StreamId
+from godwitladder.logs import component_logger
 from godwitladder.outcomes import Reason, Refusal, RequestState
 
+log = component_logger("callers")
+
 # Engines send a heartbeat every second. Three missing ones mean that something
 # between the two ends has dropped the connection.
 IDLE_TIMEOUT_S = 3.0
@@ -164,6 +166,7 @@
                 cause = "the target closed it early"
             except (MayHaveRun, NotSent) as error:
                 cause = str(error)
+                self._log_break(cause)
             finally:
                 self.close()
             failures = failures + 1 if self.progress.next_sequence == before else 0
@@ -176,6 +179,11 @@
             if not self.progress.complete:
                 self._back_off(INITIAL_BACKOFF_S * 2**failures if failures else 0.0)
 
+    def _log_break(self, cause: str) -> None:
+        """Log why a connection ended; the stream is resumed on another one."""
+        extra = {"address": self.address, "stream": self.stream, "error": cause}
+        log.info("A connection to a stream broke", extra=extra)
+
     def _read_connection(self) -> Iterator[list[Chunk]]:
         if self.connection is None:
             self.connection = self._resume()
@@ -236,23 +244,3 @@
     """Return the refusal for a target that was lost after the first byte was sent."""
     text = f"The target was lost with the request: {detail}."
     return Refusal(RequestState.MAY_HAVE_RUN, Reason.TARGET_LOST, text)
-
-
-def dispatch_stream(
-    address: str, stream: StreamId, body: bytes, dial: Dial = connect
-) -> EngineStream | None:
-    """Dispatch ``body``; return None if the engine gave no answer but may have it.
-
-    A request that was written is never written a second time. Its stream is
-    resumed instead; resuming a stream id that the engine does not know starts
-    nothing.
-
-    Raises
-    ------
-    NotSent, TargetRefused
-        See `godwitladder.engines.wire`.
-    """
-    try:
-        return open_stream(address, stream, body, IDLE_TIMEOUT_S, dial)
-    except MayHaveRun:
-        return None
--- a/tests/serving/test_broken_heads.py
+++ b/tests/serving/test_broken_heads.py
@@ -20,6 +20,7 @@
     with_head,
 )
 from tests.engines.raw_target import RawTarget
+from tests.serving.app import App
 from tests.serving.odd_targets import OddTarget, chunk
 from tests.serving.test_endless_answers import OddBench, is_broken, is_refused
 
@@ -35,6 +36,7 @@
 ONCE = list(KINDS)[:2]
 NOT_EXECUTED = f"{names.NOT_EXECUTED}: 1\r\n".encode()
 TIMEOUT_S = 5.0
+CHARGE = "/v1/services/charge"
 
 
 class ShapedTarget(OddTarget):
@@ -149,6 +151,35 @@
     assert ask(bench, "/charge/x", 0, answer).body == BODY
 
 
+BROKEN_LENGTH = with_head(b"Content-Length: -0\r\n", body=BODY)
+
+
+def test_a_broken_answer_leaves_a_line_with_its_target_and_cause(bench, caplog):
+    """Guards against a target in trouble that no log names."""
+    caplog.set_level("INFO")
+    ask(bench, "/charge/x", 0, sign("/charge/x", BROKEN_LENGTH))
+    (line,) = [row for row in caplog.records if "is malformed" in row.message]
+    assert line.address == bench.addresses[0]
+    assert "length b'-0'" in line.error
+
+
+@pytest.mark.parametrize("kind", ["engine", "service"])
+def test_a_broken_answer_to_an_own_call_leaves_a_line_too(kind, caplog):
+    """Guards against a target in trouble that no log of `godwitladder serve` names."""
+    caplog.set_level("INFO")
+    with contextlib.ExitStack() as stack:
+        target = stack.enter_context(RawTarget(BROKEN_LENGTH, closes=True))
+        app = App(stack, **{kind: target.address})
+        app.wait_for_allowances()
+        ask_app = {"engine": app.chat, "service": lambda: app.ask("POST", CHARGE)}
+        answer = ask_app[kind]()
+        assert answer.status.startswith("502")
+        assert answer.problem()["outcome"] == "may_have_run"
+    lines = [row for row in caplog.records if row.message.endswith("answer was lost")]
+    assert {line.address for line in lines} == {target.address}
+    assert all("length b'-0'" in line.error and line.target for line in lines)
+
+
 OPENED = {
     "open": lambda address: open_stream(address, StreamId("s1"), b"{}", TIMEOUT_S),
     "resume": lambda address: resume_stream(address, StreamId("s1"), 0, TIMEOUT_S),
