--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
 """Stops a host with SIGTERM while requests wait in it for an engine.
 
-All engines of one service were lost for good, well before the requests were sent.
+The one engine of a service was lost for good, well before the requests were sent.
 """
 
 import contextlib
@@ -16,10 +16,10 @@
 FOLDER = Path(__file__).resolve().parent
 SERVICE = "app"
 OTHER_SERVICE = "other"
-ENGINES = 2
-"""Engines of each service."""
+OTHER_ENGINES = 2
+"""Engines of the other service, which is sound."""
 LOST_BEFORE_S = 8.0
-"""Time from the loss of the engines to the requests."""
+"""Time from the loss of the engine to the requests."""
 STOPPED_AFTER_S = 1.0
 """Time from the requests to the SIGTERM."""
 DEADLINE_S = 15.0
@@ -75,7 +75,8 @@
 def play(trouble: bool, stack: contextlib.ExitStack, record: Record) -> int:
     """Play the case; return the exit status."""
     services = (SERVICE, OTHER_SERVICE)
-    fleet = Fleet(stack, record, make_config(ROUTES, services), services * ENGINES)
+    engines = (SERVICE, *(OTHER_SERVICE,) * OTHER_ENGINES)
+    fleet = Fleet(stack, record, make_config(ROUTES, services), engines)
     fleet.start()
     if not fleet.wait_until_ready():
         return 2
