--- a/review/harness2/fleet.py
+++ b/review/harness2/fleet.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -80,6 +81,11 @@
 """What the platform makes of `deploy/settings.toml.in` for a small deployment."""
 
 
+def end_case(number: int, frame: object) -> None:
+    """End a case that takes too long, and with it all that it has started."""
+    sys.exit(2)
+
+
 class Record:
     """Writes what was sent, answered and run, a JSON line each."""
 
@@ -170,6 +176,7 @@
         hosts: int = 3,
         slots: int = SLOTS,
     ) -> None:
+        signal.signal(signal.SIGTERM, end_case)
         self.slots = slots
         self.record = record
         self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
