A stop waits for no store and no actor before its intake ends

Cause: the drain wrote to the store that the host leaves, and waited for the answer, before the 2.5 s began in which calls are still taken in; the exit counts from the signal. The membership actor was waited for likewise.

Change: the steps of a stop have due times counted from the signal (routing/stop_schedule.py). Peers are told without waiting; the thread that maintains the host's entry in the store marks it as leaving, and tries again until the store has taken it. EntryHost tells its actors without waiting too.

--- a/godwitladder/daemon.py
+++ b/godwitladder/daemon.py
@@ -249,8 +249,8 @@
         ``/readyz``. A connection that they sent to a closed listener, or into its
         backlog, would be dropped without a response.
         """
-        self.membership.ask(Leave())
-        self.scheduler.ask(Stop())
+        self.membership.tell(Leave())
+        self.scheduler.tell(Stop())
         self.keys.keyed.stopping = True
         if self.caller_server is not None:
             self.caller_server.closing = True
--- a/godwitladder/discovery/host_list.py
+++ b/godwitladder/discovery/host_list.py
@@ -6,6 +6,7 @@
 few hosts register themselves and poll the list, and so do hosts without any link.
 """
 
+import threading
 from collections.abc import Callable, Collection
 
 from godwitladder.decisions.rendezvous import rank_hosts
@@ -21,6 +22,8 @@
 """Interval for hosts that have no link to any other or are not registered yet."""
 REGISTERED_HOSTS = 3
 """Number of linked hosts that are on the list; two of them may fail at once."""
+LEAVE_RETRY_S = 1.0
+"""Pause between two tries to mark this host as leaving, while the store is away."""
 RANKING_KEY = "list of hosts"
 
 
@@ -42,6 +45,8 @@
     ----------
     registered : bool
         Whether the store has this host's entry.
+    left : threading.Event
+        Set once the store has no entry that says that this host stays.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self.row = row
         self.report = report
         self.registered = False
+        self.left = threading.Event()
 
     def update(self, linked: bool, hosts: Collection[HostId]) -> float:
         """Register and poll as needed; return the seconds until the next call.
@@ -78,10 +84,18 @@
             POLL_INTERVAL_S if linked and self.registered else UNLINKED_POLL_INTERVAL_S
         )
 
-    def leave(self) -> None:
-        """Mark this host as leaving, if it is registered."""
-        if self.registered:
-            self.write(ListedHost(self.row.address, self.row.zone, leaving=True))
+    def leave(self) -> float:
+        """Mark this host as leaving, if it is registered.
+
+        Returns
+        -------
+        float
+            Seconds until the next try, unless `left` is set.
+        """
+        row = ListedHost(self.row.address, self.row.zone, leaving=True)
+        if not self.registered or self.write(row):
+            self.left.set()
+        return LEAVE_RETRY_S
 
     def read(self) -> None:
         """Read the list and report the hosts that are not leaving.
--- a/godwitladder/process/base_host.py
+++ b/godwitladder/process/base_host.py
@@ -68,6 +68,8 @@
         Stops the components in the reverse order of their start.
     stopping : threading.Event
         Set when the host is to stop.
+    stop_requested : float
+        Monotonic time in seconds at which a graceful stop was first requested.
     signals : SignalQueue
         Signals that were received while the host runs.
     failure : Failure or None
@@ -87,6 +89,7 @@
         self.metrics = Metrics()
         self.stack = contextlib.ExitStack()
         self.stopping = threading.Event()
+        self.stop_requested = math.inf
         self.signals = SignalQueue()
         self.failure: Failure | None = None
         self.caller_server: BoundedServer | None = None
@@ -221,6 +224,7 @@
 
     def stop(self) -> None:
         """Request a graceful stop."""
+        self.stop_requested = min(self.stop_requested, self.clock.monotonic())
         self.stopping.set()
         self.signals.wake()
 
@@ -271,6 +275,10 @@
                 extra={"open": len(server.active_channels)},
             )
 
+    def sleep_until(self, moment: float) -> None:
+        """Sleep until the monotonic time ``moment``, in seconds."""
+        self.clock.sleep(max(0.0, moment - self.clock.monotonic()))
+
     def wait_until_idle(
         self, is_busy: Callable[[], bool], until: float = float("inf")
     ) -> None:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -64,6 +64,7 @@
 )
 from godwitladder.routing.state import make_config_state
 from godwitladder.routing.status import StatusApp
+from godwitladder.routing.stop_schedule import make_stop_schedule
 from godwitladder.scheduler.actor import Scheduler
 from godwitladder.scheduler.allocator import Allocator, AllocatorTables
 from godwitladder.scheduler.messages import HostsChanged, NewConfig, TargetsLeaving
@@ -92,11 +93,6 @@
 FIRST_POLL_S = 1.0
 PEER_DISCOVERY_TIMEOUT_S = 3.0
 """A host that has found no peer after this time serves alone."""
-DRAIN_NOTICE_S = 2.5
-"""Seconds for the load balancer to notice that this host is leaving: it probes
-once a second and removes a host after two failed probes."""
-EXIT_RESERVE_S = 0.5
-"""Seconds of the grace period that are reserved for the exit of the process."""
 ADMIN_THREADS = 2
 NEW_CONNECTION_FRACTION = 0.85
 """Part of the threads for new connections; the rest is for those that are open."""
@@ -501,20 +497,19 @@
     def drain(self) -> None:
         """Report this host as not ready to the load balancer, and finish open calls.
 
-        The load balancer probes once a second and removes a host after two failed
-        probes. Until then, calls on new connections are still served. Later calls
-        are refused, which leaves the rest of the grace period to the open calls.
+        Until the load balancer has noticed, calls on new connections are still
+        served. Later calls are refused, which leaves the rest of the grace period to
+        the open calls. Peers and the store are told meanwhile, and not waited for.
         """
-        began = self.clock.monotonic()
+        schedule = make_stop_schedule(self.stop_requested, self.settings.bounds.grace_s)
         log.info("The host is draining", extra={"open_calls": self.app.open_calls})
-        self.membership.ask(Leave())
-        self.host_list.leave()
+        self.membership.tell(Leave())
         if self.caller_server is not None:
             self.caller_server.closing = True
-            self.clock.sleep(DRAIN_NOTICE_S)
+            self.sleep_until(schedule.intake_ends)
         self.app.refusing = True
         self.gateway.is_stopping = True
-        until = began + self.settings.bounds.grace_s - EXIT_RESERVE_S
+        until = schedule.exit_at
         self.wait_until_idle(self.has_open_calls, until)
         if self.caller_server is not None:
             self.close_connections(self.caller_server, self.has_open_calls, until)
@@ -616,11 +611,16 @@
             log.info("The set of live hosts has changed", extra=extra)
 
     def poll_host_list(self) -> None:
-        """Maintain this host's entry in the host list, and reload changed settings."""
+        """Maintain this host's entry in the host list, and reload changed settings.
+
+        The same thread marks the entry as leaving at a stop, as an entry that is
+        written meanwhile would say that the host stays.
+        """
         # Most peers are found through the seeds within this time.
         self.clock.wait(self.stopping, FIRST_POLL_S)
         turns = self.supervise(Turns("hosts", self.clock))
         turns.loop(self.stopping, lambda: self.update_host_list(turns))
+        turns.loop(self.host_list.left, self.host_list.leave)
 
     def update_host_list(self, turns: Turns) -> float:
         """Run one turn; return the seconds until the next one."""
--- a/tests/discovery/test_hostlist.py
+++ b/tests/discovery/test_hostlist.py
@@ -112,3 +112,24 @@
     store.unavailable = False
     assert lists[0].update(True, HOSTS[:1]) == POLL_INTERVAL_S
     assert lists[0].registered
+
+
+def test_a_host_that_leaves_says_so_once_the_store_is_back():
+    """Guards against an entry that says for ever that a stopped host stays."""
+    store = MemoryList()
+    host_list = make_lists(store)[0][0]
+    host_list.update(False, HOSTS)
+    store.unavailable = True
+    host_list.leave()
+    assert not host_list.left.is_set()
+    store.unavailable = False
+    host_list.leave()
+    assert host_list.left.is_set()
+    assert [row.leaving for row in store.rows.values()] == [True]
+
+
+def test_a_host_without_an_entry_writes_none_as_it_leaves():
+    store = MemoryList()
+    host_list = make_lists(store)[0][0]
+    host_list.leave()
+    assert host_list.left.is_set() and not store.rows
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -11,7 +11,9 @@
 import pytest
 
 from godwitladder.platform import names
-from tests.platform.test_hosts import Fleet
+from tests.fleet import wait_until
+from tests.platform.test_hosts import Fleet, make_config
+from tests.serving.test_passing import route
 
 GRACE_S = 8.0
 CALLERS = 24
@@ -167,3 +169,128 @@
     give_slots(fleet, 24)
     set_knobs(fleet, pause_s=3.5)
     assert stop(fleet, fleet.hosts[0], "/charge/x", away=True) == []
+
+
+LATE_S = 3.1
+"""Time from SIGTERM after which a call that is passed on may not be cut."""
+LONG_RUN_S = 4.7
+"""A run that outlasts the grace if it begins that late, and not its route's time."""
+PATIENT_S = 15.0
+"""Time of the routes whose calls wait for longer than a stop takes."""
+PATIENT_ROUTES = [
+    route("lookup", "idempotent", timeoutMs=PATIENT_S * 1000),
+    route("charge", "non_idempotent", maxAttempts=1, timeoutMs=PATIENT_S * 1000),
+]
+
+
+class OneCall(threading.Thread):
+    """One call on a connection that may have been used before."""
+
+    def __init__(self, host, path, attempt):
+        super().__init__(daemon=True)
+        self.path, self.attempt = path, attempt
+        self.status, self.retry_after, self.ended = None, None, 0.0
+        self.connection = http.client.HTTPConnection(
+            "127.0.0.1", host.ports[0], timeout=PATIENT_S + 1
+        )
+
+    def use_before(self):
+        """Make a call that leaves the connection open."""
+        assert self.ask(f"{self.attempt}-before") == 200
+
+    def run(self):
+        try:
+            self.status = self.ask(self.attempt)
+        except (OSError, http.client.HTTPException):
+            self.status = 0
+        self.ended = time.monotonic()
+
+    def ask(self, attempt):
+        headers = {
+            "Host": "shop.example",
+            names.ATTEMPT: attempt,
+            names.DEADLINE_MS: str(int(PATIENT_S * 1000)),
+            "Authorization": "Bearer k1",
+        }
+        self.connection.request("POST", self.path, attempt.encode(), headers)
+        answer = self.connection.getresponse()
+        answer.read()
+        self.retry_after = answer.getheader("Retry-After")
+        return answer.status
+
+
+def attempts_run(fleet):
+    """Return the attempts that any target has begun to run."""
+    engines = [row.standin for row in fleet.engines.values()]
+    return {run.headers[names.ATTEMPT.lower()] for row in engines for run in row.runs}
+
+
+def set_routes(fleet, routes):
+    """Put ``routes`` in force at all hosts."""
+    fleet.store.standin.put_config(make_config(2) | {"routes": routes})
+    wait_until(
+        lambda: all(host.status()["version"] == 2 for host in fleet.hosts), "routes"
+    )
+
+
+def listed_hosts(fleet):
+    """Return the addresses of the hosts that the store lists."""
+    return fleet.store.standin.topics[names.HOSTS_TOPIC].newest()
+
+
+def lose_targets(fleet):
+    for name in fleet.engines:
+        fleet.store.standin.put("keyed.servers", name, b"")
+
+
+def let_targets_leave(fleet):
+    for name in fleet.engines:
+        fleet.register_engine(name, state="draining")
+
+
+def start_calls(host, sent):
+    """Start a call that may be repeated and one that may not; return them."""
+    calls = [OneCall(host, f"/{kind}/x", f"{kind}-{sent}") for kind in KINDS]
+    for call in calls:
+        call.start()
+    return calls
+
+
+KINDS = ("lookup", "charge")
+
+
+@pytest.mark.parametrize(
+    ("path", "mute_s", "has_hangup"),
+    [
+        ("/stream/x", 6.0, False),
+        ("/charge/x", 6.0, False),
+        ("/charge/x", 0.9, False),
+        ("/charge/x", 6.0, True),
+    ],
+)
+def test_a_stop_beside_a_silent_store_cuts_no_late_call(
+    fleet, path, mute_s, has_hangup
+):
+    """Guards against a stop that waits for the store and takes calls in meanwhile."""
+    give_slots(fleet, 24)
+    set_knobs(fleet, pause_s=0.0, events=47)
+    host = fleet.hosts[0]
+    # A host without an entry has nothing to tell the store.
+    wait_until(lambda: host.peer in listed_hosts(fleet), "an entry of the host")
+    calls = [OneCall(host, path, f"late-{n}") for n in range(6)]
+    for call in calls:
+        call.use_before()
+    set_knobs(fleet, pause_s=LONG_RUN_S if "charge" in path else LONG_RUN_S / 47)
+    fleet.store.standin.knobs.mute_s = mute_s
+    if has_hangup:
+        host.process.send_signal(signal.SIGHUP)
+        time.sleep(0.2)
+    host.process.send_signal(signal.SIGTERM)
+    time.sleep(LATE_S)
+    for call in calls:
+        call.start()
+    assert host.process.wait(GRACE_S) == 0
+    for call in calls:
+        call.join(PATIENT_S)
+    runs = attempts_run(fleet)
+    assert [row.attempt for row in calls if row.attempt in runs] == []
--- a/tests/process/test_loops.py
+++ b/tests/process/test_loops.py
@@ -168,7 +168,11 @@
         clock=Clock(),
         stopping=threading.Event(),
         mesh=SimpleNamespace(current=list),
-        host_list=SimpleNamespace(update=fault if part == "update" else quick),
+        host_list=SimpleNamespace(
+            update=fault if part == "update" else quick,
+            leave=quick,
+            left=threading.Event(),
+        ),
         feed=SimpleNamespace(hosts=()),
         reload_if_changed=fault if part == "reload" else quick,
     )
