A stop answers each call that waits before the process ends

Cause: the drain bounded its own wait and none of the calls'. The scheduler refuses what is shed or late, and says nothing of a service without a place.

Change: the watcher of calls knows until when calls may be sent (5/8 of the grace) and targets be waited for (.2 s before the exit).

--- a/godwitladder/routing/app.py
+++ b/godwitladder/routing/app.py
@@ -49,7 +49,7 @@
 from godwitladder.serving.counting import CountedApp
 from godwitladder.serving.listener import limit_writes
 from godwitladder.serving.problems import answer_problem
-from godwitladder.serving.proxying import RoutedProxy
+from godwitladder.serving.proxying import STOPPING_REFUSAL, RoutedProxy
 from godwitladder.serving.request_bodies import read_whole_body
 
 log = component_logger("routing")
@@ -71,8 +71,6 @@
 FULL_RETRY_S = 0.5
 """Retry-After of a host whose threads are all busy. Another host probably has a
 free thread at once; this one has when a call ends."""
-STOPPING_RETRY_S = 0.1
-"""Retry-After of a host that is stopping; other hosts can take the call at once."""
 ANY_RELEASE = Release("")
 ORIGIN_UNKNOWN_TEXT = "It is not known here at which version the stream began."
 ORIGIN_RETRY_S = 0.5
@@ -197,7 +195,7 @@
         in_force = self.in_force
         document = in_force.document
         if self.refusing:
-            raise _refused(Reason.STOPPING, "This host is stopping.", STOPPING_RETRY_S)
+            raise CallRefused(STOPPING_REFUSAL)
         # With all threads busy, a call would wait in the socket's queue, and its
         # caller would get no answer until its deadline.
         if self.open_calls > self.max_open_calls:
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -503,6 +503,7 @@
         """
         schedule = make_stop_schedule(self.stop_requested, self.settings.bounds.grace_s)
         log.info("The host is draining", extra={"open_calls": self.app.open_calls})
+        self.watch.stop_times = schedule.calls
         self.membership.tell(Leave())
         if self.caller_server is not None:
             self.caller_server.closing = True
--- a/godwitladder/routing/stop_schedule.py
+++ b/godwitladder/routing/stop_schedule.py
@@ -6,11 +6,18 @@
 
 from dataclasses import dataclass
 
+from godwitladder.serving.call_watcher import StopTimes
+
 INTAKE_S = 2.5
 """Seconds for the load balancer to notice that this host is leaving: it probes
 once a second and removes a host after two failed probes."""
 MAX_INTAKE_FRACTION = 1 / 3
 """Limit on the part of the grace period in which calls are taken in."""
+SENDS_FRACTION = 5 / 8
+"""Part of the grace period in which calls are sent to targets. In the rest most of
+them can be answered."""
+ANSWER_RESERVE_S = 0.2
+"""Seconds before the exit in which refusals are written."""
 EXIT_RESERVE_S = 0.5
 """Seconds of the grace period that are reserved for the exit of the process."""
 
@@ -23,11 +30,14 @@
     ----------
     intake_ends : float
         From then on, calls that arrive are refused.
+    calls : StopTimes
+        Until when calls may be sent, and until when targets are waited for.
     exit_at : float
         When the process exits at the latest.
     """
 
     intake_ends: float
+    calls: StopTimes
     exit_at: float
 
 
@@ -41,7 +51,13 @@
     grace_s : float
         Seconds after which the platform kills the process.
     """
+    exit_s = max(0.0, grace_s - EXIT_RESERVE_S)
+    calls_s = max(0.0, exit_s - ANSWER_RESERVE_S)
     return StopSchedule(
         intake_ends=signalled + min(INTAKE_S, grace_s * MAX_INTAKE_FRACTION),
-        exit_at=signalled + max(0.0, grace_s - EXIT_RESERVE_S),
+        calls=StopTimes(
+            sends_end=signalled + min(calls_s, grace_s * SENDS_FRACTION),
+            calls_end=signalled + calls_s,
+        ),
+        exit_at=signalled + exit_s,
     )
--- a/godwitladder/serving/call_watcher.py
+++ b/godwitladder/serving/call_watcher.py
@@ -1,4 +1,4 @@
-"""Aborts calls whose caller has disconnected or whose deadline has passed.
+"""Aborts calls whose caller has disconnected, whose time is over, or as the host stops.
 
 A thread that blocks on a target's next byte can't check its caller. One watcher
 thread checks all open calls several times a second and shuts down the
@@ -8,6 +8,7 @@
 """
 
 import enum
+import math
 import socket
 import threading
 from collections.abc import Callable
@@ -27,6 +28,26 @@
 
     CALLER_GONE = "caller_gone"
     TIMEOUT = "timeout"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class StopTimes:
+    """Until when calls may go on, in monotonic seconds, as the host stops.
+
+    Attributes
+    ----------
+    sends_end : float
+        From then on nothing is sent to targets, and what waits is refused.
+    calls_end : float
+        From then on no target is waited for.
+    """
+
+    sends_end: float = math.inf
+    calls_end: float = math.inf
+
+
+NO_STOP = StopTimes()
 
 
 @dataclass
@@ -40,8 +61,8 @@
     deadline : float
         Deadline in seconds of the monotonic clock.
     withdraw : callable
-        Called if the caller has disconnected while the call has no connection to
-        a target.
+        Called with each check while the call waits without a connection to a target
+        and its caller has disconnected, or the host sends nothing any more.
     sock : socket or None
         The connection to the target, if there is one.
     cause : AbortCause or None
@@ -86,25 +107,38 @@
             # The connection is closed already.
             return
 
-    def check(self, now: float) -> None:
-        """Abort the call if its caller has disconnected or its deadline has passed."""
+    def check(self, now: float, stop: StopTimes = NO_STOP) -> None:
+        """Abort the call if there is a cause."""
         if self.cause is None:
-            if self.gone():
-                self.cause = AbortCause.CALLER_GONE
-            elif now >= self.deadline:
-                self.cause = AbortCause.TIMEOUT
+            self.cause = self.find_cause(now, stop)
         if self.cause is None:
             return
         self.shut_down()
-        if self.sock is None and self.cause is AbortCause.CALLER_GONE:
+        if self.sock is None and self.cause is not AbortCause.TIMEOUT:
             self.withdraw()
 
+    def find_cause(self, now: float, stop: StopTimes) -> AbortCause | None:
+        """Return why the call has to be aborted; None if it may go on."""
+        if self.gone():
+            return AbortCause.CALLER_GONE
+        if now >= self.deadline:
+            return AbortCause.TIMEOUT
+        ends_at = stop.sends_end if self.sock is None else stop.calls_end
+        return AbortCause.STOPPING if now >= ends_at else None
+
 
 class CallWatcher:
-    """The table of open calls and the thread that checks them."""
+    """The table of open calls and the thread that checks them.
+
+    Attributes
+    ----------
+    stop_times : StopTimes
+        Until when calls may go on; without end unless the host stops.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.stop_times = NO_STOP
         self.calls: dict[int, OpenCall] = {}
         self.lock = threading.Lock()
         self.stopping = threading.Event()
@@ -120,6 +154,10 @@
         self.stopping.set()
         self.has_calls.set()
 
+    def may_send(self) -> bool:
+        """Return whether calls may still be sent to targets."""
+        return self.clock.monotonic() < self.stop_times.sends_end
+
     def add(self, call: OpenCall) -> None:
         """Start to watch ``call``."""
         with self.lock:
@@ -146,4 +184,4 @@
         with self.lock:
             calls = list(self.calls.values())
         for call in calls:
-            self.turns.run(call.check, now)
+            self.turns.run(call.check, now, self.stop_times)
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -74,6 +74,10 @@
 NO_MEMORY_RETRY_S = 0.5
 """Retry-After of a host without memory for an answer; another one may have some."""
 NO_MEMORY_DETAIL = "This host has no memory left for an answer."
+STOPPING_RETRY_S = 0.1
+"""Retry-After of a host that is stopping; other hosts can take the call at once."""
+STOPPING_REFUSAL = refuse(Reason.STOPPING, "This host is stopping.", STOPPING_RETRY_S)
+STOPPED_DETAIL = "This host stops before the target has answered; it may have run."
 DEADLINE_DETAIL = "The target gave no whole answer in time; it may have run."
 
 
@@ -205,7 +209,15 @@
         proxy.watcher.add(self.open_call)
 
     def withdraw(self) -> None:
-        """Withdraw the call from the scheduler's queue."""
+        """Withdraw the call from the scheduler's queue.
+
+        A call that waits as the host stops is refused here: the scheduler may have
+        nothing to say of it, such as for a service without a target. It is not sent
+        any more, whatever the scheduler decides.
+        """
+        decisions = self.call.row.decisions
+        if self.open_call.cause is AbortCause.STOPPING and decisions.empty():
+            decisions.put(STOPPING_REFUSAL)
         self.proxy.scheduler.tell(Withdrawn(self.call.row.request))
 
     def run(self, start_response) -> Iterable[bytes]:
@@ -302,6 +314,8 @@
         left_s = self.left_s()
         if self.open_call.cause is not None or left_s < MIN_SEND_TIME_S:
             raise NotSent("the call was aborted or its deadline is too close")
+        if not self.proxy.watcher.may_send():
+            raise NotSent("the host is about to stop")
         self.proxy.statements.check(dispatch)
         self.evidence.begin(dispatch)
         self.counts.begin(dispatch)
@@ -476,10 +490,13 @@
 
     def lost_refusal(self, error: MayHaveRun) -> Refusal:
         """Return the refusal for a call that may have run."""
+        state = RequestState.MAY_HAVE_RUN
+        if self.open_call.cause is AbortCause.STOPPING:
+            return Refusal(state, Reason.TARGET_LOST, STOPPED_DETAIL)
         if self.open_call.cause is AbortCause.TIMEOUT or self.left_s() <= 0:
-            return Refusal(RequestState.MAY_HAVE_RUN, Reason.DEADLINE, DEADLINE_DETAIL)
+            return Refusal(state, Reason.DEADLINE, DEADLINE_DETAIL)
         text = f"The target was lost with the request: {error}."
-        return Refusal(RequestState.MAY_HAVE_RUN, Reason.TARGET_LOST, text)
+        return Refusal(state, Reason.TARGET_LOST, text)
 
     def memory_refusal(self) -> Refusal:
         """Return the refusal for a call whose answer no memory is left for."""
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -294,3 +294,60 @@
         call.join(PATIENT_S)
     runs = attempts_run(fleet)
     assert [row.attempt for row in calls if row.attempt in runs] == []
+
+
+@pytest.mark.parametrize("lose", [lose_targets, let_targets_leave])
+def test_calls_that_wait_for_a_service_without_targets_are_refused(fleet, lose):
+    """Guards against a stop that ends without a word to calls that still wait."""
+    set_routes(fleet, PATIENT_ROUTES)
+    lose(fleet)
+    host = fleet.hosts[0]
+    wait_until(
+        lambda: set(host.status()["targets"].values()) <= {"leaving"}, "no targets"
+    )
+    calls = start_calls(host, "before")
+    time.sleep(1.0)
+    began = time.monotonic()
+    host.process.send_signal(signal.SIGTERM)
+    time.sleep(1.0)
+    calls += start_calls(host, "after")
+    assert host.process.wait(GRACE_S) == 0
+    for call in calls:
+        call.join(PATIENT_S)
+    assert [row.status for row in calls] == [503] * len(calls)
+    assert all(row.retry_after for row in calls)
+    assert all(row.ended - began < GRACE_S - 1.0 for row in calls)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_call_that_outlasts_the_stop_is_told_that_it_may_have_run(fleet, kind):
+    """Guards against a call at a target that ends with a closed connection."""
+    set_routes(fleet, PATIENT_ROUTES)
+    set_knobs(fleet, pause_s=12.0)
+    host = fleet.hosts[0]
+    call = OneCall(host, f"/{kind}/x", "long")
+    call.start()
+    wait_until(lambda: "long" in attempts_run(fleet), "the run")
+    host.process.send_signal(signal.SIGTERM)
+    assert host.process.wait(GRACE_S) == 0
+    call.join(PATIENT_S)
+    assert call.status == 502
+
+
+def test_calls_that_wait_for_full_targets_are_refused(fleet):
+    """Guards against a stop that leaves calls in the queue of full targets."""
+    set_routes(fleet, PATIENT_ROUTES)
+    set_knobs(fleet, pause_s=12.0)
+    host = fleet.hosts[0]
+    calls = [OneCall(host, "/charge/x", f"full-{n}") for n in range(8)]
+    for call in calls:
+        call.start()
+    wait_until(lambda: len(attempts_run(fleet)) == 4, "full targets")
+    host.process.send_signal(signal.SIGTERM)
+    assert host.process.wait(GRACE_S) == 0
+    for call in calls:
+        call.join(PATIENT_S)
+    runs = attempts_run(fleet)
+    statuses = {row.attempt: row.status for row in calls}
+    assert {statuses[name] for name in runs} == {502}
+    assert {statuses[name] for name in statuses.keys() - runs} == {503}
--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -185,3 +185,21 @@
     monkeypatch.setattr(server, "handle_accept", lambda: None)
     with socket.create_connection(server.socket.getsockname()):
         assert accept_all_and_close(server) == server.adj.backlog
+
+
+def test_a_request_for_a_service_without_a_target_is_answered_at_a_stop(fleet):
+    """Guards against a stop that ends without a word to a request that waits."""
+    fleet.add_engine("engine-a1")
+    host = fleet.add_host("host-a1", "a")
+    fleet.wait_ready()
+    fleet.configure(fleet.ticket())
+    headers = {"Request-Timeout": "4"}
+    thread, answers = in_thread(fleet.call, host, "lookup", b"waits", headers)
+    status = "/v1/status"
+    wait_until(
+        lambda: fleet.operator_get(host, status)["waiting"] == 1, "a request that waits"
+    )
+    host.send(signal.SIGTERM)
+    assert host.process.wait(timeout=20) == 0
+    thread.join()
+    assert answers[0].status == 503
