Record in the store which requests crash targets

Cause: what hosts know of crashes was in their memory alone.

Change: the host that learns of a crash writes the traits that are held for it to a keyed topic, at once and waited for by nobody, with the trials made; a run to the end removes the record. A host reads the topic before it is ready (3 s at most).

--- a/godwitladder/discovery/source.py
+++ b/godwitladder/discovery/source.py
@@ -12,7 +12,7 @@
 from godwitladder.discovery.rollouts import RolloutOrder, RolloutState
 from godwitladder.discovery.targets import TargetEntry
 from godwitladder.findings import GodwitladderError
-from godwitladder.ids import Era, ServiceName
+from godwitladder.ids import Era, ServiceName, TraitId
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.routing.model import RoutingDocument
 
@@ -219,3 +219,9 @@
         StoreTrimmed
             The store does not have the records at ``offset``.
         """
+
+    def write_crashes(self, records: Mapping[TraitId, bytes]) -> None:
+        """Write the records of traits, all or none; an empty value removes one."""
+
+    def read_crashes(self) -> tuple[Record, ...]:
+        """Return the records of traits, each with the trait as its key."""
--- a/godwitladder/platform/names.py
+++ b/godwitladder/platform/names.py
@@ -58,6 +58,7 @@
 STREAMS_TOPIC = "streams"
 """Not keyed, so that its records expire; each has the form of a keyed one all the same,
 with an empty key."""
+CRASHES_TOPIC = "keyed.crashes"
 ROLLOUT_PREFIX = "rollout/"
 STATUS_ORDER = "order"
 """Field of a status with the offset of the order that it answers. The same version may
--- a/godwitladder/platform/source.py
+++ b/godwitladder/platform/source.py
@@ -1,5 +1,6 @@
 """Implements `godwitladder.discovery.source.Source` with the platform's store."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 from returns.result import Failure
@@ -18,6 +19,7 @@
     StoreUnavailable,
 )
 from godwitladder.discovery.targets import TargetEntry
+from godwitladder.ids import TraitId
 from godwitladder.logs import component_logger
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.platform import names
@@ -207,6 +209,14 @@
         read = self.store.read(names.STREAMS_TOPIC, offset)
         return Batch(offset, read.next, read.records, read.era, read.end)
 
+    def write_crashes(self, records: Mapping[TraitId, bytes]) -> None:
+        """Write the records of traits, all or none; an empty value removes one."""
+        self.store.append_all(names.CRASHES_TOPIC, records)
+
+    def read_crashes(self) -> tuple[Record, ...]:
+        """Return the records of traits that targets crashed under."""
+        return self.store.newest(names.CRASHES_TOPIC).records
+
     def decode_entry(self, record: Record) -> TargetEntry | None:
         """Return the target in ``record``; None if the entry is invalid."""
         result = decode_entry(record.key, record.value)
--- a/godwitladder/platform/store.py
+++ b/godwitladder/platform/store.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import struct
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -191,10 +192,19 @@
         StoreUnavailable
             The record may have been appended, or may be appended later.
         """
-        content = bytes([len(key.encode())]) + key.encode() + value
-        body = RECORD_LENGTH.pack(len(content)) + content
         query = {"topic": topic, "part": 0} | ({} if at is None else {"at": at})
-        self._request("POST", names.APPEND, query, body)
+        self._request("POST", names.APPEND, query, _encode_record(key, value))
+
+    def append_all(self, topic: str, records: Mapping[str, bytes]) -> None:
+        """Append a record for each key, all or none; an empty value removes the key.
+
+        Raises
+        ------
+        StoreUnavailable
+            The records may have been appended, or may be appended later.
+        """
+        body = b"".join(_encode_record(key, value) for key, value in records.items())
+        self._request("POST", names.APPEND, {"topic": topic, "part": 0}, body)
 
     def _request(
         self, method: str, path: str, query: dict, body: bytes | None = None
@@ -290,6 +300,12 @@
     return tuple(records)
 
 
+def _encode_record(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return RECORD_LENGTH.pack(len(content)) + content
+
+
 def _parse_keyed_record(offset: int, content: bytes) -> Record:
     end = 1 + (content[0] if content else 0)
     return Record(offset, content[1:end].decode(errors="replace"), content[end:])
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import secrets
 import threading
 from collections.abc import Callable, Mapping, Sequence
@@ -13,7 +14,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.health.quarantine import QuarantinePolicy
 from godwitladder.findings import GodwitladderError
-from godwitladder.ids import TargetName
+from godwitladder.ids import TargetName, TraitId
 from godwitladder.logs import component_logger
 from godwitladder.outcomes import Reason, Refusal, refuse
 from godwitladder.quarantine.evidence import (
@@ -25,6 +26,7 @@
 from godwitladder.quarantine.records import (
     Cleared,
     Crash,
+    Lifted,
     PossibleCrash,
     QuarantineEvent,
     TrialBegan,
@@ -96,6 +98,9 @@
 
     Attributes
     ----------
+    on_change : callable
+        Called with the traits of which an event has changed what is known, and whether
+        this host has found it.
     registry : QuarantineRegistry
         What this host knows of such requests.
     under_way : CallsUnderWay
@@ -112,6 +117,7 @@
         self.broadcast = broadcast
         self.evidence = evidence
         self.under_way = CallsUnderWay()
+        self.on_change: Callable[[Sequence[TraitId], bool], None] = ignore_change
         self.trial_lock = threading.Lock()
 
     def refusal(
@@ -245,12 +251,14 @@
         """Apply an event of this host and send it to all peers."""
         self.registry.apply(event)
         self.broadcast(event)
+        self.on_change(traits_of(event), True)
         self.speak_for(event)
 
     def receive(self, event: QuarantineEvent, source: str) -> bool:
         """Apply an event of a peer; return whether it is new."""
         is_new = self.registry.apply(event, source=source)
         if is_new:
+            self.on_change(traits_of(event), False)
             self.speak_for(event)
         return is_new
 
@@ -268,6 +276,31 @@
             self.publish(Cleared(make_event_id(), event.digest, found, age_s))
 
 
+@functools.singledispatch
+def traits_of(event: QuarantineEvent) -> tuple[TraitId, ...]:
+    """Return the traits of which an event changes what is known."""
+    return event.traits or (TraitId(event.digest),)
+
+
+@traits_of.register
+def _(event: TrialEnded) -> tuple[TraitId, ...]:
+    return ()
+
+
+@traits_of.register
+def _(event: Crash | PossibleCrash) -> tuple[TraitId, ...]:
+    return RequestTraits(event.digest, event.parts).ids
+
+
+@traits_of.register
+def _(event: Lifted) -> tuple[TraitId, ...]:
+    return (TraitId(event.digest),)
+
+
+def ignore_change(traits: Sequence[TraitId], is_own: bool) -> None:
+    """Do nothing about a change."""
+
+
 def log_loss(text: str, call: LostCall) -> None:
     """Log what shows, or doesn't, that a target has ended under a call."""
     extra = {
--- a/godwitladder/quarantine/registry.py
+++ b/godwitladder/quarantine/registry.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterable, Sequence
 
 from godwitladder.clock import Clock
-from godwitladder.decisions.health.crashes import CrashRecord, TargetProcess
+from godwitladder.decisions.health.crashes import (
+    CrashHistory,
+    CrashRecord,
+    TargetProcess,
+)
 from godwitladder.decisions.health.quarantine import (
     Quarantine,
     QuarantinePolicy,
@@ -314,19 +318,10 @@
                 self.table.histories.items(),
                 key=lambda row: (not row[1].quarantined_until, -row[1].last_at),
             )
-            unconfirmed_s = self.table.policy.unconfirmed_s
             cleared = sorted(self.table.cleared.items(), key=lambda row: -row[1])
             return KnownCrashes(
                 tuple(
-                    KnownHistory(
-                        trait,
-                        processes_of(row.confirmed_crashes()),
-                        now - row.last_at,
-                        max(0.0, row.quarantined_until - now),
-                        row.retrials,
-                        tuple(row.blamed),
-                        processes_of(row.possible_crashes(now, unconfirmed_s)),
-                    )
+                    self._known_history(trait, row, now)
                     for trait, row in histories[:MAX_KNOWN_ROWS]
                 ),
                 tuple(
@@ -335,6 +330,41 @@
                 ),
             )
 
+    def held_histories(
+        self, traits: Iterable[TraitId] | None = None
+    ) -> dict[TraitId, KnownHistory]:
+        """Return what is known of those of ``traits`` that are held; all by default."""
+        now = self.clock.monotonic()
+        with self.lock:
+            histories = self.table.histories
+            held = self._held_traits(
+                tuple(histories if traits is None else traits), now
+            )
+            return {
+                trait: self._known_history(trait, histories[trait], now)
+                for trait in held
+            }
+
+    def _known_history(
+        self, trait: TraitId, row: CrashHistory, now: float
+    ) -> KnownHistory:
+        possible = row.possible_crashes(now, self.table.policy.unconfirmed_s)
+        return KnownHistory(
+            trait,
+            processes_of(row.confirmed_crashes()),
+            now - row.last_at,
+            max(0.0, row.quarantined_until - now),
+            row.retrials,
+            tuple(row.blamed),
+            processes_of(possible),
+        )
+
+    def is_cleared_since(self, trait: TraitId, age_s: float) -> bool:
+        """Return whether ``trait`` was cleared in the last ``age_s`` seconds."""
+        with self.lock:
+            at = self.table.cleared.get(trait, float("-inf"))
+        return self.clock.monotonic() - at <= age_s
+
     def merge(self, known: KnownCrashes, source: str = "") -> KnownCrashes:
         """Add what a peer knows; return what of it was new.
 
--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -45,6 +45,7 @@
 from godwitladder.process.descriptors import share_descriptors
 from godwitladder.process.loops import Turns
 from godwitladder.process.supervision import watch_threads
+from godwitladder.quarantine.crash_recorder import CrashRecorder
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.probing import TargetProbe
@@ -96,12 +97,24 @@
 ADMIN_THREADS = 2
 NEW_CONNECTION_FRACTION = 0.85
 """Part of the threads for new connections; the rest is for those that are open."""
+CRASHES_TIMEOUT_S = 3.0
+"""A host that can't read the recorded crashes in this time serves without them."""
 MAX_LOGGED_HOSTS = 12
 """Limit on the allocators listed in a log line."""
 MAX_TARGETS_AGE_S = 2.0
 """Age of the list of targets up to which a version that has just come is known."""
 CRITICAL_THREADS = frozenset(
-    {"feed", "hosts", "ticker", "http", "watch", "peers", "rollouts", "streams"}
+    {
+        "crashes",
+        "feed",
+        "hosts",
+        "http",
+        "peers",
+        "rollouts",
+        "streams",
+        "ticker",
+        "watch",
+    }
 )
 
 
@@ -283,6 +296,14 @@
             self.mesh.broadcast,
             CrashEvidence(clock, lambda: self.connector.places, TargetProbe(codec)),
         )
+        self.crash_recorder = CrashRecorder(
+            settings.host,
+            source,
+            clock,
+            self.quarantine.registry,
+            lambda: self.hosts,
+        )
+        self.quarantine.on_change = self.crash_recorder.mark
         for kind in get_args(QuarantineEvent):
             self.router.message_handlers[kind] = self.receive_quarantine_event
         self.router.message_handlers[KnownCrashes] = self.receive_known_crashes
@@ -430,6 +451,7 @@
         self.start_component(self.watch)
         self.read_thread.start()
         self.start_component(self.feed)
+        self.start_component(self.crash_recorder)
         self.start_component(self.origins.recorder)
         if self.status_writer is not None:
             self.start_component(self.status_writer)
@@ -480,10 +502,20 @@
             known
             and current
             and self.peer_discovery_done()
+            and self.has_read_crashes()
             and self.caller_server is not None
             and not self.stopping.is_set()
         )
 
+    def has_read_crashes(self) -> bool:
+        """Return whether the recorded crashes were read, or waited for long enough.
+
+        A host that does not know them sends requests that crash targets to more of
+        them. While the store is away, no host could serve.
+        """
+        waited_s = self.clock.monotonic() - self.started
+        return self.crash_recorder.is_read or waited_s > CRASHES_TIMEOUT_S
+
     def peer_discovery_done(self) -> bool:
         """Return whether a peer was found or the search has timed out.
 
--- a/godwitladder/standins/routed/store.py
+++ b/godwitladder/standins/routed/store.py
@@ -135,19 +135,21 @@
             return len(self.topics[topic].records)
 
     def append(
-        self, topic: str, key: str, value: bytes, at: str | None
+        self, topic: str, records: list[tuple[str, bytes]], at: str | None
     ) -> tuple[int, bytes]:
-        """Append a record if its topic ends at ``at``; return status and body."""
+        """Append records if their topic ends at ``at``; return status and body."""
         with self.lock:
             partition = self.topics[topic]
             end = len(partition.records)
             if at is not None and int(at) != end:
                 return 412, json.dumps({"endOffset": end}).encode()
-            partition.append(key, value)
-            return 200, json.dumps({"offset": end, "endOffset": end + 1}).encode()
+            for key, value in records:
+                partition.append(key, value)
+            answer = {"offset": end, "endOffset": len(partition.records)}
+            return 200, json.dumps(answer).encode()
 
     def append_late(self, *args) -> None:
-        """Append a record after the delay that a knob sets."""
+        """Append records after the delay that a knob sets."""
         timer = threading.Timer(
             self.knobs.late_s, lambda: self.late_results.append(self.append(*args))
         )
@@ -204,20 +206,18 @@
                 self.answer(*read_page(partition, int(query["from"])))
 
     def do_POST(self) -> None:
-        """Append the record in the body."""
+        """Append the records in the body."""
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         if self.send_failure():
             return
         query = dict(parse_qsl(urlsplit(self.path).query))
-        content = body[RECORD_LENGTH.size :]
-        key = content[1 : 1 + content[0]].decode()
-        record = query["topic"], key, content[1 + content[0] :]
+        appended = query["topic"], read_records(body)
         store, at = self.server.standin, query.get("at")
         if store.knobs.late_s:
-            store.append_late(*record, at)
+            store.append_late(*appended, at)
             self.close_connection = True
             return
-        self.answer(*store.append(*record, at))
+        self.answer(*store.append(*appended, at))
 
     def send_failure(self) -> bool:
         """Delay the answer and send the status that a knob sets, if any.
@@ -267,6 +267,18 @@
         """Log no requests."""
 
 
+def read_records(body: bytes) -> list[tuple[str, bytes]]:
+    """Return the key and value of each record in the body of an append."""
+    records = []
+    while body:
+        (length,) = RECORD_LENGTH.unpack_from(body)
+        content = body[RECORD_LENGTH.size : RECORD_LENGTH.size + length]
+        body = body[RECORD_LENGTH.size + length :]
+        key_end = 1 + content[0]
+        records.append((content[1:key_end].decode(), content[key_end:]))
+    return records
+
+
 def newest_page(partition: Partition, after: str) -> bytes:
     """Return a JSON page of at most two newest records, of keys after ``after``."""
     keys = sorted(key for key in partition.newest() if key > after)
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -1,6 +1,7 @@
 """A request that ends its targets is stopped, and those beside it are served."""
 
 import contextlib
+import itertools
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -9,13 +10,15 @@
 from godwitladder.standins.routed import Ending
 from soak.crash_requests import POISON_BODY, Request, Trigger
 from soak.crashes import (
+    MAX_LATE_SENDS,
+    POISON_INTERVAL_S,
     CrashRun,
     CrashRunSize,
     run_crash_seed,
     start_crash_fleet,
 )
-from soak.fleet import AddressAfterEnd, Aftermath
-from soak.host_faults import HostFault
+from soak.fleet import AddressAfterEnd, Aftermath, Host
+from soak.host_faults import CONTACT_S, HostFault
 from soak.proxy import CutMode
 from tests.fleet import wait_until
 
@@ -184,3 +187,86 @@
     before = count_endings(run)
     assert send_poison_request(run, cut_off, "-late") == HELD_BACK
     assert count_endings(run) == before
+
+
+def lose_all(run, stop):
+    """Stop all hosts together, and start them again."""
+    hosts = run.fleet.hosts
+    with ThreadPoolExecutor(len(hosts)) as pool:
+        list(pool.map(stop, hosts))
+    for host in hosts:
+        host.start()
+    assert run.fleet.wait_until_converged(30.0)
+
+
+def send_for(run, seconds, name):
+    """Send the poison request to one host after the other."""
+    until = time.monotonic() + seconds
+    for number, host in enumerate(itertools.cycle(run.fleet.hosts)):
+        if time.monotonic() >= until:
+            return
+        send_poison_request(run, host, f"{name}-{number}")
+        time.sleep(POISON_INTERVAL_S)
+
+
+def count_late_sends(run):
+    """Return how often the poison request came when three ends had to be known."""
+    endings = sorted(
+        at for row in run.fleet.targets for at in row.server.standin.endings
+    )
+    arrivals = [
+        row.at
+        for target in run.fleet.targets
+        for row in target.server.standin.arrivals
+        if row.attempt.startswith("g")
+    ]
+    return sum(at > endings[2] + CONTACT_S for at in arrivals)
+
+
+@pytest.mark.parametrize(
+    ("stop", "losses"),
+    [(Host.kill, 1), (Host.terminate, 1), (Host.kill, 2)],
+    ids=["killed", "terminated", "killed_twice"],
+)
+def test_hosts_that_are_all_lost_know_which_requests_end_targets(run, stop, losses):
+    """Guards against a request that ends targets anew each time all hosts are lost."""
+    send_until_held_back(run, run.fleet.hosts[0])
+    send_for(run, 2.0, "before")
+    for number in range(losses):
+        lose_all(run, stop)
+        send_for(run, 9.0, f"after-{number}")
+    assert count_late_sends(run) <= MAX_LATE_SENDS
+
+
+def test_hosts_that_are_lost_right_after_a_crash_know_of_it(run):
+    """Guards against a record that comes too late for a loss of all hosts."""
+    host = run.fleet.hosts[0]
+    wait_until(
+        lambda: (
+            send_poison_request(run, host, f"{time.monotonic()}") is not None
+            and count_endings(run) >= 3
+        ),
+        "three ends",
+    )
+    lose_all(run, Host.kill)
+    # From here on each further send counts.
+    time.sleep(CONTACT_S)
+    send_for(run, 9.0, "after")
+    assert count_late_sends(run) <= MAX_LATE_SENDS
+
+
+def test_a_request_that_runs_again_is_served_after_all_hosts_are_lost(run):
+    """Guards against a record that holds back a request which ends nothing any more."""
+    send_until_held_back(run, run.fleet.hosts[0])
+    for target in run.fleet.targets:
+        target.knobs.ends_on = b""
+    lose_all(run, Host.kill)
+    wait_until(
+        lambda: (
+            send_poison_request(run, run.fleet.hosts[0], f"{time.monotonic()}") == 200
+        ),
+        "a trial",
+    )
+    lose_all(run, Host.kill)
+    for number, host in enumerate(run.fleet.hosts):
+        assert send_poison_request(run, host, f"-cleared-{number}") == 200
