--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -145,6 +145,7 @@
     targets: int,
     fault: HostFault,
     limits: HostLimits | None = None,
+    kind: type[Fleet] = Fleet,
 ) -> Fleet:
     """Return a fleet in three availability zones whose hosts can be disturbed.
 
@@ -154,7 +155,7 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
     folder.mkdir(parents=True, exist_ok=True)
     has_peer_paths = fault in (HostFault.CUT, HostFault.CUT_STORE)
-    return Fleet(
+    return kind(
         stack,
         folder,
         hosts,
