--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -9,7 +9,7 @@
     2: "runs that outlast the stop, calls without a target",
     8: "a store that answers late, and calls that are taken in late",
 }
-"""Seeds that CI runs -> what they cover; both were broken before stops had due times."""
+"""Seeds that CI runs -> what they cover; both were broken by an earlier drain."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
