Move the exchange of crashes between hosts out of the daemon

No change of behaviour: quarantine/exchange.py receives and forwards what peers know, and tells it over new links. It is created before the actor that publishes the hosts, which sets its hubs.

--- a/godwitladder/routing/daemon.py
+++ b/godwitladder/routing/daemon.py
@@ -4,7 +4,6 @@
 import threading
 from collections.abc import Callable
 from pathlib import Path
-from typing import get_args
 
 from godwitladder.clock import Clock
 from godwitladder.decisions.limits.quotas import TokenQuotas
@@ -31,7 +30,7 @@
 from godwitladder.membership.codec import encode
 from godwitladder.membership.contacts import ListedHost
 from godwitladder.membership.fleet import FleetNamed, Refusal
-from godwitladder.membership.hubs import MAX_MESH_HOSTS, choose_publisher
+from godwitladder.membership.hubs import MAX_MESH_HOSTS
 from godwitladder.membership.links import Link
 from godwitladder.membership.members import Members
 from godwitladder.membership.mesh import Mesh
@@ -47,10 +46,9 @@
 from godwitladder.process.supervision import watch_threads
 from godwitladder.quarantine.crash_recorder import CrashRecorder
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
+from godwitladder.quarantine.exchange import CrashExchange
 from godwitladder.quarantine.gate import QuarantineGate
 from godwitladder.quarantine.probing import TargetProbe
-from godwitladder.quarantine.records import KnownCrashes, QuarantineEvent
-from godwitladder.quarantine.registry import NOTHING_KNOWN
 from godwitladder.rollouts.coordinator import RolloutCoordinator
 from godwitladder.rollouts.counts import HostRollouts
 from godwitladder.rollouts.sent_parts import SentParts
@@ -160,7 +158,6 @@
         self.span = Zone(settings.region)
         self.hosts: tuple[HostId, ...] = (settings.host,)
         self.sharing_hosts = SharingHosts(clock, self.hosts)
-        self.hubs: frozenset[HostId] = frozenset()
         self.freshness = DocumentFreshness(
             settings.bounds.revoke_s, settings.bounds.change_s
         )
@@ -264,6 +261,21 @@
             lambda count: self.metrics.gateway_tunnels.set({}, count),
         )
         self.mesh.serve_tunnel = self.gateway.serve
+        self.quarantine = QuarantineGate(
+            clock,
+            self.mesh.broadcast,
+            CrashEvidence(clock, lambda: self.connector.places, TargetProbe(codec)),
+        )
+        self.crash_recorder = CrashRecorder(
+            settings.host,
+            source,
+            clock,
+            self.quarantine.registry,
+            lambda: self.hosts,
+        )
+        self.quarantine.on_change = self.crash_recorder.mark
+        self.crash_exchange = CrashExchange(settings.host, self.quarantine, self.mesh)
+        self.crash_exchange.handle_messages(self.router)
         self.membership = self.start_actor(
             Membership,
             self.make_heartbeat(),
@@ -291,22 +303,6 @@
         )
         self.router.message_handlers[FleetNamed] = self.mesh.receive_fleet
         self.router.message_handlers[FeedWanted] = self.answer_feed_request
-        self.quarantine = QuarantineGate(
-            clock,
-            self.mesh.broadcast,
-            CrashEvidence(clock, lambda: self.connector.places, TargetProbe(codec)),
-        )
-        self.crash_recorder = CrashRecorder(
-            settings.host,
-            source,
-            clock,
-            self.quarantine.registry,
-            lambda: self.hosts,
-        )
-        self.quarantine.on_change = self.crash_recorder.mark
-        for kind in get_args(QuarantineEvent):
-            self.router.message_handlers[kind] = self.receive_quarantine_event
-        self.router.message_handlers[KnownCrashes] = self.receive_known_crashes
         handlers = self.router.message_handlers
         handlers[ClockWanted] = self.peer_clocks.receive_wanted
         handlers[ClockTold] = self.peer_clocks.receive_told
@@ -354,11 +350,7 @@
         # Before the request for data, whose age is known only after the answer.
         self.peer_clocks.ask(link)
         self.feed.request_state(lambda wanted: link.send(encode(wanted)))
-        # A host that starts or was cut off would send requests that crash targets to
-        # further ones.
-        known = self.quarantine.registry.known_crashes()
-        if known != NOTHING_KNOWN:
-            link.send(encode(known))
+        self.crash_exchange.tell_all(link)
 
     def record_refused_peer(self, refusal: Refusal) -> None:
         """Count a refused peer; the store may be of its fleet by now."""
@@ -370,32 +362,6 @@
         """Return whether the list of targets is that of the store, or nearly so."""
         return self.feed.age_s() <= MAX_TARGETS_AGE_S
 
-    def receive_quarantine_event(self, link: Link, event: QuarantineEvent) -> None:
-        """Apply a peer's event, and forward it to hosts that have not received it.
-
-        The host that sent it is linked to the hubs only. The hub that is that host's
-        publisher forwards the event to the hosts that are no hubs.
-        """
-        if not self.quarantine.receive(event, link.peer):
-            return
-        hubs = self.hubs
-        if link.peer in hubs or choose_publisher(link.peer, hubs) != self.host:
-            return
-        rest = [row for row in self.mesh.current() if row.peer not in hubs]
-        self.mesh.multicast([row for row in rest if row is not link], encode(event))
-
-    def receive_known_crashes(self, link: Link, known: KnownCrashes) -> None:
-        """Add what a peer knows, and forward what of it is new.
-
-        The peer may have been cut off from all other hosts until now. Each host
-        forwards a row once: if all that a peer knows were forwarded, a fleet whose
-        parts meet again would send it over each of its links.
-        """
-        new = self.quarantine.registry.merge(known, link.peer)
-        if new != NOTHING_KNOWN:
-            others = [row for row in self.mesh.current() if row is not link]
-            self.mesh.multicast(others, encode(new))
-
     def make_heartbeat(self) -> Heartbeat:
         """Return this host's first heartbeat."""
         address = self.settings.listen.peers
@@ -631,7 +597,7 @@
             self.hosts = message.hosts
             self.sharing_hosts.update(message.hosts)
             self.origins.update_hosts(message.hosts)
-            self.hubs = self.origins.hubs = message.hubs
+            self.crash_exchange.hubs = self.origins.hubs = message.hubs
             self.feed.hosts = message.allocators
             self.connector.set_peers(message.peers)
             self.mesh.known_addresses = frozenset(row.address for row in message.peers)
