See targets that go dark under calls that end early

Cause: a call that this host ended after less than a second of silence showed nothing, and nobody remembered it until its target's entry went; a trial that ended so ended without a verdict.

Ruled out: remembering alone (the entry takes 3.6 s), counting each such call (overload).

Change: where no call of the host has heard of the process for .15 s, the host connects to the target, once a second at most; not established while another accepts is a crash that nothing confirms. The call is kept until the entry goes or the process is heard of. A trial lasts until its verdict.

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -25,6 +25,8 @@
 MAX_OTHERS_TRIED = 4
 MEMORY_S = 1.0
 """Time for which the result of a probe holds, as many calls are lost at once."""
+HEARD_MARGIN_S = 0.5
+"""Time after a loss in which bytes may be read that a target sent before its end."""
 MAX_WAIT_S = 10.0
 """Time within which the entry of a process that has ended is gone."""
 MAX_WAITING = 1_000
@@ -115,6 +117,10 @@
         Lost calls for which nothing is shown yet, with the time of the loss.
     ended_at : dict
         When each process was found to have ended, of late.
+    heard_at : dict
+        When this host last heard of each process, in any call.
+    silences : dict
+        When each silent process was last examined, and the verdict.
     """
 
     def __init__(
@@ -126,6 +132,8 @@
         self.present: Mapping[TargetName, TargetPresence] = {}
         self.waiting: list[tuple[float, LostCall]] = []
         self.ended_at: dict[TargetProcess, float] = {}
+        self.heard_at: dict[TargetProcess, float] = {}
+        self.silences: dict[TargetProcess, tuple[float, LossVerdict]] = {}
         self.lock = threading.Lock()
 
     def examine(self, call: LostCall) -> LossVerdict:
@@ -151,6 +159,43 @@
             self.ended_at[process] = now
         return verdict
 
+    def hear(self, process: TargetProcess) -> None:
+        """Record that something of a process has arrived."""
+        self.heard_at[process] = self.clock.monotonic()
+
+    def last_heard(self, process: TargetProcess) -> float:
+        """Return when this host last heard of a process; minus infinity if never."""
+        return self.heard_at.get(process, float("-inf"))
+
+    def examine_silence(self, call: LostCall) -> LossVerdict:
+        """Return what shows of a silent target after this host has ended a call.
+
+        Calls are given up often while targets are busy. A busy target accepts
+        connections, so that no more is asked of it, and that seldom. A trial has to
+        show whether its target runs.
+        """
+        now = self.clock.monotonic()
+        process = TargetProcess(call.target, call.generation)
+        examined_at, verdict = self.silences.get(process, (float("-inf"), None))
+        if not call.trial and now - examined_at < MEMORY_S:
+            return verdict
+        entry = self.present.get(call.target, NOT_PRESENT)
+        path = entry.health_path if call.trial else ""
+        result = self.probe(call.target, call.address, path)
+        if result is ProbeResult.NO_ANSWER and not call.trial:
+            verdict = LossVerdict.ALIVE
+        else:
+            verdict = self.judge(result, call.address, entry)
+        self.silences[process] = now, verdict
+        extra = {
+            "target": call.target,
+            "address": call.address,
+            "probe": result.value,
+            "verdict": verdict.value,
+        }
+        log.info("A silent target was probed", extra=extra)
+        return verdict
+
     def judge(
         self, result: ProbeResult, address: str, entry: TargetPresence
     ) -> LossVerdict:
@@ -199,7 +244,8 @@
     ) -> list[LostCall]:
         """Return the lost calls whose target's process is shown to have ended.
 
-        A target that leaves is no sign: its entry goes as well.
+        A target that leaves is no sign: its entry goes as well. Nor is one that was
+        heard of after the loss.
 
         Parameters
         ----------
@@ -209,12 +255,27 @@
         ended, waiting = [], []
         now = self.clock.monotonic()
         self.present = present
+        self.forget_ended(now)
         with self.lock:
             for at, call in self.waiting:
                 entry = present.get(call.target)
+                process = TargetProcess(call.target, call.generation)
+                if self.last_heard(process) > at + HEARD_MARGIN_S:
+                    continue
                 if entry is None or entry.generation != call.generation:
                     ended.append(call)
                 elif not entry.leaving and now - at < MAX_WAIT_S:
                     waiting.append((at, call))
             self.waiting = waiting
         return ended
+
+    def forget_ended(self, now: float) -> None:
+        """Forget what was heard of processes for which no call waits any more."""
+        self.heard_at = {
+            row: at for row, at in list(self.heard_at.items()) if now - at < MAX_WAIT_S
+        }
+        self.silences = {
+            row: found
+            for row, found in list(self.silences.items())
+            if now - found[0] < MEMORY_S
+        }
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -182,14 +182,9 @@
         verdict = self.evidence.examine(call)
         log_loss(LOSS_TEXTS[verdict], call)
         call = self.with_blame(call)
-        if verdict is LossVerdict.ENDED:
-            self.publish_crash(call)
-            return True
-        self.evidence.wait_for_entry(call)
-        if verdict is not LossVerdict.UNKNOWN:
-            return False
-        self.publish_possible_crash(call)
-        return True
+        if verdict is not LossVerdict.ENDED:
+            self.evidence.wait_for_entry(call)
+        return self.publish_verdict(call, verdict)
 
     def with_blame(self, call: LostCall) -> LostCall:
         """Return a lost call with the traits that are to blame if it is a trial.
@@ -203,13 +198,40 @@
         return dataclasses.replace(call, blamed=blamed)
 
     def record_silence(self, call: LostCall) -> bool:
-        """Record a call that was given up as its target had fallen silent.
+        """Record a call that this host ended while its target was silent.
 
-        Returns whether the target may have ended, as its entry is gone.
+        What it can show comes later than its end, so it is kept until the entry of the
+        target's process has gone, or the process was heard of again. Returns whether
+        the target may have ended; a trial of it then lasts on.
         """
         log_loss("A target fell silent under a call", call)
-        self.evidence.wait_for_entry(self.with_blame(call))
-        return not self.evidence.has_entry(call)
+        call = self.with_blame(call)
+        if not self.evidence.has_entry(call):
+            self.evidence.wait_for_entry(call)
+            return True
+        verdict = self.evidence.examine_silence(call)
+        if verdict is not LossVerdict.ENDED:
+            self.evidence.wait_for_entry(call)
+        return self.publish_verdict(call, verdict)
+
+    def record_early_end(self, call: LostCall) -> bool:
+        """Record a call that this host ended just after it was sent.
+
+        Only a target that is found to be gone counts; returns whether it may be.
+        """
+        verdict = self.evidence.examine_silence(call)
+        if verdict is LossVerdict.UNKNOWN:
+            log_loss("A target is gone after a call that ended early", call)
+            self.evidence.wait_for_entry(call)
+        return self.publish_verdict(call, verdict)
+
+    def publish_verdict(self, call: LostCall, verdict: LossVerdict) -> bool:
+        """Report what was found of a target; return whether it may have ended."""
+        if verdict is LossVerdict.ENDED:
+            self.publish_crash(call)
+        elif verdict is LossVerdict.UNKNOWN:
+            self.publish_possible_crash(call)
+        return verdict in (LossVerdict.ENDED, LossVerdict.UNKNOWN)
 
     def update_targets(self, present: Mapping[TargetName, TargetPresence]) -> None:
         """Report the crashes that the entries of targets now show."""
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -534,9 +534,11 @@
     def record_loss(self, error: MayHaveRun) -> None:
         """Record that the answer of the last send was lost.
 
-        A tunnel that breaks says nothing of the target.
+        A tunnel that breaks says nothing of the target, nor does the end of this host.
         """
         cause, is_broken = self.open_call.cause, self.connection.is_broken
+        if cause is AbortCause.STOPPING:
+            return
         if is_broken:
             self.proxy.connector.record_broken(self.connection.gateway)
         else:
--- a/godwitladder/serving/target_evidence.py
+++ b/godwitladder/serving/target_evidence.py
@@ -1,7 +1,9 @@
 """What a call shows of the target it was sent to: lost, silent, malformed or done."""
 
 from godwitladder.clock import Clock
+from godwitladder.decisions.health.crashes import TargetProcess
 from godwitladder.engines.wire import MalformedAnswer, MayHaveRun
+from godwitladder.ids import TargetName
 from godwitladder.logs import component_logger
 from godwitladder.metrics import Metrics
 from godwitladder.quarantine.evidence import LostCall
@@ -12,8 +14,17 @@
 
 log = component_logger("passing")
 
+NO_PROCESS = TargetProcess(TargetName(""))
+
 MIN_SILENCE_S = 1.0
-"""Silence of a target, in seconds, from which it may have ended without a sign."""
+"""Silence of a target, in seconds, from which it is to blame for a call that this host
+ended."""
+MIN_UNHEARD_S = 0.15
+"""Time in seconds without a sign of a target's process in any call of this host, from
+which the process may have ended. Targets at work are heard of more often."""
+EARLY_CHECK_S = 0.15
+"""Time in seconds after which the target is looked at if a call ended before that: the
+process may have ended under it."""
 
 
 class TargetEvidence:
@@ -36,6 +47,8 @@
         The dispatch of the last send.
     on_trial : bool
         Whether the call runs as the trial of a request that targets crashed under.
+    process : TargetProcess
+        The process of the target of the last send.
     heard_at : float
         Monotonic time of the last sign of the target, or of the send.
     """
@@ -53,6 +66,7 @@
         self.metrics = metrics
         self.dispatch: Dispatch | None = None
         self.on_trial = False
+        self.process = NO_PROCESS
         self.heard_at = 0.0
 
     def begin(self, dispatch: Dispatch) -> None:
@@ -64,18 +78,25 @@
             Targets crashed under the request.
         """
         self.dispatch = dispatch
+        self.process = TargetProcess(dispatch.target, dispatch.generation)
         self.on_trial = self.quarantine.begin(self.traits, dispatch.target)
-        self.record_sign()
+        self.heard_at = self.clock.monotonic()
         self.quarantine.under_way.begin(self)
 
     def record_sign(self) -> None:
         """Record that something of the target has arrived."""
         self.heard_at = self.clock.monotonic()
+        self.quarantine.evidence.hear(self.process)
 
     def silence_s(self) -> float:
         """Return the seconds since the last sign of the target."""
         return self.clock.monotonic() - self.heard_at
 
+    def unheard_s(self) -> float:
+        """Return the seconds since the last sign of the target in any call."""
+        heard_at = self.quarantine.evidence.last_heard(self.process)
+        return self.clock.monotonic() - max(self.heard_at, heard_at)
+
     def record_loss(
         self, error: MayHaveRun, is_aborted: bool, is_path_broken: bool
     ) -> bool:
@@ -95,13 +116,23 @@
             return False
         if not is_aborted:
             may_have_ended = self.quarantine.record_loss(self.lost_call())
-        elif self.silence_s() >= MIN_SILENCE_S:
+        elif self.on_trial or self.unheard_s() >= MIN_UNHEARD_S:
             may_have_ended = self.quarantine.record_silence(self.lost_call())
         else:
-            return False
+            may_have_ended = self.check_after_early_end()
         self.on_trial = self.on_trial and not may_have_ended
         return may_have_ended
 
+    def check_after_early_end(self) -> bool:
+        """Return whether the target may have ended under a call that ended at once.
+
+        Its caller has left or has no time, so that nobody waits for this.
+        """
+        self.clock.sleep(EARLY_CHECK_S)
+        if self.unheard_s() < EARLY_CHECK_S:
+            return False
+        return self.quarantine.record_early_end(self.lost_call())
+
     def lost_call(self) -> LostCall:
         """Return what to record if the answer to the last send is lost."""
         return LostCall(
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -78,6 +78,10 @@
         Number of workspaces that send them, 1 or 2.
     aftermath : Aftermath
         What follows when a target has ended.
+    deadline_s : float
+        Deadline of the bad requests.
+    patience_s : float
+        Time after which their callers leave.
     """
 
     hosts: int = 6
@@ -91,6 +95,8 @@
     ending: Ending = Ending.AFTER_HEAD
     fault: HostFault = HostFault.NONE
     aftermath: Aftermath = Aftermath()
+    deadline_s: float = CALL_TIMEOUT_S
+    patience_s: float = CALL_TIMEOUT_S
 
 
 @dataclass(frozen=True)
@@ -125,6 +131,7 @@
         Returns whether a host was in touch at some time.
     asked, served : dict
         Number of requests of each group of callers, and of those that were served.
+        Those that failed as all hosts were lost are left out.
     first_tries : list of FirstTry
         The first try of each of them.
     """
@@ -278,7 +285,10 @@
 
     def send_poison_request(self, host: Host, attempt: str, request: Request) -> None:
         """Send a bad request once."""
-        status, _ = self.call(host, self.size.path, request, attempt)
+        size = self.size
+        status, _ = self.call(
+            host, size.path, request, attempt, size.deadline_s, size.patience_s
+        )
         with self.lock:
             self.history.statuses.append(status)
 
@@ -289,11 +299,21 @@
         while not self.stop_event.wait(0.02):
             count += 1
             name = f"c{number}-{count}"
+            began = time.monotonic()
             is_served = self.request(rng, name, group)
+            if not is_served and self.was_without_hosts(began, time.monotonic()):
+                continue
             with self.lock:
                 self.history.asked[group] += 1
                 self.history.served[group] += is_served
 
+    def was_without_hosts(self, begin: float, end: float) -> bool:
+        """Return whether all hosts were lost in a time, or `CONTACT_S` before it."""
+        return self.faults.is_losing_all or any(
+            lost_at <= end and begin <= back_at + CONTACT_S
+            for lost_at, back_at in self.faults.losses
+        )
+
     def request(self, rng: random.Random, name: str, group: Group) -> bool:
         """Send one request until it is served; return whether it was."""
         path = self.size.path
@@ -314,18 +334,22 @@
         return False
 
     def call(
-        self, host: Host, path: str, request: Request, attempt: str
+        self,
+        host: Host,
+        path: str,
+        request: Request,
+        attempt: str,
+        deadline_s: float = CALL_TIMEOUT_S,
+        patience_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, float]:
         """Send one call; return its status and Retry-After, 0 if it failed."""
         headers = {
             "Host": "shop.example",
             names.ATTEMPT: attempt,
-            names.DEADLINE_MS: str(int(CALL_TIMEOUT_S * 1000)),
+            names.DEADLINE_MS: str(int(deadline_s * 1000)),
             **request.headers(),
         }
-        connection = http.client.HTTPConnection(
-            host.caller_address, timeout=CALL_TIMEOUT_S
-        )
+        connection = http.client.HTTPConnection(host.caller_address, timeout=patience_s)
         with contextlib.closing(connection):
             try:
                 connection.request("POST", path, request.body, headers)
@@ -399,6 +423,8 @@
     address: str = AddressAfterEnd.REFUSES.value,
     restart: float = RESTART_S,
     keep_entry: bool = False,
+    deadline: float = CALL_TIMEOUT_S,
+    patience: float = CALL_TIMEOUT_S,
     logs: str = "",
 ) -> None:
     """Play one run, and exit with status 1 if a guarantee was violated.
@@ -420,7 +446,7 @@
     ending : str
         When targets end under it: before_head, after_head, mid_stream or silent.
     fault : str
-        What disturbs the hosts: none, kill or cut.
+        What disturbs the hosts: none, kill, cut, cut_store, freeze or lose_all.
     hosts : int
         Number of host processes.
     targets : int
@@ -432,6 +458,10 @@
         Seconds until a new process of it has started.
     keep_entry : bool
         Whether its entry stays until then.
+    deadline : float
+        Deadline of the bad requests, in seconds.
+    patience : float
+        Time after which their callers leave, in seconds.
     logs : str
         Directory for the logs of the hosts.
     """
@@ -446,6 +476,8 @@
         path=path,
         ending=Ending(ending),
         fault=HostFault(fault),
+        deadline_s=deadline,
+        patience_s=patience,
     )
     outcome = run_crash_seed(seed, size, Path(logs) if logs else None)
     print(json.dumps(vars(outcome)), flush=True)
--- a/soak/host_faults.py
+++ b/soak/host_faults.py
@@ -44,6 +44,8 @@
         Begin and end of the faults of each host, in monotonic seconds.
     losses : list
         Begin and end of the times without any host, in monotonic seconds.
+    is_losing_all : bool
+        Whether there is no host now.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.stop_event = stop_event
         self.disturbed: dict[str, list[tuple[float, float]]] = {}
         self.losses: list[tuple[float, float]] = []
+        self.is_losing_all = False
 
     def run(self) -> None:
         """Disturb hosts until the run ends."""
@@ -93,6 +96,7 @@
         """Kill all hosts together and start them again, until the run ends."""
         while not self.stop_event.wait(LOSS_INTERVAL_S):
             begin = time.monotonic()
+            self.is_losing_all = True
             for host in self.fleet.hosts:
                 host.kill()
             self.stop_event.wait(LOSS_DURATION_S)
@@ -102,6 +106,7 @@
                 self.await_ready(host)
             end = time.monotonic()
             self.losses.append((begin, end))
+            self.is_losing_all = False
             for host in self.fleet.hosts:
                 self.disturbed.setdefault(host.name, []).append((begin, end))
 
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -8,9 +8,12 @@
 import pytest
 
 from godwitladder.clock import ManualClock
+from godwitladder.decisions.health.crashes import TargetProcess
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.quarantine.evidence import (
+    HEARD_MARGIN_S,
     MAX_WAIT_S,
+    MEMORY_S,
     CrashEvidence,
     LossVerdict,
     LostCall,
@@ -190,3 +193,89 @@
     answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
     with CutTarget(answer, cut) as target:
         assert PROBE("t1", target.address, HEALTH_PATH) is ProbeResult.NO_ANSWER
+
+
+@pytest.fixture
+def unreached():
+    """Address of a listener with a full queue, which establishes no connection."""
+    with contextlib.ExitStack() as stack:
+        server = stack.enter_context(
+            contextlib.closing(socket.create_server(("127.0.0.1", 0), backlog=0))
+        )
+        for _ in range(4):
+            blocker = stack.enter_context(contextlib.closing(socket.socket()))
+            blocker.setblocking(False)
+            blocker.connect_ex(server.getsockname())
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+
+
+def examine_silence(address, other, trial=False):
+    evidence = make_evidence(address, other)
+    return evidence.examine_silence(
+        dataclasses.replace(lost_call(address), trial=trial)
+    )
+
+
+def test_a_dark_target_may_have_ended_under_a_call_that_was_given_up(unreached, silent):
+    """Guards against targets that go dark one by one until their entries go."""
+    assert examine_silence(unreached, silent) is LossVerdict.UNKNOWN
+
+
+def test_a_busy_target_has_not_ended_under_a_call_that_was_given_up(silent):
+    """Guards against suspects among callers who give up under overload."""
+    assert examine_silence(silent, silent) is LossVerdict.ALIVE
+
+
+def test_a_trial_that_was_given_up_shows_nothing_before_its_target_answers(
+    silent, engine
+):
+    """Guards against one trial after the other at targets that fall silent."""
+    assert examine_silence(silent, engine.address, trial=True) is LossVerdict.UNKNOWN
+    verdict = examine_silence(engine.address, silent, trial=True)
+    assert verdict is LossVerdict.ALIVE
+
+
+def test_a_silent_target_is_seldom_probed_under_calls_that_were_given_up(silent):
+    """Guards against a connection for each caller that gives up under overload."""
+    probes = []
+
+    def probe(*args):
+        probes.append(args)
+        return ProbeResult.NO_ANSWER
+
+    evidence = CrashEvidence(ManualClock(), lambda: (silent,), probe)
+    for _ in range(10):
+        evidence.examine_silence(lost_call(silent))
+    assert len(probes) == 1
+    evidence.clock.advance(MEMORY_S)
+    evidence.examine_silence(lost_call(silent))
+    assert len(probes) == 2
+
+
+def test_a_process_that_was_heard_of_after_a_loss_did_not_end_under_it():
+    """Guards against calls that were given up and count as a later end's cause."""
+    evidence = make_evidence()
+    call = lost_call()
+    evidence.wait_for_entry(call)
+    evidence.clock.advance(HEARD_MARGIN_S + 0.1)
+    evidence.hear(TargetProcess(call.target, call.generation))
+    assert evidence.take_ended({}) == []
+
+
+def test_what_arrives_late_does_not_show_that_a_process_lives():
+    """Guards against bytes of before the end that are read just after a loss."""
+    evidence = make_evidence()
+    call = lost_call()
+    evidence.wait_for_entry(call)
+    evidence.hear(TargetProcess(call.target, call.generation))
+    assert evidence.take_ended({}) == [call]
+
+
+def test_little_is_kept_of_processes_that_were_heard_of():
+    """Guards against a table that grows with each process that there ever was."""
+    evidence = make_evidence()
+    for number in range(100):
+        evidence.hear(TargetProcess(f"t{number}"))
+        evidence.clock.advance(1.0)
+        evidence.take_ended({})
+    assert len(evidence.heard_at) <= MAX_WAIT_S + 1
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -29,7 +29,7 @@
 from godwitladder.platform.headers import PlatformHeaders
 from godwitladder.quarantine.evidence import CrashEvidence, TargetPresence
 from godwitladder.quarantine.gate import QuarantineGate
-from godwitladder.quarantine.probing import TargetProbe
+from godwitladder.quarantine.probing import ProbeResult, TargetProbe
 from godwitladder.quarantine.records import Crash, PossibleCrash, TrialBegan
 from godwitladder.quarantine.traits import RequestTraits
 from godwitladder.rollouts.counts import HostRollouts
@@ -674,7 +674,7 @@
 
 def test_a_target_that_ended_in_silence_is_seen_by_its_entry(stack, monkeypatch):
     """Guards against targets that end one by one without a sign."""
-    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 0.2)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_UNHEARD_S", 0.2)
     bench = Bench(stack)
     engine = bench.engines[0].standin
     engine.knobs.pause_s = 30.0
@@ -689,7 +689,7 @@
 def test_a_target_that_goes_dark_is_seen_before_its_call_ends(stack, monkeypatch):
     """Guards against targets that go dark one by one until deadlines pass."""
     monkeypatch.setattr("godwitladder.quarantine.under_way.MIN_SILENCE_S", 0.05)
-    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 0.05)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_UNHEARD_S", 0.05)
     bench = Bench(stack)
     bench.engines[0].standin.knobs.pause_s = 30.0
     digest = digest_call("w1", "/charge/x", b"bad")
@@ -748,7 +748,7 @@
 
 def test_a_caller_that_leaves_at_once_says_nothing_of_the_target(stack, monkeypatch):
     """Guards against calls that count only because their callers left."""
-    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_SILENCE_S", 60.0)
+    monkeypatch.setattr("godwitladder.serving.target_evidence.MIN_UNHEARD_S", 60.0)
     bench = Bench(stack)
     bench.engines[0].standin.knobs.pause_s = 30.0
     bench.call("/charge/x", body=b"good", gone=lambda: True)
@@ -756,6 +756,19 @@
     assert crashed_bodies(bench) == []
 
 
+def test_a_caller_that_leaves_early_shows_a_target_that_is_gone(stack):
+    """Guards against targets that go dark under callers who never wait for long."""
+    bench = Bench(stack, engines=2)
+    bench.engines[0].standin.knobs.pause_s = 30.0
+    name = f"t-{bench.addresses[0]}"
+    bench.quarantine.update_targets({name: TargetPresence("", False)})
+    results = {bench.addresses[0]: ProbeResult.NO_CONNECTION}
+    bench.quarantine.evidence.probe = lambda target, address, path: results[address]
+    bench.call("/charge/x", body=b"bad", gone=lambda: True)
+    lost = [row.target for row in bench.published if isinstance(row, PossibleCrash)]
+    assert lost == [name]
+
+
 def test_a_target_that_is_lost_while_a_stream_is_resumed_counts(stack):
     """Guards against ends that are seen at the first target of a stream only."""
     bench = Bench(stack, engines=4)
--- a/tests/soak/test_crashes.py
+++ b/tests/soak/test_crashes.py
@@ -69,6 +69,27 @@
     assert run_crash_seed(1, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "patience_s"), [(0.5, 5.0), (5.0, 0.3)], ids=["deadline", "caller"]
+)
+def test_targets_that_go_dark_under_calls_that_end_early_are_few(
+    deadline_s, patience_s, tmp_path
+):
+    """Guards against targets that end one by one as nobody waits to see them end."""
+    size = CrashRunSize(
+        hosts=4,
+        targets=10,
+        callers=(4, 2),
+        seconds=14.0,
+        path="/lookup/x",
+        ending=Ending.SILENT,
+        aftermath=Aftermath(restart_s=4.0, has_expiry=False),
+        deadline_s=deadline_s,
+        patience_s=patience_s,
+    )
+    assert run_crash_seed(1, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("kind", RUNS_OF_PARTS)
 def test_a_part_of_prompts_that_ends_targets_reaches_no_more(kind, tmp_path):
     """Guards against targets that end under requests of which no two are alike."""
@@ -270,3 +291,23 @@
     lose_all(run, Host.kill)
     for number, host in enumerate(run.fleet.hosts):
         assert send_poison_request(run, host, f"-cleared-{number}") == 200
+
+
+def test_a_sound_request_that_slow_targets_run_out_of_time_is_served_later(run):
+    """Guards against a hold for callers who gave up while targets were slow."""
+    for target in run.fleet.targets:
+        target.knobs.ends_on = b""
+        target.knobs.pause_s = 4.0
+    request, hosts = Request(b"the same body"), run.fleet.hosts
+    with ThreadPoolExecutor(16) as pool:
+        for number in range(20):
+            host = hosts[number % len(hosts)]
+            pool.submit(run.call, host, "/lookup/x", request, f"s{number}", 1.5)
+            time.sleep(POISON_INTERVAL_S)
+    for target in run.fleet.targets:
+        target.knobs.pause_s = 0.02
+    statuses = [
+        run.call(hosts[number % len(hosts)], "/lookup/x", request, f"f{number}")[0]
+        for number in range(20)
+    ]
+    assert statuses == [200] * 20
