Probe no target to which a host has no path of its own

A call that went through another host is remembered when this host ends it, and its target is not connected to: a host without a path would take each such target for a dark one. Silent targets that accept connections are not logged for each caller that gives up.

--- a/godwitladder/quarantine/evidence.py
+++ b/godwitladder/quarantine/evidence.py
@@ -145,13 +145,7 @@
         entry = self.present.get(call.target, NOT_PRESENT)
         result = self.probe(call.target, call.address, entry.health_path)
         verdict = self.judge(result, call.address, entry)
-        extra = {
-            "target": call.target,
-            "address": call.address,
-            "probe": result.value,
-            "verdict": verdict.value,
-        }
-        log.info("A target was probed after a loss", extra=extra)
+        log_probe("A target was probed after a loss", call, result, verdict)
         if verdict is LossVerdict.ENDED:
             self.ended_at = {
                 row: at for row, at in self.ended_at.items() if now - at < MEMORY_S
@@ -187,13 +181,7 @@
         else:
             verdict = self.judge(result, call.address, entry)
         self.silences[process] = now, verdict
-        extra = {
-            "target": call.target,
-            "address": call.address,
-            "probe": result.value,
-            "verdict": verdict.value,
-        }
-        log.info("A silent target was probed", extra=extra)
+        log_probe("A silent target was probed", call, result, verdict)
         return verdict
 
     def judge(
@@ -279,3 +267,16 @@
             for row, found in list(self.silences.items())
             if now - found[0] < MEMORY_S
         }
+
+
+def log_probe(
+    text: str, call: LostCall, result: ProbeResult, verdict: LossVerdict
+) -> None:
+    """Log what a probe of a target has found."""
+    extra = {
+        "target": call.target,
+        "address": call.address,
+        "probe": result.value,
+        "verdict": verdict.value,
+    }
+    log.info(text, extra=extra)
--- a/godwitladder/quarantine/gate.py
+++ b/godwitladder/quarantine/gate.py
@@ -204,12 +204,14 @@
         target's process has gone, or the process was heard of again. Returns whether
         the target may have ended; a trial of it then lasts on.
         """
-        log_loss("A target fell silent under a call", call)
         call = self.with_blame(call)
         if not self.evidence.has_entry(call):
+            log_loss("A target without an entry fell silent under a call", call)
             self.evidence.wait_for_entry(call)
             return True
         verdict = self.evidence.examine_silence(call)
+        if verdict is not LossVerdict.ALIVE:
+            log_loss("A target fell silent under a call", call)
         if verdict is not LossVerdict.ENDED:
             self.evidence.wait_for_entry(call)
         return self.publish_verdict(call, verdict)
--- a/godwitladder/serving/proxying.py
+++ b/godwitladder/serving/proxying.py
@@ -543,7 +543,8 @@
             self.proxy.connector.record_broken(self.connection.gateway)
         else:
             self.counts.record_loss(error, cause, self.evidence.silence_s())
-        if self.evidence.record_loss(error, cause is not None, is_broken):
+        is_direct = not self.connection.gateway
+        if self.evidence.record_loss(error, cause is not None, is_broken, is_direct):
             self.proxy.scheduler.tell(TargetLost(self.evidence.dispatch.target))
 
     def record_origin(self) -> None:
--- a/godwitladder/serving/target_evidence.py
+++ b/godwitladder/serving/target_evidence.py
@@ -98,7 +98,11 @@
         return self.clock.monotonic() - max(self.heard_at, heard_at)
 
     def record_loss(
-        self, error: MayHaveRun, is_aborted: bool, is_path_broken: bool
+        self,
+        error: MayHaveRun,
+        is_aborted: bool,
+        is_path_broken: bool,
+        is_direct: bool = True,
     ) -> bool:
         """Record that the answer was lost; return whether its target may have ended.
 
@@ -109,6 +113,9 @@
         is_path_broken : bool
             Whether the way through another host broke, which says nothing of the
             target. Nor does the answer to another call.
+        is_direct : bool, default=True
+            Whether the call did not go through another host. This host has no way of
+            its own to the target otherwise, so that only its entry tells.
         """
         if isinstance(error, MalformedAnswer):
             self.report_malformed(error)
@@ -116,6 +123,9 @@
             return False
         if not is_aborted:
             may_have_ended = self.quarantine.record_loss(self.lost_call())
+        elif not is_direct:
+            self.quarantine.evidence.wait_for_entry(self.lost_call())
+            return False
         elif self.on_trial or self.unheard_s() >= MIN_UNHEARD_S:
             may_have_ended = self.quarantine.record_silence(self.lost_call())
         else:
--- a/tests/serving/test_passing.py
+++ b/tests/serving/test_passing.py
@@ -20,7 +20,7 @@
     StreamOrigin,
 )
 from godwitladder.engines.answer_limits import AnswerLimits
-from godwitladder.engines.wire import NoConnection
+from godwitladder.engines.wire import MayHaveRun, NoConnection
 from godwitladder.metrics import Metrics
 from godwitladder.outcomes import Reason, RequestState, refuse
 from godwitladder.paths.connector import Connector, UntriedGateways
@@ -49,6 +49,7 @@
 from godwitladder.serving.proxying import MAX_UNTRIED_ROUNDS, RoutedProxy
 from godwitladder.serving.statements import TargetStatements
 from godwitladder.serving.stream_origins import StreamOriginRegistry
+from godwitladder.serving.target_evidence import TargetEvidence
 from godwitladder.serving.upstream import StreamTruncated
 from godwitladder.standins.routed import HEALTH_PATH, Ending, start_engine
 from tests.fleet import wait_until
@@ -769,6 +770,20 @@
     assert lost == [name]
 
 
+def test_a_call_through_another_host_that_is_given_up_shows_no_dark_target(stack):
+    """Guards against suspects at hosts that have no path of their own to a target."""
+    bench = Bench(stack, engines=2)
+    name = f"t-{bench.addresses[0]}"
+    bench.quarantine.update_targets({name: TargetPresence("", False)})
+    bench.quarantine.evidence.probe = lambda *args: ProbeResult.REFUSED
+    evidence = TargetEvidence(
+        RequestTraits("bad"), bench.quarantine, bench.clock, bench.metrics
+    )
+    evidence.begin(Dispatch("r", "s", name, bench.addresses[0]))
+    assert not evidence.record_loss(MayHaveRun("given up"), True, False, False)
+    assert bench.published == []
+
+
 def test_a_target_that_is_lost_while_a_stream_is_resumed_counts(stack):
     """Guards against ends that are seen at the first target of a stream only."""
     bench = Bench(stack, engines=4)
