--- a/godwitladder/quarantine/crash_recorder.py
+++ b/godwitladder/quarantine/crash_recorder.py
@@ -13,6 +13,7 @@
 from godwitladder.clock import Clock
 from godwitladder.decisions.rendezvous import choose_host
 from godwitladder.discovery.source import Record, Source, StoreUnavailable
+from godwitladder.discovery.write_timing import write_interval_s
 from godwitladder.ids import HostId, TraitId
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage
@@ -27,10 +28,6 @@
 
 log = component_logger("quarantine")
 
-MIN_INTERVAL_S = 0.25
-"""Shortest interval between two writes of one host. The first one comes at once."""
-MAX_WRITES_PER_S = 100
-"""Writes of all hosts together; a quarter of what the smallest store takes."""
 RETRY_S = 1.0
 CHECK_INTERVAL_S = 10.0
 """Interval at which the records are compared with what is known, while there is any."""
@@ -142,8 +139,8 @@
             self.check()
 
     def interval_s(self) -> float:
-        """Return the seconds between two writes of this host at least."""
-        return max(MIN_INTERVAL_S, len(self.live_hosts()) / MAX_WRITES_PER_S)
+        """Return the seconds between two writes of this host; the first is at once."""
+        return write_interval_s(len(self.live_hosts()))
 
     def pause_s(self) -> float:
         """Return the seconds until the next turn at the latest."""
--- a/godwitladder/serving/stream_recorder.py
+++ b/godwitladder/serving/stream_recorder.py
@@ -16,6 +16,7 @@
 from godwitladder.decisions.placing.stream_records import RecordedStreams, StreamRecord
 from godwitladder.discovery.messages import StreamBatch
 from godwitladder.discovery.source import Source, StoreTrimmed, StoreUnavailable
+from godwitladder.discovery.write_timing import write_interval_s
 from godwitladder.ids import ServiceName
 from godwitladder.logs import component_logger
 from godwitladder.membership.codec import InvalidMessage, decode, encode
@@ -23,11 +24,6 @@
 
 log = component_logger("streams")
 
-MIN_INTERVAL_S = 0.25
-"""Shortest interval between two writes of one host, and the longest time for which a
-stream is not recorded in a small fleet."""
-MAX_WRITES_PER_S = 100
-"""Writes of all hosts together; a quarter of what the smallest store takes."""
 KEPT_S = 20.0
 """Time for which streams that began at an only version are kept. They are written if
 another version comes meanwhile, and last for some seconds."""
@@ -115,7 +111,7 @@
 
     def interval_s(self) -> float:
         """Return the seconds between two writes of this host."""
-        return max(MIN_INTERVAL_S, self.count_hosts() / MAX_WRITES_PER_S)
+        return write_interval_s(self.count_hosts())
 
     def record(self, record: StreamRecord) -> None:
         """Record a stream, to be written if its service has several versions."""
--- a/tests/quarantine/test_crash_recorder.py
+++ b/tests/quarantine/test_crash_recorder.py
@@ -8,12 +8,11 @@
 
 from godwitladder.clock import ManualClock
 from godwitladder.discovery.source import Record, StoreUnavailable
+from godwitladder.discovery.write_timing import MAX_WRITES_PER_S, MIN_INTERVAL_S
 from godwitladder.membership.codec import encode
 from godwitladder.quarantine.crash_recorder import (
     CHECK_INTERVAL_S,
     MAX_BATCH,
-    MAX_WRITES_PER_S,
-    MIN_INTERVAL_S,
     CrashRecorder,
 )
 from godwitladder.quarantine.evidence import LostCall
--- a/tests/serving/test_stream_recorder.py
+++ b/tests/serving/test_stream_recorder.py
@@ -16,13 +16,12 @@
     StoreTrimmed,
     StoreUnavailable,
 )
+from godwitladder.discovery.write_timing import MAX_WRITES_PER_S, MIN_INTERVAL_S
 from godwitladder.membership.codec import COMPRESSED, decode, encode
 from godwitladder.serving.stream_origins import StreamOriginRegistry
 from godwitladder.serving.stream_recorder import (
     KEPT_S,
     MAX_BATCH,
-    MAX_WRITES_PER_S,
-    MIN_INTERVAL_S,
     READ_INTERVAL_S,
     RETRY_S,
     StreamRecorder,
