--- a/tests/quarantine/test_crash_recorder.py
+++ b/tests/quarantine/test_crash_recorder.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import math
+import random
 
 import pytest
 
@@ -323,3 +324,18 @@
     newcomer = Host(store)
     other = RequestTraits("another", ("part", "own part"))
     assert newcomer.status(other) == "quarantined"
+
+
+def test_no_bytes_in_a_record_keep_a_host_from_reading_the_others(store):
+    """Guards against hosts that never get ready by a record of another program."""
+    rng = random.Random(5)
+    clock = ManualClock()
+    good = encode_history(HISTORY, clock.wall())
+    for number in range(2_000):
+        value = bytearray(good)
+        for _ in range(rng.randint(1, 4)):
+            value[rng.randrange(len(value))] = rng.randrange(256)
+        store.rows[f"odd-{number}"] = bytes(value)
+    store.rows["bad"] = good
+    newcomer = Host(store, clock=clock)
+    assert newcomer.recorder.is_read and newcomer.status() == "quarantined"
