--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -60,6 +60,11 @@
 }
 
 
+FAILED_AT_USUAL_SIZE = {
+    1513: "a target that had said that it leaves got calls",
+}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_guarantee_is_violated(seed, tmp_path):
     """No guarantee is violated while hosts, store and targets fail.
@@ -111,6 +116,13 @@
     assert run_seed(seed, size, tmp_path).violations == []
 
 
+@pytest.mark.parametrize("seed", FAILED_AT_USUAL_SIZE)
+def test_a_failed_seed_of_the_usual_size_violates_no_guarantee(seed, tmp_path):
+    """As above, for seeds that failed in runs of the size that is the default."""
+    size = RunSize(statements=3)
+    assert run_seed(seed, size, tmp_path).violations == []
+
+
 @pytest.mark.parametrize("seed", FAILED_WITH_COPIES)
 def test_a_failed_seed_with_copies_violates_no_guarantee(seed, tmp_path):
     """As above, for seeds that failed while the store came back from copies."""
